Build the replicated log of the control group

Cause: the controllers need election, commit, a leadership lease, membership changes and the seal before they can decide anything. Ruled out: a joint membership, since at most one voter changes at a time and majorities of two such memberships meet; an incremental search for the point where two logs part, since the follower's commit index is always right and the logs are short; commit without the leadership lease, since a paused leader could then count answers of members that have sealed since. ProposeInvalid is added to the outcomes of a proposal, for a change of more than one member.

--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -15,7 +15,6 @@
 	"encoding/json"
 	"time"
 
-	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/wire"
 )
 
@@ -174,51 +173,12 @@
 
 // Outcomes of a proposal.
 const (
-	ProposeAccepted      ProposeOutcome = "accepted"
-	ProposeNotLeader     ProposeOutcome = "not-leader"
+	ProposeAccepted  ProposeOutcome = "accepted"
+	ProposeNotLeader ProposeOutcome = "not-leader"
+	// ProposeChangePending: the last membership change is not yet committed, or
+	// the leader has not yet committed an entry of its own term. Try again.
 	ProposeChangePending ProposeOutcome = "change-pending"
+	// ProposeInvalid: the change concerns more than one member, adds a voter
+	// that was no learner, or leaves no voter.
+	ProposeInvalid ProposeOutcome = "invalid-change"
 )
-
-// Node is one member. Not safe for concurrent use.
-type Node struct{}
-
-// NewNode returns a follower, or a learner if the membership says so.
-func NewNode(config Config, now clock.Instant) *Node { panic("not built yet") }
-
-// Step takes a message from another member.
-func (n *Node) Step(now clock.Instant, message Message) {}
-
-// Tick lets time pass. Call it at least every quarter of Heartbeat.
-func (n *Node) Tick(now clock.Instant) {}
-
-// Propose appends a command at the leader and returns its index.
-func (n *Node) Propose(now clock.Instant, command json.RawMessage) (Index, ProposeOutcome) {
-	return 0, ProposeNotLeader
-}
-
-// ProposeMembership appends a change of at most one member. A new member comes
-// as a learner first and is promoted by a second change.
-func (n *Node) ProposeMembership(now clock.Instant, next Membership) (Index, ProposeOutcome) {
-	return 0, ProposeNotLeader
-}
-
-// Ready returns the work that has piled up and forgets it.
-func (n *Node) Ready() Ready { return Ready{} }
-
-// Status returns the node's view.
-func (n *Node) Status() Status { return Status{} }
-
-// LeaseUntil returns the end (Upper) of the leadership lease, and false if the
-// node is no leader or has not yet committed an entry of its own term.
-func (n *Node) LeaseUntil() (time.Duration, bool) { return 0, false }
-
-// Elected returns the instant at which the node became leader of its term.
-func (n *Node) Elected() (clock.Instant, bool) { return clock.Instant{}, false }
-
-// Compact tells the node that the state as of index can be had as a snapshot;
-// it may drop the log before it.
-func (n *Node) Compact(snapshot Snapshot) {}
-
-// Seal makes the node promise never to vote, acknowledge or commit again. It
-// refuses, and returns false, while the node knows of a leader that may live.
-func (n *Node) Seal(now clock.Instant) bool { return false }
