--- a/internal/cellstate/command.go
+++ b/internal/cellstate/command.go
@@ -108,10 +108,7 @@
 	RejectedZone         Rejection = "zone-not-allowed"
 	RejectedDraining     Rejection = "server-draining"
 	RejectedMalformed    Rejection = "malformed"
+	// RejectedKind says that a bundle changes the kind of a service while
+	// slices of the former kind remain.
+	RejectedKind Rejection = "service-kind-changed"
 )
-
-// Apply returns the state after the command at index, and why it was rejected
-// if it was. The index advances in both cases. The given state is not changed.
-func Apply(state State, index uint64, command Command) (State, Rejection) {
-	panic("not built yet")
-}
--- a/internal/cellstate/state.go
+++ b/internal/cellstate/state.go
@@ -22,7 +22,9 @@
 	// Servers by name: every back end and gateway that can hold grants.
 	Servers map[bundle.ServerName]Server `json:"servers"`
 	// Assignments ordered by service, partition and range. The assignments of
-	// a partition never overlap and together cover every hash.
+	// a partition never overlap. Those of a partition that the adopted bundle
+	// has together cover every hash; of a partition that is gone only the
+	// slices remain that are still owned, until they are released.
 	Assignments []Assignment `json:"assignments"`
 }
 
@@ -45,8 +47,14 @@
 	// Slots and Connections bound the work sent to it; zero means unbounded.
 	Slots       int `json:"slots"`
 	Connections int `json:"connections"`
-	// Draining servers get no new slices and lose those that they own.
+	// Draining servers get no new slices and lose those that they own. It is
+	// set while Leaving or DrainRequested is.
 	Draining bool `json:"draining,omitempty"`
+	// Leaving says that the bundle wants the server gone: it marks the back
+	// end as leaving, lists it no more, or lists it at another place.
+	Leaving bool `json:"leaving,omitempty"`
+	// DrainRequested says that the server itself asked to be drained.
+	DrainRequested bool `json:"drain_requested,omitempty"`
 	// Incarnation that the current grants are for; empty before contact.
 	Incarnation wire.Incarnation `json:"incarnation,omitempty"`
 }
@@ -67,9 +75,9 @@
 	Refusal wire.Reason `json:"refusal,omitempty"`
 }
 
-// Clone returns a deep copy.
-func (s State) Clone() State {
-	panic("not built yet")
+// Owned reports whether a server owns the slice.
+func (a Assignment) Owned() bool {
+	return a.Owner != ""
 }
 
 // New returns the empty state of a cell.
