Keep the leader's lease book

Cause: the leader had no record of which grant a server holds and until when. Ruled out: dropping a slice from the book only once its Unassign is committed, because a renewal sent meanwhile would extend what the log takes away; the book never grants a fence again once it proposed to take it.

--- a/internal/grant/book.go
+++ b/internal/grant/book.go
@@ -39,39 +39,112 @@
 }
 
 // Book is the leader's view of all leases. Not safe for concurrent use.
-type Book struct{}
+type Book struct {
+	config  Config
+	elected clock.Instant
+	state   cellstate.State
+	// leases by server name, those of removed servers among them, so that set
+	// numbers keep rising if the name comes back; and the present names in order.
+	leases map[bundle.ServerName]*lease
+	names  []bundle.ServerName
+	// lastCall is the instant (Upper) of the last event, to notice a pause of
+	// the leader itself.
+	lastCall time.Duration
+}
 
 // New returns the book of a leader elected at the given instant.
+//
+// The state must hold every command committed before the leader's own term: a
+// former leader may have proposed to take a slice away, and the book must not
+// extend the grant of that slice once the command can commit. A leader has its
+// leadership lease only after it committed an entry of its own term, so it is
+// enough to apply all committed entries, then Observe, before each Due.
 func New(config Config, elected clock.Instant, state cellstate.State) *Book {
-	panic("not built yet")
+	book := &Book{
+		config:   config,
+		elected:  elected,
+		leases:   map[bundle.ServerName]*lease{},
+		lastCall: elected.Upper,
+	}
+	book.Observe(elected, state)
+	return book
 }
 
 // Observe replaces the book's view of the committed state.
-func (b *Book) Observe(now clock.Instant, state cellstate.State) {}
+func (b *Book) Observe(now clock.Instant, state cellstate.State) {
+	b.noticePause(now)
+	b.state = state
+	b.names = state.ServerNames()
+	owned := groupByOwner(state.Assignments)
+	for _, name := range b.names {
+		b.leaseOf(name).observe(state, owned[name])
+	}
+}
+
+// groupByOwner returns the owned assignments of each server, in order.
+func groupByOwner(assignments []cellstate.Assignment) map[bundle.ServerName][]cellstate.Assignment {
+	owned := map[bundle.ServerName][]cellstate.Assignment{}
+	for _, assignment := range assignments {
+		if assignment.Owned() {
+			owned[assignment.Owner] = append(owned[assignment.Owner], assignment)
+		}
+	}
+	return owned
+}
+
+func (b *Book) leaseOf(name bundle.ServerName) *lease {
+	held, found := b.leases[name]
+	if !found {
+		held = newLease(name)
+		b.leases[name] = held
+	}
+	return held
+}
 
-// Renewal is a request that the leader should send to a server.
-type Renewal struct {
-	Server  bundle.ServerName
-	Address string
-	Request wire.RenewRequest
+// noticePause starts the proof that a server is unreachable anew after a pause
+// of the leader itself. During the pause answers may have piled up unread, so
+// that nothing is known of the servers, and a leader that wakes must not take
+// slices from servers that are alive.
+func (b *Book) noticePause(now clock.Instant) {
+	if now.Upper-b.lastCall > b.config.Duration/pauseFraction {
+		for _, held := range b.leases {
+			held.forgetFailures(now)
+		}
+	}
+	b.lastCall = max(b.lastCall, now.Upper)
 }
 
-// Due returns the renewals to send at now. leaderUntil is the end (Upper) of
-// the leadership lease, read by the caller at now, which is after every reading that
-// the renewals echo; if it has passed, only first contacts that extend nothing are returned.
-func (b *Book) Due(now clock.Instant, leaderUntil time.Duration) []Renewal { return nil }
+// Fractions of the grant's duration. The caller makes an event, at least Due,
+// every tenth of Duration.
+const (
+	// pauseFraction: a longer time between events is a pause of the leader.
+	pauseFraction = 4
+	// timeoutFraction: a renewal without an answer for longer is sent again.
+	timeoutFraction = 4
+)
 
-// Answered takes a server's answer, received at now.
-func (b *Book) Answered(now clock.Instant, server bundle.ServerName, answer wire.RenewResponse) {}
+// Times of contact beside the steady renewals.
+const (
+	// retryAfter is the time from a failed contact to the next.
+	retryAfter = 50 * time.Millisecond
+	// firstPoll is the time until the first question whether a releasing slice
+	// is released. It doubles with each until the steady period.
+	firstPoll = 20 * time.Millisecond
+)
 
-// Failed takes the failure to reach a server.
-func (b *Book) Failed(now clock.Instant, server bundle.ServerName) {}
+// times are the periods that hold for one server.
+type times struct {
+	duration   time.Duration
+	renewEvery time.Duration
+}
 
-// Proposals returns the commands that the leases call for at now: Unassign for
-// slices released or surely expired, RegisterServer for a new incarnation,
-// DrainServer for a server that asked, MarkInForce. The same command is
-// returned again until Observe shows its effect.
-func (b *Book) Proposals(now clock.Instant) []cellstate.Command { return nil }
+// timesOf returns the times of a keyed server or one of a pool.
+func (b *Book) timesOf(held *lease) times {
+	if held.pool {
+		return times{duration: b.config.PoolDuration, renewEvery: b.config.PoolRenewEvery}
+	}
+	return times{duration: b.config.Duration, renewEvery: b.config.RenewEvery}
+}
 
 // ServerView is what the book knows of one server, for placement and status.
 type ServerView struct {
@@ -86,4 +159,31 @@
 }
 
 // Servers returns the view of all servers, ordered by name.
-func (b *Book) Servers(now clock.Instant) []ServerView { return nil }
+func (b *Book) Servers(now clock.Instant) []ServerView {
+	views := make([]ServerView, 0, len(b.names))
+	for _, name := range b.names {
+		held := b.leases[name]
+		views = append(views, ServerView{
+			Name:        name,
+			Incarnation: held.incarnation,
+			Live:        b.live(held, now),
+			ExpiresBy:   b.endOf(held, held.incarnation),
+			Set:         held.set,
+			Load:        held.load,
+		})
+	}
+	return views
+}
+
+// live reports whether the server answered within one Duration.
+func (b *Book) live(held *lease, now clock.Instant) bool {
+	return held.incarnation != "" && now.Upper-held.answeredAt.Upper < b.timesOf(held).duration
+}
+
+// endOf returns the instant (Lower) from which grants of that run of the server
+// have surely ended: those that this book extended, and those of any earlier
+// leader, which all end within one Duration of this leader's election.
+func (b *Book) endOf(held *lease, incarnation wire.Incarnation) time.Duration {
+	fromElection := b.elected.Lower + b.timesOf(held).duration + b.config.DriftMargin
+	return max(fromElection, held.ends[incarnation])
+}
