Plan moves, splits and merges by estimated load

Cause: a plan only restored owners; load never moved. Change: the planner keeps an estimate of each slice's rate, moves the slice whose move repays most (the gap that remains must exceed what the churn weight asks and stand out from the noise of counts), gives a hot key a slice of its own, halves heavy slices and merges cold ones back, within MovesPerMinute and two slices without an owner at a time. A slice goes back to its last owner unless moving repays. Ruled out: remembering an intent for each split; deciding from the state and the reports when the slice is unowned needs none, so a new leader ends what the former one began.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -11,8 +11,10 @@
 import (
 	"time"
 
+	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/cellstate"
 	"github.com/shalefork/shalefork/internal/grant"
+	"github.com/shalefork/shalefork/internal/keyspace"
 	"github.com/shalefork/shalefork/internal/wire"
 )
 
@@ -24,15 +26,26 @@
 	Servers []grant.ServerView
 }
 
-// Planner remembers what the state does not hold: the releases already
-// proposed. Not safe for concurrent use.
+// Planner remembers what the state does not hold: estimates of rates, and the
+// releases already proposed. After a change of the leader a new planner starts
+// without them. It takes rates from the next reports, and until the new
+// estimates have settled it moves nothing for balance. What it decides about a
+// slice without an owner (to divide, merge or assign it) depends on the state
+// and on these reports only, so that a release begun by the former leader comes
+// to a good end. Not safe for concurrent use.
 type Planner struct {
-	releases releaseLog
+	memory        map[keyspace.Slice]*sliceMemory
+	releases      releaseLog
+	drainingSince map[bundle.ServerName]time.Duration
 }
 
 // NewPlanner returns a planner with full budgets.
 func NewPlanner() *Planner {
-	return &Planner{releases: newReleaseLog()}
+	return &Planner{
+		memory:        map[keyspace.Slice]*sliceMemory{},
+		releases:      newReleaseLog(),
+		drainingSince: map[bundle.ServerName]time.Duration{},
+	}
 }
 
 // Plan returns the commands to propose: Assign, BeginRelease, Refuse, Split and
@@ -40,9 +53,27 @@
 // draining one, or one that is not live. The same view gives the same plan
 // again until the state shows its effect.
 func (p *Planner) Plan(view View) []cellstate.Command {
-	cell := newCellView(view)
-	commands := p.releaseMisplaced(view.Now, cell)
-	return append(commands, assignUnowned(cell)...)
+	p.remember(view)
+	p.releases.forget(view.Now - budgetWindow)
+	cell := newCellView(view, p.memory)
+	p.noteDraining(cell)
+	commands := p.placeUnowned(cell)
+	commands = append(commands, p.releaseMisplaced(cell)...)
+	return append(commands, p.improve(cell)...)
+}
+
+// CauseOf explains a command of the last plans.
+func (p *Planner) CauseOf(command cellstate.Command) Cause {
+	switch {
+	case command.BeginRelease != nil:
+		return p.releases.byFence[command.BeginRelease.Fence].cause
+	case command.Split != nil:
+		return splitCause(*command.Split)
+	case command.Merge != nil:
+		return CauseCold
+	default:
+		return CauseUnowned
+	}
 }
 
 // Cause explains a command that a plan holds, for logs and counters.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -27,7 +27,7 @@
 	view := View{State: state}
 	for _, zone := range []bundle.Zone{"a", "b", "c"} {
 		name := bundle.ServerName(string(testService) + "/" + string(zone))
-		state.Servers[name] = cellstate.Server{Name: name, Service: testService, Zone: zone}
+		state.Servers[name] = cellstate.Server{Name: name, Service: testService, Zone: zone, Incarnation: "run"}
 		view.Servers = append(view.Servers, grant.ServerView{Name: name, Incarnation: "run", Live: true})
 	}
 	return view
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -3,77 +3,113 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/cellstate"
 	"github.com/shalefork/shalefork/internal/grant"
 	"github.com/shalefork/shalefork/internal/keyspace"
-	"github.com/shalefork/shalefork/internal/wire"
 )
 
 // LedgerService holds the idempotency records. Its servers are the gateways,
 // no bundle lists it, and its slices may be held in any zone.
 const LedgerService keyspace.ServiceName = "system/ledger"
 
-// cellView indexes a View for one plan. It is changed while the plan grows, so
+// cellView indexes a View for one plan. Loads change while the plan grows, so
 // that each decision sees the ones before it.
 type cellView struct {
+	now         time.Duration
 	assignments []cellstate.Assignment
-	services    map[keyspace.ServiceName]bundle.Service
-	// servers by name, and by service in the order of their names.
-	servers   map[bundle.ServerName]*serverNode
-	byService map[keyspace.ServiceName][]*serverNode
+	services    map[keyspace.ServiceName]*serviceView
+	// names of the services, sorted.
+	names   []keyspace.ServiceName
+	servers map[bundle.ServerName]*serverNode
+	weights map[keyspace.Slice]float64
+}
+
+// serviceView is one service with its servers and slices.
+type serviceView struct {
+	name   keyspace.ServiceName
+	policy policy
+	zones  map[keyspace.PartitionName][]bundle.Zone
+	// nodes are its servers by name.
+	nodes []*serverNode
+	// assignments are its own, in the order of the state.
+	assignments []cellstate.Assignment
+	// counts are the slices of each partition.
+	counts map[keyspace.PartitionName]int
+	// zoneSlices counts the slices owned in each zone.
+	zoneSlices map[bundle.Zone]int
+	// mean is the weight of all slices divided by the servers that can serve.
+	mean float64
 }
 
 // serverNode is one server with the load that it owns in the plan.
 type serverNode struct {
 	cellstate.Server
-	live        bool
-	incarnation wire.Incarnation
-	// rate is the requests per second of the slices that it owns.
-	rate float64
-	// width is the share of the hashes that it owns, summed over partitions.
-	width float64
+	live bool
+	// load is the weight of the slices that it owns, in requests per second.
+	load float64
 	// slices counts the slices that it owns.
 	slices int
 }
 
-func newCellView(view View) *cellView {
+// usable reports whether the server can take a grant now.
+func (n *serverNode) usable() bool { return n.live && !n.Draining }
+
+func newCellView(view View, memories map[keyspace.Slice]*sliceMemory) *cellView {
 	cell := &cellView{
+		now:         view.Now,
 		assignments: view.State.Assignments,
-		services:    indexServices(view.State),
+		services:    map[keyspace.ServiceName]*serviceView{},
 		servers:     map[bundle.ServerName]*serverNode{},
-		byService:   map[keyspace.ServiceName][]*serverNode{},
 	}
+	cell.addServices(view.State)
 	cell.addServers(view.State)
 	cell.addLiveness(view.Servers)
-	rates := reportedRates(view.Servers)
+	cell.weights = weigh(cell.assignments, memories)
 	for _, assignment := range cell.assignments {
-		if owner := cell.servers[assignment.Owner]; owner != nil {
-			owner.add(assignment.Slice, rates[assignment.Slice])
-		}
+		cell.addAssignment(assignment)
 	}
+	cell.finish()
 	return cell
 }
 
-func indexServices(state cellstate.State) map[keyspace.ServiceName]bundle.Service {
-	services := map[keyspace.ServiceName]bundle.Service{}
+func (c *cellView) addServices(state cellstate.State) {
 	for _, team := range state.Teams {
 		for _, service := range team.Bundle.Services {
-			services[team.Bundle.ServiceName(service)] = service
+			made := c.service(team.Bundle.ServiceName(service))
+			made.policy = newPolicy(service.Placement)
+			for _, partition := range service.Partitions {
+				made.zones[partition.Name] = partition.Zones
+			}
 		}
 	}
-	return services
+}
+
+// service returns the view of a service, and makes it if it is new.
+func (c *cellView) service(name keyspace.ServiceName) *serviceView {
+	if known := c.services[name]; known != nil {
+		return known
+	}
+	made := &serviceView{
+		name:       name,
+		policy:     newPolicy(bundle.Placement{ChurnWeight: ledgerChurnWeight}),
+		zones:      map[keyspace.PartitionName][]bundle.Zone{},
+		counts:     map[keyspace.PartitionName]int{},
+		zoneSlices: map[bundle.Zone]int{},
+	}
+	c.services[name] = made
+	c.names = append(c.names, name)
+	return made
 }
 
 func (c *cellView) addServers(state cellstate.State) {
 	for name, server := range state.Servers {
 		node := &serverNode{Server: server}
 		c.servers[name] = node
-		c.byService[server.Service] = append(c.byService[server.Service], node)
-	}
-	for _, nodes := range c.byService {
-		slices.SortFunc(nodes, func(a, b *serverNode) int { return cmp.Compare(a.Name, b.Name) })
+		service := c.service(server.Service)
+		service.nodes = append(service.nodes, node)
 	}
 }
 
@@ -85,28 +121,47 @@
 		if node == nil || !view.Live || view.Incarnation == "" {
 			continue
 		}
-		if node.Incarnation != "" && node.Incarnation != view.Incarnation {
-			continue
-		}
-		node.live = true
-		node.incarnation = view.Incarnation
+		node.live = node.Incarnation == view.Incarnation
 	}
 }
 
-func reportedRates(views []grant.ServerView) map[keyspace.Slice]float64 {
-	rates := map[keyspace.Slice]float64{}
-	for _, view := range views {
-		for _, load := range view.Load.Slices {
-			rates[load.Slice] = max(0, load.Rate)
-		}
+func (c *cellView) addAssignment(assignment cellstate.Assignment) {
+	service := c.service(assignment.Slice.Service)
+	service.assignments = append(service.assignments, assignment)
+	service.counts[assignment.Slice.Partition]++
+	service.mean += c.weights[assignment.Slice]
+	if owner := c.servers[assignment.Owner]; owner != nil {
+		c.own(owner, assignment.Slice)
 	}
-	return rates
 }
 
-func (n *serverNode) add(slice keyspace.Slice, rate float64) {
-	n.rate += rate
-	n.width += slice.Range.Width()
-	n.slices++
+// own adds a slice to a server's load.
+func (c *cellView) own(node *serverNode, slice keyspace.Slice) {
+	node.load += c.weights[slice]
+	node.slices++
+	c.service(slice.Service).zoneSlices[node.Zone]++
+}
+
+// disown takes a slice from a server's load.
+func (c *cellView) disown(node *serverNode, slice keyspace.Slice) {
+	node.load -= c.weights[slice]
+	node.slices--
+	c.service(slice.Service).zoneSlices[node.Zone]--
+}
+
+// finish sorts what came out of maps and makes the means.
+func (c *cellView) finish() {
+	slices.Sort(c.names)
+	for _, service := range c.services {
+		slices.SortFunc(service.nodes, func(a, b *serverNode) int { return cmp.Compare(a.Name, b.Name) })
+		usable := 0
+		for _, node := range service.nodes {
+			if node.usable() {
+				usable++
+			}
+		}
+		service.mean /= float64(max(1, usable))
+	}
 }
 
 // allowed reports whether the slice may be held where the server is.
@@ -121,27 +176,30 @@
 	if slice.Service == LedgerService {
 		return true
 	}
-	return slices.Contains(c.zones(slice), node.Zone)
-}
-
-// zones returns the zones that the bundle allows for a slice, none for a slice
-// that no bundle lists.
-func (c *cellView) zones(slice keyspace.Slice) []bundle.Zone {
-	for _, partition := range c.services[slice.Service].Partitions {
-		if partition.Name == slice.Partition {
-			return partition.Zones
-		}
-	}
-	return nil
+	return slices.Contains(c.service(slice.Service).zones[slice.Partition], node.Zone)
 }
 
 // candidates returns the servers that may be given the slice now, by name.
 func (c *cellView) candidates(assignment cellstate.Assignment) []*serverNode {
 	var found []*serverNode
-	for _, node := range c.byService[assignment.Slice.Service] {
-		if node.live && !node.Draining && c.allowed(assignment, node) {
+	for _, node := range c.service(assignment.Slice.Service).nodes {
+		if node.usable() && c.allowed(assignment, node) {
 			found = append(found, node)
 		}
 	}
 	return found
 }
+
+// leastLoaded returns the candidate with the lowest load, then in the zone that
+// owns the fewest slices, then with the fewest slices, then the first name.
+// There must be a candidate.
+func (s *serviceView) leastLoaded(candidates []*serverNode) *serverNode {
+	return slices.MinFunc(candidates, func(a, b *serverNode) int {
+		return cmp.Or(
+			cmp.Compare(a.load, b.load),
+			cmp.Compare(s.zoneSlices[a.Zone], s.zoneSlices[b.Zone]),
+			cmp.Compare(a.slices, b.slices),
+			cmp.Compare(a.Name, b.Name),
+		)
+	})
+}
