--- a/internal/wire/renewal.go
+++ b/internal/wire/renewal.go
@@ -85,6 +85,7 @@
 	RefusedUnknownSet       RenewRefusal = "unknown-set"
 	RefusedOtherCell        RenewRefusal = "other-cell"
 	RefusedExpired          RenewRefusal = "expired"
+	RefusedOlderBundle      RenewRefusal = "older-bundle"
 )
 
 // LoadReport is what a server says about its load. It may lag or be wrong.
