--- /dev/null
+++ b/internal/bundle/canonical.go
@@ -0,0 +1,74 @@
+package bundle
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+)
+
+// SignaturePrefix separates the signatures of bundles from those for any other
+// use of the same key.
+const SignaturePrefix = "shalefork-bundle-v1\n"
+
+// ErrBadSignature says that a signature is not one by the given key over the
+// bundle.
+var ErrBadSignature = Error.New("signature does not match the bundle")
+
+// Canonical returns the bytes that stand for the bundle in digests and
+// signatures: its JSON with the fields in the order of the Go types, without
+// white space, without escapes for HTML, durations as by time.Duration.String,
+// lists in the order written, and no line break at the end. Comments, layout
+// and the order of fields in the YAML do not matter. It fails only for a bundle
+// with a number that JSON does not have, which Check finds too.
+func Canonical(b Bundle) ([]byte, error) {
+	var buffer bytes.Buffer
+	encoder := json.NewEncoder(&buffer)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(b); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return bytes.TrimSuffix(buffer.Bytes(), []byte("\n")), nil
+}
+
+// Digest returns the SHA-256 of the canonical bytes, in hexadecimal.
+func Digest(b Bundle) (string, error) {
+	canonical, err := Canonical(b)
+	if err != nil {
+		return "", err
+	}
+	sum := sha256.Sum256(canonical)
+	return hex.EncodeToString(sum[:]), nil
+}
+
+// Sign returns the ed25519 signature of SignaturePrefix and the canonical
+// bytes.
+func Sign(key ed25519.PrivateKey, b Bundle) ([]byte, error) {
+	message, err := signedMessage(b)
+	if err != nil {
+		return nil, err
+	}
+	return ed25519.Sign(key, message), nil
+}
+
+// Verify returns ErrBadSignature unless the signature is that of Sign with the
+// private key of key.
+func Verify(key ed25519.PublicKey, b Bundle, signature []byte) error {
+	message, err := signedMessage(b)
+	if err != nil {
+		return err
+	}
+	if len(key) != ed25519.PublicKeySize || !ed25519.Verify(key, message, signature) {
+		return ErrBadSignature
+	}
+	return nil
+}
+
+func signedMessage(b Bundle) ([]byte, error) {
+	canonical, err := Canonical(b)
+	if err != nil {
+		return nil, err
+	}
+	return append([]byte(SignaturePrefix), canonical...), nil
+}
--- /dev/null
+++ b/internal/bundle/check_service.go
@@ -0,0 +1,229 @@
+package bundle
+
+import (
+	"net/http"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+)
+
+// Limits of what a bundle may ask of the system.
+const (
+	maxDeadline       = 24 * time.Hour
+	maxBodyBytes      = 1 << 30
+	maxQueue          = 100_000
+	maxSlots          = 10_000
+	maxConnections    = 100_000
+	maxMovesPerMinute = 6_000
+	maxPathSegment    = 32
+	maxTextBytes      = 256
+)
+
+// hostPattern matches a host in lower case, and headerPattern a field name as
+// in RFC 9110.
+var (
+	hostPattern   = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,252}$`)
+	headerPattern = regexp.MustCompile("^[!#$%&'*+.^_`|~0-9A-Za-z-]{1,64}$")
+)
+
+func (c *checker) checkService(path string, service Service) {
+	c.checkLimits(path+".limits", service)
+	c.checkBackends(path+".backends", service)
+	switch service.Kind {
+	case KindKeyed:
+		c.checkKeyed(path, service)
+	case KindPool:
+		c.checkPool(path, service)
+	}
+}
+
+func (c *checker) checkLimits(path string, service Service) {
+	limits := service.Limits
+	if limits.Deadline.Std() > maxDeadline {
+		c.report(path+".deadline", "expected at most %s; leave it out for no deadline", maxDeadline)
+	}
+	if limits.MaxBodyBytes > maxBodyBytes {
+		c.report(path+".max_body_bytes", "expected at most %d", maxBodyBytes)
+	}
+	if limits.Queue > maxQueue {
+		c.report(path+".queue", "expected at most %d", maxQueue)
+	}
+	if limits.HedgeAfter > 0 && !service.Repeatable {
+		c.report(path+".hedge_after", "expected only on a service that is repeatable")
+	}
+	if limits.Deadline > 0 && limits.HedgeAfter >= limits.Deadline {
+		c.report(path+".hedge_after", "expected less than the deadline, %s", limits.Deadline.Std())
+	}
+}
+
+func (c *checker) checkBackends(path string, service Service) {
+	names := newUnique(c, "back end name")
+	for i, backend := range service.Backends {
+		at := field(path, i)
+		c.checkName(at+".name", backend.Name)
+		names.add(at+".name", backend.Name)
+		c.checkZone(at+".zone", backend.Zone)
+		if backend.Slots > maxSlots {
+			c.report(at+".slots", "expected at most %d", maxSlots)
+		}
+		if backend.Connections > maxConnections {
+			c.report(at+".connections", "expected at most %d", maxConnections)
+		}
+	}
+}
+
+// checkAddresses finds addresses that two back ends of the bundle share, and
+// those that are no IP number: the system resolves no names.
+func (c *checker) checkAddresses() {
+	addresses := newUnique(c, "address")
+	for i, service := range c.bundle.Services {
+		for j, backend := range service.Backends {
+			path := field(field("services", i)+".backends", j) + ".address"
+			parsed, err := netip.ParseAddrPort(backend.Address)
+			if err != nil || parsed.Port() == 0 {
+				c.report(path, "expected an address as IP:PORT")
+				continue
+			}
+			addresses.add(path, parsed.String())
+		}
+	}
+}
+
+// checkRoutes finds routes that two services share. Routes that overlap are
+// allowed, because the most specific one wins.
+func (c *checker) checkRoutes() {
+	routes := newUnique(c, "route")
+	for i, service := range c.bundle.Services {
+		path := field("services", i) + ".route"
+		if service.Route == (Route{}) {
+			c.report(path, "expected a host, a path_prefix or both")
+			continue
+		}
+		c.checkRoute(path, service.Route)
+		routes.add(path, service.Route.normal())
+	}
+}
+
+func (c *checker) checkRoute(path string, route Route) {
+	if route.Host != "" && !hostPattern.MatchString(route.Host) {
+		c.report(path+".host", "expected a host name in lower case, without a port")
+	}
+	prefix := route.PathPrefix
+	if prefix != "" && !strings.HasPrefix(prefix, "/") {
+		c.report(path+".path_prefix", "expected a path that begins with \"/\"")
+	}
+	c.checkText(path+".path_prefix", prefix)
+	if strings.ContainsAny(prefix, "?# %") {
+		c.report(path+".path_prefix", "expected a decoded path, without query or fragment")
+	}
+}
+
+// normal returns a text that is equal for routes that match the same requests.
+func (r Route) normal() string {
+	prefix := r.PathPrefix
+	if prefix == "" {
+		prefix = "/"
+	}
+	return r.Host + prefix
+}
+
+func (c *checker) checkKeyed(path string, service Service) {
+	c.checkKeySource(path+".key", service.Key)
+	c.checkPartitions(path+".partitions", service)
+	if service.Placement.MovesPerMinute > maxMovesPerMinute {
+		c.report(path+".placement.moves_per_minute", "expected at most %d", maxMovesPerMinute)
+	}
+}
+
+func (c *checker) checkKeySource(path string, key *KeySource) {
+	if key == nil {
+		c.report(path, "expected a key: path_segment, query or header")
+		return
+	}
+	set := 0
+	for _, isSet := range []bool{key.PathSegment != 0, key.Query != "", key.Header != ""} {
+		if isSet {
+			set++
+		}
+	}
+	if set != 1 {
+		c.report(path, "expected exactly one of path_segment, query and header, found %d", set)
+	}
+	if key.PathSegment < 0 || key.PathSegment > maxPathSegment {
+		c.report(path+".path_segment", "expected 1 to %d", maxPathSegment)
+	}
+	c.checkText(path+".query", key.Query)
+	if key.Header != "" && !headerPattern.MatchString(key.Header) {
+		c.report(path+".header", "expected the name of an HTTP header")
+	}
+	if strings.HasPrefix(http.CanonicalHeaderKey(key.Header), "Shalefork-") {
+		c.report(path+".header", "expected another name: Shalefork- is reserved")
+	}
+}
+
+func (c *checker) checkPartitions(path string, service Service) {
+	names := newUnique(c, "partition name")
+	prefixes := newUnique(c, "prefix")
+	hasDefault := false
+	for i, partition := range service.Partitions {
+		at := field(path, i)
+		c.checkName(at+".name", string(partition.Name))
+		names.add(at+".name", string(partition.Name))
+		c.checkText(at+".prefix", partition.Prefix)
+		prefixes.add(at+".prefix", partition.Prefix)
+		hasDefault = hasDefault || partition.Prefix == ""
+		c.checkPartitionZones(at+".zones", service, partition)
+	}
+	if !hasDefault {
+		c.report(path, "expected a partition with an empty prefix, for all other keys")
+	}
+}
+
+func (c *checker) checkPartitionZones(path string, service Service, partition Partition) {
+	for i, zone := range partition.Zones {
+		c.checkZone(field(path, i), zone)
+	}
+	for _, backend := range service.Backends {
+		if !backend.Leaving && slices.Contains(partition.Zones, backend.Zone) {
+			return
+		}
+	}
+	c.report(path, "expected a zone with a back end of the service that is not leaving")
+}
+
+func (c *checker) checkPool(path string, service Service) {
+	if service.Key != nil {
+		c.report(path+".key", "expected only on a keyed service")
+	}
+	if len(service.Partitions) > 0 {
+		c.report(path+".partitions", "expected only on a keyed service")
+	}
+	if service.Placement != (Placement{}) {
+		c.report(path+".placement", "expected only on a keyed service")
+	}
+	stays := func(backend Backend) bool { return !backend.Leaving }
+	if !slices.ContainsFunc(service.Backends, stays) {
+		c.report(path+".backends", "expected a back end that is not leaving")
+	}
+}
+
+// checkText reports text that would not survive a round through JSON, headers
+// or logs.
+func (c *checker) checkText(path, text string) {
+	if len(text) > maxTextBytes || !isPrintable(text) {
+		c.report(path, "expected at most %d bytes of printable text", maxTextBytes)
+	}
+}
+
+func isPrintable(text string) bool {
+	for _, character := range text {
+		if character == utf8.RuneError || !unicode.IsPrint(character) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/bundle/problem.go
@@ -0,0 +1,6 @@
+package bundle
+
+import "github.com/shalefork/shalefork/internal/strictyaml"
+
+// Problem is one mistake in a bundle: where it stands and what was expected.
+type Problem = strictyaml.Problem
--- /dev/null
+++ b/internal/platform/keys.go
@@ -0,0 +1,47 @@
+package platform
+
+import (
+	"crypto/rand"
+	"strconv"
+
+	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/wire"
+)
+
+// GroupKey holds the generation.Record of a cell.
+func GroupKey(cell bundle.CellName) string {
+	return "cells/" + string(cell) + "/group"
+}
+
+// CheckpointKey holds the last checkpoint of a cell's state.
+func CheckpointKey(cell bundle.CellName) string {
+	return "cells/" + string(cell) + "/checkpoint"
+}
+
+// ControllersPrefix is the prefix of the cell's ControllerKeys.
+func ControllersPrefix(cell bundle.CellName) string {
+	return "cells/" + string(cell) + "/controllers/"
+}
+
+// ControllerKey says, under a lease, where a controller can be reached.
+func ControllerKey(cell bundle.CellName, incarnation wire.Incarnation) string {
+	return ControllersPrefix(cell) + string(incarnation)
+}
+
+// TeamsPrefix is the prefix of all teams' keys.
+const TeamsPrefix = "teams/"
+
+// HeadKey holds the lifecycle.Head of a team.
+func HeadKey(team bundle.TeamName) string {
+	return TeamsPrefix + string(team) + "/head"
+}
+
+// BundleKey holds the canonical bytes of one version of a team's bundle.
+func BundleKey(team bundle.TeamName, version bundle.Version) string {
+	return TeamsPrefix + string(team) + "/bundles/" + strconv.FormatUint(uint64(version), 10)
+}
+
+// NewWriteID returns a random id for a write.
+func NewWriteID() string {
+	return rand.Text()
+}
--- /dev/null
+++ b/internal/strictyaml/decode.go
@@ -0,0 +1,163 @@
+package strictyaml
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
+)
+
+var unmarshalerType = reflect.TypeFor[yaml.InterfaceUnmarshaler]()
+
+// decode sets target from node and reports each mistake below it.
+func (d *Document) decode(node ast.Node, target reflect.Value, path string) {
+	d.remember(path, node)
+	switch {
+	case node.Type() == ast.NullType:
+		d.report(path, "expected %s, found nothing", expectation(target.Type()))
+	case refused(node):
+		d.report(path, "expected a plain value: tags, anchors and aliases are not allowed")
+	case target.Kind() == reflect.Pointer:
+		target.Set(reflect.New(target.Type().Elem()))
+		d.decode(node, target.Elem(), path)
+	case target.Addr().Type().Implements(unmarshalerType):
+		d.decodeScalar(node, target, path)
+	case target.Kind() == reflect.Struct:
+		d.decodeStruct(node, target, path)
+	case target.Kind() == reflect.Slice:
+		d.decodeSlice(node, target, path)
+	default:
+		d.decodeScalar(node, target, path)
+	}
+}
+
+func refused(node ast.Node) bool {
+	switch node.Type() {
+	case ast.TagType, ast.AnchorType, ast.AliasType, ast.MergeKeyType, ast.DirectiveType:
+		return true
+	default:
+		return false
+	}
+}
+
+func (d *Document) decodeStruct(node ast.Node, target reflect.Value, path string) {
+	entries, isMapping := mappingEntries(node)
+	if !isMapping {
+		d.report(path, "expected a mapping")
+		return
+	}
+	fields := map[string]reflect.Value{}
+	collectFields(target, fields)
+	seen := map[string]bool{}
+	for _, entry := range entries {
+		d.decodeEntry(entry, fields, seen, path)
+	}
+}
+
+func (d *Document) decodeEntry(entry *ast.MappingValueNode, fields map[string]reflect.Value, seen map[string]bool, path string) {
+	at := entry.Key.GetToken()
+	name := at.Value
+	child := join(path, name)
+	field, known := fields[name]
+	switch {
+	case !known:
+		d.reportAt(at, child, "unknown field; expected one of %s", strings.Join(sortedNames(fields), ", "))
+	case seen[name]:
+		d.reportAt(at, child, "expected the field once, found it again")
+	default:
+		seen[name] = true
+		d.rememberToken(child, at)
+		d.decode(entry.Value, field, child)
+	}
+}
+
+func (d *Document) decodeSlice(node ast.Node, target reflect.Value, path string) {
+	sequence, isSequence := node.(*ast.SequenceNode)
+	if !isSequence {
+		d.report(path, "expected a list")
+		return
+	}
+	target.Set(reflect.MakeSlice(target.Type(), len(sequence.Values), len(sequence.Values)))
+	for i, value := range sequence.Values {
+		d.decode(value, target.Index(i), path+"["+strconv.Itoa(i)+"]")
+	}
+}
+
+func (d *Document) decodeScalar(node ast.Node, target reflect.Value, path string) {
+	if !scalarFits(node, target) {
+		d.report(path, "expected %s", expectation(target.Type()))
+		return
+	}
+	if err := yaml.NodeToValue(node, target.Addr().Interface()); err != nil {
+		d.report(path, "expected %s: %s", expectation(target.Type()), message(err))
+	}
+}
+
+// scalarFits reports whether the value is written in the field's type, because
+// the library would turn a number into text and text into a number.
+func scalarFits(node ast.Node, target reflect.Value) bool {
+	written := node.Type()
+	if target.Addr().Type().Implements(unmarshalerType) {
+		return written == ast.StringType || written == ast.IntegerType
+	}
+	switch target.Kind() {
+	case reflect.String:
+		return written == ast.StringType || written == ast.LiteralType
+	case reflect.Bool:
+		return written == ast.BoolType
+	case reflect.Float64:
+		return written == ast.FloatType || written == ast.IntegerType
+	default:
+		return written == ast.IntegerType
+	}
+}
+
+// message returns the innermost text of a library's error, on one line.
+func message(err error) string {
+	var located yaml.Error
+	if errors.As(err, &located) {
+		return firstLine(located.GetMessage())
+	}
+	return firstLine(err.Error())
+}
+
+// expectation names a type in the words of the file.
+func expectation(kind reflect.Type) string {
+	if kind.Kind() == reflect.Pointer {
+		kind = kind.Elem()
+	}
+	if reflect.PointerTo(kind).Implements(unmarshalerType) {
+		return "a " + strings.ToLower(kind.Name()) + " such as \"250ms\""
+	}
+	switch kind.Kind() {
+	case reflect.Struct:
+		return "a mapping"
+	case reflect.Slice:
+		return "a list"
+	case reflect.String:
+		return "text (numbers in quotes)"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Uint, reflect.Uint32, reflect.Uint64:
+		return "a whole number, not negative"
+	default:
+		return "a whole number"
+	}
+}
+
+func (d *Document) reportAt(at *token.Token, field, format string, arguments ...any) {
+	d.problems = append(d.problems, Problem{
+		File:    d.file,
+		Line:    at.Position.Line,
+		Column:  at.Position.Column,
+		Field:   field,
+		Message: fmt.Sprintf(format, arguments...),
+	})
+}
--- /dev/null
+++ b/internal/strictyaml/document.go
@@ -0,0 +1,172 @@
+package strictyaml
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// Limits of a document, so that a hostile one can't exhaust the reader.
+const (
+	// MaxBytes bounds a document.
+	MaxBytes = 4 << 20
+	// MaxLineBytes bounds a line, and with it how deep a line can nest.
+	MaxLineBytes = 4096
+	// MaxDepth bounds the nesting of brackets in a document.
+	MaxDepth = 64
+)
+
+// Document remembers where each field of a file stands.
+type Document struct {
+	file      string
+	positions map[string]position
+	problems  []Problem
+}
+
+type position struct {
+	line   int
+	column int
+}
+
+// Read decodes data into the struct that target points to. check then reports
+// what is wrong with the decoded value, with fields but without places. Read
+// returns all problems, with their places, in the order of the file. Problems
+// that check finds in a field that could not be decoded are left out.
+func Read(file string, data []byte, target any, check func() []Problem) []Problem {
+	document := &Document{file: file, positions: map[string]position{}}
+	root := document.parse(data)
+	if root == nil {
+		return document.problems
+	}
+	document.decode(root, reflect.ValueOf(target).Elem(), "")
+	unreadable := len(document.problems)
+	for _, problem := range check() {
+		if !document.covered(problem.Field, unreadable) {
+			document.report(problem.Field, "%s", problem.Message)
+		}
+	}
+	sortProblems(document.problems)
+	return document.problems
+}
+
+// parse returns the root of the only document, or nil and a problem.
+func (d *Document) parse(data []byte) ast.Node {
+	if excess := excess(data); excess != "" {
+		d.report("", "%s", excess)
+		return nil
+	}
+	file, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		d.reportSyntax(err)
+		return nil
+	}
+	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
+		d.report("", "expected exactly one YAML document")
+		return nil
+	}
+	return file.Docs[0].Body
+}
+
+// excess says which limit the document breaks, empty for none.
+func excess(data []byte) string {
+	if len(data) > MaxBytes {
+		return fmt.Sprintf("expected at most %d bytes, found %d", MaxBytes, len(data))
+	}
+	for line := range bytes.Lines(data) {
+		if len(line) > MaxLineBytes {
+			return fmt.Sprintf("expected lines of at most %d bytes, found one of %d", MaxLineBytes, len(line))
+		}
+	}
+	if nesting(data) > MaxDepth {
+		return fmt.Sprintf("expected at most %d brackets inside one another", MaxDepth)
+	}
+	return ""
+}
+
+// nesting returns an upper bound of how deep flow collections are nested.
+func nesting(data []byte) int {
+	depth := 0
+	deepest := 0
+	for _, character := range data {
+		switch character {
+		case '[', '{':
+			depth++
+			deepest = max(deepest, depth)
+		case ']', '}':
+			depth--
+		}
+	}
+	return deepest
+}
+
+func (d *Document) reportSyntax(err error) {
+	problem := Problem{File: d.file, Message: "expected YAML: " + firstLine(err.Error())}
+	var syntax yaml.Error
+	if errors.As(err, &syntax) {
+		problem.Message = "expected YAML: " + firstLine(syntax.GetMessage())
+		if at := syntax.GetToken(); at != nil && at.Position != nil {
+			problem.Line = at.Position.Line
+			problem.Column = at.Position.Column
+		}
+	}
+	d.problems = append(d.problems, problem)
+}
+
+func firstLine(text string) string {
+	line, _, _ := strings.Cut(text, "\n")
+	return line
+}
+
+// report adds a problem at the field's place, or at the nearest enclosing
+// field that the file has.
+func (d *Document) report(field, format string, arguments ...any) {
+	at := d.positionOf(field)
+	d.problems = append(d.problems, Problem{
+		File:    d.file,
+		Line:    at.line,
+		Column:  at.column,
+		Field:   field,
+		Message: fmt.Sprintf(format, arguments...),
+	})
+}
+
+func (d *Document) positionOf(field string) position {
+	for {
+		if at, found := d.positions[field]; found || field == "" {
+			return at
+		}
+		field = enclosing(field)
+	}
+}
+
+// enclosing returns the path without its last name or index.
+func enclosing(field string) string {
+	return field[:max(0, strings.LastIndexAny(field, ".["))]
+}
+
+// covered reports whether one of the first count problems lies in the field,
+// at it, or around it.
+func (d *Document) covered(field string, count int) bool {
+	for _, problem := range d.problems[:count] {
+		if within(field, problem.Field) || within(problem.Field, field) {
+			return true
+		}
+	}
+	return false
+}
+
+// within reports whether inner is outer or a part of it. A field that is not
+// known is no part of the fields around it.
+func within(inner, outer string) bool {
+	if inner == outer {
+		return true
+	}
+	rest, found := strings.CutPrefix(inner, outer)
+	return found && outer != "" && (rest[0] == '.' || rest[0] == '[')
+}
