Move bundle versions through their states

Cause: operators propose, approve and roll; two of them may race. Ruled out: a bundle key of the version alone, because two proposals of the same version could leave the loser's bytes under the winner's head; the digest is now part of the key. A head with only one active version, because a proposal during a roll would wait. Change: internal/lifecycle; platform.BundleKey; adminapi.StateReplaced.

--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -74,6 +74,9 @@
 	StateRolling  BundleState = "rolling"
 	StateInForce  BundleState = "in-force"
 	StateRefused  BundleState = "refused"
+	// StateReplaced: a later version took its place, before or after it was in
+	// force; the reason names the later one.
+	StateReplaced BundleState = "replaced"
 )
 
 // BundleStatus is what is known of one version.
--- /dev/null
+++ b/internal/lifecycle/head.go
@@ -0,0 +1,137 @@
+// Package lifecycle moves the versions of a team's bundle through their states:
+// proposed, approved by another operator, rolling, and in force or refused.
+//
+// Each team has one Head, kept under platform.HeadKey and changed only by
+// compare-and-swap, so of two racing operators one wins and the other is told
+// by whom. The functions are pure: they take a head and give back the next one
+// and an Outcome; the caller verifies signatures and writes the head.
+//
+//	proposed -> approved -> rolling -> in-force
+//
+// A proposed or approved version is replaced by the next proposal. A version
+// may be proposed, approved and rolled while an earlier one is still rolling:
+// versions only rise, so the cells adopt the highest, and the earlier one is
+// replaced when the later one is in force. A version is refused only before a
+// cell has adopted it, because a cell never goes back to an older one.
+package lifecycle
+
+import (
+	"slices"
+
+	"github.com/shalefork/shalefork/internal/adminapi"
+	"github.com/shalefork/shalefork/internal/bundle"
+)
+
+// MaxEntries bounds the versions that a head remembers.
+const MaxEntries = 32
+
+// Entry is the record of one version.
+type Entry struct {
+	Version    bundle.Version        `json:"version"`
+	State      adminapi.BundleState  `json:"state"`
+	Digest     string                `json:"digest"`
+	ProposedBy adminapi.OperatorName `json:"proposed_by"`
+	ApprovedBy adminapi.OperatorName `json:"approved_by,omitempty"`
+	// Signature is the approver's, over the bundle; see bundle.Sign.
+	Signature []byte                `json:"signature,omitempty"`
+	RolledBy  adminapi.OperatorName `json:"rolled_by,omitempty"`
+	// Reason of a version that is refused or replaced.
+	Reason string `json:"reason,omitempty"`
+}
+
+// Head is what is remembered of a team's versions.
+type Head struct {
+	Team bundle.TeamName `json:"team"`
+	// Entries in rising order of versions; the last is the newest. The one in
+	// force is always among them.
+	Entries []Entry `json:"entries"`
+}
+
+// Latest returns the newest version, and false if there is none yet.
+func (h Head) Latest() (Entry, bool) {
+	if len(h.Entries) == 0 {
+		return Entry{}, false
+	}
+	return h.Entries[len(h.Entries)-1], true
+}
+
+// InForce returns the version in force, and false if there is none yet.
+func (h Head) InForce() (Entry, bool) {
+	return h.highest(adminapi.StateInForce)
+}
+
+// Rolling returns the highest version that is rolling, and false for none.
+func (h Head) Rolling() (Entry, bool) {
+	return h.highest(adminapi.StateRolling)
+}
+
+// Find returns the record of a version, and false if it is not remembered.
+func (h Head) Find(version bundle.Version) (Entry, bool) {
+	index := h.index(version)
+	if index < 0 {
+		return Entry{}, false
+	}
+	return h.Entries[index], true
+}
+
+// Status returns the view of an entry for the administration API.
+func (h Head) Status(entry Entry) adminapi.BundleStatus {
+	return adminapi.BundleStatus{
+		Team:       h.Team,
+		Version:    entry.Version,
+		State:      entry.State,
+		Digest:     entry.Digest,
+		ProposedBy: entry.ProposedBy,
+		ApprovedBy: entry.ApprovedBy,
+		RolledBy:   entry.RolledBy,
+		Reason:     entry.Reason,
+	}
+}
+
+// History returns the views of all versions remembered, in rising order.
+func (h Head) History() []adminapi.BundleStatus {
+	history := make([]adminapi.BundleStatus, 0, len(h.Entries))
+	for _, entry := range h.Entries {
+		history = append(history, h.Status(entry))
+	}
+	return history
+}
+
+func (h Head) highest(state adminapi.BundleState) (Entry, bool) {
+	for _, entry := range slices.Backward(h.Entries) {
+		if entry.State == state {
+			return entry, true
+		}
+	}
+	return Entry{}, false
+}
+
+func (h Head) index(version bundle.Version) int {
+	return slices.IndexFunc(h.Entries, func(entry Entry) bool { return entry.Version == version })
+}
+
+// with returns a head in which the entry replaces the one of its version. The
+// given head is not changed.
+func (h Head) with(entry Entry) Head {
+	h.Entries = slices.Clone(h.Entries)
+	h.Entries[h.index(entry.Version)] = entry
+	return h
+}
+
+// append returns a head with a new version, without the oldest ones over
+// MaxEntries. It keeps what is in force or rolling.
+func (h Head) append(entry Entry) Head {
+	h.Entries = append(slices.Clone(h.Entries), entry)
+	for i := 0; len(h.Entries) > MaxEntries && i < len(h.Entries); {
+		if isActive(h.Entries[i].State) {
+			i++
+			continue
+		}
+		h.Entries = slices.Delete(h.Entries, i, i+1)
+	}
+	return h
+}
+
+func isActive(state adminapi.BundleState) bool {
+	return state != adminapi.StateRefused && state != adminapi.StateReplaced
+}
--- /dev/null
+++ b/internal/lifecycle/steps.go
@@ -0,0 +1,176 @@
+package lifecycle
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/shalefork/shalefork/internal/adminapi"
+	"github.com/shalefork/shalefork/internal/bundle"
+)
+
+// Proposal offers a version.
+type Proposal struct {
+	Version  bundle.Version
+	Digest   string
+	Operator adminapi.OperatorName
+}
+
+// Approval signs a version off. The caller has verified Signature.
+type Approval struct {
+	Version   bundle.Version
+	Digest    string
+	Operator  adminapi.OperatorName
+	Signature []byte
+}
+
+// Propose adds the next version. It replaces the newest one if that is only
+// proposed or approved.
+func Propose(head Head, proposal Proposal) (Head, Outcome) {
+	latest, _ := head.Latest()
+	if proposal.Version != latest.Version+1 {
+		return refuseVersion(head, latest, proposal)
+	}
+	if latest.State == adminapi.StateProposed || latest.State == adminapi.StateApproved {
+		head = head.with(replacedBy(latest, proposal.Version))
+	}
+	entry := Entry{
+		Version:    proposal.Version,
+		State:      adminapi.StateProposed,
+		Digest:     proposal.Digest,
+		ProposedBy: proposal.Operator,
+	}
+	return success(Changed, head.append(entry), entry)
+}
+
+// refuseVersion answers a proposal that is not the next version.
+func refuseVersion(head Head, latest Entry, proposal Proposal) (Head, Outcome) {
+	next := latest.Version + 1
+	taken, found := head.Find(proposal.Version)
+	switch {
+	case found && taken.Digest == proposal.Digest && taken.ProposedBy == proposal.Operator:
+		return success(Unchanged, head, taken)
+	case found:
+		return failure(Conflict, head, taken, "version %d was proposed by %s; the next is %d",
+			taken.Version, taken.ProposedBy, next)
+	case latest.Version == 0:
+		return head, Outcome{Kind: Conflict, Message: "the first version is 1"}
+	default:
+		return failure(Conflict, head, latest, "expected version %d, found %d", next, proposal.Version)
+	}
+}
+
+// Approve signs off the version, which must be proposed, by an operator other
+// than the proposer.
+func Approve(head Head, approval Approval) (Head, Outcome) {
+	entry, found := head.Find(approval.Version)
+	switch {
+	case !found:
+		return notFound(head, approval.Version)
+	case entry.Digest != approval.Digest:
+		return failure(Conflict, head, entry, "version %d has digest %s, the approval is for %s",
+			entry.Version, entry.Digest, approval.Digest)
+	case entry.ProposedBy == approval.Operator:
+		return failure(SameOperator, head, entry, "version %d was proposed by %s: another operator must approve",
+			entry.Version, entry.ProposedBy)
+	case entry.ApprovedBy == approval.Operator && bytes.Equal(entry.Signature, approval.Signature):
+		return success(Unchanged, head, entry)
+	case entry.State != adminapi.StateProposed:
+		return wrongState(head, entry, adminapi.StateProposed)
+	}
+	entry.State = adminapi.StateApproved
+	entry.ApprovedBy = approval.Operator
+	entry.Signature = approval.Signature
+	return success(Changed, head.with(entry), entry)
+}
+
+// Roll starts to put an approved version into force. Any operator may roll.
+func Roll(head Head, version bundle.Version, operator adminapi.OperatorName) (Head, Outcome) {
+	entry, found := head.Find(version)
+	switch {
+	case !found:
+		return notFound(head, version)
+	case entry.RolledBy == operator:
+		return success(Unchanged, head, entry)
+	case entry.State != adminapi.StateApproved:
+		return wrongState(head, entry, adminapi.StateApproved)
+	}
+	entry.State = adminapi.StateRolling
+	entry.RolledBy = operator
+	return success(Changed, head.with(entry), entry)
+}
+
+// Refuse ends a version that no cell has adopted, with the reason. The caller
+// must be sure of that: a version that a cell has adopted is never refused,
+// only followed by a higher one.
+func Refuse(head Head, version bundle.Version, reason string) (Head, Outcome) {
+	entry, found := head.Find(version)
+	switch {
+	case !found:
+		return notFound(head, version)
+	case entry.State == adminapi.StateRefused:
+		return success(Unchanged, head, entry)
+	case entry.State == adminapi.StateInForce || entry.State == adminapi.StateReplaced:
+		return wrongState(head, entry, adminapi.StateRolling)
+	}
+	entry.State = adminapi.StateRefused
+	entry.Reason = reason
+	return success(Changed, head.with(entry), entry)
+}
+
+// InForce records that every live grant of the team carries the version. The
+// lower versions that were in force or still rolling are replaced.
+func InForce(head Head, version bundle.Version) (Head, Outcome) {
+	entry, found := head.Find(version)
+	switch {
+	case !found:
+		return notFound(head, version)
+	case entry.State == adminapi.StateInForce:
+		return success(Unchanged, head, entry)
+	case entry.State != adminapi.StateRolling:
+		return wrongState(head, entry, adminapi.StateRolling)
+	}
+	entry.State = adminapi.StateInForce
+	return success(Changed, head.with(entry).replaceBelow(version), entry)
+}
+
+// replaceBelow marks the lower versions that a cell may have adopted as
+// replaced.
+func (h Head) replaceBelow(version bundle.Version) Head {
+	for _, entry := range h.Entries {
+		wasAdopted := entry.State == adminapi.StateInForce || entry.State == adminapi.StateRolling
+		if entry.Version < version && wasAdopted {
+			h = h.with(replacedBy(entry, version))
+		}
+	}
+	return h
+}
+
+func replacedBy(entry Entry, version bundle.Version) Entry {
+	entry.State = adminapi.StateReplaced
+	entry.Reason = fmt.Sprintf("replaced by version %d", version)
+	return entry
+}
+
+func wrongState(head Head, entry Entry, expected adminapi.BundleState) (Head, Outcome) {
+	return failure(WrongState, head, entry, "version %d is %s%s; expected %s",
+		entry.Version, entry.State, lastOperator(entry), expected)
+}
+
+// lastOperator tells the loser of a race who won it.
+func lastOperator(entry Entry) string {
+	switch {
+	case entry.RolledBy != "":
+		return ", rolled by " + string(entry.RolledBy)
+	case entry.ApprovedBy != "":
+		return ", approved by " + string(entry.ApprovedBy)
+	default:
+		return ", proposed by " + string(entry.ProposedBy)
+	}
+}
+
+func notFound(head Head, version bundle.Version) (Head, Outcome) {
+	return head, Outcome{
+		Kind:    NotFound,
+		Message: fmt.Sprintf("no version %d of team %s is remembered", version, head.Team),
+	}
+}
--- a/internal/platform/keys.go
+++ b/internal/platform/keys.go
@@ -36,9 +36,11 @@
 	return TeamsPrefix + string(team) + "/head"
 }
 
-// BundleKey holds the canonical bytes of one version of a team's bundle.
-func BundleKey(team bundle.TeamName, version bundle.Version) string {
-	return TeamsPrefix + string(team) + "/bundles/" + strconv.FormatUint(uint64(version), 10)
+// BundleKey holds the canonical bytes of one version of a team's bundle. The
+// digest belongs to the key because two operators may propose different bundles
+// as the same version: each writes its own key, and the head names the winner.
+func BundleKey(team bundle.TeamName, version bundle.Version, digest string) string {
+	return TeamsPrefix + string(team) + "/bundles/" + strconv.FormatUint(uint64(version), 10) + "/" + digest
 }
 
 // NewWriteID returns a random id for a write.
