--- /dev/null
+++ b/internal/controller/table_stream.go
@@ -0,0 +1,92 @@
+package controller
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/cellstate"
+	"github.com/shalefork/shalefork/internal/wire"
+)
+
+// queryCell names the cell of a table request.
+const queryCell = "cell"
+
+// tableWriteTimeout ends a stream whose reader takes nothing.
+const tableWriteTimeout = 10 * time.Second
+
+// tableStream is one open stream to a gateway or a standby.
+type tableStream struct {
+	controller *Controller
+	lines      *wire.LineWriter
+	flush      *http.ResponseController
+	sent       cellstate.TableView
+}
+
+// serveTable streams the table: a snapshot, then deltas as they come, and a
+// heartbeat each second in between.
+func (c *Controller) serveTable(writer http.ResponseWriter, request *http.Request) {
+	cell := request.URL.Query().Get(queryCell)
+	if cell != "" && bundle.CellName(cell) != c.settings.Cell {
+		http.Error(writer, "this controller serves another cell", http.StatusNotFound)
+		return
+	}
+	c.metrics.TableStreams.Inc()
+	defer c.metrics.TableStreams.Dec()
+	stream := &tableStream{
+		controller: c,
+		lines:      wire.NewLineWriter(writer),
+		flush:      http.NewResponseController(writer),
+	}
+	writer.Header().Set("Content-Type", "application/jsonl")
+	stream.run(request)
+}
+
+func (s *tableStream) run(request *http.Request) {
+	heartbeat := time.NewTicker(tableHeartbeat)
+	defer heartbeat.Stop()
+	for {
+		view, changed := s.controller.tables.latest()
+		if s.update(view) != nil {
+			return
+		}
+		select {
+		case <-request.Context().Done():
+			return
+		case <-s.controller.stopping:
+			return
+		case <-changed:
+		case <-heartbeat.C:
+			if s.write(s.heartbeat()) != nil {
+				return
+			}
+		}
+	}
+}
+
+// update sends what leads from the table sent last to view.
+func (s *tableStream) update(view cellstate.TableView) error {
+	if !view.State.Version().Newer(s.sent.State.Version()) {
+		return nil
+	}
+	first := s.sent.State.Cell == ""
+	update := cellstate.Delta(s.sent, view)
+	if first || s.sent.State.Generation != view.State.Generation {
+		update = view.Snapshot()
+	}
+	s.sent = view
+	return s.write(update)
+}
+
+func (s *tableStream) heartbeat() wire.TableUpdate {
+	version := s.sent.State.Version()
+	return wire.TableUpdate{Cell: s.controller.settings.Cell, Version: version, From: version, Heartbeat: true}
+}
+
+func (s *tableStream) write(update wire.TableUpdate) error {
+	s.flush.SetWriteDeadline(time.Now().Add(tableWriteTimeout))
+	if err := s.lines.Write(update); err != nil {
+		return err
+	}
+	return Error.Wrap(s.flush.Flush())
+}
--- /dev/null
+++ b/internal/controller/times.go
@@ -0,0 +1,81 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/settings"
+)
+
+// Periods that need no setting.
+const (
+	// ticksPerHeartbeat is how often the loop lets time pass for the pure
+	// packages; consensus asks for at least four.
+	ticksPerHeartbeat = 4
+	// platformTimeout bounds one call of the platform's service.
+	platformTimeout = 2 * time.Second
+	// presenceTTL is the life of a controller's presence without renewal.
+	presenceTTL = 10 * time.Second
+	// settledPoll and unsettledPoll are the periods at which the group record
+	// is read, with and without a leader.
+	settledPoll   = 5 * time.Second
+	unsettledPoll = 500 * time.Millisecond
+	// machinePoll is the period at which the leader reads the machine list.
+	machinePoll = time.Second
+	// checkpointEvery is the shortest time between two checkpoints.
+	checkpointEvery = time.Second
+	// tableHeartbeat is the period of heartbeat lines in a table stream.
+	tableHeartbeat = time.Second
+	// planEvery is the longest time between two plans of a leader.
+	planEvery = 100 * time.Millisecond
+	// shutdownTimeout bounds the end of open requests at a planned stop.
+	shutdownTimeout = 5 * time.Second
+	// rollRetry is the period at which the leader looks at the heads again.
+	rollRetry = time.Second
+)
+
+// times are the settings' times with defaults filled in.
+type times struct {
+	grant        time.Duration
+	renew        time.Duration
+	poolGrant    time.Duration
+	poolRenew    time.Duration
+	heartbeat    time.Duration
+	electionMin  time.Duration
+	electionMax  time.Duration
+	lease        time.Duration
+	driftMargin  time.Duration
+	replaceAfter time.Duration
+	reformAfter  time.Duration
+}
+
+func newTimes(from settings.Times) times {
+	return times{
+		grant:        orDefault(from.Grant, 600*time.Millisecond),
+		renew:        orDefault(from.Renew, 200*time.Millisecond),
+		poolGrant:    orDefault(from.PoolGrant, 3*time.Second),
+		poolRenew:    orDefault(from.PoolRenew, time.Second),
+		heartbeat:    orDefault(from.Heartbeat, 100*time.Millisecond),
+		electionMin:  orDefault(from.ElectionMin, 300*time.Millisecond),
+		electionMax:  orDefault(from.ElectionMax, 450*time.Millisecond),
+		lease:        orDefault(from.LeaderLease, 250*time.Millisecond),
+		driftMargin:  orDefault(from.DriftMargin, 10*time.Millisecond),
+		replaceAfter: orDefault(from.ReplaceAfter, 2*time.Second),
+		reformAfter:  orDefault(from.ReformAfter, 2*time.Second),
+	}
+}
+
+func orDefault(value bundle.Duration, fallback time.Duration) time.Duration {
+	if value == 0 {
+		return fallback
+	}
+	return value.Std()
+}
+
+// oldGrantsEnd is how long after the last proof that a generation ended its
+// grants can still run. A lost member may have acknowledged the old leader just
+// before it was lost, so the leadership lease counts from then, and a grant
+// from the end of that lease at the latest.
+func (t times) oldGrantsEnd() time.Duration {
+	return t.lease + t.grant + 2*t.driftMargin
+}
--- a/internal/generation/generation.go
+++ b/internal/generation/generation.go
@@ -23,6 +23,9 @@
 	// Next is written before a change is proposed and cleared after the change
 	// is committed and Members holds it.
 	Next *consensus.Membership `json:"next,omitempty"`
+	// Start is the key of the state that the generation starts from, so that
+	// all its members start from the same. Empty: the empty state.
+	Start string `json:"start,omitempty"`
 }
 
 // Proof says why one old member can never vote or commit again.
