--- a/internal/cellstate/apply.go
+++ b/internal/cellstate/apply.go
@@ -210,7 +210,7 @@
 	if s.Servers == nil {
 		s.Servers = map[bundle.ServerName]Server{}
 	}
-	server.Draining = server.Leaving || server.DrainRequested
+	server.Draining = server.Leaving || server.DrainRequested || server.MachineLeaving
 	s.Servers[server.Name] = server
 }
 
--- a/internal/cellstate/command.go
+++ b/internal/cellstate/command.go
@@ -46,6 +46,9 @@
 type DrainServer struct {
 	Server   bundle.ServerName `json:"server"`
 	Draining bool              `json:"draining"`
+	// Machine says that the machine list wants it, not the server itself. The
+	// two are kept apart, so that neither ends what the other began.
+	Machine bool `json:"machine,omitempty"`
 }
 
 // RemoveServer forgets a server that owns nothing.
--- a/internal/cellstate/servers.go
+++ b/internal/cellstate/servers.go
@@ -23,6 +23,7 @@
 	}
 	server.Leaving = false
 	server.DrainRequested = server.Draining
+	server.MachineLeaving = false
 	s.setServer(server)
 	s.ensureLedger()
 	return Applied
@@ -72,7 +73,11 @@
 	if !found {
 		return RejectedServer
 	}
-	server.DrainRequested = drain.Draining
+	if drain.Machine {
+		server.MachineLeaving = drain.Draining
+	} else {
+		server.DrainRequested = drain.Draining
+	}
 	s.setServer(server)
 	return Applied
 }
@@ -140,6 +145,7 @@
 	if found && server.Address == known.Address && server.Zone == known.Zone {
 		server.Incarnation = known.Incarnation
 		server.DrainRequested = known.DrainRequested
+		server.MachineLeaving = known.MachineLeaving
 		s.setServer(server)
 		return
 	}
--- a/internal/cellstate/state.go
+++ b/internal/cellstate/state.go
@@ -48,13 +48,15 @@
 	Slots       int `json:"slots"`
 	Connections int `json:"connections"`
 	// Draining servers get no new slices and lose those that they own. It is
-	// set while Leaving or DrainRequested is.
+	// set while Leaving, DrainRequested or MachineLeaving is.
 	Draining bool `json:"draining,omitempty"`
 	// Leaving says that the bundle wants the server gone: it marks the back
 	// end as leaving, lists it no more, or lists it at another place.
 	Leaving bool `json:"leaving,omitempty"`
 	// DrainRequested says that the server itself asked to be drained.
 	DrainRequested bool `json:"drain_requested,omitempty"`
+	// MachineLeaving says that the machine list calls its machine leaving.
+	MachineLeaving bool `json:"machine_leaving,omitempty"`
 	// Incarnation that the current grants are for; empty before contact.
 	Incarnation wire.Incarnation `json:"incarnation,omitempty"`
 }
--- /dev/null
+++ b/internal/controller/admin.go
@@ -0,0 +1,91 @@
+package controller
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/shalefork/shalefork/internal/adminapi"
+	"github.com/shalefork/shalefork/internal/platform"
+)
+
+// platformRetryAfter is, in seconds, when to come back while the platform's
+// service is down.
+const platformRetryAfter = 5
+
+// adminStep carries out one write whose sender is known.
+type adminStep func(request *http.Request, write signedWrite) (adminapi.BundleStatus, *adminapi.Failure)
+
+// handleAdmin adds the paths of the admin API. Any controller answers them all:
+// the truth of a team's versions is the head record in the platform's service,
+// which is moved by compare-and-swap only.
+func (c *Controller) handleAdmin(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+adminapi.PathPropose, c.adminWrite(c.propose))
+	mux.HandleFunc("POST "+adminapi.PathApprove, c.adminWrite(c.approve))
+	mux.HandleFunc("POST "+adminapi.PathRoll, c.adminWrite(c.roll))
+	mux.HandleFunc("GET "+adminapi.PathBundle, c.serveBundle)
+	mux.HandleFunc("GET "+adminapi.PathHistory, c.serveHistory)
+	mux.HandleFunc("GET "+adminapi.PathStatus, c.serveStatus)
+}
+
+func (c *Controller) adminWrite(step adminStep) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		write, failure := c.authenticate(request)
+		if failure != nil {
+			c.fail(writer, failure)
+			return
+		}
+		status, failure := step(request, write)
+		if failure != nil {
+			c.fail(writer, failure)
+			return
+		}
+		c.logger.Info().Str("path", request.URL.Path).Str("operator", string(write.operator)).
+			Str("team", string(status.Team)).Uint64("version", uint64(status.Version)).Msg("operator's write")
+		writeJSON(writer, http.StatusOK, status)
+	}
+}
+
+// fail answers with a failure and counts those who may not write.
+func (c *Controller) fail(writer http.ResponseWriter, failure *adminapi.Failure) {
+	status := statusOf(failure.Code)
+	if status == http.StatusForbidden {
+		c.metrics.OperatorsRefused.Inc()
+	}
+	if failure.RetryAfter > 0 {
+		writer.Header().Set("Retry-After", strconv.Itoa(failure.RetryAfter))
+	}
+	writeJSON(writer, status, failure)
+}
+
+func statusOf(code adminapi.FailureCode) int {
+	switch code {
+	case adminapi.FailureUnknownOperator, adminapi.FailureBadSignature, adminapi.FailureStale:
+		return http.StatusForbidden
+	case adminapi.FailureInvalid:
+		return http.StatusBadRequest
+	case adminapi.FailureNotFound:
+		return http.StatusNotFound
+	case adminapi.FailurePlatform, adminapi.FailureNoLeader:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusConflict
+	}
+}
+
+func invalid(format string, arguments ...any) *adminapi.Failure {
+	return &adminapi.Failure{Code: adminapi.FailureInvalid, Message: fmt.Sprintf(format, arguments...)}
+}
+
+// storeFailure is the answer when the platform's service failed.
+func storeFailure(err error) *adminapi.Failure {
+	if errors.Is(err, platform.ErrNotFound) {
+		return &adminapi.Failure{Code: adminapi.FailureNotFound, Message: "no such team or version"}
+	}
+	return &adminapi.Failure{
+		Code:       adminapi.FailurePlatform,
+		Message:    "the platform's service does not answer; routing goes on",
+		RetryAfter: platformRetryAfter,
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -56,8 +56,8 @@
 	listener  net.Listener
 	tables    *tableHub
 
-	events   chan event
-	pollNow  chan struct{}
+	events  chan event
+	pollNow chan struct{}
 	// stopping is closed when a planned stop begins; it ends open streams.
 	stopping chan struct{}
 	identity atomic.Pointer[identity]
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -48,7 +48,7 @@
 	r.renew()
 	r.propose()
 	r.replaceMembers()
-	r.roll()
+	r.rollBundles()
 	r.saveCheckpoint()
 }
 
@@ -170,22 +170,24 @@
 	}
 }
 
-// proposeOnce proposes a command unless the same one is in flight already.
-func (r *replica) proposeOnce(command cellstate.Command) {
+// proposeOnce proposes a command unless the same one is in flight already. It
+// returns the command's log index, or zero if it could not be proposed.
+func (r *replica) proposeOnce(command cellstate.Command) consensus.Index {
 	encoded, err := json.Marshal(command)
 	if err != nil {
 		panic(Error.Wrap(err))
 	}
 	l := r.leadership
-	if _, pending := l.inFlight[string(encoded)]; pending {
-		return
+	if index, pending := l.inFlight[string(encoded)]; pending {
+		return index
 	}
 	index, outcome := r.node.Propose(r.clock.Now(), encoded)
 	if outcome != consensus.ProposeAccepted {
-		return
+		return 0
 	}
 	l.inFlight[string(encoded)] = index
 	r.metrics.ProposalsSent.Inc()
+	return index
 }
 
 // settled forgets a command that was applied.
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/cellstate"
 	"github.com/shalefork/shalefork/internal/consensus"
 	"github.com/shalefork/shalefork/internal/generation"
@@ -63,6 +62,7 @@
 // after it was published.
 type view struct {
 	member     bool
+	leading    bool
 	generation wire.Generation
 	status     consensus.Status
 	state      cellstate.State
@@ -163,6 +163,7 @@
 		next.leaderless = r.sinceLeader(next.status)
 	}
 	if r.leadership != nil {
+		next.leading = true
 		next.serverView = r.leadership.servers
 	}
 	r.view.Store(next)
@@ -179,7 +180,3 @@
 	}
 	return now - r.leaderSeen
 }
-
-func (v *view) cell() bundle.CellName {
-	return v.record.record.Cell
-}
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 
+	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/cellstate"
 	"github.com/shalefork/shalefork/internal/platform"
 )
@@ -43,8 +44,8 @@
 	return list
 }
 
-// machineProposals drains the servers of machines that are leaving, and counts
-// as drained no more those whose machine stays after all.
+// machineProposals drains the servers of machines that are leaving, and ends
+// that when the list calls the machine live again.
 //
 // A machine that is gone from the list needs no command. A server there that
 // answers outvotes the list, which lags; one that does not answer has no lease,
@@ -54,19 +55,31 @@
 	var commands []cellstate.Command
 	for _, name := range r.state.ServerNames() {
 		server := r.state.Servers[name]
-		leaving := r.leadership.machines.leaving(server.Address)
-		if leaving && !server.DrainRequested {
-			commands = append(commands, drainCommand(server, true))
+		state := r.leadership.machines.stateOf(server.Address)
+		switch {
+		case state == platform.MachineLeaving && !server.MachineLeaving:
+			commands = append(commands, drainCommand(name, true))
+		case state == platform.MachineLive && server.MachineLeaving:
+			commands = append(commands, drainCommand(name, false))
 		}
 	}
 	return commands
 }
 
-func (l machineList) leaving(address string) bool {
+// stateOf returns what the list says of the machine at an address with port;
+// empty if it is not listed.
+func (l machineList) stateOf(address string) platform.MachineState {
 	host, _, err := net.SplitHostPort(address)
-	return err == nil && l[host] == platform.MachineLeaving
+	if err != nil {
+		return ""
+	}
+	return l[host]
 }
 
-func drainCommand(server cellstate.Server, draining bool) cellstate.Command {
-	return cellstate.Command{DrainServer: &cellstate.DrainServer{Server: server.Name, Draining: draining}}
+func drainCommand(server bundle.ServerName, draining bool) cellstate.Command {
+	return cellstate.Command{DrainServer: &cellstate.DrainServer{
+		Server:   server,
+		Draining: draining,
+		Machine:  true,
+	}}
 }
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -4,29 +4,29 @@
 
 // Metrics are the counters of a controller.
 type Metrics struct {
-	Elections            prometheus.Counter
-	CommandsApplied      prometheus.Counter
-	CommandsRejected     prometheus.Counter
-	ProposalsSent        prometheus.Counter
-	RenewalsSent         prometheus.Counter
-	RenewalsFailed       prometheus.Counter
-	MessagesSent         prometheus.Counter
-	MessagesDropped      prometheus.Counter
-	MessagesReceived     prometheus.Counter
-	PlatformFailures     prometheus.Counter
-	Checkpoints          prometheus.Counter
-	MembersReplaced      prometheus.Counter
-	GenerationsFormed    prometheus.Counter
-	BundlesRefused       prometheus.Counter
-	PeersRefused         prometheus.Counter
-	OperatorsRefused     prometheus.Counter
-	TableStreams         prometheus.Gauge
-	Leading              prometheus.Gauge
-	LeaderlessSeconds    prometheus.Gauge
-	AppliedIndex         prometheus.Gauge
-	CheckpointIndex      prometheus.Gauge
-	GroupVoters          prometheus.Gauge
-	LoopSeconds          prometheus.Histogram
+	Elections         prometheus.Counter
+	CommandsApplied   prometheus.Counter
+	CommandsRejected  prometheus.Counter
+	ProposalsSent     prometheus.Counter
+	RenewalsSent      prometheus.Counter
+	RenewalsFailed    prometheus.Counter
+	MessagesSent      prometheus.Counter
+	MessagesDropped   prometheus.Counter
+	MessagesReceived  prometheus.Counter
+	PlatformFailures  prometheus.Counter
+	Checkpoints       prometheus.Counter
+	MembersReplaced   prometheus.Counter
+	GenerationsFormed prometheus.Counter
+	BundlesRefused    prometheus.Counter
+	PeersRefused      prometheus.Counter
+	OperatorsRefused  prometheus.Counter
+	TableStreams      prometheus.Gauge
+	Leading           prometheus.Gauge
+	LeaderlessSeconds prometheus.Gauge
+	AppliedIndex      prometheus.Gauge
+	CheckpointIndex   prometheus.Gauge
+	GroupVoters       prometheus.Gauge
+	LoopSeconds       prometheus.Histogram
 }
 
 // NewMetrics makes the counters and registers them.
--- a/internal/controller/presence.go
+++ b/internal/controller/presence.go
@@ -68,7 +68,14 @@
 		return
 	}
 	key := platform.ControllerKey(k.controller.settings.Cell, current.Incarnation)
-	entry, err := k.controller.swapLeased(ctx, key, 0, current, k.lease)
+	value, err := json.Marshal(current)
+	if err != nil {
+		return
+	}
+	entry, err := k.controller.write(ctx, platform.Write{Key: key, Value: value, Lease: k.lease})
+	if errors.Is(err, platform.ErrNotFound) {
+		k.lease = "" // it has lapsed
+	}
 	if err != nil {
 		return
 	}
@@ -94,12 +101,8 @@
 	if k.written == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
-	defer cancel()
 	key := platform.ControllerKey(k.controller.settings.Cell, k.written.Incarnation)
-	if err := k.controller.store.Delete(ctx, key, k.revision); err != nil {
-		k.controller.metrics.PlatformFailures.Inc()
-	}
+	k.controller.remove(context.Background(), platform.Entry{Key: key, Revision: k.revision})
 	k.written = nil
 }
 
--- a/internal/controller/reform.go
+++ b/internal/controller/reform.go
@@ -301,13 +301,7 @@
 
 // discardStart deletes a start state that no record names.
 func (a *reform) discardStart(ctx context.Context, key string) {
-	entry, err := a.get(ctx, key)
-	if err != nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
-	defer cancel()
-	if err := a.store.Delete(ctx, key, entry.Revision); err != nil {
-		a.metrics.PlatformFailures.Inc()
+	if entry, err := a.get(ctx, key); err == nil {
+		a.remove(ctx, entry)
 	}
 }
--- a/internal/controller/register.go
+++ b/internal/controller/register.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/cellstate"
@@ -66,22 +67,26 @@
 }
 
 func (c *Controller) forwardRegister(request *http.Request, server cellstate.Server, answer *RegisterResponse) bool {
-	address, forwards := c.leaderAddress(), len(request.Header[headerForwarded])
-	if address == "" || forwards >= maxForwards {
+	address, hops := c.leaderAddress(), request.Header[headerForwarded]
+	if address == "" || len(hops) >= maxForwards {
 		return false
 	}
-	header := http.Header{headerForwarded: append(request.Header[headerForwarded], string(c.self()))}
 	err := c.postJSON(request.Context(), jsonCall{
 		url:      "http://" + address + PathRegister,
 		body:     server,
 		answer:   answer,
 		limit:    maxRequestBytes,
 		deadline: forwardTimeout,
-		header:   header,
+		header:   c.forwardHeader(hops),
 	})
 	return err == nil
 }
 
+// forwardHeader adds this process to those that passed a request on.
+func (c *Controller) forwardHeader(hops []string) http.Header {
+	return http.Header{headerForwarded: append(slices.Clone(hops), string(c.self()))}
+}
+
 // leaderAddress returns where the leader is, or a member that may know it;
 // empty if this process is the leader or knows nobody.
 func (c *Controller) leaderAddress() string {
--- a/internal/controller/renewal.go
+++ b/internal/controller/renewal.go
@@ -1,12 +1,7 @@
 package controller
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
-	"net/http"
-	"time"
 
 	"github.com/shalefork/shalefork/internal/grant"
 	"github.com/shalefork/shalefork/internal/wire"
@@ -47,40 +42,3 @@
 	})
 	return answer, err
 }
-
-// jsonCall is one request of JSON to another process, answered with JSON.
-type jsonCall struct {
-	url      string
-	body     any
-	answer   any
-	limit    int64
-	deadline time.Duration
-	header   http.Header
-}
-
-// postJSON sends the call and decodes an answer of status 200.
-func (c *Controller) postJSON(ctx context.Context, call jsonCall) error {
-	ctx, cancel := context.WithTimeout(ctx, call.deadline)
-	defer cancel()
-	encoded, err := json.Marshal(call.body)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, call.url, bytes.NewReader(encoded))
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	request.Header.Set("User-Agent", "")
-	for name, values := range call.header {
-		request.Header[name] = values
-	}
-	response, err := c.client.Do(request)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return Error.New("%s answered %s", call.url, response.Status)
-	}
-	return Error.Wrap(json.NewDecoder(io.LimitReader(response.Body, call.limit)).Decode(call.answer))
-}
--- /dev/null
+++ b/internal/controller/rollout.go
@@ -0,0 +1,167 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/adminapi"
+	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/cellstate"
+	"github.com/shalefork/shalefork/internal/consensus"
+	"github.com/shalefork/shalefork/internal/lifecycle"
+)
+
+// rollout is a version that the platform's service holds as rolling.
+type rollout struct {
+	team    bundle.TeamName
+	version bundle.Version
+	digest  string
+	content bundle.Bundle
+	// problem says why the cell cannot serve it; empty if it can.
+	problem string
+	// proposed is the log index of its adoption, zero before.
+	proposed consensus.Index
+	// busy says that the head is being moved.
+	busy bool
+	// notBefore delays the next try to move the head.
+	notBefore time.Duration
+}
+
+// rollouts are the rolling versions by team, one a team: the highest.
+type rollouts map[bundle.TeamName]*rollout
+
+func newRollouts() rollouts {
+	return rollouts{}
+}
+
+// settled notes that the log rejected an adoption for good.
+func (all rollouts) settled(entry consensus.Entry, rejection cellstate.Rejection) {
+	for _, one := range all {
+		if one.proposed != entry.Index {
+			continue
+		}
+		one.proposed = 0
+		if rejection != cellstate.Applied && rejection != cellstate.RejectedOldVersion {
+			one.problem = fmt.Sprintf("the cell refused it: %s", rejection)
+		}
+	}
+}
+
+// readRollout reads the content of a rolling version and checks again what the
+// controller that took the operators' writes has checked: neither that
+// controller nor the platform's service is trusted with what is in force.
+func (c *Controller) readRollout(ctx context.Context, head lifecycle.Head) (*rollout, error) {
+	entry, rolling := head.Rolling()
+	if !rolling {
+		return nil, nil
+	}
+	content, err := c.readContent(ctx, head.Team, entry)
+	if err != nil && !errors.Is(err, errContentMissing) {
+		return nil, err
+	}
+	found := &rollout{team: head.Team, version: entry.Version, digest: entry.Digest, content: content}
+	switch {
+	case err != nil:
+		found.problem = err.Error()
+	case content.Cell != c.settings.Cell:
+		return nil, nil // another cell's
+	default:
+		found.problem = c.whyNotRolled(head.Team, entry, content)
+	}
+	return found, nil
+}
+
+// whyNotRolled returns why a version may not come into force, or nothing.
+func (c *Controller) whyNotRolled(team bundle.TeamName, entry lifecycle.Entry, content bundle.Bundle) string {
+	approver, known := c.operators[entry.ApprovedBy]
+	switch {
+	case content.Team != team || content.Version != entry.Version:
+		return "the content is of another team or version"
+	case !known || !approver.may(team):
+		return fmt.Sprintf("approver %q may not change the team", entry.ApprovedBy)
+	case entry.ApprovedBy == entry.ProposedBy:
+		return "the proposer approved it"
+	case bundle.Verify(approver.key, content, entry.Signature) != nil:
+		return "the approval's signature is not over the content"
+	default:
+		return c.whyUnservable(content)
+	}
+}
+
+// rolloutRead takes in what a head holds; nil means that nothing is rolling.
+func (r *replica) rolloutRead(team bundle.TeamName, found *rollout) {
+	all := r.leadership.rollouts
+	if found == nil {
+		delete(all, team)
+		return
+	}
+	if known := all[team]; known != nil && known.version >= found.version {
+		return
+	}
+	all[team] = found
+}
+
+// rollBundles drives every rolling version to be in force or refused.
+func (r *replica) rollBundles() {
+	l := r.leadership
+	now := r.clock.Now().Lower
+	for _, one := range l.rollouts {
+		if !one.busy && one.proposed == 0 && now >= one.notBefore {
+			r.rollOne(one)
+		}
+	}
+}
+
+func (r *replica) rollOne(one *rollout) {
+	team := r.state.Teams[one.team]
+	adopted := team.Bundle.Version
+	switch {
+	case adopted == one.version && team.Digest != one.digest:
+		r.logger.Error().Str("team", string(one.team)).Msg("another content of the version is adopted")
+		one.notBefore = r.clock.Now().Lower + rollRetry
+	case adopted == one.version && team.InForce:
+		r.settleRollout(one, func(head lifecycle.Head) (lifecycle.Head, lifecycle.Outcome) {
+			return lifecycle.InForce(head, one.version)
+		})
+	case adopted >= one.version:
+		// Adopted, and not yet carried by every grant; or a later one is.
+	case one.problem != "":
+		r.settleRollout(one, func(head lifecycle.Head) (lifecycle.Head, lifecycle.Outcome) {
+			return lifecycle.Refuse(head, one.version, one.problem)
+		})
+	default:
+		one.proposed = r.proposeOnce(cellstate.Command{AdoptBundle: &cellstate.AdoptBundle{Bundle: one.content, Digest: one.digest}})
+	}
+}
+
+// settleRollout moves the head in the background, and again until it worked.
+func (r *replica) settleRollout(one *rollout, step headStep) {
+	l := r.leadership
+	one.busy = true
+	r.background(func(ctx context.Context) {
+		outcome, err := r.moveHead(ctx, one.team, step)
+		r.postToTerm(ctx, l, func(r *replica) { r.rolloutSettled(one, outcome, err) })
+	})
+}
+
+func (r *replica) rolloutSettled(one *rollout, outcome lifecycle.Outcome, err error) {
+	one.busy = false
+	if err != nil {
+		one.notBefore = r.clock.Now().Lower + rollRetry
+		return
+	}
+	if r.leadership.rollouts[one.team] == one {
+		delete(r.leadership.rollouts, one.team)
+	}
+	if !outcome.OK() {
+		r.logger.Warn().Str("team", string(one.team)).Str("message", outcome.Message).Msg("the head has moved on")
+		return
+	}
+	if outcome.Status.State == adminapi.StateRefused {
+		r.metrics.BundlesRefused.Inc()
+	}
+	r.logger.Info().Str("team", string(one.team)).Uint64("version", uint64(one.version)).
+		Str("state", string(outcome.Status.State)).Str("reason", outcome.Status.Reason).Msg("bundle settled")
+}
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -22,29 +22,35 @@
 // instead if another write won, and ErrUnavailable if the effect cannot be
 // learned now.
 func (c *Controller) swap(ctx context.Context, key string, expect platform.Revision, value any) (platform.Entry, error) {
-	return c.swapLeased(ctx, key, expect, value, "")
-}
-
-func (c *Controller) swapLeased(ctx context.Context, key string, expect platform.Revision, value any, lease string) (platform.Entry, error) {
 	encoded, err := json.Marshal(value)
 	if err != nil {
 		return platform.Entry{}, Error.Wrap(err)
 	}
+	return c.write(ctx, platform.Write{Key: key, Value: encoded, Expect: expect})
+}
+
+// write is swap for a value in bytes, and for a key under a lease.
+func (c *Controller) write(ctx context.Context, write platform.Write) (platform.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	entry, err := platform.CompareAndSwapResolved(ctx, c.store, platform.Write{
-		Key:     key,
-		Value:   encoded,
-		Expect:  expect,
-		WriteID: platform.NewWriteID(),
-		Lease:   lease,
-	})
+	write.WriteID = platform.NewWriteID()
+	entry, err := platform.CompareAndSwapResolved(ctx, c.store, write)
 	if err != nil && !errors.Is(err, platform.ErrConflict) {
 		c.metrics.PlatformFailures.Inc()
 	}
 	return entry, err
 }
 
+// remove deletes a key that nobody needs any more. A failure leaves it there,
+// which does no harm.
+func (c *Controller) remove(ctx context.Context, entry platform.Entry) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	if err := c.store.Delete(ctx, entry.Key, entry.Revision); err != nil {
+		c.metrics.PlatformFailures.Inc()
+	}
+}
+
 // get reads a key, bounded in time.
 func (c *Controller) get(ctx context.Context, key string) (platform.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
