--- /dev/null
+++ b/internal/controller/machines.go
@@ -0,0 +1,85 @@
+package controller
+
+import (
+	"context"
+	"net"
+
+	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/cellstate"
+	"github.com/shalefork/shalefork/internal/platform"
+)
+
+// machineList is the list as the leader read it last, by address.
+type machineList map[string]platform.MachineState
+
+// listMachines reads the list, bounded in time.
+func (c *Controller) listMachines(ctx context.Context) ([]platform.Machine, error) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	machines, err := c.machines.Machines(ctx)
+	if err != nil {
+		c.metrics.PlatformFailures.Inc()
+	}
+	return machines, err
+}
+
+// pollMachines reads the machine list while the term lasts.
+func (r *replica) pollMachines(ctx context.Context, term *leadership) {
+	for {
+		listed, err := r.listMachines(ctx)
+		if err == nil {
+			r.postToTerm(ctx, term, func(r *replica) { r.leadership.machines = newMachineList(listed) })
+		}
+		if !sleep(ctx, machinePoll) {
+			return
+		}
+	}
+}
+
+func newMachineList(listed []platform.Machine) machineList {
+	list := machineList{}
+	for _, machine := range listed {
+		list[machine.Address] = machine.State
+	}
+	return list
+}
+
+// machineProposals drains the servers of machines that are leaving, and ends
+// that when the list calls the machine live again.
+//
+// A machine that is gone from the list needs no command. A server there that
+// answers outvotes the list, which lags; one that does not answer has no lease,
+// so placement gives it nothing and its slices are taken when its grants have
+// ended. Draining it would only outlast a mistake of the list.
+func (r *replica) machineProposals() []cellstate.Command {
+	var commands []cellstate.Command
+	for _, name := range r.state.ServerNames() {
+		server := r.state.Servers[name]
+		state := r.leadership.machines.stateOf(server.Address)
+		switch {
+		case state == platform.MachineLeaving && !server.MachineLeaving:
+			commands = append(commands, drainCommand(name, true))
+		case state == platform.MachineLive && server.MachineLeaving:
+			commands = append(commands, drainCommand(name, false))
+		}
+	}
+	return commands
+}
+
+// stateOf returns what the list says of the machine at an address with port;
+// empty if it is not listed.
+func (l machineList) stateOf(address string) platform.MachineState {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return ""
+	}
+	return l[host]
+}
+
+func drainCommand(server bundle.ServerName, draining bool) cellstate.Command {
+	return cellstate.Command{DrainServer: &cellstate.DrainServer{
+		Server:   server,
+		Draining: draining,
+		Machine:  true,
+	}}
+}
