Add the operators' commands and the program's wiring

Cause: operators drive the system only through bundles, so they need commands to propose, approve, roll and look, with exit codes that scripts can tell apart. Ruled out: approving by version number alone, since the operator would sign what a controller says; approve takes the file that was reviewed. A token flag, since others can read a command line; the token comes from a file. Change: package operator holds the commands, package cli runs one under a context that SIGTERM ends, cmd/shalefork is flags and wiring.

--- a/cmd/shalefork/main.go
+++ b/cmd/shalefork/main.go
@@ -2,4 +2,19 @@
 // commands.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/shalefork/shalefork/internal/cli"
+)
+
+func main() {
+	program := cli.NewProgram("shalefork", "A router for servers that own their keys exclusively.")
+	program.Add(gatewayCommand())
+	program.Add(controllerCommand())
+	program.AddGroup("bundle", "Propose, approve and roll a team's bundle.", bundleCommands()...)
+	program.Add(statusCommand())
+	program.AddGroup("config", "Check settings without starting.", configCheckCommand())
+	program.AddGroup("operator", "Keys of operators.", operatorKeygenCommand())
+	program.Main(os.Args[1:])
+}
--- /dev/null
+++ b/internal/operator/key.go
@@ -0,0 +1,68 @@
+package operator
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/base64"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/shalefork/shalefork/internal/adminapi"
+)
+
+// keyFileMode lets only the owner read the key.
+const keyFileMode = 0o600
+
+// Identity is an operator with the key to sign with.
+type Identity struct {
+	Name adminapi.OperatorName
+	Key  ed25519.PrivateKey
+}
+
+// GenerateKey writes a new ed25519 key to a file that must not exist yet and
+// prints the public key for the controllers' settings.
+func GenerateKey(output Output, path string) ExitCode {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return output.Fail(Error.Wrap(err))
+	}
+	if err := writeKey(path, private); err != nil {
+		return output.Fail(err)
+	}
+	fmt.Fprintln(output.Result, base64.StdEncoding.EncodeToString(public))
+	return ExitOK
+}
+
+func writeKey(path string, private ed25519.PrivateKey) error {
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, keyFileMode)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	_, err = fmt.Fprintln(file, base64.StdEncoding.EncodeToString(private.Seed()))
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	return Error.Wrap(err)
+}
+
+// LoadIdentity reads the key file of an operator. It refuses a file that
+// others can read.
+func LoadIdentity(name, path string) (Identity, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return Identity{}, Error.Wrap(err)
+	}
+	if info.Mode().Perm()&0o077 != 0 {
+		return Identity{}, Error.New("key file %s can be read by others; make it mode 0600", path)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Identity{}, Error.Wrap(err)
+	}
+	seed, err := base64.StdEncoding.DecodeString(strings.TrimSpace(string(text)))
+	if err != nil || len(seed) != ed25519.SeedSize {
+		return Identity{}, Error.New("key file %s does not hold an ed25519 key", path)
+	}
+	return Identity{Name: adminapi.OperatorName(name), Key: ed25519.NewKeyFromSeed(seed)}, nil
+}
--- /dev/null
+++ b/internal/operator/print.go
@@ -0,0 +1,71 @@
+package operator
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/shalefork/shalefork/internal/adminapi"
+)
+
+// bundle prints one version. A refused version makes the command fail.
+func (o Output) bundle(status adminapi.BundleStatus, err error) ExitCode {
+	if err != nil {
+		return o.Fail(err)
+	}
+	if o.JSON {
+		o.json(status)
+	} else {
+		o.bundleLine(status)
+	}
+	if status.State == adminapi.StateRefused {
+		return ExitRefused
+	}
+	return ExitOK
+}
+
+func (o Output) bundleLine(status adminapi.BundleStatus) {
+	fmt.Fprintf(o.Result, "%s version %d is %s\n", status.Team, status.Version, status.State)
+	fmt.Fprintf(o.Result, "  digest       %s\n", status.Digest)
+	fmt.Fprintf(o.Result, "  proposed by  %s\n", orDash(status.ProposedBy))
+	fmt.Fprintf(o.Result, "  approved by  %s\n", orDash(status.ApprovedBy))
+	fmt.Fprintf(o.Result, "  rolled by    %s\n", orDash(status.RolledBy))
+	if status.Reason != "" {
+		fmt.Fprintf(o.Result, "  reason       %s\n", status.Reason)
+	}
+}
+
+func orDash[T ~string](text T) T {
+	return cmp.Or(text, "-")
+}
+
+func (o Output) history(versions []adminapi.BundleStatus) ExitCode {
+	if o.JSON {
+		o.json(versions)
+		return ExitOK
+	}
+	table := newTable(o.Result)
+	fmt.Fprintln(table, "VERSION\tSTATE\tPROPOSED BY\tAPPROVED BY\tROLLED BY\tDIGEST\tREASON")
+	for _, version := range versions {
+		fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\t%.12s\t%s\n",
+			version.Version, version.State, orDash(version.ProposedBy), orDash(version.ApprovedBy),
+			orDash(version.RolledBy), version.Digest, orDash(version.Reason))
+	}
+	table.Flush()
+	return ExitOK
+}
+
+func (o Output) json(value any) {
+	encoder := json.NewEncoder(o.Result)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(value); err != nil {
+		fmt.Fprintln(o.Complaint, err)
+	}
+}
+
+func newTable(writer io.Writer) *tabwriter.Writer {
+	const padding = 2
+	return tabwriter.NewWriter(writer, 0, 0, padding, ' ', 0)
+}
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -1,6 +1,9 @@
 package settings
 
 import (
+	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/bundle"
@@ -18,6 +21,22 @@
 	Value string
 }
 
+// listFields are the fields whose flag takes values separated by commas.
+var listFields = []string{"controllers"}
+
+// TextOverride returns the override of a field by a flag's plain text. A list
+// is given as values separated by commas.
+func TextOverride(field, text string) Override {
+	if !slices.Contains(listFields, field) {
+		return Override{Field: field, Value: strconv.Quote(text)}
+	}
+	var quoted []string
+	for value := range strings.SplitSeq(text, ",") {
+		quoted = append(quoted, strconv.Quote(value))
+	}
+	return Override{Field: field, Value: "[" + strings.Join(quoted, ", ") + "]"}
+}
+
 // Problems is an error that lists all that is wrong with a settings file.
 type Problems []strictyaml.Problem
 
--- a/internal/settings/read_test.go
+++ b/internal/settings/read_test.go
@@ -20,7 +20,7 @@
 
 func TestReadControllerFillsDefaultsAndFlagsWin(t *testing.T) {
 	data := golden.Get(t, "controller.yaml")
-	read, err := ReadController("controller.yaml", data, []Override{{Field: "listen", Value: "127.0.0.1:7999"}})
+	read, err := ReadController("controller.yaml", data, []Override{TextOverride("listen", "127.0.0.1:7999")})
 	assert.NilError(t, err)
 	assert.Equal(t, read.Listen, "127.0.0.1:7999")
 	assert.Equal(t, read.Zone, read.Common.Zone)
@@ -32,7 +32,7 @@
 
 func TestReadGatewayListOverride(t *testing.T) {
 	data := golden.Get(t, "gateway.yaml")
-	read, err := ReadGateway("gateway.yaml", data, []Override{{Field: "controllers", Value: "[127.0.0.1:1, 127.0.0.1:2]"}})
+	read, err := ReadGateway("gateway.yaml", data, []Override{TextOverride("controllers", "127.0.0.1:1,127.0.0.1:2")})
 	assert.NilError(t, err)
 	assert.DeepEqual(t, read.Controllers, []string{"127.0.0.1:1", "127.0.0.1:2"})
 	assert.Equal(t, read.LedgerEntries, DefaultLedgerEntries)
