Add the gateway: table, routing, queue, tries, answers

Cause: callers need one place that finds the owner of a key. Ruled out: httputil.ReverseProxy (house rule); trusting net/http's account of what was sent, which does not prove that no byte left. Change: packages balance and retry (pure) and gateway: table follower, routing, key, bounded queue, one try per request id, sealed connections as the proof of not-run, streamed answers that break visibly when short.

--- /dev/null
+++ b/internal/balance/eject.go
@@ -0,0 +1,113 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/shalefork/shalefork/internal/bundle"
+)
+
+const (
+	// serverErrorsToEject is the number of server errors in a row that eject.
+	// One failure to connect or a broken connection ejects at once.
+	serverErrorsToEject = 5
+	// timeoutWeight is how many server errors one timeout counts for.
+	timeoutWeight = 3
+	// latencyShare is the weight of a new latency in the moving average.
+	latencyShare = 0.2
+	// maxDoublings bounds the doubling of the rest.
+	maxDoublings = 10
+)
+
+// judge learns from the end of a request.
+func (p *Pool) judge(now time.Duration, used *member, result Result, latency time.Duration) {
+	switch result {
+	case ResultAnswered:
+		used.failures = 0
+		used.ejections = 0
+		used.ejected = false
+		used.measure(now, latency)
+	case ResultServerError:
+		used.measure(now, latency)
+		used.failures++
+		if used.failures >= serverErrorsToEject && p.mayEject() {
+			p.eject(now, used)
+		}
+	case ResultTimeout:
+		used.failures += timeoutWeight
+		if used.failures >= serverErrorsToEject {
+			p.eject(now, used)
+		}
+	case ResultRefused:
+		used.avoidUntil = now + p.config.AvoidAfterRefusal
+	case ResultUnreachable:
+		used.failures++
+		p.eject(now, used)
+	}
+}
+
+func (m *member) measure(now, latency time.Duration) {
+	if latency <= 0 {
+		return
+	}
+	if !latencyCounts(now, m) {
+		m.latency = latency
+	}
+	m.latency += time.Duration(latencyShare * float64(latency-m.latency))
+	m.latencyAt = now
+}
+
+// mayEject keeps at least half of the pool when back ends answer with errors:
+// a fault of the requests themselves must not empty the pool.
+func (p *Pool) mayEject() bool {
+	ejected := 0
+	for _, candidate := range p.members {
+		if candidate.ejected {
+			ejected++
+		}
+	}
+	return 2*(ejected+1) <= len(p.members)
+}
+
+func (p *Pool) eject(now time.Duration, failed *member) {
+	if failed.ejected && now < failed.retryAt {
+		return // several requests failed together
+	}
+	rest := p.config.EjectBase << min(failed.ejections, maxDoublings)
+	failed.ejected = true
+	failed.failures = 0
+	failed.ejections++
+	failed.retryAt = now + min(rest, p.config.EjectMax)
+}
+
+// NextProbe returns an ejected back end that has rested, the first by name, and
+// marks it as being probed; the caller reports the result by Probed.
+func (p *Pool) NextProbe(now time.Duration) (bundle.ServerName, bool) {
+	for _, candidate := range p.members {
+		if candidate.ejected && !candidate.probing && now >= candidate.retryAt {
+			candidate.probing = true
+			return candidate.Name, true
+		}
+	}
+	return "", false
+}
+
+// Probed takes the result of a probe. A back end that answers returns cold; a
+// health endpoint may be wrong, so that one more failure ejects it for longer.
+func (p *Pool) Probed(now time.Duration, name bundle.ServerName, healthy bool) {
+	probed := p.find(name)
+	if probed == nil {
+		return
+	}
+	probed.probing = false
+	if !probed.ejected {
+		return
+	}
+	if !healthy {
+		probed.retryAt = now // may be ejected again, for longer
+		p.eject(now, probed)
+		return
+	}
+	probed.ejected = false
+	probed.cold = true
+	probed.warmFrom = now
+}
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/keyspace"
+	"github.com/shalefork/shalefork/internal/wire"
+)
+
+// requestIDBytes is the randomness of a request id: enough that no two
+// requests ever share one.
+const requestIDBytes = 16
+
+// errDeadline is the cause of a context that ended by the request's deadline.
+var errDeadline = errs.New("the request's deadline has passed")
+
+// call is one caller's request as the gateway handles it.
+type call struct {
+	id      wire.RequestID
+	request *http.Request
+	route   *route
+	service *service
+	// key, partition and hash of a keyed service.
+	key       string
+	partition keyspace.PartitionName
+	hash      keyspace.Hash
+	body      *body
+	// started is the clock (Upper) at arrival, limit the time allowed from
+	// then; zero means no deadline.
+	started time.Duration
+	limit   time.Duration
+}
+
+func newRequestID() wire.RequestID {
+	var random [requestIDBytes]byte
+	_, _ = rand.Read(random[:]) // never fails
+	return wire.RequestID(hex.EncodeToString(random[:]))
+}
+
+// repeatable reports whether the request may run more than once.
+func (c *call) repeatable() bool {
+	return c.route.service.Repeatable
+}
+
+// left returns the time left at now; zero means no deadline, and a negative
+// value that it has passed. The clock's upper bound counts, so that a gateway
+// that was frozen does not send a request whose caller has given up.
+func (c *call) left(now time.Duration) time.Duration {
+	if c.limit == 0 {
+		return 0
+	}
+	if left := c.limit - (now - c.started); left > 0 {
+		return left
+	}
+	return -1
+}
+
+// withDeadline returns the context that all work for the call uses.
+func (c *call) withDeadline(ctx context.Context, now time.Duration) (context.Context, context.CancelFunc) {
+	if c.limit == 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeoutCause(ctx, c.left(now), errDeadline)
+}
+
+// newCall reads what the gateway needs of a request, or refuses it.
+func (g *Gateway) newCall(id wire.RequestID, request *http.Request) (*call, *refusal) {
+	made := &call{id: id, request: request, started: g.clock.Now().Upper}
+	limit := callerDeadline(request.Header)
+	stripSystem(request.Header)
+	if request.Method == http.MethodConnect || hasDotSegment(request.URL.Path) {
+		return nil, notRun(wire.ReasonMalformed)
+	}
+	if g.isStale() {
+		return nil, notRun(wire.ReasonStaleTable)
+	}
+	held := g.tables.view.Load()
+	made.route = held.routes.find(request)
+	if made.route == nil {
+		return nil, g.noRoute(held)
+	}
+	made.service = g.services.get(made.route.name)
+	if made.service == nil {
+		return nil, notRun(wire.ReasonNoBackend)
+	}
+	made.limit = shorter(limit, made.route.service.Limits.Deadline.Std())
+	return made, made.findKey()
+}
+
+// noRoute tells a gateway that has no table yet from one that knows that
+// nothing matches.
+func (g *Gateway) noRoute(held *view) *refusal {
+	if held.version == (wire.TableVersion{}) {
+		return notRun(wire.ReasonStaleTable)
+	}
+	return notRun(wire.ReasonNoRoute)
+}
+
+// findKey reads the key of a keyed service.
+func (c *call) findKey() *refusal {
+	service := c.route.service
+	if service.Kind != bundle.KindKeyed {
+		return nil
+	}
+	if service.Key == nil {
+		return notRun(wire.ReasonNoKey)
+	}
+	key, ok := keyOf(*service.Key, c.request)
+	if !ok {
+		return notRun(wire.ReasonNoKey)
+	}
+	partition, ok := service.PartitionOf(key)
+	if !ok {
+		return notRun(wire.ReasonNoPlace)
+	}
+	c.key = key
+	c.partition = partition.Name
+	c.hash = keyspace.HashKey(key)
+	return nil
+}
+
+// readCallBody reads the body ahead as far as it is kept.
+func (c *call) readBody(writer http.ResponseWriter, keep int64) *refusal {
+	limit := c.route.service.Limits.MaxBodyBytes
+	if limit == 0 {
+		limit = defaultMaxBody
+	}
+	read, err := readBody(writer, c.request, limit, min(keep, limit))
+	switch err {
+	case nil:
+		c.body = read
+		return nil
+	case errBodyTooLarge:
+		return notRun(wire.ReasonTooLarge)
+	default:
+		return notRun(wire.ReasonMalformed)
+	}
+}
--- /dev/null
+++ b/internal/gateway/choose.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"math/rand/v2"
+
+	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/wire"
+)
+
+// chooserOf returns how a call finds its target; avoid names a server not to pick.
+func (g *Gateway) chooserOf(c *call, avoid bundle.ServerName) chooser {
+	if c.route.service.Kind == bundle.KindPool {
+		return func(s *service) choice { return g.chooseInPool(s, c, avoid) }
+	}
+	return func(s *service) choice { return g.chooseOwner(s, c) }
+}
+
+// chooseOwner finds the owner of the call's key. While nobody owns the slice,
+// or its owner gives it up, the request waits for the table.
+func (g *Gateway) chooseOwner(s *service, c *call) choice {
+	held := g.tables.view.Load()
+	entry, ok := held.lookup(partitionKey{c.route.name, c.partition}, c.hash)
+	if !ok {
+		return choice{why: wire.ReasonNoOwner}
+	}
+	if entry.Refusal != "" {
+		return choice{refused: notRun(entry.Refusal)}
+	}
+	if entry.Server == "" {
+		return choice{why: wire.ReasonNoOwner}
+	}
+	if entry.State != wire.SliceServing {
+		return choice{why: wire.ReasonReleasing}
+	}
+	server, ok := held.servers[entry.Server]
+	if !ok {
+		return choice{why: wire.ReasonNoOwner}
+	}
+	if !s.pool.Take(s.now(), entry.Server) {
+		return choice{waitsFor: entry.Server, why: wire.ReasonOverloaded}
+	}
+	return choice{found: true, to: target{entry: entry, server: server}}
+}
+
+// chooseInPool picks the best back end that holds a grant.
+func (g *Gateway) chooseInPool(s *service, c *call, avoid bundle.ServerName) choice {
+	held := g.tables.view.Load()
+	entries := held.shared[c.route.name]
+	granted := func(name bundle.ServerName) bool {
+		entry, ok := findShared(entries, name)
+		return ok && entry.State == wire.SliceServing && name != avoid
+	}
+	name, ok := s.pool.Pick(s.now(), rand.Uint64(), granted)
+	if !ok {
+		return choice{why: poolReason(s)}
+	}
+	entry, _ := findShared(entries, name)
+	return choice{found: true, to: target{entry: entry, server: held.servers[name]}}
+}
+
+// poolReason tells a pool that is full from one that has no back end at all.
+func poolReason(s *service) wire.Reason {
+	if s.pool.Usable() {
+		return wire.ReasonOverloaded
+	}
+	return wire.ReasonNoBackend
+}
+
+func findShared(entries []wire.TableEntry, name bundle.ServerName) (wire.TableEntry, bool) {
+	for _, entry := range entries {
+		if entry.Server == name {
+			return entry, true
+		}
+	}
+	return wire.TableEntry{}, false
+}
--- /dev/null
+++ b/internal/gateway/handler.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/wire"
+)
+
+// ServeHTTP answers one caller's request.
+func (g *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	id := newRequestID()
+	if g.isStopping() {
+		writer.Header().Set("Connection", "close")
+	}
+	made, refused := g.newCall(id, request)
+	if refused == nil {
+		refused = made.readBody(writer, replayBytes)
+	}
+	if refused != nil {
+		g.refuse(writer, id, refused)
+		return
+	}
+	g.answer(writer, made)
+}
+
+// answer runs the call and passes its answer on.
+func (g *Gateway) answer(writer http.ResponseWriter, c *call) {
+	ctx, cancel := c.withDeadline(c.request.Context(), g.clock.Now().Upper)
+	defer cancel()
+	got, refused := g.exchange(ctx, c)
+	if refused != nil {
+		g.refuse(writer, c.id, refused)
+		return
+	}
+	g.observe(c, got)
+	g.passOn(writer, c, got, cancel)
+}
+
+// observe counts an answer that is passed on.
+func (g *Gateway) observe(c *call, got *reply) {
+	name := string(c.route.name)
+	class := strconv.Itoa(got.response.StatusCode/100) + "xx"
+	g.metrics.Answers.WithLabelValues(name, class).Inc()
+	elapsed := g.clock.Now().Upper - c.started
+	g.metrics.Seconds.WithLabelValues(name).Observe(elapsed.Seconds())
+}
+
+// passOn copies the answer. A body that ends short breaks the caller's answer
+// visibly: the connection is cut, never ended as if all were there.
+func (g *Gateway) passOn(writer http.ResponseWriter, c *call, got *reply, cancel context.CancelFunc) {
+	defer got.finish()
+	response := got.response
+	header := writer.Header()
+	stripHopByHop(response.Header)
+	stripSystem(response.Header)
+	for name, values := range response.Header {
+		header[name] = values
+	}
+	header.Set(wire.HeaderRequestID, string(c.id))
+	writer.WriteHeader(response.StatusCode)
+	err := copyBody(writer, response, idleWatch{limit: streamIdle(c.limit), cancel: cancel})
+	if err != nil {
+		g.metrics.BrokenAnswers.Inc()
+		got.finish()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// idleLimit ends a transfer without a deadline in which no byte moves.
+const idleLimit = 5 * time.Minute
+
+// streamIdle returns the idle limit of a call: only one without a deadline
+// needs it.
+func streamIdle(limit time.Duration) time.Duration {
+	if limit > 0 {
+		return 0
+	}
+	return idleLimit
+}
--- /dev/null
+++ b/internal/gateway/key.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/shalefork/shalefork/internal/bundle"
+)
+
+// maxKeyBytes bounds a key, which travels in a header.
+const maxKeyBytes = 1024
+
+// keyOf returns the key that the source names in the request. It returns false
+// if the key is absent, stands there twice with different values, or cannot be carried in a
+// header unchanged.
+func keyOf(source bundle.KeySource, request *http.Request) (string, bool) {
+	key, ok := rawKey(source, request)
+	if !ok || key == "" || len(key) > maxKeyBytes {
+		return "", false
+	}
+	return key, headerSafe(key)
+}
+
+func rawKey(source bundle.KeySource, request *http.Request) (string, bool) {
+	switch {
+	case source.PathSegment > 0:
+		return pathSegment(request.URL.EscapedPath(), source.PathSegment)
+	case source.Query != "":
+		return only(request.URL.Query()[source.Query])
+	default:
+		return only(request.Header.Values(source.Header))
+	}
+}
+
+// pathSegment returns the segment counted from 1. Segments are told apart
+// before they are unescaped, so that an escaped slash belongs to its segment.
+func pathSegment(escaped string, number int) (string, bool) {
+	segments := strings.Split(strings.TrimPrefix(escaped, "/"), "/")
+	if number > len(segments) {
+		return "", false
+	}
+	segment, err := url.PathUnescape(segments[number-1])
+	return segment, err == nil
+}
+
+// only returns the value if all are the same: with two, gateway and server
+// might each take another.
+func only(values []string) (string, bool) {
+	if len(values) == 0 {
+		return "", false
+	}
+	for _, value := range values {
+		if value != values[0] {
+			return "", false
+		}
+	}
+	return values[0], true
+}
+
+// headerSafe reports whether the key arrives unchanged as a header's value.
+func headerSafe(key string) bool {
+	if strings.TrimSpace(key) != key {
+		return false
+	}
+	return !strings.ContainsFunc(key, func(char rune) bool {
+		return char < ' ' || char == 0x7f
+	})
+}
+
+// hasDotSegment reports whether a server might read the path as another one
+// than the gateway routed by.
+func hasDotSegment(path string) bool {
+	for _, segment := range strings.Split(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/gateway/network_test.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+)
+
+// network is an in-memory network, so that whole sessions run in virtual time.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*pipeListener
+	dials     map[string]int
+}
+
+func newNetwork() *network {
+	return &network{listeners: map[string]*pipeListener{}, dials: map[string]int{}}
+}
+
+func (n *network) Listen(_, address string) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	listener := &pipeListener{address: address, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address] = listener
+	return listener, nil
+}
+
+func (n *network) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	listener := n.listeners[address]
+	n.dials[address]++
+	n.mu.Unlock()
+	if listener == nil {
+		return nil, syscall.ECONNREFUSED
+	}
+	near, far := net.Pipe()
+	select {
+	case listener.accepted <- far:
+		return near, nil
+	case <-listener.closed:
+		return nil, syscall.ECONNREFUSED
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+type pipeListener struct {
+	address  string
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accepted:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return pipeAddr(l.address) }
+
+type pipeAddr string
+
+func (a pipeAddr) Network() string { return "pipe" }
+func (a pipeAddr) String() string  { return string(a) }
--- /dev/null
+++ b/internal/gateway/probe.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"github.com/shalefork/shalefork/internal/bundle"
+)
+
+const (
+	// probeTick is how often waiting requests and ejected back ends are looked
+	// at again.
+	probeTick = 10 * time.Millisecond
+	// probeTimeout bounds one probe, which costs a back end some 6 ms.
+	probeTimeout = 500 * time.Millisecond
+	// maxProbes bounds the probes under way at once.
+	maxProbes = 4
+	// pathHealth is where a back end answers probes.
+	pathHealth = "/healthz"
+)
+
+// probe lets waiting requests look again as time passes, and probes ejected
+// back ends, until ctx ends.
+func (g *Gateway) probe(ctx context.Context) error {
+	ticker := time.NewTicker(probeTick)
+	defer ticker.Stop()
+	budget := semaphore.NewWeighted(maxProbes)
+	var running sync.WaitGroup
+	defer running.Wait()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+		for _, known := range g.services.all() {
+			known.tick()
+			g.probeService(ctx, known, budget, &running)
+		}
+	}
+}
+
+// probeService starts the probes that are due and within the budget.
+func (g *Gateway) probeService(ctx context.Context, known *service, budget *semaphore.Weighted, running *sync.WaitGroup) {
+	for budget.TryAcquire(1) {
+		name, ok := known.nextProbe()
+		if !ok {
+			budget.Release(1)
+			return
+		}
+		running.Go(func() {
+			defer budget.Release(1)
+			known.probed(name, g.probeOne(ctx, name))
+		})
+	}
+}
+
+// probeOne asks a back end's health endpoint.
+func (g *Gateway) probeOne(ctx context.Context, name bundle.ServerName) bool {
+	through := g.backends.get(name)
+	if through == nil {
+		return false
+	}
+	limited, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(limited, http.MethodGet, "http://"+through.address+pathHealth, nil)
+	if err != nil {
+		return false
+	}
+	response, err := through.transport.RoundTrip(request)
+	healthy := err == nil && response.StatusCode == http.StatusOK
+	if err == nil {
+		_ = response.Body.Close()
+	}
+	g.metrics.Probes.WithLabelValues(probeResult(healthy)).Inc()
+	return healthy
+}
+
+func probeResult(healthy bool) string {
+	if healthy {
+		return "healthy"
+	}
+	return "failed"
+}
+
+// nextProbe returns a back end to probe now.
+func (s *service) nextProbe() (bundle.ServerName, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.NextProbe(s.now())
+}
+
+// probed takes a probe's result.
+func (s *service) probed(name bundle.ServerName, healthy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Probed(s.now(), name, healthy)
+	s.dispatch()
+}
--- /dev/null
+++ b/internal/gateway/send.go
@@ -0,0 +1,203 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/balance"
+	"github.com/shalefork/shalefork/internal/retry"
+	"github.com/shalefork/shalefork/internal/wire"
+)
+
+// maxRefusalBody is the most read of a refusal's body, which is not passed on.
+const maxRefusalBody = 4 << 10
+
+// reply is the end of one try: an answer to pass on, or a failure.
+type reply struct {
+	response *http.Response // nil for a failure
+	failure  retry.Attempt
+	result   balance.Result
+	server   wire.TableServer
+	latency  time.Duration
+	// finish gives the slot back and ends the try. It may be called twice.
+	finish func()
+}
+
+// try follows the connections of one try.
+type try struct {
+	mu    sync.Mutex
+	conns []*trackedConn
+	// once forbids a second connection after a write has begun on another.
+	once bool
+}
+
+// gotConn is called by net/http before it writes to a connection.
+func (t *try) gotConn(info httptrace.GotConnInfo) {
+	conn, ok := info.Conn.(*trackedConn)
+	if !ok {
+		panic("connection was not opened by the gateway")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.once && t.hasBegun() {
+		conn.begin()
+		conn.seal() // net/http tries again by itself; its write must fail
+		return
+	}
+	conn.begin()
+	t.conns = append(t.conns, conn)
+}
+
+func (t *try) hasBegun() bool {
+	for _, conn := range t.conns {
+		if conn.hasBegun() {
+			return true
+		}
+	}
+	return false
+}
+
+// seal closes the try's connections and reports whether any byte may have left.
+func (t *try) seal() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	begun := false
+	for _, conn := range t.conns {
+		if conn.seal() {
+			begun = true
+		}
+	}
+	return begun
+}
+
+// send makes one try at a reserved target.
+func (g *Gateway) send(ctx context.Context, c *call, to target, id wire.RequestID) *reply {
+	began := g.clock.Now().Upper
+	ended := &reply{server: to.server}
+	ended.finish = sync.OnceFunc(func() {
+		if ended.response != nil {
+			_ = ended.response.Body.Close()
+		}
+		held := g.clock.Now().Upper - began
+		c.service.done(to.server.Name, ended.result, ended.latency, held)
+		g.metrics.Attempts.WithLabelValues(string(ended.result)).Inc()
+	})
+	through := g.backends.get(to.server.Name)
+	if through == nil {
+		ended.fail(balance.ResultNeutral, retry.Attempt{Reason: wire.ReasonNoBackend})
+		return ended
+	}
+	followed := &try{once: !c.repeatable()}
+	trace := &httptrace.ClientTrace{GotConn: followed.gotConn}
+	request := g.outgoing(httptrace.WithClientTrace(ctx, trace), c, to, id)
+	response, err := through.transport.RoundTrip(request)
+	ended.latency = g.clock.Now().Upper - began
+	if err != nil {
+		ended.fail(failedResult(ctx, err), retry.Attempt{
+			BytesSent: followed.seal(),
+			Reason:    failedReason(ctx, err),
+		})
+		return ended
+	}
+	g.judge(ended, followed, response, id)
+	return ended
+}
+
+// fail ends the try without an answer to pass on.
+func (r *reply) fail(result balance.Result, failure retry.Attempt) {
+	r.result = result
+	r.failure = failure
+	r.finish()
+}
+
+// judge checks that the answer is the one to this try.
+func (g *Gateway) judge(ended *reply, followed *try, response *http.Response, id wire.RequestID) {
+	if response.Header.Get(wire.HeaderRequestID) != string(id) {
+		followed.seal() // whatever else comes on it belongs to others
+		_ = response.Body.Close()
+		g.metrics.Mismatched.Inc()
+		ended.fail(balance.ResultUnreachable, retry.Attempt{
+			BytesSent: true,
+			Reason:    wire.ReasonMismatchedReply,
+		})
+		return
+	}
+	switch outcome := wire.Outcome(response.Header.Get(wire.HeaderOutcome)); outcome {
+	case wire.OutcomeNotRun, wire.OutcomeUnknown:
+		g.judgeRefusal(ended, response, outcome)
+	default:
+		ended.response = response
+		ended.result = answeredResult(response.StatusCode)
+	}
+}
+
+// judgeRefusal takes a server's own word on what it did not run.
+func (g *Gateway) judgeRefusal(ended *reply, response *http.Response, outcome wire.Outcome) {
+	reason := knownReason(response.Header.Get(wire.HeaderReason))
+	ended.latency = 0                                          // a refusal is quick whatever the load
+	_, _ = io.CopyN(io.Discard, response.Body, maxRefusalBody) // keeps the connection
+	ended.response = response
+	ended.fail(refusedResult(reason), retry.Attempt{
+		BytesSent:    true,
+		ServerNotRun: outcome == wire.OutcomeNotRun,
+		Reason:       reason,
+	})
+	ended.response = nil
+}
+
+func answeredResult(status int) balance.Result {
+	if status >= http.StatusInternalServerError {
+		return balance.ResultServerError
+	}
+	return balance.ResultAnswered
+}
+
+func refusedResult(reason wire.Reason) balance.Result {
+	if reason == wire.ReasonOverloaded || reason == wire.ReasonDraining {
+		return balance.ResultRefused
+	}
+	return balance.ResultNeutral
+}
+
+// knownReason keeps unknown words of servers out of metrics and answers.
+func knownReason(text string) wire.Reason {
+	switch reason := wire.Reason(text); reason {
+	case wire.ReasonNoGrant, wire.ReasonExpired, wire.ReasonWrongFence, wire.ReasonWrongBundle,
+		wire.ReasonReleasing, wire.ReasonOverloaded, wire.ReasonDraining, wire.ReasonDeadline,
+		wire.ReasonMalformed:
+		return reason
+	default:
+		return wire.ReasonAnswerLost
+	}
+}
+
+// failedResult tells a back end's failure from a caller that went away.
+func failedResult(ctx context.Context, err error) balance.Result {
+	if errors.Is(err, errBodyBroken) || errors.Is(err, errBodyTooLarge) {
+		return balance.ResultNeutral
+	}
+	switch {
+	case ctx.Err() == nil:
+		return balance.ResultUnreachable
+	case errors.Is(context.Cause(ctx), errDeadline):
+		return balance.ResultTimeout
+	default:
+		return balance.ResultNeutral
+	}
+}
+
+func failedReason(ctx context.Context, err error) wire.Reason {
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		return wire.ReasonTooLarge
+	case errors.Is(context.Cause(ctx), errDeadline):
+		return wire.ReasonDeadline
+	default:
+		return wire.ReasonAnswerLost
+	}
+}
--- /dev/null
+++ b/internal/gateway/service.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/balance"
+	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/keyspace"
+	"github.com/shalefork/shalefork/internal/retry"
+	"github.com/shalefork/shalefork/internal/wire"
+)
+
+// service is what the gateway keeps of one service: its back ends, the queue
+// of requests that wait for one, and the retry budget.
+type service struct {
+	clock   clock.Source
+	metrics *Metrics
+	mu      sync.Mutex
+	pool    *balance.Pool
+	budget  *retry.Budget
+	waiting []*waiter
+	// occupancy is a moving average of how long a request holds a slot.
+	occupancy time.Duration
+}
+
+// occupancyShare is the weight of a new measurement in the moving average.
+const occupancyShare = 0.1
+
+// services holds all services by name. A service that leaves the table and
+// returns starts anew.
+type services struct {
+	zone    bundle.Zone
+	clock   clock.Source
+	metrics *Metrics
+	mu      sync.RWMutex
+	byName  map[keyspace.ServiceName]*service
+}
+
+func newServices(zone bundle.Zone, source clock.Source, metrics *Metrics) *services {
+	return &services{
+		zone:    zone,
+		clock:   source,
+		metrics: metrics,
+		byName:  map[keyspace.ServiceName]*service{},
+	}
+}
+
+// get returns the service, nil if the table lacks it.
+func (s *services) get(name keyspace.ServiceName) *service {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.byName[name]
+}
+
+// all returns the services in no particular order.
+func (s *services) all() []*service {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	list := make([]*service, 0, len(s.byName))
+	for _, known := range s.byName {
+		list = append(list, known)
+	}
+	return list
+}
+
+// update follows the table and lets waiting requests look at it.
+func (s *services) update(held *view) {
+	s.ensure(held)
+	for name, route := range held.routes.byName {
+		s.get(name).update(s.members(held, route))
+	}
+}
+
+// ensure adds new services and forgets those that are gone.
+func (s *services) ensure(held *view) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name := range held.routes.byName {
+		if s.byName[name] == nil {
+			s.byName[name] = s.newService()
+		}
+	}
+	for name := range s.byName {
+		if held.routes.byName[name] == nil {
+			delete(s.byName, name)
+		}
+	}
+}
+
+func (s *services) newService() *service {
+	return &service{
+		clock:   s.clock,
+		metrics: s.metrics,
+		pool:    balance.NewPool(balance.DefaultConfig(s.zone)),
+		budget:  retry.NewBudget(),
+	}
+}
+
+// members lists the back ends of a service as the table describes them.
+func (s *services) members(held *view, of *route) []balance.Member {
+	list := make([]balance.Member, 0, len(of.service.Backends))
+	team := bundle.Bundle{Team: of.team}
+	for _, described := range of.service.Backends {
+		name := team.ServerName(of.service, described)
+		server, ok := held.servers[name]
+		if !ok {
+			continue
+		}
+		list = append(list, balance.Member{
+			Name:        name,
+			Zone:        server.Zone,
+			Slots:       server.Slots,
+			Connections: held.share(server.Connections),
+			Reported:    server.Load,
+			Draining:    server.Draining || described.Leaving,
+		})
+	}
+	return list
+}
+
+func (s *service) update(members []balance.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Update(s.now(), members)
+	s.dispatch()
+}
+
+// now is the time for decisions of load, which need no bound.
+func (s *service) now() time.Duration {
+	return s.clock.Now().Upper
+}
+
+// firstTry fills the retry budget.
+func (s *service) firstTry(ratio float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.FirstTry(ratio)
+}
+
+// spend takes one retry from the budget.
+func (s *service) spend() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Spend()
+}
+
+// done gives a back end's slot back.
+func (s *service) done(server bundle.ServerName, result balance.Result, latency, held time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Done(s.now(), server, result, latency)
+	if result == balance.ResultAnswered {
+		s.occupancy += time.Duration(occupancyShare * float64(held-s.occupancy))
+	}
+	s.dispatch()
+}
+
+// target is where one try of a request goes.
+type target struct {
+	entry  wire.TableEntry
+	server wire.TableServer
+}
+
+// putBack gives a slot back that was not used.
+func (s *service) putBack(server bundle.ServerName) {
+	s.done(server, balance.ResultNeutral, 0, 0)
+}
