--- a/internal/lifecycle/head.go
+++ b/internal/lifecycle/head.go
@@ -22,8 +22,13 @@
 	"github.com/shalefork/shalefork/internal/bundle"
 )
 
-// MaxEntries bounds the versions that a head remembers.
-const MaxEntries = 32
+// Bounds of a head, so that its record stays small.
+const (
+	// MaxEntries bounds the versions that a head remembers.
+	MaxEntries = 32
+	// MaxRolling bounds the versions that are rolling at once.
+	MaxRolling = 8
+)
 
 // Entry is the record of one version.
 type Entry struct {
@@ -106,6 +111,16 @@
 	return Entry{}, false
 }
 
+func (h Head) countRolling() int {
+	count := 0
+	for _, entry := range h.Entries {
+		if entry.State == adminapi.StateRolling {
+			count++
+		}
+	}
+	return count
+}
+
 func (h Head) index(version bundle.Version) int {
 	return slices.IndexFunc(h.Entries, func(entry Entry) bool { return entry.Version == version })
 }
@@ -122,16 +137,15 @@
 // MaxEntries. It keeps what is in force or rolling.
 func (h Head) append(entry Entry) Head {
 	h.Entries = append(slices.Clone(h.Entries), entry)
-	for i := 0; len(h.Entries) > MaxEntries && i < len(h.Entries); {
-		if isActive(h.Entries[i].State) {
-			i++
-			continue
-		}
-		h.Entries = slices.Delete(h.Entries, i, i+1)
+	if len(h.Entries) > MaxEntries {
+		oldest := slices.IndexFunc(h.Entries, func(e Entry) bool { return !isActive(e.State) })
+		h.Entries = slices.Delete(h.Entries, oldest, oldest+1)
 	}
 	return h
 }
 
+// isActive reports whether the version is in force or may still be. A head has
+// at most MaxRolling+2 of them, so append always finds one that is not.
 func isActive(state adminapi.BundleState) bool {
 	return state != adminapi.StateRefused && state != adminapi.StateReplaced
 }
--- a/internal/lifecycle/steps.go
+++ b/internal/lifecycle/steps.go
@@ -1,7 +1,6 @@
 package lifecycle
 
 import (
-	"bytes"
 	"fmt"
 
 	"github.com/shalefork/shalefork/internal/adminapi"
@@ -30,6 +29,9 @@
 	if proposal.Version != latest.Version+1 {
 		return refuseVersion(head, latest, proposal)
 	}
+	if head.countRolling() >= MaxRolling {
+		return failure(WrongState, head, latest, "%d versions are rolling; wait until one is in force", MaxRolling)
+	}
 	if latest.State == adminapi.StateProposed || latest.State == adminapi.StateApproved {
 		head = head.with(replacedBy(latest, proposal.Version))
 	}
@@ -47,7 +49,7 @@
 	next := latest.Version + 1
 	taken, found := head.Find(proposal.Version)
 	switch {
-	case found && taken.Digest == proposal.Digest && taken.ProposedBy == proposal.Operator:
+	case found && taken.isRepeatOf(proposal):
 		return success(Unchanged, head, taken)
 	case found:
 		return failure(Conflict, head, taken, "version %d was proposed by %s; the next is %d",
@@ -59,6 +61,13 @@
 	}
 }
 
+// isRepeatOf reports whether the entry is the effect of the same proposal. One
+// that has been refused or replaced since is not repeated: its operator must
+// learn of that.
+func (e Entry) isRepeatOf(proposal Proposal) bool {
+	return e.Digest == proposal.Digest && e.ProposedBy == proposal.Operator && isActive(e.State)
+}
+
 // Approve signs off the version, which must be proposed, by an operator other
 // than the proposer.
 func Approve(head Head, approval Approval) (Head, Outcome) {
@@ -72,7 +81,7 @@
 	case entry.ProposedBy == approval.Operator:
 		return failure(SameOperator, head, entry, "version %d was proposed by %s: another operator must approve",
 			entry.Version, entry.ProposedBy)
-	case entry.ApprovedBy == approval.Operator && bytes.Equal(entry.Signature, approval.Signature):
+	case entry.ApprovedBy == approval.Operator && isActive(entry.State):
 		return success(Unchanged, head, entry)
 	case entry.State != adminapi.StateProposed:
 		return wrongState(head, entry, adminapi.StateProposed)
@@ -89,7 +98,7 @@
 	switch {
 	case !found:
 		return notFound(head, version)
-	case entry.RolledBy == operator:
+	case entry.RolledBy == operator && isActive(entry.State):
 		return success(Unchanged, head, entry)
 	case entry.State != adminapi.StateApproved:
 		return wrongState(head, entry, adminapi.StateApproved)
