--- a/internal/bundle/duration.go
+++ b/internal/bundle/duration.go
@@ -19,7 +19,7 @@
 func (d *Duration) UnmarshalJSON(data []byte) error {
 	var text string
 	if err := json.Unmarshal(data, &text); err != nil {
-		return Error.Wrap(err)
+		return Error.New("expected a duration such as \"250ms\", found %s", data)
 	}
 	return d.parse(text)
 }
@@ -41,7 +41,7 @@
 func (d *Duration) parse(text string) error {
 	parsed, err := time.ParseDuration(text)
 	if err != nil {
-		return Error.Wrap(err)
+		return Error.New("expected a duration such as \"250ms\", found %q", text)
 	}
 	if parsed < 0 {
 		return Error.New("duration %q is negative", text)
