--- a/internal/lab/history/owners.go
+++ b/internal/lab/history/owners.go
@@ -74,7 +74,8 @@
 func overlap(older, newer Execution) string {
 	sameProcess := older.Server == newer.Server && older.Process == newer.Process
 	if older.Fence == newer.Fence {
-		if sameProcess {
+		// Both break in on each other; the later of the two is named.
+		if sameProcess || byArrival(older, newer) < 0 {
 			return ""
 		}
 		return fmt.Sprintf("%s and %s both ran under fence %s", older.Server, newer.Server, older.Fence)
