--- a/internal/cellstate/query.go
+++ b/internal/cellstate/query.go
@@ -81,22 +81,38 @@
 
 // Assignment returns the assignment of exactly this slice.
 func (s State) Assignment(slice keyspace.Slice) (Assignment, bool) {
-	index, found := s.find(slice)
+	place, found := s.find(slice)
 	if !found {
 		return Assignment{}, false
 	}
-	return s.Assignments[index], true
+	return s.Assignments[place], true
+}
+
+// Find returns the assignment that holds hash in a partition.
+func (s State) Find(service keyspace.ServiceName, partition keyspace.PartitionName, hash keyspace.Hash) (Assignment, bool) {
+	wanted := keyspace.Slice{Service: service, Partition: partition, Range: keyspace.Range{First: hash, Last: hash}}
+	place, exact := s.search(wanted)
+	if !exact {
+		place--
+	}
+	if place < 0 || !s.Assignments[place].Slice.Overlaps(wanted) {
+		return Assignment{}, false
+	}
+	return s.Assignments[place], true
 }
 
 // find returns the place of exactly this slice in Assignments.
 func (s State) find(slice keyspace.Slice) (int, bool) {
-	index, found := slices.BinarySearchFunc(s.Assignments, slice, func(a Assignment, wanted keyspace.Slice) int {
+	place, found := s.search(slice)
+	return place, found && s.Assignments[place].Slice == slice
+}
+
+// search returns the first place whose slice does not begin before the given
+// one, and whether it begins at the same hash of the same partition.
+func (s State) search(slice keyspace.Slice) (int, bool) {
+	return slices.BinarySearchFunc(s.Assignments, slice, func(a Assignment, wanted keyspace.Slice) int {
 		return CompareSlices(a.Slice, wanted)
 	})
-	if !found {
-		return 0, false
-	}
-	return index, s.Assignments[index].Slice == slice
 }
 
 // CompareSlices orders slices by service, partition and first hash.
--- a/internal/cellstate/servers.go
+++ b/internal/cellstate/servers.go
@@ -18,7 +18,7 @@
 	if server.Service != LedgerService || server.Address == "" || server.Zone == "" {
 		return RejectedServer
 	}
-	if s.addressTaken(server.Address) {
+	if s.atOtherServer(server) {
 		return RejectedServer
 	}
 	server.Leaving = false
@@ -37,7 +37,7 @@
 		return RejectedServer
 	}
 	moved := server.Address != known.Address || server.Zone != known.Zone
-	if moved && known.Service != LedgerService {
+	if moved && (known.Service != LedgerService || s.atOtherServer(server)) {
 		return RejectedServer
 	}
 	if moved && s.owns(known.Name) {
@@ -108,9 +108,10 @@
 	return false
 }
 
-func (s *State) addressTaken(address string) bool {
-	for _, server := range s.Servers {
-		if server.Address == address {
+// atOtherServer reports whether a server of another name has the address.
+func (s *State) atOtherServer(wanted Server) bool {
+	for name, server := range s.Servers {
+		if server.Address == wanted.Address && name != wanted.Name {
 			return true
 		}
 	}
@@ -160,7 +161,7 @@
 func (s *State) addMissing(wanted []Server) {
 	for _, server := range wanted {
 		_, known := s.Servers[server.Name]
-		if !known && !s.addressTaken(server.Address) {
+		if !known && !s.atOtherServer(server) {
 			s.setServer(server)
 		}
 	}
--- a/internal/cellstate/tableview.go
+++ b/internal/cellstate/tableview.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"github.com/shalefork/shalefork/internal/bundle"
-	"github.com/shalefork/shalefork/internal/keyspace"
 	"github.com/shalefork/shalefork/internal/wire"
 )
 
@@ -166,18 +165,3 @@
 		}
 	}
 }
-
-// Find returns the assignment that holds hash in a partition.
-func (s State) Find(service keyspace.ServiceName, partition keyspace.PartitionName, hash keyspace.Hash) (Assignment, bool) {
-	wanted := keyspace.Slice{Service: service, Partition: partition, Range: keyspace.Range{First: hash, Last: hash}}
-	place, exact := slices.BinarySearchFunc(s.Assignments, wanted, func(a Assignment, wanted keyspace.Slice) int {
-		return CompareSlices(a.Slice, wanted)
-	})
-	if !exact {
-		place--
-	}
-	if place < 0 || !s.Assignments[place].Slice.Overlaps(wanted) {
-		return Assignment{}, false
-	}
-	return s.Assignments[place], true
-}
--- a/internal/grant/renew.go
+++ b/internal/grant/renew.go
@@ -109,11 +109,11 @@
 	if !known || answer.Server == "" {
 		return
 	}
+	held.takeReleases(answer)
 	if answer.Refused == wire.RefusedOtherCell || answer.Refused == wire.RefusedOlderLeader {
 		held.fail(now)
 		return
 	}
-	held.takeReleases(answer)
 	if held.former[answer.Server] && b.live(held, now) {
 		return
 	}
@@ -127,12 +127,13 @@
 	held.schedule(now, b.timesOf(held).renewEvery)
 }
 
-// takeReleases notes the slices that the server gave up.
+// takeReleases notes the slices that the server gave up. A server also lists a
+// fence that it was not asked for if it gave the fence up under a former
+// leader, whose command to take the slice never committed.
 func (l *lease) takeReleases(answer wire.RenewResponse) {
 	for _, released := range answer.Released {
 		for _, assignment := range l.owned {
-			if assignment.Fence == released.Fence && assignment.OwnerIncarnation == answer.Server &&
-				assignment.State == wire.SliceReleasing {
+			if assignment.Fence == released.Fence && assignment.OwnerIncarnation == answer.Server {
 				l.released[released.Fence] = true
 			}
 		}
