--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -61,11 +61,12 @@
 // of a pool is never refused: the other back ends serve in its place.
 func (p *Planner) placeOne(cell *cellView, service *serviceView, unowned unownedSlice) (cellstate.Command, bool) {
 	assignment := unowned.assignment
+	gathering := !assignment.Shared && cell.now-p.memory[assignment.Slice].unownedSince < gatherTime
 	if len(unowned.candidates) == 0 {
-		changed := !assignment.Shared && assignment.Refusal != ReasonNoServer
+		changed := !assignment.Shared && !gathering && assignment.Refusal != ReasonNoServer
 		return refuse(assignment, ReasonNoServer), changed
 	}
-	if !assignment.Shared && p.gathering(cell, service, assignment) {
+	if gathering && service.startsCold() {
 		return cellstate.Command{}, false
 	}
 	target := p.chooseOwner(service, unowned)
@@ -73,19 +74,13 @@
 	return assignTo(assignment, target), true
 }
 
-// gathering reports whether a service without any owner still waits for its
-// servers to be reached.
-func (p *Planner) gathering(cell *cellView, service *serviceView, assignment cellstate.Assignment) bool {
-	memory := p.memory[assignment.Slice]
-	if cell.now-memory.unownedSince >= gatherTime {
-		return false
-	}
-	for _, other := range service.assignments {
-		if other.Owner != "" {
-			return false
-		}
-	}
-	return slices.ContainsFunc(service.nodes, func(node *serverNode) bool {
+// startsCold reports whether no slice of the service has an owner and some of
+// its servers are not reached yet.
+func (s *serviceView) startsCold() bool {
+	owned := slices.ContainsFunc(s.assignments, func(assignment cellstate.Assignment) bool {
+		return assignment.Owner != ""
+	})
+	return !owned && slices.ContainsFunc(s.nodes, func(node *serverNode) bool {
 		return !node.live && !node.Draining
 	})
 }
@@ -107,18 +102,12 @@
 			home = node
 		}
 	}
-	if home == nil || service.repays(home.load-least.load) {
+	if home == nil || service.repays(home.load-least.load, home, least) {
 		return least
 	}
 	return home
 }
 
-// repays reports whether a gap of load that remains after a move is worth the
-// churn of the move.
-func (s *serviceView) repays(gap float64) bool {
-	return gap > s.policy.threshold*s.mean
-}
-
 func assignTo(assignment cellstate.Assignment, target *serverNode) cellstate.Command {
 	return cellstate.Command{Assign: &cellstate.Assign{
 		Slice:       assignment.Slice,
--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -21,10 +21,18 @@
 			r.start(best.assignment, CauseBalance, best.target)
 			continue
 		}
-		divided, cause, found := r.bestDivision()
-		if !found {
-			return
-		}
+		r.startDivision()
+		return
+	}
+}
+
+// startDivision releases one slice to be divided. Its effect on the loads is
+// known only when it is done, so nothing else is started beside it.
+func (r *round) startDivision() {
+	if r.open > 0 {
+		return
+	}
+	if divided, cause, found := r.bestDivision(); found {
 		r.start(divided, cause, nil)
 	}
 }
@@ -62,20 +70,31 @@
 			high = max(high, node.load)
 		}
 	}
-	return r.service.repays(high - low)
+	return high-low > r.service.policy.threshold*r.service.mean
 }
 
-// moveOf returns the best move of a slice, with a gain of zero if it has no
-// other place.
+// moveOf returns the best move of a slice, with a gain of zero if none repays.
 func (r *round) moveOf(assignment cellstate.Assignment) move {
+	target, gain := r.gainOf(assignment, r.cell.weights[assignment.Slice])
+	return move{assignment: assignment, target: target, gain: gain}
+}
+
+// gainOf returns the best other place for a part of a slice with the given
+// rate, and the net gain of moving it there: zero if it does not repay.
+func (r *round) gainOf(assignment cellstate.Assignment, rate float64) (*serverNode, float64) {
 	owner := r.cell.servers[assignment.Owner]
 	target := r.service.leastLoaded(r.cell.candidates(assignment))
-	rate := r.cell.weights[assignment.Slice]
-	remaining := owner.load - target.load - rate - r.service.requiredGap(owner, target)
-	if target == owner || !(remaining > 0) {
-		return move{}
+	remaining := owner.load - target.load - rate
+	if target == owner || !r.service.repays(remaining, owner, target) {
+		return target, 0
 	}
-	return move{assignment: assignment, target: target, gain: 2 * rate * remaining}
+	return target, 2 * rate * (remaining - r.service.requiredGap(owner, target))
+}
+
+// repays reports whether a gap of load that remains between two servers after
+// a move makes the move worth its churn.
+func (s *serviceView) repays(remaining float64, owner, target *serverNode) bool {
+	return remaining > s.requiredGap(owner, target)
 }
 
 // requiredGap is the gap of load that must remain between two servers after a
@@ -86,28 +105,23 @@
 	return s.policy.threshold*s.mean + noiseDeviations*deviation
 }
 
-// bestDivision returns the heaviest slice on an overloaded server that can be
-// divided, when no whole slice can be moved with gain.
+// bestDivision returns the slice whose division repays most, when no whole
+// slice can be moved with gain: a half of it, or all but its hot key, leaves.
 func (r *round) bestDivision() (cellstate.Assignment, Cause, bool) {
 	var best cellstate.Assignment
 	var bestCause Cause
-	heaviest := 0.0
+	highest := minimumGain * r.service.mean * r.service.mean
 	for _, assignment := range r.service.assignments {
-		weight := r.cell.weights[assignment.Slice]
-		if weight <= heaviest || !r.movable(assignment) || !r.overloaded(assignment) {
+		if !r.movable(assignment) {
+			continue
+		}
+		division, divisible := r.planner.divisionOf(r.service, assignment.Slice)
+		if !divisible {
 			continue
 		}
-		if division, divisible := r.planner.divisionOf(r.service, assignment.Slice); divisible {
-			best, bestCause, heaviest = assignment, division.cause, weight
+		if _, gain := r.gainOf(assignment, division.leaving); gain > highest {
+			best, bestCause, highest = assignment, division.cause, gain
 		}
 	}
-	return best, bestCause, heaviest > 0
-}
-
-// overloaded reports whether the slice's owner has so much more than the least
-// loaded candidate that moving a part of the slice would repay.
-func (r *round) overloaded(assignment cellstate.Assignment) bool {
-	owner := r.cell.servers[assignment.Owner]
-	target := r.service.leastLoaded(r.cell.candidates(assignment))
-	return owner.load-target.load > r.service.requiredGap(owner, target)
+	return best, bestCause, bestCause != ""
 }
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -20,9 +20,11 @@
 	// fence is the last one seen with an owner, since the time it was seen at.
 	fence wire.Fence
 	since time.Duration
-	// unownedSince is when the slice was first seen without an owner.
+	// unownedSince is when the slice was first seen without an owner, and
+	// released says that its last owner had been asked to give it up.
 	unowned      bool
 	unownedSince time.Duration
+	released     bool
 	// home is the last owner.
 	home bundle.ServerName
 	// target is the server for which the slice is being released, if any.
@@ -105,22 +107,23 @@
 }
 
 // inherit estimates a slice that a split or a merge has made, from the slices
-// that it overlaps.
+// that it overlaps. Its home is where most of its traffic was served.
 func (p *Planner) inherit(gone []keyspace.Slice, slice keyspace.Slice) *sliceMemory {
 	made := &sliceMemory{}
+	heaviest := -1.0
 	for _, old := range gone {
 		if !old.Overlaps(slice) {
 			continue
 		}
 		memory := p.memory[old]
-		if made.home == "" {
+		share := memory.shareOf(old.Range, slice.Range)
+		if share > heaviest {
+			heaviest = share
 			made.home = memory.home
 		}
-		if memory.known {
-			made.known = true
-			made.rate += memory.shareOf(old.Range, slice.Range)
-			made.updated = max(made.updated, memory.updated)
-		}
+		made.known = made.known || memory.known
+		made.rate += share
+		made.updated = max(made.updated, memory.updated)
 	}
 	return made
 }
@@ -147,6 +150,7 @@
 		return
 	}
 	m.unowned = false
+	m.released = assignment.State == wire.SliceReleasing
 	m.home = assignment.Owner
 	if m.fence != assignment.Fence {
 		m.fence = assignment.Fence
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -35,10 +35,10 @@
 	// budgetWindow is the time over which MovesPerMinute is counted.
 	budgetWindow = time.Minute
 
-	// hotKeyLoad and hotKeyShare say when a key gets a slice of its own: its
-	// rate in mean server loads, and its share of its slice's rate.
-	hotKeyLoad  = 0.2
-	hotKeyShare = 0.3
+	// hotKeyLoad is the rate of a key, in mean server loads, at which it gets a
+	// slice of its own, if the other keys of its slice have hotKeyRestLoad.
+	hotKeyLoad     = 0.25
+	hotKeyRestLoad = 0.1
 	// splitLoad is the rate of a slice, in mean server loads, over which it may
 	// be divided.
 	splitLoad = 0.5
@@ -48,7 +48,7 @@
 	// merged with a neighbour, and mergedLoad the most that both may have. That
 	// lies far under splitLoad, so that no split follows a merge.
 	coldLoad   = 0.05
-	mergedLoad = 0.25
+	mergedLoad = 0.4
 	// pausedCost weighs traffic that a merge pauses against traffic that it
 	// moves to another server.
 	pausedCost = 0.1
@@ -66,7 +66,8 @@
 	idleRate = 1.0
 
 	// gatherTime is how long a service without any owner waits for the rest of
-	// its servers, so that the first one to be reached does not get all slices.
+	// its servers, so that the first one to be reached does not get all slices;
+	// and how long a new leader waits for a first server before it refuses.
 	gatherTime = 400 * time.Millisecond
 	// mergeHold is how long an unowned slice waits for the neighbour that it
 	// is to be merged with.
--- a/internal/placement/reshape.go
+++ b/internal/placement/reshape.go
@@ -10,23 +10,28 @@
 type division struct {
 	cause Cause
 	at    []keyspace.Hash
+	// leaving is the rate in requests per second that can leave the server.
+	leaving float64
 }
 
 // divisionOf returns how a slice should be divided: a hot key gets a slice of
-// its own, and another heavy slice is halved.
+// its own if that frees a load worth moving, and a heavy slice without such a
+// key is halved.
 func (p *Planner) divisionOf(service *serviceView, slice keyspace.Slice) (division, bool) {
 	memory := p.memory[slice]
 	if !memory.known || service.counts[slice.Partition] >= maximumGrowth*service.policy.slices {
 		return division{}, false
 	}
 	hot := memory.rate * memory.hotShare
-	if memory.hotShare >= hotKeyShare && hot >= max(minimumSplitRate, hotKeyLoad*service.mean) {
+	if hot >= max(minimumSplitRate, hotKeyLoad*service.mean) {
 		at := isolate(slice.Range, memory.hotHash)
-		return division{cause: CauseHotKey, at: at}, len(at) > 0
+		rest := memory.rate - hot
+		worthwhile := rest >= hotKeyRestLoad*service.mean && len(at) > 0
+		return division{cause: CauseHotKey, at: at, leaving: rest}, worthwhile
 	}
 	if memory.rate >= max(minimumSplitRate, splitLoad*service.mean) && slice.Range.First < slice.Range.Last {
 		middle := slice.Range.First + (slice.Range.Last-slice.Range.First)/2 + 1
-		return division{cause: CauseBalance, at: []keyspace.Hash{middle}}, true
+		return division{cause: CauseBalance, at: []keyspace.Hash{middle}, leaving: memory.rate / 2}, true
 	}
 	return division{}, false
 }
@@ -62,12 +67,14 @@
 	holds map[keyspace.Slice]bool
 }
 
-// reshapeUnowned divides and merges slices while nobody owns them, whatever
-// made them so: it costs no move then.
+// reshapeUnowned divides and merges slices that were released. It asks neither
+// which leader's planner released them nor what for: the state and the last
+// reports tell what is due. The slices of a lost server are assigned as they
+// are, without delay.
 func (p *Planner) reshapeUnowned(cell *cellView, service *serviceView) reshaping {
 	reshaped := reshaping{holds: map[keyspace.Slice]bool{}}
 	for _, assignment := range service.assignments {
-		if assignment.Owner != "" || assignment.Shared || len(cell.candidates(assignment)) == 0 {
+		if !p.divisible(cell, assignment) {
 			continue
 		}
 		if found, divisible := p.divisionOf(service, assignment.Slice); divisible {
@@ -81,6 +88,16 @@
 	return reshaped
 }
 
+// divisible reports whether a slice is unowned because it was released, and not
+// for a move of the whole.
+func (p *Planner) divisible(cell *cellView, assignment cellstate.Assignment) bool {
+	if assignment.Owner != "" || assignment.Shared {
+		return false
+	}
+	memory := p.memory[assignment.Slice]
+	return memory.released && memory.target == "" && len(cell.candidates(assignment)) > 0
+}
+
 // mergeUnowned merges the slice at i with the one before it if both are cold
 // and unowned, and holds one back for a while if the other is being released.
 func (p *Planner) mergeUnowned(cell *cellView, service *serviceView, reshaped *reshaping, i int) {
@@ -104,8 +121,9 @@
 	return cell.now-p.memory[assignment.Slice].unownedSince < mergeHold
 }
 
-// mergeable reports whether two slices are neighbours, in a partition that has
-// more slices than it started with, one of them cold and both light.
+// mergeable reports whether two slices are neighbours that no loss has made
+// unowned, in a partition that has more slices than it started with, one of
+// them cold and both light.
 func (p *Planner) mergeable(service *serviceView, first, last cellstate.Assignment) bool {
 	if !adjacent(first.Slice, last.Slice) {
 		return false
@@ -117,6 +135,9 @@
 	if !a.known || !b.known {
 		return false
 	}
+	if first.Owner == "" && !a.released || last.Owner == "" && !b.released {
+		return false
+	}
 	return min(a.rate, b.rate) < coldLoad*service.mean && a.rate+b.rate < mergedLoad*service.mean
 }
 
--- /dev/null
+++ b/internal/placement/trace_test.go
@@ -0,0 +1,146 @@
+package placement
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/keyspace"
+)
+
+// TestTraces replays each script in testdata and compares all that it prints.
+//
+//	bundle SLICES CHURN MOVES ZONES SERVER:ZONE...  the cell's one service
+//	traffic HASH=RATE...   replaces all traffic; hashes are hexadecimal
+//	run DURATION STEP      plans and applies at each step
+//	die|return|drain|undrain SERVER...
+//	leader                 starts a new planner
+func TestTraces(t *testing.T) {
+	scripts, err := filepath.Glob("testdata/*.trace")
+	assert.NilError(t, err)
+	for _, script := range scripts {
+		name := filepath.Base(script)
+		t.Run(name, func(t *testing.T) {
+			golden.Assert(t, replay(t, script), strings.TrimSuffix(name, ".trace")+".golden")
+		})
+	}
+}
+
+type traceRun struct {
+	t      *testing.T
+	cell   *testCell
+	output strings.Builder
+}
+
+func replay(t *testing.T, script string) string {
+	file, err := os.Open(script)
+	assert.NilError(t, err)
+	defer file.Close()
+	run := &traceRun{t: t}
+	scanner := bufio.NewScanner(file)
+	for scanner.Scan() {
+		line := strings.TrimSpace(scanner.Text())
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		fmt.Fprintf(&run.output, "> %s\n", line)
+		fields := strings.Fields(line)
+		run.step(fields[0], fields[1:])
+	}
+	assert.NilError(t, scanner.Err())
+	return run.output.String()
+}
+
+func (r *traceRun) step(verb string, arguments []string) {
+	switch verb {
+	case "bundle":
+		r.cell = newTestCell(parseBundle(r.t, arguments))
+	case "traffic":
+		r.cell.traffic = parseTraffic(r.t, arguments)
+	case "run":
+		r.run(parseDuration(r.t, arguments[0]), parseDuration(r.t, arguments[1]))
+	case "leader":
+		r.cell.planner = NewPlanner()
+	default:
+		for _, argument := range arguments {
+			r.changeServer(verb, bundle.ServerName("team/keyed/"+argument))
+		}
+	}
+}
+
+func (r *traceRun) changeServer(verb string, server bundle.ServerName) {
+	switch verb {
+	case "die", "return":
+		r.cell.dead[server] = verb == "die"
+	case "drain", "undrain":
+		r.cell.drain(server, verb == "drain")
+	default:
+		r.t.Fatalf("unknown verb %q", verb)
+	}
+}
+
+func (r *traceRun) run(duration, step time.Duration) {
+	for end := r.cell.now + duration; r.cell.now < end; r.cell.now += step {
+		r.cell.endReleases()
+		for _, command := range r.cell.planner.Plan(r.cell.view()) {
+			cause := r.cell.planner.CauseOf(command)
+			fmt.Fprintf(&r.output, "%8s %s", r.cell.now, describe(command, cause))
+			if rejection := r.cell.apply(command); rejection != "" {
+				fmt.Fprintf(&r.output, " REJECTED %s", rejection)
+			}
+			r.output.WriteString("\n")
+		}
+	}
+	fmt.Fprintf(&r.output, "  imbalance %.2f, %d slices\n", r.cell.imbalance(), len(r.cell.state.Assignments))
+}
+
+func parseBundle(t *testing.T, arguments []string) bundle.Bundle {
+	count, err := strconv.Atoi(arguments[0])
+	assert.NilError(t, err)
+	churn, err := strconv.ParseFloat(arguments[1], 64)
+	assert.NilError(t, err)
+	moves, err := strconv.Atoi(arguments[2])
+	assert.NilError(t, err)
+	service := bundle.Service{
+		Name:       "keyed",
+		Kind:       bundle.KindKeyed,
+		Placement:  bundle.Placement{Slices: count, ChurnWeight: churn, MovesPerMinute: moves},
+		Partitions: []bundle.Partition{{Name: "all"}},
+	}
+	for zone := range strings.SplitSeq(arguments[3], ",") {
+		service.Partitions[0].Zones = append(service.Partitions[0].Zones, bundle.Zone(zone))
+	}
+	for _, argument := range arguments[4:] {
+		name, zone, _ := strings.Cut(argument, ":")
+		service.Backends = append(service.Backends, bundle.Backend{Name: name, Address: name + ":1", Zone: bundle.Zone(zone)})
+	}
+	return bundle.Bundle{Team: "team", Version: 1, Cell: "cell", Services: []bundle.Service{service}}
+}
+
+func parseTraffic(t *testing.T, arguments []string) []trafficPoint {
+	var points []trafficPoint
+	for _, argument := range arguments {
+		hash, rate, _ := strings.Cut(argument, "=")
+		parsed, err := strconv.ParseUint(hash+strings.Repeat("0", 16-len(hash)), 16, 64)
+		assert.NilError(t, err)
+		perSecond, err := strconv.ParseFloat(rate, 64)
+		assert.NilError(t, err)
+		points = append(points, trafficPoint{hash: keyspace.Hash(parsed), rate: perSecond})
+	}
+	return points
+}
+
+func parseDuration(t *testing.T, text string) time.Duration {
+	parsed, err := time.ParseDuration(text)
+	assert.NilError(t, err)
+	return parsed
+}
