Test whole sessions of a cell in virtual time

Cause: the shell's promises hold only as a whole. Change: sessions over an in-memory network and store: lost leader, server, majority with and without the platform's service, all members, two groups at once, lost answers, racing operators; at each 5 ms no key has two owners and no fence falls.

--- /dev/null
+++ b/internal/controller/scenarios_test.go
@@ -0,0 +1,180 @@
+package controller
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/adminapi"
+	"github.com/shalefork/shalefork/internal/generation"
+	"github.com/shalefork/shalefork/internal/platform"
+)
+
+// A lost leader costs no slice its owner, and a standby takes its place.
+func TestLeaderLost(t *testing.T) {
+	runSession(t, func(s *session) {
+		s.bootCell(4)
+		before := s.owners()
+		s.note("kill the leader")
+		s.kill(s.leader())
+		s.await(1500*time.Millisecond, "another leads", s.leads(1))
+		s.await(time.Second, "every slice is served", s.allServed(1, 1))
+		assert.DeepEqual(t, s.owners(), before)
+		s.note("  every slice has kept its owner")
+		s.await(10*time.Second, "the standby is the third voter", s.voters(3))
+	})
+}
+
+// A lost server's slices move within a second of its last grant.
+func TestServerLost(t *testing.T) {
+	runSession(t, func(s *session) {
+		s.bootCell(3)
+		s.note("a server is cut off")
+		s.network.isolate("10.0.1.1:8000", true)
+		s.await(time.Second, "the others serve every slice", func() bool {
+			held := len(s.servers["10.0.1.1:8000"].serving())
+			return held == 0 && s.served(1, 1) == testSlices
+		})
+		s.note("a machine is leaving")
+		s.store.SetMachine(platform.Machine{Address: "10.0.1.2", Zone: "zone-2", State: platform.MachineLeaving})
+		s.await(4*time.Second, "its server holds nothing", func() bool {
+			return len(s.servers["10.0.1.2:8000"].serving()) == 0 && s.served(1, 1) == testSlices
+		})
+	})
+}
+
+// A lost majority is replaced by a new generation while the platform's service
+// is up, and the owners of the checkpoint are kept.
+func TestMajorityLost(t *testing.T) {
+	runSession(t, func(s *session) {
+		s.bootCell(4)
+		before := s.owners()
+		s.killVoters(2)
+		s.note("the lost machines leave the list")
+		for _, machine := range []string{"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"} {
+			if s.controllers[machine+":7000"] == nil {
+				s.store.RemoveMachine(machine)
+			}
+		}
+		s.await(15*time.Second, "generation 2 leads", s.leads(2))
+		s.await(2*time.Second, "every slice is served with fences of generation 2", s.allServed(1, 2))
+		assert.DeepEqual(t, s.owners(), before)
+		s.note("  every slice has kept its owner")
+		s.await(10*time.Second, "both that are left vote", s.voters(2))
+		s.note("a machine comes back")
+		s.start(5)
+		s.await(10*time.Second, "a group of 3 voters", s.voters(3))
+	})
+}
+
+// Without the platform's service, a lost majority ends no generation: a group
+// that comes back is the same one.
+func TestMajorityLostWithoutPlatform(t *testing.T) {
+	runSession(t, func(s *session) {
+		s.bootCell(3)
+		s.note("the platform's service is down")
+		s.store.StartOutage(0)
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, s.allServed(1, 1)())
+		s.note("  10s later every slice is still served")
+		_, failure := s.write(s.leader(), "amina", adminapi.PathPropose, adminapi.Propose{Bundle: testBundle(2), Time: time.Now()})
+		s.note("  a proposal is refused: %s, retry after %ds", failure.Code, failure.RetryAfter)
+		s.note("two voters are cut off for 10s")
+		cut := s.cutVoters(2)
+		time.Sleep(10 * time.Second)
+		s.note("  slices served: %d", s.served(1, 1))
+		for _, address := range cut {
+			s.network.isolate(address, false)
+		}
+		s.await(3*time.Second, "generation 1 leads again", s.leads(1))
+		s.await(2*time.Second, "every slice is served", s.allServed(1, 1))
+		s.store.EndOutage()
+		s.await(10*time.Second, "a group of 3 voters", s.voters(3))
+	})
+}
+
+// All members are lost at once: standbys form the next generation from the
+// checkpoint.
+func TestAllMembersLost(t *testing.T) {
+	runSession(t, func(s *session) {
+		s.bootCell(5)
+		before := s.owners()
+		lost := s.killVoters(3)
+		for number := range lost {
+			s.note("a lost one starts again under a new incarnation")
+			s.start(lost[number])
+		}
+		s.await(15*time.Second, "generation 2 leads", s.leads(2))
+		s.await(2*time.Second, "every slice is served with fences of generation 2", s.allServed(1, 2))
+		assert.DeepEqual(t, s.owners(), before)
+		s.note("  every slice has kept its owner")
+	})
+}
+
+// Several controllers try to form the group while answers get lost: one group.
+func TestBootstrapWithLostAnswers(t *testing.T) {
+	runSession(t, func(s *session) {
+		s.note("every write's answer is lost at first")
+		s.store.LoseNextAnswers(6)
+		for number := range 5 {
+			s.start(number + 1)
+		}
+		s.await(10*time.Second, "a group of 3 voters", s.voters(3))
+		s.note("  generation %d", s.leader().view.Load().generation)
+	})
+}
+
+// Two that hold the same proof try to form the next generation: one wins.
+func TestTwoGroupsAtOnce(t *testing.T) {
+	runSession(t, func(s *session) {
+		s.bootCell(5)
+		s.killVoters(3)
+		for number := range 5 {
+			if s.controllers[controllerAddress(number+1)] == nil {
+				s.store.RemoveMachine(controllerHost(number + 1))
+			}
+		}
+		s.note("both standbys try at the same moment")
+		for _, running := range s.controllers {
+			s.watched.Go(func() { running.tryReform(context.Background()) })
+		}
+		s.await(15*time.Second, "generation 2 leads", s.leads(2))
+		time.Sleep(10 * time.Second)
+		entry, err := s.store.Get(context.Background(), platform.GroupKey(testCell))
+		assert.NilError(t, err)
+		var record generation.Record
+		record, err = decodeRecord(entry)
+		assert.NilError(t, err)
+		s.note("  10s later the record is of generation %d", record.Generation)
+	})
+}
+
+// Of two operators who propose the same version, one wins and the other is
+// told by whom; nobody signs off an own proposal; forged writes are refused.
+func TestOperatorsRace(t *testing.T) {
+	runSession(t, func(s *session) {
+		s.bootCell(3)
+		first, second := testBundle(2), testBundle(2)
+		second.Services[0].Repeatable = true
+		now := time.Now()
+		s.note("two operators propose version 2")
+		s.report(s.write(s.leader(), "amina", adminapi.PathPropose, adminapi.Propose{Bundle: first, Time: now}))
+		_, failure := s.write(s.leader(), "karim", adminapi.PathPropose, adminapi.Propose{Bundle: second, Time: now})
+		s.note("  refused: %s: version %d is of %s", failure.Code, failure.Winner.Version, failure.Winner.ProposedBy)
+		s.note("others try")
+		s.report(s.write(s.leader(), "amina", adminapi.PathRoll, adminapi.Roll{Team: testTeam, Version: 2, Time: now}))
+		s.report(s.write(s.leader(), "amina", adminapi.PathRoll, adminapi.Roll{Team: testTeam, Version: 2, Time: now.Add(-2 * time.Minute)}))
+		s.operators["mallory"] = s.operators["amina"]
+		s.report(s.write(s.leader(), "mallory", adminapi.PathRoll, adminapi.Roll{Team: testTeam, Version: 2, Time: now}))
+		s.operators["karim"] = s.operators["amina"]
+		s.report(s.write(s.leader(), "karim", adminapi.PathRoll, adminapi.Roll{Team: testTeam, Version: 2, Time: now}))
+		s.operators = newOperatorKeys()
+		s.note("roll version 2 through a standby, the first answer is lost")
+		s.store.LoseNextAnswers(1)
+		s.rollOut(s.start(4), first)
+		s.await(3*time.Second, "every slice is served under version 2", s.allServed(2, 1))
+		s.await(2*time.Second, "the head says in force", func() bool { return s.headState(2) == adminapi.StateInForce })
+	})
+}
--- /dev/null
+++ b/internal/controller/session_test.go
@@ -0,0 +1,509 @@
+package controller
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/shalefork/shalefork/internal/adminapi"
+	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/lease"
+	"github.com/shalefork/shalefork/internal/platform"
+	"github.com/shalefork/shalefork/internal/platform/memory"
+	"github.com/shalefork/shalefork/internal/settings"
+	"github.com/shalefork/shalefork/internal/wire"
+)
+
+const (
+	testCell  = "casablanca"
+	testTeam  = "tawila"
+	testToken = "a-token-of-the-cell"
+)
+
+// session is a whole cell in virtual time: controllers, servers, and the
+// platform's service in memory. What happens is written to a transcript, which
+// holds only what any order of simultaneous events must give.
+type session struct {
+	t           *testing.T
+	network     *pipeNetwork
+	store       *memory.Store
+	controllers map[string]*process
+	servers     map[string]*testServer
+	operators   map[string]ed25519.PrivateKey
+	transcript  strings.Builder
+	stop        context.CancelFunc
+	watched     sync.WaitGroup
+}
+
+// process is one run of a controller.
+type process struct {
+	*Controller
+	address string
+	link    *storeLink
+	cancel  context.CancelFunc
+	done    chan error
+}
+
+// storeLink is one process's way to the platform's service.
+type storeLink struct {
+	*memory.Store
+	mu  sync.Mutex
+	cut bool
+}
+
+func (l *storeLink) sever() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = true
+}
+
+func (l *storeLink) CompareAndSwap(ctx context.Context, write platform.Write) (platform.Entry, error) {
+	if l.severed() {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return l.Store.CompareAndSwap(ctx, write)
+}
+
+func (l *storeLink) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if l.severed() {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return l.Store.Get(ctx, key)
+}
+
+func (l *storeLink) Delete(ctx context.Context, key string, expect platform.Revision) error {
+	if l.severed() {
+		return platform.ErrUnavailable
+	}
+	return l.Store.Delete(ctx, key, expect)
+}
+
+func (l *storeLink) RenewLease(ctx context.Context, id string) error {
+	if l.severed() {
+		return platform.ErrUnavailable
+	}
+	return l.Store.RenewLease(ctx, id)
+}
+
+func (l *storeLink) severed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut
+}
+
+// runSession runs a script in a bubble and compares the transcript.
+func runSession(t *testing.T, script func(s *session)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		s := &session{
+			t:           t,
+			network:     newPipeNetwork(),
+			store:       memory.New(),
+			controllers: map[string]*process{},
+			servers:     map[string]*testServer{},
+			operators:   newOperatorKeys(),
+			stop:        stop,
+		}
+		s.watched.Go(func() { s.watchOwners(ctx) })
+		script(s)
+		s.end()
+		golden.Assert(t, s.transcript.String(), strings.ToLower(t.Name())+".golden")
+	})
+}
+
+func newOperatorKeys() map[string]ed25519.PrivateKey {
+	keys := map[string]ed25519.PrivateKey{}
+	for _, name := range []string{"amina", "karim"} {
+		seed := bytes.Repeat([]byte(name[:1]), ed25519.SeedSize)
+		keys[name] = ed25519.NewKeyFromSeed(seed)
+	}
+	return keys
+}
+
+func (s *session) note(format string, arguments ...any) {
+	fmt.Fprintf(&s.transcript, format+"\n", arguments...)
+}
+
+func (s *session) end() {
+	s.stop()
+	s.watched.Wait()
+	for _, running := range s.controllers {
+		running.cancel()
+		assert.NilError(s.t, <-running.done)
+	}
+	for _, server := range s.servers {
+		server.http.Close()
+	}
+	s.store.StartOutage(0)
+	s.network.closeAll()
+	time.Sleep(2 * dialTimeout) // dials into a partition end by themselves
+}
+
+func (s *session) settings(address, zone string) settings.Controller {
+	host, _, _ := net.SplitHostPort(address)
+	var operators []settings.Operator
+	for _, name := range []string{"amina", "karim"} {
+		public := s.operators[name].Public().(ed25519.PublicKey)
+		operators = append(operators, settings.Operator{Name: name, PublicKey: base64.StdEncoding.EncodeToString(public)})
+	}
+	return settings.Controller{
+		Common:    settings.Common{Cell: testCell, Zone: bundle.Zone(zone), Machine: host, Token: testToken},
+		Listen:    address,
+		Replicas:  3,
+		Operators: operators,
+	}
+}
+
+func controllerHost(number int) string {
+	return fmt.Sprintf("10.0.0.%d", number)
+}
+
+func controllerAddress(number int) string {
+	return controllerHost(number) + ":7000"
+}
+
+// start runs controller number on its machine, in zone-1 to zone-3.
+func (s *session) start(number int) *process {
+	address := controllerAddress(number)
+	zone := fmt.Sprintf("zone-%d", (number-1)%3+1)
+	host, _, _ := net.SplitHostPort(address)
+	s.store.SetMachine(platform.Machine{Address: host, Zone: zone, State: platform.MachineLive})
+	s.network.isolate(address, false)
+	link := &storeLink{Store: s.store}
+	source := rand.New(rand.NewPCG(uint64(number), uint64(time.Now().UnixNano())))
+	var drawing sync.Mutex
+	controller, err := New(s.settings(address, zone), Dependencies{
+		Store:      link,
+		Machines:   s.store,
+		Clock:      clock.NewVirtual(),
+		Logger:     &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+		Registerer: prometheus.NewRegistry(),
+		Random: func() uint64 {
+			drawing.Lock()
+			defer drawing.Unlock()
+			return source.Uint64()
+		},
+		Transport: s.network.transport(address),
+		Listener:  s.network.listen(address),
+	})
+	assert.NilError(s.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	running := &process{Controller: controller, address: address, link: link, cancel: cancel, done: make(chan error, 1)}
+	go func() { running.done <- controller.Run(ctx) }()
+	s.controllers[address] = running
+	return running
+}
+
+// kill ends a process as a crash does: nothing that it does at its end, such as
+// deleting its presence, is seen by anybody.
+func (s *session) kill(running *process) {
+	running.link.sever()
+	s.network.isolate(running.address, true)
+	running.cancel()
+	assert.NilError(s.t, <-running.done)
+	delete(s.controllers, running.address)
+}
+
+// killVoters kills that many voters at once, the leader among them, and returns
+// their numbers.
+func (s *session) killVoters(count int) []int {
+	s.note("kill %d voters, the leader among them", count)
+	var numbers []int
+	for _, address := range s.someVoters(count) {
+		var number int
+		fmt.Sscanf(address, "10.0.0.%d:", &number)
+		numbers = append(numbers, number)
+		s.kill(s.controllers[address])
+	}
+	return numbers
+}
+
+// cutVoters cuts voters off from everybody, the leader among them.
+func (s *session) cutVoters(count int) []string {
+	cut := s.someVoters(count)
+	for _, address := range cut {
+		s.network.isolate(address, true)
+	}
+	return cut
+}
+
+// someVoters returns the addresses of the leader and other voters.
+func (s *session) someVoters(count int) []string {
+	leader := s.leader()
+	addresses := []string{leader.address}
+	for _, member := range votersOf(leader.view.Load().record.record.Members) {
+		if member.Address != leader.address {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses[:count]
+}
+
+// await lets virtual time pass until the condition holds.
+func (s *session) await(limit time.Duration, what string, condition func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(limit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("not within %s: %s\n%s", limit, what, s.transcript.String())
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	s.note("  within %s: %s", limit, what)
+}
+
+// leader returns the controller that leads the youngest generation, or nil.
+func (s *session) leader() *process {
+	var found *process
+	for _, running := range s.controllers {
+		current := running.view.Load()
+		if current.leading && (found == nil || current.generation > found.view.Load().generation) {
+			found = running
+		}
+	}
+	return found
+}
+
+func (s *session) leads(generation wire.Generation) func() bool {
+	return func() bool {
+		leader := s.leader()
+		return leader != nil && leader.view.Load().generation == generation
+	}
+}
+
+// voters reports whether the group has exactly these voters, all running.
+func (s *session) voters(count int) func() bool {
+	return func() bool {
+		leader := s.leader()
+		if leader == nil {
+			return false
+		}
+		record := leader.view.Load().record.record
+		running := 0
+		for _, member := range votersOf(record.Members) {
+			process := s.controllers[member.Address]
+			if process != nil && process.self() == member.ID && process.view.Load().member {
+				running++
+			}
+		}
+		return record.Next == nil && running == count && len(record.Members.Members) == count
+	}
+}
+
+// testServer is a server that holds grants by the real lease holder.
+type testServer struct {
+	name    bundle.ServerName
+	clock   clock.Source
+	http    *http.Server
+	mu      sync.Mutex
+	holder  *lease.Holder
+	granted []wire.SliceGrant
+}
+
+func (s *session) startServer(backend bundle.Backend) {
+	server := &testServer{
+		name:   bundle.ServerName(testTeam + "/tables/" + backend.Name),
+		clock:  clock.NewVirtual(),
+		holder: lease.NewHolder(testCell, wire.Incarnation("run-of-"+backend.Name)),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+wire.PathRenew, server.renew)
+	server.http = &http.Server{Handler: mux}
+	listener := s.network.listen(backend.Address)
+	go server.http.Serve(listener)
+	s.servers[backend.Address] = server
+}
+
+func (v *testServer) renew(writer http.ResponseWriter, request *http.Request) {
+	var renewal wire.RenewRequest
+	if json.NewDecoder(request.Body).Decode(&renewal) != nil || request.Header.Get("Shalefork-Token") != testToken {
+		http.Error(writer, "bad renewal", http.StatusBadRequest)
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	answer := v.holder.Renew(v.clock.Now(), renewal)
+	if renewal.Slices != nil && answer.Refused == "" {
+		v.granted = slices.Clone(*renewal.Slices)
+	}
+	json.NewEncoder(writer).Encode(answer)
+}
+
+// serving returns the grants under which the server would run a request now.
+func (v *testServer) serving() []wire.SliceGrant {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var held []wire.SliceGrant
+	for _, grant := range v.granted {
+		ticket, reason := v.holder.Admit(v.clock.Now(), testCell, grant.Slice, grant.Fence, grant.Bundle)
+		if reason == "" {
+			v.holder.Finish(ticket)
+			held = append(held, grant)
+		}
+	}
+	return held
+}
+
+// watchOwners checks at every moment that no key has two owners, and that the
+// fence of a slice never falls.
+func (s *session) watchOwners(ctx context.Context) {
+	fences := map[string]wire.Fence{}
+	for sleep(ctx, 5*time.Millisecond) {
+		var seen []wire.SliceGrant
+		for _, server := range s.servers {
+			for _, grant := range server.serving() {
+				for _, other := range seen {
+					assert.Check(s.t, !grant.Slice.Overlaps(other.Slice), "two owners of %s", grant.Slice)
+				}
+				assert.Check(s.t, grant.Fence >= fences[grant.Slice.String()], "fence of %s fell", grant.Slice)
+				fences[grant.Slice.String()] = max(grant.Fence, fences[grant.Slice.String()])
+				seen = append(seen, grant)
+			}
+		}
+	}
+}
+
+// served returns how many slices some server serves, under which version.
+func (s *session) served(version bundle.Version, generation wire.Generation) int {
+	count := 0
+	for _, server := range s.servers {
+		for _, grant := range server.serving() {
+			if grant.Bundle == version && grant.Fence.Generation() == generation {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func (s *session) allServed(version bundle.Version, generation wire.Generation) func() bool {
+	return func() bool { return s.served(version, generation) == testSlices }
+}
+
+// owners returns the committed owner of each slice as the leader knows it.
+func (s *session) owners() map[string]bundle.ServerName {
+	owners := map[string]bundle.ServerName{}
+	for _, assignment := range s.leader().view.Load().state.Assignments {
+		owners[assignment.Slice.String()] = assignment.Owner
+	}
+	return owners
+}
+
+const testSlices = 8
+
+// testBundle has one keyed service on four servers in two zones.
+func testBundle(version bundle.Version) bundle.Bundle {
+	zones := []bundle.Zone{"zone-1", "zone-2"}
+	service := bundle.Service{
+		Name:       "tables",
+		Kind:       bundle.KindKeyed,
+		Route:      bundle.Route{PathPrefix: "/tables"},
+		Key:        &bundle.KeySource{PathSegment: 2},
+		Partitions: []bundle.Partition{{Name: "all", Zones: zones}},
+		Placement:  bundle.Placement{Slices: testSlices, ChurnWeight: 1},
+	}
+	for i := range 4 {
+		service.Backends = append(service.Backends, bundle.Backend{
+			Name:        fmt.Sprintf("worker-%d", i+1),
+			Address:     fmt.Sprintf("10.0.1.%d:8000", i+1),
+			Zone:        zones[i%2],
+			Slots:       2,
+			Connections: 130,
+		})
+	}
+	return bundle.Bundle{Team: testTeam, Version: version, Cell: testCell, Zones: zones, Services: []bundle.Service{service}}
+}
+
+// write sends a signed write of the admin API to a controller.
+func (s *session) write(to *process, operator, path string, body any) (adminapi.BundleStatus, adminapi.Failure) {
+	encoded, err := json.Marshal(body)
+	assert.NilError(s.t, err)
+	key := s.operators[operator]
+	signed, err := json.Marshal(adminapi.Signed{
+		Operator:  adminapi.OperatorName(operator),
+		Body:      encoded,
+		Signature: ed25519.Sign(key, append([]byte(adminapi.SignedPrefix+path+"\n"), encoded...)),
+	})
+	assert.NilError(s.t, err)
+	recorder := httptest.NewRecorder()
+	to.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, path, bytes.NewReader(signed)))
+	var status adminapi.BundleStatus
+	var failure adminapi.Failure
+	if recorder.Code == http.StatusOK {
+		assert.NilError(s.t, json.Unmarshal(recorder.Body.Bytes(), &status))
+	} else {
+		assert.NilError(s.t, json.Unmarshal(recorder.Body.Bytes(), &failure))
+	}
+	return status, failure
+}
+
+// rollOut proposes, approves and rolls a bundle.
+func (s *session) rollOut(to *process, offered bundle.Bundle) {
+	digest, err := bundle.Digest(offered)
+	assert.NilError(s.t, err)
+	signature, err := bundle.Sign(s.operators["karim"], offered)
+	assert.NilError(s.t, err)
+	now := time.Now()
+	s.report(s.write(to, "amina", adminapi.PathPropose, adminapi.Propose{Bundle: offered, Time: now}))
+	s.report(s.write(to, "karim", adminapi.PathApprove, adminapi.Approve{
+		Team: offered.Team, Version: offered.Version, Digest: digest, Signature: signature, Time: now,
+	}))
+	s.report(s.write(to, "amina", adminapi.PathRoll, adminapi.Roll{Team: offered.Team, Version: offered.Version, Time: now}))
+}
+
+func (s *session) report(status adminapi.BundleStatus, failure adminapi.Failure) {
+	if failure.Code != "" {
+		s.note("  refused: %s: %s", failure.Code, failure.Message)
+		return
+	}
+	s.note("  version %d is %s", status.Version, status.State)
+}
+
+// headState returns the state of a version in the platform's service.
+func (s *session) headState(version bundle.Version) adminapi.BundleState {
+	head, _, err := s.leader().readHead(context.Background(), testTeam)
+	assert.NilError(s.t, err)
+	entry, _ := head.Find(version)
+	return entry.State
+}
+
+// bootCell starts controllers and servers and puts version 1 into force.
+func (s *session) bootCell(controllers int) {
+	s.note("start %d controllers and 4 servers", controllers)
+	for number := range controllers {
+		s.start(number + 1)
+	}
+	offered := testBundle(1)
+	for _, backend := range offered.Services[0].Backends {
+		s.startServer(backend)
+	}
+	s.await(5*time.Second, "a group of 3 voters", s.voters(3))
+	s.note("roll version 1")
+	s.rollOut(s.leader(), offered)
+	s.await(5*time.Second, "every slice is served under version 1", s.allServed(1, 1))
+	s.await(2*time.Second, "the head says in force", func() bool { return s.headState(1) == adminapi.StateInForce })
+	s.await(3*time.Second, "a checkpoint has it", func() bool {
+		saved, _, err := s.leader().readCheckpoint(context.Background())
+		return err == nil && saved.Teams[testTeam].InForce
+	})
+}
