Add ledger records, hedging and the drain of callers' connections (partly wired)

Cause: a request that must not run twice needs a record; a planned stop must cut nothing. Ruled out: http.Server.Shutdown alone, which closes kept-alive connections that may carry a request already on its way.

--- a/internal/balance/eject.go
+++ b/internal/balance/eject.go
@@ -37,6 +37,11 @@
 		if used.failures >= serverErrorsToEject {
 			p.eject(now, used)
 		}
+	case ResultOvertaken:
+		used.failures++
+		if used.failures >= serverErrorsToEject && p.mayEject() {
+			p.eject(now, used)
+		}
 	case ResultRefused:
 		used.avoidUntil = now + p.config.AvoidAfterRefusal
 	case ResultUnreachable:
@@ -111,3 +116,15 @@
 	probed.cold = true
 	probed.warmFrom = now
 }
+
+// drainMemory is how long a back end's own word that it drains counts, before
+// the table must say it too.
+const drainMemory = 3 * time.Second
+
+// Draining takes a back end's own word that it drains: a pool gives it no new
+// work meanwhile. An owner of keys is still asked, since only it may serve them.
+func (p *Pool) Draining(now time.Duration, name bundle.ServerName) {
+	if known := p.find(name); known != nil {
+		known.drainingUntil = now + drainMemory
+	}
+}
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -33,6 +33,8 @@
 	ResultServerError Result = "server-error"
 	// ResultTimeout: no answer came before the request's deadline.
 	ResultTimeout Result = "timeout"
+	// ResultOvertaken: a second try at another back end answered first.
+	ResultOvertaken Result = "overtaken"
 	// ResultRefused: the back end said that it did not run the request since
 	// it has too much to do.
 	ResultRefused Result = "refused"
@@ -66,6 +68,8 @@
 	probing   bool
 	// avoidUntil keeps work away for a moment after a refusal.
 	avoidUntil time.Duration
+	// drainingUntil keeps work away since the back end said that it drains.
+	drainingUntil time.Duration
 }
 
 // capacity is the most requests that this gateway may have in flight there.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -42,15 +42,20 @@
 	return choice{found: true, to: target{entry: entry, server: server}}
 }
 
-// chooseInPool picks the best back end that holds a grant.
+// chooseInPool picks the best back end that holds a grant, another one than
+// avoid if any has room.
 func (g *Gateway) chooseInPool(s *service, c *call, avoid bundle.ServerName) choice {
 	held := g.tables.view.Load()
 	entries := held.shared[c.route.name]
 	granted := func(name bundle.ServerName) bool {
 		entry, ok := findShared(entries, name)
-		return ok && entry.State == wire.SliceServing && name != avoid
+		return ok && entry.State == wire.SliceServing
+	}
+	other := func(name bundle.ServerName) bool { return name != avoid && granted(name) }
+	name, ok := s.pool.Pick(s.now(), rand.Uint64(), other)
+	if !ok && avoid != "" {
+		name, ok = s.pool.Pick(s.now(), rand.Uint64(), granted)
 	}
-	name, ok := s.pool.Pick(s.now(), rand.Uint64(), granted)
 	if !ok {
 		return choice{why: poolReason(s)}
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -80,10 +80,16 @@
 	return to, nil
 }
 
-// attempt makes one try under an id of its own.
+// attempt makes one try under an id of its own, or two that race.
 func (g *Gateway) attempt(ctx context.Context, c *call, to target, state *progress) *reply {
-	id := wire.RequestID(string(c.id) + "-" + strconv.Itoa(state.tries))
-	return g.send(ctx, c, to, id)
+	if c.mayHedge() {
+		return g.hedged(ctx, c, to, state)
+	}
+	return g.send(ctx, c, to, tryID(c, state))
+}
+
+func formatTry(number int) string {
+	return strconv.Itoa(number)
 }
 
 // afterFailure returns why the call ends, or nil after the pause that the next
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -15,8 +15,10 @@
 	// tableSilence is how long a table stream may be silent before the next
 	// controller is asked. Controllers send heartbeats.
 	tableSilence = 2 * time.Second
-	// tableRetry is the pause after all controllers failed.
-	tableRetry = 200 * time.Millisecond
+	// firstTablePause and lastTablePause bound the pause after all controllers
+	// failed; it doubles from round to round.
+	firstTablePause = 100 * time.Millisecond
+	lastTablePause  = 2 * time.Second
 )
 
 // Query parameters of the table stream.
@@ -30,18 +32,21 @@
 // first controller that answers and turns to the next as soon as that fails.
 func (g *Gateway) follow(ctx context.Context) error {
 	from := wire.TableVersion{}
+	pause := firstTablePause
 	for ctx.Err() == nil {
+		before := g.tables.view.Load().version
 		for _, address := range g.settings.Controllers {
 			misfit := g.followOne(ctx, address, from)
 			from = g.tables.view.Load().version
 			if misfit {
 				from = wire.TableVersion{} // ask for a snapshot
 			}
-			if ctx.Err() != nil {
-				return nil
-			}
 		}
-		sleep(ctx, tableRetry)
+		pause = min(2*pause, lastTablePause)
+		if from.Newer(before) {
+			pause = firstTablePause
+		}
+		sleep(ctx, pause)
 	}
 	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -60,6 +61,8 @@
 	peers    *http.Client
 	// lastHeard is when a controller was last heard, on the clock (Upper).
 	lastHeard atomic.Int64
+	callers   *openConns
+	ledger    *ledgerNode
 	stopping  chan struct{}
 	stopOnce  sync.Once
 }
@@ -89,6 +92,7 @@
 		metrics:  metrics,
 		listen:   dependencies.Listen,
 		tables:   newTables(config.Cell),
+		callers:  &openConns{open: map[net.Conn]struct{}{}},
 		stopping: make(chan struct{}),
 	}
 	gateway.backends = newBackends(dependencies.Dial, metrics)
@@ -134,6 +138,7 @@
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	callerServer := g.newServer(http.HandlerFunc(g.ServeHTTP))
+	callerServer.ConnState = g.callers.track
 	peerServer := g.newServer(g.peerHandler())
 	group, _ := errgroup.WithContext(background)
 	group.Go(func() error { return g.follow(background) })
@@ -141,7 +146,7 @@
 	group.Go(func() error { return ignoreClosed(callerServer.Serve(callers)) })
 	group.Go(func() error { return ignoreClosed(peerServer.Serve(peers)) })
 	<-ctx.Done()
-	g.drain(callerServer)
+	g.drain(callerServer, callers)
 	stopBackground()
 	_ = peerServer.Close()
 	g.backends.close()
@@ -149,24 +154,6 @@
 	return Error.Wrap(group.Wait())
 }
 
-// drain waits without a limit: a slow pull in flight is never cut.
-func (g *Gateway) drain(server *http.Server) {
-	g.logger.Info().Msg("draining")
-	g.stopOnce.Do(func() { close(g.stopping) })
-	server.SetKeepAlivesEnabled(false)
-	_ = server.Shutdown(context.Background())
-	g.logger.Info().Msg("drained")
-}
-
-func (g *Gateway) isStopping() bool {
-	select {
-	case <-g.stopping:
-		return true
-	default:
-		return false
-	}
-}
-
 func (g *Gateway) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
@@ -177,7 +164,7 @@
 }
 
 func ignoreClosed(err error) error {
-	if err == http.ErrServerClosed {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -12,9 +12,6 @@
 // ServeHTTP answers one caller's request.
 func (g *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	id := newRequestID()
-	if g.isStopping() {
-		writer.Header().Set("Connection", "close")
-	}
 	made, refused := g.newCall(id, request)
 	if refused == nil {
 		refused = made.readBody(writer, replayBytes)
@@ -60,6 +57,7 @@
 		header[name] = values
 	}
 	header.Set(wire.HeaderRequestID, string(c.id))
+	g.closeAfter(writer)
 	writer.WriteHeader(response.StatusCode)
 	err := copyBody(writer, response, idleWatch{limit: streamIdle(c.limit), cancel: cancel})
 	if err != nil {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -56,6 +56,7 @@
 	if because.status != http.StatusNotFound && because.status != http.StatusBadRequest {
 		header.Set("Retry-After", strconv.Itoa(retryAfterSeconds))
 	}
+	g.closeAfter(writer)
 	writer.WriteHeader(because.status)
 	_, _ = writer.Write([]byte(string(because.outcome) + ": " + string(because.reason) + "\n"))
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -14,6 +14,9 @@
 	"github.com/shalefork/shalefork/internal/wire"
 )
 
+// headerTrue is the value of a header that is a flag.
+const headerTrue = "true"
+
 // maxRefusalBody is the most read of a refusal's body, which is not passed on.
 const maxRefusalBody = 4 << 10
 
@@ -104,6 +107,9 @@
 		})
 		return ended
 	}
+	if response.Header.Get(wire.HeaderDraining) == headerTrue {
+		c.service.draining(to.server.Name)
+	}
 	g.judge(ended, followed, response, id)
 	return ended
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -167,3 +167,10 @@
 func (s *service) putBack(server bundle.ServerName) {
 	s.done(server, balance.ResultNeutral, 0, 0)
 }
+
+// draining notes that a back end says that it takes no new work.
+func (s *service) draining(server bundle.ServerName) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Draining(s.now(), server)
+}
