Own ledger slices and run keyed requests at most once

Cause: a caller's repeat with an Idempotency-Key must never run twice, whichever gateway it reaches and whichever gateway is lost. Ruled out: counting only gateways that do not answer a takeover; a gateway that was started anew answers, yet may have held the copy. So gateways vouch. Change: package ledgernode (grants, begin, finish, copies, takeover, vouching), idempotency.go in gateway, the shared table in place of the local one.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -44,7 +44,7 @@
 func (b *backends) update(held *view) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for name, server := range held.servers {
+	for name, server := range held.table.Servers() {
 		share := held.share(server.Connections)
 		known := b.byName[name]
 		if known != nil && known.address == server.Address && known.share == share {
@@ -56,7 +56,7 @@
 		}
 	}
 	for name, known := range b.byName {
-		if _, ok := held.servers[name]; !ok {
+		if _, ok := held.table.Server(name); !ok {
 			delete(b.byName, name)
 			known.transport.CloseIdleConnections()
 		}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -97,7 +97,7 @@
 // noRoute tells a gateway that has no table yet from one that knows that
 // nothing matches.
 func (g *Gateway) noRoute(held *view) *refusal {
-	if held.version == (wire.TableVersion{}) {
+	if held.table.Version() == (wire.TableVersion{}) {
 		return notRun(wire.ReasonStaleTable)
 	}
 	return notRun(wire.ReasonNoRoute)
@@ -126,13 +126,18 @@
 	return nil
 }
 
-// readCallBody reads the body ahead as far as it is kept.
-func (c *call) readBody(writer http.ResponseWriter, keep int64) *refusal {
+// readBody reads the body ahead: as far as it is kept for another try, or
+// whole for a request whose digest is needed.
+func (c *call) readBody(writer http.ResponseWriter, whole bool) *refusal {
 	limit := c.route.service.Limits.MaxBodyBytes
 	if limit == 0 {
 		limit = defaultMaxBody
 	}
-	read, err := readBody(writer, c.request, limit, min(keep, limit))
+	keep := min(replayBytes, limit)
+	if whole {
+		keep = limit
+	}
+	read, err := readBody(writer, c.request, limit, keep)
 	switch err {
 	case nil:
 		c.body = read
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -18,35 +18,25 @@
 // chooseOwner finds the owner of the call's key. While nobody owns the slice,
 // or its owner gives it up, the request waits for the table.
 func (g *Gateway) chooseOwner(s *service, c *call) choice {
-	held := g.tables.view.Load()
-	entry, ok := held.lookup(partitionKey{c.route.name, c.partition}, c.hash)
-	if !ok {
-		return choice{why: wire.ReasonNoOwner}
-	}
-	if entry.Refusal != "" {
-		return choice{refused: notRun(entry.Refusal)}
-	}
-	if entry.Server == "" {
+	to, ok := g.tables.view.Load().owner(c.route.name, c.partition, c.hash)
+	switch {
+	case to.entry.Refusal != "":
+		return choice{refused: notRun(to.entry.Refusal)}
+	case !ok:
 		return choice{why: wire.ReasonNoOwner}
-	}
-	if entry.State != wire.SliceServing {
+	case to.entry.State != wire.SliceServing:
 		return choice{why: wire.ReasonReleasing}
+	case !s.pool.Take(s.now(), to.server.Name):
+		return choice{waitsFor: to.server.Name, why: wire.ReasonOverloaded}
 	}
-	server, ok := held.servers[entry.Server]
-	if !ok {
-		return choice{why: wire.ReasonNoOwner}
-	}
-	if !s.pool.Take(s.now(), entry.Server) {
-		return choice{waitsFor: entry.Server, why: wire.ReasonOverloaded}
-	}
-	return choice{found: true, to: target{entry: entry, server: server}}
+	return choice{found: true, to: to}
 }
 
 // chooseInPool picks the best back end that holds a grant, another one than
 // avoid if any has room.
 func (g *Gateway) chooseInPool(s *service, c *call, avoid bundle.ServerName) choice {
 	held := g.tables.view.Load()
-	entries := held.shared[c.route.name]
+	entries := held.table.Pool(c.route.name)
 	granted := func(name bundle.ServerName) bool {
 		entry, ok := findShared(entries, name)
 		return ok && entry.State == wire.SliceServing
@@ -60,7 +50,8 @@
 		return choice{why: poolReason(s)}
 	}
 	entry, _ := findShared(entries, name)
-	return choice{found: true, to: target{entry: entry, server: held.servers[name]}}
+	server, _ := held.table.Server(name)
+	return choice{found: true, to: target{entry: entry, server: server}}
 }
 
 // poolReason tells a pool that is full from one that has no back end at all.
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -13,6 +13,8 @@
 	// the gateway stopped listening. A request that is already on its way then
 	// is answered, with "Connection: close".
 	lameDuck = 2 * time.Second
+	// ledgerDrainTimeout bounds the hand-over of the ledger's slices.
+	ledgerDrainTimeout = 5 * time.Second
 	// drainTick is how often the drain looks for open connections.
 	drainTick = 20 * time.Millisecond
 )
@@ -45,7 +47,7 @@
 // flight: a slow pull is never cut.
 func (g *Gateway) drain(server *http.Server, listener net.Listener) {
 	g.logger.Info().Msg("draining")
-	g.ledger.drain()
+	g.drainLedger()
 	g.stopOnce.Do(func() { close(g.stopping) })
 	_ = listener.Close()
 	began := time.Now()
@@ -56,6 +58,17 @@
 	g.logger.Info().Msg("drained")
 }
 
+// drainLedger hands the gateway's slices of the ledger over first, while it
+// still takes requests. It waits for a bounded time only: where no controller
+// answers, the grants end by themselves and the copies are elsewhere.
+func (g *Gateway) drainLedger() {
+	g.ledger.Drain()
+	began := time.Now()
+	for !g.ledger.Idle() && time.Since(began) < ledgerDrainTimeout {
+		time.Sleep(drainTick)
+	}
+}
+
 func (g *Gateway) isStopping() bool {
 	select {
 	case <-g.stopping:
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -34,10 +34,10 @@
 	from := wire.TableVersion{}
 	pause := firstTablePause
 	for ctx.Err() == nil {
-		before := g.tables.view.Load().version
+		before := g.tables.view.Load().table.Version()
 		for _, address := range g.settings.Controllers {
 			misfit := g.followOne(ctx, address, from)
-			from = g.tables.view.Load().version
+			from = g.tables.view.Load().table.Version()
 			if misfit {
 				from = wire.TableVersion{} // ask for a snapshot
 			}
@@ -67,7 +67,7 @@
 	g.logger.Info().Str("controller", address).Msg("following table")
 	err = g.readTable(response, watchdog)
 	g.logger.Info().Str("controller", address).Err(err).Msg("table stream ended")
-	return errors.Is(err, errDeltaMisfit)
+	return errors.Is(err, errNeedsWhole)
 }
 
 func (g *Gateway) openTable(ctx context.Context, address string, from wire.TableVersion) (*http.Response, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/ledgernode"
 	"github.com/shalefork/shalefork/internal/settings"
 )
 
@@ -62,7 +63,7 @@
 	// lastHeard is when a controller was last heard, on the clock (Upper).
 	lastHeard atomic.Int64
 	callers   *openConns
-	ledger    *ledgerNode
+	ledger    *ledgernode.Node
 	stopping  chan struct{}
 	stopOnce  sync.Once
 }
@@ -98,6 +99,13 @@
 	gateway.backends = newBackends(dependencies.Dial, metrics)
 	gateway.services = newServices(config.Zone, dependencies.Clock, metrics)
 	gateway.peers = newPeerClient(config.Token, dependencies.Dial)
+	gateway.ledger = ledgernode.New(ledgerConfig(config), ledgernode.Dependencies{
+		Clock:     dependencies.Clock,
+		Logger:    dependencies.Logger,
+		Client:    gateway.peers,
+		Directory: directory{gateway.tables},
+		Metrics:   ledgernode.NewMetrics(dependencies.Registerer),
+	})
 	return gateway, nil
 }
 
@@ -143,6 +151,7 @@
 	group, _ := errgroup.WithContext(background)
 	group.Go(func() error { return g.follow(background) })
 	group.Go(func() error { return g.probe(background) })
+	group.Go(func() error { return g.ledger.Run(background) })
 	group.Go(func() error { return ignoreClosed(callerServer.Serve(callers)) })
 	group.Go(func() error { return ignoreClosed(peerServer.Serve(peers)) })
 	<-ctx.Done()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -13,13 +13,22 @@
 func (g *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	id := newRequestID()
 	made, refused := g.newCall(id, request)
+	if refused != nil {
+		g.refuse(writer, id, refused)
+		return
+	}
+	key, refused := made.idempotencyKey()
 	if refused == nil {
-		refused = made.readBody(writer, replayBytes)
+		refused = made.readBody(writer, key != "")
 	}
 	if refused != nil {
 		g.refuse(writer, id, refused)
 		return
 	}
+	if key != "" {
+		g.answerOnce(writer, made, key)
+		return
+	}
 	g.answer(writer, made)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -32,35 +32,27 @@
 	Probes *prometheus.CounterVec
 	// PeerRefused counts requests to the peer port without the token.
 	PeerRefused prometheus.Counter
-	// Ledger decisions by result.
-	Ledger *prometheus.CounterVec
-	// LedgerRecords held, and LedgerUncopied begun without a second copy.
-	LedgerRecords  prometheus.Gauge
-	LedgerUncopied prometheus.Counter
 }
 
 // NewMetrics makes the metrics and registers them.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
 	metrics := &Metrics{
-		Answers:        counters("answers_total", "Answers passed on.", "service", "class"),
-		Refusals:       counters("refusals_total", "Requests refused.", "reason", "outcome"),
-		Attempts:       counters("attempts_total", "Tries sent to back ends.", "result"),
-		Retries:        counters("retries_total", "Tries after the first.", "reason"),
-		Hedges:         counter("hedges_total", "Second tries sent early."),
-		HedgesWon:      counter("hedges_won_total", "Second tries that answered first."),
-		Dials:          counter("dials_total", "Connections opened to back ends."),
-		BrokenAnswers:  counter("broken_answers_total", "Answers cut after their headers."),
-		Mismatched:     counter("mismatched_answers_total", "Answers discarded for another request id."),
-		Waiting:        gauge("waiting_requests", "Requests in the queues."),
-		Seconds:        histogram("request_seconds", "Time to the answer's headers.", "service"),
-		TableUpdates:   counter("table_updates_total", "Table updates applied."),
-		TableRejects:   counters("table_rejects_total", "Table updates not applied.", "cause"),
-		TableStreams:   counter("table_streams_total", "Table streams begun."),
-		Probes:         counters("probes_total", "Probes of ejected back ends.", "result"),
-		PeerRefused:    counter("peer_refused_total", "Peer requests without the token."),
-		Ledger:         counters("ledger_total", "Ledger decisions.", "result"),
-		LedgerRecords:  gauge("ledger_records", "Idempotency records held."),
-		LedgerUncopied: counter("ledger_uncopied_total", "Records begun without a second copy."),
+		Answers:       counters("answers_total", "Answers passed on.", "service", "class"),
+		Refusals:      counters("refusals_total", "Requests refused.", "reason", "outcome"),
+		Attempts:      counters("attempts_total", "Tries sent to back ends.", "result"),
+		Retries:       counters("retries_total", "Tries after the first.", "reason"),
+		Hedges:        counter("hedges_total", "Second tries sent early."),
+		HedgesWon:     counter("hedges_won_total", "Second tries that answered first."),
+		Dials:         counter("dials_total", "Connections opened to back ends."),
+		BrokenAnswers: counter("broken_answers_total", "Answers cut after their headers."),
+		Mismatched:    counter("mismatched_answers_total", "Answers discarded for another request id."),
+		Waiting:       gauge("waiting_requests", "Requests in the queues."),
+		Seconds:       histogram("request_seconds", "Time to the answer's headers.", "service"),
+		TableUpdates:  counter("table_updates_total", "Table updates applied."),
+		TableRejects:  counters("table_rejects_total", "Table updates not applied.", "cause"),
+		TableStreams:  counter("table_streams_total", "Table streams begun."),
+		Probes:        counters("probes_total", "Probes of ejected back ends.", "result"),
+		PeerRefused:   counter("peer_refused_total", "Peer requests without the token."),
 	}
 	registerer.MustRegister(metrics.collectors()...)
 	return metrics
@@ -70,7 +62,7 @@
 	return []prometheus.Collector{
 		m.Answers, m.Refusals, m.Attempts, m.Retries, m.Hedges, m.HedgesWon, m.Dials,
 		m.BrokenAnswers, m.Mismatched, m.Waiting, m.Seconds, m.TableUpdates, m.TableRejects,
-		m.TableStreams, m.Probes, m.PeerRefused, m.Ledger, m.LedgerRecords, m.LedgerUncopied,
+		m.TableStreams, m.Probes, m.PeerRefused,
 	}
 }
 
--- a/internal/gateway/outgoing.go
+++ b/internal/gateway/outgoing.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/peerauth"
 	"github.com/shalefork/shalefork/internal/wire"
 )
 
@@ -43,6 +44,7 @@
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = nil // net/http would add its own
 	}
+	header.Set(peerauth.Header, g.settings.Token)
 	header.Set(wire.HeaderCell, string(g.settings.Cell))
 	header.Set(wire.HeaderService, string(c.route.name))
 	header.Set(wire.HeaderSlice, to.entry.Slice.String())
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -8,13 +8,11 @@
 	"github.com/shalefork/shalefork/internal/peerauth"
 )
 
-// ledgerServerPrefix begins the names of the gateways as ledger servers.
-const ledgerServerPrefix = "system/ledger/"
-
 // peerHandler serves the peer port: health and metrics to anyone, the rest to
 // the cell's own processes.
 func (g *Gateway) peerHandler() http.Handler {
 	own := http.NewServeMux()
+	g.ledger.Routes(own)
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(g.gatherer, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", g.health)
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/peerauth"
 )
 
 const (
@@ -19,7 +20,7 @@
 	probeTimeout = 500 * time.Millisecond
 	// maxProbes bounds the probes under way at once.
 	maxProbes = 4
-	// pathHealth is where a back end answers probes.
+	// pathHealth is what a probe asks for.
 	pathHealth = "/healthz"
 )
 
@@ -59,7 +60,9 @@
 	}
 }
 
-// probeOne asks a back end's health endpoint.
+// probeOne asks a back end anything. Whatever it answers shows that it takes
+// requests, which is all that a probe can prove: what a health endpoint says
+// may lag or be wrong.
 func (g *Gateway) probeOne(ctx context.Context, name bundle.ServerName) bool {
 	through := g.backends.get(name)
 	if through == nil {
@@ -71,9 +74,10 @@
 	if err != nil {
 		return false
 	}
+	request.Header.Set(peerauth.Header, g.settings.Token)
 	response, err := through.transport.RoundTrip(request)
-	healthy := err == nil && response.StatusCode == http.StatusOK
-	if err == nil {
+	healthy := err == nil
+	if healthy {
 		_ = response.Body.Close()
 	}
 	g.metrics.Probes.WithLabelValues(probeResult(healthy)).Inc()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -178,7 +178,7 @@
 		wire.ReasonMalformed:
 		return reason
 	default:
-		return wire.ReasonAnswerLost
+		return wire.ReasonNoBackend
 	}
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -104,7 +104,7 @@
 	team := bundle.Bundle{Team: of.team}
 	for _, described := range of.service.Backends {
 		name := team.ServerName(of.service, described)
-		server, ok := held.servers[name]
+		server, ok := held.table.Server(name)
 		if !ok {
 			continue
 		}
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shalefork/shalefork/internal/keyspace"
+	"github.com/shalefork/shalefork/internal/wire"
 )
 
 // Verdict is what the book says to a request that begins.
@@ -58,36 +59,47 @@
 	return len(b.entries)
 }
 
-// Look returns what the book knows of the key without changing it.
-func (b *Book) Look(now time.Duration, key Key, digest Digest) (Verdict, *Answer) {
-	known := b.get(now, key)
+// Question is what a request that begins asks about its key.
+type Question struct {
+	Key     Key
+	Digest  Digest
+	Attempt wire.RequestID
+	// RunsFor is the longest that the request may take; after that a repeat is
+	// told that its outcome is unknown.
+	RunsFor time.Duration
+}
+
+// Look returns what the book knows of the key, without changing it. The same
+// attempt that asks again may proceed, once its record has been copied again.
+func (b *Book) Look(now time.Duration, asked Question) (Verdict, Record) {
+	known := b.get(now, asked.Key)
 	if known == nil {
-		return VerdictAbsent, nil
+		return VerdictAbsent, Record{}
 	}
-	if known.record.Digest != digest {
-		return VerdictKeyReused, nil
+	record := known.export(now)
+	switch {
+	case record.Digest != asked.Digest:
+		return VerdictKeyReused, record
+	case record.State == StateAnswered:
+		return VerdictReplay, record
+	case record.State == StateRunning && record.Attempt == asked.Attempt:
+		return VerdictProceed, record
+	case record.State == StateRunning && record.RunsFor > 0:
+		return VerdictInProgress, record
+	default:
+		return VerdictUnknown, record
 	}
-	switch known.record.State {
-	case StateAnswered:
-		return VerdictReplay, known.record.Answer
-	case StateRunning:
-		if now < known.runsUntil {
-			return VerdictInProgress, nil
-		}
-	}
-	return VerdictUnknown, nil
 }
 
-// Begin makes a record of a key that is not known. The request may take
-// runsFor; after that a repeat is told that its outcome is unknown.
-func (b *Book) Begin(now time.Duration, key Key, digest Digest, stamp Stamp, runsFor time.Duration) (Verdict, Record) {
-	record := Record{
-		Key: key, Digest: digest, Stamp: stamp, State: StateRunning,
-		KeepFor: b.retention + runsFor, RunsFor: runsFor,
-	}
+// Begin makes a record of a key that is not known.
+func (b *Book) Begin(now time.Duration, asked Question, stamp Stamp) (Verdict, Record) {
 	if len(b.entries) >= b.limit {
 		return VerdictFull, Record{}
 	}
+	record := Record{
+		Key: asked.Key, Digest: asked.Digest, Attempt: asked.Attempt, Stamp: stamp,
+		State: StateRunning, KeepFor: b.retention + asked.RunsFor, RunsFor: asked.RunsFor,
+	}
 	b.set(now, record)
 	return VerdictProceed, record
 }
@@ -155,6 +167,15 @@
 	}
 }
 
+// CopyKnown notes that the gateway holds the record as given, if the book knows
+// no more than that.
+func (b *Book) CopyKnown(record Record, holder Holder) {
+	known := b.entries[record.Key]
+	if known != nil && known.record.Stamp == record.Stamp && known.record.State == record.State {
+		known.holder = holder
+	}
+}
+
 // HolderOf returns the gateway with the second copy; zero for none.
 func (b *Book) HolderOf(key Key) Holder {
 	if known := b.entries[key]; known != nil {
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -30,6 +30,8 @@
 	Grant  Grant           `json:"grant"`
 	Key    Key             `json:"key"`
 	Digest Digest          `json:"digest"`
+	// Attempt names the request; the same one may ask again.
+	Attempt wire.RequestID `json:"attempt"`
 	// RunsFor is the longest that the request may take.
 	RunsFor time.Duration `json:"runs_for"`
 }
@@ -82,29 +84,26 @@
 	Fence wire.Fence      `json:"fence"`
 }
 
-// CollectLine is one line of the answer to a CollectRequest. The first says
-// what the gateway vouched for before; then one line a record; the last has End
+// CollectLine is one line of the answer to a CollectRequest. The first holds
+// who the gateway is and what it says of itself; then one line a record; the last has End
 // set, without which the answer is cut short and counts for nothing.
 type CollectLine struct {
-	Holder  *Holder  `json:"holder,omitempty"`
-	Refused bool     `json:"refused,omitempty"`
-	Tenures []Tenure `json:"tenures,omitempty"`
-	Record  *Record  `json:"record,omitempty"`
-	End     bool     `json:"end,omitempty"`
+	Holder *Holder    `json:"holder,omitempty"`
+	Said   *Testimony `json:"said,omitempty"`
+	Record *Record    `json:"record,omitempty"`
+	End    bool       `json:"end,omitempty"`
 }
 
-// VouchRequest tells a gateway that was not up for the whole tenure that every
-// record of the range has its second copy at a gateway that is up now. With
-// Ask set it only asks who answers.
+// VouchRequest tells a gateway that it may vouch for a tenure. With Ask set it
+// only asks who answers.
 type VouchRequest struct {
-	Cell  bundle.CellName `json:"cell"`
-	Range keyspace.Range  `json:"range"`
-	Fence wire.Fence      `json:"fence"`
-	Ask   bool            `json:"ask,omitempty"`
+	Cell bundle.CellName `json:"cell"`
+	Tenure
+	Ask bool `json:"ask,omitempty"`
 }
 
-// VouchResponse says who answers, and for what it vouches in the range.
+// VouchResponse says who answers, and whether it vouches now.
 type VouchResponse struct {
-	Holder  Holder   `json:"holder"`
-	Tenures []Tenure `json:"tenures,omitempty"`
+	Holder   Holder `json:"holder"`
+	Accepted bool   `json:"accepted,omitempty"`
 }
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -103,11 +103,14 @@
 
 // Record is what one gateway knows of a key, as gateways send it to each other.
 type Record struct {
-	Key    Key     `json:"key"`
-	Digest Digest  `json:"digest"`
-	Stamp  Stamp   `json:"stamp"`
-	State  State   `json:"state"`
-	Answer *Answer `json:"answer,omitempty"`
+	Key    Key    `json:"key"`
+	Digest Digest `json:"digest"`
+	Stamp  Stamp  `json:"stamp"`
+	// Attempt is the request that the record was made for, so that a gateway
+	// that lost the owner's answer can ask again.
+	Attempt wire.RequestID `json:"attempt"`
+	State   State          `json:"state"`
+	Answer  *Answer        `json:"answer,omitempty"`
 	// KeepFor is how long the record is kept from the moment it is sent.
 	KeepFor time.Duration `json:"keep_for"`
 	// RunsFor is how much longer a running request may take.
--- a/internal/ledger/tenure.go
+++ b/internal/ledger/tenure.go
@@ -4,21 +4,45 @@
 	"cmp"
 	"slices"
 
+	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/keyspace"
 	"github.com/shalefork/shalefork/internal/wire"
 )
 
-// Tenure says that a gateway vouches for a range under a fence: it was up for
-// the whole time of the owner with that fence, or that owner has told it that
-// every record has a second copy elsewhere or here. It also promises to take no
-// copies under an older fence.
+// Tenure is the time of one owner of a range, named by its fence.
 type Tenure struct {
 	Range keyspace.Range `json:"range"`
 	Fence wire.Fence     `json:"fence"`
+	// Without lists gateways that hold no second copy and will be given none
+	// in this tenure, since they did not answer the owner.
+	Without []bundle.ServerName `json:"without,omitempty"`
+	// Round counts the changes of Without, so that a delayed message with an
+	// older list changes nothing.
+	Round uint64 `json:"round,omitempty"`
 }
 
-// Tenures are what one gateway vouches for. The ranges never overlap and are
-// ordered. The zero value vouches for nothing.
+// newer reports whether t replaces other.
+func (t Tenure) newer(other Tenure) bool {
+	if t.Fence != other.Fence {
+		return t.Fence > other.Fence
+	}
+	return t.Round > other.Round
+}
+
+// Testimony is what a gateway that is asked for its records says of itself.
+type Testimony struct {
+	// Vouched tenures: the owner knew every record then, each had its second
+	// copy at a gateway that was up, and so was this one. It holds all that it
+	// was given since, because a gateway that is started anew vouches for
+	// nothing. So whatever it vouches for, its last restart lost no record.
+	Vouched []Tenure `json:"vouched,omitempty"`
+	// Promised tenures are those that this gateway has heard of; it takes no
+	// copies under older fences.
+	Promised []Tenure `json:"promised,omitempty"`
+}
+
+// Tenures are one tenure for each part of the partition. The ranges never
+// overlap and are ordered. The zero value is empty.
 type Tenures struct {
 	list []Tenure
 }
@@ -34,8 +58,7 @@
 	return found
 }
 
-// Highest returns the highest fence promised for any hash of the range; zero
-// if none is.
+// Highest returns the highest fence of any hash of the range; zero for none.
 func (t *Tenures) Highest(within keyspace.Range) wire.Fence {
 	highest := wire.Fence(0)
 	for _, tenure := range t.Overlapping(within) {
@@ -44,15 +67,17 @@
 	return highest
 }
 
-// Raise vouches for the range under the fence. It returns false, and changes
-// nothing, if a higher fence is promised for any of its hashes.
-func (t *Tenures) Raise(within keyspace.Range, fence wire.Fence) bool {
-	if t.Highest(within) > fence {
-		return false
+// Raise puts the tenure in place of older ones. It returns false, and changes
+// nothing, if there is a later one for any of its hashes.
+func (t *Tenures) Raise(raised Tenure) bool {
+	for _, tenure := range t.Overlapping(raised.Range) {
+		if tenure.newer(raised) {
+			return false
+		}
 	}
-	next := []Tenure{{Range: within, Fence: fence}}
+	next := []Tenure{raised}
 	for _, tenure := range t.list {
-		next = append(next, outside(tenure, within)...)
+		next = append(next, outside(tenure, raised.Range)...)
 	}
 	slices.SortFunc(next, func(a, b Tenure) int {
 		return cmp.Compare(a.Range.First, b.Range.First)
@@ -69,11 +94,16 @@
 	var parts []Tenure
 	if tenure.Range.First < within.First {
 		before := keyspace.Range{First: tenure.Range.First, Last: within.First - 1}
-		parts = append(parts, Tenure{Range: before, Fence: tenure.Fence})
+		parts = append(parts, tenure.within(before))
 	}
 	if tenure.Range.Last > within.Last {
 		after := keyspace.Range{First: within.Last + 1, Last: tenure.Range.Last}
-		parts = append(parts, Tenure{Range: after, Fence: tenure.Fence})
+		parts = append(parts, tenure.within(after))
 	}
 	return parts
 }
+
+func (t Tenure) within(part keyspace.Range) Tenure {
+	t.Range = part
+	return t
+}
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -38,6 +38,11 @@
 	return Generation(f >> generationShift)
 }
 
+// Index returns the log index of the assignment that the fence was made from.
+func (f Fence) Index() uint64 {
+	return uint64(f) & (1<<generationShift - 1)
+}
+
 // String returns the fence in decimal, as in headers.
 func (f Fence) String() string {
 	return strconv.FormatUint(uint64(f), 10)
