Test refusals, broken answers, stale connections and the table

Cause: the claims of not-run and at-most-once need sessions that show them. Ruled out: wall-clock tests; all run in virtual time on an in-memory network. Change: sessions in internal/gateway; the last server's reason is kept when the deadline ends the tries.

--- a/internal/gateway/cell_test.go
+++ b/internal/gateway/cell_test.go
@@ -62,7 +62,12 @@
 	assert.NilError(c.t, err)
 	server := &http.Server{Handler: handler}
 	go func() { _ = server.Serve(listener) }()
-	c.stops = append(c.stops, func() { _ = server.Close() })
+	c.stops = append(c.stops, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		_ = server.Shutdown(ctx)
+		_ = server.Close()
+	})
 	return server
 }
 
@@ -152,7 +157,21 @@
 	lines   []wire.TableUpdate
 	changed chan struct{}
 	silent  bool
-	streams int
+	// whole counts the streams asked for from version zero.
+	whole int
+}
+
+func (c *controller) setSilent(silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = silent
+}
+
+// snapshotsAsked counts the streams that asked for a snapshot after the first.
+func (c *controller) snapshotsAsked() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.whole - 1
 }
 
 // publish adds a line to all streams.
@@ -166,8 +185,14 @@
 }
 
 func (c *controller) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if request.URL.Path != wire.PathTable {
+		http.NotFound(writer, request)
+		return
+	}
 	c.mu.Lock()
-	c.streams++
+	if request.URL.Query().Get(queryVersion) == "0" {
+		c.whole++
+	}
 	c.mu.Unlock()
 	lines := wire.NewLineWriter(writer)
 	sent := 0
@@ -176,10 +201,14 @@
 		due, changed, silent := c.lines[sent:], c.changed, c.silent
 		sent = len(c.lines)
 		c.mu.Unlock()
+		if silent {
+			<-request.Context().Done()
+			return
+		}
 		for _, line := range due {
 			_ = lines.Write(line)
 		}
-		if !silent {
+		if len(due) == 0 {
 			_ = lines.Write(wire.TableUpdate{Cell: testCell, Heartbeat: true})
 		}
 		_ = http.NewResponseController(writer).Flush()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -26,6 +26,8 @@
 	// mayHaveRun says that some try may have run, so that no later refusal may
 	// say that the request did not run.
 	mayHaveRun bool
+	// last is what the last try would have ended with.
+	last *refusal
 	pause      time.Duration
 	avoid      bundle.ServerName
 }
@@ -100,6 +102,7 @@
 		state.mayHaveRun = true
 	}
 	ended := endOf(got.failure, decision)
+	state.last = ended
 	if !decision.Again || ctx.Err() != nil {
 		return ended
 	}
@@ -133,6 +136,9 @@
 
 // finalRefusal never says "not run" after a try that may have run.
 func (p *progress) finalRefusal(ctx context.Context, last *refusal) *refusal {
+	if last.reason == wire.ReasonDeadline && p.last != nil {
+		last = p.last // tells more than that time was over
+	}
 	if !p.mayHaveRun || last.outcome == wire.OutcomeUnknown {
 		return last
 	}
--- a/internal/gateway/network_test.go
+++ b/internal/gateway/network_test.go
@@ -5,17 +5,19 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // network is an in-memory network, so that whole sessions run in virtual time.
 type network struct {
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
-	dials     map[string]int
+	refusing  map[string]time.Time // refused until then
+	cut       map[string]bool      // hosts that nobody reaches
 }
 
 func newNetwork() *network {
-	return &network{listeners: map[string]*pipeListener{}, dials: map[string]int{}}
+	return &network{listeners: map[string]*pipeListener{}, refusing: map[string]time.Time{}, cut: map[string]bool{}}
 }
 
 func (n *network) Listen(_, address string) (net.Listener, error) {
@@ -29,9 +31,9 @@
 func (n *network) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	n.mu.Lock()
 	listener := n.listeners[address]
-	n.dials[address]++
+	refused := time.Now().Before(n.refusing[address]) || n.cut[address]
 	n.mu.Unlock()
-	if listener == nil {
+	if listener == nil || refused {
 		return nil, syscall.ECONNREFUSED
 	}
 	near, far := net.Pipe()
@@ -45,6 +47,20 @@
 	}
 }
 
+// refuse makes the network refuse connections to the address for a while.
+func (n *network) refuse(address string, d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refusing[address] = time.Now().Add(d)
+}
+
+// lose makes an address unreachable for good.
+func (n *network) lose(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[address] = true
+}
+
 type pipeListener struct {
 	address  string
 	accepted chan net.Conn
