--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -26,6 +26,8 @@
 	// mayHaveRun says that some try may have run, so that no later refusal may
 	// say that the request did not run.
 	mayHaveRun bool
+	// last is what the last try would have ended with.
+	last *refusal
 	pause      time.Duration
 	avoid      bundle.ServerName
 }
@@ -80,10 +82,16 @@
 	return to, nil
 }
 
-// attempt makes one try under an id of its own.
+// attempt makes one try under an id of its own, or two that race.
 func (g *Gateway) attempt(ctx context.Context, c *call, to target, state *progress) *reply {
-	id := wire.RequestID(string(c.id) + "-" + strconv.Itoa(state.tries))
-	return g.send(ctx, c, to, id)
+	if c.mayHedge() {
+		return g.hedged(ctx, c, to, state)
+	}
+	return g.send(ctx, c, to, tryID(c, state))
+}
+
+func formatTry(number int) string {
+	return strconv.Itoa(number)
 }
 
 // afterFailure returns why the call ends, or nil after the pause that the next
@@ -94,6 +102,7 @@
 		state.mayHaveRun = true
 	}
 	ended := endOf(got.failure, decision)
+	state.last = ended
 	if !decision.Again || ctx.Err() != nil {
 		return ended
 	}
@@ -127,6 +136,9 @@
 
 // finalRefusal never says "not run" after a try that may have run.
 func (p *progress) finalRefusal(ctx context.Context, last *refusal) *refusal {
+	if last.reason == wire.ReasonDeadline && p.last != nil {
+		last = p.last // tells more than that time was over
+	}
 	if !p.mayHaveRun || last.outcome == wire.OutcomeUnknown {
 		return last
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -20,6 +21,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/ledgernode"
 	"github.com/shalefork/shalefork/internal/settings"
 )
 
@@ -60,6 +62,8 @@
 	peers    *http.Client
 	// lastHeard is when a controller was last heard, on the clock (Upper).
 	lastHeard atomic.Int64
+	callers   *openConns
+	ledger    *ledgernode.Node
 	stopping  chan struct{}
 	stopOnce  sync.Once
 }
@@ -89,11 +93,19 @@
 		metrics:  metrics,
 		listen:   dependencies.Listen,
 		tables:   newTables(config.Cell),
+		callers:  &openConns{open: map[net.Conn]struct{}{}},
 		stopping: make(chan struct{}),
 	}
 	gateway.backends = newBackends(dependencies.Dial, metrics)
 	gateway.services = newServices(config.Zone, dependencies.Clock, metrics)
 	gateway.peers = newPeerClient(config.Token, dependencies.Dial)
+	gateway.ledger = ledgernode.New(ledgerConfig(config), ledgernode.Dependencies{
+		Clock:     dependencies.Clock,
+		Logger:    dependencies.Logger,
+		Client:    gateway.peers,
+		Directory: directory{gateway.tables},
+		Metrics:   ledgernode.NewMetrics(dependencies.Registerer),
+	})
 	return gateway, nil
 }
 
@@ -134,14 +146,16 @@
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	callerServer := g.newServer(http.HandlerFunc(g.ServeHTTP))
+	callerServer.ConnState = g.callers.track
 	peerServer := g.newServer(g.peerHandler())
 	group, _ := errgroup.WithContext(background)
 	group.Go(func() error { return g.follow(background) })
 	group.Go(func() error { return g.probe(background) })
+	group.Go(func() error { return g.ledger.Run(background) })
 	group.Go(func() error { return ignoreClosed(callerServer.Serve(callers)) })
 	group.Go(func() error { return ignoreClosed(peerServer.Serve(peers)) })
 	<-ctx.Done()
-	g.drain(callerServer)
+	g.drain(callerServer, callers)
 	stopBackground()
 	_ = peerServer.Close()
 	g.backends.close()
@@ -149,24 +163,6 @@
 	return Error.Wrap(group.Wait())
 }
 
-// drain waits without a limit: a slow pull in flight is never cut.
-func (g *Gateway) drain(server *http.Server) {
-	g.logger.Info().Msg("draining")
-	g.stopOnce.Do(func() { close(g.stopping) })
-	server.SetKeepAlivesEnabled(false)
-	_ = server.Shutdown(context.Background())
-	g.logger.Info().Msg("drained")
-}
-
-func (g *Gateway) isStopping() bool {
-	select {
-	case <-g.stopping:
-		return true
-	default:
-		return false
-	}
-}
-
 func (g *Gateway) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
@@ -177,7 +173,7 @@
 }
 
 func ignoreClosed(err error) error {
-	if err == http.ErrServerClosed {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -12,17 +12,23 @@
 // ServeHTTP answers one caller's request.
 func (g *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	id := newRequestID()
-	if g.isStopping() {
-		writer.Header().Set("Connection", "close")
-	}
 	made, refused := g.newCall(id, request)
+	if refused != nil {
+		g.refuse(writer, id, refused)
+		return
+	}
+	key, refused := made.idempotencyKey()
 	if refused == nil {
-		refused = made.readBody(writer, replayBytes)
+		refused = made.readBody(writer, key != "")
 	}
 	if refused != nil {
 		g.refuse(writer, id, refused)
 		return
 	}
+	if key != "" {
+		g.answerOnce(writer, made, key)
+		return
+	}
 	g.answer(writer, made)
 }
 
@@ -60,6 +66,7 @@
 		header[name] = values
 	}
 	header.Set(wire.HeaderRequestID, string(c.id))
+	g.closeAfter(writer)
 	writer.WriteHeader(response.StatusCode)
 	err := copyBody(writer, response, idleWatch{limit: streamIdle(c.limit), cancel: cancel})
 	if err != nil {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -104,7 +104,7 @@
 	team := bundle.Bundle{Team: of.team}
 	for _, described := range of.service.Backends {
 		name := team.ServerName(of.service, described)
-		server, ok := held.servers[name]
+		server, ok := held.table.Server(name)
 		if !ok {
 			continue
 		}
@@ -167,3 +167,10 @@
 func (s *service) putBack(server bundle.ServerName) {
 	s.done(server, balance.ResultNeutral, 0, 0)
 }
+
+// draining notes that a back end says that it takes no new work.
+func (s *service) draining(server bundle.ServerName) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Draining(s.now(), server)
+}
