--- a/internal/bundle/check.go
+++ b/internal/bundle/check.go
@@ -83,8 +83,12 @@
 	}
 }
 
-// checkZone reports a zone that the bundle does not declare.
+// checkZone reports a zone that the bundle does not declare. A bundle without
+// zones has that one problem.
 func (c *checker) checkZone(path string, zone Zone) {
+	if len(c.bundle.Zones) == 0 {
+		return
+	}
 	for _, declared := range c.bundle.Zones {
 		if zone == declared {
 			return
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -1,7 +1,6 @@
 package strictyaml
 
 import (
-	"errors"
 	"fmt"
 	"reflect"
 	"strconv"
@@ -94,7 +93,7 @@
 		return
 	}
 	if err := yaml.NodeToValue(node, target.Addr().Interface()); err != nil {
-		d.report(path, "expected %s: %s", expectation(target.Type()), message(err))
+		d.report(path, "expected %s, found %q", expectation(target.Type()), node.GetToken().Value)
 	}
 }
 
@@ -117,15 +116,6 @@
 	}
 }
 
-// message returns the innermost text of a library's error, on one line.
-func message(err error) string {
-	var located yaml.Error
-	if errors.As(err, &located) {
-		return firstLine(located.GetMessage())
-	}
-	return firstLine(err.Error())
-}
-
 // expectation names a type in the words of the file.
 func expectation(kind reflect.Type) string {
 	if kind.Kind() == reflect.Pointer {
--- a/internal/strictyaml/validate.go
+++ b/internal/strictyaml/validate.go
@@ -57,7 +57,7 @@
 func describe(failure validator.FieldError) string {
 	switch failure.Tag() {
 	case "required":
-		return "a value"
+		return describeRequired(failure)
 	case "min":
 		return describeMinimum(failure)
 	case "gte":
@@ -81,9 +81,19 @@
 	}
 }
 
+func describeRequired(failure validator.FieldError) string {
+	switch failure.Kind() {
+	case reflect.Int, reflect.Uint32, reflect.Uint64:
+		return "a number above zero"
+	default:
+		return "a value"
+	}
+}
+
 func describeMinimum(failure validator.FieldError) string {
+	unit := "entries"
 	if failure.Kind() == reflect.String {
-		return "at least " + failure.Param() + " characters"
+		unit = "characters"
 	}
-	return "at least " + failure.Param() + " entries"
+	return fmt.Sprintf("at least %s %s", failure.Param(), unit)
 }
