Find the conflicts of a bundle with those of other teams

Cause: a route or address that two teams claim must be refused when it rolls. Change: bundle.Conflicts.

--- a/internal/bundle/bundle_test.go
+++ b/internal/bundle/bundle_test.go
@@ -135,3 +135,15 @@
 	assert.Equal(t, strictyaml.Format(problems), "")
 	return read
 }
+
+func TestConflictsAreOnlyWithOtherTeams(t *testing.T) {
+	mine := readTestBundle(t, smallBundle)
+	other := readTestBundle(t, strings.Replace(smallBundle, "team: tawila", "team: rival", 1))
+	other.Services[0].Backends = other.Services[0].Backends[1:]
+	newer := mine
+	newer.Version++
+	assert.Equal(t, len(bundle.Conflicts(mine, []bundle.Bundle{newer})), 0)
+	found := strictyaml.Format(bundle.Conflicts(mine, []bundle.Bundle{newer, other}))
+	assert.Equal(t, found, `services[0].route: expected one that no other team has; rival has it
+services[0].backends[1].address: expected one that no other team has; rival has it`)
+}
--- /dev/null
+++ b/internal/bundle/conflict.go
@@ -0,0 +1,49 @@
+package bundle
+
+import "fmt"
+
+// Conflicts returns a problem for each route and each address of b that a
+// bundle of another team has too. Bundles of b's own team, older or newer, are
+// no conflict. The controller refuses to roll a bundle with conflicts.
+func Conflicts(b Bundle, others []Bundle) []Problem {
+	taken := newOwners(b.Team, others)
+	var problems []Problem
+	for i, service := range b.Services {
+		path := field("services", i)
+		if owner, found := taken.routes[service.Route.normal()]; found {
+			problems = append(problems, conflict(path+".route", owner))
+		}
+		for j, backend := range service.Backends {
+			if owner, found := taken.addresses[backend.Address]; found {
+				problems = append(problems, conflict(field(path+".backends", j)+".address", owner))
+			}
+		}
+	}
+	return problems
+}
+
+// owners says which team has a route or an address.
+type owners struct {
+	routes    map[string]TeamName
+	addresses map[string]TeamName
+}
+
+func newOwners(except TeamName, bundles []Bundle) owners {
+	taken := owners{routes: map[string]TeamName{}, addresses: map[string]TeamName{}}
+	for _, other := range bundles {
+		if other.Team == except {
+			continue
+		}
+		for _, service := range other.Services {
+			taken.routes[service.Route.normal()] = other.Team
+			for _, backend := range service.Backends {
+				taken.addresses[backend.Address] = other.Team
+			}
+		}
+	}
+	return taken
+}
+
+func conflict(path string, owner TeamName) Problem {
+	return Problem{Field: path, Message: fmt.Sprintf("expected one that no other team has; %s has it", owner)}
+}
