--- /dev/null
+++ b/internal/lab/process/process_test.go
@@ -0,0 +1,56 @@
+package process
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const long = time.Minute
+
+func start(t *testing.T, group *Group, script string) *Process {
+	t.Helper()
+	child, err := group.Start(Spec{Name: "child", Path: "/bin/sh", Args: []string{"-c", script}})
+	assert.NilError(t, err)
+	return child
+}
+
+// gone reports that no process has the id: it was ended and waited for.
+func gone(pid int) bool {
+	return syscall.Kill(pid, 0) == syscall.ESRCH
+}
+
+func TestCloseLeavesNoChildBehind(t *testing.T) {
+	group := NewGroup()
+	stubborn := start(t, group, "trap '' TERM; exec sleep 60")
+	frozen := start(t, group, "exec sleep 60")
+	assert.NilError(t, frozen.Signal(syscall.SIGSTOP))
+	killed := start(t, group, "exec sleep 60")
+	assert.NilError(t, killed.Kill())
+	left := group.Close(time.Millisecond)
+	assert.Equal(t, len(left), 0)
+	for _, child := range []*Process{stubborn, frozen, killed} {
+		assert.Assert(t, child.Ended())
+		assert.Assert(t, gone(child.PID()))
+	}
+	_, err := group.Start(Spec{Path: "/bin/true"})
+	assert.ErrorContains(t, err, "closed")
+}
+
+func TestOutputAndExitAreKept(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "out")
+	group := NewGroup()
+	defer group.Close(long)
+	child, err := group.Start(Spec{Path: "/bin/sh", Args: []string{"-c", "echo hello; exit 3"}, OutputPath: path})
+	assert.NilError(t, err)
+	err = child.Wait(context.Background())
+	assert.ErrorContains(t, err, "exit status 3")
+	text, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	assert.Equal(t, string(text), "hello\n")
+}
