Play the callers of a bundle's services

Cause: the demonstration and the experiments need callers that behave as the users' do, on a schedule that slow answers don't hold back. Ruled out: a closed loop, which asks less when the system is slow and so hides the very time that the users measure.

--- /dev/null
+++ b/internal/lab/load/operation.go
@@ -0,0 +1,170 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/lab/history"
+	"github.com/shalefork/shalefork/internal/wire"
+)
+
+// operation is what one caller wants done, over as many requests as it takes.
+type operation struct {
+	number  uint64
+	target  *target
+	key     string
+	gateway int
+	// scheduled is when the caller wanted to begin; a late start counts as
+	// latency of the answer.
+	scheduled time.Time
+	pull      Pull
+}
+
+// attempt is one request of an operation.
+type attempt struct {
+	operation  operation
+	number     int
+	gateway    string
+	sent       time.Time
+	answered   time.Time
+	call       history.Call
+	retryAfter time.Duration
+}
+
+// run makes requests until one succeeds, none may, or patience is at its end.
+func (c *callers) run(ctx context.Context, operation operation) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	for number := 0; ; number++ {
+		attempt := c.try(ctx, operation, number)
+		c.report.attempted(attempt)
+		if attempt.succeeded() {
+			c.report.finished(operation, attempt, true)
+			return
+		}
+		if attempt.final() || !sleep(ctx, attempt.pause()) {
+			c.report.finished(operation, attempt, false)
+			return
+		}
+	}
+}
+
+// try makes one request at a gateway; each next try goes to another gateway.
+func (c *callers) try(ctx context.Context, operation operation, number int) attempt {
+	made := attempt{
+		operation: operation,
+		number:    number,
+		gateway:   c.config.Gateways[(operation.gateway+number)%len(c.config.Gateways)],
+		sent:      time.Now(),
+		call: history.Call{
+			Nonce:      history.Nonce(fmt.Sprintf("%d-%d-%d", c.config.Seed, operation.number, number)),
+			Service:    operation.target.name,
+			Key:        operation.key,
+			Repeatable: operation.target.service.Repeatable,
+			Sent:       history.Now(),
+		},
+	}
+	if !made.call.Repeatable {
+		made.call.IdempotencyKey = fmt.Sprintf("booking-%d-%d", c.config.Seed, operation.number)
+	}
+	// Patience ends an operation between requests, never a request in flight.
+	c.send(context.WithoutCancel(ctx), &made)
+	made.answered = time.Now()
+	call := made.call
+	c.config.Recorder.Record(history.Line{Call: &call})
+	return made
+}
+
+func (c *callers) send(ctx context.Context, made *attempt) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout(made.operation))
+	defer cancel()
+	response, err := c.client.Do(made.request(ctx))
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	made.take(response)
+}
+
+// timeout gives a slow pull the time that its pauses take.
+func (c *callers) timeout(operation operation) time.Duration {
+	if operation.pull.Bytes == 0 {
+		return requestTimeout
+	}
+	return requestTimeout + operation.pull.duration()
+}
+
+func (a *attempt) request(ctx context.Context) *http.Request {
+	request := a.operation.target.request(a.operation.key).WithContext(ctx)
+	request.URL.Host = a.gateway
+	request.Header.Set(history.HeaderNonce, string(a.call.Nonce))
+	if a.call.IdempotencyKey != "" {
+		request.Header.Set(wire.HeaderIdempotencyKey, a.call.IdempotencyKey)
+	}
+	a.operation.pull.apply(request)
+	return request
+}
+
+// take reads the answer to its end.
+func (a *attempt) take(response *http.Response) {
+	a.call.Status = response.StatusCode
+	a.call.Outcome = wire.Outcome(response.Header.Get(wire.HeaderOutcome))
+	a.call.Reason = wire.Reason(response.Header.Get(wire.HeaderReason))
+	a.retryAfter = retryAfter(response.Header)
+	if response.StatusCode != http.StatusOK {
+		a.call.Answered = history.Now()
+		return
+	}
+	body, err := history.ReadBody(a.operation.pull.slow(response.Body))
+	a.call.Body = body
+	a.call.Whole = err == nil
+	a.call.Answered = history.Now()
+}
+
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return defaultRetryAfter
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+func (a *attempt) succeeded() bool {
+	return a.call.Status == http.StatusOK && a.call.Whole
+}
+
+// final reports whether the answer says that asking again cannot help.
+func (a *attempt) final() bool {
+	switch a.call.Status {
+	case http.StatusBadRequest, http.StatusNotFound, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return true
+	default:
+		return false
+	}
+}
+
+// pause is how long the caller waits before it asks again.
+func (a *attempt) pause() time.Duration {
+	if a.call.Repeatable {
+		return lookupRetry
+	}
+	if a.call.Status == 0 {
+		return defaultRetryAfter
+	}
+	return a.retryAfter
+}
+
+// sleep reports whether the whole time passed before ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
