Drive a whole cell through faults in one command

Cause: what the system promises can only be seen with every part a process of its own, under load, with processes killed, frozen and stopped. Ruled out: parts in one process, which share their clocks' pauses; settings made by hand, which would drift from the examples.

Conclusion: not run yet.

--- a/cmd/shalefork-lab/main.go
+++ b/cmd/shalefork-lab/main.go
@@ -2,4 +2,17 @@
 // deployed.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/shalefork/shalefork/internal/cli"
+)
+
+func main() {
+	program := cli.NewProgram("shalefork-lab", "Stand-ins and tools for tests of shalefork.")
+	program.Add(kvCommand())
+	program.Add(workerCommand())
+	program.Add(loadCommand())
+	program.Add(demoCommand())
+	program.Main(os.Args[1:])
+}
--- a/internal/lab/load/config.go
+++ b/internal/lab/load/config.go
@@ -41,14 +41,6 @@
 	Recorder *history.Recorder
 }
 
-// Pull is a slow pull of a long body.
-type Pull struct {
-	// Bytes is the length of the body.
-	Bytes int64
-	// Pause between two reads of the caller, which slows the pull down.
-	Pause time.Duration
-}
-
 // DefaultConfig returns what flags start from.
 func DefaultConfig() Config {
 	return Config{
--- a/internal/lab/load/operation.go
+++ b/internal/lab/load/operation.go
@@ -79,7 +79,7 @@
 }
 
 func (c *callers) send(ctx context.Context, made *attempt) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout(made.operation))
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout+made.operation.pull.Stream)
 	defer cancel()
 	response, err := c.client.Do(made.request(ctx))
 	if err != nil {
@@ -89,14 +89,6 @@
 	made.take(response)
 }
 
-// timeout gives a slow pull the time that its pauses take.
-func (c *callers) timeout(operation operation) time.Duration {
-	if operation.pull.Bytes == 0 {
-		return requestTimeout
-	}
-	return requestTimeout + operation.pull.duration()
-}
-
 func (a *attempt) request(ctx context.Context) *http.Request {
 	request := a.operation.target.request(a.operation.key).WithContext(ctx)
 	request.URL.Host = a.gateway
@@ -118,7 +110,7 @@
 		a.call.Answered = history.Now()
 		return
 	}
-	body, err := history.ReadBody(a.operation.pull.slow(response.Body))
+	body, err := history.ReadBody(response.Body)
 	a.call.Body = body
 	a.call.Whole = err == nil
 	a.call.Answered = history.Now()
--- a/internal/lab/load/pull.go
+++ b/internal/lab/load/pull.go
@@ -1,50 +1,32 @@
 package load
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 )
 
-// HeaderBodyBytes asks a worker for a body of that many bytes.
-const HeaderBodyBytes = "Lab-Body-Bytes"
-
-// pullChunk is how much a slow caller reads between two pauses.
-const pullChunk = 64 << 10
+// Query parameters that a worker of package lab/worker understands.
+const (
+	queryBytes  = "bytes"
+	queryStream = "stream"
+)
 
-// duration is about how long the pauses of a pull take together.
-func (p Pull) duration() time.Duration {
-	return time.Duration(p.Bytes/pullChunk+1) * p.Pause
+// Pull is a pull of a long body that the server sends slowly.
+type Pull struct {
+	// Bytes is the length of the body; zero means that it is no pull.
+	Bytes int64
+	// Stream is the time over which the server sends the body.
+	Stream time.Duration
 }
 
+// apply asks the worker for the body of the pull.
 func (p Pull) apply(request *http.Request) {
-	if p.Bytes > 0 {
-		request.Header.Set(HeaderBodyBytes, strconv.FormatInt(p.Bytes, 10))
-	}
-}
-
-// slow returns a reader that pauses as the pull says.
-func (p Pull) slow(reader io.Reader) io.Reader {
-	if p.Pause == 0 {
-		return reader
-	}
-	return &slowReader{reader: reader, pause: p.Pause}
-}
-
-type slowReader struct {
-	reader io.Reader
-	pause  time.Duration
-	left   int
-}
-
-// Read pauses once for every chunk.
-func (s *slowReader) Read(data []byte) (int, error) {
-	if s.left <= 0 {
-		time.Sleep(s.pause)
-		s.left = pullChunk
+	if p.Bytes == 0 {
+		return
 	}
-	count, err := s.reader.Read(data[:min(len(data), s.left)])
-	s.left -= count
-	return count, err
+	query := request.URL.Query()
+	query.Set(queryBytes, strconv.FormatInt(p.Bytes, 10))
+	query.Set(queryStream, p.Stream.String())
+	request.URL.RawQuery = query.Encode()
 }
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -85,7 +85,7 @@
 }
 
 func (c *callers) beginPull(ctx context.Context, at time.Time) {
-	target := c.mix.forPulls()
+	target := c.mix.forPulls(c.config.Bundle)
 	if target == nil {
 		return
 	}
--- a/internal/lab/load/target.go
+++ b/internal/lab/load/target.go
@@ -123,17 +123,42 @@
 	panic("the weights of a mix add up to more than its sum")
 }
 
-// repeatable returns the first service without keys whose requests may be
-// pulled slowly, or else the first repeatable one.
-func (m *mix) forPulls() *target {
-	var found *target
+// forPulls returns the target that PullService names, or nil.
+func (m *mix) forPulls(pulled bundle.Bundle) *target {
+	service, _ := PullService(pulled)
 	for _, candidate := range m.targets {
-		if !candidate.service.Repeatable {
-			continue
+		if candidate.service.Name == service.Name {
+			return candidate
 		}
-		if found == nil || candidate.service.Limits.Deadline == 0 {
-			found = candidate
+	}
+	return nil
+}
+
+// PullService returns the service that slow bodies are pulled from: a repeatable
+// one without a deadline, or else the last repeatable one. The second result is
+// false if there is none.
+func PullService(pulled bundle.Bundle) (bundle.Service, bool) {
+	found := false
+	var best bundle.Service
+	for _, service := range pulled.Services {
+		if !service.Repeatable || (found && best.Limits.Deadline == 0) {
+			continue
 		}
+		best = service
+		found = true
 	}
-	return found
+	return best, found
+}
+
+// NewRequest returns one pull from a service at a gateway, with a key if the
+// service has keys.
+func NewRequest(service bundle.Service, gateway string, pull Pull) *http.Request {
+	key := ""
+	if service.Kind == bundle.KindKeyed {
+		key = Keys(service, 1)[0]
+	}
+	request := (&target{service: service}).request(key)
+	request.URL.Host = gateway
+	pull.apply(request)
+	return request
 }
