--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build check test
+.PHONY: build check test bench demo experiment scale
 
 build:
 	go build -o bin/ ./cmd/...
@@ -10,3 +10,17 @@
 
 test:
 	go test -race $(TESTFLAGS) ./...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+# A whole cell on this machine, under load and faults; fails on any violation.
+# DEMOFLAGS=--break=ignore-fences must fail.
+demo: build
+	bin/shalefork-lab demo $(DEMOFLAGS)
+
+experiment: build
+	bin/shalefork-lab experiment $(EXPERIMENTFLAGS)
+
+scale: build
+	bin/shalefork-lab scale $(SCALEFLAGS)
--- a/cmd/shalefork-lab/main.go
+++ b/cmd/shalefork-lab/main.go
@@ -14,5 +14,7 @@
 	program.Add(workerCommand())
 	program.Add(loadCommand())
 	program.Add(demoCommand())
+	program.Add(experimentCommand())
+	program.Add(scaleCommand())
 	program.Main(os.Args[1:])
 }
