--- a/internal/lab/history/check.go
+++ b/internal/lab/history/check.go
@@ -72,29 +72,11 @@
 
 // Latest keeps the last phase of each execution, ordered by time of arrival.
 func Latest(lines []Execution) []Execution {
-	type identity struct {
-		server  bundle.ServerName
-		process string
-		number  uint64
-	}
-	latest := map[identity]Execution{}
+	var latest Collector
 	for _, line := range lines {
-		id := identity{server: line.Server, process: line.Process, number: line.Number}
-		present, found := latest[id]
-		if !found || phaseOrder(line.Phase) >= phaseOrder(present.Phase) {
-			latest[id] = line
-		}
-	}
-	executions := make([]Execution, 0, len(latest))
-	for _, execution := range latest {
-		executions = append(executions, execution)
+		latest.addExecution(line)
 	}
-	slices.SortFunc(executions, byArrival)
-	return executions
-}
-
-func phaseOrder(phase Phase) int {
-	return slices.Index([]Phase{PhaseStarted, PhaseIntent, PhaseEnded}, phase)
+	return latest.History().Executions
 }
 
 func byArrival(a, b Execution) int {
--- a/internal/lab/history/record.go
+++ b/internal/lab/history/record.go
@@ -6,6 +6,7 @@
 package history
 
 import (
+	"slices"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -44,6 +45,11 @@
 	PhaseEnded Phase = "ended"
 )
 
+// order counts the phases from 1; zero is none of them.
+func (p Phase) order() int {
+	return 1 + slices.Index([]Phase{PhaseStarted, PhaseIntent, PhaseEnded}, p)
+}
+
 // Execution is one run of one request at one server, as of Phase. Later lines
 // of the same server, process and number replace earlier ones.
 type Execution struct {
@@ -76,6 +82,17 @@
 	Kept bool `json:"kept,omitempty"`
 }
 
+// identity names an execution among all processes.
+type identity struct {
+	server  bundle.ServerName
+	process string
+	number  uint64
+}
+
+func (e Execution) identity() identity {
+	return identity{server: e.Server, process: e.Process, number: e.Number}
+}
+
 // mayHaveKept reports that the effect was kept or that nobody can tell.
 func (e Execution) mayHaveKept() bool {
 	return e.Kept || e.Phase == PhaseIntent
--- a/internal/lab/history/recorder.go
+++ b/internal/lab/history/recorder.go
@@ -15,9 +15,11 @@
 	retryPause = 50 * time.Millisecond
 	// postTimeout bounds one try.
 	postTimeout = 5 * time.Second
+	// maxLocal bounds what a process keeps of its own lines.
+	maxLocal = 50_000
 )
 
-// Recorder keeps a process's lines in memory and sends them to a collector as
+// Recorder keeps a process's newest lines in memory and sends them to a collector as
 // they come. Lines that come while a POST is under way go together in the next.
 // It is safe for concurrent use.
 type Recorder struct {
@@ -37,6 +39,7 @@
 	return &Recorder{
 		url:    url,
 		client: &http.Client{Transport: &http.Transport{}, Timeout: postTimeout},
+		local:  Collector{limit: maxLocal},
 		wake:   make(chan struct{}, 1),
 	}
 }
@@ -60,7 +63,7 @@
 	return stored
 }
 
-// History returns the lines of this process.
+// History returns the newest lines of this process.
 func (r *Recorder) History() History {
 	return r.local.History()
 }
--- a/internal/lab/worker/work.go
+++ b/internal/lab/worker/work.go
@@ -143,7 +143,7 @@
 		if ctx.Err() == nil {
 			return ownership.ReasonOverloaded
 		}
-		return ownership.ReasonCancelled
+		return reasonOf(j.check())
 	}
 	defer w.slots.release()
 	select {
