Test the worker's spoiled answers, lagging endpoints and cold start

Cause: only crossed and short answers had a test. Change: tests only. Conclusion: each corruption is shown to do what it says.

--- a/internal/lab/worker/worker_test.go
+++ b/internal/lab/worker/worker_test.go
@@ -1,15 +1,18 @@
 package worker
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -194,13 +197,83 @@
 	b := newBench(t, func(*Config) {})
 	_, _, err := b.call("first", "", 7)
 	assert.NilError(t, err)
-	assert.Equal(t, b.control(`{"corruption":"crossed","corrupt_share":1}`), 200)
-	response, _, err := b.call("second", "", 7)
+	spoil := func(corruption Corruption) {
+		assert.Equal(t, b.control(`{"corruption":"`+string(corruption)+`","corrupt_share":1,"corrupt_delay":"100ms"}`), 200)
+	}
+	spoil(CorruptCrossed)
+	response, _, err := b.call("crossed", "", 7)
 	assert.NilError(t, err)
 	assert.Equal(t, response.Header.Get(wire.HeaderRequestID), "id-first")
-	assert.Equal(t, b.control(`{"corruption":"short"}`), 200)
-	_, _, err = b.call("third", "", 7)
+	spoil(CorruptShort)
+	_, _, err = b.call("short", "", 7)
 	assert.ErrorContains(t, err, "unexpected EOF")
+	spoil(CorruptLate)
+	_, call, err := b.call("late", "", 7)
+	assert.NilError(t, err)
+	assert.Assert(t, call.Answered-call.Sent >= 100*time.Millisecond)
+	spoil(CorruptEndless)
+	b.client.Timeout = 300 * time.Millisecond
+	_, _, err = b.call("endless", "", 7)
+	assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+	b.client.Timeout = 0
+	assert.Equal(t, len(b.collector.History().Executions), 5, "a spoiled answer comes after a recorded run")
+}
+
+// A doubled answer leaves bytes on the connection that belong to no request.
+func TestDoubledAnswer(t *testing.T) {
+	body := plan{head: history.Head{RequestID: "r1", Padding: 3}, line: []byte("{}\n")}
+	once := wholeAnswer(body, keepAlive)
+	connection := bufio.NewReader(bytes.NewReader(append(once, once...)))
+	for range 2 {
+		response, err := http.ReadResponse(connection, nil)
+		assert.NilError(t, err)
+		read, err := history.ReadBody(response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, read.Received, int64(3))
+	}
+}
+
+func TestEndpointsLagAndLie(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		config := DefaultConfig()
+		config.Token, config.Cell, config.Name = "sixteen characters", "casa", "t/s/one"
+		w := newWorker(config)
+		get := func(path string) string {
+			recorder := httptest.NewRecorder()
+			w.handler().ServeHTTP(recorder, httptest.NewRequestWithContext(t.Context(), http.MethodGet, path, nil))
+			return strings.TrimSpace(recorder.Body.String())
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		go w.load.run(ctx, w.slots)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, w.slots.acquire(ctx))
+		w.controls.noteDraining(time.Now())
+		time.Sleep(time.Second)
+		assert.Equal(t, get(PathLoad), `{"in_flight":1,"queued":0,"slots":2}`)
+		assert.Equal(t, get(PathHealth), `{"health":"draining"}`)
+		_, err := w.controls.apply(strings.NewReader(`{"load_lag":"2s","health_lag":"2s"}`))
+		assert.NilError(t, err)
+		assert.Equal(t, get(PathLoad), `{"in_flight":0,"queued":0,"slots":2}`)
+		assert.Equal(t, get(PathHealth), `{"health":"ok"}`)
+		_, err = w.controls.apply(strings.NewReader(`{"load_claim":9,"health":"failing"}`))
+		assert.NilError(t, err)
+		assert.Equal(t, get(PathLoad), `{"in_flight":9,"queued":0,"slots":2}`)
+		assert.Equal(t, get(PathHealth), `{"health":"failing"}`)
+		stop()
+	})
+}
+
+func TestColdWorkerIsSlowUntilWarm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPace(Config{Distribution: DistributionFixed, ColdStart: 10 * time.Second, ColdFactor: 5})
+		assert.Equal(t, p.next(time.Second), 5*time.Second)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, p.next(time.Second), 3*time.Second)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, p.next(time.Second), time.Second)
+		p.restart()
+		assert.Equal(t, p.next(time.Second), 5*time.Second)
+	})
 }
 
 func TestControlRefusesWhatItDoesNotKnow(t *testing.T) {
