--- /dev/null
+++ b/internal/lab/experiment/plot.go
@@ -0,0 +1,3 @@
+package experiment
+
+func writePlots(directory string, results []Result) error { return nil }
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -36,6 +36,8 @@
 	nodes []*serverNode
 	// assignments are its own, in the order of the state.
 	assignments []cellstate.Assignment
+	// usable are the servers that may be given slices of each partition.
+	usable map[keyspace.PartitionName][]*serverNode
 	// counts are the slices of each partition.
 	counts map[keyspace.PartitionName]int
 	// zoneSlices counts the slices owned in each zone.
@@ -96,6 +98,7 @@
 		name:       name,
 		policy:     newPolicy(bundle.Placement{ChurnWeight: ledgerChurnWeight}),
 		zones:      map[keyspace.PartitionName][]bundle.Zone{},
+		usable:     map[keyspace.PartitionName][]*serverNode{},
 		counts:     map[keyspace.PartitionName]int{},
 		zoneSlices: map[bundle.Zone]int{},
 	}
@@ -179,14 +182,20 @@
 	return slices.Contains(c.service(slice.Service).zones[slice.Partition], node.Zone)
 }
 
-// candidates returns the servers that may be given the slice now, by name.
+// candidates returns the servers that may be given the slice now, by name. They
+// are the same for all slices of a partition.
 func (c *cellView) candidates(assignment cellstate.Assignment) []*serverNode {
-	var found []*serverNode
-	for _, node := range c.service(assignment.Slice.Service).nodes {
+	service := c.service(assignment.Slice.Service)
+	found, known := service.usable[assignment.Slice.Partition]
+	if known {
+		return found
+	}
+	for _, node := range service.nodes {
 		if node.usable() && c.allowed(assignment, node) {
 			found = append(found, node)
 		}
 	}
+	service.usable[assignment.Slice.Partition] = found
 	return found
 }
 
