Bound the admin API, and let the machine list prove less

Cause: a lagging list lacks a new machine before it lists it, so a missing machine is no proof unless it was listed when the member was named; standbys read the record twice a second; the admin API had no limit.

--- a/internal/controller/admin.go
+++ b/internal/controller/admin.go
@@ -14,6 +14,12 @@
 // service is down.
 const platformRetryAfter = 5
 
+// Limits of the admin API's requests a second, which need no token.
+const (
+	adminRate  = 50
+	adminBurst = 100
+)
+
 // adminStep carries out one write whose sender is known.
 type adminStep func(request *http.Request, write signedWrite) (adminapi.BundleStatus, *adminapi.Failure)
 
@@ -21,12 +27,24 @@
 // the truth of a team's versions is the head record in the platform's service,
 // which is moved by compare-and-swap only.
 func (c *Controller) handleAdmin(mux *http.ServeMux) {
-	mux.HandleFunc("POST "+adminapi.PathPropose, c.adminWrite(c.propose))
-	mux.HandleFunc("POST "+adminapi.PathApprove, c.adminWrite(c.approve))
-	mux.HandleFunc("POST "+adminapi.PathRoll, c.adminWrite(c.roll))
-	mux.HandleFunc("GET "+adminapi.PathBundle, c.serveBundle)
-	mux.HandleFunc("GET "+adminapi.PathHistory, c.serveHistory)
-	mux.HandleFunc("GET "+adminapi.PathStatus, c.serveStatus)
+	mux.HandleFunc("POST "+adminapi.PathPropose, c.limited(c.adminWrite(c.propose)))
+	mux.HandleFunc("POST "+adminapi.PathApprove, c.limited(c.adminWrite(c.approve)))
+	mux.HandleFunc("POST "+adminapi.PathRoll, c.limited(c.adminWrite(c.roll)))
+	mux.HandleFunc("GET "+adminapi.PathBundle, c.limited(c.serveBundle))
+	mux.HandleFunc("GET "+adminapi.PathHistory, c.limited(c.serveHistory))
+	mux.HandleFunc("GET "+adminapi.PathStatus, c.limited(c.serveStatus))
+}
+
+// limited answers 429 to requests beyond the limit.
+func (c *Controller) limited(next http.HandlerFunc) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		if !c.adminLimit.Allow() {
+			writer.Header().Set("Retry-After", "1")
+			http.Error(writer, "too many requests", http.StatusTooManyRequests)
+			return
+		}
+		next(writer, request)
+	}
 }
 
 func (c *Controller) adminWrite(step adminStep) http.HandlerFunc {
--- a/internal/controller/bootstrap.go
+++ b/internal/controller/bootstrap.go
@@ -34,10 +34,15 @@
 	if !b.ready(members) || members[0].ID != c.self() {
 		return
 	}
+	machines, err := c.listMachines(ctx)
+	if err != nil {
+		return
+	}
 	record := generation.Record{
 		Cell:       c.settings.Cell,
 		Generation: firstGeneration,
 		Members:    consensus.Membership{Members: members},
+		Unlisted:   machines.unlisted(members),
 	}
 	entry, err := c.swap(ctx, platform.GroupKey(c.settings.Cell), 0, record)
 	if err != nil {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/peerauth"
@@ -62,6 +63,10 @@
 	stopping chan struct{}
 	identity atomic.Pointer[identity]
 	view     atomic.Pointer[view]
+	// following says that this standby hears a member's table stream.
+	following atomic.Bool
+	// adminLimit bounds the requests of the admin API, which need no token.
+	adminLimit *rate.Limiter
 
 	// tasks are the short-lived goroutines that the loop has started.
 	tasks sync.WaitGroup
@@ -89,6 +94,7 @@
 		pollNow:   make(chan struct{}, 1),
 		stopping:  make(chan struct{}),
 	}
+	c.adminLimit = rate.NewLimiter(adminRate, adminBurst)
 	c.gatherer, _ = dependencies.Registerer.(prometheus.Gatherer)
 	if c.random == nil {
 		c.random = rand.Uint64
--- a/internal/controller/group.go
+++ b/internal/controller/group.go
@@ -42,12 +42,17 @@
 	}
 }
 
-// pollPause is long only for a member whose group has a leader.
+// pollPause is long for a member whose group has a leader, and for a standby
+// that hears a member. A standby that is named a learner hears of it by the
+// leader's first message.
 func (c *Controller) pollPause() time.Duration {
 	current := c.view.Load()
 	if current.member && current.status.Leader != "" {
 		return settledPoll
 	}
+	if !current.member && c.following.Load() {
+		return settledPoll
+	}
 	return unsettledPoll
 }
 
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -6,21 +6,28 @@
 
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/cellstate"
+	"github.com/shalefork/shalefork/internal/consensus"
 	"github.com/shalefork/shalefork/internal/platform"
+	"github.com/shalefork/shalefork/internal/wire"
 )
 
-// machineList is the list as the leader read it last, by address.
+// machineList is the machine list as it was read last, by address.
 type machineList map[string]platform.MachineState
 
 // listMachines reads the list, bounded in time.
-func (c *Controller) listMachines(ctx context.Context) ([]platform.Machine, error) {
+func (c *Controller) listMachines(ctx context.Context) (machineList, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	machines, err := c.machines.Machines(ctx)
 	if err != nil {
 		c.metrics.PlatformFailures.Inc()
+		return nil, err
 	}
-	return machines, err
+	list := machineList{}
+	for _, machine := range machines {
+		list[machine.Address] = machine.State
+	}
+	return list, nil
 }
 
 // pollMachines reads the machine list while the term lasts.
@@ -28,7 +35,7 @@
 	for {
 		listed, err := r.listMachines(ctx)
 		if err == nil {
-			r.postToTerm(ctx, term, func(r *replica) { r.leadership.machines = newMachineList(listed) })
+			r.postToTerm(ctx, term, func(r *replica) { r.leadership.machines = listed })
 		}
 		if !sleep(ctx, machinePoll) {
 			return
@@ -36,14 +43,6 @@
 	}
 }
 
-func newMachineList(listed []platform.Machine) machineList {
-	list := machineList{}
-	for _, machine := range listed {
-		list[machine.Address] = machine.State
-	}
-	return list
-}
-
 // machineProposals drains the servers of machines that are leaving, and ends
 // that when the list calls the machine live again.
 //
@@ -76,6 +75,17 @@
 	return l[host]
 }
 
+// unlisted returns the members whose machine is not on the list.
+func (l machineList) unlisted(members []consensus.Member) []wire.Incarnation {
+	var ids []wire.Incarnation
+	for _, member := range members {
+		if l.stateOf(member.Address) == "" {
+			ids = append(ids, member.ID)
+		}
+	}
+	return ids
+}
+
 func drainCommand(server bundle.ServerName, draining bool) cellstate.Command {
 	return cellstate.Command{DrainServer: &cellstate.DrainServer{
 		Server:   server,
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -25,6 +25,9 @@
 	notBefore time.Duration
 }
 
+// standbysRetry is the pause between two reads of who is present.
+const standbysRetry = 2 * time.Second
+
 // changeRetry is the pause after a step that failed, as while the platform's
 // service is down.
 const changeRetry = 500 * time.Millisecond
@@ -47,9 +50,26 @@
 	}
 	r.logger.Info().Str("change", string(reason)).Int("members", len(next.Members)).Msg("changing the control group")
 	record.Next = &next
+	record.Unlisted = r.stillUnlisted(record, next)
 	r.writeRecord(record)
 }
 
+// stillUnlisted returns the members of both memberships whose machine was not
+// listed when they were named. One that was unlisted stays so.
+func (r *replica) stillUnlisted(record generation.Record, next consensus.Membership) []wire.Incarnation {
+	var ids []wire.Incarnation
+	for _, member := range oldMembers(record) {
+		if slices.Contains(record.Unlisted, member.ID) {
+			ids = append(ids, member.ID)
+		}
+	}
+	added := slices.DeleteFunc(slices.Clone(next.Members), func(member consensus.Member) bool {
+		_, known := findMember(record.Members, member.ID)
+		return known
+	})
+	return append(ids, r.leadership.machines.unlisted(added)...)
+}
+
 // recordIsOurs reports whether the record as last read is of this generation.
 func (r *replica) recordIsOurs() bool {
 	return r.group.known && r.group.record.Generation == r.generation
@@ -127,7 +147,6 @@
 	}
 	silent, lost := firstSilent(voters, live)
 	if lost && len(voters) > r.settings.Replicas {
-		r.metrics.MembersReplaced.Inc()
 		return without(r.committed, silent.ID), changeRemove, true
 	}
 	if len(learners) > 0 || (!lost && len(voters) >= r.settings.Replicas) {
@@ -206,7 +225,7 @@
 func (r *replica) readStandbys(now clock.Instant) {
 	l := r.leadership
 	l.change.busy = true
-	l.change.notBefore = now.Lower + changeRetry
+	l.change.notBefore = now.Lower + standbysRetry
 	r.background(func(ctx context.Context) {
 		present, err := r.presences(ctx)
 		r.postToTerm(ctx, l, func(r *replica) {
@@ -220,6 +239,9 @@
 
 // membershipCommitted takes in a membership that the log has committed.
 func (r *replica) membershipCommitted(membership consensus.Membership) {
+	if len(votersOf(membership)) < len(votersOf(r.committed)) {
+		r.metrics.MembersReplaced.Inc()
+	}
 	r.committed = membership
 	addresses := map[string]bool{}
 	for _, member := range membership.Members {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -22,6 +22,7 @@
 	r.appliedTerm = 0
 	r.state = cellstate.New(r.settings.Cell, r.generation)
 	r.leaderSeen = now.Lower
+	r.checkpoint.index = 0
 	if initial.Index > 0 {
 		r.restore(initial)
 	}
--- a/internal/controller/reform.go
+++ b/internal/controller/reform.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,14 +49,19 @@
 	*Controller
 	record   generation.Record
 	revision platform.Revision
-	machines map[string]bool
+	machines machineList
 	evidence generation.Evidence
 	answers  []sealResponse
 	// lives is set when a member knows of a live leader.
 	lives bool
 }
 
+// tryReform makes one attempt. It costs the platform's service nothing while
+// one member that is asked knows of a leader.
 func (c *Controller) tryReform(ctx context.Context) {
+	if c.leaderLives(ctx) {
+		return
+	}
 	attempt, ok := c.beginReform(ctx)
 	if !ok {
 		return
@@ -72,6 +77,19 @@
 	attempt.form(ctx)
 }
 
+// leaderLives asks one member of the record as last read, drawn at random.
+func (c *Controller) leaderLives(ctx context.Context) bool {
+	record := c.view.Load().record.record
+	members := votersOf(record.Members)
+	if len(members) == 0 {
+		return false
+	}
+	member := members[c.random()%uint64(len(members))]
+	asked := sealRequest{Cell: c.settings.Cell, Generation: record.Generation, Probe: true}
+	answer, err := c.askSeal(ctx, member, asked)
+	return err == nil && answer.Outcome == sealLeaderLives
+}
+
 // beginReform reads the record and the machine list afresh. Without both there
 // is no attempt.
 func (c *Controller) beginReform(ctx context.Context) (*reform, bool) {
@@ -84,14 +102,10 @@
 		return nil, false
 	}
 	c.groupRead(ctx, entry)
-	listed, err := c.listMachines(ctx)
+	machines, err := c.listMachines(ctx)
 	if err != nil {
 		return nil, false
 	}
-	machines := map[string]bool{}
-	for _, machine := range listed {
-		machines[machine.Address] = true
-	}
 	return &reform{Controller: c, record: record, revision: entry.Revision, machines: machines}, true
 }
 
@@ -127,11 +141,12 @@
 	}
 }
 
-// machineProof is proof only against a member that did not answer: the list
-// lags, and a live answer outvotes it.
+// machineProof is proof only against a member that did not answer, since the
+// list lags and a live answer outvotes it, and whose machine was on the list
+// before. An empty list proves nothing.
 func (a *reform) machineProof(member consensus.Member) generation.Proof {
-	host, _, err := net.SplitHostPort(member.Address)
-	if err != nil || len(a.machines) == 0 || a.machines[host] {
+	listed := a.machines.stateOf(member.Address) != ""
+	if listed || len(a.machines) == 0 || slices.Contains(a.record.Unlisted, member.ID) {
 		return generation.ProofNone
 	}
 	return generation.ProofMachineGone
@@ -279,6 +294,7 @@
 		Generation: state.Generation,
 		Members:    consensus.Membership{Members: members},
 		Start:      key,
+		Unlisted:   a.machines.unlisted(members),
 	}
 	entry, err := a.swap(ctx, platform.GroupKey(a.settings.Cell), a.revision, record)
 	if err == nil {
--- a/internal/controller/rollout.go
+++ b/internal/controller/rollout.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/adminapi"
@@ -107,7 +109,8 @@
 func (r *replica) rollBundles() {
 	l := r.leadership
 	now := r.clock.Now().Lower
-	for _, one := range l.rollouts {
+	for _, team := range slices.Sorted(maps.Keys(l.rollouts)) {
+		one := l.rollouts[team]
 		if !one.busy && one.proposed == 0 && now >= one.notBefore {
 			r.rollOne(one)
 		}
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -16,7 +16,7 @@
 
 // Paths for whoever watches the process.
 const (
-	PathHealth  = "/shalefork/v1/health"
+	PathHealth  = "/healthz"
 	PathMetrics = "/metrics"
 )
 
@@ -25,22 +25,25 @@
 	maxRequestBytes   = 4 << 20
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 15 * time.Second
+	writeTimeout      = 15 * time.Second // a table stream sets its own
+	idleTimeout       = time.Minute
 	maxHeaderBytes    = 16 << 10
 )
 
 // Handler returns all that the controller serves. Paths between the system's
 // processes need the cell's token. Writes of the admin API need an operator's
-// signature; its reads change nothing, show no secret and need neither.
+// signature; its reads, health and metrics change nothing, show no secret and
+// need neither.
 func (c *Controller) Handler() http.Handler {
 	peers := http.NewServeMux()
 	peers.HandleFunc("POST "+PathMessages, c.serveMessages)
 	peers.HandleFunc("POST "+PathSeal, c.serveSeal)
 	peers.HandleFunc("POST "+PathRegister, c.serveRegister)
 	peers.HandleFunc("GET "+wire.PathTable, c.serveTable)
+	mux := http.NewServeMux()
 	if c.gatherer != nil {
-		peers.Handle("GET "+PathMetrics, promhttp.HandlerFor(c.gatherer, promhttp.HandlerOpts{}))
+		mux.Handle("GET "+PathMetrics, promhttp.HandlerFor(c.gatherer, promhttp.HandlerOpts{}))
 	}
-	mux := http.NewServeMux()
 	mux.Handle("/", peerauth.Require(c.settings.Token, c.metrics.PeersRefused, peers))
 	mux.HandleFunc("GET "+PathHealth, c.serveHealth)
 	c.handleAdmin(mux)
@@ -65,6 +68,8 @@
 		Handler:           c.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	stopped := make(chan error, 1)
--- a/internal/controller/table_follow.go
+++ b/internal/controller/table_follow.go
@@ -48,6 +48,8 @@
 	if response.StatusCode != http.StatusOK {
 		return
 	}
+	c.following.Store(true)
+	defer c.following.Store(false)
 	lines := wire.NewLineReader(response.Body)
 	follower := &tableFollower{}
 	for !c.view.Load().member {
--- a/internal/controller/table_stream.go
+++ b/internal/controller/table_stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/bundle"
@@ -9,8 +10,13 @@
 	"github.com/shalefork/shalefork/internal/wire"
 )
 
-// queryCell names the cell of a table request.
-const queryCell = "cell"
+// Query parameters of a table request: the cell, and the version of the table
+// that the reader holds already, if any.
+const (
+	queryCell       = "cell"
+	queryGeneration = "generation"
+	queryVersion    = "version"
+)
 
 // tableWriteTimeout ends a stream whose reader takes nothing.
 const tableWriteTimeout = 10 * time.Second
@@ -21,6 +27,8 @@
 	lines      *wire.LineWriter
 	flush      *http.ResponseController
 	sent       cellstate.TableView
+	// held is the version that the reader had at first.
+	held wire.TableVersion
 }
 
 // serveTable streams the table: a snapshot, then deltas as they come, and a
@@ -37,6 +45,7 @@
 		controller: c,
 		lines:      wire.NewLineWriter(writer),
 		flush:      http.NewResponseController(writer),
+		held:       heldVersion(request),
 	}
 	writer.Header().Set("Content-Type", "application/jsonl")
 	stream.run(request)
@@ -64,9 +73,23 @@
 	}
 }
 
-// update sends what leads from the table sent last to view.
+// heldVersion reads the version that the reader holds; zero if it has none.
+func heldVersion(request *http.Request) wire.TableVersion {
+	query := request.URL.Query()
+	generation, _ := strconv.ParseUint(query.Get(queryGeneration), 10, 32)
+	index, _ := strconv.ParseUint(query.Get(queryVersion), 10, 64)
+	return wire.TableVersion{Generation: wire.Generation(generation), Index: index}
+}
+
+// update sends what leads from the table sent last to view. A reader that
+// holds the same version gets no snapshot, one that holds a later version
+// nothing until this controller has a still later one.
 func (s *tableStream) update(view cellstate.TableView) error {
-	if !view.State.Version().Newer(s.sent.State.Version()) {
+	version := view.State.Version()
+	if version == s.held {
+		s.sent = view
+	}
+	if !version.Newer(s.sent.State.Version()) || !version.Newer(s.held) {
 		return nil
 	}
 	first := s.sent.State.Cell == ""
--- a/internal/generation/generation.go
+++ b/internal/generation/generation.go
@@ -26,6 +26,10 @@
 	// Start is the key of the state that the generation starts from, so that
 	// all its members start from the same. Empty: the empty state.
 	Start string `json:"start,omitempty"`
+	// Unlisted are the members whose machine was not on the machine list when
+	// they were named. The list lags, so that a machine is missing from it
+	// proves nothing unless it was there before.
+	Unlisted []wire.Incarnation `json:"unlisted,omitempty"`
 }
 
 // Proof says why one old member can never vote or commit again.
