Test the ledger in sessions with lost and restarted gateways

Cause: the rule that a request runs at most once rests on who vouches for copies. Change: sessions; the host is no part of a request's digest, since a repeat may reach another gateway by its address; gateways that answer a takeover late vouch too.

--- a/internal/gateway/cell_test.go
+++ b/internal/gateway/cell_test.go
@@ -117,7 +117,11 @@
 
 // ask sends one request through the gateway "g1".
 func (c *cell) ask(method, url, content string, headers ...string) answer {
-	request, err := http.NewRequest(method, "http://g1:80"+url, bytes.NewReader([]byte(content)))
+	return c.askAt("g1", method, url, content, headers...)
+}
+
+func (c *cell) askAt(gateway, method, url, content string, headers ...string) answer {
+	request, err := http.NewRequest(method, "http://"+gateway+":80"+url, bytes.NewReader([]byte(content)))
 	assert.NilError(c.t, err)
 	for i := 0; i+1 < len(headers); i += 2 {
 		request.Header.Set(headers[i], headers[i+1])
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -27,9 +27,9 @@
 	// say that the request did not run.
 	mayHaveRun bool
 	// last is what the last try would have ended with.
-	last *refusal
-	pause      time.Duration
-	avoid      bundle.ServerName
+	last  *refusal
+	pause time.Duration
+	avoid bundle.ServerName
 }
 
 // exchange sends the call until a server answers, or refuses it. Each try goes
--- a/internal/gateway/idempotency.go
+++ b/internal/gateway/idempotency.go
@@ -153,12 +153,12 @@
 	_, _ = writer.Write(kept.Body)
 }
 
-// digest is a hash of all that makes the request what it is. Each part goes in
+// digest is a hash of all that makes the request what it is, save the host: a
+// repeat may come to another gateway by its address. Each part goes in
 // with its length, so that no two requests run together.
 func (c *call) digest() ledger.Digest {
 	sum := sha256.New()
 	addPart(sum, c.request.Method)
-	addPart(sum, c.request.Host)
 	addPart(sum, c.request.URL.RequestURI())
 	for _, name := range digestHeaders {
 		values := c.request.Header.Values(name)
--- a/internal/gateway/network_test.go
+++ b/internal/gateway/network_test.go
@@ -13,11 +13,12 @@
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
 	refusing  map[string]time.Time // refused until then
-	cut       map[string]bool      // hosts that nobody reaches
+	cut       map[string]bool      // addresses that nobody reaches
+	open      map[string][]net.Conn
 }
 
 func newNetwork() *network {
-	return &network{listeners: map[string]*pipeListener{}, refusing: map[string]time.Time{}, cut: map[string]bool{}}
+	return &network{listeners: map[string]*pipeListener{}, refusing: map[string]time.Time{}, cut: map[string]bool{}, open: map[string][]net.Conn{}}
 }
 
 func (n *network) Listen(_, address string) (net.Listener, error) {
@@ -39,6 +40,9 @@
 	near, far := net.Pipe()
 	select {
 	case listener.accepted <- far:
+		n.mu.Lock()
+		n.open[address] = append(n.open[address], far)
+		n.mu.Unlock()
 		return near, nil
 	case <-listener.closed:
 		return nil, syscall.ECONNREFUSED
@@ -54,11 +58,21 @@
 	n.refusing[address] = time.Now().Add(d)
 }
 
-// lose makes an address unreachable for good.
+// lose makes an address unreachable and breaks its connections.
 func (n *network) lose(address string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cut[address] = true
+	for _, conn := range n.open[address] {
+		_ = conn.Close()
+	}
+}
+
+// heal makes an address reachable again.
+func (n *network) heal(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cut, address)
 }
 
 type pipeListener struct {
--- a/internal/ledgernode/tenure.go
+++ b/internal/ledgernode/tenure.go
@@ -110,6 +110,9 @@
 		expired := n.now()-began > n.config.Retention
 		if took.Complete(names(gateways)) || expired {
 			n.completed(ctx, t)
+			t.once.Do(func() { close(t.collected) })
+			n.askPeers(ctx) // those that were slow to answer vouch too
+			n.secure(ctx, t)
 			return
 		}
 		n.metrics.Takeovers.WithLabelValues("incomplete").Inc()
