--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -134,8 +133,16 @@
 		return err
 	}
 	defer response.Body.Close()
-	decoder := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes))
-	if err := decoder.Decode(answer); err != nil {
+	return decode(response, answer)
+}
+
+// decode reads the body to its end, so that the connection can be used again.
+func decode(response *http.Response, answer any) error {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return unavailable(err)
+	}
+	if err := json.Unmarshal(body, answer); err != nil {
 		return unavailable(err)
 	}
 	return nil
@@ -167,9 +174,8 @@
 // than the service.
 func readFailure(response *http.Response) error {
 	var failure Failure
-	decoder := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes))
-	if err := decoder.Decode(&failure); err != nil {
-		return unavailable(errors.New(response.Status))
+	if err := decode(response, &failure); err != nil {
+		return fmt.Errorf("%w (status %s)", err, response.Status)
 	}
 	return failure.Err()
 }
--- a/internal/platform/memory/faults.go
+++ b/internal/platform/memory/faults.go
@@ -127,8 +127,7 @@
 	defer s.mu.Unlock()
 	s.counts.Calls++
 	if s.faults.isDown(time.Now()) {
-		s.counts.Refused++
-		return 0, fmt.Errorf("%w: outage", platform.ErrUnavailable)
+		return 0, s.refuse()
 	}
 	if s.faults.limiter != nil && !s.faults.limiter.Allow() {
 		s.counts.RateLimited++
@@ -136,3 +135,10 @@
 	}
 	return s.faults.delay, nil
 }
+
+// refuse counts and returns the failure of a call during an outage; the caller
+// holds the lock.
+func (s *Store) refuse() error {
+	s.counts.Refused++
+	return fmt.Errorf("%w: outage", platform.ErrUnavailable)
+}
--- a/internal/platform/memory/store.go
+++ b/internal/platform/memory/store.go
@@ -220,7 +220,11 @@
 func (s *Store) apply(kind callKind, operation func() error) (lost bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lapseLeases(time.Now())
+	now := time.Now()
+	s.lapseLeases(now)
+	if s.faults.isDown(now) { // the outage began during the delay
+		return false, s.refuse()
+	}
 	if err := operation(); err != nil {
 		return false, err
 	}
--- a/internal/platform/memory/watch.go
+++ b/internal/platform/memory/watch.go
@@ -1,6 +1,7 @@
 package memory
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -47,17 +48,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.isDown(time.Now()) {
-		return news{}, fmt.Errorf("%w: outage", platform.ErrUnavailable)
+		return news{}, s.refuse()
 	}
 	if from < s.compacted {
 		return news{}, fmt.Errorf("%w: %s", platform.ErrCompacted, formatRevision(from))
 	}
 	found := news{upTo: max(from, s.revision), changed: s.changed}
-	for _, event := range s.history {
-		if event.Entry.Revision > from && strings.HasPrefix(event.Entry.Key, prefix) {
+	for _, event := range s.history[s.firstAfter(from):] {
+		if strings.HasPrefix(event.Entry.Key, prefix) {
 			event.Entry.Value = slices.Clone(event.Entry.Value)
 			found.events = append(found.events, event)
 		}
 	}
 	return found, nil
 }
+
+// firstAfter returns the index in the history of the first change after from.
+func (s *Store) firstAfter(from platform.Revision) int {
+	index, _ := slices.BinarySearchFunc(s.history, from+1, func(event platform.Event, revision platform.Revision) int {
+		return cmp.Compare(event.Entry.Revision, revision)
+	})
+	return index
+}
