--- a/internal/bundle/check_service.go
+++ b/internal/bundle/check_service.go
@@ -13,6 +13,7 @@
 
 // Limits of what a bundle may ask of the system.
 const (
+	minDeadline       = time.Millisecond // requests carry whole milliseconds
 	maxDeadline       = 24 * time.Hour
 	maxBodyBytes      = 1 << 30
 	maxQueue          = 100_000
@@ -43,8 +44,9 @@
 
 func (c *checker) checkLimits(path string, service Service) {
 	limits := service.Limits
-	if limits.Deadline.Std() > maxDeadline {
-		c.report(path+".deadline", "expected at most %s; leave it out for no deadline", maxDeadline)
+	deadline := limits.Deadline.Std()
+	if deadline != 0 && (deadline < minDeadline || deadline > maxDeadline) {
+		c.report(path+".deadline", "expected %s to %s; leave it out for no deadline", minDeadline, maxDeadline)
 	}
 	if limits.MaxBodyBytes > maxBodyBytes {
 		c.report(path+".max_body_bytes", "expected at most %d", maxBodyBytes)
