Measure unavailable time by answers held as well as by failures

Cause: a gateway holds requests while a key has no owner, so callers saw almost no failure for a key that was dark for most of a second; and requests to a gateway that had been stopped counted as broken answers of its keys. Ruled out: counting failures only, which rewards queues; a probe per key. Change: a key is unavailable from a failed or slow request, or its last answer, to the next answer; requests that find no gateway are counted apart and go to the next gateway at once. Seen: go test -race of package load passed three times.

--- a/internal/lab/demo/summary.go
+++ b/internal/lab/demo/summary.go
@@ -81,14 +81,15 @@
 	for _, refusal := range report.Refusals {
 		row("refused: "+string(refusal.Outcome)+", "+string(refusal.Reason), "%d", refusal.Count)
 	}
+	row("no gateway at the address", "%d", report.Unreached)
 	row("broken off or unanswered", "%d", report.Broken)
 	row("slow pulls, whole", "%d of %d", report.WholePulls, report.Pulls)
 	for _, imbalance := range s.Imbalance {
 		row("imbalance of "+string(imbalance.Service)+", max/mean", "%.2f", imbalance.MaxOverMean)
 	}
 	row("churn, moves of slices", "%d of %d slices", s.Moves, s.Slices)
-	row("unavailable time", "%.2f key-seconds over %d keys", report.UnavailableKeySeconds, report.UnavailableKeys)
-	row("longest time to serve a lost key again", "%s", milliseconds(report.LongestUnavailable))
+	row("unavailable time", "%.2f key-seconds over %d keys", report.Unavailable.KeySeconds, report.Unavailable.Keys)
+	row("longest time to serve a lost key again", "%s", milliseconds(report.Unavailable.Longest))
 	row("request latency p50", "%s", milliseconds(report.Latency.P50))
 	row("request latency p99", "%s", milliseconds(report.Latency.P99))
 	row("operation latency p99, repeats included", "%s", milliseconds(report.OperationLatency.P99))
@@ -114,4 +115,3 @@
 func milliseconds(d time.Duration) string {
 	return fmt.Sprintf("%.1f ms", float64(d)/float64(time.Millisecond))
 }
-
