--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/shalefork/shalefork/internal/adminapi"
 	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/consensus"
 	"github.com/shalefork/shalefork/internal/peerauth"
 	"github.com/zeebo/errs"
 )
@@ -69,11 +70,31 @@
 	return versions, err
 }
 
-// Status returns the view of the controller that answers.
+// Status returns the view of the group's leader, which alone knows the leases,
+// or of the first controller that answers if no leader does.
 func (c *Client) Status(ctx context.Context) (adminapi.Status, error) {
 	var status adminapi.Status
-	err := c.read(ctx, adminapi.PathStatus, &status)
-	return status, err
+	if err := c.read(ctx, adminapi.PathStatus, &status); err != nil {
+		return status, err
+	}
+	address, known := leaderOf(status.Group)
+	if !known || status.Group.Self == status.Group.Leader {
+		return status, nil
+	}
+	var led adminapi.Status
+	if err := c.call(ctx, http.MethodGet, "http://"+address+adminapi.PathStatus, nil, &led); err != nil {
+		return status, nil
+	}
+	return led, nil
+}
+
+func leaderOf(group consensus.Status) (string, bool) {
+	for _, member := range group.Membership.Members {
+		if member.ID == group.Leader {
+			return member.Address, true
+		}
+	}
+	return "", false
 }
 
 func teamQuery(team bundle.TeamName) string {
--- a/internal/settings/read_test.go
+++ b/internal/settings/read_test.go
@@ -38,6 +38,14 @@
 	assert.Equal(t, read.LedgerEntries, DefaultLedgerEntries)
 }
 
+func TestTokenOfAWrongTypeIsNotRepeated(t *testing.T) {
+	for _, token := range []string{"7777777777777777", "[7777777777777777]", "7777"} {
+		_, err := ReadGateway("gateway.yaml", []byte("token: "+token), nil)
+		assert.ErrorContains(t, err, "gateway.yaml:1:8: token: expected")
+		assert.Assert(t, !strings.Contains(err.Error(), "7777"), err.Error())
+	}
+}
+
 func TestBrokenYAMLIsAProblemWithAPlace(t *testing.T) {
 	_, err := ReadGateway("gateway.yaml", []byte("cell: [a\nzone: b"), nil)
 	assert.ErrorContains(t, err, "gateway.yaml:2:1: expected YAML")
