--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -20,6 +20,7 @@
 	applied []Entry // index i holds entry i+1; restored entries are empty
 	paused  bool
 	lost    bool
+	stalled bool // Lower stands still
 	seen    string
 }
 
@@ -67,7 +68,10 @@
 		c.deliver()
 		for _, id := range c.ids {
 			r := c.replicas[id]
-			r.clock = r.clock.Add(tickPeriod)
+			r.clock.Upper += tickPeriod
+			if !r.stalled {
+				r.clock.Lower += tickPeriod
+			}
 			if !r.paused && !r.lost {
 				r.node.Tick(r.clock)
 				c.collect(id)
