--- a/internal/consensus/explore/explore.go
+++ b/internal/consensus/explore/explore.go
@@ -19,6 +19,9 @@
 	Steps int
 	// MaxTerm stops elections from going on for ever.
 	MaxTerm consensus.Term
+	// Ticking is how many nodes, A first, may notice that time passes. The
+	// others only answer.
+	Ticking int
 	// Proposals and Seals may happen so many times.
 	Proposals int
 	Seals     int
--- a/internal/consensus/inspect.go
+++ b/internal/consensus/inspect.go
@@ -26,6 +26,12 @@
 	return &copied
 }
 
+// Role returns the node's role; a learner counts as a follower here.
+func (n *Node) Role() Role { return n.role }
+
+// Term returns the node's term.
+func (n *Node) Term() Term { return n.term }
+
 // AppendState appends the bytes of all that decides what the node does after
 // now. Times are relative to now and those too old to matter count as equal, so
 // that states which differ only in the time of day are the same.
