--- a/internal/placement/cell_test.go
+++ b/internal/placement/cell_test.go
@@ -30,6 +30,8 @@
 	planner *Planner
 	// releasing are the fences that were being released a step ago.
 	releasing map[wire.Fence]bool
+	// quick releases end before the next plan.
+	quick bool
 }
 
 func newTestCell(b bundle.Bundle) *testCell {
@@ -103,9 +105,10 @@
 		if assignment.Owner == "" {
 			continue
 		}
-		if c.dead[assignment.Owner] || before[assignment.Fence] {
+		releasing := assignment.State == wire.SliceReleasing
+		if c.dead[assignment.Owner] || before[assignment.Fence] || releasing && c.quick {
 			c.apply(cellstate.Command{Unassign: &cellstate.Unassign{Slice: assignment.Slice, Fence: assignment.Fence}})
-		} else if assignment.State == wire.SliceReleasing {
+		} else if releasing {
 			c.releasing[assignment.Fence] = true
 		}
 	}
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -83,6 +83,7 @@
 			memory = p.inherit(gone, assignment.Slice)
 		}
 		memory.follow(view.Now, assignment)
+		memory.noteReleased(p.releases, assignment)
 		memory.observe(view.Now, reports, assignment)
 		next[assignment.Slice] = memory
 	}
@@ -159,6 +160,14 @@
 	}
 }
 
+// noteReleased knows a release also by its proposal: between two plans it may
+// begin and end.
+func (m *sliceMemory) noteReleased(releases releaseLog, assignment cellstate.Assignment) {
+	if _, proposed := releases.byFence[assignment.Fence]; proposed && assignment.Owner == "" {
+		m.released = true
+	}
+}
+
 // observe takes what the owner reports of the slice.
 func (m *sliceMemory) observe(now time.Duration, reports sliceReports, assignment cellstate.Assignment) {
 	loads, reported := reports.byServer[assignment.Owner]
--- a/internal/placement/trace_test.go
+++ b/internal/placement/trace_test.go
@@ -24,6 +24,7 @@
 //	run DURATION STEP      plans and applies at each step
 //	die|return|drain|undrain SERVER...
 //	leader                 starts a new planner
+//	quick                  lets releases begin and end between two plans
 func TestTraces(t *testing.T) {
 	scripts, err := filepath.Glob("testdata/*.trace")
 	assert.NilError(t, err)
@@ -68,6 +69,8 @@
 		r.cell.traffic = parseTraffic(r.t, arguments)
 	case "run":
 		r.run(parseDuration(r.t, arguments[0]), parseDuration(r.t, arguments[1]))
+	case "quick":
+		r.cell.quick = true
 	case "leader":
 		r.cell.planner = NewPlanner()
 	default:
