Test the old leader's last grants, standbys and forged heads

Cause: nothing showed that the wait before a new generation is needed. Change: a session in which the old leader still reaches the servers that it moved slices to; a session of a standby that serves table, registration and status; one of a head written past the admin API. ReformAfter has a floor of three elections: with 10 ms generations ended one another without end.

--- a/internal/controller/network_test.go
+++ b/internal/controller/network_test.go
@@ -15,13 +15,16 @@
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
 	cut       map[string]bool
-	open      map[string][]net.Conn
+	// apart holds the pairs of addresses that refuse each other at once.
+	apart map[[2]string]bool
+	open  map[string][]net.Conn
 }
 
 func newPipeNetwork() *pipeNetwork {
 	return &pipeNetwork{
 		listeners: map[string]*pipeListener{},
 		cut:       map[string]bool{},
+		apart:     map[[2]string]bool{},
 		open:      map[string][]net.Conn{},
 	}
 }
@@ -84,6 +87,9 @@
 	n.mu.Lock()
 	listener := n.listeners[to]
 	blocked := n.cut[from] || n.cut[to]
+	if n.apart[[2]string{from, to}] {
+		listener = nil
+	}
 	n.mu.Unlock()
 	if blocked {
 		<-ctx.Done() // a partition answers nothing
@@ -118,6 +124,20 @@
 	delete(n.open, address)
 }
 
+// separate cuts an address off from some others only.
+func (n *pipeNetwork) separate(address string, others []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, other := range others {
+		n.apart[[2]string{address, other}] = true
+		n.apart[[2]string{other, address}] = true
+	}
+	for _, conn := range n.open[address] {
+		conn.Close()
+	}
+	delete(n.open, address)
+}
+
 // closeAll breaks every connection.
 func (n *pipeNetwork) closeAll() {
 	n.mu.Lock()
--- a/internal/controller/scenarios_test.go
+++ b/internal/controller/scenarios_test.go
@@ -8,7 +8,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/shalefork/shalefork/internal/adminapi"
+	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/cellstate"
 	"github.com/shalefork/shalefork/internal/generation"
+	"github.com/shalefork/shalefork/internal/lifecycle"
 	"github.com/shalefork/shalefork/internal/platform"
 )
 
@@ -178,3 +181,93 @@
 		s.await(2*time.Second, "the head says in force", func() bool { return s.headState(2) == adminapi.StateInForce })
 	})
 }
+
+// The most dangerous moment of a new generation: the old leader, cut off from
+// its peers, still reaches the servers, and has moved slices since the last
+// checkpoint. The new generation starts from that checkpoint, and must grant
+// nothing before the old leader's last grants have ended.
+func TestOldLeaderStillReachesServers(t *testing.T) {
+	runSession(t, func(s *session) {
+		s.bootCell(3)
+		leader := s.leader()
+		s.note("the leader saves no more checkpoints, and moves the slices of a server")
+		leader.link.sever()
+		s.network.isolate("10.0.1.1:8000", true)
+		s.await(time.Second, "the others serve every slice", func() bool {
+			return len(s.servers["10.0.1.1:8000"].serving()) == 0 && s.served(1, 1) == testSlices
+		})
+		s.network.isolate("10.0.1.1:8000", false)
+		time.Sleep(time.Second)
+		s.note("the followers start again without memory")
+		s.note("they reach the server that lost its slices, the old leader reaches the servers that got them")
+		var others []string
+		for number := range 3 {
+			address := controllerAddress(number + 1)
+			if address != leader.address {
+				others = append(others, address)
+				s.kill(s.controllers[address])
+			}
+		}
+		for _, apart := range []string{leader.address, "10.0.1.2:8000", "10.0.1.3:8000", "10.0.1.4:8000"} {
+			s.network.separate(apart, others)
+		}
+		for number := range 3 {
+			if controllerAddress(number+1) != leader.address {
+				running := s.start(number + 1)
+				s.await(time.Second, "it knows the record", func() bool { return running.view.Load().record.known })
+				s.watched.Go(func() { running.tryReform(context.Background()) })
+			}
+		}
+		s.await(5*time.Second, "generation 2 leads", s.leads(2))
+		s.await(3*time.Second, "every slice is served with its fences", s.allServed(1, 2))
+	})
+}
+
+// Any controller serves the table, passes on a registration to the leader, and
+// answers for the state of the cell.
+func TestStandbyServes(t *testing.T) {
+	runSession(t, func(s *session) {
+		s.bootCell(4)
+		standby := s.standby()
+		table := s.followTableOf(standby)
+		s.await(5*time.Second, "a standby's table has every slice and its owner", func() bool { return table.owned() == testSlices })
+		s.note("a gateway registers at the standby")
+		gateway := cellstate.Server{
+			Name: "system/ledger/gateway-1", Service: cellstate.LedgerService,
+			Address: "10.0.2.1:9000", Zone: "zone-1", Incarnation: "run-of-gateway-1",
+		}
+		s.await(3*time.Second, "it is registered", func() bool { return s.register(standby, gateway).Registered })
+		s.await(3*time.Second, "the standby's table names it", func() bool { return table.has(gateway.Name) })
+		status := s.status(standby)
+		s.note("  the standby's status: generation %d, %d servers, role %s", status.Generation, len(status.Servers), status.Group.Role)
+		s.note("the gateway never answers, and is forgotten")
+		s.await(90*time.Second, "the standby's table names it no more", func() bool { return !table.has(gateway.Name) })
+	})
+}
+
+// A rolled bundle without an approval that this cell can verify is refused by
+// the leader, whatever the platform's service says.
+func TestForgedHeadIsRefused(t *testing.T) {
+	runSession(t, func(s *session) {
+		s.bootCell(3)
+		offered := testBundle(2)
+		digest, err := bundle.Digest(offered)
+		assert.NilError(t, err)
+		s.note("a head is written past the admin API")
+		ctx := context.Background()
+		head, revision, err := s.leader().readHead(ctx, testTeam)
+		assert.NilError(t, err)
+		assert.NilError(t, s.leader().writeContent(ctx, offered, digest))
+		head.Entries = append(head.Entries, lifecycle.Entry{
+			Version: 2, State: adminapi.StateRolling, Digest: digest,
+			ProposedBy: "amina", ApprovedBy: "karim", RolledBy: "amina", Signature: []byte("forged"),
+		})
+		_, err = s.leader().swap(ctx, platform.HeadKey(testTeam), revision, head)
+		assert.NilError(t, err)
+		s.await(5*time.Second, "the head says refused", func() bool { return s.headState(2) == adminapi.StateRefused })
+		head, _, err = s.leader().readHead(ctx, testTeam)
+		assert.NilError(t, err)
+		s.note("  %s", head.Entries[1].Reason)
+		s.note("  slices served under version 1: %d", s.served(1, 1))
+	})
+}
--- a/internal/controller/session_test.go
+++ b/internal/controller/session_test.go
@@ -53,6 +53,7 @@
 	transcript  strings.Builder
 	stop        context.CancelFunc
 	watched     sync.WaitGroup
+	cleanups    []func()
 }
 
 // process is one run of a controller.
@@ -149,6 +150,9 @@
 
 func (s *session) end() {
 	s.stop()
+	for _, cleanup := range s.cleanups {
+		cleanup()
+	}
 	s.watched.Wait()
 	for _, running := range s.controllers {
 		running.cancel()
--- a/internal/controller/times.go
+++ b/internal/controller/times.go
@@ -50,7 +50,7 @@
 }
 
 func newTimes(from settings.Times) times {
-	return times{
+	t := times{
 		grant:        orDefault(from.Grant, 600*time.Millisecond),
 		renew:        orDefault(from.Renew, 200*time.Millisecond),
 		poolGrant:    orDefault(from.PoolGrant, 3*time.Second),
@@ -63,8 +63,14 @@
 		replaceAfter: orDefault(from.ReplaceAfter, 2*time.Second),
 		reformAfter:  orDefault(from.ReformAfter, 2*time.Second),
 	}
+	t.reformAfter = max(t.reformAfter, electionsBeforeReform*t.electionMax)
+	return t
 }
 
+// electionsBeforeReform is how many elections a group may try before it can be
+// replaced. With less, each generation would end in its first election.
+const electionsBeforeReform = 3
+
 func orDefault(value bundle.Duration, fallback time.Duration) time.Duration {
 	if value == 0 {
 		return fallback
