Keep the version in force when the checkpoint is older

Cause: after the loss of all members the state may come from a checkpoint that is older than the team's head; only rolling versions were adopted from heads, so an older version could have come back. Change: the leader adopts the highest version that is rolling or in force. Seen: a session with a checkpoint put back to version 1 serves version 2 in generation 2.

--- a/internal/controller/rollout.go
+++ b/internal/controller/rollout.go
@@ -15,12 +15,16 @@
 	"github.com/shalefork/shalefork/internal/lifecycle"
 )
 
-// rollout is a version that the platform's service holds as rolling.
+// rollout is the highest version of a team that the platform's service holds as
+// rolling or in force.
 type rollout struct {
 	team    bundle.TeamName
 	version bundle.Version
 	digest  string
 	content bundle.Bundle
+	// inForce says that the head calls it in force. The cell's state may know
+	// only a lower version, if it came from an old checkpoint.
+	inForce bool
 	// problem says why the cell cannot serve it; empty if it can.
 	problem string
 	// proposed is the log index of its adoption, zero before.
@@ -31,7 +35,7 @@
 	notBefore time.Duration
 }
 
-// rollouts are the rolling versions by team, one a team: the highest.
+// rollouts are the versions that the leader still has work with, by team.
 type rollouts map[bundle.TeamName]*rollout
 
 func newRollouts() rollouts {
@@ -51,19 +55,35 @@
 	}
 }
 
-// readRollout reads the content of a rolling version and checks again what the
+// activeVersion returns the highest version that is rolling or in force.
+func activeVersion(head lifecycle.Head) (lifecycle.Entry, bool) {
+	rolling, isRolling := head.Rolling()
+	inForce, isInForce := head.InForce()
+	if isRolling && rolling.Version > inForce.Version {
+		return rolling, true
+	}
+	return inForce, isInForce
+}
+
+// readRollout reads the content of the active version and checks again what the
 // controller that took the operators' writes has checked: neither that
 // controller nor the platform's service is trusted with what is in force.
 func (c *Controller) readRollout(ctx context.Context, head lifecycle.Head) (*rollout, error) {
-	entry, rolling := head.Rolling()
-	if !rolling {
+	entry, active := activeVersion(head)
+	if !active {
 		return nil, nil
 	}
 	content, err := c.readContent(ctx, head.Team, entry)
 	if err != nil && !errors.Is(err, errContentMissing) {
 		return nil, err
 	}
-	found := &rollout{team: head.Team, version: entry.Version, digest: entry.Digest, content: content}
+	found := &rollout{
+		team:    head.Team,
+		version: entry.Version,
+		digest:  entry.Digest,
+		content: content,
+		inForce: entry.State == adminapi.StateInForce,
+	}
 	switch {
 	case err != nil:
 		found.problem = err.Error()
@@ -92,7 +112,7 @@
 	}
 }
 
-// rolloutRead takes in what a head holds; nil means that nothing is rolling.
+// rolloutRead takes in what a head holds; nil means that nothing is active.
 func (r *replica) rolloutRead(team bundle.TeamName, found *rollout) {
 	all := r.leadership.rollouts
 	if found == nil {
@@ -102,10 +122,14 @@
 	if known := all[team]; known != nil && known.version >= found.version {
 		return
 	}
+	if found.inForce && r.state.Teams[team].Bundle.Version >= found.version {
+		delete(all, team)
+		return
+	}
 	all[team] = found
 }
 
-// rollBundles drives every rolling version to be in force or refused.
+// rollBundles drives every active version to be in force or refused.
 func (r *replica) rollBundles() {
 	l := r.leadership
 	now := r.clock.Now().Lower
@@ -130,10 +154,13 @@
 		})
 	case adopted >= one.version:
 		// Adopted, and not yet carried by every grant; or a later one is.
-	case one.problem != "":
+	case one.problem != "" && !one.inForce:
 		r.settleRollout(one, func(head lifecycle.Head) (lifecycle.Head, lifecycle.Outcome) {
 			return lifecycle.Refuse(head, one.version, one.problem)
 		})
+	case one.problem != "":
+		r.logger.Error().Str("team", string(one.team)).Str("problem", one.problem).Msg("the version in force cannot be adopted")
+		one.notBefore = r.clock.Now().Lower + rereadHeads
 	default:
 		one.proposed = r.proposeOnce(cellstate.Command{AdoptBundle: &cellstate.AdoptBundle{Bundle: one.content, Digest: one.digest}})
 	}
--- a/internal/controller/scenarios_test.go
+++ b/internal/controller/scenarios_test.go
@@ -223,6 +223,48 @@
 	})
 }
 
+// A checkpoint that is behind the team's head never brings an older version
+// back into force.
+func TestCheckpointBehindHead(t *testing.T) {
+	runSession(t, func(s *session) {
+		s.bootCell(3)
+		ctx := context.Background()
+		old, _, err := s.leader().readCheckpoint(ctx)
+		assert.NilError(t, err)
+		s.note("roll version 2")
+		s.rollOut(s.leader(), testBundle(2))
+		s.await(3*time.Second, "the head says in force", func() bool { return s.headState(2) == adminapi.StateInForce })
+		s.note("all voters are lost, and the checkpoint is one of version 1")
+		lost := s.killVoters(3)
+		started := s.start(lost[0])
+		_, revision, err := started.readCheckpoint(ctx)
+		assert.NilError(t, err)
+		_, err = started.swap(ctx, platform.CheckpointKey(testCell), revision, old)
+		assert.NilError(t, err)
+		s.start(lost[1])
+		s.await(15*time.Second, "generation 2 leads", s.leads(2))
+		s.await(5*time.Second, "every slice is served under version 2", s.allServed(2, 2))
+	})
+}
+
+// A bundle that the cell's present state does not allow is refused by the
+// leader with the reason.
+func TestBundleThatChangesKind(t *testing.T) {
+	runSession(t, func(s *session) {
+		s.bootCell(3)
+		offered := testBundle(2)
+		service := &offered.Services[0]
+		service.Kind, service.Key, service.Partitions, service.Placement = bundle.KindPool, nil, nil, bundle.Placement{}
+		s.note("roll version 2, in which a keyed service is a pool")
+		s.rollOut(s.leader(), offered)
+		s.await(5*time.Second, "the head says refused", func() bool { return s.headState(2) == adminapi.StateRefused })
+		head, _, err := s.leader().readHead(context.Background(), testTeam)
+		assert.NilError(t, err)
+		s.note("  %s", head.Entries[1].Reason)
+		s.note("  slices served under version 1: %d", s.served(1, 1))
+	})
+}
+
 // Any controller serves the table, passes on a registration to the leader, and
 // answers for the state of the cell.
 func TestStandbyServes(t *testing.T) {
