Send rates of slices every two seconds, not with every renewal

Ruled out: fewer slices in a report, which hides hot keys. Change: answers between two whole reports are marked partial, and the book keeps the last rates of the same run; a new leader gets a whole report at once.

--- a/internal/grant/renew.go
+++ b/internal/grant/renew.go
@@ -149,6 +149,7 @@
 	l.incarnation = incarnation
 	l.reading = 0
 	l.confirmed = 0
+	l.load = wire.LoadReport{}
 	l.refreshSet()
 }
 
@@ -156,10 +157,18 @@
 	l.reading = answer.Reading
 	l.readingAt = now
 	l.answeredAt = now
-	l.load = answer.Load
+	l.takeLoad(answer.Load)
 	l.drainAsked = answer.Draining
 }
 
+// takeLoad keeps the last rates when a report leaves them out.
+func (l *lease) takeLoad(report wire.LoadReport) {
+	if report.Partial {
+		report.Slices = l.load.Slices
+	}
+	l.load = report
+}
+
 // takeConfirmation notes which of this term's sets the server holds. After any
 // refusal the whole set is sent again.
 func (l *lease) takeConfirmation(answer wire.RenewResponse, generation wire.Generation, term uint64) {
--- a/internal/wire/renewal.go
+++ b/internal/wire/renewal.go
@@ -94,6 +94,9 @@
 type LoadReport struct {
 	InFlight int `json:"in_flight"`
 	Queued   int `json:"queued"`
+	// Partial says that Slices was left out and the last ones still hold: a
+	// steady answer stays small.
+	Partial bool `json:"partial,omitempty"`
 	// Slices lists requests per second of the busiest slices, at most 16.
 	Slices []SliceLoad `json:"slices,omitempty"`
 }
--- a/ownership/load.go
+++ b/ownership/load.go
@@ -18,6 +18,9 @@
 	hotCounters = 8
 	// maxReportedSlices bounds a report.
 	maxReportedSlices = 16
+	// reportEvery is the time between whole reports to one leader. Rates are
+	// averaged over longer, and a whole report is up to 3 KB.
+	reportEvery = 2 * time.Second
 	// forgetRate is the rate, in requests per second, of a slice that is
 	// dropped from the table.
 	forgetRate = 0.01
@@ -27,6 +30,15 @@
 // is bounded by the slices that a server holds.
 type loadTable struct {
 	slices map[keyspace.Slice]*sliceLoad
+	// reportedTo got the last whole report, at reportedAt.
+	reportedTo reader
+	reportedAt time.Duration
+}
+
+// reader is a leader that reads reports.
+type reader struct {
+	generation wire.Generation
+	term       uint64
 }
 
 func newLoadTable() *loadTable {
@@ -46,6 +58,17 @@
 	}
 }
 
+// reportTo returns a whole report if the leader is new or its last one is old,
+// and otherwise one without rates.
+func (t *loadTable) reportTo(now time.Duration, leader reader) wire.LoadReport {
+	if leader == t.reportedTo && now < t.reportedAt+reportEvery {
+		return wire.LoadReport{Partial: true}
+	}
+	t.reportedTo = leader
+	t.reportedAt = now
+	return t.report(now)
+}
+
 // report returns the busiest slices, and forgets those that are idle.
 func (t *loadTable) report(now time.Duration) wire.LoadReport {
 	var loads []wire.SliceLoad
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -247,3 +247,13 @@
 	owner.Wrap(http.NotFoundHandler()).ServeHTTP(recorder, httptest.NewRequestWithContext(t.Context(), http.MethodPost, wire.PathRenew, nil))
 	assert.Equal(t, recorder.Code, http.StatusForbidden)
 }
+
+func TestLoadReportIsWholeOnlyOnceInAWhile(t *testing.T) {
+	table := newLoadTable()
+	table.record(0, testSlice, "k")
+	leader := reader{generation: 1, term: 1}
+	assert.Equal(t, len(table.reportTo(0, leader).Slices), 1)
+	assert.DeepEqual(t, table.reportTo(time.Second, leader), wire.LoadReport{Partial: true})
+	assert.Equal(t, len(table.reportTo(time.Second, reader{generation: 1, term: 2}).Slices), 1, "a new leader knows nothing")
+	assert.Equal(t, len(table.reportTo(3*time.Second, reader{generation: 1, term: 2}).Slices), 1)
+}
--- a/ownership/renewal.go
+++ b/ownership/renewal.go
@@ -37,7 +37,7 @@
 	defer o.mu.Unlock()
 	now := o.now()
 	response := o.holder.Renew(now, request)
-	response.Load = o.load.report(now.Upper)
+	response.Load = o.load.reportTo(now.Upper, reader{generation: request.Generation, term: request.Term})
 	response.Load.Queued = queued
 	response.Load.InFlight = max(0, o.holder.InFlight()-queued)
 	o.cancelVoid()
