--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -56,7 +56,8 @@
 		Cell: "cell", Generation: 1, Self: id, Membership: membership,
 		Heartbeat: 100 * time.Millisecond, ElectionMin: 300 * time.Millisecond,
 		ElectionMax: 450 * time.Millisecond, Lease: 250 * time.Millisecond,
-		Random: func() float64 { return share },
+		KeepEntries: 1,
+		Random:      func() float64 { return share },
 	}
 	c.replicas[id] = &replica{node: NewNode(config, clock.Instant{})}
 }
--- a/internal/consensus/commit.go
+++ b/internal/consensus/commit.go
@@ -96,5 +96,5 @@
 // it may drop the log before it. Term and membership are filled in from the
 // log. A snapshot ahead of the commit index or behind the last one is ignored.
 func (n *Node) Compact(snapshot Snapshot) {
-	n.log.compact(snapshot)
+	n.log.compact(snapshot, n.config.KeepEntries)
 }
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -132,6 +132,9 @@
 	// Lease is the leadership lease, counted from Round. It is shorter than
 	// ElectionMin by more than the clocks' rates can differ.
 	Lease time.Duration
+	// KeepEntries is how many entries Compact keeps before a snapshot, so that a
+	// member that lags a little is sent entries and no snapshot.
+	KeepEntries Index
 	// Random gives numbers in [0,1) for election times.
 	Random func() float64
 }
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -39,9 +39,12 @@
 }
 
 func (n *Node) becomePreCandidate() {
+	if n.role != RolePreCandidate {
+		n.askedFirstAt = n.now.Lower
+	}
 	n.role = RolePreCandidate
 	n.leader = ""
-	n.electionAt = n.now.Lower + n.config.Heartbeat/preVotesPerHeartbeat
+	n.electionAt = n.now.Lower + n.preVoteInterval()
 	n.votes = map[wire.Incarnation]bool{n.config.Self: true}
 	if n.hasVoteQuorum() {
 		n.becomeCandidate()
@@ -50,6 +53,15 @@
 	n.askForVotes(MessagePreVote, n.term+1)
 }
 
+// preVoteInterval is short while the voters' promises may be ending, and longer
+// after, so that a node cut off for long sends little.
+func (n *Node) preVoteInterval() time.Duration {
+	if n.now.SurelyReached(n.askedFirstAt + n.config.ElectionMin) {
+		return n.config.ElectionMin
+	}
+	return n.config.Heartbeat / preVotesPerHeartbeat
+}
+
 func (n *Node) becomeCandidate() {
 	n.role = RoleCandidate
 	n.term++
--- a/internal/consensus/inspect.go
+++ b/internal/consensus/inspect.go
@@ -40,12 +40,16 @@
 	buffer = binary.AppendUvarint(buffer, uint64(n.term))
 	buffer = appendTime(buffer, n.promisedAt-now.Lower, -n.config.ElectionMin)
 	buffer = appendTime(buffer, n.electionAt-now.Lower, 0)
+	if n.role == RolePreCandidate {
+		buffer = appendTime(buffer, n.askedFirstAt-now.Lower, -n.config.ElectionMin)
+	}
 	if n.role == RoleLeader {
 		buffer = appendTime(buffer, n.heartbeatAt-now.Upper, 0)
 	}
 	for _, member := range n.log.membership().Members {
 		buffer = n.appendMember(buffer, member, now)
 	}
+	buffer = binary.AppendUvarint(buffer, uint64(n.log.base.index))
 	buffer = binary.AppendUvarint(buffer, uint64(n.log.snapshot.Index))
 	buffer = binary.AppendUvarint(buffer, uint64(n.log.commit))
 	return AppendEntries(buffer, n.log.entries)
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -100,7 +100,7 @@
 // entries as received; a refusal sets the count back.
 func (n *Node) sendAppend(to wire.Incarnation) {
 	progress := n.progressOf(to)
-	if progress.next <= n.log.snapshot.Index {
+	if progress.next <= n.log.base.index {
 		n.sendSnapshot(to, progress)
 		return
 	}
@@ -161,7 +161,7 @@
 // resend goes back to what the refusing member surely holds: its commit index.
 func (n *Node) resend(message Message, progress *memberProgress) {
 	next := max(progress.match, message.LogIndex) + 1
-	needsSnapshot := next <= n.log.snapshot.Index
+	needsSnapshot := next <= n.log.base.index
 	snapshotOnItsWay := progress.snapshotAt != noRound &&
 		n.now.Upper-progress.snapshotAt < n.config.ElectionMax
 	if needsSnapshot && snapshotOnItsWay {
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -5,41 +5,55 @@
 	"slices"
 )
 
-// memoryLog holds the entries after a snapshot.
+// memoryLog holds the entries after its base, and the newest snapshot, which
+// may stand for some of these entries too.
 type memoryLog struct {
+	base     logBase
 	snapshot Snapshot
-	// entries[0] has index snapshot.Index+1.
+	// entries[0] has index base.index+1.
 	entries []Entry
 	commit  Index
 	// memberships has the indexes of the membership entries held, in order.
 	memberships []Index
 }
 
+// logBase is the last entry that is no longer held.
+type logBase struct {
+	index      Index
+	term       Term
+	membership Membership
+}
+
 func newMemoryLog(initial Snapshot) memoryLog {
-	return memoryLog{snapshot: initial, commit: initial.Index}
+	base := logBase{
+		index:      initial.Index,
+		term:       initial.Term,
+		membership: initial.Membership,
+	}
+	return memoryLog{base: base, snapshot: initial, commit: initial.Index}
 }
 
 func (l *memoryLog) lastIndex() Index {
-	return l.snapshot.Index + Index(len(l.entries))
+	return l.base.index + Index(len(l.entries))
 }
 
 func (l *memoryLog) lastTerm() Term {
 	return l.term(l.lastIndex())
 }
 
-// term returns the term of an index from the snapshot's to the last.
+// term returns the term of an index from the base's to the last.
 func (l *memoryLog) term(index Index) Term {
-	if index == l.snapshot.Index {
-		return l.snapshot.Term
+	if index == l.base.index {
+		return l.base.term
 	}
 	return l.entry(index).Term
 }
 
 func (l *memoryLog) entry(index Index) Entry {
-	if index <= l.snapshot.Index || index > l.lastIndex() {
-		panic(fmt.Sprintf("consensus: entry %d outside log (%d, %d]", index, l.snapshot.Index, l.lastIndex()))
+	if index <= l.base.index || index > l.lastIndex() {
+		panic(fmt.Sprintf("consensus: entry %d outside log (%d, %d]", index, l.base.index, l.lastIndex()))
 	}
-	return l.entries[index-l.snapshot.Index-1]
+	return l.entries[index-l.base.index-1]
 }
 
 // after returns a copy of the entries after index, up to about limit bytes of
@@ -47,7 +61,7 @@
 func (l *memoryLog) after(index Index, limit int) []Entry {
 	var found []Entry
 	size := 0
-	for _, entry := range l.entries[index-l.snapshot.Index:] {
+	for _, entry := range l.entries[index-l.base.index:] {
 		size += len(entry.Command)
 		if len(found) > 0 && size > limit {
 			break
@@ -69,7 +83,7 @@
 	if index <= l.commit {
 		panic(fmt.Sprintf("consensus: truncate at %d would drop committed entries up to %d", index, l.commit))
 	}
-	l.entries = l.entries[:index-l.snapshot.Index-1]
+	l.entries = l.entries[:index-l.base.index-1]
 	for len(l.memberships) > 0 && l.memberships[len(l.memberships)-1] >= index {
 		l.memberships = l.memberships[:len(l.memberships)-1]
 	}
@@ -113,7 +127,7 @@
 // from the moment it is appended (Raft, section 4.1 of the dissertation).
 func (l *memoryLog) membership() Membership {
 	if len(l.memberships) == 0 {
-		return l.snapshot.Membership
+		return l.base.membership
 	}
 	return *l.entry(l.memberships[len(l.memberships)-1]).Membership
 }
@@ -124,7 +138,7 @@
 }
 
 func (l *memoryLog) membershipAt(index Index) Membership {
-	at := l.snapshot.Membership
+	at := l.base.membership
 	for _, change := range l.memberships {
 		if change <= index {
 			at = *l.entry(change).Membership
@@ -133,17 +147,26 @@
 	return at
 }
 
-// compact drops the entries that a snapshot of committed state stands for.
-func (l *memoryLog) compact(snapshot Snapshot) {
+// compact takes a snapshot of committed state and drops the entries it stands
+// for, save the last keep of them.
+func (l *memoryLog) compact(snapshot Snapshot, keep Index) {
 	if snapshot.Index <= l.snapshot.Index || snapshot.Index > l.commit {
 		return
 	}
 	snapshot.Term = l.term(snapshot.Index)
 	snapshot.Membership = l.membershipAt(snapshot.Index).clone()
-	l.entries = slices.Clone(l.entries[snapshot.Index-l.snapshot.Index:])
 	l.snapshot = snapshot
-	l.memberships = slices.DeleteFunc(l.memberships, func(index Index) bool {
-		return index <= snapshot.Index
+	if snapshot.Index > l.base.index+keep {
+		l.dropTo(snapshot.Index - keep)
+	}
+}
+
+func (l *memoryLog) dropTo(index Index) {
+	base := logBase{index: index, term: l.term(index), membership: l.membershipAt(index)}
+	l.entries = slices.Clone(l.entries[index-l.base.index:])
+	l.base = base
+	l.memberships = slices.DeleteFunc(l.memberships, func(change Index) bool {
+		return change <= index
 	})
 }
 
@@ -152,7 +175,7 @@
 func (l *memoryLog) restore(snapshot Snapshot) {
 	if l.matches(snapshot.Index, snapshot.Term) {
 		l.commit = snapshot.Index
-		l.compact(snapshot)
+		l.compact(snapshot, 0)
 		return
 	}
 	*l = newMemoryLog(snapshot)
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -23,6 +23,8 @@
 	promisedAt time.Duration
 	// electionAt is Lower when the node starts or repeats an election.
 	electionAt time.Duration
+	// askedFirstAt is Lower when the node became a pre-candidate.
+	askedFirstAt time.Duration
 	// votes has the voters that granted the present pre-vote or vote.
 	votes map[wire.Incarnation]bool
 
--- a/internal/consensus/rules_test.go
+++ b/internal/consensus/rules_test.go
@@ -145,3 +145,13 @@
 	assert.Equal(t, node.Status().Role, RoleSealed)
 	assert.Equal(t, len(node.Ready().Messages), 0)
 }
+
+// TestSealDropsQueuedAnswers: an answer that was not yet handed out would break
+// the promise to acknowledge no more.
+func TestSealDropsQueuedAnswers(t *testing.T) {
+	node := newTestNode()
+	message := Message{Kind: MessageAppend, Cell: "cell", Generation: 1, From: "B", To: "A", Term: 1}
+	node.Step(clock.Exact(100), message)
+	assert.Assert(t, node.Seal(clock.Exact(400)))
+	assert.Equal(t, len(node.Ready().Messages), 0)
+}
