--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -81,7 +82,9 @@
 			verb := rapid.SampledFrom([]string{"propose", "approve", "roll", "in-force", "refuse"}).Draw(t, "verb")
 			version := int(latest.Version) + rapid.IntRange(-3, 2).Draw(t, "offset")
 			operator := rapid.SampledFrom([]string{"amina", "karim"}).Draw(t, "operator")
+			untouched := slices.Clone(head.Entries)
 			next, outcome := step(head, fmt.Sprintf("%s %d %s digest", verb, max(0, version), operator))
+			assert.DeepEqual(t, head.Entries, untouched)
 			if outcome.Kind != lifecycle.Changed {
 				assert.DeepEqual(t, next, head)
 			}
--- a/internal/platform/memory/memory_test.go
+++ b/internal/platform/memory/memory_test.go
@@ -45,6 +45,8 @@
 		lease, err := store.GrantLease(t.Context(), time.Second)
 		assert.NilError(t, err)
 		entry := put(t, store, "a", lease)
+		time.Sleep(900 * time.Millisecond)
+		assert.NilError(t, store.RenewLease(t.Context(), lease))
 		started := time.Now()
 		ctx, cancel := context.WithCancel(t.Context())
 		err = store.Watch(ctx, "a", entry.Revision, func(event platform.Event) {
@@ -86,6 +88,17 @@
 	})
 }
 
+func TestOutageOvertakesACallUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		store.SetDelay(2 * time.Second)
+		time.AfterFunc(time.Millisecond, func() { store.StartOutage(10 * time.Second) })
+		_, err := store.CompareAndSwap(t.Context(), platform.Write{Key: "a", WriteID: "w"})
+		assert.ErrorIs(t, err, platform.ErrUnavailable)
+		assert.Equal(t, store.Counts().Writes, uint64(0))
+	})
+}
+
 func TestResolvedWriteOutlastsAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := memory.New()
