Tell the unavailable time of each fault apart

Cause: one longest time over all faults does not say which fault caused it, and the first seconds of the cell counted as unavailable.

--- a/internal/lab/demo/demo_test.go
+++ b/internal/lab/demo/demo_test.go
@@ -47,11 +47,13 @@
 			Latency:     load.Latency{P50: 5 * time.Millisecond, P99: 40 * time.Millisecond},
 			Unavailable: load.Unavailable{KeySeconds: 1.5, Longest: 900 * time.Millisecond, Keys: 4},
 		},
+		Steps:      []StepSummary{{Name: "steady", Begin: time.Second}, {Name: "kill", Begin: 2 * time.Second}},
 		Imbalance:  []Imbalance{{Service: "t/s", MaxOverMean: 1.25}},
 		Moves:      3,
 		Slices:     56,
 		Executions: 110,
 	}
+	summary.spread([]load.Span{{Key: "a", Begin: 1900 * time.Millisecond, End: 2100 * time.Millisecond}, {Key: "b", Begin: 2 * time.Second, End: 3 * time.Second}})
 	assert.Assert(t, summary.succeeded())
 	summary.Violations = []history.Violation{{Rule: history.RuleTwoOwners, Subject: "key-0", Detail: "two at once"}}
 	assert.Assert(t, !summary.succeeded())
--- a/internal/lab/demo/files.go
+++ b/internal/lab/demo/files.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"bytes"
 	"crypto/rand"
 	"os"
 	"path/filepath"
@@ -8,8 +9,10 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/lab/history"
 	"github.com/shalefork/shalefork/internal/settings"
 	"github.com/shalefork/shalefork/internal/strictyaml"
+	"github.com/shalefork/shalefork/internal/wire"
 )
 
 const fileMode = 0o600
@@ -45,6 +48,23 @@
 	return f.write(name, data)
 }
 
+// writeHistory writes the histories as lines of JSON.
+func (f files) writeHistory(recorded history.History) error {
+	var lines bytes.Buffer
+	writer := wire.NewLineWriter(&lines)
+	for _, execution := range recorded.Executions {
+		if err := writer.Write(history.Line{Execution: &execution}); err != nil {
+			return err
+		}
+	}
+	for _, call := range recorded.Calls {
+		if err := writer.Write(history.Line{Call: &call}); err != nil {
+			return err
+		}
+	}
+	return f.write("history.jsonl", lines.Bytes())
+}
+
 // readBundle reads an example and moves it to this demonstration's ports.
 func (c Config) readBundle(name string) (bundle.Bundle, error) {
 	path := filepath.Join(c.Example, name)
--- a/internal/lab/demo/run.go
+++ b/internal/lab/demo/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/lab/history"
+	"github.com/shalefork/shalefork/internal/lab/load"
 	"github.com/shalefork/shalefork/internal/lab/process"
 )
 
@@ -31,13 +32,13 @@
 	} else {
 		defer os.RemoveAll(files.directory)
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeLimit)
+	limited, cancel := context.WithTimeout(ctx, timeLimit)
 	defer cancel()
 	processes := process.NewGroup()
-	summary, err := runAll(ctx, config, files, processes)
+	summary, err := runAll(limited, config, files, processes)
 	left := processes.Close(stopGrace)
 	if err != nil {
-		return err
+		return because(ctx, limited, err)
 	}
 	summary.write(config.Output)
 	if len(left) > 0 {
@@ -49,6 +50,18 @@
 	return nil
 }
 
+// because names an end from outside, which makes the error itself uninteresting.
+func because(ctx, limited context.Context, err error) error {
+	switch {
+	case ctx.Err() != nil:
+		return Error.New("interrupted; every process was ended")
+	case limited.Err() != nil:
+		return Error.New("took longer than %s: %v", timeLimit, err)
+	default:
+		return err
+	}
+}
+
 // runAll starts the cell, plays the faults under load and judges the histories.
 func runAll(ctx context.Context, config Config, files files, processes *process.Group) (Summary, error) {
 	cell, err := newCluster(config, files, processes)
@@ -69,6 +82,9 @@
 	if err := cell.awaitOwned(ctx); err != nil {
 		return Summary{}, err
 	}
+	if err := cell.awaitServing(ctx); err != nil {
+		return Summary{}, err
+	}
 	return cell.underLoad(ctx, progress)
 }
 
@@ -90,6 +106,7 @@
 	var summary Summary
 	for _, step := range c.faults() {
 		progress.say("%s", step.name)
+		summary.Steps = append(summary.Steps, StepSummary{Name: step.name, Begin: history.Now()})
 		if err := step.run(ctx); err != nil {
 			summary.Failures = append(summary.Failures, Error.New("%s: %v", step.name, err))
 			progress.say("%s: FAILED: %v", step.name, err)
@@ -108,11 +125,17 @@
 // judge checks the histories.
 func (c *cluster) judge(summary *Summary) {
 	recorded := c.collector.History()
+	if c.config.Keep {
+		if err := c.files.writeHistory(recorded); err != nil {
+			summary.Failures = append(summary.Failures, err)
+		}
+	}
 	recorded.Bundles = []bundle.Bundle{c.first, c.second}
 	recorded.Leaving = c.leaving
 	recorded.LeaveGrace = leaveGrace
 	summary.Executions = len(recorded.Executions)
 	summary.Imbalance = imbalances(c.first, recorded.Executions)
+	summary.spread(load.Spans(recorded.Calls, history.Now()))
 	summary.Violations = history.Check(recorded)
 }
 
--- a/internal/lab/demo/summary.go
+++ b/internal/lab/demo/summary.go
@@ -15,6 +15,8 @@
 // Summary is what a demonstration found.
 type Summary struct {
 	Load load.Report
+	// Steps in their order, with the unavailable time that began in each.
+	Steps []StepSummary
 	// Imbalance of each service, ordered by name.
 	Imbalance []Imbalance
 	// Moves of keyed slices after the first assignment, and the slices.
@@ -27,6 +29,29 @@
 	Failures []error
 }
 
+// StepSummary is what happened while one step ran and the cell settled.
+type StepSummary struct {
+	Name string
+	// Begin is on the clock of history.Now.
+	Begin       time.Duration
+	Unavailable load.Unavailable
+}
+
+// spread gives each span to the step in which it began.
+func (s *Summary) spread(spans []load.Span) {
+	for index := range s.Steps {
+		var within []load.Span
+		for _, span := range spans {
+			afterThis := span.Begin >= s.Steps[index].Begin
+			beforeNext := index+1 == len(s.Steps) || span.Begin < s.Steps[index+1].Begin
+			if afterThis && beforeNext {
+				within = append(within, span)
+			}
+		}
+		s.Steps[index].Unavailable = load.SumUp(within)
+	}
+}
+
 // Imbalance says how unevenly a service's work was spread.
 type Imbalance struct {
 	Service keyspace.ServiceName
@@ -90,6 +115,10 @@
 	row("churn, moves of slices", "%d of %d slices", s.Moves, s.Slices)
 	row("unavailable time", "%.2f key-seconds over %d keys", report.Unavailable.KeySeconds, report.Unavailable.Keys)
 	row("longest time to serve a lost key again", "%s", milliseconds(report.Unavailable.Longest))
+	for _, step := range s.Steps {
+		row("  "+step.Name, "%.2f key-seconds over %d keys, longest %s",
+			step.Unavailable.KeySeconds, step.Unavailable.Keys, milliseconds(step.Unavailable.Longest))
+	}
 	row("request latency p50", "%s", milliseconds(report.Latency.P50))
 	row("request latency p99", "%s", milliseconds(report.Latency.P99))
 	row("operation latency p99, repeats included", "%s", milliseconds(report.OperationLatency.P99))
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -36,11 +36,16 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			dark := newDarkness()
+			var calls []history.Call
 			for _, end := range test.ends {
-				dark.follow(history.Call{Key: "k", Sent: end.sent, Answered: end.answered}, end.succeeded)
+				call := history.Call{Key: "k", Sent: end.sent, Answered: end.answered, Status: http.StatusServiceUnavailable}
+				if end.succeeded {
+					call.Status = http.StatusOK
+					call.Whole = true
+				}
+				calls = append(calls, call)
 			}
-			got := dark.finish(time.Second)
+			got := SumUp(Spans(calls, time.Second))
 			assert.Equal(t, got.Longest, test.want.Longest)
 			assert.Equal(t, got.Keys, test.want.Keys)
 			assert.Equal(t, time.Duration(got.KeySeconds*1e9+0.5), time.Duration(test.want.KeySeconds*1e9+0.5))
--- a/internal/lab/load/operation.go
+++ b/internal/lab/load/operation.go
@@ -64,7 +64,7 @@
 		gateway:   c.config.Gateways[(operation.gateway+number)%len(c.config.Gateways)],
 		sent:      time.Now(),
 		call: history.Call{
-			Nonce:      history.Nonce(fmt.Sprintf("%d-%d-%d", c.config.Seed, operation.number, number)),
+			Nonce:      c.nonce(operation, number),
 			Service:    operation.target.name,
 			Key:        operation.key,
 			Repeatable: operation.target.service.Repeatable,
@@ -77,11 +77,24 @@
 	// Patience ends an operation between requests, never a request in flight.
 	c.send(context.WithoutCancel(ctx), &made)
 	made.answered = time.Now()
-	call := made.call
-	c.config.Recorder.Record(history.Line{Call: &call})
+	if !made.unreached {
+		call := made.call
+		c.config.Recorder.Record(history.Line{Call: &call})
+	}
 	return made
 }
 
+// pullNonce begins the nonces of slow pulls.
+const pullNonce = "pull-"
+
+func (c *callers) nonce(operation operation, number int) history.Nonce {
+	name := fmt.Sprintf("%d-%d-%d", c.config.Seed, operation.number, number)
+	if operation.pull.Bytes > 0 {
+		name = pullNonce + name
+	}
+	return history.Nonce(name)
+}
+
 func (c *callers) send(ctx context.Context, made *attempt) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout+made.operation.pull.Stream)
 	defer cancel()
@@ -130,7 +143,11 @@
 }
 
 func (a *attempt) succeeded() bool {
-	return a.call.Status == http.StatusOK && a.call.Whole
+	return succeeded(a.call)
+}
+
+func succeeded(call history.Call) bool {
+	return call.Status == http.StatusOK && call.Whole
 }
 
 // final reports whether the answer says that asking again cannot help.
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -69,7 +69,7 @@
 	refusals   map[outcome]int
 	requests   *hdrhistogram.Histogram
 	operations *hdrhistogram.Histogram
-	darkness   *darkness
+	follower   *spanFollower
 }
 
 func newReporter() *reporter {
@@ -77,7 +77,7 @@
 		refusals:   map[outcome]int{},
 		requests:   hdrhistogram.New(lowestLatency, highestLatency, significantDigits),
 		operations: hdrhistogram.New(lowestLatency, highestLatency, significantDigits),
-		darkness:   newDarkness(),
+		follower:   newSpanFollower(),
 	}
 }
 
@@ -106,9 +106,7 @@
 	default:
 		r.report.Broken++
 	}
-	if made.call.Key != "" && made.operation.pull.Bytes == 0 {
-		r.darkness.follow(made.call, made.succeeded())
-	}
+	r.follower.follow(made.call)
 }
 
 // finished counts one operation.
@@ -138,7 +136,7 @@
 func (r *reporter) finish(now time.Duration) Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.report.Unavailable = r.darkness.finish(now)
+	r.report.Unavailable = SumUp(r.follower.finish(now))
 	r.report.Latency = latencyOf(r.requests)
 	r.report.OperationLatency = latencyOf(r.operations)
 	for kind, count := range r.refusals {
