Give a server that has just started less at first

Cause: in a rolling replacement all slices of the next server went to the one that had just come back, which is empty and cold. Ruled out: shorter smoothing of rates (2 s for 5 s): no clear change. Change: a new run counts as one mean server load heavier, falling over 10 s.

--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -102,7 +102,7 @@
 			home = node
 		}
 	}
-	if home == nil || service.repays(home.load-least.load, home, least) {
+	if home == nil || service.repays(service.apparentLoad(home)-service.apparentLoad(least), home, least) {
 		return least
 	}
 	return home
--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -84,7 +84,7 @@
 func (r *round) gainOf(assignment cellstate.Assignment, rate float64) (*serverNode, float64) {
 	owner := r.cell.servers[assignment.Owner]
 	target := r.service.leastLoaded(r.cell.candidates(assignment))
-	remaining := owner.load - target.load - rate
+	remaining := owner.load - r.service.apparentLoad(target) - rate
 	if target == owner || !r.service.repays(remaining, owner, target) {
 		return target, 0
 	}
--- a/internal/placement/cell_test.go
+++ b/internal/placement/cell_test.go
@@ -30,6 +30,8 @@
 	planner *Planner
 	// releasing are the fences that were being released a step ago.
 	releasing map[wire.Fence]bool
+	// runs counts the starts of each server.
+	runs map[bundle.ServerName]int
 	// quick releases end before the next plan.
 	quick bool
 }
@@ -38,17 +40,31 @@
 	cell := &testCell{
 		state:   cellstate.New(b.Cell, 1),
 		dead:    map[bundle.ServerName]bool{},
+		runs:    map[bundle.ServerName]int{},
 		planner: NewPlanner(),
 	}
 	cell.apply(cellstate.Command{AdoptBundle: &cellstate.AdoptBundle{Bundle: b}})
 	for _, name := range cell.state.ServerNames() {
-		server := cell.state.Servers[name]
-		server.Incarnation = incarnationOf(name)
-		cell.apply(cellstate.Command{RegisterServer: &cellstate.RegisterServer{Server: server}})
+		cell.restart(name)
 	}
 	return cell
 }
 
+// restart registers another run of a server, which owns nothing.
+func (c *testCell) restart(name bundle.ServerName) {
+	c.runs[name]++
+	server := c.state.Servers[name]
+	server.Incarnation = c.incarnationOf(name)
+	c.apply(cellstate.Command{RegisterServer: &cellstate.RegisterServer{Server: server}})
+	for _, assignment := range c.state.OwnedBy(name) {
+		c.apply(cellstate.Command{Unassign: &cellstate.Unassign{Slice: assignment.Slice, Fence: assignment.Fence}})
+	}
+}
+
+func (c *testCell) incarnationOf(name bundle.ServerName) wire.Incarnation {
+	return wire.Incarnation(fmt.Sprintf("run %d of %s", c.runs[name], name))
+}
+
 func (c *testCell) apply(command cellstate.Command) cellstate.Rejection {
 	c.index++
 	next, rejection := cellstate.Apply(c.state, c.index, command)
@@ -61,7 +77,7 @@
 	for _, name := range c.state.ServerNames() {
 		view.Servers = append(view.Servers, grant.ServerView{
 			Name:        name,
-			Incarnation: incarnationOf(name),
+			Incarnation: c.incarnationOf(name),
 			Live:        !c.dead[name],
 			Load:        wire.LoadReport{Slices: c.loadsOf(name)},
 		})
@@ -158,7 +174,3 @@
 	first, last := uint64(slice.Range.First)>>48, uint64(slice.Range.Last)>>48
 	return fmt.Sprintf("%s/%s/%04x-%04x", slice.Service, slice.Partition, first, last)
 }
-
-func incarnationOf(name bundle.ServerName) wire.Incarnation {
-	return wire.Incarnation("run of " + name)
-}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -37,6 +37,9 @@
 	memory        map[keyspace.Slice]*sliceMemory
 	releases      releaseLog
 	drainingSince map[bundle.ServerName]time.Duration
+	starts        map[bundle.ServerName]serverStart
+	// planned says that a plan was made before.
+	planned bool
 }
 
 // NewPlanner returns a planner with full budgets.
@@ -45,6 +48,7 @@
 		memory:        map[keyspace.Slice]*sliceMemory{},
 		releases:      newReleaseLog(),
 		drainingSince: map[bundle.ServerName]time.Duration{},
+		starts:        map[bundle.ServerName]serverStart{},
 	}
 }
 
@@ -57,6 +61,7 @@
 	p.releases.forget(view.Now - budgetWindow)
 	cell := newCellView(view, p.memory)
 	p.noteDraining(cell)
+	p.noteStarts(cell)
 	commands := p.placeUnowned(cell)
 	commands = append(commands, p.releaseMisplaced(cell)...)
 	return append(commands, p.improve(cell)...)
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -73,6 +73,11 @@
 	// is to be merged with.
 	mergeHold = time.Second
 
+	// warmUp is how long a server that has just started counts as more loaded
+	// than it is: by one mean server load at first, and less and less. Servers
+	// start cold, and slices that come all at once would wait there.
+	warmUp = 10 * time.Second
+
 	// drainBatch bounds the slices of one service that leave draining servers
 	// within drainInterval, so that not all of them are without an owner at
 	// once. It counts starts and not ends: a long request holds up no drain.
--- a/internal/placement/trace_test.go
+++ b/internal/placement/trace_test.go
@@ -22,7 +22,7 @@
 //	bundle SLICES CHURN MOVES ZONES SERVER:ZONE...  the cell's one service
 //	traffic HASH=RATE...   replaces all traffic; hashes are hexadecimal
 //	run DURATION STEP      plans and applies at each step
-//	die|return|drain|undrain SERVER...
+//	die|return|drain|undrain|restart SERVER...
 //	leader                 starts a new planner
 //	quick                  lets releases begin and end between two plans
 func TestTraces(t *testing.T) {
@@ -84,6 +84,8 @@
 	switch verb {
 	case "die", "return":
 		r.cell.dead[server] = verb == "die"
+	case "restart":
+		r.cell.restart(server)
 	case "drain", "undrain":
 		r.cell.drain(server, verb == "drain")
 	default:
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -54,6 +54,8 @@
 	load float64
 	// slices counts the slices that it owns.
 	slices int
+	// coldness in 0..1 says how lately it has started.
+	coldness float64
 }
 
 // usable reports whether the server can take a grant now.
@@ -199,13 +201,19 @@
 	return found
 }
 
-// leastLoaded returns the candidate with the lowest load, then in the zone that
+// apparentLoad is a server's load as a place for another slice: a cold server
+// looks more loaded than it is.
+func (s *serviceView) apparentLoad(node *serverNode) float64 {
+	return node.load + node.coldness*s.mean
+}
+
+// leastLoaded returns the candidate with the lowest apparent load, then in the zone that
 // owns the fewest slices, then with the fewest slices, then the first name.
 // There must be a candidate.
 func (s *serviceView) leastLoaded(candidates []*serverNode) *serverNode {
 	return slices.MinFunc(candidates, func(a, b *serverNode) int {
 		return cmp.Or(
-			cmp.Compare(a.load, b.load),
+			cmp.Compare(s.apparentLoad(a), s.apparentLoad(b)),
 			cmp.Compare(s.zoneSlices[a.Zone], s.zoneSlices[b.Zone]),
 			cmp.Compare(a.slices, b.slices),
 			cmp.Compare(a.Name, b.Name),
