--- a/internal/balance/eject.go
+++ b/internal/balance/eject.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/bundle"
@@ -128,3 +129,8 @@
 		known.drainingUntil = now + drainMemory
 	}
 }
+
+// HasEjected reports whether any back end is ejected.
+func (p *Pool) HasEjected() bool {
+	return slices.ContainsFunc(p.members, func(candidate *member) bool { return candidate.ejected })
+}
--- a/internal/gateway/cell_test.go
+++ b/internal/gateway/cell_test.go
@@ -94,12 +94,17 @@
 	assert.NilError(c.t, err)
 	c.gateways[name] = made
 	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- made.Run(ctx) }()
-	stop = sync.OnceValue(func() error {
+	var result error
+	ended := make(chan struct{})
+	go func() {
+		result = made.Run(ctx)
+		close(ended)
+	}()
+	stop = func() error {
 		cancel()
-		return <-ended
-	})
+		<-ended
+		return result
+	}
 	c.stops = append(c.stops, func() { _ = stop() })
 	synctest.Wait()
 	return stop
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -25,24 +25,24 @@
 )
 
 // probe lets waiting requests look again as time passes, and probes ejected
-// back ends, until ctx ends.
+// back ends, until ctx ends. It sleeps while there is neither.
 func (g *Gateway) probe(ctx context.Context) error {
 	ticker := time.NewTicker(probeTick)
 	defer ticker.Stop()
 	budget := semaphore.NewWeighted(maxProbes)
 	var running sync.WaitGroup
 	defer running.Wait()
-	for {
+	for g.services.awaitWork(ctx) {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return nil
 		}
 		for _, known := range g.services.all() {
 			known.tick()
 			g.probeService(ctx, known, budget, &running)
 		}
 	}
+	return nil
 }
 
 // probeService starts the probes that are due and within the budget.
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -53,6 +53,7 @@
 	queued := &waiter{choose: choose, last: made, ready: make(chan choice, 1)}
 	s.waiting = append(s.waiting, queued)
 	s.metrics.Waiting.Inc()
+	s.signal()
 	s.mu.Unlock()
 	return s.await(ctx, queued)
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +25,8 @@
 	waiting []*waiter
 	// occupancy is a moving average of how long a request holds a slot.
 	occupancy time.Duration
+	// wake tells the prober that there is work; it holds one signal.
+	wake chan struct{}
 }
 
 // occupancyShare is the weight of a new measurement in the moving average.
@@ -36,6 +40,7 @@
 	metrics *Metrics
 	mu      sync.RWMutex
 	byName  map[keyspace.ServiceName]*service
+	wake    chan struct{}
 }
 
 func newServices(zone bundle.Zone, source clock.Source, metrics *Metrics) *services {
@@ -44,9 +49,25 @@
 		clock:   source,
 		metrics: metrics,
 		byName:  map[keyspace.ServiceName]*service{},
+		wake:    make(chan struct{}, 1),
 	}
 }
 
+// awaitWork waits until requests wait or back ends are to be probed. It returns
+// false once ctx has ended.
+func (s *services) awaitWork(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		if slices.ContainsFunc(s.all(), (*service).needsTick) {
+			return true
+		}
+		select {
+		case <-s.wake:
+		case <-ctx.Done():
+		}
+	}
+	return false
+}
+
 // get returns the service, nil if the table lacks it.
 func (s *services) get(name keyspace.ServiceName) *service {
 	s.mu.RLock()
@@ -95,6 +116,7 @@
 		metrics: s.metrics,
 		pool:    balance.NewPool(balance.DefaultConfig(s.zone)),
 		budget:  retry.NewBudget(),
+		wake:    s.wake,
 	}
 }
 
@@ -155,6 +177,24 @@
 		s.occupancy += time.Duration(occupancyShare * float64(held-s.occupancy))
 	}
 	s.dispatch()
+	if s.pool.HasEjected() {
+		s.signal()
+	}
+}
+
+// needsTick reports whether the passing of time can change something.
+func (s *service) needsTick() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.waiting) > 0 || s.pool.HasEjected()
+}
+
+// signal wakes the prober up.
+func (s *service) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
 }
 
 // target is where one try of a request goes.
--- a/internal/lab/demo/operators.go
+++ b/internal/lab/demo/operators.go
@@ -132,4 +132,3 @@
 func holdsKey(slice keyspace.Slice, service keyspace.ServiceName, partition keyspace.PartitionName, key string) bool {
 	return slice.Service == service && slice.Partition == partition && slice.Range.Contains(keyspace.HashKey(key))
 }
-
--- a/internal/lab/demo/summary.go
+++ b/internal/lab/demo/summary.go
@@ -114,4 +114,3 @@
 func milliseconds(d time.Duration) string {
 	return fmt.Sprintf("%.1f ms", float64(d)/float64(time.Millisecond))
 }
-
