Close what trial changes had survived

Cause: on copies with one line changed, a promise ended by Upper, a lease ended by Lower, a second vote in a term, a vote without the log check, a commit beyond the known match and a log cut by a late append went unnoticed. Change: the explorer's states tell clocks with different bounds apart, a clock skips once, the voter's clock may skip too, new processes start after their promise; rule tests for the rest.

--- a/internal/consensus/explore/explore.go
+++ b/internal/consensus/explore/explore.go
@@ -13,7 +13,7 @@
 // Options bound an exploration.
 type Options struct {
 	// Elected starts with A as the leader and its lease running; otherwise all
-	// three processes are new.
+	// three processes are new and their promise of the start is over.
 	Elected bool
 	// Steps is the number of events from the start.
 	Steps int
@@ -25,16 +25,14 @@
 	// Proposals and Seals may happen so many times.
 	Proposals int
 	Seals     int
-	// SkipClock is the node whose clock bounds may go apart, or NoSkip.
+	// SkipClock is the node whose clock bounds may go apart, Skips times.
 	SkipClock int
+	Skips     int
 	// InFlight is how many messages may be on their way at once; the oldest
 	// beyond it are lost.
 	InFlight int
 }
 
-// NoSkip leaves all clocks right.
-const NoSkip = -1
-
 // Result of an exploration.
 type Result struct {
 	// States that differ in what may follow.
@@ -76,6 +74,7 @@
 func Run(options Options) Result {
 	e := &explorer{options: options, seen: map[xxh3.Uint128]struct{}{}}
 	start := newWorld(options)
+	pass(start, electionMin)
 	if options.Elected {
 		elect(start)
 	}
--- a/internal/consensus/explore/world.go
+++ b/internal/consensus/explore/world.go
@@ -51,9 +51,10 @@
 	committed []consensus.Term
 	// leaders has the node that led each term.
 	leaders map[consensus.Term]int
-	// proposals and seals may still happen.
+	// proposals, seals and skips of a clock may still happen so many times.
 	proposals int
 	seals     int
+	skips     int
 }
 
 func newWorld(options Options) *world {
@@ -61,6 +62,7 @@
 		leaders:   map[consensus.Term]int{},
 		proposals: options.Proposals,
 		seals:     options.Seals,
+		skips:     options.Skips,
 	}
 	for i := range w.nodes {
 		w.nodes[i] = consensus.NewNode(configOf(i), w.clocks[i])
@@ -184,12 +186,13 @@
 	buffer := make([]byte, 0, 512)
 	for i, node := range w.nodes {
 		buffer = node.AppendState(buffer, w.clocks[i])
+		buffer = binary.AppendVarint(buffer, int64(w.clocks[i].Upper-w.clocks[i].Lower))
 	}
 	buffer = w.appendNetwork(buffer)
 	for _, term := range w.committed {
 		buffer = binary.AppendUvarint(buffer, uint64(term))
 	}
-	buffer = append(buffer, byte(w.proposals), byte(w.seals))
+	buffer = append(buffer, byte(w.proposals), byte(w.seals), byte(w.skips))
 	return xxh3.Hash128(buffer)
 }
 
--- a/internal/consensus/rules_test.go
+++ b/internal/consensus/rules_test.go
@@ -60,6 +60,18 @@
 	assert.Equal(t, elected, clock.Exact(700))
 }
 
+// TestCommitNeedsLeaseByUpper: the leader's machine was frozen and only Upper
+// moved, so that those who answered may have sealed since.
+func TestCommitNeedsLeaseByUpper(t *testing.T) {
+	node := leaderWithOlderEntry(t)
+	answer := Message{
+		Kind: MessageAppendResponse, Cell: "cell", Generation: 1,
+		From: "C", To: "A", Term: 2, LogIndex: 2, Round: 700,
+	}
+	node.Step(clock.Instant{Upper: 950, Lower: 710}, answer)
+	assert.Equal(t, node.Status().Commit, Index(0))
+}
+
 func TestMembershipChangeWaitsForCommitOfOwnTerm(t *testing.T) {
 	node := leaderWithOlderEntry(t)
 	next := Membership{Members: append(threeMembers.clone().Members, Member{ID: "D", Learner: true})}
@@ -100,6 +112,52 @@
 	}
 }
 
+// followerWith returns A with entries 1 to 3 of term 1, entry 1 committed.
+func followerWith(t *testing.T) *Node {
+	node := newTestNode()
+	entries := []Entry{{Index: 1, Term: 1}, {Index: 2, Term: 1}, {Index: 3, Term: 1}}
+	step(node, 100, Message{Kind: MessageAppend, From: "B", Term: 1, Entries: entries, Commit: 1})
+	assert.Equal(t, node.Status().Last, Index(3))
+	return node
+}
+
+func TestVoteNeedsALogAsLong(t *testing.T) {
+	for _, kind := range []MessageKind{MessagePreVote, MessageVote} {
+		for _, last := range []struct {
+			index  Index
+			term   Term
+			reject bool
+		}{{2, 1, true}, {9, 0, true}, {3, 1, false}, {1, 2, false}} {
+			ask := Message{Kind: kind, From: "C", Term: 3, LogIndex: last.index, LogTerm: last.term}
+			answers := step(followerWith(t), 900, ask)
+			assert.Equal(t, answers[0].Reject, last.reject, "%s: %v", kind, last)
+		}
+	}
+}
+
+// TestFollowerCommitsOnlyWhatIsKnownToMatch: its entries 2 and 3 may differ
+// from those that the new leader has committed.
+func TestFollowerCommitsOnlyWhatIsKnownToMatch(t *testing.T) {
+	node := followerWith(t)
+	step(node, 200, Message{Kind: MessageAppend, From: "C", Term: 2, LogIndex: 1, LogTerm: 1, Commit: 3})
+	assert.Equal(t, node.Status().Commit, Index(1))
+}
+
+func TestLateAppendShortensNoLog(t *testing.T) {
+	node := followerWith(t)
+	late := []Entry{{Index: 2, Term: 1}}
+	step(node, 200, Message{Kind: MessageAppend, From: "B", Term: 1, LogIndex: 1, LogTerm: 1, Entries: late})
+	assert.Equal(t, node.Status().Last, Index(3))
+}
+
+func TestConflictingEntriesAreReplaced(t *testing.T) {
+	node := followerWith(t)
+	entries := []Entry{{Index: 2, Term: 2}}
+	step(node, 200, Message{Kind: MessageAppend, From: "C", Term: 2, LogIndex: 1, LogTerm: 1, Entries: entries})
+	assert.Equal(t, node.Status().Last, Index(2))
+	assert.Equal(t, node.log.lastTerm(), Term(2))
+}
+
 func TestNewNodeMakesThePromiseAtItsStart(t *testing.T) {
 	answers := step(newTestNode(), 299, Message{Kind: MessageVote, From: "C", Term: 1})
 	assert.Assert(t, answers[0].Reject)
