--- a/internal/lab/experiment/deployment.go
+++ b/internal/lab/experiment/deployment.go
@@ -125,11 +125,6 @@
 	}
 }
 
-// keyed returns the workload that is divided by key.
-func (d deployment) keyed() workload {
-	return d.workloads[0]
-}
-
 // bundle returns the team's bundle, with back ends spread over the zones.
 func (d deployment) bundle(version bundle.Version, mechanisms mechanisms) bundle.Bundle {
 	made := bundle.Bundle{Team: d.team, Version: version, Cell: d.cell, Zones: d.zones}
--- a/internal/lab/experiment/measures.go
+++ b/internal/lab/experiment/measures.go
@@ -80,9 +80,11 @@
 		return
 	}
 	m.services[c.service].requests++
-	interval := m.intervalOf(c.started)
+	answered := m.intervalOf(c.started).answered
 	index := m.keyIndex(c)
-	interval.answered[index] = interval.answered[index]
+	if !answered[index] {
+		answered[index] = false // asked for, and not answered yet
+	}
 }
 
 // ended notes how a request ended.
--- a/internal/lab/experiment/meter.go
+++ b/internal/lab/experiment/meter.go
@@ -14,8 +14,9 @@
 	meterWindow = 5 * time.Second
 	// maximumSlices bounds a load report.
 	maximumSlices = 16
-	// reportEvery is the age at which a server makes a new load report.
-	reportEvery = 500 * time.Millisecond
+	// reportEvery is the time between reports with rates to one leader, as in
+	// the ownership library.
+	reportEvery = 2 * time.Second
 )
 
 // meter counts a server's requests by slice and hash, in two windows: the
@@ -131,6 +132,12 @@
 // renew answers a leader's renewal through the library's lease.
 func (s *server) renew(request wire.RenewRequest) wire.RenewResponse {
 	response := s.holder.Renew(s.world.instant(), request)
+	if request.Term == s.reportedTerm && s.world.Now() < s.reportedAt+reportEvery {
+		response.Load = wire.LoadReport{Partial: true, InFlight: s.busy, Queued: len(s.waiting)}
+		return response
+	}
+	s.reportedTerm = request.Term
+	s.reportedAt = s.world.Now()
 	response.Load = s.loadReport()
 	return response
 }
@@ -138,9 +145,7 @@
 // loadReport returns the report that is as old as the scenario says.
 func (s *server) loadReport() wire.LoadReport {
 	now := s.world.Now()
-	if len(s.reports) == 0 || now-s.reports[len(s.reports)-1].at >= reportEvery {
-		s.reports = append(s.reports, agedReport{at: now, load: s.measured()})
-	}
+	s.reports = append(s.reports, agedReport{at: now, load: s.measured()})
 	for len(s.reports) > 1 && s.reports[1].at <= now-s.lag {
 		s.reports = s.reports[1:]
 	}
--- a/internal/lab/experiment/report.go
+++ b/internal/lab/experiment/report.go
@@ -32,49 +32,29 @@
 	value  func(Measures) float64
 }
 
-func columns() []column {
-	return []column{
+// columns of one scenario; the services give the last ones.
+func columns(services []Service) []column {
+	made := []column{
 		{"imbalance", 2, func(m Measures) float64 { return m.Imbalance }},
 		{"churn planned", 2, func(m Measures) float64 { return m.Churn.Planned }},
 		{"churn forced", 2, func(m Measures) float64 { return m.Churn.Forced }},
 		{"unavailable key-s", 0, func(m Measures) float64 { return float64(m.Unavailable.KeySeconds) }},
-		{"keyed p50 ms", 1, func(m Measures) float64 { return m.Services[0].Latency.P50 }},
-		{"keyed p99 ms", 0, func(m Measures) float64 { return m.Services[0].Latency.P99 }},
-		{"keyed answered %", 2, func(m Measures) float64 { return answeredShare(m.Services[0]) }},
-		{"pools p99 ms", 0, poolLatency},
-		{"pools answered %", 2, poolAnswered},
-		{"leader B/s", 0, func(m Measures) float64 { return m.Control.Leader() }},
+		{"leader KB/s", 0, func(m Measures) float64 { return m.Control.Leader() / 1000 }},
 		{"cut", 0, func(m Measures) float64 { return float64(m.CutByPlannedStop) }},
 	}
-}
-
-func answeredShare(of Service) float64 {
-	return 100 * float64(of.Answered) / float64(max(1, of.Requests))
-}
-
-// poolLatency is the highest p99 of the pools with a deadline; a pull lasts as
-// long as its list.
-func poolLatency(m Measures) float64 {
-	highest := 0.0
-	for _, of := range m.Services[1:] {
-		if of.Latency.P50 < longPull {
-			highest = max(highest, of.Latency.P99)
-		}
+	for i, service := range services {
+		made = append(made,
+			column{service.Name + " p50 ms", 0, func(m Measures) float64 { return m.Services[i].Latency.P50 }},
+			column{"p99 ms", 0, func(m Measures) float64 { return m.Services[i].Latency.P99 }},
+			column{"answered %", 2, func(m Measures) float64 { return m.Services[i].answeredShare() }},
+		)
 	}
-	return highest
+	return made
 }
 
-// longPull in milliseconds tells pulls from short requests.
-const longPull = 2000
-
-func poolAnswered(m Measures) float64 {
-	lowest := 100.0
-	for _, of := range m.Services[1:] {
-		if of.Latency.P50 < longPull {
-			lowest = min(lowest, answeredShare(of))
-		}
-	}
-	return lowest
+// answeredShare is in percent.
+func (s Service) answeredShare() float64 {
+	return 100 * float64(s.Answered) / float64(max(1, s.Requests))
 }
 
 // group is the results of one scenario and variant over all seeds.
@@ -108,34 +88,37 @@
 func writeTable(output io.Writer, results []Result) error {
 	table := tabwriter.NewWriter(output, 0, 4, 2, ' ', 0)
 	scenario := ""
+	var shown []column
 	for _, each := range groups(results) {
 		if each.scenario != scenario {
 			scenario = each.scenario
-			fmt.Fprintf(table, "\n%s\n", scenario)
-			writeTitles(table)
+			shown = columns(each.results[0].Measures.Services)
+			writeTitles(table, scenario, shown)
 		}
 		cells := []string{each.variant}
-		for _, shown := range columns() {
-			cells = append(cells, each.spread(shown.value).format(shown.digits))
+		for _, measure := range shown {
+			cells = append(cells, each.spread(measure.value).format(measure.digits))
 		}
-		fmt.Fprintln(table, strings.Join(cells, "\t")+"\t"+each.refusals())
+		cells = append(cells, each.endings())
+		fmt.Fprintln(table, strings.Join(cells, "\t"))
 	}
 	return table.Flush()
 }
 
-func writeTitles(table io.Writer) {
+func writeTitles(table io.Writer, scenario string, shown []column) {
 	titles := []string{"variant"}
-	for _, shown := range columns() {
-		titles = append(titles, shown.title)
+	for _, measure := range shown {
+		titles = append(titles, measure.title)
 	}
-	fmt.Fprintln(table, strings.Join(titles, "\t")+"\tmost frequent endings without an answer")
+	titles = append(titles, "most frequent endings without an answer")
+	fmt.Fprintf(table, "\n%s\n%s\n", scenario, strings.Join(titles, "\t"))
 }
 
 // shownEndings is how many ways to end are printed; JSON has all.
 const shownEndings = 4
 
-// refusals sums the endings of all services and seeds.
-func (g group) refusals() string {
+// endings sums the endings of all services; counts are means over the seeds.
+func (g group) endings() string {
 	totals := map[string]int{}
 	for _, result := range g.results {
 		for _, service := range result.Measures.Services {
--- a/internal/lab/experiment/server.go
+++ b/internal/lab/experiment/server.go
@@ -33,8 +33,11 @@
 	factor float64
 	lies   bool
 	lag    time.Duration
-	// reports are the load reports of the last seconds, the oldest first.
-	reports []agedReport
+	// reports are the load reports of the last seconds, the oldest first; the
+	// last one went to the leader of reportedTerm.
+	reports      []agedReport
+	reportedTerm uint64
+	reportedAt   time.Duration
 }
 
 // agedReport is a load report and when it was made.
@@ -59,6 +62,7 @@
 	s.waiting = nil
 	s.meter = newMeter()
 	s.reports = nil
+	s.reportedTerm = 0
 	incarnation := wire.Incarnation(fmt.Sprintf("%s run %d", s.name, s.starts))
 	s.holder = lease.NewHolder(s.world.deployment.cell, incarnation)
 }
