--- a/internal/operator/bundle.go
+++ b/internal/operator/bundle.go
@@ -131,26 +131,46 @@
 	return code
 }
 
-// waitInForce asks until the version is in force or refused, or time is up.
+// waitInForce asks until the version has come to an end state or time is up.
 func waitInForce(ctx context.Context, client *Client, roll RollRequest, last adminapi.BundleStatus) adminapi.BundleStatus {
 	ctx, cancel := context.WithTimeout(ctx, roll.Wait)
 	defer cancel()
 	ticker := time.NewTicker(pollEvery)
 	defer ticker.Stop()
-	for {
-		status, err := client.Bundle(ctx, roll.Team)
-		if err == nil && status.Version == roll.Version {
-			last = status
-		}
-		if last.State == adminapi.StateInForce || last.State == adminapi.StateRefused {
-			return last
-		}
+	for !settled(last.State) {
 		select {
 		case <-ctx.Done():
 			return last
 		case <-ticker.C:
+			last = look(ctx, client, roll, last)
+		}
+	}
+	return last
+}
+
+// settled reports whether a version that was rolled stays in the state.
+func settled(state adminapi.BundleState) bool {
+	switch state {
+	case adminapi.StateInForce, adminapi.StateRefused, adminapi.StateReplaced:
+		return true
+	default:
+		return false
+	}
+}
+
+// look returns what is known of the version now, or last if nobody answers. The
+// history has the version also after another one became the newest.
+func look(ctx context.Context, client *Client, roll RollRequest, last adminapi.BundleStatus) adminapi.BundleStatus {
+	versions, err := client.History(ctx, roll.Team)
+	if err != nil {
+		return last
+	}
+	for _, version := range versions {
+		if version.Version == roll.Version {
+			return version
 		}
 	}
+	return last
 }
 
 // BundleStatus prints the newest version of a team.
--- a/internal/operator/print.go
+++ b/internal/operator/print.go
@@ -10,7 +10,8 @@
 	"github.com/shalefork/shalefork/internal/adminapi"
 )
 
-// bundle prints one version. A refused version makes the command fail.
+// bundle prints one version. One that is refused or replaced makes the command
+// fail.
 func (o Output) bundle(status adminapi.BundleStatus, err error) ExitCode {
 	if err != nil {
 		return o.Fail(err)
@@ -20,10 +21,12 @@
 	} else {
 		o.bundleLine(status)
 	}
-	if status.State == adminapi.StateRefused {
+	switch status.State {
+	case adminapi.StateRefused, adminapi.StateReplaced:
 		return ExitRefused
+	default:
+		return ExitOK
 	}
-	return ExitOK
 }
 
 func (o Output) bundleLine(status adminapi.BundleStatus) {
