Measure what control costs on hollow nodes

Ruled out: running package controller itself on an emulated network; its loop needs goroutines and a real clock outside tests. Change: internal/lab/scale runs the pure packages and real frames of whole cells on event loops, and shalefork-lab scale prints each role's cost.

--- a/cmd/shalefork-lab/later.go
+++ b/cmd/shalefork-lab/later.go
@@ -15,11 +15,6 @@
 	return notBuilt(cli.Command{Subcommand: subcommand})
 }
 
-func scaleCommand() cli.Command {
-	subcommand := cli.NewSubcommand("scale", "Run hollow nodes beside real ones.")
-	return notBuilt(cli.Command{Subcommand: subcommand})
-}
-
 func notBuilt(command cli.Command) cli.Command {
 	command.Run = func(context.Context) cli.ExitCode {
 		return exitOf(errNotBuilt)
--- /dev/null
+++ b/internal/lab/scale/scale_test.go
@@ -0,0 +1,24 @@
+package scale
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// testOverhead stands for measured headers, so that bytes are the same on any
+// machine.
+var testOverhead = Overhead{RequestBytes: 200, ResponseBytes: 110, LineBytes: 7}
+
+func smallShape() Shape {
+	return Shape{Keyed: 3, Pool: 2, Machines: 5, Slices: 6, Fleet: 10, RequestRate: 100}
+}
+
+func TestCellServesEverySlice(t *testing.T) {
+	c, err := newRunningCell(smallShape(), testOverhead, 0, 1)
+	assert.NilError(t, err)
+	assert.Equal(t, len(c.roles()[RoleLeader]), 1)
+	for _, each := range c.gateways {
+		assert.Equal(t, each.routes.Version(), c.state().Version())
+	}
+}
