Share one in-memory network between the tests

Cause: the controller's and the gateway's tests each had a network in memory with nearly the same logic, and sessions of the whole system need a third. Change: internal/lab/memnet takes their place: cuts, separations, refusals, delays and frozen hosts. Dials fill a backlog, as in a kernel, so a process that does not accept still takes connections. Ruled out: delivering bytes later from a buffer; net.Pipe with a wait in Write is enough for the sessions and keeps its deadlines. Conclusion: both packages' tests run on it.

--- a/internal/controller/clients_test.go
+++ b/internal/controller/clients_test.go
@@ -67,7 +67,7 @@
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+to.address+wire.PathTable+"?cell="+testCell, nil)
 	assert.NilError(s.t, err)
 	request.Header.Set("Shalefork-Token", testToken)
-	response, err := (&http.Client{Transport: s.network.transport("10.0.2.1:9000")}).Do(request)
+	response, err := (&http.Client{Transport: transportFrom(s.network, "10.0.2.1:9000")}).Do(request)
 	assert.NilError(s.t, err)
 	assert.Equal(s.t, response.StatusCode, http.StatusOK)
 	s.watched.Go(func() {
--- a/internal/controller/scenarios_test.go
+++ b/internal/controller/scenarios_test.go
@@ -11,6 +11,7 @@
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/cellstate"
 	"github.com/shalefork/shalefork/internal/generation"
+	"github.com/shalefork/shalefork/internal/lab/memnet"
 	"github.com/shalefork/shalefork/internal/lifecycle"
 	"github.com/shalefork/shalefork/internal/platform"
 )
@@ -35,7 +36,7 @@
 	runSession(t, func(s *session) {
 		s.bootCell(3)
 		s.note("a server is cut off")
-		s.network.isolate("10.0.1.1:8000", true)
+		s.network.Cut("10.0.1.1:8000")
 		s.await(time.Second, "the others serve every slice", func() bool {
 			held := len(s.servers["10.0.1.1:8000"].serving())
 			return held == 0 && s.served(1, 1) == testSlices
@@ -89,7 +90,7 @@
 		time.Sleep(10 * time.Second)
 		s.note("  slices served: %d", s.served(1, 1))
 		for _, address := range cut {
-			s.network.isolate(address, false)
+			s.network.Heal(memnet.Place(address))
 		}
 		s.await(3*time.Second, "generation 1 leads again", s.leads(1))
 		s.await(2*time.Second, "every slice is served", s.allServed(1, 1))
@@ -192,24 +193,24 @@
 		leader := s.leader()
 		s.note("the leader saves no more checkpoints, and moves the slices of a server")
 		leader.link.sever()
-		s.network.isolate("10.0.1.1:8000", true)
+		s.network.Cut("10.0.1.1:8000")
 		s.await(time.Second, "the others serve every slice", func() bool {
 			return len(s.servers["10.0.1.1:8000"].serving()) == 0 && s.served(1, 1) == testSlices
 		})
-		s.network.isolate("10.0.1.1:8000", false)
+		s.network.Heal("10.0.1.1:8000")
 		time.Sleep(time.Second)
 		s.note("the followers start again without memory")
 		s.note("they reach the server that lost its slices, the old leader reaches the servers that got them")
-		var others []string
+		var others []memnet.Place
 		for number := range 3 {
 			address := controllerAddress(number + 1)
 			if address != leader.address {
-				others = append(others, address)
+				others = append(others, memnet.Place(address))
 				s.kill(s.controllers[address])
 			}
 		}
-		for _, apart := range []string{leader.address, "10.0.1.2:8000", "10.0.1.3:8000", "10.0.1.4:8000"} {
-			s.network.separate(apart, others)
+		for _, apart := range []memnet.Place{memnet.Place(leader.address), "10.0.1.2:8000", "10.0.1.3:8000", "10.0.1.4:8000"} {
+			s.network.Separate(apart, others...)
 		}
 		for number := range 3 {
 			if controllerAddress(number+1) != leader.address {
--- a/internal/controller/session_test.go
+++ b/internal/controller/session_test.go
@@ -27,6 +27,7 @@
 	"github.com/shalefork/shalefork/internal/adminapi"
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/lab/memnet"
 	"github.com/shalefork/shalefork/internal/lease"
 	"github.com/shalefork/shalefork/internal/platform"
 	"github.com/shalefork/shalefork/internal/platform/memory"
@@ -45,7 +46,7 @@
 // holds only what any order of simultaneous events must give.
 type session struct {
 	t           *testing.T
-	network     *pipeNetwork
+	network     *memnet.Network
 	store       *memory.Store
 	controllers map[string]*process
 	servers     map[string]*testServer
@@ -118,7 +119,7 @@
 		ctx, stop := context.WithCancel(context.Background())
 		s := &session{
 			t:           t,
-			network:     newPipeNetwork(),
+			network:     memnet.New(),
 			store:       memory.New(),
 			controllers: map[string]*process{},
 			servers:     map[string]*testServer{},
@@ -162,8 +163,8 @@
 		server.http.Close()
 	}
 	s.store.StartOutage(0)
-	s.network.closeAll()
-	time.Sleep(2 * dialTimeout) // dials into a partition end by themselves
+	s.network.CloseAll()
+	time.Sleep(2 * time.Second) // dials into a partition end by themselves
 }
 
 func (s *session) settings(address, zone string) settings.Controller {
@@ -195,7 +196,7 @@
 	zone := fmt.Sprintf("zone-%d", (number-1)%3+1)
 	host, _, _ := net.SplitHostPort(address)
 	s.store.SetMachine(platform.Machine{Address: host, Zone: zone, State: platform.MachineLive})
-	s.network.isolate(address, false)
+	s.network.Heal(memnet.Place(address))
 	link := &storeLink{Store: s.store}
 	source := rand.New(rand.NewPCG(uint64(number), uint64(time.Now().UnixNano())))
 	var drawing sync.Mutex
@@ -210,8 +211,8 @@
 			defer drawing.Unlock()
 			return source.Uint64()
 		},
-		Transport: s.network.transport(address),
-		Listener:  s.network.listen(address),
+		Transport: transportFrom(s.network, address),
+		Listener:  s.network.Open(address),
 	})
 	assert.NilError(s.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -225,7 +226,7 @@
 // deleting its presence, is seen by anybody.
 func (s *session) kill(running *process) {
 	running.link.sever()
-	s.network.isolate(running.address, true)
+	s.network.Cut(memnet.Place(running.address))
 	running.cancel()
 	assert.NilError(s.t, <-running.done)
 	delete(s.controllers, running.address)
@@ -249,7 +250,7 @@
 func (s *session) cutVoters(count int) []string {
 	cut := s.someVoters(count)
 	for _, address := range cut {
-		s.network.isolate(address, true)
+		s.network.Cut(memnet.Place(address))
 	}
 	return cut
 }
@@ -350,7 +351,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+wire.PathRenew, server.renew)
 	server.http = &http.Server{Handler: mux}
-	listener := s.network.listen(backend.Address)
+	listener := s.network.Open(backend.Address)
 	go server.http.Serve(listener)
 	s.servers[backend.Address] = server
 }
--- a/internal/gateway/broken_test.go
+++ b/internal/gateway/broken_test.go
@@ -115,7 +115,7 @@
 				return true
 			},
 		})
-		c.network.refuse("w1:1", 300*time.Millisecond)
+		c.network.Refuse("w1:1", 300*time.Millisecond)
 		c.gateway("g1")
 		c.controller.publish(tableOf(1, []bundle.Service{keyedService("book", false)}, "w1"))
 		assert.Equal(t, c.ask("POST", "/book/r7", "two seats").body, "ran")
--- a/internal/gateway/cell_test.go
+++ b/internal/gateway/cell_test.go
@@ -17,6 +17,7 @@
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/keyspace"
+	"github.com/shalefork/shalefork/internal/lab/memnet"
 	"github.com/shalefork/shalefork/internal/settings"
 	"github.com/shalefork/shalefork/internal/wire"
 )
@@ -30,7 +31,7 @@
 // in-memory network, in virtual time.
 type cell struct {
 	t          *testing.T
-	network    *network
+	network    *memnet.Network
 	controller *controller
 	client     *http.Client
 	gateways   map[string]*Gateway
@@ -41,10 +42,10 @@
 func inCell(t *testing.T, run func(c *cell)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		c := &cell{t: t, network: newNetwork(), gateways: map[string]*Gateway{}}
+		c := &cell{t: t, network: memnet.New(), gateways: map[string]*Gateway{}}
 		c.controller = &controller{changed: make(chan struct{})}
 		c.serve("controller:1", c.controller)
-		transport := &http.Transport{DialContext: c.network.Dial, DisableCompression: true}
+		transport := &http.Transport{DialContext: c.network.Dialer("caller"), DisableCompression: true}
 		c.client = &http.Client{Transport: transport}
 		defer func() {
 			transport.CloseIdleConnections()
@@ -88,7 +89,7 @@
 		Logger:     &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 		Registerer: registry,
 		Gatherer:   registry,
-		Dial:       c.network.Dial,
+		Dial:       c.network.Dialer(name),
 		Listen:     c.network.Listen,
 	})
 	assert.NilError(c.t, err)
--- a/internal/gateway/idempotency_test.go
+++ b/internal/gateway/idempotency_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/keyspace"
+	"github.com/shalefork/shalefork/internal/lab/memnet"
 	"github.com/shalefork/shalefork/internal/ledger"
 	"github.com/shalefork/shalefork/internal/peerauth"
 	"github.com/shalefork/shalefork/internal/settings"
@@ -102,7 +103,7 @@
 
 // lose cuts a gateway off for good.
 func (c *ledgerCell) lose(name string) {
-	c.network.lose(name + ":81")
+	c.network.Lose(memnet.Place(name + ":81"))
 	synctest.Wait()
 }
 
@@ -208,7 +209,7 @@
 			c.book("g3", "new", "x").refused(t, 503, wire.OutcomeUnknown, wire.ReasonLedgerUnready)
 		}
 		assert.Equal(t, c.ran.Load(), int64(1))
-		c.network.heal("g2:81")
+		c.network.Heal("g2:81")
 		time.Sleep(time.Second)
 		assert.Equal(t, c.book("g3", "new", "x").body, "booked")
 		assert.Equal(t, c.book("g3", "k", "x").body, "booked")
@@ -223,7 +224,7 @@
 		assert.Equal(t, c.book("g3", "k", "x").body, "booked")
 		c.lose("g1")
 		c.lose("g2")
-		c.network.heal("g2:81")
+		c.network.Heal("g2:81")
 		c.gateway("g2")
 		c.own("g3", "g1", "g2", "g3")
 		c.book("g3", "new", "x").refused(t, 503, wire.OutcomeUnknown, wire.ReasonLedgerUnready)
@@ -243,7 +244,7 @@
 		assert.Equal(t, c.book("g3", "k", "x").body, "booked")
 		// The new owner knows every record, but nobody is left for a copy.
 		c.book("g3", "new", "x").refused(t, 503, wire.OutcomeNotRun, wire.ReasonLedgerUnready)
-		c.network.heal("g2:81")
+		c.network.Heal("g2:81")
 		time.Sleep(10 * time.Second)
 		assert.Equal(t, c.book("g3", "new", "x").body, "booked")
 		assert.Equal(t, c.ran.Load(), int64(2))
