Let the old leader's session show two owners again

Cause: since the shared in-memory network the session of an old leader that still reaches servers passed also without the wait before a new generation: its dials hung for a second where they were refused at once before, so the old grants had ended. Ruled out: a change of the controller. Change: memnet.Reject separates places and refuses dials at once.

--- a/internal/controller/scenarios_test.go
+++ b/internal/controller/scenarios_test.go
@@ -210,7 +210,7 @@
 			}
 		}
 		for _, apart := range []memnet.Place{memnet.Place(leader.address), "10.0.1.2:8000", "10.0.1.3:8000", "10.0.1.4:8000"} {
-			s.network.Separate(apart, others...)
+			s.network.Reject(apart, others...)
 		}
 		for number := range 3 {
 			if controllerAddress(number+1) != leader.address {
--- a/internal/lab/memnet/faults.go
+++ b/internal/lab/memnet/faults.go
@@ -56,13 +56,26 @@
 	}
 }
 
-// Rejoin ends every Separate of a place.
+// Reject separates a place from some others, as a firewall does that answers
+// every dial at once.
+func (n *Network) Reject(place Place, others ...Place) {
+	n.Separate(place, others...)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, other := range others {
+		n.rejecting[pair{place, other}] = true
+		n.rejecting[pair{other, place}] = true
+	}
+}
+
+// Rejoin ends every Separate and Reject of a place.
 func (n *Network) Rejoin(place Place) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for between := range n.apart {
 		if between.from == place || between.to == place {
 			delete(n.apart, between)
+			delete(n.rejecting, between)
 		}
 	}
 }
--- a/internal/lab/memnet/memnet.go
+++ b/internal/lab/memnet/memnet.go
@@ -35,9 +35,11 @@
 	// refusing places answer dials with ECONNREFUSED until then.
 	refusing map[Place]time.Time
 	apart    map[pair]bool
-	delays   map[Place]time.Duration
-	gates    map[Place]*gate
-	open     map[*connection]struct{}
+	// rejecting pairs are apart, and dials between them fail at once.
+	rejecting map[pair]bool
+	delays    map[Place]time.Duration
+	gates     map[Place]*gate
+	open      map[*connection]struct{}
 }
 
 // pair holds two places that do not reach each other.
@@ -50,6 +52,7 @@
 		cut:       map[Place]bool{},
 		refusing:  map[Place]time.Time{},
 		apart:     map[pair]bool{},
+		rejecting: map[pair]bool{},
 		delays:    map[Place]time.Duration{},
 		gates:     map[Place]*gate{},
 		open:      map[*connection]struct{}{},
@@ -112,6 +115,9 @@
 			return nil, syscall.ECONNREFUSED
 		}
 	}
+	if n.rejected(from, to) {
+		return nil, syscall.ECONNREFUSED
+	}
 	if n.separated(from, to) {
 		return nil, ErrCut
 	}
@@ -230,3 +236,16 @@
 
 // String implements net.Addr.
 func (a address) String() string { return string(a) }
+
+// rejected reports whether dials between two addresses fail at once; the caller
+// holds the lock.
+func (n *Network) rejected(from, to string) bool {
+	for _, near := range places(from) {
+		for _, far := range places(to) {
+			if n.rejecting[pair{near, far}] {
+				return true
+			}
+		}
+	}
+	return false
+}
