--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -226,12 +226,14 @@
 	l := r.leadership
 	l.change.busy = true
 	l.change.notBefore = now.Lower + standbysRetry
+	current := r.generation
 	r.background(func(ctx context.Context) {
 		present, err := r.presences(ctx)
+		live := r.answering(ctx, present, current)
 		r.postToTerm(ctx, l, func(r *replica) {
 			r.leadership.change.busy = false
 			if err == nil {
-				r.standbys = present
+				r.standbys = live
 			}
 		})
 	})
