--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -99,7 +99,9 @@
 type VouchRequest struct {
 	Cell bundle.CellName `json:"cell"`
 	Tenure
-	Ask bool `json:"ask,omitempty"`
+	// Holder is the run of the gateway that may vouch; another refuses.
+	Holder Holder `json:"holder"`
+	Ask    bool   `json:"ask,omitempty"`
 }
 
 // VouchResponse says who answers, and whether it vouches now.
--- a/internal/ledger/takeover.go
+++ b/internal/ledger/takeover.go
@@ -5,7 +5,6 @@
 
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/keyspace"
-	"github.com/shalefork/shalefork/internal/wire"
 )
 
 // toleratedLoss is how many gateways may be lost at once: each record is held
@@ -39,46 +38,40 @@
 // all that may hold one: for each hash at most toleratedLoss of them are
 // missing, so that of each record's two gateways one has answered.
 //
-// Missing are those that did not answer, and those that vouch for nothing
-// although somebody knows of a tenure: they may have held records before they
-// were started anew. Where nobody knows of any tenure, there were no records.
+// Missing are those that did not answer, and those that vouch for nothing: they
+// may have held records before they were started anew. Where nobody knows of
+// any tenure, there were no records, but then everybody has to say so: the one
+// that does not answer may be the one that knows.
 func (t *Takeover) Complete(gateways []bundle.ServerName) bool {
 	for _, hash := range t.borders() {
-		if t.missingAt(hash, gateways) > toleratedLoss {
+		if !t.completeAt(hash, gateways) {
 			return false
 		}
 	}
 	return true
 }
 
-func (t *Takeover) missingAt(hash keyspace.Hash, gateways []bundle.ServerName) int {
-	latest, without := t.latestAt(hash)
+func (t *Takeover) completeAt(hash keyspace.Hash, gateways []bundle.ServerName) bool {
+	if !t.anyTenureAt(hash) {
+		return !slices.ContainsFunc(gateways, func(name bundle.ServerName) bool { return !t.HasAnswered(name) })
+	}
 	missing := 0
 	for _, name := range gateways {
-		said, answered := t.answers[name]
-		vouches := answered && (latest == 0 || tenureAt(said.Vouched, hash).Fence > 0)
-		if !vouches && !slices.Contains(without, name) {
+		if tenureAt(t.answers[name].Vouched, hash).Fence == 0 {
 			missing++
 		}
 	}
-	return missing
+	return missing <= toleratedLoss
 }
 
-// latestAt returns the fence of the latest tenure that anybody knows of, zero
-// for none, and the gateways that its owner left out. What the owner of an
-// earlier tenure left out may have been used since.
-func (t *Takeover) latestAt(hash keyspace.Hash) (wire.Fence, []bundle.ServerName) {
-	latest := wire.Fence(0)
-	for _, said := range t.answers {
-		latest = max(latest, tenureAt(said.Vouched, hash).Fence, tenureAt(said.Promised, hash).Fence)
-	}
-	var without []bundle.ServerName
+// anyTenureAt reports whether somebody knows of an earlier owner.
+func (t *Takeover) anyTenureAt(hash keyspace.Hash) bool {
 	for _, said := range t.answers {
-		if vouched := tenureAt(said.Vouched, hash); vouched.Fence == latest {
-			without = append(without, vouched.Without...)
+		if tenureAt(said.Vouched, hash).Fence > 0 || tenureAt(said.Promised, hash).Fence > 0 {
+			return true
 		}
 	}
-	return latest, without
+	return false
 }
 
 // borders returns a hash of every part of the range within which no answer
--- a/internal/ledger/tenure.go
+++ b/internal/ledger/tenure.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 
-	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/keyspace"
 	"github.com/shalefork/shalefork/internal/wire"
 )
@@ -13,20 +12,6 @@
 type Tenure struct {
 	Range keyspace.Range `json:"range"`
 	Fence wire.Fence     `json:"fence"`
-	// Without lists gateways that hold no second copy and will be given none
-	// in this tenure, since they did not answer the owner.
-	Without []bundle.ServerName `json:"without,omitempty"`
-	// Round counts the changes of Without, so that a delayed message with an
-	// older list changes nothing.
-	Round uint64 `json:"round,omitempty"`
-}
-
-// newer reports whether t replaces other.
-func (t Tenure) newer(other Tenure) bool {
-	if t.Fence != other.Fence {
-		return t.Fence > other.Fence
-	}
-	return t.Round > other.Round
 }
 
 // Testimony is what a gateway that is asked for its records says of itself.
@@ -70,10 +55,8 @@
 // Raise puts the tenure in place of older ones. It returns false, and changes
 // nothing, if there is a later one for any of its hashes.
 func (t *Tenures) Raise(raised Tenure) bool {
-	for _, tenure := range t.Overlapping(raised.Range) {
-		if tenure.newer(raised) {
-			return false
-		}
+	if t.Highest(raised.Range) > raised.Fence {
+		return false
 	}
 	next := []Tenure{raised}
 	for _, tenure := range t.list {
--- a/internal/ledgernode/handlers.go
+++ b/internal/ledgernode/handlers.go
@@ -56,7 +56,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	response := ledger.VouchResponse{Holder: n.self}
-	if request.Ask || request.Cell != n.config.Cell {
+	if request.Ask || request.Cell != n.config.Cell || request.Holder != n.self {
 		return response
 	}
 	response.Accepted = n.vouch(request.Tenure)
--- a/internal/ledgernode/owner.go
+++ b/internal/ledgernode/owner.go
@@ -50,7 +50,7 @@
 		Key: request.Key, Digest: request.Digest, Attempt: request.Attempt, RunsFor: request.RunsFor,
 	}
 	verdict, record := n.book.Look(n.now(), asked)
-	if verdict != ledger.VerdictAbsent || !n.isComplete(request.Grant) {
+	if verdict != ledger.VerdictAbsent || !n.mayBegin(request.Grant) {
 		return verdict, record
 	}
 	n.sequence++
--- a/internal/ledgernode/peers.go
+++ b/internal/ledgernode/peers.go
@@ -19,9 +19,6 @@
 	silent int
 }
 
-// silentRounds after which a gateway is left out of a tenure.
-const silentRounds = 2
-
 // others lists the other gateways of the table.
 func (n *Node) others() []wire.TableServer {
 	return slices.DeleteFunc(slices.Clone(n.directory.Gateways()), func(server wire.TableServer) bool {
@@ -45,8 +42,7 @@
 
 // copyCandidates lists the gateways that may hold the second copy, the best
 // first: the one that has it, then those in other zones, then those that do
-// not drain; keys are spread over equals. One that the tenure leaves out never
-// gets a copy.
+// not drain; keys are spread over equals. Silent ones come last.
 func (n *Node) copyCandidates(key ledger.Key) []wire.TableServer {
 	candidates := n.others()
 	if len(candidates) == 0 {
@@ -56,9 +52,6 @@
 	candidates = slices.Concat(candidates[first:], candidates[:first])
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	candidates = slices.DeleteFunc(candidates, func(server wire.TableServer) bool {
-		return n.isLeftOut(key.Hash(), server.Name)
-	})
 	holder := n.book.HolderOf(key).Name
 	slices.SortStableFunc(candidates, func(a, b wire.TableServer) int {
 		return n.copyRank(a, holder) - n.copyRank(b, holder)
--- a/internal/ledgernode/sync.go
+++ b/internal/ledgernode/sync.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/shalefork/shalefork/internal/bundle"
-	"github.com/shalefork/shalefork/internal/keyspace"
 	"github.com/shalefork/shalefork/internal/ledger"
 	"github.com/shalefork/shalefork/internal/wire"
 )
@@ -60,7 +58,6 @@
 	}
 	n.askPeers(ctx)
 	for _, t := range owned {
-		n.leaveOut(t)
 		n.secure(ctx, t)
 	}
 }
@@ -84,38 +81,15 @@
 	return list
 }
 
-// leaveOut bars gateways that are silent from copies: what they hold is not
-// needed once it is copied elsewhere. Those that answer again come back.
-func (n *Node) leaveOut(t *tenure) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for name, known := range n.peers {
-		if known.silent >= silentRounds {
-			t.leftOut.add(name)
-		} else if known.silent == 0 {
-			t.leftOut.takeBack(name)
-		}
-	}
-}
-
-// isLeftOut is called with the lock held.
-func (n *Node) isLeftOut(hash keyspace.Hash, name bundle.ServerName) bool {
-	for _, t := range n.tenures {
-		if t.slice.Range.Contains(hash) && t.leftOut.bars(name) {
-			return true
-		}
-	}
-	return false
-}
-
 // secure copies the records that lack a second copy at a gateway that is up.
 // Only when all have one do this gateway and the others vouch for the tenure.
+//
+// The grant is checked after the others' runs are known: if it stands then,
+// each of these runs began before any later tenure, so that it will hold
+// whatever a later owner gives it. A message that comes late changes nothing.
 func (n *Node) secure(ctx context.Context, t *tenure) {
 	n.mu.Lock()
-	present := slices.DeleteFunc(n.present(), func(holder ledger.Holder) bool {
-		return t.leftOut.bars(holder.Name)
-	})
-	vouching := t.asTenure()
+	present := n.present()
 	lacking := n.book.Uncopied(n.now(), t.slice.Range, present)
 	n.mu.Unlock()
 	for _, record := range lacking {
@@ -123,38 +97,41 @@
 			return
 		}
 	}
-	n.mu.Lock()
-	if t.complete {
-		n.vouch(vouching)
+	if !n.stillHolds(t) {
+		return
 	}
-	up := n.present()
-	n.mu.Unlock()
 	var telling sync.WaitGroup
-	for _, holder := range up {
-		telling.Go(func() { n.letVouch(ctx, t, vouching, holder) })
+	for _, holder := range present {
+		telling.Go(func() { n.letVouch(ctx, t, holder) })
 	}
 	telling.Wait()
 }
 
-func (n *Node) letVouch(ctx context.Context, t *tenure, vouching ledger.Tenure, holder ledger.Holder) {
-	address, ok := n.addressOf(holder.Name)
+// stillHolds reports whether the tenure's grant stands.
+func (n *Node) stillHolds(t *tenure) bool {
 	n.mu.Lock()
-	current := t.leftOut.isCurrent(holder) || vouching.Round != t.leftOut.round
-	if ok && !current {
-		t.leftOut.telling(holder)
-	}
+	defer n.mu.Unlock()
+	key := wire.SliceFence{Slice: t.slice, Fence: t.fence}
+	_, held := n.holder.Expiry(n.clock.Now())
+	return held && n.tenures[key] == t
+}
+
+func (n *Node) letVouch(ctx context.Context, t *tenure, holder ledger.Holder) {
+	n.mu.Lock()
+	done := t.vouching[holder]
 	n.mu.Unlock()
-	if current || !ok {
+	address, ok := n.addressOf(holder.Name)
+	if done || !ok {
 		return
 	}
 	limited, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	message := ledger.VouchRequest{Cell: n.config.Cell, Tenure: vouching}
+	message := ledger.VouchRequest{Cell: n.config.Cell, Tenure: t.asTenure(), Holder: holder}
 	response, err := post[ledger.VouchResponse](limited, n.client, address, ledger.PathVouch, message)
-	if err != nil || !response.Accepted || response.Holder != holder {
+	if err != nil || !response.Accepted {
 		return
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	t.leftOut.vouched(holder, vouching)
+	t.vouching[holder] = true
 }
--- a/internal/ledgernode/tenure.go
+++ b/internal/ledgernode/tenure.go
@@ -36,8 +36,8 @@
 	once      sync.Once
 	// complete says that every record of the slice is known.
 	complete bool
-	// leftOut are the gateways that get no copies in this tenure.
-	leftOut leftOut
+	// vouching holds the runs of gateways that vouch for this tenure.
+	vouching map[ledger.Holder]bool
 }
 
 // followGrants starts and ends tenures with the grants. The lock is held.
@@ -68,7 +68,7 @@
 		fence:     key.Fence,
 		cancel:    cancel,
 		collected: make(chan struct{}),
-		leftOut:   newLeftOut(),
+		vouching:  map[ledger.Holder]bool{},
 	}
 	n.tenures[key] = started
 	n.work.Go(func() { n.takeOver(ctx, started) })
@@ -88,8 +88,9 @@
 	}
 }
 
-// isComplete is called with the lock held.
-func (n *Node) isComplete(grant ledger.Grant) bool {
+// mayBegin reports whether a key that is not known is surely new. The lock is
+// held.
+func (n *Node) mayBegin(grant ledger.Grant) bool {
 	known := n.tenures[wire.SliceFence{Slice: grant.Slice, Fence: grant.Fence}]
 	return known != nil && known.complete
 }
@@ -240,12 +241,7 @@
 }
 
 func (t *tenure) asTenure() ledger.Tenure {
-	return ledger.Tenure{
-		Range:   t.slice.Range,
-		Fence:   t.fence,
-		Without: t.leftOut.announced(),
-		Round:   t.leftOut.round,
-	}
+	return ledger.Tenure{Range: t.slice.Range, Fence: t.fence}
 }
 
 func names(servers []wire.TableServer) []bundle.ServerName {
