Leave a frozen owner once its slice has a new one

Ruled out: cutting at once, which would lose answers already on their way. Conclusion: repeatable requests go to the new owner, others end as unknown early.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -39,7 +39,7 @@
 		Zone:              zone,
 		SlowStart:         5 * time.Second,
 		EjectBase:         100 * time.Millisecond,
-		EjectMax:          2 * time.Second,
+		EjectMax:          500 * time.Millisecond,
 		AvoidAfterRefusal: 20 * time.Millisecond,
 	}
 }
--- a/internal/gateway/broken_test.go
+++ b/internal/gateway/broken_test.go
@@ -213,3 +213,37 @@
 		<-cancelled
 	})
 }
+
+// A frozen owner holds a request only until its slice has a new owner. One that
+// may run again goes there; another ends as unknown.
+func TestFrozenOwnerIsLeftWhenTheSliceMoves(t *testing.T) {
+	for _, repeatable := range []bool{true, false} {
+		inCell(t, func(c *cell) {
+			c.raw("w1:1", &rawServer{handle: func(conn net.Conn, _ *http.Request, _ int) bool {
+				_, _ = conn.Read(make([]byte, 1)) // until the gateway lets go
+				return false
+			}})
+			c.serve("w2:1", echo(func(writer http.ResponseWriter, _ *http.Request) { _, _ = writer.Write([]byte("w2")) }))
+			c.gateway("g1")
+			update := tableOf(1, []bundle.Service{keyedService("free", repeatable)}, "w1", "w2")
+			c.controller.publish(update)
+			answered := make(chan answer)
+			began := time.Now()
+			go func() { answered <- c.ask("GET", "/free/r7", "") }()
+			time.Sleep(300 * time.Millisecond)
+			moved := update.Assignments[0]
+			moved.Server, moved.Fence = "tawila/free/w2", wire.NewFence(1, 2)
+			c.controller.publish(wire.TableUpdate{
+				Cell: testCell, From: update.Version, Version: wire.TableVersion{Generation: 1, Index: 2},
+				Assignments: []wire.TableEntry{moved},
+			})
+			got := <-answered
+			if repeatable {
+				assert.Equal(t, got.body, "w2")
+			} else {
+				got.refused(t, 502, wire.OutcomeUnknown, wire.ReasonAnswerLost)
+			}
+			assert.Assert(t, time.Since(began) < 500*time.Millisecond)
+		})
+	}
+}
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -19,6 +19,9 @@
 	dialBurst      = 16
 )
 
+// errDialBudget says that too many connections were opened lately.
+var errDialBudget = errs.New("the budget of new connections is spent")
+
 // errSealed says that a connection was closed to further writes.
 var errSealed = errs.New("connection sealed")
 
@@ -77,8 +80,8 @@
 }
 
 func (d *dialer) open(ctx context.Context, network, address string) (net.Conn, error) {
-	if err := d.limiter.Wait(ctx); err != nil {
-		return nil, Error.Wrap(err)
+	if d.limiter.Wait(ctx) != nil {
+		return nil, errDialBudget
 	}
 	d.metrics.Dials.Inc()
 	opened, err := d.dial(ctx, network, address)
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -36,6 +36,7 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		IdleConnTimeout:        backendIdleTimeout,
+		MaxIdleConnsPerHost:    unboundedIdle,
 	}
 	return &http.Client{Transport: &peerauth.Transport{Token: token, Base: base}}
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -96,13 +96,15 @@
 	}
 	followed := &try{once: !c.repeatable()}
 	trace := &httptrace.ClientTrace{GotConn: followed.gotConn}
-	request := g.outgoing(httptrace.WithClientTrace(ctx, trace), c, to, id)
+	trying, answered := c.service.begin(ctx, c, to)
+	request := g.outgoing(httptrace.WithClientTrace(trying, trace), c, to, id)
 	response, err := through.transport.RoundTrip(request)
+	answered()
 	ended.latency = time.Since(began)
 	if err != nil {
-		ended.fail(failedResult(ctx, err), retry.Attempt{
+		ended.fail(failedResult(trying, err), retry.Attempt{
 			BytesSent: followed.seal(),
-			Reason:    failedReason(ctx, err),
+			Reason:    failedReason(trying, err),
 		})
 		return ended
 	}
@@ -183,13 +185,13 @@
 
 // failedResult tells a back end's failure from a caller that went away.
 func failedResult(ctx context.Context, err error) balance.Result {
-	if errors.Is(err, errBodyBroken) || errors.Is(err, errBodyTooLarge) {
+	if errors.Is(err, errBodyBroken) || errors.Is(err, errBodyTooLarge) || errors.Is(err, errDialBudget) {
 		return balance.ResultNeutral
 	}
 	switch {
 	case ctx.Err() == nil:
 		return balance.ResultUnreachable
-	case errors.Is(context.Cause(ctx), errDeadline):
+	case errors.Is(context.Cause(ctx), errDeadline), errors.Is(context.Cause(ctx), errMoved):
 		return balance.ResultTimeout
 	default:
 		return balance.ResultNeutral
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -26,6 +26,8 @@
 	occupancy time.Duration
 	// wake tells the prober that there is work; it holds one signal.
 	wake chan struct{}
+	// running tries of keyed requests, until their answer's headers come.
+	running map[*running]struct{}
 }
 
 // occupancyShare is the weight of a new measurement in the moving average.
@@ -89,7 +91,7 @@
 func (s *services) update(held *view) {
 	s.ensure(held)
 	for name, route := range held.routes.byName {
-		s.get(name).update(s.members(held, route))
+		s.get(name).update(held, s.members(held, route))
 	}
 }
 
@@ -116,6 +118,7 @@
 		pool:    balance.NewPool(balance.DefaultConfig(s.zone)),
 		budget:  retry.NewBudget(),
 		wake:    s.wake,
+		running: map[*running]struct{}{},
 	}
 }
 
@@ -141,10 +144,11 @@
 	return list
 }
 
-func (s *service) update(members []balance.Member) {
+func (s *service) update(held *view, members []balance.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pool.Update(s.now(), members)
+	s.cancelMoved(held)
 	s.dispatch()
 }
 
