Show the leader's status rather than a standby's

Cause: status took the first controller that answered; a standby knows no leader and shows an empty cell. Change: status asks until a controller knows the leader, then the leader. Seen: go test -race -count=5 of operator passed; on a running cell with a standby first, status showed the leader.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -70,22 +70,51 @@
 	return versions, err
 }
 
-// Status returns the view of the group's leader, which alone knows the leases,
-// or of the first controller that answers if no leader does.
+// Status returns the view of the group's leader, which alone knows the leases.
+// If no leader answers, it returns the view of a controller that knows of one,
+// or else that of any controller, such as a standby.
 func (c *Client) Status(ctx context.Context) (adminapi.Status, error) {
-	var status adminapi.Status
-	if err := c.read(ctx, adminapi.PathStatus, &status); err != nil {
-		return status, err
+	var best adminapi.Status
+	last := error(ErrUnreachable)
+	answered := false
+	for _, address := range c.controllers {
+		status, err := c.statusOf(ctx, address)
+		if err != nil {
+			last = err
+			continue
+		}
+		leader, known := leaderOf(status.Group)
+		if known {
+			return c.statusFrom(ctx, leader, status), nil
+		}
+		if !answered {
+			best = status
+			answered = true
+		}
+	}
+	if answered {
+		return best, nil
 	}
-	address, known := leaderOf(status.Group)
-	if !known || status.Group.Self == status.Group.Leader {
-		return status, nil
+	return best, last
+}
+
+func (c *Client) statusOf(ctx context.Context, address string) (adminapi.Status, error) {
+	var status adminapi.Status
+	err := c.call(ctx, http.MethodGet, "http://"+address+adminapi.PathStatus, nil, &status)
+	return status, err
+}
+
+// statusFrom returns the leader's view, or the follower's if the leader does
+// not answer.
+func (c *Client) statusFrom(ctx context.Context, leader string, follower adminapi.Status) adminapi.Status {
+	if follower.Group.Self == follower.Group.Leader {
+		return follower
 	}
-	var led adminapi.Status
-	if err := c.call(ctx, http.MethodGet, "http://"+address+adminapi.PathStatus, nil, &led); err != nil {
-		return status, nil
+	status, err := c.statusOf(ctx, leader)
+	if err != nil {
+		return follower
 	}
-	return led, nil
+	return status
 }
 
 func leaderOf(group consensus.Status) (string, bool) {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -18,7 +18,9 @@
 
 	"github.com/shalefork/shalefork/internal/adminapi"
 	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/consensus"
 	"github.com/shalefork/shalefork/internal/peerauth"
+	"github.com/shalefork/shalefork/internal/wire"
 )
 
 const (
@@ -144,6 +146,26 @@
 	golden.Assert(t, shown.result.String(), "status.golden")
 }
 
+func TestStatusAsksTheLeaderAndNotAStandby(t *testing.T) {
+	answer := func(group consensus.Status) string {
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			_ = json.NewEncoder(writer).Encode(adminapi.Status{Group: group})
+		}))
+		t.Cleanup(server.Close)
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+	standby := answer(consensus.Status{Self: "s"})
+	leader := answer(consensus.Status{Self: "m1", Leader: "m1"})
+	group := consensus.Membership{Members: []consensus.Member{{ID: "m1", Address: leader}}}
+	follower := answer(consensus.Status{Self: "m2", Leader: "m1", Membership: group})
+	status, err := NewClient([]string{nobodyThere, standby, follower}, testToken).Status(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, status.Group.Self, wire.Incarnation("m1"))
+	status, err = NewClient([]string{nobodyThere, standby}, testToken).Status(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, status.Group.Self, wire.Incarnation("s"))
+}
+
 func TestExamplesAreValid(t *testing.T) {
 	for _, example := range []string{"tawila", "tweede-leven"} {
 		directory := filepath.Join("..", "..", "examples", example)
