--- a/cmd/shalefork-lab/standins.go
+++ b/cmd/shalefork-lab/standins.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 
+	"github.com/integrii/flaggy"
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/cli"
 	"github.com/shalefork/shalefork/internal/keyspace"
@@ -38,37 +39,58 @@
 	}}
 }
 
+// workerFlags are those that need a conversion to become a worker.Config.
+type workerFlags struct {
+	config    worker.Config
+	name      string
+	cell      string
+	service   string
+	zone      string
+	kind      string
+	tokenFile string
+}
+
 func workerCommand() cli.Command {
-	config := worker.DefaultConfig()
-	var name, cell, service, zone, tokenFile string
-	kind := string(config.Kind)
+	flags := &workerFlags{config: worker.DefaultConfig()}
+	flags.kind = string(flags.config.Kind)
 	subcommand := cli.NewSubcommand("worker", "Stand in for a server that takes fenced grants.")
+	flags.attach(subcommand)
+	return cli.Command{Subcommand: subcommand, Run: func(ctx context.Context) cli.ExitCode {
+		config, err := flags.toConfig()
+		if err != nil {
+			return exitOf(err)
+		}
+		return exitOf(worker.Run(ctx, config))
+	}}
+}
+
+func (f *workerFlags) attach(subcommand *flaggy.Subcommand) {
+	config := &f.config
 	subcommand.String(&config.Listen, "l", "listen", "Address to serve on, host:port")
-	subcommand.String(&name, "n", "name", "Name of the server, team/service/backend")
-	subcommand.String(&cell, "c", "cell", "Cell of the server")
-	subcommand.String(&service, "s", "service", "Service of the server, team/service")
-	subcommand.String(&zone, "z", "zone", "Zone of the server")
-	subcommand.String(&kind, "k", "kind", "keyed or pool")
+	subcommand.String(&f.name, "n", "name", "Name of the server, team/service/backend")
+	subcommand.String(&f.cell, "c", "cell", "Cell of the server")
+	subcommand.String(&f.service, "s", "service", "Service of the server, team/service")
+	subcommand.String(&f.zone, "z", "zone", "Zone of the server")
+	subcommand.String(&f.kind, "k", "kind", "keyed or pool")
 	subcommand.Bool(&config.Repeatable, "r", "repeatable", "Its requests may be repeated")
-	subcommand.String(&tokenFile, "t", "token-file", "File with the token of the cell")
+	subcommand.String(&f.tokenFile, "t", "token-file", "File with the token of the cell")
 	subcommand.Int(&config.Slots, "", "slots", "Requests that run at once")
 	subcommand.Int(&config.Queue, "", "queue", "Requests that wait for a slot")
 	subcommand.Int(&config.Connections, "", "connections", "Connections that it accepts")
 	subcommand.Duration(&config.ServiceTime, "", "service-time", "Mean time that a request takes")
 	subcommand.String(&config.History, "", "history", "URL of the collector of histories")
 	subcommand.Duration(&config.DrainTimeout, "", "drain-timeout", "Longest drain at a stop; 0s without end")
-	return cli.Command{Subcommand: subcommand, Run: func(ctx context.Context) cli.ExitCode {
-		token, err := operator.LoadToken(tokenFile)
-		if err != nil {
-			return exitOf(err)
-		}
-		config.Name = bundle.ServerName(name)
-		config.Cell = bundle.CellName(cell)
-		config.Service = keyspace.ServiceName(service)
-		config.Zone = bundle.Zone(zone)
-		config.Kind = bundle.Kind(kind)
-		config.Token = token
-		config.Logger = telemetry.NewLogger(name, "info")
-		return exitOf(worker.Run(ctx, config))
-	}}
+}
+
+func (f *workerFlags) toConfig() (worker.Config, error) {
+	token, err := operator.LoadToken(f.tokenFile)
+	config := f.config
+	config.Name = bundle.ServerName(f.name)
+	config.Cell = bundle.CellName(f.cell)
+	config.Service = keyspace.ServiceName(f.service)
+	config.Zone = bundle.Zone(f.zone)
+	config.Kind = bundle.Kind(f.kind)
+	config.Token = token
+	config.Logger = telemetry.NewLogger(f.name, "info")
+	return config, err
 }
--- a/internal/lab/demo/summary.go
+++ b/internal/lab/demo/summary.go
@@ -91,41 +91,63 @@
 // maxShown bounds the violations that are written out.
 const maxShown = 10
 
+// rows is a table of names and values.
+type rows struct {
+	table *tabwriter.Writer
+}
+
+func newRows(writer io.Writer) rows {
+	const padding = 2
+	return rows{tabwriter.NewWriter(writer, 0, 0, padding, ' ', 0)}
+}
+
+func (r rows) add(name, format string, values ...any) {
+	fmt.Fprintf(r.table, "%s\t%s\n", name, fmt.Sprintf(format, values...))
+}
+
 // write writes the table, and as its last line the count of violations.
 func (s Summary) write(writer io.Writer) {
-	const padding = 2
-	table := tabwriter.NewWriter(writer, 0, 0, padding, ' ', 0)
-	report := s.Load
-	row := func(name, format string, values ...any) {
-		fmt.Fprintf(table, "%s\t%s\n", name, fmt.Sprintf(format, values...))
-	}
-	row("operations begun", "%d", report.Operations)
-	row("operations that succeeded", "%d", report.Succeeded)
-	row("operations not begun, too many in flight", "%d", report.NotBegun)
-	row("requests", "%d", report.Requests)
-	for _, refusal := range report.Refusals {
-		row("refused: "+string(refusal.Outcome)+", "+string(refusal.Reason), "%d", refusal.Count)
+	rows := newRows(writer)
+	s.writeRequests(rows)
+	s.writeCell(rows)
+	s.writeTimes(rows)
+	_ = rows.table.Flush()
+	s.writeFaults(writer)
+	fmt.Fprintf(writer, "violations: %d\n", len(s.Violations))
+}
+
+func (s Summary) writeRequests(rows rows) {
+	rows.add("operations begun", "%d", s.Load.Operations)
+	rows.add("operations that succeeded", "%d", s.Load.Succeeded)
+	rows.add("operations not begun, too many in flight", "%d", s.Load.NotBegun)
+	rows.add("requests", "%d", s.Load.Requests)
+	for _, refusal := range s.Load.Refusals {
+		rows.add("refused: "+string(refusal.Outcome)+", "+string(refusal.Reason), "%d", refusal.Count)
 	}
-	row("no gateway at the address", "%d", report.Unreached)
-	row("broken off or unanswered", "%d", report.Broken)
-	row("slow pulls, whole", "%d of %d", report.WholePulls, report.Pulls)
+	rows.add("no gateway at the address", "%d", s.Load.Unreached)
+	rows.add("broken off or unanswered", "%d", s.Load.Broken)
+	rows.add("slow pulls, whole", "%d of %d", s.Load.WholePulls, s.Load.Pulls)
+}
+
+func (s Summary) writeCell(rows rows) {
 	for _, imbalance := range s.Imbalance {
-		row("imbalance of "+string(imbalance.Service)+", max/mean", "%.2f", imbalance.MaxOverMean)
+		rows.add("imbalance of "+string(imbalance.Service)+", max/mean", "%.2f", imbalance.MaxOverMean)
 	}
-	row("churn, moves of slices", "%d of %d slices", s.Moves, s.Slices)
-	row("unavailable time", "%.2f key-seconds over %d keys", report.Unavailable.KeySeconds, report.Unavailable.Keys)
-	row("longest time to serve a lost key again", "%s", milliseconds(report.Unavailable.Longest))
+	rows.add("churn, moves of slices", "%d of %d slices", s.Moves, s.Slices)
+	rows.add("executions recorded by servers", "%d", s.Executions)
+}
+
+func (s Summary) writeTimes(rows rows) {
+	unavailable := s.Load.Unavailable
+	rows.add("unavailable time", "%.2f key-seconds over %d keys", unavailable.KeySeconds, unavailable.Keys)
+	rows.add("longest time to serve a lost key again", "%s", milliseconds(unavailable.Longest))
 	for _, step := range s.Steps {
-		row("  "+step.Name, "%.2f key-seconds over %d keys, longest %s",
+		rows.add("  "+step.Name, "%.2f key-seconds over %d keys, longest %s",
 			step.Unavailable.KeySeconds, step.Unavailable.Keys, milliseconds(step.Unavailable.Longest))
 	}
-	row("request latency p50", "%s", milliseconds(report.Latency.P50))
-	row("request latency p99", "%s", milliseconds(report.Latency.P99))
-	row("operation latency p99, repeats included", "%s", milliseconds(report.OperationLatency.P99))
-	row("executions recorded by servers", "%d", s.Executions)
-	_ = table.Flush()
-	s.writeFaults(writer)
-	fmt.Fprintf(writer, "violations: %d\n", len(s.Violations))
+	rows.add("request latency p50", "%s", milliseconds(s.Load.Latency.P50))
+	rows.add("request latency p99", "%s", milliseconds(s.Load.Latency.P99))
+	rows.add("operation latency p99, repeats included", "%s", milliseconds(s.Load.OperationLatency.P99))
 }
 
 func (s Summary) writeFaults(writer io.Writer) {
