--- a/internal/lab/scale/cell.go
+++ b/internal/lab/scale/cell.go
@@ -10,13 +10,15 @@
 	"github.com/shalefork/shalefork/internal/lab/simulation"
 )
 
-// Shape is the size of one cell and of the fleet around it. A machine carries a
-// gateway, a controller and a server; the first machines carry the keyed
-// servers, the next the servers of a pool, the rest no server.
+// Shape is the size of one cell and of the fleet around it, and what is tried in
+// place of today's mechanisms. A machine carries a gateway, a controller and a
+// server; the first machines carry the keyed servers, the next those of a pool.
 type Shape struct {
-	Keyed    int `json:"keyed"`
-	Pool     int `json:"pool"`
+	Keyed int `json:"keyed"`
+	Pool  int `json:"pool"`
+	// Machines have a controller each, Gateways of them a gateway.
 	Machines int `json:"machines"`
+	Gateways int `json:"gateways"`
 	Slices   int `json:"slices"`
 	// Fleet is the number of machines of all cells: the machine list's length.
 	Fleet int `json:"fleet"`
@@ -24,18 +26,33 @@
 	FleetChanges float64 `json:"fleet_changes"`
 	// RequestRate is what one machine's gateway takes, a second.
 	RequestRate float64 `json:"request_rate"`
-	// NoLoadReports leaves load reports out of the answers to renewals.
-	NoLoadReports bool `json:"no_load_reports,omitempty"`
+	// ReportEvery is the time between whole load reports; zero means with every
+	// renewal.
+	ReportEvery time.Duration `json:"report_every_ns"`
+	// RenewEvery is the period of keyed servers' renewals; GrantTime is three
+	// times as long.
+	RenewEvery time.Duration `json:"renew_every_ns"`
+	// LedgerGateways is how many gateways register as servers of the ledger.
+	LedgerGateways int `json:"ledger_gateways"`
+	// Still forbids moves for balance.
+	Still bool `json:"still,omitempty"`
 }
 
 // defaultShape is a cell of today's size in a fleet of the letter's size.
 func defaultShape() Shape {
 	return Shape{
-		Keyed: 14, Pool: 20, Machines: 34, Slices: 56,
+		Keyed: 14, Pool: 20, Machines: 34, Gateways: 34, LedgerGateways: 34, Slices: 56,
 		Fleet: targetNodes, FleetChanges: targetChanges, RequestRate: targetRequests / targetNodes,
+		ReportEvery: reportEvery, RenewEvery: renewEvery,
 	}
 }
 
+// withMachines returns the shape with as many machines, each with a gateway.
+func (s Shape) withMachines(count int) Shape {
+	s.Machines, s.Gateways, s.LedgerGateways = count, count, count
+	return s
+}
+
 // The size that the users expect within two years.
 const (
 	targetNodes    = 5800
@@ -135,14 +152,15 @@
 }
 
 func (c *cell) addGateways() {
-	for machine := range c.shape.Machines {
+	for machine := range c.shape.Gateways {
 		c.addGateway(machine)
 	}
 }
 
 // start elects a leader, opens the table streams and makes the bundle be
-// adopted. It fails if no leader is elected.
-func (c *cell) start() error {
+// adopted. The leader is the source of the standbys' streams only if wanted. It
+// fails if no leader is elected.
+func (c *cell) start(sourceLeads bool) error {
 	for _, each := range c.replicas {
 		each.startTicks()
 	}
@@ -151,9 +169,10 @@
 	if leader == nil {
 		return Error.New("%s elected no leader", c.name)
 	}
-	c.source = c.replicas[0]
-	if c.source == leader {
-		c.source = c.replicas[1]
+	for _, each := range c.replicas {
+		if (each == leader) == sourceLeads {
+			c.source = each
+		}
 	}
 	c.openStreams()
 	for _, each := range c.gateways {
@@ -177,17 +196,6 @@
 	return nil
 }
 
-// machineNodes returns all processes of one machine.
-func (c *cell) machineNodes(machine int) []*node {
-	var found []*node
-	for _, each := range c.allNodes() {
-		if each.machine == machine {
-			found = append(found, each)
-		}
-	}
-	return found
-}
-
 func (c *cell) allNodes() []*node {
 	var all []*node
 	for _, each := range c.replicas {
--- a/internal/lab/scale/config.go
+++ b/internal/lab/scale/config.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"runtime"
+	"strings"
 	"time"
 )
 
@@ -29,9 +30,6 @@
 // timeLimit ends a run that hangs.
 const timeLimit = 4 * time.Minute
 
-// memoryLimit bounds this process's heap, far below half of a machine.
-const memoryLimit = 4 << 30
-
 // DefaultConfig returns what flags start from.
 func DefaultConfig() Config {
 	return Config{Seed: 1, Shalefork: "bin/shalefork", Example: "examples/tawila", BasePort: 21000}
@@ -39,13 +37,24 @@
 
 // Result is all that a run measured.
 type Result struct {
-	Seed     uint64        `json:"seed"`
-	CPUs     int           `json:"cpus"`
-	Go       string        `json:"go"`
-	Load     string        `json:"load_average_at_start"`
-	Overhead Overhead      `json:"http_overhead"`
-	Fleets   []FleetResult `json:"fleets"`
-	Took     time.Duration `json:"took_ns"`
+	Seed uint64 `json:"seed"`
+	CPUs int    `json:"cpus"`
+	Go   string `json:"go"`
+	// Load is the machine's load average when the run began.
+	Load         string        `json:"load_average_at_start"`
+	Overhead     Overhead      `json:"http_overhead"`
+	Sizes        []Size        `json:"sizes"`
+	Ledger       LedgerCost    `json:"ledger"`
+	Fleets       []FleetResult `json:"fleets"`
+	Sweeps       []Sweep       `json:"sweeps"`
+	Alternatives []Point       `json:"alternatives"`
+	CellSizes    []Point       `json:"cell_sizes"`
+	Propagation  Propagation   `json:"propagation"`
+	Losses       []Loss        `json:"losses"`
+	Real         *RealCell     `json:"real,omitempty"`
+	// PeakMemory is the most that this process had resident, in bytes.
+	PeakMemory float64       `json:"peak_memory_bytes"`
+	Took       time.Duration `json:"took_ns"`
 }
 
 // Run measures and writes a table, and a JSON file if one is named.
@@ -53,10 +62,11 @@
 	ctx, cancel := context.WithTimeout(ctx, timeLimit)
 	defer cancel()
 	started := time.Now()
-	result, err := measure(ctx, config)
-	if err != nil {
+	result := Result{Seed: config.Seed, CPUs: runtime.NumCPU(), Go: runtime.Version(), Load: loadAverage()}
+	if err := result.measure(ctx, config); err != nil {
 		return err
 	}
+	result.PeakMemory = peakMemory()
 	result.Took = time.Since(started)
 	result.write(config.Output)
 	if config.JSON == "" {
@@ -70,27 +80,64 @@
 	return Error.Wrap(os.WriteFile(config.JSON, append(encoded, '\n'), fileMode))
 }
 
+// measure takes the measurements one after another.
+func (r *Result) measure(ctx context.Context, config Config) error {
+	stages := []struct {
+		name string
+		run  func() error
+	}{
+		{"http's overhead", func() (err error) { r.Overhead, err = measureOverhead(ctx); return err }},
+		{"a cell of processes", func() error { return r.measureReal(ctx, config) }},
+		{"state", func() (err error) { r.Sizes, err = measureSizes(r.Overhead, config.Seed); return err }},
+		{"the ledger", func() error { r.Ledger = measureLedger(r.Overhead); return nil }},
+		{"hollow fleets", func() error { return r.measureFleets(ctx, config) }},
+		{"slopes", func() error { r.Sweeps = sweeps(r.Overhead); return runSweeps(ctx, r.Sweeps, config.Seed) }},
+		{"alternatives", func() (err error) { r.Alternatives, err = runAlternatives(ctx, r.Overhead, config.Seed); return err }},
+		{"sizes of a cell", func() (err error) { r.CellSizes, err = runCellSizes(ctx, r.Overhead, config.Seed); return err }},
+		{"propagation", func() (err error) { r.Propagation, err = runPropagation(ctx, r.Overhead, config.Seed); return err }},
+		{"losses", func() (err error) { r.Losses, err = runLosses(ctx, r.Overhead, config.Seed); return err }},
+	}
+	started := time.Now()
+	for _, stage := range stages {
+		fmt.Fprintf(config.Output, "%6.1fs  measure %s\n", time.Since(started).Seconds(), stage.name)
+		if err := stage.run(); err != nil {
+			return Error.New("%s: %v", stage.name, err)
+		}
+	}
+	return nil
+}
+
 // fleetCells are the numbers of cells of 34 machines: 102, 408 and 1,598 nodes.
 var fleetCells = []int{3, 12, 47}
 
-func measure(ctx context.Context, config Config) (Result, error) {
-	result := Result{Seed: config.Seed, CPUs: runtime.NumCPU(), Go: runtime.Version(), Load: loadAverage()}
-	var err error
-	if result.Overhead, err = measureOverhead(ctx); err != nil {
-		return result, err
-	}
+func (r *Result) measureFleets(ctx context.Context, config Config) error {
 	for _, cells := range fleetCells {
 		shape := defaultShape()
 		shape.Fleet = cells * shape.Machines
 		shape.FleetChanges = targetChanges * float64(shape.Fleet) / targetNodes
-		fmt.Fprintf(config.Output, "hollow fleet of %d nodes\n", shape.Fleet)
-		fleet, err := runFleet(ctx, shape, cells, result.Overhead, config.Seed)
+		fleet, err := runFleet(ctx, shape, cells, r.Overhead, config.Seed)
 		if err != nil {
-			return result, err
+			return err
 		}
-		result.Fleets = append(result.Fleets, fleet)
+		r.Fleets = append(r.Fleets, fleet)
 	}
-	return result, nil
+	return nil
+}
+
+// measureReal runs the cell of processes and a hollow one of its shape.
+func (r *Result) measureReal(ctx context.Context, config Config) error {
+	if config.SkipReal {
+		return nil
+	}
+	measured, err := runReal(ctx, config)
+	if err != nil {
+		return err
+	}
+	hollow := Point{Shape: realShape(), overhead: r.Overhead}
+	err = runPoints(ctx, []*Point{&hollow}, config.Seed)
+	measured.Hollow = hollow.Costs
+	r.Real = &measured
+	return err
 }
 
 // loadAverage says how busy the machine was; empty where that is not known.
@@ -99,5 +146,15 @@
 	if err != nil {
 		return ""
 	}
-	return string(text[:len(text)-1])
+	return strings.TrimSpace(string(text))
+}
+
+// peakMemory is zero where it is not known.
+func peakMemory() float64 {
+	fields, err := procFields("/proc/self/status")
+	if err != nil {
+		return 0
+	}
+	const kibibyte = 1024
+	return fields["VmHWM"] * kibibyte
 }
--- a/internal/lab/scale/gateway.go
+++ b/internal/lab/scale/gateway.go
@@ -26,10 +26,10 @@
 // ledger.
 type gateway struct {
 	*node
-	server  bundle.ServerName
-	routes  *table.Table
-	holder  *lease.Holder
-	stream  *following
+	server bundle.ServerName
+	routes *table.Table
+	holder *lease.Holder
+	stream *following
 }
 
 func (c *cell) addGateway(machine int) {
@@ -44,10 +44,13 @@
 
 func (g *gateway) start() {
 	phase := time.Duration(g.cell.random.Int64N(int64(registerEvery)))
+	g.cell.Every(syncEvery, g.askPeers)
+	if g.machine >= g.cell.shape.LedgerGateways {
+		return
+	}
 	g.cell.After(phase/8, g.register)
 	g.cell.After(phase, func() {
 		g.cell.Every(registerEvery, g.register)
-		g.cell.Every(syncEvery, g.askPeers)
 	})
 }
 
@@ -126,13 +129,13 @@
 // askPeers asks the other gateways who they are, if this one owns a slice of
 // the ledger.
 func (g *gateway) askPeers() {
-	others := len(g.cell.gateways) - 1
+	others := g.cell.shape.LedgerGateways - 1
 	if !g.alive || others < 1 || len(g.cell.state().OwnedBy(g.server)) == 0 {
 		return
 	}
 	emulated := min(others, asksEmulated)
 	for i := range others {
-		peer := g.cell.gateways[(g.machine+1+i)%len(g.cell.gateways)]
+		peer := g.cell.gateways[(g.machine+1+i)%g.cell.shape.LedgerGateways]
 		if i >= emulated {
 			g.cell.countExchange(partLedger, g.node, peer.node, askBytes, holderBytes)
 			continue
--- a/internal/lab/scale/leading.go
+++ b/internal/lab/scale/leading.go
@@ -15,7 +15,8 @@
 
 // Times of leases; they are the product's defaults.
 const (
-	grantTime      = 600 * time.Millisecond
+	// grantPeriods is how many renewals fit in a grant's time.
+	grantPeriods   = 3
 	renewEvery     = 200 * time.Millisecond
 	poolGrantTime  = 3 * time.Second
 	poolRenewEvery = time.Second
@@ -64,8 +65,8 @@
 	elected, _ := r.consensus.Elected()
 	config := grant.Config{
 		Cell: r.cell.name, Leader: incarnationOf(r.node), Term: uint64(status.Term),
-		Duration: grantTime, PoolDuration: poolGrantTime,
-		RenewEvery: renewEvery, PoolRenewEvery: poolRenewEvery, DriftMargin: driftMargin,
+		Duration: grantPeriods * r.cell.shape.RenewEvery, PoolDuration: poolGrantTime,
+		RenewEvery: r.cell.shape.RenewEvery, PoolRenewEvery: poolRenewEvery, DriftMargin: driftMargin,
 	}
 	r.leadership = &leadership{
 		term:     status.Term,
--- /dev/null
+++ b/internal/lab/scale/loss.go
@@ -0,0 +1,259 @@
+package scale
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/ledger"
+	"github.com/shalefork/shalefork/internal/table"
+	"github.com/shalefork/shalefork/internal/wire"
+)
+
+// lossKind is what is lost, and how the others notice.
+type lossKind struct {
+	name string
+	// owner and leader say whose processes are lost.
+	owner, leader bool
+	// silent: the whole machine goes, so that no connection is refused.
+	silent bool
+	// sourceLeads: the leader streams the tables to all standbys.
+	sourceLeads bool
+}
+
+var lossKinds = []lossKind{
+	{name: "an owner's process", owner: true},
+	{name: "an owner's machine", owner: true, silent: true},
+	{name: "the leader's process", leader: true},
+	{name: "the leader's process, source of the tables", leader: true, sourceLeads: true},
+	{name: "the leader's machine with an owner", owner: true, leader: true, silent: true},
+	{name: "the same, source of the tables", owner: true, leader: true, silent: true, sourceLeads: true},
+}
+
+// Loss is how long keys were not served after a loss, over several seeds.
+type Loss struct {
+	Lost string `json:"lost"`
+	Runs int    `json:"runs"`
+	// FirstGateway, MedianGateway and LastGateway are the times until a gateway
+	// can reach an owner that admits, for the slice that takes longest there.
+	FirstGateway  Spread `json:"first_gateway"`
+	MedianGateway Spread `json:"median_gateway"`
+	LastGateway   Spread `json:"last_gateway"`
+}
+
+// Spread of a time over several seeds.
+type Spread struct {
+	Median  time.Duration `json:"median_ns"`
+	Longest time.Duration `json:"longest_ns"`
+}
+
+func spreadOf(times []time.Duration) Spread {
+	sorted := slices.Sorted(slices.Values(times))
+	return Spread{Median: sorted[len(sorted)/2], Longest: sorted[len(sorted)-1]}
+}
+
+const (
+	lossSeeds = 5
+	// probeEvery is the resolution of the times.
+	probeEvery = 5 * time.Millisecond
+	// lossWindow is watched after each loss.
+	lossWindow = 7 * time.Second
+)
+
+func runLosses(ctx context.Context, overhead Overhead, seed uint64) ([]Loss, error) {
+	runs, err := runTogether(ctx, len(lossKinds)*lossSeeds, func(number int) (darkness, error) {
+		return runLoss(lossKinds[number/lossSeeds], overhead, seed+uint64(number%lossSeeds))
+	})
+	if err != nil {
+		return nil, err
+	}
+	var losses []Loss
+	for i, kind := range lossKinds {
+		losses = append(losses, lossOf(kind, runs[i*lossSeeds:(i+1)*lossSeeds]))
+	}
+	return losses, nil
+}
+
+func lossOf(kind lossKind, runs []darkness) Loss {
+	var first, median, last []time.Duration
+	for _, each := range runs {
+		sorted := slices.Sorted(slices.Values(each.byGateway))
+		first = append(first, sorted[0])
+		median = append(median, sorted[len(sorted)/2])
+		last = append(last, sorted[len(sorted)-1])
+	}
+	return Loss{
+		Lost: kind.name, Runs: len(runs),
+		FirstGateway: spreadOf(first), MedianGateway: spreadOf(median), LastGateway: spreadOf(last),
+	}
+}
+
+// darkness is the time from the loss to the last probe that failed, for each
+// gateway that is left.
+type darkness struct {
+	byGateway []time.Duration
+}
+
+func runLoss(kind lossKind, overhead Overhead, seed uint64) (darkness, error) {
+	shape := defaultShape()
+	shape.Still = true
+	shape.FleetChanges = 0
+	c := newCell(shape, overhead, 0, seed)
+	if err := c.start(kind.sourceLeads); err != nil {
+		return darkness{}, err
+	}
+	// Losses come at any phase of the periods.
+	c.Run(c.Now() + settleTime + time.Duration(c.random.Int64N(int64(time.Second))))
+	probed := c.probes()
+	if failing := c.failing(probed); failing > 0 {
+		return darkness{}, Error.New("%d probes fail before the loss", failing)
+	}
+	c.lose(kind)
+	lost := c.Now()
+	dark := map[*gateway]time.Duration{}
+	for c.Now() < lost+lossWindow {
+		c.Run(c.Now() + probeEvery)
+		for _, each := range c.gateways {
+			if each.alive && !c.serves(each, probed) {
+				dark[each] = c.Now() - lost
+			}
+		}
+	}
+	var result darkness
+	for _, each := range c.gateways {
+		if each.alive {
+			result.byGateway = append(result.byGateway, dark[each])
+		}
+	}
+	return result, nil
+}
+
+// lose ends the processes of a kind of loss. An owner that is not on the
+// leader's machine is the last keyed server.
+func (c *cell) lose(kind lossKind) {
+	leader := c.leader()
+	lost := c.servers[c.shape.Keyed-1].node
+	if kind.leader && kind.owner {
+		lost = c.servers[leader.machine].node
+	}
+	for _, each := range c.allNodes() {
+		sameMachine := kind.silent && each.machine == lost.machine
+		if sameMachine || (kind.owner && each == lost) || (kind.leader && each == leader.node) {
+			each.alive = false
+			each.silent = kind.silent
+		}
+	}
+}
+
+// probes are the slices of the keyed service.
+func (c *cell) probes() []wire.TableEntry {
+	var entries []wire.TableEntry
+	for _, each := range c.state().TableEntries() {
+		if !each.Shared && each.Slice.Service != ledger.Service {
+			entries = append(entries, each)
+		}
+	}
+	return entries
+}
+
+func (c *cell) failing(probed []wire.TableEntry) int {
+	count := 0
+	for _, each := range c.gateways {
+		if !c.serves(each, probed) {
+			count++
+		}
+	}
+	return count
+}
+
+// serves reports whether the gateway's table names, for every slice, a server
+// that admits a request now.
+func (c *cell) serves(through *gateway, probed []wire.TableEntry) bool {
+	for _, each := range probed {
+		if !c.reaches(through.routes, each) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *cell) reaches(routes *table.Table, probed wire.TableEntry) bool {
+	entry, found := routes.Lookup(probed.Slice.Service, probed.Slice.Partition, probed.Slice.Range.First)
+	if !found {
+		return false
+	}
+	owner, known := c.byName[entry.Server]
+	return known && owner.admits(entry)
+}
+
+// Propagation is how long a bundle takes from its proposal in a cell.
+type Propagation struct {
+	Runs int `json:"runs"`
+	// Committed at the leader, held by every gateway's table, and in force:
+	// carried by every live grant.
+	Committed Spread `json:"committed"`
+	Tables    Spread `json:"all_tables"`
+	InForce   Spread `json:"in_force"`
+}
+
+func runPropagation(ctx context.Context, overhead Overhead, seed uint64) (Propagation, error) {
+	runs, err := runTogether(ctx, lossSeeds, func(number int) ([3]time.Duration, error) {
+		return propagate(overhead, seed+uint64(number))
+	})
+	if err != nil {
+		return Propagation{}, err
+	}
+	of := func(which int) Spread {
+		var times []time.Duration
+		for _, each := range runs {
+			times = append(times, each[which])
+		}
+		return spreadOf(times)
+	}
+	return Propagation{Runs: len(runs), Committed: of(0), Tables: of(1), InForce: of(2)}, nil
+}
+
+// propagate rolls a bundle and waits for its three stages.
+func propagate(overhead Overhead, seed uint64) ([3]time.Duration, error) {
+	var reached [3]time.Duration
+	shape := defaultShape()
+	shape.Still = true
+	c, err := newRunningCell(shape, overhead, 0, seed)
+	if err != nil {
+		return reached, err
+	}
+	c.Run(c.Now() + time.Duration(c.random.Int64N(int64(time.Second))))
+	c.roll()
+	begun := c.Now()
+	stages := []func() bool{c.isAdopted, c.isInTables, c.isInForce}
+	for c.Now() < begun+lossWindow && slices.Contains(reached[:], 0) {
+		c.Run(c.Now() + time.Millisecond)
+		for i, done := range stages {
+			if reached[i] == 0 && done() {
+				reached[i] = c.Now() - begun
+			}
+		}
+	}
+	if slices.Contains(reached[:], 0) {
+		return reached, Error.New("a bundle is not in force after %s", lossWindow)
+	}
+	return reached, nil
+}
+
+func (c *cell) isAdopted() bool {
+	return c.state().Teams[c.team()].Bundle.Version == c.bundle.Version
+}
+
+func (c *cell) isInForce() bool {
+	return c.isAdopted() && c.state().Teams[c.team()].InForce
+}
+
+func (c *cell) isInTables() bool {
+	for _, each := range c.gateways {
+		held, _ := each.routes.Bundle(c.team())
+		if held.Version != c.bundle.Version {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/lab/scale/makebundle.go
+++ b/internal/lab/scale/makebundle.go
@@ -27,6 +27,9 @@
 		Partitions: []bundle.Partition{{Name: "all", Zones: zones}},
 		Placement:  bundle.Placement{Slices: c.shape.Slices, ChurnWeight: 0.3, MovesPerMinute: 12},
 	}
+	if c.shape.Still {
+		keyed.Placement.ChurnWeight = 1
+	}
 	pool := bundle.Service{
 		Name: poolService, Kind: bundle.KindPool, Repeatable: true,
 		Route:  bundle.Route{PathPrefix: "/host-lists/"},
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -11,9 +11,8 @@
 const (
 	// settleTime is given to the first assignments before anything is measured.
 	settleTime = 4 * time.Second
-	// fleetWindow and sweepWindow are measured.
-	fleetWindow = 4 * time.Second
-	sweepWindow = 3 * time.Second
+	// window is measured. The periods of all regular work divide it.
+	window = 6 * time.Second
 )
 
 // workers run cells side by side, each on a thread of its own.
@@ -22,7 +21,7 @@
 // newRunningCell returns a cell whose slices are all owned.
 func newRunningCell(shape Shape, overhead Overhead, number int, seed uint64) (*cell, error) {
 	c := newCell(shape, overhead, number, seed)
-	if err := c.start(); err != nil {
+	if err := c.start(false); err != nil {
 		return nil, err
 	}
 	c.Run(c.Now() + settleTime)
@@ -100,17 +99,20 @@
 	running := make([]*cell, cells)
 	var mutex sync.Mutex
 	total := newTally()
+	var charged time.Duration
 	err := onThreads(ctx, cells, func(number int) error {
 		c, err := newRunningCell(shape, overhead, number, seed)
 		if err != nil {
 			return err
 		}
+		before := c.charged()
 		c.resetAccounts()
-		c.Run(c.Now() + fleetWindow)
+		c.Run(c.Now() + window)
 		mutex.Lock()
 		defer mutex.Unlock()
 		running[number] = c
 		total.add(c)
+		charged += before + c.charged()
 		return nil
 	})
 	if err != nil {
@@ -118,11 +120,11 @@
 	}
 	result := FleetResult{
 		Nodes: cells * shape.Machines, Cells: cells, Shape: shape,
-		Costs:      total.costs(fleetWindow, overhead),
+		Costs:      total.costs(window, overhead),
 		Took:       time.Since(started),
-		Emulated:   electionWait + settleTime + fleetWindow,
+		Emulated:   electionWait + settleTime + window,
 		HeapBytes:  heapBytes(),
-		Collection: (processTime() - usedBefore).Seconds() / total.charged().Seconds(),
+		Collection: (processTime() - usedBefore).Seconds() / charged.Seconds(),
 	}
 	result.LoadReportBytes = meanLoadReport(running)
 	return result, nil
@@ -137,12 +139,11 @@
 	return float64(sum) / float64(max(1, count))
 }
 
-func (t *tally) charged() time.Duration {
+// charged is the processor time of all processes since the last window began.
+func (c *cell) charged() time.Duration {
 	var sum time.Duration
-	for _, parts := range t.usage {
-		for _, part := range parts {
-			sum += part.CPU
-		}
+	for _, each := range c.allNodes() {
+		sum += each.total().CPU
 	}
 	return sum
 }
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -11,7 +11,8 @@
 var testOverhead = Overhead{RequestBytes: 200, ResponseBytes: 110, LineBytes: 7}
 
 func smallShape() Shape {
-	return Shape{Keyed: 3, Pool: 2, Machines: 5, Slices: 6, Fleet: 10, RequestRate: 100}
+	shape := Shape{Keyed: 3, Pool: 2, Slices: 6, Fleet: 10, RequestRate: 100, ReportEvery: reportEvery, RenewEvery: renewEvery}
+	return shape.withMachines(5)
 }
 
 func TestCellServesEverySlice(t *testing.T) {
--- a/internal/lab/scale/server.go
+++ b/internal/lab/scale/server.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/keyspace"
@@ -28,6 +29,9 @@
 	holder *lease.Holder
 	// grants is the last set that was taken.
 	grants []wire.SliceGrant
+	// reportedTo is the term that got the last whole report, at reportedAt.
+	reportedTo uint64
+	reportedAt time.Duration
 }
 
 func (c *cell) addServer(machine int, keyed bool) {
@@ -51,12 +55,24 @@
 		s.grants = *request.Slices
 	}
 	_ = s.holder.Void(s.now())
-	if !s.cell.shape.NoLoadReports {
-		response.Load = s.report()
-	}
+	response.Load = s.reportTo(request.Term)
 	return encode(response)
 }
 
+// reportEvery is as in package ownership.
+const reportEvery = 2 * time.Second
+
+// reportTo returns a whole report if the leader is new or its last one is old.
+func (s *server) reportTo(term uint64) wire.LoadReport {
+	now := s.cell.Now()
+	if term == s.reportedTo && now < s.reportedAt+s.cell.shape.ReportEvery {
+		return wire.LoadReport{Partial: true, InFlight: 2, Queued: 1}
+	}
+	s.reportedTo = term
+	s.reportedAt = now
+	return s.report()
+}
+
 // maxReported is as in package ownership.
 const maxReported = 16
 
--- a/internal/lab/scale/tables.go
+++ b/internal/lab/scale/tables.go
@@ -28,13 +28,11 @@
 
 // tableStream is one open stream.
 type tableStream struct {
-	source *tableSource
-	reader *node
-	sent   cellstate.TableView
-	// lastSent is when the last line left.
-	lastSent time.Duration
-	deliver  func(update wire.TableUpdate)
-	closed   bool
+	source  *tableSource
+	reader  *node
+	sent    cellstate.TableView
+	deliver func(update wire.TableUpdate)
+	closed  bool
 }
 
 // open adds a stream, which begins with a snapshot.
@@ -99,4 +97,3 @@
 		t.reader.run(partTable, func() { t.deliver(decode[wire.TableUpdate](line)) })
 	})
 }
-
