--- a/internal/consensus/rules_test.go
+++ b/internal/consensus/rules_test.go
@@ -72,6 +72,30 @@
 	assert.Equal(t, node.Status().Commit, Index(0))
 }
 
+func TestAnswerOfAnOlderTermIsIgnored(t *testing.T) {
+	node := leaderWithOlderEntry(t)
+	step(node, 710, Message{Kind: MessageAppendResponse, From: "C", Term: 1, LogIndex: 2, Round: 700})
+	assert.Equal(t, node.Status().Commit, Index(0))
+}
+
+// TestLeaderKeepsItsPromiseWhenItStepsDown: whoever was told of its lease may
+// rely on it until its end.
+func TestLeaderKeepsItsPromiseWhenItStepsDown(t *testing.T) {
+	node := leaderWithOlderEntry(t)
+	step(node, 710, Message{Kind: MessageAppendResponse, From: "C", Term: 2, LogIndex: 2, Round: 700})
+	step(node, 720, Message{Kind: MessageAppendResponse, From: "B", Term: 3, Reject: true})
+	assert.Equal(t, node.Status().Role, RoleFollower)
+	answers := step(node, 949, Message{Kind: MessageVote, From: "B", Term: 4, LogIndex: 2, LogTerm: 3})
+	assert.Assert(t, answers[0].Reject)
+}
+
+func TestQuorumsMeet(t *testing.T) {
+	for voters := 1; voters <= 7; voters++ {
+		assert.Assert(t, 2*quorum(voters) > voters)
+		assert.Assert(t, 2*(quorum(voters)-1) <= voters, "no more than needed")
+	}
+}
+
 func TestMembershipChangeWaitsForCommitOfOwnTerm(t *testing.T) {
 	node := leaderWithOlderEntry(t)
 	next := Membership{Members: append(threeMembers.clone().Members, Member{ID: "D", Learner: true})}
