--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -44,11 +44,10 @@
 		r.finishChange(now, record)
 		return
 	}
-	next, reason, wanted := r.wantedChange(now)
+	next, wanted := r.wantedChange(now)
 	if !wanted {
 		return
 	}
-	r.logger.Info().Str("change", string(reason)).Int("members", len(next.Members)).Msg("changing the control group")
 	record.Next = &next
 	record.Unlisted = r.stillUnlisted(record, next)
 	r.writeRecord(record)
@@ -119,45 +118,35 @@
 	}
 }
 
-// changeReason says why the group changes.
-type changeReason string
-
-const (
-	changePromote changeReason = "promote-learner"
-	changeRemove  changeReason = "remove-silent"
-	changeDrop    changeReason = "remove-silent-learner"
-	changeAdd     changeReason = "add-learner"
-)
-
 // wantedChange decides the next change: first promote a learner that has caught
 // up, then remove a silent member that is no longer needed for the number of
 // voters, then bring a standby in.
-func (r *replica) wantedChange(now clock.Instant) (consensus.Membership, changeReason, bool) {
+func (r *replica) wantedChange(now clock.Instant) (consensus.Membership, bool) {
 	status := r.node.Status()
 	live := r.liveMembers(now, status)
 	voters := votersOf(r.committed)
 	learners := learnersOf(r.committed)
 	for _, learner := range learners {
 		if !live[learner.ID] {
-			return without(r.committed, learner.ID), changeDrop, true
+			return without(r.committed, learner.ID), true
 		}
 		if caughtUp(status, learner.ID) {
-			return promoted(r.committed, learner.ID), changePromote, true
+			return promoted(r.committed, learner.ID), true
 		}
 	}
 	silent, lost := firstSilent(voters, live)
 	if lost && len(voters) > r.settings.Replicas {
-		return without(r.committed, silent.ID), changeRemove, true
+		return without(r.committed, silent.ID), true
 	}
 	if len(learners) > 0 || (!lost && len(voters) >= r.settings.Replicas) {
-		return consensus.Membership{}, "", false
+		return consensus.Membership{}, false
 	}
 	standby, found := r.pickStandby(now, live)
 	if !found {
-		return consensus.Membership{}, "", false
+		return consensus.Membership{}, false
 	}
 	standby.Learner = true
-	return with(r.committed, standby), changeAdd, true
+	return with(r.committed, standby), true
 }
 
 // liveMembers holds the members heard within ReplaceAfter, this one included. A
@@ -250,6 +239,7 @@
 		addresses[member.Address] = true
 	}
 	r.outbox.keepOnly(addresses)
+	r.logger.Info().Int("members", len(membership.Members)).Int("voters", len(votersOf(membership))).Msg("the control group has changed")
 	r.metrics.GroupVoters.Set(float64(len(votersOf(membership))))
 }
 
