Free a member that sealed itself for a group that went on

Cause: a member that promised never to start its node kept its incarnation when the group went on without it, and could then never be made a learner. Change: it draws a new incarnation; the table stream clears the server's read deadline; the gauge of voters follows the membership.

--- a/internal/controller/group.go
+++ b/internal/controller/group.go
@@ -104,6 +104,9 @@
 		r.stopNode("another controller has taken its place")
 	case r.node == nil && named && r.mayJoin():
 		r.join(membership)
+	case r.node == nil && !named && r.sealedThrough >= r.group.record.Generation:
+		// The group went on without it. Its promise binds this incarnation.
+		r.renewIdentity()
 	}
 }
 
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -177,6 +177,7 @@
 	}
 	r.view.Store(next)
 	r.tables.publish(r.state)
+	r.metrics.GroupVoters.Set(float64(len(votersOf(r.committed))))
 	r.metrics.Leading.Set(oneIf(next.leading))
 	r.metrics.LeaderlessSeconds.Set(next.leaderless.Seconds())
 	r.metrics.AppliedIndex.Set(float64(r.applied))
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -240,7 +240,6 @@
 	}
 	r.outbox.keepOnly(addresses)
 	r.logger.Info().Int("members", len(membership.Members)).Int("voters", len(votersOf(membership))).Msg("the control group has changed")
-	r.metrics.GroupVoters.Set(float64(len(votersOf(membership))))
 }
 
 func votersOf(membership consensus.Membership) []consensus.Member {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -47,9 +47,15 @@
 	r.stopLeading()
 	r.node = nil
 	r.generation = 0
+	r.renewIdentity()
+	r.logger.Info().Str("reason", reason).Str("incarnation", string(r.self())).Msg("left the control group")
+}
+
+// renewIdentity draws a new incarnation, which has promised nothing.
+func (r *replica) renewIdentity() {
+	r.sealedThrough = 0
 	r.identity.Store(r.newIdentity())
 	r.poke(r.pollNow)
-	r.logger.Info().Str("reason", reason).Str("incarnation", string(r.self())).Msg("left the control group")
 }
 
 // pump sends and applies what the node hands out.
--- a/internal/controller/table_stream.go
+++ b/internal/controller/table_stream.go
@@ -52,6 +52,10 @@
 }
 
 func (s *tableStream) run(request *http.Request) {
+	// The server's time-out for reading a request must not end a long stream.
+	if err := s.flush.SetReadDeadline(time.Time{}); err != nil {
+		return
+	}
 	heartbeat := time.NewTicker(tableHeartbeat)
 	defer heartbeat.Stop()
 	for {
