Pace the measured exchanges and test the emulation

Cause: exchanges in a hot loop cost 48 us a side, while a real follower spent 1.2% of a core where the hollow one showed 0.08%: sparse exchanges cost more. Ruled out: a factor from the real cell, which would hide the next difference.

--- a/internal/lab/scale/alternatives.go
+++ b/internal/lab/scale/alternatives.go
@@ -6,10 +6,6 @@
 	"time"
 )
 
-// streamOverhead is what a frame needs on a connection of its own that stays
-// open, without HTTP: a length or a line break.
-var streamOverhead = Overhead{RequestBytes: 2, ResponseBytes: 2, LineBytes: 2}
-
 // step replaces one of today's mechanisms by what could take its place.
 type step struct {
 	name   string
@@ -17,30 +13,26 @@
 }
 
 // steps are taken one after another; each point has all steps up to its own.
-// They change the emulation's parameters only, and are not built.
-func steps() []step {
+// They change what the emulation is told only, and are not built.
+func steps(compressed Overhead) []step {
 	return []step{
 		{"load report with every renewal (before)", func(p *Point) { p.Shape.ReportEvery = 0 }},
 		{"today", func(p *Point) { p.Shape.ReportEvery = reportEvery }},
-		{"+ ledger at 4 gateways of the cell", func(p *Point) { p.Shape.LedgerGateways = 4 }},
 		{"+ machine list and heads of the own cell only", func(p *Point) {
 			p.Shape.Fleet = p.Shape.Machines
 			p.Shape.FleetChanges = targetChanges * float64(p.Shape.Machines) / targetNodes
 		}},
-		{"+ frames on kept connections, without HTTP", func(p *Point) {
-			streamed := streamOverhead
-			streamed.SideCPU = p.overhead.SideCPU
-			p.overhead = streamed
-		}},
+		{"+ ledger at 4 gateways of the cell", func(p *Point) { p.Shape.LedgerGateways = 4 }},
+		{"+ HTTP/2 with compressed headers", func(p *Point) { p.overhead = compressed }},
 		{"+ renewals every 300 ms, grants of 900 ms", func(p *Point) { p.Shape.RenewEvery = 300 * time.Millisecond }},
 	}
 }
 
 // runAlternatives measures a cell of today's size step by step.
-func runAlternatives(ctx context.Context, overhead Overhead, seed uint64) ([]Point, error) {
+func runAlternatives(ctx context.Context, overhead, compressed Overhead, seed uint64) ([]Point, error) {
 	var points []Point
 	current := Point{Shape: defaultShape(), overhead: overhead}
-	for _, each := range steps() {
+	for _, each := range steps(compressed) {
 		each.change(&current)
 		current.Label = each.name
 		points = append(points, current)
@@ -53,7 +45,7 @@
 var cellSizes = []int{1, 2, 4, 7, 14}
 
 // runCellSizes measures cells of several sizes, as today and after all steps.
-func runCellSizes(ctx context.Context, overhead Overhead, seed uint64) ([]Point, error) {
+func runCellSizes(ctx context.Context, overhead, compressed Overhead, seed uint64) ([]Point, error) {
 	var points []Point
 	for _, keyed := range cellSizes {
 		today := Point{Shape: defaultShape(), overhead: overhead, Value: float64(keyed)}
@@ -62,7 +54,7 @@
 		today.Shape = today.Shape.withMachines(today.Shape.Keyed + today.Shape.Pool)
 		today.Label = fmt.Sprintf("%d machines, %d keyed, today", today.Shape.Machines, keyed)
 		changed := today
-		for _, each := range steps() {
+		for _, each := range steps(compressed) {
 			each.change(&changed)
 		}
 		changed.Label = fmt.Sprintf("%d machines, %d keyed, all steps", today.Shape.Machines, keyed)
--- a/internal/lab/scale/config.go
+++ b/internal/lab/scale/config.go
@@ -43,7 +43,8 @@
 	// Load is the machine's load average when the run began.
 	Load         string        `json:"load_average_at_start"`
 	Overhead     Overhead      `json:"http_overhead"`
-	Sizes        []Size        `json:"sizes"`
+	Compressed   Overhead      `json:"http2_overhead"`
+	Sizes        []SizeSet     `json:"sizes"`
 	Ledger       LedgerCost    `json:"ledger"`
 	Fleets       []FleetResult `json:"fleets"`
 	Sweeps       []Sweep       `json:"sweeps"`
@@ -86,14 +87,20 @@
 		name string
 		run  func() error
 	}{
-		{"http's overhead", func() (err error) { r.Overhead, err = measureOverhead(ctx); return err }},
+		{"http's overhead", func() error { return r.measureOverheads(ctx) }},
 		{"a cell of processes", func() error { return r.measureReal(ctx, config) }},
 		{"state", func() (err error) { r.Sizes, err = measureSizes(r.Overhead, config.Seed); return err }},
 		{"the ledger", func() error { r.Ledger = measureLedger(r.Overhead); return nil }},
 		{"hollow fleets", func() error { return r.measureFleets(ctx, config) }},
 		{"slopes", func() error { r.Sweeps = sweeps(r.Overhead); return runSweeps(ctx, r.Sweeps, config.Seed) }},
-		{"alternatives", func() (err error) { r.Alternatives, err = runAlternatives(ctx, r.Overhead, config.Seed); return err }},
-		{"sizes of a cell", func() (err error) { r.CellSizes, err = runCellSizes(ctx, r.Overhead, config.Seed); return err }},
+		{"alternatives", func() (err error) {
+			r.Alternatives, err = runAlternatives(ctx, r.Overhead, r.Compressed, config.Seed)
+			return err
+		}},
+		{"sizes of a cell", func() (err error) {
+			r.CellSizes, err = runCellSizes(ctx, r.Overhead, r.Compressed, config.Seed)
+			return err
+		}},
 		{"propagation", func() (err error) { r.Propagation, err = runPropagation(ctx, r.Overhead, config.Seed); return err }},
 		{"losses", func() (err error) { r.Losses, err = runLosses(ctx, r.Overhead, config.Seed); return err }},
 	}
@@ -107,6 +114,15 @@
 	return nil
 }
 
+func (r *Result) measureOverheads(ctx context.Context) error {
+	var err error
+	if r.Overhead, err = measureOverhead(ctx, http1()); err != nil {
+		return err
+	}
+	r.Compressed, err = measureOverhead(ctx, http2())
+	return err
+}
+
 // fleetCells are the numbers of cells of 34 machines: 102, 408 and 1,598 nodes.
 var fleetCells = []int{3, 12, 47}
 
--- a/internal/lab/scale/loss.go
+++ b/internal/lab/scale/loss.go
@@ -19,6 +19,8 @@
 	silent bool
 	// sourceLeads: the leader streams the tables to all standbys.
 	sourceLeads bool
+	// zone: every machine of the leader's zone goes.
+	zone bool
 }
 
 var lossKinds = []lossKind{
@@ -28,6 +30,7 @@
 	{name: "the leader's process, source of the tables", leader: true, sourceLeads: true},
 	{name: "the leader's machine with an owner", owner: true, leader: true, silent: true},
 	{name: "the same, source of the tables", owner: true, leader: true, silent: true, sourceLeads: true},
+	{name: "the leader's zone", owner: true, leader: true, silent: true, zone: true},
 }
 
 // Loss is how long keys were not served after a loss, over several seeds.
@@ -53,7 +56,7 @@
 }
 
 const (
-	lossSeeds = 5
+	lossSeeds = 8
 	// probeEvery is the resolution of the times.
 	probeEvery = 5 * time.Millisecond
 	// lossWindow is watched after each loss.
@@ -62,7 +65,7 @@
 
 func runLosses(ctx context.Context, overhead Overhead, seed uint64) ([]Loss, error) {
 	runs, err := runTogether(ctx, len(lossKinds)*lossSeeds, func(number int) (darkness, error) {
-		return runLoss(lossKinds[number/lossSeeds], overhead, seed+uint64(number%lossSeeds))
+		return runLoss(lossKinds[number/lossSeeds], ownCell(), overhead, seed+uint64(number%lossSeeds))
 	})
 	if err != nil {
 		return nil, err
@@ -94,10 +97,8 @@
 	byGateway []time.Duration
 }
 
-func runLoss(kind lossKind, overhead Overhead, seed uint64) (darkness, error) {
-	shape := defaultShape()
+func runLoss(kind lossKind, shape Shape, overhead Overhead, seed uint64) (darkness, error) {
 	shape.Still = true
-	shape.FleetChanges = 0
 	c := newCell(shape, overhead, 0, seed)
 	if err := c.start(kind.sourceLeads); err != nil {
 		return darkness{}, err
@@ -138,7 +139,8 @@
 	}
 	for _, each := range c.allNodes() {
 		sameMachine := kind.silent && each.machine == lost.machine
-		if sameMachine || (kind.owner && each == lost) || (kind.leader && each == leader.node) {
+		sameZone := kind.zone && each.zone == leader.zone
+		if sameMachine || sameZone || (kind.owner && each == lost) || (kind.leader && each == leader.node) {
 			each.alive = false
 			each.silent = kind.silent
 		}
@@ -198,7 +200,7 @@
 
 func runPropagation(ctx context.Context, overhead Overhead, seed uint64) (Propagation, error) {
 	runs, err := runTogether(ctx, lossSeeds, func(number int) ([3]time.Duration, error) {
-		return propagate(overhead, seed+uint64(number))
+		return propagate(ownCell(), overhead, seed+uint64(number))
 	})
 	if err != nil {
 		return Propagation{}, err
@@ -214,9 +216,8 @@
 }
 
 // propagate rolls a bundle and waits for its three stages.
-func propagate(overhead Overhead, seed uint64) ([3]time.Duration, error) {
+func propagate(shape Shape, overhead Overhead, seed uint64) ([3]time.Duration, error) {
 	var reached [3]time.Duration
-	shape := defaultShape()
 	shape.Still = true
 	c, err := newRunningCell(shape, overhead, 0, seed)
 	if err != nil {
--- a/internal/lab/scale/overhead.go
+++ b/internal/lab/scale/overhead.go
@@ -30,9 +30,12 @@
 	// exchangeBody is the length of the bodies that are exchanged.
 	exchangeBody = 300
 	// exchanges timed, after some to warm up.
-	exchanges   = 4000
-	warmUp      = 500
-	tokenLength = 26 // as crypto/rand.Text makes it
+	exchanges = 300
+	warmUp    = 50
+	// exchangeEvery is the time from one exchange to the next, as in a cell: a
+	// process that sleeps in between pays more for each than one that is busy.
+	exchangeEvery = 5 * time.Millisecond
+	tokenLength   = 26 // as crypto/rand.Text makes it
 )
 
 // countingConnection counts bytes at the client.
@@ -53,36 +56,62 @@
 	return n, err
 }
 
-// measureOverhead makes real exchanges as the controller makes them.
-func measureOverhead(ctx context.Context) (Overhead, error) {
+// measureOverhead makes real exchanges as the controller makes them, over
+// HTTP/1.1 as today, or over HTTP/2, which compresses headers.
+func measureOverhead(ctx context.Context, protocols *http.Protocols) (Overhead, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return Overhead{}, Error.Wrap(err)
 	}
-	server := &http.Server{Handler: http.HandlerFunc(echo), ReadHeaderTimeout: time.Second}
+	server := &http.Server{Handler: http.HandlerFunc(echo), ReadHeaderTimeout: time.Second, Protocols: protocols}
 	go func() { _ = server.Serve(listener) }()
 	defer func() { _ = server.Close() }()
-	var read, written atomic.Int64
-	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-		connection, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		return countingConnection{connection, &read, &written}, err
-	}}
+	var counted traffic
+	transport := &http.Transport{DialContext: counted.dial, Protocols: protocols}
 	defer transport.CloseIdleConnections()
-	client := &http.Client{Transport: &peerauth.Transport{Token: string(bytes.Repeat([]byte("x"), tokenLength)), Base: transport}}
-	url := "http://" + listener.Addr().String() + wire.PathRenew
+	token := string(bytes.Repeat([]byte("x"), tokenLength))
+	client := &http.Client{Transport: &peerauth.Transport{Token: token, Base: transport}}
+	return counted.measure(ctx, client, "http://"+listener.Addr().String()+wire.PathRenew)
+}
+
+// http1 is what the system speaks today.
+func http1() *http.Protocols {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return protocols
+}
+
+// http2 is HTTP/2 without encryption.
+func http2() *http.Protocols {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return protocols
+}
+
+// traffic counts the bytes of all connections of a client.
+type traffic struct {
+	read, written atomic.Int64
+}
+
+func (t *traffic) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	connection, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	return countingConnection{connection, &t.read, &t.written}, err
+}
+
+func (t *traffic) measure(ctx context.Context, client *http.Client, url string) (Overhead, error) {
 	if err := exchangeMany(ctx, client, url, warmUp); err != nil {
 		return Overhead{}, err
 	}
-	read.Store(0)
-	written.Store(0)
+	t.read.Store(0)
+	t.written.Store(0)
 	before := processTime()
 	if err := exchangeMany(ctx, client, url, exchanges); err != nil {
 		return Overhead{}, err
 	}
 	spent := processTime() - before
 	return Overhead{
-		RequestBytes:  float64(written.Load())/exchanges - exchangeBody,
-		ResponseBytes: float64(read.Load())/exchanges - exchangeBody,
+		RequestBytes:  float64(t.written.Load())/exchanges - exchangeBody,
+		ResponseBytes: float64(t.read.Load())/exchanges - exchangeBody,
 		LineBytes:     chunkFraming,
 		SideCPU:       spent / (2 * exchanges),
 	}, nil
@@ -102,7 +131,10 @@
 
 func exchangeMany(ctx context.Context, client *http.Client, url string, count int) error {
 	body := bytes.Repeat([]byte(" "), exchangeBody)
+	pace := time.NewTicker(exchangeEvery)
+	defer pace.Stop()
 	for range count {
+		<-pace.C
 		if err := exchangeOnce(ctx, client, url, body); err != nil {
 			return err
 		}
--- a/internal/lab/scale/real.go
+++ b/internal/lab/scale/real.go
@@ -78,19 +78,46 @@
 	if err := pause(ctx, settle); err != nil {
 		return nil, err
 	}
-	before, err := sampleAll(ctx, members)
+	countsBefore, err := countAll(ctx, members)
 	if err != nil {
 		return nil, err
 	}
 	started := time.Now()
+	before, err := sampleAll(members)
+	if err != nil {
+		return nil, err
+	}
 	if err := pause(ctx, window); err != nil {
 		return nil, err
 	}
-	after, err := sampleAll(ctx, members)
+	after, err := sampleAll(members)
+	if err != nil {
+		return nil, err
+	}
+	elapsed := time.Since(started)
+	countsAfter, err := countAll(ctx, members)
 	if err != nil {
 		return nil, err
 	}
-	return realCosts(members, before, after, time.Since(started)), nil
+	var spent []memberUse
+	for i := range members {
+		spent = append(spent, useOf(before[i], after[i], countsAfter[i]-countsBefore[i]))
+	}
+	return realCosts(members, spent, elapsed), nil
+}
+
+// memberUse is what one process spent in a window.
+type memberUse struct {
+	procSample
+	requests float64
+}
+
+func useOf(before, after procSample, requests float64) memberUse {
+	used := procSample{
+		cpu: after.cpu - before.cpu, read: after.read - before.read,
+		written: after.written - before.written, resident: after.resident,
+	}
+	return memberUse{used, requests}
 }
 
 func pause(ctx context.Context, d time.Duration) error {
@@ -104,26 +131,30 @@
 	}
 }
 
-// memberSample is one process at one time.
-type memberSample struct {
-	procSample
-	requests float64
-}
-
-func sampleAll(ctx context.Context, members []demo.Member) ([]memberSample, error) {
-	var samples []memberSample
+// sampleAll reads the kernel's files of all members at once, so that the reading
+// of their counters falls outside the window.
+func sampleAll(members []demo.Member) ([]procSample, error) {
+	var samples []procSample
 	for _, member := range members {
 		sampled, err := sampleProcess(member.PID)
 		if err != nil {
 			return nil, err
 		}
-		requests, err := readRequests(ctx, member.Metrics)
+		samples = append(samples, sampled)
+	}
+	return samples, nil
+}
+
+func countAll(ctx context.Context, members []demo.Member) ([]float64, error) {
+	var counts []float64
+	for _, member := range members {
+		count, err := readRequests(ctx, member.Metrics)
 		if err != nil {
 			return nil, err
 		}
-		samples = append(samples, memberSample{sampled, requests})
+		counts = append(counts, count)
 	}
-	return samples, nil
+	return counts, nil
 }
 
 // requestCounters are the counters that add up to a process's requests.
@@ -173,7 +204,7 @@
 	demo.PartLeader, demo.PartFollower, demo.PartStandby, demo.PartGateway, demo.PartKeyed, demo.PartPool,
 }
 
-func realCosts(members []demo.Member, before, after []memberSample, elapsed time.Duration) []RealCost {
+func realCosts(members []demo.Member, spent []memberUse, elapsed time.Duration) []RealCost {
 	var costs []RealCost
 	for _, part := range realParts {
 		sum := RealCost{Part: part}
@@ -182,11 +213,11 @@
 				continue
 			}
 			sum.Processes++
-			sum.Sent += after[i].written - before[i].written
-			sum.Received += after[i].read - before[i].read
-			sum.Core += (after[i].cpu - before[i].cpu).Seconds()
-			sum.Requests += after[i].requests - before[i].requests
-			sum.Resident += after[i].resident
+			sum.Sent += spent[i].written
+			sum.Received += spent[i].read
+			sum.Core += spent[i].cpu.Seconds()
+			sum.Requests += spent[i].requests
+			sum.Resident += spent[i].resident
 		}
 		costs = append(costs, sum.perProcess(elapsed))
 	}
--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -9,12 +9,14 @@
 
 func (r Result) write(output io.Writer) {
 	fmt.Fprintf(output, "\nmachine: %d processors, %s, load average %s at the start\n", r.CPUs, r.Go, r.Load)
-	fmt.Fprintf(output, "http adds %.0f B to a request, %.0f B to an answer, and costs each side %s of processor time\n",
-		r.Overhead.RequestBytes, r.Overhead.ResponseBytes, r.Overhead.SideCPU)
+	r.Overhead.write(output, "HTTP/1.1")
+	r.Compressed.write(output, "HTTP/2")
 	if r.Real != nil {
 		r.Real.write(output)
 	}
-	writeSizes(output, r.Sizes)
+	for _, set := range r.Sizes {
+		set.write(output)
+	}
 	fmt.Fprintf(output, "\nledger: one request needs %d exchanges of %.0f B together and %s of processor time without sockets\n",
 		r.Ledger.Exchanges, r.Ledger.Bytes, r.Ledger.CPU)
 	for _, fleet := range r.Fleets {
@@ -30,6 +32,11 @@
 	fmt.Fprintf(output, "\ntook %s, at most %.0f MB of memory\n", r.Took.Round(time.Millisecond), r.PeakMemory/1e6)
 }
 
+func (o Overhead) write(output io.Writer, protocol string) {
+	fmt.Fprintf(output, "%s adds %.0f B to a request, %.0f B to an answer, and costs each side %s of processor time\n",
+		protocol, o.RequestBytes, o.ResponseBytes, o.SideCPU)
+}
+
 func newTable(output io.Writer) *tabwriter.Writer {
 	return tabwriter.NewWriter(output, 0, 0, 2, ' ', tabwriter.AlignRight)
 }
@@ -80,11 +87,11 @@
 	_ = table.Flush()
 }
 
-func writeSizes(output io.Writer, sizes []Size) {
-	fmt.Fprintln(output, "\nstate of a cell of today's size")
+func (s SizeSet) write(output io.Writer) {
+	fmt.Fprintf(output, "\nstate of a cell with %d slices of its keyed service\n", s.Shape.Slices)
 	table := newTable(output)
 	fmt.Fprintln(table, "thing\tencoded B\theap B\t")
-	for _, each := range sizes {
+	for _, each := range s.Sizes {
 		fmt.Fprintf(table, "%s\t%d\t%.0f\t\n", each.Thing, each.Encoded, each.Heap)
 	}
 	_ = table.Flush()
@@ -123,13 +130,13 @@
 func writePoints(output io.Writer, title string, points []Point) {
 	fmt.Fprintln(output, title)
 	table := newTable(output)
-	fmt.Fprintln(table, "shape\tleader B/s\tcore %\tsource B/s\tgateway B/s\tkeyed B/s\tplatform B/s\treport B\t")
+	fmt.Fprintln(table, "shape\tleader B/s\tconsensus\trenewal\tplatform\tcore %\tgateway B/s\tkeyed B/s\treport B\t")
 	for _, each := range points {
 		leader := find(each.Costs, RoleLeader)
-		fmt.Fprintf(table, "%s\t%.0f\t%.2f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t\n",
-			each.Label, leader.Bytes(), 100*leader.CoreWithHTTP, find(each.Costs, RoleSource).Bytes(),
-			find(each.Costs, RoleGateway).Bytes(), find(each.Costs, RoleKeyed).Bytes(),
-			find(each.Costs, RolePlatform).Bytes(), each.LoadReportBytes)
+		fmt.Fprintf(table, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.0f\t%.0f\t%.0f\t\n",
+			each.Label, leader.Bytes(), leader.Parts["consensus"], leader.Parts["renewal"], leader.Parts["platform"],
+			100*leader.CoreWithHTTP, find(each.Costs, RoleGateway).Bytes(), find(each.Costs, RoleKeyed).Bytes(),
+			each.LoadReportBytes)
 	}
 	_ = table.Flush()
 }
--- a/internal/lab/scale/sizes.go
+++ b/internal/lab/scale/sizes.go
@@ -28,13 +28,32 @@
 // copies are made of each thing, so that the heap's growth can be measured.
 const copies = 200
 
-// measureSizes measures what the processes of a cell of today's size keep.
-// Nothing else may run meanwhile.
-func measureSizes(overhead Overhead, seed uint64) ([]Size, error) {
-	c, err := newRunningCell(defaultShape(), overhead, 0, seed)
-	if err != nil {
-		return nil, err
+// SizeSet is what the processes of a cell of one shape keep.
+type SizeSet struct {
+	Shape Shape  `json:"shape"`
+	Sizes []Size `json:"sizes"`
+}
+
+// manySlices is a cell with more slices, for the slope.
+const manySlices = 896
+
+// measureSizes measures two cells that differ in their slices. Nothing else may
+// run meanwhile.
+func measureSizes(overhead Overhead, seed uint64) ([]SizeSet, error) {
+	var sets []SizeSet
+	for _, count := range []int{defaultShape().Slices, manySlices} {
+		shape := defaultShape()
+		shape.Slices = count
+		c, err := newRunningCell(shape, overhead, 0, seed)
+		if err != nil {
+			return nil, err
+		}
+		sets = append(sets, SizeSet{Shape: shape, Sizes: c.sizes()})
 	}
+	return sets, nil
+}
+
+func (c *cell) sizes() []Size {
 	state := encode(c.state())
 	snapshot := encode(c.source.streams.latest.Snapshot())
 	busiest := c.busiest()
@@ -48,9 +67,9 @@
 		{"machine list of the fleet (leader)", len(c.machines), 0},
 		{"idempotency record, running", len(encode(recordOf(0, nil))), heapOfRecords(nil)},
 		{"idempotency record, answered", len(encode(recordOf(0, anAnswer()))), heapOfRecords(anAnswer())},
-		{"team's head (platform)", len(c.headEvent()), 0},
+		{"team's head with 32 versions (platform)", len(c.headEvent()), 0},
 		{"bundle (platform)", len(c.contentEntry()), 0},
-	}, nil
+	}
 }
 
 // heapOf is the growth of the heap for one of many copies.
--- a/internal/lab/scale/sweep.go
+++ b/internal/lab/scale/sweep.go
@@ -61,10 +61,18 @@
 	}
 }
 
+// ownCell is a cell of today's size that hears nothing of other cells, so that
+// slopes are not lost beside the terms of the fleet.
+func ownCell() Shape {
+	shape := defaultShape()
+	shape.Fleet, shape.FleetChanges = shape.Machines, 0
+	return shape
+}
+
 func sweepOf(quantity string, values []int, overhead Overhead, change func(*Shape, int)) Sweep {
 	made := Sweep{Quantity: quantity}
 	for _, value := range values {
-		shape := defaultShape()
+		shape := ownCell()
 		change(&shape, value)
 		made.Points = append(made.Points, Point{
 			Label: strconv.Itoa(value), Value: float64(value), Shape: shape, overhead: overhead,
@@ -78,7 +86,7 @@
 func rollSweep(overhead Overhead) Sweep {
 	made := Sweep{Quantity: "bundles a second in the cell"}
 	for _, rolls := range []int{0, 3, 6} {
-		shape := defaultShape()
+		shape := ownCell()
 		shape.Still = true
 		value := float64(rolls) / window.Seconds()
 		made.Points = append(made.Points, Point{
