Measure the controllers' own frames

Cause: controllers now send consensus messages in shorter frames, and the hollow ones still sent the long form. Ruled out: a copy of the frames' code in the lab, which would part from it. Change: package controller hands its frames out for measuring; answers between controllers are counted without Date and Content-Type, and no client asks for compression. Conclusion: hollow controllers send what real ones send.

--- a/internal/lab/scale/network.go
+++ b/internal/lab/scale/network.go
@@ -54,7 +54,7 @@
 		var answer []byte
 		made.to.received(made.part, float64(len(made.body))+c.overhead.RequestBytes)
 		made.to.run(made.part, func() { answer = made.serve(made.body) })
-		made.to.sent(made.part, float64(len(answer))+c.overhead.ResponseBytes)
+		made.to.sent(made.part, float64(len(answer))+c.overhead.answerBytes(made.part))
 		c.After(oneWay, func() { c.finish(made, answer, true) })
 	})
 }
@@ -72,7 +72,7 @@
 		return
 	}
 	if answered {
-		made.from.received(made.part, float64(len(answer))+c.overhead.ResponseBytes)
+		made.from.received(made.part, float64(len(answer))+c.overhead.answerBytes(made.part))
 	}
 	made.from.run(made.part, func() { made.done(answer, answered) })
 }
--- a/internal/lab/scale/overhead.go
+++ b/internal/lab/scale/overhead.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/controller"
 	"github.com/shalefork/shalefork/internal/peerauth"
 	"github.com/shalefork/shalefork/internal/wire"
 )
@@ -19,6 +20,9 @@
 	// RequestBytes and ResponseBytes are request line, status line and headers.
 	RequestBytes  float64 `json:"request_bytes"`
 	ResponseBytes float64 `json:"response_bytes"`
+	// BareBytes are those of an answer without Date and Content-Type, as
+	// controllers give each other.
+	BareBytes float64 `json:"bare_response_bytes"`
 	// LineBytes is the chunk framing of one line of a stream.
 	LineBytes float64 `json:"line_bytes"`
 	// SideCPU is the processor time of one side of an exchange, sockets and
@@ -67,11 +71,26 @@
 	go func() { _ = server.Serve(listener) }()
 	defer func() { _ = server.Close() }()
 	var counted traffic
-	transport := &http.Transport{DialContext: counted.dial, Protocols: protocols}
+	transport := &http.Transport{DialContext: counted.dial, Protocols: protocols, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	token := string(bytes.Repeat([]byte("x"), tokenLength))
 	client := &http.Client{Transport: &peerauth.Transport{Token: token, Base: transport}}
-	return counted.measure(ctx, client, "http://"+listener.Addr().String()+wire.PathRenew)
+	address := "http://" + listener.Addr().String()
+	measured, err := counted.measure(ctx, client, address+wire.PathRenew)
+	if err != nil {
+		return Overhead{}, err
+	}
+	bare, err := counted.measure(ctx, client, address+controller.PathMessages)
+	measured.BareBytes = bare.ResponseBytes
+	return measured, err
+}
+
+// answerBytes are what an answer needs beside its body.
+func (o Overhead) answerBytes(part component) float64 {
+	if part == partConsensus {
+		return o.BareBytes
+	}
+	return o.ResponseBytes
 }
 
 // http1 is what the system speaks today.
@@ -126,6 +145,10 @@
 		return
 	}
 	writer.Header().Set("Content-Type", "application/json")
+	if request.URL.Path == controller.PathMessages {
+		writer.Header()["Date"] = nil
+		writer.Header()["Content-Type"] = nil
+	}
 	_, _ = writer.Write(body)
 }
 
--- a/internal/lab/scale/replica.go
+++ b/internal/lab/scale/replica.go
@@ -1,15 +1,13 @@
 package scale
 
 import (
-	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/cellstate"
 	"github.com/shalefork/shalefork/internal/consensus"
+	"github.com/shalefork/shalefork/internal/controller"
 	"github.com/shalefork/shalefork/internal/wire"
 )
 
@@ -176,17 +174,17 @@
 	queue.waiting = nil
 	r.run(partConsensus, func() {
 		r.cell.exchange(call{
-			part: partConsensus, from: r.node, to: queue.to.node, body: encodeLines(batch), timeout: electionMin,
+			part: partConsensus, from: r.node, to: queue.to.node, body: frames(controller.EncodeBatch(batch)), timeout: electionMin,
 			serve: queue.to.answerBatch,
-			done:  func(answer []byte, answered bool) { r.delivered(queue, answer, answered) },
+			done:  func(answer []byte, answered bool) { r.delivered(queue, batch[0], answer, answered) },
 		})
 	})
 }
 
-func (r *replica) delivered(queue *outbox, answer []byte, answered bool) {
+func (r *replica) delivered(queue *outbox, asked consensus.Message, answer []byte, answered bool) {
 	queue.busy = false
 	if answered {
-		r.take(partConsensus, func() { r.stepAll(decodeLines(answer)) })
+		r.take(partConsensus, func() { r.stepAll(frames(controller.DecodeAnswer(answer, asked))) })
 	}
 	if len(queue.waiting) > 0 && !queue.busy {
 		queue.busy = true
@@ -196,7 +194,7 @@
 
 // answerBatch takes a batch in and returns the messages for its sender.
 func (r *replica) answerBatch(body []byte) []byte {
-	batch := decodeLines(body)
+	batch := frames(controller.DecodeBatch(body))
 	var replies []consensus.Message
 	r.take(partConsensus, func() {
 		r.replyTo = batch[0].From
@@ -206,7 +204,7 @@
 		r.replies = nil
 		r.replyTo = ""
 	})
-	return encodeLines(replies)
+	return frames(controller.EncodeAnswer(replies))
 }
 
 func (r *replica) stepAll(batch []consensus.Message) {
@@ -215,31 +213,13 @@
 	}
 }
 
-func encodeLines(messages []consensus.Message) []byte {
-	var buffer bytes.Buffer
-	writer := wire.NewLineWriter(&buffer)
-	for _, message := range messages {
-		if err := writer.Write(message); err != nil {
-			panic(err)
-		}
-	}
-	return buffer.Bytes()
-}
-
-func decodeLines(body []byte) []consensus.Message {
-	reader := wire.NewLineReader(bytes.NewReader(body))
-	var messages []consensus.Message
-	for {
-		var message consensus.Message
-		err := reader.Read(&message)
-		if errors.Is(err, io.EOF) {
-			return messages
-		}
-		if err != nil {
-			panic(err)
-		}
-		messages = append(messages, message)
+// frames returns encoded or decoded frames; those of this process can always be
+// read.
+func frames[Value any](value Value, err error) Value {
+	if err != nil {
+		panic(Error.Wrap(err))
 	}
+	return value
 }
 
 // publish makes the state visible, as the loop does after each event.
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -12,7 +12,7 @@
 
 // testOverhead stands for measured headers, so that bytes are the same on any
 // machine.
-var testOverhead = Overhead{RequestBytes: 200, ResponseBytes: 110, LineBytes: 7}
+var testOverhead = Overhead{RequestBytes: 200, ResponseBytes: 110, BareBytes: 40, LineBytes: 7}
 
 func smallShape() Shape {
 	shape := ownCell()
