--- a/test/session/callers_test.go
+++ b/test/session/callers_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -174,6 +173,8 @@
 	c := s.callers
 	for _, class := range loadClasses {
 		c.classes[class.name] = &classResult{allowed: time.Second}
+	}
+	for _, class := range loadClasses {
 		c.running.Go(func() { c.load(class.name, class.every) })
 	}
 	return c
@@ -298,13 +299,3 @@
 func (p *pull) whole() bool {
 	return (<-p.done).answered()
 }
-
-// loadedGateways lists the hosts of running gateways.
-func (s *system) gatewayNumbers() []int {
-	var numbers []int
-	for _, p := range s.gateways {
-		numbers = append(numbers, p.number)
-	}
-	slices.Sort(numbers)
-	return numbers
-}
--- a/test/session/controllers_test.go
+++ b/test/session/controllers_test.go
@@ -39,6 +39,11 @@
 	link   *link
 	cancel context.CancelFunc
 	done   chan error
+
+	// known is the status read at readAt: one reading serves a whole instant,
+	// because the admin API bounds its rate.
+	known  adminapi.Status
+	readAt time.Time
 }
 
 func controllerHost(number int) string { return fmt.Sprintf("10.0.0.%d", number) }
@@ -125,6 +130,14 @@
 
 // ownStatus returns what a controller itself knows.
 func (p *controllerProcess) ownStatus() adminapi.Status {
+	if p.readAt.Equal(time.Now()) {
+		return p.known
+	}
+	p.known, p.readAt = p.readStatus(), time.Now()
+	return p.known
+}
+
+func (p *controllerProcess) readStatus() adminapi.Status {
 	request := httptest.NewRequest(http.MethodGet, adminapi.PathStatus, nil)
 	for range 3 { // it has gone round already, so it is not passed on
 		request.Header.Add("Shalefork-Forwarded", "test")
@@ -186,8 +199,17 @@
 }
 
 // settled reports whether a leader of the generation has the version in force,
-// with every slice owned and served.
+// with every keyed slice owned and served.
 func (s *system) settled(generation wire.Generation, version bundle.Version) func() bool {
+	return s.inForce(generation, version, func(a cellstate.Assignment) bool { return !a.Shared })
+}
+
+// complete also wants a grant at every server of the pools.
+func (s *system) complete(generation wire.Generation, version bundle.Version) func() bool {
+	return s.inForce(generation, version, func(cellstate.Assignment) bool { return true })
+}
+
+func (s *system) inForce(generation wire.Generation, version bundle.Version, concerns func(cellstate.Assignment) bool) func() bool {
 	return func() bool {
 		leader, status := s.leader()
 		if leader == nil || status.Generation != generation {
@@ -198,7 +220,7 @@
 			return false
 		}
 		return !slices.ContainsFunc(status.State.Assignments, func(a cellstate.Assignment) bool {
-			return teamOf(a) && (!a.Owned() || a.State != wire.SliceServing || a.Bundle != version)
+			return teamOf(a) && concerns(a) && (!a.Owned() || a.State != wire.SliceServing || a.Bundle != version)
 		})
 	}
 }
@@ -239,7 +261,9 @@
 			fmt.Fprintf(&text, " %s:%d in force %t", name, team.Bundle.Version, team.InForce)
 		}
 		for _, a := range status.State.Assignments {
-			fmt.Fprintf(&text, "\n    %s %s %s %d", a.Slice, a.Owner, a.State, a.Bundle)
+			if teamOf(a) && status.Group.Role == consensus.RoleLeader {
+				fmt.Fprintf(&text, "\n    %s %s %s %d", a.Slice, a.Owner, a.State, a.Bundle)
+			}
 		}
 		text.WriteString("\n")
 	}
--- a/test/session/system_test.go
+++ b/test/session/system_test.go
@@ -18,6 +18,7 @@
 	"github.com/shalefork/shalefork/internal/lab/history"
 	"github.com/shalefork/shalefork/internal/lab/memnet"
 	"github.com/shalefork/shalefork/internal/platform/memory"
+	"github.com/shalefork/shalefork/internal/wire"
 )
 
 const (
@@ -38,6 +39,7 @@
 	servers     map[string]*server
 	operators   map[string]ed25519.PrivateKey
 	collector   history.Collector
+	leaving     []history.Leaving
 	bundles     []bundle.Bundle
 	callers     *callers
 	transcript  strings.Builder
@@ -50,6 +52,7 @@
 // the histories and the transcript.
 func play(t *testing.T, script func(s *system)) {
 	t.Helper()
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		s := newSystem(t)
 		s.boot()
@@ -108,6 +111,7 @@
 	}
 	seen := s.collector.History()
 	seen.Bundles = s.bundles
+	seen.Leaving = s.leaving
 	violations := history.Check(seen)
 	for _, violation := range violations {
 		s.t.Errorf("%s %s: %s", violation.Rule, violation.Subject, violation.Detail)
@@ -160,6 +164,9 @@
 	time.Sleep(d)
 }
 
+// poll is how often a condition is looked at; the admin API bounds its rate.
+const poll = 50 * time.Millisecond
+
 // within lets virtual time pass until the condition holds, and fails the test
 // if it does not hold by the limit.
 func (s *system) within(limit time.Duration, what string, condition func() bool) {
@@ -171,12 +178,21 @@
 			s.end()
 			s.t.FailNow()
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(poll)
 	}
 	s.t.Logf("%s: %s (limit %s)", what, time.Since(began), limit)
 	s.note("  within %s: %s", limit, what)
 }
 
+// whole waits until the cell is as it was before a failure.
+func (s *system) whole(generation wire.Generation, version bundle.Version) {
+	s.t.Helper()
+	what := fmt.Sprintf("generation %d leads, version %d is in force, every slice has an owner", generation, version)
+	s.within(recovery, what, s.complete(generation, version))
+	s.within(recovery, "a group of 3 voters", s.hasVoters(3))
+	s.within(recovery, "the ledger is owned and every gateway answers", s.answering)
+}
+
 func (s *system) require(condition bool, format string, arguments ...any) {
 	s.t.Helper()
 	if condition {
