Remember a testimony by its range, not by its fence alone

Cause: one log entry assigns many ledger slices under one fence, as the first entry of a new generation does. A gateway remembered what it had said to a takeover by the fence, so that every further range under that fence heard what was said of the first. Two such answers made a takeover wait for ever (keys refused with ledger-unready until the records' retention ends), and, with two gateways lost, could call records known that were not. Ruled out: a late table, and a takeover under a promise to a later owner. Change: testimonies are remembered by range and fence. Conclusion: each takeover hears of its own range.

--- a/internal/ledgernode/handlers.go
+++ b/internal/ledgernode/handlers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/shalefork/shalefork/internal/keyspace"
 	"github.com/shalefork/shalefork/internal/ledger"
 	"github.com/shalefork/shalefork/internal/wire"
 )
@@ -96,6 +97,20 @@
 	_ = lines.Write(ledger.CollectLine{End: true})
 }
 
+// takeoverID names a takeover. One log entry can assign many slices, so the
+// fence alone does not.
+type takeoverID struct {
+	within keyspace.Range
+	fence  wire.Fence
+}
+
+func (t takeoverID) before(other takeoverID) bool {
+	if t.fence != other.fence {
+		return t.fence < other.fence
+	}
+	return t.within.First < other.within.First
+}
+
 // testify promises to take no copies under older fences, and returns what this
 // gateway said of itself when that takeover first asked.
 func (n *Node) testify(asked ledger.CollectRequest) (ledger.Testimony, []ledger.Record, bool) {
@@ -104,7 +119,8 @@
 	if asked.Cell != n.config.Cell {
 		return ledger.Testimony{}, nil, false
 	}
-	said, again := n.testimonies[asked.Fence]
+	id := takeoverID{within: asked.Range, fence: asked.Fence}
+	said, again := n.testimonies[id]
 	if !again {
 		said = ledger.Testimony{
 			Vouched:  n.vouched.Overlapping(asked.Range),
@@ -114,7 +130,7 @@
 	if !n.promised.Raise(ledger.Tenure{Range: asked.Range, Fence: asked.Fence}) {
 		return ledger.Testimony{}, nil, false
 	}
-	n.remember(asked.Fence, said)
+	n.remember(id, said)
 	return said, n.book.In(n.now(), asked.Range), true
 }
 
@@ -122,14 +138,16 @@
 const maxTestimonies = 4096
 
 // remember keeps what was said; the oldest is forgotten when there are many.
-func (n *Node) remember(fence wire.Fence, said ledger.Testimony) {
-	n.testimonies[fence] = said
+func (n *Node) remember(id takeoverID, said ledger.Testimony) {
+	n.testimonies[id] = said
 	if len(n.testimonies) <= maxTestimonies {
 		return
 	}
-	oldest := fence
+	oldest := id
 	for known := range n.testimonies {
-		oldest = min(oldest, known)
+		if known.before(oldest) {
+			oldest = known
+		}
 	}
 	delete(n.testimonies, oldest)
 }
--- a/internal/ledgernode/node.go
+++ b/internal/ledgernode/node.go
@@ -83,9 +83,9 @@
 	book     *ledger.Book
 	vouched  ledger.Tenures
 	promised ledger.Tenures
-	// testimonies keeps what was said to each takeover, by its fence, so that
-	// one whose answer was lost hears the same again.
-	testimonies map[wire.Fence]ledger.Testimony
+	// testimonies keeps what was said to each takeover, so that one whose answer
+	// was lost hears the same again.
+	testimonies map[takeoverID]ledger.Testimony
 	tenures     map[wire.SliceFence]*tenure
 	peers       map[bundle.ServerName]*peer
 	seen        map[bundle.ServerName]seenGateway
@@ -118,7 +118,7 @@
 		self:        ledger.Holder{Name: config.Self, Incarnation: incarnation},
 		holder:      lease.NewHolder(config.Cell, incarnation),
 		book:        ledger.NewBook(config.Limit, config.Retention),
-		testimonies: map[wire.Fence]ledger.Testimony{},
+		testimonies: map[takeoverID]ledger.Testimony{},
 		tenures:     map[wire.SliceFence]*tenure{},
 		peers:       map[bundle.ServerName]*peer{},
 		seen:        map[bundle.ServerName]seenGateway{},
