Be silent in table streams while no leader is heard

Cause: a controller that was cut off from the majority, but not from the gateways, went on with heartbeats in its table streams. A gateway that followed it kept the old table for as long as the cut lasted, and refused every request after a bundle was rolled or a slice moved. Ruled out: ending the streams; the reader turns to another controller by itself after 2 s of silence. Change: heartbeats are sent by the leader under its lease, by members that know the leader, and by standbys that follow a member.

--- a/internal/controller/table_stream.go
+++ b/internal/controller/table_stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/cellstate"
+	"github.com/shalefork/shalefork/internal/consensus"
 	"github.com/shalefork/shalefork/internal/wire"
 )
 
@@ -32,7 +33,9 @@
 }
 
 // serveTable streams the table: a snapshot, then deltas as they come, and a
-// heartbeat each second in between.
+// heartbeat each second in between. While this process does not hear the group's
+// leader its table may have been overtaken, so it is silent, and the reader
+// turns to another controller.
 func (c *Controller) serveTable(writer http.ResponseWriter, request *http.Request) {
 	cell := request.URL.Query().Get(queryCell)
 	if cell != "" && bundle.CellName(cell) != c.settings.Cell {
@@ -66,13 +69,27 @@
 			return
 		case <-changed:
 		case <-heartbeat.C:
-			if s.write(s.heartbeat()) != nil {
+			if s.controller.hearsLeader() && s.write(s.heartbeat()) != nil {
 				return
 			}
 		}
 	}
 }
 
+// hearsLeader reports whether this process is the leader by its lease, hears the
+// leader as a member, or follows a member that does.
+func (c *Controller) hearsLeader() bool {
+	current := c.view.Load()
+	switch {
+	case !current.member:
+		return c.following.Load()
+	case current.status.Role == consensus.RoleLeader:
+		return current.leading
+	default:
+		return current.status.Leader != ""
+	}
+}
+
 // heldVersion reads the version that the reader holds; zero if it has none.
 func heldVersion(request *http.Request) wire.TableVersion {
 	query := request.URL.Query()
--- a/test/session/gateways_test.go
+++ b/test/session/gateways_test.go
@@ -26,6 +26,8 @@
 	host   string
 	cancel context.CancelFunc
 	done   chan error
+	// struck says that callers do not reach it.
+	struck bool
 }
 
 func gatewayHost(number int) string { return fmt.Sprintf("10.0.2.%d", number) }
@@ -92,9 +94,14 @@
 	return owners
 }
 
-// answering reports whether each gateway answers a lookup and a booking.
+// answering reports whether each gateway in reach answers a lookup, which has
+// to know the present owner, and a booking, which has to know the ledger's.
 func (s *system) answering() bool {
 	for number := 1; number <= 3; number++ {
+		p := s.gateways[gatewayHost(number%3+1)]
+		if p == nil || p.struck {
+			continue
+		}
 		for _, class := range []string{"lookup", "booking"} {
 			probe := newOperation(class, fmt.Sprintf("probe-%d", s.now()), number)
 			if s.callerAttempt(s.probeClient(), probe, 0).call.Status != http.StatusOK {
