--- a/test/session/callers_test.go
+++ b/test/session/callers_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/keyspace"
@@ -32,7 +33,9 @@
 	id      string
 	key     string
 	gateway int
-	stream  time.Duration
+	// stream spreads the answer over a time, work delays the effect.
+	stream time.Duration
+	work   time.Duration
 }
 
 func newOperation(class, id string, gateway int) operation {
@@ -93,9 +96,7 @@
 	if !o.repeatable() {
 		method, body = http.MethodPost, "two seats"
 	}
-	if o.stream > 0 {
-		url += "?stream=" + o.stream.String()
-	}
+	url += fmt.Sprintf("?stream=%s&work=%s", o.stream, o.work)
 	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	if err != nil {
 		panic("a request must be valid: " + err.Error())
@@ -130,6 +131,7 @@
 	client  *http.Client
 	running sync.WaitGroup
 	quit    chan struct{}
+	paused  atomic.Bool
 	stopped sync.Once
 
 	mu      sync.Mutex
@@ -189,6 +191,9 @@
 			return
 		case <-ticker.C:
 		}
+		if c.paused.Load() {
+			continue
+		}
 		o := newOperation(class, strconv.Itoa(number), number)
 		o.key = fmt.Sprintf("key-%d", number%13)
 		c.running.Go(func() { c.perform(o) })
@@ -251,6 +256,11 @@
 	}
 }
 
+// pause keeps callers from beginning operations until resume.
+func (c *callers) pause() { c.paused.Store(true) }
+
+func (c *callers) resume() { c.paused.Store(false) }
+
 func (c *callers) stop() {
 	c.stopped.Do(func() { close(c.quit) })
 	c.running.Wait()
@@ -294,8 +304,3 @@
 	s.callers.running.Go(func() { p.done <- s.callerAttempt(s.callers.client, o, 0) })
 	return p
 }
-
-// whole waits for the end of a pull and reports whether it came whole.
-func (p *pull) whole() bool {
-	return (<-p.done).answered()
-}
--- a/test/session/operators_test.go
+++ b/test/session/operators_test.go
@@ -81,11 +81,15 @@
 }
 
 func (s *system) approve(to *controllerProcess, offered bundle.Bundle) (adminapi.BundleStatus, adminapi.Failure) {
+	return s.approveBy(to, "karim", offered)
+}
+
+func (s *system) approveBy(to *controllerProcess, operator string, offered bundle.Bundle) (adminapi.BundleStatus, adminapi.Failure) {
 	digest, err := bundle.Digest(offered)
 	s.noError(err)
-	signature, err := bundle.Sign(s.operators["karim"], offered)
+	signature, err := bundle.Sign(s.operators[operator], offered)
 	s.noError(err)
-	return s.write(to, "karim", adminapi.PathApprove, adminapi.Approve{
+	return s.write(to, operator, adminapi.PathApprove, adminapi.Approve{
 		Team: teamName, Version: offered.Version, Digest: digest, Signature: signature, Time: time.Now(),
 	})
 }
--- a/test/session/servers_test.go
+++ b/test/session/servers_test.go
@@ -105,7 +105,7 @@
 	run := v.newExecution(httpRequest, request)
 	v.record(run)
 	select {
-	case <-time.After(serviceTime):
+	case <-time.After(serviceTime + queryDuration(httpRequest, "work")):
 	case <-httpRequest.Context().Done():
 	}
 	v.system.network.Wait(memnet.Place(v.host))
@@ -181,7 +181,7 @@
 		panic("a head must encode: " + err.Error())
 	}
 	_, _ = writer.Write(append(line, '\n'))
-	stream, _ := time.ParseDuration(request.URL.Query().Get("stream"))
+	stream := queryDuration(request, "stream")
 	piece := make([]byte, bodyBytes/pieces)
 	for range pieces {
 		if stream > 0 {
@@ -196,6 +196,11 @@
 	}
 }
 
+func queryDuration(request *http.Request, name string) time.Duration {
+	d, _ := time.ParseDuration(request.URL.Query().Get(name))
+	return d
+}
+
 // serverOf returns the running server of a name "team/service/backend".
 func (s *system) serverOf(name bundle.ServerName) *server {
 	for _, v := range s.servers {
