Count what a division frees piece by piece

Cause: with as few slices as servers a hot key was never isolated: all other keys of its slice together were too much to move, and no part was considered. Change: the keys below the hot key, those above it, or both can leave; nothing else starts while a division is under way.

--- a/internal/lab/experiment/call.go
+++ b/internal/lab/experiment/call.go
@@ -57,6 +57,8 @@
 	entry   wire.TableEntry
 	began   time.Duration
 	closed  bool
+	// first says that no try of the call went before.
+	first bool
 
 	// at the server: which run of it took the attempt, and its work there.
 	run     int
--- a/internal/lab/experiment/exchange.go
+++ b/internal/lab/experiment/exchange.go
@@ -71,7 +71,7 @@
 func (s *service) send(c *call, made choice) {
 	g := s.gateway
 	target := g.world.byName[made.server]
-	tried := &attempt{call: c, service: s, server: target, entry: made.entry, began: s.now()}
+	tried := &attempt{call: c, service: s, server: target, entry: made.entry, began: s.now(), first: c.tries == 0}
 	c.open = append(c.open, tried)
 	c.tries++
 	cost := newConnectionCost
@@ -88,16 +88,23 @@
 	}
 }
 
-// hedge starts a second try beside the first at another back end.
+// hedge starts a second try beside the first, if another back end has room and
+// the budget allows it.
 func (s *service) hedge(c *call, first bundle.ServerName) {
-	if c.done || len(c.open) != 1 || !s.mayRetry() {
+	if c.done || len(c.open) != 1 {
 		return
 	}
 	c.avoid = first
-	if made := s.choose(c); made.found {
-		s.gateway.world.measures.hedged(s)
-		s.send(c, made)
+	made := s.choose(c)
+	if !made.found {
+		return
+	}
+	if !s.mayRetry() {
+		s.pool.Done(s.now(), made.server, balance.ResultNeutral, 0)
+		return
 	}
+	s.gateway.world.measures.hedged()
+	s.send(c, made)
 }
 
 func (s *service) mayRetry() bool {
@@ -133,10 +140,19 @@
 	latency := s.now() - tried.began
 	s.occupancy += time.Duration(occupancyShare * float64(latency-s.occupancy))
 	s.close(tried, balance.ResultAnswered, latency)
+	s.overtake(tried.call)
 	s.end(tried.call, ending{})
 	s.dispatch()
 }
 
+// overtake ends a first try that a second one has overtaken: it counts against
+// its back end, which may be frozen.
+func (s *service) overtake(c *call) {
+	if len(c.open) == 1 && c.open[0].first {
+		s.abandon(c.open[0], balance.ResultOvertaken)
+	}
+}
+
 func refusedResult(reason wire.Reason) balance.Result {
 	if reason == wire.ReasonOverloaded || reason == wire.ReasonDraining {
 		return balance.ResultRefused
--- a/internal/lab/experiment/measures.go
+++ b/internal/lab/experiment/measures.go
@@ -154,7 +154,7 @@
 }
 
 // hedged counts a second try beside the first.
-func (m *measures) hedged(*service) {
+func (m *measures) hedged() {
 	if m.counting() {
 		m.hedges++
 	}
--- a/internal/lab/experiment/report.go
+++ b/internal/lab/experiment/report.go
@@ -52,9 +52,9 @@
 	return made
 }
 
-// answeredShare is in percent.
+// answeredShare is the percentage of the finished requests.
 func (s Service) answeredShare() float64 {
-	return 100 * float64(s.Answered) / float64(max(1, s.Requests))
+	return 100 * float64(s.Answered) / float64(max(1, s.Requests-s.Unfinished))
 }
 
 // group is the results of one scenario and variant over all seeds.
--- a/internal/lab/experiment/result.go
+++ b/internal/lab/experiment/result.go
@@ -55,11 +55,13 @@
 
 // Service holds the measures of one service.
 type Service struct {
-	Name     string  `json:"name"`
-	Requests int     `json:"requests"`
-	Answered int     `json:"answered"`
-	Latency  Latency `json:"latency_ms"`
-	Endings  []Count `json:"endings,omitempty"`
+	Name     string `json:"name"`
+	Requests int    `json:"requests"`
+	Answered int    `json:"answered"`
+	// Unfinished requests were under way when the run ended.
+	Unfinished int     `json:"unfinished"`
+	Latency    Latency `json:"latency_ms"`
+	Endings    []Count `json:"endings,omitempty"`
 }
 
 // Latency holds percentiles of answered requests, in milliseconds, as the
@@ -113,7 +115,7 @@
 }
 
 func (s *serviceMeasures) result(name string) Service {
-	made := Service{Name: name, Requests: s.requests, Answered: s.answered}
+	made := Service{Name: name, Requests: s.requests, Answered: s.answered, Unfinished: s.requests - s.answered}
 	milliseconds := func(quantile float64) float64 {
 		return float64(s.latency.ValueAtQuantile(quantile)) / 1000
 	}
@@ -124,6 +126,7 @@
 		P999: milliseconds(99.9),
 	}
 	for how, count := range s.endings {
+		made.Unfinished -= count
 		made.Endings = append(made.Endings, Count{Outcome: how.outcome, Reason: how.reason, Count: count})
 	}
 	slices.SortFunc(made.Endings, func(a, b Count) int {
--- a/internal/lab/experiment/scenario.go
+++ b/internal/lab/experiment/scenario.go
@@ -29,6 +29,9 @@
 	Load       []LoadPoint `yaml:"load" validate:"required,min=1,dive"`
 	Popularity Popularity  `yaml:"popularity"`
 	Events     []Event     `yaml:"events" validate:"dive"`
+	// Slices that each partition of the keyed service starts with; zero means
+	// as many as the deployment has.
+	Slices int `yaml:"slices" validate:"gte=0,lte=4096"`
 	// Variants to run; none means all.
 	Variants []string `yaml:"variants"`
 }
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/bundle"
@@ -62,6 +63,10 @@
 		times:      simulation.Random(r.seed, "times"),
 		version:    1,
 	}
+	w.deployment.workloads = slices.Clone(w.deployment.workloads)
+	if r.scenario.Slices > 0 {
+		w.deployment.workloads[0].placement.Slices = r.scenario.Slices
+	}
 	w.bundle = w.deployment.bundle(w.version, r.variant.mechanisms)
 	w.popularity = newPopularity(r.scenario.Popularity, simulation.Random(r.seed, "popularity"))
 	w.measures = newMeasures(w)
--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -14,8 +14,12 @@
 	gain float64
 }
 
-// startMoves starts the moves that repay most, within the budget.
+// startMoves starts the moves that repay most, within the budget. It waits for
+// a division or a merge to end: what that does to the loads shows only then.
 func (r *round) startMoves() {
+	if r.dividing {
+		return
+	}
 	for r.open < concurrentMoves && r.budgetLeft() > 0 {
 		if best, found := r.bestMove(); found {
 			r.start(best.assignment, CauseBalance, best.target)
@@ -26,8 +30,7 @@
 	}
 }
 
-// startDivision releases one slice to be divided. Its effect on the loads is
-// known only when it is done, so nothing else is started beside it.
+// startDivision releases one slice to be divided, with nothing beside it.
 func (r *round) startDivision() {
 	if r.open > 0 {
 		return
@@ -106,7 +109,7 @@
 }
 
 // bestDivision returns the slice whose division repays most, when no whole
-// slice can be moved with gain: a half of it, or all but its hot key, leaves.
+// slice can be moved with gain.
 func (r *round) bestDivision() (cellstate.Assignment, Cause, bool) {
 	var best cellstate.Assignment
 	var bestCause Cause
@@ -119,8 +122,10 @@
 		if !divisible {
 			continue
 		}
-		if _, gain := r.gainOf(assignment, division.leaving); gain > highest {
-			best, bestCause, highest = assignment, division.cause, gain
+		for _, leaving := range division.leaving {
+			if _, gain := r.gainOf(assignment, leaving); gain > highest {
+				best, bestCause, highest = assignment, division.cause, gain
+			}
 		}
 	}
 	return best, bestCause, bestCause != ""
--- a/internal/placement/improve.go
+++ b/internal/placement/improve.go
@@ -46,6 +46,8 @@
 	service *serviceView
 	// open counts the slices that are or will be without an owner.
 	open int
+	// dividing says that one of them is to be divided or merged.
+	dividing bool
 	// chosen are the fences to be released.
 	chosen map[wire.Fence]bool
 }
@@ -66,6 +68,7 @@
 		if !known || !entry.planned() || entry.cancelled {
 			continue
 		}
+		r.dividing = r.dividing || entry.target == ""
 		target := r.cell.servers[entry.target]
 		if entry.target != "" && (target == nil || !target.usable()) {
 			entry.cancelled = true
--- a/internal/placement/reshape.go
+++ b/internal/placement/reshape.go
@@ -10,8 +10,9 @@
 type division struct {
 	cause Cause
 	at    []keyspace.Hash
-	// leaving is the rate in requests per second that can leave the server.
-	leaving float64
+	// leaving are the rates in requests per second of which one can leave the
+	// server.
+	leaving []float64
 }
 
 // divisionOf returns how a slice should be divided: a hot key gets a slice of
@@ -24,18 +25,27 @@
 	}
 	hot := memory.rate * memory.hotShare
 	if hot >= max(minimumSplitRate, hotKeyLoad*service.mean) {
-		at := isolate(slice.Range, memory.hotHash)
-		rest := memory.rate - hot
-		worthwhile := rest >= hotKeyRestLoad*service.mean && len(at) > 0
-		return division{cause: CauseHotKey, at: at, leaving: rest}, worthwhile
+		return isolation(service, slice.Range, memory)
 	}
 	if memory.rate >= max(minimumSplitRate, splitLoad*service.mean) && slice.Range.First < slice.Range.Last {
 		middle := slice.Range.First + (slice.Range.Last-slice.Range.First)/2 + 1
-		return division{cause: CauseBalance, at: []keyspace.Hash{middle}, leaving: memory.rate / 2}, true
+		return division{cause: CauseBalance, at: []keyspace.Hash{middle}, leaving: []float64{memory.rate / 2}}, true
 	}
 	return division{}, false
 }
 
+// isolation gives the hot key a slice of its own. The keys below it, those
+// above it, or both can leave.
+func isolation(service *serviceView, whole keyspace.Range, memory *sliceMemory) (division, bool) {
+	rest := memory.rate * (1 - memory.hotShare)
+	at := isolate(whole, memory.hotHash)
+	if rest < hotKeyRestLoad*service.mean || len(at) == 0 {
+		return division{}, false
+	}
+	below := rest * float64(memory.hotHash-whole.First) / float64(whole.Last-whole.First)
+	return division{cause: CauseHotKey, at: at, leaving: []float64{below, rest - below, rest}}, true
+}
+
 // isolate returns where a range is to be divided so that hash stands alone,
 // nothing if it does already.
 func isolate(whole keyspace.Range, hash keyspace.Hash) []keyspace.Hash {
