--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 
 test:
 	go test -race $(TESTFLAGS) ./...
+	go test $(TESTFLAGS) -run TestModel ./internal/grant
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/internal/grant/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package grant_test
+
+const raceDetector = false
