Let the model's planner choose any live server

Cause: the model always gave an unowned slice to the first live server, which hid orders; a trial on a scratch copy that grants again what was proposed to be taken was not found. Ruled out: a preference for the other server, which hides others. Change: one step for each server that is live.

--- a/internal/grant/model_run_test.go
+++ b/internal/grant/model_run_test.go
@@ -118,6 +118,9 @@
 			w = answer(s.deliver(w, 0), 0)
 		}
 		w = propose(w, 0)
+		if assigned := assigns(w, 0); len(assigned) > 0 {
+			w = assigned[0]
+		}
 		for len(w.pending[0]) > 0 {
 			w = commit(w, 0)
 		}
@@ -249,7 +252,7 @@
 const ending = `
 		leader 1 proposes
 		{"unassign"
-		leader 1 proposes
+		leader 1 assigns to tawila/tables/b
 		{"assign"
 		leader 1 sends`
 
--- a/internal/grant/model_steps_test.go
+++ b/internal/grant/model_steps_test.go
@@ -120,7 +120,7 @@
 	if leader == 0 && w.elected {
 		return []*world{s.due(w, leader)}
 	}
-	after := []*world{propose(w, leader)}
+	after := append(assigns(w, leader), propose(w, leader))
 	if w.underWay(leader) < maxUnderWay {
 		after = append(after, s.due(w, leader))
 	}
@@ -186,32 +186,38 @@
 	return count
 }
 
-// propose adds what the leases call for, and gives an unowned slice to the
-// other server than the one that had it last, if that one is live.
+// propose adds what the leases call for.
 func propose(w *world, leader int) *world {
 	after := w.next("leader %d proposes", leader)
 	now := w.instant()
 	var commands []cellstate.Command
-	var views []grant.ServerView
-	after.book(leader, func(b *grant.Book) {
-		commands = b.Proposals(now)
-		views = b.Servers(now)
-	})
-	if unowned := w.state.Assignments[0]; !unowned.Owned() {
-		for _, view := range views {
-			if view.Live && view.Incarnation == w.state.Servers[view.Name].Incarnation {
-				commands = append(commands, cellstate.Command{Assign: &cellstate.Assign{
-					Slice: unowned.Slice, Owner: view.Name, Incarnation: view.Incarnation,
-				}})
-			}
-		}
-	}
+	after.book(leader, func(b *grant.Book) { commands = b.Proposals(now) })
 	for _, command := range commands {
 		after.pend(leader, command)
 	}
 	return after
 }
 
+// assigns propose the unowned slice for each server that is live.
+func assigns(w *world, leader int) []*world {
+	unowned := w.state.Assignments[0]
+	if unowned.Owned() {
+		return nil
+	}
+	var after []*world
+	for _, view := range w.leaders[leader].object.Servers(w.instant()) {
+		if !view.Live || view.Incarnation != w.state.Servers[view.Name].Incarnation {
+			continue
+		}
+		assigned := w.next("leader %d assigns to %s", leader, view.Name)
+		assigned.pend(leader, cellstate.Command{Assign: &cellstate.Assign{
+			Slice: unowned.Slice, Owner: view.Name, Incarnation: view.Incarnation,
+		}})
+		after = append(after, assigned)
+	}
+	return after
+}
+
 func (w *world) pend(leader int, command cellstate.Command) {
 	text := textOf(command)
 	for _, present := range w.pending[leader] {
