Count gateways that left the table in takeovers of the ledger

Cause: a gateway that is silent for long leaves the table. A takeover that was not complete, since two gateways were lost, became complete once they had left, and the next owner could begin a key that had run. Ruled out: remembering every gateway ever seen, which would count machines replaced long ago. Change: an owner announces the list of gateways under which every record has its second copy; takeovers that are not complete leave their list with all whom they asked. A gateway goes on without a second copy only if it never met another. Conclusion: two gateways lost at once refuse unknown keys until one returns or the records' retention has passed.

--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -82,6 +82,13 @@
 	Cell  bundle.CellName `json:"cell"`
 	Range keyspace.Range  `json:"range"`
 	Fence wire.Fence      `json:"fence"`
+	// Gateways are those that the asker counts.
+	Gateways []wire.TableServer `json:"gateways"`
+}
+
+// Tenure is the asker's own.
+func (r CollectRequest) Tenure() Tenure {
+	return Tenure{Range: r.Range, Fence: r.Fence, Gateways: r.Gateways}
 }
 
 // CollectLine is one line of the answer to a CollectRequest. The first holds
--- a/internal/ledger/model_test.go
+++ b/internal/ledger/model_test.go
@@ -20,6 +20,7 @@
 	vouched  Tenures
 	promised Tenures
 	up       bool // reachable; what it holds survives while it is not
+	listed   bool // in the table
 }
 
 // model is a cell of gateways whose ledger is one slice. At any time one of them
@@ -27,6 +28,7 @@
 type model struct {
 	gateways []*modelGateway
 	owner    int
+	elected  Holder // the run of the gateway that became the owner
 	tenure   Tenure
 	complete bool
 	runs     int
@@ -53,9 +55,21 @@
 		holder: Holder{Name: bundle.ServerName(fmt.Sprintf("g%d", i)), Incarnation: wire.Incarnation(fmt.Sprint(m.runs))},
 		book:   NewBook(1000, modelRetention),
 		up:     true,
+		listed: true,
 	}
 }
 
+// listed lists the gateways of the table.
+func (m *model) listed() []wire.TableServer {
+	var list []wire.TableServer
+	for _, gateway := range m.gateways {
+		if gateway.listed {
+			list = append(list, wire.TableServer{Name: gateway.holder.Name})
+		}
+	}
+	return list
+}
+
 // others lists the gateways that may get copies.
 func (m *model) others() []*modelGateway {
 	var list []*modelGateway
@@ -81,22 +95,30 @@
 	m.tenure = Tenure{Range: keyspace.FullRange(), Fence: m.tenure.Fence + 1}
 	took := NewTakeover(m.tenure.Range)
 	self := m.gateways[owner]
-	var names []bundle.ServerName
+	m.elected = self.holder
+	m.tenure.Gateways = m.listed()
 	for _, gateway := range m.gateways {
-		names = append(names, gateway.holder.Name)
 		if !gateway.up && gateway != self {
 			continue
 		}
-		took.Answered(gateway.holder.Name, Testimony{
+		said := Testimony{
 			Vouched:  gateway.vouched.Overlapping(m.tenure.Range),
 			Promised: gateway.promised.Overlapping(m.tenure.Range),
-		})
-		gateway.promised.Raise(Tenure{Range: m.tenure.Range, Fence: m.tenure.Fence})
+		}
+		took.Answered(gateway.holder.Name, said)
+		promise := m.tenure
+		promise.Gateways = MergeGateways(promise.Gateways, said.Awaited(m.tenure.Range))
+		gateway.promised.Raise(promise)
 		for _, record := range gateway.book.In(0, m.tenure.Range) {
 			self.book.Put(0, record)
 			self.book.CopyKnown(record, gateway.holder)
 		}
 	}
+	counted := MergeGateways(m.tenure.Gateways, took.Awaited())
+	var names []bundle.ServerName
+	for _, server := range counted {
+		names = append(names, server.Name)
+	}
 	m.complete = took.Complete(names)
 	if m.complete {
 		self.vouched.Raise(m.tenure)
@@ -114,6 +136,9 @@
 			return
 		}
 	}
+	m.tenure.Round++
+	m.tenure.Gateways = m.listed()
+	self.vouched.Raise(m.tenure)
 	for _, gateway := range m.others() {
 		m.delayed = append(m.delayed, VouchRequest{Tenure: m.tenure, Holder: gateway.holder})
 	}
@@ -173,6 +198,25 @@
 	}
 }
 
+// forget takes a gateway that is cut off out of the table. That happens long
+// after it fell silent, so that a lost owner has been replaced by then, and an
+// owner which knows all records has copied those again, if it reaches anybody.
+func (m *model) forget(t *rapid.T, i int) {
+	forgotten := m.gateways[i]
+	self := m.gateways[m.owner]
+	if forgotten.up || !self.up || self.holder != m.elected {
+		return
+	}
+	if m.complete {
+		for _, record := range self.book.Uncopied(0, m.tenure.Range, m.present()) {
+			if !m.copyOut(t, record) {
+				return
+			}
+		}
+	}
+	forgotten.listed = false
+}
+
 // restart loses a gateway's memory. The model spares the last one that knows of
 // any tenure: when all forget, nothing tells a cell from a new one, which is
 // the limit that the design states.
@@ -212,7 +256,11 @@
 			"deliver": m.deliver,
 			"restart": func(t *rapid.T) { m.restart(gateway.Draw(t, "restarted")) },
 			"cut":     func(t *rapid.T) { m.gateways[gateway.Draw(t, "cut")].up = false },
-			"heal":    func(t *rapid.T) { m.gateways[gateway.Draw(t, "healed")].up = true },
+			"forget":  func(t *rapid.T) { m.forget(t, gateway.Draw(t, "forgotten")) },
+			"heal": func(t *rapid.T) {
+				healed := m.gateways[gateway.Draw(t, "healed")]
+				healed.up, healed.listed = true, true
+			},
 		})
 	})
 }
--- a/internal/ledger/takeover.go
+++ b/internal/ledger/takeover.go
@@ -2,9 +2,11 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/keyspace"
+	"github.com/shalefork/shalefork/internal/wire"
 )
 
 // toleratedLoss is how many gateways may be lost at once: each record is held
@@ -74,19 +76,62 @@
 	return false
 }
 
+// Awaited lists the gateways that may hold records as far as those who answered
+// know, ordered by name: those of the latest list that is vouched for, and
+// those of takeovers that were not complete. They count in this one too.
+func (t *Takeover) Awaited() []wire.TableServer {
+	var list []wire.TableServer
+	for _, said := range t.answers {
+		list = append(list, said.Awaited(t.within)...)
+	}
+	for _, hash := range t.borders() {
+		list = append(list, t.latestAt(hash).Gateways...)
+	}
+	return MergeGateways(list, nil)
+}
+
+// latestAt returns the latest tenure of the hash that is vouched for.
+func (t *Takeover) latestAt(hash keyspace.Hash) Tenure {
+	var latest Tenure
+	for _, said := range t.answers {
+		if vouched := tenureAt(said.Vouched, hash); vouched.newer(latest) {
+			latest = vouched
+		}
+	}
+	return latest
+}
+
+// MergeGateways returns the gateways of both lists once each, ordered by name.
+// Of two with one name the one from first is kept.
+func MergeGateways(first, second []wire.TableServer) []wire.TableServer {
+	merged := slices.Concat(first, second)
+	slices.SortStableFunc(merged, func(a, b wire.TableServer) int {
+		return strings.Compare(string(a.Name), string(b.Name))
+	})
+	return slices.CompactFunc(merged, func(a, b wire.TableServer) bool { return a.Name == b.Name })
+}
+
 // borders returns a hash of every part of the range within which no answer
 // changes.
 func (t *Takeover) borders() []keyspace.Hash {
-	hashes := []keyspace.Hash{t.within.First}
+	var tenures []Tenure
 	for _, said := range t.answers {
-		for _, tenure := range slices.Concat(said.Vouched, said.Promised) {
-			hashes = append(hashes, tenure.Range.First)
-			if tenure.Range.Last < t.within.Last {
-				hashes = append(hashes, tenure.Range.Last+1)
-			}
+		tenures = slices.Concat(tenures, said.Vouched, said.Promised)
+	}
+	return borders(t.within, tenures)
+}
+
+// borders returns a hash of every part of the range within which the tenures
+// are the same.
+func borders(within keyspace.Range, tenures []Tenure) []keyspace.Hash {
+	hashes := []keyspace.Hash{within.First}
+	for _, tenure := range tenures {
+		hashes = append(hashes, tenure.Range.First)
+		if tenure.Range.Last < within.Last {
+			hashes = append(hashes, tenure.Range.Last+1)
 		}
 	}
-	hashes = slices.DeleteFunc(hashes, func(hash keyspace.Hash) bool { return !t.within.Contains(hash) })
+	hashes = slices.DeleteFunc(hashes, func(hash keyspace.Hash) bool { return !within.Contains(hash) })
 	slices.Sort(hashes)
 	return slices.Compact(hashes)
 }
--- a/internal/ledger/tenure.go
+++ b/internal/ledger/tenure.go
@@ -12,6 +12,22 @@
 type Tenure struct {
 	Range keyspace.Range `json:"range"`
 	Fence wire.Fence     `json:"fence"`
+	// Gateways are those that may hold records: in a promise all that the
+	// takeover counts; in what is vouched for, those that the owner's table
+	// named when every record had a second copy at one of them. They count in
+	// later takeovers, even when they have left the table meanwhile.
+	Gateways []wire.TableServer `json:"gateways,omitempty"`
+	// Round counts the owner's lists of gateways, so that a message that comes
+	// late does not put an older one back.
+	Round uint64 `json:"round,omitempty"`
+}
+
+// newer reports whether t replaces other.
+func (t Tenure) newer(other Tenure) bool {
+	if t.Fence != other.Fence {
+		return t.Fence > other.Fence
+	}
+	return t.Round > other.Round
 }
 
 // Testimony is what a gateway that is asked for its records says of itself.
@@ -26,6 +42,22 @@
 	Promised []Tenure `json:"promised,omitempty"`
 }
 
+// Awaited lists the gateways that takeovers of the range counted which this
+// gateway does not know to have been complete, ordered by name.
+func (s Testimony) Awaited(within keyspace.Range) []wire.TableServer {
+	var list []wire.TableServer
+	parts := borders(within, slices.Concat(s.Vouched, s.Promised))
+	for _, promised := range s.Promised {
+		unfinished := func(hash keyspace.Hash) bool {
+			return promised.Range.Contains(hash) && tenureAt(s.Vouched, hash).Fence < promised.Fence
+		}
+		if slices.ContainsFunc(parts, unfinished) {
+			list = append(list, promised.Gateways...)
+		}
+	}
+	return MergeGateways(list, nil)
+}
+
 // Tenures are one tenure for each part of the partition. The ranges never
 // overlap and are ordered. The zero value is empty.
 type Tenures struct {
@@ -55,8 +87,10 @@
 // Raise puts the tenure in place of older ones. It returns false, and changes
 // nothing, if there is a later one for any of its hashes.
 func (t *Tenures) Raise(raised Tenure) bool {
-	if t.Highest(raised.Range) > raised.Fence {
-		return false
+	for _, tenure := range t.Overlapping(raised.Range) {
+		if tenure.newer(raised) {
+			return false
+		}
 	}
 	next := []Tenure{raised}
 	for _, tenure := range t.list {
--- a/internal/ledgernode/handlers.go
+++ b/internal/ledgernode/handlers.go
@@ -70,7 +70,9 @@
 	if n.promised.Highest(tenure.Range) > tenure.Fence {
 		return false
 	}
-	n.promised.Raise(ledger.Tenure{Range: tenure.Range, Fence: tenure.Fence})
+	if n.promised.Highest(tenure.Range) < tenure.Fence {
+		n.promised.Raise(tenure)
+	}
 	return n.vouched.Raise(tenure)
 }
 
@@ -127,7 +129,9 @@
 			Promised: n.promised.Overlapping(asked.Range),
 		}
 	}
-	if !n.promised.Raise(ledger.Tenure{Range: asked.Range, Fence: asked.Fence}) {
+	promise := asked.Tenure()
+	promise.Gateways = ledger.MergeGateways(promise.Gateways, said.Awaited(asked.Range))
+	if !n.promised.Raise(promise) {
 		return ledger.Testimony{}, nil, false
 	}
 	n.remember(id, said)
--- a/internal/ledgernode/node.go
+++ b/internal/ledgernode/node.go
@@ -89,7 +89,9 @@
 	tenures     map[wire.SliceFence]*tenure
 	peers       map[bundle.ServerName]*peer
 	seen        map[bundle.ServerName]seenGateway
-	sequence    uint64
+	// metOthers says that the table has named another gateway.
+	metOthers bool
+	sequence  uint64
 	// running ends, by stop, when Run does; takeovers run under it.
 	running context.Context
 	stop    context.CancelFunc
--- a/internal/ledgernode/peers.go
+++ b/internal/ledgernode/peers.go
@@ -26,9 +26,13 @@
 	})
 }
 
-// isAlone reports whether the table names no other gateway.
+// isAlone reports whether the table never named another gateway. One that has
+// lost the others is not alone: they may come back after it is lost itself.
 func (n *Node) isAlone() bool {
-	return len(n.others()) == 0
+	n.noteGateways()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.metOthers
 }
 
 func (n *Node) addressOf(name bundle.ServerName) (string, bool) {
--- a/internal/ledgernode/sync.go
+++ b/internal/ledgernode/sync.go
@@ -39,6 +39,7 @@
 	now := n.now()
 	for _, server := range present {
 		n.seen[server.Name] = seenGateway{server: server, at: now}
+		n.metOthers = n.metOthers || server.Name != n.config.Self
 	}
 	for name, known := range n.seen {
 		if now-known.at > removedMemory {
@@ -88,8 +89,11 @@
 // each of these runs began before any later tenure, so that it will hold
 // whatever a later owner gives it. A message that comes late changes nothing.
 func (n *Node) secure(ctx context.Context, t *tenure) {
+	listed := n.directory.Gateways()
 	n.mu.Lock()
-	present := n.present()
+	present := slices.DeleteFunc(n.present(), func(holder ledger.Holder) bool {
+		return !slices.Contains(names(listed), holder.Name)
+	})
 	lacking := n.book.Uncopied(n.now(), t.slice.Range, present)
 	n.mu.Unlock()
 	for _, record := range lacking {
@@ -100,6 +104,7 @@
 	if !n.stillHolds(t) {
 		return
 	}
+	n.announce(t, listed)
 	var telling sync.WaitGroup
 	for _, holder := range present {
 		telling.Go(func() { n.letVouch(ctx, t, holder) })
@@ -107,6 +112,20 @@
 	telling.Wait()
 }
 
+// announce puts a list of gateways in place of the tenure's last one.
+func (n *Node) announce(t *tenure, listed []wire.TableServer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if t.round == 0 || !slices.Equal(names(listed), names(t.listed)) {
+		t.listed = listed
+		t.round++
+		clear(t.vouching)
+	}
+	if t.complete {
+		n.vouch(t.asTenure())
+	}
+}
+
 // stillHolds reports whether the tenure's grant stands.
 func (n *Node) stillHolds(t *tenure) bool {
 	n.mu.Lock()
@@ -119,6 +138,7 @@
 func (n *Node) letVouch(ctx context.Context, t *tenure, holder ledger.Holder) {
 	n.mu.Lock()
 	done := t.vouching[holder]
+	vouching := t.asTenure()
 	n.mu.Unlock()
 	address, ok := n.addressOf(holder.Name)
 	if done || !ok {
@@ -126,12 +146,14 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	message := ledger.VouchRequest{Cell: n.config.Cell, Tenure: t.asTenure(), Holder: holder}
+	message := ledger.VouchRequest{Cell: n.config.Cell, Tenure: vouching, Holder: holder}
 	response, err := post[ledger.VouchResponse](limited, n.client, address, ledger.PathVouch, message)
 	if err != nil || !response.Accepted {
 		return
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	t.vouching[holder] = true
+	if t.round == vouching.Round {
+		t.vouching[holder] = true
+	}
 }
--- a/internal/ledgernode/tenure.go
+++ b/internal/ledgernode/tenure.go
@@ -34,9 +34,15 @@
 	// collected is closed after the first round of the takeover.
 	collected chan struct{}
 	once      sync.Once
+	// gateways that may hold records of the slice. Only the takeover uses it.
+	gateways []wire.TableServer
 	// complete says that every record of the slice is known.
 	complete bool
-	// vouching holds the runs of gateways that vouch for this tenure.
+	// listed are the gateways that the table named in the last round in which
+	// every record had its second copy at one of them; round counts the lists.
+	listed []wire.TableServer
+	round  uint64
+	// vouching holds the runs of gateways that vouch for the present list.
 	vouching map[ledger.Holder]bool
 }
 
@@ -103,13 +109,13 @@
 		return
 	}
 	took := ledger.NewTakeover(t.slice.Range)
-	gateways := n.mayHold()
+	t.gateways = n.mayHold()
 	n.testifyOwn(took, t)
 	began := n.now()
 	for ctx.Err() == nil {
-		n.collectRound(ctx, took, t, gateways)
+		n.collectRound(ctx, took, t)
 		expired := n.now()-began > n.config.Retention
-		if took.Complete(names(gateways)) || expired {
+		if t.knowsAll(took) || expired {
 			n.completed(ctx, t)
 			t.once.Do(func() { close(t.collected) })
 			n.askPeers(ctx) // those that were slow to answer vouch too
@@ -141,8 +147,7 @@
 
 // testifyOwn adds what this gateway holds itself.
 func (n *Node) testifyOwn(took *ledger.Takeover, t *tenure) {
-	asked := ledger.CollectRequest{Cell: n.config.Cell, Range: t.slice.Range, Fence: t.fence}
-	if said, _, ok := n.testify(asked); ok {
+	if said, _, ok := n.testify(n.collectRequest(t)); ok {
 		took.Answered(n.config.Self, said)
 	}
 }
@@ -156,17 +161,18 @@
 
 // collectRound asks all gateways that have not answered, at once. It returns
 // when the records are complete, without waiting for the slowest.
-func (n *Node) collectRound(ctx context.Context, took *ledger.Takeover, t *tenure, gateways []wire.TableServer) {
-	answers := make(chan collected, len(gateways))
+func (n *Node) collectRound(ctx context.Context, took *ledger.Takeover, t *tenure) {
+	answers := make(chan collected, len(t.gateways))
+	message := n.collectRequest(t)
 	asked := 0
-	for _, server := range gateways {
+	for _, server := range t.gateways {
 		if took.HasAnswered(server.Name) {
 			continue
 		}
 		asked++
-		n.work.Go(func() { answers <- n.collectFrom(ctx, server, t) })
+		n.work.Go(func() { answers <- n.collectFrom(ctx, server, message) })
 	}
-	for ; asked > 0 && !took.Complete(names(gateways)); asked-- {
+	for ; asked > 0 && !t.knowsAll(took); asked-- {
 		if answer := <-answers; answer.ok {
 			took.Answered(answer.name, answer.said)
 		}
@@ -175,11 +181,10 @@
 
 // collectFrom takes one gateway's records over. It fails unless the answer came
 // whole and all its records could be kept.
-func (n *Node) collectFrom(ctx context.Context, server wire.TableServer, t *tenure) collected {
+func (n *Node) collectFrom(ctx context.Context, server wire.TableServer, message ledger.CollectRequest) collected {
 	limited, cancel := context.WithTimeout(ctx, collectTimeout)
 	defer cancel()
 	failed := collected{name: server.Name}
-	message := ledger.CollectRequest{Cell: n.config.Cell, Range: t.slice.Range, Fence: t.fence}
 	answer, err := open(limited, n.client, server.Address, ledger.PathCollect, message)
 	if err != nil {
 		return failed
@@ -226,6 +231,23 @@
 	return true
 }
 
+// collectRequest asks for the records of the tenure's slice.
+func (n *Node) collectRequest(t *tenure) ledger.CollectRequest {
+	return ledger.CollectRequest{
+		Cell:     n.config.Cell,
+		Range:    t.slice.Range,
+		Fence:    t.fence,
+		Gateways: t.gateways,
+	}
+}
+
+// knowsAll reports whether the takeover is complete, counting the gateways that
+// unfinished ones before it counted.
+func (t *tenure) knowsAll(took *ledger.Takeover) bool {
+	t.gateways = ledger.MergeGateways(t.gateways, took.Awaited())
+	return took.Complete(names(t.gateways))
+}
+
 // completed makes the other gateways vouch for the new tenure before the first
 // record is begun in it, if they answer soon.
 func (n *Node) completed(ctx context.Context, t *tenure) {
@@ -241,7 +263,7 @@
 }
 
 func (t *tenure) asTenure() ledger.Tenure {
-	return ledger.Tenure{Range: t.slice.Range, Fence: t.fence}
+	return ledger.Tenure{Range: t.slice.Range, Fence: t.fence, Gateways: t.listed, Round: t.round}
 }
 
 func names(servers []wire.TableServer) []bundle.ServerName {
