Measure losses under three timings

Cause: the time to serve again and the bytes of renewals are bought with each other, and only one pair of times was measured. Change: three kinds of loss are played under three pairs of renewal and grant time; gateways with the same table are looked at once.

--- a/internal/lab/scale/cell.go
+++ b/internal/lab/scale/cell.go
@@ -29,9 +29,10 @@
 	// ReportEvery is the time between whole load reports; zero means with every
 	// renewal.
 	ReportEvery time.Duration `json:"report_every_ns"`
-	// RenewEvery is the period of keyed servers' renewals; GrantTime is three
-	// times as long.
+	// RenewEvery is the period of keyed servers' renewals, GrantTime how long
+	// their grants last.
 	RenewEvery time.Duration `json:"renew_every_ns"`
+	GrantTime  time.Duration `json:"grant_ns"`
 	// LedgerGateways is how many gateways register as servers of the ledger.
 	LedgerGateways int `json:"ledger_gateways"`
 	// Still forbids moves for balance.
@@ -43,7 +44,7 @@
 	return Shape{
 		Keyed: 14, Pool: 20, Machines: 34, Gateways: 34, LedgerGateways: 34, Slices: 56,
 		Fleet: targetNodes, FleetChanges: targetChanges, RequestRate: targetRequests / targetNodes,
-		ReportEvery: reportEvery, RenewEvery: renewEvery,
+		ReportEvery: reportEvery, RenewEvery: renewEvery, GrantTime: grantTime,
 	}
 }
 
--- a/internal/lab/scale/leading.go
+++ b/internal/lab/scale/leading.go
@@ -15,8 +15,7 @@
 
 // Times of leases; they are the product's defaults.
 const (
-	// grantPeriods is how many renewals fit in a grant's time.
-	grantPeriods   = 3
+	grantTime      = 600 * time.Millisecond
 	renewEvery     = 200 * time.Millisecond
 	poolGrantTime  = 3 * time.Second
 	poolRenewEvery = time.Second
@@ -65,7 +64,7 @@
 	elected, _ := r.consensus.Elected()
 	config := grant.Config{
 		Cell: r.cell.name, Leader: incarnationOf(r.node), Term: uint64(status.Term),
-		Duration: grantPeriods * r.cell.shape.RenewEvery, PoolDuration: poolGrantTime,
+		Duration: r.cell.shape.GrantTime, PoolDuration: poolGrantTime,
 		RenewEvery: r.cell.shape.RenewEvery, PoolRenewEvery: poolRenewEvery, DriftMargin: driftMargin,
 	}
 	r.leadership = &leadership{
--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -154,9 +154,9 @@
 func writeLosses(output io.Writer, losses []Loss) {
 	fmt.Fprintln(output, "\ntime until every slice is served again, median [longest] of the runs")
 	table := newTable(output)
-	fmt.Fprintln(table, "lost\truns\tat the first gateway\tat half of them\tat the last\t")
+	fmt.Fprintln(table, "renewals\tgrants\tlost\truns\tat the first gateway\tat half of them\tat the last\t")
 	for _, each := range losses {
-		fmt.Fprintf(table, "%s\t%d\t%s\t%s\t%s\t\n", each.Lost, each.Runs, each.FirstGateway, each.MedianGateway, each.LastGateway)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%s\t%s\t\n", each.RenewEvery, each.GrantTime, each.Lost, each.Runs, each.FirstGateway, each.MedianGateway, each.LastGateway)
 	}
 	_ = table.Flush()
 }
