Play random faults against the whole cell, and Tweede Leven too

Cause: the demonstration played one fixed course of faults on one example. Examples have bundle-2.yaml for both deployments; operators' names come from the example.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build check test bench demo experiment scale
+.PHONY: build check test bench demo soak experiment scale
 
 build:
 	go build -o bin/ ./cmd/...
@@ -14,10 +14,17 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
+# Deployment of the demonstration: tawila or tweede-leven.
+DEPLOYMENT ?= tawila
+
 # A whole cell on this machine, under load and faults; fails on any violation.
 # DEMOFLAGS=--break=ignore-fences must fail.
 demo: build
-	bin/shalefork-lab demo $(DEMOFLAGS)
+	bin/shalefork-lab demo --example $(DEPLOYMENT) $(DEMOFLAGS)
+
+# The same cell under random faults, which depend on the seed only.
+soak: build
+	bin/shalefork-lab demo --example $(DEPLOYMENT) --soak 60s $(SOAKFLAGS)
 
 experiment: build
 	bin/shalefork-lab experiment $(EXPERIMENTFLAGS)
--- a/internal/lab/demo/callers.go
+++ b/internal/lab/demo/callers.go
@@ -18,8 +18,10 @@
 	loadLimit = 10 * time.Second
 	pullEvery = 500 * time.Millisecond
 	pullBytes = 256 << 10
-	// pullStream is shorter than the deadline of the service that is pulled.
-	pullStream = 700 * time.Millisecond
+	// pullStream is shorter than the deadline of the service that is pulled;
+	// a service without a deadline is pulled for longPullStream.
+	pullStream     = 700 * time.Millisecond
+	longPullStream = 4 * time.Second
 )
 
 func (c *cluster) startLoad() (*process.Process, error) {
@@ -27,12 +29,13 @@
 		"load",
 		"--bundle", c.files.path("bundle.yaml"),
 		"--rate", strconv.FormatFloat(c.config.Rate, 'f', -1, 64),
-		"--duration", loadDuration.String(),
+		"--duration", c.config.load().String(),
+		"--seed", strconv.FormatUint(c.config.Seed, 10),
 		"--keys", strconv.Itoa(keyCount),
 		"--skew", strconv.FormatFloat(keySkew, 'f', -1, 64),
 		"--pull-every", pullEvery.String(),
 		"--pull-bytes", strconv.Itoa(pullBytes),
-		"--pull-stream", pullStream.String(),
+		"--pull-stream", c.pullStream().String(),
 		"--history", c.collector.url,
 	}
 	for _, address := range c.config.addresses(gatewayPort, gatewayCount) {
@@ -41,9 +44,18 @@
 	return c.spawn(c.config.Lab, "load", arguments...)
 }
 
+// pullStream is the time over which a slow pull is sent.
+func (c *cluster) pullStream() time.Duration {
+	service, err := c.pulled()
+	if err == nil && service.Limits.Deadline == 0 {
+		return longPullStream
+	}
+	return pullStream
+}
+
 // awaitLoad waits for the load to end and reads its report.
 func (c *cluster) awaitLoad(ctx context.Context, running *process.Process) (load.Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, loadDuration+loadLimit)
+	ctx, cancel := context.WithTimeout(ctx, c.config.load()+loadLimit)
 	defer cancel()
 	var report load.Report
 	if err := running.Wait(ctx); err != nil {
--- a/internal/lab/demo/cluster.go
+++ b/internal/lab/demo/cluster.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/bundle"
@@ -23,13 +24,20 @@
 
 	first  bundle.Bundle
 	second bundle.Bundle
+	// bundles holds each that was ever offered, for the check of zones.
+	bundles []bundle.Bundle
+	// operators are two names: one proposes and rolls, the other approves.
+	proposer string
+	approver string
 
 	controllers map[string]*process.Process // by address
 	gateways    []*process.Process
 	workers     map[bundle.ServerName]*process.Process
 	leaving     []history.Leaving
 	// commands counts the operators' commands, to name their logs.
-	commands int
+	commands atomic.Int64
+	// soaking is set while random faults strike.
+	soaking *soak
 }
 
 func newCluster(config Config, files files, processes *process.Group) (*cluster, error) {
@@ -48,6 +56,7 @@
 	if made.second, err = config.readBundle("bundle-2.yaml"); err != nil {
 		return nil, err
 	}
+	made.bundles = []bundle.Bundle{made.first, made.second}
 	return made, checkFree(made.allAddresses())
 }
 
@@ -124,10 +133,15 @@
 }
 
 func (c *cluster) startWorker(service bundle.Service, backend bundle.Backend) error {
-	name := c.first.ServerName(service, backend)
+	started, err := c.spawnWorker(service, backend)
+	c.workers[c.first.ServerName(service, backend)] = started
+	return err
+}
+
+func (c *cluster) spawnWorker(service bundle.Service, backend bundle.Backend) (*process.Process, error) {
 	arguments := []string{
 		"worker",
-		"--name", string(name),
+		"--name", string(c.first.ServerName(service, backend)),
 		"--listen", backend.Address,
 		"--cell", string(c.first.Cell),
 		"--service", string(c.first.ServiceName(service)),
@@ -137,14 +151,12 @@
 		"--slots", strconv.Itoa(backend.Slots),
 		"--connections", strconv.Itoa(backend.Connections),
 		"--history", c.collector.url,
-		"--drain-timeout", stopGrace.String(),
+		"--drain-timeout", drainLimit.String(),
 	}
 	if service.Repeatable {
 		arguments = append(arguments, "--repeatable")
 	}
-	started, err := c.spawn(c.config.Lab, "worker-"+backend.Name, arguments...)
-	c.workers[name] = started
-	return err
+	return c.spawn(c.config.Lab, "worker-"+backend.Name, arguments...)
 }
 
 func (c *cluster) startControllers(ctx context.Context) error {
@@ -154,7 +166,7 @@
 	}
 	controller.Token = c.files.token
 	controller.Platform = "http://" + c.config.address(platformPort)
-	if controller.Operators, err = c.makeOperators(ctx); err != nil {
+	if controller.Operators, err = c.makeOperators(ctx, controller.Operators); err != nil {
 		return err
 	}
 	for index, address := range c.config.addresses(controllerPort, controllerCount) {
@@ -171,11 +183,16 @@
 	if err := c.files.writeYAML(name+".yaml", controller); err != nil {
 		return err
 	}
-	started, err := c.spawn(c.config.Shalefork, name, "controller", "--settings", c.files.path(name+".yaml"))
+	started, err := c.spawnRouter("controller", name)
 	c.controllers[controller.Listen] = started
 	return err
 }
 
+// spawnRouter starts a controller or gateway on the settings of its name.
+func (c *cluster) spawnRouter(command, name string) (*process.Process, error) {
+	return c.spawn(c.config.Shalefork, name, command, "--settings", c.files.path(name+".yaml"))
+}
+
 func (c *cluster) startGateways(context.Context) error {
 	_, gateway, err := c.config.readSettings()
 	if err != nil {
@@ -191,7 +208,7 @@
 		if err := c.files.writeYAML(name+".yaml", gateway); err != nil {
 			return err
 		}
-		started, err := c.spawn(c.config.Shalefork, name, "gateway", "--settings", c.files.path(name+".yaml"))
+		started, err := c.spawnRouter("gateway", name)
 		if err != nil {
 			return err
 		}
--- a/internal/lab/demo/config.go
+++ b/internal/lab/demo/config.go
@@ -24,6 +24,9 @@
 	BreakIgnoreFences Break = "ignore-fences"
 )
 
+// examplesDirectory holds the examples, from the root of the tree.
+const examplesDirectory = "examples"
+
 // Config of a demonstration.
 type Config struct {
 	// BasePort is the first of the ports used, all on 127.0.0.1.
@@ -36,6 +39,10 @@
 	// Rate of the callers' new operations per second.
 	Rate  float64
 	Break Break
+	// Soak is how long random faults strike; zero plays the fixed steps.
+	Soak time.Duration
+	// Seed of the random faults and of the callers' choices.
+	Seed uint64
 	// Keep leaves the directory with settings and logs in place.
 	Keep bool
 	// Output takes the progress and the table.
@@ -47,15 +54,20 @@
 	return Config{
 		BasePort:  19000,
 		Shalefork: filepath.Join("bin", "shalefork"),
-		Example:   filepath.Join("examples", "tawila"),
+		Example:   filepath.Join(examplesDirectory, "tawila"),
 		Rate:      300,
+		Seed:      1,
 	}
 }
 
 // Bounds of the demonstration.
 const (
-	// timeLimit ends a demonstration that hangs.
+	// timeLimit ends a demonstration that hangs; soakLimit is what random faults
+	// may take besides the time in which they strike.
 	timeLimit = 42 * time.Second
+	soakLimit = 75 * time.Second
+	// maxSoak bounds a run with random faults.
+	maxSoak = 30 * time.Minute
 	// stopGrace is what the processes get to stop by themselves at the end.
 	stopGrace = 1500 * time.Millisecond
 	// readyLimit is how long the cell may take to serve at first.
@@ -72,6 +84,22 @@
 	keySkew         = 1.1
 )
 
+// limit is how long the whole demonstration may take.
+func (c Config) limit() time.Duration {
+	if c.Soak > 0 {
+		return c.Soak + soakLimit
+	}
+	return timeLimit
+}
+
+// load is how long callers begin operations.
+func (c Config) load() time.Duration {
+	if c.Soak > 0 {
+		return c.Soak + calmAfterSoak
+	}
+	return loadDuration
+}
+
 func (c Config) validate() error {
 	const lastPort = 65535
 	switch {
@@ -79,6 +107,8 @@
 		return Error.New("the base port must lie in 1024 to %d", lastPort-portCount)
 	case c.Break != BreakNothing && c.Break != BreakIgnoreFences:
 		return Error.New("--break knows %q only", BreakIgnoreFences)
+	case c.Soak < 0 || c.Soak > maxSoak:
+		return Error.New("--soak must lie in 0 to %s", maxSoak)
 	default:
 		return nil
 	}
--- a/internal/lab/demo/control.go
+++ b/internal/lab/demo/control.go
@@ -52,11 +52,16 @@
 	IgnoreFences bool `json:"ignore_fences"`
 }
 
+// controlOf returns the URL that steers a server.
+func controlOf(backend bundle.Backend) string {
+	return "http://" + backend.Address + worker.PathControl
+}
+
 // ignoreFences makes every worker run whatever reaches it.
 func (c *cluster) ignoreFences(ctx context.Context) error {
 	for _, service := range c.first.Services {
 		for _, backend := range service.Backends {
-			address := "http://" + backend.Address + worker.PathControl
+			address := controlOf(backend)
 			err := await(ctx, backend.Name, readyLimit, func(ctx context.Context) bool {
 				return post(ctx, address, ignoreFencesChange{IgnoreFences: true}) == nil
 			})
--- a/internal/lab/demo/drain.go
+++ b/internal/lab/demo/drain.go
@@ -58,7 +58,7 @@
 	err = await(ctx, "the slow pull to begin", readyLimit, func(ctx context.Context) bool {
 		request := load.NewRequest(service, c.config.address(gatewayPort+gatewayCount-1), load.Pull{
 			Bytes:  pullBytes,
-			Stream: pullStream,
+			Stream: c.pullStream(),
 		})
 		request.Header.Set(history.HeaderNonce, drainNonce)
 		// The pull outlives the wait for its beginning.
--- a/internal/lab/demo/faults.go
+++ b/internal/lab/demo/faults.go
@@ -111,16 +111,21 @@
 	if err := c.rollOut(ctx, "bundle-2.yaml", c.second); err != nil {
 		return err
 	}
+	c.noteLeaving(c.second)
+	return nil
+}
+
+// noteLeaving notes the servers that a bundle in force lets go.
+func (c *cluster) noteLeaving(inForce bundle.Bundle) {
 	now := history.Now()
-	for _, service := range c.second.Services {
+	for _, service := range inForce.Services {
 		for _, backend := range service.Backends {
 			if backend.Leaving {
-				name := c.second.ServerName(service, backend)
+				name := inForce.ServerName(service, backend)
 				c.leaving = append(c.leaving, history.Leaving{Server: name, At: now})
 			}
 		}
 	}
-	return nil
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/lab/demo/files.go
+++ b/internal/lab/demo/files.go
@@ -65,6 +65,15 @@
 	return f.write("history.jsonl", lines.Bytes())
 }
 
+// ExampleDirectory returns the directory of an example that is given by its path
+// or by its name alone.
+func ExampleDirectory(example string) string {
+	if filepath.Base(example) == example {
+		return filepath.Join(examplesDirectory, example)
+	}
+	return example
+}
+
 // readBundle reads an example and moves it to this demonstration's ports.
 func (c Config) readBundle(name string) (bundle.Bundle, error) {
 	path := filepath.Join(c.Example, name)
--- a/internal/lab/demo/operators.go
+++ b/internal/lab/demo/operators.go
@@ -11,16 +11,13 @@
 	"github.com/shalefork/shalefork/internal/settings"
 )
 
-// Names of the two operators: one proposes and rolls, the other approves.
-const (
-	proposer = "salma"
-	approver = "youssef"
-)
-
-// makeOperators lets the program make both operators' keys.
-func (c *cluster) makeOperators(ctx context.Context) ([]settings.Operator, error) {
+// makeOperators lets the program make keys for the first two operators of the
+// example.
+func (c *cluster) makeOperators(ctx context.Context, example []settings.Operator) ([]settings.Operator, error) {
+	c.proposer = example[0].Name
+	c.approver = example[1].Name
 	var operators []settings.Operator
-	for _, name := range []string{proposer, approver} {
+	for _, name := range []string{c.proposer, c.approver} {
 		public, err := c.command(ctx, "operator", "keygen", c.keyFile(name))
 		if err != nil {
 			return nil, err
@@ -36,8 +33,7 @@
 
 // command runs the program to its end and returns what it wrote.
 func (c *cluster) command(ctx context.Context, arguments ...string) (string, error) {
-	c.commands++
-	name := fmt.Sprintf("command-%d-%s-%s", c.commands, arguments[0], arguments[1])
+	name := fmt.Sprintf("command-%d-%s-%s", c.commands.Add(1), arguments[0], arguments[1])
 	child, err := c.spawn(c.config.Shalefork, name, arguments...)
 	if err != nil {
 		return "", err
@@ -66,13 +62,13 @@
 // rollOut proposes, approves and rolls a bundle, and waits until it is in force.
 func (c *cluster) rollOut(ctx context.Context, file string, rolled bundle.Bundle) error {
 	path := c.files.path(file)
-	if _, err := c.admin(ctx, proposer, "bundle", "propose", path); err != nil {
+	if _, err := c.admin(ctx, c.proposer, "bundle", "propose", path); err != nil {
 		return err
 	}
-	if _, err := c.admin(ctx, approver, "bundle", "approve", path); err != nil {
+	if _, err := c.admin(ctx, c.approver, "bundle", "approve", path); err != nil {
 		return err
 	}
-	_, err := c.admin(ctx, proposer, "bundle", "roll", string(rolled.Team), fmt.Sprint(rolled.Version))
+	_, err := c.admin(ctx, c.proposer, "bundle", "roll", string(rolled.Team), fmt.Sprint(rolled.Version))
 	return err
 }
 
--- a/internal/lab/demo/ports.go
+++ b/internal/lab/demo/ports.go
@@ -19,7 +19,7 @@
 	controllerPort  = 10
 	gatewayPort     = 20
 	gatewayPeerPort = 30
-	portCount       = 200
+	portCount       = 300
 
 	exampleBasePort = 19000
 )
--- a/internal/lab/demo/run.go
+++ b/internal/lab/demo/run.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/lab/history"
 	"github.com/shalefork/shalefork/internal/lab/load"
 	"github.com/shalefork/shalefork/internal/lab/process"
@@ -32,13 +31,13 @@
 	} else {
 		defer os.RemoveAll(files.directory)
 	}
-	limited, cancel := context.WithTimeout(ctx, timeLimit)
+	limited, cancel := context.WithTimeout(ctx, config.limit())
 	defer cancel()
 	processes := process.NewGroup()
 	summary, err := runAll(limited, config, files, processes)
 	left := processes.Close(stopGrace)
 	if err != nil {
-		return because(ctx, limited, err)
+		return because(ctx, limited, config.limit(), err)
 	}
 	summary.write(config.Output)
 	if len(left) > 0 {
@@ -51,12 +50,12 @@
 }
 
 // because names an end from outside, which makes the error itself uninteresting.
-func because(ctx, limited context.Context, err error) error {
+func because(ctx, limited context.Context, limit time.Duration, err error) error {
 	switch {
 	case ctx.Err() != nil:
 		return Error.New("interrupted; every process was ended")
 	case limited.Err() != nil:
-		return Error.New("took longer than %s: %v", timeLimit, err)
+		return Error.New("took longer than %s: %v", limit, err)
 	default:
 		return err
 	}
@@ -98,12 +97,28 @@
 	watcher.Go(func() { watch.run(watching) })
 	defer watcher.Wait()
 	defer stopWatching()
-	progress.say("start the callers: %.0f operations a second for %s", c.config.Rate, loadDuration)
+	progress.say("start the callers: %.0f operations a second for %s", c.config.Rate, c.config.load())
 	running, err := c.startLoad()
 	if err != nil {
 		return Summary{}, err
 	}
 	var summary Summary
+	if c.config.Soak > 0 {
+		c.soak(ctx, progress, &summary)
+	} else {
+		c.playSteps(ctx, progress, &summary)
+	}
+	progress.say("wait for the last answers")
+	if summary.Load, err = c.awaitLoad(ctx, running); err != nil {
+		return summary, err
+	}
+	summary.Moves, summary.Slices = watch.moves()
+	c.judge(&summary)
+	return summary, nil
+}
+
+// playSteps plays the fixed steps one after another.
+func (c *cluster) playSteps(ctx context.Context, progress *progress, summary *Summary) {
 	for _, step := range c.faults() {
 		progress.say("%s", step.name)
 		summary.Steps = append(summary.Steps, StepSummary{Name: step.name, Begin: history.Now()})
@@ -113,13 +128,6 @@
 		}
 		pause(ctx, step.settle)
 	}
-	progress.say("wait for the last answers")
-	if summary.Load, err = c.awaitLoad(ctx, running); err != nil {
-		return summary, err
-	}
-	summary.Moves, summary.Slices = watch.moves()
-	c.judge(&summary)
-	return summary, nil
 }
 
 // judge checks the histories.
@@ -130,19 +138,25 @@
 			summary.Failures = append(summary.Failures, err)
 		}
 	}
-	recorded.Bundles = []bundle.Bundle{c.first, c.second}
+	recorded.Bundles = c.bundles
 	recorded.Leaving = c.leaving
 	recorded.LeaveGrace = leaveGrace
 	summary.Executions = len(recorded.Executions)
 	summary.Imbalance = imbalances(c.first, recorded.Executions)
-	summary.spread(load.Spans(recorded.Calls, history.Now()))
+	spans := load.Spans(recorded.Calls, history.Now())
+	summary.spread(spans)
+	if c.soaking != nil {
+		summary.Failures = append(summary.Failures, c.soaking.stuck(spans)...)
+	}
 	summary.Violations = history.Check(recorded)
 }
 
 // progress writes what happens, with the time since the start.
+// It is safe for concurrent use.
 type progress struct {
 	config Config
 	start  time.Time
+	mu     sync.Mutex
 }
 
 func newProgress(config Config) *progress {
@@ -150,5 +164,7 @@
 }
 
 func (p *progress) say(format string, values ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	fmt.Fprintf(p.config.Output, "%6.1fs  %s\n", time.Since(p.start).Seconds(), fmt.Sprintf(format, values...))
 }
--- a/internal/lab/demo/summary.go
+++ b/internal/lab/demo/summary.go
@@ -25,6 +25,8 @@
 	// Executions recorded by servers.
 	Executions int
 	Violations []history.Violation
+	// Growth of the processes that lived through random faults.
+	Growth []Growth
 	// Failures of the steps themselves.
 	Failures []error
 }
@@ -145,6 +147,9 @@
 		rows.add("  "+step.Name, "%.2f key-seconds over %d keys, longest %s",
 			step.Unavailable.KeySeconds, step.Unavailable.Keys, milliseconds(step.Unavailable.Longest))
 	}
+	for _, growth := range s.Growth {
+		rows.add("  grown: "+growth.Name, "%s", growth)
+	}
 	rows.add("request latency p50", "%s", milliseconds(s.Load.Latency.P50))
 	rows.add("request latency p99", "%s", milliseconds(s.Load.Latency.P99))
 	rows.add("operation latency p99, repeats included", "%s", milliseconds(s.Load.OperationLatency.P99))
