--- a/internal/gateway/cell_test.go
+++ b/internal/gateway/cell_test.go
@@ -36,6 +36,8 @@
 	client     *http.Client
 	gateways   map[string]*Gateway
 	stops      []func()
+	// clock of the gateways; nil means virtual time.
+	clock clock.Source
 }
 
 // inCell runs a test in virtual time.
@@ -85,7 +87,7 @@
 	}
 	registry := prometheus.NewRegistry()
 	made, err := New(config, Dependencies{
-		Clock:      clock.NewVirtual(),
+		Clock:      c.source(),
 		Logger:     &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 		Registerer: registry,
 		Gatherer:   registry,
@@ -111,6 +113,13 @@
 	return stop
 }
 
+func (c *cell) source() clock.Source {
+	if c.clock != nil {
+		return c.clock
+	}
+	return clock.NewVirtual()
+}
+
 // answer is a whole answer as a caller sees it.
 type answer struct {
 	status  int
