Keep the account of sent bytes with the try, not with the connection

Cause: net/http may put a connection back into its pool (an answer without a body) at the moment at which the try ends by its deadline. The next try then had the connection, and its account was reset before the first one had looked: that one could have said 'not run' of a request that had been sent. Ruled out: looking earlier; there is no moment at which both are excluded. Change: each try has its own account, which never goes back; a connection is closed only by the try that has it.

--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -25,39 +26,40 @@
 // errSealed says that a connection was closed to further writes.
 var errSealed = errs.New("connection sealed")
 
-// trackedConn knows whether any byte of the present request was handed to the
-// network. One request at a time uses a connection.
+// account tells whether any byte of one try was handed to the network, on
+// whatever connections. Once true it stays true.
+type account struct {
+	begun atomic.Bool
+}
+
+// trackedConn enters what is written to it in the account of the try that has
+// it. One try at a time has a connection; the next one may get it while the one
+// before has not yet looked at how it ended, so the account is the try's own.
 type trackedConn struct {
 	net.Conn
 	mu     sync.Mutex
-	begun  bool
+	holder *account
 	sealed bool
 }
 
-// begin starts the account of a new request.
-func (c *trackedConn) begin() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.begun = false
-}
-
-// hasBegun reports whether a write of the present request was begun.
-func (c *trackedConn) hasBegun() bool {
+// begin gives the connection to a try.
+func (c *trackedConn) begin(holder *account) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.begun
+	c.holder = holder
 }
 
-// seal closes the connection and reports whether a write of the present
-// request was ever begun. A write that comes later fails, so that false is a
-// proof: no byte left and none will.
-func (c *trackedConn) seal() bool {
+// seal closes the connection if the try still has it. A write that comes later
+// fails, so that an account which is empty then is a proof: no byte of the try
+// left through this connection and none will.
+func (c *trackedConn) seal(holder *account) {
 	c.mu.Lock()
-	c.sealed = true
-	begun := c.begun
+	held := c.holder == holder
+	c.sealed = c.sealed || held
 	c.mu.Unlock()
-	_ = c.Close()
-	return begun
+	if held {
+		_ = c.Close()
+	}
 }
 
 // Write notes that a write began, then writes.
@@ -67,7 +69,9 @@
 		c.mu.Unlock()
 		return 0, errSealed
 	}
-	c.begun = true
+	if c.holder != nil {
+		c.holder.begun.Store(true)
+	}
 	c.mu.Unlock()
 	return c.Conn.Write(data)
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -33,8 +33,9 @@
 
 // try follows the connections of one try.
 type try struct {
-	mu    sync.Mutex
-	conns []*trackedConn
+	mu      sync.Mutex
+	conns   []*trackedConn
+	account account
 	// once forbids a second connection after a write has begun on another.
 	once bool
 }
@@ -47,35 +48,22 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.once && t.hasBegun() {
-		conn.begin()
-		conn.seal() // net/http tries again by itself; its write must fail
+	conn.begin(&t.account)
+	if t.once && t.account.begun.Load() {
+		conn.seal(&t.account) // net/http tries again by itself; its write must fail
 		return
 	}
-	conn.begin()
 	t.conns = append(t.conns, conn)
 }
 
-func (t *try) hasBegun() bool {
-	for _, conn := range t.conns {
-		if conn.hasBegun() {
-			return true
-		}
-	}
-	return false
-}
-
 // seal closes the try's connections and reports whether any byte may have left.
 func (t *try) seal() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	begun := false
 	for _, conn := range t.conns {
-		if conn.seal() {
-			begun = true
-		}
+		conn.seal(&t.account)
 	}
-	return begun
+	return t.account.begun.Load()
 }
 
 // send makes one try at a reserved target.
