Begin the controllers' calls at any phase; count the ledger's owners

Cause: calls to the platform's service began up to 10 s after the start, so that a window missed some; and the gateways' ledger traffic differed between fleets for a reason that the table did not show. Ruled out: a difference of the cells' shapes; they are the same. Change: the first call comes within one period; a fleet says how many gateways own slices of the ledger.

--- a/internal/lab/scale/platformwork.go
+++ b/internal/lab/scale/platformwork.go
@@ -52,14 +52,19 @@
 	record := encode(generation.Record{Cell: c.name, Generation: 1, Members: c.initialMembership()})
 	entry := encode(platform.Entry{Key: platform.GroupKey(c.name), Value: record, Revision: 1})
 	for _, each := range c.controllers() {
-		phase := time.Duration(c.random.Int64N(int64(groupPoll)))
-		c.After(phase, func() {
-			c.Every(groupPoll, func() { c.fromPlatform(each, getRequest, entry, readRecord) })
-			c.Every(presenceEvery, func() { c.fromPlatform(each, leaseBytes, []byte("{}"), func([]byte) {}) })
-		})
+		c.everyFromPhase(groupPoll, func() { c.fromPlatform(each, getRequest, entry, readRecord) })
+		c.everyFromPhase(presenceEvery, func() { c.fromPlatform(each, leaseBytes, []byte("{}"), func([]byte) {}) })
 	}
 }
 
+// everyFromPhase runs work each period, the first time at any point of one.
+func (c *cell) everyFromPhase(period time.Duration, work func()) {
+	c.After(time.Duration(c.random.Int64N(int64(period))), func() {
+		work()
+		c.Every(period, work)
+	})
+}
+
 func (c *cell) controllers() []*node {
 	var all []*node
 	for _, each := range c.replicas {
--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -45,8 +45,8 @@
 	fmt.Fprintf(output, "\n%d nodes in %d cells of %d keyed, %d pool servers, %d gateways, %d slices\n",
 		f.Nodes, f.Cells, f.Shape.Keyed, f.Shape.Pool, f.Shape.Gateways, f.Shape.Slices)
 	writeCosts(output, f.Costs)
-	fmt.Fprintf(output, "whole load report %.0f B; %s for %s of emulated time; heap %.1f MB; process's over charged processor time %.2f\n",
-		f.LoadReportBytes, f.Took.Round(time.Millisecond), f.Emulated, float64(f.HeapBytes)/1e6, f.Collection)
+	fmt.Fprintf(output, "%.1f gateways a cell own ledger slices; whole load report %.0f B; %s for %s of emulated time; heap %.1f MB; process's over charged processor time %.2f\n",
+		f.LedgerOwners, f.LoadReportBytes, f.Took.Round(time.Millisecond), f.Emulated, float64(f.HeapBytes)/1e6, f.Collection)
 }
 
 // writeCosts writes a line for each role, with bytes by component.
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -84,6 +84,9 @@
 	Costs []Cost `json:"costs"`
 	// LoadReportBytes is the mean size of a keyed server's load report.
 	LoadReportBytes float64 `json:"load_report_bytes"`
+	// LedgerOwners is the mean number of gateways of a cell that own slices of
+	// the ledger.
+	LedgerOwners float64 `json:"ledger_owners"`
 	// Took is the time that the run took, and Emulated the time it covered.
 	Took     time.Duration `json:"took_ns"`
 	Emulated time.Duration `json:"emulated_ns"`
@@ -127,9 +130,23 @@
 		Collection: (processTime() - usedBefore).Seconds() / charged.Seconds(),
 	}
 	result.LoadReportBytes = meanLoadReport(running)
+	for _, each := range running {
+		result.LedgerOwners += float64(each.ledgerOwners()) / float64(cells)
+	}
 	return result, nil
 }
 
+// ledgerOwners counts the gateways that own slices of the ledger.
+func (c *cell) ledgerOwners() int {
+	count := 0
+	for _, each := range c.gateways {
+		if len(c.state().OwnedBy(each.server)) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 func meanLoadReport(cells []*cell) float64 {
 	sum, count := 0, 0
 	for _, each := range cells {
