Count answers to renewals as servers now give them

Cause: servers leave Date and Content-Type out of answers to renewals; the hollow ones counted them. Ruled out: leaving it to the real cell's row. Change: a call says whether its answer is bare.

--- a/internal/lab/scale/gateway.go
+++ b/internal/lab/scale/gateway.go
@@ -165,7 +165,7 @@
 // countExchange counts an exchange that is not emulated.
 func (c *cell) countExchange(part component, from, to *node, request, response int) {
 	asked := float64(request) + c.overhead.RequestBytes
-	answered := float64(response) + c.overhead.answerBytes(part)
+	answered := float64(response) + c.overhead.answerBytes(false)
 	from.sent(part, asked)
 	from.received(part, answered)
 	to.received(part, asked)
--- a/internal/lab/scale/leading.go
+++ b/internal/lab/scale/leading.go
@@ -93,8 +93,9 @@
 	if !known {
 		return
 	}
+	_, bare := holder.(*server)
 	r.cell.exchange(call{
-		part: partRenewal, from: r.node, to: holder.on(), body: encode(renewal.Request), timeout: renewTimeout,
+		part: partRenewal, from: r.node, to: holder.on(), body: encode(renewal.Request), bare: bare, timeout: renewTimeout,
 		serve: holder.serveRenewal,
 		done: func(answer []byte, answered bool) {
 			r.take(partRenewal, func() { r.renewed(term, renewal, answer, answered) })
--- a/internal/lab/scale/network.go
+++ b/internal/lab/scale/network.go
@@ -35,6 +35,8 @@
 	part     component
 	from, to *node
 	body     []byte
+	// bare says that the answer has no Date and no Content-Type.
+	bare bool
 	// timeout is how long the caller waits for a process that is gone.
 	timeout time.Duration
 	// serve runs at the receiver and gives the answer's body.
@@ -54,7 +56,7 @@
 		var answer []byte
 		made.to.received(made.part, float64(len(made.body))+c.overhead.RequestBytes)
 		made.to.run(made.part, func() { answer = made.serve(made.body) })
-		made.to.sent(made.part, float64(len(answer))+c.overhead.answerBytes(made.part))
+		made.to.sent(made.part, float64(len(answer))+c.overhead.answerBytes(made.bare))
 		c.After(oneWay, func() { c.finish(made, answer, true) })
 	})
 }
@@ -72,7 +74,7 @@
 		return
 	}
 	if answered {
-		made.from.received(made.part, float64(len(answer))+c.overhead.answerBytes(made.part))
+		made.from.received(made.part, float64(len(answer))+c.overhead.answerBytes(made.bare))
 	}
 	made.from.run(made.part, func() { made.done(answer, answered) })
 }
--- a/internal/lab/scale/overhead.go
+++ b/internal/lab/scale/overhead.go
@@ -21,7 +21,7 @@
 	RequestBytes  float64 `json:"request_bytes"`
 	ResponseBytes float64 `json:"response_bytes"`
 	// BareBytes are those of an answer without Date and Content-Type, as
-	// controllers give each other.
+	// controllers give each other, and servers to renewals.
 	BareBytes float64 `json:"bare_response_bytes"`
 	// LineBytes is the chunk framing of one line of a stream.
 	LineBytes float64 `json:"line_bytes"`
@@ -86,8 +86,8 @@
 }
 
 // answerBytes are what an answer needs beside its body.
-func (o Overhead) answerBytes(part component) float64 {
-	if part == partConsensus {
+func (o Overhead) answerBytes(bare bool) float64 {
+	if bare {
 		return o.BareBytes
 	}
 	return o.ResponseBytes
--- a/internal/lab/scale/replica.go
+++ b/internal/lab/scale/replica.go
@@ -174,7 +174,7 @@
 	queue.waiting = nil
 	r.run(partConsensus, func() {
 		r.cell.exchange(call{
-			part: partConsensus, from: r.node, to: queue.to.node, body: frames(controller.EncodeBatch(batch)), timeout: electionMin,
+			part: partConsensus, from: r.node, to: queue.to.node, body: frames(controller.EncodeBatch(batch)), bare: true, timeout: electionMin,
 			serve: queue.to.answerBatch,
 			done:  func(answer []byte, answered bool) { r.delivered(queue, batch[0], answer, answered) },
 		})
