--- a/internal/lab/demo/soak.go
+++ b/internal/lab/demo/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"sync"
@@ -54,6 +55,7 @@
 	progress.say("no more faults; everything must be served again")
 	if err := s.recovered(ctx); err != nil {
 		s.fail(Error.New("after the last fault: %v", err))
+		s.keepStatus(ctx)
 	}
 	s.checkAlive()
 	pause(ctx, c.config.load()-(history.Now()-begin))
@@ -144,6 +146,22 @@
 	})
 }
 
+// keepStatus writes what the control group knows beside the logs.
+func (s *soak) keepStatus(ctx context.Context) {
+	status, err := s.cell.client.Status(ctx)
+	if err != nil {
+		s.fail(Error.Wrap(err))
+		return
+	}
+	data, err := json.MarshalIndent(status, "", " ")
+	if err == nil {
+		err = s.cell.files.write("status.json", data)
+	}
+	if err != nil {
+		s.fail(Error.Wrap(err))
+	}
+}
+
 // checkAlive finds processes that ended though no fault ended them.
 func (s *soak) checkAlive() {
 	for _, group := range [][]*slot{s.controllers, s.gateways, s.workers} {
