Show and steer the machine list from a command of its own

Cause: the design lists kv and machines as stand-ins; the list lives in kv and could be changed only by a hand-written control message. Seen: set, listed and removed against a running kv.

--- a/cmd/shalefork-lab/main.go
+++ b/cmd/shalefork-lab/main.go
@@ -11,6 +11,7 @@
 func main() {
 	program := cli.NewProgram("shalefork-lab", "Stand-ins and tools for tests of shalefork.")
 	program.Add(kvCommand())
+	program.Add(machinesCommand())
 	program.Add(workerCommand())
 	program.Add(loadCommand())
 	program.Add(demoCommand())
