Read a registration only after the loop has taken it

Cause: serveRegister read what the loop writes also when the caller had gone before the loop came to it: a data race, and a gateway could be told of a registration half made. Seen by the race detector in test/session, where a frozen leader's loop answers late. Change: the answer is read only when the loop has run; each other use of call does so already.

--- a/internal/controller/register.go
+++ b/internal/controller/register.go
@@ -41,9 +41,7 @@
 		http.Error(writer, "only servers of "+string(cellstate.LedgerService)+" register", http.StatusBadRequest)
 		return
 	}
-	var answer RegisterResponse
-	leading := false
-	c.call(request.Context(), func(r *replica) { answer, leading = r.register(server) })
+	answer, leading := c.registerHere(request, server)
 	if !leading && !c.forwardRegister(request, server, &answer) {
 		writer.Header().Set("Retry-After", "1")
 		http.Error(writer, "no leader is known", http.StatusServiceUnavailable)
@@ -66,6 +64,17 @@
 	return RegisterResponse{}, true
 }
 
+// registerHere registers the server if this process leads. What the loop writes
+// is read only if the loop got to it: it may still do so after the caller left.
+func (c *Controller) registerHere(request *http.Request, server cellstate.Server) (RegisterResponse, bool) {
+	var answer RegisterResponse
+	leading := false
+	if !c.call(request.Context(), func(r *replica) { answer, leading = r.register(server) }) {
+		return RegisterResponse{}, false
+	}
+	return answer, leading
+}
+
 func (c *Controller) forwardRegister(request *http.Request, server cellstate.Server, answer *RegisterResponse) bool {
 	address, hops := c.leaderAddress(), request.Header[headerForwarded]
 	if address == "" || len(hops) >= maxForwards {
