Take zones, default and order of slices from cellstate

Cause: placement had its own copies of rules that cellstate now states. The golden traces are unchanged.

--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -103,7 +103,7 @@
 			gone = append(gone, slice)
 		}
 	}
-	slices.SortFunc(gone, compareSlices)
+	slices.SortFunc(gone, cellstate.CompareSlices)
 	return gone
 }
 
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -5,13 +5,13 @@
 	"time"
 
 	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/cellstate"
 )
 
 const (
-	// defaultSlices and defaultMovesPerMinute stand for zeros in a bundle.
-	defaultSlices         = 32
+	// defaultMovesPerMinute stands for zero in a bundle.
 	defaultMovesPerMinute = 12
-	// ledgerChurnWeight is for LedgerService, which no bundle weighs.
+	// ledgerChurnWeight is for the ledger's service, which no bundle weighs.
 	ledgerChurnWeight = 0.5
 
 	// thresholdScale is the gap of load, in mean server loads, that a move must
@@ -104,7 +104,7 @@
 		threshold:      thresholdOf(placement.ChurnWeight),
 	}
 	if made.slices == 0 {
-		made.slices = defaultSlices
+		made.slices = cellstate.DefaultSlices
 	}
 	if made.movesPerMinute == 0 {
 		made.movesPerMinute = defaultMovesPerMinute
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -11,14 +11,11 @@
 	"github.com/shalefork/shalefork/internal/keyspace"
 )
 
-// LedgerService holds the idempotency records. Its servers are the gateways,
-// no bundle lists it, and its slices may be held in any zone.
-const LedgerService keyspace.ServiceName = "system/ledger"
-
 // cellView indexes a View for one plan. Loads change while the plan grows, so
 // that each decision sees the ones before it.
 type cellView struct {
 	now         time.Duration
+	state       cellstate.State
 	assignments []cellstate.Assignment
 	services    map[keyspace.ServiceName]*serviceView
 	// names of the services, sorted.
@@ -31,7 +28,6 @@
 type serviceView struct {
 	name   keyspace.ServiceName
 	policy policy
-	zones  map[keyspace.PartitionName][]bundle.Zone
 	// nodes are its servers by name.
 	nodes []*serverNode
 	// assignments are its own, in the order of the state.
@@ -64,6 +60,7 @@
 func newCellView(view View, memories map[keyspace.Slice]*sliceMemory) *cellView {
 	cell := &cellView{
 		now:         view.Now,
+		state:       view.State,
 		assignments: view.State.Assignments,
 		services:    map[keyspace.ServiceName]*serviceView{},
 		servers:     map[bundle.ServerName]*serverNode{},
@@ -84,9 +81,6 @@
 		for _, service := range team.Bundle.Services {
 			made := c.service(team.Bundle.ServiceName(service))
 			made.policy = newPolicy(service.Placement)
-			for _, partition := range service.Partitions {
-				made.zones[partition.Name] = partition.Zones
-			}
 		}
 	}
 }
@@ -99,7 +93,6 @@
 	made := &serviceView{
 		name:       name,
 		policy:     newPolicy(bundle.Placement{ChurnWeight: ledgerChurnWeight}),
-		zones:      map[keyspace.PartitionName][]bundle.Zone{},
 		usable:     map[keyspace.PartitionName][]*serverNode{},
 		counts:     map[keyspace.PartitionName]int{},
 		zoneSlices: map[bundle.Zone]int{},
@@ -178,10 +171,7 @@
 	if assignment.Shared {
 		return string(node.Name) == string(slice.Service)+"/"+string(slice.Partition)
 	}
-	if slice.Service == LedgerService {
-		return true
-	}
-	return slices.Contains(c.service(slice.Service).zones[slice.Partition], node.Zone)
+	return c.state.AllowedZones(slice).Allows(node.Zone)
 }
 
 // candidates returns the servers that may be given the slice now, by name. They
--- a/internal/placement/weight.go
+++ b/internal/placement/weight.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"cmp"
-
 	"github.com/shalefork/shalefork/internal/cellstate"
 	"github.com/shalefork/shalefork/internal/keyspace"
 )
@@ -47,13 +45,3 @@
 	}
 	return densities
 }
-
-// compareSlices orders by service, partition and range.
-func compareSlices(a, b keyspace.Slice) int {
-	return cmp.Or(
-		cmp.Compare(a.Service, b.Service),
-		cmp.Compare(a.Partition, b.Partition),
-		cmp.Compare(a.Range.First, b.Range.First),
-		cmp.Compare(a.Range.Last, b.Range.Last),
-	)
-}
