Spread a service without rates by the width of its slices

Cause: servers that registered before the first plan kept all slices of the ledger's service, because its gateways report no rates (docs/CAPACITY.md: as few as 2 of 34 owned any). Change: while no slice of a service has a rate, weights are widths and moves need not stand out from noise. The trace unmeasured shows it: 6 and 6 slices on two of four servers become 4, 4, 2, 2.

--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -104,8 +104,12 @@
 // move: what the churn weight asks, and enough to stand out from the noise of
 // rates that are counts of independent arrivals.
 func (s *serviceView) requiredGap(owner, target *serverNode) float64 {
+	required := s.policy.threshold * s.mean
+	if !s.measured {
+		return required
+	}
 	deviation := math.Sqrt((owner.load + target.load) / noiseWindow.Seconds())
-	return s.policy.threshold*s.mean + noiseDeviations*deviation
+	return required + noiseDeviations*deviation
 }
 
 // bestDivision returns the slice whose division repays most, when no whole
--- a/internal/placement/improve.go
+++ b/internal/placement/improve.go
@@ -110,7 +110,8 @@
 	return r.service.policy.movesPerMinute - r.planner.releases.countPlanned(r.service.name)
 }
 
-// movable reports whether a slice may be part of a planned change now.
+// movable reports whether a slice may be part of a planned change now. Where
+// some rates are known, one that is not is no ground to move.
 func (r *round) movable(assignment cellstate.Assignment) bool {
 	memory := r.planner.memory[assignment.Slice]
 	if assignment.State == wire.SliceReleasing || r.chosen[assignment.Fence] {
@@ -119,7 +120,7 @@
 	if _, known := r.planner.releases.byFence[assignment.Fence]; known {
 		return false
 	}
-	return memory.known && r.cell.now-memory.since >= residence
+	return (memory.known || !r.service.measured) && r.cell.now-memory.since >= residence
 }
 
 // commands returns the chosen releases in the order of the state.
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -38,6 +38,9 @@
 	counts map[keyspace.PartitionName]int
 	// zoneSlices counts the slices owned in each zone.
 	zoneSlices map[bundle.Zone]int
+	// measured says that some slice has requests. Otherwise weights are widths,
+	// which no noise is in.
+	measured bool
 	// mean is the weight of all slices divided by the servers that can serve.
 	mean float64
 }
@@ -70,7 +73,7 @@
 	cell.addLiveness(view.Servers)
 	cell.weights = weigh(cell.assignments, memories)
 	for _, assignment := range cell.assignments {
-		cell.addAssignment(assignment)
+		cell.addAssignment(assignment, memories[assignment.Slice])
 	}
 	cell.finish()
 	return cell
@@ -123,8 +126,10 @@
 	}
 }
 
-func (c *cellView) addAssignment(assignment cellstate.Assignment) {
+// addAssignment adds an assignment to its service; memory is nil for a pool's.
+func (c *cellView) addAssignment(assignment cellstate.Assignment, memory *sliceMemory) {
 	service := c.service(assignment.Slice.Service)
+	service.measured = service.measured || memory != nil && memory.rate > 0
 	service.assignments = append(service.assignments, assignment)
 	service.counts[assignment.Slice.Partition]++
 	service.mean += c.weights[assignment.Slice]
