Keep overload, refusals and drains from misleading the picker

Ruled out: a longer AvoidAfterRefusal for all: an owner's keys have no other server, so only Pick stays away for longer. Change: timeouts respect mayEject; Pick's avoidance doubles with each refusal more than answers; a member back from draining is cold.

--- a/internal/balance/eject.go
+++ b/internal/balance/eject.go
@@ -15,6 +15,8 @@
 	timeoutWeight = 3
 	// latencyShare is the weight of a new latency in the moving average.
 	latencyShare = 0.2
+	// maxRefusalDoublings bounds how long Pick stays away after refusals.
+	maxRefusalDoublings = 5
 	// maxDoublings bounds the doubling of the rest.
 	maxDoublings = 10
 )
@@ -24,6 +26,7 @@
 	switch result {
 	case ResultAnswered:
 		used.failures = 0
+		used.refusals = max(0, used.refusals-1)
 		used.ejections = 0
 		used.ejected = false
 		used.measure(now, latency)
@@ -35,7 +38,7 @@
 		}
 	case ResultTimeout:
 		used.failures += timeoutWeight
-		if used.failures >= serverErrorsToEject {
+		if used.failures >= serverErrorsToEject && p.mayEject() {
 			p.eject(now, used)
 		}
 	case ResultOvertaken:
@@ -44,13 +47,22 @@
 			p.eject(now, used)
 		}
 	case ResultRefused:
-		used.avoidUntil = now + p.config.AvoidAfterRefusal
+		used.refused(now, p.config.AvoidAfterRefusal)
 	case ResultUnreachable:
 		used.failures++
 		p.eject(now, used)
 	}
 }
 
+// refused keeps work away. A back end that refuses much looks idle, and would
+// draw all work to itself: so Pick stays away for longer with each refusal more
+// than answers. Take does not, because an owner's keys have no other server.
+func (m *member) refused(now, avoid time.Duration) {
+	m.avoidUntil = now + avoid
+	m.pickAfter = now + avoid<<min(m.refusals, maxRefusalDoublings)
+	m.refusals++
+}
+
 func (m *member) measure(now, latency time.Duration) {
 	if latency <= 0 {
 		return
@@ -62,8 +74,9 @@
 	m.latencyAt = now
 }
 
-// mayEject keeps at least half of the pool when back ends answer with errors:
-// a fault of the requests themselves must not empty the pool.
+// mayEject keeps at least half of the pool when back ends answer with errors or
+// too late: a fault of the requests themselves, or an evening with more of them
+// than the pool can serve, must not empty it.
 func (p *Pool) mayEject() bool {
 	ejected := 0
 	for _, candidate := range p.members {
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -68,6 +68,10 @@
 	probing   bool
 	// avoidUntil keeps work away for a moment after a refusal.
 	avoidUntil time.Duration
+	// refusals counts refusals less answers; pickAfter keeps the pool's work
+	// away for longer.
+	refusals  int
+	pickAfter time.Duration
 	// drainingUntil keeps work away since the back end said that it drains.
 	drainingUntil time.Duration
 }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -56,7 +56,8 @@
 }
 
 // Update replaces the list of back ends. What is known of those that stay is
-// kept; a back end that is new in a pool already in use starts slowly.
+// kept; a back end that is new in a pool already in use, or back from draining,
+// starts slowly.
 func (p *Pool) Update(now time.Duration, list []Member) {
 	first := len(p.members) == 0
 	next := make([]*member, 0, len(list))
@@ -65,6 +66,11 @@
 		if known == nil {
 			known = &member{cold: !first, warmFrom: now}
 		}
+		if known.Draining && !described.Draining {
+			// The same name, but most likely another run of the process.
+			known.cold = true
+			known.warmFrom = now
+		}
 		known.Member = described
 		next = append(next, known)
 	}
--- a/internal/balance/score.go
+++ b/internal/balance/score.go
@@ -49,7 +49,7 @@
 }
 
 func (p *Pool) usable(now time.Duration, candidate *member) bool {
-	if !candidate.takesWork() || now < max(candidate.avoidUntil, candidate.drainingUntil) {
+	if !candidate.takesWork() || now < max(candidate.pickAfter, candidate.drainingUntil) {
 		return false
 	}
 	return candidate.hasRoom()
