--- a/internal/lab/demo/config.go
+++ b/internal/lab/demo/config.go
@@ -41,6 +41,9 @@
 	Break Break
 	// Soak is how long random faults strike; zero plays the fixed steps.
 	Soak time.Duration
+	// Loss is what is killed Repeat times in place of the fixed steps.
+	Loss   Loss
+	Repeat int
 	// Seed of the random faults and of the callers' choices.
 	Seed uint64
 	// Keep leaves the directory with settings and logs in place.
@@ -56,6 +59,7 @@
 		Shalefork: filepath.Join("bin", "shalefork"),
 		Example:   filepath.Join(examplesDirectory, "tawila"),
 		Rate:      300,
+		Repeat:    10,
 		Seed:      1,
 	}
 }
@@ -86,18 +90,26 @@
 
 // limit is how long the whole demonstration may take.
 func (c Config) limit() time.Duration {
-	if c.Soak > 0 {
+	switch {
+	case c.Soak > 0:
 		return c.Soak + soakLimit
+	case c.Loss != LossNothing:
+		return c.load() + soakLimit
+	default:
+		return timeLimit
 	}
-	return timeLimit
 }
 
 // load is how long callers begin operations.
 func (c Config) load() time.Duration {
-	if c.Soak > 0 {
+	switch {
+	case c.Soak > 0:
 		return c.Soak + calmAfterSoak
+	case c.Loss != LossNothing:
+		return 2*settle + time.Duration(c.Repeat)*lossPeriod
+	default:
+		return loadDuration
 	}
-	return loadDuration
 }
 
 func (c Config) validate() error {
@@ -107,6 +119,10 @@
 		return Error.New("the base port must lie in 1024 to %d", lastPort-portCount)
 	case c.Break != BreakNothing && c.Break != BreakIgnoreFences:
 		return Error.New("--break knows %q only", BreakIgnoreFences)
+	case c.Loss != LossNothing && c.Loss != LossOwner && c.Loss != LossLeader && c.Loss != LossBoth:
+		return Error.New("--loss knows %q, %q and %q only", LossOwner, LossLeader, LossBoth)
+	case c.Loss != LossNothing && (c.Repeat < 1 || c.Repeat > maxRepeat):
+		return Error.New("--repeat must lie in 1 to %d", maxRepeat)
 	case c.Soak < 0 || c.Soak > maxSoak:
 		return Error.New("--soak must lie in 0 to %s", maxSoak)
 	default:
--- a/internal/lab/demo/run.go
+++ b/internal/lab/demo/run.go
@@ -103,10 +103,13 @@
 		return Summary{}, err
 	}
 	var summary Summary
-	if c.config.Soak > 0 {
+	switch {
+	case c.config.Soak > 0:
 		c.soak(ctx, progress, &summary)
-	} else {
-		c.playSteps(ctx, progress, &summary)
+	case c.config.Loss != LossNothing:
+		c.playSteps(ctx, progress, c.losses(progress), &summary)
+	default:
+		c.playSteps(ctx, progress, c.faults(), &summary)
 	}
 	progress.say("wait for the last answers")
 	if summary.Load, err = c.awaitLoad(ctx, running); err != nil {
@@ -117,9 +120,9 @@
 	return summary, nil
 }
 
-// playSteps plays the fixed steps one after another.
-func (c *cluster) playSteps(ctx context.Context, progress *progress, summary *Summary) {
-	for _, step := range c.faults() {
+// playSteps plays steps one after another.
+func (c *cluster) playSteps(ctx context.Context, progress *progress, steps []step, summary *Summary) {
+	for _, step := range steps {
 		progress.say("%s", step.name)
 		summary.Steps = append(summary.Steps, StepSummary{Name: step.name, Begin: history.Now()})
 		if err := step.run(ctx); err != nil {
