Answer only what changed on the machine list

Cause: each leader read the whole list of the fleet every second, 79 B a machine: 459 KB at 5,800 machines, 23 times the ceiling of a node.

Ruled out: a revision that is only a number. A service that was started anew would count from zero again, and a leader would apply changes to another list than they belong to; so a revision is text that the service alone reads. A watch of the list: one more stream that every adapter would have to keep, and no faster where it is needed, since the list lags anyway.

Change: GET /v1/machines?since=R answers what has changed, or the whole list for a revision that is not known; an adapter without revisions answers whole every time. A leader keeps a copy for its term and makes a new one for each change. Proof that a machine is gone, and the first record of a cell, still read the whole list afresh. The emulation of `shalefork-lab scale` does alike.

Tests of platform, kv, lab/scale and controller pass with -race; test/session showed a data race in one run, which is being looked at.

--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 
 	"github.com/shalefork/shalefork/internal/bundle"
@@ -14,7 +15,8 @@
 // machineList is the machine list as it was read last, by address.
 type machineList map[string]platform.MachineState
 
-// listMachines reads the list, bounded in time.
+// listMachines reads the whole list afresh, bounded in time. Proof that a
+// machine is gone rests on this and never on a copy.
 func (c *Controller) listMachines(ctx context.Context) (machineList, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
@@ -23,19 +25,23 @@
 		c.metrics.PlatformFailures.Inc()
 		return nil, err
 	}
-	list := machineList{}
-	for _, machine := range machines {
-		list[machine.Address] = machine.State
-	}
-	return list, nil
+	return machineList{}.with(platform.MachineChanges{Machines: machines}), nil
 }
 
-// pollMachines reads the machine list while the term lasts.
+// pollMachines keeps a copy of the machine list while the term lasts. It reads
+// the list whole once, and then only what has changed.
 func (r *replica) pollMachines(ctx context.Context, term *leadership) {
+	var listed machineList
+	var revision platform.MachineRevision
 	for {
-		listed, err := r.listMachines(ctx)
+		changes, err := r.readMachineChanges(ctx, revision)
+		if err == nil && !changes.None() {
+			listed = listed.with(changes)
+			current := listed
+			r.postToTerm(ctx, term, func(r *replica) { r.leadership.machines = current })
+		}
 		if err == nil {
-			r.postToTerm(ctx, term, func(r *replica) { r.leadership.machines = listed })
+			revision = changes.Revision
 		}
 		if !sleep(ctx, machinePoll) {
 			return
@@ -43,6 +49,33 @@
 	}
 }
 
+// readMachineChanges reads what has changed, bounded in time.
+func (c *Controller) readMachineChanges(ctx context.Context, since platform.MachineRevision) (platform.MachineChanges, error) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	changes, err := c.machines.MachineChanges(ctx, since)
+	if err != nil {
+		c.metrics.PlatformFailures.Inc()
+	}
+	return changes, err
+}
+
+// with returns a new list with the changes applied. The given list, which the
+// loop may be reading, is left as it is.
+func (l machineList) with(changes platform.MachineChanges) machineList {
+	next := machineList{}
+	if !changes.Whole {
+		maps.Copy(next, l)
+	}
+	for _, address := range changes.Removed {
+		delete(next, address)
+	}
+	for _, machine := range changes.Machines {
+		next[machine.Address] = machine.State
+	}
+	return next
+}
+
 // machineProposals drains the servers of machines that are leaving, and ends
 // that when the list calls the machine live again.
 //
--- a/internal/lab/kv/contract_test.go
+++ b/internal/lab/kv/contract_test.go
@@ -171,3 +171,38 @@
 	_, err := platform.NewClient(server.URL, server.Client()).Get(t.Context(), "a")
 	assert.ErrorIs(t, err, platform.ErrUnavailable)
 }
+
+// What a reader has together with the changes since is always the whole list;
+// a revision of another service, or of none, is answered with all of it.
+func TestMachineChanges(t *testing.T) {
+	onBoth(t, func(t *testing.T, store *memory.Store, service service) {
+		ctx := t.Context()
+		machine := func(address string, state platform.MachineState) platform.Machine {
+			return platform.Machine{Address: address, Name: "m" + address, Zone: "z", State: state}
+		}
+		live, leaving := machine("10.0.0.10", platform.MachineLive), machine("10.0.0.10", platform.MachineLeaving)
+		store.SetMachine(live)
+		store.SetMachine(machine("10.0.0.9", platform.MachineLive))
+		first, err := service.MachineChanges(ctx, "")
+		assert.NilError(t, err)
+		assert.Assert(t, first.Whole)
+		assert.DeepEqual(t, first.Machines, []platform.Machine{machine("10.0.0.9", platform.MachineLive), live})
+		none, err := service.MachineChanges(ctx, first.Revision)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, none, platform.MachineChanges{Revision: first.Revision})
+		store.RemoveMachine("10.0.0.9")
+		store.SetMachine(leaving)
+		next, err := service.MachineChanges(ctx, first.Revision)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, next, platform.MachineChanges{
+			Revision: next.Revision, Machines: []platform.Machine{leaving}, Removed: []string{"10.0.0.9"},
+		})
+		other, err := memory.New().MachineChanges(ctx, "")
+		assert.NilError(t, err)
+		for _, unknown := range []platform.MachineRevision{"", "x", other.Revision, first.Revision + "9"} {
+			whole, err := service.MachineChanges(ctx, unknown)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, whole, platform.MachineChanges{Revision: next.Revision, Whole: true, Machines: []platform.Machine{leaving}})
+		}
+	})
+}
--- a/internal/lab/kv/server.go
+++ b/internal/lab/kv/server.go
@@ -93,8 +93,14 @@
 }
 
 func (s *Server) listMachines(writer http.ResponseWriter, request *http.Request) {
-	machines, err := s.store.Machines(request.Context())
-	answer(writer, machines, err)
+	query := request.URL.Query()
+	if !query.Has("since") {
+		machines, err := s.store.Machines(request.Context())
+		answer(writer, machines, err)
+		return
+	}
+	changes, err := s.store.MachineChanges(request.Context(), platform.MachineRevision(query.Get("since")))
+	answer(writer, changes, err)
 }
 
 // decode reads one JSON value, strictly; it answers the failure itself.
--- a/internal/lab/scale/platformwork.go
+++ b/internal/lab/scale/platformwork.go
@@ -102,8 +102,16 @@
 	})
 }
 
-// readMachines reads the whole machine list.
+// readMachines reads the whole machine list once, and then what has changed,
+// which is nothing here.
 func (r *replica) readMachines() {
+	changes := platform.MachineChanges{Revision: "RANDOMTEXTOFTWENTYSIXBYTES-9999"}
+	if r.leadership.machines != nil {
+		r.cell.fromPlatform(r.node, getRequest, encode(changes), func(answer []byte) {
+			_ = decode[platform.MachineChanges](answer)
+		})
+		return
+	}
 	r.cell.fromPlatform(r.node, getRequest, r.cell.machines, func(answer []byte) {
 		listed := map[string]platform.MachineState{}
 		for _, machine := range decode[[]platform.Machine](answer) {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -113,6 +113,13 @@
 	return machines, err
 }
 
+// MachineChanges implements Machines.
+func (c *Client) MachineChanges(ctx context.Context, since MachineRevision) (MachineChanges, error) {
+	var changes MachineChanges
+	err := c.get(ctx, PathMachines, url.Values{"since": {string(since)}}, &changes)
+	return changes, err
+}
+
 func (c *Client) get(ctx context.Context, path string, query url.Values, answer any) error {
 	return c.call(ctx, http.MethodGet, path+"?"+query.Encode(), nil, answer)
 }
--- a/internal/platform/memory/machines.go
+++ b/internal/platform/memory/machines.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -15,6 +16,11 @@
 type machineList struct {
 	lag       time.Duration
 	published map[string]platform.Machine
+	// run tells this list's revisions from those of another start.
+	run string
+	// changed holds, in order, the addresses of all changes that were published:
+	// the first of them led to revision 1.
+	changed []string
 	// pending changes in the order in which they were made.
 	pending []machineChange
 }
@@ -29,19 +35,63 @@
 
 // Machines implements platform.Machines, ordered by address.
 func (s *Store) Machines(ctx context.Context) ([]platform.Machine, error) {
-	machines := []platform.Machine{}
+	var machines []platform.Machine
 	err := s.call(ctx, readCall, func() error {
 		s.machines.publish(time.Now())
-		for _, machine := range s.machines.published {
-			machines = append(machines, machine)
-		}
+		machines = s.machines.all()
 		return nil
 	})
-	if err != nil {
-		return nil, err
+	return machines, err
+}
+
+// MachineChanges implements platform.Machines.
+func (s *Store) MachineChanges(ctx context.Context, since platform.MachineRevision) (platform.MachineChanges, error) {
+	var changes platform.MachineChanges
+	err := s.call(ctx, readCall, func() error {
+		s.machines.publish(time.Now())
+		changes = s.machines.since(since)
+		return nil
+	})
+	return changes, err
+}
+
+// all returns the list ordered by address.
+func (l *machineList) all() []platform.Machine {
+	machines := []platform.Machine{}
+	for _, machine := range l.published {
+		machines = append(machines, machine)
 	}
 	slices.SortFunc(machines, compareMachines)
-	return machines, nil
+	return machines
+}
+
+// revision names the state after the first changes.
+func (l *machineList) revision(changes int) platform.MachineRevision {
+	return platform.MachineRevision(l.run + "-" + strconv.Itoa(changes))
+}
+
+// since returns what has changed since a revision, or all if the revision is
+// not one of this list.
+func (l *machineList) since(known platform.MachineRevision) platform.MachineChanges {
+	changes := platform.MachineChanges{Revision: l.revision(len(l.changed))}
+	_, number, _ := strings.Cut(string(known), "-")
+	from, err := strconv.Atoi(number)
+	if err != nil || from < 0 || from > len(l.changed) || known != l.revision(from) {
+		changes.Whole = true
+		changes.Machines = l.all()
+		return changes
+	}
+	addresses := slices.Clone(l.changed[from:])
+	slices.Sort(addresses)
+	for _, address := range slices.Compact(addresses) {
+		if machine, listed := l.published[address]; listed {
+			changes.Machines = append(changes.Machines, machine)
+		} else {
+			changes.Removed = append(changes.Removed, address)
+		}
+	}
+	slices.SortFunc(changes.Machines, compareMachines)
+	return changes
 }
 
 func compareMachines(a, b platform.Machine) int {
@@ -90,6 +140,7 @@
 }
 
 func (l *machineList) apply(change machineChange) {
+	l.changed = append(l.changed, change.address)
 	if l.published == nil {
 		l.published = map[string]platform.Machine{}
 	}
--- a/internal/platform/memory/store.go
+++ b/internal/platform/memory/store.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"slices"
 	"strconv"
@@ -50,6 +51,8 @@
 		entries: map[string]platform.Entry{},
 		leases:  map[string]*lease{},
 		changed: make(chan struct{}),
+		// Random text has no "-".
+		machines: machineList{run: rand.Text()},
 	}
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -97,8 +97,34 @@
 	State   MachineState `json:"state"`
 }
 
+// MachineRevision names one state of the machine list. Only the platform can
+// read it: a service that was started anew must know that a revision is not its
+// own, so it is more than a number. It is empty for "none".
+type MachineRevision string
+
+// MachineChanges is what has changed on the machine list, or all of it.
+type MachineChanges struct {
+	// Revision is the state of the list that the changes lead to. A platform
+	// that can only answer whole may leave it empty.
+	Revision MachineRevision `json:"revision"`
+	// Whole says that Machines is the whole list.
+	Whole bool `json:"whole,omitempty"`
+	// Machines that are new or changed, or all, ordered by address.
+	Machines []Machine `json:"machines,omitempty"`
+	// Removed are the addresses of machines that left the list.
+	Removed []string `json:"removed,omitempty"`
+}
+
+// None reports whether nothing has changed.
+func (c MachineChanges) None() bool {
+	return !c.Whole && len(c.Machines) == 0 && len(c.Removed) == 0
+}
+
 // Machines is the list of live and leaving machines. It lags.
 type Machines interface {
 	// Machines returns the list as the platform last knew it.
 	Machines(ctx context.Context) ([]Machine, error)
+	// MachineChanges returns what has changed since a revision that it gave
+	// before, or the whole list if it does not know that revision any more.
+	MachineChanges(ctx context.Context, since MachineRevision) (MachineChanges, error)
 }
--- a/internal/platform/protocol.go
+++ b/internal/platform/protocol.go
@@ -12,7 +12,7 @@
 	PathLease      = "/v1/lease"       // POST LeaseRequest -> LeaseResponse
 	PathLeaseRenew = "/v1/lease/renew" // POST RenewLeaseRequest -> {}
 	PathWatch      = "/v1/watch"       // GET ?prefix=&from= -> WatchLine, one a line
-	PathMachines   = "/v1/machines"    // GET -> []Machine
+	PathMachines   = "/v1/machines"    // GET -> []Machine; ?since= -> MachineChanges
 )
 
 // Limits of the service.
--- a/test/session/link_test.go
+++ b/test/session/link_test.go
@@ -73,3 +73,10 @@
 	}
 	return l.Store.Machines(ctx)
 }
+
+func (l *link) MachineChanges(ctx context.Context, since platform.MachineRevision) (platform.MachineChanges, error) {
+	if err := l.reach(ctx); err != nil {
+		return platform.MachineChanges{}, err
+	}
+	return l.Store.MachineChanges(ctx, since)
+}
