Keep heads and bundles below the prefix of their cell

Ruled out: heads and bundles below one prefix a team. A leader that watches it would be sent each content too, and one that lists it 32 of them. So heads have a prefix of their own.

Change: cells/CELL/heads/TEAM and cells/CELL/bundles/TEAM/VERSION/DIGEST. The leader lists the heads themselves; the markers of teams are gone. A team has a line of versions in each cell; the approval's signature is over the content, which names its cell, so it holds in no other. A version in force for another cell, which a leader passed over before, is now a fault of the record and is refused. A not-found answer names the cell. No migration: nothing has been released with the old keys. The emulation gives a cell its share of the changes.

--- a/internal/controller/admin.go
+++ b/internal/controller/admin.go
@@ -24,7 +24,7 @@
 type adminStep func(request *http.Request, write signedWrite) (adminapi.BundleStatus, *adminapi.Failure)
 
 // handleAdmin adds the paths of the admin API. Any controller answers them all:
-// the truth of a team's versions is the head record in the platform's service,
+// the truth of a team's versions is its head in the platform's service, one a cell,
 // which is moved by compare-and-swap only.
 func (c *Controller) handleAdmin(mux *http.ServeMux) {
 	mux.HandleFunc("POST "+adminapi.PathPropose, c.limited(c.adminWrite(c.propose)))
@@ -97,9 +97,12 @@
 }
 
 // storeFailure is the answer when the platform's service failed.
-func storeFailure(err error) *adminapi.Failure {
+func (c *Controller) storeFailure(err error) *adminapi.Failure {
 	if errors.Is(err, platform.ErrNotFound) {
-		return &adminapi.Failure{Code: adminapi.FailureNotFound, Message: "no such team or version"}
+		return &adminapi.Failure{
+			Code:    adminapi.FailureNotFound,
+			Message: fmt.Sprintf("cell %q has no such team or version", c.settings.Cell),
+		}
 	}
 	return &adminapi.Failure{
 		Code:       adminapi.FailurePlatform,
--- a/internal/controller/admin_steps.go
+++ b/internal/controller/admin_steps.go
@@ -38,12 +38,8 @@
 // offer saves the content, then moves the head: a version that the head names
 // always has its content.
 func (c *Controller) offer(ctx context.Context, offered bundle.Bundle, proposal lifecycle.Proposal) (adminapi.BundleStatus, *adminapi.Failure) {
-	err := c.announceTeam(ctx, offered.Team)
-	if err == nil {
-		err = c.writeContent(ctx, offered, proposal.Digest)
-	}
-	if err != nil {
-		return adminapi.BundleStatus{}, storeFailure(err)
+	if err := c.writeContent(ctx, offered, proposal.Digest); err != nil {
+		return adminapi.BundleStatus{}, c.storeFailure(err)
 	}
 	status, failure := c.step(ctx, offered.Team, func(head lifecycle.Head) (lifecycle.Head, lifecycle.Outcome) {
 		return lifecycle.Propose(head, proposal)
@@ -70,7 +66,7 @@
 	ctx := request.Context()
 	content, err := c.contentOf(ctx, asked.Team, asked.Version)
 	if err != nil {
-		return adminapi.BundleStatus{}, storeFailure(err)
+		return adminapi.BundleStatus{}, c.storeFailure(err)
 	}
 	if err := bundle.Verify(write.known.key, content, asked.Signature); err != nil {
 		return adminapi.BundleStatus{}, &adminapi.Failure{Code: adminapi.FailureBadSignature, Message: "the approval's signature is not over this version"}
@@ -103,7 +99,7 @@
 func (c *Controller) step(ctx context.Context, team bundle.TeamName, step headStep) (adminapi.BundleStatus, *adminapi.Failure) {
 	outcome, err := c.moveHead(ctx, team, step)
 	if err != nil {
-		return adminapi.BundleStatus{}, storeFailure(err)
+		return adminapi.BundleStatus{}, c.storeFailure(err)
 	}
 	if !outcome.OK() {
 		failure := outcome.Failure()
@@ -163,12 +159,12 @@
 	team := bundle.TeamName(request.URL.Query().Get("team"))
 	head, _, err := c.readHead(request.Context(), team)
 	if err != nil {
-		c.fail(writer, storeFailure(err))
+		c.fail(writer, c.storeFailure(err))
 		return
 	}
 	entry, found := head.Latest()
 	if !found {
-		c.fail(writer, storeFailure(platform.ErrNotFound))
+		c.fail(writer, c.storeFailure(platform.ErrNotFound))
 		return
 	}
 	status := head.Status(entry)
@@ -176,7 +172,7 @@
 	if err == nil {
 		status.Bundle = &content
 	} else if !errors.Is(err, errContentMissing) {
-		c.fail(writer, storeFailure(err))
+		c.fail(writer, c.storeFailure(err))
 		return
 	}
 	writeJSON(writer, http.StatusOK, status)
@@ -187,7 +183,7 @@
 	team := bundle.TeamName(request.URL.Query().Get("team"))
 	head, _, err := c.readHead(request.Context(), team)
 	if err != nil {
-		c.fail(writer, storeFailure(err))
+		c.fail(writer, c.storeFailure(err))
 		return
 	}
 	writeJSON(writer, http.StatusOK, head.History())
--- a/internal/controller/heads.go
+++ b/internal/controller/heads.go
@@ -32,7 +32,7 @@
 		if outcome.Kind != lifecycle.Changed {
 			return outcome, nil
 		}
-		_, err = c.swap(ctx, platform.HeadKey(team), revision, next)
+		_, err = c.swap(ctx, platform.HeadKey(c.settings.Cell, team), revision, next)
 		if err == nil {
 			return outcome, nil
 		}
@@ -45,7 +45,7 @@
 
 // readHead returns an empty head of revision zero for a new team.
 func (c *Controller) readHead(ctx context.Context, team bundle.TeamName) (lifecycle.Head, platform.Revision, error) {
-	entry, err := c.get(ctx, platform.HeadKey(team))
+	entry, err := c.get(ctx, platform.HeadKey(c.settings.Cell, team))
 	if errors.Is(err, platform.ErrNotFound) {
 		return lifecycle.Head{Team: team}, 0, nil
 	}
@@ -65,7 +65,7 @@
 // readContent returns the content of a version. Only content with the digest
 // that the head names is believed.
 func (c *Controller) readContent(ctx context.Context, team bundle.TeamName, entry lifecycle.Entry) (bundle.Bundle, error) {
-	stored, err := c.get(ctx, platform.BundleKey(team, entry.Version, entry.Digest))
+	stored, err := c.get(ctx, platform.BundleKey(c.settings.Cell, team, entry.Version, entry.Digest))
 	if errors.Is(err, platform.ErrNotFound) {
 		return bundle.Bundle{}, errContentMissing
 	}
@@ -90,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	key := platform.BundleKey(content.Team, content.Version, digest)
+	key := platform.BundleKey(c.settings.Cell, content.Team, content.Version, digest)
 	_, err = c.write(ctx, platform.Write{Key: key, Value: canonical})
 	if errors.Is(err, platform.ErrConflict) {
 		return nil // the same proposal was sent before
@@ -100,7 +100,7 @@
 
 // dropContent deletes content that lost the race for its version.
 func (c *Controller) dropContent(ctx context.Context, team bundle.TeamName, version bundle.Version, digest string) {
-	if entry, err := c.get(ctx, platform.BundleKey(team, version, digest)); err == nil {
+	if entry, err := c.get(ctx, platform.BundleKey(c.settings.Cell, team, version, digest)); err == nil {
 		c.remove(ctx, entry)
 	}
 }
@@ -119,7 +119,7 @@
 	if _, remembered := head.Find(forgotten); remembered {
 		return
 	}
-	entries, err := c.list(ctx, platform.BundleKey(team, forgotten, ""))
+	entries, err := c.list(ctx, platform.BundleKey(c.settings.Cell, team, forgotten, ""))
 	if err != nil {
 		return
 	}
--- a/internal/controller/rollout.go
+++ b/internal/controller/rollout.go
@@ -87,8 +87,6 @@
 	switch {
 	case err != nil:
 		found.problem = err.Error()
-	case content.Cell != c.settings.Cell:
-		return nil, nil // another cell's
 	default:
 		found.problem = c.whyNotRolled(head.Team, entry, content)
 	}
--- a/internal/controller/scenarios_test.go
+++ b/internal/controller/scenarios_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -305,7 +306,7 @@
 			Version: 2, State: adminapi.StateRolling, Digest: digest,
 			ProposedBy: "amina", ApprovedBy: "karim", RolledBy: "amina", Signature: []byte("forged"),
 		})
-		_, err = s.leader().swap(ctx, platform.HeadKey(testTeam), revision, head)
+		_, err = s.leader().swap(ctx, platform.HeadKey(testCell, testTeam), revision, head)
 		assert.NilError(t, err)
 		s.await(5*time.Second, "the head says refused", func() bool { return s.headState(2) == adminapi.StateRefused })
 		head, _, err = s.leader().readHead(ctx, testTeam)
@@ -381,3 +382,31 @@
 		assert.Assert(t, missed <= 2, "the start state lacks the last %d checkpoints", missed)
 	})
 }
+
+// A team has a line of versions in each cell. A cell refuses another cell's
+// bundle by name, and neither reads nor writes outside its own prefix.
+func TestHeadsBelongToTheCell(t *testing.T) {
+	runSession(t, func(s *session) {
+		ctx := context.Background()
+		const other = bundle.CellName("other")
+		_, err := s.store.CompareAndSwap(ctx, platform.Write{
+			Key: platform.HeadKey(other, testTeam), Value: []byte("another cell's"), WriteID: "other",
+		})
+		assert.NilError(t, err)
+		s.bootCell(3)
+		s.note("offer a bundle of another cell")
+		offered := testBundle(2)
+		offered.Cell = other
+		s.rollOut(s.leader(), offered)
+		head, _, err := s.leader().readHead(ctx, testTeam)
+		assert.NilError(t, err)
+		assert.Equal(t, len(head.Entries), 1)
+		outside, err := s.store.List(ctx, "")
+		assert.NilError(t, err)
+		for _, entry := range outside {
+			if !strings.HasPrefix(entry.Key, "cells/"+string(testCell)+"/") {
+				s.note("  outside the cell's prefix: %s, written by %s", entry.Key, entry.WriteID)
+			}
+		}
+	})
+}
--- a/internal/lab/scale/platformwork.go
+++ b/internal/lab/scale/platformwork.go
@@ -81,11 +81,13 @@
 	_ = decode[generation.Record](entry.Value)
 }
 
-// startTermWork begins the calls that only a leader makes.
+// startTermWork begins the calls that only a leader makes. It hears of the
+// changes of its own cell only, which has its share by the number of machines.
 func (r *replica) startTermWork(term *leadership) {
 	r.everyWhile(term, machinePoll, r.readMachines)
 	if r.cell.shape.FleetChanges > 0 {
-		perSecond := r.cell.shape.FleetChanges * headWrites / secondsPerDay
+		share := min(1, float64(r.cell.shape.Machines)/float64(r.cell.shape.Fleet))
+		perSecond := r.cell.shape.FleetChanges * share * headWrites / secondsPerDay
 		head := r.cell.headEvent()
 		content := r.cell.contentEntry()
 		period := time.Duration(float64(time.Second) / perSecond)
@@ -121,9 +123,8 @@
 	})
 }
 
-// headSeen takes a change of some team's head, which every leader hears of, and
-// reads the content that it names, as package controller does before it knows
-// whose it is.
+// headSeen takes a change of a team's head in this cell and reads the content
+// that it names, as package controller does.
 func (r *replica) headSeen(head, content []byte) {
 	r.received(partPlatform, float64(len(head)+watchFrames))
 	r.cell.platform.sent(partPlatform, float64(len(head)+watchFrames))
@@ -153,7 +154,7 @@
 			ProposedBy: "salma", ApprovedBy: "youssef", RolledBy: "salma", Signature: make([]byte, signatureBytes),
 		})
 	}
-	entry := platform.Entry{Key: platform.HeadKey(c.team()), Value: encode(head), Revision: 1}
+	entry := platform.Entry{Key: platform.HeadKey(c.name, c.team()), Value: encode(head), Revision: 1}
 	return encode(platform.WatchLine{Event: &platform.Event{Entry: entry}})
 }
 
@@ -162,7 +163,7 @@
 	if err != nil {
 		panic(Error.Wrap(err))
 	}
-	return encode(platform.Entry{Key: platform.BundleKey(c.team(), 1, ""), Value: canonical, Revision: 1})
+	return encode(platform.Entry{Key: platform.BundleKey(c.name, c.team(), 1, ""), Value: canonical, Revision: 1})
 }
 
 // saveCheckpoint reads the last checkpoint and writes the state, at most once a
--- a/internal/lifecycle/head.go
+++ b/internal/lifecycle/head.go
@@ -1,7 +1,7 @@
 // Package lifecycle moves the versions of a team's bundle through their states:
 // proposed, approved by another operator, rolling, and in force or refused.
 //
-// Each team has one Head, kept under platform.HeadKey and changed only by
+// Each team has one Head a cell, kept under platform.HeadKey and changed only by
 // compare-and-swap, so of two racing operators one wins and the other is told
 // by whom. The functions are pure: they take a head and give back the next one
 // and an Outcome; the caller verifies signatures and writes the head.
--- a/internal/platform/keys.go
+++ b/internal/platform/keys.go
@@ -28,19 +28,24 @@
 	return ControllersPrefix(cell) + string(incarnation)
 }
 
-// TeamsPrefix is the prefix of all teams' keys.
-const TeamsPrefix = "teams/"
+// HeadsPrefix is the prefix of the cell's HeadKeys and of nothing else, so that
+// whoever lists or watches the heads gets no contents.
+func HeadsPrefix(cell bundle.CellName) string {
+	return "cells/" + string(cell) + "/heads/"
+}
 
-// HeadKey holds the lifecycle.Head of a team.
-func HeadKey(team bundle.TeamName) string {
-	return TeamsPrefix + string(team) + "/head"
+// HeadKey holds the lifecycle.Head of a team in a cell.
+func HeadKey(cell bundle.CellName, team bundle.TeamName) string {
+	return HeadsPrefix(cell) + string(team)
 }
 
-// BundleKey holds the canonical bytes of one version of a team's bundle. The
-// digest belongs to the key because two operators may propose different bundles
-// as the same version: each writes its own key, and the head names the winner.
-func BundleKey(team bundle.TeamName, version bundle.Version, digest string) string {
-	return TeamsPrefix + string(team) + "/bundles/" + strconv.FormatUint(uint64(version), 10) + "/" + digest
+// BundleKey holds the canonical bytes of one version of a team's bundle for a
+// cell. The digest belongs to the key because two operators may propose
+// different bundles as the same version: each writes its own key, and the head
+// names the winner.
+func BundleKey(cell bundle.CellName, team bundle.TeamName, version bundle.Version, digest string) string {
+	number := strconv.FormatUint(uint64(version), 10)
+	return "cells/" + string(cell) + "/bundles/" + string(team) + "/" + number + "/" + digest
 }
 
 // NewWriteID returns a random id for a write.
