Spread the standbys over the members of the group

Ruled out: only members that do not lead. A standby knows the record, not the leader; the leader's share is 119 B/s a standby.

Change: a standby begins at the member that the hash of its incarnation says, and takes the next one after each stream that ended. The emulation does alike.

--- a/internal/controller/table_follow.go
+++ b/internal/controller/table_follow.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/cellstate"
 	"github.com/shalefork/shalefork/internal/consensus"
@@ -25,11 +27,19 @@
 		if current.member || len(voters) == 0 {
 			continue
 		}
-		c.followMember(ctx, voters[turn%len(voters)])
+		c.followMember(ctx, memberToFollow(voters, c.self(), turn))
 	}
 	return nil
 }
 
+// memberToFollow spreads the standbys over the members, so that no member
+// streams to all of them and the loss of one is noticed by few. Each further
+// turn, after a stream has ended, takes the next member.
+func memberToFollow(voters []consensus.Member, self wire.Incarnation, turn int) consensus.Member {
+	first := xxh3.HashString(string(self)) % uint64(len(voters))
+	return voters[(int(first)+turn)%len(voters)]
+}
+
 // followMember passes on a member's table until the stream ends.
 func (c *Controller) followMember(ctx context.Context, member consensus.Member) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/lab/scale/cell.go
+++ b/internal/lab/scale/cell.go
@@ -83,7 +83,7 @@
 	byName   map[bundle.ServerName]holderNode
 	platform *node
 	machines []byte
-	// source is the replica whose streams all standbys follow.
+	// source is the replica that a third of the standbys follows first.
 	source *replica
 	// loadBytes and loadReports size the load reports that were sampled.
 	loadBytes, loadReports int
@@ -159,8 +159,8 @@
 }
 
 // start elects a leader, opens the table streams and makes the bundle be
-// adopted. The leader is the source of the standbys' streams only if wanted. It
-// fails if no leader is elected.
+// adopted. The leader is the named source of streams only if wanted. It fails if
+// no leader is elected.
 func (c *cell) start(sourceLeads bool) error {
 	for _, each := range c.replicas {
 		each.startTicks()
--- a/internal/lab/scale/roles.go
+++ b/internal/lab/scale/roles.go
@@ -11,7 +11,7 @@
 const (
 	RoleLeader   Role = "control leader"
 	RoleFollower Role = "control follower"
-	// RoleSource is the follower whose table streams all standbys follow.
+	// RoleSource is the follower that is the named source of table streams.
 	RoleSource  Role = "control follower with table streams"
 	RoleStandby Role = "standby"
 	RoleGateway Role = "gateway (control part)"
--- a/internal/lab/scale/standby.go
+++ b/internal/lab/scale/standby.go
@@ -85,12 +85,12 @@
 	})
 }
 
-// openStreams makes every standby follow the voters, the source first, and
+// openStreams makes every standby follow the voters, each from another on, and
 // every gateway the controllers, its own machine's first.
 func (c *cell) openStreams() {
 	for _, each := range c.standbys {
 		each.stream = &following{
-			reader: each.node, sources: c.voterSources(), silence: followSilence, pause: followPause, take: each.take,
+			reader: each.node, sources: c.voterSources(each.machine), silence: followSilence, pause: followPause, take: each.take,
 		}
 		each.stream.open()
 	}
@@ -102,15 +102,17 @@
 	}
 }
 
-// voterSources lists the voters, the cell's source first.
-func (c *cell) voterSources() []source {
+// voterSources lists the voters from one on that depends on the standby, as if
+// by a hash of its name: the cell's source comes first for a third of them.
+func (c *cell) voterSources(standby int) []source {
 	sources := []source{{c.source.node, &c.source.streams}}
 	for _, each := range c.replicas {
 		if each != c.source {
 			sources = append(sources, source{each.node, &each.streams})
 		}
 	}
-	return sources
+	first := standby % len(sources)
+	return append(sources[first:len(sources):len(sources)], sources[:first]...)
 }
 
 // gatewayChoices is how many controllers a gateway's settings name.
