Watch the heads from the revision of the listing

Cause: a watch began at the highest revision of the entries listed. The store's revisions are shared by all cells, so a cell whose heads rest soon asks for a revision that the service has forgotten; each watch would be answered with `compacted`, and the leader would list its heads every second instead. The stand-in remembers 8,192 changes, and 171 cells that save a checkpoint a second would make those in 48 s (worked out).

Ruled out: a key that is written only to learn a young revision: a write for each cell and half minute. The revision in a watch's first heartbeat: it comes after the list has been read, and so proves nothing about it.

The new test of the memory twin watches a quiet prefix after 9,000 changes elsewhere; controller, platform and lab/kv pass with -race.

--- a/internal/controller/heads.go
+++ b/internal/controller/heads.go
@@ -119,11 +119,11 @@
 	if _, remembered := head.Find(forgotten); remembered {
 		return
 	}
-	entries, err := c.list(ctx, platform.BundleKey(c.settings.Cell, team, forgotten, ""))
+	found, err := c.list(ctx, platform.BundleKey(c.settings.Cell, team, forgotten, ""))
 	if err != nil {
 		return
 	}
-	for _, entry := range entries {
+	for _, entry := range found.Entries {
 		c.remove(ctx, entry)
 	}
 }
--- a/internal/controller/heads_watch.go
+++ b/internal/controller/heads_watch.go
@@ -24,19 +24,17 @@
 	}
 }
 
-// readHeads reads the heads of all teams of the cell and returns the highest
-// revision seen.
+// readHeads reads the heads of all teams of the cell and returns the revision to
+// watch from.
 func (r *replica) readHeads(ctx context.Context, term *leadership) (platform.Revision, error) {
 	heads, err := r.list(ctx, platform.HeadsPrefix(r.settings.Cell))
 	if err != nil {
 		return 0, err
 	}
-	var highest platform.Revision
-	for _, head := range heads {
-		highest = max(highest, head.Revision)
+	for _, head := range heads.Entries {
 		r.headSeen(ctx, term, head)
 	}
-	return highest, nil
+	return heads.Revision, nil
 }
 
 // followHeads watches for changes until the service fails, or for a bounded
--- a/internal/controller/presence.go
+++ b/internal/controller/presence.go
@@ -109,10 +109,11 @@
 // presences returns the controllers that are present, one an address: the
 // youngest, since an older incarnation at the same address is gone.
 func (c *Controller) presences(ctx context.Context) ([]consensus.Member, error) {
-	entries, err := c.list(ctx, platform.ControllersPrefix(c.settings.Cell))
+	listing, err := c.list(ctx, platform.ControllersPrefix(c.settings.Cell))
 	if err != nil {
 		return nil, err
 	}
+	entries := listing.Entries
 	sort.Slice(entries, func(i, j int) bool { return entries[i].Revision > entries[j].Revision })
 	seen := map[string]bool{}
 	var members []consensus.Member
--- a/internal/controller/scenarios_test.go
+++ b/internal/controller/scenarios_test.go
@@ -403,7 +403,7 @@
 		assert.Equal(t, len(head.Entries), 1)
 		outside, err := s.store.List(ctx, "")
 		assert.NilError(t, err)
-		for _, entry := range outside {
+		for _, entry := range outside.Entries {
 			if !strings.HasPrefix(entry.Key, "cells/"+string(testCell)+"/") {
 				s.note("  outside the cell's prefix: %s, written by %s", entry.Key, entry.WriteID)
 			}
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -63,12 +63,12 @@
 }
 
 // list reads a prefix, bounded in time.
-func (c *Controller) list(ctx context.Context, prefix string) ([]platform.Entry, error) {
+func (c *Controller) list(ctx context.Context, prefix string) (platform.Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	entries, err := c.store.List(ctx, prefix)
+	listing, err := c.store.List(ctx, prefix)
 	if err != nil {
 		c.metrics.PlatformFailures.Inc()
 	}
-	return entries, err
+	return listing, err
 }
--- a/internal/lab/kv/contract_test.go
+++ b/internal/lab/kv/contract_test.go
@@ -66,8 +66,10 @@
 			_, err := service.CompareAndSwap(t.Context(), write(key, key, 0))
 			assert.NilError(t, err)
 		}
-		entries, err := service.List(t.Context(), "b/")
+		listing, err := service.List(t.Context(), "b/")
 		assert.NilError(t, err)
+		assert.Equal(t, listing.Revision, platform.Revision(4))
+		entries := listing.Entries
 		assert.Equal(t, len(entries), 2)
 		assert.Equal(t, entries[0].Key+entries[1].Key, "b/1b/2")
 	})
--- a/internal/lab/kv/server.go
+++ b/internal/lab/kv/server.go
@@ -51,8 +51,8 @@
 }
 
 func (s *Server) listEntries(writer http.ResponseWriter, request *http.Request) {
-	entries, err := s.store.List(request.Context(), request.URL.Query().Get("prefix"))
-	answer(writer, entries, err)
+	listing, err := s.store.List(request.Context(), request.URL.Query().Get("prefix"))
+	answer(writer, listing, err)
 }
 
 func (s *Server) write(writer http.ResponseWriter, request *http.Request) {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -76,10 +76,10 @@
 }
 
 // List implements Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]Entry, error) {
-	var entries []Entry
-	err := c.get(ctx, PathEntries, url.Values{"prefix": {prefix}}, &entries)
-	return entries, err
+func (c *Client) List(ctx context.Context, prefix string) (Listing, error) {
+	var listing Listing
+	err := c.get(ctx, PathEntries, url.Values{"prefix": {prefix}}, &listing)
+	return listing, err
 }
 
 // CompareAndSwap implements Store.
--- a/internal/platform/memory/memory_test.go
+++ b/internal/platform/memory/memory_test.go
@@ -151,3 +151,26 @@
 	err := store.Watch(t.Context(), "a", 1, nil)
 	assert.ErrorIs(t, err, platform.ErrCompacted)
 }
+
+// A prefix under which nothing changes can be followed however much changes
+// elsewhere.
+func TestQuietPrefixIsWatchedFromTheListing(t *testing.T) {
+	store := memory.New()
+	_, err := store.CompareAndSwap(t.Context(), platform.Write{Key: "quiet", WriteID: "w"})
+	assert.NilError(t, err)
+	for i := range platform.Revision(9000) {
+		expect := i + 1
+		if i == 0 {
+			expect = 0
+		}
+		_, err := store.CompareAndSwap(t.Context(), platform.Write{Key: "busy", Expect: expect, WriteID: "w"})
+		assert.NilError(t, err)
+	}
+	listing, err := store.List(t.Context(), "quiet")
+	assert.NilError(t, err)
+	assert.Equal(t, listing.Entries[0].Revision, platform.Revision(1))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	err = store.Watch(ctx, "quiet", listing.Revision, nil)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+}
--- a/internal/platform/memory/store.go
+++ b/internal/platform/memory/store.go
@@ -72,22 +72,23 @@
 }
 
 // List implements platform.Store.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
-	entries := []platform.Entry{}
+func (s *Store) List(ctx context.Context, prefix string) (platform.Listing, error) {
+	listing := platform.Listing{Entries: []platform.Entry{}}
 	err := s.call(ctx, readCall, func() error {
+		listing.Revision = s.revision
 		for key, entry := range s.entries {
 			if strings.HasPrefix(key, prefix) {
 				entry.Value = slices.Clone(entry.Value)
-				entries = append(entries, entry)
+				listing.Entries = append(listing.Entries, entry)
 			}
 		}
 		return nil
 	})
 	if err != nil {
-		return nil, err
+		return platform.Listing{}, err
 	}
-	slices.SortFunc(entries, func(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) })
-	return entries, nil
+	slices.SortFunc(listing.Entries, func(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return listing, nil
 }
 
 // CompareAndSwap implements platform.Store. A lease that is unknown or has
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -43,6 +43,15 @@
 	Lease string `json:"lease,omitempty"`
 }
 
+// Listing is what lies under a prefix.
+type Listing struct {
+	// Revision is that of the whole store at the time. All changes up to it are
+	// in Entries, and a watch from it misses none of the later ones, even where
+	// the entries themselves are older than what the service remembers.
+	Revision Revision `json:"revision"`
+	Entries  []Entry  `json:"entries"` // ordered by key
+}
+
 // Event is one change seen by a watch. A deleted or lapsed key has a nil Value.
 type Event struct {
 	Entry   Entry `json:"entry"`
@@ -63,8 +72,8 @@
 type Store interface {
 	// Get returns ErrNotFound or ErrUnavailable besides the entry.
 	Get(ctx context.Context, key string) (Entry, error)
-	// List returns the entries under a prefix, ordered by key.
-	List(ctx context.Context, prefix string) ([]Entry, error)
+	// List returns the entries under a prefix.
+	List(ctx context.Context, prefix string) (Listing, error)
 	// CompareAndSwap returns the new entry, ErrConflict, or ErrUnavailable,
 	// after which the change may or may not have taken effect.
 	CompareAndSwap(ctx context.Context, write Write) (Entry, error)
--- a/internal/platform/protocol.go
+++ b/internal/platform/protocol.go
@@ -6,7 +6,7 @@
 // describes the protocol.
 const (
 	PathEntry      = "/v1/entry"       // GET ?key= -> Entry
-	PathEntries    = "/v1/entries"     // GET ?prefix= -> []Entry, ordered by key
+	PathEntries    = "/v1/entries"     // GET ?prefix= -> Listing
 	PathWrite      = "/v1/write"       // POST Write -> Entry
 	PathDelete     = "/v1/delete"      // POST DeleteRequest -> {}
 	PathLease      = "/v1/lease"       // POST LeaseRequest -> LeaseResponse
--- a/test/session/link_test.go
+++ b/test/session/link_test.go
@@ -28,9 +28,9 @@
 	return l.Store.Get(ctx, key)
 }
 
-func (l *link) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+func (l *link) List(ctx context.Context, prefix string) (platform.Listing, error) {
 	if err := l.reach(ctx); err != nil {
-		return nil, err
+		return platform.Listing{}, err
 	}
 	return l.Store.List(ctx, prefix)
 }
