--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -76,10 +76,10 @@
 }
 
 // List implements Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]Entry, error) {
-	var entries []Entry
-	err := c.get(ctx, PathEntries, url.Values{"prefix": {prefix}}, &entries)
-	return entries, err
+func (c *Client) List(ctx context.Context, prefix string) (Listing, error) {
+	var listing Listing
+	err := c.get(ctx, PathEntries, url.Values{"prefix": {prefix}}, &listing)
+	return listing, err
 }
 
 // CompareAndSwap implements Store.
@@ -113,6 +113,13 @@
 	return machines, err
 }
 
+// MachineChanges implements Machines.
+func (c *Client) MachineChanges(ctx context.Context, since MachineRevision) (MachineChanges, error) {
+	var changes MachineChanges
+	err := c.get(ctx, PathMachines, url.Values{"since": {string(since)}}, &changes)
+	return changes, err
+}
+
 func (c *Client) get(ctx context.Context, path string, query url.Values, answer any) error {
 	return c.call(ctx, http.MethodGet, path+"?"+query.Encode(), nil, answer)
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -43,6 +43,15 @@
 	Lease string `json:"lease,omitempty"`
 }
 
+// Listing is what lies under a prefix.
+type Listing struct {
+	// Revision is that of the whole store at the time. All changes up to it are
+	// in Entries, and a watch from it misses none of the later ones, even where
+	// the entries themselves are older than what the service remembers.
+	Revision Revision `json:"revision"`
+	Entries  []Entry  `json:"entries"` // ordered by key
+}
+
 // Event is one change seen by a watch. A deleted or lapsed key has a nil Value.
 type Event struct {
 	Entry   Entry `json:"entry"`
@@ -63,8 +72,8 @@
 type Store interface {
 	// Get returns ErrNotFound or ErrUnavailable besides the entry.
 	Get(ctx context.Context, key string) (Entry, error)
-	// List returns the entries under a prefix, ordered by key.
-	List(ctx context.Context, prefix string) ([]Entry, error)
+	// List returns the entries under a prefix.
+	List(ctx context.Context, prefix string) (Listing, error)
 	// CompareAndSwap returns the new entry, ErrConflict, or ErrUnavailable,
 	// after which the change may or may not have taken effect.
 	CompareAndSwap(ctx context.Context, write Write) (Entry, error)
@@ -97,8 +106,34 @@
 	State   MachineState `json:"state"`
 }
 
+// MachineRevision names one state of the machine list. Only the platform can
+// read it: a service that was started anew must know that a revision is not its
+// own, so it is more than a number. It is empty for "none".
+type MachineRevision string
+
+// MachineChanges is what has changed on the machine list, or all of it.
+type MachineChanges struct {
+	// Revision is the state of the list that the changes lead to. A platform
+	// that can only answer whole may leave it empty.
+	Revision MachineRevision `json:"revision"`
+	// Whole says that Machines is the whole list.
+	Whole bool `json:"whole,omitempty"`
+	// Machines that are new or changed, or all, ordered by address.
+	Machines []Machine `json:"machines,omitempty"`
+	// Removed are the addresses of machines that left the list.
+	Removed []string `json:"removed,omitempty"`
+}
+
+// None reports whether nothing has changed.
+func (c MachineChanges) None() bool {
+	return !c.Whole && len(c.Machines) == 0 && len(c.Removed) == 0
+}
+
 // Machines is the list of live and leaving machines. It lags.
 type Machines interface {
 	// Machines returns the list as the platform last knew it.
 	Machines(ctx context.Context) ([]Machine, error)
+	// MachineChanges returns what has changed since a revision that it gave
+	// before, or the whole list if it does not know that revision any more.
+	MachineChanges(ctx context.Context, since MachineRevision) (MachineChanges, error)
 }
--- a/internal/platform/protocol.go
+++ b/internal/platform/protocol.go
@@ -6,13 +6,13 @@
 // describes the protocol.
 const (
 	PathEntry      = "/v1/entry"       // GET ?key= -> Entry
-	PathEntries    = "/v1/entries"     // GET ?prefix= -> []Entry, ordered by key
+	PathEntries    = "/v1/entries"     // GET ?prefix= -> Listing
 	PathWrite      = "/v1/write"       // POST Write -> Entry
 	PathDelete     = "/v1/delete"      // POST DeleteRequest -> {}
 	PathLease      = "/v1/lease"       // POST LeaseRequest -> LeaseResponse
 	PathLeaseRenew = "/v1/lease/renew" // POST RenewLeaseRequest -> {}
 	PathWatch      = "/v1/watch"       // GET ?prefix=&from= -> WatchLine, one a line
-	PathMachines   = "/v1/machines"    // GET -> []Machine
+	PathMachines   = "/v1/machines"    // GET -> []Machine; ?since= -> MachineChanges
 )
 
 // Limits of the service.
--- a/test/session/link_test.go
+++ b/test/session/link_test.go
@@ -28,9 +28,9 @@
 	return l.Store.Get(ctx, key)
 }
 
-func (l *link) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+func (l *link) List(ctx context.Context, prefix string) (platform.Listing, error) {
 	if err := l.reach(ctx); err != nil {
-		return nil, err
+		return platform.Listing{}, err
 	}
 	return l.Store.List(ctx, prefix)
 }
@@ -73,3 +73,10 @@
 	}
 	return l.Store.Machines(ctx)
 }
+
+func (l *link) MachineChanges(ctx context.Context, since platform.MachineRevision) (platform.MachineChanges, error) {
+	if err := l.reach(ctx); err != nil {
+		return platform.MachineChanges{}, err
+	}
+	return l.Store.MachineChanges(ctx, since)
+}
