--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -33,7 +33,7 @@
 		file: "internal/grant/renew.go",
 		old:  "	if !leading || held.readingAt.Upper > now.Upper {",
 		new:  "	if held.readingAt.Upper > now.Upper {",
-		pkg:  "./internal/grant", test: "TestModelNeverHasTwoOwners",
+		pkg:  "./test/session", test: "TestOldLeaderKeepsOneServer",
 	},
 	{
 		name: "vote-inside-the-promise",
@@ -68,7 +68,7 @@
 		file: "internal/lease/work.go",
 		old:  "	if h.lapsed || ticket.lapses != h.lapses {",
 		new:  "	if false {",
-		pkg:  "./test/session", test: "TestFrozenServerFinishesAnOldRequest",
+		pkg:  "./internal/lease", test: "TestTraces",
 	},
 	{
 		name: "incarnation-not-random",
