Give each slice its own fence in a new generation, and name grants by slice

Cause: nextGeneration raised all assignments to one and the same fence, while the leader's book kept releases and takings by fence alone. After a new generation, the first slice that a server released (by a move, drain or bundle) made the book propose Unassign for every other slice of that server, which it still served: two owners until its grants ended. In the same way a slice of a lost run took those that the present run of the server holds.

Ruled out: the server's side (internal/lease names releases by slice and fence); the ledger node (tenures by slice and fence, testimonies by range and fence); cellstate.Unassign (by slice and fence).

Change: grant.lease keys released and taken by wire.SliceFence and matches the slice of a release; nextGeneration counts the index up for each slice, so that fences differ for placement too, which also keys by them.

--- a/internal/controller/start_state.go
+++ b/internal/controller/start_state.go
@@ -56,16 +56,17 @@
 
 // nextGeneration raises every fence to the new generation. The state may lag
 // behind the old generation's last commits, so a fence of it may be lower than
-// one already used; a fence of the new generation is higher than all. Owners
-// keep their slices: the grants of the old generation have ended by the time
+// one already used; a fence of the new generation is higher than all. A fence
+// names one grant, so each slice gets one of its own, as if a command for each
+// had been applied. Owners keep their slices: the grants of the old generation have ended by the time
 // that the new one grants anything.
 func nextGeneration(state cellstate.State, next wire.Generation) cellstate.State {
 	raised := state.Clone()
 	raised.Generation = next
 	raised.Index++
-	fence := wire.NewFence(next, raised.Index)
 	for i := range raised.Assignments {
-		raised.Assignments[i].Fence = fence
+		raised.Index++
+		raised.Assignments[i].Fence = wire.NewFence(next, raised.Index)
 		if raised.Assignments[i].Owned() {
 			raised.Assignments[i].State = wire.SliceServing
 		}
--- a/internal/grant/lease.go
+++ b/internal/grant/lease.go
@@ -1,6 +1,7 @@
 package grant
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -47,11 +48,12 @@
 	// ends has, by incarnation, the instant (Lower) from which everything that
 	// this book extended has surely ended.
 	ends map[wire.Incarnation]time.Duration
-	// released are fences that the server gave up.
-	released map[wire.Fence]bool
-	// taken are fences that the book proposed to take without a release. They
-	// are never granted again: the command may commit at any later time.
-	taken map[wire.Fence]bool
+	// released are grants that the server gave up. The slice belongs to the key:
+	// nothing here relies on a fence standing once only.
+	released map[wire.SliceFence]bool
+	// taken are grants that the book proposed to take without a release. They
+	// are never given again: the command may commit at any later time.
+	taken map[wire.SliceFence]bool
 
 	contact contact
 }
@@ -77,8 +79,8 @@
 		name:     name,
 		former:   map[wire.Incarnation]bool{},
 		ends:     map[wire.Incarnation]time.Duration{},
-		released: map[wire.Fence]bool{},
-		taken:    map[wire.Fence]bool{},
+		released: map[wire.SliceFence]bool{},
+		taken:    map[wire.SliceFence]bool{},
 	}
 }
 
@@ -104,22 +106,20 @@
 	return state.IsPool(server.Service)
 }
 
-// forgetFences drops what is known of fences that the state no longer has.
+// forgetFences drops what is known of grants that the state no longer has.
 func (l *lease) forgetFences() {
-	present := make(map[wire.Fence]bool, len(l.owned))
+	present := make(map[wire.SliceFence]bool, len(l.owned))
 	for _, assignment := range l.owned {
-		present[assignment.Fence] = true
-	}
-	for fence := range l.released {
-		if !present[fence] {
-			delete(l.released, fence)
-		}
-	}
-	for fence := range l.taken {
-		if !present[fence] {
-			delete(l.taken, fence)
-		}
+		present[grantOf(assignment)] = true
 	}
+	gone := func(held wire.SliceFence, _ bool) bool { return !present[held] }
+	maps.DeleteFunc(l.released, gone)
+	maps.DeleteFunc(l.taken, gone)
+}
+
+// grantOf names the grant that an assignment stands for.
+func grantOf(assignment cellstate.Assignment) wire.SliceFence {
+	return wire.SliceFence{Slice: assignment.Slice, Fence: assignment.Fence}
 }
 
 // refreshSet recomputes the grant set and gives it a new number if it changed.
@@ -148,7 +148,7 @@
 func (l *lease) wantedGrants() []wire.SliceGrant {
 	grants := make([]wire.SliceGrant, 0, len(l.owned))
 	for _, assignment := range l.owned {
-		if assignment.OwnerIncarnation != l.incarnation || l.taken[assignment.Fence] {
+		if assignment.OwnerIncarnation != l.incarnation || l.taken[grantOf(assignment)] {
 			continue
 		}
 		grants = append(grants, wire.SliceGrant{
@@ -173,7 +173,7 @@
 // awaitsRelease reports whether a slice is releasing and not yet given up.
 func (l *lease) awaitsRelease() bool {
 	for _, grant := range l.grants {
-		if grant.State == wire.SliceReleasing && !l.released[grant.Fence] {
+		if grant.State == wire.SliceReleasing && !l.released[wire.SliceFence{Slice: grant.Slice, Fence: grant.Fence}] {
 			return true
 		}
 	}
--- a/internal/grant/proposals.go
+++ b/internal/grant/proposals.go
@@ -44,9 +44,10 @@
 }
 
 // mayUnassign reports whether a slice was released, or its grant has surely
-// ended and its owner is gone. In the second case the fence counts as taken.
+// ended and its owner is gone. In the second case the grant counts as taken.
 func (b *Book) mayUnassign(held *lease, assignment cellstate.Assignment, now clock.Instant) bool {
-	if held.released[assignment.Fence] || held.taken[assignment.Fence] {
+	named := grantOf(assignment)
+	if held.released[named] || held.taken[named] {
 		return true
 	}
 	if !now.SurelyReached(b.endOf(held, assignment.OwnerIncarnation)) {
@@ -56,7 +57,7 @@
 	if !replaced && !b.unreachable(held, now) {
 		return false
 	}
-	held.taken[assignment.Fence] = true
+	held.taken[named] = true
 	return true
 }
 
@@ -121,7 +122,7 @@
 func (b *Book) carriesVersion(held *lease, now clock.Instant) bool {
 	for _, assignment := range held.owned {
 		confirmed := assignment.OwnerIncarnation == held.incarnation && held.confirmed >= held.versionSet
-		released := held.released[assignment.Fence]
+		released := held.released[grantOf(assignment)]
 		ended := now.SurelyReached(b.endOf(held, assignment.OwnerIncarnation))
 		if !confirmed && !released && !ended {
 			return false
--- a/internal/grant/renew.go
+++ b/internal/grant/renew.go
@@ -133,8 +133,8 @@
 func (l *lease) takeReleases(answer wire.RenewResponse) {
 	for _, released := range answer.Released {
 		for _, assignment := range l.owned {
-			if assignment.Fence == released.Fence && assignment.OwnerIncarnation == answer.Server {
-				l.released[released.Fence] = true
+			if grantOf(assignment) == released && assignment.OwnerIncarnation == answer.Server {
+				l.released[released] = true
 			}
 		}
 	}
