Pass on only answers whose end can be seen

Cause: an answer without Content-Length that is not chunked lasts until its connection closes, so one that was cut passed for whole, and was kept in the ledger as the answer to replay. Final answers below 200 were passed on too: status 099 panicked in WriteHeader, 101 reached the caller and held the slot.

Ruled out: short Content-Length and cut chunks (already seen by net/http); HEAD, 204 and 304 (no body; TestAnswerWithoutABodyIsWhole).

Seen failing before: TestAnswerWithoutAnEndIsUnknown in all four cases. Passing after: go test ./internal/gateway.

--- a/internal/gateway/broken_test.go
+++ b/internal/gateway/broken_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -248,3 +249,40 @@
 		})
 	}
 }
+
+// The end of a body that only the end of the connection marks cannot be told
+// from a cut, so such an answer is not passed on as a whole one.
+func TestAnswerWithoutAnEndIsUnknown(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 099 Odd", "HTTP/1.1 101 Switching Protocols"} {
+		t.Run(head, func(t *testing.T) {
+			inCell(t, func(c *cell) {
+				server := c.raw("w1:1", &rawServer{handle: func(conn net.Conn, request *http.Request, _ int) bool {
+					_, _ = fmt.Fprintf(conn, "%s\r\n%s: %s\r\n\r\nhalf of it", head, wire.HeaderRequestID, idOf(request))
+					return false
+				}})
+				c.gateway("g1")
+				c.controller.publish(tableOf(1, []bundle.Service{keyedService("book", false)}, "w1"))
+				c.ask("POST", "/book/r7", "x").refused(t, 502, wire.OutcomeUnknown, wire.ReasonAnswerLost)
+				assert.Equal(t, server.count(), 1)
+			})
+		})
+	}
+}
+
+// Answers that have no body need no length.
+func TestAnswerWithoutABodyIsWhole(t *testing.T) {
+	cases := []struct{ method, head string }{{"HEAD", "200 OK"}, {"POST", "204 No Content"}, {"GET", "304 Not Modified"}}
+	inCell(t, func(c *cell) {
+		c.raw("w1:1", &rawServer{handle: func(conn net.Conn, request *http.Request, n int) bool {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s: %s\r\n\r\n", cases[n-1].head, wire.HeaderRequestID, idOf(request))
+			return true
+		}})
+		c.gateway("g1")
+		c.controller.publish(tableOf(1, []bundle.Service{keyedService("book", false)}, "w1"))
+		for _, test := range cases {
+			got := c.ask(test.method, "/book/r7", "")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.outcome, wire.Outcome(""))
+		}
+	})
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -122,6 +122,12 @@
 		})
 		return
 	}
+	if !hasKnownEnd(response) {
+		followed.seal()
+		_ = response.Body.Close()
+		ended.fail(balance.ResultServerError, retry.Attempt{BytesSent: true, Reason: wire.ReasonAnswerLost})
+		return
+	}
 	switch outcome := wire.Outcome(response.Header.Get(wire.HeaderOutcome)); outcome {
 	case wire.OutcomeNotRun, wire.OutcomeUnknown:
 		g.judgeRefusal(ended, response, outcome)
@@ -131,6 +137,16 @@
 	}
 }
 
+// hasKnownEnd reports whether it can be seen where the answer ends. One that
+// lasts until the connection closes looks the same when it was cut; one that is
+// no final answer, as after a change of protocol, has no end.
+func hasKnownEnd(response *http.Response) bool {
+	if response.StatusCode < http.StatusOK {
+		return false
+	}
+	return response.ContentLength >= 0 || response.Body == http.NoBody || len(response.TransferEncoding) > 0
+}
+
 // judgeRefusal takes a server's own word on what it did not run.
 func (g *Gateway) judgeRefusal(ended *reply, response *http.Response, outcome wire.Outcome) {
 	reason := knownReason(response.Header.Get(wire.HeaderReason))
