Refuse an Idempotency-Key that is not UTF-8

Cause: gateways send keys to each other as JSON, which puts U+FFFD in place of other bytes. The owner of the key's slice knew "k\xff" by its own name when asked by its own callers and by another when asked through a second gateway: two records, and the request ran twice. In the same way a header of a kept answer that is not UTF-8 was replayed as other bytes than the first answer's.

Ruled out: the key of a keyed service (travels in a header, never in JSON); the answer's body (base64).

Change: such a key is refused as malformed; an answer with such a header is not kept, so that a repeat is told that its outcome is unknown.

Seen failing before: TestIdempotencyKeyThatIsNoTextIsRefused, TestAnswerThatCannotBeKeptIsNotReplayed. Passing after: go test ./internal/gateway.

--- a/internal/gateway/idempotency.go
+++ b/internal/gateway/idempotency.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/shalefork/shalefork/internal/ledger"
 	"github.com/shalefork/shalefork/internal/ledgernode"
@@ -27,14 +28,16 @@
 var digestHeaders = []string{"Authorization", "Cookie", "Content-Type"}
 
 // idempotencyKey returns the caller's key for a request that must not be
-// repeated; empty if the request needs no record.
+// repeated; empty if the request needs no record. A key has to be UTF-8: gateways
+// send it to each other as JSON, which would change other bytes, so that one key
+// would have two records.
 func (c *call) idempotencyKey() (string, *refusal) {
 	values := c.request.Header.Values(wire.HeaderIdempotencyKey)
 	if c.repeatable() || len(values) == 0 {
 		return "", nil
 	}
 	key, ok := only(values)
-	if !ok || key == "" || len(key) > maxIdempotencyKey {
+	if !ok || key == "" || len(key) > maxIdempotencyKey || !utf8.ValidString(key) {
 		return "", notRun(wire.ReasonMalformed)
 	}
 	return key, nil
@@ -121,7 +124,8 @@
 }
 
 // keepAnswer reads the answer as far as it can be kept, and leaves the response
-// readable from its start. whole says that all of it was read.
+// readable from its start. whole says that all of it was read and that the
+// record can hold it unchanged.
 func keepAnswer(response *http.Response) (kept *ledger.Answer, whole bool, err error) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, ledger.MaxAnswerBytes+1))
 	if err != nil {
@@ -132,7 +136,19 @@
 	stripSystem(header)
 	kept = &ledger.Answer{Status: response.StatusCode, Header: header, Body: body}
 	response.Body = prefixed{Reader: io.MultiReader(bytes.NewReader(body), response.Body), Closer: response.Body}
-	return kept, len(body) <= ledger.MaxAnswerBytes, nil
+	return kept, len(body) <= ledger.MaxAnswerBytes && isText(header), nil
+}
+
+// isText reports whether the header goes through JSON unchanged.
+func isText(header http.Header) bool {
+	for _, values := range header {
+		for _, value := range values {
+			if !utf8.ValidString(value) {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // prefixed is a body of which a part was read ahead.
--- a/internal/gateway/idempotency_test.go
+++ b/internal/gateway/idempotency_test.go
@@ -273,3 +273,29 @@
 		assert.Equal(t, c.ran.Load(), int64(1))
 	})
 }
+
+// Keys travel between gateways as JSON, which has no bytes that are not UTF-8:
+// two gateways would know the same key by two names, and run it twice.
+func TestIdempotencyKeyThatIsNoTextIsRefused(t *testing.T) {
+	inLedgerCell(t, []string{"g1", "g2"}, func(c *ledgerCell) {
+		for _, gateway := range []string{"g2", "g1"} {
+			c.book(gateway, "k\xff", "two seats").refused(t, 400, wire.OutcomeNotRun, wire.ReasonMalformed)
+		}
+		assert.Equal(t, c.book("g2", "clé-é", "two seats").body, "booked")
+		assert.Equal(t, c.book("g1", "clé-é", "two seats").body, "booked")
+		assert.Equal(t, c.ran.Load(), int64(1))
+	})
+}
+
+// An answer is replayed as it was or not at all.
+func TestAnswerThatCannotBeKeptIsNotReplayed(t *testing.T) {
+	inLedgerCell(t, []string{"g1", "g2"}, func(c *ledgerCell) {
+		c.serve = func(writer http.ResponseWriter, _ *http.Request, _ int64) {
+			writer.Header().Set("X-Name", "Caf\xe9")
+			_, _ = writer.Write([]byte("booked"))
+		}
+		assert.Equal(t, c.book("g2", "k", "x").header.Get("X-Name"), "Caf\xe9")
+		c.book("g2", "k", "x").refused(t, 502, wire.OutcomeUnknown, wire.ReasonAnswerLost)
+		assert.Equal(t, c.ran.Load(), int64(1))
+	})
+}
