Keep callers off the system's paths, and bound their uploads

Cause 1: the gateway adds the cell's token to what it passes on. With a route of a host alone (or "/"), a caller's POST to /shalefork/v1/renew reached the server with the token and was taken as a leader's renewal. A forged generation shut out the real leaders for good; with the incarnation in the answer, a caller could grant itself slices: two owners. Cause 2: TRACE was passed on; a server that echoes the request showed the cell's token to the caller. Cause 3: targets such as "urn:a" made the server answer 400 without an id, so that callers could have back ends ejected. Cause 4: a query that net/url reads only in part ("table=1&x=1;table=2") had a key at the gateway that a server may read otherwise. Cause 5: behind the first 64 KiB of a body nothing bounded the wait for the caller, so that where a service has no deadline a stalled upload held a server's slot for ever.

--- a/internal/bundle/check_service.go
+++ b/internal/bundle/check_service.go
@@ -24,6 +24,10 @@
 	maxTextBytes      = 256
 )
 
+// systemPath begins the paths of the system's own processes, which gateways
+// pass to no server.
+const systemPath = "/shalefork"
+
 // hostPattern matches a host in lower case, and headerPattern a field name as
 // in RFC 9110.
 var (
@@ -119,6 +123,9 @@
 		c.report(path+".path_prefix", "expected a path that begins with \"/\"")
 	}
 	c.checkText(path+".path_prefix", prefix)
+	if prefix == systemPath || strings.HasPrefix(prefix, systemPath+"/") {
+		c.report(path+".path_prefix", "expected another path: %s is the system's own", systemPath)
+	}
 	if strings.ContainsAny(prefix, "?# %") {
 		c.report(path+".path_prefix", "expected a decoded path, without query or fragment")
 	}
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -32,8 +32,12 @@
 	head   []byte
 	rest   io.Reader // nil if the head is all
 	length int64     // -1 if unknown
-	mu     sync.Mutex
-	taken  bool
+	// controller of the caller's connection, for the rest.
+	controller *http.ResponseController
+	mu         sync.Mutex
+	taken      bool
+	// ended says that the caller was answered: its connection is let alone.
+	ended bool
 }
 
 // readBody reads at most keep bytes ahead. It returns errBodyTooLarge for one
@@ -59,7 +63,7 @@
 	if int64(len(head)) <= keep {
 		return &body{head: head, length: int64(len(head))}, nil
 	}
-	return &body{head: head, rest: limited, length: request.ContentLength}, nil
+	return &body{head: head, rest: limited, length: request.ContentLength, controller: controller}, nil
 }
 
 // replayable reports whether the body can be sent now.
@@ -95,7 +99,31 @@
 		return 0, errBodyBroken
 	}
 	r.mine = true
-	return r.body.rest.Read(buffer)
+	r.body.setReadDeadline(time.Now().Add(idleLimit))
+	count, err := r.body.rest.Read(buffer)
+	r.body.setReadDeadline(time.Time{})
+	if err != nil && err != io.EOF && err != errBodyTooLarge {
+		err = errBodyBroken // the caller's fault, whatever it was
+	}
+	return count, err
+}
+
+// setReadDeadline bounds the wait for the caller, so that one that stalls does
+// not hold a server's slot for ever.
+func (b *body) setReadDeadline(until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.ended {
+		_ = b.controller.SetReadDeadline(until)
+	}
+}
+
+// end lets the caller's connection alone from now on: a server that answered
+// early may still be sent the rest.
+func (b *body) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
 }
 
 // take reserves the rest of the body; false if it is taken.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -85,9 +85,12 @@
 	made := &call{id: id, request: request, arrived: time.Now(), started: g.clock.Now().Upper}
 	limit := callerDeadline(request.Header)
 	stripSystem(request.Header)
-	if request.Method == http.MethodConnect || hasDotSegment(request.URL.Path) {
+	if !forwardable(request) {
 		return nil, notRun(wire.ReasonMalformed)
 	}
+	if isSystemPath(request.URL.Path) {
+		return nil, notRun(wire.ReasonNoRoute)
+	}
 	if g.isStale() {
 		return nil, notRun(wire.ReasonStaleTable)
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -25,6 +25,7 @@
 		g.refuse(writer, id, refused)
 		return
 	}
+	defer made.body.end()
 	if key != "" {
 		g.answerOnce(writer, made, key)
 		return
--- a/internal/gateway/key.go
+++ b/internal/gateway/key.go
@@ -27,12 +27,22 @@
 	case source.PathSegment > 0:
 		return pathSegment(request.URL.EscapedPath(), source.PathSegment)
 	case source.Query != "":
-		return only(request.URL.Query()[source.Query])
+		return queryValue(request.URL.RawQuery, source.Query)
 	default:
 		return only(request.Header.Values(source.Header))
 	}
 }
 
+// queryValue returns the value of the name, if the whole query can be read: of
+// one that can't, a server may read another value.
+func queryValue(raw, name string) (string, bool) {
+	values, err := url.ParseQuery(raw)
+	if err != nil {
+		return "", false
+	}
+	return only(values[name])
+}
+
 // pathSegment returns the segment counted from 1. Segments are told apart
 // before they are unescaped, so that an escaped slash belongs to its segment.
 func pathSegment(escaped string, number int) (string, bool) {
@@ -67,14 +77,3 @@
 		return char < ' ' || char == 0x7f
 	})
 }
-
-// hasDotSegment reports whether a server might read the path as another one
-// than the gateway routed by.
-func hasDotSegment(path string) bool {
-	for _, segment := range strings.Split(path, "/") {
-		if segment == "." || segment == ".." {
-			return true
-		}
-	}
-	return false
-}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -103,7 +103,7 @@
 // admitted to next. Every request must carry the cell's token.
 func (o *Owner) Wrap(next http.Handler) http.Handler {
 	mux := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if request.URL.Path == wire.PathRenew {
+		if isRenewal(request) {
 			o.serveRenewal(writer, request)
 			return
 		}
@@ -112,6 +112,12 @@
 	return peerauth.Require(o.options.Token, o.options.Metrics.Unauthorized, mux)
 }
 
+// isRenewal tells a leader's message from a caller's request to the same path,
+// to which a gateway gives an id.
+func isRenewal(request *http.Request) bool {
+	return request.URL.Path == wire.PathRenew && request.Header.Get(wire.HeaderRequestID) == ""
+}
+
 // now reads the clock. Both bounds are the upper one: a holder uses no other.
 func (o *Owner) now() clock.Instant {
 	return clock.Exact(o.options.Clock())
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -131,6 +132,19 @@
 	})
 }
 
+// A caller that asks for the path of renewals is no leader: the gateway that
+// passed its request on gave it an id.
+func TestCallersRequestIsNoRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, func(http.ResponseWriter, *http.Request) {})
+		b.grant(1, wire.SliceServing)
+		forged := `{"cell":"casa","generation":9,"term":9}`
+		recorder := b.do(http.MethodPost, wire.PathRenew, strings.NewReader(forged), routed())
+		assert.Equal(t, recorder.Body.String(), "")
+		assert.Equal(t, b.grant(2, wire.SliceServing).Refused, wire.RenewRefusal(""))
+	})
+}
+
 func TestEndOfGrantCancelsAndVoidsTheEffect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
