Keep a ledger record while another question of its attempt may run

Cause: a gateway that waits a second for the owner of a key gives up and asks again for the same attempt. When the first question, whose copy hung, then ended without a copy (or was cancelled), it dropped the record, although the second question had found it, got a copy and got leave. The request ran with no record at the owner; a caller's repeat ran it again.

Ruled out: the owner as its own client (its questions come one after another); a drop after a proved not-run (sent by the attempt itself, after it ended); removal of the copy (matches the stamp).

Change: the book counts the questions that may get leave; a question that gets none drops the record only if it is the last. Copies are removed only with it.

--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -38,6 +38,8 @@
 	runsUntil time.Duration
 	// holder has the second copy; zero for none.
 	holder Holder
+	// claims counts the questions that may end in leave to run, or have.
+	claims int
 }
 
 // Book holds the records of one gateway: of slices that it owns and copies of
@@ -132,6 +134,29 @@
 	}
 }
 
+// Claim notes a question that may end in leave to run the record's request. One
+// attempt may have several, if its gateway gave up waiting and asked again.
+func (b *Book) Claim(key Key, stamp Stamp) {
+	if known := b.entries[key]; known != nil && known.record.Stamp == stamp {
+		known.claims++
+	}
+}
+
+// Abandon ends a claim that got no leave. The record is dropped with the last
+// claim only: another one may have got leave. It reports whether it was dropped.
+func (b *Book) Abandon(key Key, stamp Stamp) bool {
+	known := b.entries[key]
+	if known == nil || known.record.Stamp != stamp {
+		return false
+	}
+	known.claims--
+	if known.claims > 0 || known.record.State != StateRunning {
+		return false
+	}
+	delete(b.entries, key)
+	return true
+}
+
 // Put takes a record from another gateway. The later request wins; of the same
 // request, the one that knows more. It returns false if the book is full.
 func (b *Book) Put(now time.Duration, record Record) bool {
@@ -144,10 +169,10 @@
 		return true
 	}
 	if supersedes(record, known.record) {
-		holder := known.holder
 		b.set(now, record)
 		if record.Stamp == known.record.Stamp {
-			b.entries[record.Key].holder = holder
+			b.entries[record.Key].holder = known.holder
+			b.entries[record.Key].claims = known.claims
 		}
 	}
 	return true
--- a/internal/ledgernode/owner.go
+++ b/internal/ledgernode/owner.go
@@ -50,12 +50,15 @@
 		Key: request.Key, Digest: request.Digest, Attempt: request.Attempt, RunsFor: request.RunsFor,
 	}
 	verdict, record := n.book.Look(n.now(), asked)
-	if verdict != ledger.VerdictAbsent || !n.mayBegin(request.Grant) {
-		return verdict, record
+	if verdict == ledger.VerdictAbsent && n.mayBegin(request.Grant) {
+		n.sequence++
+		stamp := ledger.Stamp{Fence: request.Grant.Fence, Sequence: n.sequence}
+		verdict, record = n.book.Begin(n.now(), asked, stamp)
 	}
-	n.sequence++
-	stamp := ledger.Stamp{Fence: request.Grant.Fence, Sequence: n.sequence}
-	return n.book.Begin(n.now(), asked, stamp)
+	if verdict == ledger.VerdictProceed {
+		n.book.Claim(record.Key, record.Stamp)
+	}
+	return verdict, record
 }
 
 // proceed lets the request leave once a second gateway holds the record and
@@ -63,7 +66,7 @@
 // stands then, a later owner has not collected yet and will find the copy.
 func (n *Node) proceed(ctx context.Context, ticket lease.Ticket, request ledger.BeginRequest, record ledger.Record) ledger.BeginResponse {
 	if !n.copyOut(ctx, request.Grant.Fence, record) {
-		n.drop(ctx, request.Grant.Fence, record)
+		n.abandon(ctx, request.Grant.Fence, record)
 		return ledger.BeginResponse{Verdict: ledger.VerdictFull}
 	}
 	if reason := n.checkTicket(ticket); reason != "" {
@@ -93,13 +96,30 @@
 	return ledger.FinishResponse{}
 }
 
-// drop removes a record, and its copy if that can be reached. A copy that
-// stays behind can only make a later owner answer "unknown".
+// abandon drops the record of a question that got no leave, unless the same
+// attempt has asked again.
+func (n *Node) abandon(ctx context.Context, fence wire.Fence, record ledger.Record) {
+	n.mu.Lock()
+	holder := n.book.HolderOf(record.Key)
+	dropped := n.book.Abandon(record.Key, record.Stamp)
+	n.mu.Unlock()
+	if dropped {
+		n.dropCopy(ctx, holder, fence, record)
+	}
+}
+
+// drop removes the record of a request that is proved not to have run.
 func (n *Node) drop(ctx context.Context, fence wire.Fence, record ledger.Record) {
 	n.mu.Lock()
 	holder := n.book.HolderOf(record.Key)
 	n.book.Remove(record.Key, record.Stamp)
 	n.mu.Unlock()
+	n.dropCopy(ctx, holder, fence, record)
+}
+
+// dropCopy removes a record's copy if that can be reached. A copy that stays
+// behind can only make a later owner answer "unknown".
+func (n *Node) dropCopy(ctx context.Context, holder ledger.Holder, fence wire.Fence, record ledger.Record) {
 	address, ok := n.addressOf(holder.Name)
 	if !ok {
 		return
