--- a/internal/lab/experiment/deployment.go
+++ b/internal/lab/experiment/deployment.go
@@ -108,7 +108,7 @@
 				name: "catalogue", kind: bundle.KindKeyed, servers: 14, slots: 3, connections: 50,
 				repeatable:  true,
 				limits:      bundle.Limits{Deadline: milliseconds(500)},
-				placement:   bundle.Placement{Slices: 56, ChurnWeight: 0.9, MovesPerMinute: 4},
+				placement:   bundle.Placement{Slices: 56, ChurnWeight: 0.7, MovesPerMinute: 4},
 				serviceTime: 25 * time.Millisecond, utilisation: 0.45,
 			},
 			{
