--- a/internal/grant/book.go
+++ b/internal/grant/book.go
@@ -114,11 +114,14 @@
 	b.lastCall = max(b.lastCall, now.Upper)
 }
 
-// Fractions of the grant's duration. The caller makes an event, at least Due,
+// Fractions of the grant's duration, and of the renewal period. The caller makes an event, at least Due,
 // every tenth of Duration.
 const (
 	// pauseFraction: a longer time between events is a pause of the leader.
 	pauseFraction = 4
+	// poolContactFraction: a new leader waits this part of PoolRenewEvery with
+	// its first contacts of servers of pools.
+	poolContactFraction = 10
 	// timeoutFraction: a renewal without an answer for longer is sent again.
 	timeoutFraction = 4
 )
--- a/internal/grant/renew.go
+++ b/internal/grant/renew.go
@@ -28,7 +28,7 @@
 	for _, name := range b.names {
 		held := b.leases[name]
 		b.expireRequest(held, now)
-		if !held.dueAt(now) {
+		if !held.dueAt(now) || b.yieldsToKeyed(held, now) {
 			continue
 		}
 		if request, send := b.request(held, now, leading); send {
@@ -55,6 +55,15 @@
 	return !l.contact.inFlight && now.Upper >= l.contact.nextAt
 }
 
+// yieldsToKeyed reports whether a server of a pool waits with its first contact
+// in this term. The first contacts are all due at the election, and those of
+// keyed servers, whose grants end soonest, must not stand behind the others.
+// The wait is a small part of a pool's grant, which outlasts an election.
+func (b *Book) yieldsToKeyed(held *lease, now clock.Instant) bool {
+	wait := b.config.PoolRenewEvery / poolContactFraction
+	return held.pool && held.incarnation == "" && now.Upper < b.elected.Upper+wait
+}
+
 // request returns what to send: a first contact while there is no reading, else
 // a renewal, which only a leader may send.
 func (b *Book) request(held *lease, now clock.Instant, leading bool) (wire.RenewRequest, bool) {
--- a/internal/lab/demo/losses.go
+++ b/internal/lab/demo/losses.go
@@ -20,6 +20,14 @@
 	LossBoth Loss = "both"
 )
 
+// what names the loss in the table.
+func (l Loss) what() string {
+	if l == LossBoth {
+		return "owner and leader"
+	}
+	return "the " + string(l)
+}
+
 // Times of repeated losses.
 const (
 	// lossAbsent is how long a killed process stays away.
@@ -38,7 +46,7 @@
 	steps := []step{{"steady", func(context.Context) error { return nil }, settle}}
 	for number := range c.config.Repeat {
 		steps = append(steps, step{
-			name:   fmt.Sprintf("lose the %s, %d of %d", c.config.Loss, number+1, c.config.Repeat),
+			name:   fmt.Sprintf("lose %s, %d of %d", c.config.Loss.what(), number+1, c.config.Repeat),
 			run:    func(ctx context.Context) error { return slots.lose(ctx, c.config.Loss) },
 			settle: lossSettle,
 		})
