Answer a question for the status once

Cause: a controller that had begun to pass the leader's status back and lost the reader took that for no answer from the leader, and wrote its own status behind the half of the first. Seen in a soak as net/http's 'superfluous response.WriteHeader' in the log of a leader that had been paused. Ruled out: admin writes, seals, registrations: each returns after one answer. Change: once an answer has begun, it is the answer. The test counted two writes before, one now.

--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -29,7 +29,8 @@
 	}
 }
 
-// forwardStatus reports whether another controller's answer was passed back.
+// forwardStatus reports whether another controller's answer was passed back, be
+// it in vain.
 func (c *Controller) forwardStatus(writer http.ResponseWriter, request *http.Request) bool {
 	address, hops := c.leaderAddress(), request.Header[headerForwarded]
 	if address == "" || len(hops) >= maxForwards {
@@ -47,8 +48,8 @@
 		return false
 	}
 	writer.Header().Set("Content-Type", "application/json")
-	_, err = writer.Write(body)
-	return err == nil
+	_, _ = writer.Write(body) // a failure is the reader's loss: the answer has begun
+	return true
 }
 
 // counters returns the process's counters and gauges, ordered by name.
