Say how long all requests for a key failed in a soak

Change: the table has the longest time in which all requests for a key failed, which is what stuck keys are judged by.

--- a/internal/lab/demo/run.go
+++ b/internal/lab/demo/run.go
@@ -148,7 +148,9 @@
 	summary.Imbalance = imbalances(c.first, recorded.Executions)
 	summary.spread(load.Spans(recorded.Calls, history.Now()))
 	if c.soaking != nil {
-		summary.Failures = append(summary.Failures, c.soaking.stuck(recorded.Calls)...)
+		failing := failingSpans(recorded.Calls)
+		summary.LongestFailing = load.SumUp(failing).Longest
+		summary.Failures = append(summary.Failures, c.soaking.stuck(failing)...)
 	}
 	summary.Violations = history.Check(recorded)
 }
--- a/internal/lab/demo/soak_stuck.go
+++ b/internal/lab/demo/soak_stuck.go
@@ -30,10 +30,10 @@
 
 // stuck returns an error for each key that was unserved for too long while the
 // faults of the time do not explain it.
-func (s *soak) stuck(calls []history.Call) []error {
+func (s *soak) stuck(failing []load.Span) []error {
 	excuses := excusesOf(s.struck)
 	var found []error
-	for _, span := range failingSpans(calls) {
+	for _, span := range failing {
 		if rest := longestOutside(interval{span.Begin, span.End}, excuses); rest > stuckAfter {
 			found = append(found, Error.New("%s %s was unserved for %s, %s of it unexplained",
 				span.Service, span.Key, span.Length(), rest))
--- a/internal/lab/demo/soak_test.go
+++ b/internal/lab/demo/soak_test.go
@@ -60,13 +60,13 @@
 		call("a", 4*time.Second, 14*time.Second, http.StatusServiceUnavailable),
 	}
 	alone := soak{struck: []struckTime{{faultKillLeader, time.Second, 5 * time.Second}}}
-	assert.Equal(t, len(alone.stuck(unserved)), 1)
+	assert.Equal(t, len(alone.stuck(failingSpans(unserved))), 1)
 	twice := soak{struck: []struckTime{
 		{faultKillLeader, time.Second, 5 * time.Second},
 		{faultOutage, 2 * time.Second, 6 * time.Second},
 	}}
 	// Both strike from 2 s to 9 s, so 5 s at the end are left.
-	assert.Equal(t, len(twice.stuck(unserved)), 0)
+	assert.Equal(t, len(twice.stuck(failingSpans(unserved))), 0)
 	unserved[1].Answered += time.Second
-	assert.Equal(t, len(twice.stuck(unserved)), 1)
+	assert.Equal(t, len(twice.stuck(failingSpans(unserved))), 1)
 }
--- a/internal/lab/demo/summary.go
+++ b/internal/lab/demo/summary.go
@@ -25,6 +25,9 @@
 	// Executions recorded by servers.
 	Executions int
 	Violations []history.Violation
+	// LongestFailing is the longest time in which all requests for a key failed
+	// under random faults.
+	LongestFailing time.Duration
 	// Growth of the processes that lived through random faults.
 	Growth []Growth
 	// Failures of the steps themselves.
@@ -147,6 +150,9 @@
 		rows.add("  "+step.Name, "%.2f key-seconds over %d keys, longest %s",
 			step.Unavailable.KeySeconds, step.Unavailable.Keys, milliseconds(step.Unavailable.Longest))
 	}
+	if s.LongestFailing > 0 {
+		rows.add("longest time in which all requests for a key failed", "%s", milliseconds(s.LongestFailing))
+	}
 	for _, growth := range s.Growth {
 		rows.add("  grown: "+growth.Name, "%s", growth)
 	}
