Poll the group record and renew the presence less often

Cause: every controller, 171 x 34 of them, read the group record every 5 s and renewed its presence every 2.5 s: 0.6 calls a second and machine, a platform's limit of 200 calls a second at 333 machines.

Ruled out: a watch of the record by every controller. One stream a machine, and nobody needs the record to react: a member hears of a change from the log, a standby that is picked from the leader's first message, and whoever loses its leader or its stream is unsettled and reads every 0.5 s.

Change: a settled controller reads the record every 20 s and renews a presence of 30 s every 7.5 s. The wait is now looked at anew every 0.5 s: it used to be fixed when it began, so that one who became unsettled still waited up to 5 s. A new incarnation is written at once instead of at the next renewal. Whoever picks a controller by its presence asks it first, save for a cell's first group, which may now count one that died 30 s ago instead of 10 s ago.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -60,6 +60,8 @@
 	events  chan event
 	ticks   chan struct{}
 	pollNow chan struct{}
+	// presenceNow makes the keeper of the presence look at the identity.
+	presenceNow chan struct{}
 	// stopping is closed when a planned stop begins; it ends open streams.
 	stopping chan struct{}
 	identity atomic.Pointer[identity]
@@ -95,6 +97,8 @@
 		ticks:     make(chan struct{}, 1),
 		pollNow:   make(chan struct{}, 1),
 		stopping:  make(chan struct{}),
+
+		presenceNow: make(chan struct{}, 1),
 	}
 	c.adminLimit = rate.NewLimiter(adminRate, adminBurst)
 	c.gatherer, _ = dependencies.Registerer.(prometheus.Gatherer)
--- a/internal/controller/group.go
+++ b/internal/controller/group.go
@@ -30,14 +30,20 @@
 		if !sleep(ctx, pollGap) {
 			return nil
 		}
-		timer := time.NewTimer(c.pollPause())
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		c.awaitPoll(ctx)
+		if ctx.Err() != nil {
 			return nil
-		case <-c.pollNow:
-			timer.Stop()
-		case <-timer.C:
+		}
+	}
+}
+
+// awaitPoll waits until the record is to be read again. It looks anew every
+// unsettledPoll how long that is, so that a controller which becomes unsettled
+// reads as soon as one that always was.
+func (c *Controller) awaitPoll(ctx context.Context) {
+	for waited := time.Duration(0); waited < c.pollPause(); waited += unsettledPoll {
+		if sleepUnlessPoked(ctx, unsettledPoll, c.pollNow) != slept {
+			return
 		}
 	}
 }
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -61,6 +61,7 @@
 	r.sealedThrough = 0
 	r.identity.Store(r.newIdentity())
 	r.poke(r.pollNow)
+	r.poke(r.presenceNow)
 }
 
 // pump sends and applies what the node hands out.
--- a/internal/controller/presence.go
+++ b/internal/controller/presence.go
@@ -24,7 +24,7 @@
 	keeper := &presenceKeeper{controller: c}
 	for {
 		keeper.refresh(ctx)
-		if !sleep(ctx, keeper.pause()) {
+		if sleepUnlessPoked(ctx, keeper.pause(), c.presenceNow) == ended {
 			keeper.remove()
 			return nil
 		}
@@ -172,6 +172,29 @@
 	}
 }
 
+// waking says what ended a wait.
+type waking int
+
+const (
+	ended waking = iota // the context
+	poked               // the signal
+	slept               // the time
+)
+
+// sleepUnlessPoked waits for d, or less if the signal comes or ctx ends.
+func sleepUnlessPoked(ctx context.Context, d time.Duration, signal <-chan struct{}) waking {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ended
+	case <-signal:
+		return poked
+	case <-timer.C:
+		return slept
+	}
+}
+
 // poke wakes whoever waits on signal, without waiting itself.
 func (c *Controller) poke(signal chan struct{}) {
 	select {
--- a/internal/controller/scenarios_test.go
+++ b/internal/controller/scenarios_test.go
@@ -410,3 +410,19 @@
 		}
 	})
 }
+
+// A settled controller calls the platform's service seldom: 6 controllers make
+// at most 0.2 calls a second each, besides what the leader asks.
+func TestCallsInPeace(t *testing.T) {
+	runSession(t, func(s *session) {
+		s.bootCell(6)
+		time.Sleep(settledPoll)
+		const period = 120 * time.Second
+		before := s.store.Counts().Calls
+		time.Sleep(period)
+		leader := uint64(period/machinePoll) + 4*uint64(period/rereadHeads)
+		spent := s.store.Counts().Calls - before - leader
+		t.Logf("%d calls by 6 controllers in %s, besides the leader's %d", spent, period, leader)
+		assert.Assert(t, spent <= 6*uint64(period/time.Second)/5)
+	})
+}
--- a/internal/controller/times.go
+++ b/internal/controller/times.go
@@ -14,11 +14,17 @@
 	ticksPerHeartbeat = 4
 	// platformTimeout bounds one call of the platform's service.
 	platformTimeout = 2 * time.Second
-	// presenceTTL is the life of a controller's presence without renewal.
-	presenceTTL = 10 * time.Second
+	// presenceTTL is the life of a controller's presence without renewal. Whoever
+	// picks a controller by its presence asks it first, so that a presence which
+	// outlives its process costs one question. Only a cell's first group is formed
+	// without asking; it replaces a member that it never heard.
+	presenceTTL = 30 * time.Second
 	// settledPoll and unsettledPoll are the periods at which the group record
-	// is read, with and without a leader.
-	settledPoll   = 5 * time.Second
+	// is read, with and without a leader. A settled controller needs no reading
+	// to react: a member hears of a change from the log, a chosen standby from the
+	// leader's first message, and whoever loses its leader or its stream is
+	// unsettled at once.
+	settledPoll   = 20 * time.Second
 	unsettledPoll = 500 * time.Millisecond
 	// machinePoll is the period at which the leader reads the machine list.
 	machinePoll = time.Second
--- a/internal/lab/scale/platformwork.go
+++ b/internal/lab/scale/platformwork.go
@@ -14,8 +14,8 @@
 // Periods of the controllers' calls to the platform's service, as in package
 // controller.
 const (
-	groupPoll       = 5 * time.Second
-	presenceEvery   = 2500 * time.Millisecond
+	groupPoll       = 20 * time.Second
+	presenceEvery   = 7500 * time.Millisecond
 	machinePoll     = time.Second
 	checkpointEvery = time.Second
 	secondsPerDay   = 86400
