Let standbys follow members that do not lead

Cause: with standbys spread over all members a third of them follow the leader.

Ruled out: that the table names the leader. A gateway has no use for it, and it would change with every election. That a member ends the streams as soon as it is elected: that is when its standbys wait for new owners.

Change: a standby asks a member for its table with spare_leader; a leader refuses, and the next member is asked. When every member has been asked in vain the leader is followed all the same. A member that is elected ends such streams after 30 heartbeats. Half of the standbys try the members in the other order, so that those whom the leader refuses are spread too. The emulation does alike.

--- a/internal/controller/scenarios_test.go
+++ b/internal/controller/scenarios_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"gotest.tools/v3/assert"
 
 	"github.com/shalefork/shalefork/internal/adminapi"
@@ -426,3 +427,34 @@
 		assert.Assert(t, spent <= 6*uint64(period/time.Second)/5)
 	})
 }
+
+// Standbys follow members that do not lead. One whose member is elected leaves
+// it when nobody waits for a new owner any more, and the leader is followed by
+// whoever reaches nobody else.
+func TestStandbysSpareTheLeader(t *testing.T) {
+	runSession(t, func(s *session) {
+		s.bootCell(7)
+		streams := func(wanted int) func() bool {
+			return func() bool {
+				all := 0
+				for _, running := range s.controllers {
+					all += int(testutil.ToFloat64(running.metrics.TableStreams))
+				}
+				return all == wanted && testutil.ToFloat64(s.leader().metrics.TableStreams) == 0
+			}
+		}
+		s.await(5*time.Second, "4 standbys follow, none of them the leader", streams(4))
+		s.killVoters(1)
+		s.await(20*time.Second, "a group of 3 voters", s.voters(3))
+		s.await(40*time.Second, "3 standbys follow, none of them the new leader", streams(3))
+		leader, standby := s.leader(), s.standby()
+		for _, voter := range votersOf(leader.view.Load().record.record.Members) {
+			if voter.Address != leader.address {
+				s.network.Separate(memnet.Place(standby.address), memnet.Place(voter.Address))
+			}
+		}
+		s.await(20*time.Second, "a standby that reaches only the leader follows it", func() bool {
+			return standby.following.Load() && testutil.ToFloat64(leader.metrics.TableStreams) == 1
+		})
+	})
+}
--- a/internal/controller/table_follow.go
+++ b/internal/controller/table_follow.go
@@ -19,44 +19,62 @@
 const followSilence = 3 * tableHeartbeat
 
 // followTable keeps the table of a standby up to date from a member's stream.
-// A member has its own applied state and follows nobody.
+// A member has its own applied state and follows nobody. The leader has the most
+// to send in any case, and its loss is when a table matters most, so it is
+// followed only after all members have been asked to stand in for it.
 func (c *Controller) followTable(ctx context.Context) error {
+	refusals := 0
 	for turn := 0; sleep(ctx, unsettledPoll); turn++ {
 		current := c.view.Load()
 		voters := votersOf(current.record.record.Members)
 		if current.member || len(voters) == 0 {
 			continue
 		}
-		c.followMember(ctx, memberToFollow(voters, c.self(), turn))
+		refusals++
+		if c.followMember(ctx, memberToFollow(voters, c.self(), turn), refusals <= len(voters)) {
+			refusals = 0
+		}
 	}
 	return nil
 }
 
 // memberToFollow spreads the standbys over the members, so that no member
 // streams to all of them and the loss of one is noticed by few. Each further
-// turn, after a stream has ended, takes the next member.
+// turn, after a stream has ended or was refused, takes the next member; half of
+// the standbys go round the other way, so that those whom the leader refuses do
+// not all turn to the same one.
 func memberToFollow(voters []consensus.Member, self wire.Incarnation, turn int) consensus.Member {
-	first := xxh3.HashString(string(self)) % uint64(len(voters))
-	return voters[(int(first)+turn)%len(voters)]
+	count := uint64(len(voters))
+	hash := xxh3.HashString(string(self))
+	step := uint64(1)
+	if hash/count%2 == 1 {
+		step = count - 1
+	}
+	return voters[(hash%count+uint64(turn)*step)%count]
 }
 
-// followMember passes on a member's table until the stream ends.
-func (c *Controller) followMember(ctx context.Context, member consensus.Member) {
+// followMember passes on a member's table until the stream ends. It returns
+// false if there was no stream.
+func (c *Controller) followMember(ctx context.Context, member consensus.Member, spareLeader bool) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+member.Address+wire.PathTable, nil)
+	target := "http://" + member.Address + wire.PathTable
+	if spareLeader {
+		target += "?" + querySpareLeader + "=true"
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
-		return
+		return false
 	}
 	silence := time.AfterFunc(followSilence, cancel)
 	defer silence.Stop()
 	response, err := c.client.Do(request)
 	if err != nil {
-		return
+		return false
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return
+		return false
 	}
 	c.following.Store(true)
 	defer c.following.Store(false)
@@ -65,14 +83,15 @@
 	for !c.view.Load().member {
 		var update wire.TableUpdate
 		if lines.Read(&update) != nil {
-			return
+			return true
 		}
 		silence.Reset(followSilence)
 		if !follower.apply(update) {
-			return
+			return true
 		}
 		c.tables.publish(follower.state)
 	}
+	return true
 }
 
 // tableFollower rebuilds, from a stream, as much of a cell's state as the table
--- a/internal/controller/table_stream.go
+++ b/internal/controller/table_stream.go
@@ -11,14 +11,21 @@
 	"github.com/shalefork/shalefork/internal/wire"
 )
 
-// Query parameters of a table request: the cell, and the version of the table
-// that the reader holds already, if any.
+// Query parameters of a table request: the cell, the version of the table that
+// the reader holds already, if any, and whether the leader shall refuse, since
+// the reader may follow another member.
 const (
-	queryCell       = "cell"
-	queryGeneration = "generation"
-	queryVersion    = "version"
+	queryCell        = "cell"
+	queryGeneration  = "generation"
+	queryVersion     = "version"
+	querySpareLeader = "spare_leader"
 )
 
+// beatsToSpare is for how many heartbeats a member leads before it ends the
+// streams that shall spare the leader: long after the loss that made it the
+// leader, when nobody waits for a new owner.
+const beatsToSpare = 30
+
 // tableWriteTimeout ends a stream whose reader takes nothing.
 const tableWriteTimeout = 10 * time.Second
 
@@ -30,6 +37,10 @@
 	sent       cellstate.TableView
 	// held is the version that the reader had at first.
 	held wire.TableVersion
+	// sparesLeader says that the reader rather follows a member that does not
+	// lead; beatsLed counts the heartbeats in a row at which this process led.
+	sparesLeader bool
+	beatsLed     int
 }
 
 // serveTable streams the table: a snapshot, then deltas as they come, and a
@@ -42,6 +53,11 @@
 		http.Error(writer, "this controller serves another cell", http.StatusNotFound)
 		return
 	}
+	sparesLeader := request.URL.Query().Get(querySpareLeader) != ""
+	if sparesLeader && c.leads() {
+		http.Error(writer, "this member leads; follow another", http.StatusServiceUnavailable)
+		return
+	}
 	c.metrics.TableStreams.Inc()
 	defer c.metrics.TableStreams.Dec()
 	stream := &tableStream{
@@ -49,6 +65,8 @@
 		lines:      wire.NewLineWriter(writer),
 		flush:      http.NewResponseController(writer),
 		held:       heldVersion(request),
+
+		sparesLeader: sparesLeader,
 	}
 	writer.Header().Set("Content-Type", "application/jsonl")
 	stream.run(request)
@@ -73,13 +91,28 @@
 			return
 		case <-changed:
 		case <-heartbeat.C:
-			if s.controller.hearsLeader() && s.write(s.heartbeat()) != nil {
+			if s.hasLedLong() || (s.controller.hearsLeader() && s.write(s.heartbeat()) != nil) {
 				return
 			}
 		}
 	}
 }
 
+// hasLedLong counts the heartbeats at which this process leads, and reports
+// whether a stream that shall spare the leader is to end.
+func (s *tableStream) hasLedLong() bool {
+	s.beatsLed++
+	if !s.controller.leads() {
+		s.beatsLed = 0
+	}
+	return s.sparesLeader && s.beatsLed >= beatsToSpare
+}
+
+// leads reports whether this process is the leader in its own eyes.
+func (c *Controller) leads() bool {
+	return c.view.Load().status.Role == consensus.RoleLeader
+}
+
 // hearsLeader reports whether this process is the leader by its lease, hears the
 // leader as a member, or follows a member that does.
 func (c *Controller) hearsLeader() bool {
--- a/internal/lab/scale/cell.go
+++ b/internal/lab/scale/cell.go
@@ -83,7 +83,7 @@
 	byName   map[bundle.ServerName]holderNode
 	platform *node
 	machines []byte
-	// source is the replica that a third of the standbys follows first.
+	// source is the leader if all standbys follow it first, or a follower.
 	source *replica
 	// loadBytes and loadReports size the load reports that were sampled.
 	loadBytes, loadReports int
--- a/internal/lab/scale/standby.go
+++ b/internal/lab/scale/standby.go
@@ -103,16 +103,28 @@
 }
 
 // voterSources lists the voters from one on that depends on the standby, as if
-// by a hash of its name: the cell's source comes first for a third of them.
+// by a hash of its name, and the leader last, which refuses to be followed
+// before. If the leader is to be the source it is the first for all, as it is
+// for a while where it was followed before it was elected.
 func (c *cell) voterSources(standby int) []source {
-	sources := []source{{c.source.node, &c.source.streams}}
-	for _, each := range c.replicas {
-		if each != c.source {
+	leader := c.leader()
+	var sources []source
+	count := len(c.replicas)
+	step := 1
+	if standby/count%2 == 1 {
+		step = count - 1
+	}
+	for i := range count {
+		each := c.replicas[(standby+i*step)%count]
+		if each != leader {
 			sources = append(sources, source{each.node, &each.streams})
 		}
 	}
-	first := standby % len(sources)
-	return append(sources[first:len(sources):len(sources)], sources[:first]...)
+	last := source{leader.node, &leader.streams}
+	if c.source == leader {
+		return append([]source{last}, sources...)
+	}
+	return append(sources, last)
 }
 
 // gatewayChoices is how many controllers a gateway's settings name.
