Release keys before another partition may own them

Cause: a bundle that changes the prefixes or names of a service's partitions moves keys between slices that do not overlap as slices. The old slice was kept (or released at leisure, if its partition was gone) while the new one, unowned, was assigned at once. Until the old owner had the new version, and for as long as its requests in flight ran on, a key had two owners; a service that was gone for one version and came back divided otherwise, likewise.

Ruled out: moves, splits and merges (unowned slices only); changes of zones (released first); pools (own no keys); a change of kind (already rejected).

Change: AdoptBundle marks the slices of partitions whose keys may come from or go to another as Divided: owned ones are released, and Assign of a marked slice is rejected (keys-are-held) until no marked slice of the service is owned. Placement leaves them out; a new generation goes on to release them. Partitions whose keys stay are served on. Check also called a server on a leaving machine one that "contradicts itself"; it no longer does.

--- a/internal/cellstate/adopt.go
+++ b/internal/cellstate/adopt.go
@@ -21,6 +21,8 @@
 	count  int
 	shared bool
 	zones  ZoneRule
+	// divided says that its keys may have been in another partition before.
+	divided bool
 }
 
 func (s *State) adoptBundle(adopt AdoptBundle) Rejection {
@@ -37,9 +39,10 @@
 	if len(s.Conflicts(adopt.Bundle)) > 0 {
 		return RejectedConflict
 	}
+	former := divisionOf(s.Teams[team].Bundle)
 	s.setTeam(team, Team{Bundle: adopt.Bundle, Digest: adopt.Digest})
 	s.settleTeam(team)
-	s.settleAssignments(team)
+	s.settleAssignments(team, former)
 	return Applied
 }
 
@@ -70,8 +73,9 @@
 	return false
 }
 
-// settleAssignments makes the assignments of a team follow its adopted bundle.
-func (s *State) settleAssignments(team bundle.TeamName) {
+// settleAssignments makes the assignments of a team follow its adopted bundle;
+// former is the division of keys before.
+func (s *State) settleAssignments(team bundle.TeamName, former division) {
 	var next []Assignment
 	existing := map[partitionKey][]Assignment{}
 	for _, assignment := range s.Assignments {
@@ -83,7 +87,9 @@
 		existing[key] = append(existing[key], assignment)
 	}
 	version := s.Teams[team].Bundle.Version
+	divided := divisionOf(s.Teams[team].Bundle)
 	for _, wanted := range wantedPartitions(s.Teams[team].Bundle) {
+		wanted.divided = !wanted.shared && former.changed(divided, wanted.key.service, divided[wanted.key])
 		next = append(next, s.settlePartition(existing[wanted.key], wanted, version)...)
 		delete(existing, wanted.key)
 	}
@@ -92,6 +98,18 @@
 	}
 	slices.SortFunc(next, func(a, b Assignment) int { return CompareSlices(a.Slice, b.Slice) })
 	s.Assignments = next
+	for _, service := range servicesOf(next) {
+		s.clearDivided(service)
+	}
+}
+
+// servicesOf returns the services of the ordered assignments.
+func servicesOf(assignments []Assignment) []keyspace.ServiceName {
+	var names []keyspace.ServiceName
+	for _, assignment := range assignments {
+		names = append(names, assignment.Slice.Service)
+	}
+	return slices.Compact(names)
 }
 
 // settlePartition takes over the slices that exist, under the new version, and
@@ -104,7 +122,9 @@
 	for _, assignment := range existing {
 		assignment.Bundle = version
 		assignment.Refusal = ""
-		if assignment.Owned() && !wanted.zones.Allows(s.Servers[assignment.Owner].Zone) {
+		assignment.Divided = assignment.Divided || wanted.divided
+		allowed := wanted.zones.Allows(s.Servers[assignment.Owner].Zone)
+		if assignment.Owned() && (!allowed || assignment.Divided) {
 			assignment.State = wire.SliceReleasing
 		}
 		settled = append(settled, assignment)
@@ -122,6 +142,7 @@
 		}
 		assignment.Bundle = version
 		assignment.State = wire.SliceReleasing
+		assignment.Divided = !assignment.Shared
 		kept = append(kept, assignment)
 	}
 	return kept
@@ -131,9 +152,10 @@
 	assignments := make([]Assignment, 0, len(ranges))
 	for _, hashes := range ranges {
 		assignments = append(assignments, Assignment{
-			Slice:  keyspace.Slice{Service: wanted.key.service, Partition: wanted.key.partition, Range: hashes},
-			Bundle: version,
-			Shared: wanted.shared,
+			Slice:   keyspace.Slice{Service: wanted.key.service, Partition: wanted.key.partition, Range: hashes},
+			Bundle:  version,
+			Shared:  wanted.shared,
+			Divided: wanted.divided,
 		})
 	}
 	return assignments
--- a/internal/cellstate/apply.go
+++ b/internal/cellstate/apply.go
@@ -91,6 +91,9 @@
 	if s.Assignments[place].Owned() {
 		return RejectedOwned
 	}
+	if s.Assignments[place].Divided {
+		return RejectedKeysHeld
+	}
 	if rejection := s.mayOwn(assign, s.Assignments[place].Shared); rejection != Applied {
 		return rejection
 	}
@@ -153,6 +156,7 @@
 	} else {
 		s.Assignments = slices.Delete(slices.Clone(s.Assignments), place, place+1)
 	}
+	s.clearDivided(unassign.Slice.Service)
 	s.settleServer(owner)
 	return Applied
 }
--- a/internal/cellstate/check.go
+++ b/internal/cellstate/check.go
@@ -23,6 +23,9 @@
 			return err
 		}
 	}
+	if err := s.checkDivided(); err != nil {
+		return err
+	}
 	if err := s.checkServers(); err != nil {
 		return err
 	}
@@ -69,6 +72,9 @@
 	if !serving && assignment.State != wire.SliceReleasing {
 		return Error.New("slice %s is owned in state %q", slice, assignment.State)
 	}
+	if serving && assignment.Divided {
+		return Error.New("slice %s is served while its keys are divided", slice)
+	}
 	if serving && !s.AllowedZones(slice).Allows(server.Zone) {
 		return Error.New("slice %s is served in zone %q", slice, server.Zone)
 	}
@@ -100,7 +106,7 @@
 			return Error.New("servers %q and %q share an address", other, name)
 		}
 		addresses[server.Address] = name
-		if server.Name != name || server.Draining != (server.Leaving || server.DrainRequested) {
+		if server.Name != name || server.Draining != (server.Leaving || server.DrainRequested || server.MachineLeaving) {
 			return Error.New("server %q contradicts itself", name)
 		}
 	}
--- a/internal/cellstate/command.go
+++ b/internal/cellstate/command.go
@@ -117,4 +117,7 @@
 	// RejectedKind says that a bundle changes the kind of a service while
 	// slices of the former kind remain.
 	RejectedKind Rejection = "service-kind-changed"
+	// RejectedKeysHeld says that a server still owns keys of the service by a
+	// former bundle's partitions.
+	RejectedKeysHeld Rejection = "keys-are-held"
 )
--- a/internal/cellstate/resize.go
+++ b/internal/cellstate/resize.go
@@ -63,6 +63,7 @@
 			return RejectedOwned
 		}
 		joined.Fence = max(joined.Fence, part.Fence)
+		joined.Divided = joined.Divided || part.Divided
 	}
 	joined.Slice.Range.Last = merge.Last.Range.Last
 	joined.Refusal = ""
--- a/internal/cellstate/sequence_test.go
+++ b/internal/cellstate/sequence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"reflect"
 	"slices"
 	"testing"
@@ -118,9 +119,11 @@
 			service.Kind = bundle.KindKeyed
 			service.Placement.Slices = 1 + c.below(3)
 		}
+		first := c.below(len(samplePrefixes))
 		for partition := range c.below(3) {
 			service.Partitions = append(service.Partitions, bundle.Partition{
 				Name: keyspace.PartitionName(fmt.Sprint("p", partition)), Zones: zones[:1+c.below(2)],
+				Prefix: samplePrefixes[(first+partition)%len(samplePrefixes)],
 			})
 		}
 		for backend := range 1 + c.below(3) {
@@ -140,6 +143,7 @@
 	c := &choices{data: data}
 	state := cellstate.New("c", 3)
 	routes := table.New("c")
+	held := heldKeys{}
 	for index := uint64(1); len(c.data) > 0; index++ {
 		command := c.command(state)
 		before := state.Clone()
@@ -151,6 +155,7 @@
 			assert.Assert(t, reflect.DeepEqual(next, state), "a rejected command changed the state")
 		}
 		checkRises(t, before, next)
+		held.check(t, next)
 		routes = checkDelta(t, routes, before, next)
 		state = next
 	}
@@ -178,6 +183,51 @@
 	}
 }
 
+// Prefixes of partitions, and keys that they divide.
+var (
+	samplePrefixes = []string{"", "a", "ab", "b"}
+	sampleKeys     = []string{"c", "a", "ab", "abc", "b", "ba"}
+)
+
+// heldKeys are the sample keys of each grant that stands, as the bundle divided
+// them when it was given.
+type heldKeys map[wire.SliceFence][]string
+
+// check finds a key that two grants of a service hold.
+func (h heldKeys) check(t assert.TestingT, state cellstate.State) {
+	holder := map[string]wire.SliceFence{}
+	standing := map[wire.SliceFence]bool{}
+	for _, assignment := range state.Assignments {
+		if !assignment.Owned() || assignment.Shared {
+			continue
+		}
+		grant := wire.SliceFence{Slice: assignment.Slice, Fence: assignment.Fence}
+		standing[grant] = true
+		if _, known := h[grant]; !known {
+			h[grant] = keysOf(state, assignment.Slice)
+		}
+		for _, key := range h[grant] {
+			named := string(assignment.Slice.Service) + " " + key
+			other, taken := holder[named]
+			assert.Assert(t, !taken, "key %q is held by %v and %v", named, other, grant)
+			holder[named] = grant
+		}
+	}
+	maps.DeleteFunc(h, func(grant wire.SliceFence, _ []string) bool { return !standing[grant] })
+}
+
+func keysOf(state cellstate.State, slice keyspace.Slice) []string {
+	service, _ := state.ServiceOf(slice.Service)
+	keys := []string{}
+	for _, key := range sampleKeys {
+		partition, found := service.PartitionOf(key)
+		if found && partition.Name == slice.Partition && slice.Range.Contains(keyspace.HashKey(key)) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // checkDelta checks that a gateway that takes the delta has the same table as
 // one that takes the snapshot.
 func checkDelta(t assert.TestingT, routes *table.Table, before, next cellstate.State) *table.Table {
--- a/internal/cellstate/state.go
+++ b/internal/cellstate/state.go
@@ -73,6 +73,10 @@
 	// Shared assignments belong to a pool: the partition is the back end's own
 	// name, and any back end of the pool may serve any request.
 	Shared bool `json:"shared,omitempty"`
+	// Divided says that keys of the slice may be owned by way of another slice
+	// of the service, too, since a bundle has changed the partitions. An owned
+	// one is being released; an unowned one waits for those.
+	Divided bool `json:"divided,omitempty"`
 	// Refusal says why no server may own the slice.
 	Refusal wire.Reason `json:"refusal,omitempty"`
 }
--- a/internal/controller/start_state.go
+++ b/internal/controller/start_state.go
@@ -58,8 +58,9 @@
 // behind the old generation's last commits, so a fence of it may be lower than
 // one already used; a fence of the new generation is higher than all. A fence
 // names one grant, so each slice gets one of its own, as if a command for each
-// had been applied. Owners keep their slices: the grants of the old generation have ended by the time
-// that the new one grants anything.
+// had been applied. Owners keep their slices, save those whose keys another
+// slice may have too, which they go on to release: the grants of the old
+// generation have ended by the time that the new one grants anything.
 func nextGeneration(state cellstate.State, next wire.Generation) cellstate.State {
 	raised := state.Clone()
 	raised.Generation = next
@@ -67,7 +68,7 @@
 	for i := range raised.Assignments {
 		raised.Index++
 		raised.Assignments[i].Fence = wire.NewFence(next, raised.Index)
-		if raised.Assignments[i].Owned() {
+		if raised.Assignments[i].Owned() && !raised.Assignments[i].Divided {
 			raised.Assignments[i].State = wire.SliceServing
 		}
 	}
--- a/internal/controller/start_state_test.go
+++ b/internal/controller/start_state_test.go
@@ -29,3 +29,10 @@
 	}
 	assert.Assert(t, raised.Version().Newer(state.Version()))
 }
+
+// A slice whose keys another slice may have too is not served again.
+func TestNewGenerationGoesOnToReleaseDividedSlices(t *testing.T) {
+	state := cellstate.New("casa", 3)
+	state.Assignments = []cellstate.Assignment{{Owner: "a", State: wire.SliceReleasing, Divided: true}}
+	assert.Equal(t, nextGeneration(state, 4).Assignments[0].State, wire.SliceReleasing)
+}
--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -35,11 +35,12 @@
 }
 
 // unownedSlices returns the slices with the fewest candidates first, then the
-// heaviest: what has little choice takes its place before the others.
+// heaviest: what has little choice takes its place before the others. Slices
+// whose keys are still owned by way of other slices are left out.
 func (c *cellView) unownedSlices(service *serviceView) []unownedSlice {
 	var found []unownedSlice
 	for _, assignment := range service.assignments {
-		if assignment.Owner != "" {
+		if assignment.Owner != "" || assignment.Divided {
 			continue
 		}
 		found = append(found, unownedSlice{
