Let no caller have servers ejected

Cause: a caller chooses Shalefork-Deadline-Ms. Two requests with a deadline too short for any answer counted as two time-outs and ejected the server for all callers; for a keyed service its keys were then dark for 100 to 500 ms, again and again. An answer by which a server's HTTP refuses a request (431 for long headers, without an id) counted as unreachable, which ejects at once.

Ruled out: callers that go away or cut an upload (neutral); 5xx answers (never eject more than half of a pool).

Change: a time-out within less than half of the service's own deadline is neutral; a 4xx without an id counts as an error answer. What the caller hears is as before.

Seen failing before: TestCallersOwnDeadlineDoesNotCountAgainstTheServer (429 in place of the time-out), TestRequestRefusedByHTTPDoesNotEjectTheServer (the next caller waited 500 ms of virtual time). Passing after: go test ./internal/gateway.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -72,6 +72,13 @@
 	return max(1, c.limit-time.Since(c.arrived))
 }
 
+// cutShort reports whether the caller gave less than half of the time that the
+// service allows, so that a server without an answer by then has not failed.
+func (c *call) cutShort() bool {
+	allowed := c.route.service.Limits.Deadline.Std()
+	return allowed == 0 || c.limit < allowed/2
+}
+
 // withDeadline returns the context that all work for the call uses.
 func (c *call) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
 	if c.limit == 0 {
--- a/internal/gateway/hostile_test.go
+++ b/internal/gateway/hostile_test.go
@@ -171,3 +171,43 @@
 		assert.Assert(t, strings.Contains(string(metrics), `attempts_total{result="neutral"} 3`), "%s", metrics)
 	})
 }
+
+// A caller that gives a server no time learns nothing of it, and must not have
+// it ejected for the others.
+func TestCallersOwnDeadlineDoesNotCountAgainstTheServer(t *testing.T) {
+	inCell(t, func(c *cell) {
+		c.serve("w1:1", echo(func(http.ResponseWriter, *http.Request) { time.Sleep(50 * time.Millisecond) }))
+		c.gateway("g1")
+		c.controller.publish(tableOf(1, []bundle.Service{keyedService("book", false)}, "w1"))
+		for range 4 {
+			c.ask("POST", "/book/r7", "x", wire.HeaderDeadline, "5").refused(t, 504, wire.OutcomeUnknown, wire.ReasonDeadline)
+		}
+		time.Sleep(50 * time.Millisecond) // the server is free again
+		began := time.Now()
+		assert.Equal(t, c.ask("POST", "/book/r7", "x").status, 200)
+		assert.Equal(t, time.Since(began), 50*time.Millisecond)
+	})
+}
+
+// A request that a server's HTTP refuses before the server sees it, as one with
+// long headers, must not have all servers ejected.
+func TestRequestRefusedByHTTPDoesNotEjectTheServer(t *testing.T) {
+	inCell(t, func(c *cell) {
+		c.raw("w1:1", &rawServer{handle: func(conn net.Conn, request *http.Request, n int) bool {
+			if n <= 8 {
+				_, _ = io.WriteString(conn, "HTTP/1.1 431 Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+				return false
+			}
+			writeReply(conn, idOf(request), "ran", 0)
+			return true
+		}})
+		c.gateway("g1")
+		c.controller.publish(tableOf(1, []bundle.Service{keyedService("book", false)}, "w1"))
+		for range 8 {
+			c.ask("POST", "/book/r7", "x").refused(t, 502, wire.OutcomeUnknown, wire.ReasonMismatchedReply)
+		}
+		began := time.Now()
+		assert.Equal(t, c.ask("POST", "/book/r7", "x").body, "ran")
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -90,7 +90,7 @@
 	answered()
 	ended.latency = time.Since(began)
 	if err != nil {
-		ended.fail(failedResult(trying, err), retry.Attempt{
+		ended.fail(failedResult(trying, c, err), retry.Attempt{
 			BytesSent: followed.seal(),
 			Reason:    failedReason(trying, err),
 		})
@@ -116,7 +116,7 @@
 		followed.seal() // whatever else comes on it belongs to others
 		_ = response.Body.Close()
 		g.metrics.Mismatched.Inc()
-		ended.fail(balance.ResultUnreachable, retry.Attempt{
+		ended.fail(mismatchResult(response), retry.Attempt{
 			BytesSent: true,
 			Reason:    wire.ReasonMismatchedReply,
 		})
@@ -161,6 +161,17 @@
 	ended.response = nil
 }
 
+// mismatchResult tells an answer to somebody else from one without an id by
+// which HTTP itself refuses the request, as for its length: a caller can bring
+// that about at any server.
+func mismatchResult(response *http.Response) balance.Result {
+	class := response.StatusCode / 100
+	if response.Header.Get(wire.HeaderRequestID) == "" && class == http.StatusBadRequest/100 {
+		return balance.ResultServerError
+	}
+	return balance.ResultUnreachable
+}
+
 func answeredResult(status int) balance.Result {
 	if status >= http.StatusInternalServerError {
 		return balance.ResultServerError
@@ -187,14 +198,17 @@
 	}
 }
 
-// failedResult tells a back end's failure from a caller that went away.
-func failedResult(ctx context.Context, err error) balance.Result {
+// failedResult tells a back end's failure from a caller that went away, or that
+// gave it no time.
+func failedResult(ctx context.Context, c *call, err error) balance.Result {
 	if errors.Is(err, errBodyBroken) || errors.Is(err, errBodyTooLarge) || errors.Is(err, errDialBudget) {
 		return balance.ResultNeutral
 	}
 	switch {
 	case ctx.Err() == nil:
 		return balance.ResultUnreachable
+	case errors.Is(context.Cause(ctx), errDeadline) && c.cutShort():
+		return balance.ResultNeutral
 	case errors.Is(context.Cause(ctx), errDeadline), errors.Is(context.Cause(ctx), errMoved):
 		return balance.ResultTimeout
 	default:
