Show each row of the table of refusals by a test

An owner that could not be reached was told as overloaded (429, "the slots are full"), or as not-run answer-lost, though nothing was sent; a server's "unknown" with a reason of its own as no-backend.

An unreachable owner is 503 no-backend; a server's "unknown" without a reason that callers know is answer-lost. The reason "stopping", which nothing gave, is gone. TestUnreachableOwnerIsNotRun now pins status and reason, which it left open before.

--- a/internal/balance/eject.go
+++ b/internal/balance/eject.go
@@ -143,6 +143,12 @@
 	}
 }
 
+// Ejected reports whether the named back end is ejected.
+func (p *Pool) Ejected(name bundle.ServerName) bool {
+	known := p.find(name)
+	return known != nil && known.ejected
+}
+
 // HasEjected reports whether any back end is ejected.
 func (p *Pool) HasEjected() bool {
 	return slices.ContainsFunc(p.members, func(candidate *member) bool { return candidate.ejected })
--- a/internal/gateway/broken_test.go
+++ b/internal/gateway/broken_test.go
@@ -132,7 +132,7 @@
 		c.controller.publish(tableOf(1, []bundle.Service{keyedService("book", false)}, "w1"))
 		began := time.Now()
 		got := c.ask("POST", "/book/r7", "two seats")
-		assert.Equal(t, got.outcome, wire.OutcomeNotRun)
+		got.refused(t, 503, wire.OutcomeNotRun, wire.ReasonNoBackend)
 		assert.Equal(t, time.Since(began), time.Second)
 	})
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -27,11 +27,19 @@
 	case to.entry.State != wire.SliceServing:
 		return choice{why: wire.ReasonReleasing}
 	case !s.pool.Take(s.now(), to.server.Name):
-		return choice{waitsFor: to.server.Name, why: wire.ReasonOverloaded}
+		return choice{waitsFor: to.server.Name, why: ownerReason(s, to.server.Name)}
 	}
 	return choice{found: true, to: to}
 }
 
+// ownerReason tells an owner that is full from one that cannot be reached.
+func ownerReason(s *service, owner bundle.ServerName) wire.Reason {
+	if s.pool.Ejected(owner) {
+		return wire.ReasonNoBackend
+	}
+	return wire.ReasonOverloaded
+}
+
 // chooseInPool picks the best back end that holds a grant, another one than
 // avoid if any has room.
 func (g *Gateway) chooseInPool(s *service, c *call, avoid bundle.ServerName) choice {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -117,6 +117,9 @@
 
 // endOf is the refusal that a failed try leads to if nothing follows it.
 func endOf(failure retry.Attempt, decision retry.Decision) *refusal {
+	if decision.Outcome == wire.OutcomeNotRun && failure.Reason == wire.ReasonAnswerLost {
+		return notRun(wire.ReasonNoBackend) // nothing was sent, so no answer was lost
+	}
 	if decision.Outcome == wire.OutcomeNotRun {
 		return notRun(failure.Reason)
 	}
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -82,6 +82,11 @@
 	}{
 		{wire.ReasonNoGrant, 503, wire.ReasonNoGrant},
 		{wire.ReasonWrongFence, 503, wire.ReasonWrongFence},
+		{wire.ReasonWrongBundle, 503, wire.ReasonWrongBundle},
+		{wire.ReasonExpired, 503, wire.ReasonExpired},
+		{wire.ReasonReleasing, 503, wire.ReasonReleasing},
+		{wire.ReasonDraining, 503, wire.ReasonDraining},
+		{wire.ReasonDeadline, 503, wire.ReasonDeadline},
 		{wire.ReasonMalformed, 400, wire.ReasonMalformed},
 		{wire.ReasonOverloaded, 429, wire.ReasonOverloaded},
 		{"invented", 503, wire.ReasonNoBackend},
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -149,7 +149,7 @@
 
 // judgeRefusal takes a server's own word on what it did not run.
 func (g *Gateway) judgeRefusal(ended *reply, response *http.Response, outcome wire.Outcome) {
-	reason := knownReason(response.Header.Get(wire.HeaderReason))
+	reason := knownReason(response.Header.Get(wire.HeaderReason), outcome)
 	ended.latency = 0                                          // a refusal is quick whatever the load
 	_, _ = io.CopyN(io.Discard, response.Body, maxRefusalBody) // keeps the connection
 	ended.response = response
@@ -187,15 +187,17 @@
 }
 
 // knownReason keeps unknown words of servers out of metrics and answers.
-func knownReason(text string) wire.Reason {
+func knownReason(text string, outcome wire.Outcome) wire.Reason {
 	switch reason := wire.Reason(text); reason {
 	case wire.ReasonNoGrant, wire.ReasonExpired, wire.ReasonWrongFence, wire.ReasonWrongBundle,
 		wire.ReasonReleasing, wire.ReasonOverloaded, wire.ReasonDraining, wire.ReasonDeadline,
 		wire.ReasonMalformed:
 		return reason
-	default:
-		return wire.ReasonNoBackend
 	}
+	if outcome == wire.OutcomeUnknown {
+		return wire.ReasonAnswerLost
+	}
+	return wire.ReasonNoBackend
 }
 
 // failedResult tells a back end's failure from a caller that went away, or that
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -99,11 +99,10 @@
 	ReasonNoRoute         Reason = "no-route"          // no service matches host and path
 	ReasonNoKey           Reason = "no-key"            // the request lacks the service's key
 	ReasonNoOwner         Reason = "no-owner"          // no server owns the slice now
-	ReasonNoBackend       Reason = "no-backend"        // no back end of the pool can take it
+	ReasonNoBackend       Reason = "no-backend"        // no back end can take it or be reached
 	ReasonNoPlace         Reason = "no-place"          // no server is left in an allowed place
 	ReasonQueueFull       Reason = "queue-full"        // the bounded queue is full
 	ReasonRetriesSpent    Reason = "retries-spent"     // the retry budget is empty
-	ReasonStopping        Reason = "stopping"          // the gateway is draining
 	ReasonStaleTable      Reason = "stale-table"       // no controller was heard for too long
 	ReasonTooLarge        Reason = "too-large"         // the request body is over the limit
 	ReasonAnswerLost      Reason = "answer-lost"       // the connection broke after sending
