Bound the answers that a gateway's ledger keeps

Cause: the book bounded records (200000 by default) but not their answers, each up to 64 KiB with headers beside: callers of one service with large answers could fill 13 GB at the owner and as much at the holders of its copies. A gateway that runs out of memory takes its records with it, and two at once is more than the ledger tolerates.

Change: a book keeps 256 MiB of answers. One without room is not kept, so its record ends as unknown; it never runs twice. Nothing is dropped early.

Seen: TestAnswersAreBounded does not compile without the change; by reading, nothing bounded the sum before. Passing after: go test ./internal/ledger ./internal/ledgernode ./internal/gateway. No measured figures: 13 GB is 200000 times 64 KiB.

--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -48,12 +48,15 @@
 	limit     int
 	retention time.Duration
 	entries   map[Key]*entry
+	// kept is the size of the answers, in bytes, and space its bound.
+	kept  int
+	space int
 }
 
 // NewBook returns an empty book for at most limit records, each kept for
-// retention after its last change.
+// retention after its last change, and answers of maxKeptBytes together.
 func NewBook(limit int, retention time.Duration) *Book {
-	return &Book{limit: limit, retention: retention, entries: map[Key]*entry{}}
+	return &Book{limit: limit, retention: retention, entries: map[Key]*entry{}, space: maxKeptBytes}
 }
 
 // Len returns the number of records.
@@ -117,9 +120,10 @@
 		return known.export(now), true
 	}
 	known.record.State = StateUnknown
-	if answer != nil {
+	if answer != nil && b.hasSpace(answer) {
 		known.record.State = StateAnswered
 		known.record.Answer = answer
+		b.kept += answer.size()
 	}
 	known.expires = now + b.retention
 	return known.export(now), true
@@ -130,7 +134,7 @@
 func (b *Book) Remove(key Key, stamp Stamp) {
 	known := b.entries[key]
 	if known != nil && known.record.Stamp == stamp && known.record.State == StateRunning {
-		delete(b.entries, key)
+		b.drop(key)
 	}
 }
 
@@ -153,7 +157,7 @@
 	if known.claims > 0 || known.record.State != StateRunning {
 		return false
 	}
-	delete(b.entries, key)
+	b.drop(key)
 	return true
 }
 
@@ -165,11 +169,11 @@
 		if len(b.entries) >= b.limit {
 			return false
 		}
-		b.set(now, record)
+		b.set(now, b.fit(record))
 		return true
 	}
 	if supersedes(record, known.record) {
-		b.set(now, record)
+		b.set(now, b.fit(record))
 		if record.Stamp == known.record.Stamp {
 			b.entries[record.Key].holder = known.holder
 			b.entries[record.Key].claims = known.claims
@@ -238,7 +242,7 @@
 func (b *Book) Expire(now time.Duration) {
 	for key, known := range b.entries {
 		if now >= known.expires {
-			delete(b.entries, key)
+			b.drop(key)
 		}
 	}
 }
@@ -246,19 +250,19 @@
 func (b *Book) get(now time.Duration, key Key) *entry {
 	known := b.entries[key]
 	if known != nil && now >= known.expires {
-		delete(b.entries, key)
+		b.drop(key)
 		return nil
 	}
 	return known
 }
 
 func (b *Book) set(now time.Duration, record Record) {
-	b.entries[record.Key] = &entry{
+	b.put(record.Key, &entry{
 		record:    record,
 		hash:      record.Key.Hash(),
 		expires:   now + record.KeepFor,
 		runsUntil: now + record.RunsFor,
-	}
+	})
 }
 
 func (e *entry) export(now time.Duration) Record {
--- a/internal/ledger/model_test.go
+++ b/internal/ledger/model_test.go
@@ -328,3 +328,33 @@
 	book.Expire(time.Hour + 2*time.Second)
 	assert.Equal(t, book.Len(), 0)
 }
+
+// Answers beyond the bound are not kept; their records are, and the space of
+// those that leave is used again.
+func TestAnswersAreBounded(t *testing.T) {
+	book := NewBook(10, time.Hour)
+	book.space = 10
+	answer := &Answer{Status: 200, Body: make([]byte, 6)}
+	states := func(now time.Duration, values ...string) []Verdict {
+		var found []Verdict
+		for _, value := range values {
+			key, stamp := Key{Service: "t/s", Value: value}, Stamp{Fence: 1}
+			asked := Question{Key: key, Attempt: wire.RequestID(value)}
+			if verdict, _ := book.Look(now, asked); verdict == VerdictAbsent {
+				book.Begin(now, asked, stamp)
+				book.Finish(now, key, stamp, answer)
+			}
+			verdict, _ := book.Look(now, asked)
+			found = append(found, verdict)
+		}
+		return found
+	}
+	assert.DeepEqual(t, states(0, "a", "b", "a"), []Verdict{VerdictReplay, VerdictUnknown, VerdictReplay})
+	copied := Record{Key: Key{Value: "copied"}, State: StateAnswered, Answer: answer, KeepFor: time.Hour}
+	assert.Assert(t, book.Put(0, copied))
+	verdict, _ := book.Look(0, Question{Key: copied.Key})
+	assert.Equal(t, verdict, VerdictUnknown)
+	book.Expire(2 * time.Hour)
+	assert.Equal(t, book.kept, 0)
+	assert.DeepEqual(t, states(2*time.Hour, "c", "d"), []Verdict{VerdictReplay, VerdictUnknown})
+}
