Reset the connection of an HTTP/1.0 caller whose answer is cut

Cause: for a caller of HTTP/1.0 an answer of undeclared length ends with the connection, so that a cut one looked whole.

Ruled out: HTTP/1.1 (the last chunk is missing); answers with Content-Length.

Change: breakAnswer resets the TCP connection for HTTP/1.0.

Seen failing before: TestShortAnswerBreaksVisiblyForHTTP10 (no error after "half"). Passing after: go test -race -count=3 ./internal/gateway.

--- a/internal/gateway/broken_test.go
+++ b/internal/gateway/broken_test.go
@@ -5,10 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
 	"github.com/shalefork/shalefork/internal/bundle"
@@ -286,3 +289,26 @@
 		}
 	})
 }
+
+// A caller of HTTP/1.0 knows the end of an answer of undeclared length by the
+// end of the connection only, so that one which is cut has to be reset.
+func TestShortAnswerBreaksVisiblyForHTTP10(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	response := &http.Response{StatusCode: 200, ContentLength: -1, Header: http.Header{}}
+	response.Body = io.NopCloser(io.MultiReader(strings.NewReader("half"), iotest.ErrReader(io.ErrUnexpectedEOF)))
+	gateway := &Gateway{metrics: NewMetrics(prometheus.NewRegistry())}
+	server := gateway.newServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		got := &reply{response: response, finish: func() {}}
+		gateway.passOn(writer, &call{request: request, limit: time.Minute}, got, func() {})
+	}))
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n")
+	assert.NilError(t, err)
+	text, err := io.ReadAll(conn)
+	assert.Assert(t, err != nil, "the answer ended as if it were whole: %q", text)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -169,6 +169,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       withConn,
 	}
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -72,10 +73,27 @@
 	if err != nil {
 		g.metrics.BrokenAnswers.Inc()
 		got.finish()
-		panic(http.ErrAbortHandler)
+		breakAnswer(c.request)
 	}
 }
 
+// connKey is where a request's context holds its connection.
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// breakAnswer closes the connection in the middle of an answer. For HTTP/1.0 an
+// end of the connection is the end of the answer, so it is reset there.
+func breakAnswer(request *http.Request) {
+	conn, isTCP := request.Context().Value(connKey{}).(*net.TCPConn)
+	if isTCP && !request.ProtoAtLeast(1, 1) {
+		_ = conn.SetLinger(0)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // idleLimit ends a transfer without a deadline in which no byte moves.
 const idleLimit = 5 * time.Minute
 
