Refuse a bundle with which the cell's table could not be read

Cause: partitions times slices had no bound. Table and state go as one line each, of at most 8 MiB; 20 partitions of 4096 slices make a longer one, which no gateway, standby or new member can read. The cell would be without routing, and never goes back from an adopted version.

Change: before it proposes an adoption, the leader tries it on the state and refuses the version, with the reason, if the state would take more than 4 MiB.

--- a/internal/controller/rollout.go
+++ b/internal/controller/rollout.go
@@ -13,6 +13,7 @@
 	"github.com/shalefork/shalefork/internal/cellstate"
 	"github.com/shalefork/shalefork/internal/consensus"
 	"github.com/shalefork/shalefork/internal/lifecycle"
+	"github.com/shalefork/shalefork/internal/wire"
 )
 
 // rollout is the highest version of a team that the platform's service holds as
@@ -166,11 +167,30 @@
 
 // adopt proposes the version, or notes the problem for which it is refused.
 func (r *replica) adopt(one *rollout) {
+	command := cellstate.Command{AdoptBundle: &cellstate.AdoptBundle{Bundle: one.content, Digest: one.digest}}
 	one.problem = r.conflictOf(one)
+	if one.problem == "" {
+		one.problem = sizeProblem(r.state, command)
+	}
 	if one.problem != "" {
 		return
 	}
-	one.proposed = r.proposeOnce(cellstate.Command{AdoptBundle: &cellstate.AdoptBundle{Bundle: one.content, Digest: one.digest}})
+	one.proposed = r.proposeOnce(command)
+}
+
+// maxStateBytes bounds a cell's state with a new bundle. State and table go as
+// one line each; half of what a line can hold is left for splits to come.
+const maxStateBytes = wire.MaxLineBytes / 2
+
+// sizeProblem says that the state would be too large after the command: no
+// member, standby or gateway could read it any more. Empty if it is not.
+func sizeProblem(state cellstate.State, command cellstate.Command) string {
+	next, _ := cellstate.Apply(state, state.Index+1, command)
+	size := len(encodeState(next))
+	if size <= maxStateBytes {
+		return ""
+	}
+	return fmt.Sprintf("the cell's state would take %d bytes, at most %d are allowed: too many slices, servers or services", size, maxStateBytes)
 }
 
 // conflictOf says which route or address another team has; empty if none.
--- a/internal/gateway/refusal_table_test.go
+++ b/internal/gateway/refusal_table_test.go
@@ -19,7 +19,7 @@
 
 // refusalRow matches a row of the table of refusals: the last column names the
 // tests that show it.
-var refusalRow = regexp.MustCompile("(?m)^\\| (?:[45]\\d\\d)[^|]*\\| (?:not-run|unknown) \\|.*\\| ([^|]+) \\|$")
+var refusalRow = regexp.MustCompile(`(?m)^\| (?:[45]\d\d)[^|]*\| (?:not-run|unknown) \|.*\| ([^|]+) \|$`)
 
 // Every row of the table of refusals in docs/PROTOCOLS.md names tests that exist.
 func TestEveryRowOfTheTableOfRefusalsHasATest(t *testing.T) {
