--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -90,7 +90,7 @@
 	answered()
 	ended.latency = time.Since(began)
 	if err != nil {
-		ended.fail(failedResult(trying, err), retry.Attempt{
+		ended.fail(failedResult(trying, c, err), retry.Attempt{
 			BytesSent: followed.seal(),
 			Reason:    failedReason(trying, err),
 		})
@@ -116,7 +116,7 @@
 		followed.seal() // whatever else comes on it belongs to others
 		_ = response.Body.Close()
 		g.metrics.Mismatched.Inc()
-		ended.fail(balance.ResultUnreachable, retry.Attempt{
+		ended.fail(mismatchResult(response), retry.Attempt{
 			BytesSent: true,
 			Reason:    wire.ReasonMismatchedReply,
 		})
@@ -149,7 +149,7 @@
 
 // judgeRefusal takes a server's own word on what it did not run.
 func (g *Gateway) judgeRefusal(ended *reply, response *http.Response, outcome wire.Outcome) {
-	reason := knownReason(response.Header.Get(wire.HeaderReason))
+	reason := knownReason(response.Header.Get(wire.HeaderReason), outcome)
 	ended.latency = 0                                          // a refusal is quick whatever the load
 	_, _ = io.CopyN(io.Discard, response.Body, maxRefusalBody) // keeps the connection
 	ended.response = response
@@ -161,6 +161,17 @@
 	ended.response = nil
 }
 
+// mismatchResult tells an answer to somebody else from one without an id by
+// which HTTP itself refuses the request, as for its length: a caller can bring
+// that about at any server.
+func mismatchResult(response *http.Response) balance.Result {
+	class := response.StatusCode / 100
+	if response.Header.Get(wire.HeaderRequestID) == "" && class == http.StatusBadRequest/100 {
+		return balance.ResultServerError
+	}
+	return balance.ResultUnreachable
+}
+
 func answeredResult(status int) balance.Result {
 	if status >= http.StatusInternalServerError {
 		return balance.ResultServerError
@@ -176,25 +187,30 @@
 }
 
 // knownReason keeps unknown words of servers out of metrics and answers.
-func knownReason(text string) wire.Reason {
+func knownReason(text string, outcome wire.Outcome) wire.Reason {
 	switch reason := wire.Reason(text); reason {
 	case wire.ReasonNoGrant, wire.ReasonExpired, wire.ReasonWrongFence, wire.ReasonWrongBundle,
 		wire.ReasonReleasing, wire.ReasonOverloaded, wire.ReasonDraining, wire.ReasonDeadline,
 		wire.ReasonMalformed:
 		return reason
-	default:
-		return wire.ReasonNoBackend
 	}
+	if outcome == wire.OutcomeUnknown {
+		return wire.ReasonAnswerLost
+	}
+	return wire.ReasonNoBackend
 }
 
-// failedResult tells a back end's failure from a caller that went away.
-func failedResult(ctx context.Context, err error) balance.Result {
+// failedResult tells a back end's failure from a caller that went away, or that
+// gave it no time.
+func failedResult(ctx context.Context, c *call, err error) balance.Result {
 	if errors.Is(err, errBodyBroken) || errors.Is(err, errBodyTooLarge) || errors.Is(err, errDialBudget) {
 		return balance.ResultNeutral
 	}
 	switch {
 	case ctx.Err() == nil:
 		return balance.ResultUnreachable
+	case errors.Is(context.Cause(ctx), errDeadline) && c.cutShort():
+		return balance.ResultNeutral
 	case errors.Is(context.Cause(ctx), errDeadline), errors.Is(context.Cause(ctx), errMoved):
 		return balance.ResultTimeout
 	default:
