--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
-.PHONY: build check test bench demo soak experiment scale
+.PHONY: build check test bench demo soak experiment scale mutations
 
 build:
 	go build -o bin/ ./cmd/...
 
 check:
-	@test -z "$$(gofmt -l cmd internal ownership)" || (gofmt -l cmd internal ownership; exit 1)
+	@test -z "$$(gofmt -l cmd internal ownership test)" || (gofmt -l cmd internal ownership test; exit 1)
 	go vet ./...
 	go tool staticcheck ./...
 
@@ -32,3 +32,8 @@
 
 scale: build
 	bin/shalefork-lab scale $(SCALEFLAGS)
+
+# Breaks one safety rule at a time in a copy of the tree; each must make a named
+# test fail. See docs/PROOFS.md. It takes minutes and is run by hand.
+mutations:
+	go run ./internal/lab/mutate $(MUTATIONS)
--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -33,7 +33,7 @@
 		file: "internal/grant/renew.go",
 		old:  "	if !leading || held.readingAt.Upper > now.Upper {",
 		new:  "	if held.readingAt.Upper > now.Upper {",
-		pkg:  "./test/session", test: "TestOldLeaderKeepsOneServer",
+		pkg:  "./internal/grant", test: "TestTraces/paused-leader",
 	},
 	{
 		name: "vote-inside-the-promise",
@@ -140,6 +140,20 @@
 		new:  "	id := takeoverID{fence: asked.Fence}",
 		pkg:  "./internal/ledgernode", test: "TestTestimonyIsOfTheRangeAsked",
 	},
+	{
+		name: "planned-stop-cuts",
+		file: "internal/gateway/drain.go",
+		old:  "	_ = server.Shutdown(context.Background())",
+		new:  "	_ = context.Background; _ = server.Close()",
+		pkg:  "./test/session", test: "TestGatewaysStopInTurn",
+	},
+	{
+		name: "drain-does-not-wait",
+		file: "ownership/drain.go",
+		old:  "	return idle && (o.drainTold || !held), o.changed",
+		new:  "	return idle || !held || true, o.changed",
+		pkg:  "./ownership", test: "TestDrainWaitsForReleaseAndForWork",
+	},
 	{
 		name: "table-stream-without-a-leader",
 		file: "internal/controller/table_stream.go",
