--- a/test/session/faults_test.go
+++ b/test/session/faults_test.go
@@ -323,6 +323,7 @@
 	{name: "owner of what runs once frozen", strike: freezeServer("reserve"), lasts: 3 * time.Second, carriesOn: true, allowed: all(4 * time.Second), unknown: []string{"reserve"}},
 	{name: "owner answers late", strike: lateAnswers("reserve"), lasts: 2 * time.Second, carriesOn: true, allowed: all(6 * time.Second), unknown: []string{"reserve"}},
 	{name: "pool server killed", strike: killServer("booking"), lasts: 3 * time.Second, carriesOn: true, allowed: all(2500 * time.Millisecond), unknown: []string{"booking"}},
+	{name: "pool server cut off", strike: cutServer("booking"), lasts: 3 * time.Second, carriesOn: true, allowed: all(4 * time.Second), unknown: []string{"booking"}},
 	{name: "pool server frozen", strike: freezeServer("booking"), lasts: 4 * time.Second, carriesOn: true, allowed: all(4 * time.Second), unknown: []string{"booking"}},
 	{name: "gateway killed", strike: killGateway, lasts: 4 * time.Second, carriesOn: true, allowed: all(5 * time.Second), unknown: []string{"reserve", "booking"}},
 	{name: "gateway cut off", strike: cutGateway, lasts: 4 * time.Second, carriesOn: true, allowed: all(5 * time.Second), unknown: []string{"reserve", "booking"}},
