--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build check test bench demo soak experiment scale mutations
+.PHONY: build check test fuzz bench demo soak experiment scale mutations
 
 build:
 	go build -o bin/ ./cmd/...
@@ -8,9 +8,20 @@
 	go vet ./...
 	go tool staticcheck ./...
 
+# The models run again without the race detector, under which they are smaller.
 test:
 	go test -race $(TESTFLAGS) ./...
-	go test $(TESTFLAGS) -run TestModel ./internal/grant
+	go test $(TESTFLAGS) -run 'TestModel|TestEveryStateIsSafe' ./internal/grant ./internal/consensus/explore
+
+# Each fuzz target for a bounded number of inputs. CI runs their seed inputs as
+# tests; this looks for new ones.
+FUZZTIME ?= 20000x
+
+fuzz:
+	go test -run '^$$' -fuzz FuzzLineReader -fuzztime $(FUZZTIME) ./internal/wire
+	go test -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME) -fuzzminimizetime 5x ./internal/bundle
+	go test -run '^$$' -fuzz FuzzSequence -fuzztime $(FUZZTIME) ./internal/cellstate
+	go test -run '^$$' -fuzz FuzzEvents -fuzztime $(FUZZTIME) -fuzzminimizetime 5x ./internal/consensus
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
