--- a/internal/lab/demo/ready.go
+++ b/internal/lab/demo/ready.go
@@ -29,7 +29,8 @@
 	try := 0
 	return await(ctx, service.Name+" through "+address, readyLimit, func(ctx context.Context) bool {
 		try++
-		name := fmt.Sprintf("ready-%s-%s-%d", address, service.Name, try)
+		// A name used before would be answered from the ledger.
+		name := fmt.Sprintf("ready-%s-%s-%d-%d", address, service.Name, try, history.Now())
 		request := load.NewRequest(service, address, load.Pull{}).WithContext(ctx)
 		request.Header.Set(history.HeaderNonce, name)
 		if !service.Repeatable {
--- a/internal/lab/demo/soak_stuck.go
+++ b/internal/lab/demo/soak_stuck.go
@@ -35,21 +35,21 @@
 	var found []error
 	for _, span := range failing {
 		if rest := longestOutside(interval{span.Begin, span.End}, excuses); rest > stuckAfter {
-			found = append(found, Error.New("%s %s was unserved for %s, %s of it unexplained",
+			found = append(found, Error.New("%s %q was unserved for %s, %s of it unexplained",
 				span.Service, span.Key, span.Length(), rest))
 		}
 	}
 	return found
 }
 
-// callerKey is a key as its callers know it.
+// callerKey is a key as its callers know it, empty for a whole pool.
 type callerKey struct {
 	service keyspace.ServiceName
 	key     string
 }
 
-// failingSpans returns the times in which all requests for a key failed, from
-// the first one sent to the last one answered. Unlike load.Spans it does not
+// failingSpans returns the times in which all requests for a key, or all to a
+// pool, failed, from the first one sent to the last one answered. Unlike load.Spans it does not
 // count a time in which nobody asked: callers lose patience, and a cold key may
 // not be asked for again.
 func failingSpans(calls []history.Call) []load.Span {
@@ -59,7 +59,6 @@
 		id := callerKey{call.Service, call.Key}
 		span, failing := open[id]
 		switch {
-		case call.Key == "":
 		case call.Status == http.StatusOK && call.Whole:
 			delete(open, id)
 			if failing {
--- a/internal/lab/demo/soak_test.go
+++ b/internal/lab/demo/soak_test.go
@@ -54,6 +54,15 @@
 	})
 }
 
+func TestPoolFailsWhileAllRequestsFail(t *testing.T) {
+	spans := failingSpans([]history.Call{
+		call("", 1*time.Second, 2*time.Second, http.StatusServiceUnavailable),
+		call("", 2*time.Second, 8*time.Second, http.StatusServiceUnavailable),
+		call("", 8*time.Second, 9*time.Second, http.StatusOK),
+	})
+	assert.DeepEqual(t, spans, []load.Span{{Begin: 1 * time.Second, End: 8 * time.Second}})
+}
+
 func TestStuckKeysAreThoseThatNoFaultExplains(t *testing.T) {
 	unserved := []history.Call{
 		call("a", 0, 4*time.Second, http.StatusServiceUnavailable),
