Do not read again the content of a version that is adopted

Cause: a leader reads the heads of its cell anew every 30 s, and with each head the content that it names (5,330 B for the bundle of the emulation), although its state has held that version for long.

Ruled out: reading the heads less often. A change that a watch has missed is found by it, and sessions lose events of a watch on purpose.

Change: the content of a version in force is read only if the state's version is lower. That is looked up outside the loop, so the loop decides again with its own state and drops what it cannot use.

Figures: 178 B/s a team less (5,330 B each 30 s, worked out). The tests of checkpoints, heads, bundles, conflicts and calls pass with -race.

--- a/internal/controller/rollout.go
+++ b/internal/controller/rollout.go
@@ -23,6 +23,8 @@
 	version bundle.Version
 	digest  string
 	content bundle.Bundle
+	// unread says that the content was not read, as the state held the version.
+	unread bool
 	// inForce says that the head calls it in force. The cell's state may know
 	// only a lower version, if it came from an old checkpoint.
 	inForce bool
@@ -74,17 +76,21 @@
 	if !active {
 		return nil, nil
 	}
-	content, err := c.readContent(ctx, head.Team, entry)
-	if err != nil && !errors.Is(err, errContentMissing) {
-		return nil, err
-	}
 	found := &rollout{
 		team:    head.Team,
 		version: entry.Version,
 		digest:  entry.Digest,
-		content: content,
 		inForce: entry.State == adminapi.StateInForce,
 	}
+	if found.inForce && c.view.Load().state.Teams[head.Team].Bundle.Version >= found.version {
+		found.unread = true // adopted already, and versions only rise
+		return found, nil
+	}
+	content, err := c.readContent(ctx, head.Team, entry)
+	if err != nil && !errors.Is(err, errContentMissing) {
+		return nil, err
+	}
+	found.content = content
 	switch {
 	case err != nil:
 		found.problem = err.Error()
@@ -125,6 +131,9 @@
 		delete(all, team)
 		return
 	}
+	if found.unread {
+		return // the state is another one by now: the next reading sees it
+	}
 	all[team] = found
 }
 
