Bound the memory for callers' bodies

Cause: a gateway reads up to 64 KiB of each body, or with an Idempotency-Key all of it (max_body_bytes, up to 1 GiB), before it asks for a place in any queue, from as many connections as callers open. Nothing bounded the sum.

Ruled out: counting what a caller declares (stalled callers would shut the others out for nothing): only bytes that came count, and a body that is not there within 30 s is given up as before.

Change: all bodies together take 256 MiB; a request beyond that is refused as queue-full, not-run.

Seen: TestBodiesAreBounded does not compile without the change. Passing after: go test -race -count=5 ./internal/gateway. No measured figures.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/zeebo/errs"
+	"golang.org/x/sync/semaphore"
 )
 
 const (
@@ -24,14 +25,21 @@
 var (
 	errBodyTooLarge = errs.New("the request body is over the limit")
 	errBodyBroken   = errs.New("the request body could not be read")
+	errBodyMemory   = errs.New("the bodies that are held take too much memory")
 )
 
+// bodyMemory bounds the bytes of callers' bodies that a gateway holds at once.
+const bodyMemory = 256 << 20
+
 // body is a caller's request body: a head that is kept, and for a long body
 // the rest, which can be read once.
 type body struct {
 	head   []byte
 	rest   io.Reader // nil if the head is all
 	length int64     // -1 if unknown
+	// held is what the head takes of memory, until end.
+	held   int64
+	memory *semaphore.Weighted
 	// controller of the caller's connection, for the rest.
 	controller *http.ResponseController
 	mu         sync.Mutex
@@ -41,8 +49,9 @@
 }
 
 // readBody reads at most keep bytes ahead. It returns errBodyTooLarge for one
-// known to be over limit and errBodyBroken for one that the caller did not send.
-func readBody(writer http.ResponseWriter, request *http.Request, limit, keep int64) (*body, error) {
+// known to be over limit, errBodyBroken for one that the caller did not send, and
+// errBodyMemory if there is no memory for it.
+func readBody(writer http.ResponseWriter, request *http.Request, limit, keep int64, memory *semaphore.Weighted) (*body, error) {
 	if request.ContentLength > limit {
 		return nil, errBodyTooLarge
 	}
@@ -52,18 +61,42 @@
 	controller := http.NewResponseController(writer)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyStall))
 	limited := &limitedReader{source: request.Body, left: limit}
-	head, err := io.ReadAll(io.LimitReader(limited, keep+1))
+	counted := &countedReader{source: io.LimitReader(limited, keep+1), memory: memory}
+	head, err := io.ReadAll(counted)
 	_ = controller.SetReadDeadline(time.Time{})
-	if err == errBodyTooLarge {
-		return nil, err
-	}
 	if err != nil {
-		return nil, errBodyBroken
+		memory.Release(counted.held)
+		return nil, callersError(err)
 	}
-	if int64(len(head)) <= keep {
-		return &body{head: head, length: int64(len(head))}, nil
+	read := &body{head: head, length: int64(len(head)), held: counted.held, memory: memory}
+	if int64(len(head)) > keep {
+		read.rest, read.length, read.controller = limited, request.ContentLength, controller
+	}
+	return read, nil
+}
+
+// callersError returns the error of a body as one of this package.
+func callersError(err error) error {
+	if err == errBodyTooLarge || err == errBodyMemory {
+		return err
+	}
+	return errBodyBroken
+}
+
+// countedReader takes memory for what it reads.
+type countedReader struct {
+	source io.Reader
+	memory *semaphore.Weighted
+	held   int64
+}
+
+func (r *countedReader) Read(buffer []byte) (int, error) {
+	count, err := r.source.Read(buffer)
+	if !r.memory.TryAcquire(int64(count)) {
+		return 0, errBodyMemory
 	}
-	return &body{head: head, rest: limited, length: request.ContentLength, controller: controller}, nil
+	r.held += int64(count)
+	return count, err
 }
 
 // replayable reports whether the body can be sent now.
@@ -102,8 +135,8 @@
 	r.body.setReadDeadline(time.Now().Add(idleLimit))
 	count, err := r.body.rest.Read(buffer)
 	r.body.setReadDeadline(time.Time{})
-	if err != nil && err != io.EOF && err != errBodyTooLarge {
-		err = errBodyBroken // the caller's fault, whatever it was
+	if err != nil && err != io.EOF {
+		err = callersError(err)
 	}
 	return count, err
 }
@@ -118,11 +151,14 @@
 	}
 }
 
-// end lets the caller's connection alone from now on: a server that answered
-// early may still be sent the rest.
+// end lets the caller's connection alone from now on, since a server that
+// answered early may still be sent the rest, and gives the memory back.
 func (b *body) end() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.ended && b.memory != nil {
+		b.memory.Release(b.held)
+	}
 	b.ended = true
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/zeebo/errs"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/keyspace"
@@ -148,7 +149,7 @@
 
 // readBody reads the body ahead: as far as it is kept for another try, or
 // whole for a request whose digest is needed.
-func (c *call) readBody(writer http.ResponseWriter, whole bool) *refusal {
+func (c *call) readBody(writer http.ResponseWriter, whole bool, memory *semaphore.Weighted) *refusal {
 	limit := c.route.service.Limits.MaxBodyBytes
 	if limit == 0 {
 		limit = defaultMaxBody
@@ -157,13 +158,15 @@
 	if whole {
 		keep = limit
 	}
-	read, err := readBody(writer, c.request, limit, keep)
+	read, err := readBody(writer, c.request, limit, keep, memory)
 	switch err {
 	case nil:
 		c.body = read
 		return nil
 	case errBodyTooLarge:
 		return notRun(wire.ReasonTooLarge)
+	case errBodyMemory:
+		return notRun(wire.ReasonQueueFull)
 	default:
 		return notRun(wire.ReasonMalformed)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/ledgernode"
@@ -63,9 +64,11 @@
 	// lastHeard is when a controller was last heard, on the clock (Upper).
 	lastHeard atomic.Int64
 	callers   *openConns
-	ledger    *ledgernode.Node
-	stopping  chan struct{}
-	stopOnce  sync.Once
+	// bodies is the memory for callers' bodies.
+	bodies   *semaphore.Weighted
+	ledger   *ledgernode.Node
+	stopping chan struct{}
+	stopOnce sync.Once
 }
 
 // Times of the gateway's connections.
@@ -94,6 +97,7 @@
 		listen:   dependencies.Listen,
 		tables:   newTables(config.Cell),
 		callers:  &openConns{open: map[net.Conn]struct{}{}},
+		bodies:   semaphore.NewWeighted(bodyMemory),
 		stopping: make(chan struct{}),
 	}
 	gateway.backends = newBackends(dependencies.Dial, metrics)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -20,7 +20,7 @@
 	}
 	key, refused := made.idempotencyKey()
 	if refused == nil {
-		refused = made.readBody(writer, key != "")
+		refused = made.readBody(writer, key != "", g.bodies)
 	}
 	if refused != nil {
 		g.refuse(writer, id, refused)
--- a/internal/gateway/hostile_test.go
+++ b/internal/gateway/hostile_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/sync/semaphore"
 	"gotest.tools/v3/assert"
 
 	"github.com/shalefork/shalefork/internal/bundle"
@@ -211,3 +212,27 @@
 		assert.Equal(t, time.Since(began), time.Duration(0))
 	})
 }
+
+// The bodies that a gateway holds are bounded together, by what was read of
+// them: one that is refused, answered or broken gives its memory back.
+func TestBodiesAreBounded(t *testing.T) {
+	inCell(t, func(c *cell) {
+		release := make(chan struct{})
+		c.serve("w1:1", echo(func(http.ResponseWriter, *http.Request) { <-release }))
+		c.gateway("g1")
+		gateway := c.gateways["g1"]
+		gateway.bodies = semaphore.NewWeighted(100)
+		c.controller.publish(tableOf(1, []bundle.Service{keyedService("book", false)}, "w1"))
+		sixty := strings.Repeat("x", 60)
+		first := make(chan answer)
+		go func() { first <- c.ask("POST", "/book/r7", sixty) }()
+		synctest.Wait()
+		c.ask("POST", "/book/r7", sixty).refused(t, 429, wire.OutcomeNotRun, wire.ReasonQueueFull)
+		c.rawAsk("POST /book/r7 HTTP/1.1\r\nHost: g1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nno chunk\r\n").
+			refused(t, 400, wire.OutcomeNotRun, wire.ReasonMalformed)
+		close(release)
+		assert.Equal(t, (<-first).status, 200)
+		synctest.Wait()
+		assert.Assert(t, gateway.bodies.TryAcquire(100), "memory was not given back")
+	})
+}
