Refuse a path whose key a server may count to another segment

Cause: the gateway tells segments apart before it unescapes them. In /book/a%2Fr8/r7 with the key in segment 3 it took r7 and asked its owner, while a server that unescapes first, as by URL.Path, sees r8: work on r8 at a server that does not own it. Empty segments likewise, where slashes are joined.

Change: such a request has no key. Seen failing before: TestPathThatIsReadInTwoWaysHasNoKey. Passing after: go test ./internal/gateway.

--- a/internal/gateway/hostile_test.go
+++ b/internal/gateway/hostile_test.go
@@ -236,3 +236,21 @@
 		assert.Assert(t, gateway.bodies.TryAcquire(100), "memory was not given back")
 	})
 }
+
+// Where a server unescapes or joins slashes before it counts segments, the key
+// is another one there. An escaped slash within the key itself is the key's.
+func TestPathThatIsReadInTwoWaysHasNoKey(t *testing.T) {
+	inCell(t, func(c *cell) {
+		var key string
+		c.serve("w1:1", echo(func(_ http.ResponseWriter, request *http.Request) { key = request.Header.Get(wire.HeaderKey) }))
+		c.gateway("g1")
+		service := keyedService("book", false)
+		service.Key.PathSegment = 3
+		c.controller.publish(tableOf(1, []bundle.Service{service}, "w1"))
+		for _, path := range []string{"/book/a%2Fr8/r7", "/book%2fr8/a/r7", "/book//r7", "/book/a//r7"} {
+			c.ask("POST", path, "x").refused(t, 400, wire.OutcomeNotRun, wire.ReasonNoKey)
+		}
+		assert.Equal(t, c.ask("POST", "/book/a/riad%2F7/confirm", "x").status, 200)
+		assert.Equal(t, key, "riad/7")
+	})
+}
--- a/internal/gateway/key.go
+++ b/internal/gateway/key.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 
 	"github.com/shalefork/shalefork/internal/bundle"
@@ -44,16 +45,25 @@
 }
 
 // pathSegment returns the segment counted from 1. Segments are told apart
-// before they are unescaped, so that an escaped slash belongs to its segment.
+// before they are unescaped, so that an escaped slash belongs to its segment. A
+// segment before it must have none and not be empty: a server that unescapes
+// first, or joins slashes, would count to another one.
 func pathSegment(escaped string, number int) (string, bool) {
 	segments := strings.Split(strings.TrimPrefix(escaped, "/"), "/")
 	if number > len(segments) {
 		return "", false
 	}
+	if slices.ContainsFunc(segments[:number-1], isAmbiguous) {
+		return "", false
+	}
 	segment, err := url.PathUnescape(segments[number-1])
 	return segment, err == nil
 }
 
+func isAmbiguous(segment string) bool {
+	return segment == "" || strings.Contains(strings.ToLower(segment), "%2f")
+}
+
 // only returns the value if all are the same: with two, gateway and server
 // might each take another.
 func only(values []string) (string, bool) {
