Let an address have one form only

Cause: addresses were compared across teams and with known servers as they were written, and within a bundle by their value. "[0:0:0:0:0:0:0:1]:80" and "[::1]:80" in bundles of two teams made one process two servers with two leases, each of which replaces the other's grants.

Change: the check asks for the shortest form. Seen failing before: semantic.yaml reported nothing of it (its golden file has one line more). Passing after: go test ./internal/bundle.

--- a/internal/bundle/check_service.go
+++ b/internal/bundle/check_service.go
@@ -83,7 +83,8 @@
 }
 
 // checkAddresses finds addresses that two back ends of the bundle share, and
-// those that are no IP number: the system resolves no names.
+// those that are no IP number: the system resolves no names. Each has one form
+// only, since teams and servers are compared by it.
 func (c *checker) checkAddresses() {
 	addresses := newUnique(c, "address")
 	for i, service := range c.bundle.Services {
@@ -94,6 +95,9 @@
 				c.report(path, "expected an address as IP:PORT")
 				continue
 			}
+			if parsed.String() != backend.Address {
+				c.report(path, "expected the shortest form, %s", parsed)
+			}
 			addresses.add(path, parsed.String())
 		}
 	}
