Drop a handler's own words on outcomes in whatever letters

Cause: only the canonical names were removed from a handler's headers. One set by the map in small letters went out, and the gateway took "not-run" from a request that ran and sent it again; a request id or Shalefork-Draining likewise.

Change: the names are compared without regard to case, request id and draining among them. Seen failing before: TestHandlersHeadersSayNothingOfTheOutcome. Passing after: go test ./ownership.

--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -145,6 +145,25 @@
 	})
 }
 
+// A handler cannot say by a header of its own, in whatever letters, that what
+// ran did not run, nor answer for another request.
+func TestHandlersHeadersSayNothingOfTheOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, func(writer http.ResponseWriter, _ *http.Request) {
+			for _, name := range []string{"shalefork-outcome", "Shalefork-Outcome", "SHALEFORK-REASON", "shalefork-request-id", "shalefork-draining"} {
+				writer.Header()[name] = []string{"not-run"}
+			}
+			_, _ = writer.Write([]byte("ran"))
+		})
+		b.grant(1, wire.SliceServing)
+		recorder := b.do(http.MethodPost, "/tables", nil, routed())
+		for name, values := range recorder.Header() {
+			assert.Assert(t, values[0] != "not-run", name)
+		}
+		assert.Equal(t, recorder.Header().Get(wire.HeaderRequestID), "r1")
+	})
+}
+
 func TestEndOfGrantCancelsAndVoidsTheEffect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
--- a/ownership/writer.go
+++ b/ownership/writer.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 
 	"github.com/shalefork/shalefork/internal/wire"
 )
@@ -55,11 +57,24 @@
 		w.replace(reason)
 		return
 	}
-	w.Header().Del(wire.HeaderOutcome)
-	w.Header().Del(wire.HeaderReason)
+	dropOwnHeaders(w.Header())
 	w.begin(status)
 }
 
+// ownHeaders are those that only the owner sets.
+var ownHeaders = []string{wire.HeaderOutcome, wire.HeaderReason, wire.HeaderRequestID, wire.HeaderDraining}
+
+// dropOwnHeaders removes them in whatever letters a handler set them: to the
+// gateway all are the same.
+func dropOwnHeaders(header http.Header) {
+	for name := range header {
+		isOwn := func(own string) bool { return strings.EqualFold(name, own) }
+		if slices.ContainsFunc(ownHeaders, isOwn) {
+			delete(header, name)
+		}
+	}
+}
+
 // Write writes the handler's answer, or drops it if it was replaced.
 func (w *responseWriter) Write(data []byte) (int, error) {
 	if !w.wroteHeader {
