Bind a roll to its cell, and keep reads from locking operators out

A signed roll named no cell, so that within a minute it could be sent to another cell with the same operators and an approved version of the same number. The open reads of the admin API shared one limit with the writes, so a flood of reads refused operators. Ruled out: signing the address of the controller, which any controller of the cell must be able to take. Change: Roll.Cell is checked; reads and the writes of known operators have limits of their own. Seen failing first: TestOperatorsRace lacked the refusal of the other cell, TestReadsDoNotLockOperatorsOut could not write. Both pass now, with the controller's and operators' tests.

--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -59,6 +59,9 @@
 
 // Roll puts an approved version into force.
 type Roll struct {
+	// Cell is the one to roll it in. Without it the signed request could be
+	// sent to another cell that knows the operator and has the version too.
+	Cell    bundle.CellName `json:"cell"`
 	Team    bundle.TeamName `json:"team"`
 	Version bundle.Version  `json:"version"`
 	Time    time.Time       `json:"time"`
--- a/internal/controller/admin.go
+++ b/internal/controller/admin.go
@@ -14,7 +14,7 @@
 // service is down.
 const platformRetryAfter = 5
 
-// Limits of the admin API's requests a second, which need no token.
+// Limits of the admin API's reads, and of its writes, a second.
 const (
 	adminRate  = 50
 	adminBurst = 100
@@ -27,26 +27,30 @@
 // the truth of a team's versions is its head in the platform's service, one a cell,
 // which is moved by compare-and-swap only.
 func (c *Controller) handleAdmin(mux *http.ServeMux) {
-	mux.HandleFunc("POST "+adminapi.PathPropose, c.limited(c.adminWrite(c.propose)))
-	mux.HandleFunc("POST "+adminapi.PathApprove, c.limited(c.adminWrite(c.approve)))
-	mux.HandleFunc("POST "+adminapi.PathRoll, c.limited(c.adminWrite(c.roll)))
-	mux.HandleFunc("GET "+adminapi.PathBundle, c.limited(c.serveBundle))
-	mux.HandleFunc("GET "+adminapi.PathHistory, c.limited(c.serveHistory))
-	mux.HandleFunc("GET "+adminapi.PathStatus, c.limited(c.serveStatus))
+	mux.HandleFunc("POST "+adminapi.PathPropose, c.adminWrite(c.propose))
+	mux.HandleFunc("POST "+adminapi.PathApprove, c.adminWrite(c.approve))
+	mux.HandleFunc("POST "+adminapi.PathRoll, c.adminWrite(c.roll))
+	mux.HandleFunc("GET "+adminapi.PathBundle, c.adminRead(c.serveBundle))
+	mux.HandleFunc("GET "+adminapi.PathHistory, c.adminRead(c.serveHistory))
+	mux.HandleFunc("GET "+adminapi.PathStatus, c.adminRead(c.serveStatus))
 }
 
-// limited answers 429 to requests beyond the limit.
-func (c *Controller) limited(next http.HandlerFunc) http.HandlerFunc {
+// adminRead serves an open read within the limit of all open reads.
+func (c *Controller) adminRead(next http.HandlerFunc) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
-		if !c.adminLimit.Allow() {
-			writer.Header().Set("Retry-After", "1")
-			http.Error(writer, "too many requests", http.StatusTooManyRequests)
+		if !c.readLimit.Allow() {
+			tooMany(writer)
 			return
 		}
 		next(writer, request)
 	}
 }
 
+func tooMany(writer http.ResponseWriter) {
+	writer.Header().Set("Retry-After", "1")
+	http.Error(writer, "too many requests", http.StatusTooManyRequests)
+}
+
 func (c *Controller) adminWrite(step adminStep) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
 		write, failure := c.authenticate(request)
@@ -54,6 +58,11 @@
 			c.fail(writer, failure)
 			return
 		}
+		// Only known operators use this limit up.
+		if !c.writeLimit.Allow() {
+			tooMany(writer)
+			return
+		}
 		status, failure := step(request, write)
 		if failure != nil {
 			c.fail(writer, failure)
--- a/internal/controller/admin_steps.go
+++ b/internal/controller/admin_steps.go
@@ -90,6 +90,9 @@
 	if failure := firstFailure(checkTime(asked.Time), write.checkTeam(asked.Team)); failure != nil {
 		return adminapi.BundleStatus{}, failure
 	}
+	if asked.Cell != c.settings.Cell {
+		return adminapi.BundleStatus{}, invalid("the request is for cell %q; this controller is of cell %q", asked.Cell, c.settings.Cell)
+	}
 	return c.step(request.Context(), asked.Team, func(head lifecycle.Head) (lifecycle.Head, lifecycle.Outcome) {
 		return lifecycle.Roll(head, asked.Version, write.operator)
 	})
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -68,8 +68,10 @@
 	view     atomic.Pointer[view]
 	// following says that this standby hears a member's table stream.
 	following atomic.Bool
-	// adminLimit bounds the requests of the admin API, which need no token.
-	adminLimit *rate.Limiter
+	// readLimit bounds the admin API's reads, which need no secret, and
+	// writeLimit its writes by known operators.
+	readLimit  *rate.Limiter
+	writeLimit *rate.Limiter
 
 	// tasks are the short-lived goroutines that the loop has started.
 	tasks sync.WaitGroup
@@ -100,7 +102,8 @@
 
 		presenceNow: make(chan struct{}, 1),
 	}
-	c.adminLimit = rate.NewLimiter(adminRate, adminBurst)
+	c.readLimit = rate.NewLimiter(adminRate, adminBurst)
+	c.writeLimit = rate.NewLimiter(adminRate, adminBurst)
 	c.gatherer, _ = dependencies.Registerer.(prometheus.Gatherer)
 	if c.random == nil {
 		c.random = rand.Uint64
--- a/internal/controller/scenarios_test.go
+++ b/internal/controller/scenarios_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -170,12 +171,13 @@
 		_, failure := s.write(s.leader(), "karim", adminapi.PathPropose, adminapi.Propose{Bundle: second, Time: now})
 		s.note("  refused: %s: version %d is of %s", failure.Code, failure.Winner.Version, failure.Winner.ProposedBy)
 		s.note("others try")
-		s.report(s.write(s.leader(), "amina", adminapi.PathRoll, adminapi.Roll{Team: testTeam, Version: 2, Time: now}))
-		s.report(s.write(s.leader(), "amina", adminapi.PathRoll, adminapi.Roll{Team: testTeam, Version: 2, Time: now.Add(-2 * time.Minute)}))
+		s.report(s.write(s.leader(), "amina", adminapi.PathRoll, adminapi.Roll{Cell: testCell, Team: testTeam, Version: 2, Time: now}))
+		s.report(s.write(s.leader(), "amina", adminapi.PathRoll, adminapi.Roll{Cell: testCell, Team: testTeam, Version: 2, Time: now.Add(-2 * time.Minute)}))
+		s.report(s.write(s.leader(), "amina", adminapi.PathRoll, adminapi.Roll{Cell: "rabat", Team: testTeam, Version: 2, Time: now}))
 		s.operators["mallory"] = s.operators["amina"]
-		s.report(s.write(s.leader(), "mallory", adminapi.PathRoll, adminapi.Roll{Team: testTeam, Version: 2, Time: now}))
+		s.report(s.write(s.leader(), "mallory", adminapi.PathRoll, adminapi.Roll{Cell: testCell, Team: testTeam, Version: 2, Time: now}))
 		s.operators["karim"] = s.operators["amina"]
-		s.report(s.write(s.leader(), "karim", adminapi.PathRoll, adminapi.Roll{Team: testTeam, Version: 2, Time: now}))
+		s.report(s.write(s.leader(), "karim", adminapi.PathRoll, adminapi.Roll{Cell: testCell, Team: testTeam, Version: 2, Time: now}))
 		s.operators = newOperatorKeys()
 		s.note("roll version 2 through a standby, the first answer is lost")
 		s.store.LoseNextAnswers(1)
@@ -458,3 +460,16 @@
 		})
 	})
 }
+
+// Whoever floods the open reads does not keep operators from writing.
+func TestReadsDoNotLockOperatorsOut(t *testing.T) {
+	runSession(t, func(s *session) {
+		s.bootCell(3)
+		last := http.StatusOK
+		for range 2 * adminBurst {
+			last = s.call(s.leader(), http.MethodGet, adminapi.PathStatus, nil).Code
+		}
+		assert.Equal(t, last, http.StatusTooManyRequests)
+		s.rollOut(s.leader(), testBundle(2))
+	})
+}
--- a/internal/controller/session_test.go
+++ b/internal/controller/session_test.go
@@ -377,7 +377,7 @@
 	s.report(s.write(to, "karim", adminapi.PathApprove, adminapi.Approve{
 		Team: offered.Team, Version: offered.Version, Digest: digest, Signature: signature, Time: now,
 	}))
-	s.report(s.write(to, "amina", adminapi.PathRoll, adminapi.Roll{Team: offered.Team, Version: offered.Version, Time: now}))
+	s.report(s.write(to, "amina", adminapi.PathRoll, adminapi.Roll{Cell: testCell, Team: offered.Team, Version: offered.Version, Time: now}))
 }
 
 func (s *session) report(status adminapi.BundleStatus, failure adminapi.Failure) {
--- a/internal/operator/bundle.go
+++ b/internal/operator/bundle.go
@@ -115,7 +115,11 @@
 
 // Roll puts an approved version into force and waits for it.
 func Roll(ctx context.Context, output Output, client *Client, identity Identity, roll RollRequest) ExitCode {
-	message := adminapi.Roll{Team: roll.Team, Version: roll.Version, Time: time.Now()}
+	cell, err := client.Status(ctx)
+	if err != nil {
+		return output.Fail(err)
+	}
+	message := adminapi.Roll{Cell: cell.Cell, Team: roll.Team, Version: roll.Version, Time: time.Now()}
 	var status adminapi.BundleStatus
 	if err := client.write(ctx, identity, adminapi.PathRoll, message, &status); err != nil {
 		return output.Fail(err)
--- a/test/session/operators_test.go
+++ b/test/session/operators_test.go
@@ -95,7 +95,7 @@
 }
 
 func (s *system) rollVersion(to *controllerProcess, version bundle.Version) (adminapi.BundleStatus, adminapi.Failure) {
-	return s.write(to, "amina", adminapi.PathRoll, adminapi.Roll{Team: teamName, Version: version, Time: time.Now()})
+	return s.write(to, "amina", adminapi.PathRoll, adminapi.Roll{Cell: cellName, Team: teamName, Version: version, Time: time.Now()})
 }
 
 // roll takes a bundle through its three steps, each of them until it is taken.
