--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -130,13 +130,32 @@
 
 func TestRollThatIsRefusedFails(t *testing.T) {
 	refused := adminapi.BundleStatus{Team: "tawila", Version: 1, State: adminapi.StateRefused, Reason: "no-place"}
-	client := serve(t, http.StatusOK, refused, ignore)
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == adminapi.PathStatus {
+			_ = json.NewEncoder(writer).Encode(adminapi.Status{Cell: "casablanca"})
+			return
+		}
+		if request.URL.Path == adminapi.PathRoll {
+			assert.Check(t, rollIn(t, request).Cell == "casablanca")
+		}
+		_ = json.NewEncoder(writer).Encode(refused)
+	}))
+	t.Cleanup(server.Close)
+	client := NewClient([]string{strings.TrimPrefix(server.URL, "http://")}, testToken)
 	roll := RollRequest{Team: "tawila", Version: 1, Wait: time.Minute}
 	shown := &console{}
 	assert.Equal(t, Roll(context.Background(), shown.output(), client, newIdentity(t), roll), ExitRefused)
 	assert.Assert(t, strings.Contains(shown.result.String(), "no-place"))
 }
 
+func rollIn(t *testing.T, request *http.Request) adminapi.Roll {
+	var signed adminapi.Signed
+	var roll adminapi.Roll
+	assert.Check(t, json.NewDecoder(request.Body).Decode(&signed))
+	assert.Check(t, json.Unmarshal(signed.Body, &roll))
+	return roll
+}
+
 func TestStatusTable(t *testing.T) {
 	var status adminapi.Status
 	assert.NilError(t, json.Unmarshal(golden.Get(t, "status.json"), &status))
