--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -157,8 +157,8 @@
 	{
 		name: "table-stream-without-a-leader",
 		file: "internal/controller/table_stream.go",
-		old:  "			if s.controller.hearsLeader() && s.write(s.heartbeat()) != nil {",
-		new:  "			if s.write(s.heartbeat()) != nil {",
+		old:  "(s.controller.hearsLeader() && s.write(s.heartbeat()) != nil)",
+		new:  "s.write(s.heartbeat()) != nil",
 		pkg:  "./test/session", test: "TestFailure/leader_cut_off_from_the_majority_only",
 	},
 }
