Wire the flags of commands that take the same arguments once

Cause: five of the operators' commands repeated the same ten lines of flags and client. Change: signedFileCommand, teamCommand and readCommand; a command is its name, its help and its action. Flags, order and help are as before. Ran: go test ./cmd/shalefork.

--- a/cmd/shalefork/operators.go
+++ b/cmd/shalefork/operators.go
@@ -94,27 +94,27 @@
 }
 
 func bundleProposeCommand() cli.Command {
-	var file string
-	flags := &signingFlags{}
 	subcommand := cli.NewSubcommand("propose", "Offer a bundle as the team's next version.")
-	subcommand.AddPositionalValue(&file, "file", 1, true, "The bundle, YAML")
-	flags.attach(subcommand)
-	return cli.Command{Subcommand: subcommand, Run: func(ctx context.Context) cli.ExitCode {
-		return flags.run(func(output operator.Output, client *operator.Client, identity operator.Identity) operator.ExitCode {
-			return operator.Propose(ctx, output, client, identity, file)
-		})
-	}}
+	return signedFileCommand(subcommand, "The bundle, YAML", operator.Propose)
 }
 
 func bundleApproveCommand() cli.Command {
+	subcommand := cli.NewSubcommand("approve", "Sign off a proposed version; another operator than its proposer.")
+	return signedFileCommand(subcommand, "The bundle as reviewed, YAML", operator.Approve)
+}
+
+// signedAction does something with a bundle's file in an operator's name.
+type signedAction func(ctx context.Context, output operator.Output, client *operator.Client, identity operator.Identity, file string) operator.ExitCode
+
+// signedFileCommand is a command that takes a bundle's file and signs.
+func signedFileCommand(subcommand *flaggy.Subcommand, fileHelp string, action signedAction) cli.Command {
 	var file string
 	flags := &signingFlags{}
-	subcommand := cli.NewSubcommand("approve", "Sign off a proposed version; another operator than its proposer.")
-	subcommand.AddPositionalValue(&file, "file", 1, true, "The bundle as reviewed, YAML")
+	subcommand.AddPositionalValue(&file, "file", 1, true, fileHelp)
 	flags.attach(subcommand)
 	return cli.Command{Subcommand: subcommand, Run: func(ctx context.Context) cli.ExitCode {
 		return flags.run(func(output operator.Output, client *operator.Client, identity operator.Identity) operator.ExitCode {
-			return operator.Approve(ctx, output, client, identity, file)
+			return action(ctx, output, client, identity, file)
 		})
 	}}
 }
@@ -141,38 +141,42 @@
 }
 
 func bundleStatusCommand() cli.Command {
-	var team string
-	flags := &adminFlags{}
 	subcommand := cli.NewSubcommand("status", "Show a team's newest version and its state.")
-	subcommand.AddPositionalValue(&team, "team", 1, true, "The team")
-	flags.attach(subcommand)
-	return cli.Command{Subcommand: subcommand, Run: func(ctx context.Context) cli.ExitCode {
-		return flags.run(func(output operator.Output, client *operator.Client) operator.ExitCode {
-			return operator.BundleStatus(ctx, output, client, bundle.TeamName(team))
-		})
-	}}
+	return teamCommand(subcommand, operator.BundleStatus)
 }
 
 func bundleHistoryCommand() cli.Command {
-	var team string
-	flags := &adminFlags{}
 	subcommand := cli.NewSubcommand("history", "Show all versions of a team.")
+	return teamCommand(subcommand, operator.BundleHistory)
+}
+
+// teamAction shows something of a team.
+type teamAction func(ctx context.Context, output operator.Output, client *operator.Client, team bundle.TeamName) operator.ExitCode
+
+// teamCommand is a command that takes a team's name and signs nothing.
+func teamCommand(subcommand *flaggy.Subcommand, action teamAction) cli.Command {
+	var team string
 	subcommand.AddPositionalValue(&team, "team", 1, true, "The team")
-	flags.attach(subcommand)
-	return cli.Command{Subcommand: subcommand, Run: func(ctx context.Context) cli.ExitCode {
-		return flags.run(func(output operator.Output, client *operator.Client) operator.ExitCode {
-			return operator.BundleHistory(ctx, output, client, bundle.TeamName(team))
-		})
-	}}
+	return readCommand(subcommand, func(ctx context.Context, output operator.Output, client *operator.Client) operator.ExitCode {
+		return action(ctx, output, client, bundle.TeamName(team))
+	})
 }
 
 func statusCommand() cli.Command {
-	flags := &adminFlags{}
 	subcommand := cli.NewSubcommand("status", "Show who owns what, the leases, the replicas and the back ends.")
+	return readCommand(subcommand, operator.Status)
+}
+
+// readAction asks the controllers for something and shows it.
+type readAction func(ctx context.Context, output operator.Output, client *operator.Client) operator.ExitCode
+
+// readCommand is a command that calls the controllers and signs nothing.
+func readCommand(subcommand *flaggy.Subcommand, action readAction) cli.Command {
+	flags := &adminFlags{}
 	flags.attach(subcommand)
 	return cli.Command{Subcommand: subcommand, Run: func(ctx context.Context) cli.ExitCode {
 		return flags.run(func(output operator.Output, client *operator.Client) operator.ExitCode {
-			return operator.Status(ctx, output, client)
+			return action(ctx, output, client)
 		})
 	}}
 }
