Share one wait and one follower of the table stream

Cause: the wait that ends with a context stood in six packages, and the emulation of standbys kept a copy of the controller's table follower without its check of versions. Ruled out: joining the event loops of controller and lab/scale. They look alike in 14 lines but differ in what they own and in what may be absent. Change: clock.Sleep; cellstate.TableFollower, used by both. The emulated standby now refuses a delta that does not continue its table, as the real one does. Ran: go test of cellstate, clock, platform, lab/scale, controller, gateway, ledgernode, lab/load.

--- a/internal/controller/group.go
+++ b/internal/controller/group.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/shalefork/shalefork/internal/cellstate"
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/consensus"
 	"github.com/shalefork/shalefork/internal/generation"
 	"github.com/shalefork/shalefork/internal/platform"
@@ -27,7 +28,7 @@
 	bootstrap := &bootstrapper{controller: c}
 	for {
 		c.readGroup(ctx, bootstrap)
-		if !sleep(ctx, pollGap) {
+		if !clock.Sleep(ctx, pollGap) {
 			return nil
 		}
 		c.awaitPoll(ctx)
--- a/internal/controller/heads_watch.go
+++ b/internal/controller/heads_watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/platform"
 )
 
@@ -18,7 +19,7 @@
 		if err == nil {
 			r.followHeads(ctx, term, revision)
 		}
-		if !sleep(ctx, rollRetry) {
+		if !clock.Sleep(ctx, rollRetry) {
 			return
 		}
 	}
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -7,6 +7,7 @@
 
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/cellstate"
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/consensus"
 	"github.com/shalefork/shalefork/internal/platform"
 	"github.com/shalefork/shalefork/internal/wire"
@@ -43,7 +44,7 @@
 		if err == nil {
 			revision = changes.Revision
 		}
-		if !sleep(ctx, machinePoll) {
+		if !clock.Sleep(ctx, machinePoll) {
 			return
 		}
 	}
--- a/internal/controller/presence.go
+++ b/internal/controller/presence.go
@@ -160,18 +160,6 @@
 	return best
 }
 
-// sleep waits for d and reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // waking says what ended a wait.
 type waking int
 
--- a/internal/controller/reform.go
+++ b/internal/controller/reform.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/consensus"
 	"github.com/shalefork/shalefork/internal/generation"
 	"github.com/shalefork/shalefork/internal/platform"
@@ -23,7 +24,7 @@
 func (c *Controller) watchForEnd(ctx context.Context) error {
 	for {
 		pause := c.times.reformAfter + time.Duration(c.randomFraction()*float64(c.times.reformAfter)/2)
-		if !sleep(ctx, pause) {
+		if !clock.Sleep(ctx, pause) {
 			return nil
 		}
 		if c.suspectsEnd() {
@@ -189,7 +190,7 @@
 // waitUntil waits until the clock has surely passed the instant.
 func (c *Controller) waitUntil(ctx context.Context, until time.Duration) bool {
 	for !c.clock.Now().SurelyReached(until) {
-		if !sleep(ctx, max(time.Millisecond, until-c.clock.Now().Lower)) {
+		if !clock.Sleep(ctx, max(time.Millisecond, until-c.clock.Now().Lower)) {
 			return false
 		}
 	}
--- a/internal/controller/servers_test.go
+++ b/internal/controller/servers_test.go
@@ -75,7 +75,7 @@
 // fence of a slice never falls.
 func (s *session) watchOwners(ctx context.Context) {
 	fences := map[string]wire.Fence{}
-	for sleep(ctx, 5*time.Millisecond) {
+	for clock.Sleep(ctx, 5*time.Millisecond) {
 		var seen []wire.SliceGrant
 		for _, server := range s.servers {
 			for _, grant := range server.serving() {
--- a/internal/controller/table_follow.go
+++ b/internal/controller/table_follow.go
@@ -3,15 +3,13 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/zeebo/xxh3"
 
-	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/cellstate"
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/consensus"
-	"github.com/shalefork/shalefork/internal/keyspace"
 	"github.com/shalefork/shalefork/internal/wire"
 )
 
@@ -24,7 +22,7 @@
 // followed only after all members have been asked to stand in for it.
 func (c *Controller) followTable(ctx context.Context) error {
 	refusals := 0
-	for turn := 0; sleep(ctx, unsettledPoll); turn++ {
+	for turn := 0; clock.Sleep(ctx, unsettledPoll); turn++ {
 		current := c.view.Load()
 		voters := votersOf(current.record.record.Members)
 		if current.member || len(voters) == 0 {
@@ -79,100 +77,17 @@
 	c.following.Store(true)
 	defer c.following.Store(false)
 	lines := wire.NewLineReader(response.Body)
-	follower := &tableFollower{}
+	var follower cellstate.TableFollower
 	for !c.view.Load().member {
 		var update wire.TableUpdate
 		if lines.Read(&update) != nil {
 			return true
 		}
 		silence.Reset(followSilence)
-		if !follower.apply(update) {
+		if !follower.Apply(update) {
 			return true
 		}
-		c.tables.publish(follower.state)
+		c.tables.publish(follower.State())
 	}
 	return true
 }
-
-// tableFollower rebuilds, from a stream, as much of a cell's state as the table
-// shows. It serves for passing the table on, never for deciding.
-type tableFollower struct {
-	state cellstate.State
-}
-
-// apply takes one line in. It returns false for a delta that does not continue
-// the table held; the stream must then be opened again.
-func (f *tableFollower) apply(update wire.TableUpdate) bool {
-	if update.Heartbeat {
-		return true
-	}
-	if update.Snapshot {
-		f.state = cellstate.New(update.Cell, update.Version.Generation)
-	} else if f.state.Version() != update.From {
-		return false
-	}
-	next := f.state.Clone()
-	next.Generation = update.Version.Generation
-	next.Index = update.Version.Index
-	applyBundles(&next, update.Bundles)
-	applyServers(&next, update)
-	next.Assignments = applyAssignments(next.Assignments, update)
-	f.state = next
-	return true
-}
-
-func applyBundles(state *cellstate.State, bundles []bundle.Bundle) {
-	for _, adopted := range bundles {
-		state.Teams[adopted.Team] = cellstate.Team{Bundle: adopted}
-	}
-}
-
-func applyServers(state *cellstate.State, update wire.TableUpdate) {
-	for _, name := range update.RemovedServers {
-		delete(state.Servers, name)
-	}
-	for _, server := range update.Servers {
-		state.Servers[server.Name] = cellstate.Server{
-			Name:        server.Name,
-			Address:     server.Address,
-			Zone:        server.Zone,
-			Slots:       server.Slots,
-			Connections: server.Connections,
-			Draining:    server.Draining,
-		}
-	}
-}
-
-// applyAssignments removes and replaces by exact slice, and keeps the order.
-func applyAssignments(held []cellstate.Assignment, update wire.TableUpdate) []cellstate.Assignment {
-	gone := map[keyspace.Slice]bool{}
-	for _, slice := range update.Removed {
-		gone[slice] = true
-	}
-	for _, entry := range update.Assignments {
-		gone[entry.Slice] = true
-	}
-	var next []cellstate.Assignment
-	for _, assignment := range held {
-		if !gone[assignment.Slice] {
-			next = append(next, assignment)
-		}
-	}
-	for _, entry := range update.Assignments {
-		next = append(next, assignmentOf(entry))
-	}
-	slices.SortFunc(next, func(a, b cellstate.Assignment) int { return cellstate.CompareSlices(a.Slice, b.Slice) })
-	return next
-}
-
-func assignmentOf(entry wire.TableEntry) cellstate.Assignment {
-	return cellstate.Assignment{
-		Slice:   entry.Slice,
-		Owner:   entry.Server,
-		Fence:   entry.Fence,
-		Bundle:  entry.Bundle,
-		State:   entry.State,
-		Shared:  entry.Shared,
-		Refusal: entry.Refusal,
-	}
-}
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/wire"
 )
 
@@ -46,7 +47,7 @@
 		if from.Newer(before) {
 			pause = firstTablePause
 		}
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 	}
 	return nil
 }
@@ -136,13 +137,3 @@
 	}
 	return g.clock.Now().Upper-time.Duration(g.lastHeard.Load()) > limit
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/lab/load/operation.go
+++ b/internal/lab/load/operation.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/lab/history"
 	"github.com/shalefork/shalefork/internal/wire"
 )
@@ -49,7 +50,7 @@
 			c.report.finished(operation, attempt, true)
 			return
 		}
-		if attempt.final() || !sleep(ctx, c.pause(attempt)) {
+		if attempt.final() || !clock.Sleep(ctx, c.pause(attempt)) {
 			c.report.finished(operation, attempt, false)
 			return
 		}
@@ -174,15 +175,3 @@
 		return last.retryAfter
 	}
 }
-
-// sleep reports whether the whole time passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/lab/history"
 )
 
@@ -72,7 +73,7 @@
 	nextPull := begin
 	for {
 		next = next.Add(time.Duration(c.random.ExpFloat64() / c.config.Rate * float64(time.Second)))
-		if next.After(end) || !sleep(ctx, time.Until(next)) {
+		if next.After(end) || !clock.Sleep(ctx, time.Until(next)) {
 			return
 		}
 		target := c.mix.pick(c.random)
--- a/internal/lab/scale/real.go
+++ b/internal/lab/scale/real.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/lab/demo"
 )
 
@@ -121,14 +122,10 @@
 }
 
 func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !clock.Sleep(ctx, d) {
 		return Error.Wrap(ctx.Err())
 	}
+	return nil
 }
 
 // sampleAll reads the kernel's files of all members at once, so that the reading
--- a/internal/lab/scale/sizes.go
+++ b/internal/lab/scale/sizes.go
@@ -123,9 +123,9 @@
 	return routes
 }
 
-func followerOf(snapshot []byte) *tableFollower {
-	follower := &tableFollower{}
-	follower.apply(decode[wire.TableUpdate](snapshot))
+func followerOf(snapshot []byte) *cellstate.TableFollower {
+	follower := &cellstate.TableFollower{}
+	follower.Apply(decode[wire.TableUpdate](snapshot))
 	return follower
 }
 
--- a/internal/lab/scale/standby.go
+++ b/internal/lab/scale/standby.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/shalefork/shalefork/internal/cellstate"
 	"github.com/shalefork/shalefork/internal/wire"
 )
 
@@ -10,7 +11,7 @@
 // table on to the gateway of its machine.
 type standby struct {
 	*node
-	follower tableFollower
+	follower cellstate.TableFollower
 	streams  tableSource
 	stream   *following
 }
@@ -18,9 +19,9 @@
 func newStandby(on *node) *standby { return &standby{node: on} }
 
 func (s *standby) take(update wire.TableUpdate) {
-	if s.follower.apply(update) {
+	if !update.Heartbeat && s.follower.Apply(update) {
 		s.streams.on = s.node
-		s.streams.publish(s.follower.state)
+		s.streams.publish(s.follower.State())
 	}
 }
 
--- a/internal/ledgernode/tenure.go
+++ b/internal/ledgernode/tenure.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/keyspace"
 	"github.com/shalefork/shalefork/internal/ledger"
 	"github.com/shalefork/shalefork/internal/wire"
@@ -123,7 +124,7 @@
 		}
 		n.metrics.Takeovers.WithLabelValues("incomplete").Inc()
 		t.once.Do(func() { close(t.collected) })
-		pause(ctx, collectPause)
+		clock.Sleep(ctx, collectPause)
 	}
 }
 
@@ -273,12 +274,3 @@
 func compareNames(a, b bundle.ServerName) int {
 	return strings.Compare(string(a), string(b))
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/platform/resolve.go
+++ b/internal/platform/resolve.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/shalefork/shalefork/internal/clock"
 )
 
 // Pauses between the tries of CompareAndSwapResolved.
@@ -38,7 +40,7 @@
 		if !errors.Is(err, ErrUnavailable) {
 			return entry, err
 		}
-		if !sleep(ctx, pause) {
+		if !clock.Sleep(ctx, pause) {
 			return Entry{}, err
 		}
 		pause = min(2*pause, lastPause)
@@ -60,15 +62,3 @@
 		return entry, fmt.Errorf("%w: %s is at revision %d", ErrConflict, write.Key, entry.Revision)
 	}
 }
-
-// sleep waits, and reports false if ctx ended first.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
