Look up a pool's entry in one place

Cause: gateway and its emulated copy had the same search. Ruled out: sharing the whole choice; the emulated one also plays the baselines and has other effects. Change: table.FindServer. Ran: go test of table, gateway, lab/experiment.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/table"
 	"github.com/shalefork/shalefork/internal/wire"
 )
 
@@ -46,7 +47,7 @@
 	held := g.tables.view.Load()
 	entries := held.table.Pool(c.route.name)
 	granted := func(name bundle.ServerName) bool {
-		entry, ok := findShared(entries, name)
+		entry, ok := table.FindServer(entries, name)
 		return ok && entry.State == wire.SliceServing
 	}
 	other := func(name bundle.ServerName) bool { return name != avoid && granted(name) }
@@ -57,7 +58,7 @@
 	if !ok {
 		return choice{why: poolReason(s)}
 	}
-	entry, _ := findShared(entries, name)
+	entry, _ := table.FindServer(entries, name)
 	server, _ := held.table.Server(name)
 	return choice{found: true, to: target{entry: entry, server: server}}
 }
@@ -69,12 +70,3 @@
 	}
 	return wire.ReasonNoBackend
 }
-
-func findShared(entries []wire.TableEntry, name bundle.ServerName) (wire.TableEntry, bool) {
-	for _, entry := range entries {
-		if entry.Server == name {
-			return entry, true
-		}
-	}
-	return wire.TableEntry{}, false
-}
--- a/internal/lab/experiment/choose.go
+++ b/internal/lab/experiment/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/table"
 	"github.com/shalefork/shalefork/internal/wire"
 )
 
@@ -52,14 +53,14 @@
 func (s *service) chooseInPool(c *call) choice {
 	entries := s.gateway.table.Pool(s.name)
 	granted := func(name bundle.ServerName) bool {
-		entry, found := findShared(entries, name)
+		entry, found := table.FindServer(entries, name)
 		return found && entry.State == wire.SliceServing && name != c.avoid
 	}
 	name, found := s.pick(granted)
 	if !found {
 		return choice{why: s.poolReason()}
 	}
-	entry, _ := findShared(entries, name)
+	entry, _ := table.FindServer(entries, name)
 	return choice{found: true, server: name, entry: entry}
 }
 
@@ -87,15 +88,6 @@
 	return wire.ReasonNoBackend
 }
 
-func findShared(entries []wire.TableEntry, name bundle.ServerName) (wire.TableEntry, bool) {
-	for _, entry := range entries {
-		if entry.Server == name {
-			return entry, true
-		}
-	}
-	return wire.TableEntry{}, false
-}
-
 // mayWait returns why a call must not wait, empty if it may.
 func (s *service) mayWait(c *call, made choice) wire.Reason {
 	if len(s.waiting) >= defaultQueue {
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -73,6 +73,17 @@
 	return t.pools[service]
 }
 
+// FindServer returns a server's entry among those of a pool, and false if the
+// server is none of its back ends.
+func FindServer(pool []wire.TableEntry, server bundle.ServerName) (wire.TableEntry, bool) {
+	for _, entry := range pool {
+		if entry.Server == server {
+			return entry, true
+		}
+	}
+	return wire.TableEntry{}, false
+}
+
 // Server returns what is known of a server.
 func (t *Table) Server(name bundle.ServerName) (wire.TableServer, bool) {
 	server, found := t.servers[name]
