--- a/internal/consensus/trace_test.go
+++ b/internal/consensus/trace_test.go
@@ -2,29 +2,18 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/golden"
+
+	"github.com/shalefork/shalefork/internal/lab/tracetest"
 )
 
 // TestTraces replays each script in testdata and compares what the nodes did
 // with the recorded outcome.
 func TestTraces(t *testing.T) {
-	scripts, err := filepath.Glob("testdata/*.script")
-	assert.NilError(t, err)
-	assert.Assert(t, len(scripts) > 0)
-	for _, path := range scripts {
-		name := strings.TrimSuffix(filepath.Base(path), ".script")
-		t.Run(name, func(t *testing.T) {
-			script, err := os.ReadFile(path)
-			assert.NilError(t, err)
-			golden.Assert(t, replay(t, string(script)), name+".golden")
-		})
-	}
+	tracetest.Play(t, replay)
 }
 
 // replay runs a script, one command a line; "#" starts a comment.
--- a/internal/grant/trace_test.go
+++ b/internal/grant/trace_test.go
@@ -2,20 +2,16 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-	"gotest.tools/v3/golden"
-
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/cellstate"
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/grant"
+	"github.com/shalefork/shalefork/internal/lab/tracetest"
 	"github.com/shalefork/shalefork/internal/lease"
 	"github.com/shalefork/shalefork/internal/wire"
 )
@@ -24,20 +20,13 @@
 // and compares what happens with its golden file. A line is "TIME VERB ...",
 // with the time in milliseconds, or as UPPER/LOWER where the clocks disagree.
 func TestTraces(t *testing.T) {
-	scripts, err := filepath.Glob("testdata/*.trace")
-	assert.NilError(t, err)
-	for _, script := range scripts {
-		name := strings.TrimSuffix(filepath.Base(script), ".trace")
-		t.Run(name, func(t *testing.T) {
-			text, err := os.ReadFile(script)
-			assert.NilError(t, err)
-			p := &player{
-				cell: newCell(t, 1), books: map[string]*grant.Book{}, ends: map[string]time.Duration{},
-				holders: map[string]*lease.Holder{}, messages: map[string]*traceMessage{},
-			}
-			golden.Assert(t, p.play(string(text)), name+".golden")
-		})
-	}
+	tracetest.Play(t, func(t *testing.T, script string) string {
+		p := &player{
+			cell: newCell(t, 1), books: map[string]*grant.Book{}, ends: map[string]time.Duration{},
+			holders: map[string]*lease.Holder{}, messages: map[string]*traceMessage{},
+		}
+		return p.play(script)
+	})
 }
 
 type traceMessage struct {
--- a/internal/lease/trace_test.go
+++ b/internal/lease/trace_test.go
@@ -1,22 +1,19 @@
 package lease_test
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/golden"
 
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/keyspace"
+	"github.com/shalefork/shalefork/internal/lab/tracetest"
 	"github.com/shalefork/shalefork/internal/lease"
 	"github.com/shalefork/shalefork/internal/wire"
 )
@@ -25,15 +22,7 @@
 // golden file. "AT VERB name=value ..." is one event; docs of the values are
 // at the methods that parse them.
 func TestTraces(t *testing.T) {
-	scripts, err := filepath.Glob("testdata/*.trace")
-	assert.NilError(t, err)
-	assert.Assert(t, len(scripts) > 0)
-	for _, script := range scripts {
-		name := strings.TrimSuffix(filepath.Base(script), ".trace")
-		t.Run(name, func(t *testing.T) {
-			golden.Assert(t, play(t, script), name+".golden")
-		})
-	}
+	tracetest.Play(t, play)
 }
 
 type player struct {
@@ -43,14 +32,10 @@
 }
 
 func play(t *testing.T, script string) string {
-	file, err := os.Open(script)
-	assert.NilError(t, err)
-	defer file.Close()
 	p := player{t: t, holder: lease.NewHolder("casa", "s1"), tickets: map[string]lease.Ticket{}}
 	var out strings.Builder
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		line := lines.Text()
+	for line := range strings.Lines(script) {
+		line = strings.TrimSuffix(line, "\n")
 		fmt.Fprintln(&out, line)
 		if line != "" && !strings.HasPrefix(line, "#") {
 			fmt.Fprintln(&out, "  ->", p.event(line))
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -2,19 +2,17 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/golden"
 	"pgregory.net/rapid"
 
 	"github.com/shalefork/shalefork/internal/adminapi"
 	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/lab/tracetest"
 	"github.com/shalefork/shalefork/internal/lifecycle"
 )
 
@@ -51,23 +49,16 @@
 }
 
 func TestTraces(t *testing.T) {
-	scripts, err := filepath.Glob("testdata/*.trace")
-	assert.NilError(t, err)
-	assert.Assert(t, len(scripts) > 0)
-	for _, script := range scripts {
-		t.Run(filepath.Base(script), func(t *testing.T) {
-			data, err := os.ReadFile(script)
-			assert.NilError(t, err)
-			head := lifecycle.Head{Team: "tawila"}
-			var trace strings.Builder
-			for line := range strings.Lines(string(data)) {
-				var outcome lifecycle.Outcome
-				head, outcome = step(head, line)
-				fmt.Fprintf(&trace, "%s  -> %s %s\n%s", line, outcome.Kind, outcome.Message, describe(head))
-			}
-			golden.Assert(t, trace.String(), filepath.Base(script)+".golden")
-		})
-	}
+	tracetest.Play(t, func(_ *testing.T, script string) string {
+		head := lifecycle.Head{Team: "tawila"}
+		var trace strings.Builder
+		for line := range strings.Lines(script) {
+			var outcome lifecycle.Outcome
+			head, outcome = step(head, line)
+			fmt.Fprintf(&trace, "%s  -> %s %s\n%s", line, outcome.Kind, outcome.Message, describe(head))
+		}
+		return trace.String()
+	})
 }
 
 // Whatever the operators and the cells do, versions rise, the version in force
--- a/internal/placement/trace_test.go
+++ b/internal/placement/trace_test.go
@@ -1,20 +1,17 @@
 package placement
 
 import (
-	"bufio"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/golden"
 
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/keyspace"
+	"github.com/shalefork/shalefork/internal/lab/tracetest"
 )
 
 // TestTraces replays each script in testdata and compares all that it prints.
@@ -26,14 +23,7 @@
 //	leader                 starts a new planner
 //	quick                  lets releases begin and end between two plans
 func TestTraces(t *testing.T) {
-	scripts, err := filepath.Glob("testdata/*.trace")
-	assert.NilError(t, err)
-	for _, script := range scripts {
-		name := filepath.Base(script)
-		t.Run(name, func(t *testing.T) {
-			golden.Assert(t, replay(t, script), strings.TrimSuffix(name, ".trace")+".golden")
-		})
-	}
+	tracetest.Play(t, replay)
 }
 
 type traceRun struct {
@@ -43,13 +33,9 @@
 }
 
 func replay(t *testing.T, script string) string {
-	file, err := os.Open(script)
-	assert.NilError(t, err)
-	defer file.Close()
 	run := &traceRun{t: t}
-	scanner := bufio.NewScanner(file)
-	for scanner.Scan() {
-		line := strings.TrimSpace(scanner.Text())
+	for line := range strings.Lines(script) {
+		line = strings.TrimSpace(line)
 		if line == "" || strings.HasPrefix(line, "#") {
 			continue
 		}
@@ -57,7 +43,6 @@
 		fields := strings.Fields(line)
 		run.step(fields[0], fields[1:])
 	}
-	assert.NilError(t, scanner.Err())
 	return run.output.String()
 }
 
