Name injected faults by the standard term

Change: names and comments only; the soak's word for a busy process reads 'skipped: has a fault already'. Ran: go test of test/session TestFailure/owner_killed and TestFailure/gateway*, lab/demo without its whole cells.

--- a/internal/lab/demo/cluster.go
+++ b/internal/lab/demo/cluster.go
@@ -36,7 +36,7 @@
 	leaving     []history.Leaving
 	// commands counts the operators' commands, to name their logs.
 	commands atomic.Int64
-	// soaking is set while random faults strike.
+	// soaking is set while random faults are injected.
 	soaking *soak
 }
 
--- a/internal/lab/demo/config.go
+++ b/internal/lab/demo/config.go
@@ -39,7 +39,7 @@
 	// Rate of the callers' new operations per second.
 	Rate  float64
 	Break Break
-	// Soak is how long random faults strike; zero plays the fixed steps.
+	// Soak is how long random faults are injected; zero plays the fixed steps.
 	Soak time.Duration
 	// Loss is what is killed Repeat times in place of the fixed steps.
 	Loss   Loss
@@ -67,7 +67,7 @@
 // Bounds of the demonstration.
 const (
 	// timeLimit ends a demonstration that hangs; soakLimit is what random faults
-	// may take besides the time in which they strike.
+	// may take besides the time in which they are injected.
 	timeLimit = 42 * time.Second
 	soakLimit = 75 * time.Second
 	// maxSoak bounds a run with random faults.
--- a/internal/lab/demo/losses.go
+++ b/internal/lab/demo/losses.go
@@ -71,5 +71,5 @@
 		}
 		targets = append(targets, s.byAddress[address])
 	}
-	return strikeAll(targets, func(each *slot) error { return each.kill(ctx, lossAbsent) })
+	return injectAll(targets, func(each *slot) error { return each.kill(ctx, lossAbsent) })
 }
--- a/internal/lab/demo/soak.go
+++ b/internal/lab/demo/soak.go
@@ -28,18 +28,18 @@
 	rolling sync.Mutex
 
 	mu       sync.Mutex
-	struck   []struckTime
+	injected []injectedFault
 	failures []error
 }
 
-// struckTime is when a fault had its effect, on the clock of history.Now.
-type struckTime struct {
+// injectedFault is when a fault had its effect, on the clock of history.Now.
+type injectedFault struct {
 	fault      fault
 	begin, end time.Duration
 }
 
 // errBusy says that another fault has the process already.
-var errBusy = errors.New("skipped: struck already")
+var errBusy = errors.New("skipped: has a fault already")
 
 // soak plays the schedule of the seed and then checks that everything is served
 // again. Failures go to the summary.
@@ -94,7 +94,7 @@
 }
 
 // play runs each fault at its time and waits for the last to be over.
-func (s *soak) play(ctx context.Context, schedule []strike) {
+func (s *soak) play(ctx context.Context, schedule []plannedFault) {
 	begin := time.Now()
 	var running sync.WaitGroup
 	defer running.Wait()
@@ -102,13 +102,13 @@
 		running.Go(func() {
 			pause(ctx, time.Until(begin.Add(next.At)))
 			if ctx.Err() == nil {
-				s.strike(ctx, next)
+				s.inject(ctx, next)
 			}
 		})
 	}
 }
 
-func (s *soak) strike(ctx context.Context, next strike) {
+func (s *soak) inject(ctx context.Context, next plannedFault) {
 	s.progress.say("%s", next)
 	begin := history.Now()
 	err := s.run(ctx, next)
@@ -117,7 +117,7 @@
 		return
 	}
 	s.mu.Lock()
-	s.struck = append(s.struck, struckTime{fault: next.Fault, begin: begin, end: history.Now()})
+	s.injected = append(s.injected, injectedFault{fault: next.Fault, begin: begin, end: history.Now()})
 	s.mu.Unlock()
 	if err != nil && ctx.Err() == nil {
 		s.fail(Error.New("%s: %v", next, err))
--- a/internal/lab/demo/soak_strikes.go
+++ b/internal/lab/demo/soak_inject.go
@@ -21,55 +21,55 @@
 }
 
 // run plays one fault to its end.
-func (s *soak) run(ctx context.Context, next strike) error {
+func (s *soak) run(ctx context.Context, next plannedFault) error {
 	kill := func(each *slot) error { return each.kill(ctx, next.For) }
 	hold := func(each *slot) error { return each.hold(ctx, next.For) }
 	stop := func(each *slot) error { return each.stop(ctx, next.For) }
 	freeze := func(each *slot) error { return s.freeze(ctx, each, next.For) }
 	switch next.Fault {
 	case faultKillServer:
-		return strikeOne(choose(s.workers, next.Choice), kill)
+		return injectOne(choose(s.workers, next.Choice), kill)
 	case faultKillOwner:
-		return strikeOne(s.owner(ctx, next.Choice), kill)
+		return injectOne(s.owner(ctx, next.Choice), kill)
 	case faultPauseServer:
-		return strikeOne(choose(s.workers, next.Choice), hold)
+		return injectOne(choose(s.workers, next.Choice), hold)
 	case faultPauseOwner:
-		return strikeOne(s.owner(ctx, next.Choice), hold)
+		return injectOne(s.owner(ctx, next.Choice), hold)
 	case faultFreezeServer:
-		return strikeOne(choose(s.workers, next.Choice), freeze)
+		return injectOne(choose(s.workers, next.Choice), freeze)
 	case faultStopServer:
-		return strikeOne(choose(s.workers, next.Choice), stop)
+		return injectOne(choose(s.workers, next.Choice), stop)
 	case faultKillGateway:
-		return strikeOne(choose(s.gateways, next.Choice), kill)
+		return injectOne(choose(s.gateways, next.Choice), kill)
 	case faultPauseGateway:
-		return strikeOne(choose(s.gateways, next.Choice), hold)
+		return injectOne(choose(s.gateways, next.Choice), hold)
 	case faultStopGateway:
-		return strikeOne(choose(s.gateways, next.Choice), stop)
+		return injectOne(choose(s.gateways, next.Choice), stop)
 	default:
 		return s.runControl(ctx, next)
 	}
 }
 
 // runControl plays the faults of controllers, platform and operators.
-func (s *soak) runControl(ctx context.Context, next strike) error {
+func (s *soak) runControl(ctx context.Context, next plannedFault) error {
 	kill := func(each *slot) error { return each.kill(ctx, next.For) }
 	hold := func(each *slot) error { return each.hold(ctx, next.For) }
 	stop := func(each *slot) error { return each.stop(ctx, next.For) }
 	switch next.Fault {
 	case faultKillControl:
-		return strikeOne(choose(s.controllers, next.Choice), kill)
+		return injectOne(choose(s.controllers, next.Choice), kill)
 	case faultPauseControl:
-		return strikeOne(choose(s.controllers, next.Choice), hold)
+		return injectOne(choose(s.controllers, next.Choice), hold)
 	case faultStopControl:
-		return strikeOne(choose(s.controllers, next.Choice), stop)
+		return injectOne(choose(s.controllers, next.Choice), stop)
 	case faultKillLeader:
-		return strikeOne(s.members(ctx, next.Choice)[0], kill)
+		return injectOne(s.members(ctx, next.Choice)[0], kill)
 	case faultPauseLeader:
-		return strikeOne(s.members(ctx, next.Choice)[0], hold)
+		return injectOne(s.members(ctx, next.Choice)[0], hold)
 	case faultKillMajority:
-		return strikeAll(s.members(ctx, next.Choice), kill)
+		return injectAll(s.members(ctx, next.Choice), kill)
 	case faultPauseMajority:
-		return strikeAll(s.members(ctx, next.Choice), hold)
+		return injectAll(s.members(ctx, next.Choice), hold)
 	case faultRoll:
 		return s.roll(ctx, next)
 	case faultRace:
@@ -80,7 +80,7 @@
 }
 
 // runPlatform plays one fault of the platform's service and ends it.
-func (s *soak) runPlatform(ctx context.Context, next strike) error {
+func (s *soak) runPlatform(ctx context.Context, next plannedFault) error {
 	share := float64(next.Choice%100) / 100
 	calmLag := bundle.Duration(machineLag)
 	lag := calmLag + bundle.Duration(share*float64(longestLag))
@@ -150,18 +150,18 @@
 	return []*slot{leader, choose(others, choice)}
 }
 
-// strikeOne plays a fault on a process that no other fault has.
-func strikeOne(target *slot, play func(*slot) error) error {
-	return strikeAll([]*slot{target}, play)
+// injectOne plays a fault on a process that no other fault has.
+func injectOne(target *slot, play func(*slot) error) error {
+	return injectAll([]*slot{target}, play)
 }
 
-// strikeAll plays a fault on all of the processes at once.
-func strikeAll(targets []*slot, play func(*slot) error) error {
+// injectAll plays a fault on all of the processes at once.
+func injectAll(targets []*slot, play func(*slot) error) error {
 	for _, target := range targets {
-		if !target.struck.TryLock() {
+		if !target.faulty.TryLock() {
 			return errBusy
 		}
-		defer target.struck.Unlock()
+		defer target.faulty.Unlock()
 	}
 	results := make(chan error, len(targets))
 	for _, target := range targets {
--- a/internal/lab/demo/soak_roll.go
+++ b/internal/lab/demo/soak_roll.go
@@ -15,7 +15,7 @@
 const rollLimit = 12 * time.Second
 
 // roll puts the next version into force, in which another back end leaves.
-func (s *soak) roll(ctx context.Context, next strike) error {
+func (s *soak) roll(ctx context.Context, next plannedFault) error {
 	return s.change(ctx, func(ctx context.Context) error {
 		made, file, err := s.nextBundle(ctx, next.Choice, "roll")
 		if err != nil {
@@ -32,7 +32,7 @@
 
 // race lets two operators propose different contents as the same version. At
 // most one may win; it is rolled.
-func (s *soak) race(ctx context.Context, next strike) error {
+func (s *soak) race(ctx context.Context, next plannedFault) error {
 	return s.change(ctx, func(ctx context.Context) error {
 		_, one, err := s.nextBundle(ctx, next.Choice, "race-1")
 		if err != nil {
--- a/internal/lab/demo/soak_schedule.go
+++ b/internal/lab/demo/soak_schedule.go
@@ -59,29 +59,29 @@
 	calmAfterSoak = 16 * time.Second
 )
 
-// strike is one fault of a schedule.
-type strike struct {
+// plannedFault is one fault of a schedule.
+type plannedFault struct {
 	// At is the time since the callers began.
 	At    time.Duration
 	Fault fault
-	// Choice picks among the processes or variants that the fault can strike.
+	// Choice picks among the processes or variants that the fault can hit.
 	Choice int
 	// For is how long the fault lasts; a killed process is replaced then.
 	For time.Duration
 }
 
-func (s strike) String() string {
+func (s plannedFault) String() string {
 	return fmt.Sprintf("%s (%d) for %s", s.Fault, s.Choice, s.For)
 }
 
 // drawSchedule draws waves of one to three faults until end. It depends on its
 // arguments only.
-func drawSchedule(seed uint64, end time.Duration) []strike {
+func drawSchedule(seed uint64, end time.Duration) []plannedFault {
 	random := rand.New(rand.NewPCG(seed, seed))
-	var schedule []strike
+	var schedule []plannedFault
 	for at := firstWaveAfter; at < end; at += drawBetween(random, shortestGap, longestGap) {
 		for range 1 + random.IntN(mostAtOnce) {
-			schedule = append(schedule, strike{
+			schedule = append(schedule, plannedFault{
 				At:     at + drawBetween(random, 0, spreadOfWave),
 				Fault:  allFaults[random.IntN(len(allFaults))],
 				Choice: random.IntN(1 << 16),
--- a/internal/lab/demo/soak_slot.go
+++ b/internal/lab/demo/soak_slot.go
@@ -19,8 +19,8 @@
 	// metrics is the URL of the counters; empty for servers.
 	metrics string
 
-	// struck is held while a fault has the process.
-	struck sync.Mutex
+	// faulty is held while a fault has the process.
+	faulty sync.Mutex
 
 	mu      sync.Mutex
 	process *process.Process
--- a/internal/lab/demo/soak_stuck.go
+++ b/internal/lab/demo/soak_stuck.go
@@ -31,7 +31,7 @@
 // stuck returns an error for each key that was unserved for too long while the
 // faults of the time do not explain it.
 func (s *soak) stuck(failing []load.Span) []error {
-	excuses := excusesOf(s.struck)
+	excuses := excusesOf(s.injected)
 	var found []error
 	for _, span := range failing {
 		if rest := longestOutside(interval{span.Begin, span.End}, excuses); rest > stuckAfter {
@@ -85,11 +85,11 @@
 
 // excusesOf returns the times in which keys may be unserved for long: a
 // majority of the control group is away, or a gateway that callers wait for. Of
-// faults that strike one controller or the platform's service, two must
+// faults that hit one controller or the platform's service, two must
 // overlap. The result is ordered by begin.
-func excusesOf(struck []struckTime) []interval {
+func excusesOf(injected []injectedFault) []interval {
 	var excuses, single []interval
-	for _, each := range struck {
+	for _, each := range injected {
 		switch each.fault {
 		case faultKillMajority, faultPauseMajority:
 			excuses = append(excuses, interval{each.begin, each.end + replacedAfter})
--- a/internal/lab/demo/soak_test.go
+++ b/internal/lab/demo/soak_test.go
@@ -68,13 +68,13 @@
 		call("a", 0, 4*time.Second, http.StatusServiceUnavailable),
 		call("a", 4*time.Second, 14*time.Second, http.StatusServiceUnavailable),
 	}
-	alone := soak{struck: []struckTime{{faultKillLeader, time.Second, 5 * time.Second}}}
+	alone := soak{injected: []injectedFault{{faultKillLeader, time.Second, 5 * time.Second}}}
 	assert.Equal(t, len(alone.stuck(failingSpans(unserved))), 1)
-	twice := soak{struck: []struckTime{
+	twice := soak{injected: []injectedFault{
 		{faultKillLeader, time.Second, 5 * time.Second},
 		{faultOutage, 2 * time.Second, 6 * time.Second},
 	}}
-	// Both strike from 2 s to 9 s, so 5 s at the end are left.
+	// Both last from 2 s to 9 s, so 5 s at the end are left.
 	assert.Equal(t, len(twice.stuck(failingSpans(unserved))), 0)
 	unserved[1].Answered += time.Second
 	assert.Equal(t, len(twice.stuck(failingSpans(unserved))), 1)
--- a/internal/lab/scale/cell.go
+++ b/internal/lab/scale/cell.go
@@ -39,7 +39,7 @@
 	Still bool `json:"still,omitempty"`
 }
 
-// defaultShape is a cell of today's size in a fleet of the letter's size.
+// defaultShape is a cell of today's size in a fleet of the size in docs/CAPACITY.md.
 func defaultShape() Shape {
 	return Shape{
 		Keyed: 14, Pool: 20, Machines: 34, Gateways: 34, LedgerGateways: 34, Slices: 56,
--- a/internal/lab/scale/sweep.go
+++ b/internal/lab/scale/sweep.go
@@ -44,7 +44,7 @@
 	CoreWithHTTP float64 `json:"core_with_http"`
 }
 
-// sweeps are the quantities that the letter's size is worked out from.
+// sweeps are the quantities that the costs at the size of docs/CAPACITY.md are worked out from.
 func sweeps(overhead Overhead) []Sweep {
 	return []Sweep{
 		sweepOf("keyed servers", []int{7, 14, 28, 56}, overhead, func(s *Shape, value int) { s.Keyed = value }),
--- a/test/session/controllers_test.go
+++ b/test/session/controllers_test.go
@@ -43,8 +43,8 @@
 	cancel context.CancelFunc
 	done   chan error
 
-	// struck says that operators do not reach it.
-	struck bool
+	// unreachable says that operators do not reach it.
+	unreachable bool
 	// known is the status read at readAt: one reading serves a whole instant,
 	// because the admin API bounds its rate.
 	known  adminapi.Status
--- a/test/session/faults_test.go
+++ b/test/session/faults_test.go
@@ -11,9 +11,9 @@
 // fault is one failure, on its own or with another.
 type fault struct {
 	name string
-	// strike induces the failure and returns how it ends.
-	strike func(s *system) (heal func())
-	// lasts is the time from strike to heal.
+	// inject brings the failure about and returns how it ends.
+	inject func(s *system) (heal func())
+	// lasts is the time from injection to heal.
 	lasts time.Duration
 	// carriesOn says that every slice is owned and served again while the
 	// failure lasts.
@@ -147,10 +147,10 @@
 	p := s.gatewayOf(true)
 	s.note("a gateway that owns ledger slices is cut off")
 	s.network.Cut(memnet.Place(p.host))
-	p.struck = true
+	p.unreachable = true
 	return func() {
 		s.note("it is in reach again")
-		p.struck = false
+		p.unreachable = false
 		s.network.Heal(memnet.Place(p.host))
 	}
 }
@@ -159,10 +159,10 @@
 	p := s.gatewayOf(true)
 	s.note("a gateway that owns ledger slices freezes")
 	s.network.Freeze(memnet.Place(p.host))
-	p.struck = true
+	p.unreachable = true
 	return func() {
 		s.note("it goes on with its old table")
-		p.struck = false
+		p.unreachable = false
 		s.network.Thaw(memnet.Place(p.host))
 	}
 }
@@ -194,10 +194,10 @@
 		s.note("%s is cut off from all, the platform's service too", who)
 		s.network.Cut(memnet.Place(p.host))
 		p.link.sever(true)
-		p.struck = true
+		p.unreachable = true
 		return func() {
 			s.note("it is in reach again")
-			p.struck = false
+			p.unreachable = false
 			s.network.Heal(memnet.Place(p.host))
 			p.link.sever(false)
 		}
@@ -211,10 +211,10 @@
 		s.note("%s freezes, and its monotonic clock with it", who)
 		began := s.now()
 		s.network.Freeze(memnet.Place(p.host))
-		p.struck = true
+		p.unreachable = true
 		return func() {
 			s.note("it goes on as if nothing had happened")
-			p.struck = false
+			p.unreachable = false
 			p.clock.stoodStill(s.now() - began)
 			s.network.Thaw(memnet.Place(p.host))
 		}
@@ -293,10 +293,10 @@
 	p, _ := s.pick(true)
 	s.note("the leader does not reach the platform's service, and its lease there lapses")
 	p.link.sever(true)
-	p.struck = true
+	p.unreachable = true
 	return func() {
 		s.note("it reaches the service again")
-		p.struck = false
+		p.unreachable = false
 		p.link.sever(false)
 	}
 }
@@ -314,32 +314,32 @@
 	}
 }
 
-// faults are the failures, in the order of the brief.
+// faults are the failures, by what fails: servers, gateways, controllers, the platform.
 var faults = []fault{
-	{name: "owner killed", strike: killServer("lookup"), lasts: 3 * time.Second, carriesOn: true, allowed: all(2500 * time.Millisecond)},
-	{name: "owner cut off", strike: cutServer("lookup"), lasts: 3 * time.Second, carriesOn: true, allowed: all(2500 * time.Millisecond)},
-	{name: "owner frozen", strike: freezeServer("lookup"), lasts: 3 * time.Second, carriesOn: true, allowed: all(4 * time.Second)},
-	{name: "owner of what runs once killed", strike: killServer("reserve"), lasts: 3 * time.Second, carriesOn: true, allowed: all(2500 * time.Millisecond), unknown: []string{"reserve"}},
-	{name: "owner of what runs once frozen", strike: freezeServer("reserve"), lasts: 3 * time.Second, carriesOn: true, allowed: all(4 * time.Second), unknown: []string{"reserve"}},
-	{name: "owner answers late", strike: lateAnswers("reserve"), lasts: 2 * time.Second, carriesOn: true, allowed: all(6 * time.Second), unknown: []string{"reserve"}},
-	{name: "pool server killed", strike: killServer("booking"), lasts: 3 * time.Second, carriesOn: true, allowed: all(2500 * time.Millisecond), unknown: []string{"booking"}},
-	{name: "pool server cut off", strike: cutServer("booking"), lasts: 3 * time.Second, carriesOn: true, allowed: all(4 * time.Second), unknown: []string{"booking"}},
-	{name: "pool server frozen", strike: freezeServer("booking"), lasts: 4 * time.Second, carriesOn: true, allowed: all(4 * time.Second), unknown: []string{"booking"}},
-	{name: "gateway killed", strike: killGateway, lasts: 4 * time.Second, carriesOn: true, allowed: all(5 * time.Second), unknown: []string{"reserve", "booking"}},
-	{name: "gateway cut off", strike: cutGateway, lasts: 4 * time.Second, carriesOn: true, allowed: all(5 * time.Second), unknown: []string{"reserve", "booking"}},
-	{name: "gateway frozen", strike: freezeGateway, lasts: 4 * time.Second, carriesOn: true, allowed: all(6 * time.Second), unknown: []string{"reserve", "booking"}},
-	{name: "leader killed", strike: killOne(true), lasts: 4 * time.Second, carriesOn: true},
-	{name: "leader cut off", strike: cutOne(true), lasts: 4 * time.Second, carriesOn: true, allowed: all(3500 * time.Millisecond)},
-	{name: "leader frozen", strike: freezeOne(true), lasts: 4 * time.Second, carriesOn: true, allowed: all(3500 * time.Millisecond)},
-	{name: "leader cut off from the majority only", strike: separateLeader, lasts: 4 * time.Second, carriesOn: true, allowed: all(3500 * time.Millisecond)},
-	{name: "follower killed", strike: killOne(false), lasts: 4 * time.Second, carriesOn: true},
-	{name: "follower frozen", strike: freezeOne(false), lasts: 4 * time.Second, carriesOn: true, allowed: all(3500 * time.Millisecond)},
-	{name: "majority killed", strike: killMajority, lasts: time.Second, generation: 2, allowed: all(9 * time.Second), unknown: []string{"reserve", "booking"}},
-	{name: "majority killed in an outage", strike: killMajorityInOutage, lasts: time.Second, generation: 2, refusesRoll: true, allowed: all(9 * time.Second), unknown: []string{"reserve", "booking"}},
-	{name: "platform down", strike: outage, lasts: 12 * time.Second, carriesOn: true, refusesRoll: true},
-	{name: "platform slow", strike: slowPlatform, lasts: 6 * time.Second, carriesOn: true, keepsVersion: true},
-	{name: "answers of the platform lost", strike: lostAnswers, lasts: 6 * time.Second, carriesOn: true, keepsVersion: true},
-	{name: "lease lapsed", strike: lapseLease, lasts: 14 * time.Second, carriesOn: true, keepsVersion: true},
+	{name: "owner killed", inject: killServer("lookup"), lasts: 3 * time.Second, carriesOn: true, allowed: all(2500 * time.Millisecond)},
+	{name: "owner cut off", inject: cutServer("lookup"), lasts: 3 * time.Second, carriesOn: true, allowed: all(2500 * time.Millisecond)},
+	{name: "owner frozen", inject: freezeServer("lookup"), lasts: 3 * time.Second, carriesOn: true, allowed: all(4 * time.Second)},
+	{name: "owner of what runs once killed", inject: killServer("reserve"), lasts: 3 * time.Second, carriesOn: true, allowed: all(2500 * time.Millisecond), unknown: []string{"reserve"}},
+	{name: "owner of what runs once frozen", inject: freezeServer("reserve"), lasts: 3 * time.Second, carriesOn: true, allowed: all(4 * time.Second), unknown: []string{"reserve"}},
+	{name: "owner answers late", inject: lateAnswers("reserve"), lasts: 2 * time.Second, carriesOn: true, allowed: all(6 * time.Second), unknown: []string{"reserve"}},
+	{name: "pool server killed", inject: killServer("booking"), lasts: 3 * time.Second, carriesOn: true, allowed: all(2500 * time.Millisecond), unknown: []string{"booking"}},
+	{name: "pool server cut off", inject: cutServer("booking"), lasts: 3 * time.Second, carriesOn: true, allowed: all(4 * time.Second), unknown: []string{"booking"}},
+	{name: "pool server frozen", inject: freezeServer("booking"), lasts: 4 * time.Second, carriesOn: true, allowed: all(4 * time.Second), unknown: []string{"booking"}},
+	{name: "gateway killed", inject: killGateway, lasts: 4 * time.Second, carriesOn: true, allowed: all(5 * time.Second), unknown: []string{"reserve", "booking"}},
+	{name: "gateway cut off", inject: cutGateway, lasts: 4 * time.Second, carriesOn: true, allowed: all(5 * time.Second), unknown: []string{"reserve", "booking"}},
+	{name: "gateway frozen", inject: freezeGateway, lasts: 4 * time.Second, carriesOn: true, allowed: all(6 * time.Second), unknown: []string{"reserve", "booking"}},
+	{name: "leader killed", inject: killOne(true), lasts: 4 * time.Second, carriesOn: true},
+	{name: "leader cut off", inject: cutOne(true), lasts: 4 * time.Second, carriesOn: true, allowed: all(3500 * time.Millisecond)},
+	{name: "leader frozen", inject: freezeOne(true), lasts: 4 * time.Second, carriesOn: true, allowed: all(3500 * time.Millisecond)},
+	{name: "leader cut off from the majority only", inject: separateLeader, lasts: 4 * time.Second, carriesOn: true, allowed: all(3500 * time.Millisecond)},
+	{name: "follower killed", inject: killOne(false), lasts: 4 * time.Second, carriesOn: true},
+	{name: "follower frozen", inject: freezeOne(false), lasts: 4 * time.Second, carriesOn: true, allowed: all(3500 * time.Millisecond)},
+	{name: "majority killed", inject: killMajority, lasts: time.Second, generation: 2, allowed: all(9 * time.Second), unknown: []string{"reserve", "booking"}},
+	{name: "majority killed in an outage", inject: killMajorityInOutage, lasts: time.Second, generation: 2, refusesRoll: true, allowed: all(9 * time.Second), unknown: []string{"reserve", "booking"}},
+	{name: "platform down", inject: outage, lasts: 12 * time.Second, carriesOn: true, refusesRoll: true},
+	{name: "platform slow", inject: slowPlatform, lasts: 6 * time.Second, carriesOn: true, keepsVersion: true},
+	{name: "answers of the platform lost", inject: lostAnswers, lasts: 6 * time.Second, carriesOn: true, keepsVersion: true},
+	{name: "lease lapsed", inject: lapseLease, lasts: 14 * time.Second, carriesOn: true, keepsVersion: true},
 }
 
 // named returns a fault by its name.
--- a/test/session/gateways_test.go
+++ b/test/session/gateways_test.go
@@ -26,8 +26,8 @@
 	host   string
 	cancel context.CancelFunc
 	done   chan error
-	// struck says that callers do not reach it.
-	struck bool
+	// unreachable says that callers do not reach it.
+	unreachable bool
 }
 
 func gatewayHost(number int) string { return fmt.Sprintf("10.0.2.%d", number) }
@@ -99,7 +99,7 @@
 func (s *system) answering() bool {
 	for number := 1; number <= 3; number++ {
 		p := s.gateways[gatewayHost(number%3+1)]
-		if p == nil || p.struck {
+		if p == nil || p.unreachable {
 			continue
 		}
 		for _, class := range []string{"lookup", "booking"} {
--- a/test/session/operators_test.go
+++ b/test/session/operators_test.go
@@ -131,7 +131,7 @@
 	var reached []*controllerProcess
 	for number := 1; number <= 9; number++ {
 		p := s.controllers[controllerHost(number)]
-		if p != nil && !p.struck {
+		if p != nil && !p.unreachable {
 			reached = append(reached, p)
 		}
 	}
--- a/test/session/single_test.go
+++ b/test/session/single_test.go
@@ -64,7 +64,7 @@
 	expected.prepare(s)
 	var heals []func()
 	for _, failure := range failures {
-		heals = append(heals, failure.strike(s))
+		heals = append(heals, failure.inject(s))
 	}
 	s.pass(rollAfter)
 	rolled := s.rollMeanwhile(expected)
