Call the lab's emulated nodes simulated

Change: words, and the key 'simulated' in the JSON of shalefork-lab scale; figures of CAPACITY.md untouched. Ran: go test ./internal/lab/scale.

--- a/cmd/shalefork-lab/scale.go
+++ b/cmd/shalefork-lab/scale.go
@@ -10,7 +10,7 @@
 
 func scaleCommand() cli.Command {
 	config := scale.DefaultConfig()
-	subcommand := cli.NewSubcommand("scale", "Run hollow nodes beside real ones, and measure what control costs.")
+	subcommand := cli.NewSubcommand("scale", "Run simulated nodes beside real ones, and measure what control costs.")
 	subcommand.UInt64(&config.Seed, "", "seed", "Seed of the emulated runs")
 	subcommand.String(&config.JSON, "j", "json", "Write the whole result to this file as JSON")
 	subcommand.String(&config.Shalefork, "s", "shalefork", "Path of the program shalefork")
--- a/internal/lab/scale/cell.go
+++ b/internal/lab/scale/cell.go
@@ -65,7 +65,7 @@
 // voterCount is the size of a control group.
 const voterCount = 3
 
-// cell is one cell of hollow processes on one scheduler.
+// cell is one cell of simulated processes on one scheduler.
 type cell struct {
 	*simulation.Scheduler
 	shape    Shape
--- a/internal/lab/scale/config.go
+++ b/internal/lab/scale/config.go
@@ -91,7 +91,7 @@
 		{"a cell of processes", func() error { return r.measureReal(ctx, config) }},
 		{"state", func() (err error) { r.Sizes, err = measureSizes(r.Overhead, config.Seed); return err }},
 		{"the ledger", func() error { r.Ledger = measureLedger(r.Overhead); return nil }},
-		{"hollow fleets", func() error { return r.measureFleets(ctx, config) }},
+		{"simulated fleets", func() error { return r.measureFleets(ctx, config) }},
 		{"slopes", func() error { r.Sweeps = sweeps(r.Overhead); return runSweeps(ctx, r.Sweeps, config.Seed) }},
 		{"alternatives", func() (err error) {
 			r.Alternatives, err = runAlternatives(ctx, r.Overhead, r.Compressed, config.Seed)
@@ -140,7 +140,7 @@
 	return nil
 }
 
-// measureReal runs the cell of processes and a hollow one of its shape.
+// measureReal runs the cell of processes and a simulated one of its shape.
 func (r *Result) measureReal(ctx context.Context, config Config) error {
 	if config.SkipReal {
 		return nil
@@ -149,9 +149,9 @@
 	if err != nil {
 		return err
 	}
-	hollow := Point{Shape: realShape(), overhead: r.Overhead}
-	err = runPoints(ctx, []*Point{&hollow}, config.Seed)
-	measured.Hollow = hollow.Costs
+	simulated := Point{Shape: realShape(), overhead: r.Overhead}
+	err = runPoints(ctx, []*Point{&simulated}, config.Seed)
+	measured.Simulated = simulated.Costs
 	r.Real = &measured
 	return err
 }
--- a/internal/lab/scale/network.go
+++ b/internal/lab/scale/network.go
@@ -11,7 +11,7 @@
 // oneWay is the delay of the emulated network, as between Tawila's zones.
 const oneWay = time.Millisecond
 
-// node is one hollow process.
+// node is one simulated process.
 type node struct {
 	account
 	cell    *cell
@@ -30,7 +30,7 @@
 	return clock.Exact(n.cell.Now())
 }
 
-// call is one HTTP exchange between two hollow processes.
+// call is one HTTP exchange between two simulated processes.
 type call struct {
 	part     component
 	from, to *node
--- a/internal/lab/scale/real.go
+++ b/internal/lab/scale/real.go
@@ -35,13 +35,13 @@
 	Requests float64 `json:"requests_per_second"`
 }
 
-// RealCell is a cell of processes, without callers and with them, and a hollow
+// RealCell is a cell of processes, without callers and with them, and a simulated
 // cell of the same shape.
 type RealCell struct {
-	Idle   []RealCost `json:"idle"`
-	Loaded []RealCost `json:"loaded"`
-	Hollow []Cost     `json:"hollow"`
-	Load   string     `json:"load_average"`
+	Idle      []RealCost `json:"idle"`
+	Loaded    []RealCost `json:"loaded"`
+	Simulated []Cost     `json:"simulated"`
+	Load      string     `json:"load_average"`
 }
 
 // realShape is the shape of the demonstration's cell.
--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -73,8 +73,8 @@
 	writeReal(output, r.Idle)
 	fmt.Fprintf(output, "with callers, %d operations a second wanted\n", realRate)
 	writeReal(output, r.Loaded)
-	fmt.Fprintln(output, "a hollow cell of the same shape")
-	writeCosts(output, r.Hollow)
+	fmt.Fprintln(output, "a simulated cell of the same shape")
+	writeCosts(output, r.Simulated)
 }
 
 func writeReal(output io.Writer, costs []RealCost) {
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -91,7 +91,7 @@
 	Took     time.Duration `json:"took_ns"`
 	Emulated time.Duration `json:"emulated_ns"`
 	// Collection is the processor time of the process over that charged to
-	// hollow processes: garbage collection and the emulation itself.
+	// simulated processes: garbage collection and the emulation itself.
 	Collection float64 `json:"process_over_charged"`
 	HeapBytes  uint64  `json:"heap_bytes"`
 }
--- a/internal/lab/scale/server.go
+++ b/internal/lab/scale/server.go
@@ -21,7 +21,7 @@
 	admits(entry wire.TableEntry) bool
 }
 
-// server is one hollow back end.
+// server is one simulated back end.
 type server struct {
 	*node
 	server bundle.ServerName
