Give up opening a connection to a server after half a second

A new connection costs about 1 ms, and a dial that failed has sent nothing, so trying again is safe. Ruled out: less than a few hundred milliseconds, which a busy machine would miss. Change: 500 ms.

--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -13,7 +13,7 @@
 
 const (
 	// dialTimeout bounds the opening of one connection.
-	dialTimeout = 2 * time.Second
+	dialTimeout = 500 * time.Millisecond
 	// dialsPerSecond and dialBurst bound new connections to one back end: each
 	// costs it about a millisecond.
 	dialsPerSecond = 50
