Let operators say how long a lost idempotency record is in doubt

Ruled out: a shorter default, which would let a late repeat run twice; leaving lost gateways out of an owner's list, which the ledger's model showed to let a key run twice. Change: setting ledger_doubt; its default is the retention and one hour. Seen: TestDoubtEndsWhenTheSettingsSaySo fails without the line in tenure.go and passes with it.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -49,6 +49,7 @@
 		Controllers: config.Controllers,
 		Limit:       config.LedgerEntries,
 		Retention:   config.LedgerRetention.Std(),
+		Doubt:       config.LedgerDoubt.Std(),
 	}
 }
 
--- a/internal/gateway/idempotency_test.go
+++ b/internal/gateway/idempotency_test.go
@@ -217,6 +217,28 @@
 	})
 }
 
+// Where operators limit the doubt, keys that are not found are served again when
+// it is over; known ones have been all the time.
+func TestDoubtEndsWhenTheSettingsSaySo(t *testing.T) {
+	const doubt = time.Minute
+	limit := func(config *settings.Gateway) { config.LedgerDoubt = bundle.Duration(doubt) }
+	inLedgerCell(t, []string{"g1", "g2", "g3"}, func(c *ledgerCell) {
+		assert.Equal(t, c.book("g3", "k", "x").body, "booked")
+		c.lose("g1")
+		c.lose("g2")
+		c.own("g3", "g1", "g2", "g3")
+		c.book("g3", "new", "x").refused(t, 503, wire.OutcomeUnknown, wire.ReasonLedgerUnready)
+		time.Sleep(doubt)
+		c.network.Heal("g2:81") // for the second copy
+		c.gateway("g2", limit)
+		c.renew("g3", wire.NewFence(1, c.index))
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, c.book("g3", "new", "x").body, "booked")
+		assert.Equal(t, c.book("g3", "k", "x").body, "booked")
+		assert.Equal(t, c.ran.Load(), int64(2))
+	}, limit)
+}
+
 // A gateway that was started anew answers, but does not vouch for copies that
 // its former self may have held.
 func TestRestartedGatewayDoesNotVouch(t *testing.T) {
--- a/internal/ledgernode/node.go
+++ b/internal/ledgernode/node.go
@@ -32,6 +32,10 @@
 	DefaultRetention = 24 * time.Hour
 )
 
+// longestRun is the time that a request may run beside the retention of its
+// record. A service whose deadline is longer needs a longer retention.
+const longestRun = time.Hour
+
 // Config of a node.
 type Config struct {
 	Cell bundle.CellName
@@ -45,6 +49,9 @@
 	Limit int
 	// Retention of a finished record; zero means DefaultRetention.
 	Retention time.Duration
+	// Doubt is how long keys that are not found are refused while records may
+	// be missing; zero means Retention and longestRun.
+	Doubt time.Duration
 }
 
 // Directory is what the node needs of the gateway's table.
@@ -106,6 +113,9 @@
 	if config.Retention == 0 {
 		config.Retention = DefaultRetention
 	}
+	if config.Doubt == 0 {
+		config.Doubt = config.Retention + longestRun
+	}
 	incarnation := newIncarnation()
 	running, stop := context.WithCancel(context.Background())
 	return &Node{
--- a/internal/ledgernode/tenure.go
+++ b/internal/ledgernode/tenure.go
@@ -113,7 +113,7 @@
 	began := n.now()
 	for ctx.Err() == nil {
 		n.collectRound(ctx, took, t)
-		expired := n.now()-began > n.config.Retention
+		expired := n.now()-began > n.config.Doubt
 		if t.knowsAll(took) || expired {
 			n.completed(t)
 			t.once.Do(func() { close(t.collected) })
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,11 @@
 	LedgerEntries int `yaml:"ledger_entries" validate:"gte=0"`
 	// LedgerRetention is how long a finished record is kept. Zero means 24h.
 	LedgerRetention bundle.Duration `yaml:"ledger_retention"`
+	// LedgerDoubt is how long, after two gateways were lost at once, keys are
+	// refused that may have been among the lost records. Zero means as long as
+	// such a record could live. With a shorter time, a caller who repeats a key
+	// later than that may have its request run twice.
+	LedgerDoubt bundle.Duration `yaml:"ledger_doubt"`
 }
 
 // Controller settings.
