--- a/internal/lab/demo/soak_growth.go
+++ b/internal/lab/demo/soak_growth.go
@@ -33,6 +33,7 @@
 	First, Last usage
 }
 
+// String gives goroutines and resident memory, first and last.
 func (g Growth) String() string {
 	const mebibyte = 1 << 20
 	return fmt.Sprintf("%d -> %d goroutines, %d -> %d MiB resident in %s",
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -94,7 +94,7 @@
 // ends as StateUnknown for those who repeat it.
 const MaxAnswerBytes = 64 << 10
 
-// Answer is a kept answer.
+// Answer is a kept HTTP answer, with a body of at most MaxAnswerBytes.
 type Answer struct {
 	Status int         `json:"status"`
 	Header http.Header `json:"header"`
--- a/internal/wire/renewal.go
+++ b/internal/wire/renewal.go
@@ -92,6 +92,7 @@
 
 // LoadReport is what a server says about its load. It may lag or be wrong.
 type LoadReport struct {
+	// InFlight requests run, Queued ones were admitted and wait for a slot.
 	InFlight int `json:"in_flight"`
 	Queued   int `json:"queued"`
 	// Partial says that Slices was left out and the last ones still hold: a
--- a/internal/wire/table.go
+++ b/internal/wire/table.go
@@ -60,12 +60,14 @@
 
 // TableServer is what a gateway needs to know of a server.
 type TableServer struct {
-	Name        bundle.ServerName `json:"name"`
-	Address     string            `json:"address"`
-	Zone        bundle.Zone       `json:"zone"`
-	Slots       int               `json:"slots"`
-	Connections int               `json:"connections"`
-	Draining    bool              `json:"draining,omitempty"`
+	Name    bundle.ServerName `json:"name"`
+	Address string            `json:"address"`
+	Zone    bundle.Zone       `json:"zone"`
+	// Slots is how many requests the server runs at once, Connections how many
+	// it takes from all gateways together; zero means unbounded.
+	Slots       int  `json:"slots"`
+	Connections int  `json:"connections"`
+	Draining    bool `json:"draining,omitempty"`
 	// Load is the last report that the leader has, as requests in flight.
 	Load int `json:"load,omitempty"`
 }
--- a/ownership/request.go
+++ b/ownership/request.go
@@ -15,8 +15,9 @@
 	// Service is "team/service".
 	Service   string
 	Partition string
-	First     uint64
-	Last      uint64
+	// First and Last are hashes of keys.
+	First uint64
+	Last  uint64
 }
 
 // Request is one admitted request, as the gateway named it.
