--- /dev/null
+++ b/internal/clock/sleep_test.go
@@ -0,0 +1,22 @@
+package clock
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestSleepEndsWithItsTimeOrItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		assert.Assert(t, Sleep(t.Context(), time.Second))
+		assert.Equal(t, time.Since(began), time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.Assert(t, !Sleep(ctx, time.Minute))
+		assert.Equal(t, time.Since(began), 2*time.Second)
+	})
+}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -16,23 +16,19 @@
 // service is what the gateway keeps of one service: its back ends, the queue
 // of requests that wait for one, and the retry budget.
 type service struct {
-	began   time.Time
-	metrics *Metrics
-	mu      sync.Mutex
-	pool    *balance.Pool
-	budget  *retry.Budget
-	waiting []*waiter
-	// occupancy is a moving average of how long a request holds a slot.
-	occupancy time.Duration
+	began     time.Time
+	metrics   *Metrics
+	mu        sync.Mutex
+	pool      *balance.Pool
+	budget    *retry.Budget
+	waiting   []*waiter
+	occupancy balance.Occupancy
 	// wake tells the prober that there is work; it holds one signal.
 	wake chan struct{}
 	// running tries of keyed requests, until their answer's headers come.
 	running map[*running]struct{}
 }
 
-// occupancyShare is the weight of a new measurement in the moving average.
-const occupancyShare = 0.1
-
 // services holds all services by name. A service that leaves the table and
 // returns starts anew.
 type services struct {
@@ -177,7 +173,7 @@
 	defer s.mu.Unlock()
 	s.pool.Done(s.now(), server, result, latency)
 	if result == balance.ResultAnswered {
-		s.occupancy += time.Duration(occupancyShare * float64(held-s.occupancy))
+		s.occupancy.Add(held)
 	}
 	s.dispatch()
 	if s.pool.HasEjected() {
--- a/internal/lab/experiment/choose.go
+++ b/internal/lab/experiment/choose.go
@@ -104,17 +104,13 @@
 	if made.why != wire.ReasonOverloaded {
 		return 0
 	}
-	ahead := 1
+	position := 1
 	for _, other := range s.waiting {
 		if other.waitsFor == made.waitsFor {
-			ahead++
+			position++
 		}
 	}
-	capacity := s.pool.Capacity(made.waitsFor)
-	if capacity == 0 {
-		return 0
-	}
-	return s.occupancy * time.Duration(ahead) / time.Duration(capacity)
+	return s.occupancy.Wait(position, s.pool.Capacity(made.waitsFor))
 }
 
 // dispatch lets each waiting call look again, the longest waiting first.
--- a/internal/lab/experiment/exchange.go
+++ b/internal/lab/experiment/exchange.go
@@ -16,8 +16,6 @@
 	lastPause  = 64 * time.Millisecond
 	// maxHold bounds the wait of a call without a deadline.
 	maxHold = 10 * time.Second
-	// occupancyShare is the weight of a new measurement of the occupancy.
-	occupancyShare = 0.1
 )
 
 // begin takes a call from its caller.
@@ -138,7 +136,7 @@
 		return
 	}
 	latency := s.now() - tried.began
-	s.occupancy += time.Duration(occupancyShare * float64(latency-s.occupancy))
+	s.occupancy.Add(latency)
 	s.close(tried, balance.ResultAnswered, latency)
 	s.overtake(tried.call)
 	s.end(tried.call, ending{})
--- a/internal/lab/experiment/gateway.go
+++ b/internal/lab/experiment/gateway.go
@@ -45,9 +45,8 @@
 	budget   *retry.Budget
 	waiting  []*call
 	// lost says that the process is gone; its calls end by their deadlines.
-	lost bool
-	// occupancy is a moving average of how long a request holds a slot.
-	occupancy time.Duration
+	lost      bool
+	occupancy balance.Occupancy
 	// next is where round robin goes on.
 	next int
 }
