Keep the default periods in one place

Cause: the controller held the defaults of its periods a second time beside the settings. Change: it takes them from settings.DefaultTimes.

--- a/internal/controller/times.go
+++ b/internal/controller/times.go
@@ -56,18 +56,19 @@
 }
 
 func newTimes(from settings.Times) times {
+	fallback := settings.DefaultTimes()
 	t := times{
-		grant:        orDefault(from.Grant, 600*time.Millisecond),
-		renew:        orDefault(from.Renew, 200*time.Millisecond),
-		poolGrant:    orDefault(from.PoolGrant, 3*time.Second),
-		poolRenew:    orDefault(from.PoolRenew, time.Second),
-		heartbeat:    orDefault(from.Heartbeat, 100*time.Millisecond),
-		electionMin:  orDefault(from.ElectionMin, 300*time.Millisecond),
-		electionMax:  orDefault(from.ElectionMax, 450*time.Millisecond),
-		lease:        orDefault(from.LeaderLease, 250*time.Millisecond),
-		driftMargin:  orDefault(from.DriftMargin, 10*time.Millisecond),
-		replaceAfter: orDefault(from.ReplaceAfter, 2*time.Second),
-		reformAfter:  orDefault(from.ReformAfter, 2*time.Second),
+		grant:        orDefault(from.Grant, fallback.Grant),
+		renew:        orDefault(from.Renew, fallback.Renew),
+		poolGrant:    orDefault(from.PoolGrant, fallback.PoolGrant),
+		poolRenew:    orDefault(from.PoolRenew, fallback.PoolRenew),
+		heartbeat:    orDefault(from.Heartbeat, fallback.Heartbeat),
+		electionMin:  orDefault(from.ElectionMin, fallback.ElectionMin),
+		electionMax:  orDefault(from.ElectionMax, fallback.ElectionMax),
+		lease:        orDefault(from.LeaderLease, fallback.LeaderLease),
+		driftMargin:  orDefault(from.DriftMargin, fallback.DriftMargin),
+		replaceAfter: orDefault(from.ReplaceAfter, fallback.ReplaceAfter),
+		reformAfter:  orDefault(from.ReformAfter, fallback.ReformAfter),
 	}
 	t.reformAfter = max(t.reformAfter, electionsBeforeReform*t.electionMax)
 	return t
@@ -76,18 +77,3 @@
 // electionsBeforeReform is how many elections a group may try before it can be
 // replaced. With less, each generation would end in its first election.
 const electionsBeforeReform = 3
-
-func orDefault(value bundle.Duration, fallback time.Duration) time.Duration {
-	if value == 0 {
-		return fallback
-	}
-	return value.Std()
-}
-
-// oldGrantsEnd is how long after the last proof that a generation ended its
-// grants can still run. A lost member may have acknowledged the old leader just
-// before it was lost, so the leadership lease counts from then, and a grant
-// from the end of that lease at the latest.
-func (t times) oldGrantsEnd() time.Duration {
-	return t.lease + t.grant + 2*t.driftMargin
-}
