--- a/internal/controller/times.go
+++ b/internal/controller/times.go
@@ -77,3 +77,18 @@
 // electionsBeforeReform is how many elections a group may try before it can be
 // replaced. With less, each generation would end in its first election.
 const electionsBeforeReform = 3
+
+func orDefault(value, fallback bundle.Duration) time.Duration {
+	if value == 0 {
+		return fallback.Std()
+	}
+	return value.Std()
+}
+
+// oldGrantsEnd is how long after the last proof that a generation ended its
+// grants can still run. A lost member may have acknowledged the old leader just
+// before it was lost, so the leadership lease counts from then, and a grant
+// from the end of that lease at the latest.
+func (t times) oldGrantsEnd() time.Duration {
+	return t.lease + t.grant + 2*t.driftMargin
+}
