Tell a back end's load with each answer

Cause: picking in a pool weighs the load that back ends report, but no report reached the gateways: controllers leave it out of the table to save bytes, and so nothing told a gateway of the work that others had sent. Ruled out: loads in the table, which cost bytes at every gateway. Change: a server's answer carries the number of its other requests in flight; it counts for a second, at half the weight of the gateway's own requests, and never past twice the slots.

--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -56,6 +56,9 @@
 	latencyAt time.Duration
 	// warmFrom is when the slow start began.
 	warmFrom time.Duration
+	// answeredLoad is the load that came with the last answer, at answeredAt.
+	answeredLoad int
+	answeredAt   time.Duration
 	// cold says that the slow start applies.
 	cold bool
 	// failures counts failures in a row.
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -133,6 +133,15 @@
 	}
 }
 
+// Answered notes the load that a back end gave with an answer: its requests in
+// flight from all gateways beside the one answered.
+func (p *Pool) Answered(now time.Duration, name bundle.ServerName, load int) {
+	if known := p.find(name); known != nil {
+		known.answeredLoad = load
+		known.answeredAt = now
+	}
+}
+
 // InFlight returns the requests that this gateway has at the named back end.
 func (p *Pool) InFlight(name bundle.ServerName) int {
 	if known := p.find(name); known != nil {
--- a/internal/balance/pool_test.go
+++ b/internal/balance/pool_test.go
@@ -187,3 +187,12 @@
 		})
 	})
 }
+
+func TestLoadThatCameWithAnAnswerCountsForAWhile(t *testing.T) {
+	pool := newTestPool(members(2))
+	pool.Answered(time.Second, "m0", 2)
+	assert.DeepEqual(t, picks(pool, 1100*time.Millisecond, 1), map[bundle.ServerName]int{"m1": 1})
+	pool.Done(1200*time.Millisecond, "m1", ResultNeutral, 0)
+	later := 2100 * time.Millisecond
+	assert.DeepEqual(t, picks(pool, later, 2), map[bundle.ServerName]int{"m0": 1, "m1": 1})
+}
--- a/internal/balance/score.go
+++ b/internal/balance/score.go
@@ -12,6 +12,10 @@
 	minWarmth = 0.1
 	// reportedWeight is the weight of a request that only the back end reports.
 	reportedWeight = 0.5
+	// answeredLoadKept is how long a load that came with an answer counts: what
+	// runs elsewhere changes within some requests, and a back end that once was
+	// busy must be tried again.
+	answeredLoadKept = time.Second
 	// otherZonePenalty is added for a back end in another zone, as a share of
 	// its slots: nearness decides only between back ends about equally loaded.
 	otherZonePenalty = 0.25
@@ -59,7 +63,7 @@
 // slot; lower is better.
 func (p *Pool) score(now time.Duration, candidate *member, fastest time.Duration) float64 {
 	slots := float64(max(1, candidate.Slots))
-	foreign := float64(max(0, candidate.Reported-candidate.inFlight))
+	foreign := float64(max(0, candidate.reported(now)-candidate.inFlight))
 	// A report beyond twice the slots is taken as twice the slots: a back end
 	// that lies cannot shut itself out.
 	foreign = min(foreign, 2*slots)
@@ -99,3 +103,12 @@
 	factor := float64(candidate.latency) / float64(2*fastest)
 	return min(maxLatencyFactor, max(1, factor))
 }
+
+// reported is the load that came with an answer a short while ago, or else the
+// one that the table has.
+func (m *member) reported(now time.Duration) int {
+	if m.answeredAt > 0 && now-m.answeredAt < answeredLoadKept {
+		return m.answeredLoad
+	}
+	return m.Reported
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"sync"
 	"time"
 
@@ -96,6 +97,9 @@
 		})
 		return ended
 	}
+	if load, err := strconv.Atoi(response.Header.Get(wire.HeaderLoad)); err == nil && load >= 0 {
+		c.service.answeredLoad(to.server.Name, load)
+	}
 	if response.Header.Get(wire.HeaderDraining) == headerTrue {
 		c.service.draining(to.server.Name)
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -210,6 +210,12 @@
 }
 
 // draining notes that a back end says that it takes no new work.
+func (s *service) answeredLoad(server bundle.ServerName, load int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Answered(s.now(), server, load)
+}
+
 func (s *service) draining(server bundle.ServerName) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -63,6 +63,7 @@
 	HeaderReason         = "Shalefork-Reason"
 	HeaderServer         = "Shalefork-Server"
 	HeaderDraining       = "Shalefork-Draining" // "true" on a server's answer
+	HeaderLoad           = "Shalefork-Load"     // on a server's answer: its other requests in flight
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
--- a/ownership/load.go
+++ b/ownership/load.go
@@ -152,3 +152,11 @@
 	}
 	return hottest.hash, (hottest.count - hottest.overcount) / l.total
 }
+
+// otherInFlight is the number of admitted requests beside the one that asks,
+// those that wait for a slot included.
+func (o *Owner) otherInFlight() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return max(0, o.holder.InFlight()-1)
+}
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -290,3 +290,18 @@
 	assert.Equal(t, len(table.reportTo(time.Second, reader{generation: 1, term: 2}).Slices), 1, "a new leader knows nothing")
 	assert.Equal(t, len(table.reportTo(3*time.Second, reader{generation: 1, term: 2}).Slices), 1)
 }
+
+func TestAnswersTellOfOtherRequestsInFlight(t *testing.T) {
+	owner := New(Options{Cell: "casa", Token: token})
+	assert.Equal(t, owner.otherInFlight(), 0)
+	recorder := httptest.NewRecorder()
+	request := newRequest(context.Background(), routing{id: "r1"})
+	request.owner = owner
+	writer := &responseWriter{ResponseWriter: recorder, owner: owner, request: request, id: "r1"}
+	writer.Header().Set("shalefork-load", "99")
+	writer.WriteHeader(http.StatusOK)
+	assert.Equal(t, recorder.Header().Get(wire.HeaderLoad), "0")
+	forged := http.Header{"shalefork-load": {"99"}}
+	dropOwnHeaders(forged)
+	assert.Equal(t, len(forged), 0, "a handler cannot set it")
+}
--- a/ownership/writer.go
+++ b/ownership/writer.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/shalefork/shalefork/internal/wire"
@@ -62,7 +63,7 @@
 }
 
 // ownHeaders are those that only the owner sets.
-var ownHeaders = []string{wire.HeaderOutcome, wire.HeaderReason, wire.HeaderRequestID, wire.HeaderDraining}
+var ownHeaders = []string{wire.HeaderOutcome, wire.HeaderReason, wire.HeaderRequestID, wire.HeaderDraining, wire.HeaderLoad}
 
 // dropOwnHeaders removes them in whatever letters a handler set them: to the
 // gateway all are the same.
@@ -96,6 +97,7 @@
 	if w.owner.isDraining() {
 		header.Set(wire.HeaderDraining, "true")
 	}
+	header.Set(wire.HeaderLoad, strconv.Itoa(w.owner.otherInFlight()))
 	w.ResponseWriter.WriteHeader(status)
 }
 
