--- a/cmd/shalefork-lab/main.go
+++ b/cmd/shalefork-lab/main.go
@@ -1,5 +1,5 @@
-// Command shalefork-lab holds the stand-ins and tools for tests; it is never
-// deployed.
+// Command shalefork-lab plays the system against a stand-in of its platform; it is
+// never deployed.
 package main
 
 import (
@@ -9,14 +9,8 @@
 )
 
 func main() {
-	program := cli.NewProgram("shalefork-lab", "Stand-ins and tools for tests of shalefork.")
-	program.Add(kvCommand())
-	program.Add(machinesCommand())
-	program.Add(workerCommand())
-	program.Add(loadCommand())
+	program := cli.NewProgram("shalefork-lab", "Plays shalefork against a stand-in of its platform.")
 	program.Add(demoCommand())
-	program.Add(platformCommand())
-	program.Add(experimentCommand())
-	program.Add(scaleCommand())
+	program.Add(soakCommand())
 	program.Main(os.Args[1:])
 }
--- a/cmd/shalefork/explain.go
+++ b/cmd/shalefork/explain.go
@@ -45,7 +45,7 @@
 		return err
 	}
 	if len(found) == 0 {
-		return runError(explain.Error.New("no line tells of it, in %d lines (%d more are no log lines)", len(lines), passed))
+		return explain.Error.Wrap(explain.Error.New("no line tells of it, in %d lines (%d more are no log lines)", len(lines), passed))
 	}
 	fmt.Println("times are those of each process's own clock")
 	return explain.Write(os.Stdout, found)
--- a/cmd/shalefork/main.go
+++ b/cmd/shalefork/main.go
@@ -1,5 +1,4 @@
-// Command shalefork runs the router, or the gateway and the controller, and the
-// operators' commands.
+// Command shalefork runs the router and the operators' commands.
 package main
 
 import (
@@ -12,8 +11,6 @@
 	program := cli.NewProgram("shalefork", "A router for servers that own their keys exclusively.")
 	program.Add(routerCommand())
 	program.Add(explainCommand())
-	program.Add(gatewayCommand())
-	program.Add(controllerCommand())
 	program.AddGroup("bundle", "Propose, approve and roll a team's bundle.", bundleCommands()...)
 	program.Add(statusCommand())
 	program.AddGroup("config", "Check settings without starting.", configCheckCommand())
--- a/cmd/shalefork/metrics_test.go
+++ b/cmd/shalefork/metrics_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"os"
 	"regexp"
 	"slices"
 	"strings"
@@ -11,10 +13,9 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
-	"github.com/shalefork/shalefork/internal/controller"
-	"github.com/shalefork/shalefork/internal/gateway"
-	"github.com/shalefork/shalefork/internal/ledgernode"
-	"github.com/shalefork/shalefork/ownership"
+	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/router"
+	"github.com/shalefork/shalefork/internal/settings"
 )
 
 // metricsPage is the page for operators, kept equal to the code. To write it
@@ -23,14 +24,14 @@
 
 const metricsHead = `# Metrics
 
-Each process shows its metrics in the Prometheus text format at ` + "`/metrics`" + `: a
-controller on its ` + "`listen`" + `, a gateway on its ` + "`peer_listen`" + `, a server where its
-program puts them. Beside these there are the usual ` + "`go_*` and `process_*`" + `.
+Each router shows its metrics in the Prometheus text format at ` + "`/metrics`" + ` of its
+` + "`metrics_listen`" + `. Beside these there are the usual ` + "`go_*` and `process_*`" + `.
 This page is made from the code by a test of ` + "`cmd/shalefork`" + `.
 `
 
 // describer is a registerer that only notes what is registered.
 type describer struct {
+	prometheus.Gatherer
 	rows []string
 }
 
@@ -39,7 +40,7 @@
 	collector.Describe(descriptions)
 	close(descriptions)
 	for description := range descriptions {
-		d.rows = append(d.rows, row(collector, description.String()))
+		d.rows = append(d.rows, row(description.String()))
 	}
 	return nil
 }
@@ -54,25 +55,23 @@
 
 var description = regexp.MustCompile(`fqName: "([^"]*)", help: "([^"]*)", unit: "[^"]*", constLabels: \{[^}]*\}, variableLabels: \{([^}]*)\}`)
 
-func row(collector prometheus.Collector, text string) string {
+func row(text string) string {
 	parts := description.FindStringSubmatch(text)
 	labels := strings.ReplaceAll(parts[3], ",", ", ")
-	return fmt.Sprintf("| `%s` | %s | %s | %s | %s |", parts[1], kind(collector), unit(parts[1]), labels, parts[2])
+	return fmt.Sprintf("| `%s` | %s | %s | %s | %s |", parts[1], kind(parts[1]), unit(parts[1]), labels, parts[2])
 }
 
-func kind(collector prometheus.Collector) string {
-	switch collector.(type) {
-	case prometheus.Histogram, *prometheus.HistogramVec:
-		return "histogram"
-	case *prometheus.CounterVec:
+// histograms are the only metrics whose name does not tell their kind.
+var histograms = []string{"shalefork_router_request_seconds", "shalefork_router_order_seconds", "shalefork_router_store_seconds"}
+
+func kind(name string) string {
+	switch {
+	case strings.HasSuffix(name, "_total"):
 		return "counter"
-	case *prometheus.GaugeVec:
-		return "gauge"
-	}
-	if _, settable := collector.(interface{ Set(float64) }); settable {
-		return "gauge"
+	case slices.Contains(histograms, name):
+		return "histogram"
 	}
-	return "counter"
+	return "gauge"
 }
 
 func unit(name string) string {
@@ -85,23 +84,23 @@
 }
 
 func TestMetricsPageMatchesTheCode(t *testing.T) {
-	page := metricsHead
-	sections := []struct {
-		title    string
-		register func(prometheus.Registerer)
-	}{
-		{"Gateway", func(r prometheus.Registerer) { gateway.NewMetrics(r) }},
-		{"Idempotency records, at the gateways", func(r prometheus.Registerer) { ledgernode.NewMetrics(r) }},
-		{"Controller", func(r prometheus.Registerer) { controller.NewMetrics(r) }},
-		{"Servers, by the package ownership", func(r prometheus.Registerer) { ownership.NewMetrics(r) }},
-	}
-	for _, section := range sections {
-		noted := &describer{}
-		section.register(noted)
-		assert.Assert(t, len(noted.rows) > 0)
-		slices.Sort(noted.rows)
-		page += "\n## " + section.title + "\n\n| name | kind | unit | labels | what |\n|---|---|---|---|---|\n"
-		page += strings.Join(noted.rows, "\n") + "\n"
-	}
+	noted := &describer{}
+	router.New(settings.Router{}, router.Adapter{}, decision.NewTo(io.Discard, "n"), noted)
+	assert.Assert(t, len(noted.rows) > 0)
+	slices.Sort(noted.rows)
+	page := metricsHead + "\n| name | kind | unit | labels | what |\n|---|---|---|---|---|\n" + strings.Join(noted.rows, "\n") + "\n"
 	golden.Assert(t, page, metricsPage)
 }
+
+// What alarms watch must be there.
+func TestAlarmsNameMetrics(t *testing.T) {
+	metrics, err := os.ReadFile("../../docs/operations/metrics.md")
+	assert.NilError(t, err)
+	alarms, err := os.ReadFile("../../docs/operations/alarms.md")
+	assert.NilError(t, err)
+	names := regexp.MustCompile(`shalefork_[a-z_]+`).FindAllString(string(alarms), -1)
+	assert.Assert(t, len(names) > 5)
+	for _, name := range names {
+		assert.Assert(t, strings.Contains(string(metrics), "`"+name+"`"), name)
+	}
+}
--- a/cmd/shalefork/operators.go
+++ b/cmd/shalefork/operators.go
@@ -2,85 +2,108 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"strconv"
 	"time"
 
 	"github.com/integrii/flaggy"
+
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/cli"
 	"github.com/shalefork/shalefork/internal/operator"
+	"github.com/shalefork/shalefork/internal/registry"
+	"github.com/shalefork/shalefork/internal/router"
+	"github.com/shalefork/shalefork/internal/settings"
+	"github.com/shalefork/shalefork/platform"
 )
 
-// defaultRollWait is longer than a bundle should need to be in force.
-const defaultRollWait = 10 * time.Second
+// patience is how long a command tries to reach the key-value service.
+const patience = 10 * time.Second
+
+// exitOf writes an error of a command line and returns the code that belongs to it.
+func exitOf(err error) cli.ExitCode {
+	if err == nil {
+		return operator.ExitOK
+	}
+	fmt.Fprintln(os.Stderr, err)
+	return operator.ExitInvalid
+}
 
-// adminFlags are what a command needs to call the controllers.
-type adminFlags struct {
-	controllers []string
-	tokenFile   string
-	json        bool
+// storeFlags are what a command needs to call the key-value service.
+type storeFlags struct {
+	file string
+	json bool
 }
 
-func (f *adminFlags) attach(subcommand *flaggy.Subcommand) {
-	subcommand.StringSlice(&f.controllers, "c", "controller", "Address of a controller, host:port; may be given again")
-	subcommand.String(&f.tokenFile, "t", "token-file", "File with the token of the cell")
+func (f *storeFlags) attach(subcommand *flaggy.Subcommand) {
+	subcommand.String(&f.file, "s", "settings", "Settings of a router, YAML, which name the service; else "+settingsVariable+" names them")
 	subcommand.Bool(&f.json, "j", "json", "Write JSON")
 }
 
-func (f *adminFlags) output() operator.Output {
+func (f *storeFlags) output() operator.Output {
 	return operator.Output{Result: os.Stdout, Complaint: os.Stderr, JSON: f.json}
 }
 
-func (f *adminFlags) client() (*operator.Client, error) {
-	if len(f.controllers) == 0 {
-		return nil, operator.Error.New("name at least one --controller")
+// run calls action with the key-value service, for as long as its patience lasts.
+func (f *storeFlags) run(ctx context.Context, action func(context.Context, operator.Output, *platform.Store) operator.ExitCode) operator.ExitCode {
+	config, _, err := readSettings(f.file)
+	if err != nil {
+		return f.output().Fail(err)
 	}
-	token, err := operator.LoadToken(f.tokenFile)
-	return operator.NewClient(f.controllers, token), err
+	bounded, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	return action(bounded, f.output(), platform.NewStore(config.Store))
 }
 
-// run calls action with a client.
-func (f *adminFlags) run(action func(operator.Output, *operator.Client) operator.ExitCode) operator.ExitCode {
-	client, err := f.client()
+// readSettings reads the settings in a file, or in the one that the environment
+// names, and returns also its bytes.
+func readSettings(file string) (settings.Router, []byte, error) {
+	if file == "" {
+		file = os.Getenv(settingsVariable)
+	}
+	data, err := os.ReadFile(file)
 	if err != nil {
-		return f.output().Fail(err)
+		return settings.Router{}, nil, settings.Error.Wrap(err)
 	}
-	return action(f.output(), client)
+	config, err := settings.ReadRouter(file, data, nil)
+	return config, data, err
 }
 
 // signingFlags are what a command needs to write in an operator's name.
 type signingFlags struct {
-	adminFlags
+	storeFlags
 	name    string
 	keyFile string
 }
 
 func (f *signingFlags) attach(subcommand *flaggy.Subcommand) {
-	f.adminFlags.attach(subcommand)
+	f.storeFlags.attach(subcommand)
 	subcommand.String(&f.name, "o", "operator", "Name of the operator")
 	subcommand.String(&f.keyFile, "k", "key", "File with the operator's key")
 }
 
-// run calls action with a client and the operator's identity.
-func (f *signingFlags) run(action func(operator.Output, *operator.Client, operator.Identity) operator.ExitCode) operator.ExitCode {
-	identity, err := operator.LoadIdentity(f.name, f.keyFile)
+// signedAction does something with the bundles in an operator's name.
+type signedAction func(ctx context.Context, output operator.Output, bundles *registry.Registry, by registry.Operator) operator.ExitCode
+
+func (f *signingFlags) run(ctx context.Context, action signedAction) operator.ExitCode {
+	by, err := operator.LoadIdentity(f.name, f.keyFile)
 	if err != nil {
 		return f.output().Fail(err)
 	}
-	return f.adminFlags.run(func(output operator.Output, client *operator.Client) operator.ExitCode {
-		return action(output, client, identity)
+	return f.storeFlags.run(ctx, func(ctx context.Context, output operator.Output, store *platform.Store) operator.ExitCode {
+		return action(ctx, output, registry.New(store, router.KeyPrefix), by)
 	})
 }
 
 func bundleCommands() []cli.Command {
 	return []cli.Command{
 		bundleCheckCommand(),
-		bundleProposeCommand(),
-		bundleApproveCommand(),
+		bundleFileCommand("propose", "Offer a bundle as the team's next version.", operator.Propose),
+		bundleFileCommand("approve", "Sign off a proposed version; another operator than its proposer.", operator.Approve),
 		bundleRollCommand(),
-		bundleStatusCommand(),
-		bundleHistoryCommand(),
+		bundleTeamCommand("status", "Show a team's newest version and its state.", operator.BundleStatus),
+		bundleTeamCommand("history", "Show all versions of a team.", operator.BundleHistory),
 	}
 }
 
@@ -89,105 +112,77 @@
 	subcommand := cli.NewSubcommand("check", "Check a bundle's file and print its digest.")
 	subcommand.AddPositionalValue(&file, "file", 1, true, "The bundle, YAML")
 	return cli.Command{Subcommand: subcommand, Run: func(context.Context) cli.ExitCode {
-		return operator.CheckBundle(new(adminFlags).output(), file)
+		return operator.CheckBundle(new(storeFlags).output(), file)
 	}}
 }
 
-func bundleProposeCommand() cli.Command {
-	subcommand := cli.NewSubcommand("propose", "Offer a bundle as the team's next version.")
-	return signedFileCommand(subcommand, "The bundle, YAML", operator.Propose)
-}
+// fileAction does something with a bundle's file in an operator's name.
+type fileAction func(ctx context.Context, output operator.Output, bundles *registry.Registry, by registry.Operator, file string) operator.ExitCode
 
-func bundleApproveCommand() cli.Command {
-	subcommand := cli.NewSubcommand("approve", "Sign off a proposed version; another operator than its proposer.")
-	return signedFileCommand(subcommand, "The bundle as reviewed, YAML", operator.Approve)
-}
-
-// signedAction does something with a bundle's file in an operator's name.
-type signedAction func(ctx context.Context, output operator.Output, client *operator.Client, identity operator.Identity, file string) operator.ExitCode
-
-// signedFileCommand is a command that takes a bundle's file and signs.
-func signedFileCommand(subcommand *flaggy.Subcommand, fileHelp string, action signedAction) cli.Command {
+func bundleFileCommand(name, help string, action fileAction) cli.Command {
 	var file string
 	flags := &signingFlags{}
-	subcommand.AddPositionalValue(&file, "file", 1, true, fileHelp)
+	subcommand := cli.NewSubcommand(name, help)
+	subcommand.AddPositionalValue(&file, "file", 1, true, "The bundle, YAML")
 	flags.attach(subcommand)
 	return cli.Command{Subcommand: subcommand, Run: func(ctx context.Context) cli.ExitCode {
-		return flags.run(func(output operator.Output, client *operator.Client, identity operator.Identity) operator.ExitCode {
-			return action(ctx, output, client, identity, file)
+		return flags.run(ctx, func(ctx context.Context, output operator.Output, bundles *registry.Registry, by registry.Operator) operator.ExitCode {
+			return action(ctx, output, bundles, by, file)
 		})
 	}}
 }
 
 func bundleRollCommand() cli.Command {
 	var team, version string
-	wait := defaultRollWait
 	flags := &signingFlags{}
-	subcommand := cli.NewSubcommand("roll", "Put an approved version into force and wait for it.")
+	subcommand := cli.NewSubcommand("roll", "Put an approved version into force.")
 	subcommand.AddPositionalValue(&team, "team", 1, true, "The team")
 	subcommand.AddPositionalValue(&version, "number", 2, true, "The version's number")
-	subcommand.Duration(&wait, "w", "wait", "How long to wait until it is in force; 0s not at all")
 	flags.attach(subcommand)
 	return cli.Command{Subcommand: subcommand, Run: func(ctx context.Context) cli.ExitCode {
 		number, err := strconv.ParseUint(version, 10, 64)
 		if err != nil {
 			return flags.output().Fail(operator.Error.New("the version must be a number"))
 		}
-		roll := operator.RollRequest{Team: bundle.TeamName(team), Version: bundle.Version(number), Wait: wait}
-		return flags.run(func(output operator.Output, client *operator.Client, identity operator.Identity) operator.ExitCode {
-			return operator.Roll(ctx, output, client, identity, roll)
+		return flags.run(ctx, func(ctx context.Context, output operator.Output, bundles *registry.Registry, by registry.Operator) operator.ExitCode {
+			return operator.Roll(ctx, output, bundles, by, bundle.TeamName(team), bundle.Version(number))
 		})
 	}}
 }
 
-func bundleStatusCommand() cli.Command {
-	subcommand := cli.NewSubcommand("status", "Show a team's newest version and its state.")
-	return teamCommand(subcommand, operator.BundleStatus)
-}
-
-func bundleHistoryCommand() cli.Command {
-	subcommand := cli.NewSubcommand("history", "Show all versions of a team.")
-	return teamCommand(subcommand, operator.BundleHistory)
-}
-
 // teamAction shows something of a team.
-type teamAction func(ctx context.Context, output operator.Output, client *operator.Client, team bundle.TeamName) operator.ExitCode
+type teamAction func(ctx context.Context, output operator.Output, bundles *registry.Registry, team bundle.TeamName) operator.ExitCode
 
-// teamCommand is a command that takes a team's name and signs nothing.
-func teamCommand(subcommand *flaggy.Subcommand, action teamAction) cli.Command {
+func bundleTeamCommand(name, help string, action teamAction) cli.Command {
 	var team string
+	flags := &storeFlags{}
+	subcommand := cli.NewSubcommand(name, help)
 	subcommand.AddPositionalValue(&team, "team", 1, true, "The team")
-	return readCommand(subcommand, func(ctx context.Context, output operator.Output, client *operator.Client) operator.ExitCode {
-		return action(ctx, output, client, bundle.TeamName(team))
-	})
+	flags.attach(subcommand)
+	return cli.Command{Subcommand: subcommand, Run: func(ctx context.Context) cli.ExitCode {
+		return flags.run(ctx, func(ctx context.Context, output operator.Output, store *platform.Store) operator.ExitCode {
+			return action(ctx, output, registry.New(store, router.KeyPrefix), bundle.TeamName(team))
+		})
+	}}
 }
 
 func statusCommand() cli.Command {
-	subcommand := cli.NewSubcommand("status", "Show who owns what, the leases, the replicas and the back ends.")
-	return readCommand(subcommand, operator.Status)
-}
-
-// readAction asks the controllers for something and shows it.
-type readAction func(ctx context.Context, output operator.Output, client *operator.Client) operator.ExitCode
-
-// readCommand is a command that calls the controllers and signs nothing.
-func readCommand(subcommand *flaggy.Subcommand, action readAction) cli.Command {
-	flags := &adminFlags{}
+	flags := &storeFlags{}
+	subcommand := cli.NewSubcommand("status", "Show who leads and who owns which keys.")
 	flags.attach(subcommand)
 	return cli.Command{Subcommand: subcommand, Run: func(ctx context.Context) cli.ExitCode {
-		return flags.run(func(output operator.Output, client *operator.Client) operator.ExitCode {
-			return action(ctx, output, client)
+		return flags.run(ctx, func(ctx context.Context, output operator.Output, store *platform.Store) operator.ExitCode {
+			return operator.Status(ctx, output, store, router.KeyPrefix)
 		})
 	}}
 }
 
 func configCheckCommand() cli.Command {
-	var file, role string
+	var file string
 	subcommand := cli.NewSubcommand("check", "Check a settings file.")
 	subcommand.AddPositionalValue(&file, "file", 1, true, "The settings, YAML")
-	subcommand.String(&role, "r", "role", "router, gateway or controller")
 	return cli.Command{Subcommand: subcommand, Run: func(context.Context) cli.ExitCode {
-		return operator.CheckConfig(new(adminFlags).output(), file, operator.Role(role))
+		return operator.CheckConfig(new(storeFlags).output(), file)
 	}}
 }
 
@@ -196,6 +191,6 @@
 	subcommand := cli.NewSubcommand("keygen", "Write a new key to a file and print its public key.")
 	subcommand.AddPositionalValue(&file, "file", 1, true, "The file to make")
 	return cli.Command{Subcommand: subcommand, Run: func(context.Context) cli.ExitCode {
-		return operator.GenerateKey(new(adminFlags).output(), file)
+		return operator.GenerateKey(new(storeFlags).output(), file)
 	}}
 }
--- a/cmd/shalefork/router.go
+++ b/cmd/shalefork/router.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/shalefork/shalefork/internal/cli"
 	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/operator"
 	"github.com/shalefork/shalefork/internal/router"
-	"github.com/shalefork/shalefork/internal/settings"
 	"github.com/shalefork/shalefork/internal/telemetry"
 	"github.com/shalefork/shalefork/platform"
 )
@@ -22,26 +23,26 @@
 	subcommand := cli.NewSubcommand("router", "Run a router until SIGTERM, then drain it.")
 	subcommand.String(&file, "s", "settings", "The settings file, YAML; else "+settingsVariable+" names it")
 	return cli.Command{Subcommand: subcommand, Run: func(ctx context.Context) cli.ExitCode {
-		if file == "" {
-			file = os.Getenv(settingsVariable)
-		}
-		return exitOf(runRouter(ctx, file))
+		return runRouter(ctx, file)
 	}}
 }
 
-func runRouter(ctx context.Context, file string) error {
-	data, err := os.ReadFile(file)
+func runRouter(ctx context.Context, file string) cli.ExitCode {
+	config, data, err := readSettings(file)
 	if err != nil {
-		return settings.Error.Wrap(err)
+		return exitOf(err)
 	}
-	config, err := settings.ReadRouter(file, data, nil)
-	if err != nil {
-		return err
+	if file == "" {
+		file = os.Getenv(settingsVariable)
 	}
 	log := decision.New(config.Node)
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	process := router.New(config, platform.Adapter(config.Store), log, telemetry.NewRegistry())
 	go process.FollowSettings(ctx, file, data, hangup)
-	return runError(process.Run(ctx))
+	if err := process.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return operator.ExitRefused
+	}
+	return operator.ExitOK
 }
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -5,13 +5,9 @@
 // are scoped by the team, so teams never wait for one another.
 package bundle
 
-import (
-	"time"
+import "time"
 
-	"github.com/shalefork/shalefork/internal/keyspace"
-)
-
-// CellName names a cell: a set of back ends with one control group.
+// CellName names a cell: a set of back ends behind the routers of one store.
 type CellName string
 
 // TeamName names a team: the scope of a line of bundle versions.
@@ -26,6 +22,12 @@
 // ServerName names a back end as "team/service/backend".
 type ServerName string
 
+// PartitionName names a partition of a service.
+type PartitionName string
+
+// ScopedName names a service within its team, as "team/service".
+type ScopedName string
+
 // Kind says how a service's requests find their back end.
 type Kind string
 
@@ -55,7 +57,7 @@
 	Key *KeySource `yaml:"key,omitempty" json:"key,omitempty"`
 	// Repeatable requests may be sent again without harm.
 	Repeatable bool `yaml:"repeatable" json:"repeatable"`
-	// Limits of one request and of the gateway's queue.
+	// Limits of one request and of the router's queue.
 	Limits Limits `yaml:"limits" json:"limits"`
 	// Partitions of a keyed service; one with an empty prefix is required.
 	Partitions []Partition `yaml:"partitions,omitempty" json:"partitions,omitempty" validate:"dive"`
@@ -79,14 +81,14 @@
 	Header      string `yaml:"header,omitempty" json:"header,omitempty"`
 }
 
-// Limits bound one request and the gateway's queue for the service.
+// Limits bound one request and the router's queue for the service.
 type Limits struct {
 	// Deadline of a request, if the caller names none that is shorter. Zero
 	// means no deadline, for streams that may last hours.
 	Deadline Duration `yaml:"deadline" json:"deadline"`
 	// MaxBodyBytes of a request. Zero means 1 MiB.
 	MaxBodyBytes int64 `yaml:"max_body_bytes,omitempty" json:"max_body_bytes,omitempty" validate:"gte=0"`
-	// Queue is the most requests that wait in one gateway. Zero means 256.
+	// Queue is the most requests that wait in one router. Zero means 256.
 	Queue int `yaml:"queue,omitempty" json:"queue,omitempty" validate:"gte=0"`
 	// HedgeAfter starts a second try of a repeatable request. Zero: never.
 	HedgeAfter Duration `yaml:"hedge_after,omitempty" json:"hedge_after,omitempty"`
@@ -97,18 +99,16 @@
 // Partition gives the keys with a prefix a placement rule of their own. The
 // longest matching prefix wins.
 type Partition struct {
-	Name   keyspace.PartitionName `yaml:"name" json:"name" validate:"required"`
-	Prefix string                 `yaml:"prefix" json:"prefix"`
+	Name   PartitionName `yaml:"name" json:"name" validate:"required"`
+	Prefix string        `yaml:"prefix" json:"prefix"`
 	// Zones that may hold these keys. They never leave them.
 	Zones []Zone `yaml:"zones" json:"zones" validate:"required,min=1,unique"`
 }
 
 // Placement weighs balance of load against moves of ownership.
 type Placement struct {
-	// Slices is the number that each partition starts with. Zero means 32.
-	Slices int `yaml:"slices,omitempty" json:"slices,omitempty" validate:"gte=0,lte=4096"`
-	// ChurnWeight in 0..1: 0 moves for any gain of balance, 1 never moves for
-	// balance. Moves off a lost or draining server are always made.
+	// ChurnWeight in 0..1: 0 moves for any gain of balance that repays, 1 never
+	// moves for balance. Moves off a lost or draining server are always made.
 	ChurnWeight float64 `yaml:"churn_weight,omitempty" json:"churn_weight,omitempty" validate:"gte=0,lte=1"`
 	// MovesPerMinute bounds planned moves for balance. Zero means 12.
 	MovesPerMinute int `yaml:"moves_per_minute,omitempty" json:"moves_per_minute,omitempty" validate:"gte=0"`
@@ -121,7 +121,7 @@
 	Zone    Zone   `yaml:"zone" json:"zone" validate:"required"`
 	// Slots is how many requests it runs at once.
 	Slots int `yaml:"slots" json:"slots" validate:"required,gte=1"`
-	// Connections is the most that it accepts, from all gateways together.
+	// Connections is the most that it accepts, from all routers together.
 	Connections int `yaml:"connections" json:"connections" validate:"required,gte=1"`
 	// Leaving back ends get no new work.
 	Leaving bool `yaml:"leaving,omitempty" json:"leaving,omitempty"`
@@ -131,8 +131,8 @@
 type Duration time.Duration
 
 // ServiceName returns the scoped name of the team's service.
-func (b Bundle) ServiceName(service Service) keyspace.ServiceName {
-	return keyspace.ServiceName(string(b.Team) + "/" + service.Name)
+func (b Bundle) ServiceName(service Service) ScopedName {
+	return ScopedName(string(b.Team) + "/" + service.Name)
 }
 
 // ServerName returns the scoped name of the service's back end.
--- a/internal/bundle/bundle_test.go
+++ b/internal/bundle/bundle_test.go
@@ -65,17 +65,18 @@
 	other, _, err := ed25519.GenerateKey(nil)
 	assert.NilError(t, err)
 	signed := readTestBundle(t, smallBundle)
-	signature, err := bundle.Sign(private, signed)
+	signature, err := bundle.Sign(private, bundle.PurposeApproval, signed)
 	assert.NilError(t, err)
-	assert.NilError(t, bundle.Verify(public, signed, signature))
-	assert.ErrorIs(t, bundle.Verify(other, signed, signature), bundle.ErrBadSignature)
-	assert.ErrorIs(t, bundle.Verify(nil, signed, signature), bundle.ErrBadSignature)
+	assert.NilError(t, bundle.Verify(public, bundle.PurposeApproval, signed, signature))
+	assert.ErrorIs(t, bundle.Verify(other, bundle.PurposeApproval, signed, signature), bundle.ErrBadSignature)
+	assert.ErrorIs(t, bundle.Verify(nil, bundle.PurposeApproval, signed, signature), bundle.ErrBadSignature)
+	assert.ErrorIs(t, bundle.Verify(public, bundle.PurposeRoll, signed, signature), bundle.ErrBadSignature)
 	canonical, err := bundle.Canonical(signed)
 	assert.NilError(t, err)
 	unprefixed := ed25519.Sign(private, canonical)
-	assert.ErrorIs(t, bundle.Verify(public, signed, unprefixed), bundle.ErrBadSignature)
+	assert.ErrorIs(t, bundle.Verify(public, bundle.PurposeApproval, signed, unprefixed), bundle.ErrBadSignature)
 	signed.Version++
-	assert.ErrorIs(t, bundle.Verify(public, signed, signature), bundle.ErrBadSignature)
+	assert.ErrorIs(t, bundle.Verify(public, bundle.PurposeApproval, signed, signature), bundle.ErrBadSignature)
 }
 
 // FuzzRead looks for documents that crash the reader, for problems without a
--- a/internal/bundle/canonical.go
+++ b/internal/bundle/canonical.go
@@ -12,6 +12,17 @@
 // use of the same key.
 const SignaturePrefix = "shalefork-bundle-v1\n"
 
+// Purpose is what an operator signs a bundle for, so that a signature for one step
+// does not stand for another.
+type Purpose string
+
+// Purposes of signatures.
+const (
+	PurposeProposal Purpose = "proposal"
+	PurposeApproval Purpose = "approval"
+	PurposeRoll     Purpose = "roll"
+)
+
 // ErrBadSignature says that a signature is not one by the given key over the
 // bundle.
 var ErrBadSignature = Error.New("signature does not match the bundle")
@@ -42,20 +53,20 @@
 	return hex.EncodeToString(sum[:]), nil
 }
 
-// Sign returns the ed25519 signature of SignaturePrefix and the canonical
-// bytes.
-func Sign(key ed25519.PrivateKey, b Bundle) ([]byte, error) {
-	message, err := signedMessage(b)
+// Sign returns the ed25519 signature of SignaturePrefix, the purpose, a line
+// break and the canonical bytes.
+func Sign(key ed25519.PrivateKey, purpose Purpose, b Bundle) ([]byte, error) {
+	message, err := signedMessage(purpose, b)
 	if err != nil {
 		return nil, err
 	}
 	return ed25519.Sign(key, message), nil
 }
 
-// Verify returns ErrBadSignature unless the signature is that of Sign with the
-// private key of key.
-func Verify(key ed25519.PublicKey, b Bundle, signature []byte) error {
-	message, err := signedMessage(b)
+// Verify returns ErrBadSignature unless the signature is that of Sign for the
+// purpose with the private key of key.
+func Verify(key ed25519.PublicKey, purpose Purpose, b Bundle, signature []byte) error {
+	message, err := signedMessage(purpose, b)
 	if err != nil {
 		return err
 	}
@@ -65,10 +76,10 @@
 	return nil
 }
 
-func signedMessage(b Bundle) ([]byte, error) {
+func signedMessage(purpose Purpose, b Bundle) ([]byte, error) {
 	canonical, err := Canonical(b)
 	if err != nil {
 		return nil, err
 	}
-	return append([]byte(SignaturePrefix), canonical...), nil
+	return append([]byte(SignaturePrefix+string(purpose)+"\n"), canonical...), nil
 }
--- a/internal/bundle/check_service.go
+++ b/internal/bundle/check_service.go
@@ -24,7 +24,7 @@
 	maxTextBytes      = 256
 )
 
-// systemPath begins the paths of the system's own processes, which gateways
+// systemPath begins the paths of the system's own processes, which routers
 // pass to no server.
 const systemPath = "/shalefork"
 
--- a/internal/bundle/conflict.go
+++ b/internal/bundle/conflict.go
@@ -4,7 +4,7 @@
 
 // Conflicts returns a problem for each route and each address of b that a
 // bundle of another team has too. Bundles of b's own team, older or newer, are
-// no conflict. The controller refuses to roll a bundle with conflicts.
+// no conflict. A proposal with conflicts is refused.
 func Conflicts(b Bundle, others []Bundle) []Problem {
 	taken := newOwners(b.Team, others)
 	var problems []Problem
--- a/internal/grant/race_off_test.go
+++ /dev/null
@@ -1,5 +0,0 @@
-//go:build !race
-
-package grant_test
-
-const raceDetector = false
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -52,6 +52,7 @@
 	Table   *keytable.Table
 	Reports <-chan peerlink.Report
 	Log     *decision.Log
+	Metrics *Metrics
 	Times   owner.Config
 	// Nonce returns a text that is never used twice.
 	Nonce func() string
@@ -96,6 +97,7 @@
 	}
 	k.Hub.Open(tenure.Leader.Term)
 	defer k.Hub.Close()
+	defer k.Metrics.ended()
 	t.run()
 }
 
@@ -176,6 +178,7 @@
 // send sends one order and reports its end.
 func (t *tenancy) send(of *service, order owner.Order) {
 	var reply owner.Reply
+	began := time.Now()
 	if order.Release {
 		bounded, cancel := context.WithTimeout(t.ctx, releaseTimeout)
 		defer cancel()
@@ -185,6 +188,7 @@
 		defer cancel()
 		reply = t.Orders.Grant(bounded, order.Target, order.Grant)
 	}
+	t.Metrics.answered(of.name, order, reply.Outcome, time.Since(began))
 	select {
 	case t.answers <- answer{of: of, order: order, reply: reply}:
 	case <-t.ctx.Done():
@@ -201,8 +205,9 @@
 	}
 }
 
-// publish tells the gateways of changed owners.
+// publish tells the routers of changed owners.
 func (t *tenancy) publish(of *service) {
+	t.Metrics.book(of.name, of.book.Spans(), of.book.HoldLeft(time.Now()))
 	if of.book.Shape() == of.published {
 		return
 	}
@@ -212,7 +217,7 @@
 	t.Hub.Publish(of.name, owners)
 }
 
-// measure takes what the gateways saw.
+// measure takes what the routers saw.
 func (t *tenancy) measure(now time.Time, report peerlink.Report) {
 	for name, pairs := range report.Keys {
 		of := t.services[name]
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
 	"github.com/shalefork/shalefork/internal/coord/memory"
@@ -66,7 +67,8 @@
 			Config: func() *routing.Config { return config },
 			Hub:    peerlink.NewHub("process", make(chan peerlink.Report), known), Table: keytable.New(),
 			Reports: make(chan peerlink.Report), Log: decision.NewTo(io.Discard, "n"),
-			Times: owner.DefaultConfig(10 * time.Second), Nonce: b.nonce,
+			Metrics: NewMetrics(prometheus.NewRegistry()),
+			Times:   owner.DefaultConfig(10 * time.Second), Nonce: b.nonce,
 		}
 		defer b.keeper.Log.Close()
 		b.announce("w1", "w2")
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -36,6 +37,8 @@
 	// revision of the stored record.
 	revision coord.Revision
 	writing  bool
+	// moves are when keys were moved for balance lately.
+	moves []time.Time
 }
 
 func newService(name routing.ServiceName) *service {
@@ -119,9 +122,12 @@
 		t.first(now, of, candidates)
 		return
 	}
-	moves := of.book.Plan(candidates, of.loads.Rates(now), of.loads.Settled(now))
-	if moves > 0 {
-		t.Log.Line(decision.KindMoved).Str("service", string(of.name)).Int("moves", moves).
+	rules := t.rules(now, of)
+	forced, balancing := of.book.Plan(candidates, of.loads.Rates(now), rules)
+	of.moved(now, balancing)
+	t.Metrics.moved(of.name, forced, balancing)
+	if forced+balancing > 0 {
+		t.Log.Line(decision.KindMoved).Str("service", string(of.name)).Int("moves", forced+balancing).Int("forced", forced).
 			Int("candidates", len(candidates)).Uint64("change", of.book.Change()).Msg("")
 	}
 }
@@ -132,10 +138,62 @@
 	if len(candidates) == 0 || !settled {
 		return
 	}
-	of.book.Assign(now, owner.First(candidates))
+	owners := owner.First(candidates, t.places(of))
+	if owners == nil {
+		return
+	}
+	of.book.Assign(now, owners)
 	t.Log.Line(decision.KindAssigned).Str("service", string(of.name)).Int("candidates", len(candidates)).Msg("")
 }
 
+// rules are what the configuration allows, as far as loads are known and moves are
+// left.
+func (t *tenancy) rules(now time.Time, of *service) owner.Rules {
+	rules := owner.Rules{Places: t.places(of), Balance: of.loads.Settled(now), Moves: math.MaxInt}
+	if described := t.described(of); described != nil {
+		rules.ChurnWeight = described.ChurnWeight
+		if described.MovesPerMinute > 0 {
+			rules.Moves = max(0, described.MovesPerMinute-of.movesSince(now.Add(-time.Minute)))
+		}
+	}
+	return rules
+}
+
+// described returns the service in the configuration; nil if it is gone.
+func (t *tenancy) described(of *service) *routing.Service {
+	if config := t.Config(); config != nil {
+		return config.Services[of.name]
+	}
+	return nil
+}
+
+// places returns where the service's keys may be held.
+func (t *tenancy) places(of *service) []owner.Place {
+	described := t.described(of)
+	if described == nil {
+		return nil
+	}
+	places := make([]owner.Place, 0, len(described.Places))
+	for _, one := range described.Places {
+		places = append(places, owner.Place{Keys: owner.Keys{From: one.From, To: one.To}, Zones: one.Zones})
+	}
+	return places
+}
+
+// moved notes moves for balance.
+func (s *service) moved(now time.Time, count int) {
+	s.movesSince(now.Add(-time.Minute))
+	for range count {
+		s.moves = append(s.moves, now)
+	}
+}
+
+// movesSince counts the moves for balance since a time and forgets older ones.
+func (s *service) movesSince(since time.Time) int {
+	s.moves = slices.DeleteFunc(s.moves, func(at time.Time) bool { return at.Before(since) })
+	return len(s.moves)
+}
+
 // candidates lists the workers that may hold keys now.
 func (t *tenancy) candidates(now time.Time, of *service) []owner.Candidate {
 	list, _ := t.Workers.Of(of.name)
--- a/internal/keytable/keytable.go
+++ b/internal/keytable/keytable.go
@@ -1,4 +1,4 @@
-// Package keytable is what a gateway knows of the owners of keys.
+// Package keytable is what a router knows of the owners of keys.
 package keytable
 
 import (
--- a/internal/lab/mutate/tree.go
+++ b/internal/lab/mutate/tree.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 )
 
@@ -43,13 +44,16 @@
 	return tree{root: root}, copySources(root)
 }
 
+// leftOut are directories without sources.
+var leftOut = []string{".git", "bin", "target", "journal"}
+
 func copySources(root string) error {
 	return filepath.WalkDir(".", func(path string, entry fs.DirEntry, err error) error {
 		if err != nil {
 			return err
 		}
 		if entry.IsDir() {
-			if entry.Name() == ".git" || path == "bin" {
+			if slices.Contains(leftOut, entry.Name()) {
 				return filepath.SkipDir
 			}
 			return os.MkdirAll(filepath.Join(root, path), 0o755)
--- a/internal/lifecycle/head.go
+++ b/internal/lifecycle/head.go
@@ -1,10 +1,11 @@
 // Package lifecycle moves the versions of a team's bundle through their states:
 // proposed, approved by another operator, rolling, and in force or refused.
 //
-// Each team has one Head a cell, kept under platform.HeadKey and changed only by
+// Each team has one Head, kept in the key-value service and changed only by
 // compare-and-swap, so of two racing operators one wins and the other is told
 // by whom. The functions are pure: they take a head and give back the next one
-// and an Outcome; the caller verifies signatures and writes the head.
+// and an Outcome; the caller writes the head, and whoever uses a version
+// verifies its signatures.
 //
 //	proposed -> approved -> rolling -> in-force
 //
@@ -18,7 +19,6 @@
 import (
 	"slices"
 
-	"github.com/shalefork/shalefork/internal/adminapi"
 	"github.com/shalefork/shalefork/internal/bundle"
 )
 
@@ -32,14 +32,17 @@
 
 // Entry is the record of one version.
 type Entry struct {
-	Version    bundle.Version        `json:"version"`
-	State      adminapi.BundleState  `json:"state"`
-	Digest     string                `json:"digest"`
-	ProposedBy adminapi.OperatorName `json:"proposed_by"`
-	ApprovedBy adminapi.OperatorName `json:"approved_by,omitempty"`
-	// Signature is the approver's, over the bundle; see bundle.Sign.
-	Signature []byte                `json:"signature,omitempty"`
-	RolledBy  adminapi.OperatorName `json:"rolled_by,omitempty"`
+	Version    bundle.Version `json:"version"`
+	State      State          `json:"state"`
+	Digest     string         `json:"digest"`
+	ProposedBy OperatorName   `json:"proposed_by"`
+	ApprovedBy OperatorName   `json:"approved_by,omitempty"`
+	// Signatures over the bundle, one for each step that operators take; see
+	// bundle.Sign. A router verifies all of them before it uses the version.
+	ProposalSignature []byte       `json:"proposal_signature,omitempty"`
+	ApprovalSignature []byte       `json:"approval_signature,omitempty"`
+	RollSignature     []byte       `json:"roll_signature,omitempty"`
+	RolledBy          OperatorName `json:"rolled_by,omitempty"`
 	// Reason of a version that is refused or replaced.
 	Reason string `json:"reason,omitempty"`
 }
@@ -62,12 +65,12 @@
 
 // InForce returns the version in force, and false if there is none yet.
 func (h Head) InForce() (Entry, bool) {
-	return h.highest(adminapi.StateInForce)
+	return h.highest(StateInForce)
 }
 
 // Rolling returns the highest version that is rolling, and false for none.
 func (h Head) Rolling() (Entry, bool) {
-	return h.highest(adminapi.StateRolling)
+	return h.highest(StateRolling)
 }
 
 // Find returns the record of a version, and false if it is not remembered.
@@ -80,8 +83,8 @@
 }
 
 // Status returns the view of an entry for the administration API.
-func (h Head) Status(entry Entry) adminapi.BundleStatus {
-	return adminapi.BundleStatus{
+func (h Head) Status(entry Entry) Status {
+	return Status{
 		Team:       h.Team,
 		Version:    entry.Version,
 		State:      entry.State,
@@ -94,15 +97,15 @@
 }
 
 // History returns the views of all versions remembered, in rising order.
-func (h Head) History() []adminapi.BundleStatus {
-	history := make([]adminapi.BundleStatus, 0, len(h.Entries))
+func (h Head) History() []Status {
+	history := make([]Status, 0, len(h.Entries))
 	for _, entry := range h.Entries {
 		history = append(history, h.Status(entry))
 	}
 	return history
 }
 
-func (h Head) highest(state adminapi.BundleState) (Entry, bool) {
+func (h Head) highest(state State) (Entry, bool) {
 	for _, entry := range slices.Backward(h.Entries) {
 		if entry.State == state {
 			return entry, true
@@ -114,7 +117,7 @@
 func (h Head) countRolling() int {
 	count := 0
 	for _, entry := range h.Entries {
-		if entry.State == adminapi.StateRolling {
+		if entry.State == StateRolling {
 			count++
 		}
 	}
@@ -146,6 +149,6 @@
 
 // isActive reports whether the version is in force or may still be. A head has
 // at most MaxRolling+2 of them, so append always finds one that is not.
-func isActive(state adminapi.BundleState) bool {
-	return state != adminapi.StateRefused && state != adminapi.StateReplaced
+func isActive(state State) bool {
+	return state != StateRefused && state != StateReplaced
 }
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -10,7 +10,6 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/shalefork/shalefork/internal/adminapi"
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/lab/tracetest"
 	"github.com/shalefork/shalefork/internal/lifecycle"
@@ -21,7 +20,7 @@
 	words := append(strings.Fields(line), "", "")
 	number, _ := strconv.ParseUint(words[1], 10, 64)
 	version := bundle.Version(number)
-	operator := adminapi.OperatorName(words[2])
+	operator := lifecycle.OperatorName(words[2])
 	switch words[0] {
 	case "propose":
 		return lifecycle.Propose(head, lifecycle.Proposal{Version: version, Digest: words[3], Operator: operator})
@@ -29,7 +28,7 @@
 		approval := lifecycle.Approval{Version: version, Digest: words[3], Operator: operator, Signature: []byte("s")}
 		return lifecycle.Approve(head, approval)
 	case "roll":
-		return lifecycle.Roll(head, version, operator)
+		return lifecycle.Roll(head, version, operator, []byte("s"))
 	case "refuse":
 		return lifecycle.Refuse(head, version, words[2])
 	case "in-force":
@@ -94,7 +93,7 @@
 		assert.Assert(t, entry.Version > previous)
 		previous = entry.Version
 		assert.Assert(t, entry.ApprovedBy != entry.ProposedBy)
-		if entry.State == adminapi.StateInForce {
+		if entry.State == lifecycle.StateInForce {
 			inForce++
 			assert.Assert(t, entry.ApprovedBy != "" && entry.RolledBy != "")
 		}
--- a/internal/lifecycle/outcome.go
+++ b/internal/lifecycle/outcome.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-
-	"github.com/shalefork/shalefork/internal/adminapi"
 )
 
 // OutcomeKind says what a step did.
@@ -31,7 +29,7 @@
 	Kind OutcomeKind `json:"kind"`
 	// Status of the version after the step; for a step that failed, of the
 	// version that stands in its way, if there is one.
-	Status *adminapi.BundleStatus `json:"status,omitempty"`
+	Status *Status `json:"status,omitempty"`
 	// Message for operators; empty for a success.
 	Message string `json:"message,omitempty"`
 }
@@ -41,24 +39,6 @@
 	return o.Kind == Changed || o.Kind == Unchanged
 }
 
-// failureCodes of the kinds that are no success.
-var failureCodes = map[OutcomeKind]adminapi.FailureCode{
-	Conflict:     adminapi.FailureConflict,
-	WrongState:   adminapi.FailureWrongState,
-	SameOperator: adminapi.FailureSameOperator,
-	NotFound:     adminapi.FailureNotFound,
-}
-
-// Failure returns the administration API's answer for an outcome that is not
-// OK.
-func (o Outcome) Failure() adminapi.Failure {
-	return adminapi.Failure{
-		Code:    failureCodes[o.Kind],
-		Message: o.Message,
-		Winner:  o.Status,
-	}
-}
-
 func success(kind OutcomeKind, head Head, entry Entry) (Head, Outcome) {
 	status := head.Status(entry)
 	return head, Outcome{Kind: kind, Status: &status}
--- a/internal/lifecycle/steps.go
+++ b/internal/lifecycle/steps.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 
-	"github.com/shalefork/shalefork/internal/adminapi"
 	"github.com/shalefork/shalefork/internal/bundle"
 )
 
@@ -11,14 +10,16 @@
 type Proposal struct {
 	Version  bundle.Version
 	Digest   string
-	Operator adminapi.OperatorName
+	Operator OperatorName
+	// Signature over the bundle, for PurposeProposal.
+	Signature []byte
 }
 
-// Approval signs a version off. The caller has verified Signature.
+// Approval signs a version off. Signature is over the bundle.
 type Approval struct {
 	Version   bundle.Version
 	Digest    string
-	Operator  adminapi.OperatorName
+	Operator  OperatorName
 	Signature []byte
 }
 
@@ -32,14 +33,16 @@
 	if head.countRolling() >= MaxRolling {
 		return failure(WrongState, head, latest, "%d versions are rolling; wait until one is in force", MaxRolling)
 	}
-	if latest.State == adminapi.StateProposed || latest.State == adminapi.StateApproved {
+	if latest.State == StateProposed || latest.State == StateApproved {
 		head = head.with(replacedBy(latest, proposal.Version))
 	}
 	entry := Entry{
 		Version:    proposal.Version,
-		State:      adminapi.StateProposed,
+		State:      StateProposed,
 		Digest:     proposal.Digest,
 		ProposedBy: proposal.Operator,
+
+		ProposalSignature: proposal.Signature,
 	}
 	return success(Changed, head.append(entry), entry)
 }
@@ -83,28 +86,30 @@
 			entry.Version, entry.ProposedBy)
 	case entry.ApprovedBy == approval.Operator && isActive(entry.State):
 		return success(Unchanged, head, entry)
-	case entry.State != adminapi.StateProposed:
-		return wrongState(head, entry, adminapi.StateProposed)
+	case entry.State != StateProposed:
+		return wrongState(head, entry, StateProposed)
 	}
-	entry.State = adminapi.StateApproved
+	entry.State = StateApproved
 	entry.ApprovedBy = approval.Operator
-	entry.Signature = approval.Signature
+	entry.ApprovalSignature = approval.Signature
 	return success(Changed, head.with(entry), entry)
 }
 
-// Roll starts to put an approved version into force. Any operator may roll.
-func Roll(head Head, version bundle.Version, operator adminapi.OperatorName) (Head, Outcome) {
+// Roll starts to put an approved version into force. Any operator may roll; the
+// signature is over the bundle.
+func Roll(head Head, version bundle.Version, operator OperatorName, signature []byte) (Head, Outcome) {
 	entry, found := head.Find(version)
 	switch {
 	case !found:
 		return notFound(head, version)
 	case entry.RolledBy == operator && isActive(entry.State):
 		return success(Unchanged, head, entry)
-	case entry.State != adminapi.StateApproved:
-		return wrongState(head, entry, adminapi.StateApproved)
+	case entry.State != StateApproved:
+		return wrongState(head, entry, StateApproved)
 	}
-	entry.State = adminapi.StateRolling
+	entry.State = StateRolling
 	entry.RolledBy = operator
+	entry.RollSignature = signature
 	return success(Changed, head.with(entry), entry)
 }
 
@@ -116,29 +121,28 @@
 	switch {
 	case !found:
 		return notFound(head, version)
-	case entry.State == adminapi.StateRefused:
+	case entry.State == StateRefused:
 		return success(Unchanged, head, entry)
-	case entry.State == adminapi.StateInForce || entry.State == adminapi.StateReplaced:
-		return wrongState(head, entry, adminapi.StateRolling)
+	case entry.State == StateInForce || entry.State == StateReplaced:
+		return wrongState(head, entry, StateRolling)
 	}
-	entry.State = adminapi.StateRefused
+	entry.State = StateRefused
 	entry.Reason = reason
 	return success(Changed, head.with(entry), entry)
 }
 
-// InForce records that every live grant of the team carries the version. The
-// lower versions that were in force or still rolling are replaced.
+// InForce records that the version is the one that routers use. The lower versions that were in force or still rolling are replaced.
 func InForce(head Head, version bundle.Version) (Head, Outcome) {
 	entry, found := head.Find(version)
 	switch {
 	case !found:
 		return notFound(head, version)
-	case entry.State == adminapi.StateInForce:
+	case entry.State == StateInForce:
 		return success(Unchanged, head, entry)
-	case entry.State != adminapi.StateRolling:
-		return wrongState(head, entry, adminapi.StateRolling)
+	case entry.State != StateRolling:
+		return wrongState(head, entry, StateRolling)
 	}
-	entry.State = adminapi.StateInForce
+	entry.State = StateInForce
 	return success(Changed, head.with(entry).replaceBelow(version), entry)
 }
 
@@ -146,7 +150,7 @@
 // replaced.
 func (h Head) replaceBelow(version bundle.Version) Head {
 	for _, entry := range h.Entries {
-		wasAdopted := entry.State == adminapi.StateInForce || entry.State == adminapi.StateRolling
+		wasAdopted := entry.State == StateInForce || entry.State == StateRolling
 		if entry.Version < version && wasAdopted {
 			h = h.with(replacedBy(entry, version))
 		}
@@ -155,12 +159,12 @@
 }
 
 func replacedBy(entry Entry, version bundle.Version) Entry {
-	entry.State = adminapi.StateReplaced
+	entry.State = StateReplaced
 	entry.Reason = fmt.Sprintf("replaced by version %d", version)
 	return entry
 }
 
-func wrongState(head Head, entry Entry, expected adminapi.BundleState) (Head, Outcome) {
+func wrongState(head Head, entry Entry, expected State) (Head, Outcome) {
 	return failure(WrongState, head, entry, "version %d is %s%s; expected %s",
 		entry.Version, entry.State, lastOperator(entry), expected)
 }
--- a/internal/operator/exit.go
+++ b/internal/operator/exit.go
@@ -1,5 +1,5 @@
-// Package operator implements the operators' commands: keys, bundles, status
-// and the check of settings. Each command writes its result to one writer, its
+// Package operator implements the operators' commands: keys, bundles, status and
+// the check of settings. Each command writes its result to one writer, its
 // complaint to another, and returns an exit code.
 package operator
 
@@ -8,9 +8,11 @@
 	"fmt"
 	"io"
 
-	"github.com/shalefork/shalefork/internal/adminapi"
-	"github.com/shalefork/shalefork/internal/cli"
 	"github.com/zeebo/errs"
+
+	"github.com/shalefork/shalefork/internal/cli"
+	"github.com/shalefork/shalefork/internal/lifecycle"
+	"github.com/shalefork/shalefork/internal/registry"
 )
 
 // Error is the class of errors of this package.
@@ -24,8 +26,7 @@
 const (
 	// ExitOK: done.
 	ExitOK ExitCode = 0
-	// ExitRefused: the system refused or the action failed; trying the same
-	// again will not help.
+	// ExitRefused: the step was refused; trying the same again will not help.
 	ExitRefused ExitCode = 1
 	// ExitInvalid: the command line, a file or a bundle is invalid.
 	ExitInvalid ExitCode = 2
@@ -43,36 +44,25 @@
 
 // Fail writes the error for people and returns the code that belongs to it.
 func (o Output) Fail(err error) ExitCode {
-	var failure *FailureError
-	if errors.As(err, &failure) {
-		return o.failFromServer(failure.Failure)
-	}
 	fmt.Fprintln(o.Complaint, err)
-	if errors.Is(err, ErrUnreachable) {
+	if errors.Is(err, registry.ErrUnavailable) {
 		return ExitUnreachable
 	}
 	return ExitInvalid
 }
 
-func (o Output) failFromServer(failure adminapi.Failure) ExitCode {
-	fmt.Fprintf(o.Complaint, "%s: %s\n", failure.Code, failure.Message)
-	if failure.Winner != nil {
-		fmt.Fprintf(o.Complaint, "version %d by %s is %s\n",
-			failure.Winner.Version, failure.Winner.ProposedBy, failure.Winner.State)
+// outcome writes how a step ended.
+func (o Output) outcome(outcome lifecycle.Outcome, err error) ExitCode {
+	switch {
+	case err != nil:
+		return o.Fail(err)
+	case outcome.OK():
+		return o.bundle(*outcome.Status)
 	}
-	if failure.RetryAfter > 0 {
-		fmt.Fprintf(o.Complaint, "try again in %d s\n", failure.RetryAfter)
-	}
-	return exitOf(failure.Code)
-}
-
-func exitOf(code adminapi.FailureCode) ExitCode {
-	switch code {
-	case adminapi.FailurePlatform, adminapi.FailureNoLeader:
-		return ExitUnreachable
-	case adminapi.FailureInvalid:
-		return ExitInvalid
-	default:
-		return ExitRefused
+	fmt.Fprintf(o.Complaint, "%s: %s\n", outcome.Kind, outcome.Message)
+	if outcome.Status != nil {
+		fmt.Fprintf(o.Complaint, "version %d by %s is %s\n",
+			outcome.Status.Version, outcome.Status.ProposedBy, outcome.Status.State)
 	}
+	return ExitRefused
 }
--- a/internal/operator/key.go
+++ b/internal/operator/key.go
@@ -8,20 +8,15 @@
 	"os"
 	"strings"
 
-	"github.com/shalefork/shalefork/internal/adminapi"
+	"github.com/shalefork/shalefork/internal/lifecycle"
+	"github.com/shalefork/shalefork/internal/registry"
 )
 
 // keyFileMode lets only the owner read the key.
 const keyFileMode = 0o600
 
-// Identity is an operator with the key to sign with.
-type Identity struct {
-	Name adminapi.OperatorName
-	Key  ed25519.PrivateKey
-}
-
 // GenerateKey writes a new ed25519 key to a file that must not exist yet and
-// prints the public key for the controllers' settings.
+// prints the public key for the routers' settings.
 func GenerateKey(output Output, path string) ExitCode {
 	public, private, err := ed25519.GenerateKey(rand.Reader)
 	if err != nil {
@@ -48,21 +43,21 @@
 
 // LoadIdentity reads the key file of an operator. It refuses a file that
 // others can read.
-func LoadIdentity(name, path string) (Identity, error) {
+func LoadIdentity(name, path string) (registry.Operator, error) {
 	info, err := os.Stat(path)
 	if err != nil {
-		return Identity{}, Error.Wrap(err)
+		return registry.Operator{}, Error.Wrap(err)
 	}
 	if info.Mode().Perm()&0o077 != 0 {
-		return Identity{}, Error.New("key file %s can be read by others; make it mode 0600", path)
+		return registry.Operator{}, Error.New("key file %s can be read by others; make it mode 0600", path)
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return Identity{}, Error.Wrap(err)
+		return registry.Operator{}, Error.Wrap(err)
 	}
 	seed, err := base64.StdEncoding.DecodeString(strings.TrimSpace(string(text)))
 	if err != nil || len(seed) != ed25519.SeedSize {
-		return Identity{}, Error.New("key file %s does not hold an ed25519 key", path)
+		return registry.Operator{}, Error.New("key file %s does not hold an ed25519 key", path)
 	}
-	return Identity{Name: adminapi.OperatorName(name), Key: ed25519.NewKeyFromSeed(seed)}, nil
+	return registry.Operator{Name: lifecycle.OperatorName(name), Key: ed25519.NewKeyFromSeed(seed)}, nil
 }
--- a/internal/operator/print.go
+++ b/internal/operator/print.go
@@ -7,29 +7,26 @@
 	"io"
 	"text/tabwriter"
 
-	"github.com/shalefork/shalefork/internal/adminapi"
+	"github.com/shalefork/shalefork/internal/lifecycle"
 )
 
 // bundle prints one version. One that is refused or replaced makes the command
 // fail.
-func (o Output) bundle(status adminapi.BundleStatus, err error) ExitCode {
-	if err != nil {
-		return o.Fail(err)
-	}
+func (o Output) bundle(status lifecycle.Status) ExitCode {
 	if o.JSON {
 		o.json(status)
 	} else {
 		o.bundleLine(status)
 	}
 	switch status.State {
-	case adminapi.StateRefused, adminapi.StateReplaced:
+	case lifecycle.StateRefused, lifecycle.StateReplaced:
 		return ExitRefused
 	default:
 		return ExitOK
 	}
 }
 
-func (o Output) bundleLine(status adminapi.BundleStatus) {
+func (o Output) bundleLine(status lifecycle.Status) {
 	fmt.Fprintf(o.Result, "%s version %d is %s\n", status.Team, status.Version, status.State)
 	fmt.Fprintf(o.Result, "  digest       %s\n", status.Digest)
 	fmt.Fprintf(o.Result, "  proposed by  %s\n", orDash(status.ProposedBy))
@@ -44,7 +41,7 @@
 	return cmp.Or(text, "-")
 }
 
-func (o Output) history(versions []adminapi.BundleStatus) ExitCode {
+func (o Output) history(versions []lifecycle.Status) ExitCode {
 	if o.JSON {
 		o.json(versions)
 		return ExitOK
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -3,141 +3,82 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"maps"
-	"slices"
+	"strings"
 
-	"github.com/shalefork/shalefork/internal/adminapi"
-	"github.com/shalefork/shalefork/internal/bundle"
-	"github.com/shalefork/shalefork/internal/cellstate"
-	"github.com/shalefork/shalefork/internal/consensus"
-	"github.com/shalefork/shalefork/internal/grant"
-	"github.com/shalefork/shalefork/internal/wire"
+	"github.com/zeebo/errs"
+
+	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/election"
+	"github.com/shalefork/shalefork/internal/keeper"
+	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/registry"
 )
 
-// Status prints who owns what, the leases, the replicas and the back ends.
-func Status(ctx context.Context, output Output, client *Client) ExitCode {
-	status, err := client.Status(ctx)
+// Overview is what the key-value service says of the system.
+type Overview struct {
+	// Leader is the peer address of the router that leads; empty if none does.
+	Leader   string        `json:"leader"`
+	Term     owner.Term    `json:"term"`
+	Services []OwnedByTerm `json:"services"`
+}
+
+// OwnedByTerm are the stored owners of a service's keys.
+type OwnedByTerm struct {
+	Service string `json:"service"`
+	// Term of the leader that stored them.
+	Term   owner.Term    `json:"term"`
+	Owners []owner.Owner `json:"owners"`
+}
+
+// Status prints who leads and who owns which keys, as the service has it under the
+// system's own prefix.
+func Status(ctx context.Context, output Output, store coord.Store, prefix string) ExitCode {
+	overview, err := readOverview(ctx, store, prefix)
 	if err != nil {
 		return output.Fail(err)
 	}
 	if output.JSON {
-		output.json(status)
+		output.json(overview)
 		return ExitOK
 	}
-	writeGroup(output.Result, status)
-	writeTeams(output.Result, status.State)
-	writeServers(output.Result, status)
-	writeAssignments(output.Result, status.State)
-	writeCounters(output.Result, status.Counters)
+	output.overview(overview)
 	return ExitOK
 }
 
-func writeGroup(writer io.Writer, status adminapi.Status) {
-	fmt.Fprintf(writer, "cell %s, generation %d, term %d, commit %d, checkpoint %d\n\n",
-		status.Cell, status.Generation, status.Group.Term, status.Group.Commit, status.CheckpointIndex)
-	table := newTable(writer)
-	fmt.Fprintln(table, "REPLICA\tADDRESS\tZONE\tROLE\tMATCH")
-	for _, member := range status.Group.Membership.Members {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\n",
-			member.ID, member.Address, member.Zone, roleOf(status.Group, member), matchOf(status.Group, member))
-	}
-	table.Flush()
-}
-
-func roleOf(group consensus.Status, member consensus.Member) consensus.Role {
-	switch {
-	case member.ID == group.Leader:
-		return consensus.RoleLeader
-	case member.Learner:
-		return consensus.RoleLearner
-	default:
-		return consensus.RoleFollower
-	}
-}
-
-func matchOf(group consensus.Status, member consensus.Member) string {
-	for _, progress := range group.Match {
-		if progress.ID == member.ID {
-			return fmt.Sprint(progress.Match)
-		}
-	}
-	return "-"
-}
-
-func writeTeams(writer io.Writer, state cellstate.State) {
-	table := newTable(writer)
-	fmt.Fprintln(table, "\nTEAM\tBUNDLE\tIN FORCE\tDIGEST")
-	for _, name := range slices.Sorted(maps.Keys(state.Teams)) {
-		team := state.Teams[name]
-		fmt.Fprintf(table, "%s\t%d\t%t\t%.12s\n", name, team.Bundle.Version, team.InForce, team.Digest)
+func readOverview(ctx context.Context, store coord.Store, prefix string) (Overview, error) {
+	leader, found, err := election.New(store, prefix, "", "", nil).Look(ctx)
+	if err != nil {
+		return Overview{}, errs.Combine(registry.ErrUnavailable, err)
 	}
-	table.Flush()
-}
-
-func writeServers(writer io.Writer, status adminapi.Status) {
-	views := map[bundle.ServerName]grant.ServerView{}
-	for _, view := range status.Servers {
-		views[view.Name] = view
+	var overview Overview
+	if found {
+		overview.Leader, overview.Term = leader.Address, leader.Term
 	}
-	owned := countOwned(status.State)
-	table := newTable(writer)
-	fmt.Fprintln(table, "\nSERVER\tADDRESS\tZONE\tLIVE\tDRAINING\tSLICES\tIN FLIGHT")
-	for _, name := range slices.Sorted(maps.Keys(status.State.Servers)) {
-		server := status.State.Servers[name]
-		view := views[name]
-		fmt.Fprintf(table, "%s\t%s\t%s\t%t\t%t\t%d\t%d\n",
-			name, server.Address, server.Zone, view.Live, server.Draining, owned[name], view.Load.InFlight)
+	records := keeper.RecordKey(prefix, "")
+	items, _, err := store.List(ctx, records)
+	if err != nil {
+		return Overview{}, errs.Combine(registry.ErrUnavailable, err)
 	}
-	table.Flush()
-}
-
-func countOwned(state cellstate.State) map[bundle.ServerName]int {
-	owned := map[bundle.ServerName]int{}
-	for _, assignment := range state.Assignments {
-		if assignment.Owner != "" {
-			owned[assignment.Owner]++
+	for _, item := range items {
+		term, owners, err := owner.DecodeOwners(item.Value)
+		if err != nil {
+			return Overview{}, err
 		}
+		service := strings.TrimPrefix(item.Key, records)
+		overview.Services = append(overview.Services, OwnedByTerm{Service: service, Term: term, Owners: owners})
 	}
-	return owned
-}
-
-func writeAssignments(writer io.Writer, state cellstate.State) {
-	table := newTable(writer)
-	fmt.Fprintln(table, "\nSERVICE\tPARTITION\tRANGE\tOWNER\tFENCE\tBUNDLE\tSTATE")
-	for _, assignment := range state.Assignments {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\t%s\n",
-			assignment.Slice.Service, assignment.Slice.Partition, assignment.Slice.Range,
-			orDash(assignment.Owner), fenceOf(assignment), assignment.Bundle, stateOf(assignment))
-	}
-	table.Flush()
+	return overview, nil
 }
 
-// fenceOf writes a fence as generation.index, which people can compare.
-func fenceOf(assignment cellstate.Assignment) string {
-	if assignment.Owner == "" {
-		return "-"
-	}
-	generation := assignment.Fence.Generation()
-	index := assignment.Fence - wire.NewFence(generation, 0)
-	return fmt.Sprintf("%d.%s", generation, index)
-}
-
-func stateOf(assignment cellstate.Assignment) string {
-	if assignment.Refusal != "" {
-		return "refused: " + string(assignment.Refusal)
-	}
-	if assignment.Owner == "" {
-		return "unowned"
-	}
-	return string(assignment.State)
-}
-
-func writeCounters(writer io.Writer, counters []adminapi.Counter) {
-	table := newTable(writer)
-	fmt.Fprintln(table, "\nCOUNTER\tVALUE")
-	for _, counter := range counters {
-		fmt.Fprintf(table, "%s\t%d\n", counter.Name, counter.Value)
+func (o Output) overview(overview Overview) {
+	fmt.Fprintf(o.Result, "leader  %s\nterm    %d\n", orDash(overview.Leader), overview.Term)
+	for _, service := range overview.Services {
+		fmt.Fprintf(o.Result, "\n%s, stored in term %d\n", service.Service, service.Term)
+		table := newTable(o.Result)
+		fmt.Fprintln(table, "FROM\tTO\tOWNER\tADDRESS")
+		for _, one := range service.Owners {
+			fmt.Fprintf(table, "%d\t%d\t%s\t%s\n", one.Keys.From, one.Keys.To, one.Worker, one.Address)
+		}
+		table.Flush()
 	}
-	table.Flush()
 }
--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -10,9 +10,9 @@
 func (p *plan) balance() int {
 	moves := 0
 	stuck := map[workers.ID]bool{}
-	for moves < maxMoves {
+	for moves < min(maxMoves, p.rules.Moves) {
 		from, found := p.busiest(stuck)
-		to, other := p.idlest(from)
+		to, other := p.idlestFor(from)
 		if !found || !other {
 			return moves
 		}
@@ -40,6 +40,25 @@
 	return moves
 }
 
+// idlestFor returns the candidate with the least load of those that may hold any
+// keys of another.
+func (p *plan) idlestFor(from workers.ID) (workers.ID, bool) {
+	if len(p.rules.Places) == 0 {
+		return p.idlest(from, Keys{0, KeyCount - 1})
+	}
+	var best workers.ID
+	found := false
+	for _, one := range p.book.spans {
+		if one.owner != from {
+			continue
+		}
+		if id, ok := p.idlest(from, one.keys); ok && (!found || p.utilization(id) < p.utilization(best)) {
+			best, found = id, true
+		}
+	}
+	return best, found
+}
+
 // hoist finds a key that alone is much of a worker's load, and the worker that
 // it would load least. Keys can't be divided, so such a key belongs on a fast
 // worker, from which the others are then moved.
@@ -52,7 +71,7 @@
 	for id, candidate := range p.candidates {
 		others := min(p.loads[id], shedShare*p.loads[id]+shedLeast)
 		after := (others + rate) / max(candidate.Capacity, 1)
-		if id != from && (after < least || (after == least && id < best)) {
+		if id != from && p.allowed(id, Keys{key, key}) && (after < least || (after == least && id < best)) {
 			best, least = id, after
 		}
 	}
@@ -94,7 +113,7 @@
 func (p *plan) choose(from, to workers.ID, want float64) (Keys, bool) {
 	best, bestCost := Keys{}, worstCost
 	for index, one := range p.book.spans {
-		if one.owner != from || one.busy || !one.settled() {
+		if one.owner != from || one.busy || !one.settled() || !p.allowed(to, one.keys) {
 			continue
 		}
 		consider := func(keys Keys) {
@@ -136,7 +155,7 @@
 
 func (p *plan) cost(index int, of *span, keys Keys, to workers.ID, want float64) float64 {
 	cost := math.Abs(want-p.rate(keys)) / want
-	cost += widthCost * float64(keys.Width()) / KeyCount
+	cost += widthCost * (1 + churnFactor*p.rules.ChurnWeight) * float64(keys.Width()) / KeyCount
 	if keys.From > of.keys.From {
 		cost += splitCost
 	} else if index > 0 && p.book.spans[index-1].owner == to {
--- a/internal/owner/book.go
+++ b/internal/owner/book.go
@@ -24,6 +24,8 @@
 	// failing are the workers whose orders have all failed lately.
 	failing map[workers.ID]failure
 	ended   map[workers.ID]bool
+	// bounds are the first keys of places, where spans are not joined.
+	bounds map[int]bool
 	// shape counts what followers must hear of.
 	shape uint64
 }
@@ -90,7 +92,7 @@
 		moved.planned = nil
 		return
 	}
-	moved.formers = append(moved.formers, former{worker: moved.owner, until: b.bound(moved), lateUntil: moved.takenUntil})
+	moved.formers = append(moved.formers, former{worker: moved.owner, until: b.holdBound(moved), lateUntil: moved.takenUntil})
 	b.dropDoubts(to, moved.keys)
 	// The new owner may still hold the keys from before.
 	held := time.Time{}
@@ -113,11 +115,12 @@
 	moved.heldUntil = held
 	moved.lateUntil = time.Time{}
 	moved.takenUntil = time.Time{}
+	moved.surelyUntil = time.Time{}
 	moved.next = now
 }
 
-// bound is when the owner's hold surely ends.
-func (b *Book) bound(of *span) time.Time {
+// holdBound is when the owner's hold surely ends.
+func (b *Book) holdBound(of *span) time.Time {
 	if of.doubtful && of.lateUntil.After(of.heldUntil) {
 		return of.lateUntil
 	}
@@ -142,6 +145,21 @@
 	return left.Worker == right.Worker && left.Moving == right.Moving
 }
 
+// Spans returns how many runs of keys there are.
+func (b *Book) Spans() int { return len(b.spans) }
+
+// HoldLeft returns the shortest time for which an owner that holds keys goes on
+// holding them without another renewal; zero if none does.
+func (b *Book) HoldLeft(now time.Time) time.Duration {
+	least := time.Duration(0)
+	for _, one := range b.spans {
+		if left := one.surelyUntil.Sub(now); one.held() && (least == 0 || left < least) {
+			least = left
+		}
+	}
+	return least
+}
+
 // StoredChange returns the last change that is kept safe.
 func (b *Book) StoredChange() uint64 { return b.stored }
 
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -184,6 +184,7 @@
 		}
 		one.handover = ""
 		one.heldUntil = later(one.heldUntil, now.Add(bound))
+		one.surelyUntil = order.sentAt.Add(b.config.Hold)
 		one.next = order.sentAt.Add(b.config.Renew)
 	case OutcomeFenced:
 		one.fence = b.nextFence()
--- a/internal/owner/dispatch_test.go
+++ b/internal/owner/dispatch_test.go
@@ -24,7 +24,7 @@
 	} {
 		now := time.Unix(1000, 0)
 		book := NewBook(DefaultConfig(10*time.Second), 1)
-		book.Assign(now, First(fleet(1, 30)))
+		book.Assign(now, First(fleet(1, 30), nil))
 		book.Stored(book.Change())
 		lost := grantDue(t, book, now)
 		now = now.Add(after)
@@ -39,7 +39,7 @@
 	now := time.Unix(1000, 0)
 	book := NewBook(DefaultConfig(10*time.Second), 1)
 	candidates := fleet(2, 30)
-	book.Assign(now, First(candidates[:1]))
+	book.Assign(now, First(candidates[:1], nil))
 	book.Stored(book.Change())
 	lost := grantDue(t, book, now)
 	book.Answered(now, lost, Reply{Outcome: OutcomeUnanswered})
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -37,7 +37,7 @@
 )
 
 // Loads measures how often each key is asked for, from the counts that the
-// gateways report. It is not safe for concurrent use.
+// routers report. It is not safe for concurrent use.
 type Loads struct {
 	keys   map[int]*keyRate
 	recent []batch
--- a/internal/owner/load_test.go
+++ b/internal/owner/load_test.go
@@ -56,10 +56,14 @@
 	loads := NewLoads(start)
 	candidates := fleet(4, 30)
 	book := NewBook(DefaultConfig(10*time.Second), 1)
-	book.Assign(start, First(candidates))
+	book.Assign(start, First(candidates, nil))
 	settle(book, start)
 	now := ask(loads, start, time.Second, 7, 40)
-	assert.Equal(t, book.Plan(candidates, loads.Rates(now), loads.Settled(now)), 0)
-	assert.Equal(t, book.Plan(candidates[1:], loads.Rates(now), loads.Settled(now)) > 0, true, "a lost worker's keys move at once")
+	rules := Rules{Balance: loads.Settled(now), Moves: maxMoves}
+	forced, balancing := book.Plan(candidates, loads.Rates(now), rules)
+	assert.Equal(t, forced+balancing, 0)
+	forced, balancing = book.Plan(candidates[1:], loads.Rates(now), rules)
+	assert.Assert(t, forced > 0, "a lost worker's keys move at once")
+	assert.Equal(t, balancing, 0)
 	assert.Assert(t, loads.Settled(start.Add(settleTime)))
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -138,12 +138,12 @@
 
 // Owner is one run of keys and the worker that requests on it go to.
 type Owner struct {
-	Keys   Keys
-	Worker workers.ID
+	Keys   Keys       `json:"keys"`
+	Worker workers.ID `json:"worker"`
 	// Address of the worker.
-	Address string
+	Address string `json:"address"`
 	// Moving says that the worker does not hold the keys yet.
-	Moving bool
+	Moving bool `json:"moving,omitempty"`
 }
 
 // Assignment names the owners of a service's keys, in the order of the keys.
--- /dev/null
+++ b/internal/owner/place.go
@@ -0,0 +1,62 @@
+package owner
+
+import "slices"
+
+// Place says which zones may hold a run of keys. They never leave them.
+type Place struct {
+	Keys  Keys
+	Zones []string
+}
+
+func (p Place) allows(zone string) bool { return slices.Contains(p.Zones, zone) }
+
+// only returns the candidates that may hold the place's keys; all, if no zone is
+// named.
+func (p Place) only(candidates []Candidate) []Candidate {
+	if len(p.Zones) == 0 {
+		return candidates
+	}
+	var allowed []Candidate
+	for _, one := range candidates {
+		if p.allows(one.Zone) {
+			allowed = append(allowed, one)
+		}
+	}
+	return allowed
+}
+
+// overlaps reports whether two runs share a key.
+func (k Keys) overlaps(other Keys) bool { return k.From <= other.To && other.From <= k.To }
+
+// blocks returns the places, and the keys between them as places without zones:
+// all keys, in order.
+func blocks(places []Place) []Place {
+	var all []Place
+	from := 0
+	for _, place := range places {
+		if place.Keys.From > from {
+			all = append(all, Place{Keys: Keys{from, place.Keys.From - 1}})
+		}
+		all = append(all, place)
+		from = place.Keys.To + 1
+	}
+	if from < KeyCount {
+		all = append(all, Place{Keys: Keys{from, KeyCount - 1}})
+	}
+	return all
+}
+
+// bound cuts spans where places begin, and keeps them from being joined there.
+func (b *Book) bound(places []Place) {
+	b.bounds = map[int]bool{}
+	if len(places) == 0 {
+		return
+	}
+	for _, block := range blocks(places) {
+		b.bounds[block.Keys.From] = true
+		index := slices.IndexFunc(b.spans, func(s *span) bool { return s.keys.Contains(block.Keys.From) })
+		if whole := b.spans[index].keys; whole.From < block.Keys.From {
+			b.cut(Keys{block.Keys.From, whole.To})
+		}
+	}
+}
--- a/internal/owner/plan.go
+++ b/internal/owner/plan.go
@@ -25,6 +25,8 @@
 	leastGap = 0.4
 	// widthCost weighs the share of all keys that moves.
 	widthCost = 6.0
+	// churnFactor is by how much a full weight of churn raises it.
+	churnFactor = 4.0
 	// splitCost weighs each new cut between spans.
 	splitCost = 0.08
 	// joinGain rewards a move that makes neighbours one.
@@ -49,14 +51,24 @@
 	tidyWidth = KeyCount / 256
 )
 
-// First deals all keys to the candidates in equal runs.
-func First(candidates []Candidate) []Owner {
-	owners := make([]Owner, 0, len(candidates))
-	from := 0
-	for index, one := range candidates {
-		to := KeyCount*(index+1)/len(candidates) - 1
-		owners = append(owners, Owner{Keys: Keys{from, to}, Worker: one.ID, Address: one.Address})
-		from = to + 1
+// First deals all keys to the candidates in equal runs, place by place. It returns
+// nil while a place has no candidate: its keys may be held nowhere else.
+func First(candidates []Candidate, places []Place) []Owner {
+	var owners []Owner
+	for _, place := range blocks(places) {
+		allowed := place.only(candidates)
+		if len(allowed) == 0 {
+			return nil
+		}
+		from := place.Keys.From
+		for index, one := range allowed {
+			to := place.Keys.From + place.Keys.Width()*(index+1)/len(allowed) - 1
+			if to < from {
+				continue // more candidates than keys
+			}
+			owners = append(owners, Owner{Keys: Keys{from, to}, Worker: one.ID, Address: one.Address})
+			from = to + 1
+		}
 	}
 	return owners
 }
@@ -65,20 +77,33 @@
 type plan struct {
 	book  *Book
 	rates []KeyLoad
+	rules Rules
 	// prefix sums of rates, to get the load of a run of keys.
 	sums       []float64
 	candidates map[workers.ID]Candidate
 	loads      map[workers.ID]float64
 }
 
-// Plan moves keys off workers that may not hold them, then, if asked to, for
-// balance. It returns how many moves it made.
-func (b *Book) Plan(candidates []Candidate, rates []KeyLoad, balance bool) int {
+// Rules bound what a plan may do.
+type Rules struct {
+	// Places restrict where keys may be held.
+	Places []Place
+	// Balance allows moves for balance, of which there are no more than Moves.
+	Balance bool
+	Moves   int
+	// ChurnWeight from 0 to 1 weighs the moves against their gain.
+	ChurnWeight float64
+}
+
+// Plan moves keys off workers that may not hold them, then, if the rules allow it,
+// for balance. It returns how many moves of each kind it made.
+func (b *Book) Plan(candidates []Candidate, rates []KeyLoad, rules Rules) (forced, balancing int) {
 	if len(candidates) == 0 || len(b.spans) == 0 {
-		return 0
+		return 0, 0
 	}
+	b.bound(rules.Places)
 	b.Merge()
-	p := &plan{book: b, rates: rates, candidates: map[workers.ID]Candidate{}, loads: map[workers.ID]float64{}}
+	p := &plan{book: b, rates: rates, rules: rules, candidates: map[workers.ID]Candidate{}, loads: map[workers.ID]float64{}}
 	p.sums = make([]float64, len(rates)+1)
 	for index, one := range rates {
 		p.sums[index+1] = p.sums[index] + one.Rate
@@ -92,12 +117,15 @@
 			p.loads[one.destination()] += p.rate(one.keys)
 		}
 	}
-	moves := p.evacuate()
-	if !balance {
-		return moves
+	forced = p.evacuate()
+	if !rules.Balance || rules.ChurnWeight >= 1 {
+		return forced, 0
 	}
-	moves += p.balance()
-	return moves + p.tidy()
+	balancing = p.balance()
+	if balancing < rules.Moves {
+		balancing += p.tidy()
+	}
+	return forced, balancing
 }
 
 // rate returns the load of a run of keys.
@@ -118,12 +146,13 @@
 	return p.loads[id] / max(p.candidates[id].Capacity, 1)
 }
 
-// idlest returns the candidate with the least load, except one.
-func (p *plan) idlest(except workers.ID) (workers.ID, bool) {
+// idlest returns the candidate with the least load of those that may hold some
+// keys, except one.
+func (p *plan) idlest(except workers.ID, keys Keys) (workers.ID, bool) {
 	var best workers.ID
 	found := false
 	for id := range p.candidates {
-		if id == except {
+		if id == except || !p.allowed(id, keys) {
 			continue
 		}
 		if !found || p.utilization(id) < p.utilization(best) || (p.utilization(id) == p.utilization(best) && id < best) {
@@ -133,6 +162,16 @@
 	return best, found
 }
 
+// allowed reports whether a candidate may hold keys.
+func (p *plan) allowed(id workers.ID, keys Keys) bool {
+	for _, place := range p.rules.Places {
+		if place.Keys.overlaps(keys) && !place.allows(p.candidates[id].Zone) {
+			return false
+		}
+	}
+	return true
+}
+
 func (p *plan) move(keys Keys, from, to workers.ID) {
 	rate := p.rate(keys)
 	if _, stays := p.candidates[from]; stays {
@@ -142,15 +181,17 @@
 	p.book.Move(keys, to, p.candidates[to].Address)
 }
 
-// evacuate moves all keys off workers that are no candidates.
+// evacuate moves all keys off workers that are no candidates, or stand in a place
+// that may not hold them.
 func (p *plan) evacuate() int {
 	moves := 0
 	for _, one := range slices.Clone(p.book.spans) {
-		if _, stays := p.candidates[one.destination()]; stays || one.busy {
+		_, stays := p.candidates[one.destination()]
+		if one.busy || (stays && p.allowed(one.destination(), one.keys)) {
 			continue
 		}
 		for _, piece := range p.pieces(one.keys) {
-			if to, ok := p.idlest(one.destination()); ok {
+			if to, ok := p.idlest(one.destination(), piece); ok {
 				p.move(piece, one.destination(), to)
 				moves++
 			}
@@ -216,7 +257,7 @@
 		}
 		to := p.book.spans[beside].owner
 		candidate, stays := p.candidates[to]
-		if !stays || to == one.owner || rate > tidyRate*candidate.Capacity {
+		if !stays || to == one.owner || !p.allowed(to, one.keys) || rate > tidyRate*candidate.Capacity {
 			continue
 		}
 		if (p.loads[to]+rate)/max(candidate.Capacity, 1) < p.utilization(one.owner)+leastGap/2 {
--- a/internal/owner/plan_test.go
+++ b/internal/owner/plan_test.go
@@ -10,6 +10,9 @@
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
+// testRules allow moves for balance.
+var testRules = Rules{Balance: true, Moves: maxMoves}
+
 // fleet returns a number of equal candidates.
 func fleet(count int, capacity float64) []Candidate {
 	candidates := make([]Candidate, 0, count)
@@ -76,11 +79,11 @@
 		now := time.Now()
 		candidates := fleet(14, 33)
 		book := NewBook(DefaultConfig(10*time.Second), 1)
-		book.Assign(now, First(candidates))
+		book.Assign(now, First(candidates, nil))
 		settle(book, now)
 		rates := hot(30000, count, 60)
 		for range 2 {
-			book.Plan(candidates, rates, true)
+			book.Plan(candidates, rates, testRules)
 			settle(book, now)
 		}
 		assert.Assert(t, busiest(book, candidates, rates) < 0.6, "%d busy keys: %f", count, busiest(book, candidates, rates))
@@ -94,11 +97,11 @@
 	candidates := fleet(14, 20)
 	candidates[9].Capacity = 60
 	book := NewBook(DefaultConfig(10*time.Second), 1)
-	book.Assign(now, First(candidates))
+	book.Assign(now, First(candidates, nil))
 	settle(book, now)
 	rates := hot(30000, 1, 40)
 	for range 3 {
-		book.Plan(candidates, rates, true)
+		book.Plan(candidates, rates, testRules)
 		settle(book, now)
 	}
 	for _, held := range book.Assignment() {
--- a/internal/owner/span.go
+++ b/internal/owner/span.go
@@ -20,7 +20,9 @@
 	handover Handover
 	// heldUntil is the latest time at which a grant to the owner may end.
 	heldUntil time.Time
-	// lateUntil is the same for grants without an answer that may come late.
+	// surelyUntil is until when the owner surely holds the keys.
+	surelyUntil time.Time
+	// lateUntil is the same as heldUntil for grants without an answer that may come late.
 	lateUntil time.Time
 	// doubtful says that a grant had no answer: the next has a higher fence, so
 	// that the first one, if it comes late, is refused.
@@ -103,11 +105,12 @@
 func (b *Book) Merge() {
 	merged := b.spans[:0:0]
 	for _, next := range b.spans {
-		if len(merged) > 0 && mergeable(merged[len(merged)-1], next) {
+		if len(merged) > 0 && !b.bounds[next.keys.From] && mergeable(merged[len(merged)-1], next) {
 			last := merged[len(merged)-1]
 			last.keys.To = next.keys.To
 			last.fence = max(last.fence, next.fence)
 			last.heldUntil = later(last.heldUntil, next.heldUntil)
+			last.surelyUntil = earlier(last.surelyUntil, next.surelyUntil)
 			last.next = earlier(last.next, next.next)
 			last.change = max(last.change, next.change)
 			continue
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -258,10 +258,10 @@
 		return
 	}
 	if one.book.Empty() {
-		one.book.Assign(w.now, First(candidates))
+		one.book.Assign(w.now, First(candidates, nil))
 		return
 	}
-	one.book.Plan(candidates, nil, true)
+	one.book.Plan(candidates, nil, testRules)
 	if !w.calm && w.chance(0.05) {
 		to := candidates[w.random.IntN(len(candidates))]
 		one.book.Move(placeKeys(w.random.IntN(worldKeys)), to.ID, to.Address)
--- a/internal/proxy/budget.go
+++ b/internal/proxy/budget.go
@@ -41,6 +41,19 @@
 	b.tokens = min(b.burst(nodes), b.tokens+b.limits.Ratio*budgetShare)
 }
 
+func (b *budget) setLimits(limits BudgetLimits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = limits
+}
+
+// left returns how many second sends may be made at once.
+func (b *budget) left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens
+}
+
 // burst is the most that may be sent again at once.
 func (b *budget) burst(nodes int) float64 {
 	if nodes <= 0 {
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -21,7 +21,7 @@
 	config   *routing.Config
 	route    *routing.Route
 	service  *routing.Service
-	budget   *budget
+	state    *serviceState
 	key      int
 	began    time.Time
 	deadline time.Time
@@ -68,7 +68,7 @@
 		c.message.length = 0
 		return true
 	}
-	if c.request.ContentLength > c.config.Limits.BodyBytes && c.config.Limits.BodyBytes > 0 {
+	if most := c.bodyLimit(); most > 0 && c.request.ContentLength > most {
 		c.refuse(http.StatusRequestEntityTooLarge, reasonBody, 0)
 		return false
 	}
@@ -88,6 +88,14 @@
 	return true
 }
 
+// bodyLimit is the longest body that the request may have; zero: any.
+func (c *call) bodyLimit() int64 {
+	if c.service.BodyBytes > 0 {
+		return c.service.BodyBytes
+	}
+	return c.config.Limits.BodyBytes
+}
+
 // left is the time until the deadline.
 func (c *call) left() time.Duration { return time.Until(c.deadline) }
 
@@ -189,5 +197,5 @@
 	if c.sends == 0 {
 		return true
 	}
-	return c.budget.spend(int(c.proxy.Nodes.Load()), time.Now())
+	return c.state.budget.spend(int(c.proxy.Nodes.Load()), time.Now())
 }
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -16,14 +16,14 @@
 	directory *workers.Directory
 	mu        sync.Mutex
 	byID      map[workers.ID]*backend
-	budgets   map[routing.ServiceName]*budget
+	services  map[routing.ServiceName]*serviceState
 	limits    BudgetLimits
 }
 
 func newFleet(zone string, directory *workers.Directory, limits BudgetLimits) *fleet {
 	return &fleet{
 		zone: zone, directory: directory, limits: limits,
-		byID: map[workers.ID]*backend{}, budgets: map[routing.ServiceName]*budget{},
+		byID: map[workers.ID]*backend{}, services: map[routing.ServiceName]*serviceState{},
 	}
 }
 
@@ -42,24 +42,33 @@
 	return known
 }
 
-func (f *fleet) budget(service routing.ServiceName) *budget {
+// service returns what this process keeps of a service, over all configurations.
+func (f *fleet) service(of *routing.Service) *serviceState {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.budgets[service] == nil {
-		f.budgets[service] = newBudget(f.limits)
+	known := f.services[of.Name]
+	if known == nil {
+		known = &serviceState{budget: newBudget(f.limits)}
+		f.services[of.Name] = known
+	}
+	known.budget.setLimits(f.limitsOf(of))
+	return known
+}
+
+// limitsOf returns the limits of a service's second sends.
+func (f *fleet) limitsOf(of *routing.Service) BudgetLimits {
+	limits := f.limits
+	if of.RetryRatio > 0 {
+		limits.Ratio = of.RetryRatio
 	}
-	return f.budgets[service]
+	return limits
 }
 
+// setLimits takes effect with each service's next request.
 func (f *fleet) setLimits(limits BudgetLimits) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.limits = limits
-	for _, of := range f.budgets {
-		of.mu.Lock()
-		of.limits = limits
-		of.mu.Unlock()
-	}
 }
 
 // prune closes resting connections and forgets workers that are gone.
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -47,6 +47,7 @@
 	reasonDeadline  = "deadline"
 	reasonMalformed = "malformed"
 	reasonBody      = "body"
+	reasonQueue     = "queue-full"
 )
 
 // active is a configuration with what deals its requests out.
@@ -88,6 +89,14 @@
 	}
 }
 
+// ConfigAge returns for how long the configuration is in force here.
+func (p *Proxy) ConfigAge() time.Duration {
+	if used := p.current.Load(); used != nil {
+		return time.Since(used.since)
+	}
+	return 0
+}
+
 // SetLimits changes what bounds second sends.
 func (p *Proxy) SetLimits(limits BudgetLimits) { p.fleet.setLimits(limits) }
 
@@ -132,12 +141,12 @@
 		c.refuse(http.StatusNotFound, reasonNoRoute, 0)
 		return
 	}
+	c.service = used.config.Services[used.splitter.Pick(c.route)]
 	if !c.prepare() {
 		return
 	}
-	c.service = used.config.Services[used.splitter.Pick(c.route)]
-	c.budget = p.fleet.budget(c.service.Name)
-	c.budget.request(int(p.Nodes.Load()))
+	c.state = p.fleet.service(c.service)
+	c.state.budget.request(int(p.Nodes.Load()))
 	if c.service.Keyed {
 		c.serveKeyed()
 	} else {
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -89,6 +89,9 @@
 
 // hedgeAfter is how long the first copy may stay silent.
 func (c *call) hedgeAfter(estimated float64) time.Duration {
+	if c.service.HedgeAfter > 0 {
+		return c.service.HedgeAfter
+	}
 	target := float64(c.route.Target)
 	wait := hedgeFactor * estimated * float64(time.Second)
 	return time.Duration(min(max(wait, hedgeLeast*target), hedgeMost*target))
@@ -104,7 +107,7 @@
 	if to == nil || to.crowd(now) > hedgeCrowd || !to.usable(now) {
 		return nil
 	}
-	if !c.budget.spend(int(c.proxy.Nodes.Load()), now) {
+	if !c.state.budget.spend(int(c.proxy.Nodes.Load()), now) {
 		return nil
 	}
 	c.proxy.Log.Line(decision.KindSent).Str("id", c.message.id).Str("worker", string(to.id())).
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -22,8 +22,8 @@
 
 // serveKeyed sends the request to the worker that holds its key.
 func (c *call) serveKeyed() {
-	key, err := strconv.Atoi(c.request.Header.Get(c.proxy.Headers.Key))
-	if err != nil || key < 0 || key >= owner.KeyCount {
+	key, found := c.readKey()
+	if !found {
 		c.refuse(http.StatusBadRequest, reasonMalformed, 0)
 		return
 	}
@@ -53,6 +53,15 @@
 	}
 }
 
+// readKey returns the number of the request's key; false if it has none.
+func (c *call) readKey() (int, bool) {
+	if c.service.Key != nil {
+		return c.service.Key(c.request)
+	}
+	key, err := strconv.Atoi(c.request.Header.Get(c.proxy.Headers.Key))
+	return key, err == nil && key >= 0 && key < owner.KeyCount
+}
+
 // awaitOwner returns the worker that holds the key, nil after it has answered.
 func (c *call) awaitOwner() *backend {
 	for {
@@ -100,8 +109,13 @@
 // lookAgain is the longest wait before the owner is looked up again.
 const lookAgain = 20 * time.Millisecond
 
-// awaitTable waits for a change of owners; false if the client has left.
+// awaitTable waits for a change of owners; false if the request has ended.
 func (c *call) awaitTable(changed <-chan struct{}, wait time.Duration) bool {
+	if !c.state.enter(c.service.Queue) {
+		c.giveUp(reasonQueue, 100*time.Millisecond)
+		return false
+	}
+	defer c.state.leave()
 	timer := time.NewTimer(min(wait, lookAgain))
 	defer timer.Stop()
 	select {
--- a/internal/proxy/pooled.go
+++ b/internal/proxy/pooled.go
@@ -72,15 +72,23 @@
 			c.giveUp(c.noWorker(), 100*time.Millisecond)
 			return nil, 0
 		}
-		select {
-		case <-time.After(queuePause):
-		case <-c.request.Context().Done():
-			c.tell(0, "client-gone")
+		if !c.queue() {
 			return nil, 0
 		}
 	}
 }
 
+// queue waits a moment among the service's other waiting requests; false if the
+// request has ended.
+func (c *call) queue() bool {
+	if !c.state.enter(c.service.Queue) {
+		c.giveUp(reasonQueue, 100*time.Millisecond)
+		return false
+	}
+	defer c.state.leave()
+	return c.pause(queuePause)
+}
+
 // forget lets workers be tried again that did not run the request, once all
 // others were tried.
 func (c *call) forget() bool {
--- /dev/null
+++ b/internal/proxy/service.go
@@ -0,0 +1,52 @@
+package proxy
+
+import (
+	"maps"
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// serviceState is what this process keeps of one service.
+type serviceState struct {
+	budget *budget
+	// waiting counts the requests that wait for a worker or an owner.
+	waiting atomic.Int32
+}
+
+// enter counts one more waiting request; false if there are as many as may wait,
+// zero for any number.
+func (s *serviceState) enter(most int) bool {
+	if waiting := s.waiting.Add(1); most > 0 && int(waiting) > most {
+		s.leave()
+		return false
+	}
+	return true
+}
+
+func (s *serviceState) leave() { s.waiting.Add(-1) }
+
+var (
+	waitingDescription = prometheus.NewDesc("shalefork_router_waiting",
+		"Requests that wait for a worker or an owner.", []string{"service"}, nil)
+	tokensDescription = prometheus.NewDesc("shalefork_router_retry_tokens",
+		"Second sends that this process may make at once.", []string{"service"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (p *Proxy) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- waitingDescription
+	descriptions <- tokensDescription
+}
+
+// Collect implements prometheus.Collector.
+func (p *Proxy) Collect(metrics chan<- prometheus.Metric) {
+	p.fleet.mu.Lock()
+	services := maps.Clone(p.fleet.services)
+	p.fleet.mu.Unlock()
+	for name, state := range services {
+		waiting := float64(state.waiting.Load())
+		metrics <- prometheus.MustNewConstMetric(waitingDescription, prometheus.GaugeValue, waiting, string(name))
+		metrics <- prometheus.MustNewConstMetric(tokensDescription, prometheus.GaugeValue, state.budget.left(), string(name))
+	}
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,264 @@
+package registry
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"encoding/json"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/coord/memory"
+	"github.com/shalefork/shalefork/internal/lifecycle"
+	"github.com/shalefork/shalefork/internal/strictyaml"
+)
+
+const text = `team: tawila
+version: 1
+cell: casablanca
+zones: [casa-a, casa-b]
+services:
+  - name: tables
+    kind: keyed
+    route: {path_prefix: /tables/}
+    key: {path_segment: 2}
+    repeatable: true
+    limits: {deadline: 800ms, hedge_after: 150ms, retry_ratio: 0.2, queue: 7}
+    partitions:
+      - {name: all, prefix: "", zones: [casa-a, casa-b]}
+      - {name: rabat, prefix: "r-", zones: [casa-b]}
+    placement: {churn_weight: 0.5, moves_per_minute: 3}
+    backends:
+      - {name: a, address: "127.0.0.1:1", zone: casa-a, slots: 2, connections: 130}
+      - {name: b, address: "127.0.0.1:2", zone: casa-b, slots: 3, connections: 100, leaving: false}
+  - name: bookings
+    kind: pool
+    route: {path_prefix: /bookings/, host: tawila.example}
+    repeatable: false
+    limits: {deadline: 1s, max_body_bytes: 65536}
+    backends:
+      - {name: c, address: "127.0.0.1:3", zone: casa-a, slots: 2, connections: 130}
+      - {name: d, address: "127.0.0.1:4", zone: casa-b, slots: 2, connections: 130, leaving: true}
+`
+
+func read(t *testing.T, text string) bundle.Bundle {
+	t.Helper()
+	made, problems := bundle.Read("bundle.yaml", []byte(text))
+	assert.Equal(t, strictyaml.Format(problems), "")
+	return made
+}
+
+func operator(name lifecycle.OperatorName) Operator {
+	seed := bytes.Repeat([]byte{name[0]}, ed25519.SeedSize)
+	return Operator{Name: name, Key: ed25519.NewKeyFromSeed(seed)}
+}
+
+var salma, youssef, karim = operator("salma"), operator("youssef"), operator("karim")
+
+// known are the operators that routers trust.
+func known(operators ...Operator) Signers {
+	signers := Signers{}
+	for _, one := range operators {
+		signers[one.Name] = Signer{Key: one.Key.Public().(ed25519.PublicKey)}
+	}
+	return signers
+}
+
+// rolled puts a version into force.
+func rolled(t *testing.T, bundles *Registry, made bundle.Bundle) {
+	t.Helper()
+	for _, step := range []func() (lifecycle.Outcome, error){
+		func() (lifecycle.Outcome, error) { return bundles.Propose(t.Context(), salma, made) },
+		func() (lifecycle.Outcome, error) { return bundles.Approve(t.Context(), youssef, made) },
+		func() (lifecycle.Outcome, error) { return bundles.Roll(t.Context(), salma, made.Team, made.Version) },
+	} {
+		outcome, err := step()
+		assert.NilError(t, err)
+		assert.Equal(t, outcome.Kind, lifecycle.Changed, outcome.Message)
+	}
+}
+
+func TestRolledVersionIsInForceForThoseWhoTrustItsOperators(t *testing.T) {
+	bundles := New(memory.New(), "own/")
+	first := read(t, text)
+	rolled(t, bundles, first)
+	second := first
+	second.Version++
+	_, err := bundles.Propose(t.Context(), salma, second)
+	assert.NilError(t, err)
+	record, err := bundles.Read(t.Context(), "tawila")
+	assert.NilError(t, err)
+	for name, test := range map[string]struct {
+		signers Signers
+		change  func(*Record)
+		problem string
+	}{
+		"trusted":             {signers: known(salma, youssef)},
+		"proposer unknown":    {signers: known(youssef), problem: "no operator of the team"},
+		"approver unknown":    {signers: known(salma), problem: "no operator of the team"},
+		"operator of another": {signers: limited(known(salma, youssef), "youssef", "rival"), problem: "no operator of the team"},
+		"another's key":       {signers: Signers{"salma": known(karim)["karim"], "youssef": known(youssef)["youssef"]}, problem: "signature does not match"},
+		"content changed": {signers: known(salma, youssef), problem: "signature does not match", change: func(r *Record) {
+			changed := r.Bundles[1]
+			changed.Cell = "elsewhere"
+			r.Bundles[1] = changed
+		}},
+		"content missing":    {signers: known(salma, youssef), problem: "not stored", change: func(r *Record) { delete(r.Bundles, 1) }},
+		"content of another": {signers: known(salma, youssef), problem: "holds version 2", change: func(r *Record) { r.Bundles[1] = r.Bundles[2] }},
+		"approved by proposer": {signers: known(salma, youssef), problem: "approved by its proposer", change: func(r *Record) {
+			r.Head.Entries[0].ProposedBy = "youssef"
+		}},
+		"approval stands for the roll": {signers: known(salma, youssef), problem: "roll by salma", change: func(r *Record) {
+			r.Head.Entries[0].RollSignature = r.Head.Entries[0].ProposalSignature
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var copied Record
+			encoded, err := json.Marshal(record)
+			assert.NilError(t, err)
+			assert.NilError(t, json.Unmarshal(encoded, &copied))
+			if test.change != nil {
+				test.change(&copied)
+			}
+			used, err := copied.InForce(test.signers)
+			if test.problem != "" {
+				assert.ErrorContains(t, err, test.problem)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, used.Version, bundle.Version(1))
+		})
+	}
+}
+
+func limited(signers Signers, name lifecycle.OperatorName, team bundle.TeamName) Signers {
+	signer := signers[name]
+	signer.Teams = []bundle.TeamName{team}
+	signers[name] = signer
+	return signers
+}
+
+func TestNothingIsInForceBeforeTheFirstRoll(t *testing.T) {
+	bundles := New(memory.New(), "own/")
+	_, err := bundles.Propose(t.Context(), salma, read(t, text))
+	assert.NilError(t, err)
+	record, err := bundles.Read(t.Context(), "tawila")
+	assert.NilError(t, err)
+	used, err := record.InForce(known(salma, youssef))
+	assert.NilError(t, err)
+	assert.Assert(t, used == nil)
+}
+
+func TestOfTwoOperatorsOneWinsAndTheOtherIsTold(t *testing.T) {
+	bundles := New(memory.New(), "own/")
+	mine := read(t, text)
+	theirs := mine
+	theirs.Cell = "rabat"
+	first, err := bundles.Propose(t.Context(), salma, mine)
+	assert.NilError(t, err)
+	assert.Assert(t, first.OK())
+	second, err := bundles.Propose(t.Context(), youssef, theirs)
+	assert.NilError(t, err)
+	assert.Equal(t, second.Kind, lifecycle.Conflict)
+	assert.Equal(t, second.Status.ProposedBy, lifecycle.OperatorName("salma"))
+	outcome, err := bundles.Approve(t.Context(), karim, theirs)
+	assert.NilError(t, err)
+	assert.Equal(t, outcome.Kind, lifecycle.Conflict, "other content was reviewed than proposed")
+}
+
+func TestRacingWritersEachTakeEffectOnce(t *testing.T) {
+	store := memory.New()
+	results := make(chan lifecycle.Outcome, 8)
+	made := read(t, text)
+	for index := range 8 {
+		by := salma
+		if index%2 == 1 {
+			by = youssef
+		}
+		go func() {
+			outcome, err := New(store, "own/").Propose(context.Background(), by, made)
+			assert.Check(t, cmp.Nil(err))
+			results <- outcome
+		}()
+	}
+	kinds := map[lifecycle.OutcomeKind]int{}
+	for range 8 {
+		kinds[(<-results).Kind]++
+	}
+	assert.Equal(t, kinds[lifecycle.Changed], 1, "%v", kinds)
+	assert.Equal(t, kinds[lifecycle.Conflict], 4, "%v", kinds)
+	assert.Equal(t, kinds[lifecycle.Unchanged], 3, "%v", kinds)
+}
+
+// A write whose answer is lost, and that is done now or later, is no conflict with
+// itself.
+func TestLostAnswersAreResolved(t *testing.T) {
+	for name, lateBy := range map[string]time.Duration{"done": 0, "done late": 50 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := memory.New()
+				store.LoseAnswers(1, lateBy)
+				bundles := New(bounded{store}, "own/")
+				outcome, err := bundles.Propose(t.Context(), salma, read(t, text))
+				assert.NilError(t, err)
+				assert.Equal(t, outcome.Kind, lifecycle.Unchanged)
+				record, err := bundles.Read(t.Context(), "tawila")
+				assert.NilError(t, err)
+				assert.Equal(t, len(record.Head.Entries), 1)
+			})
+		})
+	}
+}
+
+// bounded gives calls up, as a client does.
+type bounded struct {
+	coord.Store
+}
+
+func (b bounded) Commit(ctx context.Context, txn coord.Txn) (coord.Revision, error) {
+	short, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	return b.Store.Commit(short, txn)
+}
+
+func TestOutageIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		store.SetDown(true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := New(store, "own/").Roll(ctx, salma, "tawila", 1)
+		assert.Assert(t, errors.Is(err, ErrUnavailable), "%v", err)
+	})
+}
+
+func TestRoutesAndAddressesBelongToOneTeam(t *testing.T) {
+	bundles := New(memory.New(), "own/")
+	rolled(t, bundles, read(t, text))
+	rival := read(t, text)
+	rival.Team = "rival"
+	outcome, err := bundles.Propose(t.Context(), salma, rival)
+	assert.NilError(t, err)
+	assert.Equal(t, outcome.Kind, lifecycle.Conflict)
+	assert.Assert(t, cmp.Contains(outcome.Message, "services[0].route: expected one that no other team has; tawila has it"))
+}
+
+func TestContentOfVersionsThatAreOverIsDropped(t *testing.T) {
+	bundles := New(memory.New(), "own/")
+	made := read(t, text)
+	for range 4 {
+		rolled(t, bundles, made)
+		made.Version++
+	}
+	record, err := bundles.Read(t.Context(), "tawila")
+	assert.NilError(t, err)
+	assert.Equal(t, len(record.Head.Entries), 4)
+	assert.Equal(t, len(record.Bundles), 1)
+}
--- /dev/null
+++ b/internal/router/bundles.go
@@ -0,0 +1,103 @@
+package router
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/lifecycle"
+	"github.com/shalefork/shalefork/internal/registry"
+	"github.com/shalefork/shalefork/internal/settings"
+)
+
+// bundlesView follows the teams' bundles. A team's version never goes back, and one
+// that can't be verified leaves the version before in force.
+type bundlesView struct {
+	r       *Router
+	signers registry.Signers
+	inForce map[bundle.TeamName]bundle.Bundle
+}
+
+func newBundlesView(r *Router) *bundlesView {
+	return &bundlesView{r: r, signers: signers(r.settings.Operators), inForce: map[bundle.TeamName]bundle.Bundle{}}
+}
+
+// signers are the operators of the settings, which were checked.
+func signers(operators []settings.Operator) registry.Signers {
+	trusted := registry.Signers{}
+	for _, one := range operators {
+		key, err := one.Key()
+		if err != nil {
+			continue
+		}
+		trusted[lifecycle.OperatorName(one.Name)] = registry.Signer{Key: key, Teams: one.Teams}
+	}
+	return trusted
+}
+
+// Snapshot implements coord.View.
+func (v *bundlesView) Snapshot(items []coord.Item, _ coord.Revision) {
+	for _, item := range items {
+		v.take(item)
+	}
+	v.use()
+}
+
+// Changed implements coord.View.
+func (v *bundlesView) Changed(events []coord.Event, _ coord.Revision) {
+	for _, event := range events {
+		v.take(event.Item)
+	}
+	v.use()
+}
+
+// take reads a team's record. A record that was removed changes nothing: keys that
+// are held stay where the last bundle placed them.
+func (v *bundlesView) take(item coord.Item) {
+	v.r.config.read(item.Revision)
+	if len(item.Value) == 0 {
+		return
+	}
+	record, err := registry.Decode(item.Value)
+	var used *bundle.Bundle
+	if err == nil {
+		used, err = record.InForce(v.signers)
+	}
+	if err != nil {
+		v.r.log.Line(decision.KindConfigBad).Int64("revision", int64(item.Revision)).Err(err).Msg("the one before stays in force")
+		return
+	}
+	if used != nil && used.Version > v.inForce[used.Team].Version {
+		v.inForce[used.Team] = *used
+	}
+}
+
+// use puts all teams' bundles into force.
+func (v *bundlesView) use() {
+	if len(v.inForce) == 0 {
+		return
+	}
+	compiled, err := registry.Compile(slices.Collect(maps.Values(v.inForce)))
+	if err != nil {
+		v.r.log.Line(decision.KindConfigBad).Err(err).Msg("the one before stays in force")
+		return
+	}
+	if !v.r.proxy.Use(compiled.Config) {
+		return
+	}
+	v.r.workers.Replace(compiled.Workers)
+	v.r.log.Line(decision.KindConfig).Uint64("version", uint64(compiled.Config.Version)).
+		Int("routes", compiled.Config.Routes()).Msg("in force")
+}
+
+// Lost implements coord.View.
+func (v *bundlesView) Lost(err error) {
+	v.r.log.Line(decision.KindStoreLost).Str("for", "bundles").Err(err).Msg("")
+}
+
+// Regained implements coord.View.
+func (v *bundlesView) Regained() {
+	v.r.log.Line(decision.KindStoreBack).Str("for", "bundles").Msg("")
+}
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -158,7 +158,7 @@
 		if !service.Keyed {
 			continue
 		}
-		item, found, err := r.adapter.Store.Get(bounded, keeper.RecordKey(keyPrefix, name))
+		item, found, err := r.adapter.Store.Get(bounded, keeper.RecordKey(KeyPrefix, name))
 		if err != nil || !found {
 			continue
 		}
--- /dev/null
+++ b/internal/router/metrics.go
@@ -0,0 +1,146 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/shalefork/shalefork/internal/coord"
+)
+
+// registerGauges registers what this process believes.
+func (r *Router) registerGauges(registerer prometheus.Registerer) {
+	gauge := func(name, help string, read func() float64) {
+		registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
+	}
+	gauge("shalefork_router_ready", "1 while the process calls itself ready.", func() float64 { return number(r.ready()) })
+	gauge("shalefork_router_leading", "1 while the process leads.", func() float64 { return number(r.hub.Leading()) })
+	gauge("shalefork_router_routers", "Routers that the leader knows of.", func() float64 { return float64(r.nodes.Load()) })
+	gauge("shalefork_router_workers", "Workers that are announced.", func() float64 { return float64(r.workers.Count()) })
+	gauge("shalefork_router_config_version", "Version of the configuration in force; 0 for none.", func() float64 {
+		if config := r.proxy.Config(); config != nil {
+			return float64(config.Version)
+		}
+		return 0
+	})
+	gauge("shalefork_router_config_age_seconds", "For how long it is in force here.", func() float64 { return r.proxy.ConfigAge().Seconds() })
+	gauge("shalefork_router_owners_age_seconds", "Since when the owners of keys have not changed here.", func() float64 {
+		_, age := r.table.Age()
+		return age.Seconds()
+	})
+	registerer.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "shalefork_router_log_lines_dropped_total", Help: "Log lines that found the writer busy.",
+	}, func() float64 { return float64(r.log.Dropped()) }))
+}
+
+func number(yes bool) float64 {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
+// meteredStore counts the calls to a store.
+type meteredStore struct {
+	coord.Store
+	calls   *prometheus.CounterVec
+	latency *prometheus.HistogramVec
+}
+
+// storeBuckets are upper bounds in seconds.
+var storeBuckets = []float64{0.003, 0.01, 0.03, 0.1, 0.3, 1, 3}
+
+func meterStore(store coord.Store, registerer prometheus.Registerer) *meteredStore {
+	metered := &meteredStore{
+		Store: store,
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shalefork_router_store_calls_total", Help: "Calls to the key-value service by what came of them.",
+		}, []string{"call", "outcome"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "shalefork_router_store_seconds", Help: "Time of calls to the key-value service, watches left out.", Buckets: storeBuckets,
+		}, []string{"call"}),
+	}
+	registerer.MustRegister(metered.calls, metered.latency)
+	return metered
+}
+
+// outcomeOf names what came of a call.
+func outcomeOf(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, coord.ErrConflict):
+		return "conflict"
+	case errors.Is(err, coord.ErrRefused):
+		return "refused"
+	case errors.Is(err, coord.ErrNoHistory):
+		return "no-history"
+	case errors.Is(err, coord.ErrNoLease):
+		return "no-lease"
+	case errors.Is(err, context.Canceled):
+		return "given-up"
+	}
+	return "unanswered"
+}
+
+func (s *meteredStore) done(call string, began time.Time, err error) {
+	s.calls.WithLabelValues(call, outcomeOf(err)).Inc()
+	s.latency.WithLabelValues(call).Observe(time.Since(began).Seconds())
+}
+
+// Get implements coord.Store.
+func (s *meteredStore) Get(ctx context.Context, key string) (coord.Item, bool, error) {
+	began := time.Now()
+	item, found, err := s.Store.Get(ctx, key)
+	s.done("get", began, err)
+	return item, found, err
+}
+
+// List implements coord.Store.
+func (s *meteredStore) List(ctx context.Context, prefix string) ([]coord.Item, coord.Revision, error) {
+	began := time.Now()
+	items, at, err := s.Store.List(ctx, prefix)
+	s.done("list", began, err)
+	return items, at, err
+}
+
+// Watch implements coord.Store.
+func (s *meteredStore) Watch(ctx context.Context, prefix string, after coord.Revision, wait time.Duration) ([]coord.Event, coord.Revision, error) {
+	events, at, err := s.Store.Watch(ctx, prefix, after, wait)
+	s.calls.WithLabelValues("watch", outcomeOf(err)).Inc()
+	return events, at, err
+}
+
+// Commit implements coord.Store.
+func (s *meteredStore) Commit(ctx context.Context, txn coord.Txn) (coord.Revision, error) {
+	began := time.Now()
+	revision, err := s.Store.Commit(ctx, txn)
+	s.done("commit", began, err)
+	return revision, err
+}
+
+// GrantLease implements coord.Store.
+func (s *meteredStore) GrantLease(ctx context.Context, ttl time.Duration) (coord.LeaseID, time.Duration, error) {
+	began := time.Now()
+	id, holds, err := s.Store.GrantLease(ctx, ttl)
+	s.done("lease", began, err)
+	return id, holds, err
+}
+
+// KeepLease implements coord.Store.
+func (s *meteredStore) KeepLease(ctx context.Context, lease coord.LeaseID) error {
+	began := time.Now()
+	err := s.Store.KeepLease(ctx, lease)
+	s.done("keep", began, err)
+	return err
+}
+
+// EndLease implements coord.Store.
+func (s *meteredStore) EndLease(ctx context.Context, lease coord.LeaseID) error {
+	began := time.Now()
+	err := s.Store.EndLease(ctx, lease)
+	s.done("end", began, err)
+	return err
+}
--- a/internal/router/reload.go
+++ b/internal/router/reload.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"os"
+	"reflect"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/decision"
@@ -55,7 +56,7 @@
 	r.proxy.SetLimits(limits(fresh))
 	held := r.settings
 	held.Store, held.Retry = fresh.Store, fresh.Retry
-	restart := held != fresh
+	restart := !reflect.DeepEqual(held, fresh)
 	r.settings.Store, r.settings.Retry = fresh.Store, fresh.Retry
 	r.log.Line(decision.KindReload).Bool("changed", changed).Bool("rest_needs_restart", restart).Msg("")
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,7 @@
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/proxy"
+	"github.com/shalefork/shalefork/internal/registry"
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/settings"
 	"github.com/shalefork/shalefork/internal/workers"
@@ -32,8 +33,8 @@
 // Error is the class of errors of this package.
 var Error = errs.Class("router")
 
-// keyPrefix is where the cell's own keys stand in the key-value service.
-const keyPrefix = "shalefork/"
+// KeyPrefix is where the system's own keys stand in the key-value service.
+const KeyPrefix = "shalefork/"
 
 // Adapter is what a platform brings: its services, and how its words are read.
 type Adapter struct {
@@ -57,12 +58,18 @@
 	WorkerID func(key string) workers.ID
 }
 
+// Metrics is where a router registers what it measures, and shows it from.
+type Metrics interface {
+	prometheus.Registerer
+	prometheus.Gatherer
+}
+
 // Router is one running process.
 type Router struct {
 	settings settings.Router
 	adapter  Adapter
 	log      *decision.Log
-	registry *prometheus.Registry
+	metrics  Metrics
 	workers  *workers.Directory
 	table    *keytable.Table
 	meter    *peerlink.Meter
@@ -84,9 +91,10 @@
 const queuedReports = 256
 
 // New returns a router that has opened nothing yet.
-func New(config settings.Router, adapter Adapter, log *decision.Log, registry *prometheus.Registry) *Router {
+func New(config settings.Router, adapter Adapter, log *decision.Log, metrics Metrics) *Router {
+	adapter.Store = meterStore(adapter.Store, metrics)
 	r := &Router{
-		settings: config, adapter: adapter, log: log, registry: registry,
+		settings: config, adapter: adapter, log: log, metrics: metrics,
 		workers: workers.NewDirectory(),
 		table:   keytable.New(),
 		meter:   peerlink.NewMeter(),
@@ -97,16 +105,18 @@
 	}
 	r.proxy = proxy.New(config.Zone, r.workers, limits(config))
 	r.proxy.Headers, r.proxy.Table, r.proxy.Meter = adapter.Headers, r.table, r.meter
-	r.proxy.Log, r.proxy.Nodes, r.proxy.Metrics = log, r.nodes, proxy.NewMetrics(registry)
+	r.proxy.Log, r.proxy.Nodes, r.proxy.Metrics = log, r.nodes, proxy.NewMetrics(metrics)
 	process := rand.Text()
 	r.hub = peerlink.NewHub(process, r.reports, r.known)
-	r.election = election.New(adapter.Store, keyPrefix, config.PeerListen, process, rand.Text)
+	r.election = election.New(adapter.Store, KeyPrefix, config.PeerListen, process, rand.Text)
 	r.election.TTL = max(election.LeaseTTL, config.MinLease.Std())
 	r.keeper = &keeper.Keeper{
-		Store: adapter.Store, Prefix: keyPrefix, Orders: adapter.Orders, Workers: r.workers,
-		Config: r.proxy.Config, Hub: r.hub, Table: r.table, Reports: r.reports, Log: log,
+		Store: adapter.Store, Prefix: KeyPrefix, Orders: adapter.Orders, Workers: r.workers,
+		Config: r.proxy.Config, Hub: r.hub, Table: r.table, Reports: r.reports, Log: log, Metrics: keeper.NewMetrics(metrics),
 		Times: owner.DefaultConfig(config.MaxHold.Std()), Nonce: rand.Text,
 	}
+	metrics.MustRegister(r.proxy)
+	r.registerGauges(metrics)
 	return r
 }
 
@@ -122,8 +132,7 @@
 	defer stop()
 	leading, stopLeading := context.WithCancel(background)
 	led := make(chan struct{})
-	go r.follow(background, r.adapter.ConfigPrefix, &configView{r: r}, r.config)
-	go r.follow(background, r.adapter.WorkersPrefix, &workersView{r: r}, r.entries)
+	r.followOperators(background)
 	go r.proxy.Run(background)
 	go r.hub.Serve(listeners.peers)
 	go func() {
@@ -144,6 +153,17 @@
 	return nil
 }
 
+// followOperators follows what operators and workers write: the teams' bundles where
+// the settings name operators, else the platform's configuration and entries.
+func (r *Router) followOperators(ctx context.Context) {
+	if len(r.settings.Operators) > 0 {
+		go r.follow(ctx, registry.Prefix(KeyPrefix), newBundlesView(r), r.config)
+		return
+	}
+	go r.follow(ctx, r.adapter.ConfigPrefix, &configView{r: r}, r.config)
+	go r.follow(ctx, r.adapter.WorkersPrefix, &workersView{r: r}, r.entries)
+}
+
 // known returns what this process has read.
 func (r *Router) known() peerlink.Known {
 	return peerlink.Known{Config: r.config.known(), Workers: r.entries.known()}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -36,7 +36,7 @@
 
 func (r *Router) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(telemetry.PathMetrics, telemetry.MetricsHandler(r.registry))
+	mux.Handle(telemetry.PathMetrics, telemetry.MetricsHandler(r.metrics))
 	return mux
 }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -5,6 +5,7 @@
 package routing
 
 import (
+	"net/http"
 	"strings"
 	"time"
 
@@ -24,7 +25,7 @@
 type Route struct {
 	Name string
 	Host string
-	// Prefix of the path; starts and ends with a slash.
+	// Prefix of the path; starts with a slash.
 	Prefix string
 	// Repeatable requests may run more than once.
 	Repeatable bool
@@ -46,7 +47,17 @@
 	Weight  int
 }
 
-// Service says how its workers are met.
+// KeyReader returns the number of a request's key; false if it has none.
+type KeyReader func(request *http.Request) (int, bool)
+
+// Place says which zones may hold a run of keys, both ends inside.
+type Place struct {
+	From, To int
+	Zones    []string
+}
+
+// Service says how its workers are met. Zero values of the bounds mean that the
+// service has none of its own.
 type Service struct {
 	Name ServiceName
 	// Connections is the most that one worker accepts from all callers.
@@ -55,6 +66,23 @@
 	Keyed bool
 	// WarmUp is how long a key is slow that came without a handover.
 	WarmUp time.Duration
+	// Key reads the key of a request; nil: a header holds its number.
+	Key KeyReader
+	// Places restrict where keys may be held; keys outside of all of them may be
+	// held anywhere. In the order of the keys.
+	Places []Place
+	// ChurnWeight from 0 to 1 weighs moves for balance: at 1 there are none.
+	ChurnWeight float64
+	// MovesPerMinute bounds moves for balance.
+	MovesPerMinute int
+	// BodyBytes bounds a request's body.
+	BodyBytes int64
+	// Queue is the most requests that wait for a worker in one process.
+	Queue int
+	// HedgeAfter is when a second copy of a repeatable request is sent.
+	HedgeAfter time.Duration
+	// RetryRatio is the ratio of second sends to requests.
+	RetryRatio float64
 }
 
 // Limits bound what a client may send.
@@ -95,8 +123,8 @@
 
 func check(route *Route, services map[ServiceName]*Service) error {
 	switch {
-	case !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/"):
-		return Error.New("route %q: prefix %q must start and end with a slash", route.Name, route.Prefix)
+	case !strings.HasPrefix(route.Prefix, "/"):
+		return Error.New("route %q: prefix %q must start with a slash", route.Name, route.Prefix)
 	case route.Timeout <= 0:
 		return Error.New("route %q: the timeout must be above zero", route.Name)
 	case len(route.Parts) == 0:
@@ -118,13 +146,24 @@
 	return nil
 }
 
-// Match returns the route with the longest prefix of the path, nil if none.
+// Match returns the route with the longest prefix of the path, nil if none. Routes
+// that name the host go before those that name none.
 func (c *Config) Match(host, path string) *Route {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:colon]
 	}
+	if best := longest(c.byHost[strings.ToLower(host)], path); best != nil {
+		return best
+	}
+	return longest(c.byHost[anyHost], path)
+}
+
+// anyHost is the host of routes that name none.
+const anyHost = ""
+
+func longest(routes []*Route, path string) *Route {
 	var best *Route
-	for _, route := range c.byHost[strings.ToLower(host)] {
+	for _, route := range routes {
 		if strings.HasPrefix(path, route.Prefix) && (best == nil || len(route.Prefix) > len(best.Prefix)) {
 			best = route
 		}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"strings"
 
-	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/strictyaml"
 	"github.com/zeebo/errs"
 )
@@ -32,15 +31,11 @@
 	return strictyaml.Problem{Field: field, Message: "expected " + expected}
 }
 
-func checkAddresses(gateway Gateway) []strictyaml.Problem {
-	if gateway.Listen == "" || gateway.Listen != gateway.PeerListen {
-		return nil
-	}
-	return []strictyaml.Problem{problem("peer_listen", "another address than listen")}
-}
-
 func checkOperators(operators []Operator) []strictyaml.Problem {
 	var problems []strictyaml.Problem
+	if len(operators) == 1 {
+		problems = append(problems, problem("operators", "two at least: nobody approves an own proposal"))
+	}
 	names := map[string]bool{}
 	keys := map[string]bool{}
 	for index, operator := range operators {
@@ -60,35 +55,3 @@
 	}
 	return problems
 }
-
-// shorter says that one period must be above zero and below a limit.
-type shorter struct {
-	field     string
-	period    bundle.Duration
-	limitName string
-	limit     bundle.Duration
-}
-
-// checkTimes refuses periods under which the safety argument or the control
-// group's liveness would not hold.
-func checkTimes(times Times) []strictyaml.Problem {
-	rules := []shorter{
-		{"times.renew", times.Renew, "times.grant", times.Grant},
-		{"times.pool_renew", times.PoolRenew, "times.pool_grant", times.PoolGrant},
-		{"times.heartbeat", times.Heartbeat, "times.leadership_lease", times.LeaderLease},
-		// The promise of a majority lasts election_min on the voters' clocks, so
-		// the lease must end before it by more than the clocks can differ.
-		{"times.leadership_lease", times.LeaderLease, "times.election_min less times.drift_margin", times.ElectionMin - times.DriftMargin},
-		{"times.election_min", times.ElectionMin, "times.election_max", times.ElectionMax},
-		{"times.drift_margin", times.DriftMargin, "times.grant", times.Grant},
-		{"times.election_max", times.ElectionMax, "times.replace_after", times.ReplaceAfter},
-		{"times.election_max", times.ElectionMax, "times.reform_after", times.ReformAfter},
-	}
-	var problems []strictyaml.Problem
-	for _, rule := range rules {
-		if rule.period <= 0 || rule.period >= rule.limit {
-			problems = append(problems, problem(rule.field, "a duration above zero and below "+rule.limitName))
-		}
-	}
-	return problems
-}
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -1,12 +1,9 @@
 package settings
 
 import (
-	"slices"
 	"strconv"
-	"strings"
 	"time"
 
-	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/strictyaml"
 )
 
@@ -21,20 +18,9 @@
 	Value string
 }
 
-// listFields are the fields whose flag takes values separated by commas.
-var listFields = []string{"controllers"}
-
-// TextOverride returns the override of a field by a flag's plain text. A list
-// is given as values separated by commas.
+// TextOverride returns the override of a field by a flag's plain text.
 func TextOverride(field, text string) Override {
-	if !slices.Contains(listFields, field) {
-		return Override{Field: field, Value: strconv.Quote(text)}
-	}
-	var quoted []string
-	for value := range strings.SplitSeq(text, ",") {
-		quoted = append(quoted, strconv.Quote(value))
-	}
-	return Override{Field: field, Value: "[" + strings.Join(quoted, ", ") + "]"}
+	return Override{Field: field, Value: strconv.Quote(text)}
 }
 
 // Problems is an error that lists all that is wrong with a settings file.
@@ -45,31 +31,6 @@
 	return strictyaml.Format(p)
 }
 
-// ReadGateway reads a gateway's settings, fills in the defaults and checks
-// them. The error is Problems.
-func ReadGateway(file string, data []byte, overrides []Override) (Gateway, error) {
-	read := defaultGateway()
-	check := func() []strictyaml.Problem {
-		problems := validate.Check(read)
-		return append(problems, checkAddresses(read)...)
-	}
-	err := decode(file, data, overrides, &read, check)
-	return read, err
-}
-
-// ReadController reads a controller's settings, fills in the defaults and
-// checks them. The error is Problems.
-func ReadController(file string, data []byte, overrides []Override) (Controller, error) {
-	read := defaultController()
-	check := func() []strictyaml.Problem {
-		problems := validate.Check(read)
-		problems = append(problems, checkOperators(read.Operators)...)
-		return append(problems, checkTimes(read.Times)...)
-	}
-	err := decode(file, data, overrides, &read, check)
-	return read, err
-}
-
 // decode sets target from the file, then from the flags, and checks the whole.
 func decode(file string, data []byte, overrides []Override, target any, check func() []strictyaml.Problem) error {
 	var inFlags []strictyaml.Problem
@@ -113,52 +74,11 @@
 	return problems
 }
 
-func defaultGateway() Gateway {
-	return Gateway{
-		Common:          defaultCommon(),
-		LedgerEntries:   DefaultLedgerEntries,
-		LedgerRetention: bundle.Duration(DefaultLedgerRetention),
-	}
-}
-
-func defaultController() Controller {
-	return Controller{
-		Common:   defaultCommon(),
-		Replicas: DefaultReplicas,
-		Times:    DefaultTimes(),
-	}
-}
-
-func defaultCommon() Common {
-	return Common{LogLevel: DefaultLogLevel}
-}
-
 // Defaults of settings that may be left out.
 const (
-	DefaultLogLevel        = "info"
-	DefaultReplicas        = 3
-	DefaultLedgerEntries   = 200000
-	DefaultLedgerRetention = 24 * time.Hour
-	DefaultMaxHold         = 10 * time.Second
-	DefaultGrace           = 6 * time.Second
-	DefaultRetryRatio      = 0.1
-	DefaultRetrySlack      = 20
-	DefaultRetryWindow     = 10 * time.Second
+	DefaultMaxHold     = 10 * time.Second
+	DefaultGrace       = 6 * time.Second
+	DefaultRetryRatio  = 0.1
+	DefaultRetrySlack  = 20
+	DefaultRetryWindow = 10 * time.Second
 )
-
-// DefaultTimes returns the periods that a settings file need not name.
-func DefaultTimes() Times {
-	return Times{
-		Grant:        bundle.Duration(600 * time.Millisecond),
-		Renew:        bundle.Duration(200 * time.Millisecond),
-		PoolGrant:    bundle.Duration(3 * time.Second),
-		PoolRenew:    bundle.Duration(time.Second),
-		Heartbeat:    bundle.Duration(100 * time.Millisecond),
-		ElectionMin:  bundle.Duration(240 * time.Millisecond),
-		ElectionMax:  bundle.Duration(320 * time.Millisecond),
-		LeaderLease:  bundle.Duration(200 * time.Millisecond),
-		DriftMargin:  bundle.Duration(10 * time.Millisecond),
-		ReplaceAfter: bundle.Duration(2 * time.Second),
-		ReformAfter:  bundle.Duration(2 * time.Second),
-	}
-}
--- a/internal/settings/read_test.go
+++ b/internal/settings/read_test.go
@@ -1,52 +1,54 @@
 package settings
 
 import (
-	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 )
 
-const secretToken = "hunter2-hunter2-hunter2"
-
-func TestReadControllerReportsAllProblemsAtOnce(t *testing.T) {
-	data := golden.Get(t, "controller-bad.yaml")
-	_, err := ReadController("controller.yaml", data, []Override{{Field: "listen", Value: "nonsense"}})
+func TestReadReportsAllProblemsAtOnce(t *testing.T) {
+	data := golden.Get(t, "router-bad.yaml")
+	_, err := ReadRouter("router.yaml", data, []Override{{Field: "listen", Value: "nonsense"}})
 	assert.Assert(t, err != nil)
-	golden.Assert(t, err.Error()+"\n", "controller-bad.golden")
-	assert.Assert(t, !strings.Contains(err.Error(), secretToken))
+	golden.Assert(t, err.Error()+"\n", "router-bad.golden")
 }
 
-func TestReadControllerFillsDefaultsAndFlagsWin(t *testing.T) {
-	data := golden.Get(t, "controller.yaml")
-	read, err := ReadController("controller.yaml", data, []Override{TextOverride("listen", "127.0.0.1:7999")})
+func TestFlagsWinOverTheFile(t *testing.T) {
+	read, err := ReadRouter("router.yaml", []byte(routerFile), []Override{TextOverride("listen", "127.0.0.1:7999")})
 	assert.NilError(t, err)
 	assert.Equal(t, read.Listen, "127.0.0.1:7999")
-	assert.Equal(t, read.Zone, read.Common.Zone)
-	assert.Equal(t, read.Replicas, DefaultReplicas)
-	want := DefaultTimes()
-	want.Grant *= 2
-	assert.Equal(t, read.Times, want)
 }
 
-func TestReadGatewayListOverride(t *testing.T) {
-	data := golden.Get(t, "gateway.yaml")
-	read, err := ReadGateway("gateway.yaml", data, []Override{TextOverride("controllers", "127.0.0.1:1,127.0.0.1:2")})
-	assert.NilError(t, err)
-	assert.DeepEqual(t, read.Controllers, []string{"127.0.0.1:1", "127.0.0.1:2"})
-	assert.Equal(t, read.LedgerEntries, DefaultLedgerEntries)
+func TestBrokenYAMLIsAProblemWithAPlace(t *testing.T) {
+	_, err := ReadRouter("router.yaml", []byte("node: [a\nzone: b"), nil)
+	assert.ErrorContains(t, err, "router.yaml:2:1: expected YAML")
 }
 
-func TestTokenOfAWrongTypeIsNotRepeated(t *testing.T) {
-	for _, token := range []string{"7777777777777777", "[7777777777777777]", "7777"} {
-		_, err := ReadGateway("gateway.yaml", []byte("token: "+token), nil)
-		assert.ErrorContains(t, err, ": token: expected")
-		assert.Assert(t, !strings.Contains(err.Error(), "7777"), err.Error())
-	}
-}
+const (
+	oneKey   = "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="
+	otherKey = "AQAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="
+)
 
-func TestBrokenYAMLIsAProblemWithAPlace(t *testing.T) {
-	_, err := ReadGateway("gateway.yaml", []byte("cell: [a\nzone: b"), nil)
-	assert.ErrorContains(t, err, "gateway.yaml:2:1: expected YAML")
+func TestOperators(t *testing.T) {
+	for name, test := range map[string]struct {
+		operators string
+		problem   string
+	}{
+		"two":      {operators: "operators:\n  - {name: a, public_key: " + oneKey + "}\n  - {name: b, public_key: " + otherKey + ", teams: [tawila]}\n"},
+		"one":      {operators: "operators:\n  - {name: a, public_key: " + oneKey + "}\n", problem: "nobody approves an own proposal"},
+		"same key": {operators: "operators:\n  - {name: a, public_key: " + oneKey + "}\n  - {name: b, public_key: " + oneKey + "}\n", problem: "a key that no other operator has"},
+		"bad key":  {operators: "operators:\n  - {name: a, public_key: " + oneKey + "}\n  - {name: b, public_key: AAAA}\n", problem: "operators[1].public_key"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			read, err := ReadRouter("router.yaml", []byte(routerFile+test.operators), nil)
+			if test.problem != "" {
+				assert.ErrorContains(t, err, test.problem)
+				return
+			}
+			assert.NilError(t, err)
+			_, err = read.Operators[1].Key()
+			assert.NilError(t, err)
+		})
+	}
 }
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -28,6 +28,18 @@
 	Grace bundle.Duration `yaml:"grace"`
 	// Retry bounds second sends over all routers together.
 	Retry RetryLimits `yaml:"retry"`
+	// Operators who may change bundles. Where there are any, the router follows
+	// the teams' bundles, and not a configuration of the platform's.
+	Operators []Operator `yaml:"operators" validate:"dive"`
+}
+
+// Operator is one person who may change bundles.
+type Operator struct {
+	Name string `yaml:"name" validate:"required"`
+	// PublicKey is the ed25519 public key, base64.
+	PublicKey string `yaml:"public_key" validate:"required,base64"`
+	// Teams that the operator may change; empty means all.
+	Teams []bundle.TeamName `yaml:"teams"`
 }
 
 // RetryLimits bound second sends within a window: ratio of the requests, and a
@@ -43,7 +55,8 @@
 func ReadRouter(file string, data []byte, overrides []Override) (Router, error) {
 	read := defaultRouter()
 	check := func() []strictyaml.Problem {
-		return append(validate.Check(read), checkRouter(read)...)
+		problems := append(validate.Check(read), checkRouter(read)...)
+		return append(problems, checkOperators(read.Operators)...)
 	}
 	err := decode(file, data, overrides, &read, check)
 	return read, err
