Explore every order of grants, moves and takeovers; pause a fenced leader

A model now drives the real books through every order of events within bounds (two workers, a leader and its successor, late and lost orders, cuts, a slow store).

Found by it: a leader that another had followed raised its own fence and tried again at once when a worker refused it, as fast as the worker answers, until its authority ended. It now pauses as after any failed order.

Ruled out as a break: a grant that is taken late by a worker that was cut off while it was on its way; nobody could tell that worker of a higher fence (as in the worlds).

--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -187,8 +187,9 @@
 		one.surelyUntil = order.sentAt.Add(b.config.Hold)
 		one.next = order.sentAt.Add(b.config.Renew)
 	case OutcomeFenced:
+		// Another leader has given the keys, or this one's own fence is behind.
 		one.fence = b.nextFence()
-		one.next = now
+		one.next = now.Add(b.config.RetryOrder)
 	case OutcomeUnanswered:
 		one.doubtful = true
 		one.doubtFence = order.Fence
--- a/internal/owner/dispatch_test.go
+++ b/internal/owner/dispatch_test.go
@@ -53,3 +53,20 @@
 		assert.Assert(t, order.Fence > lost.Fence)
 	}
 }
+
+// Found by the model: a leader that another had followed raised its fence and tried
+// again at once, as fast as workers answer, until its authority ended.
+func TestAFencedLeaderPausesBeforeItTriesAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	config := DefaultConfig(10 * time.Second)
+	book := NewBook(config, 1)
+	book.Assign(now, First(fleet(1, 30), nil))
+	book.Stored(book.Change())
+	due := book.Due(now, false)
+	assert.Equal(t, len(due), 1)
+	book.Answered(now, due[0], Reply{Outcome: OutcomeFenced})
+	assert.Equal(t, len(book.Due(now, false)), 0)
+	again := book.Due(now.Add(config.RetryOrder), false)
+	assert.Equal(t, len(again), 1)
+	assert.Assert(t, again[0].Fence > due[0].Fence)
+}
--- /dev/null
+++ b/internal/owner/model_test.go
@@ -0,0 +1,426 @@
+package owner
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// The model drives the real books through every order of events within bounds: two
+// workers, one run of keys, a leader and its successor, orders that are answered,
+// left without an answer or taken late, a worker that is cut off and comes back, a
+// store that is slow, and a leader that no longer reaches it. Time passes in ticks.
+
+const (
+	modelTick = time.Second
+	// modelWorkers is the number of workers; the clock of the first one runs slow.
+	modelWorkers = 2
+)
+
+// modelConfig has times of a few ticks.
+var modelConfig = Config{
+	Hold:          2 * modelTick,
+	Renew:         modelTick,
+	ClockSlack:    0.5,
+	LateOrder:     3 * modelTick,
+	StaleRenewals: 2 * modelTick,
+	RetryOrder:    modelTick,
+}
+
+const modelLease = 2 * modelTick
+
+// modelBounds bound what may happen on one path.
+type modelBounds struct {
+	ticks, moves, lates, losses, cuts, leaders int
+}
+
+// modelHolder is a worker's side.
+type modelHolder struct {
+	id     workers.ID
+	length time.Duration
+	fence  Fence
+	until  time.Time
+	seen   Fence
+	cut    bool
+	// lateCut says that the hold was taken late, and the worker was cut off while
+	// the order was on its way: nobody could tell it of a higher fence.
+	lateCut bool
+}
+
+func (h *modelHolder) holds(now time.Time) bool { return now.Before(h.until) }
+
+// modelOrder is an order on its way.
+type modelOrder struct {
+	order  Order
+	leader int
+	// late orders were given up and may still be taken, until then.
+	late  bool
+	until time.Time
+	// cut says that the worker was cut off while the order was late.
+	cut bool
+}
+
+// modelWrite is a record on its way to the store.
+type modelWrite struct {
+	change uint64
+	value  []byte
+}
+
+type modelLeader struct {
+	book      *Book
+	term      Term
+	authority time.Time
+	// cutOff leaders no longer reach the store.
+	cutOff, dead bool
+	write        *modelWrite
+}
+
+// model is one state, reached by a path of choices.
+type model struct {
+	bounds  modelBounds
+	now     time.Time
+	holders []*modelHolder
+	leaders []*modelLeader
+	orders  []*modelOrder
+	record  []byte
+	lease   time.Time
+	broken  string
+}
+
+func newModel(bounds modelBounds) *model {
+	m := &model{bounds: bounds, now: time.Unix(1000, 0)}
+	for index := range modelWorkers {
+		length := modelConfig.Hold
+		if index == 0 {
+			length = time.Duration(float64(length) * (1 + modelConfig.ClockSlack))
+		}
+		m.holders = append(m.holders, &modelHolder{id: workers.ID(fmt.Sprintf("w%d", index)), length: length})
+	}
+	m.elect()
+	book := m.leaders[0].book
+	book.Assign(m.now, []Owner{{Keys: Keys{0, KeyCount - 1}, Worker: m.holders[0].id, Address: "a"}})
+	value, _ := book.Encode(1, "")
+	m.record = value
+	book.Stored(book.Change())
+	m.drive()
+	return m
+}
+
+// choices are the names of what may happen next, in a fixed order.
+func (m *model) choices() []string {
+	var list []string
+	waiting := false
+	for index, one := range m.orders {
+		if one.late {
+			list = append(list, fmt.Sprintf("taken-late %d", index))
+			continue
+		}
+		waiting = true
+		list = append(list, fmt.Sprintf("answered %d", index))
+		if m.bounds.losses > 0 {
+			list = append(list, fmt.Sprintf("lost %d", index))
+		}
+		if m.bounds.lates > 0 && !one.order.Release {
+			list = append(list, fmt.Sprintf("late %d", index))
+		}
+	}
+	for index, one := range m.leaders {
+		if one.dead {
+			continue
+		}
+		if one.write != nil {
+			list = append(list, fmt.Sprintf("written %d", index))
+		}
+		if m.mayMove(one) {
+			list = append(list, fmt.Sprintf("move %d", index))
+		}
+		if !one.cutOff && m.bounds.leaders > 0 {
+			list = append(list, fmt.Sprintf("cut-off %d", index))
+		}
+	}
+	for index, one := range m.holders {
+		if one.cut || m.bounds.cuts > 0 {
+			list = append(list, fmt.Sprintf("cut %d", index))
+		}
+	}
+	if !m.now.Before(m.lease) && m.bounds.leaders > 0 {
+		list = append(list, "elect 0")
+	}
+	if !waiting && m.bounds.ticks > 0 {
+		list = append(list, "tick 0")
+	}
+	return list
+}
+
+func (m *model) mayMove(one *modelLeader) bool {
+	span := one.book.spans[0]
+	return m.bounds.moves > 0 && !m.now.After(one.authority) && one.write == nil && !span.busy && span.planned == nil
+}
+
+// take makes a choice.
+func (m *model) take(choice string) {
+	var verb string
+	var index int
+	_, _ = fmt.Sscanf(choice, "%s %d", &verb, &index)
+	switch verb {
+	case "answered":
+		m.answer(index, true)
+	case "lost":
+		m.bounds.losses--
+		m.answer(index, false)
+	case "late":
+		m.bounds.lates--
+		one := m.orders[index]
+		one.late, one.until, one.cut = true, m.now.Add(modelConfig.LateOrder), m.holder(one.order.Target.ID).cut
+		m.tell(one, Reply{Outcome: OutcomeUnanswered})
+	case "taken-late":
+		one := m.orders[index]
+		m.orders = slices.Delete(m.orders, index, index+1)
+		m.deliver(one.order, one.cut)
+	case "written":
+		m.written(m.leaders[index])
+	case "move":
+		m.bounds.moves--
+		m.move(m.leaders[index])
+	case "cut-off":
+		m.leaders[index].cutOff = true
+	case "cut":
+		m.bounds.cuts--
+		m.cut(m.holders[index])
+	case "elect":
+		m.bounds.leaders--
+		m.elect()
+	case "tick":
+		m.bounds.ticks--
+		m.now = m.now.Add(modelTick)
+		m.orders = slices.DeleteFunc(m.orders, func(one *modelOrder) bool { return one.late && m.now.After(one.until) })
+		m.renew()
+	}
+	m.drive()
+	m.check()
+}
+
+// cut cuts a worker off, or ends that.
+func (m *model) cut(holder *modelHolder) {
+	holder.cut = !holder.cut
+	for _, one := range m.orders {
+		one.cut = one.cut || (one.late && one.order.Target.ID == holder.id)
+	}
+}
+
+func (m *model) holder(id workers.ID) *modelHolder {
+	index := slices.IndexFunc(m.holders, func(h *modelHolder) bool { return h.id == id })
+	return m.holders[index]
+}
+
+// answer delivers an order, and its answer unless that is lost.
+func (m *model) answer(index int, heard bool) {
+	one := m.orders[index]
+	m.orders = slices.Delete(m.orders, index, index+1)
+	reply := m.deliver(one.order, false)
+	if !heard && reply.Outcome != OutcomeUnreachable {
+		reply = Reply{Outcome: OutcomeUnanswered}
+	}
+	m.tell(one, reply)
+}
+
+func (m *model) tell(one *modelOrder, reply Reply) {
+	if from := m.leaders[one.leader]; !from.dead {
+		from.book.Answered(m.now, one.order, reply)
+	}
+}
+
+// deliver hands an order over. lateCut says that it is late, and the worker was cut
+// off meanwhile.
+func (m *model) deliver(order Order, lateCut bool) Reply {
+	to := m.holder(order.Target.ID)
+	if to.cut && !lateCut {
+		return Reply{Outcome: OutcomeUnreachable}
+	}
+	if order.Release {
+		to.seen = max(to.seen, order.Fence)
+		to.until = m.now
+		return Reply{Outcome: OutcomeDone}
+	}
+	if to.seen > order.Fence {
+		return Reply{Outcome: OutcomeFenced}
+	}
+	for _, other := range m.holders {
+		if other != to && other.holds(m.now) && other.fence >= order.Fence && !lateCut {
+			m.broken = fmt.Sprintf("%s takes keys under fence %d, %s holds them under %d", to.id, order.Fence, other.id, other.fence)
+		}
+	}
+	to.seen, to.fence, to.until, to.lateCut = order.Fence, order.Fence, m.now.Add(to.length), lateCut
+	return Reply{Outcome: OutcomeDone}
+}
+
+// written ends a write: it holds only if the leader still has the lease.
+func (m *model) written(one *modelLeader) {
+	if one.cutOff {
+		return // it never arrives
+	}
+	write := one.write
+	one.write = nil
+	if one.term != m.leaders[len(m.leaders)-1].term || !m.now.Before(m.lease) {
+		one.dead = true
+		return
+	}
+	m.record = write.value
+	one.book.Stored(write.change)
+}
+
+func (m *model) move(one *modelLeader) {
+	for index, holder := range m.holders {
+		if holder.id == one.book.spans[0].owner {
+			to := m.holders[1-index]
+			one.book.Move(Keys{0, KeyCount - 1}, to.id, "a")
+			return
+		}
+	}
+}
+
+func (m *model) elect() {
+	next := &modelLeader{term: Term(len(m.leaders) + 1), authority: m.now.Add(modelLease)}
+	next.book = NewBook(modelConfig, next.term)
+	if m.record != nil {
+		until := m.now.Add(modelConfig.StaleRenewals + modelConfig.HoldBound())
+		if err := next.book.Load(m.now, m.record, until); err != nil {
+			panic(err)
+		}
+	}
+	m.lease = m.now.Add(modelLease)
+	m.leaders = append(m.leaders, next)
+}
+
+// renew renews the lease of the last leader, if it reaches the store.
+func (m *model) renew() {
+	last := m.leaders[len(m.leaders)-1]
+	if !last.cutOff && !last.dead && m.now.Before(m.lease) {
+		m.lease = m.now.Add(modelLease)
+		last.authority = m.lease
+	}
+}
+
+// drive is what the keeper does for each leader.
+func (m *model) drive() {
+	for index, one := range m.leaders {
+		if one.dead || m.now.After(one.authority.Add(modelConfig.StaleRenewals)) {
+			continue
+		}
+		renewOnly := m.now.After(one.authority)
+		if !renewOnly && one.write == nil && one.book.Change() != one.book.StoredChange() {
+			value, err := one.book.Encode(one.term, "")
+			if err != nil {
+				panic(err)
+			}
+			one.write = &modelWrite{change: one.book.Change(), value: value}
+		}
+		for _, order := range one.book.Due(m.now, renewOnly) {
+			m.orders = append(m.orders, &modelOrder{order: order, leader: index})
+		}
+	}
+}
+
+// check: no two workers hold the keys, but for a grant that was taken late by a
+// worker that was cut off then, as in the worlds.
+func (m *model) check() {
+	holding := 0
+	for _, one := range m.holders {
+		if one.holds(m.now) && !one.lateCut {
+			holding++
+		}
+	}
+	if holding > 1 && m.broken == "" {
+		m.broken = "two workers hold the keys"
+	}
+}
+
+// key describes the state, with times relative to now, so that equal states are
+// explored once.
+func (m *model) key() string {
+	var text strings.Builder
+	at := func(t time.Time) string {
+		if t.IsZero() || !t.After(m.now) {
+			return "-"
+		}
+		return t.Sub(m.now).String()
+	}
+	fmt.Fprintf(&text, "%v %s|", m.bounds, at(m.lease))
+	for _, one := range m.holders {
+		fmt.Fprintf(&text, "%d %s %d %v %v|", one.fence, at(one.until), one.seen, one.cut, one.lateCut)
+	}
+	for _, one := range m.leaders {
+		fmt.Fprintf(&text, "%s %v %v %v %d %d %d|", at(one.authority), one.cutOff, one.dead, one.write != nil, one.book.fence, one.book.change, one.book.stored)
+		span := one.book.spans[0]
+		fmt.Fprintf(&text, "%s %d %v %s %s %v %d %s %v %s %v|", span.owner, span.fence, span.granted, at(span.heldUntil), at(span.lateUntil),
+			span.doubtful, span.doubtFence, at(span.takenUntil), span.busy, at(span.next), span.planned)
+		if span.planned != nil {
+			fmt.Fprintf(&text, "%v|", *span.planned)
+		}
+		for _, old := range span.formers {
+			fmt.Fprintf(&text, "%s %s %s|", old.worker, at(old.until), at(old.lateUntil))
+		}
+		for _, one := range one.book.doubts {
+			fmt.Fprintf(&text, "%s %d %s %s %v|", one.worker, one.fence, at(one.until), at(one.next), one.busy)
+		}
+		fmt.Fprintf(&text, "%s|", at(one.book.lateSeen.Add(2*modelConfig.LateOrder)))
+	}
+	for _, one := range m.orders {
+		fmt.Fprintf(&text, "%s %v %d %v %v %d %s|", one.order.Target.ID, one.order.Release, one.order.Fence, one.late, one.cut, one.leader, at(one.until))
+	}
+	text.Write(m.record)
+	return text.String()
+}
+
+// replay plays a path of choices from the start.
+func replay(bounds modelBounds, path []string) *model {
+	m := newModel(bounds)
+	for _, choice := range path {
+		m.take(choice)
+	}
+	return m
+}
+
+// explore visits every state within the bounds; it returns their number, and the
+// path to a broken one.
+func explore(bounds modelBounds) (states int, path []string, broken string) {
+	seen := map[string]bool{}
+	queue := [][]string{nil}
+	for len(queue) > 0 {
+		path := queue[len(queue)-1]
+		queue = queue[:len(queue)-1]
+		for _, choice := range replay(bounds, path).choices() {
+			next := append(slices.Clone(path), choice)
+			m := replay(bounds, next)
+			if m.broken != "" {
+				return len(seen), next, m.broken
+			}
+			if key := m.key(); !seen[key] {
+				seen[key] = true
+				queue = append(queue, next)
+			}
+		}
+	}
+	return len(seen), nil, ""
+}
+
+func TestEveryOrderOfEvents(t *testing.T) {
+	for name, bounds := range map[string]modelBounds{
+		"late grants and cuts":          {ticks: 6, moves: 1, lates: 1, cuts: 1},
+		"two moves and lost answers":    {ticks: 6, moves: 2, losses: 2},
+		"a leader that loses the store": {ticks: 7, moves: 1, leaders: 1, cuts: 1},
+		"a successor and late grants":   {ticks: 7, moves: 1, lates: 1, leaders: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			states, path, broken := explore(bounds)
+			if broken != "" {
+				t.Fatalf("%s, by %s", broken, strings.Join(path, ", "))
+			}
+			t.Logf("%d states", states)
+		})
+	}
+}
