Let the leader tell of changes; notice at once that a leader was cut from the store

Changes: routers linked to a leader watch nothing. It passes up to 8 changes of workers on; more, and new configurations, they read themselves once it tells that there are any. A leader that has not reached the store for 1.1 s says so, and the others look for themselves; its silence counts after 1.1 s in place of 1.5 s. A worker that is found draining in a list counts as draining for a second already. Routers on strong machines lead first (settings machine), how long leaving workers get requests follows the platform's bound (drain), and nothing is looked for at the first start.

--- a/internal/coord/follow.go
+++ b/internal/coord/follow.go
@@ -17,6 +17,10 @@
 	followPause = 250 * time.Millisecond
 	// listTimeout bounds one list.
 	listTimeout = 1500 * time.Millisecond
+	// catchUpWait is how long a watch may stay silent that reads what has changed.
+	catchUpWait = 20 * time.Millisecond
+	// pauseLook is the pause between looks whether following is paused still.
+	pauseLook = 50 * time.Millisecond
 )
 
 // View receives what is under a prefix. Calls come from one goroutine.
@@ -37,8 +41,15 @@
 	Wait func() time.Duration
 	// Gather is the pause after changes, so that many of them cost one call.
 	Gather func() time.Duration
-	// Renew gives up a waiting watch and lists anew.
+	// Renew gives up a waiting watch and lists anew; while following is paused, it
+	// reads what has changed.
 	Renew <-chan struct{}
+	// Paused says that another process tells of changes: nothing is watched. Nil:
+	// never.
+	Paused func() bool
+	// Covered is the revision up to which the view knows all changes, which may come
+	// from elsewhere meanwhile. Nil: what was read here.
+	Covered func() Revision
 }
 
 // Follow keeps a view up to date until ctx ends.
@@ -66,7 +77,26 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	return f.watch(ctx)
+	if f.options.Paused != nil && f.options.Paused() {
+		return f.pause(ctx)
+	}
+	return f.watchFor(ctx, f.options.Wait())
+}
+
+// pause waits until following goes on, or what has changed is to be read.
+func (f *follower) pause(ctx context.Context) error {
+	ticker := time.NewTicker(pauseLook)
+	defer ticker.Stop()
+	for f.options.Paused() {
+		select {
+		case <-f.options.Renew:
+			return f.watchFor(ctx, catchUpWait)
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	return nil
 }
 
 func (f *follower) list(ctx context.Context) error {
@@ -82,8 +112,11 @@
 	return nil
 }
 
-func (f *follower) watch(ctx context.Context) error {
-	wait := f.options.Wait()
+// watchFor waits for changes for some time.
+func (f *follower) watchFor(ctx context.Context, wait time.Duration) error {
+	if f.options.Covered != nil {
+		f.at = max(f.at, f.options.Covered())
+	}
 	bounded, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	renewed := f.watchRenewal(bounded, cancel)
--- a/internal/coord/follow_test.go
+++ b/internal/coord/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -126,6 +127,38 @@
 	})
 }
 
+// While another process tells of changes nothing is watched but on request; after that
+// the watch goes on where the view stands.
+func TestFollowPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, view, renew := memory.New(), &recorded{}, make(chan struct{}, 1)
+		var paused atomic.Bool
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go coord.Follow(ctx, store, "a/", view, coord.Options{
+			Wait:   func() time.Duration { return time.Second },
+			Gather: func() time.Duration { return 0 },
+			Renew:  renew, Paused: paused.Load,
+		})
+		elapse(100 * time.Millisecond)
+		paused.Store(true)
+		elapse(2 * time.Second)
+		calls := store.Calls["watch"] + store.Calls["list"]
+		put(t, store, "a/1", "x")
+		elapse(time.Minute)
+		assert.Equal(t, store.Calls["watch"]+store.Calls["list"], calls)
+		assert.Equal(t, view.values["a/1"], "")
+		renew <- struct{}{}
+		elapse(time.Second)
+		assert.Equal(t, view.values["a/1"], "x", "read anew on request")
+		assert.Equal(t, store.Calls["watch"]+store.Calls["list"], calls+1)
+		put(t, store, "a/1", "y")
+		paused.Store(false)
+		elapse(time.Second)
+		assert.Equal(t, view.values["a/1"], "y")
+	})
+}
+
 func TestFollowOutlastsAnOutage(t *testing.T) {
 	follow(t, 1500*time.Millisecond, func(t *testing.T, store *memory.Store, view *recorded, _ chan struct{}) {
 		put(t, store, "a/1", "before")
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -15,6 +15,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/owner"
 )
@@ -36,6 +37,10 @@
 	authorityMargin = 150 * time.Millisecond
 	// callTimeout bounds one renewal.
 	callTimeout = 1200 * time.Millisecond
+	// anotherWait is how long one wait for another leader lasts, and anotherPause is
+	// the pause after one that failed.
+	anotherWait  = 700 * time.Millisecond
+	anotherPause = 300 * time.Millisecond
 )
 
 // Leader is what the service says of the leader.
@@ -90,6 +95,23 @@
 	return leader, Error.Wrap(err)
 }
 
+// AwaitAnother waits until the service no longer names a leader; false if ctx ends
+// first. Waits are short: a watch that the service has lost unseen tells nothing.
+func (e *Election) AwaitAnother(ctx context.Context, leader Leader) bool {
+	for ctx.Err() == nil {
+		bounded, cancel := context.WithTimeout(ctx, anotherWait+anotherPause)
+		events, _, err := e.store.Watch(bounded, e.LeaderKey(), leader.Revision, anotherWait)
+		cancel()
+		switch {
+		case errors.Is(err, coord.ErrNoHistory), err == nil && len(events) > 0:
+			return true
+		case err != nil:
+			clock.Sleep(ctx, anotherPause)
+		}
+	}
+	return false
+}
+
 // Campaign tries once to become the leader. replace is the revision of the
 // leader's key that may be replaced; zero: there must be none. The error is
 // ErrLost if another process leads.
@@ -160,14 +182,16 @@
 
 	mu    sync.Mutex
 	until time.Time
-	ended bool
-	done  chan struct{}
+	// reached is when the last call was sent that was answered.
+	reached time.Time
+	ended   bool
+	done    chan struct{}
 }
 
 func newTenure(store coord.Store, leader Leader, lease coord.LeaseID, ttl time.Duration, sent time.Time) *Tenure {
 	return &Tenure{
 		Leader: leader, store: store, lease: lease, ttl: ttl,
-		until: sent.Add(ttl - authorityMargin), done: make(chan struct{}),
+		until: sent.Add(ttl - authorityMargin), reached: sent, done: make(chan struct{}),
 	}
 }
 
@@ -178,6 +202,13 @@
 	return t.until
 }
 
+// Reached returns when the last call was sent that the service has answered.
+func (t *Tenure) Reached() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reached
+}
+
 // Ended is closed once the service says that the lease is over.
 func (t *Tenure) Ended() <-chan struct{} { return t.done }
 
@@ -206,6 +237,7 @@
 	defer t.mu.Unlock()
 	switch {
 	case err == nil:
+		t.reached = sent
 		if until := sent.Add(t.ttl - authorityMargin); until.After(t.until) {
 			t.until = until
 		}
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -116,3 +116,28 @@
 		}
 	})
 }
+
+// Found on a day of Tawila (trouble-1, seed 12): the leader was cut from the service,
+// and those who waited for another one heard nothing of it for 2.8 s: one long watch
+// had been lost unseen.
+func TestAnotherLeaderIsNoticedAlthoughAWatchWasLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		_, err := candidate(store, "a").Campaign(t.Context(), 0)
+		assert.NilError(t, err)
+		waiting := candidate(store, "b")
+		leader, _, err := waiting.Look(t.Context())
+		assert.NilError(t, err)
+		noticed := make(chan time.Time, 1)
+		go func() {
+			assert.Check(t, waiting.AwaitAnother(t.Context(), leader))
+			noticed <- time.Now()
+		}()
+		synctest.Wait()
+		store.SetDeaf(true)
+		time.Sleep(LeaseTTL)
+		store.SetDeaf(false)
+		lapsed := time.Now()
+		assert.Assert(t, (<-noticed).Sub(lapsed) < 1500*time.Millisecond)
+	})
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -37,6 +37,9 @@
 	grantTimeout = 600 * time.Millisecond
 	// releaseTimeout includes the work that still runs on the keys.
 	releaseTimeout = 1500 * time.Millisecond
+	// deafAfter is for how long the key-value service may not answer until the
+	// other processes are told to look for changes themselves.
+	deafAfter = 1100 * time.Millisecond
 	// loadPause is the wait after a failed read of a record.
 	loadPause = 150 * time.Millisecond
 )
@@ -142,6 +145,7 @@
 	}
 	renewOnly := now.After(authority)
 	t.Hub.SetDoubtful(renewOnly)
+	t.Hub.SetDeaf(now.Sub(t.tenure.Reached()) > deafAfter)
 	if !renewOnly {
 		t.ensure()
 	}
--- /dev/null
+++ b/internal/peerlink/entries.go
@@ -0,0 +1,92 @@
+package peerlink
+
+import "github.com/shalefork/shalefork/internal/coord"
+
+const (
+	// keptChanges is how many changes of workers are kept for links that lag.
+	keptChanges = 256
+	// mostChanges is how many are passed on to one link at once. More cost the
+	// leader's own connections too many bytes, and come seldom.
+	mostChanges = 8
+)
+
+// entryLog keeps the last changes of workers. Each process keeps one, so that it has
+// them when it leads.
+type entryLog struct {
+	// from and to are the revisions between which all changes are kept.
+	from, to coord.Revision
+	changes  []WorkerChange
+}
+
+// reset begins anew: all up to a revision was read at once.
+func (l *entryLog) reset(at coord.Revision) {
+	l.from, l.to, l.changes = at, at, nil
+}
+
+// add takes changes that lead up to a revision.
+func (l *entryLog) add(changes []WorkerChange, at coord.Revision) {
+	l.changes = append(l.changes, changes...)
+	l.to = max(l.to, at)
+	if surplus := len(l.changes) - keptChanges; surplus > 0 {
+		l.from = l.changes[surplus-1].Revision
+		l.changes = append([]WorkerChange(nil), l.changes[surplus:]...)
+	}
+}
+
+// since returns all changes after a revision; without them if they are too many or no
+// longer kept, and nil if there are none.
+func (l *entryLog) since(revision coord.Revision) *Entries {
+	if revision >= l.to {
+		return nil
+	}
+	if revision < l.from {
+		return &Entries{From: l.to, To: l.to}
+	}
+	news := &Entries{From: revision, To: l.to}
+	for _, change := range l.changes {
+		if change.Revision > revision {
+			news.Changes = append(news.Changes, change)
+		}
+	}
+	if len(news.Changes) > mostChanges {
+		return &Entries{From: l.to, To: l.to}
+	}
+	return news
+}
+
+// EntriesRead tells that all entries up to a revision were read at once.
+func (h *Hub) EntriesRead(at coord.Revision) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.entries.reset(at)
+	h.wakeAll()
+}
+
+// EntriesChanged tells of changes that lead up to a revision.
+func (h *Hub) EntriesChanged(changes []WorkerChange, at coord.Revision) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.entries.add(changes, at)
+	h.wakeAll()
+}
+
+// SetDeaf tells the links whether the leader reaches the key-value service.
+func (h *Hub) SetDeaf(deaf bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.deaf == deaf {
+		return
+	}
+	h.deaf = deaf
+	h.wakeAll()
+}
+
+// strongest returns the greatest strength of the linked machines and the own. The
+// caller holds mu.
+func (h *Hub) strongest() float64 {
+	strongest := h.Strength
+	for one := range h.links {
+		strongest = max(strongest, one.strength)
+	}
+	return strongest
+}
--- a/internal/peerlink/follow.go
+++ b/internal/peerlink/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/keytable"
 	"github.com/shalefork/shalefork/internal/owner"
 )
@@ -24,16 +25,20 @@
 
 // Follower is the other processes' side.
 type Follower struct {
-	Node  string
-	Table *keytable.Table
+	Node string
+	// Strength of this process's machine.
+	Strength float64
+	Table    *keytable.Table
 	// Take returns what was seen since it was last called.
 	Take func() Report
 	// Nodes is set to the number of processes.
 	Nodes *atomic.Int32
+	// Entries returns up to which revision the workers' entries were read.
+	Entries func() coord.Revision
 	// Linked is called once the leader has told its owners.
 	Linked func()
-	// Knows is called with what the leader has read.
-	Knows func(Known)
+	// Heard is called with all else that the leader says.
+	Heard func(Update)
 	// Doubted is called when the leader says that another may lead.
 	Doubted func()
 }
@@ -48,7 +53,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	defer func() { _ = conn.Close() }()
-	if err := writeLine(conn, Hello{Node: f.Node}); err != nil {
+	if err := writeLine(conn, Hello{Node: f.Node, Entries: f.Entries(), Strength: f.Strength}); err != nil {
 		return Error.Wrap(err)
 	}
 	done := make(chan struct{})
@@ -71,7 +76,7 @@
 			return ErrNotLeading
 		}
 		f.Nodes.Store(int32(update.Nodes))
-		f.Knows(update.Known)
+		f.Heard(update)
 		if update.Doubtful {
 			f.Doubted()
 		}
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/keytable"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/routing"
@@ -17,9 +18,10 @@
 // Times of a link.
 const (
 	// heartbeat is the longest that the leader stays silent.
-	heartbeat = 500 * time.Millisecond
-	// SilenceLimit is the silence after which a leader counts as lost.
-	SilenceLimit = 1500 * time.Millisecond
+	heartbeat = 350 * time.Millisecond
+	// SilenceLimit is the silence after which a leader counts as lost. Until then its
+	// links know nothing of changes that it does not tell.
+	SilenceLimit = 1100 * time.Millisecond
 	// helloTimeout bounds the wait for the first line.
 	helloTimeout = 2 * time.Second
 	// writeTimeout bounds one write.
@@ -30,6 +32,9 @@
 
 // Hub is the leader's side. A process keeps one Hub and opens it while it leads.
 type Hub struct {
+	// Strength of this process's machine.
+	Strength float64
+
 	mu      sync.Mutex
 	leading bool
 	// doubtful says that the leader's authority has ended for now.
@@ -42,6 +47,8 @@
 	reports    chan<- Report
 	process    string
 	known      func() Known
+	entries    entryLog
+	deaf       bool
 }
 
 // NewHub returns a closed hub that passes reports on to a channel. process is
@@ -56,6 +63,10 @@
 	wake    chan struct{}
 	sent    map[routing.ServiceName][]owner.Owner
 	numbers map[workers.ID]int
+	// entries is the revision up to which the link knows of workers' entries.
+	entries coord.Revision
+	// strength of the process's machine.
+	strength float64
 }
 
 // Open begins to lead.
@@ -92,6 +103,13 @@
 	h.wakeAll()
 }
 
+// Wake tells the links at once what this process knows.
+func (h *Hub) Wake() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.wakeAll()
+}
+
 func (h *Hub) wakeAll() {
 	for one := range h.links {
 		select {
@@ -154,6 +172,7 @@
 	one := &link{
 		conn: conn, wake: make(chan struct{}, 1),
 		sent: map[routing.ServiceName][]owner.Owner{}, numbers: map[workers.ID]int{},
+		entries: hello.Entries, strength: hello.Strength,
 	}
 	if leading && !hello.Ask {
 		h.links[one] = struct{}{}
@@ -213,7 +232,9 @@
 	if !h.leading {
 		return Update{}, false
 	}
-	update := Update{Leading: true, Term: h.term, Nodes: len(h.links) + 1, Known: h.known(), Doubtful: h.doubtful}
+	update := Update{Leading: true, Term: h.term, Nodes: len(h.links) + 1, Known: h.known(), Doubtful: h.doubtful, Deaf: h.deaf, Strongest: h.strongest()}
+	update.Entries = h.entries.since(one.entries)
+	one.entries = max(one.entries, h.entries.to)
 	for service, owners := range h.owners {
 		before, told := one.sent[service]
 		news := ServiceNews{Service: service, Whole: !told}
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -7,6 +7,8 @@
 package peerlink
 
 import (
+	"time"
+
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/routing"
@@ -22,6 +24,10 @@
 	// Term of the process that asks, if it leads: a leader of an earlier term
 	// stops before it answers.
 	Term owner.Term `json:"term,omitempty"`
+	// Entries is the revision up to which the process has read the workers' entries.
+	Entries coord.Revision `json:"entries,omitempty"`
+	// Strength of the process's machine.
+	Strength float64 `json:"strength,omitempty"`
 }
 
 // Update is what the leader says. An Update without services is a heartbeat.
@@ -38,8 +44,57 @@
 	Nodes int `json:"n,omitempty"`
 	// Known is what the leader has read from the key-value service, so that a
 	// process whose watch was lost sees that it lags.
-	Known    Known         `json:"k"`
-	Services []ServiceNews `json:"s,omitempty"`
+	Known Known `json:"k"`
+	// Deaf says that the leader has not reached the key-value service lately: the
+	// others look for changes themselves.
+	Deaf bool `json:"f,omitempty"`
+	// Strongest is the greatest strength of the linked processes' machines.
+	Strongest float64       `json:"b,omitempty"`
+	Entries   *Entries      `json:"e,omitempty"`
+	Services  []ServiceNews `json:"s,omitempty"`
+}
+
+// Entries passes changes of workers on: all between two revisions. Where From is To,
+// there are too many to pass on: they are to be read from the service.
+type Entries struct {
+	From    coord.Revision `json:"f"`
+	To      coord.Revision `json:"t"`
+	Changes []WorkerChange `json:"e,omitempty"`
+}
+
+// WorkerChange is one change of a worker's entry.
+type WorkerChange struct {
+	Revision coord.Revision      `json:"r"`
+	ID       workers.ID          `json:"i"`
+	Gone     bool                `json:"g,omitempty"`
+	Service  routing.ServiceName `json:"s,omitempty"`
+	Address  string              `json:"a,omitempty"`
+	Zone     string              `json:"z,omitempty"`
+	Slots    int                 `json:"n,omitempty"`
+	Draining bool                `json:"d,omitempty"`
+	// WarmMillis is how much longer the worker is slow.
+	WarmMillis int64 `json:"w,omitempty"`
+}
+
+// Changed describes a worker as it is announced now.
+func Changed(revision coord.Revision, worker workers.Worker) WorkerChange {
+	return WorkerChange{
+		Revision: revision, ID: worker.ID, Service: worker.Service, Address: worker.Address, Zone: worker.Zone,
+		Slots: worker.Slots, Draining: worker.State == workers.StateDraining,
+		WarmMillis: max(0, time.Until(worker.WarmAt).Milliseconds()),
+	}
+}
+
+// Worker returns the worker that a change announces.
+func (c WorkerChange) Worker() workers.Worker {
+	state := workers.StateReady
+	if c.Draining {
+		state = workers.StateDraining
+	}
+	return workers.Worker{
+		ID: c.ID, Service: c.Service, Address: c.Address, Zone: c.Zone, Slots: c.Slots, State: state,
+		WarmAt: time.Now().Add(time.Duration(c.WarmMillis) * time.Millisecond),
+	}
 }
 
 // Known are the last changes that a process has read, by what they are of.
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,8 +12,10 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/keytable"
 	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/workers"
 )
 
 // leading is an open hub with its address.
@@ -33,7 +37,38 @@
 	meter   *Meter
 	doubted atomic.Bool
 	known   atomic.Int64
-	ended   chan error
+	deaf    atomic.Bool
+	// entries is the revision up to which it knows entries; gaps counts changes that
+	// were missing before what it was told.
+	entries, gaps atomic.Int64
+	mu            sync.Mutex
+	events        []string
+	ended         chan error
+}
+
+// hear takes what the leader says, as the router does.
+func (f *followed) hear(update Update) {
+	f.known.Store(int64(update.Known.Config))
+	f.deaf.Store(update.Deaf)
+	if update.Entries == nil {
+		return
+	}
+	if int64(update.Entries.From) > f.entries.Load() {
+		f.gaps.Add(1)
+	}
+	f.entries.Store(int64(update.Entries.To))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, change := range update.Entries.Changes {
+		f.events = append(f.events, string(change.ID))
+	}
+}
+
+// heard returns the keys of the entries that it was told of.
+func (f *followed) heard() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.events)
 }
 
 func follow(t *testing.T, address string) *followed {
@@ -41,7 +76,8 @@
 	f := &followed{table: keytable.New(), meter: NewMeter(), ended: make(chan error, 1)}
 	follower := Follower{
 		Node: "n", Table: f.table, Take: f.meter.Take, Nodes: &atomic.Int32{}, Linked: func() {},
-		Knows: func(known Known) { f.known.Store(int64(known.Config)) }, Doubted: func() { f.doubted.Store(true) },
+		Entries: func() coord.Revision { return coord.Revision(f.entries.Load()) },
+		Heard:   f.hear, Doubted: func() { f.doubted.Store(true) },
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
@@ -117,3 +153,66 @@
 	hub.SetDoubtful(true)
 	eventually(t, "doubt", f.doubted.Load)
 }
+
+func change(id workers.ID, revision coord.Revision) WorkerChange {
+	return Changed(revision, workers.Worker{ID: id, State: workers.StateDraining})
+}
+
+// One process reads the workers' entries and passes changes on, so that a change does
+// not cost a call of each of them.
+func TestFollowersHearOfChangedWorkers(t *testing.T) {
+	hub, _, address := leading(t, 3)
+	hub.EntriesRead(10)
+	f := follow(t, address)
+	eventually(t, "that it has read nothing", func() bool { return f.gaps.Load() == 1 })
+	hub.EntriesChanged([]WorkerChange{change("b", 12), change("c", 13)}, 14)
+	eventually(t, "changes", func() bool { return f.entries.Load() == 14 })
+	assert.DeepEqual(t, f.heard(), []string{"b", "c"})
+	assert.Equal(t, f.gaps.Load(), int64(1))
+	hub.SetDeaf(true)
+	eventually(t, "that the leader is deaf", f.deaf.Load)
+}
+
+func TestEntryLog(t *testing.T) {
+	for name, test := range map[string]struct {
+		changes int
+		since   coord.Revision
+		from    coord.Revision
+		passed  int
+	}{
+		"all":                      {changes: 5, since: 100, from: 100, passed: 5},
+		"some":                     {changes: 50, since: 147, from: 147, passed: 3},
+		"none":                     {changes: 5, since: 105},
+		"too many":                 {changes: mostChanges + 1, since: 100, from: 100 + mostChanges + 1},
+		"from before it began":     {changes: 5, since: 40, from: 105},
+		"from before what is kept": {changes: keptChanges + 5, since: 102, from: 100 + keptChanges + 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var log entryLog
+			log.reset(100)
+			for index := range test.changes {
+				revision := coord.Revision(101 + index)
+				log.add([]WorkerChange{change("k", revision)}, revision)
+			}
+			news := log.since(test.since)
+			if test.from == 0 {
+				assert.Assert(t, news == nil)
+				return
+			}
+			assert.Equal(t, news.From, test.from)
+			assert.Equal(t, news.To, coord.Revision(100+test.changes))
+			assert.Equal(t, len(news.Changes), test.passed)
+		})
+	}
+}
+
+func TestChangesKeepWorkersAsTheyAre(t *testing.T) {
+	worker := workers.Worker{
+		ID: "w", Service: "s", Address: "a", Zone: "z", Slots: 3, State: workers.StateReady,
+		WarmAt: time.Now().Add(time.Hour),
+	}
+	again := Changed(7, worker).Worker()
+	assert.Assert(t, again.WarmAt.Sub(worker.WarmAt).Abs() < time.Minute)
+	again.WarmAt = worker.WarmAt
+	assert.DeepEqual(t, again, worker)
+}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -64,8 +64,10 @@
 	Meter   *peerlink.Meter
 	Log     *decision.Log
 	// Nodes is how many processes there are; zero if not known.
-	Nodes    *atomic.Int32
-	Metrics  *Metrics
+	Nodes   *atomic.Int32
+	Metrics *Metrics
+	// Drain is how long workers that leave may get requests.
+	Drain    time.Duration
 	fleet    *fleet
 	current  atomic.Pointer[active]
 	stopping atomic.Bool
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -143,24 +143,23 @@
 func (c *call) holder(held owner.Owner) *backend {
 	worker, announced := c.proxy.fleet.directory.Get(held.Worker)
 	if !announced {
-		at, known := c.proxy.fleet.directory.GoneAt(held.Worker)
-		if known && time.Since(at) > goneGrace {
+		if c.proxy.fleet.directory.GoneFor(held.Worker) > c.leavingGrace() {
 			return nil
 		}
 		worker = workers.Worker{ID: held.Worker, Address: held.Address, Service: c.service.Name, Slots: 1, State: workers.StateReady}
 	}
-	if worker.State == workers.StateDraining && c.drainedFor(worker.ID) > drainGrace {
+	if worker.State == workers.StateDraining && c.drainedFor(worker.ID) > c.leavingGrace() {
 		return nil
 	}
 	return c.proxy.fleet.get(worker)
 }
 
-// Times for which a keyed worker that leaves still gets requests for the keys
-// that it holds.
-const (
-	goneGrace  = 1200 * time.Millisecond
-	drainGrace = 1400 * time.Millisecond
-)
+// noticeTime is how late this process may hear that a worker leaves.
+const noticeTime = 900 * time.Millisecond
+
+// leavingGrace is for how long a worker that leaves still gets requests for the keys
+// that it holds, once this process has heard of it.
+func (c *call) leavingGrace() time.Duration { return max(0, c.proxy.Drain-noticeTime) }
 
 // drainedFor returns how long a worker has been draining.
 func (c *call) drainedFor(id workers.ID) time.Duration {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -255,7 +255,7 @@
 	f.directory.Update([]workers.Worker{entry}, nil)
 	response, _ := f.get(t, "GET", "/keyed/", "", "X-Key", "7")
 	assert.Equal(t, response.StatusCode, http.StatusOK, "it still holds the key")
-	time.Sleep(drainGrace)
+	time.Sleep(testDrain - noticeTime)
 	response, _ = f.get(t, "GET", "/keyed/", "", "X-Key", "7")
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
 }
--- a/internal/proxy/worker_test.go
+++ b/internal/proxy/worker_test.go
@@ -144,6 +144,9 @@
 	calls     int
 }
 
+// testDrain is how long workers that leave may get requests.
+const testDrain = 2 * time.Second
+
 // newFront serves "/safe/" and "/unsafe/" at service "pool", "/keyed/" at
 // service "keyed".
 func newFront(t *testing.T, list ...workers.Worker) *front {
@@ -152,6 +155,7 @@
 	directory.Replace(list)
 	proxy := New("z", directory, BudgetLimits{Ratio: 0.2, Slack: 200, Window: 10 * time.Second})
 	proxy.Headers, proxy.Table, proxy.Meter = testHeaders, keytable.New(), peerlink.NewMeter()
+	proxy.Drain = testDrain
 	proxy.Log, proxy.Metrics = decision.NewTo(io.Discard, "test"), NewMetrics(prometheus.NewRegistry())
 	proxy.Use(testConfig(t, 1))
 	f := &front{proxy: proxy, directory: directory, server: httptest.NewServer(proxy)}
--- a/internal/router/bundles.go
+++ b/internal/router/bundles.go
@@ -38,7 +38,8 @@
 }
 
 // Snapshot implements coord.View.
-func (v *bundlesView) Snapshot(items []coord.Item, _ coord.Revision) {
+func (v *bundlesView) Snapshot(items []coord.Item, at coord.Revision) {
+	v.r.config.cover(at)
 	for _, item := range items {
 		v.take(item)
 	}
@@ -76,6 +77,7 @@
 
 // use puts all teams' bundles into force.
 func (v *bundlesView) use() {
+	defer v.r.hub.Wake()
 	if len(v.inForce) == 0 {
 		return
 	}
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,8 @@
 	configPause = 30 * time.Millisecond
 	// campaignSpread keeps processes from campaigning all at once.
 	campaignSpread = 150 * time.Millisecond
+	// weakPause is by how much later those on weaker machines campaign.
+	weakPause = 250 * time.Millisecond
 	// leaderWait is how long one wait for a change of the leader lasts.
 	leaderWait = 600 * time.Millisecond
 	// askTimeout bounds asking the leader before whether it has stopped.
@@ -33,16 +36,17 @@
 	// ownReportEvery is the pause between a leader's reports to itself.
 	ownReportEvery = 200 * time.Millisecond
 	// orderTime is how long an order may be under way.
-	orderTime = 700 * time.Millisecond
-	// doubtWait is how long one wait for another leader lasts.
-	doubtWait     = 10 * time.Second
+	orderTime     = 700 * time.Millisecond
 	resignTimeout = 500 * time.Millisecond
 )
 
-// lead follows the leader, or becomes it, until ctx ends.
+// lead follows the leader, or becomes it, until ctx ends. A process that starts finds
+// the owners first where they are stored: there may be no leader yet.
 func (r *Router) lead(ctx context.Context) {
 	r.awaitConfig(ctx)
-	r.readRecords(ctx)
+	if !r.settings.FirstStart {
+		r.readRecords(ctx)
+	}
 	var before election.Leader
 	for ctx.Err() == nil {
 		leader, found, err := r.look(ctx)
@@ -87,15 +91,11 @@
 func (r *Router) followLeader(ctx context.Context, leader election.Leader) {
 	var linked atomic.Bool
 	follower := peerlink.Follower{
-		Node: r.settings.Node, Table: r.table, Take: r.meter.Take, Nodes: r.nodes,
-		Knows: func(known peerlink.Known) {
-			now := time.Now()
-			r.config.compare(now, known.Config)
-			r.entries.compare(now, known.Workers)
-		},
+		Node: r.settings.Node, Strength: r.hub.Strength, Table: r.table, Take: r.meter.Take, Nodes: r.nodes,
+		Entries: r.entriesView.revision,
+		Heard:   r.heard,
 		Linked: func() {
 			linked.Store(true)
-			r.told.Store(true)
 			r.log.Line(decision.KindLeaderFound).Str("leader", leader.Address).Int64("term", int64(leader.Term)).Msg("")
 		},
 	}
@@ -104,10 +104,7 @@
 	var doubted sync.Once
 	follower.Doubted = func() { doubted.Do(func() { go r.awaitAnother(following, stop, leader) }) }
 	err := follower.Follow(following, leader.Address)
-	if r.told.Swap(false) {
-		r.config.again()
-		r.entries.again()
-	}
+	r.told.Store(false) // what was not told by now is read from the service
 	if ctx.Err() != nil {
 		return
 	}
@@ -121,17 +118,8 @@
 
 // awaitAnother stops following a leader once the service no longer names it.
 func (r *Router) awaitAnother(ctx context.Context, stop context.CancelFunc, leader election.Leader) {
-	for ctx.Err() == nil {
-		bounded, cancel := context.WithTimeout(ctx, doubtWait+time.Second)
-		events, _, err := r.adapter.Store.Watch(bounded, r.election.LeaderKey(), leader.Revision, doubtWait)
-		cancel()
-		switch {
-		case errors.Is(err, coord.ErrNoHistory), err == nil && len(events) > 0:
-			stop()
-			return
-		case err != nil:
-			clock.Sleep(ctx, lookPause)
-		}
+	if r.election.AwaitAnother(ctx, leader) {
+		stop()
 	}
 }
 
@@ -171,7 +159,7 @@
 // campaign tries to lead, and leads until the tenure ends. replace is the
 // revision of the key of a leader that has ended, or zero.
 func (r *Router) campaign(ctx context.Context, before election.Leader, replace coord.Revision) {
-	clock.Sleep(ctx, time.Duration(rand.Int64N(int64(campaignSpread))))
+	clock.Sleep(ctx, r.campaignPause())
 	if now, _, err := r.look(ctx); err != nil || now.Revision != replace || ctx.Err() != nil {
 		return
 	}
@@ -228,3 +216,23 @@
 		}
 	}
 }
+
+// campaignPause lets processes campaign one after the other, and those on the strongest
+// machines first: the leader speaks with all others. Who knows of no others waits by
+// how far its machine is from strong.
+func (r *Router) campaignPause() time.Duration {
+	pause := spread(campaignSpread)
+	strongest := math.Float64frombits(r.strongest.Load())
+	switch {
+	case strongest == 0:
+		pause += time.Duration((1 - r.hub.Strength) * float64(weakPause))
+	case r.hub.Strength < strongest:
+		pause += weakPause
+	}
+	return pause
+}
+
+// spread returns a random part of a time, so that processes do not act all at once.
+func spread(most time.Duration) time.Duration {
+	return time.Duration(rand.Int64N(int64(most)))
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -83,8 +83,11 @@
 	// config and entries are what was read of the configuration and of the
 	// workers' entries.
 	config, entries *followed
+	entriesView     *workersView
 	// told says that a leader tells this process of changes.
 	told atomic.Bool
+	// strongest holds the greatest strength of all machines, as bits of a float64.
+	strongest atomic.Uint64
 }
 
 // queuedReports is how many reports wait for the keeper.
@@ -103,11 +106,14 @@
 		config:  newFollowed(),
 		entries: newFollowed(),
 	}
+	r.entriesView = &workersView{r: r}
 	r.proxy = proxy.New(config.Zone, r.workers, limits(config))
 	r.proxy.Headers, r.proxy.Table, r.proxy.Meter = adapter.Headers, r.table, r.meter
+	r.proxy.Drain = config.Drain.Std()
 	r.proxy.Log, r.proxy.Nodes, r.proxy.Metrics = log, r.nodes, proxy.NewMetrics(metrics)
 	process := rand.Text()
 	r.hub = peerlink.NewHub(process, r.reports, r.known)
+	r.hub.Strength = config.Machine.Strength()
 	r.election = election.New(adapter.Store, KeyPrefix, config.PeerListen, process, rand.Text)
 	r.election.TTL = max(election.LeaseTTL, config.MinLease.Std())
 	r.keeper = &keeper.Keeper{
@@ -161,7 +167,7 @@
 		return
 	}
 	go r.follow(ctx, r.adapter.ConfigPrefix, &configView{r: r}, r.config)
-	go r.follow(ctx, r.adapter.WorkersPrefix, &workersView{r: r}, r.entries)
+	go r.follow(ctx, r.adapter.WorkersPrefix, r.entriesView, r.entries)
 }
 
 // known returns what this process has read.
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -78,6 +78,7 @@
 const (
 	DefaultMaxHold     = 10 * time.Second
 	DefaultGrace       = 6 * time.Second
+	DefaultDrain       = 2 * time.Second
 	DefaultRetryRatio  = 0.1
 	DefaultRetrySlack  = 20
 	DefaultRetryWindow = 10 * time.Second
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -28,11 +28,45 @@
 	Grace bundle.Duration `yaml:"grace"`
 	// Retry bounds second sends over all routers together.
 	Retry RetryLimits `yaml:"retry"`
+	// Drain is how long workers that leave may get requests.
+	Drain bundle.Duration `yaml:"drain"`
+	// FirstStart says that the whole system starts for the first time, so that nothing
+	// is stored yet.
+	FirstStart bool `yaml:"first_start"`
+	// Machine that the process runs on; stronger ones lead first.
+	Machine Machine `yaml:"machine"`
 	// Operators who may change bundles. Where there are any, the router follows
 	// the teams' bundles, and not a configuration of the platform's.
 	Operators []Operator `yaml:"operators" validate:"dive"`
 }
 
+// Machine is what a process may use. Zero: not known.
+type Machine struct {
+	// Cores is the share of processor cores, such as 0.5.
+	Cores float64 `yaml:"cores" validate:"gte=0"`
+	// LinkMbps is the bandwidth of its link, in megabits a second.
+	LinkMbps float64 `yaml:"link_mbps" validate:"gte=0"`
+}
+
+// What a strong machine has.
+const (
+	strongCores    = 0.5
+	strongLinkMbps = 100
+)
+
+// Strength is from 0 to 1, which is strong enough to lead. A machine of which nothing
+// is known is taken to be strong.
+func (m Machine) Strength() float64 {
+	strength := 1.0
+	if m.Cores > 0 {
+		strength = min(strength, m.Cores/strongCores)
+	}
+	if m.LinkMbps > 0 {
+		strength = min(strength, m.LinkMbps/strongLinkMbps)
+	}
+	return strength
+}
+
 // Operator is one person who may change bundles.
 type Operator struct {
 	Name string `yaml:"name" validate:"required"`
@@ -67,7 +101,7 @@
 	periods := []struct {
 		field  string
 		period bundle.Duration
-	}{{"max_hold", router.MaxHold}, {"grace", router.Grace}, {"retry.window", router.Retry.Window}}
+	}{{"max_hold", router.MaxHold}, {"grace", router.Grace}, {"drain", router.Drain}, {"retry.window", router.Retry.Window}}
 	for _, one := range periods {
 		if one.period <= 0 {
 			problems = append(problems, problem(one.field, "a duration above zero"))
@@ -91,6 +125,7 @@
 	return Router{
 		MaxHold: bundle.Duration(DefaultMaxHold),
 		Grace:   bundle.Duration(DefaultGrace),
+		Drain:   bundle.Duration(DefaultDrain),
 		Retry:   RetryLimits{Ratio: DefaultRetryRatio, Slack: DefaultRetrySlack, Window: bundle.Duration(DefaultRetryWindow)},
 	}
 }
--- a/internal/settings/router_test.go
+++ b/internal/settings/router_test.go
@@ -21,6 +21,21 @@
   ratio: 0.2
 `
 
+func TestStrength(t *testing.T) {
+	for name, test := range map[string]struct {
+		machine Machine
+		want    float64
+	}{
+		"not known":  {want: 1},
+		"strong":     {machine: Machine{Cores: 0.8, LinkMbps: 200}, want: 1},
+		"weak":       {machine: Machine{Cores: 0.25, LinkMbps: 200}, want: 0.5},
+		"narrow":     {machine: Machine{Cores: 4, LinkMbps: 10}, want: 0.1},
+		"link alone": {machine: Machine{LinkMbps: 50}, want: 0.5},
+	} {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, test.machine.Strength(), test.want) })
+	}
+}
+
 func TestReadRouterFillsInDefaults(t *testing.T) {
 	read, err := ReadRouter("router.yaml", []byte(routerFile), nil)
 	assert.NilError(t, err)
@@ -56,13 +71,15 @@
 		"{{nodeName|json}}", `"front-1"`, "{{zone|json}}", `"z"`, "{{listen.front|json}}", `"10.0.0.1:80"`,
 		"{{listen.readiness|json}}", `"10.0.0.1:81"`, "{{ip}}", "10.0.0.1", "{{internalPortRange.0}}", "7540",
 		"{{platform.address|json}}", `"10.0.0.9:90"`, "{{bounds.maxHoldS}}", "10", "{{platform.ttl_min_s}}", "1", "{{bounds.graceS}}", "6",
-		"{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.budgetSlack}}", "62", "{{bounds.retryWindowS}}", "10",
+		"{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.budgetSlack}}", "62", "{{bounds.drainS}}", "2.5", "{{limits.cpuShare}}", "0.16", "{{limits.linkMbps}}", "10.0", "{{bounds.retryWindowS}}", "10",
 	)
 	read, err := ReadRouter("settings.yaml", []byte(fill.Replace(given)), nil)
 	assert.NilError(t, err)
 	assert.Equal(t, read.Grace.Std(), 6*time.Second)
 	assert.Equal(t, read.PeerListen, "10.0.0.1:7540")
 	assert.Equal(t, read.Retry.Slack, 62.0)
+	assert.Equal(t, read.Drain.Std(), 2500*time.Millisecond)
+	assert.Equal(t, read.Machine, Machine{Cores: 0.16, LinkMbps: 10})
 	bare, err := ReadRouter("settings.yaml", []byte(fill.Replace(without)), nil)
 	assert.NilError(t, err, "a deployment may give no bounds")
 	assert.Equal(t, bare.MaxHold.Std(), DefaultMaxHold)
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -39,7 +39,7 @@
 	byID      map[ID]Worker
 	byService map[routing.ServiceName][]Worker
 	version   uint64
-	// goneAt remembers when a worker's entry went.
+	// goneAt remembers when a worker's entry was seen to be gone.
 	goneAt map[ID]time.Time
 	// drainingSince is when a worker was first seen to drain.
 	drainingSince map[ID]time.Time
@@ -57,10 +57,16 @@
 	}
 }
 
+// listAge is how old what a list tells may be: when it is read after a time without
+// news, a worker may have been draining for that long. A worker that is gone from it
+// may be back soon: entries go while the service is disturbed.
+const listAge = time.Second
+
 // Replace sets the whole list.
 func (d *Directory) Replace(list []Worker) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	learned := time.Now().Add(-listAge)
 	fresh := map[ID]Worker{}
 	for _, worker := range list {
 		fresh[worker.ID] = worker
@@ -71,7 +77,7 @@
 		}
 	}
 	d.byID = fresh
-	d.index()
+	d.index(learned)
 }
 
 // Update adds, changes and removes workers.
@@ -88,18 +94,19 @@
 		}
 		delete(d.byID, id)
 	}
-	d.index()
+	d.index(time.Now())
 }
 
 // goneMemory is how long the end of an entry is remembered.
 const goneMemory = 2 * time.Minute
 
-func (d *Directory) index() {
+// index sorts the workers by service. What is new was learned at a time.
+func (d *Directory) index(learned time.Time) {
 	d.byService = map[routing.ServiceName][]Worker{}
 	for id, worker := range d.byID {
 		d.byService[worker.Service] = append(d.byService[worker.Service], worker)
 		if _, noted := d.drainingSince[id]; !noted && worker.State == StateDraining {
-			d.drainingSince[id] = time.Now()
+			d.drainingSince[id] = learned
 		}
 	}
 	for id := range d.drainingSince {
@@ -125,7 +132,7 @@
 	return worker, known
 }
 
-// GoneAt returns when a worker's entry went; false if that is not known.
+// GoneAt returns when a worker's entry was seen to be gone; false if that is not known.
 func (d *Directory) GoneAt(id ID) (time.Time, bool) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
@@ -133,6 +140,16 @@
 	return at, known
 }
 
+// GoneFor returns for how long a worker's entry is gone; zero if it is not known to
+// be.
+func (d *Directory) GoneFor(id ID) time.Duration {
+	at, gone := d.GoneAt(id)
+	if !gone {
+		return 0
+	}
+	return time.Since(at)
+}
+
 // Of returns the workers of a service in no order, and the list's version. The
 // slice must not be changed.
 func (d *Directory) Of(service routing.ServiceName) ([]Worker, uint64) {
