Split the keeper's, routers' and links' files by job; test what the leader tells

Tests: changes told by the leader in order, with gaps, older than a list; a deaf leader; who campaigns first; draining that was found in a list.

--- /dev/null
+++ b/internal/keeper/plan.go
@@ -0,0 +1,99 @@
+package keeper
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/routing"
+)
+
+// plan chooses owners, at first or anew.
+func (t *tenancy) plan(now time.Time, of *service) {
+	if now.Before(of.nextPlan) || of.writing {
+		return
+	}
+	of.nextPlan = now.Add(planEvery)
+	candidates := t.candidates(now, of)
+	if of.book.Empty() {
+		t.first(now, of, candidates)
+		return
+	}
+	for _, one := range of.book.Plan(candidates, of.loads.Rates(now), t.rules(now, of)) {
+		t.tellMove(now, of, one)
+	}
+}
+
+// tellMove counts a planned move and writes a line.
+func (t *tenancy) tellMove(now time.Time, of *service, one owner.Moved) {
+	if !one.Forced {
+		of.moved(now)
+	}
+	t.Metrics.moved(of.name, one.Forced)
+	t.Log.Line(decision.KindMoved).Str("service", string(of.name)).Int("from", one.Keys.From).Int("to", one.Keys.To).
+		Str("old", string(one.From)).Str("worker", string(one.To)).Bool("forced", one.Forced).
+		Float64("rate", one.Rate).Float64("old_load", one.FromLoad).Float64("load", one.ToLoad).
+		Float64("capacity", of.capacity(now, one.To, t.Workers)).Uint64("change", of.book.Change()).Msg("")
+}
+
+// first deals the keys out once the list of workers stands still.
+func (t *tenancy) first(now time.Time, of *service, candidates []owner.Candidate) {
+	settled := now.Sub(t.listChanged) >= settleTime || now.Sub(t.began) >= settleLimit
+	if len(candidates) == 0 || !settled {
+		return
+	}
+	owners := owner.First(candidates, t.places(of))
+	if owners == nil {
+		return
+	}
+	of.book.Assign(now, owners)
+	t.Log.Line(decision.KindAssigned).Str("service", string(of.name)).Int("candidates", len(candidates)).Msg("")
+}
+
+// rules are what the configuration allows, as far as loads are known and moves are
+// left.
+func (t *tenancy) rules(now time.Time, of *service) owner.Rules {
+	rules := owner.Rules{Places: t.places(of), Balance: of.loads.Settled(now), Moves: math.MaxInt}
+	if described := t.described(of); described != nil {
+		rules.ChurnWeight = described.ChurnWeight
+		if described.MovesPerMinute > 0 {
+			rules.Moves = max(0, described.MovesPerMinute-of.movesSince(now.Add(-time.Minute)))
+		}
+	}
+	return rules
+}
+
+// described returns the service in the configuration; nil if it is gone.
+func (t *tenancy) described(of *service) *routing.Service {
+	if config := t.Config(); config != nil {
+		return config.Services[of.name]
+	}
+	return nil
+}
+
+// places returns where the service's keys may be held.
+func (t *tenancy) places(of *service) []owner.Place {
+	described := t.described(of)
+	if described == nil {
+		return nil
+	}
+	places := make([]owner.Place, 0, len(described.Places))
+	for _, one := range described.Places {
+		places = append(places, owner.Place{Keys: owner.Keys{From: one.From, To: one.To}, Zones: one.Zones})
+	}
+	return places
+}
+
+// moved notes a move for balance.
+func (s *service) moved(now time.Time) {
+	s.movesSince(now.Add(-time.Minute))
+	s.moves = append(s.moves, now)
+}
+
+// movesSince counts the moves for balance since a time and forgets older ones.
+func (s *service) movesSince(since time.Time) int {
+	s.moves = slices.DeleteFunc(s.moves, func(at time.Time) bool { return at.Before(since) })
+	return len(s.moves)
+}
--- /dev/null
+++ b/internal/peerlink/ask.go
@@ -0,0 +1,35 @@
+package peerlink
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/owner"
+)
+
+// Answer is what a process says when it is asked whether it leads.
+type Answer struct {
+	Leading bool
+	// Process is unique to the life of the process that answered.
+	Process string
+}
+
+// Ask asks the process at an address whether it leads; false if it does not
+// answer. term is that of the leader that asks, or zero.
+func Ask(ctx context.Context, address string, term owner.Term) (Answer, bool) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return Answer{}, false
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(dialTimeout))
+	if writeLine(conn, Hello{Ask: true, Term: term}) != nil {
+		return Answer{}, false
+	}
+	var update Update
+	err = readLine(bufio.NewReader(conn), &update)
+	return Answer{Leading: update.Leading, Process: update.Process}, err == nil
+}
--- a/internal/peerlink/entries.go
+++ b/internal/peerlink/entries.go
@@ -70,17 +70,6 @@
 	h.wakeAll()
 }
 
-// SetDeaf tells the links whether the leader reaches the key-value service.
-func (h *Hub) SetDeaf(deaf bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.deaf == deaf {
-		return
-	}
-	h.deaf = deaf
-	h.wakeAll()
-}
-
 // strongest returns the greatest strength of the linked machines and the own. The
 // caller holds mu.
 func (h *Hub) strongest() float64 {
--- a/internal/peerlink/follow.go
+++ b/internal/peerlink/follow.go
@@ -20,8 +20,12 @@
 // ErrNotLeading: the process does not lead.
 var ErrNotLeading = errs.New("the process does not lead")
 
-// reportEvery is the pause between reports.
-const reportEvery = 200 * time.Millisecond
+// The pause between reports is reportEvery, and reportEach for each process: with many
+// of them the leader sees as much in a longer time, and gets fewer bytes.
+const (
+	reportEvery = 180 * time.Millisecond
+	reportEach  = 3 * time.Millisecond
+)
 
 // Follower is the other processes' side.
 type Follower struct {
@@ -113,13 +117,11 @@
 }
 
 func (f *Follower) report(conn net.Conn, done <-chan struct{}) {
-	ticker := time.NewTicker(reportEvery)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-done:
 			return
-		case <-ticker.C:
+		case <-time.After(reportEvery + time.Duration(f.Nodes.Load())*reportEach):
 		}
 		report := f.Take()
 		if report.Empty() {
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -2,14 +2,11 @@
 
 import (
 	"bufio"
-	"context"
-	"encoding/json"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/coord"
-	"github.com/shalefork/shalefork/internal/keytable"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/workers"
@@ -93,13 +90,19 @@
 }
 
 // SetDoubtful tells the links that another process may lead.
-func (h *Hub) SetDoubtful(doubtful bool) {
+func (h *Hub) SetDoubtful(doubtful bool) { h.set(&h.doubtful, doubtful) }
+
+// SetDeaf tells the links that this process does not reach the key-value service.
+func (h *Hub) SetDeaf(deaf bool) { h.set(&h.deaf, deaf) }
+
+// set changes what the links are told.
+func (h *Hub) set(flag *bool, to bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.doubtful == doubtful {
+	if *flag == to {
 		return
 	}
-	h.doubtful = doubtful
+	*flag = to
 	h.wakeAll()
 }
 
@@ -224,98 +227,3 @@
 		}
 	}
 }
-
-// update gathers what the link has not heard.
-func (h *Hub) update(one *link) (Update, bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if !h.leading {
-		return Update{}, false
-	}
-	update := Update{Leading: true, Term: h.term, Nodes: len(h.links) + 1, Known: h.known(), Doubtful: h.doubtful, Deaf: h.deaf, Strongest: h.strongest()}
-	update.Entries = h.entries.since(one.entries)
-	one.entries = max(one.entries, h.entries.to)
-	for service, owners := range h.owners {
-		before, told := one.sent[service]
-		news := ServiceNews{Service: service, Whole: !told}
-		changes := owners
-		if told {
-			changes = keytable.Difference(before, owners)
-		}
-		if len(changes) == 0 {
-			continue
-		}
-		one.number(&news, changes)
-		one.sent[service] = owners
-		update.Services = append(update.Services, news)
-	}
-	return update, true
-}
-
-// number writes the runs with the workers' numbers.
-func (l *link) number(news *ServiceNews, changes []owner.Owner) {
-	for _, change := range changes {
-		number, named := l.numbers[change.Worker]
-		if !named {
-			number = len(l.numbers)
-			l.numbers[change.Worker] = number
-			news.Workers = append(news.Workers, NamedWorker{ID: change.Worker, Address: change.Address})
-		}
-		moving := 0
-		if change.Moving {
-			moving = 1
-		}
-		news.Runs = append(news.Runs, [4]int{change.Keys.From, change.Keys.To, number, moving})
-	}
-}
-
-// Answer is what a process says when it is asked whether it leads.
-type Answer struct {
-	Leading bool
-	// Process is unique to the life of the process that answered.
-	Process string
-}
-
-// Ask asks the process at an address whether it leads; false if it does not
-// answer. term is that of the leader that asks, or zero.
-func Ask(ctx context.Context, address string, term owner.Term) (Answer, bool) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return Answer{}, false
-	}
-	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(dialTimeout))
-	if writeLine(conn, Hello{Ask: true, Term: term}) != nil {
-		return Answer{}, false
-	}
-	var update Update
-	err = readLine(bufio.NewReader(conn), &update)
-	return Answer{Leading: update.Leading, Process: update.Process}, err == nil
-}
-
-func readLine(reader *bufio.Reader, into any) error {
-	line, err := reader.ReadSlice('\n')
-	if err == bufio.ErrBufferFull {
-		long := append([]byte(nil), line...)
-		for err == bufio.ErrBufferFull && len(long) < maxLine {
-			line, err = reader.ReadSlice('\n')
-			long = append(long, line...)
-		}
-		line = long
-	}
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(line, into)
-}
-
-func writeLine(conn net.Conn, message any) error {
-	encoded, err := json.Marshal(message)
-	if err != nil {
-		return err
-	}
-	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err = conn.Write(append(encoded, '\n'))
-	return err
-}
--- /dev/null
+++ b/internal/router/workersview.go
@@ -0,0 +1,124 @@
+package router
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/peerlink"
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// workersView follows the workers' entries, as the service or the leader tells them.
+type workersView struct {
+	r  *Router
+	mu sync.Mutex
+	// at is the revision up to which all entries were read.
+	at coord.Revision
+}
+
+// Snapshot implements coord.View.
+func (v *workersView) Snapshot(items []coord.Item, at coord.Revision) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if at < v.at {
+		return // the leader has told more meanwhile
+	}
+	v.at = at
+	v.r.entries.cover(at)
+	list := make([]workers.Worker, 0, len(items))
+	for _, item := range items {
+		v.r.entries.read(item.Revision)
+		if worker, ok := v.r.adapter.ReadWorker(item); ok {
+			list = append(list, worker)
+		}
+	}
+	v.r.workers.Replace(list)
+	v.r.hub.EntriesRead(at)
+	v.r.log.Line(decision.KindWorker).Int("announced", len(list)).Int64("revision", int64(at)).Msg("list read")
+}
+
+// Changed implements coord.View.
+func (v *workersView) Changed(events []coord.Event, at coord.Revision) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.apply(v.read(events), at)
+}
+
+// relayed applies what the leader passes on; false if changes are missing.
+func (v *workersView) relayed(news peerlink.Entries) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.at < news.From {
+		return false
+	}
+	v.apply(news.Changes, news.To)
+	return true
+}
+
+// revision returns up to which revision all entries were read.
+func (v *workersView) revision() coord.Revision {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.at
+}
+
+// read turns events into changes of workers.
+func (v *workersView) read(events []coord.Event) []peerlink.WorkerChange {
+	changes := make([]peerlink.WorkerChange, 0, len(events))
+	for _, event := range events {
+		if event.Deleted {
+			id := v.r.adapter.WorkerID(event.Key)
+			changes = append(changes, peerlink.WorkerChange{Revision: event.Revision, ID: id, Gone: true})
+			continue
+		}
+		if worker, ok := v.r.adapter.ReadWorker(event.Item); ok {
+			changes = append(changes, peerlink.Changed(event.Revision, worker))
+		}
+	}
+	return changes
+}
+
+// apply changes the list of workers by what is new. The caller holds mu.
+func (v *workersView) apply(changes []peerlink.WorkerChange, at coord.Revision) {
+	changes = slices.DeleteFunc(changes, func(one peerlink.WorkerChange) bool { return one.Revision <= v.at })
+	v.at = max(v.at, at)
+	v.r.entries.cover(at)
+	v.r.hub.EntriesChanged(changes, at)
+	last := map[workers.ID]peerlink.WorkerChange{}
+	for _, change := range changes {
+		v.r.entries.read(change.Revision)
+		last[change.ID] = change
+	}
+	if len(last) == 0 {
+		return
+	}
+	var changed []workers.Worker
+	var gone []workers.ID
+	for id, change := range last {
+		if change.Gone {
+			gone = append(gone, id)
+			v.r.log.Line(decision.KindWorker).Str("worker", string(id)).Str("state", "gone").
+				Int64("revision", int64(change.Revision)).Msg("")
+			continue
+		}
+		worker := change.Worker()
+		if before, known := v.r.workers.Get(id); !known || before.State != worker.State {
+			v.r.log.Line(decision.KindWorker).Str("worker", string(id)).Str("state", string(worker.State)).
+				Str("service", string(worker.Service)).Int64("revision", int64(change.Revision)).Msg("")
+		}
+		changed = append(changed, worker)
+	}
+	v.r.workers.Update(changed, gone)
+}
+
+// Lost implements coord.View.
+func (v *workersView) Lost(err error) {
+	v.r.log.Line(decision.KindStoreLost).Str("for", "workers").Err(err).Msg("")
+}
+
+// Regained implements coord.View.
+func (v *workersView) Regained() {
+	v.r.log.Line(decision.KindStoreBack).Str("for", "workers").Msg("")
+}
--- /dev/null
+++ b/internal/router/workersview_test.go
@@ -0,0 +1,139 @@
+package router
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/coord/memory"
+	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/peerlink"
+	"github.com/shalefork/shalefork/internal/settings"
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// newTestRouter returns a router that runs nothing. An entry's value is its worker's
+// state.
+func newTestRouter(t *testing.T) *Router {
+	t.Helper()
+	log := decision.NewTo(io.Discard, "n")
+	t.Cleanup(log.Close)
+	adapter := Adapter{
+		Store:    memory.New(),
+		WorkerID: func(key string) workers.ID { return workers.ID(strings.TrimPrefix(key, "w/")) },
+		ReadWorker: func(item coord.Item) (workers.Worker, bool) {
+			id := workers.ID(strings.TrimPrefix(item.Key, "w/"))
+			return workers.Worker{ID: id, Service: "s", State: workers.State(item.Value)}, len(item.Value) > 0
+		},
+	}
+	return New(settings.Router{}, adapter, log, prometheus.NewRegistry())
+}
+
+func item(id string, revision coord.Revision, state workers.State) coord.Item {
+	return coord.Item{Key: "w/" + id, Value: []byte(state), Revision: revision}
+}
+
+// drains is a change that the leader passes on.
+func drains(id workers.ID, revision coord.Revision) peerlink.WorkerChange {
+	return peerlink.Changed(revision, workers.Worker{ID: id, Service: "s", State: workers.StateDraining})
+}
+
+func TestChangesOfWorkersFromTheLeader(t *testing.T) {
+	for name, test := range map[string]struct {
+		news    peerlink.Entries
+		applied bool
+		drains  bool
+		at      coord.Revision
+	}{
+		"next":                {news: peerlink.Entries{From: 10, To: 12, Changes: []peerlink.WorkerChange{drains("a", 11)}}, applied: true, drains: true, at: 12},
+		"some known already":  {news: peerlink.Entries{From: 5, To: 12, Changes: []peerlink.WorkerChange{drains("a", 9)}}, applied: true, at: 12},
+		"some missing before": {news: peerlink.Entries{From: 11, To: 12, Changes: []peerlink.WorkerChange{drains("a", 12)}}, at: 10},
+		"too many to pass on": {news: peerlink.Entries{From: 12, To: 12}, at: 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newTestRouter(t)
+			view := r.entriesView
+			view.Snapshot([]coord.Item{item("a", 8, workers.StateReady)}, 10)
+			assert.Equal(t, view.relayed(test.news), test.applied)
+			worker, known := r.workers.Get("a")
+			assert.Assert(t, known)
+			assert.Equal(t, worker.State == workers.StateDraining, test.drains)
+			assert.Equal(t, view.revision(), test.at)
+		})
+	}
+}
+
+// A list that was under way while the leader told of more must not undo that.
+func TestAnOlderListChangesNothing(t *testing.T) {
+	r := newTestRouter(t)
+	view := r.entriesView
+	view.Snapshot([]coord.Item{item("a", 8, workers.StateReady)}, 10)
+	assert.Assert(t, view.relayed(peerlink.Entries{From: 10, To: 12, Changes: []peerlink.WorkerChange{drains("a", 12)}}))
+	view.Snapshot([]coord.Item{item("a", 8, workers.StateReady)}, 11)
+	worker, _ := r.workers.Get("a")
+	assert.Equal(t, worker.State, workers.StateDraining)
+	view.Changed([]coord.Event{{Item: item("a", 8, workers.StateReady)}}, 11)
+	worker, _ = r.workers.Get("a")
+	assert.Equal(t, worker.State, workers.StateDraining, "nor do events that are known already")
+}
+
+func TestWhatTheLeaderKnowsIsReadOnce(t *testing.T) {
+	asked := func(of *followed) bool {
+		select {
+		case <-of.renew:
+			return true
+		default:
+			return false
+		}
+	}
+	now := time.Unix(1000, 0)
+	r := newTestRouter(t)
+	r.config.cover(10)
+	r.heard(peerlink.Update{Known: peerlink.Known{Config: 10}})
+	assert.Assert(t, !asked(r.config), "it is known")
+	r.config.catchUp(now, 12)
+	assert.Assert(t, asked(r.config))
+	r.config.catchUp(now, 12)
+	assert.Assert(t, !asked(r.config), "it was asked for")
+	r.config.catchUp(now.Add(2*lagAllowed), 12)
+	assert.Assert(t, asked(r.config), "and did not come")
+	r.config.read(12)
+	r.config.catchUp(now.Add(4*lagAllowed), 12)
+	assert.Assert(t, !asked(r.config))
+}
+
+func TestADeafLeaderIsNotReliedOn(t *testing.T) {
+	r := newTestRouter(t)
+	r.heard(peerlink.Update{})
+	assert.Assert(t, r.told.Load())
+	r.heard(peerlink.Update{Deaf: true})
+	assert.Assert(t, !r.told.Load())
+}
+
+func TestStrongMachinesCampaignFirst(t *testing.T) {
+	r := newTestRouter(t)
+	for name, test := range map[string]struct {
+		own, strongest float64
+		least          time.Duration
+	}{
+		"strong, knows nobody":  {own: 1},
+		"weak, knows nobody":    {own: 0.2, least: weakPause / 2},
+		"weak, as all are":      {own: 0.2, strongest: 0.2},
+		"weaker than another":   {own: 0.2, strongest: 0.5, least: weakPause},
+		"the strongest of them": {own: 0.5, strongest: 0.5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r.hub.Strength = test.own
+			r.heard(peerlink.Update{Strongest: test.strongest})
+			for range 50 {
+				pause := r.campaignPause()
+				assert.Assert(t, pause >= test.least && pause < test.least+campaignSpread+weakPause/2, "%v", pause)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/workers/workers_test.go
@@ -0,0 +1,57 @@
+package workers
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func worker(id ID, state State) Worker {
+	return Worker{ID: id, Service: "s", Address: string(id), Zone: "z", Slots: 2, State: state}
+}
+
+func TestDrainingCountsFromWhenItMayHaveBegun(t *testing.T) {
+	for name, test := range map[string]struct {
+		learn func(d *Directory)
+		want  time.Duration
+	}{
+		"told":                    {learn: func(d *Directory) { d.Update([]Worker{worker("a", StateDraining)}, nil) }, want: 300 * time.Millisecond},
+		"found in a list":         {learn: func(d *Directory) { d.Replace([]Worker{worker("a", StateDraining)}) }, want: 300*time.Millisecond + listAge},
+		"told before it was read": {learn: toldThenListed, want: 300 * time.Millisecond},
+		"not draining":            {learn: func(d *Directory) { d.Replace([]Worker{worker("a", StateReady)}) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				directory := NewDirectory()
+				test.learn(directory)
+				time.Sleep(300 * time.Millisecond)
+				assert.Equal(t, directory.DrainingFor("a"), test.want)
+			})
+		})
+	}
+}
+
+func toldThenListed(d *Directory) {
+	d.Update([]Worker{worker("a", StateDraining)}, nil)
+	d.Replace([]Worker{worker("a", StateDraining)})
+}
+
+func TestGoneWorkersAreRemembered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		directory := NewDirectory()
+		directory.Replace([]Worker{worker("a", StateReady), worker("b", StateReady)})
+		directory.Replace([]Worker{worker("b", StateReady)})
+		directory.Update(nil, []ID{"b", "never known"})
+		time.Sleep(time.Second)
+		assert.Equal(t, directory.GoneFor("a"), time.Second)
+		assert.Equal(t, directory.GoneFor("b"), time.Second)
+		assert.Equal(t, directory.GoneFor("never known"), time.Duration(0))
+		assert.Equal(t, directory.Count(), 0)
+		directory.Update([]Worker{worker("a", StateReady)}, nil)
+		assert.Equal(t, directory.GoneFor("a"), time.Duration(0))
+		list, _ := directory.Of("s")
+		assert.Equal(t, len(list), 1)
+	})
+}
