End an inherited hold with its renewal; notice a lost leader's end sooner

(2) Routers that lost their leader looked for another only between tries to reach it, each of them up to a second.

Changes: (1) a renewal under a new term's fence bounds the hold: later orders of the leader before are refused by the worker, earlier ones end sooner. (2) they wait for the store's word and for an answer at the leader's address at the same time.

--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -179,11 +179,14 @@
 		}
 		one.granted = true
 		if !one.doubtful || order.Fence > one.doubtFence {
+			// No earlier grant can be taken any more, and those that were end sooner.
 			one.doubtful = false
 			one.takenUntil = time.Time{}
+			one.heldUntil = now.Add(bound)
+		} else {
+			one.heldUntil = later(one.heldUntil, now.Add(bound))
 		}
 		one.handover = ""
-		one.heldUntil = later(one.heldUntil, now.Add(bound))
 		one.surelyUntil = order.sentAt.Add(b.config.Hold)
 		one.next = order.sentAt.Add(b.config.Renew)
 	case OutcomeFenced:
--- a/internal/owner/dispatch_test.go
+++ b/internal/owner/dispatch_test.go
@@ -70,3 +70,35 @@
 	assert.Equal(t, len(again), 1)
 	assert.Assert(t, again[0].Fence > due[0].Fence)
 }
+
+// Found on a day of Tweede Leven (scale-2): a leader took over from one that was cut off
+// and silent, and the keys of workers that crashed after that were waited for until
+// all holds of the leader before had ended, 9 s, although the new leader had renewed
+// them itself under a fence that the one before could not reach.
+func TestAnInheritedHoldEndsWithItsRenewal(t *testing.T) {
+	now := time.Unix(1000, 0)
+	config := DefaultConfig(10 * time.Second)
+	candidates := fleet(2, 30)
+	before := NewBook(config, 1)
+	before.Assign(now, First(candidates[:1], nil))
+	value, err := before.Encode(1, "")
+	assert.NilError(t, err)
+	book := NewBook(config, 2)
+	assert.NilError(t, book.Load(now, value, now.Add(config.StaleRenewals+config.HoldBound())))
+	book.Stored(book.Change())
+	renewal := grantDue(t, book, now)
+	assert.Assert(t, renewal.Fence >= Term(2).FirstFence())
+	book.Answered(now, renewal, Reply{Outcome: OutcomeDone})
+	book.Move(Keys{0, KeyCount - 1}, candidates[1].ID, candidates[1].Address)
+	book.Stored(book.Change())
+	ended := now.Add(config.HoldBound())
+	for at := now; at.Before(ended); at = at.Add(100 * time.Millisecond) {
+		for _, order := range book.Due(at, false) {
+			assert.Assert(t, order.Release, "the old owner may hold them still")
+			book.Answered(at, order, Reply{Outcome: OutcomeUnreachable})
+		}
+	}
+	given := grantDue(t, book, ended.Add(config.RetryOrder))
+	assert.Equal(t, given.Target.ID, candidates[1].ID)
+	assert.Assert(t, !given.Release)
+}
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -29,8 +29,6 @@
 	campaignSpread = 150 * time.Millisecond
 	// weakPause is by how much later those on weaker machines campaign.
 	weakPause = 250 * time.Millisecond
-	// leaderWait is how long one wait for a change of the leader lasts.
-	leaderWait = 600 * time.Millisecond
 	// askTimeout bounds asking the leader before whether it has stopped.
 	askTimeout = 400 * time.Millisecond
 	// ownReportEvery is the pause between a leader's reports to itself.
@@ -123,14 +121,24 @@
 	}
 }
 
-// awaitChange waits a moment for a change of the leader's key.
+// awaitChange waits until the service no longer names a leader that was lost, or
+// something answers again where it was.
 func (r *Router) awaitChange(ctx context.Context, leader election.Leader) {
-	bounded, cancel := context.WithTimeout(ctx, lookTimeout)
+	bounded, cancel := context.WithCancel(ctx)
 	defer cancel()
-	_, _, err := r.adapter.Store.Watch(bounded, r.election.LeaderKey(), leader.Revision, leaderWait)
-	if err != nil {
-		clock.Sleep(ctx, lookPause)
-	}
+	changed := make(chan struct{}, 2)
+	go func() {
+		r.election.AwaitAnother(bounded, leader)
+		changed <- struct{}{}
+	}()
+	go func() {
+		for answered := false; !answered && bounded.Err() == nil; {
+			clock.Sleep(bounded, lookPause)
+			_, answered = peerlink.Ask(bounded, leader.Address, 0)
+		}
+		changed <- struct{}{}
+	}()
+	<-changed
 }
 
 // readRecords takes the owners from where they are stored, for a process that
