--- a/internal/clock/sleep.go
+++ b/internal/clock/sleep.go
@@ -1,3 +1,4 @@
+// Package clock holds what the packages share that deal with time.
 package clock
 
 import (
