Let standbys renew what a lost leader gave

The leader stores who may renew before it gives leave; a leave ends when the leader's own renewals would; it is counted from a stamp of the standby's own clock. The next leader asks all that are stored to stop, and outwaits the bound it outwaited before if one is silent. The leader outwaits a standby that has not heard of a change.

The model of every order of events covers a standby beside its leader, a successor that outwaits or asks it, and late grants; broken on purpose (not outwaited, does not stop) it finds two holders.

--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -20,6 +20,7 @@
 	KindLeaderFound  Kind = "leader-found"
 	KindElected      Kind = "elected"
 	KindResigned     Kind = "resigned"
+	KindStandby      Kind = "standby"
 	KindAssigned     Kind = "keys-assigned"
 	KindMoved        Kind = "keys-moved"
 	KindOrderFailed  Kind = "order-failed"
@@ -55,6 +56,7 @@
 		{KindLeaderFound, "a leader has told its owners", "leader, term"},
 		{KindElected, "this process leads", "term, holds_until (when all earlier holds have surely ended)"},
 		{KindResigned, "this process leads no longer", "term"},
+		{KindStandby, "this process begins or ends to renew what a lost leader gave", "renewing"},
 		{KindAssigned, "all keys got their first owners", "service, candidates"},
 		{KindMoved, "a move of keys was planned", "service, from, to (keys), old, worker (owners), forced, rate, old_load, load (requests a second after it), capacity (of the new owner), change (of the book)"},
 		{KindOrderFailed, "a worker did not do an order as asked", "service, worker, release, from, to, fence, outcome"},
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -120,6 +120,10 @@
 	if err != nil {
 		return nil, err
 	}
+	before, beforeRevision, err := e.renewers(ctx)
+	if err != nil {
+		return nil, err
+	}
 	sent := time.Now()
 	lease, ttl, err := e.store.GrantLease(ctx, e.TTL)
 	if err != nil {
@@ -131,17 +135,24 @@
 		return nil, Error.Wrap(err)
 	}
 	won.Revision, err = e.store.Commit(ctx, coord.Txn{
-		Conditions: []coord.Condition{{Key: e.LeaderKey(), Revision: replace}, {Key: e.termKey(), Revision: termRevision}},
+		Conditions: []coord.Condition{
+			{Key: e.LeaderKey(), Revision: replace}, {Key: e.termKey(), Revision: termRevision},
+			{Key: e.renewersKey(), Revision: beforeRevision},
+		},
 		Puts: []coord.Put{
 			{Key: e.LeaderKey(), Value: value, Lease: lease},
 			{Key: e.termKey(), Value: []byte(strconv.FormatInt(int64(won.Term), 10))},
+			{Key: e.renewersKey(), Value: encodeRenewers(append(before, Renewer{Address: e.address, Process: e.process}))},
 		},
 	})
 	if err != nil && !e.wonAnyway(ctx, err, &won) {
 		_ = e.store.EndLease(ctx, lease)
 		return nil, lost(err)
 	}
-	return newTenure(e.store, won, lease, ttl, sent), nil
+	tenure := newTenure(e.store, won, lease, ttl, sent)
+	tenure.Before = before
+	tenure.renewersKey, tenure.leaderKey = e.renewersKey(), e.LeaderKey()
+	return tenure, nil
 }
 
 // wonAnyway resolves a commit whose outcome is unknown.
@@ -176,9 +187,12 @@
 // Tenure is one process's time as the leader. It is safe for concurrent use.
 type Tenure struct {
 	Leader Leader
-	store  coord.Store
-	lease  coord.LeaseID
-	ttl    time.Duration
+	// Before are the processes that may still renew what earlier leaders gave.
+	Before                 []Renewer
+	renewersKey, leaderKey string
+	store                  coord.Store
+	lease                  coord.LeaseID
+	ttl                    time.Duration
 
 	mu    sync.Mutex
 	until time.Time
--- /dev/null
+++ b/internal/election/renewers.go
@@ -0,0 +1,57 @@
+package election
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/shalefork/shalefork/internal/coord"
+)
+
+// Renewer is a process that may renew what workers hold: a leader or a standby of one.
+// All of them are stored, so that the next leader knows whom to ask to stop.
+type Renewer struct {
+	// Address at which it answers the other processes.
+	Address string `json:"address"`
+	// Process is unique to the life of the process.
+	Process string `json:"process"`
+}
+
+func (e *Election) renewersKey() string { return e.prefix + "renewers" }
+
+// renewers returns the stored processes, and the revision of the record.
+func (e *Election) renewers(ctx context.Context) ([]Renewer, coord.Revision, error) {
+	item, found, err := e.store.Get(ctx, e.renewersKey())
+	if err != nil || !found {
+		return nil, 0, err
+	}
+	var list []Renewer
+	err = json.Unmarshal(item.Value, &list)
+	return list, item.Revision, Error.Wrap(err)
+}
+
+// encodeRenewers writes each process once.
+func encodeRenewers(list []Renewer) []byte {
+	seen := map[Renewer]bool{}
+	once := make([]Renewer, 0, len(list))
+	for _, one := range list {
+		if !seen[one] {
+			seen[one] = true
+			once = append(once, one)
+		}
+	}
+	value, err := json.Marshal(once)
+	if err != nil {
+		panic(err) // it is plain data
+	}
+	return value
+}
+
+// StoreRenewers replaces the stored processes, as long as the tenure lasts. After an
+// error they may be stored all the same, or may be seconds later.
+func (t *Tenure) StoreRenewers(ctx context.Context, list []Renewer) error {
+	_, err := t.store.Commit(ctx, coord.Txn{
+		Conditions: []coord.Condition{{Key: t.leaderKey, Revision: t.Leader.Revision}},
+		Puts:       []coord.Put{{Key: t.renewersKey, Value: encodeRenewers(list)}},
+	})
+	return err
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -61,6 +61,11 @@
 	Times   owner.Config
 	// Nonce returns a text that is never used twice.
 	Nonce func() string
+	// Zone of this process's machine.
+	Zone string
+	// Unresolved are processes that may renew what earlier leaders gave until it has
+	// all ended, since they did not answer.
+	Unresolved []election.Renewer
 }
 
 // RecordKey is where a service's book is stored.
@@ -77,6 +82,8 @@
 	answers  chan answer
 	writes   chan written
 	loaded   chan loaded
+	renewers chan renewersStored
+	standbys standbys
 	until    time.Time
 	began    time.Time
 	// listChanged is when the list of workers last changed.
@@ -99,6 +106,7 @@
 		Keeper: k, ctx: bounded, tenure: tenure, until: until, began: time.Now(), listChanged: time.Now(),
 		services: map[routing.ServiceName]*service{},
 		answers:  make(chan answer, 64), writes: make(chan written, 8), loaded: make(chan loaded, 8),
+		renewers: make(chan renewersStored, 1),
 	}
 	k.Hub.Open(tenure.Leader.Term)
 	defer k.Hub.Close()
@@ -132,6 +140,8 @@
 			t.written(done)
 		case done := <-t.loaded:
 			t.take(done)
+		case done := <-t.renewers:
+			t.renewersWritten(done)
 		}
 	}
 }
@@ -148,8 +158,10 @@
 	renewOnly := now.After(authority)
 	t.Hub.SetDoubtful(renewOnly)
 	t.Hub.SetDeaf(now.Sub(t.tenure.Reached()) > deafAfter)
+	t.Hub.SetLimit(authority.Add(t.Times.StaleRenewals))
 	if !renewOnly {
 		t.ensure()
+		t.appoint(now)
 	}
 	for _, of := range t.services {
 		if of.book == nil {
@@ -159,6 +171,7 @@
 			t.plan(now, of)
 			t.store(of)
 		}
+		of.book.SetMandates(t.Hub.Mandates(of.name))
 		for _, order := range of.book.Due(now, renewOnly) {
 			go t.send(of, order)
 		}
@@ -224,6 +237,10 @@
 
 // publish tells the routers of changed owners.
 func (t *tenancy) publish(of *service) {
+	if version := of.book.HoldsVersion(); version != of.publishedHolds {
+		of.publishedHolds = version
+		t.Hub.PublishHolds(of.name, version, of.book.Holds())
+	}
 	if of.book.Shape() == of.published {
 		return
 	}
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -27,8 +27,10 @@
 	book      *owner.Book // nil until loaded
 	loads     *owner.Loads
 	published uint64
-	nextPlan  time.Time
-	nextGauge time.Time
+	// publishedHolds is the version of the holds that standbys were told.
+	publishedHolds uint64
+	nextPlan       time.Time
+	nextGauge      time.Time
 	// times are each worker's mean time for a request, in milliseconds.
 	times map[workers.ID]float64
 	// revision of the stored record.
--- a/internal/owner/book.go
+++ b/internal/owner/book.go
@@ -28,6 +28,10 @@
 	bounds map[int]bool
 	// shape counts what followers must hear of.
 	shape uint64
+	// holdsVersion counts changes of what is held or of its fences.
+	holdsVersion uint64
+	// mandates are what standbys may renew on their own.
+	mandates []Mandate
 }
 
 // NewBook returns a book without owners.
@@ -63,6 +67,7 @@
 func (b *Book) Assign(now time.Time, owners []Owner) {
 	b.change++
 	b.shape++
+	b.holdsVersion++
 	b.spans = nil
 	for _, first := range owners {
 		b.addresses[first.Worker] = first.Address
@@ -92,7 +97,10 @@
 		moved.planned = nil
 		return
 	}
-	moved.formers = append(moved.formers, former{worker: moved.owner, until: b.holdBound(moved), lateUntil: moved.takenUntil})
+	b.holdsVersion++
+	moved.formers = append(moved.formers, former{
+		worker: moved.owner, until: b.holdBound(moved), lateUntil: moved.takenUntil, version: b.holdsVersion,
+	})
 	b.dropDoubts(to, moved.keys)
 	// The new owner may still hold the keys from before.
 	held := time.Time{}
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -49,9 +49,10 @@
 		return Order{}, false
 	}
 	one.formers = slices.DeleteFunc(one.formers, func(old former) bool {
-		if !b.ended[old.worker] && !now.After(old.until) {
+		if !b.ended[old.worker] && !b.outwaited(now, old) {
 			return false
 		}
+		old.lateUntil = b.lateUntil(old)
 		b.addDoubt(now, old, one)
 		return true
 	})
@@ -71,6 +72,7 @@
 	}
 	if one.doubtful && !renewOnly {
 		one.fence = b.nextFence()
+		b.holdsVersion++
 	}
 	grant := Grant{Keys: one.keys, Fence: one.fence, Hold: b.config.Hold, Handover: one.handover}
 	return Order{
@@ -176,6 +178,7 @@
 	case OutcomeDone:
 		if !one.granted {
 			b.shape++
+			b.holdsVersion++
 		}
 		one.granted = true
 		if !one.doubtful || order.Fence > one.doubtFence {
@@ -192,6 +195,7 @@
 	case OutcomeFenced:
 		// Another leader has given the keys, or this one's own fence is behind.
 		one.fence = b.nextFence()
+		b.holdsVersion++
 		one.next = now.Add(b.config.RetryOrder)
 	case OutcomeUnanswered:
 		one.doubtful = true
--- a/internal/owner/model_test.go
+++ b/internal/owner/model_test.go
@@ -13,7 +13,8 @@
 // The model drives the real books through every order of events within bounds: two
 // workers, one run of keys, a leader and its successor, orders that are answered,
 // left without an answer or taken late, a worker that is cut off and comes back, a
-// store that is slow, and a leader that no longer reaches it. Time passes in ticks.
+// store that is slow, a leader that no longer reaches it, and a standby that renews
+// what it was told of whenever it may. Time passes in ticks.
 
 const (
 	modelTick = time.Second
@@ -36,6 +37,9 @@
 // modelBounds bound what may happen on one path.
 type modelBounds struct {
 	ticks, moves, lates, losses, cuts, leaders int
+	// tellings of holds to the standby, its renewals, and successors that ask it to
+	// stop and need not outwait it.
+	tellings, renewals, asks int
 }
 
 // modelHolder is a worker's side.
@@ -53,9 +57,21 @@
 
 func (h *modelHolder) holds(now time.Time) bool { return now.Before(h.until) }
 
+// modelStandby renews holds on its own. The leader of a term knows its leave.
+type modelStandby struct {
+	pure    *Standby
+	mandate Mandate
+	term    Term
+}
+
+// fromStandby marks orders of the standby.
+const fromStandby = -1
+
 // modelOrder is an order on its way.
 type modelOrder struct {
-	order  Order
+	order   Order
+	renewal Renewal
+	// leader that sent it, or fromStandby.
 	leader int
 	// late orders were given up and may still be taken, until then.
 	late  bool
@@ -85,6 +101,7 @@
 	now     time.Time
 	holders []*modelHolder
 	leaders []*modelLeader
+	standby *modelStandby
 	orders  []*modelOrder
 	record  []byte
 	lease   time.Time
@@ -92,7 +109,7 @@
 }
 
 func newModel(bounds modelBounds) *model {
-	m := &model{bounds: bounds, now: time.Unix(1000, 0)}
+	m := &model{bounds: bounds, now: time.Unix(1000, 0), standby: &modelStandby{pure: NewStandby(modelConfig)}}
 	for index := range modelWorkers {
 		length := modelConfig.Hold
 		if index == 0 {
@@ -100,7 +117,7 @@
 		}
 		m.holders = append(m.holders, &modelHolder{id: workers.ID(fmt.Sprintf("w%d", index)), length: length})
 	}
-	m.elect()
+	m.elect(0)
 	book := m.leaders[0].book
 	book.Assign(m.now, []Owner{{Keys: Keys{0, KeyCount - 1}, Worker: m.holders[0].id, Address: "a"}})
 	value, _ := book.Encode(1, "")
@@ -142,13 +159,19 @@
 			list = append(list, fmt.Sprintf("cut-off %d", index))
 		}
 	}
+	list = append(list, m.standbyChoices()...)
 	for index, one := range m.holders {
 		if one.cut || m.bounds.cuts > 0 {
 			list = append(list, fmt.Sprintf("cut %d", index))
 		}
 	}
 	if !m.now.Before(m.lease) && m.bounds.leaders > 0 {
-		list = append(list, "elect 0")
+		switch {
+		case m.bounds.asks == 0:
+			list = append(list, "elect 0")
+		case len(m.orders) == 0:
+			list = append(list, "elect-after-asking 0")
+		}
 	}
 	if !waiting && m.bounds.ticks > 0 {
 		list = append(list, "tick 0")
@@ -156,6 +179,59 @@
 	return list
 }
 
+// standbyChoices are what the standby may do next.
+func (m *model) standbyChoices() []string {
+	var list []string
+	if m.bounds.tellings > 0 {
+		for index, one := range m.leaders {
+			if !one.dead && !m.now.After(one.authority.Add(modelConfig.StaleRenewals)) {
+				list = append(list, fmt.Sprintf("tell-standby %d", index))
+			}
+		}
+	}
+	if m.bounds.renewals > 0 && m.standbyMayRenew() {
+		list = append(list, "standby-renews 0")
+	}
+	return list
+}
+
+func (m *model) standbyMayRenew() bool {
+	holds := m.standby.pure.holds
+	return len(holds) > 0 && !holds[0].busy && !m.now.After(m.standby.pure.until)
+}
+
+// tellStandby is what a leader does for a standby that it reaches.
+func (m *model) tellStandby(from *modelLeader) {
+	until := from.authority.Add(modelConfig.StaleRenewals)
+	m.standby.pure.Tell(from.term, from.book.HoldsVersion(), from.book.Holds(), until)
+	if m.standby.pure.term != from.term {
+		return // it was asked to stop
+	}
+	renewed := m.standby.mandate.Renewed
+	if m.standby.term != from.term {
+		renewed = time.Time{}
+	}
+	m.standby.term = from.term
+	m.standby.mandate = Mandate{Heard: from.book.HoldsVersion(), Until: until, Renewed: renewed}
+	from.book.SetMandates([]Mandate{m.standby.mandate})
+}
+
+// renewByStandby sends a renewal whenever the standby may, lost leader or not.
+func (m *model) renewByStandby() {
+	one := m.standby.pure.holds[0]
+	one.busy = true
+	grant := Grant{Keys: one.Keys, Fence: one.Fence, Hold: modelConfig.Hold}
+	renewal := Renewal{Target: one.Target, Grant: grant, sentAt: m.now, hold: one}
+	order := Order{Target: one.Target, Keys: one.Keys, Fence: one.Fence, Grant: grant, sentAt: m.now}
+	m.orders = append(m.orders, &modelOrder{order: order, renewal: renewal, leader: fromStandby})
+	m.standby.mandate.Renewed = m.now
+	for _, leader := range m.leaders {
+		if leader.term == m.standby.term {
+			leader.book.SetMandates([]Mandate{m.standby.mandate})
+		}
+	}
+}
+
 func (m *model) mayMove(one *modelLeader) bool {
 	span := one.book.spans[0]
 	return m.bounds.moves > 0 && !m.now.After(one.authority) && one.write == nil && !span.busy && span.planned == nil
@@ -180,7 +256,7 @@
 	case "taken-late":
 		one := m.orders[index]
 		m.orders = slices.Delete(m.orders, index, index+1)
-		m.deliver(one.order, one.cut)
+		m.deliver(one.order, one.cut, false)
 	case "written":
 		m.written(m.leaders[index])
 	case "move":
@@ -191,9 +267,20 @@
 	case "cut":
 		m.bounds.cuts--
 		m.cut(m.holders[index])
+	case "tell-standby":
+		m.bounds.tellings--
+		m.tellStandby(m.leaders[index])
+	case "standby-renews":
+		m.bounds.renewals--
+		m.renewByStandby()
 	case "elect":
 		m.bounds.leaders--
-		m.elect()
+		m.elect(modelConfig.StaleRenewals)
+	case "elect-after-asking":
+		m.bounds.leaders--
+		m.bounds.asks--
+		m.stopAll()
+		m.elect(0)
 	case "tick":
 		m.bounds.ticks--
 		m.now = m.now.Add(modelTick)
@@ -221,7 +308,8 @@
 func (m *model) answer(index int, heard bool) {
 	one := m.orders[index]
 	m.orders = slices.Delete(m.orders, index, index+1)
-	reply := m.deliver(one.order, false)
+	// Cut workers are cut off from the leaders: the standby may reach them still.
+	reply := m.deliver(one.order, false, one.leader == fromStandby)
 	if !heard && reply.Outcome != OutcomeUnreachable {
 		reply = Reply{Outcome: OutcomeUnanswered}
 	}
@@ -229,16 +317,20 @@
 }
 
 func (m *model) tell(one *modelOrder, reply Reply) {
+	if one.leader == fromStandby {
+		m.standby.pure.Answered(m.now, one.renewal, reply.Outcome)
+		return
+	}
 	if from := m.leaders[one.leader]; !from.dead {
 		from.book.Answered(m.now, one.order, reply)
 	}
 }
 
 // deliver hands an order over. lateCut says that it is late, and the worker was cut
-// off meanwhile.
-func (m *model) deliver(order Order, lateCut bool) Reply {
+// off meanwhile; apart, that its sender reaches workers that leaders do not.
+func (m *model) deliver(order Order, lateCut, apart bool) Reply {
 	to := m.holder(order.Target.ID)
-	if to.cut && !lateCut {
+	if to.cut && !lateCut && !apart {
 		return Reply{Outcome: OutcomeUnreachable}
 	}
 	if order.Release {
@@ -283,11 +375,21 @@
 	}
 }
 
-func (m *model) elect() {
+// stopAll is what the answers to a next leader's questions prove: the leader before
+// and the standby have stopped, and nothing of theirs is under way but late orders.
+func (m *model) stopAll() {
+	for _, one := range m.leaders {
+		one.dead = true
+	}
+	m.standby.pure.Stop(Term(len(m.leaders) + 1))
+}
+
+// elect makes the next leader, which outwaits renewals of the one before for a time.
+func (m *model) elect(stale time.Duration) {
 	next := &modelLeader{term: Term(len(m.leaders) + 1), authority: m.now.Add(modelLease)}
 	next.book = NewBook(modelConfig, next.term)
 	if m.record != nil {
-		until := m.now.Add(modelConfig.StaleRenewals + modelConfig.HoldBound())
+		until := m.now.Add(stale + modelConfig.HoldBound())
 		if err := next.book.Load(m.now, m.record, until); err != nil {
 			panic(err)
 		}
@@ -354,7 +456,8 @@
 		fmt.Fprintf(&text, "%d %s %d %v %v|", one.fence, at(one.until), one.seen, one.cut, one.lateCut)
 	}
 	for _, one := range m.leaders {
-		fmt.Fprintf(&text, "%s %v %v %v %d %d %d|", at(one.authority), one.cutOff, one.dead, one.write != nil, one.book.fence, one.book.change, one.book.stored)
+		fmt.Fprintf(&text, "%s %v %v %v %d %d %d %d|", at(one.authority), one.cutOff, one.dead, one.write != nil,
+			one.book.fence, one.book.change, one.book.stored, one.book.holdsVersion)
 		span := one.book.spans[0]
 		fmt.Fprintf(&text, "%s %d %v %s %s %v %d %s %v %s %v|", span.owner, span.fence, span.granted, at(span.heldUntil), at(span.lateUntil),
 			span.doubtful, span.doubtFence, at(span.takenUntil), span.busy, at(span.next), span.planned)
@@ -362,13 +465,18 @@
 			fmt.Fprintf(&text, "%v|", *span.planned)
 		}
 		for _, old := range span.formers {
-			fmt.Fprintf(&text, "%s %s %s|", old.worker, at(old.until), at(old.lateUntil))
+			fmt.Fprintf(&text, "%s %s %s %d|", old.worker, at(old.until), at(old.lateUntil), old.version)
 		}
 		for _, one := range one.book.doubts {
 			fmt.Fprintf(&text, "%s %d %s %s %v|", one.worker, one.fence, at(one.until), at(one.next), one.busy)
 		}
 		fmt.Fprintf(&text, "%s|", at(one.book.lateSeen.Add(2*modelConfig.LateOrder)))
 	}
+	fmt.Fprintf(&text, "%d %d %d %s %s %d|", m.standby.term, m.standby.mandate.Heard, m.standby.pure.term,
+		at(m.standby.mandate.Until), at(m.standby.mandate.Renewed.Add(modelConfig.LateOrder)), m.standby.pure.version)
+	for _, one := range m.standby.pure.holds {
+		fmt.Fprintf(&text, "%s %d %v|", one.Target.ID, one.Fence, one.busy)
+	}
 	for _, one := range m.orders {
 		fmt.Fprintf(&text, "%s %v %d %v %v %d %s|", one.order.Target.ID, one.order.Release, one.order.Fence, one.late, one.cut, one.leader, at(one.until))
 	}
@@ -414,6 +522,10 @@
 		"two moves and lost answers":    {ticks: 6, moves: 2, losses: 2},
 		"a leader that loses the store": {ticks: 7, moves: 1, leaders: 1, cuts: 1},
 		"a successor and late grants":   {ticks: 7, moves: 1, lates: 1, leaders: 1},
+		"a standby beside its leader":   {ticks: 6, moves: 1, cuts: 1, tellings: 1, renewals: 2},
+		"a standby and a successor":     {ticks: 6, moves: 1, leaders: 1, tellings: 1, renewals: 1},
+		"a standby that is asked":       {ticks: 5, moves: 1, leaders: 1, asks: 1, cuts: 1, tellings: 1, renewals: 1},
+		"a standby whose grant is late": {ticks: 7, moves: 1, lates: 1, tellings: 1, renewals: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			states, path, broken := explore(bounds)
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -95,7 +95,7 @@
 		b.addresses[one.ID] = one.Address
 	}
 	for _, one := range spans {
-		b.inherit(now, one)
+		b.inherit(one, until.Add(b.config.LateOrder-b.config.HoldBound()))
 	}
 	for _, kept := range stored.Doubts {
 		if kept.Worker < 0 || kept.Worker >= len(stored.Workers) {
@@ -108,19 +108,20 @@
 	}
 	b.spans = spans
 	b.shape++
+	b.holdsVersion++
 	return nil
 }
 
 // inherit prepares a span that another leader kept. That leader may still renew
 // the owner, and raise its own fences where it is refused: only this term's are
-// above them all. Its orders without an answer may be taken late.
-func (b *Book) inherit(now time.Time, one *span) {
+// above them all. Its orders without an answer may be taken late, until then.
+func (b *Book) inherit(one *span, takenUntil time.Time) {
 	if len(one.formers) > 0 {
 		one.fence = b.nextFence()
 	}
 	one.doubtful = true
 	one.doubtFence = one.fence
-	one.takenUntil = now.Add(b.config.LateOrder)
+	one.takenUntil = takenUntil
 	for index := range one.formers {
 		one.formers[index].lateUntil = one.takenUntil
 	}
--- a/internal/owner/span.go
+++ b/internal/owner/span.go
@@ -49,6 +49,8 @@
 	// lateUntil is until when it may still take a grant that had no answer; zero
 	// if there is none.
 	lateUntil time.Time
+	// version is the first version of the holds without it.
+	version uint64
 }
 
 // planned is a move that is not stored yet. Until it is, the owner goes on holding
@@ -108,7 +110,10 @@
 		if len(merged) > 0 && !b.bounds[next.keys.From] && mergeable(merged[len(merged)-1], next) {
 			last := merged[len(merged)-1]
 			last.keys.To = next.keys.To
-			last.fence = max(last.fence, next.fence)
+			if last.fence != next.fence {
+				last.fence = max(last.fence, next.fence)
+				b.holdsVersion++
+			}
 			last.heldUntil = later(last.heldUntil, next.heldUntil)
 			last.surelyUntil = earlier(last.surelyUntil, next.surelyUntil)
 			last.next = earlier(last.next, next.next)
--- a/internal/peerlink/entries.go
+++ b/internal/peerlink/entries.go
@@ -75,7 +75,7 @@
 func (h *Hub) strongest() float64 {
 	strongest := h.Strength
 	for one := range h.links {
-		strongest = max(strongest, one.strength)
+		strongest = max(strongest, one.hello.Strength)
 	}
 	return strongest
 }
--- a/internal/peerlink/follow.go
+++ b/internal/peerlink/follow.go
@@ -29,10 +29,9 @@
 
 // Follower is the other processes' side.
 type Follower struct {
-	Node string
-	// Strength of this process's machine.
-	Strength float64
-	Table    *keytable.Table
+	// Hello is how this process introduces itself.
+	Hello Hello
+	Table *keytable.Table
 	// Take returns what was seen since it was last called.
 	Take func() Report
 	// Nodes is set to the number of processes.
@@ -57,7 +56,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	defer func() { _ = conn.Close() }()
-	if err := writeLine(conn, Hello{Node: f.Node, Entries: f.Entries(), Strength: f.Strength}); err != nil {
+	hello := f.Hello
+	hello.Entries = f.Entries()
+	if err := writeLine(conn, hello); err != nil {
 		return Error.Wrap(err)
 	}
 	done := make(chan struct{})
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -46,12 +46,20 @@
 	known      func() Known
 	entries    entryLog
 	deaf       bool
+	standbys   standbys
+	// asked is called with the term of a leader that asks; nil: nobody wants to know.
+	asked func(term owner.Term)
 }
 
 // NewHub returns a closed hub that passes reports on to a channel. process is
 // unique to the life of this process; known returns what it has read.
 func NewHub(process string, reports chan<- Report, known func() Known) *Hub {
-	return &Hub{process: process, owners: map[routing.ServiceName][]owner.Owner{}, links: map[*link]struct{}{}, reports: reports, known: known}
+	h := &Hub{
+		process: process, owners: map[routing.ServiceName][]owner.Owner{}, links: map[*link]struct{}{},
+		reports: reports, known: known,
+	}
+	h.standbys.reset()
+	return h
 }
 
 // link is one connected process.
@@ -62,8 +70,12 @@
 	numbers map[workers.ID]int
 	// entries is the revision up to which the link knows of workers' entries.
 	entries coord.Revision
-	// strength of the process's machine.
-	strength float64
+	// hello is how the process introduced itself.
+	hello Hello
+	// stamp is the last one that it sent, and holds are the versions that it was sent,
+	// if it is a standby.
+	stamp int64
+	holds map[routing.ServiceName]uint64
 }
 
 // Open begins to lead.
@@ -73,8 +85,13 @@
 	h.leading, h.term, h.doubtful = true, term, false
 	h.superseded = make(chan struct{})
 	h.owners = map[routing.ServiceName][]owner.Owner{}
+	h.standbys.reset()
 }
 
+// OnAsked sets what is called when a leader of a term asks whether this process leads,
+// before it gets an answer.
+func (h *Hub) OnAsked(call func(term owner.Term)) { h.asked = call }
+
 // Superseded is closed once a leader of a later term has asked.
 func (h *Hub) Superseded() <-chan struct{} {
 	h.mu.Lock()
@@ -115,10 +132,15 @@
 
 func (h *Hub) wakeAll() {
 	for one := range h.links {
-		select {
-		case one.wake <- struct{}{}:
-		default:
-		}
+		one.rouse()
+	}
+}
+
+// rouse lets the link send what is new.
+func (l *link) rouse() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -166,6 +188,9 @@
 	if err := readLine(reader, &hello); err != nil {
 		return
 	}
+	if h.asked != nil && hello.Term > 0 {
+		h.asked(hello.Term)
+	}
 	h.mu.Lock()
 	if h.leading && hello.Term > h.term {
 		h.leading = false
@@ -175,7 +200,7 @@
 	one := &link{
 		conn: conn, wake: make(chan struct{}, 1),
 		sent: map[routing.ServiceName][]owner.Owner{}, numbers: map[workers.ID]int{},
-		entries: hello.Entries, strength: hello.Strength,
+		entries: hello.Entries, hello: hello, holds: map[routing.ServiceName]uint64{},
 	}
 	if leading && !hello.Ask {
 		h.links[one] = struct{}{}
@@ -194,6 +219,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.links, one)
+	h.standbys.lost(one)
 }
 
 // receive passes the link's reports on. Reports that find no room are dropped:
@@ -206,6 +232,9 @@
 		if err := readLine(reader, &report); err != nil {
 			return
 		}
+		if report.Stamp > 0 {
+			h.stamped(one, report)
+		}
 		select {
 		case h.reports <- report:
 		default:
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -28,6 +28,11 @@
 	Entries coord.Revision `json:"entries,omitempty"`
 	// Strength of the process's machine.
 	Strength float64 `json:"strength,omitempty"`
+	// Address at which the process answers questions, its Zone, and a name that is
+	// unique to its life.
+	Address string `json:"address,omitempty"`
+	Zone    string `json:"zone,omitempty"`
+	Process string `json:"process,omitempty"`
 }
 
 // Update is what the leader says. An Update without services is a heartbeat.
@@ -52,6 +57,61 @@
 	Strongest float64       `json:"b,omitempty"`
 	Entries   *Entries      `json:"e,omitempty"`
 	Services  []ServiceNews `json:"s,omitempty"`
+	// Mandate is for a standby only.
+	Mandate *Mandate `json:"y,omitempty"`
+}
+
+// Mandate lets a standby renew what is held, should it lose the leader.
+type Mandate struct {
+	// Stamp is the last one of the standby's reports, and LeftMillis for how long
+	// after it the leave lasts. The standby sent the stamp before, so its leave ends
+	// no later than the leader reckons, however long this message took.
+	Stamp      int64 `json:"t"`
+	LeftMillis int64 `json:"l"`
+	// Services whose holds have changed.
+	Services []ServiceHolds `json:"s,omitempty"`
+}
+
+// ServiceHolds are all that is held of a service.
+type ServiceHolds struct {
+	Service routing.ServiceName `json:"s"`
+	Version uint64              `json:"v"`
+	Workers []NamedWorker       `json:"i"`
+	// Runs are rows of first key, last key, place of the worker, and fence.
+	Runs [][4]int64 `json:"r"`
+}
+
+// describeHolds writes holds as a message.
+func describeHolds(service routing.ServiceName, version uint64, holds []owner.Hold) ServiceHolds {
+	described := ServiceHolds{Service: service, Version: version}
+	places := map[workers.ID]int{}
+	for _, one := range holds {
+		place, named := places[one.Target.ID]
+		if !named {
+			place = len(described.Workers)
+			places[one.Target.ID] = place
+			described.Workers = append(described.Workers, NamedWorker{ID: one.Target.ID, Address: one.Target.Address})
+		}
+		described.Runs = append(described.Runs, [4]int64{int64(one.Keys.From), int64(one.Keys.To), int64(place), int64(one.Fence)})
+	}
+	return described
+}
+
+// Holds returns the holds that the message describes; false if it names a worker that
+// it has not introduced.
+func (h ServiceHolds) Holds() ([]owner.Hold, bool) {
+	holds := make([]owner.Hold, 0, len(h.Runs))
+	for _, run := range h.Runs {
+		if run[2] < 0 || run[2] >= int64(len(h.Workers)) {
+			return nil, false
+		}
+		of := h.Workers[run[2]]
+		holds = append(holds, owner.Hold{
+			Keys: owner.Keys{From: int(run[0]), To: int(run[1])}, Target: owner.Target{ID: of.ID, Address: of.Address},
+			Fence: owner.Fence(run[3]),
+		})
+	}
+	return holds, true
 }
 
 // Entries passes changes of workers on: all between two revisions. Where From is To,
@@ -129,7 +189,11 @@
 	// Times are, by worker, the number of answers and the sum of their times in
 	// milliseconds, of requests that did not wait.
 	Times map[workers.ID][2]int `json:"w,omitempty"`
+	// Stamp is a standby's time, in milliseconds since its start, and Heard are the
+	// versions of the holds that it knows; both are for a standby only.
+	Stamp int64                          `json:"t,omitempty"`
+	Heard map[routing.ServiceName]uint64 `json:"v,omitempty"`
 }
 
-// Empty reports whether nothing was seen.
-func (r Report) Empty() bool { return len(r.Keys) == 0 && len(r.Times) == 0 }
+// Empty reports whether nothing was seen and nothing is to be told.
+func (r Report) Empty() bool { return len(r.Keys) == 0 && len(r.Times) == 0 && r.Stamp == 0 }
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -75,7 +75,7 @@
 	t.Helper()
 	f := &followed{table: keytable.New(), meter: NewMeter(), ended: make(chan error, 1)}
 	follower := Follower{
-		Node: "n", Table: f.table, Take: f.meter.Take, Nodes: &atomic.Int32{}, Linked: func() {},
+		Hello: Hello{Node: "n"}, Table: f.table, Take: f.meter.Take, Nodes: &atomic.Int32{}, Linked: func() {},
 		Entries: func() coord.Revision { return coord.Revision(f.entries.Load()) },
 		Heard:   f.hear, Doubted: func() { f.doubted.Store(true) },
 	}
--- /dev/null
+++ b/internal/peerlink/standbys_test.go
@@ -0,0 +1,84 @@
+package peerlink
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/keytable"
+	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/routing"
+)
+
+func TestStandbyHearsWhatIsHeldAndAnswersFor(t *testing.T) {
+	hub, reports, address := leading(t, 3)
+	go func() {
+		for range reports { // nobody else takes them
+		}
+	}()
+	limit := time.Now().Add(time.Minute)
+	hub.SetLimit(limit)
+	holds := []owner.Hold{{Keys: owner.Keys{From: 0, To: 9}, Target: owner.Target{ID: "w", Address: "a:1"}, Fence: 1 << 40}}
+	hub.PublishHolds("s", 5, holds)
+
+	var version atomic.Uint64
+	heard := make(chan []owner.Hold, 8)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	follower := Follower{
+		Hello: Hello{Node: "n", Process: "p", Address: "b:1"}, Table: keytable.New(), Nodes: &atomic.Int32{},
+		Entries: func() coord.Revision { return 0 }, Linked: func() {}, Doubted: func() {},
+		Take: func() Report {
+			return Report{Stamp: 1, Heard: map[routing.ServiceName]uint64{"s": version.Load()}}
+		},
+		Heard: func(update Update) {
+			if update.Mandate == nil {
+				return
+			}
+			for _, told := range update.Mandate.Services {
+				got, ok := told.Holds()
+				assert.Check(t, ok)
+				version.Store(told.Version)
+				heard <- got
+			}
+		},
+	}
+	go func() { _ = follower.Follow(ctx, address) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(hub.Peers()) == 0 {
+			return poll.Continue("not linked")
+		}
+		return poll.Success()
+	})
+	assert.Equal(t, len(hub.Mandates("s")), 0, "no leave before it is appointed")
+	hub.Appoint([]string{"p"})
+	assert.DeepEqual(t, <-heard, holds)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		given := hub.Mandates("s")
+		if len(given) == 1 && given[0].Heard == 5 && given[0].Until.Equal(limit) && given[0].Renewed.IsZero() {
+			return poll.Success()
+		}
+		return poll.Continue("%+v", given)
+	})
+	assert.Assert(t, hub.HasLeave("p", time.Now()))
+
+	stop()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if given := hub.Mandates("s"); given[0].Renewed.IsZero() {
+			return poll.Continue("it is not known to be alone")
+		}
+		return poll.Success()
+	})
+	hub.PublishHolds("s", 6, nil)
+	assert.Equal(t, hub.Mandates("s")[0].Heard, uint64(5), "it can't have heard that nothing is held now")
+}
+
+func TestHoldsThatNameAnUnknownWorkerAreRefused(t *testing.T) {
+	_, ok := ServiceHolds{Service: "s", Runs: [][4]int64{{0, 9, 1, 7}}}.Holds()
+	assert.Assert(t, !ok)
+}
--- a/internal/peerlink/update.go
+++ b/internal/peerlink/update.go
@@ -1,6 +1,8 @@
 package peerlink
 
 import (
+	"time"
+
 	"github.com/shalefork/shalefork/internal/keytable"
 	"github.com/shalefork/shalefork/internal/owner"
 )
@@ -29,6 +31,7 @@
 		one.sent[service] = owners
 		update.Services = append(update.Services, news)
 	}
+	update.Mandate = h.standbys.mandate(one, time.Now())
 	return update, true
 }
 
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -120,6 +120,7 @@
 // heard takes what the leader says of changes.
 func (r *Router) heard(update peerlink.Update) {
 	r.told.Store(!update.Deaf)
+	r.standby.Heard(update.Term, update.Mandate)
 	r.strongest.Store(math.Float64bits(update.Strongest))
 	now := time.Now()
 	if update.Entries != nil && !r.entriesView.relayed(*update.Entries) {
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -45,19 +45,17 @@
 	if !r.settings.FirstStart {
 		r.readRecords(ctx)
 	}
-	var before election.Leader
 	for ctx.Err() == nil {
 		leader, found, err := r.look(ctx)
 		switch {
 		case err != nil:
 			clock.Sleep(ctx, lookPause)
 		case found && r.hasEnded(ctx, leader):
-			r.campaign(ctx, leader, leader.Revision)
+			r.campaign(ctx, leader.Revision)
 		case found:
-			before = leader
 			r.followLeader(ctx, leader)
 		default:
-			r.campaign(ctx, before, 0)
+			r.campaign(ctx, 0)
 		}
 	}
 }
@@ -89,7 +87,7 @@
 func (r *Router) followLeader(ctx context.Context, leader election.Leader) {
 	var linked atomic.Bool
 	follower := peerlink.Follower{
-		Node: r.settings.Node, Strength: r.hub.Strength, Table: r.table, Take: r.meter.Take, Nodes: r.nodes,
+		Hello: r.hello(), Table: r.table, Take: r.report, Nodes: r.nodes,
 		Entries: r.entriesView.revision,
 		Heard:   r.heard,
 		Linked: func() {
@@ -103,6 +101,7 @@
 	follower.Doubted = func() { doubted.Do(func() { go r.awaitAnother(following, stop, leader) }) }
 	err := follower.Follow(following, leader.Address)
 	r.told.Store(false) // what was not told by now is read from the service
+	r.standby.Lost()
 	if ctx.Err() != nil {
 		return
 	}
@@ -166,7 +165,7 @@
 
 // campaign tries to lead, and leads until the tenure ends. replace is the
 // revision of the key of a leader that has ended, or zero.
-func (r *Router) campaign(ctx context.Context, before election.Leader, replace coord.Revision) {
+func (r *Router) campaign(ctx context.Context, replace coord.Revision) {
 	clock.Sleep(ctx, r.campaignPause())
 	if now, _, err := r.look(ctx); err != nil || now.Revision != replace || ctx.Err() != nil {
 		return
@@ -181,7 +180,8 @@
 	tenureCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	go tenure.Keep(tenureCtx)
-	until := r.holdsEnd(ctx, before, tenure.Leader.Term)
+	r.standby.Stop(tenure.Leader.Term)
+	until := r.holdsEnd(ctx, tenure)
 	r.log.Line(decision.KindElected).Int64("term", int64(tenure.Leader.Term)).Time("holds_until", until).Msg("")
 	go r.reportToSelf(tenureCtx)
 	r.nodes.Store(int32(r.hub.Nodes()))
@@ -192,19 +192,59 @@
 	r.log.Line(decision.KindResigned).Int64("term", int64(tenure.Leader.Term)).Msg("")
 }
 
-// holdsEnd returns when all that earlier leaders gave has surely ended: a leader
-// that says it has stopped gives nothing more but what is under way.
-func (r *Router) holdsEnd(ctx context.Context, before election.Leader, term owner.Term) time.Time {
+// holdsEnd returns when all that earlier leaders gave has surely ended: processes that
+// say they have stopped, or are of another life, renew nothing more but what is under
+// way. Those that do not answer are kept in mind.
+func (r *Router) holdsEnd(ctx context.Context, tenure *election.Tenure) time.Time {
 	times := r.keeper.Times
-	bounded, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	answer, ok := peerlink.Ask(bounded, before.Address, term)
-	if before.Address != "" && ok && (!answer.Leading || answer.Process != before.Process) {
+	r.keeper.Unresolved = r.askAll(ctx, tenure.Before, tenure.Leader.Term)
+	if len(tenure.Before) > 0 && len(r.keeper.Unresolved) == 0 {
 		return time.Now().Add(orderTime + times.HoldBound())
 	}
 	return time.Now().Add(times.StaleRenewals + times.HoldBound())
 }
 
+// askAll asks all processes that may renew to stop, and returns those that may not have
+// done so.
+func (r *Router) askAll(ctx context.Context, list []election.Renewer, term owner.Term) []election.Renewer {
+	bounded, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	unresolved := make(chan election.Renewer, len(list))
+	var asks sync.WaitGroup
+	for _, one := range list {
+		if one.Process == r.process {
+			continue // it has stopped, and leads now
+		}
+		asks.Go(func() {
+			answer, ok := peerlink.Ask(bounded, one.Address, term)
+			if !ok || (answer.Leading && answer.Process == one.Process) {
+				unresolved <- one
+			}
+		})
+	}
+	asks.Wait()
+	close(unresolved)
+	var left []election.Renewer
+	for one := range unresolved {
+		left = append(left, one)
+	}
+	return left
+}
+
+// hello introduces this process to a leader.
+func (r *Router) hello() peerlink.Hello {
+	return peerlink.Hello{
+		Node: r.settings.Node, Strength: r.hub.Strength, Address: r.settings.PeerListen, Zone: r.settings.Zone, Process: r.process,
+	}
+}
+
+// report is what the leader is told.
+func (r *Router) report() peerlink.Report {
+	report := r.meter.Take()
+	r.standby.Tell(&report)
+	return report
+}
+
 // reportToSelf gives the leader what its own process sees.
 func (r *Router) reportToSelf(ctx context.Context) {
 	ticker := time.NewTicker(ownReportEvery)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -27,6 +27,7 @@
 	"github.com/shalefork/shalefork/internal/registry"
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/settings"
+	"github.com/shalefork/shalefork/internal/standby"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -76,6 +77,9 @@
 	proxy    *proxy.Proxy
 	hub      *peerlink.Hub
 	keeper   *keeper.Keeper
+	standby  *standby.Standby
+	// process is unique to the life of this process.
+	process  string
 	election *election.Election
 	reports  chan peerlink.Report
 	nodes    *atomic.Int32
@@ -111,16 +115,18 @@
 	r.proxy.Headers, r.proxy.Table, r.proxy.Meter = adapter.Headers, r.table, r.meter
 	r.proxy.Drain = config.Drain.Std()
 	r.proxy.Log, r.proxy.Nodes, r.proxy.Metrics = log, r.nodes, proxy.NewMetrics(metrics)
-	process := rand.Text()
-	r.hub = peerlink.NewHub(process, r.reports, r.known)
+	r.process = rand.Text()
+	r.hub = peerlink.NewHub(r.process, r.reports, r.known)
 	r.hub.Strength = config.Machine.Strength()
-	r.election = election.New(adapter.Store, KeyPrefix, config.PeerListen, process, rand.Text)
+	r.election = election.New(adapter.Store, KeyPrefix, config.PeerListen, r.process, rand.Text)
 	r.election.TTL = max(election.LeaseTTL, config.MinLease.Std())
 	r.keeper = &keeper.Keeper{
 		Store: adapter.Store, Prefix: KeyPrefix, Orders: adapter.Orders, Workers: r.workers,
 		Config: r.proxy.Config, Hub: r.hub, Table: r.table, Reports: r.reports, Log: log, Metrics: keeper.NewMetrics(metrics),
-		Times: owner.DefaultConfig(config.MaxHold.Std()), Nonce: rand.Text,
+		Times: owner.DefaultConfig(config.MaxHold.Std()), Nonce: rand.Text, Zone: config.Zone,
 	}
+	r.standby = standby.New(adapter.Orders, r.keeper.Times, log)
+	r.hub.OnAsked(r.standby.Stop)
 	metrics.MustRegister(r.proxy)
 	r.registerGauges(metrics)
 	return r
@@ -141,6 +147,7 @@
 	r.followOperators(background)
 	go r.proxy.Run(background)
 	go r.hub.Serve(listeners.peers)
+	go r.standby.Run(background)
 	go func() {
 		defer close(led)
 		r.lead(leading)
--- /dev/null
+++ b/internal/standby/standby.go
@@ -0,0 +1,178 @@
+// Package standby runs a process's part as a standby of the leader: it keeps what the
+// leader says is held, and renews it when the leader is lost, so that keys stay served
+// while the key-value service is away too and nobody else can lead.
+//
+// What may be renewed and until when is decided by owner.Standby; the next leader
+// learns from the key-value service which processes are standbys and asks them to stop.
+package standby
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/peerlink"
+	"github.com/shalefork/shalefork/internal/routing"
+)
+
+const (
+	// tick is the pause between looks for renewals that are due.
+	tick = 50 * time.Millisecond
+	// renewalTimeout bounds one renewal.
+	renewalTimeout = 600 * time.Millisecond
+	// patience is how long a leader is lost until its holds are renewed: another may
+	// lead at once.
+	patience = 400 * time.Millisecond
+)
+
+// Standby is safe for concurrent use.
+type Standby struct {
+	Orders owner.Orders
+	Times  owner.Config
+	Log    *decision.Log
+
+	began time.Time
+	mu    sync.Mutex
+	// appointed says that the leader wants stamps.
+	appointed bool
+	lost      bool
+	lostAt    time.Time
+	// stopped is the term before which all leaves have ended.
+	stopped  owner.Term
+	services map[routing.ServiceName]*owner.Standby
+	renewing bool
+}
+
+// New returns a standby of no leader yet.
+func New(orders owner.Orders, times owner.Config, log *decision.Log) *Standby {
+	return &Standby{
+		Orders: orders, Times: times, Log: log, began: time.Now(), services: map[routing.ServiceName]*owner.Standby{},
+	}
+}
+
+// Heard takes what the leader of a term says; mandate is nil for all but standbys.
+func (s *Standby) Heard(term owner.Term, mandate *peerlink.Mandate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.appointed = mandate != nil
+	s.stop(term)
+	s.setLost(false)
+	if mandate == nil || mandate.Stamp == 0 {
+		return
+	}
+	left := time.Duration(mandate.Stamp+mandate.LeftMillis) * time.Millisecond
+	until := s.began.Add(left)
+	for _, told := range mandate.Services {
+		holds, ok := told.Holds()
+		if !ok {
+			continue
+		}
+		s.of(told.Service).Tell(term, told.Version, holds, until)
+	}
+	for _, service := range s.services {
+		service.Extend(term, until)
+	}
+}
+
+// of returns the standby of a service. The caller holds mu.
+func (s *Standby) of(service routing.ServiceName) *owner.Standby {
+	known := s.services[service]
+	if known == nil {
+		known = owner.NewStandby(s.Times)
+		known.Stop(s.stopped)
+		s.services[service] = known
+	}
+	return known
+}
+
+// Lost tells that the leader is no longer heard.
+func (s *Standby) Lost() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.appointed = false
+	s.setLost(true)
+}
+
+// setLost is called with mu held.
+func (s *Standby) setLost(lost bool) {
+	if lost && !s.lost {
+		s.lostAt = time.Now()
+	}
+	s.lost = lost
+	for _, service := range s.services {
+		if lost {
+			service.Lost()
+		} else {
+			service.Found()
+		}
+	}
+}
+
+// Stop ends all that leaders before a term allowed, for good.
+func (s *Standby) Stop(term owner.Term) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stop(term)
+}
+
+func (s *Standby) stop(term owner.Term) {
+	s.stopped = max(s.stopped, term)
+	for _, service := range s.services {
+		service.Stop(term)
+	}
+}
+
+// Tell adds to a report what the leader of a standby needs.
+func (s *Standby) Tell(report *peerlink.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.appointed {
+		return
+	}
+	report.Stamp = max(1, time.Since(s.began).Milliseconds())
+	report.Heard = map[routing.ServiceName]uint64{}
+	for name, service := range s.services {
+		report.Heard[name] = service.Version()
+	}
+}
+
+// Run renews what is due until ctx ends.
+func (s *Standby) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, tick)
+		s.step(ctx, time.Now())
+	}
+}
+
+// step sends the renewals that are due.
+func (s *Standby) step(ctx context.Context, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if (!s.lost && !s.renewing) || (s.lost && now.Sub(s.lostAt) < patience) {
+		return
+	}
+	renewing := false
+	for _, service := range s.services {
+		renewing = renewing || service.Renewing(now)
+		for _, renewal := range service.Due(now) {
+			go s.send(ctx, service, renewal)
+		}
+	}
+	if renewing != s.renewing {
+		s.renewing = renewing
+		s.Log.Line(decision.KindStandby).Bool("renewing", renewing).Msg("")
+	}
+}
+
+// send sends one renewal and takes its end.
+func (s *Standby) send(ctx context.Context, service *owner.Standby, renewal owner.Renewal) {
+	bounded, cancel := context.WithTimeout(ctx, renewalTimeout)
+	defer cancel()
+	reply := s.Orders.Grant(bounded, renewal.Target, renewal.Grant)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	service.Answered(time.Now(), renewal, reply.Outcome)
+}
