Wait for entries that lapsed with the store before their keys move

Cause: a store that comes back after an outage with lapsed leases lists few workers. All keys were dealt to those at once, and one of them got 6.4 times the mean until the end. The users say that such entries are back within two seconds.

--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -161,6 +161,9 @@
 type Known struct {
 	Config  coord.Revision `json:"c"`
 	Workers coord.Revision `json:"w"`
+	// SettleMillis is for how long entries that vanish may have lapsed only, since the
+	// service was away.
+	SettleMillis int64 `json:"s,omitempty"`
 }
 
 // ServiceNews tells changes of the owners of one service.
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -123,6 +123,9 @@
 	r.standby.Heard(update.Term, update.Mandate)
 	r.strongest.Store(math.Float64bits(update.Strongest))
 	now := time.Now()
+	if settle := update.Known.SettleMillis; settle > 0 {
+		r.workers.Settle(now.Add(time.Duration(settle) * time.Millisecond))
+	}
 	if update.Entries != nil && !r.entriesView.relayed(*update.Entries) {
 		r.entries.again()
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -179,7 +179,9 @@
 
 // known returns what this process has read.
 func (r *Router) known() peerlink.Known {
-	return peerlink.Known{Config: r.config.known(), Workers: r.entries.known()}
+	return peerlink.Known{
+		Config: r.config.known(), Workers: r.entries.known(), SettleMillis: r.workers.Settling().Milliseconds(),
+	}
 }
 
 type listeners struct {
--- a/internal/router/workersview.go
+++ b/internal/router/workersview.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/decision"
@@ -120,5 +121,6 @@
 
 // Regained implements coord.View.
 func (v *workersView) Regained() {
+	v.r.workers.Settle(time.Now().Add(workers.SettleTime))
 	v.r.log.Line(decision.KindStoreBack).Str("for", "workers").Msg("")
 }
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -43,7 +43,11 @@
 	goneAt map[ID]time.Time
 	// drainingSince is when a worker was first seen to drain.
 	drainingSince map[ID]time.Time
-	changed       chan struct{}
+	// settled is until when entries that vanish may have lapsed only, and lapsed are
+	// the workers that are kept until then.
+	settled time.Time
+	lapsed  map[ID]bool
+	changed chan struct{}
 }
 
 // NewDirectory returns an empty list.
@@ -53,6 +57,7 @@
 		byService:     map[routing.ServiceName][]Worker{},
 		goneAt:        map[ID]time.Time{},
 		drainingSince: map[ID]time.Time{},
+		lapsed:        map[ID]bool{},
 		changed:       make(chan struct{}),
 	}
 }
@@ -70,11 +75,17 @@
 	fresh := map[ID]Worker{}
 	for _, worker := range list {
 		fresh[worker.ID] = worker
+		delete(d.lapsed, worker.ID)
 	}
 	for id := range d.byID {
-		if _, stays := fresh[id]; !stays {
-			d.goneAt[id] = time.Now()
+		if _, stays := fresh[id]; stays {
+			continue
+		}
+		if d.lapses(id) {
+			fresh[id] = d.byID[id]
+			continue
 		}
+		d.goneAt[id] = time.Now()
 	}
 	d.byID = fresh
 	d.index(learned)
@@ -87,8 +98,12 @@
 	for _, worker := range changed {
 		d.byID[worker.ID] = worker
 		delete(d.goneAt, worker.ID)
+		delete(d.lapsed, worker.ID)
 	}
 	for _, id := range gone {
+		if d.lapses(id) {
+			continue
+		}
 		if _, known := d.byID[id]; known {
 			d.goneAt[id] = time.Now()
 		}
@@ -97,6 +112,54 @@
 	d.index(time.Now())
 }
 
+// SettleTime is how long after the service's return entries that lapsed meanwhile are
+// back, if their workers live.
+const SettleTime = 2200 * time.Millisecond
+
+// Settle tells that the service was away: until a time, entries of ready workers that
+// vanish may have lapsed only, and their workers are kept.
+func (d *Directory) Settle(until time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if until.After(d.settled) {
+		d.settled = until
+		time.AfterFunc(time.Until(until), d.expire)
+	}
+}
+
+// Settling returns for how long vanished entries are kept still.
+func (d *Directory) Settling() time.Duration {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return max(0, time.Until(d.settled))
+}
+
+// lapses notes that an entry has vanished, and reports whether its worker is kept. The
+// caller holds mu.
+func (d *Directory) lapses(id ID) bool {
+	worker, known := d.byID[id]
+	if !known || worker.State != StateReady || !time.Now().Before(d.settled) {
+		return false
+	}
+	d.lapsed[id] = true
+	return true
+}
+
+// expire takes workers to be gone whose entries did not come back.
+func (d *Directory) expire() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.lapsed) == 0 || time.Now().Before(d.settled) {
+		return
+	}
+	for id := range d.lapsed {
+		d.goneAt[id] = time.Now()
+		delete(d.byID, id)
+	}
+	clear(d.lapsed)
+	d.index(time.Now())
+}
+
 // goneMemory is how long the end of an entry is remembered.
 const goneMemory = 2 * time.Minute
 
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -55,3 +55,38 @@
 		assert.Equal(t, len(list), 1)
 	})
 }
+
+func TestEntriesThatLapsedWithTheServiceAreWaitedFor(t *testing.T) {
+	ready, draining := worker("a", StateReady), worker("a", StateDraining)
+	for name, c := range map[string]struct {
+		learn func(d *Directory)
+		// known a moment later, and known at the end.
+		soon, late bool
+	}{
+		"listed without it":        {learn: func(d *Directory) { d.Replace(nil) }, soon: true},
+		"told that it is gone":     {learn: func(d *Directory) { d.Update(nil, []ID{"a"}) }, soon: true},
+		"gone twice":               {learn: func(d *Directory) { d.Update(nil, []ID{"a"}); d.Replace(nil) }, soon: true},
+		"back soon":                {learn: func(d *Directory) { d.Replace(nil); d.Update([]Worker{ready}, nil) }, soon: true, late: true},
+		"back in a list":           {learn: func(d *Directory) { d.Replace(nil); d.Replace([]Worker{ready}) }, soon: true, late: true},
+		"draining when it went":    {learn: func(d *Directory) { d.Update([]Worker{draining}, nil); d.Replace(nil) }},
+		"drains after it was back": {learn: func(d *Directory) { d.Replace(nil); d.Update([]Worker{draining}, nil); d.Replace(nil) }},
+		"after all have settled":   {learn: func(d *Directory) { time.Sleep(2 * SettleTime); d.Replace(nil) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				directory := NewDirectory()
+				directory.Replace([]Worker{ready})
+				directory.Settle(time.Now().Add(SettleTime))
+				c.learn(directory)
+				_, known := directory.Get("a")
+				assert.Equal(t, known, c.soon)
+				time.Sleep(SettleTime)
+				synctest.Wait()
+				_, known = directory.Get("a")
+				assert.Equal(t, known, c.late)
+				_, gone := directory.GoneAt("a")
+				assert.Equal(t, gone, !c.late)
+			})
+		})
+	}
+}
