Keep a new leader from dealing all keys to the first worker that is back

A recorded owner that was never seen announced keeps its keys for as long as entries take to come back; keys of which no load is known are spread by their number.

--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -200,3 +200,25 @@
 		})
 	})
 }
+
+// A process that has just started may lead by a list of which others had lapsed while
+// the store was away.
+func TestANewLeaderWaitsForEntriesThatMayHaveLapsed(t *testing.T) {
+	for name, c := range map[string]struct {
+		lead time.Duration
+		want workers.ID
+	}{
+		"at first":              {lead: 2 * time.Second, want: "w2"},
+		"when all had the time": {lead: 5 * time.Second, want: "w1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(b *bench) {
+				b.lead(4*time.Second, nil)
+				b.keeper.Workers = workers.NewDirectory()
+				b.announce("w1")
+				b.lead(c.lead, nil)
+				assert.Equal(t, b.owner(owner.KeyCount-1), c.want)
+			})
+		})
+	}
+}
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -80,15 +80,38 @@
 		candidates = append(candidates, of.candidate(now, worker))
 	}
 	for _, holder := range of.book.Holders() {
-		at, gone := t.Workers.GoneAt(holder.ID)
-		if gone && now.Sub(at) < goneGrace && !of.book.Failing(now, holder.ID, failingAfter) {
-			candidates = append(candidates, of.candidate(now, workers.Worker{ID: holder.ID, Address: holder.Address, Slots: 1}))
+		if t.mayComeBack(now, of, holder.ID) {
+			lapsed := workers.Worker{ID: holder.ID, Address: holder.Address, Slots: usualSlots(list)}
+			candidates = append(candidates, of.candidate(now, lapsed))
 		}
 	}
 	slices.SortFunc(candidates, func(a, b owner.Candidate) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return candidates
 }
 
+// mayComeBack reports whether a worker that is not announced keeps its keys for now. An
+// entry may be back soon, and a process that has just begun to lead may have read a
+// list of which others had lapsed.
+func (t *tenancy) mayComeBack(now time.Time, of *service, id workers.ID) bool {
+	if _, announced := t.Workers.Get(id); announced || of.book.Failing(now, id, failingAfter) {
+		return false
+	}
+	at, gone := t.Workers.GoneAt(id)
+	if gone {
+		return now.Sub(at) < goneGrace
+	}
+	return now.Sub(t.began) < workers.SettleTime
+}
+
+// usualSlots is what a worker of which nothing is announced is taken to have.
+func usualSlots(list []workers.Worker) int {
+	slots := 1
+	for _, one := range list {
+		slots = max(slots, one.Slots)
+	}
+	return slots
+}
+
 // capacity returns how many requests a second a worker can run.
 func (s *service) capacity(now time.Time, id workers.ID, directory *workers.Directory) float64 {
 	worker, _ := directory.Get(id)
--- a/internal/owner/plan.go
+++ b/internal/owner/plan.go
@@ -82,7 +82,9 @@
 	sums       []float64
 	candidates map[workers.ID]Candidate
 	loads      map[workers.ID]float64
-	moved      []Moved
+	// widths are how many keys each candidate has.
+	widths map[workers.ID]int
+	moved  []Moved
 }
 
 // Rules bound what a plan may do.
@@ -115,7 +117,7 @@
 	}
 	b.bound(rules.Places)
 	b.Merge()
-	p := &plan{book: b, rates: rates, rules: rules, candidates: map[workers.ID]Candidate{}, loads: map[workers.ID]float64{}}
+	p := &plan{book: b, rates: rates, rules: rules, candidates: map[workers.ID]Candidate{}, loads: map[workers.ID]float64{}, widths: map[workers.ID]int{}}
 	p.sums = make([]float64, len(rates)+1)
 	for index, one := range rates {
 		p.sums[index+1] = p.sums[index] + one.Rate
@@ -127,6 +129,7 @@
 	for _, one := range b.spans {
 		if _, stays := p.candidates[one.destination()]; stays {
 			p.loads[one.destination()] += p.rate(one.keys)
+			p.widths[one.destination()] += one.keys.Width()
 		}
 	}
 	p.evacuate()
@@ -166,13 +169,22 @@
 		if id == except || !p.allowed(id, keys) {
 			continue
 		}
-		if !found || p.utilization(id) < p.utilization(best) || (p.utilization(id) == p.utilization(best) && id < best) {
+		if weight, least := p.weight(id), p.weight(best); !found || weight < least || (weight == least && id < best) {
 			best, found = id, true
 		}
 	}
 	return best, found
 }
 
+// widthWeight is what all keys together count for beside their load, as utilization: of
+// keys that nobody has asked for lately, no worker gets all.
+const widthWeight = 0.2
+
+// weight is the utilization of a candidate, with a part for the keys that it has.
+func (p *plan) weight(id workers.ID) float64 {
+	return p.utilization(id) + widthWeight*float64(p.widths[id])/KeyCount
+}
+
 // allowed reports whether a candidate may hold keys.
 func (p *plan) allowed(id workers.ID, keys Keys) bool {
 	for _, place := range p.rules.Places {
@@ -188,8 +200,10 @@
 	_, stays := p.candidates[from]
 	if stays {
 		p.loads[from] -= rate
+		p.widths[from] -= keys.Width()
 	}
 	p.loads[to] += rate
+	p.widths[to] += keys.Width()
 	p.book.Move(keys, to, p.candidates[to].Address)
 	p.moved = append(p.moved, Moved{
 		Keys: keys, From: from, To: to, Rate: rate, FromLoad: p.loads[from], ToLoad: p.loads[to],
--- a/internal/owner/plan_test.go
+++ b/internal/owner/plan_test.go
@@ -111,3 +111,23 @@
 	}
 	assert.Assert(t, busiest(book, candidates, rates) < 0.8, "%f", busiest(book, candidates, rates))
 }
+
+// A leader that has just begun knows no rates: the keys of lost workers must not all go
+// to one.
+func TestKeysWithoutKnownLoadAreSpread(t *testing.T) {
+	now := time.Now()
+	candidates := fleet(8, 30)
+	book := NewBook(DefaultConfig(10*time.Second), 1)
+	book.Assign(now, First(candidates, nil))
+	settle(book, now)
+	left := candidates[4:]
+	book.Plan(left, nil, testRules)
+	settle(book, now)
+	widths := map[workers.ID]int{}
+	for _, held := range book.Assignment() {
+		widths[held.Worker] += held.Keys.Width()
+	}
+	for _, one := range left {
+		assert.Equal(t, widths[one.ID], KeyCount/4, one.ID)
+	}
+}
