Estimate workers' capacity by Little's law, told load or not

Cause: workers that tell no load were judged by the whole time at them, waiting included; estimates ran from 46 to 147 requests a second where the truth is 47 or 107.

All answers count now: how many a second and after how long. An approximation of a queue with several servers (Sakasegawa) gives the work that explains both; at full load that is what the worker gets done. A second, faster average takes over where it differs by more than chance.

--- /dev/null
+++ b/internal/estimate/work_test.go
@@ -0,0 +1,110 @@
+package estimate
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// freeAt are the times at which a worker's slots are free again.
+type freeAt []float64
+
+func (f freeAt) Len() int           { return len(f) }
+func (f freeAt) Less(i, j int) bool { return f[i] < f[j] }
+func (f freeAt) Swap(i, j int)      { f[i], f[j] = f[j], f[i] }
+func (f *freeAt) Push(one any)      { *f = append(*f, one.(float64)) }
+func (f *freeAt) Pop() any {
+	last := (*f)[len(*f)-1]
+	*f = (*f)[:len(*f)-1]
+	return last
+}
+
+// worker is a queue with several slots and work that varies much.
+type worker struct {
+	random *rand.Rand
+	slots  freeAt
+	queue  int
+	now    float64
+}
+
+func newWorker(seed uint64, slots, queue int) *worker {
+	return &worker{random: rand.New(rand.NewPCG(seed, 2)), slots: make(freeAt, slots), queue: queue}
+}
+
+// serve plays some seconds of requests at a rate, and tells the estimate of the answers
+// in the reports of a number of processes.
+func (w *worker) serve(of *Work, seconds, rate, work float64) {
+	const report = 0.11 // each of eleven processes tells in turn
+	const spread = 0.8
+	answers, total := 0, 0.0
+	for next, end := w.now+report, w.now+seconds; w.now < end; {
+		w.now += w.random.ExpFloat64() / rate
+		for w.now > next {
+			of.Add(at(next), answers, time.Duration(total*float64(time.Second)))
+			answers, total = 0, 0
+			next += report
+		}
+		begins := math.Max(w.now, w.slots[0])
+		if (begins-w.now)*float64(len(w.slots))/work > float64(w.queue) {
+			continue // it is full
+		}
+		took := work * math.Exp(spread*w.random.NormFloat64()-spread*spread/2)
+		w.slots[0] = begins + took
+		heap.Fix(&w.slots, 0)
+		answers, total = answers+1, total+begins+took-w.now
+	}
+}
+
+func at(seconds float64) time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func TestWorkIsFoundWhateverTheLoad(t *testing.T) {
+	const usual = 60 * time.Millisecond
+	for name, c := range map[string]struct {
+		work, rate float64
+		slots      int
+	}{
+		"idle and fast":       {work: 0.037, rate: 10, slots: 4},
+		"idle and slow":       {work: 0.086, rate: 10, slots: 4},
+		"busy and fast":       {work: 0.037, rate: 87, slots: 4},
+		"full":                {work: 0.037, rate: 105, slots: 4},
+		"overloaded and slow": {work: 0.086, rate: 87, slots: 4},
+		"overloaded far":      {work: 0.086, rate: 200, slots: 4},
+		"few slots":           {work: 0.090, rate: 15, slots: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bias, spread := 0.0, 0.0
+			const seeds = 50
+			for seed := range uint64(seeds) {
+				estimate := NewWork(at(0))
+				worker := newWorker(seed, c.slots, 16)
+				worker.serve(estimate, 12, c.rate, c.work)
+				off := math.Log(estimate.Mean(at(worker.now), c.slots, usual).Seconds() / c.work)
+				bias += off / seeds
+				spread += off * off / seeds
+			}
+			t.Logf("bias %.3f, error %.3f", bias, math.Sqrt(spread))
+			assert.Assert(t, math.Abs(bias) < 0.1, "%f", bias)
+			assert.Assert(t, math.Sqrt(spread) < 0.2, "%f", spread)
+		})
+	}
+}
+
+func TestAWorkerThatTurnsSlowIsSeenSoon(t *testing.T) {
+	estimate := NewWork(at(0))
+	worker := newWorker(1, 4, 16)
+	worker.serve(estimate, 12, 25, 0.06)
+	worker.serve(estimate, 2.5, 25, 0.3)
+	got := estimate.Mean(at(worker.now), 4, 60*time.Millisecond)
+	assert.Assert(t, got > 130*time.Millisecond, "%v", got)
+}
+
+func TestNothingMeasuredIsTheUsual(t *testing.T) {
+	estimate := NewWork(at(0))
+	assert.Equal(t, estimate.Mean(at(5), 4, time.Second), time.Second)
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -265,7 +265,7 @@
 	}
 	for id, sum := range report.Times {
 		if worker, known := t.Workers.Get(id); known && t.services[worker.Service] != nil && sum[0] > 0 {
-			t.services[worker.Service].measured(id, sum)
+			t.services[worker.Service].measured(now, worker, sum[0], time.Duration(sum[1])*time.Millisecond)
 		}
 	}
 }
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/estimate"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/workers"
@@ -14,11 +15,9 @@
 // Measuring workers' speed.
 const (
 	// usualTime is a request's time at a worker of which nothing is known yet.
-	usualTime = 80.0 // milliseconds
-	// timeShare is the weight of a new measurement.
-	timeShare = 0.15
+	usualTime = 80 * time.Millisecond
 	// coldFactor is how much slower a worker is taken to be while it warms up.
-	coldFactor = 2.0
+	coldFactor = 2
 )
 
 // service is one keyed service under the keeper.
@@ -31,8 +30,10 @@
 	publishedHolds uint64
 	nextPlan       time.Time
 	nextGauge      time.Time
-	// times are each worker's mean time for a request, in milliseconds.
-	times map[workers.ID]float64
+	// work is what was measured of each worker.
+	work map[workers.ID]*estimate.Work
+	// usual is the mean time of work over the workers that were measured.
+	usual time.Duration
 	// revision of the stored record.
 	revision coord.Revision
 	writing  bool
@@ -41,36 +42,43 @@
 }
 
 func newService(name routing.ServiceName) *service {
-	return &service{name: name, loads: owner.NewLoads(time.Now()), times: map[workers.ID]float64{}}
+	return &service{name: name, loads: owner.NewLoads(time.Now()), work: map[workers.ID]*estimate.Work{}, usual: usualTime}
 }
 
-// measured takes a number of answers and the sum of their times.
-func (s *service) measured(id workers.ID, sum [2]int) {
-	mean := float64(sum[1]) / float64(sum[0])
-	if _, known := s.times[id]; !known {
-		s.times[id] = s.usual()
+// measured takes a number of answers and the sum of their times at a worker.
+func (s *service) measured(now time.Time, worker workers.Worker, answers int, took time.Duration) {
+	if now.Before(worker.WarmAt) {
+		return // it is slower than it will be
 	}
-	weight := 1.0
-	for range min(sum[0], 10) {
-		weight *= 1 - timeShare
+	work := s.work[worker.ID]
+	if work == nil {
+		work = estimate.NewWork(now)
+		s.work[worker.ID] = work
 	}
-	s.times[id] = weight*s.times[id] + (1-weight)*mean
+	work.Add(now, answers, took)
 }
 
-// usual is the mean time over the workers that were measured.
-func (s *service) usual() float64 {
-	if len(s.times) == 0 {
-		return usualTime
+// measureUsual averages the times of work over the announced workers, and forgets the
+// others.
+func (s *service) measureUsual(now time.Time, directory *workers.Directory) {
+	total, count := time.Duration(0), 0
+	for id, work := range s.work {
+		worker, announced := directory.Get(id)
+		if !announced {
+			delete(s.work, id)
+			continue
+		}
+		total += work.Mean(now, worker.Slots, s.usual)
+		count++
 	}
-	total := 0.0
-	for _, one := range s.times {
-		total += one
+	if count > 0 {
+		s.usual = total / time.Duration(count)
 	}
-	return total / float64(len(s.times))
 }
 
 // candidates lists the workers that may hold keys now.
 func (t *tenancy) candidates(now time.Time, of *service) []owner.Candidate {
+	of.measureUsual(now, t.Workers)
 	list, _ := t.Workers.Of(of.name)
 	var candidates []owner.Candidate
 	for _, worker := range list {
@@ -119,15 +127,15 @@
 }
 
 func (s *service) candidate(now time.Time, worker workers.Worker) owner.Candidate {
-	mean, known := s.times[worker.ID]
-	if !known {
-		mean = s.usual()
+	mean := s.usual
+	if work := s.work[worker.ID]; work != nil {
+		mean = work.Mean(now, worker.Slots, s.usual)
 	}
 	if now.Before(worker.WarmAt) {
 		mean *= coldFactor
 	}
 	return owner.Candidate{
 		ID: worker.ID, Address: worker.Address, Zone: worker.Zone,
-		Capacity: float64(worker.Slots) * 1000 / max(mean, 1),
+		Capacity: float64(worker.Slots) / max(mean, time.Millisecond).Seconds(),
 	}
 }
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -120,9 +120,7 @@
 			Str("id", c.message.id).AnErr("error", got.err).Msg("")
 	}
 	if c.service.Keyed && (got.outcome == outcomeAnswered || got.outcome == outcomeLate) {
-		if took, telling := got.workTime(worker.Slots, to.usual()); telling {
-			p.Meter.Served(worker.ID, took)
-		}
+		p.Meter.Served(worker.ID, got.took)
 	}
 	p.Metrics.sent(c.service.Name, got.outcome)
 	return worker.ID, got
