Move a busy key for what is won; judge work by steady stretches

Two trials that stay for now. (1) A load that had just begun made its owner look slow: the average rate lagged behind the waiting times. (2) A busy key moves if the share of its requests that is answered in time rises by 0.1, instead of the utilization falling by 0.15: it no longer leaves one overloaded fast worker for another.

--- a/internal/estimate/work.go
+++ b/internal/estimate/work.go
@@ -6,25 +6,29 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
 // Times and bounds of measuring work.
 const (
-	// slowWindow and fastWindow are the time constants of the two averages.
-	slowWindow = 6 * time.Second
-	fastWindow = 1500 * time.Millisecond
+	// binLength is the time whose answers are judged together.
+	binLength = 600 * time.Millisecond
+	// keptBins is how many of them are kept.
+	keptBins = 12
+	// recentBins is how many of the newest show a worker that has changed.
+	recentBins = 3
+	// leastAnswers is how many answers of a bin tell anything.
+	leastAnswers = 3
 	// variation is the usual standard deviation of work, as a share of its mean.
 	variation = 0.9
-	// changeDeviations is how many standard deviations the fast average must be away
-	// from the slow one to stand for a worker that has changed.
+	// changeDeviations is how many standard deviations the recent bins must be away
+	// from all to stand for a worker that has changed.
 	changeDeviations = 3.0
 	// changeLeast is a difference, as a share, that is none.
 	changeLeast = 0.3
 	// priorAnswers is how many answers what is usual counts for.
 	priorAnswers = 6.0
-	// leastAnswers is how many the fast average needs.
-	leastAnswers = 5.0
 	// bisections of the search for the time of work: an error below one in a million.
 	bisections = 20
 )
@@ -32,16 +36,24 @@
 // Work estimates one worker's mean time of work on a request from the answers that all
 // processes got: how many in a time, and after how long. By Little's law they tell how
 // many requests were there at once; a queue with several servers tells how much of the
-// time was spent waiting.
+// time was spent waiting. Times of a steady rate are judged one by one, since a load that
+// changes meanwhile misleads.
 type Work struct {
-	slow, fast sums
-	began      time.Time
+	bins  [keptBins]bin
+	began time.Time
 }
 
-// sums are decayed sums of answers.
-type sums struct {
-	answers, seconds float64
-	at               time.Time
+// bin are the answers of one time.
+type bin struct {
+	number  int64
+	answers int
+	took    time.Duration
+}
+
+// judged is the time of work that a stretch of bins tells, in seconds, and its weight.
+type judged struct {
+	work, weight float64
+	bins         int
 }
 
 // NewWork returns an estimate that knows nothing.
@@ -49,51 +61,100 @@
 
 // Add takes a number of answers and the sum of their times at the worker.
 func (w *Work) Add(now time.Time, answers int, took time.Duration) {
-	w.slow.add(now, slowWindow, answers, took)
-	w.fast.add(now, fastWindow, answers, took)
-}
-
-func (s *sums) add(now time.Time, window time.Duration, answers int, took time.Duration) {
-	s.decay(now, window)
-	s.answers += float64(answers)
-	s.seconds += took.Seconds()
-}
-
-func (s *sums) decay(now time.Time, window time.Duration) {
-	if passed := now.Sub(s.at); passed > 0 && !s.at.IsZero() {
-		factor := math.Exp(-passed.Seconds() / window.Seconds())
-		s.answers *= factor
-		s.seconds *= factor
+	number := w.number(now)
+	into := &w.bins[number%keptBins]
+	if into.number != number {
+		*into = bin{number: number}
 	}
-	s.at = now
+	into.answers += answers
+	into.took += took
 }
 
+func (w *Work) number(now time.Time) int64 { return int64(max(0, now.Sub(w.began)) / binLength) }
+
 // Mean returns the mean time of work at a worker with a number of slots. What is usual
 // stands for a worker that has hardly answered.
 func (w *Work) Mean(now time.Time, slots int, usual time.Duration) time.Duration {
-	slow := w.mean(now, w.slow, slowWindow, slots, usual, priorAnswers)
-	if w.fast.answers < leastAnswers {
-		return slow
+	newest := w.number(now)
+	whole := mean(w.judge(newest, keptBins, slots), judged{work: usual.Seconds(), weight: priorAnswers})
+	recent := w.judge(newest, recentBins, slots)
+	if len(recent) > 0 {
+		lately := mean(recent)
+		chance := changeDeviations * variation / math.Sqrt(lately.weight)
+		if math.Abs(math.Log(lately.work/whole.work)) > changeLeast+chance {
+			return toDuration(lately.work)
+		}
 	}
-	fast := w.mean(now, w.fast, fastWindow, slots, slow, 0)
-	difference := math.Abs(math.Log(fast.Seconds() / slow.Seconds()))
-	if difference > changeLeast+changeDeviations*variation/math.Sqrt(w.fast.answers) {
-		return fast
+	return toDuration(whole.work)
+}
+
+func toDuration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+
+// judge returns what the last whole bins tell: steady times one by one.
+func (w *Work) judge(newest, count int64, slots int) []judged {
+	var list []judged
+	for _, one := range w.steady(newest, count) {
+		if one.answers < leastAnswers {
+			continue
+		}
+		answers := float64(one.answers)
+		rate := answers / (float64(one.bins) * binLength.Seconds())
+		list = append(list, judged{work: workOf(one.took.Seconds()/answers, rate, slots), weight: answers, bins: one.bins})
 	}
-	return slow
+	return list
 }
 
-// mean estimates from one of the averages. It changes nothing but a copy.
-func (w *Work) mean(now time.Time, s sums, window time.Duration, slots int, usual time.Duration, prior float64) time.Duration {
-	s.decay(now, window)
-	if s.answers < 0.5 {
-		return usual
+// stretch is a number of bins one after the other with about the same rate.
+type stretch struct {
+	bins, answers int
+	took          time.Duration
+}
+
+// Differences of a bin from those before that chance explains.
+const (
+	steadyDeviations = 3.0
+	steadyLeast      = 3.0
+)
+
+// steady cuts the last whole bins into stretches.
+func (w *Work) steady(newest, count int64) []stretch {
+	var list []stretch
+	for number := max(0, newest-count); number < newest; number++ {
+		one := w.bins[number%keptBins]
+		if one.number != number {
+			one = bin{}
+		}
+		last := len(list) - 1
+		if last < 0 || !list[last].takes(one) {
+			list = append(list, stretch{})
+			last++
+		}
+		list[last].bins++
+		list[last].answers += one.answers
+		list[last].took += one.took
+	}
+	return list
+}
+
+// takes reports whether a bin has about the rate of a stretch.
+func (s stretch) takes(one bin) bool {
+	expected := float64(s.answers) / float64(s.bins)
+	return math.Abs(float64(one.answers)-expected) <= steadyLeast+steadyDeviations*math.Sqrt(expected)
+}
+
+// mean returns the weighted mean of some estimates, with the weight of all. Stretches of
+// one bin are left out where there are longer ones: the load changed within them.
+func mean(list []judged, more ...judged) judged {
+	long := slices.DeleteFunc(slices.Clone(list), func(one judged) bool { return one.bins < 2 })
+	if len(long) > 0 {
+		list = long
+	}
+	sum, total := 0.0, 0.0
+	for _, one := range append(list, more...) {
+		sum += one.weight * one.work
+		total += one.weight
 	}
-	running := max(now.Sub(w.began).Seconds(), 0.2)
-	span := window.Seconds() * (1 - math.Exp(-running/window.Seconds()))
-	worked := workOf(s.seconds/s.answers, s.answers/span, slots)
-	weighted := (prior*usual.Seconds() + s.answers*worked) / (prior + s.answers)
-	return time.Duration(weighted * float64(time.Second))
+	return judged{work: sum / total, weight: total}
 }
 
 // workOf returns the mean time of work, in seconds, of a worker whose answers took some
--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -67,10 +67,10 @@
 	if !found || rate < aloneShare*p.candidates[from].Capacity {
 		return Keys{}, "", false
 	}
-	best, least := from, p.utilization(from)-leastHoist
+	best, least := from, loss(p.utilization(from))-leastGain
 	for id, candidate := range p.candidates {
 		others := min(p.loads[id], shedShare*p.loads[id]+shedLeast)
-		after := (others + rate) / max(candidate.Capacity, 1)
+		after := loss((others + rate) / max(candidate.Capacity, 1))
 		if id != from && p.allowed(id, Keys{key, key}) && (after < least || (after == least && id < best)) {
 			best, least = id, after
 		}
@@ -78,6 +78,19 @@
 	return Keys{key, key}, best, best != from
 }
 
+// loss approximates the share of requests that a worker answers late or not at all at
+// a utilization: few up to idleEnough, and beyond its capacity what is too much.
+func loss(utilization float64) float64 {
+	const idleEnough, atCapacity = 0.6, 0.3
+	switch {
+	case utilization <= idleEnough:
+		return 0
+	case utilization <= 1:
+		return atCapacity * (utilization - idleEnough) / (1 - idleEnough)
+	}
+	return 1 - (1-atCapacity)/utilization
+}
+
 // hottest returns the key of a worker that is asked for most.
 func (p *plan) hottest(of workers.ID) (key int, rate float64, found bool) {
 	for _, one := range p.book.spans {
--- a/internal/owner/plan.go
+++ b/internal/owner/plan.go
@@ -35,8 +35,8 @@
 	worstCost = 0.75
 	// aloneShare of a worker's capacity makes a key one to be placed by itself.
 	aloneShare = 0.4
-	// leastHoist is the least gain of utilization for which it moves.
-	leastHoist = 0.15
+	// leastGain is the least share of its requests that must be won for it to move.
+	leastGain = 0.1
 	// shedShare and shedLeast are what is taken to stay of a worker's other load
 	// once such a key comes, since the rest will be moved away.
 	shedShare = 0.4
--- a/internal/peerlink/meter.go
+++ b/internal/peerlink/meter.go
@@ -20,7 +20,7 @@
 
 // timesEvery is the pause between reports of workers' times, which change slowly;
 // bytes between zones are dear.
-const timesEvery = 1200 * time.Millisecond
+const timesEvery = 600 * time.Millisecond
 
 // NewMeter returns a meter that has counted nothing.
 func NewMeter() *Meter {
