--- a/internal/keytable/keytable.go
+++ b/internal/keytable/keytable.go
@@ -16,6 +16,7 @@
 	mu       sync.Mutex
 	services atomic.Pointer[map[routing.ServiceName][]owner.Owner]
 	changed  chan struct{}
+	shares   atomic.Pointer[shares]
 	// term of the leader whose word stands, and since when it stands.
 	term owner.Term
 	at   time.Time
@@ -25,6 +26,7 @@
 func New() *Table {
 	table := &Table{changed: make(chan struct{})}
 	table.services.Store(&map[routing.ServiceName][]owner.Owner{})
+	table.shares.Store(&shares{})
 	return table
 }
 
