--- a/internal/keeper/plan.go
+++ b/internal/keeper/plan.go
@@ -8,7 +8,6 @@
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/routing"
-	"github.com/shalefork/shalefork/internal/workers"
 )
 
 // plan chooses owners, at first or anew.
@@ -22,29 +21,9 @@
 		t.first(now, of, candidates)
 		return
 	}
-	rates := of.loads.Rates(now)
-	for _, one := range of.book.Plan(candidates, rates, t.rules(now, of)) {
+	for _, one := range of.book.Plan(candidates, of.loads.Rates(now), t.rules(now, of)) {
 		t.tellMove(now, of, one)
 	}
-	t.share(now, of, of.book.Shares(candidates, rates))
-}
-
-// shareStep is the least change of a share, as a part of it, that is told.
-const shareStep = 0.1
-
-// share tells which share of their requests overloaded workers can run.
-func (t *tenancy) share(now time.Time, of *service, shares map[workers.ID]float64) {
-	t.Table.Heard(now)
-	changed := len(shares) != len(of.shares)
-	for id, share := range shares {
-		before, known := of.shares[id]
-		changed = changed || !known || math.Abs(share-before) > shareStep*before
-	}
-	if changed {
-		of.shares = shares
-		t.Table.SetShares(of.name, shares)
-		t.Hub.PublishShares(of.name, shares)
-	}
 }
 
 // tellMove counts a planned move and writes a line.
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -34,8 +34,6 @@
 	work map[workers.ID]*estimate.Work
 	// usual is the mean time of work over the workers that were measured.
 	usual time.Duration
-	// shares that were told.
-	shares map[workers.ID]float64
 	// revision of the stored record.
 	revision coord.Revision
 	writing  bool
--- a/internal/keytable/keytable.go
+++ b/internal/keytable/keytable.go
@@ -16,7 +16,6 @@
 	mu       sync.Mutex
 	services atomic.Pointer[map[routing.ServiceName][]owner.Owner]
 	changed  chan struct{}
-	shares   atomic.Pointer[shares]
 	// term of the leader whose word stands, and since when it stands.
 	term owner.Term
 	at   time.Time
@@ -26,7 +25,6 @@
 func New() *Table {
 	table := &Table{changed: make(chan struct{})}
 	table.services.Store(&map[routing.ServiceName][]owner.Owner{})
-	table.shares.Store(&shares{})
 	return table
 }
 
--- a/internal/peerlink/follow.go
+++ b/internal/peerlink/follow.go
@@ -85,10 +85,6 @@
 		if update.Doubtful {
 			f.Doubted()
 		}
-		f.Table.Heard(time.Now())
-		for _, told := range update.Shares {
-			f.Table.SetShares(told.Service, told.Values())
-		}
 		for _, news := range update.Services {
 			named = append(named, news.Workers...)
 			if !f.apply(update.Term, news, named) {
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -47,7 +47,6 @@
 	entries    entryLog
 	deaf       bool
 	standbys   standbys
-	shares     map[routing.ServiceName]ServiceShares
 	// asked is called with the term of a leader that asks; nil: nobody wants to know.
 	asked func(term owner.Term)
 }
@@ -77,8 +76,6 @@
 	// if it is a standby.
 	stamp int64
 	holds map[routing.ServiceName]uint64
-	// shares that it was sent.
-	shares map[routing.ServiceName]map[workers.ID]int
 }
 
 // Open begins to lead.
@@ -89,7 +86,6 @@
 	h.superseded = make(chan struct{})
 	h.owners = map[routing.ServiceName][]owner.Owner{}
 	h.standbys.reset()
-	h.shares = map[routing.ServiceName]ServiceShares{}
 }
 
 // OnAsked sets what is called when a leader of a term asks whether this process leads,
@@ -166,18 +162,6 @@
 	h.wakeAll()
 }
 
-// PublishShares tells which share of their requests a service's workers can run.
-func (h *Hub) PublishShares(service routing.ServiceName, values map[workers.ID]float64) {
-	told := ServiceShares{Service: service, Shares: map[workers.ID]int{}}
-	for id, value := range values {
-		told.Shares[id] = int(value * shareScale)
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.shares[service] = told
-	h.wakeAll()
-}
-
 // Nodes returns how many processes there are, this one included.
 func (h *Hub) Nodes() int {
 	h.mu.Lock()
@@ -217,7 +201,6 @@
 		conn: conn, wake: make(chan struct{}, 1),
 		sent: map[routing.ServiceName][]owner.Owner{}, numbers: map[workers.ID]int{},
 		entries: hello.Entries, hello: hello, holds: map[routing.ServiceName]uint64{},
-		shares: map[routing.ServiceName]map[workers.ID]int{},
 	}
 	if leading && !hello.Ask {
 		h.links[one] = struct{}{}
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -57,31 +57,10 @@
 	Strongest float64       `json:"b,omitempty"`
 	Entries   *Entries      `json:"e,omitempty"`
 	Services  []ServiceNews `json:"s,omitempty"`
-	// Shares are told whole whenever they change.
-	Shares []ServiceShares `json:"a,omitempty"`
 	// Mandate is for a standby only.
 	Mandate *Mandate `json:"y,omitempty"`
 }
 
-// ServiceShares are which share of their requests the overloaded workers of a service
-// can run in time, in thousandths.
-type ServiceShares struct {
-	Service routing.ServiceName `json:"s"`
-	Shares  map[workers.ID]int  `json:"w"`
-}
-
-// shareScale keeps shares as whole numbers.
-const shareScale = 1000
-
-// Values returns the shares from 0 to 1.
-func (s ServiceShares) Values() map[workers.ID]float64 {
-	values := map[workers.ID]float64{}
-	for id, share := range s.Shares {
-		values[id] = float64(share) / shareScale
-	}
-	return values
-}
-
 // Mandate lets a standby renew what is held, should it lose the leader.
 type Mandate struct {
 	// Stamp is the last one of the standby's reports, and LeftMillis for how long
--- a/internal/peerlink/update.go
+++ b/internal/peerlink/update.go
@@ -1,7 +1,6 @@
 package peerlink
 
 import (
-	"maps"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/keytable"
@@ -32,12 +31,6 @@
 		one.sent[service] = owners
 		update.Services = append(update.Services, news)
 	}
-	for service, told := range h.shares {
-		if !maps.Equal(one.shares[service], told.Shares) {
-			one.shares[service] = told.Shares
-			update.Shares = append(update.Shares, told)
-		}
-	}
 	update.Mandate = h.standbys.mandate(one, time.Now())
 	return update, true
 }
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,9 +16,6 @@
 	moveShare = 0.8
 	// ownerShare is the share for which it waits where no owner is known.
 	ownerShare = 0.22
-	// comeBackShare of the target is after how long a request that an overloaded owner
-	// can't run in time may come back; longer the more it is asked for.
-	comeBackShare = 0.25
 	// ownerPause is the pause before an owner that refused is asked again.
 	ownerPause = 25 * time.Millisecond
 )
@@ -135,10 +131,6 @@
 // unlessBusy refuses a request that the owner could not answer in time.
 func (c *call) unlessBusy(to *backend) *backend {
 	now := time.Now()
-	if share := c.proxy.Table.Share(now, c.service.Name, to.id()); c.sends == 0 && rand.Float64() >= share {
-		c.giveUp(reasonBusy, time.Duration(comeBackShare/share*float64(c.route.Target)))
-		return nil
-	}
 	estimated := time.Duration(to.estimate(now, usualTime) * float64(time.Second))
 	if estimated > c.left() {
 		c.giveUp(reasonBusy, min(estimated-c.left(), 300*time.Millisecond))
