Pick workers of pools by the share of answers that would be late

Cause: payments with an aim of 150 ms went to any worker of the own zone below 0.55 of it, half-speed ones included, and means were of some five answers of a time that varies much. Now: means over up to 30 answers and 6 s with a prior, restarted by three slow answers in a row; a farther worker is taken where the share of answers in time rises by 0.07, as of a logarithmic normal distribution whose spread is measured for each service.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -5,15 +5,14 @@
 	"sync"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/estimate"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
 // Constants of judging workers.
 const (
 	// usualTime is a request's time at a worker of which nothing is known.
-	usualTime = 0.1 // seconds
-	// timeShare is the weight of a new time.
-	timeShare = 0.2
+	usualTime = 100 * time.Millisecond
 	// loadMemory is the time constant with which a reported load loses its weight.
 	loadMemory = 300 * time.Millisecond
 	// firstRest and longestRest bound how long a failing worker is left alone.
@@ -25,7 +24,7 @@
 	// one failed.
 	unreachedRest = 200 * time.Millisecond
 	// coldFactor is how much slower a worker is while it warms up.
-	coldFactor = 2.0
+	coldFactor = 2
 )
 
 // backend is what this process knows of one worker.
@@ -38,9 +37,8 @@
 	// others is the load by other processes that was last reported.
 	others   float64
 	othersAt time.Time
-	// mean is the mean time of work on a request, in seconds.
-	mean     float64
-	measured bool
+	// latency is the time of work on a request.
+	latency  estimate.Latency
 	failures int
 	// restUntil is until when a failing worker is left alone.
 	restUntil time.Time
@@ -51,23 +49,20 @@
 }
 
 func newBackend(worker workers.Worker) *backend {
-	return &backend{pool: &pool{address: worker.Address}, worker: worker, mean: usualTime}
+	return &backend{pool: &pool{address: worker.Address}, worker: worker}
 }
 
-// estimate returns how long a request sent now would take, in seconds.
-func (b *backend) estimate(now time.Time, usual float64) float64 {
+// estimate returns how long a request sent now would take.
+func (b *backend) estimate(now time.Time, usual time.Duration) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	mean := b.mean
-	if !b.measured {
-		mean = usual
-	}
+	mean := b.latency.Mean(usual)
 	if now.Before(b.worker.WarmAt) {
 		mean *= coldFactor
 	}
 	slots := float64(b.worker.Slots)
 	waiting := max(0, b.occupied(now)+1-slots)
-	return mean * (1 + waiting/slots)
+	return time.Duration(float64(mean) * (1 + waiting/slots))
 }
 
 // occupied estimates the requests at the worker. The caller holds mu.
@@ -103,11 +98,11 @@
 	return now.Before(b.fullUntil)
 }
 
-// usual returns the mean time of work on a request.
-func (b *backend) usual() time.Duration {
+// mean returns the mean time of work on a request; false if none was measured.
+func (b *backend) mean(usual time.Duration) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return time.Duration(b.mean * float64(time.Second))
+	return b.latency.Mean(usual), b.latency.Measured()
 }
 
 // described returns the worker as it announced itself last.
@@ -140,7 +135,7 @@
 		changed = b.failures > 0
 		b.failures = 0
 		b.restUntil = time.Time{}
-		b.learn(got)
+		b.learn(now, got)
 	case outcomeNotRun:
 		b.fullUntil = now.Add(fullRest)
 	case outcomeMisdirected:
@@ -148,7 +143,7 @@
 		changed = true
 	case outcomeLate:
 		changed = b.failures == 0
-		b.learn(got)
+		b.learn(now, got)
 		b.fail(now)
 	case outcomeGone: // says nothing of the worker
 	case outcomeNotSent:
@@ -170,15 +165,9 @@
 }
 
 // learn measures the time that the worker worked on a request.
-func (b *backend) learn(got *result) {
-	worked, telling := got.workTime(b.worker.Slots, time.Duration(b.mean*float64(time.Second)))
-	if !telling {
-		return
-	}
-	took := worked.Seconds()
-	if !b.measured {
-		b.measured = true
-		b.mean = took
+func (b *backend) learn(now time.Time, got *result) {
+	worked, telling := got.workTime(b.worker.Slots, b.latency.Mean(usualTime))
+	if telling {
+		b.latency.Add(now, worked, usualTime)
 	}
-	b.mean += timeShare * (took - b.mean)
 }
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -113,6 +113,7 @@
 func (c *call) exchange(ctx context.Context, to *backend, until time.Time) (workers.ID, result) {
 	p := c.proxy
 	worker := to.described()
+	mean, measured := to.mean(usualTime)
 	to.begin()
 	got := send(ctx, p.Headers, to.pool, &c.message, string(worker.ID), c.deadline, until)
 	if to.end(time.Now(), &got) {
@@ -122,6 +123,9 @@
 	if c.service.Keyed && (got.outcome == outcomeAnswered || got.outcome == outcomeLate) {
 		p.Meter.Served(worker.ID, got.took)
 	}
+	if measured && got.outcome == outcomeAnswered {
+		c.state.answered(got.took, mean)
+	}
 	p.Metrics.sent(c.service.Name, got.outcome)
 	return worker.ID, got
 }
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -92,11 +92,10 @@
 
 // Constants of picking.
 const (
-	// localShare: a worker of the own zone is taken while its estimated time is
-	// below this share of the route's target,
-	localShare = 0.55
-	// remoteGain: or while another zone's worker would not save this share.
-	remoteGain = 0.3
+	// remoteGain is the share of requests that must be answered in time beyond what a
+	// worker of the own zone can do for another zone's to be taken: bytes between zones
+	// have their price.
+	remoteGain = 0.07
 	// jitter keeps processes that know the same from picking the same worker.
 	jitter = 0.12
 	// fullCrowd is the number of requests at a worker, as a multiple of its
@@ -104,12 +103,25 @@
 	fullCrowd = 3.5
 )
 
-// pick chooses a worker of a pool; nil if none may be sent to now.
-func (f *fleet) pick(now time.Time, service routing.ServiceName, target time.Duration, tried map[workers.ID]bool) (*backend, float64) {
-	list, _ := f.directory.Of(service)
+// choice is a worker and how long a request sent to it now would take.
+type choice struct {
+	to       *backend
+	estimate time.Duration
+}
+
+// sooner returns the choice that answers sooner.
+func (c choice) sooner(other choice) choice {
+	if c.to == nil || other.estimate < c.estimate {
+		return other
+	}
+	return c
+}
+
+// pick chooses a worker of a pool; none may be sent to now if it has no backend.
+func (f *fleet) pick(now time.Time, service *serviceState, name routing.ServiceName, target time.Duration, tried map[workers.ID]bool) choice {
+	list, _ := f.directory.Of(name)
 	usual := f.usual(list)
-	var local, remote *backend
-	localTime, remoteTime := 0.0, 0.0
+	var local, remote choice
 	for _, worker := range list {
 		if worker.State != workers.StateReady || tried[worker.ID] {
 			continue
@@ -118,44 +130,39 @@
 		if !candidate.usable(now) || candidate.full(now) || candidate.crowd(now) >= fullCrowd {
 			continue
 		}
-		estimated := candidate.estimate(now, usual) * (1 + jitter*rand.Float64())
+		estimated := time.Duration(float64(candidate.estimate(now, usual)) * (1 + jitter*rand.Float64()))
 		if worker.Zone == f.zone {
-			if local == nil || estimated < localTime {
-				local, localTime = candidate, estimated
-			}
-		} else if remote == nil || estimated < remoteTime {
-			remote, remoteTime = candidate, estimated
+			local = local.sooner(choice{to: candidate, estimate: estimated})
+		} else {
+			remote = remote.sooner(choice{to: candidate, estimate: estimated})
 		}
 	}
-	aim := target.Seconds()
 	switch {
-	case local == nil:
-		return remote, remoteTime
-	case remote == nil || localTime <= localShare*aim || localTime <= remoteTime+remoteGain*aim:
-		return local, localTime
+	case local.to == nil:
+		return remote
+	case remote.to == nil || service.late(local.estimate, target)-service.late(remote.estimate, target) <= remoteGain:
+		return local
 	}
-	return remote, remoteTime
+	return remote
 }
 
 // usual is the mean time over the workers that were measured.
-func (f *fleet) usual(list []workers.Worker) float64 {
+func (f *fleet) usual(list []workers.Worker) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	total, count := 0.0, 0
+	total, count := time.Duration(0), 0
 	for _, worker := range list {
 		known := f.byID[worker.ID]
 		if known == nil {
 			continue
 		}
-		known.mu.Lock()
-		if known.measured {
-			total += known.mean
+		if mean, measured := known.mean(usualTime); measured {
+			total += mean
 			count++
 		}
-		known.mu.Unlock()
 	}
 	if count == 0 {
 		return usualTime
 	}
-	return total / float64(count)
+	return total / time.Duration(count)
 }
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -50,11 +50,11 @@
 
 // sendHedged sends a repeatable request, and a second copy if the first stays
 // silent. second returns where it goes; nil for nowhere.
-func (c *call) sendHedged(to *backend, estimated float64, second func() *backend) *result {
+func (c *call) sendHedged(first choice, second func() *backend) *result {
 	ctx, cancel := context.WithCancel(c.request.Context())
 	s := &copies{call: c, ctx: ctx, cancel: cancel, ends: make(chan ended, 2)}
-	s.launch(to)
-	timer := time.NewTimer(c.hedgeAfter(estimated))
+	s.launch(first.to)
+	timer := time.NewTimer(c.hedgeAfter(first.estimate))
 	defer timer.Stop()
 	for {
 		select {
@@ -88,12 +88,12 @@
 }
 
 // hedgeAfter is how long the first copy may stay silent.
-func (c *call) hedgeAfter(estimated float64) time.Duration {
+func (c *call) hedgeAfter(estimated time.Duration) time.Duration {
 	if c.service.HedgeAfter > 0 {
 		return c.service.HedgeAfter
 	}
 	target := float64(c.route.Target)
-	wait := hedgeFactor * estimated * float64(time.Second)
+	wait := hedgeFactor * float64(estimated)
 	return time.Duration(min(max(wait, hedgeLeast*target), hedgeMost*target))
 }
 
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -131,7 +131,7 @@
 // unlessBusy refuses a request that the owner could not answer in time.
 func (c *call) unlessBusy(to *backend) *backend {
 	now := time.Now()
-	estimated := time.Duration(to.estimate(now, usualTime) * float64(time.Second))
+	estimated := to.estimate(now, usualTime)
 	if estimated > c.left() {
 		c.giveUp(reasonBusy, min(estimated-c.left(), 300*time.Millisecond))
 		return nil
--- a/internal/proxy/pooled.go
+++ b/internal/proxy/pooled.go
@@ -17,15 +17,15 @@
 // servePooled sends the request to a worker of a pool.
 func (c *call) servePooled() {
 	for {
-		to, estimated := c.await()
-		if to == nil {
+		picked := c.await()
+		if picked.to == nil {
 			return
 		}
 		if !c.spend() {
 			c.giveUp(reasonBudget, 100*time.Millisecond)
 			return
 		}
-		got := c.sendPooled(to, estimated)
+		got := c.sendPooled(picked)
 		if c.finish(got) {
 			return
 		}
@@ -40,40 +40,42 @@
 
 // sendPooled sends the request, and where it may be repeated a second copy to
 // another worker if the first stays silent.
-func (c *call) sendPooled(to *backend, estimated float64) *result {
+func (c *call) sendPooled(picked choice) *result {
 	if !c.repeatable() || c.runs > 0 {
-		return c.sendTo(to, c.deadline.Add(-answerMargin))
+		return c.sendTo(picked.to, c.deadline.Add(-answerMargin))
 	}
-	return c.sendHedged(to, estimated, func() *backend {
-		tried := map[workers.ID]bool{to.id(): true}
-		other, _ := c.proxy.fleet.pick(time.Now(), c.service.Name, c.route.Target, tried)
-		return other
+	return c.sendHedged(picked, func() *backend {
+		return c.pick(time.Now(), map[workers.ID]bool{picked.to.id(): true}).to
 	})
 }
 
-// await picks a worker, and waits a moment for one. It returns nil after it has
+// pick chooses a worker that was not tried.
+func (c *call) pick(now time.Time, tried map[workers.ID]bool) choice {
+	return c.proxy.fleet.pick(now, c.state, c.service.Name, c.route.Target, tried)
+}
+
+// await picks a worker, and waits a moment for one. It returns none after it has
 // answered the request.
-func (c *call) await() (*backend, float64) {
+func (c *call) await() choice {
 	patient := c.began.Add(time.Duration(queueShare * float64(c.route.Target)))
 	for {
 		now := time.Now()
-		to, estimated := c.proxy.fleet.pick(now, c.service.Name, c.route.Target, c.tried)
-		if to != nil {
-			if time.Duration(estimated*float64(time.Second)) < c.left() || c.sends > 0 {
-				return to, estimated
+		if picked := c.pick(now, c.tried); picked.to != nil {
+			if picked.estimate < c.left() || c.sends > 0 {
+				return picked
 			}
 			c.giveUp(reasonBusy, 100*time.Millisecond)
-			return nil, 0
+			return choice{}
 		}
 		if len(c.tried) > 0 && c.forget() {
 			continue
 		}
 		if now.After(patient) || c.left() <= answerMargin {
 			c.giveUp(c.noWorker(), 100*time.Millisecond)
-			return nil, 0
+			return choice{}
 		}
 		if !c.queue() {
-			return nil, 0
+			return choice{}
 		}
 	}
 }
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -2,9 +2,13 @@
 
 import (
 	"maps"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/shalefork/shalefork/internal/estimate"
 )
 
 // serviceState is what this process keeps of one service.
@@ -12,6 +16,22 @@
 	budget *budget
 	// waiting counts the requests that wait for a worker or an owner.
 	waiting atomic.Int32
+	mu      sync.Mutex
+	spread  estimate.Spread
+}
+
+// answered measures how much the times of answers vary around their workers' means.
+func (s *serviceState) answered(took, mean time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spread.Add(took, mean)
+}
+
+// late returns the share of answers that would miss a target, given their mean time.
+func (s *serviceState) late(mean, target time.Duration) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.spread.Late(mean, target)
 }
 
 // enter counts one more waiting request; false if there are as many as may wait,
