Let the leader tell configurations, and all changes of workers packed

Now many changes go compressed, newcomers gathered for 0.4 s, leaving workers at once; the configuration goes with its revision to whoever lacks it; a process that paused before it campaigns looks once only.

--- a/internal/peerlink/entries.go
+++ b/internal/peerlink/entries.go
@@ -1,13 +1,21 @@
 package peerlink
 
-import "github.com/shalefork/shalefork/internal/coord"
+import (
+	"slices"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/coord"
+)
 
 const (
 	// keptChanges is how many changes of workers are kept for links that lag.
-	keptChanges = 256
-	// mostChanges is how many are passed on to one link at once. More cost the
-	// leader's own connections too many bytes, and come seldom.
-	mostChanges = 8
+	keptChanges = 512
+	// fewChanges are told as they are; more of them are packed.
+	fewChanges = 8
+	// newcomersPause is the pause between messages to a link that tell of nothing but
+	// workers that came, of which there are many at a start. A worker that leaves is
+	// told at once.
+	newcomersPause = 400 * time.Millisecond
 )
 
 // entryLog keeps the last changes of workers. Each process keeps one, so that it has
@@ -48,12 +56,65 @@
 			news.Changes = append(news.Changes, change)
 		}
 	}
-	if len(news.Changes) > mostChanges {
-		return &Entries{From: l.to, To: l.to}
+	return news
+}
+
+// urgent reports whether a change says that a worker leaves.
+func urgent(one WorkerChange) bool { return one.Gone || one.Draining }
+
+// entriesFor returns what a link has not heard of the workers. The caller holds mu.
+func (h *Hub) entriesFor(one *link, now time.Time) *Entries {
+	news := h.entries.since(one.entries)
+	if news == nil {
+		return nil
+	}
+	hurry := len(news.Changes) == 0 || slices.ContainsFunc(news.Changes, urgent)
+	if !hurry && now.Sub(one.entriesAt) < newcomersPause {
+		return nil
+	}
+	one.entries, one.entriesAt = news.To, now
+	if len(news.Changes) > fewChanges {
+		h.packed.pack(news)
 	}
 	return news
 }
 
+// packedEntries keeps what was packed last: links lag by the same.
+type packedEntries struct {
+	from, to coord.Revision
+	packed   []byte
+}
+
+// pack packs the changes of a message.
+func (p *packedEntries) pack(news *Entries) {
+	if p.from != news.From || p.to != news.To {
+		*p = packedEntries{from: news.From, to: news.To, packed: pack(news.Changes)}
+	}
+	news.Packed, news.Changes = p.packed, nil
+}
+
+// ConfigRead tells of the operators' configuration as it was read, unless it is older
+// than what was told.
+func (h *Hub) ConfigRead(items []coord.Item, revision coord.Revision) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.config != nil && revision <= h.config.Revision {
+		return
+	}
+	h.config = &ConfigNews{Revision: revision, Packed: pack(items)}
+	h.wakeAll()
+}
+
+// configFor returns the configuration if a link's process has an older one. The caller
+// holds mu.
+func (h *Hub) configFor(one *link) *ConfigNews {
+	if h.config == nil || one.config >= h.config.Revision {
+		return nil
+	}
+	one.config = h.config.Revision
+	return h.config
+}
+
 // EntriesRead tells that all entries up to a revision were read at once.
 func (h *Hub) EntriesRead(at coord.Revision) {
 	h.mu.Lock()
--- a/internal/peerlink/follow.go
+++ b/internal/peerlink/follow.go
@@ -38,6 +38,8 @@
 	Nodes *atomic.Int32
 	// Entries returns up to which revision the workers' entries were read.
 	Entries func() coord.Revision
+	// Config returns the revision of the configuration that was read.
+	Config func() coord.Revision
 	// Linked is called once the leader has told its owners.
 	Linked func()
 	// Heard is called with all else that the leader says.
@@ -57,7 +59,7 @@
 	defer stop()
 	defer func() { _ = conn.Close() }()
 	hello := f.Hello
-	hello.Entries = f.Entries()
+	hello.Entries, hello.Config = f.Entries(), f.Config()
 	if err := writeLine(conn, hello); err != nil {
 		return Error.Wrap(err)
 	}
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -45,8 +45,11 @@
 	process    string
 	known      func() Known
 	entries    entryLog
-	deaf       bool
-	standbys   standbys
+	packed     packedEntries
+	// config is what was read last; nil if nothing is to be told.
+	config   *ConfigNews
+	deaf     bool
+	standbys standbys
 	// asked is called with the term of a leader that asks; nil: nobody wants to know.
 	asked func(term owner.Term)
 }
@@ -68,8 +71,11 @@
 	wake    chan struct{}
 	sent    map[routing.ServiceName][]owner.Owner
 	numbers map[workers.ID]int
-	// entries is the revision up to which the link knows of workers' entries.
-	entries coord.Revision
+	// entries is the revision up to which the link knows of workers' entries, and
+	// entriesAt is when it was told last; config is the one that it has.
+	entries   coord.Revision
+	entriesAt time.Time
+	config    coord.Revision
 	// hello is how the process introduced itself.
 	hello Hello
 	// stamp is the last one that it sent, and holds are the versions that it was sent,
@@ -200,7 +206,7 @@
 	one := &link{
 		conn: conn, wake: make(chan struct{}, 1),
 		sent: map[routing.ServiceName][]owner.Owner{}, numbers: map[workers.ID]int{},
-		entries: hello.Entries, hello: hello, holds: map[routing.ServiceName]uint64{},
+		entries: hello.Entries, config: hello.Config, hello: hello, holds: map[routing.ServiceName]uint64{},
 	}
 	if leading && !hello.Ask {
 		h.links[one] = struct{}{}
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -26,6 +26,8 @@
 	Term owner.Term `json:"term,omitempty"`
 	// Entries is the revision up to which the process has read the workers' entries.
 	Entries coord.Revision `json:"entries,omitempty"`
+	// Config is the revision of the configuration that the process has read.
+	Config coord.Revision `json:"config,omitempty"`
 	// Strength of the process's machine.
 	Strength float64 `json:"strength,omitempty"`
 	// Address at which the process answers questions, its Zone, and a name that is
@@ -54,9 +56,11 @@
 	// others look for changes themselves.
 	Deaf bool `json:"f,omitempty"`
 	// Strongest is the greatest strength of the linked processes' machines.
-	Strongest float64       `json:"b,omitempty"`
-	Entries   *Entries      `json:"e,omitempty"`
-	Services  []ServiceNews `json:"s,omitempty"`
+	Strongest float64  `json:"b,omitempty"`
+	Entries   *Entries `json:"e,omitempty"`
+	// Config is told when it is newer than what the process has.
+	Config   *ConfigNews   `json:"c,omitempty"`
+	Services []ServiceNews `json:"s,omitempty"`
 	// Mandate is for a standby only.
 	Mandate *Mandate `json:"y,omitempty"`
 }
@@ -120,6 +124,31 @@
 	From    coord.Revision `json:"f"`
 	To      coord.Revision `json:"t"`
 	Changes []WorkerChange `json:"e,omitempty"`
+	// Packed are the changes instead, where there are many.
+	Packed []byte `json:"p,omitempty"`
+}
+
+// All returns the changes, packed or not.
+func (e Entries) All() ([]WorkerChange, error) {
+	if len(e.Packed) == 0 {
+		return e.Changes, nil
+	}
+	var changes []WorkerChange
+	err := unpack(e.Packed, &changes)
+	return changes, err
+}
+
+// ConfigNews are the items of the operators' configuration as the leader has read them.
+type ConfigNews struct {
+	Revision coord.Revision `json:"r"`
+	Packed   []byte         `json:"p"`
+}
+
+// Items returns the items.
+func (c ConfigNews) Items() ([]coord.Item, error) {
+	var items []coord.Item
+	err := unpack(c.Packed, &items)
+	return items, err
 }
 
 // WorkerChange is one change of a worker's entry.
--- a/internal/peerlink/update.go
+++ b/internal/peerlink/update.go
@@ -15,8 +15,8 @@
 		return Update{}, false
 	}
 	update := Update{Leading: true, Term: h.term, Nodes: len(h.links) + 1, Known: h.known(), Doubtful: h.doubtful, Deaf: h.deaf, Strongest: h.strongest()}
-	update.Entries = h.entries.since(one.entries)
-	one.entries = max(one.entries, h.entries.to)
+	now := time.Now()
+	update.Entries, update.Config = h.entriesFor(one, now), h.configFor(one)
 	for service, owners := range h.owners {
 		before, told := one.sent[service]
 		news := ServiceNews{Service: service, Whole: !told}
@@ -31,7 +31,7 @@
 		one.sent[service] = owners
 		update.Services = append(update.Services, news)
 	}
-	update.Mandate = h.standbys.mandate(one, time.Now())
+	update.Mandate = h.standbys.mandate(one, now)
 	return update, true
 }
 
--- a/internal/router/configview.go
+++ b/internal/router/configview.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/peerlink"
 )
 
 // configView follows the operators' configuration.
@@ -16,6 +17,7 @@
 	for _, item := range items {
 		v.r.config.read(item.Revision)
 	}
+	v.tell(items)
 	v.read(items, at)
 }
 
@@ -28,9 +30,35 @@
 			items = append(items, events[index].Item)
 		}
 	}
+	v.tell(items)
 	v.read(items, at)
 }
 
+// tell lets the leader pass on what was read.
+func (v *configView) tell(items []coord.Item) {
+	newest := coord.Revision(0)
+	for _, item := range items {
+		newest = max(newest, item.Revision)
+	}
+	if newest > 0 {
+		v.r.hub.ConfigRead(items, newest)
+	}
+}
+
+// configTold takes what the leader has read of the configuration.
+func (r *Router) configTold(news peerlink.ConfigNews) {
+	items, err := news.Items()
+	if err != nil {
+		r.log.Line(decision.KindConfigBad).Int64("revision", int64(news.Revision)).Err(err).Msg("told by the leader")
+		r.config.again()
+		return
+	}
+	r.config.read(news.Revision)
+	view := &configView{r: r}
+	view.tell(items)
+	view.read(items, news.Revision)
+}
+
 func (v *configView) read(items []coord.Item, at coord.Revision) {
 	defer v.r.hub.Wake()
 	config, err := v.r.adapter.ReadConfig(items)
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -129,6 +129,9 @@
 	if update.Entries != nil && !r.entriesView.relayed(*update.Entries) {
 		r.entries.again()
 	}
+	if update.Config != nil {
+		r.configTold(*update.Config)
+	}
 	r.entries.compare(now, update.Known.Workers)
 	r.config.catchUp(now, update.Known.Config)
 }
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -45,18 +45,25 @@
 	if !r.settings.FirstStart {
 		r.readRecords(ctx)
 	}
+	paused := r.settings.FirstStart
+	if paused {
+		clock.Sleep(ctx, r.campaignPause()) // most find a leader at their first look then
+	}
 	for ctx.Err() == nil {
 		leader, found, err := r.look(ctx)
 		switch {
 		case err != nil:
 			clock.Sleep(ctx, lookPause)
 		case found && r.hasEnded(ctx, leader):
-			r.campaign(ctx, leader.Revision)
+			paused = r.campaign(ctx, leader.Revision, paused)
+			continue
 		case found:
 			r.followLeader(ctx, leader)
 		default:
-			r.campaign(ctx, 0)
+			paused = r.campaign(ctx, 0, paused)
+			continue
 		}
+		paused = false
 	}
 }
 
@@ -88,8 +95,8 @@
 	var linked atomic.Bool
 	follower := peerlink.Follower{
 		Hello: r.hello(), Table: r.table, Take: r.report, Nodes: r.nodes,
-		Entries: r.entriesView.revision,
-		Heard:   r.heard,
+		Entries: r.entriesView.revision, Config: r.config.coveredUpTo,
+		Heard: r.heard,
 		Linked: func() {
 			linked.Store(true)
 			r.log.Line(decision.KindLeaderFound).Str("leader", leader.Address).Int64("term", int64(leader.Term)).Msg("")
@@ -164,12 +171,19 @@
 }
 
 // campaign tries to lead, and leads until the tenure ends. replace is the
-// revision of the key of a leader that has ended, or zero.
-func (r *Router) campaign(ctx context.Context, replace coord.Revision) {
-	clock.Sleep(ctx, r.campaignPause())
-	if now, _, err := r.look(ctx); err != nil || now.Revision != replace || ctx.Err() != nil {
-		return
+// revision of the key of a leader that has ended, or zero. Before a process has paused,
+// so that not all of them campaign at once, it only does that: it then looks again.
+func (r *Router) campaign(ctx context.Context, replace coord.Revision, paused bool) bool {
+	if !paused {
+		clock.Sleep(ctx, r.campaignPause())
+		return true
 	}
+	r.tryToLead(ctx, replace)
+	return false
+}
+
+// tryToLead campaigns once, and leads until the tenure ends if it wins.
+func (r *Router) tryToLead(ctx context.Context, replace coord.Revision) {
 	tenure, err := r.election.Campaign(ctx, replace)
 	if err != nil {
 		if !errors.Is(err, election.ErrLost) {
--- a/internal/router/workersview.go
+++ b/internal/router/workersview.go
@@ -51,10 +51,11 @@
 func (v *workersView) relayed(news peerlink.Entries) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.at < news.From {
+	changes, err := news.All()
+	if v.at < news.From || err != nil {
 		return false
 	}
-	v.apply(news.Changes, news.To)
+	v.apply(changes, news.To)
 	return true
 }
 
