--- a/cmd/shalefork-lab/main.go
+++ b/cmd/shalefork-lab/main.go
@@ -12,5 +12,6 @@
 	program := cli.NewProgram("shalefork-lab", "Plays shalefork against a stand-in of its platform.")
 	program.Add(demoCommand())
 	program.Add(soakCommand())
+	program.Add(lossesCommand())
 	program.Main(os.Args[1:])
 }
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -85,8 +85,8 @@
 	Runs []byte `json:"r"`
 }
 
-// describeHolds writes holds as a message.
-func describeHolds(service routing.ServiceName, version uint64, holds []owner.Hold) ServiceHolds {
+// DescribeHolds writes holds as a message.
+func DescribeHolds(service routing.ServiceName, version uint64, holds []owner.Hold) ServiceHolds {
 	described := ServiceHolds{Service: service, Version: version}
 	runs := make([][4]int64, 0, len(holds))
 	places := map[workers.ID]int{}
--- a/internal/peerlink/standbys.go
+++ b/internal/peerlink/standbys.go
@@ -93,7 +93,7 @@
 	for service, held := range s.holds {
 		if one.holds[service] != held.version {
 			one.holds[service], one.holdsAt = held.version, now
-			news = append(news, describeHolds(service, held.version, held.holds))
+			news = append(news, DescribeHolds(service, held.version, held.holds))
 		}
 	}
 	return news
