--- /dev/null
+++ b/internal/router/report.go
@@ -0,0 +1,42 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/peerlink"
+)
+
+// hello introduces this process to a leader.
+func (r *Router) hello() peerlink.Hello {
+	return peerlink.Hello{
+		Node: r.settings.Node, Strength: r.hub.Strength, Address: r.settings.PeerListen, Zone: r.settings.Zone, Process: r.process,
+	}
+}
+
+// report is what the leader is told.
+func (r *Router) report() peerlink.Report {
+	report := r.meter.Take()
+	r.standby.Tell(&report)
+	return report
+}
+
+// reportToSelf gives the leader what its own process sees.
+func (r *Router) reportToSelf(ctx context.Context) {
+	ticker := time.NewTicker(ownReportEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		r.nodes.Store(int32(r.hub.Nodes()))
+		if report := r.meter.Take(); !report.Empty() {
+			select {
+			case r.reports <- report:
+			default:
+			}
+		}
+	}
+}
