--- a/internal/clock/sleep_test.go
+++ b/internal/clock/sleep_test.go
@@ -20,3 +20,19 @@
 		assert.Equal(t, time.Since(began), 2*time.Second)
 	})
 }
+
+func TestBackoffDoublesUpToItsLongest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backoff := Backoff{First: time.Second, Longest: 3 * time.Second}
+		slept := func() time.Duration {
+			began := time.Now()
+			assert.Assert(t, backoff.Sleep(t.Context()))
+			return time.Since(began)
+		}
+		for _, want := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 3 * time.Second} {
+			assert.Equal(t, slept(), want)
+		}
+		backoff.Reset()
+		assert.Equal(t, slept(), time.Second)
+	})
+}
--- a/internal/coord/follow.go
+++ b/internal/coord/follow.go
@@ -13,8 +13,9 @@
 const (
 	// watchSlack is added until a silent watch is given up.
 	watchSlack = 500 * time.Millisecond
-	// followPause is the wait after a failed call.
-	followPause = 250 * time.Millisecond
+	// followPause is the wait after a failed call, and longestPause after many.
+	followPause  = 250 * time.Millisecond
+	longestPause = time.Second
 	// listTimeout bounds one list.
 	listTimeout = 1500 * time.Millisecond
 	// catchUpWait is how long a watch may stay silent that reads what has changed.
@@ -55,6 +56,7 @@
 // Follow keeps a view up to date until ctx ends.
 func Follow(ctx context.Context, store Store, prefix string, view View, options Options) {
 	follower := &follower{store: store, prefix: prefix, view: view, options: options}
+	follower.backoff = clock.Backoff{First: followPause, Longest: longestPause}
 	for ctx.Err() == nil {
 		if err := follower.step(ctx); err != nil && ctx.Err() == nil {
 			follower.fail(ctx, err)
@@ -70,6 +72,7 @@
 	at      Revision
 	listed  bool
 	lost    bool
+	backoff clock.Backoff
 }
 
 // step lists or watches once.
@@ -157,6 +160,7 @@
 }
 
 func (f *follower) regain() {
+	f.backoff.Reset()
 	if f.lost {
 		f.lost = false
 		f.view.Regained()
@@ -168,5 +172,5 @@
 		f.lost = true
 		f.view.Lost(err)
 	}
-	clock.Sleep(ctx, followPause)
+	f.backoff.Sleep(ctx)
 }
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -38,9 +38,10 @@
 	// callTimeout bounds one renewal.
 	callTimeout = 1200 * time.Millisecond
 	// anotherWait is how long one wait for another leader lasts, and anotherPause is
-	// the pause after one that failed.
+	// the pause after one that failed, longestPause after many.
 	anotherWait  = 700 * time.Millisecond
 	anotherPause = 300 * time.Millisecond
+	longestPause = time.Second
 )
 
 // Leader is what the service says of the leader.
@@ -98,6 +99,7 @@
 // AwaitAnother waits until the service no longer names a leader; false if ctx ends
 // first. Waits are short: a watch that the service has lost unseen tells nothing.
 func (e *Election) AwaitAnother(ctx context.Context, leader Leader) bool {
+	backoff := clock.Backoff{First: anotherPause, Longest: longestPause}
 	for ctx.Err() == nil {
 		bounded, cancel := context.WithTimeout(ctx, anotherWait+anotherPause)
 		events, _, err := e.store.Watch(bounded, e.LeaderKey(), leader.Revision, anotherWait)
@@ -106,7 +108,9 @@
 		case errors.Is(err, coord.ErrNoHistory), err == nil && len(events) > 0:
 			return true
 		case err != nil:
-			clock.Sleep(ctx, anotherPause)
+			backoff.Sleep(ctx)
+		default:
+			backoff.Reset()
 		}
 	}
 	return false
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -21,8 +21,9 @@
 // Times of finding a leader.
 const (
 	lookTimeout = 1500 * time.Millisecond
-	// lookPause is the pause after a failed look.
-	lookPause = 300 * time.Millisecond
+	// lookPause is the pause after a failed look, and longestLookPause after many.
+	lookPause        = 300 * time.Millisecond
+	longestLookPause = time.Second
 	// configPause is the pause between looks for the first configuration.
 	configPause = 30 * time.Millisecond
 	// campaignSpread keeps processes from campaigning all at once.
@@ -49,11 +50,15 @@
 	if paused {
 		clock.Sleep(ctx, r.campaignPause()) // most find a leader at their first look then
 	}
+	backoff := clock.Backoff{First: lookPause, Longest: longestLookPause}
 	for ctx.Err() == nil {
 		leader, found, err := r.look(ctx)
+		if err == nil {
+			backoff.Reset()
+		}
 		switch {
 		case err != nil:
-			clock.Sleep(ctx, lookPause)
+			backoff.Sleep(ctx)
 		case found && r.hasEnded(ctx, leader):
 			paused = r.campaign(ctx, leader.Revision, paused)
 			continue
