--- a/internal/owner/model_test.go
+++ b/internal/owner/model_test.go
@@ -456,6 +456,7 @@
 		"a standby whose grant is late": {ticks: 7, moves: 1, lates: 1, tellings: 1, renewals: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			states, path, broken := explore(bounds)
 			if broken != "" {
 				t.Fatalf("%s, by %s", broken, strings.Join(path, ", "))
--- a/internal/owner/world_run_test.go
+++ b/internal/owner/world_run_test.go
@@ -64,6 +64,7 @@
 // play runs worlds of many seeds with some kinds of trouble.
 func play(t *testing.T, seeds *int, kinds ...disturb) {
 	t.Helper()
+	t.Parallel()
 	for seed := range *seeds {
 		w := newWorld(uint64(seed))
 		broken := w.run(50, func(second int) {
