Store who may renew only where the record is as it was last known

Cause, found by reading the diff: a write of the processes that may renew had only the leader's key as its condition. The write now names the record's revision as well and reads it again after a conflict. The test fails without it.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -156,6 +156,7 @@
 	tenure := newTenure(e.store, won, lease, ttl, sent)
 	tenure.Before = before
 	tenure.renewersKey, tenure.leaderKey = e.renewersKey(), e.LeaderKey()
+	tenure.renewersRevision = won.Revision
 	return tenure, nil
 }
 
@@ -194,9 +195,11 @@
 	// Before are the processes that may still renew what earlier leaders gave.
 	Before                 []Renewer
 	renewersKey, leaderKey string
-	store                  coord.Store
-	lease                  coord.LeaseID
-	ttl                    time.Duration
+	// renewersRevision is that of the record of renewers. One call at a time uses it.
+	renewersRevision coord.Revision
+	store            coord.Store
+	lease            coord.LeaseID
+	ttl              time.Duration
 
 	mu    sync.Mutex
 	until time.Time
--- a/internal/election/renewers.go
+++ b/internal/election/renewers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 
 	"github.com/shalefork/shalefork/internal/coord"
 )
@@ -46,12 +47,29 @@
 	return value
 }
 
-// StoreRenewers replaces the stored processes, as long as the tenure lasts. After an
-// error they may be stored all the same, or may be seconds later.
+// StoreRenewers replaces the stored processes, as long as the tenure lasts and the record
+// is as it was last known: a write without an answer that is done seconds later must not
+// undo a newer one. After an error they may be stored all the same. It is not safe for
+// concurrent use.
 func (t *Tenure) StoreRenewers(ctx context.Context, list []Renewer) error {
-	_, err := t.store.Commit(ctx, coord.Txn{
-		Conditions: []coord.Condition{{Key: t.leaderKey, Revision: t.Leader.Revision}},
-		Puts:       []coord.Put{{Key: t.renewersKey, Value: encodeRenewers(list)}},
+	revision, err := t.store.Commit(ctx, coord.Txn{
+		Conditions: []coord.Condition{
+			{Key: t.leaderKey, Revision: t.Leader.Revision}, {Key: t.renewersKey, Revision: t.renewersRevision},
+		},
+		Puts: []coord.Put{{Key: t.renewersKey, Value: encodeRenewers(list)}},
 	})
+	switch {
+	case err == nil:
+		t.renewersRevision = revision
+	case errors.Is(err, coord.ErrConflict):
+		t.reread(ctx)
+	}
 	return err
 }
+
+// reread learns the revision of a record that an earlier try has written after all.
+func (t *Tenure) reread(ctx context.Context) {
+	if item, found, err := t.store.Get(ctx, t.renewersKey); err == nil && found {
+		t.renewersRevision = item.Revision
+	}
+}
--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -49,6 +49,13 @@
 		new:  "\tcase OutcomeOther, OutcomeInvalid:",
 		pkg:  "./internal/owner", test: "TestStandbyRenewsOnlyWhatItMay",
 	},
+	{
+		name: "late-write-takes-a-standby-off-the-record",
+		file: "internal/election/renewers.go",
+		old:  "{Key: t.renewersKey, Revision: t.renewersRevision},",
+		new:  "",
+		pkg:  "./internal/election", test: "TestAWriteThatIsDoneLateTakesNoStandbyOffTheRecord",
+	},
 	{
 		name: "holds-of-the-leader-before-forgotten",
 		file: "internal/owner/record.go",
