Wait for another leader also where its history is forgotten

Cause: a process that has lost the leader waits for a change of the leader's key after the revision of its election.

Change: the key itself is read then, and the wait goes on from the revision of that. TestWaitingForAnotherLeaderOutlastsForgottenHistory failed before.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -100,22 +101,38 @@
 // first. Waits are short: a watch that the service has lost unseen tells nothing.
 func (e *Election) AwaitAnother(ctx context.Context, leader Leader) bool {
 	backoff := clock.Backoff{First: anotherPause, Longest: longestPause}
+	after := leader.Revision
 	for ctx.Err() == nil {
-		bounded, cancel := context.WithTimeout(ctx, anotherWait+anotherPause)
-		events, _, err := e.store.Watch(bounded, e.LeaderKey(), leader.Revision, anotherWait)
-		cancel()
+		changed, at, err := e.watchLeader(ctx, leader, after)
 		switch {
-		case errors.Is(err, coord.ErrNoHistory), err == nil && len(events) > 0:
-			return true
 		case err != nil:
 			backoff.Sleep(ctx)
+		case changed:
+			return true
 		default:
 			backoff.Reset()
+			after = at
 		}
 	}
 	return false
 }
 
+// watchLeader waits a moment for a change of the leader's key after a revision, and
+// returns the revision up to which there was none.
+func (e *Election) watchLeader(ctx context.Context, leader Leader, after coord.Revision) (changed bool, at coord.Revision, err error) {
+	bounded, cancel := context.WithTimeout(ctx, anotherWait+anotherPause)
+	defer cancel()
+	events, at, err := e.store.Watch(bounded, e.LeaderKey(), after, anotherWait)
+	if !errors.Is(err, coord.ErrNoHistory) {
+		return len(events) > 0, at, err
+	}
+	// The service no longer keeps what happened after that revision: the key itself
+	// shows whether it was changed.
+	items, at, err := e.store.List(bounded, e.LeaderKey())
+	unchanged := slices.ContainsFunc(items, func(one coord.Item) bool { return one.Revision == leader.Revision })
+	return !unchanged, at, err
+}
+
 // Campaign tries once to become the leader. replace is the revision of the
 // leader's key that may be replaced; zero: there must be none. The error is
 // ErrLost if another process leads.
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/coord/memory"
 	"github.com/shalefork/shalefork/internal/owner"
 )
@@ -141,3 +142,33 @@
 		assert.Assert(t, (<-noticed).Sub(lapsed) < 1500*time.Millisecond)
 	})
 }
+
+// Found on trouble-1 of tlb-gateway-large: the history between the leader's election and
+// now was gone, so each wait ended at once, and 94 processes asked 1,200 times in two
+// seconds.
+func TestWaitingForAnotherLeaderOutlastsForgottenHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		tenure, err := candidate(store, "a").Campaign(t.Context(), 0)
+		assert.NilError(t, err)
+		go tenure.Keep(t.Context())
+		waiting := candidate(store, "b")
+		leader, _, err := waiting.Look(t.Context())
+		assert.NilError(t, err)
+		_, err = store.Commit(t.Context(), coord.Txn{Puts: []coord.Put{{Key: "other", Value: []byte("x")}}})
+		assert.NilError(t, err)
+		store.Forget()
+		noticed := make(chan bool, 1)
+		go func() { noticed <- waiting.AwaitAnother(t.Context(), leader) }()
+		time.Sleep(7 * anotherWait)
+		synctest.Wait()
+		select {
+		case <-noticed:
+			t.Fatal("the leader still leads")
+		default:
+		}
+		assert.Assert(t, store.Calls["watch"]+store.Calls["list"] <= 10, "%v", store.Calls)
+		tenure.Resign(t.Context())
+		assert.Assert(t, <-noticed)
+	})
+}
