Speak with one relay in each zone where there are many routers

Change: beyond direct_routers (32) the leader redirects the routers of a zone to one of them, which passes on what it was told and adds up reports. A relay that loses the leader keeps its followers for as long as it reads the store itself; its word carries its age, and what is older than a silent leader's is not relied on. Versions of owners keep a router from going back when it changes its relay.

--- a/internal/coord/follow.go
+++ b/internal/coord/follow.go
@@ -48,6 +48,9 @@
 	// Paused says that another process tells of changes: nothing is watched. Nil:
 	// never.
 	Paused func() bool
+	// Reached is called after each call that was answered, with a time as of which all
+	// is known. Nil: nobody wants to know.
+	Reached func(at time.Time)
 	// Covered is the revision up to which the view knows all changes, which may come
 	// from elsewhere meanwhile. Nil: what was read here.
 	Covered func() Revision
@@ -105,6 +108,7 @@
 func (f *follower) list(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	began := time.Now()
 	items, at, err := f.store.List(bounded, f.prefix)
 	if err != nil {
 		return err
@@ -112,9 +116,17 @@
 	f.regain()
 	f.at, f.listed = max(f.at, at), true
 	f.view.Snapshot(items, at)
+	f.reached(began)
 	return nil
 }
 
+// reached tells that all is known as of a time.
+func (f *follower) reached(at time.Time) {
+	if f.options.Reached != nil {
+		f.options.Reached(at)
+	}
+}
+
 // watchFor waits for changes for some time.
 func (f *follower) watchFor(ctx context.Context, wait time.Duration) error {
 	if f.options.Covered != nil {
@@ -135,8 +147,12 @@
 	}
 	f.regain()
 	f.at = max(f.at, at)
+	answered := time.Now()
 	if len(events) > 0 {
 		f.view.Changed(events, f.at)
+	}
+	f.reached(answered)
+	if len(events) > 0 {
 		clock.Sleep(ctx, f.options.Gather())
 	}
 	return nil
--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -18,6 +18,7 @@
 	KindStoreBack    Kind = "store-regained"
 	KindLeaderLost   Kind = "leader-lost"
 	KindLeaderFound  Kind = "leader-found"
+	KindRelayLost    Kind = "relay-lost"
 	KindElected      Kind = "elected"
 	KindResigned     Kind = "resigned"
 	KindStandby      Kind = "standby"
@@ -53,7 +54,8 @@
 		{KindStoreLost, "the store does not answer", "for (what was followed), error"},
 		{KindStoreBack, "it answers again", "for"},
 		{KindLeaderLost, "the link to the leader broke", "leader, term, error"},
-		{KindLeaderFound, "a leader has told its owners", "leader, term"},
+		{KindLeaderFound, "a leader has told its owners, itself or through a relay", "leader, term, relay"},
+		{KindRelayLost, "the link to the relay broke, or it has had no leader for too long; the leader is asked for another", "relay, error"},
 		{KindElected, "this process leads", "term, holds_until (when all earlier holds have surely ended)"},
 		{KindResigned, "this process leads no longer", "term"},
 		{KindStandby, "this process begins or ends to renew what a lost leader gave", "renewing"},
--- a/internal/keytable/keytable.go
+++ b/internal/keytable/keytable.go
@@ -19,11 +19,13 @@
 	// term of the leader whose word stands, and since when it stands.
 	term owner.Term
 	at   time.Time
+	// versions are the leader's own numbers of what stands, by service.
+	versions map[routing.ServiceName]uint64
 }
 
 // New returns an empty table.
 func New() *Table {
-	table := &Table{changed: make(chan struct{})}
+	table := &Table{changed: make(chan struct{}), versions: map[routing.ServiceName]uint64{}}
 	table.services.Store(&map[routing.ServiceName][]owner.Owner{})
 	return table
 }
@@ -52,14 +54,42 @@
 	t.update(term, service, func([]owner.Owner) []owner.Owner { return slices.Clone(owners) })
 }
 
-// Paint sets the owners of some keys of a service.
-func (t *Table) Paint(term owner.Term, service routing.ServiceName, changes []owner.Owner) {
-	t.update(term, service, func(owners []owner.Owner) []owner.Owner {
-		for _, change := range changes {
-			owners = paint(owners, change)
+// Owners returns the owners of a service, which must not be changed, with the term and
+// the version that they are of.
+func (t *Table) Owners(service routing.ServiceName) (owners []owner.Owner, term owner.Term, version uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return (*t.services.Load())[service], t.term, t.versions[service]
+}
+
+// Change is what a leader says of a service's owners.
+type Change struct {
+	Term owner.Term
+	// Version counts the leader's changes of the service.
+	Version uint64
+	// Whole says that Owners are all, not only those of some keys.
+	Whole  bool
+	Owners []owner.Owner
+}
+
+// Apply takes a change. It may come over another way than the one before: what is older
+// than what stands changes nothing.
+func (t *Table) Apply(service routing.ServiceName, change Change) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if change.Term < t.term || (change.Term == t.term && change.Version < t.versions[service]) {
+		return
+	}
+	t.set(change.Term, service, func(owners []owner.Owner) []owner.Owner {
+		if change.Whole {
+			return slices.Clone(change.Owners)
+		}
+		for _, one := range change.Owners {
+			owners = paint(owners, one)
 		}
 		return owners
 	})
+	t.versions[service] = change.Version
 }
 
 func (t *Table) update(term owner.Term, service routing.ServiceName, change func([]owner.Owner) []owner.Owner) {
@@ -68,6 +98,15 @@
 	if term < t.term {
 		return
 	}
+	t.set(term, service, change)
+	delete(t.versions, service)
+}
+
+// set changes the owners of a service. The caller holds mu.
+func (t *Table) set(term owner.Term, service routing.ServiceName, change func([]owner.Owner) []owner.Owner) {
+	if term > t.term {
+		clear(t.versions)
+	}
 	t.term = term
 	t.at = time.Now()
 	fresh := map[routing.ServiceName][]owner.Owner{}
--- a/internal/keytable/keytable_test.go
+++ b/internal/keytable/keytable_test.go
@@ -40,7 +40,7 @@
 		before, after := drawOwners(t, "before"), drawOwners(t, "after")
 		table := New()
 		table.Replace(1, "s", before)
-		table.Paint(1, "s", Difference(before, after))
+		table.Apply("s", Change{Term: 1, Version: 1, Owners: Difference(before, after)})
 		probe := func(key int) {
 			held, known := table.Lookup("s", key)
 			if !known {
@@ -68,10 +68,38 @@
 	table := New()
 	table.Replace(3, "s", whole("new"))
 	table.Replace(2, "s", whole("old"))
-	table.Paint(2, "s", whole("old"))
+	table.Apply("s", Change{Term: 2, Version: 9, Owners: whole("old")})
 	held, known := table.Lookup("s", 7)
 	assert.Assert(t, known)
 	assert.Equal(t, held.Worker, workers.ID("new"))
 	term, _ := table.Age()
 	assert.Equal(t, term, owner.Term(3))
 }
+
+// A process that changes from one relay to another may hear there what it knows already,
+// or less.
+func TestAnOlderWordOverAnotherWayChangesNothing(t *testing.T) {
+	run := func(from, to int, worker workers.ID) []owner.Owner {
+		return []owner.Owner{{Keys: owner.Keys{From: from, To: to}, Worker: worker}}
+	}
+	for name, test := range map[string]struct {
+		change Change
+		want   workers.ID
+	}{
+		"older and whole":           {change: Change{Term: 3, Version: 4, Whole: true, Owners: run(0, owner.KeyCount-1, "b")}, want: "a"},
+		"older, of some keys":       {change: Change{Term: 3, Version: 4, Owners: run(7, 7, "b")}, want: "a"},
+		"the same again":            {change: Change{Term: 3, Version: 5, Whole: true, Owners: run(0, owner.KeyCount-1, "a")}, want: "a"},
+		"newer, of some keys":       {change: Change{Term: 3, Version: 6, Owners: run(7, 7, "b")}, want: "b"},
+		"of a later leader":         {change: Change{Term: 4, Version: 1, Whole: true, Owners: run(0, owner.KeyCount-1, "b")}, want: "b"},
+		"later, of an older leader": {change: Change{Term: 2, Version: 9, Whole: true, Owners: run(0, owner.KeyCount-1, "b")}, want: "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := New()
+			table.Apply("s", Change{Term: 3, Version: 5, Whole: true, Owners: run(0, owner.KeyCount-1, "a")})
+			table.Apply("s", test.change)
+			held, known := table.Lookup("s", 7)
+			assert.Assert(t, known)
+			assert.Equal(t, held.Worker, test.want)
+		})
+	}
+}
--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -192,8 +192,29 @@
 	{
 		name: "deaf-leader-relied-on",
 		file: "internal/router/follow.go",
-		old:  "	r.told.Store(!update.Deaf)",
-		new:  "	r.told.Store(true)",
+		old:  "	r.told.Store(!update.Deaf && !update.Stale())",
+		new:  "	r.told.Store(!update.Stale())",
 		pkg:  "./internal/router", test: "TestADeafLeaderIsNotReliedOn",
 	},
+	{
+		name: "stale-relay-relied-on",
+		file: "internal/router/follow.go",
+		old:  "	r.told.Store(!update.Deaf && !update.Stale())",
+		new:  "	r.told.Store(!update.Deaf)",
+		pkg:  "./internal/router", test: "TestAStaleRelayIsNotReliedOn",
+	},
+	{
+		name: "older-word-of-another-relay-taken",
+		file: "internal/keytable/keytable.go",
+		old:  "	if change.Term < t.term || (change.Term == t.term && change.Version < t.versions[service]) {",
+		new:  "	if change.Term < t.term {",
+		pkg:  "./internal/keytable", test: "TestAnOlderWordOverAnotherWayChangesNothing",
+	},
+	{
+		name: "relay-without-leader-followed-on",
+		file: "internal/router/following.go",
+		old:  "	return !(update.Leaderless && now.Sub(f.orphanSince) >= orphanPatience) &&",
+		new:  "	return true &&",
+		pkg:  "./internal/router", test: "TestARelayWithoutALeaderIsLeft",
+	},
 }
--- a/internal/peerlink/follow.go
+++ b/internal/peerlink/follow.go
@@ -12,6 +12,7 @@
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/keytable"
 	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/routing"
 )
 
 // Error is the class of errors of this package.
@@ -20,8 +21,17 @@
 // ErrNotLeading: the process does not lead.
 var ErrNotLeading = errs.New("the process does not lead")
 
-// The pause between reports is reportEvery, and reportEach for each process: with many
-// of them the leader sees as much in a longer time, and gets fewer bytes.
+// RedirectError names the process to follow instead.
+type RedirectError struct {
+	Address string
+}
+
+// Error implements error.
+func (e *RedirectError) Error() string { return "follow " + e.Address + " instead" }
+
+// The pause between reports is reportEvery, and reportEach for each process that reports
+// to the same one: with many of them that one sees as much in a longer time, and gets
+// fewer bytes.
 const (
 	reportEvery = 180 * time.Millisecond
 	reportEach  = 3 * time.Millisecond
@@ -36,6 +46,10 @@
 	Take func() Report
 	// Nodes is set to the number of processes.
 	Nodes *atomic.Int32
+	// Applied is called once a change of a service's owners stands in the table.
+	Applied func(service routing.ServiceName)
+	// Stays reports whether a process goes on following a relay that says this.
+	Stays func(Update) bool
 	// Entries returns up to which revision the workers' entries were read.
 	Entries func() coord.Revision
 	// Config returns the revision of the configuration that was read.
@@ -65,11 +79,12 @@
 	}
 	done := make(chan struct{})
 	defer close(done)
-	go f.report(conn, done)
-	return f.receive(conn)
+	siblings := &atomic.Int32{}
+	go f.report(conn, siblings, done)
+	return f.receive(conn, siblings)
 }
 
-func (f *Follower) receive(conn net.Conn) error {
+func (f *Follower) receive(conn net.Conn, siblings *atomic.Int32) error {
 	reader := bufio.NewReader(conn)
 	var named []NamedWorker
 	first := true
@@ -79,10 +94,16 @@
 		if err := readLine(reader, &update); err != nil {
 			return Error.Wrap(err)
 		}
-		if !update.Leading {
+		switch {
+		case update.Redirect != "":
+			return &RedirectError{Address: update.Redirect}
+		case !update.Leading && !update.Relayed:
+			return ErrNotLeading
+		case update.Relayed && !f.Stays(update):
 			return ErrNotLeading
 		}
 		f.Nodes.Store(int32(update.Nodes))
+		siblings.Store(int32(update.Links))
 		f.Heard(update)
 		if update.Doubtful {
 			f.Doubted()
@@ -111,20 +132,17 @@
 			Keys: owner.Keys{From: run[0], To: run[1]}, Worker: of.ID, Address: of.Address, Moving: run[3] == 1,
 		})
 	}
-	if news.Whole {
-		f.Table.Replace(term, news.Service, owners)
-	} else {
-		f.Table.Paint(term, news.Service, owners)
-	}
+	f.Table.Apply(news.Service, keytable.Change{Term: term, Version: news.Version, Whole: news.Whole, Owners: owners})
+	f.Applied(news.Service)
 	return true
 }
 
-func (f *Follower) report(conn net.Conn, done <-chan struct{}) {
+func (f *Follower) report(conn net.Conn, siblings *atomic.Int32, done <-chan struct{}) {
 	for {
 		select {
 		case <-done:
 			return
-		case <-time.After(reportEvery + time.Duration(f.Nodes.Load())*reportEach):
+		case <-time.After(reportEvery + time.Duration(siblings.Load())*reportEach):
 		}
 		report := f.Take()
 		if report.Empty() {
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -31,6 +31,8 @@
 type Hub struct {
 	// Strength of this process's machine.
 	Strength float64
+	// DirectNodes is up to how many processes the leader speaks with each of them.
+	DirectNodes int
 
 	mu      sync.Mutex
 	leading bool
@@ -39,27 +41,42 @@
 	// superseded is closed once a leader of a later term has asked.
 	superseded chan struct{}
 	term       owner.Term
-	owners     map[routing.ServiceName][]owner.Owner
+	owners     map[routing.ServiceName]published
 	links      map[*link]struct{}
-	reports    chan<- Report
-	process    string
-	known      func() Known
-	entries    entryLog
-	packed     packedEntries
+	// relays are the leader's, by zone; upstream is set while this process is one.
+	relays   map[string]*link
+	upstream *upstream
+	// mostNodes is the greatest number of processes lately, as of mostNodesAt.
+	mostNodes   int
+	mostNodesAt time.Time
+	reports     chan<- Report
+	process     string
+	known       func() Known
+	entries     entryLog
+	packed      packedEntries
 	// config is what was read last; nil if nothing is to be told.
 	config   *ConfigNews
 	deaf     bool
 	standbys standbys
 	// asked is called with the term of a leader that asks; nil: nobody wants to know.
 	asked func(term owner.Term)
+	// reported is called with the reports of processes that follow this relay.
+	reported func(Report)
+}
+
+// published are the owners of a service as they are told.
+type published struct {
+	owners []owner.Owner
+	// version counts the leader's changes of them.
+	version uint64
 }
 
 // NewHub returns a closed hub that passes reports on to a channel. process is
 // unique to the life of this process; known returns what it has read.
 func NewHub(process string, reports chan<- Report, known func() Known) *Hub {
 	h := &Hub{
-		process: process, owners: map[routing.ServiceName][]owner.Owner{}, links: map[*link]struct{}{},
-		reports: reports, known: known,
+		process: process, owners: map[routing.ServiceName]published{}, links: map[*link]struct{}{},
+		relays: map[string]*link{}, reports: reports, known: known,
 	}
 	h.standbys.reset()
 	return h
@@ -71,6 +88,11 @@
 	wake    chan struct{}
 	sent    map[routing.ServiceName][]owner.Owner
 	numbers map[workers.ID]int
+	// term is that of the leader whose owners were sent, and since is when the link began.
+	term  owner.Term
+	since time.Time
+	// followers is how many processes follow the link's process.
+	followers int
 	// entries is the revision up to which the link knows of workers' entries, and
 	// entriesAt is when it was told last; config is the one that it has.
 	entries   coord.Revision
@@ -90,8 +112,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.leading, h.term, h.doubtful = true, term, false
+	h.upstream = nil
 	h.superseded = make(chan struct{})
-	h.owners = map[routing.ServiceName][]owner.Owner{}
+	clear(h.owners)
+	clear(h.relays)
 	h.standbys.reset()
 }
 
@@ -156,6 +180,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.leading = false
+	h.dropAll()
+}
+
+// dropAll ends all links. The caller holds mu.
+func (h *Hub) dropAll() {
 	for one := range h.links {
 		_ = one.conn.Close()
 	}
@@ -165,7 +194,7 @@
 func (h *Hub) Publish(service routing.ServiceName, owners []owner.Owner) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.owners[service] = owners
+	h.owners[service] = published{owners: owners, version: h.owners[service].version + 1}
 	h.wakeAll()
 }
 
@@ -173,7 +202,7 @@
 func (h *Hub) Nodes() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return len(h.links) + 1
+	return h.nodes(time.Now())
 }
 
 // Serve accepts links until the listener closes.
@@ -208,13 +237,19 @@
 		conn: conn, wake: make(chan struct{}, 1),
 		sent: map[routing.ServiceName][]owner.Owner{}, numbers: map[workers.ID]int{},
 		entries: hello.Entries, config: hello.Config, hello: hello, holds: map[routing.ServiceName]uint64{},
+		since: time.Now(), followers: hello.Followers,
 	}
-	if leading && !hello.Ask {
+	redirect := ""
+	accepted := !hello.Ask && (leading || h.upstream != nil)
+	if accepted && leading {
+		redirect = h.relayFor(one, one.since)
+	}
+	if accepted = accepted && redirect == ""; accepted {
 		h.links[one] = struct{}{}
 	}
 	h.mu.Unlock()
-	if !leading || hello.Ask {
-		_ = writeLine(conn, Update{Leading: leading, Term: term, Process: h.process})
+	if !accepted {
+		_ = writeLine(conn, Update{Leading: leading, Term: term, Process: h.process, Redirect: redirect})
 		return
 	}
 	defer h.drop(one)
@@ -226,6 +261,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.links, one)
+	if h.relays[one.hello.Zone] == one {
+		delete(h.relays, one.hello.Zone)
+	}
 	h.standbys.lost(one)
 }
 
@@ -242,10 +280,25 @@
 		if report.Stamp > 0 {
 			h.stamped(one, report)
 		}
-		select {
-		case h.reports <- report:
-		default:
+		h.take(one, report)
+	}
+}
+
+// take passes a link's report on.
+func (h *Hub) take(one *link, report Report) {
+	h.mu.Lock()
+	one.followers = report.Followers
+	leading := h.leading
+	h.mu.Unlock()
+	if !leading {
+		if h.reported != nil {
+			h.reported(report)
 		}
+		return
+	}
+	select {
+	case h.reports <- report:
+	default:
 	}
 }
 
@@ -254,7 +307,7 @@
 	defer timer.Stop()
 	for {
 		update, ok := h.update(one)
-		if !ok || writeLine(one.conn, update) != nil {
+		if !ok || writeLine(one.conn, update) != nil || update.Redirect != "" {
 			return
 		}
 		select {
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -35,6 +35,10 @@
 	Address string `json:"address,omitempty"`
 	Zone    string `json:"zone,omitempty"`
 	Process string `json:"process,omitempty"`
+	// Avoid is the address of a relay that the process has lost, and Followers is how
+	// many processes follow it.
+	Avoid     string `json:"avoid,omitempty"`
+	Followers int    `json:"followers,omitempty"`
 }
 
 // Update is what the leader says. An Update without services is a heartbeat.
@@ -44,10 +48,19 @@
 	// Process is unique to the life of the process that answers.
 	Process string     `json:"p,omitempty"`
 	Term    owner.Term `json:"t"`
+	// Relayed says that the sender is a relay, which passes on what a leader has told
+	// it, AgeMillis ago; Leaderless that it has lost that leader.
+	Relayed    bool  `json:"r,omitempty"`
+	AgeMillis  int64 `json:"a,omitempty"`
+	Leaderless bool  `json:"o,omitempty"`
+	// Redirect is the address of the process to follow instead; empty: none.
+	Redirect string `json:"v,omitempty"`
+	// Links is how many processes are linked to the sender.
+	Links int `json:"m,omitempty"`
 	// Doubtful says that the leader does not reach the key-value service: another
 	// may lead.
 	Doubtful bool `json:"d,omitempty"`
-	// Nodes is how many processes are linked, the leader included.
+	// Nodes is how many processes there are, the leader included.
 	Nodes int `json:"n,omitempty"`
 	// Known is what the leader has read from the key-value service, so that a
 	// process whose watch was lost sees that it lags.
@@ -65,6 +78,12 @@
 	Mandate *Mandate `json:"y,omitempty"`
 }
 
+// Age is for how long a relay may not have heard what the leader knows.
+func (u Update) Age() time.Duration { return time.Duration(u.AgeMillis) * time.Millisecond }
+
+// Stale reports whether what a relay says is too old to rely on.
+func (u Update) Stale() bool { return u.Age() > SilenceLimit }
+
 // Mandate lets a standby renew what is held, should it lose the leader.
 type Mandate struct {
 	// Stamp is the last one of the standby's reports, and LeftMillis for how long
@@ -204,6 +223,8 @@
 // ServiceNews tells changes of the owners of one service.
 type ServiceNews struct {
 	Service routing.ServiceName `json:"s"`
+	// Version counts the leader's changes of the service's owners.
+	Version uint64 `json:"v"`
 	// Whole says that Runs are all owners, not changes only.
 	Whole bool `json:"w,omitempty"`
 	// Workers that this link has not named before. They are numbered from 0 in
@@ -231,7 +252,11 @@
 	// versions of the holds that it knows; both are for a standby only.
 	Stamp int64                          `json:"t,omitempty"`
 	Heard map[routing.ServiceName]uint64 `json:"v,omitempty"`
+	// Followers is how many processes follow a relay, whose report adds up theirs.
+	Followers int `json:"f,omitempty"`
 }
 
 // Empty reports whether nothing was seen and nothing is to be told.
-func (r Report) Empty() bool { return len(r.Keys) == 0 && len(r.Times) == 0 && r.Stamp == 0 }
+func (r Report) Empty() bool {
+	return len(r.Keys) == 0 && len(r.Times) == 0 && r.Stamp == 0 && r.Followers == 0
+}
--- a/internal/peerlink/meter.go
+++ b/internal/peerlink/meter.go
@@ -31,12 +31,17 @@
 func (m *Meter) Asked(service routing.ServiceName, key int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.count(service, key, 1)
+}
+
+// count counts requests for a key. The caller holds mu.
+func (m *Meter) count(service routing.ServiceName, key, requests int) {
 	counts := m.keys[service]
 	if counts == nil {
 		counts = map[int]int{}
 		m.keys[service] = counts
 	}
-	counts[key]++
+	counts[key] += requests
 }
 
 // Served counts an answer of a worker whose request did not wait there.
@@ -47,6 +52,21 @@
 	m.times[worker] = [2]int{sum[0] + 1, sum[1] + int(took.Milliseconds())}
 }
 
+// Add adds what another process has counted.
+func (m *Meter) Add(report Report) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for service, pairs := range report.Keys {
+		for index := 0; index+1 < len(pairs); index += 2 {
+			m.count(service, pairs[index], pairs[index+1])
+		}
+	}
+	for worker, seen := range report.Times {
+		sum := m.times[worker]
+		m.times[worker] = [2]int{sum[0] + seen[0], sum[1] + seen[1]}
+	}
+}
+
 // Take returns what was counted and begins anew.
 func (m *Meter) Take() Report {
 	m.mu.Lock()
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -16,6 +16,7 @@
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/keytable"
 	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -77,10 +78,17 @@
 }
 
 func follow(t *testing.T, address string) *followed {
+	t.Helper()
+	return followAs(t, address, Hello{Node: "n"})
+}
+
+// followAs follows a process that is told this.
+func followAs(t *testing.T, address string, hello Hello) *followed {
 	t.Helper()
 	f := &followed{table: keytable.New(), meter: NewMeter(), ended: make(chan error, 1)}
 	follower := Follower{
-		Hello: Hello{Node: "n"}, Table: f.table, Take: f.meter.Take, Nodes: &atomic.Int32{}, Linked: func() {},
+		Hello: hello, Table: f.table, Take: f.meter.Take, Nodes: &atomic.Int32{}, Linked: func() {},
+		Applied: func(routing.ServiceName) {}, Stays: func(Update) bool { return true },
 		Entries: func() coord.Revision { return coord.Revision(f.entries.Load()) }, Config: func() coord.Revision { return 0 },
 		Heard: f.hear, Doubted: func() { f.doubted.Store(true) },
 	}
--- /dev/null
+++ b/internal/peerlink/relay.go
@@ -0,0 +1,207 @@
+package peerlink
+
+import (
+	"time"
+
+	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/routing"
+)
+
+// With many processes the leader speaks with one relay in each zone, and the relay with
+// the others there: what the leader sends, and the bytes between zones, then grow with
+// zones and not with processes. A relay is a process that follows the leader itself; it
+// tells all that the leader tells but leaves, and adds up reports.
+
+const (
+	// relaySettle is how long the first processes of a zone are linked before one of
+	// them becomes its relay, so that there is a choice among machines.
+	relaySettle = 300 * time.Millisecond
+	// relayDoubts is how many processes must have lost a relay for it to be replaced
+	// while it is linked itself.
+	relayDoubts = 3
+	// nodesMemory is for how long processes count that are just changing their link.
+	nodesMemory = 3 * time.Second
+)
+
+// upstream is what a relay knows of the leader whose words it passes on.
+type upstream struct {
+	// heard is the last message's part that is the same for all links.
+	heard Update
+	// fresh is when all that the leader knew was known here.
+	fresh time.Time
+	// lost says that the link to the leader broke.
+	lost bool
+	// leaveTo is the address that all others are sent to; empty: they may stay.
+	leaveTo string
+}
+
+// head describes what a relay says in each message.
+func (u *upstream) head(update *Update, own Known, now time.Time) {
+	update.Relayed, update.Leaderless, update.Redirect = true, u.lost, u.leaveTo
+	update.Nodes = u.heard.Nodes
+	update.AgeMillis = max(0, now.Sub(u.fresh)).Milliseconds()
+	update.Known = Known{
+		Config: max(own.Config, u.heard.Known.Config), Workers: max(own.Workers, u.heard.Known.Workers),
+		SettleMillis: own.SettleMillis,
+	}
+	update.Strongest = max(update.Strongest, u.heard.Strongest)
+}
+
+// OnReported sets what is called with the reports of processes that follow this relay.
+func (h *Hub) OnReported(call func(Report)) { h.reported = call }
+
+// Relay takes what the leader says: from now on other processes may follow this one.
+func (h *Hub) Relay(heard Update) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leading {
+		return
+	}
+	if h.upstream == nil {
+		h.upstream = &upstream{}
+	}
+	h.upstream.lost, h.upstream.leaveTo = false, ""
+	h.upstream.heard = Update{Nodes: heard.Nodes, Known: heard.Known, Strongest: heard.Strongest}
+	if !heard.Deaf {
+		h.upstream.refresh(time.Now())
+	}
+}
+
+// refresh notes that all was known at a time.
+func (u *upstream) refresh(at time.Time) {
+	if at.After(u.fresh) {
+		u.fresh = at
+	}
+}
+
+// Refresh notes that this process has itself read from the key-value service all that was
+// there at a time.
+func (h *Hub) Refresh(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.upstream != nil {
+		h.upstream.refresh(at)
+	}
+}
+
+// RelayOwners sets the owners of a service as a leader of a term has told them.
+func (h *Hub) RelayOwners(service routing.ServiceName, owners []owner.Owner, term owner.Term, version uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leading {
+		return
+	}
+	if term != h.term {
+		h.term = term
+		clear(h.owners)
+	}
+	h.owners[service] = published{owners: owners, version: version}
+	h.wakeAll()
+}
+
+// LeaderLost says that a relay has lost its leader. Those that follow it stay for as long
+// as it reads the key-value service itself.
+func (h *Hub) LeaderLost() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.upstream != nil {
+		h.upstream.lost = true
+		h.wakeAll()
+	}
+}
+
+// LeaveTo sends all that follow this relay to another process.
+func (h *Hub) LeaveTo(address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.upstream != nil {
+		h.upstream.leaveTo = address
+		h.wakeAll()
+	}
+}
+
+// Followers returns how many processes follow this relay; zero for a leader.
+func (h *Hub) Followers() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leading {
+		return 0
+	}
+	return len(h.links)
+}
+
+// nodes returns how many processes there are. Those that change their link count on for
+// a moment. The caller holds mu.
+func (h *Hub) nodes(now time.Time) int {
+	count := 1 + len(h.links)
+	for one := range h.links {
+		count += one.followers
+	}
+	if count >= h.mostNodes || now.Sub(h.mostNodesAt) > nodesMemory {
+		h.mostNodes, h.mostNodesAt = count, now
+	}
+	return h.mostNodes
+}
+
+// relayFor returns the address of the relay that a link's process is to follow; empty if
+// it stays with the leader. The caller holds mu.
+func (h *Hub) relayFor(one *link, now time.Time) string {
+	if h.nodes(now) <= h.DirectNodes || h.standbys.appointed[one.hello.Process] || one.hello.Address == "" {
+		return ""
+	}
+	zone := one.hello.Zone
+	relay := h.relays[zone]
+	if relay == nil || h.doubted(relay) {
+		relay = h.chooseRelay(zone, relay, now)
+		h.relays[zone] = relay
+	}
+	if relay == nil || relay == one || relay.hello.Process == one.hello.Process || relay.hello.Address == one.hello.Avoid {
+		return ""
+	}
+	return relay.hello.Address
+}
+
+// doubted reports whether enough processes have lost a relay. The caller holds mu.
+func (h *Hub) doubted(relay *link) bool {
+	doubts := 0
+	for one := range h.links {
+		if one.hello.Avoid == relay.hello.Address {
+			doubts++
+		}
+	}
+	return doubts >= relayDoubts
+}
+
+// chooseRelay returns the link of a zone that is its next relay: one that others follow
+// already, else the one on the strongest machine; nil if it is too early to choose. The
+// caller holds mu.
+func (h *Hub) chooseRelay(zone string, before *link, now time.Time) *link {
+	var best *link
+	first := now
+	for one := range h.links {
+		if one.hello.Zone != zone || one == before || one.hello.Address == "" {
+			continue
+		}
+		if one.since.Before(first) {
+			first = one.since
+		}
+		if best == nil || one.betterRelay(best) {
+			best = one
+		}
+	}
+	if now.Sub(first) < relaySettle {
+		return nil
+	}
+	return best
+}
+
+// betterRelay compares two links of a zone.
+func (l *link) betterRelay(other *link) bool {
+	switch {
+	case l.followers != other.followers:
+		return l.followers > other.followers
+	case l.hello.Strength != other.hello.Strength:
+		return l.hello.Strength > other.hello.Strength
+	}
+	return l.since.Before(other.since)
+}
--- /dev/null
+++ b/internal/peerlink/relay_test.go
@@ -0,0 +1,149 @@
+package peerlink
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// relaying is a hub that passes on what a leader says, with its address.
+func relaying(t *testing.T) (*Hub, string) {
+	t.Helper()
+	hub := NewHub("relay", nil, func() Known { return Known{Config: 7} })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go hub.Serve(listener)
+	return hub, listener.Addr().String()
+}
+
+func TestARelayPassesOnWhatItsLeaderSays(t *testing.T) {
+	hub, address := relaying(t)
+	reports := make(chan Report, 4)
+	hub.OnReported(func(report Report) { reports <- report })
+	early := follow(t, address)
+	assert.ErrorIs(t, <-early.ended, ErrNotLeading, "it has heard no leader yet")
+	hub.Relay(Update{Nodes: 50, Known: Known{Config: 9}})
+	hub.RelayOwners("s", run("a"), 3, 1)
+	f := follow(t, address)
+	eventually(t, "owners", f.owns(7, "a"))
+	assert.Equal(t, f.known.Load(), int64(9), "what the leader knows, not only the relay")
+	hub.EntriesChanged([]WorkerChange{change("b", 12)}, 14)
+	eventually(t, "changed workers", func() bool { return f.entries.Load() == 14 })
+	f.meter.Asked("s", 5)
+	report := <-reports
+	assert.DeepEqual(t, report.Keys["s"], []int{5, 1})
+	assert.Equal(t, hub.Followers(), 1)
+	hub.RelayOwners("s", run("b"), 4, 1)
+	eventually(t, "owners of the next leader", f.owns(7, "b"))
+	answer, ok := Ask(t.Context(), address, 0)
+	assert.Assert(t, ok && !answer.Leading, "a relay does not lead")
+	hub.LeaveTo("other:1")
+	var redirect *RedirectError
+	assert.Assert(t, errors.As(<-f.ended, &redirect))
+	assert.Equal(t, redirect.Address, "other:1")
+}
+
+// run is one worker that has all keys.
+func run(worker string) []owner.Owner {
+	return []owner.Owner{{Keys: owner.Keys{From: 0, To: owner.KeyCount - 1}, Worker: workers.ID(worker), Address: "a"}}
+}
+
+func TestARelaysWordAges(t *testing.T) {
+	hub := NewHub("relay", nil, func() Known { return Known{} })
+	start := time.Now()
+	hub.Relay(Update{})
+	heard := func(after time.Duration) Update {
+		head, ok := hub.head(&link{}, start.Add(after))
+		assert.Assert(t, ok)
+		return head
+	}
+	assert.Assert(t, !heard(time.Second).Stale())
+	assert.Assert(t, heard(2*time.Second).Stale())
+	hub.LeaderLost()
+	assert.Assert(t, heard(time.Second).Leaderless)
+	hub.Refresh(start.Add(5 * time.Second))
+	assert.Assert(t, !heard(6*time.Second).Stale(), "it has read the service itself")
+	assert.Assert(t, heard(7*time.Second).Stale())
+	hub.Refresh(start)
+	assert.Assert(t, !heard(6*time.Second).Stale(), "an older answer changes nothing")
+	hub.Relay(Update{Deaf: true})
+	assert.Assert(t, heard(7*time.Second).Stale(), "a leader that reads nothing is no news")
+	assert.Assert(t, !heard(7*time.Second).Leaderless)
+}
+
+func TestWhoFollowsARelay(t *testing.T) {
+	start := time.Unix(1000, 0)
+	late := start.Add(relaySettle)
+	strong := Hello{Process: "strong", Address: "strong:1", Zone: "z", Strength: 1}
+	weak := Hello{Process: "weak", Address: "weak:1", Zone: "z", Strength: 0.2}
+	for name, test := range map[string]struct {
+		direct    int
+		now       time.Time
+		self      Hello
+		appointed string
+		doubts    int
+		want      string
+	}{
+		"few processes":                  {direct: 9, now: late, self: weak},
+		"too early to choose":            {now: start.Add(relaySettle / 2), self: weak},
+		"the strongest of the zone":      {now: late, self: weak, want: "strong:1"},
+		"the relay itself":               {now: late, self: strong},
+		"of a zone of its own":           {now: late, self: Hello{Process: "x", Address: "x:1", Zone: "y"}},
+		"a standby":                      {now: late, self: weak, appointed: "weak"},
+		"that has lost it":               {now: late, self: Hello{Process: "weak", Address: "weak:1", Zone: "z", Avoid: "strong:1"}},
+		"one of too few that lost it":    {now: late, self: weak, doubts: relayDoubts - 1, want: "strong:1"},
+		"after enough processes lost it": {now: late, self: weak, doubts: relayDoubts, want: "d0:1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			hub := NewHub("leader", nil, func() Known { return Known{} })
+			hub.DirectNodes = test.direct
+			hub.Open(1)
+			add := func(hello Hello) *link {
+				one := &link{hello: hello, since: start}
+				hub.links[one] = struct{}{}
+				return one
+			}
+			relay := add(strong)
+			self := relay
+			if test.self.Process != strong.Process {
+				self = add(test.self)
+			}
+			if test.doubts > 0 {
+				hub.relays["z"] = relay
+			}
+			for index := range test.doubts {
+				name := fmt.Sprintf("d%d", index)
+				add(Hello{Process: name, Address: name + ":1", Zone: "z", Strength: 0.9 - float64(index)/10, Avoid: "strong:1"})
+			}
+			hub.standbys.appointed[test.appointed] = true
+			assert.Equal(t, hub.relayFor(self, test.now), test.want)
+		})
+	}
+}
+
+// A process that joins a zone with a relay costs the leader one line.
+func TestNewcomersAreSentToTheRelay(t *testing.T) {
+	hub, _, address := leading(t, 3)
+	hub.Publish("s", run("a"))
+	relay := &link{hello: Hello{Process: "relay", Address: "relay:1"}, since: time.Now()}
+	hub.mu.Lock()
+	hub.links[relay], hub.relays[""] = struct{}{}, relay
+	hub.mu.Unlock()
+	f := followAs(t, address, Hello{Node: "n", Process: "n", Address: "n:1"})
+	var redirect *RedirectError
+	assert.Assert(t, errors.As(<-f.ended, &redirect))
+	assert.Equal(t, redirect.Address, "relay:1")
+	assert.Equal(t, len(hub.Peers()), 1)
+	hub.take(relay, Report{Followers: 40})
+	assert.Equal(t, hub.Nodes(), 42)
+	hub.take(relay, Report{Followers: 30})
+	assert.Equal(t, hub.Nodes(), 42, "those that change their link count on for a moment")
+}
--- a/internal/peerlink/update.go
+++ b/internal/peerlink/update.go
@@ -11,28 +11,58 @@
 func (h *Hub) update(one *link) (Update, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.leading {
-		return Update{}, false
-	}
-	update := Update{Leading: true, Term: h.term, Nodes: len(h.links) + 1, Known: h.known(), Doubtful: h.doubtful, Deaf: h.deaf, Strongest: h.strongest()}
 	now := time.Now()
+	update, ok := h.head(one, now)
+	if !ok || update.Redirect != "" {
+		return update, ok
+	}
 	update.Entries, update.Config = h.entriesFor(one, now), h.configFor(one)
-	for service, owners := range h.owners {
+	update.Services = h.servicesFor(one)
+	if h.leading {
+		update.Mandate = h.standbys.mandate(one, now)
+	}
+	return update, true
+}
+
+// head says what stands in each message to a link; false if the link is to end. The
+// caller holds mu.
+func (h *Hub) head(one *link, now time.Time) (Update, bool) {
+	update := Update{Term: h.term, Links: len(h.links), Strongest: h.strongest()}
+	switch {
+	case h.leading:
+		update.Leading, update.Known = true, h.known()
+		update.Nodes, update.Doubtful, update.Deaf = h.nodes(now), h.doubtful, h.deaf
+		update.Redirect = h.relayFor(one, now)
+	case h.upstream != nil:
+		h.upstream.head(&update, h.known(), now)
+	default:
+		return Update{}, false
+	}
+	return update, true
+}
+
+// servicesFor returns the owners that a link has not heard. The caller holds mu.
+func (h *Hub) servicesFor(one *link) []ServiceNews {
+	if one.term != h.term { // another leader: its owners are told whole
+		one.term = h.term
+		clear(one.sent)
+	}
+	var list []ServiceNews
+	for service, now := range h.owners {
 		before, told := one.sent[service]
-		news := ServiceNews{Service: service, Whole: !told}
-		changes := owners
+		news := ServiceNews{Service: service, Whole: !told, Version: now.version}
+		changes := now.owners
 		if told {
-			changes = keytable.Difference(before, owners)
+			changes = keytable.Difference(before, now.owners)
 		}
 		if len(changes) == 0 {
 			continue
 		}
 		one.number(&news, changes)
-		one.sent[service] = owners
-		update.Services = append(update.Services, news)
+		one.sent[service] = now.owners
+		list = append(list, news)
 	}
-	update.Mandate = h.standbys.mandate(one, now)
-	return update, true
+	return list
 }
 
 // number writes the runs with the workers' numbers.
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -15,6 +15,9 @@
 	// shortWait is how long a watch may stay silent at the leader, and at a
 	// process that no leader tells of changes.
 	shortWait = 1500 * time.Millisecond
+	// relayWait is the same at a process that others follow: less than the age at which
+	// they read for themselves.
+	relayWait = 700 * time.Millisecond
 	// shortGather and longGather are the pauses after changes of workers, at the
 	// leader and at the others; a worker that leaves may get requests for 2 s.
 	shortGather = 150 * time.Millisecond
@@ -31,6 +34,8 @@
 	renew           chan struct{}
 	// lagging is since when the leader knows more; zero if it does not.
 	lagging time.Time
+	// reached is as of when all was read from the service, in nanoseconds since 1970.
+	reached atomic.Int64
 	// asked is the last change of the leader's for which all was read anew.
 	asked coord.Revision
 }
@@ -101,14 +106,36 @@
 // follow keeps a view of a prefix, by watches unless the leader tells of changes.
 func (r *Router) follow(ctx context.Context, prefix string, view coord.View, of *followed) {
 	coord.Follow(ctx, r.adapter.Store, prefix, view, coord.Options{
-		Wait:    func() time.Duration { return shortWait },
+		Wait:    r.watchWait,
 		Gather:  r.gather,
 		Renew:   of.renew,
 		Paused:  r.told.Load,
 		Covered: of.coveredUpTo,
+		Reached: func(at time.Time) { r.storeReached(of, at) },
 	})
 }
 
+// watchWait is how long a watch may stay silent. Processes that follow a relay without a
+// leader know as much as its last answer says.
+func (r *Router) watchWait() time.Duration {
+	if r.hub.Followers() > 0 {
+		return relayWait
+	}
+	return shortWait
+}
+
+// storeReached notes an answer of the service; the relay's word is as old as the older
+// one of what it follows.
+func (r *Router) storeReached(of *followed, at time.Time) {
+	of.reached.Store(at.UnixNano())
+	r.hub.Refresh(r.readUpTo())
+}
+
+// readUpTo returns as of when this process has itself read all from the service.
+func (r *Router) readUpTo() time.Time {
+	return time.Unix(0, min(r.entries.reached.Load(), r.config.reached.Load()))
+}
+
 // gather is short at the process that moves keys.
 func (r *Router) gather() time.Duration {
 	if r.hub.Leading() {
@@ -119,8 +146,13 @@
 
 // heard takes what the leader says of changes.
 func (r *Router) heard(update peerlink.Update) {
-	r.told.Store(!update.Deaf)
-	r.standby.Heard(update.Term, update.Mandate)
+	r.told.Store(!update.Deaf && !update.Stale())
+	if !update.Leaderless {
+		r.standby.Heard(update.Term, update.Mandate)
+	}
+	if update.Leading {
+		r.hub.Relay(update)
+	}
 	r.strongest.Store(math.Float64bits(update.Strongest))
 	now := time.Now()
 	if settle := update.Known.SettleMillis; settle > 0 {
--- /dev/null
+++ b/internal/router/following_test.go
@@ -0,0 +1,58 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/peerlink"
+)
+
+// stale is an age at which a relay's word is not relied on.
+const stale = peerlink.SilenceLimit + 50*time.Millisecond
+
+func TestAStaleRelayIsNotReliedOn(t *testing.T) {
+	r := newTestRouter(t)
+	r.heard(peerlink.Update{Relayed: true, AgeMillis: 900})
+	assert.Assert(t, r.told.Load())
+	r.heard(peerlink.Update{Relayed: true, AgeMillis: stale.Milliseconds()})
+	assert.Assert(t, !r.told.Load())
+}
+
+func TestARelayWithoutALeaderIsLeft(t *testing.T) {
+	for name, test := range map[string]struct {
+		update peerlink.Update
+		orphan time.Duration
+		// read says that this process has read all from the service itself, and ahead for
+		// how long it does so while the relay does not.
+		read  bool
+		ahead time.Duration
+		stays bool
+	}{
+		"has a leader":                      {update: peerlink.Update{Relayed: true}, orphan: time.Hour, stays: true},
+		"lost it just now":                  {update: peerlink.Update{Leaderless: true}, stays: true},
+		"reads the service itself":          {update: peerlink.Update{Leaderless: true}, orphan: 3 * time.Second, stays: true},
+		"for too long":                      {update: peerlink.Update{Leaderless: true}, orphan: orphanPatience},
+		"nobody reaches the service":        {update: peerlink.Update{Leaderless: true, AgeMillis: stale.Milliseconds()}, orphan: time.Second, stays: true},
+		"both will reach it soon":           {update: peerlink.Update{Leaderless: true, AgeMillis: stale.Milliseconds()}, read: true, stays: true},
+		"only this one reaches the service": {update: peerlink.Update{Leaderless: true, AgeMillis: stale.Milliseconds()}, read: true, ahead: aheadPatience},
+		"neither reaches it any more":       {update: peerlink.Update{Leaderless: true, AgeMillis: stale.Milliseconds()}, ahead: aheadPatience, stays: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newTestRouter(t)
+			f := &following{r: r}
+			if test.orphan > 0 {
+				f.orphanSince = time.Now().Add(-test.orphan)
+			}
+			if test.ahead > 0 {
+				f.aheadSince = time.Now().Add(-test.ahead)
+			}
+			if test.read {
+				r.storeReached(r.entries, time.Now())
+				r.storeReached(r.config, time.Now())
+			}
+			assert.Equal(t, f.stays(test.update), test.stays)
+		})
+	}
+}
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -5,8 +5,6 @@
 	"errors"
 	"math"
 	"math/rand/v2"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/clock"
@@ -94,44 +92,6 @@
 	return r.election.Look(bounded)
 }
 
-// followLeader follows the leader until its link breaks, then waits until the
-// service names another, or none.
-func (r *Router) followLeader(ctx context.Context, leader election.Leader) {
-	var linked atomic.Bool
-	follower := peerlink.Follower{
-		Hello: r.hello(), Table: r.table, Take: r.report, Nodes: r.nodes,
-		Entries: r.entriesView.revision, Config: r.config.coveredUpTo,
-		Heard: r.heard,
-		Linked: func() {
-			linked.Store(true)
-			r.log.Line(decision.KindLeaderFound).Str("leader", leader.Address).Int64("term", int64(leader.Term)).Msg("")
-		},
-	}
-	following, stop := context.WithCancel(ctx)
-	defer stop()
-	var doubted sync.Once
-	follower.Doubted = func() { doubted.Do(func() { go r.awaitAnother(following, stop, leader) }) }
-	err := follower.Follow(following, leader.Address)
-	r.told.Store(false) // what was not told by now is read from the service
-	r.standby.Lost()
-	if ctx.Err() != nil {
-		return
-	}
-	if linked.Load() {
-		r.log.Line(decision.KindLeaderLost).Str("leader", leader.Address).Int64("term", int64(leader.Term)).Err(err).Msg("")
-	} else {
-		r.readRecords(ctx)
-	}
-	r.awaitChange(ctx, leader)
-}
-
-// awaitAnother stops following a leader once the service no longer names it.
-func (r *Router) awaitAnother(ctx context.Context, stop context.CancelFunc, leader election.Leader) {
-	if r.election.AwaitAnother(ctx, leader) {
-		stop()
-	}
-}
-
 // awaitChange waits until the service no longer names a leader that was lost, or
 // something answers again where it was.
 func (r *Router) awaitChange(ctx context.Context, leader election.Leader) {
--- a/internal/router/report.go
+++ b/internal/router/report.go
@@ -17,6 +17,7 @@
 // report is what the leader is told.
 func (r *Router) report() peerlink.Report {
 	report := r.meter.Take()
+	report.Followers = r.hub.Followers()
 	r.standby.Tell(&report)
 	return report
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -117,7 +117,7 @@
 	r.proxy.Log, r.proxy.Nodes, r.proxy.Metrics = log, r.nodes, proxy.NewMetrics(metrics)
 	r.process = rand.Text()
 	r.hub = peerlink.NewHub(r.process, r.reports, r.known)
-	r.hub.Strength = config.Machine.Strength()
+	r.hub.Strength, r.hub.DirectNodes = config.Machine.Strength(), config.DirectRouters
 	r.election = election.New(adapter.Store, KeyPrefix, config.PeerListen, r.process, rand.Text)
 	r.election.TTL = max(election.LeaseTTL, config.MinLease.Std())
 	r.keeper = &keeper.Keeper{
@@ -127,6 +127,7 @@
 	}
 	r.standby = standby.New(adapter.Orders, r.keeper.Times, log)
 	r.hub.OnAsked(r.standby.Stop)
+	r.hub.OnReported(r.meter.Add)
 	metrics.MustRegister(r.proxy)
 	r.registerGauges(metrics)
 	return r
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -82,4 +82,7 @@
 	DefaultRetryRatio  = 0.1
 	DefaultRetrySlack  = 20
 	DefaultRetryWindow = 10 * time.Second
+	// DefaultDirectRouters: so many links cost a leader little, and each relay between is
+	// one more process that may fail.
+	DefaultDirectRouters = 32
 )
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -35,6 +35,9 @@
 	FirstStart bool `yaml:"first_start"`
 	// Machine that the process runs on; stronger ones lead first.
 	Machine Machine `yaml:"machine"`
+	// DirectRouters is up to how many routers the leader speaks with each of them; where
+	// there are more, it speaks with one relay in each zone.
+	DirectRouters int `yaml:"direct_routers" validate:"gte=0"`
 	// Operators who may change bundles. Where there are any, the router follows
 	// the teams' bundles, and not a configuration of the platform's.
 	Operators []Operator `yaml:"operators" validate:"dive"`
@@ -123,6 +126,8 @@
 
 func defaultRouter() Router {
 	return Router{
+		DirectRouters: DefaultDirectRouters,
+
 		MaxHold: bundle.Duration(DefaultMaxHold),
 		Grace:   bundle.Duration(DefaultGrace),
 		Drain:   bundle.Duration(DefaultDrain),
