--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -239,6 +239,7 @@
 		entries: hello.Entries, config: hello.Config, hello: hello, holds: map[routing.ServiceName]uint64{},
 		since: time.Now(), followers: hello.Followers,
 	}
+	h.expectNodes(hello.Nodes, one.since)
 	redirect := ""
 	accepted := !hello.Ask && (leading || h.upstream != nil)
 	if accepted && leading {
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -39,6 +39,9 @@
 	// many processes follow it.
 	Avoid     string `json:"avoid,omitempty"`
 	Followers int    `json:"followers,omitempty"`
+	// Nodes is how many processes there were when the process heard last, so that a new
+	// leader knows before all are linked.
+	Nodes int `json:"nodes,omitempty"`
 }
 
 // Update is what the leader says. An Update without services is a heartbeat.
--- a/internal/peerlink/relay.go
+++ b/internal/peerlink/relay.go
@@ -13,8 +13,8 @@
 // tells all that the leader tells but leaves, and adds up reports.
 
 const (
-	// relaySettle is how long the first processes of a zone are linked before one of
-	// them becomes its relay, so that there is a choice among machines.
+	// relaySettle is how long the first processes of a zone are linked before one on a
+	// weaker machine becomes its relay, so that there is a choice among machines.
 	relaySettle = 300 * time.Millisecond
 	// relayDoubts is how many processes must have lost a relay for it to be replaced
 	// while it is linked itself.
@@ -130,6 +130,13 @@
 	return len(h.links)
 }
 
+// expectNodes takes a process's word on how many there are. The caller holds mu.
+func (h *Hub) expectNodes(count int, now time.Time) {
+	if count > h.mostNodes {
+		h.mostNodes, h.mostNodesAt = count, now
+	}
+}
+
 // nodes returns how many processes there are. Those that change their link count on for
 // a moment. The caller holds mu.
 func (h *Hub) nodes(now time.Time) int {
@@ -189,7 +196,7 @@
 			best = one
 		}
 	}
-	if now.Sub(first) < relaySettle {
+	if best != nil && best.followers == 0 && best.hello.Strength < 1 && now.Sub(first) < relaySettle {
 		return nil
 	}
 	return best
--- a/internal/router/following.go
+++ b/internal/router/following.go
@@ -101,7 +101,7 @@
 func (f *following) once(ctx context.Context) error {
 	r := f.r
 	hello := r.hello()
-	hello.Avoid, hello.Followers = f.avoid, r.hub.Followers()
+	hello.Avoid, hello.Followers, hello.Nodes = f.avoid, r.hub.Followers(), int(r.nodes.Load())
 	follower := peerlink.Follower{
 		Hello: hello, Table: r.table, Take: r.report, Nodes: r.nodes,
 		Entries: r.entriesView.revision, Config: r.config.coveredUpTo,
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -26,8 +26,9 @@
 	configPause = 30 * time.Millisecond
 	// campaignSpread keeps processes from campaigning all at once.
 	campaignSpread = 150 * time.Millisecond
-	// weakPause is by how much later those on weaker machines campaign.
-	weakPause = 250 * time.Millisecond
+	// weakPause is by how much later those on weaker machines campaign: after an outage
+	// of the service the strong ones may look for a leader up to a second later.
+	weakPause = 700 * time.Millisecond
 	// askTimeout bounds asking the leader before whether it has stopped.
 	askTimeout = 400 * time.Millisecond
 	// ownReportEvery is the pause between a leader's reports to itself.
