Prefer a few workers of each pool, others for each process

Change: each process prefers four workers, or so many that four processes prefer each on average, while one of them has a free slot.

--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"hash/maphash"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -18,11 +19,13 @@
 	byID      map[workers.ID]*backend
 	services  map[routing.ServiceName]*serviceState
 	limits    BudgetLimits
+	// seed makes the subsets of this process its own.
+	seed maphash.Seed
 }
 
 func newFleet(zone string, directory *workers.Directory, limits BudgetLimits) *fleet {
 	return &fleet{
-		zone: zone, directory: directory, limits: limits,
+		zone: zone, directory: directory, limits: limits, seed: maphash.MakeSeed(),
 		byID: map[workers.ID]*backend{}, services: map[routing.ServiceName]*serviceState{},
 	}
 }
@@ -111,17 +114,19 @@
 
 // sooner returns the choice that answers sooner.
 func (c choice) sooner(other choice) choice {
-	if c.to == nil || other.estimate < c.estimate {
+	if c.to == nil || (other.to != nil && other.estimate < c.estimate) {
 		return other
 	}
 	return c
 }
 
-// pick chooses a worker of a pool; none may be sent to now if it has no backend.
-func (f *fleet) pick(now time.Time, service *serviceState, name routing.ServiceName, target time.Duration, tried map[workers.ID]bool) choice {
-	list, _ := f.directory.Of(name)
+// pick chooses a worker of a pool; none may be sent to now if it has no backend. nodes is
+// how many processes there are.
+func (f *fleet) pick(now time.Time, service *serviceState, name routing.ServiceName, target time.Duration, tried map[workers.ID]bool, nodes int) choice {
+	list, version := f.directory.Of(name)
 	usual := f.usual(list)
-	var local, remote choice
+	preferred := f.preferred(service, list, version, nodes)
+	var first, local, remote choice
 	for _, worker := range list {
 		if worker.State != workers.StateReady || tried[worker.ID] {
 			continue
@@ -131,12 +136,21 @@
 			continue
 		}
 		estimated := time.Duration(float64(candidate.estimate(now, usual)) * (1 + jitter*rand.Float64()))
-		if worker.Zone == f.zone {
-			local = local.sooner(choice{to: candidate, estimate: estimated})
-		} else {
-			remote = remote.sooner(choice{to: candidate, estimate: estimated})
+		one := choice{to: candidate, estimate: estimated}
+		switch {
+		case worker.Zone != f.zone:
+			remote = remote.sooner(one)
+		case preferred[worker.ID]:
+			first = first.sooner(one)
+		default:
+			local = local.sooner(one)
 		}
 	}
+	if first.to == nil || !first.to.hasFreeSlot(now) {
+		local = local.sooner(first)
+	} else {
+		local = first
+	}
 	switch {
 	case local.to == nil:
 		return remote
@@ -146,6 +160,19 @@
 	return remote
 }
 
+// preferred returns the workers of the own zone that this process sends to first.
+func (f *fleet) preferred(service *serviceState, list []workers.Worker, version uint64, nodes int) map[workers.ID]bool {
+	zones := map[string]bool{}
+	var ready []workers.ID
+	for _, worker := range list {
+		zones[worker.Zone] = true
+		if worker.Zone == f.zone && worker.State == workers.StateReady {
+			ready = append(ready, worker.ID)
+		}
+	}
+	return service.subset.of(f.seed, ready, version, subsetSize(len(ready), nodes/max(1, len(zones))))
+}
+
 // usual is the mean time over the workers that were measured.
 func (f *fleet) usual(list []workers.Worker) time.Duration {
 	f.mu.Lock()
--- a/internal/proxy/pooled.go
+++ b/internal/proxy/pooled.go
@@ -51,7 +51,7 @@
 
 // pick chooses a worker that was not tried.
 func (c *call) pick(now time.Time, tried map[workers.ID]bool) choice {
-	return c.proxy.fleet.pick(now, c.state, c.service.Name, c.route.Target, tried)
+	return c.proxy.fleet.pick(now, c.state, c.service.Name, c.route.Target, tried, int(c.proxy.Nodes.Load()))
 }
 
 // await picks a worker, and waits a moment for one. It returns none after it has
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -14,6 +14,8 @@
 // serviceState is what this process keeps of one service.
 type serviceState struct {
 	budget *budget
+	// subset is the workers that this process prefers.
+	subset subset
 	// waiting counts the requests that wait for a worker or an owner.
 	waiting atomic.Int32
 	mu      sync.Mutex
--- /dev/null
+++ b/internal/proxy/subset_test.go
@@ -0,0 +1,75 @@
+package proxy
+
+import (
+	"fmt"
+	"hash/maphash"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+func TestSubsetSize(t *testing.T) {
+	for name, test := range map[string]struct {
+		workers, processes, want int
+	}{
+		"few processes: all":             {workers: 4, processes: 3, want: 6},
+		"processes not known: all":       {workers: 21, processes: 0, want: 84},
+		"many processes, few workers":    {workers: 10, processes: 59, want: leastSubset},
+		"as many workers as processes":   {workers: 20, processes: 20, want: subsetOverlap},
+		"more workers than processes":    {workers: 66, processes: 16, want: 17},
+		"one worker and many that share": {workers: 1, processes: 50, want: leastSubset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, subsetSize(test.workers, test.processes), test.want)
+		})
+	}
+}
+
+// A worker that comes or goes leaves the others of a subset where they are.
+func TestSubsetsAreStable(t *testing.T) {
+	var ready []workers.ID
+	for index := range 40 {
+		ready = append(ready, workers.ID(fmt.Sprintf("w%d", index)))
+	}
+	seed := maphash.MakeSeed()
+	var s subset
+	before := s.of(seed, ready, 1, 6)
+	assert.Equal(t, len(before), 6)
+	after := s.of(seed, ready[1:], 2, 6)
+	assert.Equal(t, len(after), 6)
+	kept := 0
+	for id := range before {
+		if after[id] {
+			kept++
+		}
+	}
+	assert.Assert(t, kept >= 5, "%d", kept)
+	assert.Equal(t, len(s.of(seed, ready[:3], 3, 6)), 3)
+}
+
+// The preferred workers get what they have slots for, the others of the zone the rest.
+func TestPreferredWorkersComeFirst(t *testing.T) {
+	directory := workers.NewDirectory()
+	var list []workers.Worker
+	for index := range 30 {
+		list = append(list, workers.Worker{
+			ID: workers.ID(fmt.Sprintf("w%d", index)), Service: "s", Zone: "z", Slots: 2, State: workers.StateReady,
+		})
+	}
+	directory.Replace(list)
+	f := newFleet("z", directory, BudgetLimits{})
+	service := &serviceState{}
+	now := time.Now()
+	chosen := map[workers.ID]int{}
+	for range 2 * leastSubset {
+		picked := f.pick(now, service, "s", time.Second, nil, 30)
+		picked.to.begin()
+		chosen[picked.to.id()]++
+	}
+	assert.Equal(t, len(chosen), leastSubset)
+	picked := f.pick(now, service, "s", time.Second, nil, 30)
+	assert.Equal(t, chosen[picked.to.id()], 0, "all slots of the preferred ones are taken")
+}
