Throttle requests for owners that turn most away; keep half of the drain time

A router counts from when it hears, and kept 0.9 s for hearing late; a leader's silence alone counts for 1.1 s. Change: half of the time is kept.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/http"
 	"sync"
 	"time"
 
@@ -23,6 +24,9 @@
 	// unreachedRest is how long no connection is tried to an owner of keys after
 	// one failed.
 	unreachedRest = 200 * time.Millisecond
+	// turnedAwayWithin is how soon a worker resets a connection that it has no room for;
+	// later it may have begun to work.
+	turnedAwayWithin = 30 * time.Millisecond
 	// coldFactor is how much slower a worker is while it warms up.
 	coldFactor = 2
 )
@@ -38,7 +42,9 @@
 	others   float64
 	othersAt time.Time
 	// latency is the time of work on a request.
-	latency  estimate.Latency
+	latency estimate.Latency
+	// throttle is for a worker of keys that turns requests away.
+	throttle estimate.Throttle
 	failures int
 	// restUntil is until when a failing worker is left alone.
 	restUntil time.Time
@@ -77,6 +83,13 @@
 	return b.occupied(now) / float64(b.worker.Slots)
 }
 
+// hasFreeSlot reports whether a request sent now would probably not wait.
+func (b *backend) hasFreeSlot(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.occupied(now)+1 <= float64(b.worker.Slots)
+}
+
 // usable reports whether requests may be sent now.
 func (b *backend) usable(now time.Time) bool {
 	b.mu.Lock()
@@ -126,6 +139,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.inFlight--
+	b.count(now, got)
 	if got.loaded {
 		b.others = max(0, float64(got.load.Running+got.load.Waiting-b.inFlight))
 		b.othersAt = now
@@ -158,6 +172,33 @@
 	return changed
 }
 
+// throttled reports whether a request is refused without asking the worker, since it
+// turns most of them away. random is from 0 to 1.
+func (b *backend) throttled(now time.Time, random float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if random >= b.throttle.Share(now) {
+		return false
+	}
+	b.throttle.Refused(now)
+	return true
+}
+
+// count notes whether the worker has turned a request away. The caller holds mu.
+func (b *backend) count(now time.Time, got *result) {
+	switch got.outcome {
+	case outcomeAnswered, outcomeLate:
+		b.throttle.Sent(now, true)
+	case outcomeNotRun:
+		if got.status != http.StatusMisdirectedRequest {
+			b.throttle.Sent(now, false)
+		}
+	case outcomeBroken:
+		b.throttle.Sent(now, got.status != 0 || got.took > turnedAwayWithin)
+	case outcomeMisdirected, outcomeGone, outcomeNotSent: // say nothing of the worker's room
+	}
+}
+
 func (b *backend) fail(now time.Time) {
 	rest := firstRest << min(b.failures, 4)
 	b.failures++
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -128,9 +129,22 @@
 	return true
 }
 
-// unlessBusy refuses a request that the owner could not answer in time.
+// Where an owner turns requests away, a client is told to come back after between these
+// shares of the target, so that not all are back at once.
+const (
+	soonestReturn = 0.25
+	latestReturn  = 0.75
+)
+
+// unlessBusy refuses a request that the owner could not answer in time, or would
+// probably turn away.
 func (c *call) unlessBusy(to *backend) *backend {
 	now := time.Now()
+	if to.throttled(now, rand.Float64()) {
+		share := soonestReturn + (latestReturn-soonestReturn)*rand.Float64()
+		c.giveUp(reasonBusy, time.Duration(share*float64(c.route.Target)))
+		return nil
+	}
 	estimated := to.estimate(now, usualTime)
 	if estimated > c.left() {
 		c.giveUp(reasonBusy, min(estimated-c.left(), 300*time.Millisecond))
@@ -154,12 +168,16 @@
 	return c.proxy.fleet.get(worker)
 }
 
-// noticeTime is how late this process may hear that a worker leaves.
-const noticeTime = 900 * time.Millisecond
+// noticeShare of the time for which a worker that leaves may get requests is kept for
+// hearing of it late: a leader's silence counts for 1.1 s, and what it did not tell is
+// read after that.
+const noticeShare = 0.5
 
 // leavingGrace is for how long a worker that leaves still gets requests for the keys
 // that it holds, once this process has heard of it.
-func (c *call) leavingGrace() time.Duration { return max(0, c.proxy.Drain-noticeTime) }
+func (c *call) leavingGrace() time.Duration {
+	return time.Duration((1 - noticeShare) * float64(c.proxy.Drain))
+}
 
 // drainedFor returns how long a worker has been draining.
 func (c *call) drainedFor(id workers.ID) time.Duration {
