Let a leader that reads nothing new say so

It tells the others to read for themselves only where its lease is not renewed; what it follows may fail alone, such as a list that takes longer than its time limit on a busy link. Change: it also says so where its own reading is 2.2 s old. TestALeaderThatReadsNothingSaysSo failed before.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -42,23 +42,29 @@
 	// deafAfter is for how long the key-value service may not answer until the
 	// other processes are told to look for changes themselves.
 	deafAfter = 1100 * time.Millisecond
+	// unreadAfter is the same for what the process follows there: a watch that is silent
+	// answers after 1.5 s, and one that was lost unseen is given up after 2 s.
+	unreadAfter = 2200 * time.Millisecond
 	// loadPause is the wait after a failed read of a record.
 	loadPause = 150 * time.Millisecond
 )
 
 // Keeper keeps the owners of all keyed services while its process leads.
 type Keeper struct {
-	Store   coord.Store
-	Prefix  string
-	Orders  owner.Orders
-	Workers *workers.Directory
-	Config  func() *routing.Config
-	Hub     *peerlink.Hub
-	Table   *keytable.Table
-	Reports <-chan peerlink.Report
-	Log     *decision.Log
-	Metrics *Metrics
-	Times   owner.Config
+	// ReadUpTo returns as of when this process has read all changes of configuration and
+	// workers. Nil: not known.
+	ReadUpTo func() time.Time
+	Store    coord.Store
+	Prefix   string
+	Orders   owner.Orders
+	Workers  *workers.Directory
+	Config   func() *routing.Config
+	Hub      *peerlink.Hub
+	Table    *keytable.Table
+	Reports  <-chan peerlink.Report
+	Log      *decision.Log
+	Metrics  *Metrics
+	Times    owner.Config
 	// Nonce returns a text that is never used twice.
 	Nonce func() string
 	// Zone of this process's machine.
@@ -157,7 +163,7 @@
 	}
 	renewOnly := now.After(authority)
 	t.Hub.SetDoubtful(renewOnly)
-	t.Hub.SetDeaf(now.Sub(t.tenure.Reached()) > deafAfter)
+	t.Hub.SetDeaf(t.deaf(now))
 	t.Hub.SetLimit(authority.Add(t.Times.StaleRenewals))
 	if !renewOnly {
 		t.ensure()
@@ -181,6 +187,15 @@
 	return true
 }
 
+// deaf reports whether the routers are to read changes themselves: the service has not
+// answered lately, or what this process follows there has not come.
+func (t *tenancy) deaf(now time.Time) bool {
+	if now.Sub(t.tenure.Reached()) > deafAfter {
+		return true
+	}
+	return t.ReadUpTo != nil && now.Sub(t.ReadUpTo()) > unreadAfter
+}
+
 // ensure begins to load the books of keyed services that are new.
 func (t *tenancy) ensure() {
 	config := t.Config()
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -222,3 +222,31 @@
 		})
 	}
 }
+
+// Suspected on trouble-3 of tawila-gw-large: the leader renewed its lease, but what it
+// followed in the service did not come, and all relied on it.
+func TestALeaderThatReadsNothingSaysSo(t *testing.T) {
+	for name, test := range map[string]struct {
+		readBefore, leaseBefore time.Duration
+		unknown                 bool
+		deaf                    bool
+	}{
+		"all well":                     {readBefore: 1500 * time.Millisecond},
+		"a watch was lost":             {readBefore: unreadAfter + time.Millisecond, deaf: true},
+		"no renewal was answered":      {leaseBefore: deafAfter + time.Millisecond, deaf: true},
+		"what was read is not counted": {unknown: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(b *bench) {
+				tenure, err := b.election.Campaign(b.t.Context(), 0)
+				assert.NilError(t, err)
+				if !test.unknown {
+					read := time.Now().Add(test.leaseBefore - test.readBefore)
+					b.keeper.ReadUpTo = func() time.Time { return read }
+				}
+				one := &tenancy{Keeper: b.keeper, tenure: tenure}
+				assert.Equal(t, one.deaf(time.Now().Add(test.leaseBefore)), test.deaf)
+			})
+		})
+	}
+}
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -133,6 +133,9 @@
 
 // readUpTo returns as of when this process has itself read all from the service.
 func (r *Router) readUpTo() time.Time {
+	if len(r.settings.Operators) > 0 { // bundles name workers too
+		return time.Unix(0, r.config.reached.Load())
+	}
 	return time.Unix(0, min(r.entries.reached.Load(), r.config.reached.Load()))
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -123,7 +123,8 @@
 	r.keeper = &keeper.Keeper{
 		Store: adapter.Store, Prefix: KeyPrefix, Orders: adapter.Orders, Workers: r.workers,
 		Config: r.proxy.Config, Hub: r.hub, Table: r.table, Reports: r.reports, Log: log, Metrics: keeper.NewMetrics(metrics),
-		Times: owner.DefaultConfig(config.MaxHold.Std()), Nonce: rand.Text, Zone: config.Zone,
+		ReadUpTo: r.readUpTo,
+		Times:    owner.DefaultConfig(config.MaxHold.Std()), Nonce: rand.Text, Zone: config.Zone,
 	}
 	r.standby = standby.New(adapter.Orders, r.keeper.Times, log)
 	r.hub.OnAsked(r.standby.Stop)
