Begin each process's rounds of weighted routes at a place of its own

Cause: the smooth round robin began with the heaviest part in every process, so that many processes that see few requests each sent nearly all of them there (0.7 and 0.3 became 1 and 0 where each sees one). Change: a round begins at a random place. Ruled out: dealing by a random number for each request, which strays further on a single process.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -85,7 +86,7 @@
 		if old != nil && old.config.Version >= config.Version {
 			return false
 		}
-		if p.current.CompareAndSwap(old, &active{config: config, splitter: routing.NewSplitter(), since: time.Now()}) {
+		if p.current.CompareAndSwap(old, &active{config: config, splitter: routing.NewSplitter(rand.IntN), since: time.Now()}) {
 			return true
 		}
 	}
--- a/internal/routing/split.go
+++ b/internal/routing/split.go
@@ -4,14 +4,20 @@
 
 // Splitter deals the requests of weighted routes to their parts, so that any
 // run of requests comes close to the weights (smooth weighted round robin).
+//
+// Each route's round begins at a place of its own: many processes that see few requests
+// each would else all begin with the same part.
 type Splitter struct {
 	mu      sync.Mutex
 	current map[*Route][]int
+	start   func(total int) int
 }
 
-// NewSplitter returns a splitter for the routes of one configuration.
-func NewSplitter() *Splitter {
-	return &Splitter{current: map[*Route][]int{}}
+// NewSplitter returns a splitter for the routes of one configuration. start returns how
+// many requests of a round, whose length is the total of the weights, are passed over
+// first, such as a random number below it.
+func NewSplitter(start func(total int) int) *Splitter {
+	return &Splitter{current: map[*Route][]int{}, start: start}
 }
 
 // Pick returns the part for the route's next request.
@@ -23,9 +29,30 @@
 	defer s.mu.Unlock()
 	current := s.current[route]
 	if current == nil {
-		current = make([]int, len(route.Parts))
+		current = s.begin(route)
 		s.current[route] = current
 	}
+	return route.Parts[deal(route, current)].Service
+}
+
+// begin returns where a route's round begins.
+func (s *Splitter) begin(route *Route) []int {
+	total := 0
+	for _, part := range route.Parts {
+		total += part.Weight
+	}
+	current := make([]int, len(route.Parts))
+	if total <= 0 {
+		return current
+	}
+	for range s.start(total) {
+		deal(route, current)
+	}
+	return current
+}
+
+// deal returns the index of the next part.
+func deal(route *Route, current []int) int {
 	total, best := 0, 0
 	for index, part := range route.Parts {
 		current[index] += part.Weight
@@ -35,5 +62,5 @@
 		}
 	}
 	current[best] -= total
-	return route.Parts[best].Service
+	return best
 }
