Write the account of the large fleets; name the file that follows a leader by its job

internal/router/following.go stood beside follow.go, which follows the store; it is followleader.go now.

--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -212,7 +212,7 @@
 	},
 	{
 		name: "relay-without-leader-followed-on",
-		file: "internal/router/following.go",
+		file: "internal/router/followleader.go",
 		old:  "	return !(update.Leaderless && now.Sub(f.orphanSince) >= orphanPatience) &&",
 		new:  "	return true &&",
 		pkg:  "./internal/router", test: "TestARelayWithoutALeaderIsLeft",
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -1,5 +1,6 @@
 // Package peerlink is what the router processes say to one another: the leader
-// streams who owns which keys, the others report how often keys are asked for.
+// streams who owns which keys, the others report how often keys are asked for. Where
+// there are many processes, one relay in each zone stands between (see Hub.Relay).
 //
 // Each message is one line of JSON over TCP. The side that dials sends a Hello
 // and then Reports; the leader answers with Updates. A process that does not
--- a/internal/peerlink/relay.go
+++ b/internal/peerlink/relay.go
@@ -9,8 +9,9 @@
 
 // With many processes the leader speaks with one relay in each zone, and the relay with
 // the others there: what the leader sends, and the bytes between zones, then grow with
-// zones and not with processes. A relay is a process that follows the leader itself; it
-// tells all that the leader tells but leaves, and adds up reports.
+// zones and not with processes. A relay is a process that follows the leader itself. It
+// passes on what the leader tells, except what is for standbys only, and adds up the
+// reports of those that follow it.
 
 const (
 	// relaySettle is how long the first processes of a zone are linked before one on a
@@ -168,7 +169,8 @@
 	return relay.hello.Address
 }
 
-// doubted reports whether enough processes have lost a relay. The caller holds mu.
+// doubted reports whether enough processes have come here because they lost a relay. The
+// caller holds mu.
 func (h *Hub) doubted(relay *link) bool {
 	doubts := 0
 	for one := range h.links {
