Keep a relay that sends its followers away from taking new ones; bound redirects

Ruled out: a leader that reads nothing (it had version 8 at 23.32 s).

Change: who sends followers away takes no new ones until it follows a leader itself; a leader does not send a process to its own address; a process follows three redirects without a word between and none to itself, and then looks for the leader again. TestRedirectsEnd and the end of TestARelayPassesOnWhatItsLeaderSays failed before.

--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -241,7 +241,7 @@
 	}
 	h.expectNodes(hello.Nodes, one.since)
 	redirect := ""
-	accepted := !hello.Ask && (leading || h.upstream != nil)
+	accepted := !hello.Ask && (leading || h.takesFollowers())
 	if accepted && leading {
 		redirect = h.relayFor(one, one.since)
 	}
--- a/internal/peerlink/relay.go
+++ b/internal/peerlink/relay.go
@@ -111,7 +111,13 @@
 	}
 }
 
-// LeaveTo sends all that follow this relay to another process.
+// takesFollowers reports whether this process is a relay, and not one that has sent its
+// followers away: it may be about to lead, and would send the next ones to where it went
+// itself. The caller holds mu.
+func (h *Hub) takesFollowers() bool { return h.upstream != nil && h.upstream.leaveTo == "" }
+
+// LeaveTo sends all that follow this relay to another process, and takes no new ones until
+// it follows a leader again.
 func (h *Hub) LeaveTo(address string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -163,10 +169,14 @@
 		relay = h.chooseRelay(zone, relay, now)
 		h.relays[zone] = relay
 	}
-	if relay == nil || relay == one || relay.hello.Process == one.hello.Process || relay.hello.Address == one.hello.Avoid {
+	if relay == nil {
+		return ""
+	}
+	address := relay.hello.Address
+	if address == one.hello.Address || address == one.hello.Avoid {
 		return ""
 	}
-	return relay.hello.Address
+	return address
 }
 
 // doubted reports whether enough processes have come here because they lost a relay. The
--- a/internal/peerlink/relay_test.go
+++ b/internal/peerlink/relay_test.go
@@ -49,6 +49,10 @@
 	var redirect *RedirectError
 	assert.Assert(t, errors.As(<-f.ended, &redirect))
 	assert.Equal(t, redirect.Address, "other:1")
+	// Found on trouble-3 of malaika-charge-grown: it went on to win an election, sent those
+	// who came to it to its former relay, that one to itself, and nobody heard of changes.
+	f = follow(t, address)
+	assert.ErrorIs(t, <-f.ended, ErrNotLeading, "who sends others away takes no new ones")
 }
 
 // run is one worker that has all keys.
@@ -101,6 +105,7 @@
 		"the relay itself":               {now: late, self: strong},
 		"of a zone of its own":           {now: late, self: Hello{Process: "x", Address: "x:1", Zone: "y"}},
 		"a standby":                      {now: late, self: weak, appointed: "weak"},
+		"at the relay's own address":     {now: late, self: Hello{Process: "its next life", Address: "strong:1", Zone: "z"}},
 		"that has lost it":               {now: late, self: Hello{Process: "weak", Address: "weak:1", Zone: "z", Avoid: "strong:1"}},
 		"one of too few that lost it":    {now: late, self: weak, doubts: relayDoubts - 1, want: "strong:1"},
 		"after enough processes lost it": {now: late, self: weak, doubts: relayDoubts, want: "d0:1"},
--- a/internal/router/followleader.go
+++ b/internal/router/followleader.go
@@ -19,7 +19,10 @@
 	// ownReach is how recently a process must have read all from the service itself to
 	// count as reaching it, and aheadPatience is for how long it must have done so, while
 	// the relay has not, to leave: after an outage some are back sooner than others.
-	ownReach      = time.Second
+	ownReach = time.Second
+	// mostRedirects is how often a process is sent on without being told anything: from
+	// the leader to a relay, from one that stops to the leader, and to the next relay.
+	mostRedirects = 3
 	aheadPatience = 1500 * time.Millisecond
 )
 
@@ -31,8 +34,10 @@
 	address string
 	// avoid is a relay that was lost, or that has sent this process away.
 	avoid string
-	// linked says that anything was told.
-	linked bool
+	// linked says that anything was told, and heardAny that it was since the last
+	// connection began; redirects are those without that.
+	linked, heardAny bool
+	redirects        int
 	// orphanSince is since when the relay has no leader; zero: it has one.
 	orphanSince time.Time
 	// aheadSince is since when this process reaches the service and a relay without a
@@ -66,15 +71,24 @@
 	r.awaitChange(ctx, leader)
 }
 
-// run follows the leader, or the relay that it names, until the leader is lost.
+// run follows the leader, or the relay that it names, until the leader is lost, or nobody
+// tells anything.
 func (f *following) run(ctx context.Context) error {
 	for {
+		f.heardAny = false
 		err := f.once(ctx)
 		var redirect *peerlink.RedirectError
 		switch {
 		case ctx.Err() != nil:
 			return err
 		case errors.As(err, &redirect):
+			f.redirects++
+			if f.heardAny {
+				f.redirects = 1
+			}
+			if f.redirects > mostRedirects || redirect.Address == f.r.settings.PeerListen {
+				return err
+			}
 			f.r.hub.LeaveTo(redirect.Address)
 			f.leave(redirect.Address)
 		case f.viaRelay():
@@ -112,6 +126,7 @@
 
 // heard takes what the followed process says.
 func (f *following) heard(update peerlink.Update) {
+	f.heardAny = true
 	f.direct = update.Leading
 	if update.Leading && f.viaRelay() { // the relay has become the leader
 		f.leader = election.Leader{Address: f.address, Term: update.Term}
--- a/internal/router/followleader_test.go
+++ b/internal/router/followleader_test.go
@@ -1,11 +1,15 @@
 package router
 
 import (
+	"fmt"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/shalefork/shalefork/internal/election"
 	"github.com/shalefork/shalefork/internal/peerlink"
 )
 
@@ -56,3 +60,35 @@
 		})
 	}
 }
+
+// Found on trouble-3 of malaika-charge-grown: a relay was sent to itself for ever, and
+// believed all the while that it was told of changes.
+func TestRedirectsEnd(t *testing.T) {
+	for name, own := range map[string]bool{"to itself": true, "in a circle": false} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { _ = listener.Close() }()
+			address := listener.Addr().String()
+			var asked atomic.Int32
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					asked.Add(1)
+					_, _ = fmt.Fprintf(conn, `{"r":true,"v":%q}`+"\n", address)
+					_ = conn.Close()
+				}
+			}()
+			r := newTestRouter(t)
+			if own {
+				r.settings.PeerListen = address
+			}
+			f := &following{r: r, leader: election.Leader{Address: address}, address: address, stop: func() {}}
+			assert.ErrorContains(t, f.run(t.Context()), "instead")
+			assert.Assert(t, asked.Load() <= mostRedirects+1, "%d", asked.Load())
+		})
+	}
+}
