Let what a leader or relay tells lapse by itself

Cause: that a router is told of changes, and so reads nothing itself, was a flag that only the code that follows the leader cleared.

TestWhatIsToldLapses; mutation silent-relay-relied-on is killed.

--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -192,15 +192,22 @@
 	{
 		name: "deaf-leader-relied-on",
 		file: "internal/router/follow.go",
-		old:  "	r.told.Store(!update.Deaf && !update.Stale())",
-		new:  "	r.told.Store(!update.Stale())",
+		old:  "	r.told.heard(time.Now(), !update.Deaf && !update.Stale())",
+		new:  "	r.told.heard(time.Now(), !update.Stale())",
 		pkg:  "./internal/router", test: "TestADeafLeaderIsNotReliedOn",
 	},
+	{
+		name: "silent-relay-relied-on",
+		file: "internal/router/told.go",
+		old:  "int64(now.Sub(processBegan)) < t.until.Load()",
+		new:  "t.until.Load() > 0",
+		pkg:  "./internal/router", test: "TestWhatIsToldLapses",
+	},
 	{
 		name: "stale-relay-relied-on",
 		file: "internal/router/follow.go",
-		old:  "	r.told.Store(!update.Deaf && !update.Stale())",
-		new:  "	r.told.Store(!update.Deaf)",
+		old:  "	r.told.heard(time.Now(), !update.Deaf && !update.Stale())",
+		new:  "	r.told.heard(time.Now(), !update.Deaf)",
 		pkg:  "./internal/router", test: "TestAStaleRelayIsNotReliedOn",
 	},
 	{
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -109,7 +109,7 @@
 		Wait:    r.watchWait,
 		Gather:  r.gather,
 		Renew:   of.renew,
-		Paused:  r.told.Load,
+		Paused:  r.told.now,
 		Covered: of.coveredUpTo,
 		Reached: func(at time.Time) { r.storeReached(of, at) },
 	})
@@ -149,7 +149,7 @@
 
 // heard takes what the leader says of changes.
 func (r *Router) heard(update peerlink.Update) {
-	r.told.Store(!update.Deaf && !update.Stale())
+	r.told.heard(time.Now(), !update.Deaf && !update.Stale())
 	if !update.Leaderless {
 		r.standby.Heard(update.Term, update.Mandate)
 	}
--- a/internal/router/followleader.go
+++ b/internal/router/followleader.go
@@ -56,7 +56,7 @@
 	defer stop()
 	f := &following{r: r, leader: leader, address: leader.Address, stop: stop}
 	err := f.run(bounded)
-	r.told.Store(false) // what was not told by now is read from the service
+	r.told.end() // what was not told by now is read from the service
 	r.standby.Lost()
 	if ctx.Err() != nil {
 		r.hub.LeaveTo(leader.Address)
@@ -92,7 +92,7 @@
 			f.r.hub.LeaveTo(redirect.Address)
 			f.leave(redirect.Address)
 		case f.viaRelay():
-			f.r.told.Store(false)
+			f.r.told.end()
 			f.r.log.Line(decision.KindRelayLost).Str("relay", f.address).Err(err).Msg("")
 			f.leave(f.leader.Address)
 		default:
--- a/internal/router/followleader_test.go
+++ b/internal/router/followleader_test.go
@@ -19,9 +19,9 @@
 func TestAStaleRelayIsNotReliedOn(t *testing.T) {
 	r := newTestRouter(t)
 	r.heard(peerlink.Update{Relayed: true, AgeMillis: 900})
-	assert.Assert(t, r.told.Load())
+	assert.Assert(t, r.told.now())
 	r.heard(peerlink.Update{Relayed: true, AgeMillis: stale.Milliseconds()})
-	assert.Assert(t, !r.told.Load())
+	assert.Assert(t, !r.told.now())
 }
 
 func TestARelayWithoutALeaderIsLeft(t *testing.T) {
@@ -92,3 +92,32 @@
 		})
 	}
 }
+
+// While a relay was sent to itself for ever nothing ended its belief that it was told of
+// changes: the belief has to lapse by itself.
+func TestWhatIsToldLapses(t *testing.T) {
+	start := time.Now()
+	for name, test := range map[string]struct {
+		heard  []time.Duration
+		ended  bool
+		at     time.Duration
+		stands bool
+	}{
+		"nothing was heard":   {at: 0},
+		"a moment ago":        {heard: []time.Duration{0}, at: peerlink.SilenceLimit - 1, stands: true},
+		"silent for too long": {heard: []time.Duration{0}, at: peerlink.SilenceLimit},
+		"heard again":         {heard: []time.Duration{0, time.Second}, at: 2 * time.Second, stands: true},
+		"the link broke":      {heard: []time.Duration{0}, ended: true, at: time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var word told
+			for _, after := range test.heard {
+				word.heard(start.Add(after), true)
+			}
+			if test.ended {
+				word.end()
+			}
+			assert.Equal(t, word.holds(start.Add(test.at)), test.stands)
+		})
+	}
+}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -20,7 +20,7 @@
 	gauge("shalefork_router_routers", "Routers that the leader knows of.", func() float64 { return float64(r.nodes.Load()) })
 	gauge("shalefork_router_followers", "Routers that follow this one as their relay.", func() float64 { return float64(r.hub.Followers()) })
 	gauge("shalefork_router_told", "1 while a leader or a relay tells this process of changes, 0 while it reads them itself.",
-		func() float64 { return number(r.told.Load()) })
+		func() float64 { return number(r.told.now()) })
 	gauge("shalefork_router_workers", "Workers that are announced.", func() float64 { return float64(r.workers.Count()) })
 	gauge("shalefork_router_config_version", "Version of the configuration in force; 0 for none.", func() float64 {
 		if config := r.proxy.Config(); config != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -89,7 +89,7 @@
 	config, entries *followed
 	entriesView     *workersView
 	// told says that a leader tells this process of changes.
-	told atomic.Bool
+	told told
 	// strongest holds the greatest strength of all machines, as bits of a float64.
 	strongest atomic.Uint64
 }
--- /dev/null
+++ b/internal/router/told.go
@@ -0,0 +1,37 @@
+package router
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/peerlink"
+)
+
+// told is until when a leader or a relay is relied on to tell of changes. It lapses by
+// itself after a silence, whatever became of the link, so that a process reads the
+// key-value service again. It is safe for concurrent use; the zero value has lapsed.
+type told struct {
+	// until is in nanoseconds since the process began.
+	until atomic.Int64
+}
+
+// processBegan is the start of a steady clock.
+var processBegan = time.Now()
+
+// heard notes that changes are told as of now, or that they are not.
+func (t *told) heard(now time.Time, relied bool) {
+	if !relied {
+		t.end()
+		return
+	}
+	t.until.Store(int64(now.Add(peerlink.SilenceLimit).Sub(processBegan)))
+}
+
+// end stops relying on what is told.
+func (t *told) end() { t.until.Store(0) }
+
+// holds reports whether changes are told at a time.
+func (t *told) holds(now time.Time) bool { return int64(now.Sub(processBegan)) < t.until.Load() }
+
+// now reports whether changes are told now.
+func (t *told) now() bool { return t.holds(time.Now()) }
--- a/internal/router/workersview_test.go
+++ b/internal/router/workersview_test.go
@@ -110,9 +110,9 @@
 func TestADeafLeaderIsNotReliedOn(t *testing.T) {
 	r := newTestRouter(t)
 	r.heard(peerlink.Update{})
-	assert.Assert(t, r.told.Load())
+	assert.Assert(t, r.told.now())
 	r.heard(peerlink.Update{Deaf: true})
-	assert.Assert(t, !r.told.Load())
+	assert.Assert(t, !r.told.now())
 }
 
 func TestStrongMachinesCampaignFirst(t *testing.T) {
