--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -22,8 +23,9 @@
 	Worker string
 	// NotRun says that the worker did not run the request.
 	NotRun string
-	// Load is the worker's running and waiting requests and its slots, joined by
-	// commas.
+	// Load is the worker's running and waiting requests and its slots, joined by commas,
+	// and where it tells that, how long work takes there at this moment in percent of
+	// what is usual.
 	Load string
 	// Key is a keyed request's key, a whole number.
 	Key string
@@ -32,22 +34,41 @@
 // Load is what a worker tells of itself.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is how long work takes there at this moment, as a multiple of what is
+	// usual; zero if the worker does not tell it.
+	Slowdown float64
 }
 
+// Parts of a load header. Further ones are passed over.
+const (
+	loadCounts   = 3
+	slowdownPart = loadCounts
+	// usualPercent is the slowdown of a worker at its usual pace.
+	usualPercent = 100
+)
+
 // parseLoad reads a load header; false if it can't be read.
 func parseLoad(text string) (Load, bool) {
-	var load Load
 	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
-		return load, false
+	if len(parts) < loadCounts {
+		return Load{}, false
 	}
+	var load Load
 	for index, into := range []*int{&load.Running, &load.Waiting, &load.Slots} {
 		number, err := strconv.Atoi(strings.TrimSpace(parts[index]))
 		if err != nil || number < 0 {
-			return load, false
+			return Load{}, false
 		}
 		*into = number
 	}
+	if len(parts) == loadCounts {
+		return load, true
+	}
+	percent, err := strconv.ParseFloat(strings.TrimSpace(parts[slowdownPart]), 64)
+	if err != nil || !(percent > 0) || math.IsInf(percent, 0) {
+		return Load{}, false
+	}
+	load.Slowdown = percent / usualPercent
 	return load, true
 }
 
--- /dev/null
+++ b/internal/proxy/headers_test.go
@@ -0,0 +1,36 @@
+package proxy
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestParseLoad(t *testing.T) {
+	for name, test := range map[string]struct {
+		text   string
+		want   Load
+		wanted bool
+	}{
+		"counts":              {text: "3,0,8", want: Load{Running: 3, Slots: 8}, wanted: true},
+		"with blanks":         {text: " 3, 1 ,8", want: Load{Running: 3, Waiting: 1, Slots: 8}, wanted: true},
+		"with a slowdown":     {text: "3,0,8,140", want: Load{Running: 3, Slots: 8, Slowdown: 1.4}, wanted: true},
+		"with a fraction":     {text: "3,0,8,87.5", want: Load{Running: 3, Slots: 8, Slowdown: 0.875}, wanted: true},
+		"with more":           {text: "3,0,8,100,x", want: Load{Running: 3, Slots: 8, Slowdown: 1}, wanted: true},
+		"nothing":             {},
+		"too few":             {text: "3,0"},
+		"below zero":          {text: "3,-1,8"},
+		"no number":           {text: "3,a,8"},
+		"no slowdown":         {text: "3,0,8,"},
+		"slowdown of zero":    {text: "3,0,8,0"},
+		"slowdown below zero": {text: "3,0,8,-5"},
+		"slowdown not finite": {text: "3,0,8,Inf"},
+		"slowdown not known":  {text: "3,0,8,NaN"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			load, ok := parseLoad(test.text)
+			assert.Equal(t, ok, test.wanted)
+			assert.Equal(t, load, test.want)
+		})
+	}
+}
