--- a/cmd/shalefork-lab/soak.go
+++ b/cmd/shalefork-lab/soak.go
@@ -13,7 +13,7 @@
 )
 
 // demoDuration is long enough for each kind of fault.
-const demoDuration = 19 * time.Second
+const demoDuration = 27 * time.Second
 
 // demoCommand plays each kind of fault in turn.
 func demoCommand() cli.Command {
