--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -189,6 +189,13 @@
 		new:  "\tif false &&",
 		pkg:  "./internal/proxy", test: "TestARequestThatAWorkerHasNoConnectionForDidNotRun",
 	},
+	{
+		name: "vanished-entries-kept-whatever-the-leader-says",
+		file: "internal/router/follow.go",
+		old:  "\tif update.Known.Steady &&",
+		new:  "\tif false &&",
+		pkg:  "./internal/router", test: "TestWhoWasCutOffAloneTakesVanishedWorkersToBeGone",
+	},
 	{
 		name: "answer-of-another-request",
 		file: "internal/proxy/exchange.go",
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -41,6 +41,7 @@
 	// superseded is closed once a leader of a later term has asked.
 	superseded chan struct{}
 	term       owner.Term
+	openedAt   time.Time
 	owners     map[routing.ServiceName]published
 	links      map[*link]struct{}
 	// relays are the leader's, by zone; upstream is set while this process is one.
@@ -110,7 +111,7 @@
 func (h *Hub) Open(term owner.Term) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.leading, h.term, h.doubtful = true, term, false
+	h.leading, h.term, h.doubtful, h.openedAt = true, term, false, time.Now()
 	h.upstream = nil
 	h.superseded = make(chan struct{})
 	clear(h.owners)
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -225,6 +225,9 @@
 	// SettleMillis is for how long entries that vanish may have lapsed only, since the
 	// service was away.
 	SettleMillis int64 `json:"s,omitempty"`
+	// Steady says that the leader has reached the service for long enough: what it does not
+	// know any longer is gone, also for a process that was cut off from the service itself.
+	Steady bool `json:"y,omitempty"`
 }
 
 // ServiceNews tells changes of the owners of one service.
--- a/internal/peerlink/relay.go
+++ b/internal/peerlink/relay.go
@@ -44,6 +44,10 @@
 	update.Known = Known{
 		Config: max(own.Config, u.heard.Known.Config), Workers: max(own.Workers, u.heard.Known.Workers),
 		SettleMillis: own.SettleMillis,
+		Steady:       !u.lost && u.heard.Known.Steady,
+	}
+	if update.Known.Steady { // only the relay was cut off
+		update.Known.SettleMillis = 0
 	}
 	update.Strongest = max(update.Strongest, u.heard.Strongest)
 }
--- a/internal/peerlink/update.go
+++ b/internal/peerlink/update.go
@@ -5,6 +5,7 @@
 
 	"github.com/shalefork/shalefork/internal/keytable"
 	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/workers"
 )
 
 // update gathers what the link has not heard.
@@ -31,6 +32,7 @@
 	switch {
 	case h.leading:
 		update.Leading, update.Known = true, h.known()
+		update.Known.Steady = h.steady(update.Known, now)
 		update.Nodes, update.Doubtful, update.Deaf = h.nodes(now), h.doubtful, h.deaf
 		update.Redirect = h.relayFor(one, now)
 	case h.upstream != nil:
@@ -41,6 +43,12 @@
 	return update, true
 }
 
+// steady reports whether this process, which leads, has reached the key-value service for
+// long enough to know which workers are gone. The caller holds mu.
+func (h *Hub) steady(own Known, now time.Time) bool {
+	return !h.deaf && !h.doubtful && own.SettleMillis == 0 && now.Sub(h.openedAt) >= workers.SettleTime
+}
+
 // servicesFor returns the owners that a link has not heard. The caller holds mu.
 func (h *Hub) servicesFor(one *link) []ServiceNews {
 	if one.term != h.term { // another leader: its owners are told whole
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -161,6 +161,9 @@
 	if settle := update.Known.SettleMillis; settle > 0 {
 		r.workers.Settle(now.Add(time.Duration(settle) * time.Millisecond))
 	}
+	if update.Known.Steady && !update.Deaf && !update.Stale() {
+		r.workers.EndSettling()
+	}
 	if update.Entries != nil && !r.entriesView.relayed(*update.Entries) {
 		r.entries.again()
 	}
--- a/internal/router/workersview_test.go
+++ b/internal/router/workersview_test.go
@@ -115,6 +115,33 @@
 	assert.Assert(t, !r.told.now())
 }
 
+// Found on a day on which machines were cut off for 12 s (DRAIN): they took entries that
+// had gone meanwhile for lapsed, and sent requests to workers that had left.
+func TestWhoWasCutOffAloneTakesVanishedWorkersToBeGone(t *testing.T) {
+	settle := workers.SettleTime.Milliseconds()
+	stale := (2 * peerlink.SilenceLimit).Milliseconds()
+	for name, c := range map[string]struct {
+		update peerlink.Update
+		kept   bool
+	}{
+		"the leader was not":            {update: peerlink.Update{Known: peerlink.Known{Steady: true}}},
+		"the leader may have been":      {update: peerlink.Update{}, kept: true},
+		"the leader was":                {update: peerlink.Update{Known: peerlink.Known{SettleMillis: settle}}, kept: true},
+		"the leader is now":             {update: peerlink.Update{Deaf: true, Known: peerlink.Known{Steady: true}}, kept: true},
+		"a relay has not heard of late": {update: peerlink.Update{AgeMillis: stale, Known: peerlink.Known{Steady: true}}, kept: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newTestRouter(t)
+			r.entriesView.Snapshot([]coord.Item{item("a", 8, workers.StateReady)}, 10)
+			r.entriesView.Regained()
+			r.entriesView.Snapshot(nil, 12)
+			r.heard(c.update)
+			_, known := r.workers.Get("a")
+			assert.Equal(t, known, c.kept)
+		})
+	}
+}
+
 func TestStrongMachinesCampaignFirst(t *testing.T) {
 	r := newTestRouter(t)
 	for name, test := range map[string]struct {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -131,6 +131,21 @@
 	}
 }
 
+// EndSettling tells that the service was not away for others: entries that vanished are
+// gone.
+func (d *Directory) EndSettling() {
+	d.mu.Lock()
+	now := time.Now()
+	settling := now.Before(d.settled)
+	if settling {
+		d.settled = now
+	}
+	d.mu.Unlock()
+	if settling {
+		d.expire()
+	}
+}
+
 // Settling returns for how long vanished entries are kept still.
 func (d *Directory) Settling() time.Duration {
 	d.mu.RLock()
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -70,6 +70,8 @@
 		"back in a list":           {learn: func(d *Directory) { d.Replace(nil); d.Replace([]Worker{ready}) }, soon: true, late: true},
 		"draining when it went":    {learn: func(d *Directory) { d.Update([]Worker{draining}, nil); d.Replace(nil) }},
 		"drains after it was back": {learn: func(d *Directory) { d.Replace(nil); d.Update([]Worker{draining}, nil); d.Replace(nil) }},
+		"others were not cut off":  {learn: func(d *Directory) { d.Replace(nil); d.EndSettling() }},
+		"nor before it was gone":   {learn: func(d *Directory) { d.EndSettling(); d.Replace(nil) }},
 		"after all have settled":   {learn: func(d *Directory) { time.Sleep(2 * SettleTime); d.Replace(nil) }},
 	} {
 		t.Run(name, func(t *testing.T) {
