--- a/internal/proxy/coldgate.go
+++ b/internal/proxy/coldgate.go
@@ -5,12 +5,17 @@
 	"time"
 )
 
+// coldShare of what a cold worker bears is sent, since chance brings more at times. Of 3.15
+// requests a second 15 or more, which none of the users' workers may get, come within some
+// second about once in a million; of 4.2 about 5 times in 100,000, and hundreds of workers
+// may be cold at once.
+const coldShare = 0.75
+
 // coldGate shares out among all processes how many requests a second a cold worker bears.
 // No process sees what the others send. So each sends its part of that rate, and begins
 // each spell at a random point between two of its sends: what all send together then
-// varies as a Poisson process does. Of 4.2 a second, 15 or more come within a second, which
-// is the most that a worker of the users' platform may be sent, 5 times in 100,000.
-// Workers that came back cold together got 16 and 17 in a second without it (74 processes).
+// varies as a Poisson process does. Workers that came back cold together got 16 and 17
+// requests in a second without it, and bear 4.2 (74 processes).
 //
 // Its zero value is that of a worker that was never cold.
 type coldGate struct {
@@ -29,7 +34,7 @@
 	if nodes <= 0 {
 		return false
 	}
-	g.refill(now, until, rate/float64(nodes))
+	g.refill(now, until, coldShare*rate/float64(nodes))
 	return g.tokens >= 1
 }
 
--- a/internal/proxy/coldgate_test.go
+++ b/internal/proxy/coldgate_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -12,11 +13,15 @@
 	const rate, most = 4.2, 14 // a second, of the users' platform
 	for name, nodes := range map[string]int{"few": 3, "some": 11, "many": 74, "very many": 295} {
 		t.Run(name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(3, 4))
 			sent, windows, worst := 0, 0, 0
 			for range 100 { // workers
 				gates := make([]coldGate, nodes)
 				start := time.Unix(1000, 0)
 				until := start.Add(3 * time.Second)
+				for index := range gates { // as a spell begins
+					gates[index] = coldGate{tokens: random.Float64(), at: start, until: until}
+				}
 				var sends []time.Time
 				for now := start; now.Before(until); now = now.Add(10 * time.Millisecond) {
 					for index := range gates {
@@ -27,16 +32,16 @@
 				}
 				sent += len(sends)
 				windows += 3
-				for first := range sends {
-					last := first
-					for last < len(sends) && sends[last].Sub(sends[first]) < time.Second {
-						last++
+				first := 0
+				for last := range sends {
+					for sends[last].Sub(sends[first]) >= time.Second {
+						first++
 					}
-					worst = max(worst, last-first)
+					worst = max(worst, last-first+1)
 				}
 			}
 			mean := float64(sent) / float64(windows)
-			assert.Assert(t, mean > 0.9*rate && mean < 1.1*rate, "%v", mean)
+			assert.Assert(t, mean > 0.9*coldShare*rate && mean < 1.1*coldShare*rate, "%v", mean)
 			assert.Assert(t, worst <= most, "%d", worst)
 		})
 	}
