--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -149,7 +149,7 @@
 		c.pass(got)
 		return true
 	case outcomeGone:
-		c.tell(0, "client-gone")
+		c.abandon()
 		return true
 	case outcomeBroken:
 		if c.mayRepeat() {
@@ -171,6 +171,15 @@
 	return false
 }
 
+// abandon ends a request whose client has left, or that is under way when the process ends.
+func (c *call) abandon() {
+	if c.proxy.ending.Err() == nil {
+		c.tell(0, "client-gone")
+		return
+	}
+	c.giveUp(reasonEnding, leastRetryAfter)
+}
+
 // mayRepeat reports whether a request that may have run can be sent again.
 func (c *call) mayRepeat() bool {
 	return c.repeatable() && c.allowed.left()
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -37,6 +37,7 @@
 	reasonMoving    = "key-moving"
 	reasonOwnerDown = "owner-unusable"
 	reasonOwnerGone = "owner-gone"
+	reasonEnding    = "router-ends"
 	reasonEvacuated = "zone-evacuated"
 	reasonCold      = "owner-warms-up"
 	reasonBusy      = "workers-busy"
@@ -72,11 +73,15 @@
 	fleet    *fleet
 	current  atomic.Pointer[active]
 	stopping atomic.Bool
+	// ending is done once the process is about to end; end makes it so.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // New returns a proxy in a zone over the announced workers.
 func New(zone string, directory *workers.Directory, limits BudgetLimits) *Proxy {
-	return &Proxy{fleet: newFleet(zone, directory, limits), Nodes: &atomic.Int32{}}
+	ending, end := context.WithCancel(context.Background())
+	return &Proxy{fleet: newFleet(zone, directory, limits), Nodes: &atomic.Int32{}, ending: ending, end: end}
 }
 
 // Use puts a configuration into force unless a newer one is.
@@ -114,6 +119,11 @@
 // Stop makes the proxy ask clients to leave with each answer.
 func (p *Proxy) Stop() { p.stopping.Store(true) }
 
+// End answers all requests that are still under way, since the process is about to end: a
+// request that is at no worker yet is refused with a promise, in place of a connection that
+// breaks.
+func (p *Proxy) End() { p.end() }
+
 // Run keeps the connections to workers tidy until ctx ends.
 func (p *Proxy) Run(ctx context.Context) {
 	ticker := time.NewTicker(time.Second)
@@ -130,7 +140,10 @@
 
 // ServeHTTP implements http.Handler.
 func (p *Proxy) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	c := &call{proxy: p, writer: writer, request: request, began: time.Now(), tried: map[workers.ID]bool{}}
+	ctx, cancel := context.WithCancel(request.Context())
+	defer cancel()
+	defer context.AfterFunc(p.ending, cancel)()
+	c := &call{proxy: p, writer: writer, request: request.WithContext(ctx), began: time.Now(), tried: map[workers.ID]bool{}}
 	if p.stopping.Load() {
 		writer.Header().Set("Connection", "close")
 	}
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -129,7 +129,7 @@
 	case <-changed:
 	case <-timer.C:
 	case <-c.request.Context().Done():
-		c.tell(0, "client-gone")
+		c.abandon()
 		return false
 	}
 	return true
@@ -213,7 +213,7 @@
 	case <-timer.C:
 		return true
 	case <-c.request.Context().Done():
-		c.tell(0, "client-gone")
+		c.abandon()
 		return false
 	}
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -401,3 +402,38 @@
 		})
 	}
 }
+
+// A process that ends answers what is still under way; what no worker has got is refused
+// with a promise.
+func TestWhatIsUnderWayIsAnsweredBeforeTheEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		method, path string
+		status       int
+	}{
+		"at a worker, may be repeated": {method: "GET", path: "/safe/", status: http.StatusServiceUnavailable},
+		"at a worker, may run once":    {method: "POST", path: "/unsafe/", status: http.StatusBadGateway},
+		"waits for an owner":           {method: "POST", path: "/keyed-once/", status: http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			asked := make(chan struct{}, 2)
+			w := newWorker(t, "w1", func(connection net.Conn, _ *http.Request) bool {
+				asked <- struct{}{}
+				_, _ = connection.Read(make([]byte, 1)) // until the connection ends
+				return false
+			})
+			f := newFront(t, w.entry("pool"))
+			moving := owner.Owner{Keys: owner.Keys{From: 0, To: owner.KeyCount - 1}, Worker: "k", Moving: true}
+			f.proxy.Table.Replace(1, "keyed", []owner.Owner{moving})
+			go func() {
+				if c.path != "/keyed-once/" {
+					<-asked
+				} else {
+					time.Sleep(50 * time.Millisecond)
+				}
+				f.proxy.End()
+			}()
+			response, _ := f.get(t, c.method, c.path, "x", "X-Key", "7")
+			assert.Equal(t, response.StatusCode, c.status)
+		})
+	}
+}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -15,7 +15,10 @@
 	// acceptShare of the grace passes before new connections are refused: the
 	// entry needs some seconds to see that the process is not ready.
 	acceptShare = 0.45
-	// finishShare of the grace passes before the process ends at the latest.
+	// answerShare of the grace passes before what is still under way is answered, and
+	// finishShare before the process ends at the latest: 0.1 s for answers where the grace
+	// is 6 s.
+	answerShare = 0.93
 	finishShare = 0.95
 )
 
@@ -54,6 +57,7 @@
 	case <-time.After(grace / 4):
 	}
 	clock.Sleep(context.Background(), time.Until(began.Add(time.Duration(acceptShare*float64(grace)))))
+	defer time.AfterFunc(time.Until(began.Add(time.Duration(answerShare*float64(grace)))), r.proxy.End).Stop()
 	bounded, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(finishShare*float64(grace))))
 	defer cancel()
 	_ = server.Shutdown(bounded)
