--- /dev/null
+++ b/internal/proxy/conn_test.go
@@ -0,0 +1,98 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Bytes after a whole answer belong to no request: their connection is not used
+// again.
+func TestConnectionWithSurplusBytesIsNotReused(t *testing.T) {
+	w := newWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+		answer(connection, request, http.StatusOK, "right")
+		answer(connection, request, http.StatusOK, "again")
+		return true
+	})
+	f := newFront(t, w.entry("pool"))
+	for range 3 {
+		_, body := f.get(t, "POST", "/unsafe/", "x")
+		assert.Equal(t, body, "right")
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, w.arrivals(), 3)
+}
+
+func TestUnframedAnswerEndsWithItsConnection(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		w := newWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+			_, _ = io.WriteString(connection, "HTTP/1.1 200 x\r\nX-Id: "+request.Header.Get("X-Id")+"\r\nX-Signature: s\r\n\r\nbody")
+			time.Sleep(20 * time.Millisecond)
+			if broken {
+				abort(connection)
+			}
+			return false
+		})
+		f := newFront(t, w.entry("pool"))
+		response, body := f.get(t, "POST", "/unsafe/", "x")
+		if broken {
+			assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+		} else {
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+			assert.Equal(t, body, "body")
+		}
+	}
+}
+
+func TestConnectionThatTheWorkerClosedIsNotUsed(t *testing.T) {
+	w := newWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+		answer(connection, request, http.StatusOK, "x")
+		return false
+	})
+	f := newFront(t, w.entry("pool"))
+	for range 5 {
+		response, _ := f.get(t, "POST", "/unsafe/", "x")
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Kept connections may go silent for good: one that was shows that the others may be.
+func TestConnectionsBesideASilentOneAreNotUsed(t *testing.T) {
+	var mu sync.Mutex
+	served := map[net.Conn]bool{}
+	w := newWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+		mu.Lock()
+		kept := served[connection]
+		served[connection] = true
+		mu.Unlock()
+		if kept {
+			time.Sleep(time.Second) // nothing more is answered on it
+			return false
+		}
+		time.Sleep(20 * time.Millisecond) // so that each request opens a connection
+		answer(connection, request, http.StatusOK, "x")
+		return true
+	})
+	f := newFront(t, w.entry("pool"))
+	var wait sync.WaitGroup
+	for range 4 {
+		request := f.request(t, "POST", "/unsafe/", "x")
+		wait.Go(func() {
+			response, err := http.DefaultClient.Do(request)
+			assert.Check(t, err)
+			assert.Check(t, response.Body.Close())
+		})
+	}
+	wait.Wait()
+	response, _ := f.get(t, "POST", "/unsafe/", "x", "X-Deadline", "200")
+	assert.Equal(t, response.StatusCode, http.StatusGatewayTimeout)
+	time.Sleep(2 * firstRest)
+	response, _ = f.get(t, "POST", "/unsafe/", "x")
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+}
--- /dev/null
+++ b/internal/proxy/hedge_test.go
@@ -0,0 +1,68 @@
+package proxy
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestSilentWorkerIsHedged(t *testing.T) {
+	release := make(chan struct{})
+	silent := func(connection net.Conn, request *http.Request) bool {
+		<-release
+		answer(connection, request, http.StatusOK, "late")
+		return true
+	}
+	var first atomic.Bool
+	once := func(connection net.Conn, request *http.Request) bool {
+		if first.CompareAndSwap(false, true) {
+			return silent(connection, request)
+		}
+		answer(connection, request, http.StatusOK, "second")
+		return true
+	}
+	one, two := newWorker(t, "w1", once), newWorker(t, "w2", once)
+	defer close(release)
+	f := newFront(t, one.entry("pool"), two.entry("pool"))
+	response, body := f.get(t, "GET", "/safe/", "")
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, body, "second")
+}
+
+// A first copy is not given up while the second is under way: whichever answers
+// first is passed on.
+func TestFirstCopyMayStillAnswer(t *testing.T) {
+	hedged := make(chan struct{})
+	var count atomic.Int32
+	run := func(connection net.Conn, request *http.Request) bool {
+		if count.Add(1) == 1 {
+			<-hedged
+			answer(connection, request, http.StatusOK, "first")
+			return true
+		}
+		close(hedged)
+		time.Sleep(time.Second)
+		return false
+	}
+	one, two := newWorker(t, "w1", run), newWorker(t, "w2", run)
+	f := newFront(t, one.entry("pool"), two.entry("pool"))
+	_, body := f.get(t, "GET", "/safe/", "")
+	assert.Equal(t, body, "first")
+}
+
+func TestUnsafeRequestIsNeverHedged(t *testing.T) {
+	run := func(connection net.Conn, request *http.Request) bool {
+		time.Sleep(900 * time.Millisecond)
+		answer(connection, request, http.StatusOK, "slow")
+		return true
+	}
+	one, two := newWorker(t, "w1", run), newWorker(t, "w2", run)
+	f := newFront(t, one.entry("pool"), two.entry("pool"))
+	response, _ := f.get(t, "POST", "/unsafe/", "x")
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, one.arrivals()+two.arrivals(), 1)
+}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -127,44 +126,6 @@
 	assert.Equal(t, body, "right")
 }
 
-// Bytes after a whole answer belong to no request: their connection is not used
-// again.
-func TestConnectionWithSurplusBytesIsNotReused(t *testing.T) {
-	w := newWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
-		answer(connection, request, http.StatusOK, "right")
-		answer(connection, request, http.StatusOK, "again")
-		return true
-	})
-	f := newFront(t, w.entry("pool"))
-	for range 3 {
-		_, body := f.get(t, "POST", "/unsafe/", "x")
-		assert.Equal(t, body, "right")
-		time.Sleep(20 * time.Millisecond)
-	}
-	assert.Equal(t, w.arrivals(), 3)
-}
-
-func TestUnframedAnswerEndsWithItsConnection(t *testing.T) {
-	for _, broken := range []bool{false, true} {
-		w := newWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
-			_, _ = io.WriteString(connection, "HTTP/1.1 200 x\r\nX-Id: "+request.Header.Get("X-Id")+"\r\nX-Signature: s\r\n\r\nbody")
-			time.Sleep(20 * time.Millisecond)
-			if broken {
-				abort(connection)
-			}
-			return false
-		})
-		f := newFront(t, w.entry("pool"))
-		response, body := f.get(t, "POST", "/unsafe/", "x")
-		if broken {
-			assert.Equal(t, response.StatusCode, http.StatusBadGateway)
-		} else {
-			assert.Equal(t, response.StatusCode, http.StatusOK)
-			assert.Equal(t, body, "body")
-		}
-	}
-}
-
 func TestSuccessWithoutSignatureIsNotTheWorkers(t *testing.T) {
 	w := newWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
 		_, _ = io.WriteString(connection, "HTTP/1.1 200 x\r\nX-Id: "+request.Header.Get("X-Id")+"\r\nContent-Length: 1\r\n\r\nx")
@@ -195,19 +156,6 @@
 	}, poll.WithTimeout(time.Second))
 }
 
-func TestConnectionThatTheWorkerClosedIsNotUsed(t *testing.T) {
-	w := newWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
-		answer(connection, request, http.StatusOK, "x")
-		return false
-	})
-	f := newFront(t, w.entry("pool"))
-	for range 5 {
-		response, _ := f.get(t, "POST", "/unsafe/", "x")
-		assert.Equal(t, response.StatusCode, http.StatusOK)
-		time.Sleep(20 * time.Millisecond)
-	}
-}
-
 // Found by a hunt at Tweede Leven (hunt-82f6-35, BUDGET): the address of a worker
 // that had gone belonged to another service, and requests went there again and
 // again.
@@ -227,41 +175,6 @@
 	assert.Equal(t, w.arrivals(), 1)
 }
 
-// Kept connections may go silent for good: one that was shows that the others may be.
-func TestConnectionsBesideASilentOneAreNotUsed(t *testing.T) {
-	var mu sync.Mutex
-	served := map[net.Conn]bool{}
-	w := newWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
-		mu.Lock()
-		kept := served[connection]
-		served[connection] = true
-		mu.Unlock()
-		if kept {
-			time.Sleep(time.Second) // nothing more is answered on it
-			return false
-		}
-		time.Sleep(20 * time.Millisecond) // so that each request opens a connection
-		answer(connection, request, http.StatusOK, "x")
-		return true
-	})
-	f := newFront(t, w.entry("pool"))
-	var wait sync.WaitGroup
-	for range 4 {
-		request := f.request(t, "POST", "/unsafe/", "x")
-		wait.Go(func() {
-			response, err := http.DefaultClient.Do(request)
-			assert.Check(t, err)
-			assert.Check(t, response.Body.Close())
-		})
-	}
-	wait.Wait()
-	response, _ := f.get(t, "POST", "/unsafe/", "x", "X-Deadline", "200")
-	assert.Equal(t, response.StatusCode, http.StatusGatewayTimeout)
-	time.Sleep(2 * firstRest)
-	response, _ = f.get(t, "POST", "/unsafe/", "x")
-	assert.Equal(t, response.StatusCode, http.StatusOK)
-}
-
 func TestKeyedRequestFollowsItsOwner(t *testing.T) {
 	w := newWorker(t, "w1", answers("x"))
 	entry := w.entry("keyed")
@@ -322,63 +235,6 @@
 	assert.Equal(t, w.bodies[0], long)
 }
 
-func TestSilentWorkerIsHedged(t *testing.T) {
-	release := make(chan struct{})
-	silent := func(connection net.Conn, request *http.Request) bool {
-		<-release
-		answer(connection, request, http.StatusOK, "late")
-		return true
-	}
-	var first atomic.Bool
-	once := func(connection net.Conn, request *http.Request) bool {
-		if first.CompareAndSwap(false, true) {
-			return silent(connection, request)
-		}
-		answer(connection, request, http.StatusOK, "second")
-		return true
-	}
-	one, two := newWorker(t, "w1", once), newWorker(t, "w2", once)
-	defer close(release)
-	f := newFront(t, one.entry("pool"), two.entry("pool"))
-	response, body := f.get(t, "GET", "/safe/", "")
-	assert.Equal(t, response.StatusCode, http.StatusOK)
-	assert.Equal(t, body, "second")
-}
-
-// A first copy is not given up while the second is under way: whichever answers
-// first is passed on.
-func TestFirstCopyMayStillAnswer(t *testing.T) {
-	hedged := make(chan struct{})
-	var count atomic.Int32
-	run := func(connection net.Conn, request *http.Request) bool {
-		if count.Add(1) == 1 {
-			<-hedged
-			answer(connection, request, http.StatusOK, "first")
-			return true
-		}
-		close(hedged)
-		time.Sleep(time.Second)
-		return false
-	}
-	one, two := newWorker(t, "w1", run), newWorker(t, "w2", run)
-	f := newFront(t, one.entry("pool"), two.entry("pool"))
-	_, body := f.get(t, "GET", "/safe/", "")
-	assert.Equal(t, body, "first")
-}
-
-func TestUnsafeRequestIsNeverHedged(t *testing.T) {
-	run := func(connection net.Conn, request *http.Request) bool {
-		time.Sleep(900 * time.Millisecond)
-		answer(connection, request, http.StatusOK, "slow")
-		return true
-	}
-	one, two := newWorker(t, "w1", run), newWorker(t, "w2", run)
-	f := newFront(t, one.entry("pool"), two.entry("pool"))
-	response, _ := f.get(t, "POST", "/unsafe/", "x")
-	assert.Equal(t, response.StatusCode, http.StatusOK)
-	assert.Equal(t, one.arrivals()+two.arrivals(), 1)
-}
-
 // Found on quiet-1 of tlb-gateway-large: the owner of a hot key reset 5,000 connections
 // that were over its limit, and 850 requests that reached no worker were answered 502.
 func TestAnOwnerThatTurnsRequestsAwayIsAskedSeldom(t *testing.T) {
