--- a/internal/estimate/told.go
+++ b/internal/estimate/told.go
@@ -11,10 +11,14 @@
 	toldMemory = 300 * time.Millisecond
 	// meanMemory is that of the mean of what is told.
 	meanMemory = 2 * time.Second
+	// silentTime is how long nothing may be told before the mean is forgotten.
+	silentTime = time.Second
 )
 
 // Mean is the mean of figures of one kind that are told now and then, newer ones weighing
-// more. Its zero value knows nothing. It is safe for concurrent use.
+// more. It goes to zero where nothing more is told: a process that takes all workers for full
+// sends to none, hears nothing, and would never send again. Its zero value knows nothing. It
+// is safe for concurrent use.
 type Mean struct {
 	mu          sync.Mutex
 	sum, weight float64
@@ -35,14 +39,15 @@
 	m.weight++
 }
 
-// Get returns the mean; zero if nothing was told.
-func (m *Mean) Get() float64 {
+// Get returns the mean as of now; zero if nothing was told.
+func (m *Mean) Get(now time.Time) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.weight == 0 {
 		return 0
 	}
-	return m.sum / m.weight
+	silent := max(0, now.Sub(m.at)-silentTime)
+	return m.sum / m.weight * math.Exp(-silent.Seconds()/meanMemory.Seconds())
 }
 
 // Told is a figure that is told now and then, such as the load of a worker, and changes
--- a/internal/estimate/told_test.go
+++ b/internal/estimate/told_test.go
@@ -39,16 +39,18 @@
 func TestMeanOfWhatIsTold(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var mean Mean
-	assert.Equal(t, mean.Get(), 0.0)
+	assert.Equal(t, mean.Get(now), 0.0)
 	for range 10 {
 		now = now.Add(100 * time.Millisecond)
 		mean.Add(now, 2)
 		mean.Add(now, 6)
 	}
-	assert.Assert(t, math.Abs(mean.Get()-4) < 1e-6, "%f", mean.Get())
+	assert.Assert(t, math.Abs(mean.Get(now)-4) < 1e-6, "%f", mean.Get(now))
 	for range 16 {
 		now = now.Add(meanMemory / 2)
 		mean.Add(now, 1)
 	}
-	assert.Assert(t, mean.Get() < 1.1, "what was told long ago weighs little: %f", mean.Get())
+	assert.Assert(t, mean.Get(now) < 1.1, "what was told long ago weighs little: %f", mean.Get(now))
+	assert.Equal(t, mean.Get(now.Add(silentTime)), mean.Get(now))
+	assert.Assert(t, mean.Get(now.Add(time.Minute)) < 0.01, "nothing was told for long")
 }
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -36,9 +36,9 @@
 	worker   workers.Worker
 	inFlight int
 	// others is the load by other processes, and slowdown how long work takes, as far as the
-	// worker tells them; usual are their means over the service.
+	// worker tells them; means are those over the service's workers.
 	others, slowdown estimate.Told
-	usual            *usualTold
+	means            *toldMeans
 	// latency is the time of work on a request.
 	latency estimate.Latency
 	// throttle is for a worker of keys that turns requests away.
@@ -53,33 +53,33 @@
 	cold           coldGate
 }
 
-// usualTold are the means of what a service's workers tell.
-type usualTold struct {
+// toldMeans are the means of what a service's workers tell.
+type toldMeans struct {
 	others, slowdown estimate.Mean
 }
 
-func newBackend(worker workers.Worker, usual *usualTold) *backend {
-	return &backend{pool: &pool{address: worker.Address}, worker: worker, usual: usual}
+func newBackend(worker workers.Worker, means *toldMeans) *backend {
+	return &backend{pool: &pool{address: worker.Address}, worker: worker, means: means}
 }
 
 // told takes what the worker tells of itself. The caller holds mu.
 func (b *backend) told(now time.Time, load Load) {
 	others := max(0, float64(load.Running+load.Waiting-b.inFlight))
 	b.others.Add(now, others)
-	b.usual.others.Add(now, others)
+	b.means.others.Add(now, others)
 	if load.Slowdown > 0 {
 		b.slowdown.Add(now, load.Slowdown)
-		b.usual.slowdown.Add(now, load.Slowdown)
+		b.means.slowdown.Add(now, load.Slowdown)
 	}
 }
 
 // slowness is how much longer than usual work takes at the worker now. The caller holds mu.
 func (b *backend) slowness(now time.Time) float64 {
-	usual := b.usual.slowdown.Get()
-	if usual == 0 {
+	mean := b.means.slowdown.Get(now)
+	if mean == 0 {
 		return 1
 	}
-	return b.slowdown.Expected(now, usual) / usual
+	return b.slowdown.Expected(now, mean) / mean
 }
 
 // assess returns how long a request sent now would take; false if none may be sent. A cold
@@ -117,7 +117,7 @@
 
 // occupied estimates the requests at the worker. The caller holds mu.
 func (b *backend) occupied(now time.Time) float64 {
-	return float64(b.inFlight) + b.others.Expected(now, b.usual.others.Get())
+	return float64(b.inFlight) + b.others.Expected(now, b.means.others.Get(now))
 }
 
 // crowd returns the estimated requests at the worker, as a multiple of its slots.
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -17,8 +17,8 @@
 	mu        sync.Mutex
 	byID      map[workers.ID]*backend
 	services  map[routing.ServiceName]*serviceState
-	// usual are the means of what each service's workers tell.
-	usual  map[routing.ServiceName]*usualTold
+	// means are those of what each service's workers tell.
+	means  map[routing.ServiceName]*toldMeans
 	limits BudgetLimits
 	// seed makes the subsets of this process its own.
 	seed maphash.Seed
@@ -28,7 +28,7 @@
 	return &fleet{
 		zone: zone, directory: directory, limits: limits, seed: maphash.MakeSeed(),
 		byID: map[workers.ID]*backend{}, services: map[routing.ServiceName]*serviceState{},
-		usual: map[routing.ServiceName]*usualTold{},
+		means: map[routing.ServiceName]*toldMeans{},
 	}
 }
 
@@ -38,7 +38,7 @@
 	defer f.mu.Unlock()
 	known := f.byID[worker.ID]
 	if known == nil {
-		known = newBackend(worker, f.usualOf(worker.Service))
+		known = newBackend(worker, f.meansOf(worker.Service))
 		f.byID[worker.ID] = known
 	}
 	known.mu.Lock()
@@ -47,12 +47,12 @@
 	return known
 }
 
-// usualOf returns the means of what a service's workers tell. The caller holds mu.
-func (f *fleet) usualOf(service routing.ServiceName) *usualTold {
-	known := f.usual[service]
+// meansOf returns the means of what a service's workers tell. The caller holds mu.
+func (f *fleet) meansOf(service routing.ServiceName) *toldMeans {
+	known := f.means[service]
 	if known == nil {
-		known = &usualTold{}
-		f.usual[service] = known
+		known = &toldMeans{}
+		f.means[service] = known
 	}
 	return known
 }
--- a/internal/proxy/pick_test.go
+++ b/internal/proxy/pick_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -31,3 +33,19 @@
 		f.pick(now, service, of, time.Second, nil, 74)
 	}
 }
+
+// A process that takes all workers for full sends to none and hears nothing of them: it must
+// try them again.
+func TestFullWorkersAreTriedAgain(t *testing.T) {
+	f := newFleet("z0", manyWorkers(6), BudgetLimits{})
+	of, service := &routing.Service{Name: "s"}, &serviceState{}
+	now := time.Now()
+	announced, version := f.directory.Usable("s")
+	for _, one := range f.list(service, announced, version, 74) {
+		one.backend.begin()
+		one.backend.end(now, &result{outcome: outcomeNotRun, loaded: true, load: Load{Running: 3, Waiting: 12, Slots: 3}})
+	}
+	pick := func(at time.Time) *backend { return f.pick(at, service, of, time.Second, nil, 74).to }
+	assert.Assert(t, pick(now.Add(100*time.Millisecond)) == nil)
+	assert.Assert(t, pick(now.Add(5*time.Second)) != nil)
+}
