--- a/internal/estimate/told.go
+++ b/internal/estimate/told.go
@@ -55,10 +55,10 @@
 // of its kind tell. Its zero value knows nothing, and expects that mean.
 //
 // With many processes each hears of a worker about once a second. A load that was taken to
-// vanish meanwhile made all of them send to the fastest workers: these got 2.3 times the mean
-// of all, and 1.5 times since. In 30 s near saturation (74 processes, 300 workers) 8,535 of
-// 13,695 requests of 400 ms were answered in time before, with the slowdowns told not used,
-// and 0.737 of their worth was earned, 0.841 since; of 38,056 of 160 ms 32,744 and 35,430.
+// vanish meanwhile made nearly all look idle: in 30 s near saturation (74 processes, 300
+// workers) 2,266 of 16,662 arrivals of requests of 400 ms were rejected, and 169 of 14,069
+// since; 0.737 of their worth was earned, and 0.841 since. Of 38,056 requests of 160 ms
+// 32,744 were answered in time, and 35,430 since.
 type Told struct {
 	last float64
 	at   time.Time
--- a/internal/proxy/allowance.go
+++ b/internal/proxy/allowance.go
@@ -15,8 +15,8 @@
 // given back only if it surely did not run.
 //
 // It guards the route's limit of workers that one request may run on. Counting sends when
-// they ended let requests run on 2 workers of 1 and on 3 of 2, over a thousand times in
-// 30 s of 2,000 requests a second (74 routers, second copies of silent requests).
+// they ended let requests run on 2 workers of 1 and on 3 of 2: 13 of them in the first 3 s of
+// a day of 74 routers (second copies of silent requests).
 type allowance struct {
 	// attempts is how many workers the request may run on.
 	attempts int
--- a/internal/proxy/coldgate.go
+++ b/internal/proxy/coldgate.go
@@ -6,15 +6,15 @@
 )
 
 // coldShare of what a cold worker bears is sent, since chance brings more at times. Of 3.15
-// requests a second 15 or more, which none of the users' workers may get, come within some
-// second about once in a million; of 4.2 about 5 times in 100,000, and hundreds of workers
+// requests a second 15 or more, which none of the users' workers may get, come within a given
+// second about once in a million times; of 4.2 about 3 times in 100,000, and hundreds of workers
 // may be cold at once.
 const coldShare = 0.75
 
 // coldGate shares out among all processes how many requests a second a cold worker bears.
 // No process sees what the others send. So each sends its part of that rate, and begins
 // each spell at a random point between two of its sends: what all send together then
-// varies as a Poisson process does. Workers that came back cold together got 16 and 17
+// varies as a Poisson process does. Workers that came back cold together got 15 and 16
 // requests in a second without it, and bear 4.2 (74 processes).
 //
 // Its zero value is that of a worker that was never cold.
