Log whom a router keeps on suspicion, and for how long it was cut off

The incident's record could not say whose entries were taken for lapsed, until when, nor since when a router did not reach the store; workers that were kept and dropped later left no line at all. Lines: worker with state kept and for, worker gone once an entry did not come back, store-regained with away; metric kept_workers.

--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -22,6 +22,8 @@
 	gauge("shalefork_router_told", "1 while a leader or a relay tells this process of changes, 0 while it reads them itself.",
 		func() float64 { return number(r.told.now()) })
 	gauge("shalefork_router_workers", "Workers that are announced.", func() float64 { return float64(r.workers.Count()) })
+	gauge("shalefork_router_kept_workers", "Workers that are kept although their entries went: these may have lapsed with the key-value service.",
+		func() float64 { return float64(r.workers.Kept()) })
 	gauge("shalefork_router_evacuated_zones", "Zones whose workers are to get no work.", func() float64 {
 		return float64(len(r.workers.EvacuatedZones()))
 	})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -115,6 +115,7 @@
 		entries: newFollowed(),
 	}
 	r.entriesView = &workersView{r: r}
+	r.workers.OnExpired(r.entriesView.expired)
 	r.configView = newConfigView(r)
 	r.proxy = proxy.New(config.Zone, r.workers, limits(config))
 	r.proxy.Headers, r.proxy.Table, r.proxy.Meter = adapter.Headers, r.table, r.meter
--- a/internal/router/workersview.go
+++ b/internal/router/workersview.go
@@ -17,6 +17,8 @@
 	mu sync.Mutex
 	// at is the revision up to which all entries were read.
 	at coord.Revision
+	// lostAt is when the service was lost last.
+	lostAt time.Time
 }
 
 // Snapshot implements coord.View.
@@ -35,8 +37,9 @@
 			list = append(list, worker)
 		}
 	}
-	v.r.workers.Replace(list)
+	vanished := v.r.workers.Replace(list)
 	v.r.hub.EntriesRead(at)
+	v.tellVanished(vanished, at)
 	v.r.log.Line(decision.KindWorker).Int("announced", len(list)).Int64("revision", int64(at)).Msg("list read")
 }
 
@@ -101,8 +104,6 @@
 	for id, change := range last {
 		if change.Gone {
 			gone = append(gone, id)
-			v.r.log.Line(decision.KindWorker).Str("worker", string(id)).Str("state", "gone").
-				Int64("revision", int64(change.Revision)).Msg("")
 			continue
 		}
 		worker := change.Worker()
@@ -112,16 +113,36 @@
 		}
 		changed = append(changed, worker)
 	}
-	v.r.workers.Update(changed, gone)
+	v.tellVanished(v.r.workers.Update(changed, gone), at)
+}
+
+// tellVanished logs what became of workers whose entries went.
+func (v *workersView) tellVanished(vanished workers.Vanished, at coord.Revision) {
+	for _, id := range vanished.Gone {
+		v.r.log.Line(decision.KindWorker).Str("worker", string(id)).Str("state", "gone").
+			Int64("revision", int64(at)).Msg("")
+	}
+	for _, id := range vanished.Kept {
+		v.r.log.Line(decision.KindWorker).Str("worker", string(id)).Str("state", "kept").
+			Int64("revision", int64(at)).Float64("for", v.r.workers.Settling().Seconds()).Msg("its entry may have lapsed only")
+	}
+}
+
+// expired logs which entries did not come back.
+func (v *workersView) expired(ids []workers.ID) {
+	for _, id := range ids {
+		v.r.log.Line(decision.KindWorker).Str("worker", string(id)).Str("state", "gone").Msg("its entry did not come back")
+	}
 }
 
 // Lost implements coord.View.
 func (v *workersView) Lost(err error) {
+	v.lostAt = time.Now()
 	v.r.log.Line(decision.KindStoreLost).Str("for", "workers").Err(err).Msg("")
 }
 
 // Regained implements coord.View.
 func (v *workersView) Regained() {
 	v.r.workers.Settle(time.Now().Add(workers.SettleTime))
-	v.r.log.Line(decision.KindStoreBack).Str("for", "workers").Msg("")
+	v.r.log.Line(decision.KindStoreBack).Str("for", "workers").Float64("away", time.Since(v.lostAt).Seconds()).Msg("")
 }
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -51,6 +51,17 @@
 	lapsed      map[ID]bool
 	evacuations evacuations
 	changed     chan struct{}
+	// expired is called with the workers that are taken to be gone since their entries
+	// did not come back; nil: nobody wants to know.
+	expired func([]ID)
+}
+
+// Vanished are the workers whose entries went with a change of the list.
+type Vanished struct {
+	// Gone have left.
+	Gone []ID
+	// Kept stay for now, since their entries may have lapsed only.
+	Kept []ID
 }
 
 // NewDirectory returns an empty list.
@@ -71,8 +82,12 @@
 // may be back soon: entries go while the service is disturbed.
 const listAge = time.Second
 
-// Replace sets the whole list.
-func (d *Directory) Replace(list []Worker) {
+// OnExpired sets what is called with the workers whose entries did not come back in time.
+// It is set before the directory is used.
+func (d *Directory) OnExpired(call func([]ID)) { d.expired = call }
+
+// Replace sets the whole list, and returns which entries went with that.
+func (d *Directory) Replace(list []Worker) Vanished {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	learned := time.Now().Add(-listAge)
@@ -81,22 +96,22 @@
 		fresh[worker.ID] = worker
 		delete(d.lapsed, worker.ID)
 	}
+	var vanished Vanished
 	for id := range d.byID {
 		if _, stays := fresh[id]; stays {
 			continue
 		}
-		if d.lapses(id) {
+		if d.vanish(id, &vanished) {
 			fresh[id] = d.byID[id]
-			continue
 		}
-		d.goneAt[id] = time.Now()
 	}
 	d.byID = fresh
 	d.index(learned)
+	return vanished
 }
 
-// Update adds, changes and removes workers.
-func (d *Directory) Update(changed []Worker, gone []ID) {
+// Update adds, changes and removes workers, and returns which entries went with that.
+func (d *Directory) Update(changed []Worker, gone []ID) Vanished {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, worker := range changed {
@@ -104,16 +119,29 @@
 		delete(d.goneAt, worker.ID)
 		delete(d.lapsed, worker.ID)
 	}
+	var vanished Vanished
 	for _, id := range gone {
-		if d.lapses(id) {
-			continue
-		}
-		if _, known := d.byID[id]; known {
-			d.goneAt[id] = time.Now()
+		if _, known := d.byID[id]; known && !d.vanish(id, &vanished) {
+			delete(d.byID, id)
 		}
-		delete(d.byID, id)
 	}
 	d.index(time.Now())
+	return vanished
+}
+
+// vanish notes that the entry of a known worker went, and reports whether the worker is
+// kept. The caller holds mu.
+func (d *Directory) vanish(id ID, vanished *Vanished) bool {
+	if !d.lapses(id) {
+		d.goneAt[id] = time.Now()
+		vanished.Gone = append(vanished.Gone, id)
+		return false
+	}
+	if !d.lapsed[id] {
+		d.lapsed[id] = true
+		vanished.Kept = append(vanished.Kept, id)
+	}
+	return true
 }
 
 // SettleTime is how long after the service's return entries that lapsed meanwhile are
@@ -153,30 +181,36 @@
 	return max(0, time.Until(d.settled))
 }
 
-// lapses notes that an entry has vanished, and reports whether its worker is kept. The
+// lapses reports whether the entry of a known worker, which went, may have lapsed only. The
 // caller holds mu.
 func (d *Directory) lapses(id ID) bool {
-	worker, known := d.byID[id]
-	if !known || worker.State != StateReady || !time.Now().Before(d.settled) {
-		return false
-	}
-	d.lapsed[id] = true
-	return true
+	return d.byID[id].State == StateReady && time.Now().Before(d.settled)
 }
 
 // expire takes workers to be gone whose entries did not come back.
 func (d *Directory) expire() {
+	expired := d.dropLapsed()
+	if len(expired) > 0 && d.expired != nil {
+		d.expired(expired)
+	}
+}
+
+// dropLapsed removes the workers that are kept no longer, and returns them.
+func (d *Directory) dropLapsed() []ID {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.lapsed) == 0 || time.Now().Before(d.settled) {
-		return
+		return nil
 	}
+	expired := make([]ID, 0, len(d.lapsed))
 	for id := range d.lapsed {
 		d.goneAt[id] = time.Now()
 		delete(d.byID, id)
+		expired = append(expired, id)
 	}
 	clear(d.lapsed)
 	d.index(time.Now())
+	return expired
 }
 
 // goneMemory is how long the end of an entry is remembered.
@@ -259,6 +293,13 @@
 	return len(d.byID)
 }
 
+// Kept returns how many workers are kept although their entries went.
+func (d *Directory) Kept() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return len(d.lapsed)
+}
+
 // Cold returns how many workers warm up.
 func (d *Directory) Cold() int {
 	d.mu.RLock()
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -92,3 +92,47 @@
 		})
 	}
 }
+
+// Operators see from these which worker was kept on suspicion, and until when.
+func TestWhatVanishesIsReported(t *testing.T) {
+	for name, c := range map[string]struct {
+		settling bool
+		learn    func(d *Directory) Vanished
+		want     Vanished
+		expired  []ID
+	}{
+		"from a list":       {learn: func(d *Directory) Vanished { return d.Replace(nil) }, want: Vanished{Gone: []ID{"a"}}},
+		"by a change":       {learn: func(d *Directory) Vanished { return d.Update(nil, []ID{"a", "never known"}) }, want: Vanished{Gone: []ID{"a"}}},
+		"kept":              {settling: true, learn: func(d *Directory) Vanished { return d.Replace(nil) }, want: Vanished{Kept: []ID{"a"}}, expired: []ID{"a"}},
+		"kept, told again":  {settling: true, learn: goneTwice, want: Vanished{}, expired: []ID{"a"}},
+		"kept, and is back": {settling: true, learn: goneAndBack, want: Vanished{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				directory := NewDirectory()
+				var expired []ID
+				directory.OnExpired(func(ids []ID) { expired = append(expired, ids...) })
+				directory.Replace([]Worker{worker("a", StateReady)})
+				if c.settling {
+					directory.Settle(time.Now().Add(SettleTime))
+				}
+				assert.DeepEqual(t, c.learn(directory), c.want)
+				assert.Equal(t, directory.Kept(), len(c.expired))
+				time.Sleep(SettleTime)
+				synctest.Wait()
+				assert.DeepEqual(t, expired, c.expired)
+				assert.Equal(t, directory.Kept(), 0)
+			})
+		})
+	}
+}
+
+func goneTwice(d *Directory) Vanished {
+	d.Replace(nil)
+	return d.Update(nil, []ID{"a"})
+}
+
+func goneAndBack(d *Directory) Vanished {
+	d.Replace(nil)
+	return d.Update([]Worker{worker("a", StateReady)}, nil)
+}
