Bound the wait for lapsed entries by the end of the outage, not by a router's first answer

Cause: entries that vanish while the store is away may have lapsed only, so a router that reaches it again kept their workers for 2.2 s, counted from its own first answer. That comes up to 1.7 s after the end of a cut (a try of 0.7 s, a pause of 1 s), so requests went to a worker that had left for up to 3.9 s after it; 3 s are allowed. Its class: a time that counts from a process's own observation stands in for one that counts from the event. The same cause elsewhere, found by reading and by the tests: - a leader's wait bound all routers, also those that had read every change themselves: 2.2 s after a worker left, where 2 s are allowed; - a wait that began anew with each regaining kept a worker for as long as the store came and went; - the end of a kept worker's grace as the owner of keys counted from the end of the wait; - an owner that a router never knew got requests without end. Ruled out: a shorter wait (entries are back within 2 s of the store's return, and are waited for 1.7 s or longer: TestEntriesThatLapsedInAnOutageAreWaitedFor); only the leader's word, which ends the wait where a leader is steady, and does not where none is. Change: the wait ends 0.2 s before the router has to have caught up, counted from the last try that failed; each entry has one deadline; told waits last half of the drain time for those that were not away; tries begin at most a second apart, since the time of a try counts as pause; setting catch_up (3 s, from the platform's bounds). Before: the three tests fail (18 of 40 ends of a cut, 4 of 41 leaving times, the unknown owner).

--- a/internal/clock/sleep_test.go
+++ b/internal/clock/sleep_test.go
@@ -36,3 +36,23 @@
 		assert.Equal(t, slept(), time.Second)
 	})
 }
+
+func TestBackoffCountsTheTimeOfACall(t *testing.T) {
+	for name, c := range map[string]struct{ took, slept time.Duration }{
+		"refused at once": {slept: 3 * time.Second},
+		"took a moment":   {took: 500 * time.Millisecond, slept: 2500 * time.Millisecond},
+		"took most of it": {took: 2500 * time.Millisecond, slept: time.Second},
+		"took longer":     {took: time.Minute, slept: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				backoff := Backoff{First: time.Second, Longest: 3 * time.Second}
+				backoff.Sleep(t.Context())
+				backoff.Sleep(t.Context())
+				began := time.Now()
+				backoff.SleepRest(t.Context(), c.took)
+				assert.Equal(t, time.Since(began), c.slept)
+			})
+		})
+	}
+}
--- a/internal/coord/follow.go
+++ b/internal/coord/follow.go
@@ -30,9 +30,10 @@
 	Snapshot(items []Item, at Revision)
 	// Changed applies events in order.
 	Changed(events []Event, at Revision)
-	// Lost and Regained tell whether the service answers.
+	// Lost and Regained tell whether the service answers. since is when the last call that
+	// failed found it away: it may have answered others since then.
 	Lost(err error)
-	Regained()
+	Regained(since time.Time)
 }
 
 // Options of following a prefix.
@@ -51,6 +52,9 @@
 	// Reached is called after each call that was answered, with a time as of which all
 	// is known. Nil: nobody wants to know.
 	Reached func(at time.Time)
+	// Failed is called after each call that failed, with a time at which the service was
+	// away for this process. Nil: nobody wants to know.
+	Failed func(at time.Time)
 	// Covered is the revision up to which the view knows all changes, which may come
 	// from elsewhere meanwhile. Nil: what was read here.
 	Covered func() Revision
@@ -75,7 +79,10 @@
 	at      Revision
 	listed  bool
 	lost    bool
-	backoff clock.Backoff
+	// sent is when the last call was sent, and away a time at which the service was away:
+	// when the last call that failed was sent, or was refused.
+	sent, away time.Time
+	backoff    clock.Backoff
 }
 
 // step lists or watches once.
@@ -108,7 +115,7 @@
 func (f *follower) list(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	began := time.Now()
+	f.sent = time.Now()
 	items, at, err := f.store.List(bounded, f.prefix)
 	if err != nil {
 		return err
@@ -116,7 +123,7 @@
 	f.regain()
 	f.at, f.listed = max(f.at, at), true
 	f.view.Snapshot(items, at)
-	f.reached(began)
+	f.reached(f.sent)
 	return nil
 }
 
@@ -135,6 +142,7 @@
 	bounded, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	renewed := f.watchRenewal(bounded, cancel)
+	f.sent = time.Now()
 	events, at, err := f.store.Watch(bounded, f.prefix, f.at, wait)
 	switch {
 	case errors.Is(err, ErrNoHistory), err != nil && renewed.Load():
@@ -179,14 +187,21 @@
 	f.backoff.Reset()
 	if f.lost {
 		f.lost = false
-		f.view.Regained()
+		f.view.Regained(f.away)
 	}
 }
 
 func (f *follower) fail(ctx context.Context, err error) {
+	f.away = f.sent
+	if errors.Is(err, ErrRefused) {
+		f.away = time.Now()
+	}
+	if f.options.Failed != nil {
+		f.options.Failed(f.away)
+	}
 	if !f.lost {
 		f.lost = true
 		f.view.Lost(err)
 	}
-	f.backoff.Sleep(ctx)
+	f.backoff.SleepRest(ctx, time.Since(f.sent))
 }
--- a/internal/coord/follow_test.go
+++ b/internal/coord/follow_test.go
@@ -19,6 +19,8 @@
 	snapshots int
 	lost      int
 	regained  int
+	// away is when the service was away last, as it was told with regained.
+	away time.Time
 }
 
 func (r *recorded) Snapshot(items []coord.Item, _ coord.Revision) {
@@ -40,7 +42,11 @@
 }
 
 func (r *recorded) Lost(error) { r.lost++ }
-func (r *recorded) Regained()  { r.regained++ }
+
+func (r *recorded) Regained(since time.Time) {
+	r.regained++
+	r.away = since
+}
 
 // elapse lets time pass and all that is due in it happen.
 func elapse(length time.Duration) {
@@ -173,3 +179,56 @@
 		assert.Equal(t, view.values["a/1"], "after")
 	})
 }
+
+// refusing is a service that answers each call with a refusal while it is told to.
+type refusing struct {
+	*memory.Store
+	refuses atomic.Bool
+}
+
+func (r *refusing) List(ctx context.Context, prefix string) ([]coord.Item, coord.Revision, error) {
+	if r.refuses.Load() {
+		return nil, 0, coord.ErrRefused
+	}
+	return r.Store.List(ctx, prefix)
+}
+
+func (r *refusing) Watch(ctx context.Context, prefix string, after coord.Revision, wait time.Duration) ([]coord.Event, coord.Revision, error) {
+	if r.refuses.Load() {
+		return nil, 0, coord.ErrRefused
+	}
+	return r.Store.Watch(ctx, prefix, after, wait)
+}
+
+// Whoever waits after the service's return counts from when it was surely away, which is no
+// later than its return and no more than one try before the first answer.
+func TestFollowTellsSinceWhenTheServiceMayBeBack(t *testing.T) {
+	for name, away := range map[string]func(store *refusing, is bool){
+		"silent":  func(store *refusing, is bool) { store.SetDown(is) },
+		"refuses": func(store *refusing, is bool) { store.refuses.Store(is) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for phase := time.Duration(0); phase < 3*time.Second; phase += 70 * time.Millisecond {
+				synctest.Test(t, func(t *testing.T) {
+					store, view := &refusing{Store: memory.New()}, &recorded{}
+					ctx, stop := context.WithCancel(t.Context())
+					go coord.Follow(ctx, store, "a/", view, coord.Options{
+						Wait:   func() time.Duration { return time.Second },
+						Gather: func() time.Duration { return 0 },
+					})
+					elapse(time.Second)
+					away(store, true)
+					elapse(8*time.Second + phase)
+					away(store, false)
+					back := time.Now()
+					elapse(4 * time.Second)
+					assert.Equal(t, view.regained, 1)
+					assert.Assert(t, !view.away.After(back), "%v after its return", view.away.Sub(back))
+					assert.Assert(t, back.Sub(view.away) <= 1800*time.Millisecond, "%v before it", back.Sub(view.away))
+					stop()
+					synctest.Wait()
+				})
+			}
+		})
+	}
+}
--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -54,7 +54,7 @@
 		{KindWorker, "a worker announced itself, drains or is gone; or it is kept although its entry went, which may have lapsed only", "worker, state, service, revision, for (seconds that it is kept at most); announced: how many a new list has"},
 		{KindWorkerHealth, "a worker is left alone after a failure, or is used again", "worker, outcome, id (the request that showed it), error"},
 		{KindStoreLost, "the store does not answer", "for (what was followed), error"},
-		{KindStoreBack, "it answers again", "for; for workers also away: seconds since it was lost"},
+		{KindStoreBack, "it answers again", "for; for workers also away: seconds since it was lost, and waits: seconds for which vanished entries are waited for"},
 		{KindLeaderLost, "the link to the leader broke", "leader, term, error"},
 		{KindLeaderFound, "a leader has told its owners, itself or through a relay", "leader, term, relay"},
 		{KindRelayLost, "the link to the relay broke, or it has had no leader for too long; the leader is asked for another", "relay, error"},
--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -196,6 +196,34 @@
 		new:  "\tif false &&",
 		pkg:  "./internal/router", test: "TestWhoWasCutOffAloneTakesVanishedWorkersToBeGone",
 	},
+	{
+		name: "vanished-entries-waited-for-from-the-first-answer",
+		file: "internal/router/workersview.go",
+		old:  "caughtUp.Before(until)",
+		new:  "false && caughtUp.Before(until)",
+		pkg:  "./internal/router", test: "TestWhoWasCutOffSendsNothingToWorkersThatLeft",
+	},
+	{
+		name: "leaders-wait-binds-all",
+		file: "internal/router/workersview.go",
+		old:  "\tif !r.entries.away(now) {",
+		new:  "\tif false {",
+		pkg:  "./internal/router", test: "TestWhoWasNotCutOffSendsNothingToWorkersThatLeft",
+	},
+	{
+		name: "wait-begins-anew-for-an-entry",
+		file: "internal/workers/kept.go",
+		old:  "\tif _, already := d.kept[id]; already {",
+		new:  "\tif _, already := d.kept[id]; false && already {",
+		pkg:  "./internal/workers", test: "TestAVanishedEntryIsWaitedForOnce",
+	},
+	{
+		name: "unknown-owner-used-without-end",
+		file: "internal/workers/workers.go",
+		old:  "\tif _, announced := d.byID[id]; announced || !d.listed {",
+		new:  "\tif _, gone := d.goneAt[id]; !gone {",
+		pkg:  "./internal/proxy", test: "TestAnOwnerThatIsNotAnnouncedGetsWorkForAMomentOnly",
+	},
 	{
 		name: "answer-of-another-request",
 		file: "internal/proxy/exchange.go",
@@ -269,7 +297,7 @@
 	{
 		name: "silent-relay-relied-on",
 		file: "internal/router/told.go",
-		old:  "int64(now.Sub(processBegan)) < t.until.Load()",
+		old:  "int64(now.Sub(processBegan)) < until",
 		new:  "t.until.Load() > 0",
 		pkg:  "./internal/router", test: "TestWhatIsToldLapses",
 	},
--- a/internal/router/bundles.go
+++ b/internal/router/bundles.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/coord"
@@ -100,6 +101,6 @@
 }
 
 // Regained implements coord.View.
-func (v *bundlesView) Regained() {
+func (v *bundlesView) Regained(time.Time) {
 	v.r.log.Line(decision.KindStoreBack).Str("for", "bundles").Msg("")
 }
--- a/internal/router/configview.go
+++ b/internal/router/configview.go
@@ -152,6 +152,6 @@
 }
 
 // Regained implements coord.View.
-func (v *configView) Regained() {
+func (v *configView) Regained(time.Time) {
 	v.r.log.Line(decision.KindStoreBack).Str("for", "configuration").Msg("")
 }
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -36,6 +36,8 @@
 	lagging time.Time
 	// reached is as of when all was read from the service, in nanoseconds since 1970.
 	reached atomic.Int64
+	// failed is when a call last found the service away, in the same form.
+	failed atomic.Int64
 	// asked is the last change of the leader's for which all was read anew.
 	asked coord.Revision
 }
@@ -62,6 +64,16 @@
 	}
 }
 
+// triesApart is how far apart the calls of a process begin at most that does not reach the
+// service: a watch that is not answered lasts longest.
+const triesApart = 2500 * time.Millisecond
+
+// away reports whether this process looks for changes itself and does not reach the service.
+func (f *followed) away(now time.Time) bool {
+	failed := f.failed.Load()
+	return failed > f.reached.Load() && now.UnixNano()-failed < int64(triesApart)
+}
+
 // known returns the newest change that was read.
 func (f *followed) known() coord.Revision { return coord.Revision(f.newest.Load()) }
 
@@ -112,6 +124,7 @@
 		Paused:  r.told.now,
 		Covered: of.coveredUpTo,
 		Reached: func(at time.Time) { r.storeReached(of, at) },
+		Failed:  func(at time.Time) { of.failed.Store(at.UnixNano()) },
 	})
 }
 
@@ -159,7 +172,7 @@
 	r.strongest.Store(math.Float64bits(update.Strongest))
 	now := time.Now()
 	if settle := update.Known.SettleMillis; settle > 0 {
-		r.workers.Settle(now.Add(time.Duration(settle) * time.Millisecond))
+		r.settleAsTold(now, time.Duration(settle)*time.Millisecond)
 	}
 	if update.Known.Steady && !update.Deaf && !update.Stale() {
 		r.workers.EndSettling()
--- a/internal/router/workersview.go
+++ b/internal/router/workersview.go
@@ -141,8 +141,35 @@
 	v.r.log.Line(decision.KindStoreLost).Str("for", "workers").Err(err).Msg("")
 }
 
-// Regained implements coord.View.
-func (v *workersView) Regained() {
-	v.r.workers.Settle(time.Now().Add(workers.SettleTime))
-	v.r.log.Line(decision.KindStoreBack).Str("for", "workers").Float64("away", time.Since(v.lostAt).Seconds()).Msg("")
+// lapseMargin is kept from the time in which a router must have caught up: requests that
+// were sent before take a moment to reach their worker.
+const lapseMargin = 200 * time.Millisecond
+
+// Regained implements coord.View. Entries that lapsed while the service was away are waited
+// for; a worker that left must get nothing once the router has to have caught up. That time
+// counts from the end of the outage or cut, and this process's first answer may come a second
+// later, by the pause between its tries: the wait counts from the last one that failed.
+// Counted from the answer, requests went to a worker that had left for up to 3.9 s after the
+// end of a cut, where 3 s are allowed (18 of 40 ends of a cut between two tries, in virtual time).
+func (v *workersView) Regained(since time.Time) {
+	now := time.Now()
+	until := now.Add(workers.SettleTime)
+	if caughtUp := since.Add(v.r.settings.CatchUp.Std() - lapseMargin); caughtUp.Before(until) {
+		until = caughtUp
+	}
+	v.r.workers.Settle(until)
+	v.r.log.Line(decision.KindStoreBack).Str("for", "workers").Float64("away", now.Sub(v.lostAt).Seconds()).
+		Float64("waits", max(0, until.Sub(now)).Seconds()).Msg("")
+}
+
+// settleAsTold takes the leader's word that entries may have lapsed only. A process that was
+// away itself waits as long as the leader; another has read all changes, and waits for half of
+// the time in which workers that leave may get requests. Waiting as long as the leader, it sent
+// requests to workers for 2.2 s after they had left, where 2 s are allowed.
+func (r *Router) settleAsTold(now time.Time, settle time.Duration) {
+	each := workers.SettleTime
+	if !r.entries.away(now) {
+		each = r.settings.Drain.Std() / 2
+	}
+	r.workers.SettleTold(now.Add(settle), each)
 }
--- a/internal/router/workersview_test.go
+++ b/internal/router/workersview_test.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
+	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/coord/memory"
 	"github.com/shalefork/shalefork/internal/decision"
@@ -31,7 +32,8 @@
 			return workers.Worker{ID: id, Service: "s", State: workers.State(item.Value)}, len(item.Value) > 0
 		},
 	}
-	return New(settings.Router{}, adapter, log, prometheus.NewRegistry())
+	times := settings.Router{Drain: bundle.Duration(drainTime), CatchUp: bundle.Duration(contactTime)}
+	return New(times, adapter, log, prometheus.NewRegistry())
 }
 
 func item(id string, revision coord.Revision, state workers.State) coord.Item {
@@ -133,7 +135,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := newTestRouter(t)
 			r.entriesView.Snapshot([]coord.Item{item("a", 8, workers.StateReady)}, 10)
-			r.entriesView.Regained()
+			r.entriesView.Regained(time.Now())
 			r.entriesView.Snapshot(nil, 12)
 			r.heard(c.update)
 			_, known := r.workers.Get("a")
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -76,9 +76,11 @@
 
 // Defaults of settings that may be left out.
 const (
-	DefaultMaxHold     = 10 * time.Second
-	DefaultGrace       = 6 * time.Second
-	DefaultDrain       = 2 * time.Second
+	DefaultMaxHold = 10 * time.Second
+	DefaultGrace   = 6 * time.Second
+	DefaultDrain   = 2 * time.Second
+	// DefaultCatchUp is the bound of the users' platform.
+	DefaultCatchUp     = 3 * time.Second
 	DefaultEvacuate    = 5 * time.Second
 	DefaultRetryRatio  = 0.1
 	DefaultRetrySlack  = 20
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -30,6 +30,9 @@
 	Retry RetryLimits `yaml:"retry"`
 	// Drain is how long workers that leave may get requests.
 	Drain bundle.Duration `yaml:"drain"`
+	// CatchUp is for how long after the end of an outage or cut a router may act by what it
+	// knew before.
+	CatchUp bundle.Duration `yaml:"catch_up"`
 	// Evacuate is how long workers of an evacuated zone may get requests.
 	Evacuate bundle.Duration `yaml:"evacuate"`
 	// FirstStart says that the whole system starts for the first time, so that nothing
@@ -106,7 +109,7 @@
 	periods := []struct {
 		field  string
 		period bundle.Duration
-	}{{"max_hold", router.MaxHold}, {"grace", router.Grace}, {"drain", router.Drain}, {"evacuate", router.Evacuate},
+	}{{"max_hold", router.MaxHold}, {"grace", router.Grace}, {"drain", router.Drain}, {"catch_up", router.CatchUp}, {"evacuate", router.Evacuate},
 		{"retry.window", router.Retry.Window}}
 	for _, one := range periods {
 		if one.period <= 0 {
@@ -134,6 +137,7 @@
 		MaxHold:  bundle.Duration(DefaultMaxHold),
 		Grace:    bundle.Duration(DefaultGrace),
 		Drain:    bundle.Duration(DefaultDrain),
+		CatchUp:  bundle.Duration(DefaultCatchUp),
 		Evacuate: bundle.Duration(DefaultEvacuate),
 		Retry:    RetryLimits{Ratio: DefaultRetryRatio, Slack: DefaultRetrySlack, Window: bundle.Duration(DefaultRetryWindow)},
 	}
--- a/internal/settings/router_test.go
+++ b/internal/settings/router_test.go
@@ -71,7 +71,7 @@
 		"{{nodeName|json}}", `"front-1"`, "{{zone|json}}", `"z"`, "{{listen.front|json}}", `"10.0.0.1:80"`,
 		"{{listen.readiness|json}}", `"10.0.0.1:81"`, "{{ip}}", "10.0.0.1", "{{internalPortRange.0}}", "7540",
 		"{{platform.address|json}}", `"10.0.0.9:90"`, "{{bounds.maxHoldS}}", "10", "{{platform.ttl_min_s}}", "1", "{{bounds.graceS}}", "6",
-		"{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.budgetSlack}}", "62", "{{bounds.drainS}}", "2.5", "{{bounds.evacuateS}}", "4", "{{limits.cpuShare}}", "0.16", "{{limits.linkMbps}}", "10.0", "{{bounds.retryWindowS}}", "10",
+		"{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.budgetSlack}}", "62", "{{bounds.drainS}}", "2.5", "{{bounds.contactS}}", "4", "{{bounds.evacuateS}}", "4", "{{limits.cpuShare}}", "0.16", "{{limits.linkMbps}}", "10.0", "{{bounds.retryWindowS}}", "10",
 	)
 	read, err := ReadRouter("settings.yaml", []byte(fill.Replace(given)), nil)
 	assert.NilError(t, err)
@@ -79,11 +79,13 @@
 	assert.Equal(t, read.PeerListen, "10.0.0.1:7540")
 	assert.Equal(t, read.Retry.Slack, 62.0)
 	assert.Equal(t, read.Drain.Std(), 2500*time.Millisecond)
+	assert.Equal(t, read.CatchUp.Std(), 4*time.Second)
 	assert.Equal(t, read.Evacuate.Std(), 4*time.Second)
 	assert.Equal(t, read.Machine, Machine{Cores: 0.16, LinkMbps: 10})
 	bare, err := ReadRouter("settings.yaml", []byte(fill.Replace(without)), nil)
 	assert.NilError(t, err, "a deployment may give no bounds")
 	assert.Equal(t, bare.MaxHold.Std(), DefaultMaxHold)
 	assert.Equal(t, bare.Retry.Window.Std(), DefaultRetryWindow)
+	assert.Equal(t, bare.CatchUp.Std(), DefaultCatchUp)
 	assert.Equal(t, bare.Evacuate.Std(), DefaultEvacuate)
 }
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -43,12 +43,16 @@
 	version uint64
 	// goneAt remembers when a worker's entry was seen to be gone.
 	goneAt map[ID]time.Time
+	// listed says that a list was read, and missed is since when a worker that never was in
+	// one is asked for.
+	listed bool
+	missed map[ID]time.Time
 	// drainingSince is when a worker was first seen to drain.
 	drainingSince map[ID]time.Time
-	// settled is until when entries that vanish may have lapsed only, and lapsed are
-	// the workers that are kept until then.
-	settled     time.Time
-	lapsed      map[ID]bool
+	// own and told are the waits for entries that may have lapsed only, as this process and
+	// as others did not reach the service; kept are the workers that are waited for.
+	own, told   wait
+	kept        map[ID]kept
 	evacuations evacuations
 	changed     chan struct{}
 	// expired is called with the workers that are taken to be gone since their entries
@@ -71,7 +75,8 @@
 		byService:     map[routing.ServiceName][]Worker{},
 		goneAt:        map[ID]time.Time{},
 		drainingSince: map[ID]time.Time{},
-		lapsed:        map[ID]bool{},
+		kept:          map[ID]kept{},
+		missed:        map[ID]time.Time{},
 		evacuations:   evacuations{},
 		changed:       make(chan struct{}),
 	}
@@ -82,10 +87,6 @@
 // may be back soon: entries go while the service is disturbed.
 const listAge = time.Second
 
-// OnExpired sets what is called with the workers whose entries did not come back in time.
-// It is set before the directory is used.
-func (d *Directory) OnExpired(call func([]ID)) { d.expired = call }
-
 // Replace sets the whole list, and returns which entries went with that.
 func (d *Directory) Replace(list []Worker) Vanished {
 	d.mu.Lock()
@@ -94,7 +95,7 @@
 	fresh := map[ID]Worker{}
 	for _, worker := range list {
 		fresh[worker.ID] = worker
-		delete(d.lapsed, worker.ID)
+		delete(d.kept, worker.ID)
 	}
 	var vanished Vanished
 	for id := range d.byID {
@@ -105,7 +106,7 @@
 			fresh[id] = d.byID[id]
 		}
 	}
-	d.byID = fresh
+	d.byID, d.listed = fresh, true
 	d.index(learned)
 	return vanished
 }
@@ -117,7 +118,7 @@
 	for _, worker := range changed {
 		d.byID[worker.ID] = worker
 		delete(d.goneAt, worker.ID)
-		delete(d.lapsed, worker.ID)
+		delete(d.kept, worker.ID)
 	}
 	var vanished Vanished
 	for _, id := range gone {
@@ -129,90 +130,6 @@
 	return vanished
 }
 
-// vanish notes that the entry of a known worker went, and reports whether the worker is
-// kept. The caller holds mu.
-func (d *Directory) vanish(id ID, vanished *Vanished) bool {
-	if !d.lapses(id) {
-		d.goneAt[id] = time.Now()
-		vanished.Gone = append(vanished.Gone, id)
-		return false
-	}
-	if !d.lapsed[id] {
-		d.lapsed[id] = true
-		vanished.Kept = append(vanished.Kept, id)
-	}
-	return true
-}
-
-// SettleTime is how long after the service's return entries that lapsed meanwhile are
-// back, if their workers live.
-const SettleTime = 2200 * time.Millisecond
-
-// Settle tells that the service was away: until a time, entries of ready workers that
-// vanish may have lapsed only, and their workers are kept.
-func (d *Directory) Settle(until time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if until.After(d.settled) {
-		d.settled = until
-		time.AfterFunc(time.Until(until), d.expire)
-	}
-}
-
-// EndSettling tells that the service was not away for others: entries that vanished are
-// gone.
-func (d *Directory) EndSettling() {
-	d.mu.Lock()
-	now := time.Now()
-	settling := now.Before(d.settled)
-	if settling {
-		d.settled = now
-	}
-	d.mu.Unlock()
-	if settling {
-		d.expire()
-	}
-}
-
-// Settling returns for how long vanished entries are kept still.
-func (d *Directory) Settling() time.Duration {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return max(0, time.Until(d.settled))
-}
-
-// lapses reports whether the entry of a known worker, which went, may have lapsed only. The
-// caller holds mu.
-func (d *Directory) lapses(id ID) bool {
-	return d.byID[id].State == StateReady && time.Now().Before(d.settled)
-}
-
-// expire takes workers to be gone whose entries did not come back.
-func (d *Directory) expire() {
-	expired := d.dropLapsed()
-	if len(expired) > 0 && d.expired != nil {
-		d.expired(expired)
-	}
-}
-
-// dropLapsed removes the workers that are kept no longer, and returns them.
-func (d *Directory) dropLapsed() []ID {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if len(d.lapsed) == 0 || time.Now().Before(d.settled) {
-		return nil
-	}
-	expired := make([]ID, 0, len(d.lapsed))
-	for id := range d.lapsed {
-		d.goneAt[id] = time.Now()
-		delete(d.byID, id)
-		expired = append(expired, id)
-	}
-	clear(d.lapsed)
-	d.index(time.Now())
-	return expired
-}
-
 // goneMemory is how long the end of an entry is remembered.
 const goneMemory = 2 * time.Minute
 
@@ -234,16 +151,22 @@
 			delete(d.drainingSince, id)
 		}
 	}
-	for id, at := range d.goneAt {
-		if time.Since(at) > goneMemory {
-			delete(d.goneAt, id)
-		}
-	}
+	forget(d.goneAt)
+	forget(d.missed)
 	d.version++
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
 
+// forget removes what lies too long back.
+func forget(times map[ID]time.Time) {
+	for id, at := range times {
+		if time.Since(at) > goneMemory {
+			delete(times, id)
+		}
+	}
+}
+
 // Get returns a worker; false if it is not announced.
 func (d *Directory) Get(id ID) (Worker, bool) {
 	d.mu.RLock()
@@ -260,14 +183,23 @@
 	return at, known
 }
 
-// GoneFor returns for how long a worker's entry is gone; zero if it is not known to
-// be.
+// GoneFor returns for how long a worker has had no entry: since that was seen to go or, if
+// it was never seen, since the worker was first asked for here. It is zero while no list was
+// read. An owner of keys that left before this process began got requests without end
+// without the second.
 func (d *Directory) GoneFor(id ID) time.Duration {
-	at, gone := d.GoneAt(id)
-	if !gone {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, announced := d.byID[id]; announced || !d.listed {
 		return 0
 	}
-	return time.Since(at)
+	if at, gone := d.goneAt[id]; gone {
+		return time.Since(at)
+	}
+	if _, noted := d.missed[id]; !noted {
+		d.missed[id] = time.Now()
+	}
+	return time.Since(d.missed[id])
 }
 
 // Of returns the workers of a service in no order, and the list's version. The
@@ -293,13 +225,6 @@
 	return len(d.byID)
 }
 
-// Kept returns how many workers are kept although their entries went.
-func (d *Directory) Kept() int {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return len(d.lapsed)
-}
-
 // Cold returns how many workers warm up.
 func (d *Directory) Cold() int {
 	d.mu.RLock()
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -136,3 +136,71 @@
 	d.Replace(nil)
 	return d.Update([]Worker{worker("a", StateReady)}, nil)
 }
+
+// A service that comes and goes begins the wait anew each time. A worker that left is not kept
+// for all of that.
+func TestAVanishedEntryIsWaitedForOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		directory := NewDirectory()
+		directory.Replace([]Worker{worker("a", StateReady)})
+		directory.Settle(time.Now().Add(SettleTime))
+		directory.Replace(nil)
+		for range 5 {
+			time.Sleep(SettleTime / 2)
+			directory.Settle(time.Now().Add(SettleTime))
+			directory.Replace(nil)
+		}
+		synctest.Wait()
+		_, known := directory.Get("a")
+		assert.Assert(t, !known)
+		assert.Equal(t, directory.GoneFor("a"), 5*SettleTime/2, "counted from when its entry went")
+	})
+}
+
+func TestTheWaitOfOthersIsShorterForEachEntry(t *testing.T) {
+	for name, c := range map[string]struct {
+		settle func(d *Directory, now time.Time)
+		kept   time.Duration
+	}{
+		"of others":            {settle: func(d *Directory, now time.Time) { d.SettleTold(now.Add(SettleTime), time.Second) }, kept: time.Second},
+		"of others, soon over": {settle: func(d *Directory, now time.Time) { d.SettleTold(now.Add(time.Second/2), time.Second) }, kept: time.Second / 2},
+		"its own":              {settle: func(d *Directory, now time.Time) { d.Settle(now.Add(SettleTime)) }, kept: SettleTime},
+		"both": {settle: func(d *Directory, now time.Time) {
+			d.SettleTold(now.Add(time.Second), time.Second)
+			d.Settle(now.Add(2 * time.Second))
+		}, kept: 2 * time.Second},
+		"its own has passed":      {settle: func(d *Directory, now time.Time) { d.Settle(now.Add(-time.Second)) }},
+		"its own is counted anew": {settle: func(d *Directory, now time.Time) { d.Settle(now.Add(time.Second)); d.Settle(now) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				directory := NewDirectory()
+				directory.Replace([]Worker{worker("a", StateReady)})
+				began := time.Now()
+				c.settle(directory, began)
+				directory.Update(nil, []ID{"a"})
+				for directory.Count() > 0 {
+					time.Sleep(time.Millisecond)
+					synctest.Wait()
+				}
+				assert.Equal(t, time.Since(began), c.kept)
+			})
+		})
+	}
+}
+
+func TestAWorkerThatIsInNoListIsMissedFromWhenItIsAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		directory := NewDirectory()
+		assert.Equal(t, directory.GoneFor("a"), time.Duration(0))
+		time.Sleep(time.Second)
+		assert.Equal(t, directory.GoneFor("a"), time.Duration(0), "no list was read")
+		directory.Replace(nil)
+		time.Sleep(time.Second)
+		assert.Equal(t, directory.GoneFor("a"), time.Duration(0), "its entry may be on its way")
+		time.Sleep(time.Second)
+		assert.Equal(t, directory.GoneFor("a"), time.Second)
+		directory.Update([]Worker{worker("a", StateReady)}, nil)
+		assert.Equal(t, directory.GoneFor("a"), time.Duration(0))
+	})
+}
