--- a/cmd/shalefork-lab/soak.go
+++ b/cmd/shalefork-lab/soak.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"time"
 
 	"github.com/integrii/flaggy"
 
@@ -12,18 +11,14 @@
 	"github.com/shalefork/shalefork/platform/soak"
 )
 
-// demoDuration is long enough for each kind of fault.
-const demoDuration = 27 * time.Second
-
 // demoCommand plays each kind of fault in turn.
 func demoCommand() cli.Command {
 	config := soak.DefaultConfig()
 	config.InTurn = true
-	config.Duration = demoDuration
 	var broken string
 	subcommand := cli.NewSubcommand("demo", "Run routers on the platform's stand-in under load and each kind of fault in turn, and check them.")
 	attach(subcommand, &config)
-	subcommand.String(&broken, "b", "break", "Break a rule on purpose, so that the checks fail: ignore-releases")
+	subcommand.String(&broken, "b", "break", "Break a rule on purpose, so that the checks fail: ignore-releases, leave-unseen or cut-stops")
 	return cli.Command{Subcommand: subcommand, Run: func(ctx context.Context) cli.ExitCode {
 		config.Break = soak.Break(broken)
 		return run(ctx, config)
@@ -35,9 +30,15 @@
 	config := soak.DefaultConfig()
 	subcommand := cli.NewSubcommand("soak", "Run routers on the platform's stand-in under load and random faults, and check them.")
 	attach(subcommand, &config)
+	var broken string
+	subcommand.String(&broken, "b", "break", "Break a rule on purpose, so that the checks fail: ignore-releases, leave-unseen or cut-stops")
+	subcommand.StringSlice(&config.Faults, "", "faults", "Kinds of faults that are drawn, by name; all if none is named")
+	subcommand.String(&config.Replay, "", "replay", "File of a run whose plan is played again")
+	subcommand.String(&config.Record, "", "record", "File that takes the plan and the verdict")
 	subcommand.Duration(&config.Duration, "", "for", "How long faults are injected")
 	subcommand.UInt64(&config.Seed, "", "seed", "Seed of the faults")
 	return cli.Command{Subcommand: subcommand, Run: func(ctx context.Context) cli.ExitCode {
+		config.Break = soak.Break(broken)
 		return run(ctx, config)
 	}}
 }
