--- /dev/null
+++ b/internal/lab/link/link_test.go
@@ -0,0 +1,71 @@
+package link
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const body = "an answer that is longer than what is passed of one that is truncated"
+
+func newLink(t *testing.T) (*Link, *http.Client) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(writer, body)
+	}))
+	t.Cleanup(server.Close)
+	link, err := New("127.0.0.1:0", strings.TrimPrefix(server.URL, "http://"))
+	assert.NilError(t, err)
+	t.Cleanup(link.Close)
+	return link, &http.Client{Timeout: time.Second, Transport: &http.Transport{}}
+}
+
+// ask returns whether a whole answer came.
+func ask(link *Link, client *http.Client) error {
+	response, err := client.Get("http://" + link.Address())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err == nil && string(content) != body {
+		return fmt.Errorf("got %q", content)
+	}
+	return err
+}
+
+func TestHarms(t *testing.T) {
+	for name, c := range map[string]struct {
+		harm Harm
+		// kept and fresh say that an answer comes on the connection that there was, and on a
+		// new one.
+		kept, fresh bool
+	}{
+		"none":      {harm: None, kept: true, fresh: true},
+		"delays":    {harm: Delays, kept: true, fresh: true},
+		"silences":  {harm: Silences},
+		"deafens":   {harm: Deafens},
+		"strands":   {harm: Strands, fresh: true},
+		"resets":    {harm: Resets},
+		"truncates": {harm: Truncates},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			link, client := newLink(t)
+			assert.NilError(t, ask(link, client))
+			link.Set(c.harm)
+			assert.Equal(t, ask(link, client) == nil, c.kept)
+			client.CloseIdleConnections()
+			assert.Equal(t, ask(link, client) == nil, c.fresh)
+			link.Set(None)
+			client.CloseIdleConnections()
+			assert.NilError(t, ask(link, client))
+		})
+	}
+}
