List a fault of the budget of second sends that the soak found

Cause: a process saves up one whole second send however small its share of the slack is, so that all together may make twice as many as there are processes. The users' deployments have a slack of 2.1 to 5.6 for each router. Tried on paper only. The soak counts the requests that callers sent, not those that arrived, as the users' rule does.

--- a/internal/proxy/budget_test.go
+++ b/internal/proxy/budget_test.go
@@ -37,49 +37,71 @@
 	return worst
 }
 
+// spending is when second sends are wanted from how many processes.
+type spending struct {
+	nodes int
+	// rate of requests a second over all processes, by second.
+	rate func(second int) float64
+	// wanted says whether second sends are wanted at a second.
+	wanted func(second int) bool
+}
+
+func always(int) bool { return true }
+
 // All processes send again whatever they may, in the worst pattern: each saves up and they
 // all spend at once.
 func TestNoWindowHasTooManySecondSends(t *testing.T) {
 	limits := BudgetLimits{Ratio: 0.2, Slack: 188, Window: 10 * time.Second}
-	for name, c := range map[string]struct {
-		nodes int
-		// rate of requests a second over all processes, by second.
-		rate func(second int) float64
-		// spending says whether second sends are wanted at a second.
-		spending func(second int) bool
-	}{
-		"always":         {nodes: 74, rate: func(int) float64 { return 900 }, spending: func(int) bool { return true }},
-		"in bursts":      {nodes: 74, rate: func(int) float64 { return 900 }, spending: func(second int) bool { return second%7 == 6 }},
-		"few processes":  {nodes: 11, rate: func(int) float64 { return 70 }, spending: func(second int) bool { return second%5 == 4 }},
-		"load that ends": {nodes: 74, rate: func(second int) float64 { return 1500 * float64(second/10%2) }, spending: func(second int) bool { return second%10 >= 9 || second%10 < 2 }},
-		"hardly any":     {nodes: 74, rate: func(int) float64 { return 5 }, spending: func(int) bool { return true }},
+	for name, c := range map[string]spending{
+		"always":         {nodes: 74, rate: func(int) float64 { return 900 }, wanted: always},
+		"in bursts":      {nodes: 74, rate: func(int) float64 { return 900 }, wanted: func(second int) bool { return second%7 == 6 }},
+		"few processes":  {nodes: 11, rate: func(int) float64 { return 70 }, wanted: func(second int) bool { return second%5 == 4 }},
+		"load that ends": {nodes: 74, rate: func(second int) float64 { return 1500 * float64(second/10%2) }, wanted: func(second int) bool { return second%10 >= 9 || second%10 < 2 }},
+		"hardly any":     {nodes: 74, rate: func(int) float64 { return 5 }, wanted: always},
 	} {
-		t.Run(name, func(t *testing.T) {
-			start := time.Unix(1000, 0)
-			random := rand.New(rand.NewPCG(1, 2))
-			list := make([]*budget, c.nodes)
-			for index := range list {
-				list[index] = newBudget(limits)
-				list[index].at = start
-			}
-			const length = 40
-			seen := spends{second: make([]int, length*1000), requests: make([]int, length*1000)}
-			for milli := range length * 1000 {
-				now := start.Add(time.Duration(milli) * time.Millisecond)
-				for expected := c.rate(milli/1000) / 1000; expected > random.Float64(); expected-- {
-					list[random.IntN(c.nodes)].request(c.nodes)
-					seen.requests[milli]++
-				}
-				if !c.spending(milli / 1000) {
-					continue
-				}
-				for _, one := range list {
-					for one.spend(c.nodes, now) {
-						seen.second[milli]++
-					}
-				}
+		t.Run(name, func(t *testing.T) { assert.Assert(t, c.excess(limits) <= 0, "%f over", c.excess(limits)) })
+	}
+}
+
+// Each process may save up one whole second send, however small its share of the slack is. A
+// soak of 24 processes with a slack of 20 had 61 second sends in 10 s, of 60.1 allowed, in three
+// runs of three.
+func TestASmallSlackIsKeptByManyProcesses(t *testing.T) {
+	limits := BudgetLimits{Ratio: 0.1, Slack: 20, Window: 10 * time.Second}
+	for name, c := range map[string]spending{
+		"always":     {nodes: 24, rate: func(int) float64 { return 40 }, wanted: always},
+		"in bursts":  {nodes: 24, rate: func(int) float64 { return 40 }, wanted: func(second int) bool { return second%10 == 9 }},
+		"hardly any": {nodes: 60, rate: func(int) float64 { return 5 }, wanted: always},
+	} {
+		t.Run(name, func(t *testing.T) { assert.Assert(t, c.excess(limits) <= 0, "%f over", c.excess(limits)) })
+	}
+}
+
+// excess plays 40 s, and returns by how many second sends the worst window exceeds its limit.
+func (c spending) excess(limits BudgetLimits) float64 {
+	start := time.Unix(1000, 0)
+	random := rand.New(rand.NewPCG(1, 2))
+	list := make([]*budget, c.nodes)
+	for index := range list {
+		list[index] = newBudget(limits)
+		list[index].at = start
+	}
+	const length = 40
+	seen := spends{second: make([]int, length*1000), requests: make([]int, length*1000)}
+	for milli := range length * 1000 {
+		now := start.Add(time.Duration(milli) * time.Millisecond)
+		for expected := c.rate(milli/1000) / 1000; expected > random.Float64(); expected-- {
+			list[random.IntN(c.nodes)].request(c.nodes)
+			seen.requests[milli]++
+		}
+		if !c.wanted(milli / 1000) {
+			continue
+		}
+		for _, one := range list {
+			for one.spend(c.nodes, now) {
+				seen.second[milli]++
 			}
-			assert.Assert(t, seen.exceeds(limits) <= 0, "%f over", seen.exceeds(limits))
-		})
+		}
 	}
+	return seen.exceeds(limits)
 }
