--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -204,7 +204,7 @@
 		pkg:  "./internal/router", test: "TestWhoWasCutOffSendsNothingToWorkersThatLeft",
 	},
 	{
-		name: "vanished-entries-waited-for-from-the-first-answer, by the model",
+		name: "vanished-entries-waited-for-from-the-first-answer-by-the-model",
 		file: "internal/router/workersview.go",
 		old:  "caughtUp.Before(until)",
 		new:  "false && caughtUp.Before(until)",
