Reword three comments that read as history

Cause: a look through the tree took 'no longer' for history. They say what holds: when a leader counts as cut off, that nobody leads, which kept workers are dropped. Ruled out: a change of behaviour; only comments differ.

--- a/internal/router/belief_test.go
+++ b/internal/router/belief_test.go
@@ -86,7 +86,8 @@
 	b.changes = append(b.changes, peerlink.WorkerChange{Revision: at, ID: "a", Gone: true})
 }
 
-// When a leader says that it reaches the service no longer: internal/keeper.
+// After these times without an answer a leader says that it is cut off from the service: the
+// figures of internal/keeper.
 const (
 	deafAfter   = 1100 * time.Millisecond
 	unreadAfter = 2200 * time.Millisecond
@@ -146,7 +147,7 @@
 	return steps
 }
 
-// setLost lets the leader lead no longer, or again.
+// setLost lets nobody lead, or the leader lead again.
 func (b *belief) setLost(is bool) {
 	b.leads = !is
 	b.ledSince = time.Now()
--- a/internal/workers/kept.go
+++ b/internal/workers/kept.go
@@ -118,8 +118,8 @@
 	}
 }
 
-// dropKept removes the workers that are kept no longer, and returns them. They are gone
-// since their entries went: what else may reach them for a while is counted from then.
+// dropKept removes the kept workers whose time is over, and returns them. They are gone since
+// their entries went: what else may reach them for a while is counted from then.
 func (d *Directory) dropKept() []ID {
 	d.mu.Lock()
 	defer d.mu.Unlock()
