Keep second sends within the limit where the slack is small

Cause: a process could save up one whole second send however small its share of the slack, and as much came back in a window: twice as many as there are processes, whatever the slack. 6.8 over the limit with 24 processes and a slack of 20, 69 over with 60 that hardly send (the committed failing test). A slack of two for each process is what the users give, and processes are added. Ruled out: a chance of sending in place of a whole send (mean 15, deviation 3.8, of 20: breaks now and then); starting with nothing saved up (all restarting within a window stays inside without it, a case of the table, and the first seconds need it). Change: what comes back is what is left of the slack beside what all may have saved up; below one send for each process none is dealt out, and what requests earn lapses after a window. From a slack of two for each process on nothing differs. Before: TestASmallSlackIsKeptByManyProcesses fails.

--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -231,6 +231,20 @@
 		new:  "\tif _, gone := d.goneAt[id]; !gone {",
 		pkg:  "./internal/proxy", test: "TestAnOwnerThatIsNotAnnouncedGetsWorkForAMomentOnly",
 	},
+	{
+		name: "scarce-slack-used-by-all",
+		file: "internal/proxy/budget.go",
+		old:  "bool { return b.slack(nodes) < 1 }",
+		new:  "bool { return false }",
+		pkg:  "./internal/proxy", test: "TestASmallSlackIsKeptByManyProcesses",
+	},
+	{
+		name: "slack-comes-back-beside-what-is-saved-up",
+		file: "internal/proxy/budget.go",
+		old:  "max(0, b.slack(nodes)-burst)",
+		new:  "burst",
+		pkg:  "./internal/proxy", test: "TestASmallSlackIsKeptByManyProcesses",
+	},
 	{
 		name: "answer-of-another-request",
 		file: "internal/proxy/exchange.go",
--- a/internal/proxy/budget_test.go
+++ b/internal/proxy/budget_test.go
@@ -44,6 +44,8 @@
 	rate func(second int) float64
 	// wanted says whether second sends are wanted at a second.
 	wanted func(second int) bool
+	// restarts is the second at whose beginning all processes start again; zero: none does.
+	restarts int
 }
 
 func always(int) bool { return true }
@@ -58,40 +60,68 @@
 		"few processes":  {nodes: 11, rate: func(int) float64 { return 70 }, wanted: func(second int) bool { return second%5 == 4 }},
 		"load that ends": {nodes: 74, rate: func(second int) float64 { return 1500 * float64(second/10%2) }, wanted: func(second int) bool { return second%10 >= 9 || second%10 < 2 }},
 		"hardly any":     {nodes: 74, rate: func(int) float64 { return 5 }, wanted: always},
+		"all restart":    {nodes: 74, rate: func(int) float64 { return 5 }, wanted: func(second int) bool { return second >= 14 }, restarts: 15},
 	} {
 		t.Run(name, func(t *testing.T) { assert.Assert(t, c.excess(limits) <= 0, "%f over", c.excess(limits)) })
 	}
 }
 
-// Each process may save up one whole second send, however small its share of the slack is. A
-// soak of 24 processes with a slack of 20 had 61 second sends in 10 s, of 60.1 allowed, in three
-// runs of three.
+// Each process saved up one whole second send, however small its share of the slack is: all
+// together sent 6.8 more than they may with 24 processes, and 69 more with 60 that hardly send.
+// Found by a check of processes with a slack below two for each of them.
 func TestASmallSlackIsKeptByManyProcesses(t *testing.T) {
 	limits := BudgetLimits{Ratio: 0.1, Slack: 20, Window: 10 * time.Second}
 	for name, c := range map[string]spending{
-		"always":     {nodes: 24, rate: func(int) float64 { return 40 }, wanted: always},
-		"in bursts":  {nodes: 24, rate: func(int) float64 { return 40 }, wanted: func(second int) bool { return second%10 == 9 }},
-		"hardly any": {nodes: 60, rate: func(int) float64 { return 5 }, wanted: always},
+		"always":          {nodes: 24, rate: func(int) float64 { return 40 }, wanted: always},
+		"in bursts":       {nodes: 24, rate: func(int) float64 { return 40 }, wanted: func(second int) bool { return second%10 == 9 }},
+		"hardly any":      {nodes: 60, rate: func(int) float64 { return 5 }, wanted: always},
+		"just one each":   {nodes: 20, rate: func(int) float64 { return 40 }, wanted: func(second int) bool { return second%10 == 9 }},
+		"nearly two each": {nodes: 11, rate: func(int) float64 { return 5 }, wanted: always},
+		"load that ends":  {nodes: 24, rate: func(second int) float64 { return 2000 * float64(second/10%2) }, wanted: func(second int) bool { return second%10 >= 9 || second%10 < 2 }},
 	} {
 		t.Run(name, func(t *testing.T) { assert.Assert(t, c.excess(limits) <= 0, "%f over", c.excess(limits)) })
 	}
 }
 
+// Where the slack is scarce, second sends are earned by requests.
+func TestAScarceSlackLeavesWhatRequestsEarn(t *testing.T) {
+	const nodes, perSend = 60, 20 // half of the ratio of 0.1
+	start := time.Unix(1000, 0)
+	b := newBudget(BudgetLimits{Ratio: 0.1, Slack: 20, Window: 10 * time.Second})
+	earn := func(requests int, at time.Time) {
+		for range requests {
+			b.request(nodes, at)
+		}
+	}
+	assert.Assert(t, !b.spend(nodes, start), "nothing is earned yet")
+	earn(perSend+1, start.Add(time.Second))
+	assert.Assert(t, b.spend(nodes, start.Add(2*time.Second)))
+	assert.Assert(t, !b.spend(nodes, start.Add(2*time.Second)))
+	earn(perSend+1, start.Add(3*time.Second))
+	assert.Assert(t, !b.spend(nodes, start.Add(11*time.Second)), "it lapsed")
+}
+
 // excess plays 40 s, and returns by how many second sends the worst window exceeds its limit.
 func (c spending) excess(limits BudgetLimits) float64 {
 	start := time.Unix(1000, 0)
 	random := rand.New(rand.NewPCG(1, 2))
 	list := make([]*budget, c.nodes)
-	for index := range list {
-		list[index] = newBudget(limits)
-		list[index].at = start
+	begin := func(now time.Time) {
+		for index := range list {
+			list[index] = newBudget(limits)
+			list[index].at = now
+		}
 	}
+	begin(start)
 	const length = 40
 	seen := spends{second: make([]int, length*1000), requests: make([]int, length*1000)}
 	for milli := range length * 1000 {
 		now := start.Add(time.Duration(milli) * time.Millisecond)
+		if milli > 0 && milli == c.restarts*1000 {
+			begin(now)
+		}
 		for expected := c.rate(milli/1000) / 1000; expected > random.Float64(); expected-- {
-			list[random.IntN(c.nodes)].request(c.nodes)
+			list[random.IntN(c.nodes)].request(c.nodes, now)
 			seen.requests[milli]++
 		}
 		if !c.wanted(milli / 1000) {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -163,7 +163,7 @@
 		return
 	}
 	c.state = p.fleet.service(c.service)
-	c.state.budget.request(int(p.Nodes.Load()))
+	c.state.budget.request(int(p.Nodes.Load()), c.began)
 	if c.service.Keyed {
 		c.serveKeyed()
 	} else {
