--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -5,31 +5,34 @@
 
 // Kinds of lines.
 const (
-	KindStart        Kind = "start"
-	KindStop         Kind = "stop"
-	KindReload       Kind = "reload"
-	KindMetricsLost  Kind = "metrics-lost"
-	KindReady        Kind = "ready"
-	KindConfig       Kind = "config"
-	KindConfigBad    Kind = "config-refused"
-	KindEvacuation   Kind = "zones-evacuated"
-	KindWorker       Kind = "worker"
-	KindWorkerHealth Kind = "worker-health"
-	KindStoreLost    Kind = "store-lost"
-	KindStoreBack    Kind = "store-regained"
-	KindLeaderLost   Kind = "leader-lost"
-	KindLeaderFound  Kind = "leader-found"
-	KindRelayLost    Kind = "relay-lost"
-	KindElected      Kind = "elected"
-	KindResigned     Kind = "resigned"
-	KindStandby      Kind = "standby"
-	KindAssigned     Kind = "keys-assigned"
-	KindMoved        Kind = "keys-moved"
-	KindOrderFailed  Kind = "order-failed"
-	KindRecord       Kind = "record"
-	KindRequest      Kind = "request"
-	KindSent         Kind = "request-sent-again"
-	KindLeftOut      Kind = "lines-left-out"
+	KindStart         Kind = "start"
+	KindStop          Kind = "stop"
+	KindReload        Kind = "reload"
+	KindMetricsLost   Kind = "metrics-lost"
+	KindReady         Kind = "ready"
+	KindConfig        Kind = "config"
+	KindConfigBad     Kind = "config-refused"
+	KindEvacuation    Kind = "zones-evacuated"
+	KindWorker        Kind = "worker"
+	KindWorkerHealth  Kind = "worker-health"
+	KindCutOff        Kind = "request-cut-off"
+	KindWorkerCrashed Kind = "worker-crashed"
+	KindSuspect       Kind = "request-suspected"
+	KindStoreLost     Kind = "store-lost"
+	KindStoreBack     Kind = "store-regained"
+	KindLeaderLost    Kind = "leader-lost"
+	KindLeaderFound   Kind = "leader-found"
+	KindRelayLost     Kind = "relay-lost"
+	KindElected       Kind = "elected"
+	KindResigned      Kind = "resigned"
+	KindStandby       Kind = "standby"
+	KindAssigned      Kind = "keys-assigned"
+	KindMoved         Kind = "keys-moved"
+	KindOrderFailed   Kind = "order-failed"
+	KindRecord        Kind = "record"
+	KindRequest       Kind = "request"
+	KindSent          Kind = "request-sent-again"
+	KindLeftOut       Kind = "lines-left-out"
 )
 
 // Description says what lines of a kind tell, and by which fields.
@@ -53,6 +56,9 @@
 		{KindEvacuation, "which zones' workers are to get no work has changed", "zones (all of them), revision"},
 		{KindWorker, "a worker announced itself, drains or is gone; or it is kept although its entry went, which may have lapsed only", "worker, state, service, revision, for (seconds that it is kept at most); announced: how many a new list has"},
 		{KindWorkerHealth, "a worker is left alone after a failure, or is used again", "worker, outcome, id (the request that showed it), error"},
+		{KindCutOff, "a worker closed the connection before the whole answer; whether it crashed is looked at", "id, fingerprint (of method, host, path, query, body and caller: the same in each attempt), worker, route, caller, took"},
+		{KindWorkerCrashed, "a worker ended although it was announced and did not leave: its address refuses connections, or another process answers there", "worker, service, requests (under way there from this process)"},
+		{KindSuspect, "a request was under way at a worker that crashed", "fingerprint, worker"},
 		{KindStoreLost, "the store does not answer", "for (what was followed), error"},
 		{KindStoreBack, "it answers again", "for; for workers also away: seconds since it was lost, and waits: seconds for which vanished entries are waited for"},
 		{KindLeaderLost, "the link to the leader broke", "leader, term, error"},
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shalefork/shalefork/internal/estimate"
+	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -51,6 +52,10 @@
 	unreachedUntil time.Time
 	ended          bool
 	cold           coldGate
+	// witness is what was seen of the worker's end, and probing says that its address is
+	// being tried.
+	witness quarantine.Witness
+	probing bool
 }
 
 // toldMeans are the means of what a service's workers tell.
@@ -252,3 +257,36 @@
 		b.latency.Add(now, worked, usualTime)
 	}
 }
+
+// cutOff notes a request that was sent and got no whole answer; true if the worker's end,
+// which is known, cut it off.
+func (b *backend) cutOff(now time.Time, request quarantine.Fingerprint) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.witness.CutOff(now, request)
+}
+
+// hasEnded notes that the worker has ended; first is false if that was known. It returns the
+// requests that its end cut off.
+func (b *backend) hasEnded(now time.Time) (requests []quarantine.Fingerprint, first bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.witness.Ended(now)
+}
+
+// startProbe begins a look at the worker's address; false if one is under way.
+func (b *backend) startProbe() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.probing {
+		return false
+	}
+	b.probing = true
+	return true
+}
+
+func (b *backend) endProbe() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.probing = false
+}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -5,9 +5,11 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -28,6 +30,8 @@
 	// allowed grants each send before it leaves.
 	allowed allowance
 	tried   map[workers.ID]bool
+	// named is the request's fingerprint; nil until it is asked for.
+	named atomic.Pointer[quarantine.Fingerprint]
 	// last is what is known of the last send.
 	last   *result
 	lastTo workers.ID
@@ -129,6 +133,7 @@
 		c.state.answered(got.took, mean)
 	}
 	p.Metrics.sent(c.service.Name, got.outcome)
+	c.watchEnd(to, &got)
 	return worker.ID, got
 }
 
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -59,6 +59,8 @@
 	// closing says that the connection ends with this answer.
 	closing bool
 	took    time.Duration
+	// written says that bytes of the request have left.
+	written bool
 	err     error
 }
 
@@ -153,9 +155,10 @@
 		if !wrote {
 			return result{outcome: unsent(ctx), err: err}
 		}
-		return result{outcome: failed(ctx, until, err), err: err}
+		return result{outcome: failed(ctx, until, err), err: err, written: true}
 	}
 	answer := e.read(ctx, until)
+	answer.written = true
 	answer.took = time.Since(e.began)
 	if answer.outcome == outcomeLate && connection.used {
 		from.dropIdle()
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -13,6 +13,7 @@
 type Metrics struct {
 	requests *prometheus.CounterVec
 	sends    *prometheus.CounterVec
+	crashes  *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 }
 
@@ -28,11 +29,14 @@
 		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "shalefork_router_sends_total", Help: "Sends to workers by outcome.",
 		}, []string{"service", "outcome"}),
+		crashes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shalefork_router_worker_crashes_total", Help: "Workers that this process saw end while they were serving.",
+		}, []string{"service"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "shalefork_router_request_seconds", Help: "Time from a request's arrival to its answer.", Buckets: latencyBuckets,
 		}, []string{"service"}),
 	}
-	registerer.MustRegister(metrics.requests, metrics.sends, metrics.latency)
+	registerer.MustRegister(metrics.requests, metrics.sends, metrics.crashes, metrics.latency)
 	return metrics
 }
 
@@ -40,6 +44,10 @@
 	m.sends.WithLabelValues(string(service), string(ended)).Inc()
 }
 
+func (m *Metrics) crashed(service routing.ServiceName) {
+	m.crashes.WithLabelValues(string(service)).Inc()
+}
+
 func (m *Metrics) ended(service string, status int, reason string, took time.Duration) {
 	m.requests.WithLabelValues(service, strconv.Itoa(status), reason).Inc()
 	m.latency.WithLabelValues(service).Observe(took.Seconds())
--- /dev/null
+++ b/internal/quarantine/fingerprint.go
@@ -0,0 +1,70 @@
+// Package quarantine finds requests that crash the workers that run them, from which
+// requests were under way at workers that ended, and says which requests may no longer be
+// sent.
+//
+// It is pure: it opens no socket, reads no clock and starts no goroutine.
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"net/netip"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("quarantine")
+
+// Request is what makes two attempts the same request: what is asked, and by whom. The same
+// question of another caller is another request, so that nobody can have another's request
+// refused.
+type Request struct {
+	Method, Host, URI string
+	// Body is the body, or the beginning of a long one, and Length that of the whole.
+	Body   []byte
+	Length int64
+	// Caller is the address that the request came from.
+	Caller netip.Addr
+}
+
+// Fingerprint names a request over all its attempts.
+type Fingerprint [16]byte
+
+// Fingerprint returns the request's name. It is half of a SHA-256: to make another's
+// fingerprint takes some 2^128 tries, and all routers compute the same without sharing a key.
+func (r Request) Fingerprint() Fingerprint {
+	hash := sha256.New()
+	part := func(value []byte) {
+		var length [8]byte
+		binary.BigEndian.PutUint64(length[:], uint64(len(value)))
+		_, _ = hash.Write(length[:])
+		_, _ = hash.Write(value)
+	}
+	part([]byte(r.Method))
+	part([]byte(r.Host))
+	part([]byte(r.URI))
+	part(r.Caller.AsSlice())
+	part(binary.BigEndian.AppendUint64(nil, uint64(r.Length)))
+	part(r.Body)
+	var short Fingerprint
+	copy(short[:], hash.Sum(nil))
+	return short
+}
+
+// String returns the fingerprint in hexadecimal digits.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (f *Fingerprint) UnmarshalText(text []byte) error {
+	decoded, err := hex.DecodeString(string(text))
+	if err != nil || len(decoded) != len(f) {
+		return Error.New("%q is no fingerprint: 32 hexadecimal digits are expected", text)
+	}
+	copy(f[:], decoded)
+	return nil
+}
--- /dev/null
+++ b/internal/quarantine/witness.go
@@ -0,0 +1,63 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// cutMemory is how long after a send broke off its worker may be seen to have ended: a
+	// connection to its address is refused within milliseconds, and one that was given up may
+	// run for a while still.
+	cutMemory = time.Second
+	// mostCut bounds the sends that are remembered of one worker; it has fewer slots.
+	mostCut = 64
+)
+
+// Witness is what one process saw of the end of one worker: whether it crashed, and which
+// requests were under way there. Its zero value has seen nothing.
+type Witness struct {
+	cut     []cutOff
+	endedAt time.Time
+}
+
+// cutOff is a send that ended without an answer.
+type cutOff struct {
+	request Fingerprint
+	at      time.Time
+}
+
+// CutOff notes a request that was sent and got no whole answer. It reports whether the worker
+// is known to have ended just then, so that its end cut the request off.
+func (w *Witness) CutOff(now time.Time, request Fingerprint) bool {
+	if !w.endedAt.IsZero() {
+		return now.Sub(w.endedAt) < cutMemory
+	}
+	w.forget(now)
+	if len(w.cut) < mostCut {
+		w.cut = append(w.cut, cutOff{request: request, at: now})
+	}
+	return false
+}
+
+// Ended notes that the worker has ended; first is false if that was known. It returns the
+// requests that its end cut off.
+func (w *Witness) Ended(now time.Time) (requests []Fingerprint, first bool) {
+	if !w.endedAt.IsZero() {
+		return nil, false
+	}
+	w.endedAt = now
+	w.forget(now)
+	for _, one := range w.cut {
+		if !slices.Contains(requests, one.request) {
+			requests = append(requests, one.request)
+		}
+	}
+	w.cut = nil
+	return requests, true
+}
+
+// forget drops sends that broke off too long ago to have to do with an end now.
+func (w *Witness) forget(now time.Time) {
+	w.cut = slices.DeleteFunc(w.cut, func(one cutOff) bool { return now.Sub(one.at) >= cutMemory })
+}
--- /dev/null
+++ b/internal/quarantine/witness_test.go
@@ -0,0 +1,69 @@
+package quarantine
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// named returns a fingerprint for tests.
+func named(name byte) Fingerprint { return Fingerprint{name} }
+
+func TestWitnessNamesWhatTheEndCutOff(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(millis int) time.Time { return start.Add(time.Duration(millis) * time.Millisecond) }
+	tests := map[string]struct {
+		cut   map[byte]int // when each request broke off, in milliseconds
+		ended int
+		want  []Fingerprint
+	}{
+		"nothing under way":      {ended: 10},
+		"under way":              {cut: map[byte]int{1: 5}, ended: 10, want: []Fingerprint{named(1)}},
+		"broke off long before":  {cut: map[byte]int{1: 5}, ended: 1005},
+		"broke off right before": {cut: map[byte]int{1: 6}, ended: 1005, want: []Fingerprint{named(1)}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var w Witness
+			for request, millis := range test.cut {
+				assert.Assert(t, !w.CutOff(at(millis), named(request)))
+			}
+			requests, first := w.Ended(at(test.ended))
+			assert.Assert(t, first)
+			assert.DeepEqual(t, requests, test.want)
+			_, first = w.Ended(at(test.ended + 1))
+			assert.Assert(t, !first, "a worker ends once")
+			assert.Assert(t, w.CutOff(at(test.ended+5), named(9)), "cut off too, and noticed later")
+			assert.Assert(t, !w.CutOff(at(test.ended+5000), named(9)), "too late to have been there")
+		})
+	}
+}
+
+func TestFingerprintTellsRequestsApart(t *testing.T) {
+	base := Request{Method: "GET", Host: "a.example", URI: "/x?y=1", Body: []byte("b"), Length: 1, Caller: netip.MustParseAddr("10.0.0.1")}
+	tests := map[string]func(r *Request){
+		"method": func(r *Request) { r.Method = "POST" },
+		"host":   func(r *Request) { r.Host = "b.example" },
+		"query":  func(r *Request) { r.URI = "/x?y=2" },
+		"body":   func(r *Request) { r.Body = []byte("c") },
+		"length": func(r *Request) { r.Length = 2 },
+		"caller": func(r *Request) { r.Caller = netip.MustParseAddr("10.0.0.2") },
+		"parts":  func(r *Request) { r.Host, r.URI = "a.example/", "x?y=1" },
+	}
+	assert.Equal(t, base.Fingerprint(), base.Fingerprint())
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			other := base
+			change(&other)
+			assert.Assert(t, other.Fingerprint() != base.Fingerprint())
+		})
+	}
+	text, err := base.Fingerprint().MarshalText()
+	assert.NilError(t, err)
+	var read Fingerprint
+	assert.NilError(t, read.UnmarshalText(text))
+	assert.Equal(t, read, base.Fingerprint())
+	assert.ErrorContains(t, read.UnmarshalText([]byte("abc")), "is no fingerprint")
+}
