--- a/cmd/shalefork/main.go
+++ b/cmd/shalefork/main.go
@@ -13,6 +13,7 @@
 	program.Add(explainCommand())
 	program.AddGroup("bundle", "Propose, approve and roll a team's bundle.", bundleCommands()...)
 	program.Add(statusCommand())
+	program.AddGroup("quarantine", "Requests that crash the workers that run them.", quarantineCommands()...)
 	program.AddGroup("config", "Check settings without starting.", configCheckCommand())
 	program.AddGroup("operator", "Keys of operators.", operatorKeygenCommand())
 	program.Main(os.Args[1:])
--- a/cmd/shalefork/operators.go
+++ b/cmd/shalefork/operators.go
@@ -181,6 +181,34 @@
 	}}
 }
 
+func quarantineCommands() []cli.Command {
+	return []cli.Command{quarantineListCommand(), quarantineLiftCommand()}
+}
+
+func quarantineListCommand() cli.Command {
+	flags := &storeFlags{}
+	subcommand := cli.NewSubcommand("list", "Show the requests that were under way at crashes, and those that are sent no longer.")
+	flags.attach(subcommand)
+	return cli.Command{Subcommand: subcommand, Run: func(ctx context.Context) cli.ExitCode {
+		return flags.run(ctx, func(ctx context.Context, output operator.Output, store *platform.Store) operator.ExitCode {
+			return operator.ListSuspects(ctx, output, store, router.KeyPrefix)
+		})
+	}}
+}
+
+func quarantineLiftCommand() cli.Command {
+	var fingerprint string
+	flags := &storeFlags{}
+	subcommand := cli.NewSubcommand("lift", "Let a request be sent again.")
+	subcommand.AddPositionalValue(&fingerprint, "fingerprint", 1, true, "The request, as list shows it")
+	flags.attach(subcommand)
+	return cli.Command{Subcommand: subcommand, Run: func(ctx context.Context) cli.ExitCode {
+		return flags.run(ctx, func(ctx context.Context, output operator.Output, store *platform.Store) operator.ExitCode {
+			return operator.LiftQuarantine(ctx, output, store, router.KeyPrefix, fingerprint)
+		})
+	}}
+}
+
 func configCheckCommand() cli.Command {
 	var file string
 	subcommand := cli.NewSubcommand("check", "Check a settings file.")
--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -18,6 +18,7 @@
 	KindCutOff        Kind = "request-cut-off"
 	KindWorkerCrashed Kind = "worker-crashed"
 	KindSuspect       Kind = "request-suspected"
+	KindQuarantined   Kind = "request-quarantined"
 	KindStoreLost     Kind = "store-lost"
 	KindStoreBack     Kind = "store-regained"
 	KindLeaderLost    Kind = "leader-lost"
@@ -58,7 +59,8 @@
 		{KindWorkerHealth, "a worker is left alone after a failure, or is used again", "worker, outcome, id (the request that showed it), error"},
 		{KindCutOff, "a worker closed the connection before the whole answer; whether it crashed is looked at", "id, fingerprint (of method, host, path, query, body and caller: the same in each attempt), worker, route, caller, took"},
 		{KindWorkerCrashed, "a worker ended although it was announced and did not leave: its address refuses connections, or another process answers there", "worker, service, requests (under way there from this process)"},
-		{KindSuspect, "a request was under way at a worker that crashed", "fingerprint, worker"},
+		{KindSuspect, "a request was under way at a worker that crashed", "id (of the attempt), fingerprint, worker"},
+		{KindQuarantined, "a request has crashed too many workers and is sent to none from here on, or that has ended", "id (of the last attempt that was under way at a crash), fingerprint, route, caller; lifted (by an operator); error where the stored list can't be read"},
 		{KindStoreLost, "the store does not answer", "for (what was followed), error"},
 		{KindStoreBack, "it answers again", "for; for workers also away: seconds since it was lost, and waits: seconds for which vanished entries are waited for"},
 		{KindLeaderLost, "the link to the leader broke", "leader, term, error"},
@@ -71,7 +73,7 @@
 		{KindMoved, "a move of keys was planned", "service, from, to (keys), old, worker (owners), forced, rate, old_load, load (requests a second after it), capacity (of the new owner), change (of the book)"},
 		{KindOrderFailed, "a worker did not do an order as asked", "service, worker, release, from, to, fence, outcome"},
 		{KindRecord, "the stored owners were read, can't be read, or were written by another leader", "service, found, revision, term"},
-		{KindRequest, "a request ended otherwise than planned: refused, failed, late, sent more than once, or its client left (status 0)", "id, status, reason, service, route, took, sends, runs, unsent, config, worker, last, error; for keyed ones key, term, table_age"},
+		{KindRequest, "a request ended otherwise than planned: refused, failed, late, sent more than once, or its client left (status 0)", "id, status, reason, service, route, took, sends, runs, unsent, config, worker, last, error; for keyed ones key, term, table_age; for quarantined ones fingerprint"},
 		{KindSent, "a request goes out once more", "id, worker, outcome (of the send before, or hedged), after"},
 		{KindLeftOut, "lines over the budget were left out", "of, lines, dropped (lines that found the writer busy, since the start)"},
 	}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -71,9 +71,9 @@
 	return text
 }
 
-// Course returns the lines that name a request, and the last word before it that
-// each process on its way had on its configuration, its leader and the workers it
-// was sent to.
+// Course returns the lines that name a request, those that tell of crashes and quarantine of
+// the same request in other attempts, and the last word before it that each process on its way
+// had on its configuration, its leader and the workers it was sent to.
 func Course(lines []Line, id string) []Line {
 	var named []Line
 	nodes := map[string]time.Time{}
@@ -90,6 +90,7 @@
 			workers[worker] = true
 		}
 	}
+	named = append(named, otherAttempts(lines, id, fingerprints(named))...)
 	for node, first := range nodes {
 		named = append(named, beliefs(lines, node, first, workers)...)
 	}
@@ -97,6 +98,28 @@
 	return named
 }
 
+// fingerprints returns what lines call the request over all its attempts.
+func fingerprints(named []Line) map[string]bool {
+	found := map[string]bool{}
+	for _, line := range named {
+		if fingerprint := asText(line.Fields["fingerprint"]); fingerprint != "" {
+			found[fingerprint] = true
+		}
+	}
+	return found
+}
+
+// otherAttempts returns the lines that name the same request by another attempt's id.
+func otherAttempts(lines []Line, id string, fingerprints map[string]bool) []Line {
+	var found []Line
+	for _, line := range lines {
+		if line.ID != id && fingerprints[asText(line.Fields["fingerprint"])] {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
 // beliefs are the last lines of a process before a time, by what they are about.
 func beliefs(lines []Line, node string, before time.Time, workers map[string]bool) []Line {
 	last := map[string]Line{}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -38,3 +39,18 @@
 func TestUnknownRequestHasNoCourse(t *testing.T) {
 	assert.Equal(t, len(Course(read(t), "none")), 0)
 }
+
+// A request that crashes workers comes under a new id each time: its course shows the others too.
+func TestCourseShowsTheSameRequestInOtherAttempts(t *testing.T) {
+	const log = `{"time":"2026-07-02T04:30:01Z","node":"r1","kind":"request-suspected","id":"one","fingerprint":"aa","worker":"w1"}
+{"time":"2026-07-02T04:30:02Z","node":"r2","kind":"request-suspected","id":"other","fingerprint":"bb","worker":"w1"}
+{"time":"2026-07-02T04:30:04Z","node":"r2","kind":"request-suspected","id":"two","fingerprint":"aa","worker":"w2"}
+{"time":"2026-07-02T04:30:09Z","node":"r3","kind":"request","id":"three","fingerprint":"aa","reason":"request-quarantined"}
+`
+	lines, _, err := Read(strings.NewReader(log))
+	assert.NilError(t, err)
+	course := Course(lines, "three")
+	assert.Equal(t, len(course), 3)
+	assert.Equal(t, course[0].ID, "one")
+	assert.Equal(t, course[1].ID, "two")
+}
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -8,6 +8,7 @@
 
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -56,12 +57,15 @@
 	entries     entryLog
 	packed      packedEntries
 	config      configLog
+	suspects    suspectsTold
 	deaf        bool
 	standbys    standbys
 	// asked is called with the term of a leader that asks; nil: nobody wants to know.
 	asked func(term owner.Term)
 	// reported is called with the reports of processes that follow this relay.
 	reported func(Report)
+	// evidence is called with what linked processes have seen of crashes.
+	evidence func(quarantine.Evidence)
 }
 
 // published are the owners of a service as they are told.
@@ -98,6 +102,8 @@
 	entries   coord.Revision
 	entriesAt time.Time
 	config    coord.Revision
+	// suspects is the version of the suspects that it was told.
+	suspects uint64
 	// hello is how the process introduced itself.
 	hello Hello
 	// stamp is the last one that it sent, and holds are the versions that it was sent,
@@ -287,6 +293,9 @@
 
 // take passes a link's report on.
 func (h *Hub) take(one *link, report Report) {
+	if report.Evidence != nil && h.evidence != nil {
+		h.evidence(*report.Evidence)
+	}
 	h.mu.Lock()
 	one.followers = report.Followers
 	leading := h.leading
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -12,6 +12,7 @@
 
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -80,6 +81,18 @@
 	Services []ServiceNews `json:"s,omitempty"`
 	// Mandate is for a standby only.
 	Mandate *Mandate `json:"y,omitempty"`
+	// Suspects are all requests that were under way at crashes, packed; told when they change.
+	Suspects []byte `json:"q,omitempty"`
+}
+
+// Snapshot returns the suspects; false if the message tells none.
+func (u Update) Snapshot() (quarantine.Snapshot, bool, error) {
+	var snapshot quarantine.Snapshot
+	if len(u.Suspects) == 0 {
+		return snapshot, false, nil
+	}
+	err := unpack(u.Suspects, &snapshot)
+	return snapshot, err == nil, err
 }
 
 // Age is for how long a relay may not have heard what the leader knows.
@@ -264,9 +277,11 @@
 	Heard map[routing.ServiceName]uint64 `json:"v,omitempty"`
 	// Followers is how many processes follow a relay, whose report adds up theirs.
 	Followers int `json:"f,omitempty"`
+	// Evidence is of requests that were under way at workers that crashed.
+	Evidence *quarantine.Evidence `json:"q,omitempty"`
 }
 
 // Empty reports whether nothing was seen and nothing is to be told.
 func (r Report) Empty() bool {
-	return len(r.Keys) == 0 && len(r.Times) == 0 && r.Stamp == 0 && r.Followers == 0
+	return len(r.Keys) == 0 && len(r.Times) == 0 && r.Stamp == 0 && r.Followers == 0 && r.Evidence == nil
 }
--- a/internal/peerlink/update.go
+++ b/internal/peerlink/update.go
@@ -18,7 +18,7 @@
 		return update, ok
 	}
 	update.Entries, update.Config = h.entriesFor(one, now), h.configFor(one)
-	update.Services = h.servicesFor(one)
+	update.Services, update.Suspects = h.servicesFor(one), h.suspects.since(one)
 	if h.leading {
 		update.Mandate = h.standbys.mandate(one, now)
 	}
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -87,6 +87,9 @@
 	if c.route != nil {
 		line = line.Str("route", c.route.Name)
 	}
+	if reason == reasonQuarantined {
+		line = line.Str("fingerprint", c.fingerprint().String())
+	}
 	if c.last != nil {
 		line = line.Str("worker", string(c.lastTo)).Str("last", string(c.last.outcome)).AnErr("error", c.last.err)
 	}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -260,15 +260,15 @@
 
 // cutOff notes a request that was sent and got no whole answer; true if the worker's end,
 // which is known, cut it off.
-func (b *backend) cutOff(now time.Time, request quarantine.Fingerprint) bool {
+func (b *backend) cutOff(now time.Time, attempt quarantine.Attempt) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.witness.CutOff(now, request)
+	return b.witness.CutOff(now, attempt)
 }
 
 // hasEnded notes that the worker has ended; first is false if that was known. It returns the
 // requests that its end cut off.
-func (b *backend) hasEnded(now time.Time) (requests []quarantine.Fingerprint, first bool) {
+func (b *backend) hasEnded(now time.Time) (attempts []quarantine.Attempt, first bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.witness.Ended(now)
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -32,6 +32,10 @@
 	tried   map[workers.ID]bool
 	// named is the request's fingerprint; nil until it is asked for.
 	named atomic.Pointer[quarantine.Fingerprint]
+	// arrivedAs is how the request could be sent when it came, and closed counts the workers
+	// that have closed its connection in mid-run.
+	arrivedAs quarantine.Standing
+	closed    atomic.Int32
 	// last is what is known of the last send.
 	last   *result
 	lastTo workers.ID
@@ -134,6 +138,7 @@
 	}
 	p.Metrics.sent(c.service.Name, got.outcome)
 	c.watchEnd(to, &got)
+	c.cleared(&got)
 	return worker.ID, got
 }
 
@@ -187,16 +192,23 @@
 
 // mayRepeat reports whether a request that may have run can be sent again.
 func (c *call) mayRepeat() bool {
-	return c.repeatable() && c.allowed.left()
+	return c.repeatable() && c.allowed.left() && c.maySpread()
 }
 
 // giveUp ends a request that no worker answered: with a promise if it did not run.
 func (c *call) giveUp(reason string, retryAfter time.Duration) {
+	c.giveUpWith(reason, max(retryAfter, leastRetryAfter))
+}
+
+// giveUpForGood does the same and tells no time to come back.
+func (c *call) giveUpForGood(reason string) { c.giveUpWith(reason, 0) }
+
+func (c *call) giveUpWith(reason string, retryAfter time.Duration) {
 	if c.allowed.mayHaveRun() > 0 && !c.route.Repeatable {
 		c.refuse(http.StatusBadGateway, reason, 0)
 		return
 	}
-	c.refuse(http.StatusServiceUnavailable, reason, max(retryAfter, leastRetryAfter))
+	c.refuse(http.StatusServiceUnavailable, reason, retryAfter)
 }
 
 // leastRetryAfter is the shortest wait that a client is told.
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"syscall"
 	"time"
@@ -68,12 +69,13 @@
 	if !cutOff {
 		return
 	}
-	if to.cutOff(time.Now(), c.fingerprint()) {
-		c.proxy.suspect(to, c.fingerprint())
+	if to.cutOff(time.Now(), c.attempt()) && c.proxy.wasServing(to.id()) {
+		c.proxy.suspect(to, c.attempt())
 	}
 	if !closed {
 		return
 	}
+	c.closed.Add(1)
 	c.proxy.Log.Line(decision.KindCutOff).Str("id", c.message.id).Str("fingerprint", c.fingerprint().String()).
 		Str("worker", string(to.id())).Str("route", c.route.Name).Str("caller", caller(c.request.RemoteAddr).String()).
 		Dur("took", got.took).Msg("")
@@ -104,15 +106,15 @@
 	if !p.wasServing(to.id()) {
 		return
 	}
-	requests, first := to.hasEnded(time.Now())
+	attempts, first := to.hasEnded(time.Now())
 	if !first {
 		return
 	}
 	p.Metrics.crashed(to.described().Service)
 	p.Log.Line(decision.KindWorkerCrashed).Str("worker", string(to.id())).
-		Str("service", string(to.described().Service)).Int("requests", len(requests)).Msg("")
-	for _, request := range requests {
-		p.suspect(to, request)
+		Str("service", string(to.described().Service)).Int("requests", len(attempts)).Msg("")
+	for _, attempt := range attempts {
+		p.suspect(to, attempt)
 	}
 }
 
@@ -123,9 +125,60 @@
 }
 
 // suspect notes that a request was under way at a worker that crashed.
-func (p *Proxy) suspect(to *backend, request quarantine.Fingerprint) {
-	if !p.wasServing(to.id()) {
-		return
+func (p *Proxy) suspect(to *backend, attempt quarantine.Attempt) {
+	now := time.Now()
+	p.Log.Line(decision.KindSuspect).Str("id", attempt.ID).Str("fingerprint", attempt.Request.String()).
+		Str("worker", string(to.id())).Msg("")
+	if p.Suspects.Crashed(now, attempt, quarantine.Crash{Worker: to.id(), At: now}) {
+		TellQuarantined(p.Log, attempt)
+	}
+}
+
+// TellQuarantined logs that a request is sent no longer.
+func TellQuarantined(log *decision.Log, attempt quarantine.Attempt) {
+	log.Line(decision.KindQuarantined).Str("id", attempt.ID).Str("fingerprint", attempt.Request.String()).
+		Str("route", attempt.Route).Str("caller", attempt.Caller.String()).Msg("")
+}
+
+// attempt describes this attempt of the request.
+func (c *call) attempt() quarantine.Attempt {
+	return quarantine.Attempt{
+		Request: c.fingerprint(), ID: c.message.id, Route: c.route.Name, Caller: caller(c.request.RemoteAddr),
+	}
+}
+
+// standing says how the request may be sent. While no request is suspected it costs one load.
+func (c *call) standing() quarantine.Standing {
+	if !c.proxy.Suspects.Watching() {
+		return quarantine.Free
 	}
-	p.Log.Line(decision.KindSuspect).Str("fingerprint", request.String()).Str("worker", string(to.id())).Msg("")
+	return c.proxy.Suspects.Standing(c.fingerprint())
+}
+
+// quarantined refuses a request that may not be sent; false if it may. No time to come back is
+// told: it would be refused again.
+func (c *call) quarantined() bool {
+	if c.standing() != quarantine.Quarantined {
+		return false
+	}
+	c.giveUpForGood(reasonQuarantined)
+	return true
+}
+
+// cleared tells that a suspected request ran to a good end.
+func (c *call) cleared(got *result) {
+	if got.outcome == outcomeAnswered && got.status < http.StatusInternalServerError && c.standing() != quarantine.Free {
+		c.proxy.Suspects.Finished(c.fingerprint())
+	}
+}
+
+// mostClosed is how many workers may close the connection of one attempt in mid-run. One is
+// often a worker's own fault, and another may well answer; a second one speaks against the
+// request.
+const mostClosed = 2
+
+// maySpread reports whether the request may be sent to a second worker while it may run, or
+// have run, at a first: a request that crashes its workers would crash that one too.
+func (c *call) maySpread() bool {
+	return c.arrivedAs == quarantine.Free && c.closed.Load() < mostClosed && c.standing() != quarantine.Quarantined
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -13,6 +13,7 @@
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/keytable"
 	"github.com/shalefork/shalefork/internal/peerlink"
+	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -48,6 +49,8 @@
 	reasonMalformed = "malformed"
 	reasonBody      = "body"
 	reasonQueue     = "queue-full"
+	// reasonQuarantined: the request has crashed workers that ran it.
+	reasonQuarantined = "request-quarantined"
 )
 
 // active is a configuration with what deals its requests out.
@@ -66,6 +69,10 @@
 	// Nodes is how many processes there are; zero if not known.
 	Nodes   *atomic.Int32
 	Metrics *Metrics
+	// Suspects are the requests that were under way at workers that crashed.
+	Suspects *quarantine.View
+	// Starting says that this process does not know yet which requests are quarantined.
+	Starting atomic.Bool
 	// Drain is how long workers that leave may get requests.
 	Drain time.Duration
 	// Evacuate is how long the workers of an evacuated zone may get requests.
@@ -81,7 +88,7 @@
 // New returns a proxy in a zone over the announced workers.
 func New(zone string, directory *workers.Directory, limits BudgetLimits) *Proxy {
 	ending, end := context.WithCancel(context.Background())
-	return &Proxy{fleet: newFleet(zone, directory, limits), Nodes: &atomic.Int32{}, ending: ending, end: end}
+	return &Proxy{fleet: newFleet(zone, directory, limits), Nodes: &atomic.Int32{}, Suspects: quarantine.NewView(), ending: ending, end: end}
 }
 
 // Use puts a configuration into force unless a newer one is.
@@ -148,7 +155,7 @@
 		writer.Header().Set("Connection", "close")
 	}
 	used := p.current.Load()
-	if used == nil {
+	if used == nil || p.Starting.Load() {
 		c.refuse(http.StatusServiceUnavailable, reasonNoConfig, 300*time.Millisecond)
 		return
 	}
@@ -162,6 +169,10 @@
 	if !c.prepare() {
 		return
 	}
+	if c.quarantined() {
+		return
+	}
+	c.arrivedAs = c.standing()
 	c.state = p.fleet.service(c.service)
 	c.state.budget.request(int(p.Nodes.Load()), c.began)
 	if c.service.Keyed {
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -108,7 +108,7 @@
 
 // hedgeTo returns where a second copy goes; nil if none may be sent.
 func (c *call) hedgeTo(second func() *backend) *backend {
-	if !c.allowed.left() || c.left() <= answerMargin || c.request.Context().Err() != nil {
+	if !c.allowed.left() || !c.maySpread() || c.left() <= answerMargin || c.request.Context().Err() != nil {
 		return nil
 	}
 	to := second()
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -35,6 +35,9 @@
 		if to == nil {
 			return
 		}
+		if c.quarantined() {
+			return
+		}
 		if !c.spend() {
 			c.giveUp(reasonBudget, 100*time.Millisecond)
 			return
--- a/internal/proxy/pooled.go
+++ b/internal/proxy/pooled.go
@@ -21,6 +21,9 @@
 		if picked.to == nil {
 			return
 		}
+		if c.quarantined() {
+			return
+		}
 		if !c.spend() {
 			c.giveUp(reasonBudget, 100*time.Millisecond)
 			return
@@ -41,7 +44,7 @@
 // sendPooled sends the request, and where it may be repeated a second copy to
 // another worker if the first stays silent.
 func (c *call) sendPooled(picked choice) *result {
-	if !c.repeatable() || c.allowed.mayHaveRun() > 0 {
+	if !c.repeatable() || c.allowed.mayHaveRun() > 0 || !c.maySpread() {
 		return c.sendTo(picked.to, c.deadline.Add(-answerMargin))
 	}
 	return c.sendHedged(picked, func() *backend {
--- /dev/null
+++ b/internal/proxy/quarantine_test.go
@@ -0,0 +1,139 @@
+package proxy
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/shalefork/shalefork/internal/quarantine"
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// attemptAt returns what the proxy takes a request of this machine to be.
+func attemptAt(method, uri, body string) quarantine.Attempt {
+	request := quarantine.Request{
+		Method: method, Host: "app.example", URI: uri, Body: []byte(body), Length: int64(len(body)), Caller: caller("127.0.0.1:1"),
+	}
+	return quarantine.Attempt{Request: request.Fingerprint()}
+}
+
+// crashed tells the proxy that a request was under way at workers that crashed.
+func (f *front) crashed(attempt quarantine.Attempt, list ...workers.ID) {
+	for index, worker := range list {
+		at := time.Now().Add(time.Duration(3*(index-len(list))) * time.Second)
+		f.proxy.Suspects.Crashed(time.Now(), attempt, quarantine.Crash{Worker: worker, At: at})
+	}
+}
+
+func TestAQuarantinedRequestIsRefusedAtOnce(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/keyed/x"} {
+		t.Run(path, func(t *testing.T) {
+			w := newWorker(t, "w1", answers("x"))
+			entry := w.entry("pool")
+			f := newFront(t, entry)
+			f.owns(entry)
+			f.crashed(attemptAt("POST", path, "b"), "a", "b", "c")
+			began := time.Now()
+			response, body := f.get(t, "POST", path, "b", "X-Key", "7")
+			assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+			assert.Equal(t, response.Header.Get("Retry-After"), "", "it would be refused again")
+			assert.Equal(t, body, reasonQuarantined+"\n")
+			assert.Equal(t, w.arrivals(), 0)
+			assert.Assert(t, time.Since(began) < time.Second)
+			response, _ = f.get(t, "POST", path+"?other", "b", "X-Key", "7")
+			assert.Equal(t, response.StatusCode, http.StatusOK, "another request")
+		})
+	}
+}
+
+func TestASuspectGoesToOneWorkerOnly(t *testing.T) {
+	tests := map[string]struct {
+		crashes []workers.ID
+		path    string
+		want    int
+	}{
+		"nothing known":   {path: "/safe/x", want: 2},
+		"crashed one":     {path: "/safe/x", crashes: []workers.ID{"a"}, want: 1},
+		"crashed another": {path: "/safe/y", crashes: []workers.ID{"a"}, want: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			one, two := newWorker(t, "w1", reset), newWorker(t, "w2", reset)
+			f := newFront(t, one.entry("pool"), two.entry("pool"))
+			f.crashed(attemptAt("GET", test.path, ""), test.crashes...)
+			response, _ := f.get(t, "GET", test.path, "")
+			assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+			assert.Equal(t, one.arrivals()+two.arrivals(), test.want)
+		})
+	}
+}
+
+func TestAGoodRunClearsARequest(t *testing.T) {
+	tests := map[string]struct {
+		status int
+		want   quarantine.Standing
+	}{
+		"success":          {status: http.StatusOK, want: quarantine.Free},
+		"caller's mistake": {status: http.StatusNotFound, want: quarantine.Free},
+		"worker's failure": {status: http.StatusInternalServerError, want: quarantine.Suspect},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+				answer(connection, request, test.status, "x")
+				return true
+			})
+			f := newFront(t, w.entry("pool"))
+			attempt := attemptAt("GET", "/safe/x", "")
+			f.crashed(attempt, "a")
+			f.get(t, "GET", "/safe/x", "")
+			assert.Equal(t, f.proxy.Suspects.Standing(attempt.Request), test.want)
+		})
+	}
+}
+
+// A request that was given up may still run, and crash its worker: the next send finds nobody.
+func TestARequestThatWasGivenUpIsASuspectToo(t *testing.T) {
+	var w *worker
+	w = newWorker(t, "w1", func(net.Conn, *http.Request) bool {
+		time.Sleep(400 * time.Millisecond)
+		_ = w.listener.Close()
+		return false
+	})
+	entry := w.entry("keyed")
+	f := newFront(t, entry)
+	f.owns(entry)
+	response, _ := f.get(t, "GET", "/keyed/x", "", "X-Key", "7", "X-Deadline", "200")
+	assert.Equal(t, response.StatusCode, http.StatusGatewayTimeout)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		f.get(t, "GET", "/keyed/other", "", "X-Key", "7", "X-Deadline", "200")
+		if f.proxy.Suspects.Standing(attemptAt("GET", "/keyed/x", "").Request) == quarantine.Suspect {
+			return poll.Success()
+		}
+		return poll.Continue("not suspected")
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(50*time.Millisecond))
+}
+
+// What a request costs that is not suspected: with no suspect, and beside 100 of them.
+func BenchmarkStanding(b *testing.B) {
+	for name, suspects := range map[string]int{"none": 0, "100": 100} {
+		b.Run(name, func(b *testing.B) {
+			p := New("z", workers.NewDirectory(), BudgetLimits{})
+			for index := range suspects {
+				one := quarantine.Attempt{Request: quarantine.Fingerprint{byte(index)}}
+				p.Suspects.Crashed(time.Now(), one, quarantine.Crash{Worker: "w", At: time.Now()})
+			}
+			for b.Loop() {
+				c := &call{proxy: p, request: &http.Request{RemoteAddr: "10.0.0.1:1234"}}
+				c.message = message{method: "GET", uri: "/some/path?page=3", host: "app.example"}
+				if c.standing() != quarantine.Free {
+					b.Fatal("suspected")
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/quarantine/book_test.go
@@ -0,0 +1,216 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// at returns a time of a test, in seconds.
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// step is one event of a test: a crash of a worker with requests under way, or a run that
+// ended well.
+type step struct {
+	at       float64
+	worker   workers.ID
+	requests []byte
+	finished byte
+}
+
+func play(b *Book, steps []step) {
+	for _, one := range steps {
+		for _, request := range one.requests {
+			b.Crashed(at(one.at), attempt(request), Crash{Worker: one.worker, At: at(one.at)})
+		}
+		if one.finished != 0 {
+			b.Finished(attempt(one.finished).Request)
+		}
+	}
+}
+
+func TestBookTellsTheGuiltyFromTheRest(t *testing.T) {
+	tests := map[string]struct {
+		steps []step
+		now   float64
+		want  map[byte]Standing
+	}{
+		"nothing":   {now: 1, want: map[byte]Standing{1: Free}},
+		"one crash": {steps: []step{{at: 0, worker: "a", requests: []byte{1, 2}}}, now: 2, want: map[byte]Standing{1: Suspect, 2: Suspect, 3: Free}},
+		"three crashes, others there once": {
+			steps: []step{
+				{at: 0, worker: "a", requests: []byte{1, 2}}, {at: 3, worker: "b", requests: []byte{1, 3}},
+				{at: 6, worker: "c", requests: []byte{1, 4}},
+			},
+			now: 6, want: map[byte]Standing{1: Quarantined, 2: Suspect, 3: Suspect, 4: Suspect},
+		},
+		"a good run in between": {
+			steps: []step{
+				{at: 0, worker: "a", requests: []byte{1}}, {at: 3, worker: "b", requests: []byte{1}},
+				{at: 4, finished: 1}, {at: 6, worker: "c", requests: []byte{1}},
+			},
+			now: 6, want: map[byte]Standing{1: Suspect},
+		},
+		"a good run of one that was quarantined": {
+			steps: []step{
+				{at: 0, worker: "a", requests: []byte{1}}, {at: 3, worker: "b", requests: []byte{1}},
+				{at: 6, worker: "c", requests: []byte{1}}, {at: 6.1, finished: 1},
+			},
+			now: 7, want: map[byte]Standing{1: Free},
+		},
+		"one worker, reported thrice": {
+			steps: []step{
+				{at: 0, worker: "a", requests: []byte{1}}, {at: 2, worker: "a", requests: []byte{1}},
+				{at: 4, worker: "a", requests: []byte{1}},
+			},
+			now: 9, want: map[byte]Standing{1: Suspect},
+		},
+		"a rack that ends, with a question that many ask": {
+			steps: []step{
+				{at: 0, worker: "a", requests: []byte{1}}, {at: 0.1, worker: "b", requests: []byte{1}},
+				{at: 0.2, worker: "c", requests: []byte{1}}, {at: 0.2, worker: "d", requests: []byte{2}},
+			},
+			now: 5, want: map[byte]Standing{1: Suspect},
+		},
+		"sent at once, and nothing else ends": {
+			steps: []step{
+				{at: 0, worker: "a", requests: []byte{1}}, {at: 0.1, worker: "b", requests: []byte{1, 2}},
+				{at: 0.2, worker: "c", requests: []byte{1}},
+			},
+			now: 1.3, want: map[byte]Standing{1: Quarantined, 2: Suspect},
+		},
+		"two at once, one later": {
+			steps: []step{
+				{at: 0, worker: "a", requests: []byte{1}}, {at: 0, worker: "b", requests: []byte{1}},
+				{at: 3, worker: "c", requests: []byte{1}},
+			},
+			now: 3, want: map[byte]Standing{1: Quarantined},
+		},
+		"a crash is forgotten": {
+			steps: []step{{at: 0, worker: "a", requests: []byte{1}}},
+			now:   suspectMemory.Seconds(), want: map[byte]Standing{1: Free},
+		},
+		"quarantine lasts": {
+			steps: []step{
+				{at: 0, worker: "a", requests: []byte{1}}, {at: 3, worker: "b", requests: []byte{1}},
+				{at: 6, worker: "c", requests: []byte{1}},
+			},
+			now: holdTime.Seconds(), want: map[byte]Standing{1: Quarantined},
+		},
+		"and ends": {
+			steps: []step{
+				{at: 0, worker: "a", requests: []byte{1}}, {at: 3, worker: "b", requests: []byte{1}},
+				{at: 6, worker: "c", requests: []byte{1}},
+			},
+			now: holdTime.Seconds() + 6, want: map[byte]Standing{1: Free},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := NewBook()
+			play(b, test.steps)
+			b.Settle(at(test.now))
+			for request, want := range test.want {
+				assert.Equal(t, b.Standing(attempt(request).Request), want, "request %d", request)
+			}
+		})
+	}
+}
+
+func TestBookIsBounded(t *testing.T) {
+	b := NewBook()
+	play(b, []step{
+		{at: 0, worker: "a", requests: []byte{1}}, {at: 3, worker: "b", requests: []byte{1}}, {at: 6, worker: "c", requests: []byte{1}},
+	})
+	for index := range 2 * mostRecords {
+		one := Attempt{Request: Fingerprint{2, byte(index), byte(index >> 8)}}
+		b.Crashed(at(10+float64(index)), one, Crash{Worker: "d", At: at(10 + float64(index))})
+	}
+	assert.Equal(t, b.Len(), mostRecords)
+	assert.Equal(t, b.Standing(attempt(1).Request), Quarantined, "suspects make room, not what is quarantined")
+	assert.Equal(t, b.Standing(Fingerprint{2, 0, 0}), Free)
+}
+
+// What is stored is read by processes that start later, maybe with another time of day.
+func TestSnapshotOutlastsItsWriter(t *testing.T) {
+	b := NewBook()
+	play(b, []step{
+		{at: 0, worker: "a", requests: []byte{1, 2}}, {at: 3, worker: "b", requests: []byte{1}}, {at: 6, worker: "c", requests: []byte{1}},
+	})
+	stored := NewSnapshot(at(10), b.Records()).Encode()
+	tests := map[string]float64{"at once": 10, "a minute later": 70, "a clock that is behind": 4}
+	for name, now := range tests {
+		t.Run(name, func(t *testing.T) {
+			snapshot, err := DecodeSnapshot(stored)
+			assert.NilError(t, err)
+			later := NewBook()
+			later.Merge(snapshot.Stored(at(now)))
+			later.Settle(at(now))
+			assert.Equal(t, later.Standing(attempt(1).Request), Quarantined)
+			assert.Equal(t, later.Standing(attempt(2).Request), Suspect)
+			assert.Equal(t, later.Records()[0].Attempt.Request, attempt(1).Request)
+		})
+	}
+	_, err := DecodeSnapshot([]byte("{"))
+	assert.ErrorContains(t, err, "quarantine")
+}
+
+func TestViewTellsUntilALeaderKnows(t *testing.T) {
+	follower, leader := NewView(), NewView()
+	assert.Assert(t, !follower.Watching())
+	assert.Assert(t, follower.Tell(at(0)) == nil)
+	follower.Crashed(at(0), attempt(1), Crash{Worker: "a", At: at(0)})
+	assert.Assert(t, follower.Watching())
+	first := follower.Tell(at(0.2))
+	assert.Equal(t, len(first.Crashes), 1)
+	assert.Equal(t, first.Crashes[0].Crash.AgeMillis, int64(200))
+	assert.Assert(t, follower.Tell(at(0.4)) == nil, "it is on its way")
+	assert.Equal(t, len(follower.Tell(at(1.3)).Crashes), 1, "nobody has confirmed it")
+
+	other, _ := leader.Snapshot(at(1.4))
+	follower.Told(at(1.4), other)
+	assert.Equal(t, follower.Standing(attempt(1).Request), Suspect, "a leader that has not heard of it takes nothing away")
+	leader.Take(at(1.5), *first)
+	leader.Take(at(1.6), *first)
+	snapshot, _ := leader.Snapshot(at(1.6))
+	assert.Equal(t, len(snapshot.Records), 1)
+	assert.Equal(t, len(snapshot.Records[0].Crashes), 1)
+	follower.Told(at(1.6), snapshot)
+	assert.Assert(t, follower.Tell(at(5)) == nil, "a leader knows")
+
+	follower.Finished(attempt(1).Request)
+	assert.Assert(t, !follower.Watching())
+	leader.Take(at(6), *follower.Tell(at(6)))
+	assert.Assert(t, !leader.Watching(), "a good run clears it everywhere")
+	follower.Finished(attempt(1).Request)
+	assert.Assert(t, follower.Tell(at(7)) == nil)
+}
+
+func TestViewGivesUpTellingInTheEnd(t *testing.T) {
+	v := NewView()
+	v.Crashed(at(0), attempt(1), Crash{Worker: "a", At: at(0)})
+	assert.Equal(t, len(v.Tell(at(1)).Crashes), 1)
+	assert.Assert(t, v.Tell(at(tellFor.Seconds())) == nil)
+}
+
+func TestViewNamesWhatBecomesQuarantined(t *testing.T) {
+	leader, follower := NewView(), NewView()
+	for index, worker := range []workers.ID{"a", "b", "c"} {
+		seconds := float64(3 * index)
+		held := leader.Take(at(seconds), Evidence{Crashes: []Suspicion{{Attempt: attempt(1), Crash: SnapshotCrash{Worker: worker}}}})
+		assert.Equal(t, len(held), index/2, "the third crash does it")
+		snapshot, _ := leader.Snapshot(at(seconds))
+		assert.Equal(t, len(follower.Told(at(seconds), snapshot)), index/2)
+		assert.Equal(t, len(follower.Told(at(seconds), snapshot)), 0, "told before")
+	}
+	suspects, quarantined := follower.Count()
+	assert.Equal(t, suspects, 0)
+	assert.Equal(t, quarantined, 1)
+}
--- /dev/null
+++ b/internal/quarantine/snapshot.go
@@ -0,0 +1,102 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// StoreKey is where the book is stored, under the prefix of the system's own keys.
+func StoreKey(prefix string) string { return prefix + "suspects" }
+
+// Snapshot is a book as it is stored and told. Times are ages as of its writing: processes do
+// not share a clock. How old a stored one is tells the time of day, which may be off by seconds.
+type Snapshot struct {
+	// WrittenMillis is the time of day of the writing, in milliseconds since 1970.
+	WrittenMillis int64 `json:"t"`
+	// Lifted says that an operator has removed records.
+	Lifted  bool            `json:"l,omitempty"`
+	Records []SnapshotEntry `json:"r"`
+}
+
+// SnapshotEntry is one record.
+type SnapshotEntry struct {
+	Attempt
+	Crashes []SnapshotCrash `json:"x"`
+	Held    bool            `json:"h,omitempty"`
+	// HeldMillis is for how long the request has been quarantined.
+	HeldMillis int64 `json:"m,omitempty"`
+}
+
+// SnapshotCrash is one crash, AgeMillis ago.
+type SnapshotCrash struct {
+	Worker    workers.ID `json:"w"`
+	AgeMillis int64      `json:"a"`
+}
+
+// NewSnapshot describes records as of a time.
+func NewSnapshot(now time.Time, records []Record) Snapshot {
+	snapshot := Snapshot{WrittenMillis: now.UnixMilli(), Records: make([]SnapshotEntry, 0, len(records))}
+	for _, record := range records {
+		entry := SnapshotEntry{Attempt: record.Attempt, Held: !record.HeldAt.IsZero()}
+		if entry.Held {
+			entry.HeldMillis = now.Sub(record.HeldAt).Milliseconds()
+		}
+		for _, crash := range record.Crashes {
+			entry.Crashes = append(entry.Crashes, SnapshotCrash{Worker: crash.Worker, AgeMillis: now.Sub(crash.At).Milliseconds()})
+		}
+		snapshot.Records = append(snapshot.Records, entry)
+	}
+	return snapshot
+}
+
+// DecodeSnapshot reads a stored snapshot.
+func DecodeSnapshot(value []byte) (Snapshot, error) {
+	var snapshot Snapshot
+	err := json.Unmarshal(value, &snapshot)
+	return snapshot, Error.Wrap(err)
+}
+
+// Encode writes the snapshot as it is stored.
+func (s Snapshot) Encode() []byte {
+	value, err := json.Marshal(s)
+	if err != nil {
+		panic(err) // plain data
+	}
+	return value
+}
+
+// Lift returns the snapshot without a request, as an operator stores it; false if the request is
+// not in it.
+func (s Snapshot) Lift(request Fingerprint) (Snapshot, bool) {
+	rest := slices.DeleteFunc(slices.Clone(s.Records), func(one SnapshotEntry) bool { return one.Request == request })
+	return Snapshot{WrittenMillis: s.WrittenMillis, Lifted: true, Records: rest}, len(rest) < len(s.Records)
+}
+
+// Told returns the records of a snapshot that was just written elsewhere.
+func (s Snapshot) Told(now time.Time) []Record { return s.records(now) }
+
+// Stored returns the records of a snapshot that was written a while ago.
+func (s Snapshot) Stored(now time.Time) []Record {
+	old := time.Duration(max(0, now.UnixMilli()-s.WrittenMillis)) * time.Millisecond
+	return s.records(now.Add(-old))
+}
+
+// records returns the records of a snapshot that was written at a time.
+func (s Snapshot) records(written time.Time) []Record {
+	list := make([]Record, 0, len(s.Records))
+	for _, entry := range s.Records {
+		record := Record{Attempt: entry.Attempt}
+		for _, crash := range entry.Crashes {
+			at := written.Add(-time.Duration(crash.AgeMillis) * time.Millisecond)
+			record.Crashes = append(record.Crashes, Crash{Worker: crash.Worker, At: at})
+		}
+		if entry.Held {
+			record.HeldAt = written.Add(-time.Duration(entry.HeldMillis) * time.Millisecond)
+		}
+		list = append(list, record)
+	}
+	return list
+}
--- a/internal/quarantine/witness.go
+++ b/internal/quarantine/witness.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -14,6 +15,15 @@
 	mostCut = 64
 )
 
+// Attempt is one try of a request, as operators look for it.
+type Attempt struct {
+	Request Fingerprint `json:"f"`
+	// ID of the attempt, the Route that it took, and its Caller.
+	ID     string     `json:"i,omitempty"`
+	Route  string     `json:"r,omitempty"`
+	Caller netip.Addr `json:"c,omitzero"`
+}
+
 // Witness is what one process saw of the end of one worker: whether it crashed, and which
 // requests were under way there. Its zero value has seen nothing.
 type Witness struct {
@@ -23,38 +33,40 @@
 
 // cutOff is a send that ended without an answer.
 type cutOff struct {
-	request Fingerprint
+	attempt Attempt
 	at      time.Time
 }
 
 // CutOff notes a request that was sent and got no whole answer. It reports whether the worker
 // is known to have ended just then, so that its end cut the request off.
-func (w *Witness) CutOff(now time.Time, request Fingerprint) bool {
+func (w *Witness) CutOff(now time.Time, attempt Attempt) bool {
 	if !w.endedAt.IsZero() {
 		return now.Sub(w.endedAt) < cutMemory
 	}
 	w.forget(now)
 	if len(w.cut) < mostCut {
-		w.cut = append(w.cut, cutOff{request: request, at: now})
+		w.cut = append(w.cut, cutOff{attempt: attempt, at: now})
 	}
 	return false
 }
 
 // Ended notes that the worker has ended; first is false if that was known. It returns the
-// requests that its end cut off.
-func (w *Witness) Ended(now time.Time) (requests []Fingerprint, first bool) {
+// requests that its end cut off, each once.
+func (w *Witness) Ended(now time.Time) (attempts []Attempt, first bool) {
 	if !w.endedAt.IsZero() {
 		return nil, false
 	}
 	w.endedAt = now
 	w.forget(now)
+	seen := map[Fingerprint]bool{}
 	for _, one := range w.cut {
-		if !slices.Contains(requests, one.request) {
-			requests = append(requests, one.request)
+		if !seen[one.attempt.Request] {
+			seen[one.attempt.Request] = true
+			attempts = append(attempts, one.attempt)
 		}
 	}
 	w.cut = nil
-	return requests, true
+	return attempts, true
 }
 
 // forget drops sends that broke off too long ago to have to do with an end now.
--- a/internal/quarantine/witness_test.go
+++ b/internal/quarantine/witness_test.go
@@ -2,41 +2,41 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 )
 
-// named returns a fingerprint for tests.
-func named(name byte) Fingerprint { return Fingerprint{name} }
+// attempt returns an attempt of a request for tests.
+func attempt(request byte) Attempt { return Attempt{Request: Fingerprint{request}} }
 
 func TestWitnessNamesWhatTheEndCutOff(t *testing.T) {
-	start := time.Unix(1000, 0)
 	at := func(millis int) time.Time { return start.Add(time.Duration(millis) * time.Millisecond) }
 	tests := map[string]struct {
 		cut   map[byte]int // when each request broke off, in milliseconds
 		ended int
-		want  []Fingerprint
+		want  []Attempt
 	}{
 		"nothing under way":      {ended: 10},
-		"under way":              {cut: map[byte]int{1: 5}, ended: 10, want: []Fingerprint{named(1)}},
+		"under way":              {cut: map[byte]int{1: 5}, ended: 10, want: []Attempt{attempt(1)}},
 		"broke off long before":  {cut: map[byte]int{1: 5}, ended: 1005},
-		"broke off right before": {cut: map[byte]int{1: 6}, ended: 1005, want: []Fingerprint{named(1)}},
+		"broke off right before": {cut: map[byte]int{1: 6}, ended: 1005, want: []Attempt{attempt(1)}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			var w Witness
 			for request, millis := range test.cut {
-				assert.Assert(t, !w.CutOff(at(millis), named(request)))
+				assert.Assert(t, !w.CutOff(at(millis), attempt(request)))
 			}
 			requests, first := w.Ended(at(test.ended))
 			assert.Assert(t, first)
-			assert.DeepEqual(t, requests, test.want)
+			assert.Assert(t, slices.Equal(requests, test.want), "%v", requests)
 			_, first = w.Ended(at(test.ended + 1))
 			assert.Assert(t, !first, "a worker ends once")
-			assert.Assert(t, w.CutOff(at(test.ended+5), named(9)), "cut off too, and noticed later")
-			assert.Assert(t, !w.CutOff(at(test.ended+5000), named(9)), "too late to have been there")
+			assert.Assert(t, w.CutOff(at(test.ended+5), attempt(9)), "cut off too, and noticed later")
+			assert.Assert(t, !w.CutOff(at(test.ended+5000), attempt(9)), "too late to have been there")
 		})
 	}
 }
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -183,6 +183,7 @@
 	if update.Config != nil {
 		r.configTold(*update.Config)
 	}
+	r.suspectsTold(update)
 	r.entries.compare(now, update.Known.Workers)
 	r.config.catchUp(now, update.Known.Config)
 }
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -165,6 +165,7 @@
 	until := r.holdsEnd(ctx, tenure)
 	r.log.Line(decision.KindElected).Int64("term", int64(tenure.Leader.Term)).Time("holds_until", until).Msg("")
 	go r.reportToSelf(tenureCtx)
+	go r.keepSuspects(tenureCtx, tenure)
 	r.nodes.Store(int32(r.hub.Nodes()))
 	r.keeper.Lead(tenureCtx, tenure, until)
 	resign, cancel := context.WithTimeout(context.WithoutCancel(ctx), resignTimeout)
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -28,6 +28,10 @@
 		return float64(len(r.workers.EvacuatedZones()))
 	})
 	gauge("shalefork_router_cold_workers", "Workers that say that they warm up.", func() float64 { return float64(r.workers.Cold()) })
+	gauge("shalefork_router_suspected_requests", "Requests that were under way at workers that crashed, and have not run to a good end since.",
+		func() float64 { suspects, _ := r.proxy.Suspects.Count(); return float64(suspects) })
+	gauge("shalefork_router_quarantined_requests", "Requests that are sent to no worker, since they have crashed several.",
+		func() float64 { _, quarantined := r.proxy.Suspects.Count(); return float64(quarantined) })
 	gauge("shalefork_router_config_version", "Version of the configuration in force; 0 for none.", func() float64 {
 		if config := r.proxy.Config(); config != nil {
 			return float64(config.Version)
--- a/internal/router/report.go
+++ b/internal/router/report.go
@@ -19,6 +19,7 @@
 	report := r.meter.Take()
 	report.Followers = r.hub.Followers()
 	r.standby.Tell(&report)
+	report.Evidence = r.proxy.Suspects.Tell(time.Now())
 	return report
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -121,6 +121,7 @@
 	r.proxy.Headers, r.proxy.Table, r.proxy.Meter = adapter.Headers, r.table, r.meter
 	r.proxy.Drain, r.proxy.Evacuate = config.Drain.Std(), config.Evacuate.Std()
 	r.proxy.Log, r.proxy.Nodes, r.proxy.Metrics = log, r.nodes, proxy.NewMetrics(metrics)
+	r.proxy.Starting.Store(true)
 	r.process = rand.Text()
 	r.hub = peerlink.NewHub(r.process, r.reports, r.known)
 	r.hub.Strength, r.hub.DirectNodes = config.Machine.Strength(), config.DirectRouters
@@ -135,6 +136,7 @@
 	r.standby = standby.New(adapter.Orders, r.keeper.Times, log)
 	r.hub.OnAsked(r.standby.Stop)
 	r.hub.OnReported(r.meter.Add)
+	r.hub.OnEvidence(r.evidenceTaken)
 	metrics.MustRegister(r.proxy)
 	r.registerGauges(metrics)
 	return r
@@ -153,6 +155,7 @@
 	leading, stopLeading := context.WithCancel(background)
 	led := make(chan struct{})
 	r.followOperators(background)
+	go r.readSuspects(background)
 	go r.proxy.Run(background)
 	go r.hub.Serve(listeners.peers)
 	go r.standby.Run(background)
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -24,7 +24,7 @@
 
 // ready reports whether clients may be sent here.
 func (r *Router) ready() bool {
-	return !r.stopping.Load() && r.proxy.Config() != nil && r.workers.Count() > 0
+	return !r.stopping.Load() && r.proxy.Config() != nil && !r.proxy.Starting.Load() && r.workers.Count() > 0
 }
 
 func (r *Router) readyHandler() http.Handler {
--- /dev/null
+++ b/internal/router/suspects.go
@@ -0,0 +1,221 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/election"
+	"github.com/shalefork/shalefork/internal/peerlink"
+	"github.com/shalefork/shalefork/internal/proxy"
+	"github.com/shalefork/shalefork/internal/quarantine"
+)
+
+// Times of keeping the list of suspected requests.
+const (
+	// suspectsTick is the pause between looks at what time brings.
+	suspectsTick = 500 * time.Millisecond
+	// suspectsPause is the least pause between writes: crashes come seconds apart, and one
+	// brings reports from many routers within half a second.
+	suspectsPause = 200 * time.Millisecond
+	// operatorsLook is the pause between looks whether an operator has changed the stored list.
+	// Each is a priced call.
+	operatorsLook = 10 * time.Second
+	// suspectsTimeout bounds one call.
+	suspectsTimeout = 1200 * time.Millisecond
+	// startsWithout is after how long a process that starts serves although it does not know
+	// the list: nobody answers it. The users' platform gives it 3 s to know.
+	startsWithout = 2 * time.Second
+)
+
+// suspectsKeeper keeps the stored list while its process leads: all evidence comes here, and
+// from here all processes are told. What is quarantined outlasts leaders and restarts of all.
+type suspectsKeeper struct {
+	r      *Router
+	tenure *election.Tenure
+	// revision of the stored list, zero if there is none, and version of what was stored and
+	// told last.
+	revision     coord.Revision
+	stored, told uint64
+	looked       time.Time
+}
+
+// keepSuspects keeps the list until ctx ends.
+func (r *Router) keepSuspects(ctx context.Context, tenure *election.Tenure) {
+	k := &suspectsKeeper{r: r, tenure: tenure}
+	if !k.load(ctx) {
+		return
+	}
+	ticker := time.NewTicker(suspectsTick)
+	defer ticker.Stop()
+	for {
+		k.tell()
+		k.store(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			k.settle(time.Now())
+		case <-r.proxy.Suspects.Changed():
+		}
+		if time.Since(k.looked) >= operatorsLook {
+			k.look(ctx)
+		}
+	}
+}
+
+// load adds what earlier leaders have stored; false if ctx ended before.
+func (k *suspectsKeeper) load(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		item, found, err := k.get(ctx)
+		if err != nil {
+			clock.Sleep(ctx, lookPause)
+			continue
+		}
+		k.revision, k.looked = item.Revision, time.Now()
+		if found {
+			k.take(item)
+		}
+		return true
+	}
+	return false
+}
+
+// take takes a stored list: what an operator has lifted stays lifted, though this process may
+// know it still; else it adds to what is known.
+func (k *suspectsKeeper) take(item coord.Item) {
+	snapshot, ok := k.r.readSnapshot(item)
+	switch {
+	case !ok:
+	case snapshot.Lifted:
+		k.r.proxy.Suspects.Replace(snapshot.Stored(time.Now()))
+		k.r.log.Line(decision.KindQuarantined).Bool("lifted", true).Int64("revision", int64(item.Revision)).Msg("by an operator")
+	default:
+		k.r.proxy.Suspects.Merge(snapshot.Stored(time.Now()))
+	}
+}
+
+func (k *suspectsKeeper) get(ctx context.Context) (coord.Item, bool, error) {
+	bounded, cancel := context.WithTimeout(ctx, suspectsTimeout)
+	defer cancel()
+	return k.r.adapter.Store.Get(bounded, quarantine.StoreKey(KeyPrefix))
+}
+
+// readSnapshot reads a stored list; false, with a log line, if it can't be read.
+func (r *Router) readSnapshot(item coord.Item) (quarantine.Snapshot, bool) {
+	snapshot, err := quarantine.DecodeSnapshot(item.Value)
+	if err != nil {
+		r.log.Line(decision.KindQuarantined).Int64("revision", int64(item.Revision)).Err(err).Msg("the stored list can't be read")
+	}
+	return snapshot, err == nil
+}
+
+// settle does what time brings.
+func (k *suspectsKeeper) settle(now time.Time) {
+	for _, record := range k.r.proxy.Suspects.Settle(now) {
+		proxy.TellQuarantined(k.r.log, record.Attempt)
+	}
+}
+
+// tell tells all processes what has changed. The first message says that this leader knows
+// what is stored.
+func (k *suspectsKeeper) tell() {
+	snapshot, version := k.r.proxy.Suspects.Snapshot(time.Now())
+	if version == k.told && k.told != 0 {
+		return
+	}
+	k.told = version
+	k.r.hub.TellSuspects(snapshot)
+}
+
+// store writes the list if it has changed. A write without an answer is tried again at the next
+// tick, and may then find its own one done.
+func (k *suspectsKeeper) store(ctx context.Context) {
+	snapshot, version := k.r.proxy.Suspects.Snapshot(time.Now())
+	if version == k.stored || (k.revision == 0 && len(snapshot.Records) == 0) {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, suspectsTimeout)
+	defer cancel()
+	revision, err := k.r.adapter.Store.Commit(bounded, coord.Txn{
+		Conditions: []coord.Condition{
+			{Key: k.r.election.LeaderKey(), Revision: k.tenure.Leader.Revision},
+			{Key: quarantine.StoreKey(KeyPrefix), Revision: k.revision},
+		},
+		Puts: []coord.Put{{Key: quarantine.StoreKey(KeyPrefix), Value: snapshot.Encode()}},
+	})
+	switch {
+	case err == nil:
+		k.revision, k.stored = revision, version
+	case errors.Is(err, coord.ErrConflict):
+		k.look(ctx)
+	}
+	clock.Sleep(ctx, suspectsPause)
+}
+
+// look takes what an operator has stored. The list that an earlier write of this process has
+// left, unseen, adds nothing.
+func (k *suspectsKeeper) look(ctx context.Context) {
+	k.looked = time.Now()
+	item, found, err := k.get(ctx)
+	if err != nil || !found || item.Revision == k.revision {
+		return
+	}
+	k.revision = item.Revision
+	k.take(item)
+}
+
+// readSuspects takes the list from where it is stored, for a process that has just started,
+// unless a leader tells it first. Until then requests are refused: one that crashes workers was
+// sent within 50 ms of a start, before the list was known.
+func (r *Router) readSuspects(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, startsWithout)
+	defer cancel()
+	for bounded.Err() == nil && r.proxy.Starting.Load() {
+		item, found, err := r.adapter.Store.Get(bounded, quarantine.StoreKey(KeyPrefix))
+		if err != nil {
+			clock.Sleep(bounded, lookPause)
+			continue
+		}
+		if found {
+			r.mergeStored(item)
+		}
+		r.proxy.Starting.Store(false)
+	}
+	if r.proxy.Starting.Swap(false) {
+		r.log.Line(decision.KindQuarantined).Msg("the list is not known, nobody tells it; requests are served")
+	}
+}
+
+// mergeStored adds a stored list to what is known.
+func (r *Router) mergeStored(item coord.Item) {
+	if snapshot, ok := r.readSnapshot(item); ok {
+		r.proxy.Suspects.Merge(snapshot.Stored(time.Now()))
+	}
+}
+
+// suspectsTold takes what a leader knows, and lets a relay pass it on.
+func (r *Router) suspectsTold(update peerlink.Update) {
+	snapshot, tells, err := update.Snapshot()
+	if err != nil {
+		r.log.Line(decision.KindQuarantined).Err(err).Msg("what the leader tells can't be read")
+	}
+	if !tells {
+		return
+	}
+	for _, record := range r.proxy.Suspects.Told(time.Now(), snapshot) {
+		proxy.TellQuarantined(r.log, record.Attempt)
+	}
+	r.proxy.Starting.Store(false)
+	r.hub.TellSuspects(snapshot)
+}
+
+// evidenceTaken takes what another process has seen of crashes.
+func (r *Router) evidenceTaken(evidence quarantine.Evidence) {
+	for _, attempt := range r.proxy.Suspects.Take(time.Now(), evidence) {
+		proxy.TellQuarantined(r.log, attempt)
+	}
+}
