--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -15,7 +15,6 @@
 	KindEvacuation    Kind = "zones-evacuated"
 	KindWorker        Kind = "worker"
 	KindWorkerHealth  Kind = "worker-health"
-	KindCutOff        Kind = "request-cut-off"
 	KindWorkerCrashed Kind = "worker-crashed"
 	KindSuspect       Kind = "request-suspected"
 	KindQuarantined   Kind = "request-quarantined"
@@ -57,9 +56,8 @@
 		{KindEvacuation, "which zones' workers are to get no work has changed", "zones (all of them), revision"},
 		{KindWorker, "a worker announced itself, drains or is gone; or it is kept although its entry went, which may have lapsed only", "worker, state, service, revision, for (seconds that it is kept at most); announced: how many a new list has"},
 		{KindWorkerHealth, "a worker is left alone after a failure, or is used again", "worker, outcome, id (the request that showed it), error"},
-		{KindCutOff, "a worker closed the connection before the whole answer; whether it crashed is looked at", "id, fingerprint (of method, host, path, query, body and caller: the same in each attempt), worker, route, caller, took"},
 		{KindWorkerCrashed, "a worker ended although it was announced and did not leave: its address refuses connections, or another process answers there", "worker, service, requests (under way there from this process)"},
-		{KindSuspect, "a request was under way at a worker that crashed", "id (of the attempt), fingerprint, worker"},
+		{KindSuspect, "a request was under way at a worker that crashed", "id (of the attempt), fingerprint (of method, host, path, query, body and caller: the same in each attempt), worker, route, caller"},
 		{KindQuarantined, "a request has crashed too many workers and is sent to none from here on, or that has ended", "id (of the last attempt that was under way at a crash), fingerprint, route, caller; lifted (by an operator); error where the stored list can't be read"},
 		{KindStoreLost, "the store does not answer", "for (what was followed), error"},
 		{KindStoreBack, "it answers again", "for; for workers also away: seconds since it was lost, and waits: seconds for which vanished entries are waited for"},
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -52,10 +52,10 @@
 	unreachedUntil time.Time
 	ended          bool
 	cold           coldGate
-	// witness is what was seen of the worker's end, and probing says that its address is
-	// being tried.
+	// witness is what was seen of the worker's end, and probeAt is when the last look at its
+	// address begins, or began.
 	witness quarantine.Witness
-	probing bool
+	probeAt time.Time
 }
 
 // toldMeans are the means of what a service's workers tell.
@@ -274,19 +274,17 @@
 	return b.witness.Ended(now)
 }
 
-// startProbe begins a look at the worker's address; false if one is under way.
-func (b *backend) startProbe() bool {
+// nextProbe says after which time the worker's address is to be looked at; due is false if a
+// look is to begin already.
+func (b *backend) nextProbe(now time.Time) (wait time.Duration, due bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.probing {
-		return false
+	if b.probeAt.After(now) {
+		return 0, false
 	}
-	b.probing = true
-	return true
-}
-
-func (b *backend) endProbe() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.probing = false
+	if next := b.probeAt.Add(probePause); next.After(now) {
+		wait = next.Sub(now)
+	}
+	b.probeAt = now.Add(wait)
+	return wait, true
 }
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -15,9 +15,14 @@
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
-// probeTimeout bounds the look whether anybody listens at a worker's address. A port at which
-// nobody listens refuses within a round trip; silence shows nothing.
-const probeTimeout = 300 * time.Millisecond
+const (
+	// probeTimeout bounds the look whether anybody listens at a worker's address. A port at
+	// which nobody listens refuses within a round trip; silence shows nothing.
+	probeTimeout = 300 * time.Millisecond
+	// probePause is the least pause between two looks at one worker. A full one closes many
+	// connections, and each look is one more; a crash may be seen that much later.
+	probePause = 250 * time.Millisecond
+)
 
 // fingerprint names the request over all its attempts.
 func (c *call) fingerprint() quarantine.Fingerprint {
@@ -76,18 +81,14 @@
 		return
 	}
 	c.closed.Add(1)
-	c.proxy.Log.Line(decision.KindCutOff).Str("id", c.message.id).Str("fingerprint", c.fingerprint().String()).
-		Str("worker", string(to.id())).Str("route", c.route.Name).Str("caller", caller(c.request.RemoteAddr).String()).
-		Dur("took", got.took).Msg("")
-	if to.startProbe() {
-		go c.proxy.probe(to)
+	if wait, due := to.nextProbe(time.Now()); due {
+		time.AfterFunc(wait, func() { c.proxy.probe(to) })
 	}
 }
 
 // probe looks whether a worker has ended that closed a connection with a request under way: a
 // full worker resets connections too, and an answer may break off.
 func (p *Proxy) probe(to *backend) {
-	defer to.endProbe()
 	bounded, cancel := context.WithTimeout(p.ending, probeTimeout)
 	defer cancel()
 	var dialer net.Dialer
@@ -128,7 +129,7 @@
 func (p *Proxy) suspect(to *backend, attempt quarantine.Attempt) {
 	now := time.Now()
 	p.Log.Line(decision.KindSuspect).Str("id", attempt.ID).Str("fingerprint", attempt.Request.String()).
-		Str("worker", string(to.id())).Msg("")
+		Str("worker", string(to.id())).Str("route", attempt.Route).Str("caller", attempt.Caller.String()).Msg("")
 	if p.Suspects.Crashed(now, attempt, quarantine.Crash{Worker: to.id(), At: now}) {
 		TellQuarantined(p.Log, attempt)
 	}
--- a/internal/proxy/crash_test.go
+++ b/internal/proxy/crash_test.go
@@ -82,3 +82,24 @@
 		})
 	}
 }
+
+// A worker that closes many connections is looked at now and then only.
+func TestProbesAreFew(t *testing.T) {
+	b := newBackend(workers.Worker{}, &toldMeans{})
+	began := time.Unix(1000, 0)
+	tests := []struct {
+		after, wait time.Duration
+		due         bool
+	}{
+		{after: 0, due: true},
+		{after: 10 * time.Millisecond, wait: probePause - 10*time.Millisecond, due: true},
+		{after: 20 * time.Millisecond},
+		{after: probePause + time.Millisecond, wait: probePause - time.Millisecond, due: true},
+		{after: 3 * probePause, due: true},
+	}
+	for _, test := range tests {
+		wait, due := b.nextProbe(began.Add(test.after))
+		assert.Equal(t, due, test.due, "%s", test.after)
+		assert.Equal(t, wait, test.wait, "%s", test.after)
+	}
+}
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -24,8 +24,9 @@
 	// operatorsLook is the pause between looks whether an operator has changed the stored list.
 	// Each is a priced call.
 	operatorsLook = 10 * time.Second
-	// suspectsTimeout bounds one call.
-	suspectsTimeout = 1200 * time.Millisecond
+	// suspectsTimeout bounds one call: one that was lost unseen is tried again while a process
+	// that starts can still wait.
+	suspectsTimeout = 700 * time.Millisecond
 	// startsWithout is after how long a process that starts serves although it does not know
 	// the list: nobody answers it. The users' platform gives it 3 s to know.
 	startsWithout = 2 * time.Second
@@ -70,7 +71,7 @@
 // load adds what earlier leaders have stored; false if ctx ended before.
 func (k *suspectsKeeper) load(ctx context.Context) bool {
 	for ctx.Err() == nil {
-		item, found, err := k.get(ctx)
+		item, found, err := k.r.getSuspects(ctx)
 		if err != nil {
 			clock.Sleep(ctx, lookPause)
 			continue
@@ -98,10 +99,11 @@
 	}
 }
 
-func (k *suspectsKeeper) get(ctx context.Context) (coord.Item, bool, error) {
+// getSuspects reads what is stored.
+func (r *Router) getSuspects(ctx context.Context) (coord.Item, bool, error) {
 	bounded, cancel := context.WithTimeout(ctx, suspectsTimeout)
 	defer cancel()
-	return k.r.adapter.Store.Get(bounded, quarantine.StoreKey(KeyPrefix))
+	return r.adapter.Store.Get(bounded, quarantine.StoreKey(KeyPrefix))
 }
 
 // readSnapshot reads a stored list; false, with a log line, if it can't be read.
@@ -160,7 +162,7 @@
 // left, unseen, adds nothing.
 func (k *suspectsKeeper) look(ctx context.Context) {
 	k.looked = time.Now()
-	item, found, err := k.get(ctx)
+	item, found, err := k.r.getSuspects(ctx)
 	if err != nil || !found || item.Revision == k.revision {
 		return
 	}
@@ -175,7 +177,7 @@
 	bounded, cancel := context.WithTimeout(ctx, startsWithout)
 	defer cancel()
 	for bounded.Err() == nil && r.proxy.Starting.Load() {
-		item, found, err := r.adapter.Store.Get(bounded, quarantine.StoreKey(KeyPrefix))
+		item, found, err := r.getSuspects(bounded)
 		if err != nil {
 			clock.Sleep(bounded, lookPause)
 			continue
@@ -186,7 +188,7 @@
 		r.proxy.Starting.Store(false)
 	}
 	if r.proxy.Starting.Swap(false) {
-		r.log.Line(decision.KindQuarantined).Msg("the list is not known, nobody tells it; requests are served")
+		r.log.Line(decision.KindStoreLost).Str("for", "quarantined requests").Msg("nobody tells them; requests are served")
 	}
 }
 
