--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,8 @@
 
 fuzz:
 	go test -run '^$$' -fuzz FuzzReadLine -fuzztime $(FUZZTIME) ./internal/peerlink
+	go test -run '^$$' -fuzz FuzzFollow -fuzztime $(FUZZTIME) ./internal/peerlink
+	go test -run '^$$' -fuzz FuzzLoad -fuzztime $(FUZZTIME) ./internal/owner
 	go test -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME) -fuzzminimizetime 5x ./internal/bundle
 	go test -run '^$$' -fuzz FuzzReadConfig -fuzztime $(FUZZTIME) -fuzzminimizetime 5x ./platform
 	go test -run '^$$' -fuzz FuzzReadWorker -fuzztime $(FUZZTIME) ./platform
--- a/internal/peerlink/lines_test.go
+++ b/internal/peerlink/lines_test.go
@@ -7,9 +7,15 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/keytable"
+	"github.com/shalefork/shalefork/internal/quarantine"
+	"github.com/shalefork/shalefork/internal/routing"
 )
 
 func TestLinesRoundTrip(t *testing.T) {
@@ -50,3 +56,43 @@
 		}
 	})
 }
+
+// FuzzFollow shows that whatever a leader or relay says, its followers go on: one bad line would
+// else end each of them.
+func FuzzFollow(f *testing.F) {
+	f.Add([]byte(`{"l":true,"t":3,"s":[{"s":"tables","w":true,"i":[{"i":"w1","a":"x"}],"r":[[0,9,0,1],[8,-3,0,0]]}]}` + "\n"))
+	f.Add([]byte(`{"l":true,"q":"AAAA","e":{"f":1,"t":2,"p":"AAAA"},"c":{"r":1,"p":"AAAA"},"y":{"s":[{"r":"AAAA"}]}}` + "\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		near, far := net.Pipe()
+		go func() {
+			_, _ = near.Write(data)
+			_ = near.Close()
+		}()
+		table := keytable.New()
+		view := quarantine.NewView()
+		follower := Follower{
+			Table: table, Nodes: &atomic.Int32{}, Linked: func() {}, Doubted: func() {}, Applied: func(routing.ServiceName) {},
+			Stays: func(Update) bool { return true },
+			Heard: func(update Update) {
+				if update.Entries != nil {
+					_, _ = update.Entries.All()
+				}
+				if update.Config != nil {
+					_, _ = update.Config.Items()
+				}
+				if update.Mandate != nil {
+					for _, one := range update.Mandate.Services {
+						_, _ = one.Holds()
+					}
+				}
+				if snapshot, tells, _ := update.Snapshot(); tells {
+					view.Told(time.Unix(1000, 0), snapshot)
+				}
+			},
+		}
+		assert.Assert(t, follower.receive(far, &atomic.Int32{}) != nil)
+		for _, key := range []int{0, 9, 65535} {
+			table.Lookup("tables", key)
+		}
+	})
+}
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -27,6 +27,8 @@
 	to     *backend
 	worker workers.ID
 	got    result
+	// panicked is what the copy panicked with; nil if it did not.
+	panicked any
 }
 
 // copies are the copies of one request that are under way.
@@ -44,10 +46,20 @@
 	c := s.call
 	c.allowed.take()
 	until := c.deadline.Add(-answerMargin)
-	go func() {
-		worker, got := c.exchange(s.ctx, to, until)
-		s.ends <- ended{to: to, worker: worker, got: got}
+	go s.run(to, until)
+}
+
+// run sends one copy. A panic is passed on to the caller's handler, where it breaks one
+// connection: in this goroutine it would end the process, and the request comes again at the
+// next one.
+func (s *copies) run(to *backend, until time.Time) {
+	defer func() {
+		if panicked := recover(); panicked != nil {
+			s.ends <- ended{to: to, panicked: panicked}
+		}
 	}()
+	worker, got := s.call.exchange(s.ctx, to, until)
+	s.ends <- ended{to: to, worker: worker, got: got}
 }
 
 // sendHedged sends a repeatable request, and a second copy if the first stays
@@ -62,6 +74,10 @@
 		select {
 		case end := <-s.ends:
 			s.open--
+			if end.panicked != nil {
+				s.cancel()
+				panic(end.panicked)
+			}
 			c.note(end.worker, &end.got)
 			if s.open == 0 || end.got.decides() {
 				return s.take(end)
--- /dev/null
+++ b/internal/proxy/odd_test.go
@@ -0,0 +1,65 @@
+package proxy
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// A request of any caller comes to each router in turn: whatever it says, none must end by it.
+func TestOddRequestsEndNoRouter(t *testing.T) {
+	tests := map[string]struct {
+		path    string
+		headers []string
+	}{
+		"deadline that is no number":   {path: "/safe/", headers: []string{"X-Deadline", "NaN"}},
+		"deadline without end":         {path: "/safe/", headers: []string{"X-Deadline", "Inf"}},
+		"deadline of ages":             {path: "/safe/", headers: []string{"X-Deadline", "1e300"}},
+		"deadline long past":           {path: "/safe/", headers: []string{"X-Deadline", "0"}},
+		"key below all":                {path: "/keyed/", headers: []string{"X-Key", "-1"}},
+		"key above all":                {path: "/keyed/", headers: []string{"X-Key", "99999999999999999999"}},
+		"no id":                        {path: "/safe/", headers: []string{"X-Id", ""}},
+		"path with escapes":            {path: "/safe/%00%ff%2f..%2f"},
+		"query of separators":          {path: "/safe/?&&=;%%"},
+		"two lengths of a body":        {path: "/unsafe/", headers: []string{"Content-Length", "7"}},
+		"worker's headers from caller": {path: "/safe/", headers: []string{"X-Load", "1,2,0", "X-Not-Run", "1", "X-Target", "other"}},
+	}
+	odd := []string{"X-Load: -1,99999999999,0", "Keep-Alive: timeout=99999999999999999", "Retry-After: -1"}
+	w := newWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+		answer(connection, request, http.StatusOK, "x", odd...)
+		return true
+	})
+	entry := w.entry("pool")
+	f := newFront(t, entry)
+	f.owns(entry)
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			response, err := http.DefaultClient.Do(f.request(t, "GET", test.path, "", test.headers...))
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			after, body := f.get(t, "GET", "/safe/", "")
+			assert.Equal(t, after.StatusCode, http.StatusOK)
+			assert.Equal(t, body, "x")
+		})
+	}
+}
+
+// A copy of a request runs beside its caller's handler. If it panics, the handler does, as it
+// would without copies: the caller's connection breaks, and the process goes on.
+func TestAPanicInACopyEndsTheRequestOnly(t *testing.T) {
+	w := newWorker(t, "w1", answers("x"))
+	f := newFront(t, w.entry("pool"))
+	f.get(t, "GET", "/safe/", "")
+	list, _ := f.directory.Usable("pool")
+	broken := f.proxy.fleet.get(list[0])
+	working := broken.pool
+	broken.pool = nil
+	_, err := http.DefaultClient.Do(f.request(t, "GET", "/safe/", ""))
+	assert.Assert(t, err != nil, "the connection breaks")
+	broken.pool = working
+	response, _ := f.get(t, "GET", "/safe/", "")
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+}
--- a/internal/routing/split.go
+++ b/internal/routing/split.go
@@ -35,6 +35,11 @@
 	return route.Parts[deal(route, current)].Service
 }
 
+// mostPassedOver bounds how many requests of a round are passed over, which takes a millisecond:
+// all processes take a configuration at once, and weights of 2^40 held up each of them for hours
+// at the first request of the route.
+const mostPassedOver = 100_000
+
 // begin returns where a route's round begins.
 func (s *Splitter) begin(route *Route) []int {
 	total := 0
@@ -45,7 +50,7 @@
 	if total <= 0 {
 		return current
 	}
-	for range s.start(total) {
+	for range s.start(min(total, mostPassedOver)) {
 		deal(route, current)
 	}
 	return current
--- a/internal/routing/split_test.go
+++ b/internal/routing/split_test.go
@@ -47,3 +47,14 @@
 	}
 	assert.DeepEqual(t, dealt, map[ServiceName]int{"a": 50, "b": 10})
 }
+
+// A configuration is read by all processes within a second: weights of any size must not hold up
+// the first request of a route, which begins its round, for seconds at each of them.
+func TestHugeWeightsBeginARoundSoon(t *testing.T) {
+	route := &Route{Parts: []Part{{Service: "a", Weight: 1 << 40}, {Service: "b", Weight: 1 << 40}}}
+	splitter := NewSplitter(func(of int) int {
+		assert.Assert(t, of <= 100_000, "up to %d requests are passed over", of)
+		return 0
+	})
+	splitter.Pick(route)
+}
