--- a/cmd/shalefork-lab/soak.go
+++ b/cmd/shalefork-lab/soak.go
@@ -37,6 +37,7 @@
 	subcommand.String(&config.Record, "", "record", "File that takes the plan and the verdict")
 	subcommand.Duration(&config.Duration, "", "for", "How long faults are injected")
 	subcommand.UInt64(&config.Seed, "", "seed", "Seed of the faults")
+	subcommand.Int(&config.Harmful, "", "harmful", "How many requests crash the workers that run them")
 	return cli.Command{Subcommand: subcommand, Run: func(ctx context.Context) cli.ExitCode {
 		config.Break = soak.Break(broken)
 		return run(ctx, config)
