--- a/internal/proxy/crash_test.go
+++ b/internal/proxy/crash_test.go
@@ -61,12 +61,14 @@
 				return test.run(&w)(connection, request)
 			})
 			entry := w.entry("keyed")
-			entry.State = test.state
 			f := newFront(t, entry)
+			entry.State = test.state
+			f.directory.Update([]workers.Worker{entry}, nil)
 			f.owns(entry)
 			logged := &lines{}
 			f.proxy.Log = decision.NewTo(logged, "test")
 			f.get(t, "GET", "/keyed/", "", "X-Key", "7")
+			assert.Assert(t, w.arrivals() > 0, "it was sent")
 			if test.crashed == 0 {
 				time.Sleep(2 * probeTimeout / 3)
 				assert.Equal(t, logged.count(decision.KindWorkerCrashed), 0)
--- a/internal/proxy/quarantine_test.go
+++ b/internal/proxy/quarantine_test.go
@@ -50,6 +50,20 @@
 	}
 }
 
+// Before a process knows which requests are quarantined it sends none.
+func TestARouterThatStartsKnowsTheListFirst(t *testing.T) {
+	w := newWorker(t, "w1", answers("x"))
+	f := newFront(t, w.entry("pool"))
+	f.proxy.Starting.Store(true)
+	response, _ := f.get(t, "GET", "/safe/x", "")
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, response.Header.Get("Retry-After") != "")
+	assert.Equal(t, w.arrivals(), 0)
+	f.proxy.Starting.Store(false)
+	response, _ = f.get(t, "GET", "/safe/x", "")
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+}
+
 func TestASuspectGoesToOneWorkerOnly(t *testing.T) {
 	tests := map[string]struct {
 		crashes []workers.ID
