--- a/internal/coord/follow.go
+++ b/internal/coord/follow.go
@@ -115,7 +115,7 @@
 func (f *follower) list(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	f.sent = time.Now()
+	f.sent = clock.Now()
 	items, at, err := f.store.List(bounded, f.prefix)
 	if err != nil {
 		return err
@@ -142,7 +142,7 @@
 	bounded, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	renewed := f.watchRenewal(bounded, cancel)
-	f.sent = time.Now()
+	f.sent = clock.Now()
 	events, at, err := f.store.Watch(bounded, f.prefix, f.at, wait)
 	switch {
 	case errors.Is(err, ErrNoHistory), err != nil && renewed.Load():
@@ -155,7 +155,7 @@
 	}
 	f.regain()
 	f.at = max(f.at, at)
-	answered := time.Now()
+	answered := clock.Now()
 	if len(events) > 0 {
 		f.view.Changed(events, f.at)
 	}
@@ -194,7 +194,7 @@
 func (f *follower) fail(ctx context.Context, err error) {
 	f.away = f.sent
 	if errors.Is(err, ErrRefused) {
-		f.away = time.Now()
+		f.away = clock.Now()
 	}
 	if f.options.Failed != nil {
 		f.options.Failed(f.away)
@@ -203,5 +203,5 @@
 		f.lost = true
 		f.view.Lost(err)
 	}
-	f.backoff.SleepRest(ctx, time.Since(f.sent))
+	f.backoff.SleepRest(ctx, clock.Since(f.sent))
 }
--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -9,6 +9,7 @@
 	KindStop          Kind = "stop"
 	KindReload        Kind = "reload"
 	KindMetricsLost   Kind = "metrics-lost"
+	KindSuspended     Kind = "suspended"
 	KindReady         Kind = "ready"
 	KindConfig        Kind = "config"
 	KindConfigBad     Kind = "config-refused"
@@ -50,6 +51,7 @@
 		{KindStop, "the process has finished all requests and ends", ""},
 		{KindReload, "the settings file was read again", "changed, rest_needs_restart; error where it can't be used"},
 		{KindMetricsLost, "the metrics can't be served; requests are", "address, error"},
+		{KindSuspended, "the machine was suspended, or no clock tells that here", "for (seconds), led (this process led before)"},
 		{KindReady, "the process calls itself ready or not", "ready, reason"},
 		{KindConfig, "a configuration is in force here", "version, routes, revision (of the store)"},
 		{KindConfigBad, "a configuration can't be read; the one before stays", "revision, error"},
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -145,7 +145,7 @@
 	if err != nil {
 		return nil, err
 	}
-	sent := time.Now()
+	sent := clock.Now()
 	lease, ttl, err := e.store.GrantLease(ctx, e.TTL)
 	if err != nil {
 		return nil, err
@@ -269,7 +269,7 @@
 func (t *Tenure) renew(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	sent := time.Now()
+	sent := clock.Now()
 	err := t.store.KeepLease(bounded, t.lease)
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/coord/memory"
 	"github.com/shalefork/shalefork/internal/owner"
@@ -172,3 +173,14 @@
 		assert.Assert(t, <-noticed)
 	})
 }
+
+// The lease goes on to end while a leader's machine is suspended, though its steady clock stands.
+func TestASuspendedLeadersAuthorityEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tenure, err := candidate(memory.New(), "a").Campaign(t.Context(), 0)
+		assert.NilError(t, err)
+		assert.Assert(t, clock.Now().Before(tenure.Until()))
+		defer clock.Suspend(2 * LeaseTTL)()
+		assert.Assert(t, clock.Now().After(tenure.Until()))
+	})
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -8,6 +8,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/election"
@@ -92,6 +93,8 @@
 	standbys standbys
 	until    time.Time
 	began    time.Time
+	// refreshed looks for how long the machine was suspended since the last look.
+	refreshed func() time.Duration
 	// listChanged is when the list of workers last changed.
 	listChanged time.Time
 }
@@ -109,10 +112,10 @@
 	bounded, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t := &tenancy{
-		Keeper: k, ctx: bounded, tenure: tenure, until: until, began: time.Now(), listChanged: time.Now(),
+		Keeper: k, ctx: bounded, tenure: tenure, until: until, began: clock.Now(), listChanged: clock.Now(),
 		services: map[routing.ServiceName]*service{},
 		answers:  make(chan answer, 64), writes: make(chan written, 8), loaded: make(chan loaded, 8),
-		renewers: make(chan renewersStored, 1),
+		renewers: make(chan renewersStored, 1), refreshed: clock.Refresh,
 	}
 	k.Hub.Open(tenure.Leader.Term)
 	defer k.Hub.Close()
@@ -125,7 +128,8 @@
 	defer ticker.Stop()
 	for {
 		changed := t.Workers.Changed()
-		if !t.step(time.Now()) {
+		t.refreshed() // the authority of a leader whose machine was suspended has ended
+		if !t.step(clock.Now()) {
 			return
 		}
 		select {
@@ -137,9 +141,9 @@
 			return
 		case <-ticker.C:
 		case <-changed:
-			t.listChanged = time.Now()
+			t.listChanged = clock.Now()
 		case report := <-t.Reports:
-			t.measure(time.Now(), report)
+			t.measure(clock.Now(), report)
 		case done := <-t.answers:
 			t.answered(done)
 		case done := <-t.writes:
@@ -213,8 +217,10 @@
 // send sends one order and reports its end.
 func (t *tenancy) send(of *service, order owner.Order) {
 	var reply owner.Reply
-	began := time.Now()
-	if order.Release {
+	began := clock.Now()
+	if t.refreshed() > 0 { // decided before the machine was suspended: others may lead by now
+		reply.Outcome = owner.OutcomeUnreachable
+	} else if order.Release {
 		bounded, cancel := context.WithTimeout(t.ctx, releaseTimeout)
 		defer cancel()
 		reply = t.Orders.Release(bounded, order.Target, order.Keys, order.Fence)
@@ -223,7 +229,7 @@
 		defer cancel()
 		reply = t.Orders.Grant(bounded, order.Target, order.Grant)
 	}
-	t.Metrics.answered(of.name, order, reply.Outcome, time.Since(began))
+	t.Metrics.answered(of.name, order, reply.Outcome, clock.Since(began))
 	select {
 	case t.answers <- answer{of: of, order: order, reply: reply}:
 	case <-t.ctx.Done():
@@ -231,7 +237,7 @@
 }
 
 func (t *tenancy) answered(done answer) {
-	done.of.book.Answered(time.Now(), done.order, done.reply)
+	done.of.book.Answered(clock.Now(), done.order, done.reply)
 	if done.reply.Outcome != owner.OutcomeDone {
 		t.Log.Line(decision.KindOrderFailed).Str("service", string(done.of.name)).
 			Str("worker", string(done.order.Target.ID)).Bool("release", done.order.Release).
--- a/internal/keeper/record.go
+++ b/internal/keeper/record.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/owner"
@@ -41,7 +42,7 @@
 	of := t.services[done.name]
 	book := owner.NewBook(t.Times, t.tenure.Leader.Term)
 	if done.recorded {
-		if err := book.Load(time.Now(), done.item.Value, t.until); err != nil {
+		if err := book.Load(clock.Now(), done.item.Value, t.until); err != nil {
 			t.Log.Line(decision.KindRecord).Str("service", string(done.name)).Err(err).Msg("can't be read")
 			return
 		}
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/estimate"
 	"github.com/shalefork/shalefork/internal/owner"
@@ -44,7 +45,7 @@
 }
 
 func newService(name routing.ServiceName) *service {
-	return &service{name: name, loads: owner.NewLoads(time.Now()), work: map[workers.ID]*estimate.Work{}, usual: usualTime}
+	return &service{name: name, loads: owner.NewLoads(clock.Now()), work: map[workers.ID]*estimate.Work{}, usual: usualTime}
 }
 
 // measured takes a number of answers and the sum of their times at a worker.
--- a/internal/keytable/keytable.go
+++ b/internal/keytable/keytable.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/routing"
 )
@@ -108,7 +109,7 @@
 		clear(t.versions)
 	}
 	t.term = term
-	t.at = time.Now()
+	t.at = clock.Now()
 	fresh := map[routing.ServiceName][]owner.Owner{}
 	for name, owners := range *t.services.Load() {
 		fresh[name] = owners
@@ -130,7 +131,7 @@
 func (t *Table) Age() (owner.Term, time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.term, time.Since(t.at)
+	return t.term, clock.Since(t.at)
 }
 
 // paint returns the owners with one run of keys given to another.
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/quarantine"
@@ -117,7 +118,7 @@
 func (h *Hub) Open(term owner.Term) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.leading, h.term, h.doubtful, h.openedAt = true, term, false, time.Now()
+	h.leading, h.term, h.doubtful, h.openedAt = true, term, false, clock.Now()
 	h.upstream = nil
 	h.superseded = make(chan struct{})
 	clear(h.owners)
@@ -208,7 +209,7 @@
 func (h *Hub) Nodes() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.nodes(time.Now())
+	return h.nodes(clock.Now())
 }
 
 // Serve accepts links until the listener closes.
@@ -243,7 +244,7 @@
 		conn: conn, wake: make(chan struct{}, 1),
 		sent: map[routing.ServiceName][]owner.Owner{}, numbers: map[workers.ID]int{},
 		entries: hello.Entries, config: hello.Config, hello: hello, holds: map[routing.ServiceName]uint64{},
-		since: time.Now(), followers: hello.Followers,
+		since: clock.Now(), followers: hello.Followers,
 	}
 	h.expectNodes(hello.Nodes, one.since)
 	redirect := ""
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -10,6 +10,7 @@
 import (
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/quarantine"
@@ -215,7 +216,7 @@
 	return WorkerChange{
 		Revision: revision, ID: worker.ID, Service: worker.Service, Address: worker.Address, Zone: worker.Zone,
 		Slots: worker.Slots, Draining: worker.State == workers.StateDraining,
-		WarmMillis: max(0, time.Until(worker.WarmAt).Milliseconds()),
+		WarmMillis: max(0, clock.Until(worker.WarmAt).Milliseconds()),
 	}
 }
 
@@ -227,7 +228,7 @@
 	}
 	return workers.Worker{
 		ID: c.ID, Service: c.Service, Address: c.Address, Zone: c.Zone, Slots: c.Slots, State: state,
-		WarmAt: time.Now().Add(time.Duration(c.WarmMillis) * time.Millisecond),
+		WarmAt: clock.Now().Add(time.Duration(c.WarmMillis) * time.Millisecond),
 	}
 }
 
--- a/internal/peerlink/meter.go
+++ b/internal/peerlink/meter.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -72,7 +73,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	report := Report{}
-	if now := time.Now(); now.Sub(m.timesAt) >= timesEvery {
+	if now := clock.Now(); now.Sub(m.timesAt) >= timesEvery {
 		report.Times, m.times, m.timesAt = m.times, map[workers.ID][2]int{}, now
 	}
 	if len(m.keys) > 0 {
--- a/internal/peerlink/relay.go
+++ b/internal/peerlink/relay.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/routing"
 )
@@ -68,7 +69,7 @@
 	h.upstream.lost, h.upstream.leaveTo = false, ""
 	h.upstream.heard = Update{Nodes: heard.Nodes, Known: heard.Known, Strongest: heard.Strongest}
 	if !heard.Deaf {
-		h.upstream.refresh(time.Now())
+		h.upstream.refresh(clock.Now())
 	}
 }
 
--- a/internal/peerlink/standbys.go
+++ b/internal/peerlink/standbys.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/routing"
 )
@@ -148,7 +149,7 @@
 	if leave == nil || leave.link != one {
 		return
 	}
-	leave.heardAt = time.Now()
+	leave.heardAt = clock.Now()
 	for service, version := range report.Heard {
 		leave.heard[service] = max(leave.heard[service], version)
 	}
@@ -213,7 +214,7 @@
 func (h *Hub) Mandates(service routing.ServiceName) []owner.Mandate {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.standbys.mandates(service, time.Now())
+	return h.standbys.mandates(service, clock.Now())
 }
 
 // HasLeave reports whether a process may still renew, or have a renewal under way.
--- a/internal/peerlink/update.go
+++ b/internal/peerlink/update.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/keytable"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/workers"
@@ -12,7 +13,7 @@
 func (h *Hub) update(one *link) (Update, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	update, ok := h.head(one, now)
 	if !ok || update.Redirect != "" {
 		return update, ok
--- a/internal/proxy/allowance.go
+++ b/internal/proxy/allowance.go
@@ -1,6 +1,8 @@
 package proxy
 
-import "time"
+import (
+	"github.com/shalefork/shalefork/internal/clock"
+)
 
 const (
 	// maxSends bounds the sends of one request, those included that its workers did not
@@ -63,5 +65,5 @@
 	if c.allowed.sends() == 0 {
 		return true
 	}
-	return c.state.budget.spend(int(c.proxy.Nodes.Load()), time.Now())
+	return c.state.budget.spend(int(c.proxy.Nodes.Load()), clock.Now())
 }
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/decision"
 )
 
@@ -67,7 +68,7 @@
 // tell counts the end of the request, and writes a line unless it went as
 // planned.
 func (c *call) tell(status int, reason string) {
-	took := time.Since(c.began)
+	took := clock.Since(c.began)
 	service := ""
 	if c.service != nil {
 		service = string(c.service.Name)
@@ -104,5 +105,5 @@
 func (c *call) tellAgain(got *result) {
 	c.proxy.Log.Line(decision.KindSent).Str("id", c.message.id).Str("worker", string(c.lastTo)).
 		Str("outcome", string(got.outcome)).Int("status", got.status).AnErr("error", got.err).
-		Dur("after", time.Since(c.began)).Msg("")
+		Dur("after", clock.Since(c.began)).Msg("")
 }
--- a/internal/proxy/budget.go
+++ b/internal/proxy/budget.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/shalefork/shalefork/internal/clock"
 )
 
 // BudgetLimits bound the second sends of all processes together.
@@ -41,7 +43,7 @@
 }
 
 func newBudget(limits BudgetLimits) *budget {
-	return &budget{limits: limits, tokens: 1, at: time.Now()}
+	return &budget{limits: limits, tokens: 1, at: clock.Now()}
 }
 
 // request counts a request that may be sent for the first time.
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/routing"
@@ -81,7 +82,7 @@
 		return false
 	}
 	controller := http.NewResponseController(c.writer)
-	_ = controller.SetReadDeadline(c.began.Add(bodyWait))
+	_ = controller.SetReadDeadline(time.Now().Add(bodyWait))
 	kept, err := io.ReadAll(io.LimitReader(body, keptBody+1))
 	if err != nil {
 		c.refuse(http.StatusBadRequest, reasonBody, 0)
@@ -105,7 +106,7 @@
 }
 
 // left is the time until the deadline.
-func (c *call) left() time.Duration { return time.Until(c.deadline) }
+func (c *call) left() time.Duration { return clock.Until(c.deadline) }
 
 // repeatable reports whether the request may be sent after it may have run.
 func (c *call) repeatable() bool { return c.route.Repeatable && c.message.rest == nil }
@@ -126,7 +127,7 @@
 	mean, measured := to.mean(usualTime)
 	to.begin()
 	got := send(ctx, p.Headers, to.pool, &c.message, string(worker.ID), c.deadline, until)
-	if to.end(time.Now(), &got) {
+	if to.end(clock.Now(), &got) {
 		p.Log.Line(decision.KindWorkerHealth).Str("worker", string(worker.ID)).Str("outcome", string(got.outcome)).
 			Str("id", c.message.id).AnErr("error", got.err).Msg("")
 	}
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/shalefork/shalefork/internal/clock"
 )
 
 // Times of connections to workers.
@@ -61,16 +63,16 @@
 
 // get returns a resting connection, or opens one.
 func (p *pool) get(ctx context.Context) (one *conn, err error) {
-	if one := p.rested(time.Now()); one != nil {
+	if one := p.rested(clock.Now()); one != nil {
 		return one, nil
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
-	began := time.Now()
+	began := clock.Now()
 	opened, err := dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer), opening: time.Since(began)}, nil
+	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer), opening: clock.Since(began)}, nil
 }
 
 // rested takes the connection that rested least.
@@ -91,7 +93,7 @@
 // put keeps a connection for the next request.
 func (p *pool) put(one *conn, rest time.Duration) {
 	one.used = true
-	one.idleUntil = time.Now().Add(rest)
+	one.idleUntil = clock.Now().Add(rest)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle = append(p.idle, one)
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/workers"
@@ -74,14 +75,14 @@
 	if !cutOff {
 		return
 	}
-	if to.cutOff(time.Now(), c.attempt()) && c.proxy.wasServing(to.id()) {
+	if to.cutOff(clock.Now(), c.attempt()) && c.proxy.wasServing(to.id()) {
 		c.proxy.suspect(to, c.attempt())
 	}
 	if !closed {
 		return
 	}
 	c.closed.Add(1)
-	if wait, due := to.nextProbe(time.Now()); due {
+	if wait, due := to.nextProbe(clock.Now()); due {
 		time.AfterFunc(wait, func() { c.proxy.probe(to) })
 	}
 }
@@ -107,7 +108,7 @@
 	if !p.wasServing(to.id()) {
 		return
 	}
-	attempts, first := to.hasEnded(time.Now())
+	attempts, first := to.hasEnded(clock.Now())
 	if !first {
 		return
 	}
@@ -127,7 +128,7 @@
 
 // suspect notes that a request was under way at a worker that crashed.
 func (p *Proxy) suspect(to *backend, attempt quarantine.Attempt) {
-	now := time.Now()
+	now := clock.Now()
 	p.Log.Line(decision.KindSuspect).Str("id", attempt.ID).Str("fingerprint", attempt.Request.String()).
 		Str("worker", string(to.id())).Str("route", attempt.Route).Str("caller", attempt.Caller.String()).Msg("")
 	if p.Suspects.Crashed(now, attempt, quarantine.Crash{Worker: to.id(), At: now}) {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/shalefork/shalefork/internal/clock"
 )
 
 // Bounds of one exchange.
@@ -131,7 +133,7 @@
 // send sends a message to a worker and reads its answer. ctx ends when the
 // client leaves; until bounds the send.
 func send(ctx context.Context, headers Headers, from *pool, message *message, target string, deadline, until time.Time) result {
-	bounded, cancel := context.WithDeadline(ctx, until)
+	bounded, cancel := context.WithTimeout(ctx, clock.Until(until))
 	connection, err := from.get(bounded)
 	if err != nil {
 		cancel()
@@ -142,7 +144,7 @@
 		from.drop(connection)
 		return result{outcome: turnedAway(ctx), err: errTurnedAway}
 	}
-	e := &exchange{headers: headers, message: message, pool: from, conn: connection, target: target, began: time.Now()}
+	e := &exchange{headers: headers, message: message, pool: from, conn: connection, target: target, began: clock.Now()}
 	stopWatch := context.AfterFunc(bounded, func() { abort(connection.Conn) })
 	finish := func() bool {
 		cancelled := !stopWatch()
@@ -159,7 +161,7 @@
 	}
 	answer := e.read(ctx, until)
 	answer.written = true
-	answer.took = time.Since(e.began)
+	answer.took = clock.Since(e.began)
 	if answer.outcome == outcomeLate && connection.used {
 		from.dropIdle()
 	}
@@ -191,7 +193,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return outcomeGone
-	case !time.Now().Before(until), errors.As(err, &timeout) && timeout.Timeout():
+	case !clock.Now().Before(until), errors.As(err, &timeout) && timeout.Timeout():
 		return outcomeLate
 	}
 	return outcomeBroken
@@ -199,7 +201,7 @@
 
 // write sends the request. wrote is false if not one byte can have left.
 func (e *exchange) write(target string, deadline time.Time) (wrote bool, err error) {
-	packet := append(e.message.head(e.headers, target, time.Until(deadline)), e.message.body...)
+	packet := append(e.message.head(e.headers, target, clock.Until(deadline)), e.message.body...)
 	if e.message.rest != nil && e.message.length < 0 {
 		return e.writeChunked(target, deadline)
 	}
@@ -213,7 +215,7 @@
 
 // writeChunked sends a body whose length is not known.
 func (e *exchange) writeChunked(target string, deadline time.Time) (wrote bool, err error) {
-	count, err := e.conn.Write(e.message.head(e.headers, target, time.Until(deadline)))
+	count, err := e.conn.Write(e.message.head(e.headers, target, clock.Until(deadline)))
 	if err != nil {
 		return count > 0, err
 	}
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -86,6 +86,15 @@
 	f.limits = limits
 }
 
+// dropIdle closes all resting connections.
+func (f *fleet) dropIdle() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, known := range f.byID {
+		known.pool.dropIdle()
+	}
+}
+
 // prune closes resting connections and forgets workers that are gone.
 func (f *fleet) prune(now time.Time) {
 	f.mu.Lock()
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/keytable"
 	"github.com/shalefork/shalefork/internal/peerlink"
@@ -98,7 +99,7 @@
 		if old != nil && old.config.Version >= config.Version {
 			return false
 		}
-		if p.current.CompareAndSwap(old, &active{config: config, splitter: routing.NewSplitter(rand.IntN), since: time.Now()}) {
+		if p.current.CompareAndSwap(old, &active{config: config, splitter: routing.NewSplitter(rand.IntN), since: clock.Now()}) {
 			return true
 		}
 	}
@@ -107,7 +108,7 @@
 // ConfigAge returns for how long the configuration is in force here.
 func (p *Proxy) ConfigAge() time.Duration {
 	if used := p.current.Load(); used != nil {
-		return time.Since(used.since)
+		return clock.Since(used.since)
 	}
 	return 0
 }
@@ -131,6 +132,9 @@
 // breaks.
 func (p *Proxy) End() { p.end() }
 
+// DropIdle closes all resting connections to workers: they may have ended unseen.
+func (p *Proxy) DropIdle() { p.fleet.dropIdle() }
+
 // Run keeps the connections to workers tidy until ctx ends.
 func (p *Proxy) Run(ctx context.Context) {
 	ticker := time.NewTicker(time.Second)
@@ -150,7 +154,7 @@
 	ctx, cancel := context.WithCancel(request.Context())
 	defer cancel()
 	defer context.AfterFunc(p.ending, cancel)()
-	c := &call{proxy: p, writer: writer, request: request.WithContext(ctx), began: time.Now(), tried: map[workers.ID]bool{}}
+	c := &call{proxy: p, writer: writer, request: request.WithContext(ctx), began: clock.Now(), tried: map[workers.ID]bool{}}
 	if p.stopping.Load() {
 		writer.Header().Set("Connection", "close")
 	}
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -128,7 +129,7 @@
 		return nil
 	}
 	to := second()
-	now := time.Now()
+	now := clock.Now()
 	if to == nil || to.crowd(now) > hedgeCrowd || !to.usable(now) {
 		return nil
 	}
@@ -136,6 +137,6 @@
 		return nil
 	}
 	c.proxy.Log.Line(decision.KindSent).Str("id", c.message.id).Str("worker", string(to.id())).
-		Str("outcome", "hedged").Dur("after", time.Since(c.began)).Msg("")
+		Str("outcome", "hedged").Dur("after", clock.Since(c.began)).Msg("")
 	return to
 }
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -83,7 +84,7 @@
 			patience = moveShare
 		}
 		limit := c.began.Add(time.Duration(patience * float64(c.route.Target)))
-		wait := min(time.Until(limit), c.left()-answerMargin)
+		wait := min(clock.Until(limit), c.left()-answerMargin)
 		if wait <= 0 {
 			c.giveUp(reason, 200*time.Millisecond)
 			return nil
@@ -110,7 +111,7 @@
 		return nil, reasonOwnerGone
 	case c.proxy.fleet.directory.EvacuatedFor(to.described().Zone) > c.evacuationGrace():
 		return nil, reasonEvacuated
-	case !to.usableOwner(time.Now()):
+	case !to.usableOwner(clock.Now()):
 		return nil, reasonOwnerDown
 	}
 	return to, ""
@@ -148,7 +149,7 @@
 // unlessBusy refuses a request that the owner could not answer in time, or would
 // probably turn away.
 func (c *call) unlessBusy(to *backend) *backend {
-	now := time.Now()
+	now := clock.Now()
 	if to.throttled(now, rand.Float64()) {
 		c.giveUp(reasonBusy, c.returnAfter())
 		return nil
--- a/internal/proxy/pooled.go
+++ b/internal/proxy/pooled.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -48,7 +49,7 @@
 		return c.sendTo(picked.to, c.deadline.Add(-answerMargin))
 	}
 	return c.sendHedged(picked, func() *backend {
-		return c.pick(time.Now(), map[workers.ID]bool{picked.to.id(): true}).to
+		return c.pick(clock.Now(), map[workers.ID]bool{picked.to.id(): true}).to
 	})
 }
 
@@ -62,7 +63,7 @@
 func (c *call) await() choice {
 	patient := c.began.Add(time.Duration(queueShare * float64(c.route.Target)))
 	for {
-		now := time.Now()
+		now := clock.Now()
 		if picked := c.pick(now, c.tried); picked.to != nil {
 			if picked.estimate < c.left() || c.allowed.sends() > 0 {
 				return picked
--- a/internal/router/belief_test.go
+++ b/internal/router/belief_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/workers"
@@ -102,7 +103,7 @@
 		return
 	}
 	known := b.leader.known()
-	deaf := time.Since(time.Unix(0, b.leader.entries.reached.Load())) > unreadAfter || time.Since(b.leaderReached) > deafAfter
+	deaf := time.Since(clock.OfNanos(b.leader.entries.reached.Load())) > unreadAfter || time.Since(b.leaderReached) > deafAfter
 	known.Steady = !deaf && known.SettleMillis == 0 && time.Since(b.ledSince) >= workers.SettleTime
 	update := peerlink.Update{Leading: true, Deaf: deaf, Known: known}
 	from, to := b.one.entriesView.revision(), b.leader.entriesView.revision()
--- a/internal/router/configview.go
+++ b/internal/router/configview.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/peerlink"
@@ -57,7 +58,7 @@
 			fresh = append([]coord.Item{event.Item}, fresh...) // the newest first
 		}
 	}
-	v.apply(fresh, at, time.Now())
+	v.apply(fresh, at, clock.Now())
 }
 
 // told takes what the leader has read; false if something is missing here.
@@ -88,7 +89,7 @@
 	}
 	v.items = stand
 	v.r.config.read(news.Revision)
-	v.apply(items, news.Revision, time.Now())
+	v.apply(items, news.Revision, clock.Now())
 	return true
 }
 
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/peerlink"
 )
@@ -34,7 +35,7 @@
 	renew           chan struct{}
 	// lagging is since when the leader knows more; zero if it does not.
 	lagging time.Time
-	// reached is as of when all was read from the service, in nanoseconds since 1970.
+	// reached is as of when all was read from the service, a number of clock.Nanos.
 	reached atomic.Int64
 	// failed is when a call last found the service away, in the same form.
 	failed atomic.Int64
@@ -42,8 +43,14 @@
 	asked coord.Revision
 }
 
+// never is a number of clock.Nanos that lies before all times.
+const never = math.MinInt64 / 2
+
 func newFollowed() *followed {
-	return &followed{renew: make(chan struct{}, 1)}
+	f := &followed{renew: make(chan struct{}, 1)}
+	f.reached.Store(never)
+	f.failed.Store(never)
+	return f
 }
 
 // read notes a change that was read.
@@ -71,7 +78,7 @@
 // away reports whether this process looks for changes itself and does not reach the service.
 func (f *followed) away(now time.Time) bool {
 	failed := f.failed.Load()
-	return failed > f.reached.Load() && now.UnixNano()-failed < int64(triesApart)
+	return failed > f.reached.Load() && now.Sub(clock.OfNanos(failed)) < triesApart
 }
 
 // known returns the newest change that was read.
@@ -124,7 +131,7 @@
 		Paused:  r.told.now,
 		Covered: of.coveredUpTo,
 		Reached: func(at time.Time) { r.storeReached(of, at) },
-		Failed:  func(at time.Time) { of.failed.Store(at.UnixNano()) },
+		Failed:  func(at time.Time) { of.failed.Store(clock.Nanos(at)) },
 	})
 }
 
@@ -140,16 +147,16 @@
 // storeReached notes an answer of the service; the relay's word is as old as the older
 // one of what it follows.
 func (r *Router) storeReached(of *followed, at time.Time) {
-	of.reached.Store(at.UnixNano())
+	of.reached.Store(clock.Nanos(at))
 	r.hub.Refresh(r.readUpTo())
 }
 
 // readUpTo returns as of when this process has itself read all from the service.
 func (r *Router) readUpTo() time.Time {
 	if len(r.settings.Operators) > 0 { // bundles name workers too
-		return time.Unix(0, r.config.reached.Load())
+		return clock.OfNanos(r.config.reached.Load())
 	}
-	return time.Unix(0, min(r.entries.reached.Load(), r.config.reached.Load()))
+	return clock.OfNanos(min(r.entries.reached.Load(), r.config.reached.Load()))
 }
 
 // gather is short at the process that moves keys.
@@ -162,7 +169,7 @@
 
 // heard takes what the leader says of changes.
 func (r *Router) heard(update peerlink.Update) {
-	r.told.heard(time.Now(), !update.Deaf && !update.Stale())
+	r.told.heard(clock.Now(), !update.Deaf && !update.Stale())
 	if !update.Leaderless {
 		r.standby.Heard(update.Term, update.Mandate)
 	}
@@ -170,7 +177,7 @@
 		r.hub.Relay(update)
 	}
 	r.strongest.Store(math.Float64bits(update.Strongest))
-	now := time.Now()
+	now := clock.Now()
 	if settle := update.Known.SettleMillis; settle > 0 {
 		r.settleAsTold(now, time.Duration(settle)*time.Millisecond)
 	}
--- a/internal/router/followleader.go
+++ b/internal/router/followleader.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/election"
 	"github.com/shalefork/shalefork/internal/peerlink"
@@ -168,7 +169,7 @@
 // stays reports whether a relay is followed on that says this. Without a leader it is
 // followed for a while only, and not if this process knows more than the relay.
 func (f *following) stays(update peerlink.Update) bool {
-	now := time.Now()
+	now := clock.Now()
 	ahead := update.Leaderless && update.Stale() && now.Sub(f.r.readUpTo()) < ownReach
 	lasts(&f.orphanSince, update.Leaderless, now)
 	lasts(&f.aheadSince, ahead, now)
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -51,14 +51,14 @@
 	}
 	backoff := clock.Backoff{First: lookPause, Longest: longestLookPause}
 	for ctx.Err() == nil {
-		began := time.Now()
+		began := clock.Now()
 		leader, found, err := r.look(ctx)
 		if err == nil {
 			backoff.Reset()
 		}
 		switch {
 		case err != nil:
-			backoff.SleepRest(ctx, time.Since(began))
+			backoff.SleepRest(ctx, clock.Since(began))
 		case found && r.hasEnded(ctx, leader):
 			paused = r.campaign(ctx, leader.Revision, paused)
 			continue
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/coord"
 )
 
@@ -32,6 +33,8 @@
 		func() float64 { suspects, _ := r.proxy.Suspects.Count(); return float64(suspects) })
 	gauge("shalefork_router_quarantined_requests", "Requests that are sent to no worker, since they have crashed several.",
 		func() float64 { _, quarantined := r.proxy.Suspects.Count(); return float64(quarantined) })
+	gauge("shalefork_router_suspended_seconds", "For how long the machine was suspended since the process began.",
+		func() float64 { return clock.Suspended().Seconds() })
 	gauge("shalefork_router_config_version", "Version of the configuration in force; 0 for none.", func() float64 {
 		if config := r.proxy.Config(); config != nil {
 			return float64(config.Version)
@@ -100,12 +103,12 @@
 
 func (s *meteredStore) done(call string, began time.Time, err error) {
 	s.calls.WithLabelValues(call, outcomeOf(err)).Inc()
-	s.latency.WithLabelValues(call).Observe(time.Since(began).Seconds())
+	s.latency.WithLabelValues(call).Observe(clock.Since(began).Seconds())
 }
 
 // Get implements coord.Store.
 func (s *meteredStore) Get(ctx context.Context, key string) (coord.Item, bool, error) {
-	began := time.Now()
+	began := clock.Now()
 	item, found, err := s.Store.Get(ctx, key)
 	s.done("get", began, err)
 	return item, found, err
@@ -113,7 +116,7 @@
 
 // List implements coord.Store.
 func (s *meteredStore) List(ctx context.Context, prefix string) ([]coord.Item, coord.Revision, error) {
-	began := time.Now()
+	began := clock.Now()
 	items, at, err := s.Store.List(ctx, prefix)
 	s.done("list", began, err)
 	return items, at, err
@@ -128,7 +131,7 @@
 
 // Commit implements coord.Store.
 func (s *meteredStore) Commit(ctx context.Context, txn coord.Txn) (coord.Revision, error) {
-	began := time.Now()
+	began := clock.Now()
 	revision, err := s.Store.Commit(ctx, txn)
 	s.done("commit", began, err)
 	return revision, err
@@ -136,7 +139,7 @@
 
 // GrantLease implements coord.Store.
 func (s *meteredStore) GrantLease(ctx context.Context, ttl time.Duration) (coord.LeaseID, time.Duration, error) {
-	began := time.Now()
+	began := clock.Now()
 	id, holds, err := s.Store.GrantLease(ctx, ttl)
 	s.done("lease", began, err)
 	return id, holds, err
@@ -144,7 +147,7 @@
 
 // KeepLease implements coord.Store.
 func (s *meteredStore) KeepLease(ctx context.Context, lease coord.LeaseID) error {
-	began := time.Now()
+	began := clock.Now()
 	err := s.Store.KeepLease(ctx, lease)
 	s.done("keep", began, err)
 	return err
@@ -152,7 +155,7 @@
 
 // EndLease implements coord.Store.
 func (s *meteredStore) EndLease(ctx context.Context, lease coord.LeaseID) error {
-	began := time.Now()
+	began := clock.Now()
 	err := s.Store.EndLease(ctx, lease)
 	s.done("end", began, err)
 	return err
--- a/internal/router/renewers.go
+++ b/internal/router/renewers.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/election"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/peerlink"
@@ -17,9 +18,9 @@
 	times := r.keeper.Times
 	r.keeper.Unresolved = r.askAll(ctx, tenure.Before, tenure.Leader.Term)
 	if len(tenure.Before) > 0 && len(r.keeper.Unresolved) == 0 {
-		return time.Now().Add(orderTime + times.HoldBound())
+		return clock.Now().Add(orderTime + times.HoldBound())
 	}
-	return time.Now().Add(times.StaleRenewals + times.HoldBound())
+	return clock.Now().Add(times.StaleRenewals + times.HoldBound())
 }
 
 // askAll asks all processes that may renew to stop, and returns those that may not have
--- a/internal/router/report.go
+++ b/internal/router/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/peerlink"
 )
 
@@ -19,7 +20,7 @@
 	report := r.meter.Take()
 	report.Followers = r.hub.Followers()
 	r.standby.Tell(&report)
-	report.Evidence = r.proxy.Suspects.Tell(time.Now())
+	report.Evidence = r.proxy.Suspects.Tell(clock.Now())
 	return report
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -156,6 +156,7 @@
 	led := make(chan struct{})
 	r.followOperators(background)
 	go r.readSuspects(background)
+	go r.watchSuspension(background)
 	go r.proxy.Run(background)
 	go r.hub.Serve(listeners.peers)
 	go r.standby.Run(background)
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -46,7 +46,7 @@
 // drain ends the process: not ready at once, leadership given up, then new
 // connections refused, then all that is under way finished.
 func (r *Router) drain(server *http.Server, stopLeading context.CancelFunc, led <-chan struct{}) {
-	began := time.Now()
+	began := clock.Now()
 	grace := r.settings.Grace.Std()
 	r.log.Line(decision.KindReady).Bool("ready", false).Str("reason", "asked to stop").Msg("")
 	r.stopping.Store(true)
@@ -56,9 +56,9 @@
 	case <-led:
 	case <-time.After(grace / 4):
 	}
-	clock.Sleep(context.Background(), time.Until(began.Add(time.Duration(acceptShare*float64(grace)))))
-	defer time.AfterFunc(time.Until(began.Add(time.Duration(answerShare*float64(grace)))), r.proxy.End).Stop()
-	bounded, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(finishShare*float64(grace))))
+	clock.Sleep(context.Background(), clock.Until(began.Add(time.Duration(acceptShare*float64(grace)))))
+	defer time.AfterFunc(clock.Until(began.Add(time.Duration(answerShare*float64(grace)))), r.proxy.End).Stop()
+	bounded, cancel := context.WithTimeout(context.Background(), clock.Until(began.Add(time.Duration(finishShare*float64(grace)))))
 	defer cancel()
 	_ = server.Shutdown(bounded)
 }
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -59,10 +59,10 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			k.settle(time.Now())
+			k.settle(clock.Now())
 		case <-r.proxy.Suspects.Changed():
 		}
-		if time.Since(k.looked) >= operatorsLook {
+		if clock.Since(k.looked) >= operatorsLook {
 			k.look(ctx)
 		}
 	}
@@ -76,7 +76,7 @@
 			clock.Sleep(ctx, lookPause)
 			continue
 		}
-		k.revision, k.looked = item.Revision, time.Now()
+		k.revision, k.looked = item.Revision, clock.Now()
 		if found {
 			k.take(item)
 		}
@@ -92,10 +92,10 @@
 	switch {
 	case !ok:
 	case snapshot.Lifted:
-		k.r.proxy.Suspects.Replace(snapshot.Stored(time.Now()))
+		k.r.proxy.Suspects.Replace(snapshot.Stored(clock.Now()))
 		k.r.log.Line(decision.KindQuarantined).Bool("lifted", true).Int64("revision", int64(item.Revision)).Msg("by an operator")
 	default:
-		k.r.proxy.Suspects.Merge(snapshot.Stored(time.Now()))
+		k.r.proxy.Suspects.Merge(snapshot.Stored(clock.Now()))
 	}
 }
 
@@ -125,7 +125,7 @@
 // tell tells all processes what has changed. The first message says that this leader knows
 // what is stored.
 func (k *suspectsKeeper) tell() {
-	snapshot, version := k.r.proxy.Suspects.Snapshot(time.Now())
+	snapshot, version := k.r.proxy.Suspects.Snapshot(clock.Now())
 	if version == k.told && k.told != 0 {
 		return
 	}
@@ -136,7 +136,7 @@
 // store writes the list if it has changed. A write without an answer is tried again at the next
 // tick, and may then find its own one done.
 func (k *suspectsKeeper) store(ctx context.Context) {
-	snapshot, version := k.r.proxy.Suspects.Snapshot(time.Now())
+	snapshot, version := k.r.proxy.Suspects.Snapshot(clock.Now())
 	if version == k.stored || (k.revision == 0 && len(snapshot.Records) == 0) {
 		return
 	}
@@ -161,7 +161,7 @@
 // look takes what an operator has stored. The list that an earlier write of this process has
 // left, unseen, adds nothing.
 func (k *suspectsKeeper) look(ctx context.Context) {
-	k.looked = time.Now()
+	k.looked = clock.Now()
 	item, found, err := k.r.getSuspects(ctx)
 	if err != nil || !found || item.Revision == k.revision {
 		return
@@ -195,7 +195,7 @@
 // mergeStored adds a stored list to what is known.
 func (r *Router) mergeStored(item coord.Item) {
 	if snapshot, ok := r.readSnapshot(item); ok {
-		r.proxy.Suspects.Merge(snapshot.Stored(time.Now()))
+		r.proxy.Suspects.Merge(snapshot.Stored(clock.Now()))
 	}
 }
 
@@ -208,7 +208,7 @@
 	if !tells {
 		return
 	}
-	for _, record := range r.proxy.Suspects.Told(time.Now(), snapshot) {
+	for _, record := range r.proxy.Suspects.Told(clock.Now(), snapshot) {
 		proxy.TellQuarantined(r.log, record.Attempt)
 	}
 	r.proxy.Starting.Store(false)
@@ -217,7 +217,7 @@
 
 // evidenceTaken takes what another process has seen of crashes.
 func (r *Router) evidenceTaken(evidence quarantine.Evidence) {
-	for _, attempt := range r.proxy.Suspects.Take(time.Now(), evidence) {
+	for _, attempt := range r.proxy.Suspects.Take(clock.Now(), evidence) {
 		proxy.TellQuarantined(r.log, attempt)
 	}
 }
--- /dev/null
+++ b/internal/router/suspension_test.go
@@ -0,0 +1,41 @@
+package router
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/peerlink"
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// What a leader told before a suspension is not relied on after it, though by the steady clock it
+// was told a moment ago.
+func TestWhatIsToldLapsesInASuspension(t *testing.T) {
+	var word told
+	word.heard(clock.Now(), true)
+	assert.Assert(t, word.now())
+	defer clock.Suspend(2 * peerlink.SilenceLimit)()
+	assert.Assert(t, !word.now())
+}
+
+// A worker leaves while the machine of a router that a leader tells of changes is suspended. The
+// router reads the store itself once it wakes, at once, and sends it nothing.
+func TestASuspendedRouterReadsAnewWhenItWakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, store := newCutOffRouter(t)
+		put(t, store, "w/left", workers.StateReady)
+		elapse(5 * time.Second)
+		r.told.heard(clock.Now().Add(time.Hour), true) // relied on without end
+		elapse(time.Second)
+		remove(t, store, "w/left")
+		assert.Equal(t, usable(r), 1)
+		defer clock.Suspend(8 * time.Second)()
+		r.woke(8 * time.Second)
+		elapse(time.Second)
+		assert.Equal(t, usable(r), 0)
+	})
+}
--- a/internal/router/told.go
+++ b/internal/router/told.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/peerlink"
 )
 
@@ -11,20 +12,17 @@
 // itself after a silence, whatever became of the link, so that a process reads the
 // key-value service again. It is safe for concurrent use; the zero value has lapsed.
 type told struct {
-	// until is in nanoseconds since the process began; zero: nobody tells.
+	// until is a number of clock.Nanos; zero: nobody tells.
 	until atomic.Int64
 }
 
-// processBegan is the start of a steady clock.
-var processBegan = time.Now()
-
 // heard notes that changes are told as of now, or that they are not.
 func (t *told) heard(now time.Time, relied bool) {
 	if !relied {
 		t.end()
 		return
 	}
-	t.until.Store(int64(now.Add(peerlink.SilenceLimit).Sub(processBegan)))
+	t.until.Store(clock.Nanos(now.Add(peerlink.SilenceLimit)))
 }
 
 // end stops relying on what is told.
@@ -33,8 +31,8 @@
 // holds reports whether changes are told at a time.
 func (t *told) holds(now time.Time) bool {
 	until := t.until.Load()
-	return until != 0 && int64(now.Sub(processBegan)) < until
+	return until != 0 && clock.Nanos(now) < until
 }
 
 // now reports whether changes are told now.
-func (t *told) now() bool { return t.holds(time.Now()) }
+func (t *told) now() bool { return t.holds(clock.Now()) }
--- a/internal/router/workersview.go
+++ b/internal/router/workersview.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/peerlink"
@@ -137,7 +138,7 @@
 
 // Lost implements coord.View.
 func (v *workersView) Lost(err error) {
-	v.lostAt = time.Now()
+	v.lostAt = clock.Now()
 	v.r.log.Line(decision.KindStoreLost).Str("for", "workers").Err(err).Msg("")
 }
 
@@ -152,7 +153,7 @@
 // Counted from the answer, requests went to a worker that had left for up to 3.9 s after the
 // end of a cut, where 3 s are allowed (18 of 40 ends of a cut between two tries, in virtual time).
 func (v *workersView) Regained(since time.Time) {
-	now := time.Now()
+	now := clock.Now()
 	until := now.Add(workers.SettleTime)
 	if caughtUp := since.Add(v.r.settings.CatchUp.Std() - lapseMargin); caughtUp.Before(until) {
 		until = caughtUp
--- a/internal/standby/standby.go
+++ b/internal/standby/standby.go
@@ -49,7 +49,7 @@
 // New returns a standby of no leader yet.
 func New(orders owner.Orders, times owner.Config, log *decision.Log) *Standby {
 	return &Standby{
-		Orders: orders, Times: times, Log: log, began: time.Now(), services: map[routing.ServiceName]*owner.Standby{},
+		Orders: orders, Times: times, Log: log, began: clock.Now(), services: map[routing.ServiceName]*owner.Standby{},
 	}
 }
 
@@ -99,7 +99,7 @@
 // setLost is called with mu held.
 func (s *Standby) setLost(lost bool) {
 	if lost && !s.lost {
-		s.lostAt = time.Now()
+		s.lostAt = clock.Now()
 	}
 	s.lost = lost
 	for _, service := range s.services {
@@ -132,7 +132,7 @@
 	if !s.appointed {
 		return
 	}
-	report.Stamp = max(1, time.Since(s.began).Milliseconds())
+	report.Stamp = max(1, clock.Since(s.began).Milliseconds())
 	report.Heard = map[routing.ServiceName]uint64{}
 	for name, service := range s.services {
 		report.Heard[name] = service.Version()
@@ -143,10 +143,20 @@
 func (s *Standby) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, tick)
-		s.step(ctx, time.Now())
+		if s.mayRenew() {
+			clock.Refresh() // a leave ends while the machine is suspended
+		}
+		s.step(ctx, clock.Now())
 	}
 }
 
+// mayRenew reports whether a leader has let this process renew.
+func (s *Standby) mayRenew() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.appointed || s.renewing
+}
+
 // step sends the renewals that are due.
 func (s *Standby) step(ctx context.Context, now time.Time) {
 	s.mu.Lock()
@@ -171,8 +181,11 @@
 func (s *Standby) send(ctx context.Context, service *owner.Standby, renewal owner.Renewal) {
 	bounded, cancel := context.WithTimeout(ctx, renewalTimeout)
 	defer cancel()
-	reply := s.Orders.Grant(bounded, renewal.Target, renewal.Grant)
+	reply := owner.Reply{Outcome: owner.OutcomeUnreachable}
+	if clock.Refresh() == 0 { // else it was decided before the machine was suspended
+		reply = s.Orders.Grant(bounded, renewal.Target, renewal.Grant)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	service.Answered(time.Now(), renewal, reply.Outcome)
+	service.Answered(clock.Now(), renewal, reply.Outcome)
 }
--- a/internal/standby/standby_test.go
+++ b/internal/standby/standby_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/peerlink"
@@ -45,16 +46,18 @@
 		least   int32
 		most    int32
 	}{
-		"the leader is heard":       {mandate: leave(time.Second, 6*time.Second), then: func(*Standby) {}},
-		"the leader is lost":        {mandate: leave(time.Second, 6*time.Second), then: (*Standby).Lost, least: 5, most: 8},
-		"little is left":            {mandate: leave(time.Second, time.Second), then: (*Standby).Lost, least: 1, most: 1},
-		"told long after its stamp": {mandate: leave(time.Millisecond, time.Second), then: (*Standby).Lost},
-		"no standby":                {then: (*Standby).Lost},
-		"asked to stop":             {mandate: leave(time.Second, 6*time.Second), then: func(s *Standby) { s.Lost(); s.Stop(4) }},
-		"found again":               {mandate: leave(time.Second, 6*time.Second), then: func(s *Standby) { s.Lost(); s.Heard(3, nil) }},
+		"the leader is heard":        {mandate: leave(time.Second, 6*time.Second), then: func(*Standby) {}},
+		"the leader is lost":         {mandate: leave(time.Second, 6*time.Second), then: (*Standby).Lost, least: 5, most: 8},
+		"little is left":             {mandate: leave(time.Second, time.Second), then: (*Standby).Lost, least: 1, most: 1},
+		"told long after its stamp":  {mandate: leave(time.Millisecond, time.Second), then: (*Standby).Lost},
+		"no standby":                 {then: (*Standby).Lost},
+		"asked to stop":              {mandate: leave(time.Second, 6*time.Second), then: func(s *Standby) { s.Lost(); s.Stop(4) }},
+		"suspended beyond its leave": {mandate: leave(time.Second, 6*time.Second), then: func(s *Standby) { s.Lost(); clock.Suspend(7 * time.Second) }},
+		"found again":                {mandate: leave(time.Second, 6*time.Second), then: func(s *Standby) { s.Lost(); s.Heard(3, nil) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
+				defer clock.Suspend(0)()
 				log := decision.NewTo(io.Discard, "n")
 				defer log.Close()
 				orders := &counting{}
--- a/internal/workers/evacuation.go
+++ b/internal/workers/evacuation.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/shalefork/shalefork/internal/clock"
 )
 
 // assumedCold is for how long the workers of a zone that is taken back count as cold
@@ -36,7 +38,7 @@
 func (d *Directory) SetEvacuated(zones []string, since time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	changed, back := d.evacuations.set(since, zones)
 	if !changed {
 		return false
@@ -67,7 +69,7 @@
 	if !evacuated {
 		return 0
 	}
-	return time.Since(since)
+	return clock.Since(since)
 }
 
 // EvacuatedZones returns the zones whose workers are to get no work, in order.
--- a/internal/workers/kept.go
+++ b/internal/workers/kept.go
@@ -1,6 +1,10 @@
 package workers
 
-import "time"
+import (
+	"time"
+
+	"github.com/shalefork/shalefork/internal/clock"
+)
 
 // SettleTime is how long after the service's return entries that lapsed meanwhile are
 // back, if their workers live: the users' platform says about 2 s.
@@ -57,14 +61,14 @@
 		d.kept[id] = one
 	}
 	d.mu.Unlock()
-	d.expire()
+	d.Expire()
 }
 
 // Settling returns for how long vanished entries are kept still.
 func (d *Directory) Settling() time.Duration {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return max(0, time.Until(d.own.until), time.Until(d.told.until))
+	return max(0, clock.Until(d.own.until), clock.Until(d.told.until))
 }
 
 // Kept returns how many workers are kept although their entries went.
@@ -84,7 +88,7 @@
 	if _, already := d.kept[id]; already {
 		return true
 	}
-	now := time.Now()
+	now := clock.Now()
 	until := d.keptUntil(id, now)
 	if !now.Before(until) {
 		d.goneAt[id] = now
@@ -93,7 +97,7 @@
 	}
 	d.kept[id] = kept{since: now, until: until}
 	vanished.Kept = append(vanished.Kept, id)
-	time.AfterFunc(until.Sub(now), d.expire)
+	time.AfterFunc(until.Sub(now), d.Expire)
 	return true
 }
 
@@ -110,8 +114,9 @@
 	return own
 }
 
-// expire takes workers to be gone whose entries did not come back.
-func (d *Directory) expire() {
+// Expire takes workers to be gone whose entries did not come back in time. It is done when that
+// time is over, and is to be called after a suspension, in which timers stand.
+func (d *Directory) Expire() {
 	expired := d.dropKept()
 	if len(expired) > 0 && d.expired != nil {
 		d.expired(expired)
@@ -125,7 +130,7 @@
 	defer d.mu.Unlock()
 	var expired []ID
 	for id, one := range d.kept {
-		if time.Now().Before(one.until) {
+		if clock.Now().Before(one.until) {
 			continue
 		}
 		delete(d.kept, id)
@@ -134,7 +139,7 @@
 		expired = append(expired, id)
 	}
 	if len(expired) > 0 {
-		d.index(time.Now())
+		d.index(clock.Now())
 	}
 	return expired
 }
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/routing"
 )
 
@@ -91,7 +92,7 @@
 func (d *Directory) Replace(list []Worker) Vanished {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	learned := time.Now().Add(-listAge)
+	learned := clock.Now().Add(-listAge)
 	fresh := map[ID]Worker{}
 	for _, worker := range list {
 		fresh[worker.ID] = worker
@@ -126,7 +127,7 @@
 			delete(d.byID, id)
 		}
 	}
-	d.index(time.Now())
+	d.index(clock.Now())
 	return vanished
 }
 
@@ -161,7 +162,7 @@
 // forget removes what lies too long back.
 func forget(times map[ID]time.Time) {
 	for id, at := range times {
-		if time.Since(at) > goneMemory {
+		if clock.Since(at) > goneMemory {
 			delete(times, id)
 		}
 	}
@@ -194,12 +195,12 @@
 		return 0
 	}
 	if at, gone := d.goneAt[id]; gone {
-		return time.Since(at)
+		return clock.Since(at)
 	}
 	if _, noted := d.missed[id]; !noted {
-		d.missed[id] = time.Now()
+		d.missed[id] = clock.Now()
 	}
-	return time.Since(d.missed[id])
+	return clock.Since(d.missed[id])
 }
 
 // Of returns the workers of a service in no order, and the list's version. The
@@ -229,7 +230,7 @@
 func (d *Directory) Cold() int {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	count, now := 0, time.Now()
+	count, now := 0, clock.Now()
 	for _, worker := range d.byID {
 		if now.Before(worker.WarmAt) {
 			count++
@@ -253,5 +254,5 @@
 	if !draining {
 		return 0
 	}
-	return time.Since(since)
+	return clock.Since(since)
 }
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/clock"
 )
 
 func worker(id ID, state State) Worker {
@@ -204,3 +206,20 @@
 		assert.Equal(t, directory.GoneFor("a"), time.Duration(0))
 	})
 }
+
+// A worker goes on to leave while this machine is suspended.
+func TestTimesOfWorkersCountASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		directory := NewDirectory()
+		directory.Replace([]Worker{worker("drains", StateReady), worker("leaves", StateReady), worker("lapses", StateReady)})
+		directory.Settle(clock.Now().Add(time.Hour))
+		directory.Update([]Worker{worker("drains", StateDraining)}, []ID{"lapses"})
+		directory.Settle(clock.Now())
+		directory.Update(nil, []ID{"leaves"})
+		defer clock.Suspend(8 * time.Second)()
+		assert.Equal(t, directory.DrainingFor("drains"), 8*time.Second)
+		assert.Equal(t, directory.GoneFor("leaves"), 8*time.Second)
+		directory.Expire()
+		assert.Equal(t, directory.Kept(), 0)
+	})
+}
