--- /dev/null
+++ b/ownership/now_test.go
@@ -0,0 +1,26 @@
+package ownership
+
+import (
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/clock"
+)
+
+// A server's hold of keys ends while its machine is suspended: others get them.
+func TestAHoldEndsInASuspension(t *testing.T) {
+	assert.Equal(t, CountsSuspension(), runtime.GOOS == "linux")
+	holder := NewHolder()
+	assert.Equal(t, holder.Grant(Now(), Grant{Keys: Keys{From: 0, To: 9}, Fence: 1, Hold: 3 * time.Second}), Taken)
+	work, begun := holder.Begin(Now(), 5)
+	assert.Assert(t, begun)
+	defer work.End()
+	defer clock.Suspend(4 * time.Second)()
+	assert.Assert(t, !holder.Holds(Now(), 5))
+	assert.Assert(t, !work.StillHeld(Now()), "its effect must not be kept")
+	_, begun = holder.Begin(Now(), 5)
+	assert.Assert(t, !begun)
+}
