--- a/internal/clock/steady_test.go
+++ b/internal/clock/steady_test.go
@@ -54,6 +54,8 @@
 	assert.Equal(t, Refresh(), time.Duration(0), "this machine was not")
 }
 
+// Now took 94 ns, of which time.Now takes some 50, and asking the kernel at each look 650 ns (one
+// run each).
 func BenchmarkNow(b *testing.B) {
 	for b.Loop() {
 		Now()
--- a/internal/proxy/quarantine_test.go
+++ b/internal/proxy/quarantine_test.go
@@ -132,7 +132,8 @@
 	}, poll.WithTimeout(10*time.Second), poll.WithDelay(50*time.Millisecond))
 }
 
-// What a request costs that is not suspected: with no suspect, and beside 100 of them.
+// What a request costs that is not suspected: 0.4 µs with no suspect, nearly all of it this
+// benchmark's own, and 0.9 µs beside 100 of them, for the fingerprint (8 cores, one run).
 func BenchmarkStanding(b *testing.B) {
 	for name, suspects := range map[string]int{"none": 0, "100": 100} {
 		b.Run(name, func(b *testing.B) {
