--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -128,7 +128,6 @@
 	defer ticker.Stop()
 	for {
 		changed := t.Workers.Changed()
-		t.refreshed() // the authority of a leader whose machine was suspended has ended
 		if !t.step(clock.Now()) {
 			return
 		}
--- a/internal/standby/standby.go
+++ b/internal/standby/standby.go
@@ -143,20 +143,10 @@
 func (s *Standby) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, tick)
-		if s.mayRenew() {
-			clock.Refresh() // a leave ends while the machine is suspended
-		}
 		s.step(ctx, clock.Now())
 	}
 }
 
-// mayRenew reports whether a leader has let this process renew.
-func (s *Standby) mayRenew() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.appointed || s.renewing
-}
-
 // step sends the renewals that are due.
 func (s *Standby) step(ctx context.Context, now time.Time) {
 	s.mu.Lock()
