Agree on the types that tenants, regions, large bodies and worker lives share

Cause: two customers need tenants with keys and quotas, two regions, large bodies and workers that start again under their id; nothing in the code names any of these.

Ruled out: a table of tenants in settings (keys change with versions of the configuration).

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -17,13 +17,15 @@
 
 // call is one client's request on its way.
 type call struct {
-	proxy    *Proxy
-	writer   http.ResponseWriter
-	request  *http.Request
-	message  message
-	config   *routing.Config
-	route    *routing.Route
-	service  *routing.Service
+	proxy   *Proxy
+	writer  http.ResponseWriter
+	request *http.Request
+	message message
+	config  *routing.Config
+	route   *routing.Route
+	service *routing.Service
+	// tenant whose API key the caller has shown; nil if there is none.
+	tenant   *routing.Tenant
 	state    *serviceState
 	key      int
 	began    time.Time
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -50,6 +50,8 @@
 	reasonMalformed = "malformed"
 	reasonBody      = "body"
 	reasonQueue     = "queue-full"
+	// reasonQuota: the tenant is beyond its limit.
+	reasonQuota = "over-quota"
 	// reasonQuarantined: the request has crashed workers that ran it.
 	reasonQuarantined = "request-quarantined"
 )
@@ -72,6 +74,8 @@
 	Metrics *Metrics
 	// Suspects are the requests that were under way at workers that crashed.
 	Suspects *quarantine.View
+	// Quota of the tenants; nil: nobody has one.
+	Quota Quota
 	// Starting says that this process does not know yet which requests are quarantined.
 	Starting atomic.Bool
 	// Drain is how long workers that leave may get requests.
@@ -168,6 +172,9 @@
 		c.refuse(http.StatusNotFound, reasonNoRoute, 0)
 		return
 	}
+	if !c.identify() || !c.withinQuota() {
+		return
+	}
 	c.allowed.attempts = max(1, c.route.Attempts)
 	c.service = used.config.Services[used.splitter.Pick(c.route)]
 	if !c.prepare() {
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -29,6 +29,8 @@
 	Load string
 	// Key is a keyed request's key, a whole number.
 	Key string
+	// Tenant names the tenant whose API key the caller showed, to the worker.
+	Tenant string
 }
 
 // Load is what a worker tells of itself.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/shalefork/shalefork/internal/topology"
 )
 
 // Error is the class of errors of this package.
@@ -29,6 +31,12 @@
 	Prefix string
 	// Repeatable requests may run more than once.
 	Repeatable bool
+	// Class of the route's bodies.
+	Class BodyClass
+	// Public routes need no API key.
+	Public bool
+	// Regions are the only ones in which requests may be served; empty: any.
+	Regions []topology.Region
 	// Timeout is the longest that a request is held.
 	Timeout time.Duration
 	// Target is the time within which an answer is worth most.
@@ -102,8 +110,10 @@
 	Version  Version
 	Services map[ServiceName]*Service
 	Limits   Limits
-	routes   []*Route
-	byHost   map[string][]*Route
+	// Tenants whose callers show API keys; nil: callers need none.
+	Tenants map[TenantName]*Tenant
+	routes  []*Route
+	byHost  map[string][]*Route
 }
 
 // Build checks the parts of a configuration and indexes them.
--- /dev/null
+++ b/internal/routing/tenant.go
@@ -0,0 +1,86 @@
+package routing
+
+import (
+	"slices"
+
+	"github.com/shalefork/shalefork/internal/topology"
+)
+
+// TenantName names a customer of the services, whose callers share API keys and a quota.
+type TenantName string
+
+// keyDigestBytes is the length of a digest: of 256 bits, so that nobody finds another key
+// with the same one.
+const keyDigestBytes = 32
+
+// KeyDigest stands for an API key, which is never kept itself.
+type KeyDigest [keyDigestBytes]byte
+
+// Tenant is one customer of the services.
+type Tenant struct {
+	Name TenantName
+	// Keys are the digests of the API keys that the tenant's callers show.
+	Keys []KeyDigest
+	// Priority goes before that of the route: 0 is the highest.
+	Priority int
+	// Rate is how many requests a second the tenant may have run over all routers together,
+	// and Burst how many more at once. Rate zero: any number.
+	Rate, Burst float64
+	// Regions are the only ones in which the tenant's requests may be served; empty: any.
+	Regions []topology.Region
+}
+
+// Limited reports whether the tenant has a quota.
+func (t *Tenant) Limited() bool { return t.Rate > 0 }
+
+// Priority returns a request's rank, 0 being the highest: that of its tenant, which may be nil,
+// goes before that of its route.
+func Priority(route *Route, tenant *Tenant) int {
+	if tenant != nil {
+		return tenant.Priority
+	}
+	return route.Priority
+}
+
+// ServedIn reports whether a request may be served in a region: both its route and its tenant,
+// which may be nil, must allow it.
+func ServedIn(region topology.Region, route *Route, tenant *Tenant) bool {
+	return allows(route.Regions, region) && (tenant == nil || allows(tenant.Regions, region))
+}
+
+// allows reports whether a list of regions allows one; an empty list allows any.
+func allows(regions []topology.Region, region topology.Region) bool {
+	return len(regions) == 0 || slices.Contains(regions, region)
+}
+
+// BodyClass says how large a route's bodies are, and which way they go.
+type BodyClass int
+
+// Classes of bodies.
+const (
+	// Small bodies are kept whole until they are passed on.
+	Small BodyClass = iota
+	// BulkUp are large requests, which are streamed to the worker.
+	BulkUp
+	// BulkDown are large answers, which are streamed to the caller.
+	BulkDown
+)
+
+// WithTenants adds tenants to a configuration that is not in use yet. Callers must show a
+// key then, but on public routes.
+func (c *Config) WithTenants(tenants map[TenantName]*Tenant) (*Config, error) {
+	owners := map[KeyDigest]TenantName{}
+	for name, tenant := range tenants {
+		if tenant.Rate < 0 || tenant.Burst < 0 {
+			return nil, Error.New("tenant %q: rate %g and burst %g must not be below zero", name, tenant.Rate, tenant.Burst)
+		}
+		for _, digest := range tenant.Keys {
+			if other, taken := owners[digest]; taken && other != name {
+				return nil, Error.New("tenant %q: a key that tenant %q has too", name, other)
+			}
+			owners[digest] = name
+		}
+	}
+	c.Tenants = tenants
+	return c, nil
+}
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -85,6 +85,13 @@
 	DefaultRetryRatio  = 0.1
 	DefaultRetrySlack  = 20
 	DefaultRetryWindow = 10 * time.Second
+	// The quota's defaults are the bounds of the users' platform.
+	DefaultQuotaWindow    = 5 * time.Second
+	DefaultQuotaOvershoot = 0.1
+	DefaultQuotaSlack     = 20
+	// DefaultRevokeWithin: a caller whose key was taken away is refused everywhere within
+	// the time that the users' platform gives where revocation is strict.
+	DefaultRevokeWithin = 5 * time.Second
 	// DefaultDirectRouters: so many links cost a leader little, and each relay between is
 	// one more process that may fail.
 	DefaultDirectRouters = 32
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/strictyaml"
+	"github.com/shalefork/shalefork/internal/topology"
 )
 
 // Router settings: a process that takes clients' requests and may lead the cell.
@@ -35,6 +36,16 @@
 	CatchUp bundle.Duration `yaml:"catch_up"`
 	// Evacuate is how long workers of an evacuated zone may get requests.
 	Evacuate bundle.Duration `yaml:"evacuate"`
+	// Regions are those of the zones; empty: all zones are near to one another.
+	Regions map[string]string `yaml:"regions"`
+	// Quota bounds what counts as within a tenant's limit, over all routers together.
+	Quota QuotaLimits `yaml:"quota"`
+	// Revocation says what becomes of callers with API keys while this process cannot know
+	// whether their keys still hold.
+	Revocation Revocation `yaml:"revocation" validate:"oneof=lenient strict"`
+	// RevokeWithin is after how long without news such callers are refused where revocation
+	// is strict.
+	RevokeWithin bundle.Duration `yaml:"revoke_within"`
 	// FirstStart says that the whole system starts for the first time, so that nothing
 	// is stored yet.
 	FirstStart bool `yaml:"first_start"`
@@ -54,6 +65,27 @@
 	Cores float64 `yaml:"cores" validate:"gte=0"`
 	// LinkMbps is the bandwidth of its link, in megabits a second.
 	LinkMbps float64 `yaml:"link_mbps" validate:"gte=0"`
+	// MemoryMB is the memory that the process may use, in megabytes.
+	MemoryMB int `yaml:"memory_mb" validate:"gte=0"`
+}
+
+// Revocation is how strictly API keys are taken away.
+type Revocation string
+
+// Ways to take API keys away.
+const (
+	// RevocationLenient serves callers by the configuration that is known, however old.
+	RevocationLenient Revocation = "lenient"
+	// RevocationStrict refuses callers once the configuration may be out of date.
+	RevocationStrict Revocation = "strict"
+)
+
+// QuotaLimits say what is still within a tenant's limit: in each window, its rate times the
+// window and its burst, a share of both beyond that, and a fixed number of requests.
+type QuotaLimits struct {
+	Window    bundle.Duration `yaml:"window"`
+	Overshoot float64         `yaml:"overshoot" validate:"gte=0,lte=1"`
+	Slack     float64         `yaml:"slack" validate:"gte=0"`
 }
 
 // What a strong machine has.
@@ -62,6 +94,15 @@
 	strongLinkMbps = 100
 )
 
+// Places returns which regions the zones belong to.
+func (r Router) Places() topology.Map {
+	regions := map[topology.Zone]topology.Region{}
+	for zone, region := range r.Regions {
+		regions[topology.Zone(zone)] = topology.Region(region)
+	}
+	return topology.New(regions)
+}
+
 // Strength is from 0 to 1, which is strong enough to lead. A machine of which nothing
 // is known is taken to be strong.
 func (m Machine) Strength() float64 {
@@ -110,12 +151,15 @@
 		field  string
 		period bundle.Duration
 	}{{"max_hold", router.MaxHold}, {"grace", router.Grace}, {"drain", router.Drain}, {"catch_up", router.CatchUp}, {"evacuate", router.Evacuate},
-		{"retry.window", router.Retry.Window}}
+		{"retry.window", router.Retry.Window}, {"quota.window", router.Quota.Window}, {"revoke_within", router.RevokeWithin}}
 	for _, one := range periods {
 		if one.period <= 0 {
 			problems = append(problems, problem(one.field, "a duration above zero"))
 		}
 	}
+	if _, named := router.Regions[router.Zone]; len(router.Regions) > 0 && !named {
+		problems = append(problems, problem("regions", "the region of zone "+router.Zone))
+	}
 	fields := []struct{ name, address string }{
 		{"listen", router.Listen}, {"ready_listen", router.ReadyListen},
 		{"peer_listen", router.PeerListen}, {"metrics_listen", router.MetricsListen},
@@ -140,5 +184,9 @@
 		CatchUp:  bundle.Duration(DefaultCatchUp),
 		Evacuate: bundle.Duration(DefaultEvacuate),
 		Retry:    RetryLimits{Ratio: DefaultRetryRatio, Slack: DefaultRetrySlack, Window: bundle.Duration(DefaultRetryWindow)},
+		Quota:    QuotaLimits{Window: bundle.Duration(DefaultQuotaWindow), Overshoot: DefaultQuotaOvershoot, Slack: DefaultQuotaSlack},
+
+		Revocation:   RevocationLenient,
+		RevokeWithin: bundle.Duration(DefaultRevokeWithin),
 	}
 }
--- a/internal/settings/router_test.go
+++ b/internal/settings/router_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/bundle"
 )
 
 const routerFile = `node: r1
@@ -53,6 +55,10 @@
 		`node: r1|nodes: r1`:                    "unknown field",
 		`  ratio: 0.2|  window: "0s"`:           "retry.window",
 		`store: "10.0.0.9:90"|max_hold: "soon"`: "max_hold",
+		`  ratio: 0.2|quota: {overshoot: 2}`:    "quota.overshoot",
+		"zone: z1|zone: z1\nrevocation: never":  "revocation",
+		`  ratio: 0.2|regions: {z2: r}`:         "the region of zone z1",
+		`  ratio: 0.2|regions: {z1: r, z1: q}`:  "regions",
 	} {
 		old, fresh, _ := strings.Cut(change, "|")
 		_, err := ReadRouter("router.yaml", []byte(strings.Replace(routerFile, old, fresh, 1)), nil)
@@ -72,6 +78,8 @@
 		"{{listen.readiness|json}}", `"10.0.0.1:81"`, "{{ip}}", "10.0.0.1", "{{internalPortRange.0}}", "7540",
 		"{{platform.address|json}}", `"10.0.0.9:90"`, "{{bounds.maxHoldS}}", "10", "{{platform.ttl_min_s}}", "1", "{{bounds.graceS}}", "6",
 		"{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.budgetSlack}}", "62", "{{bounds.drainS}}", "2.5", "{{bounds.contactS}}", "4", "{{bounds.evacuateS}}", "4", "{{limits.cpuShare}}", "0.16", "{{limits.linkMbps}}", "10.0", "{{bounds.retryWindowS}}", "10",
+		"{{zones|json}}", `{"z":"r","y":"r"}`, "{{bounds.revokeS}}", "4", "{{limits.memoryMb}}", "184", "{{bounds.quotaWindowS}}", "4",
+		"{{bounds.quotaOvershoot}}", "0.2", "{{bounds.quotaSlack}}", "30",
 	)
 	read, err := ReadRouter("settings.yaml", []byte(fill.Replace(given)), nil)
 	assert.NilError(t, err)
@@ -81,11 +89,18 @@
 	assert.Equal(t, read.Drain.Std(), 2500*time.Millisecond)
 	assert.Equal(t, read.CatchUp.Std(), 4*time.Second)
 	assert.Equal(t, read.Evacuate.Std(), 4*time.Second)
-	assert.Equal(t, read.Machine, Machine{Cores: 0.16, LinkMbps: 10})
+	assert.Equal(t, read.Machine, Machine{Cores: 0.16, LinkMbps: 10, MemoryMB: 184})
+	assert.DeepEqual(t, read.Regions, map[string]string{"z": "r", "y": "r"})
+	assert.Equal(t, read.Quota, QuotaLimits{Window: bundle.Duration(4 * time.Second), Overshoot: 0.2, Slack: 30})
+	assert.Equal(t, read.Revocation, RevocationStrict)
+	assert.Equal(t, read.RevokeWithin.Std(), 4*time.Second)
 	bare, err := ReadRouter("settings.yaml", []byte(fill.Replace(without)), nil)
 	assert.NilError(t, err, "a deployment may give no bounds")
 	assert.Equal(t, bare.MaxHold.Std(), DefaultMaxHold)
 	assert.Equal(t, bare.Retry.Window.Std(), DefaultRetryWindow)
 	assert.Equal(t, bare.CatchUp.Std(), DefaultCatchUp)
 	assert.Equal(t, bare.Evacuate.Std(), DefaultEvacuate)
+	assert.Equal(t, bare.Revocation, RevocationLenient)
+	assert.Equal(t, bare.Quota.Window.Std(), DefaultQuotaWindow)
+	assert.Equal(t, bare.Places().Regions(), 1)
 }
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -30,6 +30,8 @@
 		d.decodeStruct(node, target, path)
 	case target.Kind() == reflect.Slice:
 		d.decodeSlice(node, target, path)
+	case target.Kind() == reflect.Map:
+		d.decodeMap(node, target, path)
 	default:
 		d.decodeScalar(node, target, path)
 	}
@@ -87,6 +89,29 @@
 	}
 }
 
+// decodeMap decodes a table whose keys the file chooses.
+func (d *Document) decodeMap(node ast.Node, target reflect.Value, path string) {
+	entries, isMapping := mappingEntries(node)
+	if !isMapping {
+		d.report(path, "expected a mapping")
+		return
+	}
+	target.Set(reflect.MakeMapWithSize(target.Type(), len(entries)))
+	for _, entry := range entries {
+		at := entry.Key.GetToken()
+		child := join(path, at.Value)
+		key := reflect.ValueOf(at.Value).Convert(target.Type().Key())
+		if target.MapIndex(key).IsValid() {
+			d.reportAt(at, child, "expected the field once, found it again")
+			continue
+		}
+		d.rememberToken(child, at)
+		value := reflect.New(target.Type().Elem()).Elem()
+		d.decode(entry.Value, value, child)
+		target.SetMapIndex(key, value)
+	}
+}
+
 func (d *Document) decodeScalar(node ast.Node, target reflect.Value, path string) {
 	if !scalarFits(node, target) {
 		d.report(path, "expected %s", expectation(target.Type()))
@@ -125,7 +150,7 @@
 		return "a " + strings.ToLower(kind.Name()) + " such as \"250ms\""
 	}
 	switch kind.Kind() {
-	case reflect.Struct:
+	case reflect.Struct, reflect.Map:
 		return "a mapping"
 	case reflect.Slice:
 		return "a list"
--- /dev/null
+++ b/internal/topology/topology_test.go
@@ -0,0 +1,33 @@
+package topology
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestDistance(t *testing.T) {
+	two := New(map[Zone]Region{"a1": "a", "a2": "a", "b1": "b"})
+	for name, test := range map[string]struct {
+		places   Map
+		from, to Zone
+		want     Distance
+	}{
+		"the zone itself":            {two, "a1", "a1", SameZone},
+		"a neighbour":                {two, "a1", "a2", SameRegion},
+		"another region":             {two, "a1", "b1", OtherRegion},
+		"an unknown zone":            {two, "a1", "c1", OtherRegion},
+		"an unknown zone itself":     {two, "c1", "c1", SameZone},
+		"nothing is known of zones":  {Map{}, "a1", "b1", SameRegion},
+		"nothing is known, one zone": {Map{}, "a1", "a1", SameZone},
+	} {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, test.places.Distance(test.from, test.to), test.want) })
+	}
+}
+
+func TestRegions(t *testing.T) {
+	assert.Equal(t, New(map[Zone]Region{"a1": "a", "a2": "a", "b1": "b"}).Regions(), 2)
+	assert.Equal(t, Map{}.Regions(), 1)
+	assert.Assert(t, !New(map[Zone]Region{"a1": "a"}).Known("b1"))
+	assert.Assert(t, Map{}.Known("b1"))
+}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -9,9 +9,21 @@
 	"github.com/shalefork/shalefork/internal/routing"
 )
 
-// ID names one life of a worker; a restart has a new one.
+// ID names a worker. A worker may start again under the ID that it had.
 type ID string
 
+// Life is one run of a worker, from its start to its end. Two lives are only compared for
+// equality: which of them is newer is told by the store's revision, since a worker's time
+// of day may step back.
+type Life struct {
+	ID ID
+	// Born is what the worker says of the time of its start; zero if it says nothing.
+	Born Born
+}
+
+// Born is a worker's start, in milliseconds since 1970 by the worker's own clock.
+type Born int64
+
 // State is a worker's own word.
 type State string
 
@@ -32,8 +44,13 @@
 	State State
 	// WarmAt is when it stops being slow after its start.
 	WarmAt time.Time
+	// Born is when this life of the worker began; zero if that is not told.
+	Born Born
 }
 
+// Life returns the life that the announcement is of.
+func (w Worker) Life() Life { return Life{ID: w.ID, Born: w.Born} }
+
 // Directory is the list of workers. It is safe for concurrent use.
 type Directory struct {
 	mu        sync.RWMutex
