Count the time for leaving from the first process that knew

Cause: news of workers that drain or are gone, and of evacuated zones, passes through leaders and relays, and each process counted the time for which such workers still get requests from when it heard itself.

Change: changes of workers and configurations carry for how long the first process has known them, packed or not, over any number of steps; draining, vanished entries that a neighbour waits for, and evacuations count from then. What a watch brings first after failures or after the leader's silence, or a list after a time without news, counts from when all was known here last; other changes from a watch have waited as long as changes are gathered at most. Routers of the code before tell no ages, and what they tell counts from now, as it did.

Ruled out: a longer margin in the time for leaving (the delay has no bound but the silence limits), asking the store (it refused this router).

--- a/internal/peerlink/entries.go
+++ b/internal/peerlink/entries.go
@@ -42,8 +42,8 @@
 }
 
 // since returns all changes after a revision; without them if they are too many or no
-// longer kept, and nil if there are none.
-func (l *entryLog) since(revision coord.Revision) *Entries {
+// longer kept, and nil if there are none. Each says how old it is now.
+func (l *entryLog) since(revision coord.Revision, now time.Time) *Entries {
 	if revision >= l.to {
 		return nil
 	}
@@ -53,18 +53,27 @@
 	news := &Entries{From: revision, To: l.to}
 	for _, change := range l.changes {
 		if change.Revision > revision {
+			change.AgeMillis = ageMillis(change.Learned, now)
 			news.Changes = append(news.Changes, change)
 		}
 	}
 	return news
 }
 
+// ageMillis is for how long something has been known; zero if that is not told.
+func ageMillis(learned, now time.Time) int64 {
+	if learned.IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(learned).Milliseconds())
+}
+
 // urgent reports whether a change says that a worker leaves.
 func urgent(one WorkerChange) bool { return one.Gone || one.Draining }
 
 // entriesFor returns what a link has not heard of the workers. The caller holds mu.
 func (h *Hub) entriesFor(one *link, now time.Time) *Entries {
-	news := h.entries.since(one.entries)
+	news := h.entries.since(one.entries, now)
 	if news == nil {
 		return nil
 	}
@@ -74,7 +83,7 @@
 	}
 	one.entries, one.entriesAt = news.To, now
 	if len(news.Changes) > fewChanges {
-		h.packed.pack(news)
+		h.packed.pack(news, now)
 	}
 	return news
 }
@@ -83,14 +92,15 @@
 type packedEntries struct {
 	from, to coord.Revision
 	packed   []byte
+	at       time.Time
 }
 
 // pack packs the changes of a message.
-func (p *packedEntries) pack(news *Entries) {
+func (p *packedEntries) pack(news *Entries, now time.Time) {
 	if p.from != news.From || p.to != news.To {
-		*p = packedEntries{from: news.From, to: news.To, packed: pack(news.Changes)}
+		*p = packedEntries{from: news.From, to: news.To, packed: pack(news.Changes), at: now}
 	}
-	news.Packed, news.Changes = p.packed, nil
+	news.Packed, news.Changes, news.PackedMillis = p.packed, nil, ageMillis(p.at, now)
 }
 
 // EntriesRead tells that all entries up to a revision were read at once.
--- a/internal/peerlink/lines_test.go
+++ b/internal/peerlink/lines_test.go
@@ -75,7 +75,7 @@
 			Stays: func(Update) bool { return true },
 			Heard: func(update Update) {
 				if update.Entries != nil {
-					_, _ = update.Entries.All()
+					_, _ = update.Entries.All(time.Unix(1000, 0))
 				}
 				if update.Config != nil {
 					_, _ = update.Config.Items()
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -167,23 +167,34 @@
 	From    coord.Revision `json:"f"`
 	To      coord.Revision `json:"t"`
 	Changes []WorkerChange `json:"e,omitempty"`
-	// Packed are the changes instead, where there are many.
-	Packed []byte `json:"p,omitempty"`
+	// Packed are the changes instead, where there are many, and PackedMillis is how long
+	// before the message they were packed.
+	Packed       []byte `json:"p,omitempty"`
+	PackedMillis int64  `json:"a,omitempty"`
 }
 
-// All returns the changes, packed or not.
-func (e Entries) All() ([]WorkerChange, error) {
-	if len(e.Packed) == 0 {
-		return e.Changes, nil
+// All returns the changes, packed or not, as they are heard at a time.
+func (e Entries) All(now time.Time) ([]WorkerChange, error) {
+	changes := e.Changes
+	if len(e.Packed) > 0 {
+		if err := unpack(e.Packed, &changes); err != nil {
+			return nil, err
+		}
+	}
+	for index := range changes {
+		age := e.PackedMillis + changes[index].AgeMillis
+		changes[index].Learned = now.Add(-time.Duration(max(0, age)) * time.Millisecond)
 	}
-	var changes []WorkerChange
-	err := unpack(e.Packed, &changes)
-	return changes, err
+	return changes, nil
 }
 
 // ConfigNews tells what the operators have written, as of a revision.
 type ConfigNews struct {
 	Revision coord.Revision `json:"r"`
+	// AgeMillis is for how long the first process has known that, and Undated that it cannot
+	// tell since when any of it stands, since it has found it in a list.
+	AgeMillis int64 `json:"a,omitempty"`
+	Undated   bool  `json:"u,omitempty"`
 	// Packed are the items that have changed since what the process has, and Keys are
 	// those of all that stand.
 	Packed []byte   `json:"p"`
@@ -197,6 +208,15 @@
 	return items, err
 }
 
+// Since returns since when what is told may stand, as it is heard at a time; the zero time if
+// that is not known.
+func (c ConfigNews) Since(now time.Time) time.Time {
+	if c.Undated {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(max(0, c.AgeMillis)) * time.Millisecond)
+}
+
 // WorkerChange is one change of a worker's entry.
 type WorkerChange struct {
 	Revision coord.Revision      `json:"r"`
@@ -209,6 +229,10 @@
 	Draining bool                `json:"d,omitempty"`
 	// WarmMillis is how much longer the worker is slow.
 	WarmMillis int64 `json:"w,omitempty"`
+	// Learned is since when the first process knows of the change, and AgeMillis for how long,
+	// as the message tells it.
+	Learned   time.Time `json:"-"`
+	AgeMillis int64     `json:"o,omitempty"`
 }
 
 // Changed describes a worker as it is announced now.
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -61,7 +61,7 @@
 	f.entries.Store(int64(update.Entries.To))
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	changes, err := update.Entries.All()
+	changes, err := update.Entries.All(time.Now())
 	if err != nil {
 		f.gaps.Add(1)
 	}
@@ -237,14 +237,14 @@
 	hub := NewHub("process", nil, func() Known { return Known{} })
 	items := []coord.Item{{Key: "op/config", Value: []byte(`{"version":"1"}`), Revision: 7}}
 	behind, ahead := &link{config: 3}, &link{config: 7}
-	assert.Assert(t, hub.configFor(behind) == nil, "none was read")
-	hub.ConfigRead(items, 7)
-	told, err := hub.configFor(behind).Items()
+	assert.Assert(t, hub.configFor(behind, time.Now()) == nil, "none was read")
+	hub.ConfigRead(items, 7, time.Now())
+	told, err := hub.configFor(behind, time.Now()).Items()
 	assert.NilError(t, err)
 	assert.DeepEqual(t, told, items)
-	assert.Assert(t, hub.configFor(behind) == nil, "it was told")
-	assert.Assert(t, hub.configFor(ahead) == nil)
-	hub.ConfigRead(nil, 5)
+	assert.Assert(t, hub.configFor(behind, time.Now()) == nil, "it was told")
+	assert.Assert(t, hub.configFor(ahead, time.Now()) == nil)
+	hub.ConfigRead(nil, 5, time.Now())
 	assert.Equal(t, hub.config.at, coord.Revision(7), "an older one changes nothing")
 	_, err = ConfigNews{Packed: []byte("no packed items")}.Items()
 	assert.Assert(t, err != nil)
@@ -271,7 +271,7 @@
 				revision := coord.Revision(101 + index)
 				log.add([]WorkerChange{change("k", revision)}, revision)
 			}
-			news := log.since(test.since)
+			news := log.since(test.since, time.Now())
 			if test.from == 0 {
 				assert.Assert(t, news == nil)
 				return
--- a/internal/peerlink/update.go
+++ b/internal/peerlink/update.go
@@ -18,7 +18,7 @@
 	if !ok || update.Redirect != "" {
 		return update, ok
 	}
-	update.Entries, update.Config = h.entriesFor(one, now), h.configFor(one)
+	update.Entries, update.Config = h.entriesFor(one, now), h.configFor(one, now)
 	update.Services, update.Suspects = h.servicesFor(one), h.suspects.since(one)
 	if h.leading {
 		update.Mandate = h.standbys.mandate(one, now)
--- a/internal/proxy/crash_test.go
+++ b/internal/proxy/crash_test.go
@@ -63,7 +63,7 @@
 			entry := w.entry("keyed")
 			f := newFront(t, entry)
 			entry.State = test.state
-			f.directory.Update([]workers.Worker{entry}, nil)
+			f.directory.Update([]workers.Worker{entry}, nil, nil)
 			f.owns(entry)
 			logged := &lines{}
 			f.proxy.Log = decision.NewTo(logged, "test")
--- a/internal/proxy/pick_test.go
+++ b/internal/proxy/pick_test.go
@@ -21,7 +21,7 @@
 			Zone: fmt.Sprintf("z%d", index%3), Slots: 3, State: workers.StateReady,
 		})
 	}
-	directory.Replace(list)
+	directory.Replace(list, time.Now())
 	return directory
 }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -202,7 +202,7 @@
 	f := newFront(t, entry)
 	f.owns(entry)
 	entry.State = workers.StateDraining
-	f.directory.Update([]workers.Worker{entry}, nil)
+	f.directory.Update([]workers.Worker{entry}, nil, nil)
 	response, _ := f.get(t, "GET", "/keyed/", "", "X-Key", "7")
 	assert.Equal(t, response.StatusCode, http.StatusOK, "it still holds the key")
 	time.Sleep(testDrain - testDrain/2)
@@ -224,7 +224,7 @@
 	time.Sleep(testDrain - testDrain/2)
 	response, _ = f.get(t, "GET", "/keyed/", "", "X-Key", "7")
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
-	f.directory.Update([]workers.Worker{w.entry("keyed")}, nil)
+	f.directory.Update([]workers.Worker{w.entry("keyed")}, nil, nil)
 	response, _ = f.get(t, "GET", "/keyed/", "", "X-Key", "7")
 	assert.Equal(t, response.StatusCode, http.StatusOK, "it is announced")
 }
--- a/internal/proxy/worker_test.go
+++ b/internal/proxy/worker_test.go
@@ -152,7 +152,7 @@
 func newFront(t *testing.T, list ...workers.Worker) *front {
 	t.Helper()
 	directory := workers.NewDirectory()
-	directory.Replace(list)
+	directory.Replace(list, time.Now())
 	proxy := New("z", directory, BudgetLimits{Ratio: 0.2, Slack: 200, Window: 10 * time.Second})
 	proxy.Headers, proxy.Table, proxy.Meter = testHeaders, keytable.New(), peerlink.NewMeter()
 	proxy.Drain = testDrain
--- /dev/null
+++ b/internal/router/age_test.go
@@ -0,0 +1,65 @@
+package router
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/peerlink"
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// What is read or told late counts from the first process that knew, or from when all was known
+// here last, if nobody can tell.
+func TestLateNewsCountsFromWhenItMayHaveHappened(t *testing.T) {
+	drains := coord.Event{Item: item("a", 11, workers.StateDraining)}
+	for name, test := range map[string]struct {
+		learn func(r *Router)
+		want  time.Duration
+	}{
+		"told by a neighbour": {learn: func(r *Router) {
+			late := drainsSince(1000)
+			r.heard(peerlink.Update{Entries: &peerlink.Entries{From: 10, To: 11, Changes: []peerlink.WorkerChange{late}}})
+		}, want: time.Second},
+		"by a watch without a failure": {learn: func(r *Router) {
+			r.storeReached(r.entries, time.Now())
+			r.entriesView.Changed([]coord.Event{drains}, 11)
+		}, want: longGather},
+		"by the first watch after failures": {learn: func(r *Router) {
+			r.storeReached(r.entries, time.Now())
+			time.Sleep(2 * time.Second)
+			r.entries.failed.Store(clock.Nanos(clock.Now()))
+			r.entriesView.Changed([]coord.Event{drains}, 11)
+		}, want: 2 * time.Second},
+		"by the first watch after the leader's silence": {learn: func(r *Router) {
+			r.heard(peerlink.Update{})
+			time.Sleep(1200 * time.Millisecond)
+			r.entriesView.Changed([]coord.Event{drains}, 11)
+		}, want: 1200 * time.Millisecond},
+		"listed after failures": {learn: func(r *Router) {
+			r.storeReached(r.entries, time.Now())
+			time.Sleep(4 * time.Second)
+			r.entriesView.Snapshot([]coord.Item{drains.Item}, 11)
+		}, want: 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTestRouter(t)
+				r.entriesView.Snapshot([]coord.Item{item("a", 8, workers.StateReady)}, 10)
+				test.learn(r)
+				assert.Equal(t, r.workers.DrainingFor("a"), test.want)
+			})
+		})
+	}
+}
+
+// drainsSince is a change that the first process has known for some milliseconds.
+func drainsSince(millis int64) peerlink.WorkerChange {
+	change := drains("a", 11)
+	change.AgeMillis = millis
+	return change
+}
--- a/internal/router/bundles.go
+++ b/internal/router/bundles.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shalefork/shalefork/internal/bundle"
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/lifecycle"
@@ -90,7 +91,7 @@
 	if !v.r.proxy.Use(compiled.Config) {
 		return
 	}
-	v.r.workers.Replace(compiled.Workers)
+	v.r.workers.Replace(compiled.Workers, clock.Now())
 	v.r.log.Line(decision.KindConfig).Uint64("version", uint64(compiled.Config.Version)).
 		Int("routes", compiled.Config.Routes()).Msg("in force")
 }
--- a/internal/router/configview.go
+++ b/internal/router/configview.go
@@ -58,7 +58,7 @@
 			fresh = append([]coord.Item{event.Item}, fresh...) // the newest first
 		}
 	}
-	v.apply(fresh, at, clock.Now())
+	v.apply(fresh, at, v.r.learnedByWatch(v.r.config))
 }
 
 // told takes what the leader has read; false if something is missing here.
@@ -89,7 +89,7 @@
 	}
 	v.items = stand
 	v.r.config.read(news.Revision)
-	v.apply(items, news.Revision, clock.Now())
+	v.apply(items, news.Revision, news.Since(clock.Now()))
 	return true
 }
 
@@ -102,14 +102,14 @@
 }
 
 // apply puts all that stands as of a revision into force, and lets a leader or relay pass
-// it on. fresh are the items that may be new, and since is since when zones may be
-// evacuated that were not known to be. The caller holds mu.
+// it on. fresh are the items that may be new, and since is since when they may stand, such as
+// zones that were not known to be evacuated. The caller holds mu.
 func (v *configView) apply(fresh []coord.Item, at coord.Revision, since time.Time) {
 	v.at = max(v.at, at)
 	v.r.config.cover(v.at)
 	items := slices.Collect(maps.Values(v.items))
 	if len(items) > 0 {
-		v.r.hub.ConfigRead(items, v.at)
+		v.r.hub.ConfigRead(items, v.at, since)
 	}
 	v.useConfig(fresh)
 	v.evacuate(items, since)
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -159,6 +159,22 @@
 	return clock.OfNanos(min(r.entries.reached.Load(), r.config.reached.Load()))
 }
 
+// knewAll returns as of when all of a prefix was known here: read from the service, or told.
+func (r *Router) knewAll(of *followed) time.Time {
+	return clock.OfNanos(max(of.reached.Load(), r.told.known()))
+}
+
+// learnedByWatch returns since when the changes of a prefix that a watch brings now may stand.
+// The first ones after a failure, or after a time in which others told of them, may be as old
+// as what was known last; else they have waited for as long as changes are gathered at most.
+func (r *Router) learnedByWatch(of *followed) time.Time {
+	reached := of.reached.Load()
+	if of.failed.Load() > reached || r.told.known() > reached {
+		return r.knewAll(of)
+	}
+	return clock.Now().Add(-r.gather())
+}
+
 // gather is short at the process that moves keys.
 func (r *Router) gather() time.Duration {
 	if r.hub.Leading() {
@@ -169,7 +185,7 @@
 
 // heard takes what the leader says of changes.
 func (r *Router) heard(update peerlink.Update) {
-	r.told.heard(clock.Now(), !update.Deaf && !update.Stale())
+	r.told.heard(clock.Now(), update.Age(), !update.Deaf && !update.Stale())
 	if !update.Leaderless {
 		r.standby.Heard(update.Term, update.Mandate)
 	}
--- a/internal/router/followleader_test.go
+++ b/internal/router/followleader_test.go
@@ -112,7 +112,7 @@
 		t.Run(name, func(t *testing.T) {
 			var word told
 			for _, after := range test.heard {
-				word.heard(start.Add(after), true)
+				word.heard(start.Add(after), 0, true)
 			}
 			if test.ended {
 				word.end()
--- a/internal/router/suspension_test.go
+++ b/internal/router/suspension_test.go
@@ -16,7 +16,7 @@
 // was told a moment ago.
 func TestWhatIsToldLapsesInASuspension(t *testing.T) {
 	var word told
-	word.heard(clock.Now(), true)
+	word.heard(clock.Now(), 0, true)
 	assert.Assert(t, word.now())
 	defer clock.Suspend(2 * peerlink.SilenceLimit)()
 	assert.Assert(t, !word.now())
@@ -29,7 +29,7 @@
 		r, store := newCutOffRouter(t)
 		put(t, store, "w/left", workers.StateReady)
 		elapse(5 * time.Second)
-		r.told.heard(clock.Now().Add(time.Hour), true) // relied on without end
+		r.told.heard(clock.Now().Add(time.Hour), 0, true) // relied on without end
 		elapse(time.Second)
 		remove(t, store, "w/left")
 		assert.Equal(t, usable(r), 1)
--- a/internal/router/told.go
+++ b/internal/router/told.go
@@ -14,17 +14,28 @@
 type told struct {
 	// until is a number of clock.Nanos; zero: nobody tells.
 	until atomic.Int64
+	// asOf is as of when all changes were told last, in the same form.
+	asOf atomic.Int64
 }
 
-// heard notes that changes are told as of now, or that they are not.
-func (t *told) heard(now time.Time, relied bool) {
+// heard notes that changes are told, as they stood age ago, or that they are not.
+func (t *told) heard(now time.Time, age time.Duration, relied bool) {
 	if !relied {
 		t.end()
 		return
 	}
+	t.asOf.Store(clock.Nanos(now.Add(-age)))
 	t.until.Store(clock.Nanos(now.Add(peerlink.SilenceLimit)))
 }
 
+// known returns as of when all changes were told last, a number of clock.Nanos.
+func (t *told) known() int64 {
+	if at := t.asOf.Load(); at != 0 {
+		return at
+	}
+	return never
+}
+
 // end stops relying on what is told.
 func (t *told) end() { t.until.Store(0) }
 
--- a/internal/router/workersview.go
+++ b/internal/router/workersview.go
@@ -38,7 +38,7 @@
 			list = append(list, worker)
 		}
 	}
-	vanished := v.r.workers.Replace(list)
+	vanished := v.r.workers.Replace(list, v.r.knewAll(v.r.entries))
 	v.r.hub.EntriesRead(at)
 	v.tellVanished(vanished, at)
 	v.r.log.Line(decision.KindWorker).Int("announced", len(list)).Int64("revision", int64(at)).Msg("list read")
@@ -55,7 +55,7 @@
 func (v *workersView) relayed(news peerlink.Entries) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	changes, err := news.All()
+	changes, err := news.All(clock.Now())
 	if v.at < news.From || err != nil {
 		return false
 	}
@@ -72,16 +72,19 @@
 
 // read turns events into changes of workers.
 func (v *workersView) read(events []coord.Event) []peerlink.WorkerChange {
+	learned := v.r.learnedByWatch(v.r.entries)
 	changes := make([]peerlink.WorkerChange, 0, len(events))
 	for _, event := range events {
-		if event.Deleted {
-			id := v.r.adapter.WorkerID(event.Key)
-			changes = append(changes, peerlink.WorkerChange{Revision: event.Revision, ID: id, Gone: true})
-			continue
-		}
-		if worker, ok := v.r.adapter.ReadWorker(event.Item); ok {
-			changes = append(changes, peerlink.Changed(event.Revision, worker))
+		change := peerlink.WorkerChange{Revision: event.Revision, ID: v.r.adapter.WorkerID(event.Key), Gone: true}
+		if !event.Deleted {
+			worker, ok := v.r.adapter.ReadWorker(event.Item)
+			if !ok {
+				continue
+			}
+			change = peerlink.Changed(event.Revision, worker)
 		}
+		change.Learned = learned
+		changes = append(changes, change)
 	}
 	return changes
 }
@@ -102,7 +105,9 @@
 	}
 	var changed []workers.Worker
 	var gone []workers.ID
+	learned := workers.Learned{}
 	for id, change := range last {
+		learned[id] = change.Learned
 		if change.Gone {
 			gone = append(gone, id)
 			continue
@@ -114,7 +119,7 @@
 		}
 		changed = append(changed, worker)
 	}
-	v.tellVanished(v.r.workers.Update(changed, gone), at)
+	v.tellVanished(v.r.workers.Update(changed, gone, learned), at)
 }
 
 // tellVanished logs what became of workers whose entries went.
--- a/internal/workers/evacuation.go
+++ b/internal/workers/evacuation.go
@@ -49,7 +49,7 @@
 			d.byID[id] = worker
 		}
 	}
-	d.index(now)
+	d.index()
 	return true
 }
 
--- a/internal/workers/kept.go
+++ b/internal/workers/kept.go
@@ -83,31 +83,32 @@
 func (d *Directory) OnExpired(call func([]ID)) { d.expired = call }
 
 // vanish notes that the entry of a known worker went, and reports whether the worker is
-// kept. The caller holds mu.
-func (d *Directory) vanish(id ID, vanished *Vanished) bool {
+// kept. learned is since when that is known. The caller holds mu.
+func (d *Directory) vanish(id ID, learned time.Time, vanished *Vanished) bool {
 	if _, already := d.kept[id]; already {
 		return true
 	}
 	now := clock.Now()
-	until := d.keptUntil(id, now)
+	until := d.keptUntil(id, learned, now)
 	if !now.Before(until) {
-		d.goneAt[id] = now
+		d.goneAt[id] = learned
 		vanished.Gone = append(vanished.Gone, id)
 		return false
 	}
-	d.kept[id] = kept{since: now, until: until}
+	d.kept[id] = kept{since: learned, until: until}
 	vanished.Kept = append(vanished.Kept, id)
 	time.AfterFunc(until.Sub(now), d.Expire)
 	return true
 }
 
-// keptUntil returns until when a known worker is kept whose entry goes now. The caller holds
-// mu.
-func (d *Directory) keptUntil(id ID, now time.Time) time.Time {
+// keptUntil returns until when a known worker is kept whose entry went, as is known since a
+// time. A process that was away itself cannot know when: its wait ends by when it was back. The
+// caller holds mu.
+func (d *Directory) keptUntil(id ID, learned, now time.Time) time.Time {
 	if d.byID[id].State != StateReady {
 		return now
 	}
-	own, told := d.own.deadline(now), d.told.deadline(now)
+	own, told := d.own.deadline(now), d.told.deadline(learned)
 	if told.After(own) {
 		return told
 	}
@@ -135,11 +136,12 @@
 		}
 		delete(d.kept, id)
 		delete(d.byID, id)
+		delete(d.drainingSince, id)
 		d.goneAt[id] = one.since
 		expired = append(expired, id)
 	}
 	if len(expired) > 0 {
-		d.index(clock.Now())
+		d.index()
 	}
 	return expired
 }
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -65,7 +65,7 @@
 	// one is asked for.
 	listed bool
 	missed map[ID]time.Time
-	// drainingSince is when a worker was first seen to drain.
+	// drainingSince is when the first process heard that a worker drains.
 	drainingSince map[ID]time.Time
 	// own and told are the waits for entries that may have lapsed only, as this process and
 	// as others did not reach the service; kept are the workers that are waited for.
@@ -105,11 +105,34 @@
 // may be back soon: entries go while the service is disturbed.
 const listAge = time.Second
 
-// Replace sets the whole list, and returns which entries went with that.
-func (d *Directory) Replace(list []Worker) Vanished {
+// Learned is since when changes of workers are known to the first process that heard of them:
+// the time for which a worker that leaves may get requests counts from then, in all processes.
+// Counted from when each heard, a router whose neighbour told it 1.0 s later sent requests to a
+// worker 2.57 s after it had left, where 2.5 s are allowed. A worker that is not named was heard
+// of just now.
+type Learned map[ID]time.Time
+
+// of returns since when a worker's change is known.
+func (l Learned) of(id ID, now time.Time) time.Time {
+	if at, told := l[id]; told && at.Before(now) {
+		return at
+	}
+	return now
+}
+
+// Replace sets the whole list, and returns which entries went with that. since is the last time
+// at which all was known before; a list does not tell when what is new in it happened.
+func (d *Directory) Replace(list []Worker, since time.Time) Vanished {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	learned := clock.Now().Add(-listAge)
+	now := clock.Now()
+	if !d.listed || since.After(now) {
+		since = now
+	}
+	draining := now.Add(-listAge)
+	if since.Before(draining) {
+		draining = since
+	}
 	fresh := map[ID]Worker{}
 	for _, worker := range list {
 		fresh[worker.ID] = worker
@@ -120,19 +143,21 @@
 		if _, stays := fresh[id]; stays {
 			continue
 		}
-		if d.vanish(id, &vanished) {
+		if d.vanish(id, since, &vanished) {
 			fresh[id] = d.byID[id]
 		}
 	}
 	d.byID, d.listed = fresh, true
-	d.index(learned)
+	d.noteDraining(func(ID) time.Time { return draining })
+	d.index()
 	return vanished
 }
 
 // Update adds, changes and removes workers, and returns which entries went with that.
-func (d *Directory) Update(changed []Worker, gone []ID) Vanished {
+func (d *Directory) Update(changed []Worker, gone []ID, learned Learned) Vanished {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := clock.Now()
 	for _, worker := range changed {
 		d.byID[worker.ID] = worker
 		delete(d.goneAt, worker.ID)
@@ -140,34 +165,41 @@
 	}
 	var vanished Vanished
 	for _, id := range gone {
-		if _, known := d.byID[id]; known && !d.vanish(id, &vanished) {
+		if _, known := d.byID[id]; known && !d.vanish(id, learned.of(id, now), &vanished) {
 			delete(d.byID, id)
 		}
 	}
-	d.index(clock.Now())
+	d.noteDraining(func(id ID) time.Time { return learned.of(id, now) })
+	d.index()
 	return vanished
 }
 
+// noteDraining notes since when workers drain that were not seen to before.
+func (d *Directory) noteDraining(since func(ID) time.Time) {
+	for id, worker := range d.byID {
+		if _, noted := d.drainingSince[id]; !noted && worker.State == StateDraining {
+			d.drainingSince[id] = since(id)
+		}
+	}
+	for id := range d.drainingSince {
+		if _, announced := d.byID[id]; !announced {
+			delete(d.drainingSince, id)
+		}
+	}
+}
+
 // goneMemory is how long the end of an entry is remembered.
 const goneMemory = 2 * time.Minute
 
-// index sorts the workers by service. What is new was learned at a time.
-func (d *Directory) index(learned time.Time) {
+// index sorts the workers by service.
+func (d *Directory) index() {
 	d.byService = map[routing.ServiceName][]Worker{}
 	d.usable = map[routing.ServiceName][]Worker{}
-	for id, worker := range d.byID {
+	for _, worker := range d.byID {
 		d.byService[worker.Service] = append(d.byService[worker.Service], worker)
 		if _, evacuated := d.evacuations[worker.Zone]; !evacuated && worker.State == StateReady {
 			d.usable[worker.Service] = append(d.usable[worker.Service], worker)
 		}
-		if _, noted := d.drainingSince[id]; !noted && worker.State == StateDraining {
-			d.drainingSince[id] = learned
-		}
-	}
-	for id := range d.drainingSince {
-		if _, announced := d.byID[id]; !announced {
-			delete(d.drainingSince, id)
-		}
 	}
 	forget(d.goneAt)
 	forget(d.missed)
@@ -263,7 +295,7 @@
 	return d.changed
 }
 
-// DrainingFor returns how long a worker has been seen to drain.
+// DrainingFor returns how long a worker has been known to drain, to the first process that heard.
 func (d *Directory) DrainingFor(id ID) time.Duration {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -19,10 +19,13 @@
 		learn func(d *Directory)
 		want  time.Duration
 	}{
-		"told":                    {learn: func(d *Directory) { d.Update([]Worker{worker("a", StateDraining)}, nil) }, want: 300 * time.Millisecond},
-		"found in a list":         {learn: func(d *Directory) { d.Replace([]Worker{worker("a", StateDraining)}) }, want: 300*time.Millisecond + listAge},
+		"told":                    {learn: func(d *Directory) { d.Update([]Worker{worker("a", StateDraining)}, nil, nil) }, want: 300 * time.Millisecond},
+		"found in a list":         {learn: func(d *Directory) { d.Replace([]Worker{worker("a", StateDraining)}, time.Now()) }, want: 300*time.Millisecond + listAge},
+		"told late":               {learn: func(d *Directory) { toldLate(d, time.Second) }, want: 1300 * time.Millisecond},
+		"told twice":              {learn: func(d *Directory) { toldLate(d, time.Second); toldLate(d, 0) }, want: 1300 * time.Millisecond},
+		"listed after a cut":      {learn: listedAfterACut, want: 5300 * time.Millisecond},
 		"told before it was read": {learn: toldThenListed, want: 300 * time.Millisecond},
-		"not draining":            {learn: func(d *Directory) { d.Replace([]Worker{worker("a", StateReady)}) }},
+		"not draining":            {learn: func(d *Directory) { d.Replace([]Worker{worker("a", StateReady)}, time.Now()) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -35,23 +38,34 @@
 	}
 }
 
+// toldLate brings news that the first process has known for some time.
+func toldLate(d *Directory, age time.Duration) {
+	d.Update([]Worker{worker("a", StateDraining)}, nil, Learned{"a": time.Now().Add(-age)})
+}
+
+// listedAfterACut finds a draining worker 5 s after all was known last.
+func listedAfterACut(d *Directory) {
+	d.Replace([]Worker{worker("a", StateReady)}, time.Now())
+	d.Replace([]Worker{worker("a", StateDraining)}, time.Now().Add(-5*time.Second))
+}
+
 func toldThenListed(d *Directory) {
-	d.Update([]Worker{worker("a", StateDraining)}, nil)
-	d.Replace([]Worker{worker("a", StateDraining)})
+	d.Update([]Worker{worker("a", StateDraining)}, nil, nil)
+	d.Replace([]Worker{worker("a", StateDraining)}, time.Now())
 }
 
 func TestGoneWorkersAreRemembered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		directory := NewDirectory()
-		directory.Replace([]Worker{worker("a", StateReady), worker("b", StateReady)})
-		directory.Replace([]Worker{worker("b", StateReady)})
-		directory.Update(nil, []ID{"b", "never known"})
+		directory.Replace([]Worker{worker("a", StateReady), worker("b", StateReady)}, time.Now())
+		directory.Replace([]Worker{worker("b", StateReady)}, time.Now())
+		directory.Update(nil, []ID{"b", "never known"}, nil)
 		time.Sleep(time.Second)
 		assert.Equal(t, directory.GoneFor("a"), time.Second)
 		assert.Equal(t, directory.GoneFor("b"), time.Second)
 		assert.Equal(t, directory.GoneFor("never known"), time.Duration(0))
 		assert.Equal(t, directory.Count(), 0)
-		directory.Update([]Worker{worker("a", StateReady)}, nil)
+		directory.Update([]Worker{worker("a", StateReady)}, nil, nil)
 		assert.Equal(t, directory.GoneFor("a"), time.Duration(0))
 		list, _ := directory.Of("s")
 		assert.Equal(t, len(list), 1)
@@ -65,21 +79,25 @@
 		// known a moment later, and known at the end.
 		soon, late bool
 	}{
-		"listed without it":        {learn: func(d *Directory) { d.Replace(nil) }, soon: true},
-		"told that it is gone":     {learn: func(d *Directory) { d.Update(nil, []ID{"a"}) }, soon: true},
-		"gone twice":               {learn: func(d *Directory) { d.Update(nil, []ID{"a"}); d.Replace(nil) }, soon: true},
-		"back soon":                {learn: func(d *Directory) { d.Replace(nil); d.Update([]Worker{ready}, nil) }, soon: true, late: true},
-		"back in a list":           {learn: func(d *Directory) { d.Replace(nil); d.Replace([]Worker{ready}) }, soon: true, late: true},
-		"draining when it went":    {learn: func(d *Directory) { d.Update([]Worker{draining}, nil); d.Replace(nil) }},
-		"drains after it was back": {learn: func(d *Directory) { d.Replace(nil); d.Update([]Worker{draining}, nil); d.Replace(nil) }},
-		"others were not cut off":  {learn: func(d *Directory) { d.Replace(nil); d.EndSettling() }},
-		"nor before it was gone":   {learn: func(d *Directory) { d.EndSettling(); d.Replace(nil) }},
-		"after all have settled":   {learn: func(d *Directory) { time.Sleep(2 * SettleTime); d.Replace(nil) }},
+		"listed without it":     {learn: func(d *Directory) { d.Replace(nil, time.Now()) }, soon: true},
+		"told that it is gone":  {learn: func(d *Directory) { d.Update(nil, []ID{"a"}, nil) }, soon: true},
+		"gone twice":            {learn: func(d *Directory) { d.Update(nil, []ID{"a"}, nil); d.Replace(nil, time.Now()) }, soon: true},
+		"back soon":             {learn: func(d *Directory) { d.Replace(nil, time.Now()); d.Update([]Worker{ready}, nil, nil) }, soon: true, late: true},
+		"back in a list":        {learn: func(d *Directory) { d.Replace(nil, time.Now()); d.Replace([]Worker{ready}, time.Now()) }, soon: true, late: true},
+		"draining when it went": {learn: func(d *Directory) { d.Update([]Worker{draining}, nil, nil); d.Replace(nil, time.Now()) }},
+		"drains after it was back": {learn: func(d *Directory) {
+			d.Replace(nil, time.Now())
+			d.Update([]Worker{draining}, nil, nil)
+			d.Replace(nil, time.Now())
+		}},
+		"others were not cut off": {learn: func(d *Directory) { d.Replace(nil, time.Now()); d.EndSettling() }},
+		"nor before it was gone":  {learn: func(d *Directory) { d.EndSettling(); d.Replace(nil, time.Now()) }},
+		"after all have settled":  {learn: func(d *Directory) { time.Sleep(2 * SettleTime); d.Replace(nil, time.Now()) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				directory := NewDirectory()
-				directory.Replace([]Worker{ready})
+				directory.Replace([]Worker{ready}, time.Now())
 				directory.Settle(time.Now().Add(SettleTime))
 				c.learn(directory)
 				_, known := directory.Get("a")
@@ -103,9 +121,9 @@
 		want     Vanished
 		expired  []ID
 	}{
-		"from a list":       {learn: func(d *Directory) Vanished { return d.Replace(nil) }, want: Vanished{Gone: []ID{"a"}}},
-		"by a change":       {learn: func(d *Directory) Vanished { return d.Update(nil, []ID{"a", "never known"}) }, want: Vanished{Gone: []ID{"a"}}},
-		"kept":              {settling: true, learn: func(d *Directory) Vanished { return d.Replace(nil) }, want: Vanished{Kept: []ID{"a"}}, expired: []ID{"a"}},
+		"from a list":       {learn: func(d *Directory) Vanished { return d.Replace(nil, time.Now()) }, want: Vanished{Gone: []ID{"a"}}},
+		"by a change":       {learn: func(d *Directory) Vanished { return d.Update(nil, []ID{"a", "never known"}, nil) }, want: Vanished{Gone: []ID{"a"}}},
+		"kept":              {settling: true, learn: func(d *Directory) Vanished { return d.Replace(nil, time.Now()) }, want: Vanished{Kept: []ID{"a"}}, expired: []ID{"a"}},
 		"kept, told again":  {settling: true, learn: goneTwice, want: Vanished{}, expired: []ID{"a"}},
 		"kept, and is back": {settling: true, learn: goneAndBack, want: Vanished{}},
 	} {
@@ -114,7 +132,7 @@
 				directory := NewDirectory()
 				var expired []ID
 				directory.OnExpired(func(ids []ID) { expired = append(expired, ids...) })
-				directory.Replace([]Worker{worker("a", StateReady)})
+				directory.Replace([]Worker{worker("a", StateReady)}, time.Now())
 				if c.settling {
 					directory.Settle(time.Now().Add(SettleTime))
 				}
@@ -130,13 +148,13 @@
 }
 
 func goneTwice(d *Directory) Vanished {
-	d.Replace(nil)
-	return d.Update(nil, []ID{"a"})
+	d.Replace(nil, time.Now())
+	return d.Update(nil, []ID{"a"}, nil)
 }
 
 func goneAndBack(d *Directory) Vanished {
-	d.Replace(nil)
-	return d.Update([]Worker{worker("a", StateReady)}, nil)
+	d.Replace(nil, time.Now())
+	return d.Update([]Worker{worker("a", StateReady)}, nil, nil)
 }
 
 // A service that comes and goes begins the wait anew each time. A worker that left is not kept
@@ -144,13 +162,13 @@
 func TestAVanishedEntryIsWaitedForOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		directory := NewDirectory()
-		directory.Replace([]Worker{worker("a", StateReady)})
+		directory.Replace([]Worker{worker("a", StateReady)}, time.Now())
 		directory.Settle(time.Now().Add(SettleTime))
-		directory.Replace(nil)
+		directory.Replace(nil, time.Now())
 		for range 5 {
 			time.Sleep(SettleTime / 2)
 			directory.Settle(time.Now().Add(SettleTime))
-			directory.Replace(nil)
+			directory.Replace(nil, time.Now())
 		}
 		synctest.Wait()
 		_, known := directory.Get("a")
@@ -177,10 +195,10 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				directory := NewDirectory()
-				directory.Replace([]Worker{worker("a", StateReady)})
+				directory.Replace([]Worker{worker("a", StateReady)}, time.Now())
 				began := time.Now()
 				c.settle(directory, began)
-				directory.Update(nil, []ID{"a"})
+				directory.Update(nil, []ID{"a"}, nil)
 				for directory.Count() > 0 {
 					time.Sleep(time.Millisecond)
 					synctest.Wait()
@@ -197,12 +215,12 @@
 		assert.Equal(t, directory.GoneFor("a"), time.Duration(0))
 		time.Sleep(time.Second)
 		assert.Equal(t, directory.GoneFor("a"), time.Duration(0), "no list was read")
-		directory.Replace(nil)
+		directory.Replace(nil, time.Now())
 		time.Sleep(time.Second)
 		assert.Equal(t, directory.GoneFor("a"), time.Duration(0), "its entry may be on its way")
 		time.Sleep(time.Second)
 		assert.Equal(t, directory.GoneFor("a"), time.Second)
-		directory.Update([]Worker{worker("a", StateReady)}, nil)
+		directory.Update([]Worker{worker("a", StateReady)}, nil, nil)
 		assert.Equal(t, directory.GoneFor("a"), time.Duration(0))
 	})
 }
@@ -211,11 +229,11 @@
 func TestTimesOfWorkersCountASuspension(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		directory := NewDirectory()
-		directory.Replace([]Worker{worker("drains", StateReady), worker("leaves", StateReady), worker("lapses", StateReady)})
+		directory.Replace([]Worker{worker("drains", StateReady), worker("leaves", StateReady), worker("lapses", StateReady)}, time.Now())
 		directory.Settle(clock.Now().Add(time.Hour))
-		directory.Update([]Worker{worker("drains", StateDraining)}, []ID{"lapses"})
+		directory.Update([]Worker{worker("drains", StateDraining)}, []ID{"lapses"}, nil)
 		directory.Settle(clock.Now())
-		directory.Update(nil, []ID{"leaves"})
+		directory.Update(nil, []ID{"leaves"}, nil)
 		defer clock.Suspend(8 * time.Second)()
 		assert.Equal(t, directory.DrainingFor("drains"), 8*time.Second)
 		assert.Equal(t, directory.GoneFor("leaves"), 8*time.Second)
