Choose workers of pools by zone, region and elsewhere, and only in allowed regions

Cause: another region was as near as the next zone (`remoteGain` alone), and nothing read where routes and tenants may be served.

Change: a request leaves its zone, and its region, for what its caller gains beyond what the crossing costs (proxy/crossing.go, pure; the way of before stays beside it for one region). The size of a route's answers is learned. Large bodies cross only where their region has nobody in time, and within an equal part of 1 MB/s (proxy/bulkgate.go); second copies of them stay in their region. Allowed regions bind workers of pools, repeats, copies and owners of keys; without a worker inside the answer is 503 `region-not-allowed` at once. Unknown zones are told once.

Tests: crossing_test.go, regions_test.go, zones_test.go. pick_test.go and subset_test.go only pass the target in the new argument.

--- /dev/null
+++ b/internal/proxy/bulkgate.go
@@ -0,0 +1,44 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// bulkAcross is what large bodies may take of a link between regions, in bytes a second, all
+// routers of a region together: an eighth of a link of 64 Mbit/s, so that what holds, keys and
+// small requests need is never queued behind them.
+const bulkAcross = 1 << 20
+
+// bulkGate lets one router's part of the large bodies through between regions. Each router
+// may use an equal part by the number of routers that it heard of last, also while it is cut
+// off: nothing is asked and nothing lent, so that no message is late when the link is full.
+//
+// A router that has sent none for a while waits a random part of its pause first: the region
+// is short of workers for all routers at the same moment, and thirty of them that each send a
+// body of 90 kB at once fill a link of 62 Mbit/s for 350 ms. It is safe for concurrent use.
+type bulkGate struct {
+	mu sync.Mutex
+	// next is when the next body may pass.
+	next time.Time
+}
+
+// take asks whether a body of that many bytes may pass now.
+func (g *bulkGate) take(now time.Time, bytes float64, routers int) bool {
+	if routers <= 0 {
+		routers = assumedNodes
+	}
+	pause := time.Duration(bytes * float64(routers) / bulkAcross * float64(time.Second))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case now.Sub(g.next) > pause:
+		g.next = now.Add(time.Duration(rand.Float64() * float64(pause)))
+		return false
+	case now.Before(g.next):
+		return false
+	}
+	g.next = now.Add(pause)
+	return true
+}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -136,8 +136,11 @@
 	if c.service.Keyed && (got.outcome == outcomeAnswered || got.outcome == outcomeLate) {
 		p.Meter.Served(worker.ID, got.took)
 	}
-	if measured && got.outcome == outcomeAnswered {
-		c.state.answered(got.took, mean)
+	if got.outcome == outcomeAnswered {
+		p.fleet.sizes.add(c.route, c.bytes(&got))
+		if measured {
+			c.state.answered(got.took, mean)
+		}
 	}
 	p.Metrics.sent(c.service.Name, got.outcome)
 	c.watchEnd(to, &got)
--- /dev/null
+++ b/internal/proxy/crossing_test.go
@@ -0,0 +1,125 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/topology"
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// lateBy gives the shares of late answers by their mean time.
+func lateBy(mean time.Duration) float64 { return min(1, mean.Seconds()) }
+
+func TestChoiceByDistance(t *testing.T) {
+	zone, region, across := &backend{}, &backend{}, &backend{}
+	at := func(to *backend, late float64) choice {
+		return choice{to: to, estimate: time.Duration(late * float64(time.Second))}
+	}
+	none := choice{}
+	small, large := need{bytes: 2000}, need{bytes: 90_000, bulk: true}
+	for name, test := range map[string]struct {
+		policy crossing
+		by     nearest
+		asks   need
+		spare  bool
+		want   *backend
+	}{
+		"nobody":                      {regional, nearest{}, small, true, nil},
+		"the own zone for a little":   {regional, nearest{at(zone, 0.15), at(region, 0.1), at(across, 0.1)}, small, true, zone},
+		"the next zone for more":      {regional, nearest{at(zone, 0.3), at(region, 0.2), at(across, 0.1)}, small, true, region},
+		"the next region for much":    {regional, nearest{at(zone, 0.5), at(region, 0.4), at(across, 0.1)}, small, true, across},
+		"a small one where none else": {regional, nearest{none, none, at(across, 0.9)}, small, false, across},
+		"one that must stay":          {regional, nearest{none, none, at(across, 0.1)}, need{stay: true}, true, nil},
+		"bulk that would be late":     {regional, nearest{at(zone, 0.7), none, at(across, 0)}, large, true, zone},
+		"bulk, nobody near":           {regional, nearest{none, none, at(across, 0.1)}, large, true, across},
+		"bulk, nobody near, no room":  {regional, nearest{none, none, at(across, 0.1)}, large, false, nil},
+		"bulk, region has no time":    {regional, nearest{at(zone, 0.9), none, at(across, 0.1)}, large, true, across},
+		"bulk, neither has time":      {regional, nearest{at(zone, 0.9), none, at(across, 0.95)}, large, true, zone},
+		"zones only, bulk":            {zoned, nearest{at(zone, 0.3), none, at(across, 0.1)}, large, false, across},
+		"zones only, for a little":    {zoned, nearest{at(zone, 0.15), none, at(across, 0.1)}, small, false, zone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := test.policy.choose(test.by, test.asks, lateBy, func() bool { return test.spare })
+			assert.Assert(t, got.to == test.want)
+		})
+	}
+}
+
+// Only a large body that would cross asks for room on the link.
+func TestRoomIsAskedForLargeBodiesThatCross(t *testing.T) {
+	near, across := choice{to: &backend{}}, choice{to: &backend{}}
+	for name, test := range map[string]struct {
+		by   nearest
+		asks need
+		want int
+	}{
+		"small":              {nearest{{}, {}, across}, need{}, 0},
+		"large, served near": {nearest{near, {}, across}, need{bulk: true}, 0},
+		"large, crossing":    {nearest{{}, {}, across}, need{bulk: true}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			asked := 0
+			regional.choose(test.by, test.asks, lateBy, func() bool { asked++; return true })
+			assert.Equal(t, asked, test.want)
+		})
+	}
+}
+
+// A pool's region that is full sends small requests on, and keeps large ones.
+func TestFullRegionSendsSmallRequestsOn(t *testing.T) {
+	directory := workers.NewDirectory()
+	directory.Replace([]workers.Worker{
+		{ID: "near", Service: "s", Zone: "a1", Slots: 1, State: workers.StateReady},
+		{ID: "far", Service: "s", Zone: "b1", Slots: 1, State: workers.StateReady},
+	}, time.Now())
+	f := newFleet("a2", directory, BudgetLimits{})
+	f.places = topology.New(map[topology.Zone]topology.Region{"a1": "a", "a2": "a", "b1": "b"})
+	f.policy = regional
+	of, service := &routing.Service{Name: "s"}, &serviceState{}
+	now := time.Now()
+	small, large := need{target: 150 * time.Millisecond, bytes: 3000}, need{target: 150 * time.Millisecond, bytes: 90_000, bulk: true}
+	pick := func(asks need) workers.ID { return f.pick(now, service, of, asks, nil, 1).to.id() }
+	assert.Equal(t, pick(small), workers.ID("near"))
+	near, _ := directory.Get("near")
+	f.get(near).begin()
+	assert.Equal(t, pick(small), workers.ID("far"), "it would wait at the near one")
+	assert.Equal(t, pick(large), workers.ID("near"))
+}
+
+// Together the routers of a region stay below the link's part for large bodies, and no two
+// bodies in a row of one router come closer than its pause.
+func TestBulkGateBoundsAllRoutersTogether(t *testing.T) {
+	const routers, bytes = 30, 90_000
+	gates := make([]bulkGate, routers)
+	start := time.Now()
+	passed := 0
+	for tick := range 2000 {
+		now := start.Add(time.Duration(tick) * 5 * time.Millisecond)
+		for index := range gates {
+			if gates[index].take(now, bytes, routers) {
+				passed++
+			}
+		}
+	}
+	rate := float64(passed*bytes) / 10
+	assert.Assert(t, rate <= bulkAcross && rate > bulkAcross*0.7, "%.0f bytes a second", rate)
+}
+
+func TestSizesAreLearnedByRoute(t *testing.T) {
+	s := newSizes()
+	small, bulk := &routing.Route{Name: "a"}, &routing.Route{Name: "b", Class: routing.BulkDown}
+	assert.Equal(t, s.of(small), float64(usualSmall))
+	assert.Equal(t, s.of(bulk), float64(usualBulk))
+	for range 200 {
+		s.add(small, 60_000)
+	}
+	assert.Assert(t, bulky(small.Class, s.of(small)), "its answers are large whatever it says")
+	config, err := routing.Build(1, nil, nil, routing.Limits{})
+	assert.NilError(t, err)
+	s.keep(config)
+	assert.Equal(t, s.of(small), float64(usualSmall))
+}
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/topology"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -22,11 +23,16 @@
 	limits BudgetLimits
 	// seed makes the subsets of this process its own.
 	seed maphash.Seed
+	// places are the zones' regions, and policy says what a request must gain to leave them.
+	places topology.Map
+	policy crossing
+	sizes  *sizes
+	bulk   bulkGate
 }
 
 func newFleet(zone string, directory *workers.Directory, limits BudgetLimits) *fleet {
 	return &fleet{
-		zone: zone, directory: directory, limits: limits, seed: maphash.MakeSeed(),
+		zone: zone, directory: directory, limits: limits, seed: maphash.MakeSeed(), policy: zoned, sizes: newSizes(),
 		byID: map[workers.ID]*backend{}, services: map[routing.ServiceName]*serviceState{},
 		means: map[routing.ServiceName]*toldMeans{},
 	}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -32,10 +32,12 @@
 
 // Reasons of answers that no worker gave.
 const (
-	reasonNoConfig  = "no-configuration"
-	reasonNoRoute   = "no-route"
-	reasonNoWorker  = "no-worker"
-	reasonNoOwner   = "no-owner"
+	reasonNoConfig = "no-configuration"
+	reasonNoRoute  = "no-route"
+	reasonNoWorker = "no-worker"
+	reasonNoOwner  = "no-owner"
+	// reasonRegion: the request may be served in regions only that have no worker for it.
+	reasonRegion    = "region-not-allowed"
 	reasonMoving    = "key-moving"
 	reasonOwnerDown = "owner-unusable"
 	reasonOwnerGone = "owner-gone"
@@ -104,6 +106,7 @@
 			return false
 		}
 		if p.current.CompareAndSwap(old, &active{config: config, splitter: routing.NewSplitter(rand.IntN), since: clock.Now()}) {
+			p.fleet.sizes.keep(config)
 			return true
 		}
 	}
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -79,6 +79,10 @@
 		if to != nil {
 			return c.unlessBusy(to)
 		}
+		if reason == reasonRegion {
+			c.giveUp(reason, regionReturn)
+			return nil
+		}
 		patience := ownerShare
 		if reason == reasonMoving {
 			patience = moveShare
@@ -109,6 +113,8 @@
 	switch {
 	case to == nil:
 		return nil, reasonOwnerGone
+	case c.bound() && !c.servedIn(c.proxy.fleet.regionOf(to.described())):
+		return nil, reasonRegion
 	case c.proxy.fleet.directory.EvacuatedFor(to.described().Zone) > c.evacuationGrace():
 		return nil, reasonEvacuated
 	case !to.usableOwner(clock.Now()):
--- a/internal/proxy/pick.go
+++ b/internal/proxy/pick.go
@@ -5,15 +5,12 @@
 	"time"
 
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/topology"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
 // Constants of picking.
 const (
-	// remoteGain is the share of requests that must be answered in time beyond what a
-	// worker of the own zone can do for another zone's to be taken: bytes between zones
-	// have their price.
-	remoteGain = 0.07
 	// jitter keeps processes that know the same from picking the same worker.
 	jitter = 0.12
 	// fullCrowd is the number of requests at a worker, as a multiple of its
@@ -43,9 +40,11 @@
 type member struct {
 	id      workers.ID
 	backend *backend
-	// near workers stand in the own zone; preferred ones are those of them that this
-	// process sends to first.
-	near, preferred bool
+	region  topology.Region
+	// distance from this process; preferred workers are those of the own zone that it sends
+	// to first.
+	distance  topology.Distance
+	preferred bool
 }
 
 // members are a service's workers as picking needs them. They are made anew only when the
@@ -84,7 +83,8 @@
 	list := make([]member, 0, len(announced))
 	for _, worker := range announced {
 		list = append(list, member{
-			id: worker.ID, backend: f.get(worker), near: worker.Zone == f.zone, preferred: preferred[worker.ID],
+			id: worker.ID, backend: f.get(worker), region: f.regionOf(worker), distance: f.distance(worker.Zone),
+			preferred: preferred[worker.ID],
 		})
 	}
 	return list
@@ -120,9 +120,9 @@
 
 // pick chooses a worker of a pool; none may be sent to now if it has no backend. nodes is
 // how many processes there are.
-func (f *fleet) pick(now time.Time, service *serviceState, of *routing.Service, target time.Duration, tried map[workers.ID]bool, nodes int) choice {
+func (f *fleet) pick(now time.Time, service *serviceState, of *routing.Service, asks need, tried map[workers.ID]bool, nodes int) choice {
 	for {
-		picked := f.soonest(now, service, of, target, tried, nodes)
+		picked := f.soonest(now, service, of, asks, tried, nodes)
 		if picked.to == nil || picked.to.admit(now, of.ColdRate, nodes) {
 			return picked
 		}
@@ -130,11 +130,12 @@
 }
 
 // soonest returns the worker that a request is best sent to.
-func (f *fleet) soonest(now time.Time, service *serviceState, of *routing.Service, target time.Duration, tried map[workers.ID]bool, nodes int) choice {
+func (f *fleet) soonest(now time.Time, service *serviceState, of *routing.Service, asks need, tried map[workers.ID]bool, nodes int) choice {
 	list, usual := f.membersOf(now, service, of.Name, nodes)
-	var first, local, remote choice
+	var first choice
+	var by nearest
 	for _, one := range list {
-		if tried[one.id] {
+		if tried[one.id] || asks.serves != nil && !asks.serves(one.region) {
 			continue
 		}
 		candidate, ok := one.backend.assess(now, usual, of.ColdRate, nodes)
@@ -142,25 +143,16 @@
 			continue
 		}
 		candidate.estimate = time.Duration(float64(candidate.estimate) * (1 + jitter*rand.Float64()))
-		switch {
-		case !one.near:
-			remote = remote.sooner(candidate)
-		case one.preferred:
+		if one.preferred {
 			first = first.sooner(candidate)
-		default:
-			local = local.sooner(candidate)
+		} else {
+			by[one.distance] = by[one.distance].sooner(candidate)
 		}
 	}
 	if first.to == nil || !first.free {
-		local = local.sooner(first)
-	} else {
-		local = first
+		first = by[topology.SameZone].sooner(first)
 	}
-	switch {
-	case local.to == nil:
-		return remote
-	case remote.to == nil || service.late(local.estimate, target)-service.late(remote.estimate, target) <= remoteGain:
-		return local
-	}
-	return remote
+	by[topology.SameZone] = first
+	late := func(mean time.Duration) float64 { return service.late(mean, asks.target) }
+	return f.policy.choose(by, asks, late, func() bool { return f.bulk.take(now, asks.bytes, nodes) })
 }
--- a/internal/proxy/pick_test.go
+++ b/internal/proxy/pick_test.go
@@ -30,7 +30,7 @@
 	of, service := &routing.Service{Name: "s", ColdRate: 4.2}, &serviceState{}
 	now := time.Now()
 	for b.Loop() {
-		f.pick(now, service, of, time.Second, nil, 74)
+		f.pick(now, service, of, need{target: time.Second}, nil, 74)
 	}
 }
 
@@ -45,7 +45,7 @@
 		one.backend.begin()
 		one.backend.end(now, &result{outcome: outcomeNotRun, loaded: true, load: Load{Running: 3, Waiting: 12, Slots: 3}})
 	}
-	pick := func(at time.Time) *backend { return f.pick(at, service, of, time.Second, nil, 74).to }
+	pick := func(at time.Time) *backend { return f.pick(at, service, of, need{target: time.Second}, nil, 74).to }
 	assert.Assert(t, pick(now.Add(100*time.Millisecond)) == nil)
 	assert.Assert(t, pick(now.Add(5*time.Second)) != nil)
 }
--- a/internal/proxy/pooled.go
+++ b/internal/proxy/pooled.go
@@ -49,13 +49,15 @@
 		return c.sendTo(picked.to, c.deadline.Add(-answerMargin))
 	}
 	return c.sendHedged(picked, func() *backend {
-		return c.pick(clock.Now(), map[workers.ID]bool{picked.to.id(): true}).to
+		asks := c.need()
+		asks.stay = asks.bulk // the link between regions must not carry a large body twice
+		return c.pick(clock.Now(), asks, map[workers.ID]bool{picked.to.id(): true}).to
 	})
 }
 
 // pick chooses a worker that was not tried.
-func (c *call) pick(now time.Time, tried map[workers.ID]bool) choice {
-	return c.proxy.fleet.pick(now, c.state, c.service, c.route.Target, tried, int(c.proxy.Nodes.Load()))
+func (c *call) pick(now time.Time, asks need, tried map[workers.ID]bool) choice {
+	return c.proxy.fleet.pick(now, c.state, c.service, asks, tried, int(c.proxy.Nodes.Load()))
 }
 
 // await picks a worker, and waits a moment for one. It returns none after it has
@@ -64,7 +66,7 @@
 	patient := c.began.Add(time.Duration(queueShare * float64(c.route.Target)))
 	for {
 		now := clock.Now()
-		if picked := c.pick(now, c.tried); picked.to != nil {
+		if picked := c.pick(now, c.need(), c.tried); picked.to != nil {
 			if picked.estimate < c.left() || c.allowed.sends() > 0 {
 				return picked
 			}
@@ -74,6 +76,10 @@
 		if len(c.tried) > 0 && c.forget() {
 			continue
 		}
+		if c.nowhere() {
+			c.giveUp(reasonRegion, regionReturn)
+			return choice{}
+		}
 		if now.After(patient) || c.left() <= answerMargin {
 			c.giveUp(c.noWorker(), 100*time.Millisecond)
 			return choice{}
@@ -98,8 +104,7 @@
 // forget lets workers be tried again that did not run the request, once all
 // others were tried.
 func (c *call) forget() bool {
-	list, _ := c.proxy.fleet.directory.Usable(c.service.Name)
-	if len(c.tried) < len(list) {
+	if len(c.tried) < c.usable() {
 		return false
 	}
 	clear(c.tried)
@@ -107,7 +112,7 @@
 }
 
 func (c *call) noWorker() string {
-	if list, _ := c.proxy.fleet.directory.Usable(c.service.Name); len(list) == 0 {
+	if c.usable() == 0 {
 		return reasonNoWorker
 	}
 	return reasonBusy
--- /dev/null
+++ b/internal/proxy/regions_test.go
@@ -0,0 +1,97 @@
+package proxy
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/topology"
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// twoRegions has the zone of the tests' processes in one and "far" in another.
+var twoRegions = topology.New(map[topology.Zone]topology.Region{"z": "near", "far": "abroad"})
+
+// binds lets the routes be served in some regions only.
+func (f *front) binds(t *testing.T, version routing.Version, regions ...topology.Region) {
+	t.Helper()
+	config := testConfig(t, version)
+	for _, prefix := range []string{"/safe/", "/unsafe/", "/keyed/"} {
+		config.Match("app.example", prefix).Regions = regions
+	}
+	assert.Assert(t, f.proxy.Use(config))
+}
+
+func TestPoolsServeInAllowedRegionsOnly(t *testing.T) {
+	near, far := newWorker(t, "w1", answers("near")), newWorker(t, "w2", answers("far"))
+	abroad := far.entry("pool")
+	abroad.Zone = "far"
+	for name, test := range map[string]struct {
+		list    []workers.Worker
+		regions []topology.Region
+		body    string
+		status  int
+	}{
+		"any":                  {[]workers.Worker{near.entry("pool"), abroad}, nil, "near", http.StatusOK},
+		"the other one":        {[]workers.Worker{near.entry("pool"), abroad}, []topology.Region{"abroad"}, "far", http.StatusOK},
+		"no worker inside":     {[]workers.Worker{near.entry("pool")}, []topology.Region{"abroad"}, reasonRegion + "\n", http.StatusServiceUnavailable},
+		"a region without any": {[]workers.Worker{near.entry("pool"), abroad}, []topology.Region{"elsewhere"}, reasonRegion + "\n", http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFront(t, test.list...)
+			f.proxy.Locate(twoRegions)
+			f.binds(t, 2, test.regions...)
+			for range 5 {
+				response, body := f.get(t, "GET", "/safe/", "")
+				assert.Equal(t, response.StatusCode, test.status)
+				assert.Equal(t, body, test.body)
+			}
+		})
+	}
+}
+
+// A worker inside that refuses is tried again, and none outside.
+func TestRefusedInsideStaysInside(t *testing.T) {
+	inside, outside := newWorker(t, "w1", refuses), newWorker(t, "w2", answers("x"))
+	abroad := outside.entry("pool")
+	abroad.Zone = "far"
+	f := newFront(t, inside.entry("pool"), abroad)
+	f.proxy.Locate(twoRegions)
+	f.binds(t, 2, "near")
+	response, _ := f.get(t, "POST", "/unsafe/", "x")
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, outside.arrivals(), 0)
+	assert.Assert(t, inside.arrivals() > 1)
+}
+
+func TestKeyOwnedInTheWrongRegionIsNotServed(t *testing.T) {
+	w := newWorker(t, "w1", answers("x"))
+	entry := w.entry("keyed")
+	entry.Zone = "far"
+	f := newFront(t, entry)
+	f.proxy.Locate(twoRegions)
+	f.owns(entry)
+	_, body := f.get(t, "GET", "/keyed/", "", "X-Key", "7")
+	assert.Equal(t, body, "x", "any region may serve")
+	f.binds(t, 2, "near")
+	response, body := f.get(t, "GET", "/keyed/", "", "X-Key", "7")
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, body, reasonRegion+"\n")
+	assert.Assert(t, response.Header.Get("Retry-After") != "")
+	assert.Equal(t, w.arrivals(), 1)
+}
+
+// An owner that is no longer announced stands in a zone that nobody knows.
+func TestVanishedOwnerServesNoBoundRequest(t *testing.T) {
+	w := newWorker(t, "w1", answers("x"))
+	entry := w.entry("keyed")
+	f := newFront(t)
+	f.proxy.Locate(twoRegions)
+	f.owns(entry)
+	f.binds(t, 2, "near")
+	response, _ := f.get(t, "GET", "/keyed/", "", "X-Key", "7")
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, w.arrivals(), 0)
+}
--- /dev/null
+++ b/internal/proxy/sizes.go
@@ -0,0 +1,74 @@
+package proxy
+
+import (
+	"strconv"
+	"sync"
+
+	"github.com/shalefork/shalefork/internal/routing"
+)
+
+// Sizes of requests and answers of which nothing is known yet, in bytes, heads included.
+const (
+	usualSmall = 4 << 10
+	usualBulk  = 100 << 10
+	// sizeShare is the weight of a new answer: some tens of them tell the mean.
+	sizeShare = 0.05
+)
+
+// sizes are the mean bytes of a request and its answer, by route. It is safe for concurrent
+// use.
+type sizes struct {
+	mu   sync.Mutex
+	mean map[string]float64
+}
+
+func newSizes() *sizes { return &sizes{mean: map[string]float64{}} }
+
+// add takes the size of one request and its answer.
+func (s *sizes) add(route *routing.Route, bytes float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	mean := s.meanOf(route)
+	s.mean[route.Name] = mean + sizeShare*(bytes-mean)
+}
+
+// of returns the expected size.
+func (s *sizes) of(route *routing.Route) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.meanOf(route)
+}
+
+// meanOf is of for a caller that holds mu.
+func (s *sizes) meanOf(route *routing.Route) float64 {
+	if mean, known := s.mean[route.Name]; known {
+		return mean
+	}
+	if route.Class != routing.Small {
+		return usualBulk
+	}
+	return usualSmall
+}
+
+// keep forgets the routes that a configuration does not have.
+func (s *sizes) keep(config *routing.Config) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name := range s.mean {
+		if !config.HasRoute(name) {
+			delete(s.mean, name)
+		}
+	}
+}
+
+// headBytes is what the heads of a request and its answer have on average.
+const headBytes = 600
+
+// bytes returns the size of the request and its answer, as far as their heads tell.
+func (c *call) bytes(got *result) float64 {
+	size := int64(len(got.body))
+	if length, err := strconv.ParseInt(got.header.Get("Content-Length"), 10, 64); err == nil {
+		size = max(size, length)
+	}
+	return float64(headBytes + max(0, c.message.length) + size)
+}
--- a/internal/proxy/subset_test.go
+++ b/internal/proxy/subset_test.go
@@ -66,11 +66,11 @@
 	now := time.Now()
 	chosen := map[workers.ID]int{}
 	for range 2 * leastSubset {
-		picked := f.pick(now, service, &routing.Service{Name: "s"}, time.Second, nil, 30)
+		picked := f.pick(now, service, &routing.Service{Name: "s"}, need{target: time.Second}, nil, 30)
 		picked.to.begin()
 		chosen[picked.to.id()]++
 	}
 	assert.Equal(t, len(chosen), leastSubset)
-	picked := f.pick(now, service, &routing.Service{Name: "s"}, time.Second, nil, 30)
+	picked := f.pick(now, service, &routing.Service{Name: "s"}, need{target: time.Second}, nil, 30)
 	assert.Equal(t, chosen[picked.to.id()], 0, "all slots of the preferred ones are taken")
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,6 +28,7 @@
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/settings"
 	"github.com/shalefork/shalefork/internal/standby"
+	"github.com/shalefork/shalefork/internal/topology"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -72,15 +73,17 @@
 type Router struct {
 	settings settings.Router
 	adapter  Adapter
-	log      *decision.Log
-	metrics  Metrics
-	workers  *workers.Directory
-	table    *keytable.Table
-	meter    *peerlink.Meter
-	proxy    *proxy.Proxy
-	hub      *peerlink.Hub
-	keeper   *keeper.Keeper
-	standby  *standby.Standby
+	// places are the regions of the zones.
+	places  topology.Map
+	log     *decision.Log
+	metrics Metrics
+	workers *workers.Directory
+	table   *keytable.Table
+	meter   *peerlink.Meter
+	proxy   *proxy.Proxy
+	hub     *peerlink.Hub
+	keeper  *keeper.Keeper
+	standby *standby.Standby
 	// process is unique to the life of this process.
 	process  string
 	election *election.Election
@@ -105,7 +108,7 @@
 func New(config settings.Router, adapter Adapter, log *decision.Log, metrics Metrics) *Router {
 	adapter.Store = meterStore(adapter.Store, metrics)
 	r := &Router{
-		settings: config, adapter: adapter, log: log, metrics: metrics,
+		settings: config, places: config.Places(), adapter: adapter, log: log, metrics: metrics,
 		workers: workers.NewDirectory(),
 		table:   keytable.New(),
 		meter:   peerlink.NewMeter(),
@@ -118,6 +121,7 @@
 	r.workers.OnExpired(r.entriesView.expired)
 	r.configView = newConfigView(r)
 	r.proxy = proxy.New(config.Zone, r.workers, limits(config))
+	r.proxy.Locate(r.places)
 	r.proxy.Headers, r.proxy.Table, r.proxy.Meter = adapter.Headers, r.table, r.meter
 	r.proxy.Drain, r.proxy.Evacuate = config.Drain.Std(), config.Evacuate.Std()
 	r.proxy.Log, r.proxy.Nodes, r.proxy.Metrics = log, r.nodes, proxy.NewMetrics(metrics)
--- a/internal/router/workersview.go
+++ b/internal/router/workersview.go
@@ -20,6 +20,7 @@
 	at coord.Revision
 	// lostAt is when the service was lost last.
 	lostAt time.Time
+	zones  strangeZones
 }
 
 // Snapshot implements coord.View.
@@ -35,6 +36,7 @@
 	for _, item := range items {
 		v.r.entries.read(item.Revision)
 		if worker, ok := v.r.adapter.ReadWorker(item); ok {
+			v.zones.note(v.r.places, worker, v.r.log)
 			list = append(list, worker)
 		}
 	}
@@ -117,6 +119,7 @@
 			v.r.log.Line(decision.KindWorker).Str("worker", string(id)).Str("state", string(worker.State)).
 				Str("service", string(worker.Service)).Int64("revision", int64(change.Revision)).Msg("")
 		}
+		v.zones.note(v.r.places, worker, v.r.log)
 		changed = append(changed, worker)
 	}
 	v.tellVanished(v.r.workers.Update(changed, gone, learned), at)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -187,3 +188,8 @@
 
 // Routes returns how many routes there are.
 func (c *Config) Routes() int { return len(c.routes) }
+
+// HasRoute reports whether there is a route of that name.
+func (c *Config) HasRoute(name string) bool {
+	return slices.ContainsFunc(c.routes, func(one *Route) bool { return one.Name == name })
+}
