Count bytes by kind and distance

Change: `shalefork_router_bytes_total` by kind (pooled, keyed, bulk, peers) and distance. What routers say to one another is counted at the side that is followed.

--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -11,6 +11,8 @@
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/topology"
+	"github.com/shalefork/shalefork/internal/traffic"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -35,6 +37,8 @@
 	Strength float64
 	// DirectNodes is up to how many processes the leader speaks with each of them.
 	DirectNodes int
+	// Traffic counts what is said to processes that follow this one; nil: nobody wants to know.
+	Traffic *traffic.Counter
 
 	mu      sync.Mutex
 	leading bool
@@ -223,7 +227,8 @@
 	}
 }
 
-func (h *Hub) handle(conn net.Conn) {
+func (h *Hub) handle(accepted net.Conn) {
+	conn := &traffic.Conn{Conn: accepted}
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	var hello Hello
@@ -231,6 +236,7 @@
 	if err := readLine(reader, &hello); err != nil {
 		return
 	}
+	conn.OnBytes(func(bytes int) { h.Traffic.Add(traffic.Peers, topology.Zone(hello.Zone), bytes) })
 	if h.asked != nil && hello.Term > 0 {
 		h.asked(hello.Term)
 	}
@@ -248,15 +254,15 @@
 	}
 	h.expectNodes(hello.Nodes, one.since)
 	redirect := ""
-	accepted := !hello.Ask && (leading || h.takesFollowers())
-	if accepted && leading {
+	takes := !hello.Ask && (leading || h.takesFollowers())
+	if takes && leading {
 		redirect = h.relayFor(one, one.since)
 	}
-	if accepted = accepted && redirect == ""; accepted {
+	if takes = takes && redirect == ""; takes {
 		h.links[one] = struct{}{}
 	}
 	h.mu.Unlock()
-	if !accepted {
+	if !takes {
 		_ = writeLine(conn, Update{Leading: leading, Term: term, Process: h.process, Redirect: redirect})
 		return
 	}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -137,7 +137,7 @@
 		p.Meter.Served(worker.ID, got.took)
 	}
 	if got.outcome == outcomeAnswered {
-		p.fleet.sizes.add(c.route, c.bytes(&got))
+		c.weigh(&worker, &got)
 		if measured {
 			c.state.answered(got.took, mean)
 		}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -16,6 +16,7 @@
 	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/traffic"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -74,6 +75,8 @@
 	// Nodes is how many processes there are; zero if not known.
 	Nodes   *atomic.Int32
 	Metrics *Metrics
+	// Traffic counts the bytes to and from workers; nil: nobody wants to know.
+	Traffic *traffic.Counter
 	// Suspects are the requests that were under way at workers that crashed.
 	Suspects *quarantine.View
 	// Quota of the tenants; nil: nobody has one.
--- a/internal/proxy/sizes.go
+++ b/internal/proxy/sizes.go
@@ -5,6 +5,9 @@
 	"sync"
 
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/topology"
+	"github.com/shalefork/shalefork/internal/traffic"
+	"github.com/shalefork/shalefork/internal/workers"
 )
 
 // Sizes of requests and answers of which nothing is known yet, in bytes, heads included.
@@ -64,11 +67,20 @@
 // headBytes is what the heads of a request and its answer have on average.
 const headBytes = 600
 
-// bytes returns the size of the request and its answer, as far as their heads tell.
-func (c *call) bytes(got *result) float64 {
+// weigh notes the size of the request and of a worker's answer, as far as their heads tell.
+func (c *call) weigh(worker *workers.Worker, got *result) {
 	size := int64(len(got.body))
 	if length, err := strconv.ParseInt(got.header.Get("Content-Length"), 10, 64); err == nil {
 		size = max(size, length)
 	}
-	return float64(headBytes + max(0, c.message.length) + size)
+	bytes := headBytes + max(0, c.message.length) + size
+	c.proxy.fleet.sizes.add(c.route, float64(bytes))
+	kind := traffic.Pooled
+	switch {
+	case bulky(c.route.Class, float64(bytes)):
+		kind = traffic.Bulk
+	case c.service.Keyed:
+		kind = traffic.Keyed
+	}
+	c.proxy.Traffic.Add(kind, topology.Zone(worker.Zone), int(bytes))
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -29,6 +29,7 @@
 	"github.com/shalefork/shalefork/internal/settings"
 	"github.com/shalefork/shalefork/internal/standby"
 	"github.com/shalefork/shalefork/internal/topology"
+	"github.com/shalefork/shalefork/internal/traffic"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -122,6 +123,7 @@
 	r.configView = newConfigView(r)
 	r.proxy = proxy.New(config.Zone, r.workers, limits(config))
 	r.proxy.Locate(r.places)
+	r.proxy.Traffic = traffic.NewCounter(topology.Zone(config.Zone), r.places, metrics)
 	r.proxy.Headers, r.proxy.Table, r.proxy.Meter = adapter.Headers, r.table, r.meter
 	r.proxy.Drain, r.proxy.Evacuate = config.Drain.Std(), config.Evacuate.Std()
 	r.proxy.Log, r.proxy.Nodes, r.proxy.Metrics = log, r.nodes, proxy.NewMetrics(metrics)
@@ -129,6 +131,7 @@
 	r.process = rand.Text()
 	r.hub = peerlink.NewHub(r.process, r.reports, r.known)
 	r.hub.Strength, r.hub.DirectNodes = config.Machine.Strength(), config.DirectRouters
+	r.hub.Traffic = r.proxy.Traffic
 	r.election = election.New(adapter.Store, KeyPrefix, config.PeerListen, r.process, rand.Text)
 	r.election.TTL = max(election.LeaseTTL, config.MinLease.Std())
 	r.keeper = &keeper.Keeper{
