Wait for no owner that no grant can have reached

Cause: keys that were given to a worker which had crashed before its first grant, and then given on, waited for it as for any former owner: until a lost standby's leave ended that it had not heard of in time, and a hold (10.1 s), or under a leader elected in between until all holds of the leader before had ended.

Change: a grant counts as possibly taken once it was answered, left without an answer, or told to a standby; a connection that was refused or never came up proves that nothing was sent. An owner of none of these is no former owner, neither in the book nor in the record. While such a record is being stored the owner gets no grant, so that the record stays true. A grant without an answer goes on being waited for.

Also: a grant in doubt was forgotten as soon as its keys were given back to the same worker; where that worker was then not reached and the keys were given on, nobody told it the new fence.

Ruled out: taking a refused connection for the end of the worker (its port may close alone), and leaving the owner itself out of what a next leader waits for: the record is older than its grants.

Tests: TestAnOwnerThatNoGrantReachedIsNotWaitedFor, TestTheNextLeaderDoesNotWaitForAnOwnerThatNoGrantReached, TestAnOwnerThatTheRecordLeavesOutGetsNoGrant, TestAGrantInDoubtOutlivesAReturnOfTheKeys, all four seen failing on the code before; three rows of the exhaustive model with two and three moves, cuts, a standby, and a successor; three mutations.

--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -75,6 +75,27 @@
 		new:  "\tif false {\n\t\tone.fence = b.nextFence()",
 		pkg:  "./internal/owner", test: "TestOneOwnerInAllTroubles",
 	},
+	{
+		name: "former-owner-in-doubt-not-waited-for",
+		file: "internal/owner/span.go",
+		old:  "\treturn s.granted || s.doubtful || s.listed || !s.heldUntil.IsZero() || !s.takenUntil.IsZero()",
+		new:  "\treturn s.granted",
+		pkg:  "./internal/owner", test: "TestAnOwnerThatNoGrantReachedIsNotWaitedFor",
+	},
+	{
+		name: "owner-left-out-of-the-record-granted",
+		file: "internal/owner/dispatch.go",
+		old:  "\tif one.planned != nil && !one.reached() {",
+		new:  "\tif false {",
+		pkg:  "./internal/owner", test: "TestAnOwnerThatTheRecordLeavesOutGetsNoGrant",
+	},
+	{
+		name: "grant-in-doubt-forgotten-as-keys-return",
+		file: "internal/owner/book.go",
+		old:  "\tmoved.takenUntil = held.lateUntil",
+		new:  "\tmoved.takenUntil = time.Time{}",
+		pkg:  "./internal/owner", test: "TestAGrantInDoubtOutlivesAReturnOfTheKeys",
+	},
 	{
 		name: "outwaited-owner-not-told",
 		file: "internal/owner/doubt.go",
--- a/internal/owner/book.go
+++ b/internal/owner/book.go
@@ -98,15 +98,16 @@
 		return
 	}
 	b.holdsVersion++
-	moved.formers = append(moved.formers, former{
-		worker: moved.owner, until: b.holdBound(moved), lateUntil: moved.takenUntil, version: b.holdsVersion,
-	})
-	b.dropDoubts(to, moved.keys)
-	// The new owner may still hold the keys from before.
-	held := time.Time{}
+	if moved.reached() {
+		moved.formers = append(moved.formers, b.formerOf(moved))
+	}
+	// The new owner may still hold the keys from before, or take a grant of then.
+	held := former{lateUntil: b.dropDoubts(to, moved.keys)}
 	moved.formers = slices.DeleteFunc(moved.formers, func(old former) bool {
 		if old.worker == to {
-			held = later(held, old.until)
+			held.until = later(held.until, old.until)
+			held.lateUntil = later(held.lateUntil, old.lateUntil)
+			held.version = max(held.version, old.version)
 		}
 		return old.worker == to
 	})
@@ -120,13 +121,23 @@
 	moved.planned = nil
 	moved.granted = false
 	moved.doubtful = false
-	moved.heldUntil = held
+	moved.heldUntil = held.until
 	moved.lateUntil = time.Time{}
-	moved.takenUntil = time.Time{}
+	moved.takenUntil = held.lateUntil
+	moved.listed = held.version > 0
 	moved.surelyUntil = time.Time{}
 	moved.next = now
 }
 
+// formerOf returns what the owner of keys is once they are given on.
+func (b *Book) formerOf(of *span) former {
+	old := former{worker: of.owner, until: b.holdBound(of), lateUntil: of.takenUntil}
+	if of.listed {
+		old.version = b.holdsVersion
+	}
+	return old
+}
+
 // holdBound is when the owner's hold surely ends.
 func (b *Book) holdBound(of *span) time.Time {
 	if of.doubtful && of.lateUntil.After(of.heldUntil) {
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -70,6 +70,9 @@
 	if one.change > b.stored || b.ended[one.owner] {
 		return Order{}, false
 	}
+	if one.planned != nil && !one.reached() {
+		return Order{}, false // the record being stored says that the owner never had them
+	}
 	if one.doubtful && !renewOnly {
 		one.fence = b.nextFence()
 		b.holdsVersion++
@@ -180,7 +183,7 @@
 			b.shape++
 			b.holdsVersion++
 		}
-		one.granted = true
+		one.granted, one.listed = true, true
 		if !one.doubtful || order.Fence > one.doubtFence {
 			// No earlier grant can be taken any more, and those that were end sooner.
 			one.doubtful = false
--- a/internal/owner/doubt.go
+++ b/internal/owner/doubt.go
@@ -29,11 +29,18 @@
 }
 
 // dropDoubts forgets doubts about a worker that gets the keys again: the grant
-// itself has a higher fence, and a release would take them away.
-func (b *Book) dropDoubts(worker workers.ID, keys Keys) {
+// itself has a higher fence, and a release would take them away. It returns until when
+// the worker may take what is in doubt; zero if nothing is.
+func (b *Book) dropDoubts(worker workers.ID, keys Keys) time.Time {
+	until := time.Time{}
 	b.doubts = slices.DeleteFunc(b.doubts, func(one *doubt) bool {
-		return one.worker == worker && one.keys.From <= keys.To && one.keys.To >= keys.From
+		drop := one.worker == worker && one.keys.From <= keys.To && one.keys.To >= keys.From
+		if drop {
+			until = later(until, one.until)
+		}
+		return drop
 	})
+	return until
 }
 
 // dueDoubts returns the releases that raise fences at workers in doubt.
--- a/internal/owner/model_explore_test.go
+++ b/internal/owner/model_explore_test.go
@@ -28,6 +28,7 @@
 		span := one.book.spans[0]
 		fmt.Fprintf(&text, "%s %d %v %s %s %v %d %s %v %s %v|", span.owner, span.fence, span.granted, at(span.heldUntil), at(span.lateUntil),
 			span.doubtful, span.doubtFence, at(span.takenUntil), span.busy, at(span.next), span.planned)
+		fmt.Fprintf(&text, "%v|", span.reached())
 		if span.planned != nil {
 			fmt.Fprintf(&text, "%v|", *span.planned)
 		}
@@ -92,6 +93,9 @@
 		"a standby beside its leader":   {ticks: 6, moves: 1, cuts: 1, tellings: 1, renewals: 2},
 		"a standby and a successor":     {ticks: 6, moves: 1, leaders: 1, tellings: 1, renewals: 1},
 		"a standby that is asked":       {ticks: 5, moves: 1, leaders: 1, asks: 1, cuts: 1, tellings: 1, renewals: 1},
+		"owners that nobody reaches":    {ticks: 6, moves: 3, lates: 1, cuts: 2},
+		"unreached beside a standby":    {ticks: 5, moves: 2, cuts: 2, tellings: 1, renewals: 1},
+		"unreached before a successor":  {ticks: 6, moves: 2, leaders: 1, cuts: 2},
 		"a standby whose grant is late": {ticks: 7, moves: 1, lates: 1, tellings: 1, renewals: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -57,7 +57,9 @@
 		kept := recordSpan{From: one.keys.From, To: one.keys.To, Owner: place(one.owner), Fence: one.fence}
 		if one.planned != nil {
 			kept.Owner, kept.Fence = place(one.planned.to), one.planned.fence
-			kept.Formers = append(kept.Formers, place(one.owner))
+			if one.reached() {
+				kept.Formers = append(kept.Formers, place(one.owner))
+			}
 		}
 		for _, old := range one.formers {
 			kept.Formers = append(kept.Formers, place(old.worker))
--- a/internal/owner/span.go
+++ b/internal/owner/span.go
@@ -31,6 +31,8 @@
 	doubtFence Fence
 	// takenUntil is until when such a grant may still be taken.
 	takenUntil time.Time
+	// listed says that a standby may have been told that the owner holds the keys.
+	listed bool
 	// planned is where the keys will go once that is stored; nil if they stay.
 	planned *planned
 	// formers may still hold the keys; the owner gets them after all are free.
@@ -49,7 +51,8 @@
 	// lateUntil is until when it may still take a grant that had no answer; zero
 	// if there is none.
 	lateUntil time.Time
-	// version is the first version of the holds without it.
+	// version is the first version of the holds without it; zero if no standby was ever
+	// told that it holds the keys.
 	version uint64
 }
 
@@ -64,6 +67,14 @@
 // held reports whether the owner holds the keys and nobody else can.
 func (s *span) held() bool { return s.granted && len(s.formers) == 0 }
 
+// reached reports whether a grant to the owner may have been taken, or may still be. No
+// connection came up for the others, so nobody need wait until the owner's hold ends. With
+// such waits the keys of a worker that had crashed before its first grant stood still for
+// up to 10.1 s after they were given on: the leave of a lost standby, and a hold.
+func (s *span) reached() bool {
+	return s.granted || s.doubtful || s.listed || !s.heldUntil.IsZero() || !s.takenUntil.IsZero()
+}
+
 // settled reports whether the keys are held and stay.
 func (s *span) settled() bool { return s.held() && s.planned == nil }
 
