--- a/internal/proxy/worker_test.go
+++ b/internal/proxy/worker_test.go
@@ -163,7 +163,7 @@
 	return f
 }
 
-func testConfig(t *testing.T, version routing.Version) *routing.Config {
+func testConfig(t testing.TB, version routing.Version) *routing.Config {
 	t.Helper()
 	route := func(prefix, service string, repeatable bool) *routing.Route {
 		return &routing.Route{
