Move what speaks to workers into a package of its own

internal/upstream now has the connections to one worker, the message and how it is written, one exchange, its result, and the headers that both sides read.

Tests: abort is written out in the proxy's stand-in worker, since the product's is not exported for tests; mutations name the new files and fields. Nothing else of a test changed.

--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -148,8 +148,8 @@
 	{
 		name: "failed-copy-ends-the-other",
 		file: "internal/proxy/hedge.go",
-		old:  " && r.status < http.StatusInternalServerError\n",
-		new:  " && r.status < http.StatusInternalServerError*2\n",
+		old:  " && r.Status < http.StatusInternalServerError\n",
+		new:  " && r.Status < http.StatusInternalServerError*2\n",
 		pkg:  "./internal/proxy", test: "TestAFailedCopyLeavesTheOtherAtWork",
 	},
 	{
@@ -189,8 +189,8 @@
 	},
 	{
 		name: "written-to-a-connection-that-is-reset",
-		file: "internal/proxy/exchange.go",
-		old:  "\tif message.once && !connection.used &&",
+		file: "internal/upstream/exchange.go",
+		old:  "\tif message.Once && !connection.used &&",
 		new:  "\tif false &&",
 		pkg:  "./internal/proxy", test: "TestARequestThatAWorkerHasNoConnectionForDidNotRun",
 	},
@@ -252,14 +252,14 @@
 	},
 	{
 		name: "answer-of-another-request",
-		file: "internal/proxy/exchange.go",
-		old:  "\t\tif response.Header.Get(e.headers.RequestID) == e.message.id {",
+		file: "internal/upstream/exchange.go",
+		old:  "\t\tif response.Header.Get(e.headers.RequestID) == e.message.ID {",
 		new:  "\t\tif true {",
 		pkg:  "./internal/proxy", test: "TestSurplusAnswerIsReadPast",
 	},
 	{
 		name: "success-without-a-signature",
-		file: "internal/proxy/exchange.go",
+		file: "internal/upstream/exchange.go",
 		old:  "\tcase response.StatusCode/100 == 2 && response",
 		new:  "\tcase false && response",
 		pkg:  "./internal/proxy", test: "TestSuccessWithoutSignatureIsNotTheWorkers",
--- a/internal/proxy/allowance.go
+++ b/internal/proxy/allowance.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/upstream"
 )
 
 const (
@@ -42,12 +43,12 @@
 }
 
 // settle notes how a send that was taken ended.
-func (a *allowance) settle(ended outcome) {
+func (a *allowance) settle(ended upstream.Outcome) {
 	a.underWay--
 	switch ended {
-	case outcomeNotSent, outcomeTurnedAway:
+	case upstream.NotSent, upstream.TurnedAway:
 		a.unsent++
-	case outcomeNotRun, outcomeMisdirected:
+	case upstream.NotRun, upstream.Misdirected:
 		a.refused++
 	default:
 		a.ran++
--- a/internal/proxy/allowance_test.go
+++ b/internal/proxy/allowance_test.go
@@ -9,13 +9,15 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/shalefork/shalefork/internal/upstream"
 )
 
 // Whatever order sends leave and end in, no more may run than the route allows, and no
 // more leave than one request may send.
 func TestNoOrderOfEndsRunsARequestTooOften(t *testing.T) {
-	ends := []outcome{
-		outcomeAnswered, outcomeNotSent, outcomeNotRun, outcomeMisdirected, outcomeBroken, outcomeLate, outcomeGone,
+	ends := []upstream.Outcome{
+		upstream.Answered, upstream.NotSent, upstream.NotRun, upstream.Misdirected, upstream.Broken, upstream.Late, upstream.Gone,
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		attempts := rapid.IntRange(1, 4).Draw(t, "attempts")
@@ -32,8 +34,8 @@
 				a.settle(end)
 				underWay--
 				switch end {
-				case outcomeNotRun, outcomeMisdirected:
-				case outcomeNotSent:
+				case upstream.NotRun, upstream.Misdirected:
+				case upstream.NotSent:
 					left--
 				default:
 					mayHaveRun++
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -8,39 +8,40 @@
 
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/upstream"
 )
 
 // pass gives a worker's answer to the client, unchanged.
-func (c *call) pass(got *result) {
+func (c *call) pass(got *upstream.Result) {
 	header := c.writer.Header()
 	closing := header.Get("Connection")
-	passHeaders(got.header, func(name string, values []string) { header[name] = values })
-	if _, named := got.header["Content-Type"]; !named {
+	upstream.PassHeaders(got.Header, func(name string, values []string) { header[name] = values })
+	if _, named := got.Header["Content-Type"]; !named {
 		header["Content-Type"] = nil // net/http must not guess one
 	}
 	if closing != "" {
 		header.Set("Connection", closing)
 	}
-	if c.request.Method == http.MethodHead || got.stream != nil {
-		if length := got.header.Get("Content-Length"); length != "" {
+	if c.request.Method == http.MethodHead || got.Stream != nil {
+		if length := got.Header.Get("Content-Length"); length != "" {
 			header.Set("Content-Length", length)
 		}
-	} else if got.status != http.StatusNoContent && got.status != http.StatusNotModified {
-		header.Set("Content-Length", strconv.Itoa(len(got.body)))
+	} else if got.Status != http.StatusNoContent && got.Status != http.StatusNotModified {
+		header.Set("Content-Length", strconv.Itoa(len(got.Body)))
 	}
-	c.writer.WriteHeader(got.status)
-	_, err := c.writer.Write(got.body)
-	if got.stream != nil {
+	c.writer.WriteHeader(got.Status)
+	_, err := c.writer.Write(got.Body)
+	if got.Stream != nil {
 		if err == nil {
-			_, err = io.Copy(c.writer, got.stream)
+			_, err = io.Copy(c.writer, got.Stream)
 		}
-		got.stop(err == nil)
+		got.Stop(err == nil)
 		if err != nil {
-			c.tell(got.status, "cut")
+			c.tell(got.Status, "cut")
 			panic(http.ErrAbortHandler) // what is cut must not look whole
 		}
 	}
-	c.tell(got.status, "")
+	c.tell(got.Status, "")
 }
 
 // refuse answers in the system's own name. retryAfter zero tells no time.
@@ -49,12 +50,12 @@
 	if retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
-	if c.message.id != "" {
-		header.Set(c.proxy.Headers.RequestID, c.message.id)
+	if c.message.ID != "" {
+		header.Set(c.proxy.Headers.RequestID, c.message.ID)
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("Content-Length", strconv.Itoa(len(reason)+1))
-	if c.message.rest != nil {
+	if c.message.Rest != nil {
 		header.Set("Connection", "close")
 	}
 	c.writer.WriteHeader(status)
@@ -79,7 +80,7 @@
 	if planned {
 		return
 	}
-	line := c.proxy.Log.Line(decision.KindRequest).Str("id", c.message.id).Int("status", status).Str("reason", reason).
+	line := c.proxy.Log.Line(decision.KindRequest).Str("id", c.message.ID).Int("status", status).Str("reason", reason).
 		Str("service", service).Dur("took", took).Int("sends", c.allowed.sends()).
 		Int("runs", c.allowed.mayHaveRun()).Int("unsent", c.allowed.unsent)
 	if c.config != nil {
@@ -92,7 +93,7 @@
 		line = line.Str("fingerprint", c.fingerprint().String())
 	}
 	if c.last != nil {
-		line = line.Str("worker", string(c.lastTo)).Str("last", string(c.last.outcome)).AnErr("error", c.last.err)
+		line = line.Str("worker", string(c.lastTo)).Str("last", string(c.last.Outcome)).AnErr("error", c.last.Err)
 	}
 	if c.service != nil && c.service.Keyed {
 		term, age := c.proxy.Table.Age()
@@ -102,8 +103,8 @@
 }
 
 // tellAgain writes a line before the request is sent once more.
-func (c *call) tellAgain(got *result) {
-	c.proxy.Log.Line(decision.KindSent).Str("id", c.message.id).Str("worker", string(c.lastTo)).
-		Str("outcome", string(got.outcome)).Int("status", got.status).AnErr("error", got.err).
+func (c *call) tellAgain(got *upstream.Result) {
+	c.proxy.Log.Line(decision.KindSent).Str("id", c.message.ID).Str("worker", string(c.lastTo)).
+		Str("outcome", string(got.Outcome)).Int("status", got.Status).AnErr("error", got.Err).
 		Dur("after", clock.Since(c.began)).Msg("")
 }
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -7,6 +7,7 @@
 
 	"github.com/shalefork/shalefork/internal/estimate"
 	"github.com/shalefork/shalefork/internal/quarantine"
+	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -31,7 +32,7 @@
 
 // backend is what this process knows of one worker.
 type backend struct {
-	pool *pool
+	pool *upstream.Pool
 
 	mu       sync.Mutex
 	worker   workers.Worker
@@ -64,11 +65,11 @@
 }
 
 func newBackend(worker workers.Worker, means *toldMeans) *backend {
-	return &backend{pool: &pool{address: worker.Address}, worker: worker, means: means}
+	return &backend{pool: upstream.NewPool(worker.Address), worker: worker, means: means}
 }
 
 // told takes what the worker tells of itself. The caller holds mu.
-func (b *backend) told(now time.Time, load Load) {
+func (b *backend) told(now time.Time, load upstream.Load) {
 	others := max(0, float64(load.Running+load.Waiting-b.inFlight))
 	b.others.Add(now, others)
 	b.means.others.Add(now, others)
@@ -179,36 +180,36 @@
 
 // end learns from the end of a send. It returns true if the worker is now seen
 // as failing or as well again.
-func (b *backend) end(now time.Time, got *result) (changed bool) {
+func (b *backend) end(now time.Time, got *upstream.Result) (changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.inFlight--
 	b.count(now, got)
-	if got.loaded {
-		b.told(now, got.load)
+	if got.Loaded {
+		b.told(now, got.Load)
 	}
-	switch got.outcome {
-	case outcomeAnswered:
+	switch got.Outcome {
+	case upstream.Answered:
 		changed = b.failures > 0
 		b.failures = 0
 		b.restUntil = time.Time{}
 		b.learn(now, got)
-	case outcomeNotRun, outcomeTurnedAway:
+	case upstream.NotRun, upstream.TurnedAway:
 		b.fullUntil = now.Add(fullRest)
-	case outcomeMisdirected:
+	case upstream.Misdirected:
 		b.ended = true
 		changed = true
-	case outcomeLate:
+	case upstream.Late:
 		changed = b.failures == 0
 		b.learn(now, got)
 		b.fail(now)
-	case outcomeGone: // says nothing of the worker
-	case outcomeNotSent:
+	case upstream.Gone: // says nothing of the worker
+	case upstream.NotSent:
 		changed = b.failures == 0
 		b.fail(now)
 		b.unreachedUntil = now.Add(unreachedRest)
-	case outcomeBroken:
-		if b.failures > 0 || got.status == 0 {
+	case upstream.Broken:
+		if b.failures > 0 || got.Status == 0 {
 			b.fail(now)
 		}
 	}
@@ -228,19 +229,19 @@
 }
 
 // count notes whether the worker has turned a request away. The caller holds mu.
-func (b *backend) count(now time.Time, got *result) {
-	switch got.outcome {
-	case outcomeAnswered, outcomeLate:
+func (b *backend) count(now time.Time, got *upstream.Result) {
+	switch got.Outcome {
+	case upstream.Answered, upstream.Late:
 		b.throttle.Sent(now, true)
-	case outcomeTurnedAway:
+	case upstream.TurnedAway:
 		b.throttle.Sent(now, false)
-	case outcomeNotRun:
-		if got.status != http.StatusMisdirectedRequest && !got.load.idle(got.loaded) {
+	case upstream.NotRun:
+		if got.Status != http.StatusMisdirectedRequest && !got.Load.Idle(got.Loaded) {
 			b.throttle.Sent(now, false)
 		}
-	case outcomeBroken:
-		b.throttle.Sent(now, got.status != 0 || got.took > turnedAwayWithin)
-	case outcomeMisdirected, outcomeGone, outcomeNotSent: // say nothing of the worker's room
+	case upstream.Broken:
+		b.throttle.Sent(now, got.Status != 0 || got.Took > turnedAwayWithin)
+	case upstream.Misdirected, upstream.Gone, upstream.NotSent: // say nothing of the worker's room
 	}
 }
 
@@ -251,8 +252,8 @@
 }
 
 // learn measures the time that the worker worked on a request.
-func (b *backend) learn(now time.Time, got *result) {
-	worked, telling := got.workTime(b.worker.Slots, b.latency.Mean(usualTime))
+func (b *backend) learn(now time.Time, got *upstream.Result) {
+	worked, telling := got.WorkTime(b.worker.Slots, b.latency.Mean(usualTime))
 	if telling {
 		b.latency.Add(now, worked, usualTime)
 	}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -12,6 +12,7 @@
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -20,7 +21,7 @@
 	proxy   *Proxy
 	writer  http.ResponseWriter
 	request *http.Request
-	message message
+	message upstream.Message
 	config  *routing.Config
 	route   *routing.Route
 	service *routing.Service
@@ -40,16 +41,16 @@
 	arrivedAs quarantine.Standing
 	closed    atomic.Int32
 	// last is what is known of the last send.
-	last   *result
+	last   *upstream.Result
 	lastTo workers.ID
 }
 
 // prepare reads the request; false if it was answered.
 func (c *call) prepare() bool {
 	header := c.request.Header
-	c.message = message{
-		method: c.request.Method, uri: c.request.RequestURI, host: c.request.Host,
-		id: header.Get(c.proxy.Headers.RequestID), header: header,
+	c.message = upstream.Message{
+		Method: c.request.Method, URI: c.request.RequestURI, Host: c.request.Host,
+		ID: header.Get(c.proxy.Headers.RequestID), Header: header,
 	}
 	c.deadline = c.began.Add(c.route.Timeout)
 	if text := header.Get(c.proxy.Headers.DeadlineMillis); text != "" {
@@ -63,8 +64,8 @@
 			c.deadline = own
 		}
 	}
-	c.message.once = !c.route.Repeatable
-	if c.message.id == "" {
+	c.message.Once = !c.route.Repeatable
+	if c.message.ID == "" {
 		c.refuse(http.StatusBadRequest, reasonMalformed, 0)
 		return false
 	}
@@ -74,9 +75,9 @@
 // readBody keeps the body, or the beginning of a long one.
 func (c *call) readBody() bool {
 	body := c.request.Body
-	c.message.length = max(0, c.request.ContentLength)
+	c.message.Length = max(0, c.request.ContentLength)
 	if body == nil || body == http.NoBody {
-		c.message.length = 0
+		c.message.Length = 0
 		return true
 	}
 	if most := c.bodyLimit(); most > 0 && c.request.ContentLength > most {
@@ -90,9 +91,9 @@
 		c.refuse(http.StatusBadRequest, reasonBody, 0)
 		return false
 	}
-	c.message.body, c.message.length = kept, int64(len(kept))
+	c.message.Body, c.message.Length = kept, int64(len(kept))
 	if len(kept) > keptBody {
-		c.message.rest, c.message.length = body, c.request.ContentLength
+		c.message.Rest, c.message.Length = body, c.request.ContentLength
 		return true
 	}
 	_ = controller.SetReadDeadline(time.Time{})
@@ -111,11 +112,11 @@
 func (c *call) left() time.Duration { return clock.Until(c.deadline) }
 
 // repeatable reports whether the request may be sent after it may have run.
-func (c *call) repeatable() bool { return c.route.Repeatable && c.message.rest == nil }
+func (c *call) repeatable() bool { return c.route.Repeatable && c.message.Rest == nil }
 
 // sendTo sends the request once and takes note of how it ended. The caller has asked
 // whether a send is left.
-func (c *call) sendTo(to *backend, until time.Time) *result {
+func (c *call) sendTo(to *backend, until time.Time) *upstream.Result {
 	c.allowed.take()
 	worker, got := c.exchange(c.request.Context(), to, until)
 	c.note(worker, &got)
@@ -123,54 +124,54 @@
 }
 
 // exchange sends the request once; it may run beside another copy.
-func (c *call) exchange(ctx context.Context, to *backend, until time.Time) (workers.ID, result) {
+func (c *call) exchange(ctx context.Context, to *backend, until time.Time) (workers.ID, upstream.Result) {
 	p := c.proxy
 	worker := to.described()
 	mean, measured := to.mean(usualTime)
 	to.begin()
-	got := send(ctx, p.Headers, to.pool, &c.message, string(worker.ID), c.deadline, until)
+	got := upstream.Send(ctx, p.Headers, to.pool, &c.message, string(worker.ID), c.deadline, until)
 	if to.end(clock.Now(), &got) {
-		p.Log.Line(decision.KindWorkerHealth).Str("worker", string(worker.ID)).Str("outcome", string(got.outcome)).
-			Str("id", c.message.id).AnErr("error", got.err).Msg("")
+		p.Log.Line(decision.KindWorkerHealth).Str("worker", string(worker.ID)).Str("outcome", string(got.Outcome)).
+			Str("id", c.message.ID).AnErr("error", got.Err).Msg("")
 	}
-	if c.service.Keyed && (got.outcome == outcomeAnswered || got.outcome == outcomeLate) {
-		p.Meter.Served(worker.ID, got.took)
+	if c.service.Keyed && (got.Outcome == upstream.Answered || got.Outcome == upstream.Late) {
+		p.Meter.Served(worker.ID, got.Took)
 	}
-	if measured && got.outcome == outcomeAnswered {
-		c.state.answered(got.took, mean)
+	if measured && got.Outcome == upstream.Answered {
+		c.state.answered(got.Took, mean)
 	}
-	p.Metrics.sent(c.service.Name, got.outcome)
+	p.Metrics.sent(c.service.Name, got.Outcome)
 	c.watchEnd(to, &got)
 	c.cleared(&got)
 	return worker.ID, got
 }
 
 // note takes note of a send that has ended.
-func (c *call) note(worker workers.ID, got *result) {
+func (c *call) note(worker workers.ID, got *upstream.Result) {
 	c.last, c.lastTo = got, worker
-	c.allowed.settle(got.outcome)
+	c.allowed.settle(got.Outcome)
 }
 
 // finish ends the request if the last send decided it; false if another may be
 // tried.
-func (c *call) finish(got *result) bool {
-	switch got.outcome {
-	case outcomeAnswered:
-		if got.status == http.StatusInternalServerError && c.mayRepeat() {
+func (c *call) finish(got *upstream.Result) bool {
+	switch got.Outcome {
+	case upstream.Answered:
+		if got.Status == http.StatusInternalServerError && c.mayRepeat() {
 			return false
 		}
 		c.pass(got)
 		return true
-	case outcomeGone:
+	case upstream.Gone:
 		c.abandon()
 		return true
-	case outcomeBroken:
+	case upstream.Broken:
 		if c.mayRepeat() {
 			return false
 		}
 		c.refuse(http.StatusBadGateway, reasonBroken, 0)
 		return true
-	case outcomeLate:
+	case upstream.Late:
 		if c.mayRepeat() && c.left() > answerMargin {
 			return false
 		}
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -13,6 +13,7 @@
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/quarantine"
+	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -31,8 +32,8 @@
 		return *known
 	}
 	named := quarantine.Request{
-		Method: c.message.method, Host: c.message.host, URI: c.message.uri,
-		Body: c.message.body, Length: c.message.length, Caller: caller(c.request.RemoteAddr),
+		Method: c.message.Method, Host: c.message.Host, URI: c.message.URI,
+		Body: c.message.Body, Length: c.message.Length, Caller: caller(c.request.RemoteAddr),
 	}.Fingerprint()
 	c.named.Store(&named)
 	return named
@@ -48,10 +49,10 @@
 }
 
 // endsOf tells what the end of a send shows of its worker's end.
-func (r *result) endsOf() (cutOff, closed, ended bool) {
-	closed = r.outcome == outcomeBroken && closedByPeer(r.err)
-	cutOff = closed || (r.written && (r.outcome == outcomeLate || r.outcome == outcomeGone))
-	ended = r.outcome == outcomeMisdirected || (r.outcome == outcomeNotSent && errors.Is(r.err, syscall.ECONNREFUSED))
+func endsOf(r *upstream.Result) (cutOff, closed, ended bool) {
+	closed = r.Outcome == upstream.Broken && closedByPeer(r.Err)
+	cutOff = closed || (r.Written && (r.Outcome == upstream.Late || r.Outcome == upstream.Gone))
+	ended = r.Outcome == upstream.Misdirected || (r.Outcome == upstream.NotSent && errors.Is(r.Err, syscall.ECONNREFUSED))
 	return cutOff, closed, ended
 }
 
@@ -67,8 +68,8 @@
 
 // watchEnd learns from the end of a send whether its worker crashed, and which requests were
 // under way there. What a send that was given up ran may end the worker too.
-func (c *call) watchEnd(to *backend, got *result) {
-	cutOff, closed, ended := got.endsOf()
+func (c *call) watchEnd(to *backend, got *upstream.Result) {
+	cutOff, closed, ended := endsOf(got)
 	if ended {
 		c.proxy.workerEnded(to)
 	}
@@ -93,7 +94,7 @@
 	bounded, cancel := context.WithTimeout(p.ending, probeTimeout)
 	defer cancel()
 	var dialer net.Dialer
-	connection, err := dialer.DialContext(bounded, "tcp", to.pool.address)
+	connection, err := dialer.DialContext(bounded, "tcp", to.pool.Address())
 	switch {
 	case err == nil:
 		_ = connection.Close()
@@ -145,7 +146,7 @@
 // attempt describes this attempt of the request.
 func (c *call) attempt() quarantine.Attempt {
 	return quarantine.Attempt{
-		Request: c.fingerprint(), ID: c.message.id, Route: c.route.Name, Caller: caller(c.request.RemoteAddr),
+		Request: c.fingerprint(), ID: c.message.ID, Route: c.route.Name, Caller: caller(c.request.RemoteAddr),
 	}
 }
 
@@ -168,8 +169,8 @@
 }
 
 // cleared tells that a suspected request ran to a good end.
-func (c *call) cleared(got *result) {
-	if got.outcome == outcomeAnswered && got.status < http.StatusInternalServerError && c.standing() != quarantine.Free {
+func (c *call) cleared(got *upstream.Result) {
+	if got.Outcome == upstream.Answered && got.Status < http.StatusInternalServerError && c.standing() != quarantine.Free {
 		c.proxy.Suspects.Finished(c.fingerprint())
 	}
 }
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -91,7 +91,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, known := range f.byID {
-		known.pool.dropIdle()
+		known.pool.DropIdle()
 	}
 }
 
@@ -100,7 +100,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, known := range f.byID {
-		known.pool.prune(now)
+		known.pool.Prune(now)
 		if _, announced := f.directory.Get(id); announced {
 			continue
 		}
@@ -108,7 +108,7 @@
 		idle := known.inFlight == 0
 		known.mu.Unlock()
 		if idle {
-			known.pool.prune(now.Add(time.Hour))
+			known.pool.Prune(now.Add(time.Hour))
 			delete(f.byID, id)
 		}
 	}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -16,6 +16,7 @@
 	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -65,7 +66,7 @@
 
 // Proxy is the handler of clients' requests.
 type Proxy struct {
-	Headers Headers
+	Headers upstream.Headers
 	Table   *keytable.Table
 	Meter   *peerlink.Meter
 	Log     *decision.Log
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -7,6 +7,7 @@
 
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -27,7 +28,7 @@
 type ended struct {
 	to     *backend
 	worker workers.ID
-	got    result
+	got    upstream.Result
 	// panicked is what the copy panicked with; nil if it did not.
 	panicked any
 }
@@ -65,7 +66,7 @@
 
 // sendHedged sends a repeatable request, and a second copy if the first stays
 // silent. second returns where it goes; nil for nowhere.
-func (c *call) sendHedged(first choice, second func() *backend) *result {
+func (c *call) sendHedged(first choice, second func() *backend) *upstream.Result {
 	ctx, cancel := context.WithCancel(c.request.Context())
 	s := &copies{call: c, ctx: ctx, cancel: cancel, ends: make(chan ended, 2)}
 	s.launch(first.to)
@@ -80,7 +81,7 @@
 				panic(end.panicked)
 			}
 			c.note(end.worker, &end.got)
-			if s.open == 0 || end.got.decides() {
+			if s.open == 0 || decides(&end.got) {
 				return s.take(end)
 			}
 		case <-timer.C:
@@ -94,19 +95,19 @@
 // decides reports whether the other copy of a request need not be awaited. A worker's own
 // failure does not: the other may still succeed, and giving it up would break off work
 // that runs.
-func (r *result) decides() bool {
-	return r.outcome == outcomeAnswered && r.status < http.StatusInternalServerError
+func decides(r *upstream.Result) bool {
+	return r.Outcome == upstream.Answered && r.Status < http.StatusInternalServerError
 }
 
 // take returns a copy's result and gives the other copy up: at once, or after a
 // long answer was streamed.
-func (s *copies) take(end ended) *result {
-	if end.got.stream == nil {
+func (s *copies) take(end ended) *upstream.Result {
+	if end.got.Stream == nil {
 		s.cancel()
 		return &end.got
 	}
-	stop := end.got.stop
-	end.got.stop = func(whole bool) {
+	stop := end.got.Stop
+	end.got.Stop = func(whole bool) {
 		stop(whole)
 		s.cancel()
 	}
@@ -136,7 +137,7 @@
 	if !c.state.budget.spend(int(c.proxy.Nodes.Load()), now) {
 		return nil
 	}
-	c.proxy.Log.Line(decision.KindSent).Str("id", c.message.id).Str("worker", string(to.id())).
+	c.proxy.Log.Line(decision.KindSent).Str("id", c.message.ID).Str("worker", string(to.id())).
 		Str("outcome", "hedged").Dur("after", clock.Since(c.began)).Msg("")
 	return to
 }
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -8,6 +8,7 @@
 
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -47,7 +48,7 @@
 		if c.finish(got) {
 			return
 		}
-		if got.outcome == outcomeTurnedAway { // no other may run it, and this one has no room
+		if got.Outcome == upstream.TurnedAway { // no other may run it, and this one has no room
 			c.giveUp(reasonBusy, c.returnAfter())
 			return
 		}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/upstream"
 )
 
 // Metrics are the proxy's counters and latencies.
@@ -40,7 +41,7 @@
 	return metrics
 }
 
-func (m *Metrics) sent(service routing.ServiceName, ended outcome) {
+func (m *Metrics) sent(service routing.ServiceName, ended upstream.Outcome) {
 	m.sends.WithLabelValues(string(service), string(ended)).Inc()
 }
 
--- a/internal/proxy/pooled.go
+++ b/internal/proxy/pooled.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -44,7 +45,7 @@
 
 // sendPooled sends the request, and where it may be repeated a second copy to
 // another worker if the first stays silent.
-func (c *call) sendPooled(picked choice) *result {
+func (c *call) sendPooled(picked choice) *upstream.Result {
 	if !c.repeatable() || c.allowed.mayHaveRun() > 0 || !c.maySpread() {
 		return c.sendTo(picked.to, c.deadline.Add(-answerMargin))
 	}
--- a/internal/proxy/quarantine_test.go
+++ b/internal/proxy/quarantine_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/shalefork/shalefork/internal/quarantine"
+	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -144,7 +145,7 @@
 			}
 			for b.Loop() {
 				c := &call{proxy: p, request: &http.Request{RemoteAddr: "10.0.0.1:1234"}}
-				c.message = message{method: "GET", uri: "/some/path?page=3", host: "app.example"}
+				c.message = upstream.Message{Method: "GET", URI: "/some/path?page=3", Host: "app.example"}
 				if c.standing() != quarantine.Free {
 					b.Fatal("suspected")
 				}
--- a/internal/proxy/worker_test.go
+++ b/internal/proxy/worker_test.go
@@ -20,11 +20,12 @@
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
 // testHeaders are the names of headers in these tests.
-var testHeaders = Headers{
+var testHeaders = upstream.Headers{
 	RequestID: "X-Id", DeadlineMillis: "X-Deadline", Signature: "X-Signature", Target: "X-Target",
 	Worker: "X-Worker", NotRun: "X-Not-Run", Load: "X-Load", Key: "X-Key",
 }
@@ -124,6 +125,12 @@
 	}
 }
 
+// abort closes a connection with a reset.
+func abort(connection net.Conn) {
+	_ = connection.(*net.TCPConn).SetLinger(0)
+	_ = connection.Close()
+}
+
 // reset breaks the connection off with a reset.
 func reset(connection net.Conn, _ *http.Request) bool {
 	abort(connection)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,6 +28,7 @@
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/settings"
 	"github.com/shalefork/shalefork/internal/standby"
+	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -44,7 +45,7 @@
 	MoveStore func(address string)
 	Orders    owner.Orders
 	// Headers are the platform's names of headers.
-	Headers proxy.Headers
+	Headers upstream.Headers
 	// ReadyPath is asked at the ready address.
 	ReadyPath string
 	// ConfigPrefix is where the operators' configuration stands.
--- a/internal/proxy/conn.go
+++ b/internal/upstream/conn.go
@@ -1,4 +1,6 @@
-package proxy
+// Package upstream sends requests to workers: it keeps the connections to them, writes a
+// request, and reads the answer that belongs to it.
+package upstream
 
 import (
 	"bufio"
@@ -54,15 +56,21 @@
 	}
 }
 
-// pool keeps the connections to one worker.
-type pool struct {
+// Pool keeps the connections to one worker. It is safe for concurrent use.
+type Pool struct {
 	address string
 	mu      sync.Mutex
 	idle    []*conn
 }
 
+// NewPool returns a pool without connections.
+func NewPool(address string) *Pool { return &Pool{address: address} }
+
+// Address is that of the worker.
+func (p *Pool) Address() string { return p.address }
+
 // get returns a resting connection, or opens one.
-func (p *pool) get(ctx context.Context) (one *conn, err error) {
+func (p *Pool) get(ctx context.Context) (one *conn, err error) {
 	if one := p.rested(clock.Now()); one != nil {
 		return one, nil
 	}
@@ -76,7 +84,7 @@
 }
 
 // rested takes the connection that rested least.
-func (p *pool) rested(now time.Time) *conn {
+func (p *Pool) rested(now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.idle) > 0 {
@@ -91,7 +99,7 @@
 }
 
 // put keeps a connection for the next request.
-func (p *pool) put(one *conn, rest time.Duration) {
+func (p *Pool) put(one *conn, rest time.Duration) {
 	one.used = true
 	one.idleUntil = clock.Now().Add(rest)
 	p.mu.Lock()
@@ -99,9 +107,9 @@
 	p.idle = append(p.idle, one)
 }
 
-// dropIdle closes all resting connections: one to the same worker was silent, and so may
+// DropIdle closes all resting connections: one to the same worker was silent, and so may
 // these be. Open connections may go silent for good, without a reset, while new ones work.
-func (p *pool) dropIdle() {
+func (p *Pool) DropIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, one := range p.idle {
@@ -111,12 +119,12 @@
 }
 
 // drop closes a connection at once: what is under way on it is given up.
-func (p *pool) drop(one *conn) {
+func (p *Pool) drop(one *conn) {
 	abort(one.Conn)
 }
 
-// prune closes connections that have rested for too long.
-func (p *pool) prune(now time.Time) {
+// Prune closes connections that have rested for too long.
+func (p *Pool) Prune(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept := p.idle[:0]
--- a/internal/proxy/headers.go
+++ b/internal/upstream/headers.go
@@ -1,4 +1,4 @@
-package proxy
+package upstream
 
 import (
 	"math"
@@ -41,11 +41,11 @@
 	Slowdown float64
 }
 
-// idle reports whether a worker that told its load has a slot to spare. One that turns a request
+// Idle reports whether a worker that told its load has a slot to spare. One that turns a request
 // away all the same is short of something else than room, and may take the next one. Counted as
 // full, a worker that took each third request was not asked for 97 of 120
 // (TestOwnersThatTurnRequestsAwayAreAskedByTheirLoad).
-func (l Load) idle(told bool) bool { return told && l.Waiting == 0 && l.Running < l.Slots }
+func (l Load) Idle(told bool) bool { return told && l.Waiting == 0 && l.Running < l.Slots }
 
 // Parts of a load header. Further ones are passed over.
 const (
@@ -98,8 +98,8 @@
 	return named
 }
 
-// passHeaders calls pass for each header that travels on.
-func passHeaders(header http.Header, pass func(name string, values []string)) {
+// PassHeaders calls pass for each header that travels on.
+func PassHeaders(header http.Header, pass func(name string, values []string)) {
 	var named map[string]bool
 	if len(header["Connection"]) > 0 {
 		named = connectionHeaders(header)
--- a/internal/proxy/headers_test.go
+++ b/internal/upstream/headers_test.go
@@ -1,4 +1,4 @@
-package proxy
+package upstream
 
 import (
 	"testing"
--- /dev/null
+++ b/internal/upstream/result.go
@@ -0,0 +1,66 @@
+package upstream
+
+import (
+	"io"
+	"net/http"
+	"time"
+)
+
+// Outcome is how one send of a request ended.
+type Outcome string
+
+// Outcomes of a send.
+const (
+	// Answered: the worker's own answer is here.
+	Answered Outcome = "answered"
+	// NotSent: not one byte was written.
+	NotSent Outcome = "not-sent"
+	// TurnedAway: the worker closed a new connection before anything was written.
+	TurnedAway Outcome = "turned-away"
+	// NotRun: the worker said that it did not run the request.
+	NotRun Outcome = "not-run"
+	// Misdirected: the worker is not the one that was meant.
+	Misdirected Outcome = "misdirected"
+	// Broken: it was sent, and no valid answer came.
+	Broken Outcome = "broken"
+	// Late: the time for the send ran out.
+	Late Outcome = "late"
+	// Gone: the client left.
+	Gone Outcome = "client-gone"
+)
+
+// Result is the end of one send.
+type Result struct {
+	Outcome Outcome
+	Status  int
+	Header  http.Header
+	Body    []byte
+	// Stream is the rest of a long answer; Stop ends the exchange.
+	Stream io.Reader
+	Stop   func(whole bool)
+	// Load is what the worker told of itself, if Loaded.
+	Load   Load
+	Loaded bool
+	// closing says that the connection ends with this answer.
+	closing bool
+	// Took is the time from the send to the answer.
+	Took time.Duration
+	// Written says that bytes of the request have left.
+	Written bool
+	Err     error
+}
+
+// slowFactor times the usual time of work shows that a worker has become slow,
+// even where part of the time was spent waiting there.
+const slowFactor = 2.5
+
+// WorkTime estimates how long the worker worked on the request, and says whether
+// that tells anything: where others wait, what waits at the end is only about
+// what waited before, so only a long time does.
+func (r *Result) WorkTime(slots int, usual time.Duration) (took time.Duration, telling bool) {
+	if !r.Loaded || r.Load.Waiting == 0 {
+		return r.Took, true
+	}
+	took = time.Duration(float64(r.Took) / (1 + float64(r.Load.Waiting)/float64(max(slots, 1))))
+	return took, float64(took) > slowFactor*float64(usual)
+}
