--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -334,11 +334,32 @@
 		new:  "	if false {",
 		pkg:  "./internal/router", test: "TestAnOlderListChangesNothing",
 	},
+	{
+		name: "age-of-news-not-told",
+		file: "internal/peerlink/entries.go",
+		old:  "	return max(0, now.Sub(learned).Milliseconds())",
+		new:  "	return 0",
+		pkg:  "./internal/peerlink", test: "TestChangesTellHowOldTheyAre",
+	},
+	{
+		name: "first-watch-after-failures-taken-for-fresh",
+		file: "internal/router/follow.go",
+		old:  "	if of.failed.Load() > reached || r.told.known() > reached {",
+		new:  "	if false {",
+		pkg:  "./internal/router", test: "TestLateNewsCountsFromWhenItMayHaveHappened",
+	},
+	{
+		name: "quarantined-request-waits-its-turn",
+		file: "internal/quarantine/ledger.go",
+		old:  "entry.version > upTo && entry.record.Standing() != Quarantined",
+		new:  "entry.version > upTo",
+		pkg:  "./internal/quarantine", test: "TestWhatALedgerTells",
+	},
 	{
 		name: "deaf-leader-relied-on",
 		file: "internal/router/follow.go",
-		old:  "	r.told.heard(clock.Now(), !update.Deaf && !update.Stale())",
-		new:  "	r.told.heard(clock.Now(), !update.Stale())",
+		old:  "	r.told.heard(clock.Now(), update.Age(), !update.Deaf && !update.Stale())",
+		new:  "	r.told.heard(clock.Now(), update.Age(), !update.Stale())",
 		pkg:  "./internal/router", test: "TestADeafLeaderIsNotReliedOn",
 	},
 	{
@@ -351,8 +372,8 @@
 	{
 		name: "stale-relay-relied-on",
 		file: "internal/router/follow.go",
-		old:  "	r.told.heard(clock.Now(), !update.Deaf && !update.Stale())",
-		new:  "	r.told.heard(clock.Now(), !update.Deaf)",
+		old:  "	r.told.heard(clock.Now(), update.Age(), !update.Deaf && !update.Stale())",
+		new:  "	r.told.heard(clock.Now(), update.Age(), !update.Deaf)",
 		pkg:  "./internal/router", test: "TestAStaleRelayIsNotReliedOn",
 	},
 	{
