Tell replaced standbys what is held while they may renew

Cause: a standby that is replaced by a stronger one keeps its leave until that ends, up to 9 s, but was told of no holds any more.

Change: the leave of a replaced standby is not extended, but it is told what is held until then.

Ruled out: that the standbys were lost (both were linked), and giving up the leave by a question (one more message, and its answer must be waited for).

Test: TestAReplacedStandbyHearsWhatIsHeldWhileItMayRenew, seen failing on the code before.

--- a/internal/peerlink/standbys.go
+++ b/internal/peerlink/standbys.go
@@ -69,8 +69,11 @@
 // mandate extends the leave of a link's process; nil if it is no standby, or has not
 // sent a stamp yet.
 func (s *standbys) mandate(one *link, now time.Time) *Mandate {
+	if !s.appointed[one.hello.Process] {
+		return s.replaced(one, now)
+	}
 	left := s.limit.Sub(now)
-	if !s.appointed[one.hello.Process] || left <= 0 {
+	if left <= 0 {
 		return nil
 	}
 	mandate := &Mandate{Stamp: one.stamp, LeftMillis: left.Milliseconds()}
@@ -88,6 +91,22 @@
 	return mandate
 }
 
+// replaced tells a standby whose leave runs out what is held, nil if it has none: the leader
+// waits for a standby that has not heard of a hold's end. Told nothing more, it kept the keys of
+// a worker that crashed from 34.3 s to 47.4 s of a run of processes, 13 s after the end of its
+// appointment.
+func (s *standbys) replaced(one *link, now time.Time) *Mandate {
+	leave := s.given[one.hello.Process]
+	if leave == nil || leave.link != one || !now.Before(leave.until) {
+		return nil
+	}
+	mandate := &Mandate{Stamp: one.stamp, LeftMillis: leave.until.Sub(now).Milliseconds()}
+	if now.Sub(one.holdsAt) >= holdsPause {
+		mandate.Services = s.news(one, now)
+	}
+	return mandate
+}
+
 // news describes the holds that a link has not heard.
 func (s *standbys) news(one *link, now time.Time) []ServiceHolds {
 	var news []ServiceHolds
@@ -204,7 +223,8 @@
 	defer h.mu.Unlock()
 	h.standbys.holds[service] = heldNow{version: version, holds: holds}
 	for one := range h.links {
-		if h.standbys.appointed[one.hello.Process] {
+		leave := h.standbys.given[one.hello.Process]
+		if h.standbys.appointed[one.hello.Process] || (leave != nil && leave.link == one) {
 			one.rouse()
 		}
 	}
--- a/internal/peerlink/standbys_test.go
+++ b/internal/peerlink/standbys_test.go
@@ -98,6 +98,25 @@
 	assert.Equal(t, told, 3)
 }
 
+// Found by the soak of real processes (seed 514): two standbys were replaced by stronger ones
+// while they had a leave of 9 s and stayed linked; they heard of no hold's end from then on.
+func TestAReplacedStandbyHearsWhatIsHeldWhileItMayRenew(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var s standbys
+	s.reset()
+	s.limit = now.Add(9 * time.Second)
+	s.appointed["p"] = true
+	one := &link{hello: Hello{Process: "p"}, stamp: 1, holds: map[routing.ServiceName]uint64{}}
+	s.holds["s"] = heldNow{version: 1}
+	assert.Equal(t, len(s.mandate(one, now).Services), 1)
+	s.appointed["p"] = false
+	s.holds["s"], s.limit = heldNow{version: 2}, now.Add(12*time.Second)
+	mandate := s.mandate(one, now.Add(2*time.Second))
+	assert.Equal(t, len(mandate.Services), 1)
+	assert.Equal(t, mandate.LeftMillis, int64(7000), "the leave gets no longer")
+	assert.Assert(t, s.mandate(one, now.Add(9*time.Second)) == nil)
+}
+
 func TestHoldsThatNameAnUnknownWorkerAreRefused(t *testing.T) {
 	_, ok := ServiceHolds{Service: "s", Runs: pack([][4]int64{{0, 9, 1, 7}})}.Holds()
 	assert.Assert(t, !ok)
