--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -137,8 +137,11 @@
 	if c.service.Keyed && (got.Outcome == upstream.Answered || got.Outcome == upstream.Late) {
 		p.Meter.Served(worker.ID, got.Took)
 	}
-	if measured && got.Outcome == upstream.Answered {
-		c.state.answered(got.Took, mean)
+	if got.Outcome == upstream.Answered {
+		p.fleet.sizes.add(c.route, c.bytes(&got))
+		if measured {
+			c.state.answered(got.Took, mean)
+		}
 	}
 	p.Metrics.sent(c.service.Name, got.Outcome)
 	c.watchEnd(to, &got)
