--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -17,6 +17,7 @@
 	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/traffic"
+	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -69,7 +70,7 @@
 
 // Proxy is the handler of clients' requests.
 type Proxy struct {
-	Headers Headers
+	Headers upstream.Headers
 	Table   *keytable.Table
 	Meter   *peerlink.Meter
 	Log     *decision.Log
--- a/internal/proxy/sizes.go
+++ b/internal/proxy/sizes.go
@@ -7,6 +7,7 @@
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/topology"
 	"github.com/shalefork/shalefork/internal/traffic"
+	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -68,12 +69,12 @@
 const headBytes = 600
 
 // weigh notes the size of the request and of a worker's answer, as far as their heads tell.
-func (c *call) weigh(worker *workers.Worker, got *result) {
-	size := int64(len(got.body))
-	if length, err := strconv.ParseInt(got.header.Get("Content-Length"), 10, 64); err == nil {
+func (c *call) weigh(worker *workers.Worker, got *upstream.Result) {
+	size := int64(len(got.Body))
+	if length, err := strconv.ParseInt(got.Header.Get("Content-Length"), 10, 64); err == nil {
 		size = max(size, length)
 	}
-	bytes := headBytes + max(0, c.message.length) + size
+	bytes := headBytes + max(0, c.message.Length) + size
 	c.proxy.fleet.sizes.add(c.route, float64(bytes))
 	kind := traffic.Pooled
 	switch {
