Hold keys of bound services inside, and lead from the store's region

Cause: a service whose routes may be served in one region had owners of keys everywhere, whom nobody may ask; and any machine led, also one whose every call to the store crosses.

Change: the leader restricts owners to the regions that all routes to a service allow. Processes campaign later by ten times their quickest call to the store, where there are several regions; standbys stand in the leader's region first. What was measured goes when the store moves.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -16,6 +16,7 @@
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/topology"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -68,8 +69,9 @@
 	Times    owner.Config
 	// Nonce returns a text that is never used twice.
 	Nonce func() string
-	// Zone of this process's machine.
-	Zone string
+	// Zone of this process's machine, and Regions those of all zones.
+	Zone    string
+	Regions topology.Map
 	// Unresolved are processes that may renew what earlier leaders gave until it has
 	// all ended, since they did not answer.
 	Unresolved []election.Renewer
--- a/internal/keeper/plan.go
+++ b/internal/keeper/plan.go
@@ -8,6 +8,7 @@
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/topology"
 )
 
 // plan chooses owners, at first or anew.
@@ -73,7 +74,8 @@
 	return nil
 }
 
-// places returns where the service's keys may be held.
+// places returns where the service's keys may be held: where all routes to it must be served in
+// some regions, only there, since an owner elsewhere could not be asked.
 func (t *tenancy) places(of *service) []owner.Place {
 	described := t.described(of)
 	if described == nil {
@@ -83,9 +85,21 @@
 	for _, one := range described.Places {
 		places = append(places, owner.Place{Keys: owner.Keys{From: one.From, To: one.To}, Zones: one.Zones})
 	}
+	if regions, bound := t.Config().RegionsOf(of.name); bound && t.Regions.Regions() > 1 {
+		return owner.Within(places, t.zones(regions))
+	}
 	return places
 }
 
+// zones returns the names of some regions' zones.
+func (t *tenancy) zones(regions []topology.Region) []string {
+	var names []string
+	for _, zone := range t.Regions.Zones(regions) {
+		names = append(names, string(zone))
+	}
+	return names
+}
+
 // moved notes a move for balance.
 func (s *service) moved(now time.Time) {
 	s.movesSince(now.Add(-time.Minute))
--- a/internal/keeper/standbys.go
+++ b/internal/keeper/standbys.go
@@ -7,6 +7,7 @@
 
 	"github.com/shalefork/shalefork/internal/election"
 	"github.com/shalefork/shalefork/internal/peerlink"
+	"github.com/shalefork/shalefork/internal/topology"
 )
 
 const (
@@ -40,7 +41,7 @@
 		return
 	}
 	t.standbys.next = now.Add(appointEvery)
-	wanted := chooseStandbys(t.Hub.Peers(), t.Zone)
+	wanted := chooseStandbys(t.Hub.Peers(), t.Zone, t.Regions)
 	list := []election.Renewer{{Address: t.tenure.Leader.Address, Process: t.tenure.Leader.Process}}
 	if now.Before(t.until) {
 		list = append(list, t.Unresolved...)
@@ -95,20 +96,27 @@
 	}
 }
 
-// chooseStandbys takes the strongest processes, of zones of their own where it can.
-func chooseStandbys(peers []peerlink.Peer, ownZone string) []peerlink.Peer {
-	var chosen, rest []peerlink.Peer
+// chooseStandbys takes the strongest processes, of zones of their own where it can, and those of
+// the leader's region first: it was won near the store, which the next leader needs, and what
+// standbys are told need not cross between regions.
+func chooseStandbys(peers []peerlink.Peer, ownZone string, regions topology.Map) []peerlink.Peer {
+	var chosen []peerlink.Peer
 	zones := map[string]bool{ownZone: true}
-	for _, one := range peers {
-		if len(chosen) < standbyCount && !zones[one.Zone] {
-			zones[one.Zone] = true
-			chosen = append(chosen, one)
-			continue
+	taken := map[string]bool{}
+	take := func(fits func(one peerlink.Peer) bool) {
+		for _, one := range peers {
+			if len(chosen) < standbyCount && !taken[one.Process] && fits(one) {
+				zones[one.Zone], taken[one.Process] = true, true
+				chosen = append(chosen, one)
+			}
 		}
-		rest = append(rest, one)
 	}
-	for len(chosen) < standbyCount && len(rest) > 0 {
-		chosen, rest = append(chosen, rest[0]), rest[1:]
+	near := func(one peerlink.Peer) bool {
+		return regions.Distance(topology.Zone(ownZone), topology.Zone(one.Zone)) < topology.OtherRegion
 	}
+	take(func(one peerlink.Peer) bool { return near(one) && !zones[one.Zone] })
+	take(near)
+	take(func(one peerlink.Peer) bool { return !zones[one.Zone] })
+	take(func(peerlink.Peer) bool { return true })
 	return chosen
 }
--- a/internal/keeper/standbys_test.go
+++ b/internal/keeper/standbys_test.go
@@ -6,21 +6,33 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/shalefork/shalefork/internal/peerlink"
+	"github.com/shalefork/shalefork/internal/topology"
 )
 
+// twoRegions are z of the zones z1 and z2, and y of y1 and y2.
+var twoRegions = topology.New(map[topology.Zone]topology.Region{"z1": "z", "z2": "z", "y1": "y", "y2": "y"})
+
 func TestStandbysStandInOtherZonesWhereTheyCan(t *testing.T) {
 	for name, c := range map[string]struct {
-		peers  []peerlink.Peer
-		chosen []string
+		peers   []peerlink.Peer
+		regions topology.Map
+		chosen  []string
 	}{
 		"nobody":        {},
 		"one":           {peers: []peerlink.Peer{{Process: "a", Zone: "z1"}}, chosen: []string{"a"}},
 		"only the same": {peers: []peerlink.Peer{{Process: "a", Zone: "z1"}, {Process: "b", Zone: "z1"}, {Process: "c", Zone: "z1"}}, chosen: []string{"a", "b"}},
 		"others":        {peers: []peerlink.Peer{{Process: "a", Zone: "z1"}, {Process: "b", Zone: "z2"}, {Process: "c", Zone: "z2"}, {Process: "d", Zone: "z3"}}, chosen: []string{"b", "d"}},
+		"the own region": {
+			peers:   []peerlink.Peer{{Process: "a", Zone: "y1"}, {Process: "b", Zone: "z1"}, {Process: "c", Zone: "y2"}, {Process: "d", Zone: "z2"}, {Process: "e", Zone: "z2"}},
+			regions: twoRegions, chosen: []string{"d", "b"},
+		},
+		"too few in the own region": {
+			peers: []peerlink.Peer{{Process: "a", Zone: "y1"}, {Process: "b", Zone: "z2"}}, regions: twoRegions, chosen: []string{"b", "a"},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var chosen []string
-			for _, one := range chooseStandbys(c.peers, "z1") {
+			for _, one := range chooseStandbys(c.peers, "z1", c.regions) {
 				chosen = append(chosen, one.Process)
 			}
 			assert.DeepEqual(t, chosen, c.chosen)
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -46,6 +46,26 @@
 	return all
 }
 
+// nowhere is a zone that no worker stands in.
+const nowhere = "-"
+
+// Within restricts places, and the keys outside of all of them, to some zones. Where a place
+// has none of these zones nobody may hold its keys.
+func Within(places []Place, zones []string) []Place {
+	narrowed := blocks(places)
+	for index, place := range narrowed {
+		allowed := slices.Clone(zones)
+		if len(place.Zones) > 0 {
+			allowed = slices.DeleteFunc(allowed, func(zone string) bool { return !place.allows(zone) })
+		}
+		if len(allowed) == 0 {
+			allowed = []string{nowhere}
+		}
+		narrowed[index].Zones = allowed
+	}
+	return narrowed
+}
+
 // bound cuts spans where places begin, and keeps them from being joined there.
 func (b *Book) bound(places []Place) {
 	b.bounds = map[int]bool{}
--- a/internal/owner/place_test.go
+++ b/internal/owner/place_test.go
@@ -112,3 +112,20 @@
 		})
 	}
 }
+
+func TestPlacesWithinZones(t *testing.T) {
+	for name, test := range map[string]struct {
+		places []Place
+		zones  []string
+		want   []Place
+	}{
+		"no places": {nil, []string{"a"}, []Place{{Keys{0, KeyCount - 1}, []string{"a"}}}},
+		"no zones":  {nil, nil, []Place{{Keys{0, KeyCount - 1}, []string{nowhere}}}},
+		"places": {testPlaces, []string{"b", "c"}, []Place{
+			{Keys{0, 19999}, []string{nowhere}}, {Keys{20000, 29999}, []string{"b"}},
+			{Keys{30000, 39999}, []string{"b", "c"}}, {Keys{40000, KeyCount - 1}, []string{"c"}},
+		}},
+	} {
+		t.Run(name, func(t *testing.T) { assert.DeepEqual(t, Within(test.places, test.zones), test.want) })
+	}
+}
--- /dev/null
+++ b/internal/router/farlead_test.go
@@ -0,0 +1,40 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/topology"
+)
+
+// Two processes at 1 and 9 ms from a store that takes 4 ms: whatever the random part of their
+// pauses, the near one campaigns first.
+func TestProcessesNearTheStoreCampaignFirst(t *testing.T) {
+	places := topology.New(map[topology.Zone]topology.Region{"a1": "a", "b1": "b"})
+	for name, test := range map[string]struct {
+		places    topology.Map
+		calls     []time.Duration
+		least, to time.Duration
+	}{
+		"near":            {places, []time.Duration{40 * time.Millisecond, 6 * time.Millisecond, 500 * time.Millisecond}, 60 * time.Millisecond, 60*time.Millisecond + campaignSpread},
+		"far":             {places, []time.Duration{22 * time.Millisecond}, 220 * time.Millisecond, 220*time.Millisecond + campaignSpread},
+		"not measured":    {places, nil, 0, campaignSpread},
+		"a slow store":    {places, []time.Duration{3 * time.Second}, longestFarPause, longestFarPause + campaignSpread},
+		"one region only": {topology.Map{}, []time.Duration{22 * time.Millisecond}, 0, campaignSpread},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newTestRouter(t)
+			r.places = test.places
+			r.hub.Strength = 1
+			for _, took := range test.calls {
+				r.store.measure(took)
+			}
+			for range 50 {
+				pause := r.campaignPause()
+				assert.Assert(t, pause >= test.least && pause < test.to, "%s", pause)
+			}
+		})
+	}
+}
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -29,6 +29,12 @@
 	// weakPause is by how much later those on weaker machines campaign: after an outage
 	// of the service the strong ones may look for a leader up to a second later.
 	weakPause = 700 * time.Millisecond
+	// farFactor times the quickest call to the store is by how much later a process campaigns: by
+	// more than campaignSpread where the way there and back takes 15 ms longer, which is two
+	// neighbouring regions, and no longer than longestFarPause, since no leader is worse than a
+	// far one.
+	farFactor       = 10
+	longestFarPause = 500 * time.Millisecond
 	// askTimeout bounds asking the leader before whether it has stopped.
 	askTimeout = 400 * time.Millisecond
 	// ownReportEvery is the pause between a leader's reports to itself.
@@ -186,7 +192,18 @@
 	case r.hub.Strength < strongest:
 		pause += weakPause
 	}
-	return pause
+	return pause + r.farPause()
+}
+
+// farPause lets processes of the store's region campaign first: each renewal of the lease and
+// all that the leader reads and writes would cross between regions, and a region that is cut off
+// from the store would take the leader with it. Which region that is shows by how long the
+// quickest call took.
+func (r *Router) farPause() time.Duration {
+	if r.places.Regions() <= 1 {
+		return 0
+	}
+	return min(longestFarPause, farFactor*r.store.distance())
 }
 
 // spread returns a random part of a time, so that processes do not act all at once.
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -63,6 +64,22 @@
 	coord.Store
 	calls   *prometheus.CounterVec
 	latency *prometheus.HistogramVec
+	// quickest is the time of the quickest call, in nanoseconds; zero: there was none.
+	quickest atomic.Int64
+}
+
+// distance returns the time of the quickest call so far, which is mostly that of the way to the
+// service and back; zero if there was none.
+func (s *meteredStore) distance() time.Duration { return time.Duration(s.quickest.Load()) }
+
+// measure notes the time of a call.
+func (s *meteredStore) measure(took time.Duration) {
+	for {
+		quickest := s.quickest.Load()
+		if quickest > 0 && quickest <= int64(took) || s.quickest.CompareAndSwap(quickest, max(1, int64(took))) {
+			return
+		}
+	}
 }
 
 // storeBuckets are upper bounds in seconds.
@@ -102,8 +119,12 @@
 }
 
 func (s *meteredStore) done(call string, began time.Time, err error) {
+	took := clock.Since(began)
 	s.calls.WithLabelValues(call, outcomeOf(err)).Inc()
-	s.latency.WithLabelValues(call).Observe(clock.Since(began).Seconds())
+	s.latency.WithLabelValues(call).Observe(took.Seconds())
+	if err == nil {
+		s.measure(took)
+	}
 }
 
 // Get implements coord.Store.
--- a/internal/router/reload.go
+++ b/internal/router/reload.go
@@ -52,6 +52,7 @@
 	}
 	if fresh.Store != r.settings.Store {
 		r.adapter.MoveStore(fresh.Store)
+		r.store.quickest.Store(0) // the other one may stand elsewhere
 	}
 	r.proxy.SetLimits(limits(fresh))
 	held := r.settings
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -75,6 +75,8 @@
 type Router struct {
 	settings settings.Router
 	adapter  Adapter
+	// store is the adapter's, with what was measured of it.
+	store *meteredStore
 	// places are the regions of the zones.
 	places  topology.Map
 	log     *decision.Log
@@ -108,9 +110,10 @@
 
 // New returns a router that has opened nothing yet.
 func New(config settings.Router, adapter Adapter, log *decision.Log, metrics Metrics) *Router {
-	adapter.Store = meterStore(adapter.Store, metrics)
+	store := meterStore(adapter.Store, metrics)
+	adapter.Store = store
 	r := &Router{
-		settings: config, places: config.Places(), adapter: adapter, log: log, metrics: metrics,
+		store: store, settings: config, places: config.Places(), adapter: adapter, log: log, metrics: metrics,
 		workers: workers.NewDirectory(),
 		table:   keytable.New(),
 		meter:   peerlink.NewMeter(),
@@ -139,7 +142,7 @@
 		Store: adapter.Store, Prefix: KeyPrefix, Orders: adapter.Orders, Workers: r.workers,
 		Config: r.proxy.Config, Hub: r.hub, Table: r.table, Reports: r.reports, Log: log, Metrics: keeper.NewMetrics(metrics),
 		ReadUpTo: r.readUpTo,
-		Times:    owner.DefaultConfig(config.MaxHold.Std()), Nonce: rand.Text, Zone: config.Zone,
+		Times:    owner.DefaultConfig(config.MaxHold.Std()), Nonce: rand.Text, Zone: config.Zone, Regions: r.places,
 	}
 	r.standby = standby.New(adapter.Orders, r.keeper.Times, log)
 	r.hub.OnAsked(r.standby.Stop)
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -12,23 +12,25 @@
 // is a region of its own. They are told once each. It is safe for concurrent use.
 type strangeZones struct {
 	mu   sync.Mutex
-	told map[string]bool
+	told map[topology.Zone]bool
 }
 
 // note tells a worker's zone if nothing is known of it.
 func (z *strangeZones) note(places topology.Map, worker workers.Worker, log *decision.Log) {
-	if places.Known(topology.Zone(worker.Zone)) || !z.first(worker.Zone) {
-		return
+	if z.strange(places, topology.Zone(worker.Zone)) {
+		log.Line(decision.KindZoneUnknown).Str("zone", worker.Zone).Str("worker", string(worker.ID)).Msg("")
 	}
-	log.Line(decision.KindZoneUnknown).Str("zone", worker.Zone).Str("worker", string(worker.ID)).Msg("")
 }
 
-// first reports whether a zone is seen for the first time.
-func (z *strangeZones) first(zone string) bool {
+// strange reports whether nothing is known of a zone, which is seen for the first time.
+func (z *strangeZones) strange(places topology.Map, zone topology.Zone) bool {
+	if places.Known(zone) {
+		return false
+	}
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	if z.told == nil {
-		z.told = map[string]bool{}
+		z.told = map[topology.Zone]bool{}
 	}
 	before := z.told[zone]
 	z.told[zone] = true
--- /dev/null
+++ b/internal/routing/regions_test.go
@@ -0,0 +1,36 @@
+package routing
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/topology"
+)
+
+func TestRegionsOfAService(t *testing.T) {
+	route := func(weight int, regions ...topology.Region) *Route {
+		return &Route{
+			Prefix: "/", Timeout: 1, Regions: regions,
+			Parts: []Part{{Service: "s", Weight: weight}, {Service: "other", Weight: 1}},
+		}
+	}
+	for name, test := range map[string]struct {
+		routes []*Route
+		want   []topology.Region
+	}{
+		"no route":                  {nil, nil},
+		"bound":                     {[]*Route{route(1, "a")}, []topology.Region{"a"}},
+		"bound to several":          {[]*Route{route(1, "a", "b"), route(1, "b", "c")}, []topology.Region{"a", "b", "c"}},
+		"one is free":               {[]*Route{route(1, "a"), route(1)}, nil},
+		"the free one has no share": {[]*Route{route(1, "a"), route(0)}, []topology.Region{"a"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			config, err := Build(1, test.routes, map[ServiceName]*Service{"s": {}, "other": {}}, Limits{})
+			assert.NilError(t, err)
+			got, bound := config.RegionsOf("s")
+			assert.DeepEqual(t, got, test.want)
+			assert.Equal(t, bound, len(test.want) > 0)
+		})
+	}
+}
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -4,6 +4,8 @@
 // It is pure. A Map is never changed after New.
 package topology
 
+import "slices"
+
 // Zone is a place with its own power and network.
 type Zone string
 
@@ -78,6 +80,18 @@
 	return max(1, len(named))
 }
 
+// Zones returns the zones of some regions, in the order of their names.
+func (m Map) Zones(regions []Region) []Zone {
+	var zones []Zone
+	for zone, region := range m.regions {
+		if slices.Contains(regions, region) {
+			zones = append(zones, zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
 // Distance returns how far a zone is from another.
 func (m Map) Distance(from, to Zone) Distance {
 	switch {
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -31,3 +31,9 @@
 	assert.Assert(t, !New(map[Zone]Region{"a1": "a"}).Known("b1"))
 	assert.Assert(t, Map{}.Known("b1"))
 }
+
+func TestZonesOfRegions(t *testing.T) {
+	places := New(map[Zone]Region{"a2": "a", "a1": "a", "b1": "b", "c1": "c"})
+	assert.DeepEqual(t, places.Zones([]Region{"a", "c"}), []Zone{"a1", "a2", "c1"})
+	assert.Equal(t, len(places.Zones([]Region{"d"})), 0)
+}
