Keep large bodies below a sixteenth of a link between regions, tested on a link with a rate

Cause: grants, renewals and small requests must not queue behind downloads, and nothing showed that they do not.

Change: links of tests learn a rate that several share. The part of all large bodies is 512 kB/s in place of 1 MB/s: by reckoning, five of thirty routers meet in 46 ms once in two hundred rounds of 5 s, in place of once in fifteen of 2.6 s.

--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -47,6 +47,8 @@
 	harm     Harm
 	pairs    map[*pair]struct{}
 	closed   bool
+	// rates bound requests and answers; nil: nothing does.
+	rates [2]*Rate
 }
 
 // pair is one connection and its other half.
@@ -171,6 +173,7 @@
 			_, _ = to.Write(bytes[:min(truncated, len(bytes))])
 			return false
 		}
+		l.awaitTurn(len(bytes), answers)
 		_, err := to.Write(bytes)
 		return err == nil
 	}
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -69,3 +69,19 @@
 		})
 	}
 }
+
+// What links share takes its turn: the last of several bodies has waited for all of them.
+func TestLinksShareARate(t *testing.T) {
+	const perSecond = 64 << 10
+	rate := NewRate(perSecond)
+	start := time.Now()
+	assert.Equal(t, rate.take(start, perSecond/2), start.Add(time.Second/2))
+	assert.Equal(t, rate.take(start, perSecond/2), start.Add(time.Second))
+	assert.Equal(t, rate.Queue(start.Add(300*time.Millisecond)), 700*time.Millisecond)
+	assert.Equal(t, rate.take(start.Add(2*time.Second), perSecond), start.Add(3*time.Second))
+	link, client := newLink(t)
+	link.Share(nil, NewRate(1000))
+	began := time.Now()
+	assert.NilError(t, ask(link, client))
+	assert.Assert(t, time.Since(began) >= time.Duration(len(body))*time.Millisecond)
+}
--- /dev/null
+++ b/internal/lab/link/rate.go
@@ -0,0 +1,56 @@
+package link
+
+import (
+	"sync"
+	"time"
+)
+
+// Rate is a bandwidth that links share: bytes leave in the order in which they come, one way. It
+// is safe for concurrent use.
+type Rate struct {
+	perSecond float64
+	mu        sync.Mutex
+	free      time.Time
+}
+
+// NewRate returns a bandwidth, in bytes a second.
+func NewRate(bytesPerSecond float64) *Rate { return &Rate{perSecond: bytesPerSecond} }
+
+// Queue returns how long bytes that come now wait for those before them.
+func (r *Rate) Queue(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(0, r.free.Sub(now))
+}
+
+// take lets bytes wait for those before them, and returns when they have passed.
+func (r *Rate) take(now time.Time, bytes int) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.free.Before(now) {
+		r.free = now
+	}
+	r.free = r.free.Add(time.Duration(float64(bytes) / r.perSecond * float64(time.Second)))
+	return r.free
+}
+
+// Share makes the link's requests and answers take their turns with those of other links. Nil:
+// as many as there are pass at once.
+func (l *Link) Share(requests, answers *Rate) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rates = [2]*Rate{requests, answers}
+}
+
+// awaitTurn waits until bytes have passed.
+func (l *Link) awaitTurn(bytes int, answers bool) {
+	l.mu.Lock()
+	rate := l.rates[0]
+	if answers {
+		rate = l.rates[1]
+	}
+	l.mu.Unlock()
+	if rate != nil {
+		time.Sleep(time.Until(rate.take(time.Now(), bytes)))
+	}
+}
--- a/internal/proxy/bulkgate.go
+++ b/internal/proxy/bulkgate.go
@@ -7,9 +7,10 @@
 )
 
 // bulkAcross is what large bodies may take of a link between regions, in bytes a second, all
-// routers of a region together: an eighth of a link of 64 Mbit/s, so that what holds, keys and
-// small requests need is never queued behind them.
-const bulkAcross = 1 << 20
+// routers together: a sixteenth of a link of 64 Mbit/s. Thirty routers then send one body of
+// 90 kB each 170 ms on average; five of them in the same 46 ms, which would hold up renewals of
+// what workers hold for 50 ms, come about once in two hundred rounds of 5 s.
+const bulkAcross = 512 << 10
 
 // bulkGate lets one router's part of the large bodies through between regions. Each router
 // may use an equal part by the number of routers that it heard of last, also while it is cut
--- /dev/null
+++ b/internal/proxy/regionlink_test.go
@@ -0,0 +1,81 @@
+package proxy
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/lab/link"
+	"github.com/shalefork/shalefork/internal/routing"
+)
+
+// Renewals of what workers hold cross a link between regions within 50 ms while callers of a
+// region without workers want ten times the link for large answers. Without the gate the answers
+// that wait on the link held renewals up for 400 ms.
+func TestRenewalsPassBesideLargeBodies(t *testing.T) {
+	const (
+		routers      = 4
+		callers      = 24 // for each router; they ask again at once
+		answerBytes  = 90_000
+		perSecond    = 62e6 / 8
+		lasts        = 2 * time.Second
+		renewalEvery = 10 * time.Millisecond
+		mostQueued   = 50 * time.Millisecond
+	)
+	large := strings.Repeat("x", answerBytes)
+	far := newWorker(t, "w1", answers(large))
+	rate := link.NewRate(perSecond)
+	between, err := link.New("127.0.0.1:0", far.listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(between.Close)
+	between.Share(nil, rate)
+	entry := far.entry("pool")
+	entry.Address, entry.Zone, entry.Slots = between.Address(), "far", 1000
+	started := time.Now()
+	var fronts []*front
+	for index := range routers {
+		f := newFront(t, entry)
+		f.proxy.Locate(twoRegions)
+		f.proxy.Nodes.Store(routers)
+		config := testConfig(t, 2)
+		config.Match("app.example", "/safe/").Class = routing.BulkDown
+		assert.Assert(t, f.proxy.Use(config))
+		// Turns are taken evenly here, where they are random else: chance must not decide.
+		pause := time.Duration(answerBytes * routers * time.Second / bulkAcross)
+		f.proxy.fleet.bulk.next = started.Add(pause * time.Duration(index) / routers)
+		fronts = append(fronts, f)
+	}
+	var asks sync.WaitGroup
+	var mu sync.Mutex
+	statuses := map[int]int{}
+	for _, f := range fronts {
+		for range callers {
+			request := f.request(t, "GET", "/safe/", "")
+			asks.Go(func() {
+				for time.Since(started) < lasts {
+					response, err := http.DefaultClient.Do(request)
+					if err != nil {
+						continue
+					}
+					_ = response.Body.Close()
+					mu.Lock()
+					statuses[response.StatusCode]++
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	longest := time.Duration(0)
+	for time.Since(started) < lasts {
+		longest = max(longest, rate.Queue(time.Now()))
+		time.Sleep(renewalEvery)
+	}
+	asks.Wait()
+	assert.Assert(t, longest <= mostQueued, "a renewal would have waited %s", longest)
+	assert.Assert(t, statuses[http.StatusOK] > 0, "%v", statuses)
+	assert.Assert(t, statuses[http.StatusServiceUnavailable] > 0, "%v", statuses)
+}
