Let a leader tell processes that start what they would read from the store

Cause: each process that starts listed workers and configuration, watched both, and read the quarantined requests: five calls beside the one for the leader.

Where the store names no leader, or the one it names does not answer, the process reads for itself at once, as before. Who campaigns reads the configuration first.

Ruled out: stale reads (a page's revision may be newer than its items, so a watch would miss changes).

--- a/internal/coord/follow.go
+++ b/internal/coord/follow.go
@@ -58,6 +58,9 @@
 	// Covered is the revision up to which the view knows all changes, which may come
 	// from elsewhere meanwhile. Nil: what was read here.
 	Covered func() Revision
+	// Told waits, before the first list, whether others tell all that there is, up to the
+	// revision Covered; nil: nobody does.
+	Told func(ctx context.Context) bool
 }
 
 // Follow keeps a view up to date until ctx ends.
@@ -78,7 +81,9 @@
 	options Options
 	at      Revision
 	listed  bool
-	lost    bool
+	// asked says that others were waited for.
+	asked bool
+	lost  bool
 	// sent is when the last call was sent, and away a time at which the service was away:
 	// when the last call that failed was sent, or was refused.
 	sent, away time.Time
@@ -87,7 +92,7 @@
 
 // step lists or watches once.
 func (f *follower) step(ctx context.Context) error {
-	if !f.listed {
+	if !f.listed && !f.toldAll(ctx) {
 		return f.list(ctx)
 	}
 	if f.options.Paused != nil && f.options.Paused() {
@@ -112,6 +117,18 @@
 	return nil
 }
 
+// toldAll waits once, before the first list, whether others tell all that there is.
+func (f *follower) toldAll(ctx context.Context) bool {
+	if f.asked || f.options.Told == nil {
+		return false
+	}
+	f.asked = true
+	if f.options.Told(ctx) {
+		f.listed, f.at = true, f.options.Covered()
+	}
+	return f.listed
+}
+
 func (f *follower) list(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -82,7 +82,7 @@
 	for _, id := range ids {
 		list = append(list, workers.Worker{ID: id, Service: "s", Address: string(id), Slots: 2, State: workers.StateReady})
 	}
-	b.keeper.Workers.Replace(list, time.Now())
+	b.keeper.Workers.Replace(list, nil, time.Now())
 }
 
 // lead leads for some time.
@@ -186,7 +186,7 @@
 	play(t, func(b *bench) {
 		near := workers.Worker{ID: "w1", Service: "s", Address: "w1", Zone: "near", Slots: 2, State: workers.StateReady}
 		far := workers.Worker{ID: "w2", Service: "s", Address: "w2", Zone: "far", Slots: 2, State: workers.StateReady}
-		b.keeper.Workers.Replace([]workers.Worker{near, far}, time.Now())
+		b.keeper.Workers.Replace([]workers.Worker{near, far}, nil, time.Now())
 		keys := []int{0, owner.KeyCount / 2, owner.KeyCount - 1}
 		b.lead(16*time.Second, func() {
 			time.Sleep(5 * time.Second)
--- a/internal/peerlink/entries.go
+++ b/internal/peerlink/entries.go
@@ -4,7 +4,9 @@
 	"slices"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/workers"
 )
 
 const (
@@ -24,30 +26,66 @@
 	// from and to are the revisions between which all changes are kept.
 	from, to coord.Revision
 	changes  []WorkerChange
+	// all are the last changes of the workers that have an entry; nil: no list was read.
+	all map[workers.ID]WorkerChange
 }
 
 // reset begins anew: all up to a revision was read at once.
-func (l *entryLog) reset(at coord.Revision) {
-	l.from, l.to, l.changes = at, at, nil
+func (l *entryLog) reset(list []WorkerChange, at coord.Revision) {
+	l.from, l.to, l.changes, l.all = at, at, nil, map[workers.ID]WorkerChange{}
+	for _, one := range list {
+		l.all[one.ID] = one
+	}
 }
 
 // add takes changes that lead up to a revision.
 func (l *entryLog) add(changes []WorkerChange, at coord.Revision) {
 	l.changes = append(l.changes, changes...)
 	l.to = max(l.to, at)
+	l.know(changes)
 	if surplus := len(l.changes) - keptChanges; surplus > 0 {
 		l.from = l.changes[surplus-1].Revision
 		l.changes = append([]WorkerChange(nil), l.changes[surplus:]...)
 	}
 }
 
-// since returns all changes after a revision; without them if they are too many or no
-// longer kept, and nil if there are none. Each says how old it is now.
+// know keeps what is announced, once a list was read.
+func (l *entryLog) know(changes []WorkerChange) {
+	if l.all == nil {
+		return
+	}
+	for _, one := range changes {
+		if one.Gone {
+			delete(l.all, one.ID)
+			continue
+		}
+		l.all[one.ID] = one
+	}
+}
+
+// whole announces all workers, to who knows none: 270 of them take 10 KB. From the service, where
+// each process that starts costs two calls for its lists and two for watches, it comes no sooner.
+func (l *entryLog) whole(now time.Time) *Entries {
+	news := &Entries{From: l.to, To: l.to, Whole: true}
+	for _, one := range l.all {
+		if one.Draining {
+			one.AgeMillis = ageMillis(one.Learned, now)
+		}
+		one.WarmMillis = max(0, one.warmAt.Sub(now).Milliseconds())
+		news.Changes = append(news.Changes, one)
+	}
+	return news
+}
+
+// since returns all changes after a revision, or all workers to who knows none; without them if
+// they are too many or no longer kept, and nil if there are none. Each says how old it is now.
 func (l *entryLog) since(revision coord.Revision, now time.Time) *Entries {
-	if revision >= l.to {
+	switch {
+	case revision >= l.to:
 		return nil
-	}
-	if revision < l.from {
+	case revision == 0 && l.all != nil:
+		return l.whole(now)
+	case revision < l.from:
 		return &Entries{From: l.to, To: l.to}
 	}
 	news := &Entries{From: revision, To: l.to}
@@ -77,7 +115,7 @@
 	if news == nil {
 		return nil
 	}
-	hurry := len(news.Changes) == 0 || slices.ContainsFunc(news.Changes, urgent)
+	hurry := news.Whole || len(news.Changes) == 0 || slices.ContainsFunc(news.Changes, urgent)
 	if !hurry && now.Sub(one.entriesAt) < newcomersPause {
 		return nil
 	}
@@ -91,26 +129,34 @@
 // packedEntries keeps what was packed last: links lag by the same.
 type packedEntries struct {
 	from, to coord.Revision
+	whole    bool
 	packed   []byte
 	at       time.Time
 }
 
 // pack packs the changes of a message.
 func (p *packedEntries) pack(news *Entries, now time.Time) {
-	if p.from != news.From || p.to != news.To {
-		*p = packedEntries{from: news.From, to: news.To, packed: pack(news.Changes), at: now}
+	if p.from != news.From || p.to != news.To || p.whole != news.Whole {
+		*p = packedEntries{from: news.From, to: news.To, whole: news.Whole, packed: pack(news.Changes), at: now}
 	}
 	news.Packed, news.Changes, news.PackedMillis = p.packed, nil, ageMillis(p.at, now)
 }
 
-// EntriesRead tells that all entries up to a revision were read at once.
-func (h *Hub) EntriesRead(at coord.Revision) {
+// EntriesRead tells which entries there are at a revision, up to which all were read at once.
+func (h *Hub) EntriesRead(list []WorkerChange, at coord.Revision) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.entries.reset(at)
+	h.entries.reset(list, at)
 	h.wakeAll()
 }
 
+// EntriesSince returns what has changed of them after a revision; nil if nothing has.
+func (h *Hub) EntriesSince(revision coord.Revision) *Entries {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.entries.since(revision, clock.Now())
+}
+
 // EntriesChanged tells of changes that lead up to a revision.
 func (h *Hub) EntriesChanged(changes []WorkerChange, at coord.Revision) {
 	h.mu.Lock()
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -155,11 +155,13 @@
 	return holds, true
 }
 
-// Entries passes changes of workers on: all between two revisions. Where From is To,
-// there are too many to pass on: they are to be read from the service.
+// Entries passes changes of workers on: all between two revisions. Where From is To and
+// they are not whole, there are too many to pass on: they are to be read from the service.
 type Entries struct {
-	From    coord.Revision `json:"f"`
-	To      coord.Revision `json:"t"`
+	From coord.Revision `json:"f"`
+	To   coord.Revision `json:"t"`
+	// Whole says that the changes announce all workers that there are at To.
+	Whole   bool           `json:"w,omitempty"`
 	Changes []WorkerChange `json:"e,omitempty"`
 	// Packed are the changes instead, where there are many, and PackedMillis is how long
 	// before the message they were packed.
@@ -178,6 +180,7 @@
 	for index := range changes {
 		age := e.PackedMillis + changes[index].AgeMillis
 		changes[index].Learned = now.Add(-time.Duration(max(0, age)) * time.Millisecond)
+		changes[index].warmAt = now.Add(time.Duration(changes[index].WarmMillis-e.PackedMillis) * time.Millisecond)
 	}
 	return changes, nil
 }
@@ -227,6 +230,8 @@
 	// as the message tells it.
 	Learned   time.Time `json:"-"`
 	AgeMillis int64     `json:"o,omitempty"`
+	// warmAt is when the worker stops being slow, by this process's clock.
+	warmAt time.Time
 }
 
 // Changed describes a worker as it is announced now.
@@ -234,7 +239,7 @@
 	return WorkerChange{
 		Revision: revision, ID: worker.ID, Service: worker.Service, Address: worker.Address, Zone: worker.Zone,
 		Slots: worker.Slots, Draining: worker.State == workers.StateDraining,
-		WarmMillis: max(0, clock.Until(worker.WarmAt).Milliseconds()),
+		WarmMillis: max(0, clock.Until(worker.WarmAt).Milliseconds()), warmAt: worker.WarmAt,
 	}
 }
 
@@ -246,7 +251,7 @@
 	}
 	return workers.Worker{
 		ID: c.ID, Service: c.Service, Address: c.Address, Zone: c.Zone, Slots: c.Slots, State: state,
-		WarmAt: clock.Now().Add(time.Duration(c.WarmMillis) * time.Millisecond),
+		WarmAt: c.warmAt,
 	}
 }
 
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -175,7 +175,7 @@
 // not cost a call of each of them.
 func TestFollowersHearOfChangedWorkers(t *testing.T) {
 	hub, _, address := leading(t, 3)
-	hub.EntriesRead(10)
+	hub.EntriesRead(nil, 10)
 	f := follow(t, address)
 	eventually(t, "that it has read nothing", func() bool { return f.gaps.Load() == 1 })
 	hub.EntriesChanged([]WorkerChange{change("b", 12), change("c", 13)}, 14)
@@ -266,7 +266,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var log entryLog
-			log.reset(100)
+			log.reset(nil, 100)
 			for index := range test.changes {
 				revision := coord.Revision(101 + index)
 				log.add([]WorkerChange{change("k", revision)}, revision)
--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -75,7 +75,7 @@
 	directory.Replace([]workers.Worker{
 		{ID: "near", Service: "s", Zone: "a1", Slots: 1, State: workers.StateReady},
 		{ID: "far", Service: "s", Zone: "b1", Slots: 1, State: workers.StateReady},
-	}, time.Now())
+	}, nil, time.Now())
 	f := newFleet("a2", directory, BudgetLimits{})
 	f.places = topology.New(map[topology.Zone]topology.Region{"a1": "a", "a2": "a", "b1": "b"})
 	f.policy = regional
--- a/internal/proxy/pick_test.go
+++ b/internal/proxy/pick_test.go
@@ -22,7 +22,7 @@
 			Zone: fmt.Sprintf("z%d", index%3), Slots: 3, State: workers.StateReady,
 		})
 	}
-	directory.Replace(list, time.Now())
+	directory.Replace(list, nil, time.Now())
 	return directory
 }
 
--- a/internal/proxy/request_bench_test.go
+++ b/internal/proxy/request_bench_test.go
@@ -177,7 +177,7 @@
 			ID: workers.ID(service), Service: service, Address: w.address, Zone: "z", Slots: 4, State: workers.StateReady,
 		})
 	}
-	directory.Replace(list, time.Now())
+	directory.Replace(list, nil, time.Now())
 	p := New("z", directory, BudgetLimits{Ratio: 0.2, Slack: 200, Window: 10 * time.Second})
 	p.Headers, p.Table, p.Meter = testHeaders, keytable.New(), peerlink.NewMeter()
 	p.Log, p.Metrics = decision.NewTo(io.Discard, "bench"), NewMetrics(prometheus.NewRegistry())
--- a/internal/proxy/subset_test.go
+++ b/internal/proxy/subset_test.go
@@ -60,7 +60,7 @@
 			ID: workers.ID(fmt.Sprintf("w%d", index)), Service: "s", Zone: "z", Slots: 2, State: workers.StateReady,
 		})
 	}
-	directory.Replace(list, time.Now())
+	directory.Replace(list, nil, time.Now())
 	f := newFleet("z", directory, BudgetLimits{})
 	service := &serviceState{}
 	now := time.Now()
--- a/internal/proxy/worker_test.go
+++ b/internal/proxy/worker_test.go
@@ -159,7 +159,7 @@
 func newFront(t *testing.T, list ...workers.Worker) *front {
 	t.Helper()
 	directory := workers.NewDirectory()
-	directory.Replace(list, time.Now())
+	directory.Replace(list, nil, time.Now())
 	proxy := New("z", directory, BudgetLimits{Ratio: 0.2, Slack: 200, Window: 10 * time.Second})
 	proxy.Headers, proxy.Table, proxy.Meter = testHeaders, keytable.New(), peerlink.NewMeter()
 	proxy.Drain = testDrain
--- a/internal/router/bundles.go
+++ b/internal/router/bundles.go
@@ -91,7 +91,7 @@
 	if !v.r.proxy.Use(compiled.Config) {
 		return
 	}
-	v.r.workers.Replace(compiled.Workers, clock.Now())
+	v.r.workers.Replace(compiled.Workers, nil, clock.Now())
 	v.r.log.Line(decision.KindConfig).Uint64("version", uint64(compiled.Config.Version)).
 		Int("routes", compiled.Config.Routes()).Msg("in force")
 }
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -124,7 +124,7 @@
 
 // follow keeps a view of a prefix, by watches unless the leader tells of changes.
 func (r *Router) follow(ctx context.Context, prefix string, view coord.View, of *followed) {
-	coord.Follow(ctx, r.adapter.Store, prefix, view, coord.Options{
+	options := coord.Options{
 		Wait:    r.watchWait,
 		Gather:  r.gather,
 		Renew:   of.renew,
@@ -132,7 +132,46 @@
 		Covered: of.coveredUpTo,
 		Reached: func(at time.Time) { r.storeReached(of, at) },
 		Failed:  func(at time.Time) { of.failed.Store(clock.Nanos(at)) },
-	})
+	}
+	if len(r.settings.Operators) == 0 { // nobody tells bundles
+		options.Told = func(ctx context.Context) bool {
+			return r.awaitTold(ctx, func() bool { return of.coveredUpTo() > 0 })
+		}
+	}
+	coord.Follow(ctx, r.adapter.Store, prefix, view, options)
+}
+
+// Times for which a process that starts waits to be told what it would else read from the
+// store: five calls a process, which counts where half of hundreds are started at once.
+const (
+	// firstPatience is for the first start of all, long before requests come: the first leader
+	// is elected within it.
+	firstPatience = 2500 * time.Millisecond
+	// startPatience is for a leader that the store names: it answers within some tens of
+	// milliseconds, or is cut off.
+	startPatience = 400 * time.Millisecond
+	toldLook      = 10 * time.Millisecond
+)
+
+// awaitTold waits until something was told; false if there is no leader that tells it, or none
+// does in time.
+func (r *Router) awaitTold(ctx context.Context, told func() bool) bool {
+	patience := startPatience
+	if r.settings.FirstStart {
+		patience = firstPatience
+	}
+	bounded, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	for !told() {
+		select {
+		case <-bounded.Done():
+			return told()
+		case <-r.unled.closed:
+			return told()
+		case <-time.After(toldLook):
+		}
+	}
+	return true
 }
 
 // watchWait is how long a watch may stay silent. Processes that follow a relay without a
--- a/internal/router/followleader.go
+++ b/internal/router/followleader.go
@@ -67,6 +67,8 @@
 	if f.linked {
 		r.log.Line(decision.KindLeaderLost).Str("leader", leader.Address).Int64("term", int64(leader.Term)).Err(err).Msg("")
 	} else {
+		r.unled.close()
+		r.awaitConfig(ctx)
 		r.readRecords(ctx)
 	}
 	r.awaitChange(ctx, leader)
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/clock"
@@ -38,13 +39,9 @@
 	resignTimeout = 500 * time.Millisecond
 )
 
-// lead follows the leader, or becomes it, until ctx ends. A process that starts finds
-// the owners first where they are stored: there may be no leader yet.
+// lead follows the leader, or becomes it, until ctx ends. A process that finds no leader when it
+// starts finds the owners where they are stored.
 func (r *Router) lead(ctx context.Context) {
-	r.awaitConfig(ctx)
-	if !r.settings.FirstStart {
-		r.readRecords(ctx)
-	}
 	paused := r.settings.FirstStart
 	if paused {
 		clock.Sleep(ctx, r.campaignPause()) // most find a leader at their first look then
@@ -58,13 +55,17 @@
 		}
 		switch {
 		case err != nil:
+			r.unled.close()
 			backoff.SleepRest(ctx, clock.Since(began))
 		case found && r.hasEnded(ctx, leader):
+			r.goOnUnled(ctx)
 			paused = r.campaign(ctx, leader.Revision, paused)
 			continue
 		case found:
 			r.followLeader(ctx, leader)
+			r.goOnUnled(ctx)
 		default:
+			r.goOnUnled(ctx)
 			paused = r.campaign(ctx, 0, paused)
 			continue
 		}
@@ -72,6 +73,26 @@
 	}
 }
 
+// goOnUnled lets a process that has just started read for itself, since no leader tells it what
+// there is. A process that knows no configuration yet can't lead.
+func (r *Router) goOnUnled(ctx context.Context) {
+	r.unled.close()
+	r.awaitConfig(ctx)
+	if !r.settings.FirstStart {
+		r.recordsRead.Do(func() { r.readRecords(ctx) })
+	}
+}
+
+// latch is closed once. It is safe for concurrent use.
+type latch struct {
+	once   sync.Once
+	closed chan struct{}
+}
+
+func newLatch() *latch { return &latch{closed: make(chan struct{})} }
+
+func (l *latch) close() { l.once.Do(func() { close(l.closed) }) }
+
 // awaitConfig waits for the first configuration.
 func (r *Router) awaitConfig(ctx context.Context) {
 	for ctx.Err() == nil && r.proxy.Config() == nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,6 +10,7 @@
 	"crypto/rand"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -96,8 +97,12 @@
 	config, entries *followed
 	entriesView     *workersView
 	configView      *configView
-	// told says that a leader tells this process of changes.
-	told told
+	// told says that a leader tells this process of changes, and unled is closed once this
+	// process, when it started, has found no leader that would.
+	told  told
+	unled *latch
+	// recordsRead says that the stored owners were looked for, since no leader told them.
+	recordsRead sync.Once
 	// strongest holds the greatest strength of all machines, as bits of a float64.
 	strongest atomic.Uint64
 }
@@ -115,6 +120,7 @@
 		meter:   peerlink.NewMeter(),
 		reports: make(chan peerlink.Report, queuedReports),
 		nodes:   &atomic.Int32{},
+		unled:   newLatch(),
 		config:  newFollowed(),
 		entries: newFollowed(),
 	}
--- /dev/null
+++ b/internal/router/start_test.go
@@ -0,0 +1,63 @@
+package router
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/peerlink"
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// A process that starts waits for a leader to tell it what there is, and no longer than is known
+// that none will.
+func TestWhoStartsWaitsToBeTold(t *testing.T) {
+	for name, test := range map[string]struct {
+		first  bool
+		happen func(r *Router)
+		told   bool
+		after  time.Duration
+	}{
+		"told":                        {happen: func(r *Router) { r.entries.cover(7) }, told: true, after: 100 * time.Millisecond},
+		"no leader":                   {happen: func(r *Router) { r.unled.close() }, after: 100 * time.Millisecond},
+		"a leader that says nothing":  {happen: func(*Router) {}, after: startPatience},
+		"nothing, at the first start": {first: true, happen: func(*Router) {}, after: firstPatience},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTestRouter(t)
+				r.settings.FirstStart = test.first
+				time.AfterFunc(95*time.Millisecond, func() { test.happen(r) })
+				began := time.Now()
+				told := r.awaitTold(t.Context(), func() bool { return r.entries.coveredUpTo() > 0 })
+				assert.Equal(t, told, test.told)
+				assert.Equal(t, time.Since(began).Round(toldLook), test.after)
+			})
+		})
+	}
+}
+
+// What a leader tells a process that knows nothing replaces a list of the store's: also for
+// those that follow it, and with the time for which workers have been leaving.
+func TestAllWorkersAreToldToWhoKnowsNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		leader, relay, last := newTestRouter(t), newTestRouter(t), newTestRouter(t)
+		leader.entriesView.Snapshot([]coord.Item{item("a", 8, workers.StateReady), item("b", 9, workers.StateReady), item("c", 9, workers.StateReady)}, 10)
+		leader.entriesView.apply([]peerlink.WorkerChange{{ID: "c", Revision: 11, Gone: true}, drains("b", 12)}, 12) // just learned
+		time.Sleep(500 * time.Millisecond)
+		for _, hop := range [][2]*Router{{leader, relay}, {relay, last}} {
+			news := hop[0].hub.EntriesSince(0)
+			assert.Assert(t, news.Whole)
+			assert.Assert(t, hop[1].entriesView.relayed(*news))
+		}
+		assert.Equal(t, last.workers.Count(), 2)
+		assert.Equal(t, last.entriesView.revision(), coord.Revision(12))
+		assert.Equal(t, usable(last), 1)
+		assert.Equal(t, last.workers.DrainingFor("b"), leader.workers.DrainingFor("b"))
+		assert.Assert(t, last.workers.DrainingFor("b") >= 500*time.Millisecond)
+		assert.Assert(t, relay.hub.EntriesSince(12) == nil, "nothing is new")
+	})
+}
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -177,6 +177,9 @@
 // unless a leader tells it first. Until then requests are refused: one that crashes workers was
 // sent within 50 ms of a start, before the list was known.
 func (r *Router) readSuspects(ctx context.Context) {
+	if r.awaitTold(ctx, func() bool { return !r.proxy.Starting.Load() }) {
+		return
+	}
 	bounded, cancel := context.WithTimeout(ctx, startsWithout)
 	defer cancel()
 	for bounded.Err() == nil && r.proxy.Starting.Load() {
--- a/internal/router/workersview.go
+++ b/internal/router/workersview.go
@@ -30,18 +30,34 @@
 	if at < v.at {
 		return // the leader has told more meanwhile
 	}
-	v.at = at
-	v.r.entries.cover(at)
-	list := make([]workers.Worker, 0, len(items))
+	since := v.r.knewAll(v.r.entries)
+	list := make([]peerlink.WorkerChange, 0, len(items))
 	for _, item := range items {
 		v.r.entries.read(item.Revision)
 		if worker, ok := v.r.adapter.ReadWorker(item); ok {
-			v.zones.note(v.r.places, worker, v.r.log)
-			list = append(list, worker)
+			change := peerlink.Changed(item.Revision, worker)
+			change.Learned = v.r.workers.ListedSince(since)
+			list = append(list, change)
 		}
 	}
-	vanished := v.r.workers.Replace(list, v.r.knewAll(v.r.entries))
-	v.r.hub.EntriesRead(at)
+	v.replace(list, at, since)
+}
+
+// replace sets the whole list. since is as of when all was known before. The caller holds mu.
+func (v *workersView) replace(list []peerlink.WorkerChange, at coord.Revision, since time.Time) {
+	v.at = at
+	v.r.entries.cover(at)
+	announced := make([]workers.Worker, 0, len(list))
+	learned := workers.Learned{}
+	for _, change := range list {
+		v.r.entries.read(change.Revision)
+		worker := change.Worker()
+		v.zones.note(v.r.places, worker, v.r.log)
+		announced = append(announced, worker)
+		learned[change.ID] = change.Learned
+	}
+	vanished := v.r.workers.Replace(announced, learned, since)
+	v.r.hub.EntriesRead(list, at)
 	v.tellVanished(vanished, at)
 	v.r.log.Line(decision.KindWorker).Int("announced", len(list)).Int64("revision", int64(at)).Msg("list read")
 }
@@ -58,6 +74,12 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	changes, err := news.All(clock.Now())
+	if news.Whole && err == nil {
+		if v.at < news.To {
+			v.replace(changes, news.To, v.r.knewAll(v.r.entries))
+		}
+		return true
+	}
 	if v.at < news.From || err != nil {
 		return false
 	}
--- a/internal/workers/evacuation_test.go
+++ b/internal/workers/evacuation_test.go
@@ -26,7 +26,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			directory := NewDirectory()
-			directory.Replace([]Worker{inZone("1", "a"), inZone("2", "b")}, time.Now())
+			directory.Replace([]Worker{inZone("1", "a"), inZone("2", "b")}, nil, time.Now())
 			directory.SetEvacuated(c.zones, time.Now())
 			directory.Update([]Worker{inZone("3", "a")}, nil, nil) // joins meanwhile
 			usable, _ := directory.Usable("s")
@@ -59,7 +59,7 @@
 		directory := NewDirectory()
 		longCold := inZone("2", "a")
 		longCold.WarmAt = time.Now().Add(time.Minute)
-		directory.Replace([]Worker{inZone("1", "a"), longCold, inZone("3", "b")}, time.Now())
+		directory.Replace([]Worker{inZone("1", "a"), longCold, inZone("3", "b")}, nil, time.Now())
 		directory.SetEvacuated([]string{"a"}, time.Now())
 		time.Sleep(time.Second)
 		directory.SetEvacuated(nil, time.Now())
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -114,25 +114,33 @@
 
 // of returns since when a worker's change is known.
 func (l Learned) of(id ID, now time.Time) time.Time {
-	if at, told := l[id]; told && at.Before(now) {
+	if at := l[id]; !at.IsZero() && at.Before(now) {
 		return at
 	}
 	return now
 }
 
-// Replace sets the whole list, and returns which entries went with that. since is the last time
-// at which all was known before; a list does not tell when what is new in it happened.
-func (d *Directory) Replace(list []Worker, since time.Time) Vanished {
+// ListedSince returns since when what a list tells may stand, if all was known at a time before:
+// a list does not tell when what is new in it happened.
+func (d *Directory) ListedSince(since time.Time) time.Time {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	learned := clock.Now().Add(-listAge)
+	if d.listed && since.Before(learned) {
+		learned = since
+	}
+	return learned
+}
+
+// Replace sets the whole list, and returns which entries went with that: since is the last time
+// at which all was known before.
+func (d *Directory) Replace(list []Worker, learned Learned, since time.Time) Vanished {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := clock.Now()
 	if !d.listed || since.After(now) {
 		since = now
 	}
-	draining := now.Add(-listAge)
-	if since.Before(draining) {
-		draining = since
-	}
 	fresh := map[ID]Worker{}
 	for _, worker := range list {
 		fresh[worker.ID] = worker
@@ -148,7 +156,7 @@
 		}
 	}
 	d.byID, d.listed = fresh, true
-	d.noteDraining(func(ID) time.Time { return draining })
+	d.noteDraining(func(id ID) time.Time { return learned.of(id, now) })
 	d.index()
 	return vanished
 }
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -20,12 +20,12 @@
 		want  time.Duration
 	}{
 		"told":                    {learn: func(d *Directory) { d.Update([]Worker{worker("a", StateDraining)}, nil, nil) }, want: 300 * time.Millisecond},
-		"found in a list":         {learn: func(d *Directory) { d.Replace([]Worker{worker("a", StateDraining)}, time.Now()) }, want: 300*time.Millisecond + listAge},
+		"found in a list":         {learn: func(d *Directory) { listed(d, time.Now()) }, want: 300*time.Millisecond + listAge},
 		"told late":               {learn: func(d *Directory) { toldLate(d, time.Second) }, want: 1300 * time.Millisecond},
 		"told twice":              {learn: func(d *Directory) { toldLate(d, time.Second); toldLate(d, 0) }, want: 1300 * time.Millisecond},
 		"listed after a cut":      {learn: listedAfterACut, want: 5300 * time.Millisecond},
 		"told before it was read": {learn: toldThenListed, want: 300 * time.Millisecond},
-		"not draining":            {learn: func(d *Directory) { d.Replace([]Worker{worker("a", StateReady)}, time.Now()) }},
+		"not draining":            {learn: func(d *Directory) { d.Replace([]Worker{worker("a", StateReady)}, nil, time.Now()) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -45,20 +45,25 @@
 
 // listedAfterACut finds a draining worker 5 s after all was known last.
 func listedAfterACut(d *Directory) {
-	d.Replace([]Worker{worker("a", StateReady)}, time.Now())
-	d.Replace([]Worker{worker("a", StateDraining)}, time.Now().Add(-5*time.Second))
+	d.Replace([]Worker{worker("a", StateReady)}, nil, time.Now())
+	listed(d, time.Now().Add(-5*time.Second))
+}
+
+// listed finds a draining worker in a list, if all was known at a time before.
+func listed(d *Directory, since time.Time) {
+	d.Replace([]Worker{worker("a", StateDraining)}, Learned{"a": d.ListedSince(since)}, since)
 }
 
 func toldThenListed(d *Directory) {
 	d.Update([]Worker{worker("a", StateDraining)}, nil, nil)
-	d.Replace([]Worker{worker("a", StateDraining)}, time.Now())
+	d.Replace([]Worker{worker("a", StateDraining)}, nil, time.Now())
 }
 
 func TestGoneWorkersAreRemembered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		directory := NewDirectory()
-		directory.Replace([]Worker{worker("a", StateReady), worker("b", StateReady)}, time.Now())
-		directory.Replace([]Worker{worker("b", StateReady)}, time.Now())
+		directory.Replace([]Worker{worker("a", StateReady), worker("b", StateReady)}, nil, time.Now())
+		directory.Replace([]Worker{worker("b", StateReady)}, nil, time.Now())
 		directory.Update(nil, []ID{"b", "never known"}, nil)
 		time.Sleep(time.Second)
 		assert.Equal(t, directory.GoneFor("a"), time.Second)
@@ -79,25 +84,25 @@
 		// known a moment later, and known at the end.
 		soon, late bool
 	}{
-		"listed without it":     {learn: func(d *Directory) { d.Replace(nil, time.Now()) }, soon: true},
+		"listed without it":     {learn: func(d *Directory) { d.Replace(nil, nil, time.Now()) }, soon: true},
 		"told that it is gone":  {learn: func(d *Directory) { d.Update(nil, []ID{"a"}, nil) }, soon: true},
-		"gone twice":            {learn: func(d *Directory) { d.Update(nil, []ID{"a"}, nil); d.Replace(nil, time.Now()) }, soon: true},
-		"back soon":             {learn: func(d *Directory) { d.Replace(nil, time.Now()); d.Update([]Worker{ready}, nil, nil) }, soon: true, late: true},
-		"back in a list":        {learn: func(d *Directory) { d.Replace(nil, time.Now()); d.Replace([]Worker{ready}, time.Now()) }, soon: true, late: true},
-		"draining when it went": {learn: func(d *Directory) { d.Update([]Worker{draining}, nil, nil); d.Replace(nil, time.Now()) }},
+		"gone twice":            {learn: func(d *Directory) { d.Update(nil, []ID{"a"}, nil); d.Replace(nil, nil, time.Now()) }, soon: true},
+		"back soon":             {learn: func(d *Directory) { d.Replace(nil, nil, time.Now()); d.Update([]Worker{ready}, nil, nil) }, soon: true, late: true},
+		"back in a list":        {learn: func(d *Directory) { d.Replace(nil, nil, time.Now()); d.Replace([]Worker{ready}, nil, time.Now()) }, soon: true, late: true},
+		"draining when it went": {learn: func(d *Directory) { d.Update([]Worker{draining}, nil, nil); d.Replace(nil, nil, time.Now()) }},
 		"drains after it was back": {learn: func(d *Directory) {
-			d.Replace(nil, time.Now())
+			d.Replace(nil, nil, time.Now())
 			d.Update([]Worker{draining}, nil, nil)
-			d.Replace(nil, time.Now())
+			d.Replace(nil, nil, time.Now())
 		}},
-		"others were not cut off": {learn: func(d *Directory) { d.Replace(nil, time.Now()); d.EndSettling() }},
-		"nor before it was gone":  {learn: func(d *Directory) { d.EndSettling(); d.Replace(nil, time.Now()) }},
-		"after all have settled":  {learn: func(d *Directory) { time.Sleep(2 * SettleTime); d.Replace(nil, time.Now()) }},
+		"others were not cut off": {learn: func(d *Directory) { d.Replace(nil, nil, time.Now()); d.EndSettling() }},
+		"nor before it was gone":  {learn: func(d *Directory) { d.EndSettling(); d.Replace(nil, nil, time.Now()) }},
+		"after all have settled":  {learn: func(d *Directory) { time.Sleep(2 * SettleTime); d.Replace(nil, nil, time.Now()) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				directory := NewDirectory()
-				directory.Replace([]Worker{ready}, time.Now())
+				directory.Replace([]Worker{ready}, nil, time.Now())
 				directory.Settle(time.Now().Add(SettleTime))
 				c.learn(directory)
 				_, known := directory.Get("a")
@@ -121,9 +126,9 @@
 		want     Vanished
 		expired  []ID
 	}{
-		"from a list":       {learn: func(d *Directory) Vanished { return d.Replace(nil, time.Now()) }, want: Vanished{Gone: []ID{"a"}}},
+		"from a list":       {learn: func(d *Directory) Vanished { return d.Replace(nil, nil, time.Now()) }, want: Vanished{Gone: []ID{"a"}}},
 		"by a change":       {learn: func(d *Directory) Vanished { return d.Update(nil, []ID{"a", "never known"}, nil) }, want: Vanished{Gone: []ID{"a"}}},
-		"kept":              {settling: true, learn: func(d *Directory) Vanished { return d.Replace(nil, time.Now()) }, want: Vanished{Kept: []ID{"a"}}, expired: []ID{"a"}},
+		"kept":              {settling: true, learn: func(d *Directory) Vanished { return d.Replace(nil, nil, time.Now()) }, want: Vanished{Kept: []ID{"a"}}, expired: []ID{"a"}},
 		"kept, told again":  {settling: true, learn: goneTwice, want: Vanished{}, expired: []ID{"a"}},
 		"kept, and is back": {settling: true, learn: goneAndBack, want: Vanished{}},
 	} {
@@ -132,7 +137,7 @@
 				directory := NewDirectory()
 				var expired []ID
 				directory.OnExpired(func(ids []ID) { expired = append(expired, ids...) })
-				directory.Replace([]Worker{worker("a", StateReady)}, time.Now())
+				directory.Replace([]Worker{worker("a", StateReady)}, nil, time.Now())
 				if c.settling {
 					directory.Settle(time.Now().Add(SettleTime))
 				}
@@ -148,12 +153,12 @@
 }
 
 func goneTwice(d *Directory) Vanished {
-	d.Replace(nil, time.Now())
+	d.Replace(nil, nil, time.Now())
 	return d.Update(nil, []ID{"a"}, nil)
 }
 
 func goneAndBack(d *Directory) Vanished {
-	d.Replace(nil, time.Now())
+	d.Replace(nil, nil, time.Now())
 	return d.Update([]Worker{worker("a", StateReady)}, nil, nil)
 }
 
@@ -162,13 +167,13 @@
 func TestAVanishedEntryIsWaitedForOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		directory := NewDirectory()
-		directory.Replace([]Worker{worker("a", StateReady)}, time.Now())
+		directory.Replace([]Worker{worker("a", StateReady)}, nil, time.Now())
 		directory.Settle(time.Now().Add(SettleTime))
-		directory.Replace(nil, time.Now())
+		directory.Replace(nil, nil, time.Now())
 		for range 5 {
 			time.Sleep(SettleTime / 2)
 			directory.Settle(time.Now().Add(SettleTime))
-			directory.Replace(nil, time.Now())
+			directory.Replace(nil, nil, time.Now())
 		}
 		synctest.Wait()
 		_, known := directory.Get("a")
@@ -195,7 +200,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				directory := NewDirectory()
-				directory.Replace([]Worker{worker("a", StateReady)}, time.Now())
+				directory.Replace([]Worker{worker("a", StateReady)}, nil, time.Now())
 				began := time.Now()
 				c.settle(directory, began)
 				directory.Update(nil, []ID{"a"}, nil)
@@ -215,7 +220,7 @@
 		assert.Equal(t, directory.GoneFor("a"), time.Duration(0))
 		time.Sleep(time.Second)
 		assert.Equal(t, directory.GoneFor("a"), time.Duration(0), "no list was read")
-		directory.Replace(nil, time.Now())
+		directory.Replace(nil, nil, time.Now())
 		time.Sleep(time.Second)
 		assert.Equal(t, directory.GoneFor("a"), time.Duration(0), "its entry may be on its way")
 		time.Sleep(time.Second)
@@ -229,7 +234,7 @@
 func TestTimesOfWorkersCountASuspension(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		directory := NewDirectory()
-		directory.Replace([]Worker{worker("drains", StateReady), worker("leaves", StateReady), worker("lapses", StateReady)}, time.Now())
+		directory.Replace([]Worker{worker("drains", StateReady), worker("leaves", StateReady), worker("lapses", StateReady)}, nil, time.Now())
 		directory.Settle(clock.Now().Add(time.Hour))
 		directory.Update([]Worker{worker("drains", StateDraining)}, []ID{"lapses"}, nil)
 		directory.Settle(clock.Now())
