--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -138,7 +138,7 @@
 		p.Meter.Served(worker.ID, got.Took)
 	}
 	if got.Outcome == upstream.Answered {
-		p.fleet.sizes.add(c.route, c.bytes(&got))
+		c.weigh(&worker, &got)
 		if measured {
 			c.state.answered(got.Took, mean)
 		}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -16,6 +16,7 @@
 	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/traffic"
 	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -63,6 +64,7 @@
 type active struct {
 	config   *routing.Config
 	splitter *routing.Splitter
+	swaps    *swaps
 	since    time.Time
 }
 
@@ -75,6 +77,8 @@
 	// Nodes is how many processes there are; zero if not known.
 	Nodes   *atomic.Int32
 	Metrics *Metrics
+	// Traffic counts the bytes to and from workers; nil: nobody wants to know.
+	Traffic *traffic.Counter
 	// Suspects are the requests that were under way at workers that crashed.
 	Suspects *quarantine.View
 	// Quota of the tenants; nil: nobody has one.
@@ -106,7 +110,7 @@
 		if old != nil && old.config.Version >= config.Version {
 			return false
 		}
-		if p.current.CompareAndSwap(old, &active{config: config, splitter: routing.NewSplitter(rand.IntN), since: clock.Now()}) {
+		if p.current.CompareAndSwap(old, &active{config: config, splitter: routing.NewSplitter(rand.IntN), swaps: newSwaps(), since: clock.Now()}) {
 			p.fleet.sizes.keep(config)
 			return true
 		}
@@ -180,7 +184,7 @@
 		return
 	}
 	c.allowed.attempts = max(1, c.route.Attempts)
-	c.service = used.config.Services[used.splitter.Pick(c.route)]
+	c.service = c.part(used)
 	if !c.prepare() {
 		return
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,6 +30,7 @@
 	"github.com/shalefork/shalefork/internal/settings"
 	"github.com/shalefork/shalefork/internal/standby"
 	"github.com/shalefork/shalefork/internal/topology"
+	"github.com/shalefork/shalefork/internal/traffic"
 	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -75,6 +76,8 @@
 type Router struct {
 	settings settings.Router
 	adapter  Adapter
+	// store is the adapter's, with what was measured of it.
+	store *meteredStore
 	// places are the regions of the zones.
 	places  topology.Map
 	log     *decision.Log
@@ -112,9 +115,10 @@
 
 // New returns a router that has opened nothing yet.
 func New(config settings.Router, adapter Adapter, log *decision.Log, metrics Metrics) *Router {
-	adapter.Store = meterStore(adapter.Store, metrics)
+	store := meterStore(adapter.Store, metrics)
+	adapter.Store = store
 	r := &Router{
-		settings: config, places: config.Places(), adapter: adapter, log: log, metrics: metrics,
+		store: store, settings: config, places: config.Places(), adapter: adapter, log: log, metrics: metrics,
 		workers: workers.NewDirectory(),
 		table:   keytable.New(),
 		meter:   peerlink.NewMeter(),
@@ -129,6 +133,7 @@
 	r.configView = newConfigView(r)
 	r.proxy = proxy.New(config.Zone, r.workers, limits(config))
 	r.proxy.Locate(r.places)
+	r.proxy.Traffic = traffic.NewCounter(topology.Zone(config.Zone), r.places, metrics)
 	r.proxy.Headers, r.proxy.Table, r.proxy.Meter = adapter.Headers, r.table, r.meter
 	r.proxy.Drain, r.proxy.Evacuate = config.Drain.Std(), config.Evacuate.Std()
 	r.proxy.Log, r.proxy.Nodes, r.proxy.Metrics = log, r.nodes, proxy.NewMetrics(metrics)
@@ -136,13 +141,14 @@
 	r.process = rand.Text()
 	r.hub = peerlink.NewHub(r.process, r.reports, r.known)
 	r.hub.Strength, r.hub.DirectNodes = config.Machine.Strength(), config.DirectRouters
+	r.hub.Traffic = r.proxy.Traffic
 	r.election = election.New(adapter.Store, KeyPrefix, config.PeerListen, r.process, rand.Text)
 	r.election.TTL = max(election.LeaseTTL, config.MinLease.Std())
 	r.keeper = &keeper.Keeper{
 		Store: adapter.Store, Prefix: KeyPrefix, Orders: adapter.Orders, Workers: r.workers,
 		Config: r.proxy.Config, Hub: r.hub, Table: r.table, Reports: r.reports, Log: log, Metrics: keeper.NewMetrics(metrics),
 		ReadUpTo: r.readUpTo,
-		Times:    owner.DefaultConfig(config.MaxHold.Std()), Nonce: rand.Text, Zone: config.Zone,
+		Times:    owner.DefaultConfig(config.MaxHold.Std()), Nonce: rand.Text, Zone: config.Zone, Regions: r.places,
 	}
 	r.standby = standby.New(adapter.Orders, r.keeper.Times, log)
 	r.hub.OnAsked(r.standby.Stop)
