Say what a region that loses the others goes on doing, and cut one off in a test

Cause: regions will lose each other for minutes, and nothing said or showed what becomes of keys.

No key has two holders, all are held at the end of the cut and 2 s after it.

--- /dev/null
+++ b/internal/keeper/regioncut_test.go
@@ -0,0 +1,158 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/topology"
+	"github.com/shalefork/shalefork/internal/workers"
+	"github.com/shalefork/shalefork/ownership"
+)
+
+// cutAt says which way nothing passes between the leader's region and the other one.
+type cutAt int
+
+const (
+	uncut cutAt = iota
+	cutBoth
+	// cutAnswers lets orders through, and none of their answers.
+	cutAnswers
+)
+
+// orderWait is after which an order without an answer is given up here.
+const orderWait = 600 * time.Millisecond
+
+// holding are workers that hold what they are granted; those in the other region may be cut off.
+type holding struct {
+	mu      sync.Mutex
+	holders map[workers.ID]*ownership.Holder
+	far     map[workers.ID]bool
+	cut     cutAt
+}
+
+func (h *holding) setCut(cut cutAt) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cut = cut
+}
+
+// reach returns a worker if orders reach it, and whether its answers are lost.
+func (h *holding) reach(id workers.ID) (to *ownership.Holder, lost bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.far[id] && h.cut == cutBoth {
+		return nil, true
+	}
+	return h.holders[id], h.far[id] && h.cut == cutAnswers
+}
+
+func (h *holding) reply(to *ownership.Holder, lost bool) owner.Reply {
+	if lost || to == nil {
+		time.Sleep(orderWait)
+		return owner.Reply{Outcome: owner.OutcomeUnanswered}
+	}
+	return owner.Reply{Outcome: owner.OutcomeDone}
+}
+
+func (h *holding) Grant(_ context.Context, to owner.Target, grant owner.Grant) owner.Reply {
+	holder, lost := h.reach(to.ID)
+	if holder != nil {
+		outcome := holder.Grant(ownership.Now(), ownership.Grant{
+			Keys: ownership.Keys{From: grant.Keys.From, To: grant.Keys.To}, Fence: int64(grant.Fence), Hold: grant.Hold,
+		})
+		if outcome == ownership.Fenced && !lost {
+			return owner.Reply{Outcome: owner.OutcomeFenced}
+		}
+	}
+	return h.reply(holder, lost)
+}
+
+func (h *holding) Release(ctx context.Context, to owner.Target, keys owner.Keys, fence owner.Fence) owner.Reply {
+	holder, lost := h.reach(to.ID)
+	if holder != nil {
+		_ = holder.Release(ctx, ownership.Keys{From: keys.From, To: keys.To}, int64(fence))
+	}
+	return h.reply(holder, lost)
+}
+
+// count returns how many workers hold a key.
+func (h *holding) count(key int) int {
+	count := 0
+	for _, one := range h.holders {
+		if one.Holds(ownership.Now(), key) {
+			count++
+		}
+	}
+	return count
+}
+
+// A region that the leader does not reach keeps its keys until their holds end; then they are
+// given to workers that are reached. No key ever has two holders, and all have one within 2 s of
+// the end of the cut.
+func TestARegionIsCutOffFromTheLeader(t *testing.T) {
+	const (
+		settled = 6 * time.Second
+		backIn  = 2 * time.Second
+		look    = 20 * time.Millisecond
+		// keyStep is the distance of the keys that are looked at.
+		keyStep = 4096
+	)
+	for name, test := range map[string]struct {
+		cut   cutAt
+		lasts time.Duration
+	}{
+		"both ways, 2 s":     {cutBoth, 2 * time.Second},
+		"both ways, 10 s":    {cutBoth, 10 * time.Second},
+		"both ways, 60 s":    {cutBoth, 60 * time.Second},
+		"answers only, 2 s":  {cutAnswers, 2 * time.Second},
+		"answers only, 10 s": {cutAnswers, 10 * time.Second},
+		"answers only, 60 s": {cutAnswers, 60 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(b *bench) {
+				orders := &holding{holders: map[workers.ID]*ownership.Holder{}, far: map[workers.ID]bool{}}
+				var list []workers.Worker
+				for _, one := range []workers.Worker{{ID: "w1", Zone: "a1"}, {ID: "w2", Zone: "a1"}, {ID: "w3", Zone: "b1"}} {
+					one.Service, one.Address, one.Slots, one.State = "s", string(one.ID), 2, workers.StateReady
+					list = append(list, one)
+					orders.holders[one.ID], orders.far[one.ID] = ownership.NewHolder(), one.Zone == "b1"
+				}
+				b.keeper.Orders, b.keeper.Zone = orders, "a1"
+				b.keeper.Regions = topology.New(map[topology.Zone]topology.Region{"a1": "a", "b1": "b"})
+				b.keeper.Workers.Replace(list, nil, time.Now())
+				holders := func() (least, most int) {
+					least = len(list)
+					for key := 0; key < owner.KeyCount; key += keyStep {
+						count := orders.count(key)
+						least, most = min(least, count), max(most, count)
+					}
+					return least, most
+				}
+				b.lead(settled+test.lasts+backIn+time.Second, func() {
+					time.Sleep(settled)
+					least, _ := holders()
+					assert.Check(t, least == 1, "all keys are held before the cut")
+					orders.setCut(test.cut)
+					for began := time.Now(); time.Since(began) < test.lasts; time.Sleep(look) {
+						_, most := holders()
+						assert.Check(t, most <= 1, "%s after the cut", time.Since(began))
+					}
+					least, _ = holders()
+					assert.Check(t, least == 1, "at the end of the cut all keys are held")
+					orders.setCut(uncut)
+					for healed := time.Now(); time.Since(healed) < backIn; time.Sleep(look) {
+						_, most := holders()
+						assert.Check(t, most <= 1, "%s after the heal", time.Since(healed))
+					}
+					least, _ = holders()
+					assert.Check(t, least == 1, "all keys are held after the heal")
+				})
+			})
+		})
+	}
+}
