--- a/internal/keeper/regions_test.go
+++ b/internal/keeper/regions_test.go
@@ -32,7 +32,7 @@
 		b.keeper.Workers.Replace([]workers.Worker{
 			{ID: "w1", Service: "s", Address: "w1", Zone: "a1", Slots: 2, State: workers.StateReady},
 			{ID: "w2", Service: "s", Address: "w2", Zone: "b1", Slots: 2, State: workers.StateReady},
-		}, time.Now())
+		}, nil, time.Now())
 		var config atomic.Pointer[routing.Config]
 		config.Store(b.boundTo(1))
 		b.keeper.Config = config.Load
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -48,10 +48,11 @@
 // lead follows the leader, or becomes it, until ctx ends. A process that finds no leader when it
 // starts finds the owners where they are stored.
 func (r *Router) lead(ctx context.Context) {
-	paused := r.settings.FirstStart
-	if paused {
+	if r.settings.FirstStart {
 		clock.Sleep(ctx, r.campaignPause()) // most find a leader at their first look then
 	}
+	// Who finds none has measured by that look how far the store is, and pauses by that.
+	paused := false
 	backoff := clock.Backoff{First: lookPause, Longest: longestLookPause}
 	for ctx.Err() == nil {
 		began := clock.Now()
