Know callers by their API keys, and name their tenants to workers

Cause: nothing knew a tenant. A caller's key went on to the worker, no tenant was named, and a key that no configuration held was served.

Change: internal/tenant finds the tenant that holds a caller's key. Digests are looked up by their HMAC under a secret of the process, so that neither the look's time nor the memory tells a key. Missing, malformed, twice shown and unknown keys get 401 at once, also while a long body is on its way. The request then holds no key and names the proved tenant only; on a public route nobody. Headers of the system's own get through although the other side lists them in Connection. An index remembers keys that were taken away, for the log's line.

Found by a test: net/http reads an unread body of unknown length before it answers, so the 401 waited for the caller; where a body is long or of unknown length the connection closes now.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -14,7 +14,7 @@
 func (c *call) pass(got *result) {
 	header := c.writer.Header()
 	closing := header.Get("Connection")
-	passHeaders(got.header, func(name string, values []string) { header[name] = values })
+	c.proxy.Headers.passHeaders(got.header, func(name string, values []string) { header[name] = values })
 	if _, named := got.header["Content-Type"]; !named {
 		header["Content-Type"] = nil // net/http must not guess one
 	}
@@ -53,12 +53,13 @@
 		header.Set(c.proxy.Headers.RequestID, c.message.id)
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
-	header.Set("Content-Length", strconv.Itoa(len(reason)+1))
+	text := shownReason(reason) + "\n"
+	header.Set("Content-Length", strconv.Itoa(len(text)))
 	if c.message.rest != nil {
 		header.Set("Connection", "close")
 	}
 	c.writer.WriteHeader(status)
-	_, _ = io.WriteString(c.writer, reason+"\n")
+	_, _ = io.WriteString(c.writer, text)
 	c.tell(status, reason)
 }
 
@@ -88,6 +89,12 @@
 	if c.route != nil {
 		line = line.Str("route", c.route.Name)
 	}
+	if c.tenant != nil {
+		line = line.Str("tenant", string(c.tenant.Name))
+	}
+	if c.former.Gone > 0 {
+		line = line.Str("tenant", string(c.former.Tenant)).Uint64("gone_with", uint64(c.former.Gone))
+	}
 	if reason == reasonQuarantined {
 		line = line.Str("fingerprint", c.fingerprint().String())
 	}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -12,6 +12,7 @@
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/tenant"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -25,7 +26,9 @@
 	route   *routing.Route
 	service *routing.Service
 	// tenant whose API key the caller has shown; nil if there is none.
-	tenant   *routing.Tenant
+	tenant *routing.Tenant
+	// former says who held the caller's key, where it was taken away.
+	former   tenant.Former
 	state    *serviceState
 	key      int
 	began    time.Time
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -99,7 +99,7 @@
 	var head bytes.Buffer
 	head.Grow(512 + len(m.body))
 	head.WriteString(m.method + " " + m.uri + " HTTP/1.1\r\nHost: " + m.host + "\r\n")
-	passHeaders(m.header, func(name string, values []string) {
+	headers.passHeaders(m.header, func(name string, values []string) {
 		if name == headers.DeadlineMillis || name == headers.Target {
 			return
 		}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	cryptorand "crypto/rand"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/tenant"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -60,7 +62,9 @@
 type active struct {
 	config   *routing.Config
 	splitter *routing.Splitter
-	since    time.Time
+	// keys are the API keys of the configuration's tenants; nil if it has none.
+	keys  *tenant.Index
+	since time.Time
 }
 
 // Proxy is the handler of clients' requests.
@@ -76,6 +80,9 @@
 	Suspects *quarantine.View
 	// Quota of the tenants; nil: nobody has one.
 	Quota Quota
+	// Outdated reports whether keys may have been taken away that are known here still, so that
+	// callers with keys are refused; nil: they never are for that.
+	Outdated func() bool
 	// Starting says that this process does not know yet which requests are quarantined.
 	Starting atomic.Bool
 	// Drain is how long workers that leave may get requests.
@@ -83,6 +90,8 @@
 	// Evacuate is how long the workers of an evacuated zone may get requests.
 	Evacuate time.Duration
 	fleet    *fleet
+	// secret keys the hash under which API keys are looked up.
+	secret   tenant.Secret
 	current  atomic.Pointer[active]
 	stopping atomic.Bool
 	// ending is done once the process is about to end; end makes it so.
@@ -93,7 +102,9 @@
 // New returns a proxy in a zone over the announced workers.
 func New(zone string, directory *workers.Directory, limits BudgetLimits) *Proxy {
 	ending, end := context.WithCancel(context.Background())
-	return &Proxy{fleet: newFleet(zone, directory, limits), Nodes: &atomic.Int32{}, Suspects: quarantine.NewView(), ending: ending, end: end}
+	p := &Proxy{fleet: newFleet(zone, directory, limits), Nodes: &atomic.Int32{}, Suspects: quarantine.NewView(), ending: ending, end: end}
+	_, _ = cryptorand.Read(p.secret[:]) // it never fails
+	return p
 }
 
 // Use puts a configuration into force unless a newer one is.
@@ -103,7 +114,8 @@
 		if old != nil && old.config.Version >= config.Version {
 			return false
 		}
-		if p.current.CompareAndSwap(old, &active{config: config, splitter: routing.NewSplitter(rand.IntN), since: clock.Now()}) {
+		fresh := &active{config: config, splitter: routing.NewSplitter(rand.IntN), keys: p.index(config, old), since: clock.Now()}
+		if p.current.CompareAndSwap(old, fresh) {
 			return true
 		}
 	}
@@ -159,6 +171,7 @@
 	defer cancel()
 	defer context.AfterFunc(p.ending, cancel)()
 	c := &call{proxy: p, writer: writer, request: request.WithContext(ctx), began: clock.Now(), tried: map[workers.ID]bool{}}
+	c.message.id = request.Header.Get(p.Headers.RequestID)
 	if p.stopping.Load() {
 		writer.Header().Set("Connection", "close")
 	}
@@ -172,7 +185,7 @@
 		c.refuse(http.StatusNotFound, reasonNoRoute, 0)
 		return
 	}
-	if !c.identify() || !c.withinQuota() {
+	if !c.identify(used.keys) || !c.withinQuota() {
 		return
 	}
 	c.allowed.attempts = max(1, c.route.Attempts)
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -92,14 +92,24 @@
 	return named
 }
 
+// bearsOn reports whether a header is the system's own on both connections: the other side may
+// not have it dropped by naming it in Connection.
+func (h Headers) bearsOn(name string) bool {
+	switch name {
+	case h.RequestID, h.Key, h.Tenant, h.Signature, h.Worker, h.NotRun, h.Load:
+		return true
+	}
+	return false
+}
+
 // passHeaders calls pass for each header that travels on.
-func passHeaders(header http.Header, pass func(name string, values []string)) {
+func (h Headers) passHeaders(header http.Header, pass func(name string, values []string)) {
 	var named map[string]bool
 	if len(header["Connection"]) > 0 {
 		named = connectionHeaders(header)
 	}
 	for name, values := range header {
-		if !hopHeaders[name] && !named[name] {
+		if !hopHeaders[name] && (!named[name] || h.bearsOn(name)) {
 			pass(name, values)
 		}
 	}
--- a/internal/proxy/tenants.go
+++ b/internal/proxy/tenants.go
@@ -1,4 +1,108 @@
 package proxy
 
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/tenant"
+)
+
+// Reasons of answers to callers that no tenant answers for.
+const (
+	reasonKeyMissing   = string(tenant.Missing)
+	reasonKeyMalformed = string(tenant.Malformed)
+	reasonKeyUnknown   = string(tenant.Unknown)
+	reasonKeyTakenAway = string(tenant.TakenAway)
+	// reasonOutdated: keys may have been taken away that are known here still.
+	reasonOutdated = "configuration-outdated"
+)
+
+// outdatedRetry is when a caller may come back to a router whose configuration may be out of
+// date: one that the store refuses hears its neighbours within that time, and other routers
+// are in touch.
+const outdatedRetry = 300 * time.Millisecond
+
+// index returns the index of a configuration's API keys; nil if it has no tenants. old is what
+// was in force before; nil if nothing was.
+func (p *Proxy) index(config *routing.Config, old *active) *tenant.Index {
+	switch {
+	case config.Tenants == nil:
+		return nil
+	case old == nil:
+		return tenant.NewIndex(p.secret, config, nil)
+	}
+	return tenant.NewIndex(p.secret, config, old.keys)
+}
+
 // identify finds out which tenant the caller belongs to; false if the request was answered.
-func (c *call) identify() bool { return true }
+// From here on the request holds no key, and names the tenant that was proved and no other.
+func (c *call) identify(keys *tenant.Index) bool {
+	if keys == nil {
+		return true
+	}
+	var caller tenant.Caller
+	if !c.route.Public {
+		caller = keys.Identify(c.request.Header)
+	}
+	c.proxy.Headers.strip(c.request.Header)
+	if c.route.Public {
+		return true
+	}
+	if caller.Finding != tenant.Proved {
+		c.former = caller.Former
+		c.leaveUnread()
+		c.writer.Header().Set("WWW-Authenticate", tenant.Scheme)
+		c.refuse(http.StatusUnauthorized, string(caller.Finding), 0)
+		return false
+	}
+	c.tenant = caller.Tenant
+	if outdated := c.proxy.Outdated; outdated != nil && outdated() {
+		c.leaveUnread()
+		c.refuse(http.StatusServiceUnavailable, reasonOutdated, outdatedRetry)
+		return false
+	}
+	if name := c.proxy.Headers.Tenant; name != "" {
+		c.request.Header[name] = []string{string(c.tenant.Name)}
+	}
+	return true
+}
+
+// shownReason is what a caller is told of the reason of an answer: whoever shows a key that was
+// taken away need not learn that it once was good.
+func shownReason(reason string) string {
+	if reason == reasonKeyTakenAway {
+		return reasonKeyUnknown
+	}
+	return reason
+}
+
+// mostReadAnyway is the longest body that is awaited before a refusal: it is on its way with the
+// headers, and the connection can be kept.
+const mostReadAnyway = 16 << 10
+
+// leaveUnread makes a refusal go out at once where the request's body is long or of unknown
+// length: net/http would read it first, to keep the connection.
+func (c *call) leaveUnread() {
+	if length := c.request.ContentLength; length < 0 || length > mostReadAnyway {
+		c.writer.Header().Set("Connection", "close")
+	}
+}
+
+// strip removes from a request's headers the caller's key and whatever names a tenant: only what
+// was proved may reach a worker.
+func (h Headers) strip(header http.Header) {
+	delete(header, tenant.Header)
+	for name := range header {
+		if sameName(name, h.Tenant) {
+			delete(header, name)
+		}
+	}
+}
+
+// sameName reports whether servers may take one name of a header for the other: many hold a
+// hyphen and an underscore for the same, and no case for another.
+func sameName(name, other string) bool {
+	return len(name) == len(other) && strings.EqualFold(strings.ReplaceAll(name, "_", "-"), other)
+}
--- a/internal/proxy/worker_test.go
+++ b/internal/proxy/worker_test.go
@@ -26,7 +26,7 @@
 // testHeaders are the names of headers in these tests.
 var testHeaders = Headers{
 	RequestID: "X-Id", DeadlineMillis: "X-Deadline", Signature: "X-Signature", Target: "X-Target",
-	Worker: "X-Worker", NotRun: "X-Not-Run", Load: "X-Load", Key: "X-Key",
+	Worker: "X-Worker", NotRun: "X-Not-Run", Load: "X-Load", Key: "X-Key", Tenant: "X-Tenant",
 }
 
 // script answers the requests of one connection; it may write anything. It
@@ -163,7 +163,8 @@
 	return f
 }
 
-func testConfig(t *testing.T, version routing.Version) *routing.Config {
+// testConfig returns the configuration of newFront, with further routes.
+func testConfig(t *testing.T, version routing.Version, more ...*routing.Route) *routing.Config {
 	t.Helper()
 	route := func(prefix, service string, repeatable bool) *routing.Route {
 		return &routing.Route{
@@ -177,10 +178,11 @@
 	}
 	single := route("/single/", "pool", true)
 	single.Attempts = 1
-	config, err := routing.Build(version, []*routing.Route{
+	routes := append([]*routing.Route{
 		route("/safe/", "pool", true), route("/unsafe/", "pool", false), route("/keyed/", "keyed", true),
 		route("/keyed-once/", "keyed", false), single,
-	}, services, routing.Limits{BodyBytes: 1 << 20})
+	}, more...)
+	config, err := routing.Build(version, routes, services, routing.Limits{BodyBytes: 1 << 20})
 	assert.NilError(t, err)
 	return config
 }
--- /dev/null
+++ b/internal/tenant/index_test.go
@@ -0,0 +1,136 @@
+package tenant
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/routing"
+)
+
+// configOf returns a configuration whose tenants hold keys.
+func configOf(version routing.Version, keys map[routing.TenantName][]string) *routing.Config {
+	config := &routing.Config{Version: version, Tenants: map[routing.TenantName]*routing.Tenant{}}
+	for name, list := range keys {
+		one := &routing.Tenant{Name: name}
+		for _, key := range list {
+			one.Keys = append(one.Keys, Digest(key))
+		}
+		config.Tenants[name] = one
+	}
+	return config
+}
+
+func TestCallersAreKnownByTheirKeys(t *testing.T) {
+	x := NewIndex(Secret{1}, configOf(1, map[routing.TenantName][]string{"a": {"key-a1", "key-a2"}, "b": {"key-b"}, "none": nil}), nil)
+	for name, test := range map[string]struct {
+		lines   []string
+		finding Finding
+		tenant  routing.TenantName
+	}{
+		"a tenant's key":             {lines: []string{"Bearer key-a1"}, finding: Proved, tenant: "a"},
+		"its other key":              {lines: []string{"Bearer key-a2"}, finding: Proved, tenant: "a"},
+		"another tenant's":           {lines: []string{"Bearer key-b"}, finding: Proved, tenant: "b"},
+		"scheme in odd case":         {lines: []string{"bEARER key-b"}, finding: Proved, tenant: "b"},
+		"several blanks":             {lines: []string{"Bearer   key-b"}, finding: Proved, tenant: "b"},
+		"none":                       {finding: Missing},
+		"unknown":                    {lines: []string{"Bearer key-c"}, finding: Unknown},
+		"key in odd case":            {lines: []string{"Bearer KEY-B"}, finding: Unknown},
+		"beginning of a key":         {lines: []string{"Bearer key-"}, finding: Unknown},
+		"a key and more":             {lines: []string{"Bearer key-bb"}, finding: Unknown},
+		"a tenant's name":            {lines: []string{"Bearer b"}, finding: Unknown},
+		"long":                       {lines: []string{"Bearer " + strings.Repeat("k", 1<<16)}, finding: Unknown},
+		"twice the same":             {lines: []string{"Bearer key-b", "Bearer key-b"}, finding: Malformed},
+		"two":                        {lines: []string{"Bearer key-a1", "Bearer key-b"}, finding: Malformed},
+		"two in a line":              {lines: []string{"Bearer key-a1, Bearer key-b"}, finding: Malformed},
+		"empty line":                 {lines: []string{""}, finding: Malformed},
+		"empty key":                  {lines: []string{"Bearer "}, finding: Malformed},
+		"scheme alone":               {lines: []string{"Bearer"}, finding: Malformed},
+		"key alone":                  {lines: []string{"key-b"}, finding: Malformed},
+		"another scheme":             {lines: []string{"Basic key-b"}, finding: Malformed},
+		"blank after":                {lines: []string{"Bearer key-b "}, finding: Malformed},
+		"tab between":                {lines: []string{"Bearer\tkey-b"}, finding: Malformed},
+		"control character":          {lines: []string{"Bearer key-b\x00"}, finding: Malformed},
+		"character outside of ASCII": {lines: []string{"Bearer kéy"}, finding: Malformed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			caller := x.Identify(http.Header{Header: test.lines})
+			if test.lines == nil {
+				caller = x.Identify(http.Header{})
+			}
+			assert.Equal(t, caller.Finding, test.finding)
+			if test.finding != Proved {
+				assert.Assert(t, caller.Tenant == nil)
+				return
+			}
+			assert.Equal(t, caller.Tenant.Name, test.tenant)
+		})
+	}
+}
+
+func TestKeysThatWereTakenAwayAreRemembered(t *testing.T) {
+	secret := Secret{7}
+	step := func(before *Index, version routing.Version, keys ...string) *Index {
+		return NewIndex(secret, configOf(version, map[routing.TenantName][]string{"a": keys}), before)
+	}
+	find := func(x *Index, key string) Caller { return x.Identify(http.Header{Header: {Scheme + " " + key}}) }
+	first := step(nil, 3, "k1", "k2")
+	second := step(first, 5, "k2")
+	third := step(second, 9, "k2", "k3")
+	assert.Equal(t, find(first, "k1").Finding, Proved)
+	assert.DeepEqual(t, find(second, "k1"), Caller{Finding: TakenAway, Former: Former{Tenant: "a", Gone: 5}})
+	assert.DeepEqual(t, find(third, "k1"), Caller{Finding: TakenAway, Former: Former{Tenant: "a", Gone: 5}})
+	assert.Equal(t, find(third, "k2").Finding, Proved)
+	assert.Equal(t, find(second, "k3").Finding, Unknown)
+	back := step(third, 10, "k1")
+	assert.Equal(t, find(back, "k1").Finding, Proved)
+	assert.DeepEqual(t, find(back, "k3").Former, Former{Tenant: "a", Gone: 10})
+	assert.Equal(t, find(step(back, 11), "k1").Former.Gone, routing.Version(11))
+}
+
+func TestNoMoreKeysAreRememberedThanTheBound(t *testing.T) {
+	keys := make([]string, 0, mostFormer+10)
+	for index := range mostFormer + 10 {
+		keys = append(keys, fmt.Sprint("k", index))
+	}
+	first := NewIndex(Secret{}, configOf(1, map[routing.TenantName][]string{"a": keys}), nil)
+	second := NewIndex(Secret{}, configOf(2, map[routing.TenantName][]string{"a": keys[10:]}), first)
+	third := NewIndex(Secret{}, configOf(3, nil), second)
+	assert.Equal(t, len(third.former), mostFormer)
+	assert.Equal(t, third.Identify(http.Header{Header: {"Bearer k0"}}).Finding, Unknown, "went first")
+	assert.Equal(t, third.Identify(http.Header{Header: {"Bearer k20"}}).Finding, TakenAway)
+}
+
+// Tags of one process are of no use at another.
+func TestTagsDependOnTheSecret(t *testing.T) {
+	config := configOf(1, map[routing.TenantName][]string{"a": {"k"}})
+	one, other := NewIndex(Secret{1}, config, nil), NewIndex(Secret{2}, config, nil)
+	for key := range one.held {
+		_, same := other.held[key]
+		assert.Assert(t, !same)
+	}
+}
+
+func benchmarkIdentify(b *testing.B, tenants int, key string) {
+	keys := map[routing.TenantName][]string{}
+	for index := range tenants {
+		keys[routing.TenantName(fmt.Sprint("t", index))] = []string{fmt.Sprintf("0123456789abcdef0123456789ab%04x", index)}
+	}
+	x := NewIndex(Secret{1}, configOf(1, keys), nil)
+	header := http.Header{Header: {"Bearer " + key}}
+	b.ReportAllocs()
+	for b.Loop() {
+		x.Identify(header)
+	}
+}
+
+func BenchmarkIdentifyOf83(b *testing.B) {
+	benchmarkIdentify(b, 83, "0123456789abcdef0123456789ab0001")
+}
+func BenchmarkIdentifyOf20000(b *testing.B) {
+	benchmarkIdentify(b, 20000, "0123456789abcdef0123456789ab0001")
+}
+func BenchmarkUnknownKeyOf20000(b *testing.B) { benchmarkIdentify(b, 20000, "unknown") }
