Pass configurations on between routers without API keys

Cause: routers tell one another the platform's configuration as it was written, with the keys of all tenants in it, and keep it so.

A configuration whose keys can't be found is not used and not kept. Errors name no key. Tenants' names that would not come out of a header unchanged are refused.

Ruled out: sealing in the hub (it knows no platform), passing on only what a router of the same code reads (a relay of other code would drop fields that it does not know).

--- a/internal/router/configview.go
+++ b/internal/router/configview.go
@@ -34,6 +34,7 @@
 		return // the leader has told more meanwhile
 	}
 	v.items = map[string]coord.Item{}
+	items = v.sealed(items)
 	for _, item := range items {
 		v.r.config.read(item.Revision)
 		v.items[item.Key] = item
@@ -54,13 +55,36 @@
 		case event.Deleted:
 			delete(v.items, event.Key)
 		default:
-			v.items[event.Key] = event.Item
-			fresh = append([]coord.Item{event.Item}, fresh...) // the newest first
+			item := v.seal(event.Item)
+			v.items[event.Key] = item
+			fresh = append([]coord.Item{item}, fresh...) // the newest first
 		}
 	}
 	v.apply(fresh, at, v.r.learnedByWatch(v.r.config))
 }
 
+// sealed returns items without API keys.
+func (v *configView) sealed(items []coord.Item) []coord.Item {
+	list := make([]coord.Item, 0, len(items))
+	for _, item := range items {
+		list = append(list, v.seal(item))
+	}
+	return list
+}
+
+// seal returns an item without API keys: they stand in no memory of this process and in no
+// message to another.
+func (v *configView) seal(item coord.Item) coord.Item {
+	if v.r.adapter.SealConfig == nil {
+		return item
+	}
+	sealed, err := v.r.adapter.SealConfig(item)
+	if err != nil {
+		v.r.log.Line(decision.KindConfigBad).Int64("revision", int64(item.Revision)).Err(err).Msg("the one before stays in force")
+	}
+	return sealed
+}
+
 // told takes what the leader has read; false if something is missing here.
 func (v *configView) told(news peerlink.ConfigNews) bool {
 	items, err := news.Items()
@@ -74,6 +98,7 @@
 		return true
 	}
 	stand := map[string]coord.Item{}
+	items = v.sealed(items)
 	for _, item := range items {
 		stand[item.Key] = item
 	}
--- a/internal/router/configview_test.go
+++ b/internal/router/configview_test.go
@@ -127,3 +127,33 @@
 		})
 	}
 }
+
+// Whatever a router hears of a configuration, from the store or from another router, it keeps and
+// passes on without API keys.
+func TestAConfigurationIsPassedOnSealed(t *testing.T) {
+	raw := coord.Item{Key: "op/config", Revision: 9, Value: []byte("a KEY in it")}
+	for name, hear := range map[string]func(v *configView){
+		"listed":  func(v *configView) { v.Snapshot([]coord.Item{raw}, 9) },
+		"watched": func(v *configView) { v.Changed([]coord.Event{{Item: raw}}, 9) },
+		"told by a router that seals nothing": func(v *configView) {
+			leader := newConfigRouter(t)
+			leader.configView.Snapshot([]coord.Item{raw}, 9)
+			assert.Assert(t, v.told(leader.hub.ConfigSince(0)))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newConfigRouter(t)
+			r.adapter.SealConfig = func(item coord.Item) (coord.Item, error) {
+				item.Value = []byte(strings.ReplaceAll(string(item.Value), "KEY", "digest"))
+				return item, nil
+			}
+			hear(r.configView)
+			assert.Equal(t, string(r.configView.items["op/config"].Value), "a digest in it")
+			told, err := r.hub.ConfigSince(0).Items()
+			assert.NilError(t, err)
+			assert.Equal(t, len(told), 1)
+			assert.Equal(t, string(told[0].Value), "a digest in it")
+			assert.Assert(t, r.proxy.Config() != nil)
+		})
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -51,6 +51,9 @@
 	ReadyPath string
 	// ConfigPrefix is where the operators' configuration stands.
 	ConfigPrefix string
+	// SealConfig puts digests in the place of the API keys in what operators write; an item in
+	// which it can't find them comes back empty, with the error. Nil: there are no keys.
+	SealConfig func(item coord.Item) (coord.Item, error)
 	// ReadConfig finds the configuration among items; nil if it is not there.
 	ReadConfig func(items []coord.Item) (*routing.Config, error)
 	// ReadEvacuation returns the zone whose workers are to get no work while a key stands
--- a/internal/routing/tenant.go
+++ b/internal/routing/tenant.go
@@ -1,7 +1,9 @@
 package routing
 
 import (
+	"encoding/hex"
 	"slices"
+	"strings"
 
 	"github.com/shalefork/shalefork/internal/topology"
 )
@@ -16,6 +18,22 @@
 // KeyDigest stands for an API key, which is never kept itself.
 type KeyDigest [keyDigestBytes]byte
 
+// MarshalText writes a digest in hexadecimal digits.
+func (d KeyDigest) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, d[:]), nil }
+
+// UnmarshalText reads a digest of hexadecimal digits.
+func (d *KeyDigest) UnmarshalText(text []byte) error {
+	var read KeyDigest
+	if len(text) != hex.EncodedLen(len(read)) {
+		return Error.New("a key's digest has %d hexadecimal digits", hex.EncodedLen(len(read)))
+	}
+	if _, err := hex.Decode(read[:], text); err != nil {
+		return Error.New("a key's digest has hexadecimal digits only")
+	}
+	*d = read
+	return nil
+}
+
 // Tenant is one customer of the services.
 type Tenant struct {
 	Name TenantName
@@ -66,11 +84,23 @@
 	BulkDown
 )
 
+// fitsHeader reports whether a text can be the value of a header and comes out of it unchanged.
+func fitsHeader(text string) bool {
+	control := func(r rune) bool { return r < ' ' || r == del }
+	return text != "" && strings.TrimSpace(text) == text && !strings.ContainsFunc(text, control)
+}
+
+// del is the one control character after the printable ones of ASCII.
+const del = 0x7f
+
 // WithTenants adds tenants to a configuration that is not in use yet. Callers must show a
 // key then, but on public routes.
 func (c *Config) WithTenants(tenants map[TenantName]*Tenant) (*Config, error) {
 	owners := map[KeyDigest]TenantName{}
 	for name, tenant := range tenants {
+		if !fitsHeader(string(name)) {
+			return nil, Error.New("tenant %q: the name must be one line of text, without blanks around it", name)
+		}
 		if tenant.Rate < 0 || tenant.Burst < 0 {
 			return nil, Error.New("tenant %q: rate %g and burst %g must not be below zero", name, tenant.Rate, tenant.Burst)
 		}
