--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -18,6 +18,7 @@
 	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/tenant"
+	"github.com/shalefork/shalefork/internal/traffic"
 	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -65,6 +66,7 @@
 type active struct {
 	config   *routing.Config
 	splitter *routing.Splitter
+	swaps    *swaps
 	// keys are the API keys of the configuration's tenants; nil if it has none.
 	keys  *tenant.Index
 	since time.Time
@@ -79,6 +81,8 @@
 	// Nodes is how many processes there are; zero if not known.
 	Nodes   *atomic.Int32
 	Metrics *Metrics
+	// Traffic counts the bytes to and from workers; nil: nobody wants to know.
+	Traffic *traffic.Counter
 	// Suspects are the requests that were under way at workers that crashed.
 	Suspects *quarantine.View
 	// Quota of the tenants; nil: nobody has one.
@@ -117,7 +121,9 @@
 		if old != nil && old.config.Version >= config.Version {
 			return false
 		}
-		fresh := &active{config: config, splitter: routing.NewSplitter(rand.IntN), keys: p.index(config, old), since: clock.Now()}
+		fresh := &active{
+			config: config, splitter: routing.NewSplitter(rand.IntN), swaps: newSwaps(), keys: p.index(config, old), since: clock.Now(),
+		}
 		if p.current.CompareAndSwap(old, fresh) {
 			p.fleet.sizes.keep(config)
 			return true
@@ -193,7 +199,7 @@
 		return
 	}
 	c.allowed.attempts = max(1, c.route.Attempts)
-	c.service = used.config.Services[used.splitter.Pick(c.route)]
+	c.service = c.part(used)
 	if !c.prepare() {
 		return
 	}
