Keep tenants within their limits by credits that the leader books

A limit is a number of units, each of which rests for a window after it was spent. The leader deals them out to routers by need and books what each may hold at most: until it has said that it has less, until its lease has ended, and a window beyond. So no window holds more requests than the limit, with routers cut off, frozen, suspended or restarted, with leaders killed in mid-handout or two at once, with limits lowered while credits are out. A new leader gives nothing that an unknown router may hold until all leases of before have ended.

Ruled out: counting a lowered credit as given back at the next message (another message may be on its way: the use must be told with the acknowledgement); giving a router again what it is about to give up while the limit was lowered (found by the property test: 26 of 25).

--- a/internal/peerlink/follow.go
+++ b/internal/peerlink/follow.go
@@ -35,6 +35,8 @@
 const (
 	reportEvery = 180 * time.Millisecond
 	reportEach  = 3 * time.Millisecond
+	// urgentEvery is the least pause between reports.
+	urgentEvery = 40 * time.Millisecond
 )
 
 // Follower is the other processes' side.
@@ -44,6 +46,10 @@
 	Table *keytable.Table
 	// Take returns what was seen since it was last called.
 	Take func() Report
+	// Urgent gets a token when TakeUrgent is to be sent before the next report is due; both
+	// may be nil.
+	Urgent     <-chan struct{}
+	TakeUrgent func() Report
 	// Nodes is set to the number of processes.
 	Nodes *atomic.Int32
 	// Applied is called once a change of a service's owners stands in the table.
@@ -138,18 +144,29 @@
 }
 
 func (f *Follower) report(conn net.Conn, siblings *atomic.Int32, done <-chan struct{}) {
+	due := time.NewTimer(reportEvery)
+	defer due.Stop()
 	for {
+		var report Report
 		select {
 		case <-done:
 			return
-		case <-time.After(reportEvery + time.Duration(siblings.Load())*reportEach):
+		case <-f.Urgent:
+			report = f.TakeUrgent()
+		case <-due.C:
+			report = f.Take()
+			due.Reset(reportEvery + time.Duration(siblings.Load())*reportEach)
 		}
-		report := f.Take()
 		if report.Empty() {
 			continue
 		}
 		if writeLine(conn, report) != nil {
 			return
 		}
+		select {
+		case <-done:
+			return
+		case <-time.After(urgentEvery):
+		}
 	}
 }
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -10,6 +10,7 @@
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/quarantine"
+	"github.com/shalefork/shalefork/internal/quota"
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -67,6 +68,7 @@
 	reported func(Report)
 	// evidence is called with what linked processes have seen of crashes.
 	evidence func(quarantine.Evidence)
+	quotas   quotaLinks
 }
 
 // published are the owners of a service as they are told.
@@ -106,6 +108,8 @@
 	// suspects is the version of the suspects that it was told, and suspectsAt is when.
 	suspects   uint64
 	suspectsAt time.Time
+	// quota waits to be sent.
+	quota []quota.Grant
 	// hello is how the process introduced itself.
 	hello Hello
 	// stamp is the last one that it sent, and holds are the versions that it was sent,
@@ -270,6 +274,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.links, one)
+	h.quotas.drop(one)
 	if h.relays[one.hello.Zone] == one {
 		delete(h.relays, one.hello.Zone)
 	}
@@ -298,6 +303,7 @@
 	if report.Evidence != nil && h.evidence != nil {
 		h.evidence(*report.Evidence)
 	}
+	h.takeQuota(one, report.Quota)
 	h.mu.Lock()
 	one.followers = report.Followers
 	leading := h.leading
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -14,6 +14,7 @@
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/quarantine"
+	"github.com/shalefork/shalefork/internal/quota"
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -88,6 +89,9 @@
 	// packed. Suspects are all of them instead, for processes that take no changes.
 	SuspectsChanged []byte `json:"x,omitempty"`
 	Suspects        []byte `json:"q,omitempty"`
+	// Quota is what processes may have run of tenants' requests, for the receiver and for
+	// those that it has told of.
+	Quota []quota.Grant `json:"u,omitempty"`
 }
 
 // Age is for how long a relay may not have heard what the leader knows.
@@ -298,9 +302,12 @@
 	Followers int `json:"f,omitempty"`
 	// Evidence is of requests that were under way at workers that crashed.
 	Evidence *quarantine.Evidence `json:"q,omitempty"`
+	// Quota is how much of tenants' limits is in use, at this process and at its followers.
+	Quota []quota.Told `json:"u,omitempty"`
 }
 
 // Empty reports whether nothing was seen and nothing is to be told.
 func (r Report) Empty() bool {
-	return len(r.Keys) == 0 && len(r.Times) == 0 && r.Stamp == 0 && r.Followers == 0 && r.Evidence == nil
+	return len(r.Keys) == 0 && len(r.Times) == 0 && r.Stamp == 0 && r.Followers == 0 && r.Evidence == nil &&
+		len(r.Quota) == 0
 }
--- a/internal/peerlink/update.go
+++ b/internal/peerlink/update.go
@@ -21,6 +21,7 @@
 	update.Entries, update.Config = h.entriesFor(one, now), h.configFor(one, now)
 	update.Services = h.servicesFor(one)
 	h.tellSuspects(one, &update, now)
+	update.Quota, one.quota = one.quota, nil
 	if h.leading {
 		update.Mandate = h.standbys.mandate(one, now)
 	}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -31,6 +31,8 @@
 	key      int
 	began    time.Time
 	deadline time.Time
+	// counted is when the request was last counted against its tenant's limit; zero: never.
+	counted time.Time
 	// allowed grants each send before it leaves.
 	allowed allowance
 	tried   map[workers.ID]bool
@@ -118,6 +120,7 @@
 // whether a send is left.
 func (c *call) sendTo(to *backend, until time.Time) *upstream.Result {
 	c.allowed.take()
+	c.countSend()
 	worker, got := c.exchange(c.request.Context(), to, until)
 	c.note(worker, &got)
 	return &got
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -179,6 +179,7 @@
 	if !c.identify() || !c.withinQuota() {
 		return
 	}
+	defer c.returnQuota()
 	c.allowed.attempts = max(1, c.route.Attempts)
 	c.service = used.config.Services[used.splitter.Pick(c.route)]
 	if !c.prepare() {
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -47,6 +47,7 @@
 	s.open++
 	c := s.call
 	c.allowed.take()
+	c.countSend()
 	until := c.deadline.Add(-answerMargin)
 	go s.run(to, until)
 }
--- /dev/null
+++ b/internal/quota/bound_test.go
@@ -0,0 +1,97 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/shalefork/shalefork/internal/routing"
+)
+
+// In no window do more requests run than the limit allows, whatever becomes of routers, leaders
+// and messages: at each request the window that ends there is counted.
+func TestNoWindowHoldsMoreThanTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tenant := &routing.Tenant{Name: "t", Rate: float64(rapid.IntRange(1, 30).Draw(t, "rate")), Burst: float64(rapid.IntRange(0, 40).Draw(t, "burst"))}
+		w := newWorld(t, rapid.IntRange(1, 6).Draw(t, "routers"), tenant)
+		limit := w.bound.Units(tenant)
+		// lowered is when all routers knew of the last lower limit.
+		var lowered time.Time
+		delay := func() time.Duration {
+			return time.Duration(rapid.IntRange(0, 800).Draw(t, "delay")) * time.Millisecond
+		}
+		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+			r := rapid.SampledFrom(w.routers).Draw(t, "router")
+			switch rapid.SampledFrom(worldEvents).Draw(t, "event") {
+			case "cut":
+				r.cut = !r.cut
+			case "restart":
+				w.start(r)
+			case "freeze":
+				r.frozen = w.now.Add(time.Duration(rapid.IntRange(1, 12).Draw(t, "frozen")) * time.Second)
+			case "suspend":
+				d := time.Duration(rapid.IntRange(1, 12).Draw(t, "suspended")) * time.Second
+				r.frozen, r.behind = w.now.Add(d), d
+				r.catchUp = r.frozen.Add(500 * time.Millisecond)
+			case "kill leader":
+				w.leader().killed = true
+			case "partition leader":
+				w.leader().lost = true
+				w.leader().authority = w.leader().authority.Add(0)
+			case "freeze leader":
+				w.leader().frozen = w.now.Add(time.Duration(rapid.IntRange(1, 6).Draw(t, "frozen")) * time.Second)
+			case "elect":
+				w.elect()
+			case "follow":
+				r.leader = len(w.leaders) - 1
+			case "follow any":
+				r.leader = rapid.IntRange(0, len(w.leaders)-1).Draw(t, "leader")
+			case "restart all":
+				w.leader().killed = true
+				for _, one := range w.routers {
+					w.start(one)
+				}
+			case "limit":
+				w.tenant = &routing.Tenant{Name: "t", Rate: float64(rapid.IntRange(1, 30).Draw(t, "rate")), Burst: float64(rapid.IntRange(0, 40).Draw(t, "burst"))}
+				w.leader().coordinator.Use(w.now, tenants(w.tenant))
+				for _, one := range w.routers {
+					one.tenant = w.tenant
+					one.holder.Use(tenants(w.tenant))
+				}
+				if units := w.bound.Units(w.tenant); units >= limit {
+					limit = units
+				} else {
+					lowered = w.now
+				}
+			case "return":
+				w.giveBack()
+			case "flood":
+				for range 2 * limit {
+					w.ask(r)
+				}
+			case "flood all":
+				for _, one := range w.routers {
+					for range limit {
+						w.ask(one)
+					}
+				}
+			default:
+				w.ask(r)
+			}
+			if !lowered.IsZero() && w.now.Sub(lowered) >= worldWindow {
+				limit, lowered = w.bound.Units(w.tenant), time.Time{}
+			}
+			if found := w.inWindow(); found > limit {
+				t.Fatalf("%d requests within a window, %d are allowed", found, limit)
+			}
+			w.step(time.Duration(rapid.IntRange(10, 1500).Draw(t, "pause"))*time.Millisecond, delay)
+		}
+	})
+}
+
+// worldEvents name what may happen, the frequent ones several times.
+var worldEvents = []string{
+	"ask", "flood", "flood", "flood all", "flood all", "flood all", "cut", "restart", "freeze", "suspend", "kill leader",
+	"partition leader", "freeze leader", "elect", "elect", "elect", "follow", "follow", "follow any", "restart all", "return", "limit", "calm", "calm",
+}
--- /dev/null
+++ b/internal/quota/coordinator.go
@@ -0,0 +1,439 @@
+package quota
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/routing"
+)
+
+const (
+	// askEvery is the pause between requests to one router to tell all.
+	askEvery = 500 * time.Millisecond
+	// resendAfter is after how long a grant that was not acknowledged is sent again.
+	resendAfter = 1500 * time.Millisecond
+)
+
+// Coordinator is the leader's side: it books how many units each router may hold in use at
+// most, by the leader's knowledge. It is not safe for concurrent use.
+type Coordinator struct {
+	term  owner.Term
+	bound Bound
+	// opened is when it began to lead, and first says that nobody did before.
+	opened time.Time
+	first  bool
+	// nodes is how many routers there are, linked or not.
+	nodes   int
+	pools   map[routing.TenantName]*pool
+	members map[string]*member
+	// asked are routers that must tell all first, by their node.
+	asked map[string]*asked
+	// ending are booked units that end by themselves, by time.
+	ending []ending
+	// removed is when tenants' limits were removed.
+	removed map[routing.TenantName]time.Time
+}
+
+// pool is what is known of one tenant.
+type pool struct {
+	limit int
+	// booked is how many units may be in use, here or at routers that are lost.
+	booked int
+	// reported is how many of them routers have brought from an earlier leader, and floors are
+	// those that are kept for routers out of reach.
+	reported, floors int
+	// frozen is until when nothing is given, since the tenant was removed and is back.
+	frozen time.Time
+	// dirty says that a router wants more.
+	dirty bool
+}
+
+// member is a router that has told what it holds.
+type member struct {
+	node string
+	life int64
+	// until and floorUntil are when its leases end at the latest.
+	until, floorUntil time.Time
+	// stamp is the newest one that was heard, at stampAt; echoed is the last that was sent.
+	stamp, echoed int64
+	stampAt       time.Time
+	// told is the number of its last message, granted that of the last grant to it, acked the
+	// last that it has acknowledged.
+	told, granted, acked uint64
+	grantedAt            time.Time
+	// changed says that a hold has changed since the last grant.
+	changed bool
+	holds   map[routing.TenantName]*hold
+}
+
+// hold is what a router may hold of one tenant.
+type hold struct {
+	// units were granted last, by the grant with the number, and floor of them last longer.
+	units, floor int
+	number       uint64
+	// booked is how many the router may hold until it has acknowledged that grant.
+	booked int
+	// used is what it told last, and short says that it refuses requests.
+	used  int
+	short bool
+}
+
+// asked is a router that must tell all.
+type asked struct {
+	life int64
+	at   time.Time
+	due  bool
+}
+
+// ending are units that are booked until a time.
+type ending struct {
+	at     time.Time
+	tenant routing.TenantName
+	units  int
+	floors int
+}
+
+// NewCoordinator returns the side of a leader that begins to lead. first says that there was
+// none before, in any term.
+func NewCoordinator(now time.Time, term owner.Term, first bool, bound Bound) *Coordinator {
+	return &Coordinator{
+		term: term, bound: bound, opened: now, first: first,
+		pools: map[routing.TenantName]*pool{}, members: map[string]*member{}, asked: map[string]*asked{},
+		removed: map[routing.TenantName]time.Time{},
+	}
+}
+
+// Use takes the tenants of the configuration in force.
+func (c *Coordinator) Use(now time.Time, tenants map[routing.TenantName]*routing.Tenant) {
+	for name, tenant := range tenants {
+		if units := c.bound.Units(tenant); units > 0 {
+			c.limit(now, name, units)
+		}
+	}
+	for name := range c.pools {
+		if tenant := tenants[name]; tenant == nil || !tenant.Limited() {
+			c.remove(now, name)
+		}
+	}
+}
+
+// Tenants is how many tenants have a limit.
+func (c *Coordinator) Tenants() int { return len(c.pools) }
+
+// limit sets the limit of a tenant. Routers lower their credits alike when they learn of a
+// lower one, so the credits are lowered here at once, and booked until they say so.
+func (c *Coordinator) limit(now time.Time, name routing.TenantName, units int) {
+	p := c.pools[name]
+	if p == nil {
+		p = &pool{limit: units, dirty: true}
+		if at, back := c.removed[name]; back {
+			p.frozen = at.Add(Lease + c.bound.rest())
+		}
+		c.pools[name] = p
+		for _, m := range c.members { // they may have credits that another leader gave, or this one
+			c.ask(m.node, m.life)
+		}
+		return
+	}
+	before := p.limit
+	p.limit, p.dirty = units, p.dirty || units != before
+	if units >= before {
+		return
+	}
+	for _, m := range c.members {
+		if h := m.holds[name]; h != nil {
+			floor := h.floor * units / before
+			p.floors -= h.floor - floor
+			h.floor = floor
+			c.set(m, h, h.units*units/before)
+		}
+	}
+}
+
+// remove forgets a tenant that has no limit any longer.
+func (c *Coordinator) remove(now time.Time, name routing.TenantName) {
+	c.removed[name] = now
+	delete(c.pools, name)
+	for _, m := range c.members {
+		delete(m.holds, name)
+	}
+	c.ending = slices.DeleteFunc(c.ending, func(e ending) bool { return e.tenant == name })
+}
+
+// Hear takes what a router tells.
+func (c *Coordinator) Hear(now time.Time, told Told) {
+	if told.Term > c.term {
+		return
+	}
+	m := c.members[told.Node]
+	if m != nil && m.life != told.Life {
+		if told.Life < m.life {
+			return
+		}
+		c.ended(now, m)
+		m = nil
+	}
+	switch {
+	case told.Term < c.term, m == nil && !told.All:
+		c.ask(told.Node, told.Life)
+		return
+	case m == nil:
+		m = c.join(now, told)
+	case told.Number <= m.told:
+		return
+	case told.Number != m.told+1 && !told.All:
+		c.ask(told.Node, told.Life)
+		return
+	}
+	if told.All {
+		delete(c.asked, told.Node)
+		c.bring(now, m, told)
+	}
+	m.told, m.stamp, m.stampAt = told.Number, told.Stamp, now
+	c.hear(now, m, told)
+}
+
+// ask lets a router tell all with the next grants.
+func (c *Coordinator) ask(node string, life int64) {
+	if a := c.asked[node]; a != nil && a.life >= life {
+		return
+	}
+	c.asked[node] = &asked{life: life, due: true}
+}
+
+// join takes a router into the books. What it holds was given by an earlier leader.
+func (c *Coordinator) join(now time.Time, told Told) *member {
+	m := &member{
+		node: told.Node, life: told.Life, until: now.Add(Lease), floorUntil: now.Add(FloorLease),
+		holds: map[routing.TenantName]*hold{},
+	}
+	c.members[m.node] = m
+	for _, p := range c.pools {
+		p.dirty = true
+	}
+	return m
+}
+
+// bring books what a router tells that this leader has not given it.
+func (c *Coordinator) bring(now time.Time, m *member, told Told) {
+	for name, use := range told.Tenants {
+		p := c.pools[name]
+		if p == nil || m.holds[name] != nil {
+			continue
+		}
+		m.holds[name] = &hold{units: use.credit(), booked: use.credit(), floor: use.floor()}
+		p.book(use.credit(), use.floor())
+		p.reported += max(use.credit(), use.used())
+		c.end(now.Add(c.bound.rest()), name, use.used()-use.credit(), 0)
+	}
+}
+
+// book adds to what is booked.
+func (p *pool) book(units, floors int) {
+	p.booked += units
+	p.floors += floors
+}
+
+// end books units that end by themselves.
+func (c *Coordinator) end(at time.Time, name routing.TenantName, units, floors int) {
+	if p := c.pools[name]; p != nil && units > 0 {
+		p.book(units, floors)
+		c.ending = append(c.ending, ending{at: at, tenant: name, units: units, floors: floors})
+	}
+}
+
+// hear takes the uses that a member tells, and what it has acknowledged.
+func (c *Coordinator) hear(now time.Time, m *member, told Told) {
+	for name, h := range m.holds {
+		use, isTold := told.Tenants[name]
+		if !isTold && !told.All {
+			continue
+		}
+		h.used, h.short = use.used(), use.short()
+		if h.number > told.Ack {
+			continue
+		}
+		if told.All { // it may have dropped the tenant meanwhile
+			h.units, h.floor = min(h.units, use.credit()), min(h.floor, use.floor())
+		}
+		c.settle(now, name, h)
+	}
+	for name, use := range told.Tenants {
+		p := c.pools[name]
+		if p == nil {
+			continue
+		}
+		h := m.hold(name)
+		h.used, h.short = use.used(), use.short()
+		p.dirty = p.dirty || h.short || h.used >= h.units
+	}
+	m.acked = max(m.acked, told.Ack)
+}
+
+// hold returns what a member may hold of a tenant.
+func (m *member) hold(name routing.TenantName) *hold {
+	h := m.holds[name]
+	if h == nil {
+		h = &hold{}
+		m.holds[name] = h
+	}
+	return h
+}
+
+// settle books no more than what a router holds that has told its use since it took the last
+// grant. Units in use beyond that end by themselves.
+func (c *Coordinator) settle(now time.Time, name routing.TenantName, h *hold) {
+	p := c.pools[name]
+	over := h.booked - h.units
+	if over <= 0 {
+		return
+	}
+	p.book(-over, 0)
+	h.booked = h.units
+	c.end(now.Add(c.bound.rest()), name, h.used-h.units, 0)
+}
+
+// set changes the units of a member, which are booked at once if they are more.
+func (c *Coordinator) set(m *member, h *hold, units int) {
+	if units == h.units {
+		return
+	}
+	h.units, h.number = units, m.granted+1
+	m.changed = true
+}
+
+// ended takes a router out of the books whose process has ended. What it has spent until now
+// rests.
+func (c *Coordinator) ended(now time.Time, m *member) {
+	delete(c.members, m.node)
+	for name, h := range m.holds {
+		p := c.pools[name]
+		p.book(-h.booked, -h.floor)
+		c.end(now.Add(c.bound.rest()), name, h.booked, 0)
+	}
+}
+
+// expired takes a router out of the books whose lease has ended. Its floor stays.
+func (c *Coordinator) expired(m *member) {
+	delete(c.members, m.node)
+	for name, h := range m.holds {
+		p := c.pools[name]
+		p.book(-h.booked, -h.floor)
+		c.end(m.until.Add(c.bound.rest()), name, h.booked-h.floor, 0)
+		c.end(m.floorUntil.Add(c.bound.rest()), name, h.floor, h.floor)
+	}
+}
+
+// Tick does what time brings and returns the grants that are due. sure says that this leader's
+// authority holds: without it nothing is given and no lease is renewed. nodes is how many
+// routers there are.
+func (c *Coordinator) Tick(now time.Time, sure bool, nodes int) []Grant {
+	c.nodes = nodes
+	c.release(now)
+	for _, node := range slices.Sorted(maps.Keys(c.members)) {
+		if m := c.members[node]; now.After(m.until) {
+			c.expired(m)
+		}
+	}
+	if !sure {
+		return nil
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.pools)) {
+		if p := c.pools[name]; p.dirty {
+			c.deal(now, name, p)
+		}
+	}
+	return append(c.asks(now), c.grants(now)...)
+}
+
+// release ends what was booked until now.
+func (c *Coordinator) release(now time.Time) {
+	c.ending = slices.DeleteFunc(c.ending, func(e ending) bool {
+		due := now.After(e.at)
+		if due {
+			c.pools[e.tenant].book(-e.units, -e.floors)
+			c.pools[e.tenant].dirty = true
+		}
+		return due
+	})
+}
+
+// asks returns the messages to routers that must tell all.
+func (c *Coordinator) asks(now time.Time) []Grant {
+	var grants []Grant
+	for node, a := range c.asked {
+		if !a.due && now.Sub(a.at) >= askEvery {
+			delete(c.asked, node) // asked again if it tells anything
+			continue
+		}
+		if a.due {
+			a.due, a.at = false, now
+			grants = append(grants, Grant{Node: node, Life: a.life, Term: c.term, All: true})
+		}
+	}
+	return grants
+}
+
+// grants returns the messages to members.
+func (c *Coordinator) grants(now time.Time) []Grant {
+	var grants []Grant
+	for _, node := range slices.Sorted(maps.Keys(c.members)) {
+		if m := c.members[node]; m.due(now) {
+			grants = append(grants, c.grant(now, m))
+		}
+	}
+	return grants
+}
+
+// due reports whether a member is to be sent a grant.
+func (m *member) due(now time.Time) bool {
+	unheard := m.granted > m.acked && now.Sub(m.grantedAt) >= resendAfter
+	renewed := m.stamp > m.echoed && m.until.Sub(now) < Lease-renewEvery/2
+	return m.changed || unheard || renewed
+}
+
+// grant makes the next message to a member, and extends its lease by the newest stamp.
+func (c *Coordinator) grant(now time.Time, m *member) Grant {
+	m.granted++
+	m.grantedAt, m.changed = now, false
+	if m.stamp > m.echoed {
+		m.echoed = m.stamp
+		m.until, m.floorUntil = m.stampAt.Add(Lease), m.stampAt.Add(FloorLease)
+	}
+	grant := Grant{Node: m.node, Life: m.life, Term: c.term, Number: m.granted, Stamp: m.stamp}
+	for name, h := range m.holds {
+		if h.number > m.acked {
+			if grant.Credits == nil {
+				grant.Credits = map[routing.TenantName]Credit{}
+			}
+			grant.Credits[name] = Credit{h.units, c.pools[name].limit, h.floor}
+		}
+	}
+	return grant
+}
+
+// most is how many units of a tenant may be booked now. After a change of leaders nobody may
+// be given what a router may still hold that has not told it.
+func (c *Coordinator) most(now time.Time, p *pool) int {
+	since := now.Sub(c.opened)
+	switch {
+	case now.Before(p.frozen):
+		return 0
+	case c.first, since > FloorLease+c.bound.rest():
+		return p.limit
+	case since > Lease+c.bound.rest():
+		return p.limit - max(0, int(floorShare*float64(p.limit))-p.floors)
+	}
+	return min(p.limit, p.reported)
+}
+
+// sortByLeft sorts members by how many units they have left, the fewest first.
+func sortByLeft(list []*member, name routing.TenantName) {
+	slices.SortFunc(list, func(a, b *member) int {
+		x, y := a.holds[name], b.holds[name]
+		return cmp.Or(cmp.Compare(x.units-x.used, y.units-y.used), cmp.Compare(a.node, b.node))
+	})
+}
--- /dev/null
+++ b/internal/quota/holder.go
@@ -0,0 +1,274 @@
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/routing"
+)
+
+// Holder is the router's side. It is safe for concurrent use.
+type Holder struct {
+	node  string
+	life  int64
+	bound Bound
+	// epoch is the zero of all times here.
+	epoch time.Time
+	// urgent gets a token when something is to be told soon.
+	urgent chan struct{}
+
+	mu       sync.Mutex
+	accounts map[routing.TenantName]*account
+	term     owner.Term
+	// applied is the newest grant that was taken, and acked the newest that was told of.
+	applied, acked uint64
+	number         uint64
+	tellAll        bool
+	// lease and floorLease are when they end, and toldAt is when a stamp was sent last.
+	lease, floorLease, toldAt time.Duration
+}
+
+// account is what a router holds of one tenant.
+type account struct {
+	tenant *routing.Tenant
+	// limit in units, by the configuration in force here.
+	limit int
+	given Credit
+	spent spent
+	// told is the use that was told last. mustTell says that the use must be told with the
+	// next message, since the credit was changed and the leader frees what it need not book.
+	told     int
+	mustTell bool
+	// refused counts requests beyond the credit, and short those since the last message.
+	refused, granted uint64
+	short            int
+	// knownShort says that the last message told of refused requests: the next report is soon
+	// enough then.
+	knownShort bool
+}
+
+// NewHolder returns the side of a router that holds nothing yet.
+func NewHolder(now time.Time, node string, life int64, bound Bound) *Holder {
+	return &Holder{
+		node: node, life: life, bound: bound, epoch: now, urgent: make(chan struct{}, 1),
+		accounts: map[routing.TenantName]*account{},
+	}
+}
+
+// Urgent gets a token when something is to be told before the next report is due.
+func (h *Holder) Urgent() <-chan struct{} { return h.urgent }
+
+// Hurry asks for the next report soon.
+func (h *Holder) Hurry() {
+	select {
+	case h.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// Take spends a unit for a request of a tenant. If there is none, wait is until one is in use
+// again here.
+func (h *Holder) Take(now time.Time, tenant *routing.Tenant) (granted bool, wait time.Duration) {
+	at := now.Sub(h.epoch)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := h.account(tenant)
+	a.spent.advance(at)
+	credit := h.credit(a, at)
+	if a.spent.used >= credit {
+		a.refused++
+		if a.short++; !a.knownShort {
+			h.Hurry()
+		}
+		return false, a.wait(at, credit)
+	}
+	a.spent.add()
+	a.granted++
+	if a.spent.used == credit && a.told != credit && !a.knownShort {
+		h.Hurry()
+	}
+	return true, 0
+}
+
+// firstCredit is what a caller waits for where the router holds no credit: the way to the
+// leader and back.
+const firstCredit = 500 * time.Millisecond
+
+func (a *account) wait(at time.Duration, credit int) time.Duration {
+	if credit == 0 {
+		return firstCredit
+	}
+	return a.spent.free(at)
+}
+
+// Return gives back what was taken at a time for a request that no worker has run or will run.
+func (h *Holder) Return(taken time.Time, tenant *routing.Tenant) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if a := h.accounts[tenant.Name]; a != nil && a.spent.giveBack(taken.Sub(h.epoch)) {
+		a.granted--
+	}
+}
+
+// Sent says that a request for which a unit was taken leaves for a worker only now: the unit
+// rests from now on.
+func (h *Holder) Sent(taken, now time.Time, tenant *routing.Tenant) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := h.accounts[tenant.Name]
+	if a == nil {
+		return
+	}
+	a.spent.giveBack(taken.Sub(h.epoch))
+	a.spent.advance(now.Sub(h.epoch))
+	a.spent.add()
+}
+
+// Woke says that the machine was suspended: the units that were spent since, by a clock that
+// was behind, would rest too short a time. All that is in use rests anew.
+func (h *Holder) Woke(now time.Time) {
+	at := now.Sub(h.epoch)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, a := range h.accounts {
+		a.spent.again(at)
+	}
+}
+
+// account returns a tenant's account. The caller holds mu.
+func (h *Holder) account(tenant *routing.Tenant) *account {
+	a := h.accounts[tenant.Name]
+	if a == nil {
+		a = &account{spent: newSpent(h.bound.slots())}
+		h.accounts[tenant.Name] = a
+	}
+	if a.tenant != tenant {
+		a.tenant, a.limit = tenant, h.bound.Units(tenant)
+	}
+	return a
+}
+
+// credit is how many units of a tenant may be in use here. Where the limit was lowered since
+// the credit was given, it is lowered alike. The caller holds mu.
+func (h *Holder) credit(a *account, at time.Duration) int {
+	units := a.given.units()
+	switch {
+	case at >= h.floorLease:
+		return 0
+	case at >= h.lease:
+		units = min(units, a.given.floor())
+	}
+	if limit := a.given.limit(); a.limit < limit {
+		units = units * a.limit / limit
+	}
+	return units
+}
+
+// Use takes the tenants of the configuration that is in force here.
+func (h *Holder) Use(tenants map[routing.TenantName]*routing.Tenant) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, tenant := range tenants {
+		if tenant.Limited() {
+			h.account(tenant)
+		}
+	}
+	for name := range h.accounts {
+		if tenant := tenants[name]; tenant == nil || !tenant.Limited() {
+			delete(h.accounts, name)
+			h.tellAll = true // the leader books units that are gone
+		}
+	}
+}
+
+// Granted takes a message of the leader's.
+func (h *Holder) Granted(grant Grant) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if grant.Term < h.term || grant.Node != h.node || grant.Life != h.life {
+		return
+	}
+	if grant.Term > h.term {
+		h.term, h.applied, h.acked = grant.Term, 0, 0
+	}
+	if grant.All {
+		h.tellAll = true
+		h.Hurry()
+	}
+	if grant.Number <= h.applied {
+		return
+	}
+	h.applied = grant.Number
+	if grant.Stamp > 0 {
+		stamp := time.Duration(grant.Stamp) * time.Millisecond
+		h.lease = max(h.lease, stamp+Lease-leaseGuard)
+		h.floorLease = max(h.floorLease, stamp+FloorLease-leaseGuard)
+	}
+	for name, credit := range grant.Credits {
+		h.give(name, credit)
+	}
+}
+
+// give sets the credit of a tenant. The caller holds mu.
+func (h *Holder) give(name routing.TenantName, credit Credit) {
+	a := h.accounts[name]
+	if a == nil {
+		a = &account{tenant: nil, limit: credit.limit(), spent: newSpent(h.bound.slots())}
+		h.accounts[name] = a
+	}
+	a.mustTell = true
+	if credit.units() < a.given.units() {
+		h.Hurry()
+	}
+	a.given = credit
+}
+
+// tellStep is by how much the use of a tenant changes until it is told.
+func (a *account) tellStep() int { return max(1, a.given.units()/8) }
+
+// Tell returns what the leader is to know; nil if that is nothing.
+func (h *Holder) Tell(now time.Time) *Told {
+	at := now.Sub(h.epoch)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	told := Told{Node: h.node, Life: h.life, Term: h.term, Ack: h.applied, Stamp: at.Milliseconds(), All: h.tellAll}
+	for name, a := range h.accounts {
+		a.spent.advance(at)
+		if use := h.useOf(a, at); use != nil {
+			if told.Tenants == nil {
+				told.Tenants = map[routing.TenantName]Use{}
+			}
+			told.Tenants[name] = use
+		}
+	}
+	due := len(h.accounts) > 0 && at-h.toldAt >= renewEvery
+	if !due && !told.All && len(told.Tenants) == 0 && h.applied == h.acked {
+		return nil
+	}
+	h.number++
+	told.Number = h.number
+	h.toldAt, h.acked, h.tellAll = at, h.applied, false
+	return &told
+}
+
+// useOf returns what is to be told of an account; nil if that is nothing. The caller holds mu.
+func (h *Holder) useOf(a *account, at time.Duration) Use {
+	used, credit := a.spent.used, h.credit(a, at)
+	changed := max(used-a.told, a.told-used)
+	exhausted := used >= credit && changed > 0
+	if !h.tellAll && !a.mustTell && a.short == 0 && !exhausted && changed < a.tellStep() {
+		return nil
+	}
+	use := Use{used}
+	if a.short > 0 || h.tellAll {
+		use = append(use, min(1, a.short))
+	}
+	if h.tellAll {
+		// A lease that is renewed must not bring back what has ended and was not told.
+		a.given = Credit{credit, min(a.given.limit(), a.limit), min(credit, a.given.floor())}
+		use = append(use, credit, a.given.floor())
+	}
+	a.told, a.mustTell, a.short, a.knownShort = used, false, 0, a.short > 0
+	return use
+}
--- /dev/null
+++ b/internal/quota/messages.go
@@ -0,0 +1,65 @@
+package quota
+
+import (
+	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/routing"
+)
+
+// Told is what a router tells the leader.
+type Told struct {
+	// Node names the router and Life when its process began, in milliseconds: a later life
+	// is proof that the earlier one has ended.
+	Node string `json:"n"`
+	Life int64  `json:"l"`
+	// Term is that of the leader which the router takes credits from.
+	Term owner.Term `json:"t,omitempty"`
+	// Number counts what the router has told, so that the leader sees what was lost.
+	Number uint64 `json:"i"`
+	// Ack is the number of the newest grant that the router has taken.
+	Ack uint64 `json:"q,omitempty"`
+	// Stamp is the router's time, in milliseconds since its epoch.
+	Stamp int64 `json:"s"`
+	// All says that Tenants are all of which the router holds anything.
+	All bool `json:"a,omitempty"`
+	// Tenants whose use has changed.
+	Tenants map[routing.TenantName]Use `json:"u,omitempty"`
+}
+
+// Use is what a router tells of a tenant: units in use, 1 if it has refused requests since it
+// told last, and, where all is told, the credit and the floor that it holds.
+type Use []int
+
+func (u Use) at(index int) int {
+	if index < len(u) {
+		return max(0, u[index])
+	}
+	return 0
+}
+
+func (u Use) used() int   { return u.at(0) }
+func (u Use) short() bool { return u.at(1) > 0 }
+func (u Use) credit() int { return u.at(2) }
+func (u Use) floor() int  { return u.at(3) }
+
+// Grant is what the leader tells one router.
+type Grant struct {
+	Node string     `json:"n"`
+	Life int64      `json:"l"`
+	Term owner.Term `json:"t"`
+	// Number counts the grants to this router. Each holds all that the router has not
+	// acknowledged.
+	Number uint64 `json:"q,omitempty"`
+	// Stamp is the newest one heard of the router, from which its lease counts.
+	Stamp int64 `json:"s,omitempty"`
+	// All asks the router to tell all that it holds.
+	All     bool                          `json:"a,omitempty"`
+	Credits map[routing.TenantName]Credit `json:"c,omitempty"`
+}
+
+// Credit is how many units a router may hold in use, of how many that the limit had when the
+// credit was given, and how many of them once its lease has ended.
+type Credit [3]int
+
+func (c Credit) units() int { return c[0] }
+func (c Credit) limit() int { return c[1] }
+func (c Credit) floor() int { return c[2] }
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -207,6 +207,7 @@
 		r.configTold(*update.Config)
 	}
 	r.suspectsTold(update)
+	r.quotas.granted(update.Quota)
 	r.entries.compare(now, update.Known.Workers)
 	r.config.catchUp(now, update.Known.Config)
 }
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -166,6 +166,7 @@
 	r.log.Line(decision.KindElected).Int64("term", int64(tenure.Leader.Term)).Time("holds_until", until).Msg("")
 	go r.reportToSelf(tenureCtx)
 	go r.keepSuspects(tenureCtx, tenure)
+	go r.quotas.coordinate(tenureCtx, tenure)
 	r.nodes.Store(int32(r.hub.Nodes()))
 	r.keeper.Lead(tenureCtx, tenure, until)
 	resign, cancel := context.WithTimeout(context.WithoutCancel(ctx), resignTimeout)
--- a/internal/router/report.go
+++ b/internal/router/report.go
@@ -22,6 +22,7 @@
 	report.Followers = r.hub.Followers()
 	r.standby.Tell(&report)
 	report.Evidence = r.proxy.Suspects.Tell(clock.Now())
+	report.Quota = r.quotas.tell()
 	return report
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -100,6 +100,7 @@
 	told told
 	// strongest holds the greatest strength of all machines, as bits of a float64.
 	strongest atomic.Uint64
+	quotas    *quotas
 }
 
 // queuedReports is how many reports wait for the keeper.
@@ -142,6 +143,9 @@
 	r.hub.OnAsked(r.standby.Stop)
 	r.hub.OnReported(r.meter.Add)
 	r.hub.OnEvidence(r.evidenceTaken)
+	r.quotas = newQuotas(r)
+	r.proxy.Quota = r.quotas
+	r.hub.OnQuota(r.quotas.heard)
 	metrics.MustRegister(r.proxy)
 	r.registerGauges(metrics)
 	return r
