--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -111,6 +111,7 @@
 	recordsRead sync.Once
 	// strongest holds the greatest strength of all machines, as bits of a float64.
 	strongest atomic.Uint64
+	quotas    *quotas
 }
 
 // queuedReports is how many reports wait for the keeper.
@@ -157,6 +158,9 @@
 	r.hub.OnAsked(r.standby.Stop)
 	r.hub.OnReported(r.meter.Add)
 	r.hub.OnEvidence(r.evidenceTaken)
+	r.quotas = newQuotas(r)
+	r.proxy.Quota = r.quotas
+	r.hub.OnQuota(r.quotas.heard)
 	metrics.MustRegister(r.proxy)
 	r.registerGauges(metrics)
 	return r
