--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -48,10 +48,11 @@
 // lead follows the leader, or becomes it, until ctx ends. A process that finds no leader when it
 // starts finds the owners where they are stored.
 func (r *Router) lead(ctx context.Context) {
-	paused := r.settings.FirstStart
-	if paused {
+	if r.settings.FirstStart {
 		clock.Sleep(ctx, r.campaignPause()) // most find a leader at their first look then
 	}
+	// Who finds none has measured by that look how far the store is, and pauses by that.
+	paused := false
 	backoff := clock.Backoff{First: lookPause, Longest: longestLookPause}
 	for ctx.Err() == nil {
 		began := clock.Now()
@@ -193,6 +194,7 @@
 	r.log.Line(decision.KindElected).Int64("term", int64(tenure.Leader.Term)).Time("holds_until", until).Msg("")
 	go r.reportToSelf(tenureCtx)
 	go r.keepSuspects(tenureCtx, tenure)
+	go r.quotas.coordinate(tenureCtx, tenure)
 	r.nodes.Store(int32(r.hub.Nodes()))
 	r.keeper.Lead(tenureCtx, tenure, until)
 	resign, cancel := context.WithTimeout(context.WithoutCancel(ctx), resignTimeout)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -53,6 +53,9 @@
 	ReadyPath string
 	// ConfigPrefix is where the operators' configuration stands.
 	ConfigPrefix string
+	// SealConfig puts digests in the place of the API keys in what operators write; an item in
+	// which it can't find them comes back empty, with the error. Nil: there are no keys.
+	SealConfig func(item coord.Item) (coord.Item, error)
 	// ReadConfig finds the configuration among items; nil if it is not there.
 	ReadConfig func(items []coord.Item) (*routing.Config, error)
 	// ReadEvacuation returns the zone whose workers are to get no work while a key stands
@@ -108,6 +111,7 @@
 	recordsRead sync.Once
 	// strongest holds the greatest strength of all machines, as bits of a float64.
 	strongest atomic.Uint64
+	quotas    *quotas
 }
 
 // queuedReports is how many reports wait for the keeper.
@@ -154,6 +158,9 @@
 	r.hub.OnAsked(r.standby.Stop)
 	r.hub.OnReported(r.meter.Add)
 	r.hub.OnEvidence(r.evidenceTaken)
+	r.quotas = newQuotas(r)
+	r.proxy.Quota = r.quotas
+	r.hub.OnQuota(r.quotas.heard)
 	metrics.MustRegister(r.proxy)
 	r.registerGauges(metrics)
 	return r
