Bind tenants' requests and second copies to regions, and exchange no bound downloads

Cause: a download that is bound could have been exchanged for one whose owner is near and not allowed, and would have been refused; nothing showed that tenants and second copies are bound.

Change: bound requests keep the part that was dealt to them. Tests of tenants' regions beside the route's, and of copies.

--- a/internal/proxy/regions_test.go
+++ b/internal/proxy/regions_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"net"
 	"net/http"
 	"testing"
 
@@ -95,3 +96,70 @@
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
 	assert.Equal(t, w.arrivals(), 0)
 }
+
+// A tenant's regions bind beside those of the route, for its callers only.
+func TestTenantsAreServedInTheirRegionsOnly(t *testing.T) {
+	near, far := newWorker(t, "w1", answers("near")), newWorker(t, "w2", answers("far"))
+	abroad := far.entry("pool")
+	abroad.Zone = "far"
+	for name, test := range map[string]struct {
+		tenant, route []topology.Region
+		body          string
+	}{
+		"any":                     {nil, nil, "near"},
+		"the tenant's":            {[]topology.Region{"abroad"}, nil, "far"},
+		"both":                    {[]topology.Region{"abroad", "near"}, []topology.Region{"abroad"}, "far"},
+		"none that both allow":    {[]topology.Region{"abroad"}, []topology.Region{"near"}, reasonRegion + "\n"},
+		"nobody in the tenant's":  {[]topology.Region{"elsewhere"}, nil, reasonRegion + "\n"},
+		"the route's, tenant any": {nil, []topology.Region{"abroad"}, "far"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFront(t, near.entry("pool"), abroad)
+			f.proxy.Locate(twoRegions)
+			config := tenantsConfig(t, 2, twoTenants)
+			config.Tenants["a"].Regions = test.tenant
+			config.Match("app.example", "/safe/").Regions = test.route
+			assert.Assert(t, f.proxy.Use(config))
+			for range 3 {
+				_, body := f.get(t, "GET", "/safe/", "", "Authorization", "Bearer "+keyOfA)
+				assert.Equal(t, body, test.body)
+			}
+			if test.route == nil {
+				_, body := f.get(t, "GET", "/safe/", "", "Authorization", "Bearer "+keyOfB)
+				assert.Equal(t, body, "near", "the other tenant is free")
+			}
+		})
+	}
+}
+
+// Second copies of silent requests go to no worker outside, and large ones to no other region.
+func TestCopiesStayInside(t *testing.T) {
+	for name, test := range map[string]struct {
+		class   routing.BodyClass
+		regions []topology.Region
+		copies  int
+	}{
+		"small, anywhere": {routing.Small, nil, 1},
+		"small, bound":    {routing.Small, []topology.Region{"near"}, 0},
+		"large, anywhere": {routing.BulkDown, nil, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			silent := newWorker(t, "w1", func(net.Conn, *http.Request) bool {
+				<-t.Context().Done()
+				return false
+			})
+			outside := newWorker(t, "w2", answers("x"))
+			abroad := outside.entry("pool")
+			abroad.Zone = "far"
+			f := newFront(t, silent.entry("pool"), abroad)
+			f.proxy.Locate(twoRegions)
+			config := testConfig(t, 2)
+			route := config.Match("app.example", "/safe/")
+			route.Regions, route.Class = test.regions, test.class
+			assert.Assert(t, f.proxy.Use(config))
+			f.get(t, "GET", "/safe/", "", "X-Deadline", "900")
+			assert.Equal(t, silent.arrivals(), 1)
+			assert.Equal(t, outside.arrivals(), test.copies)
+		})
+	}
+}
--- a/internal/proxy/swaps.go
+++ b/internal/proxy/swaps.go
@@ -59,11 +59,12 @@
 	return dealt
 }
 
-// part returns the service that the request goes to, of the route's parts.
+// part returns the service that the request goes to, of the route's parts. Bound requests are not
+// exchanged: an owner that is near need not be allowed.
 func (c *call) part(used *active) *routing.Service {
 	dealt := used.splitter.Pick(c.route)
 	fleet := c.proxy.fleet
-	if len(c.route.Parts) > 1 && fleet.places.Regions() > 1 && bulky(c.route.Class, fleet.sizes.of(c.route)) {
+	if len(c.route.Parts) > 1 && fleet.places.Regions() > 1 && !c.bound() && bulky(c.route.Class, fleet.sizes.of(c.route)) {
 		keyed := func(name routing.ServiceName) bool { return c.config.Services[name].Keyed }
 		dealt = used.swaps.pick(c.route, dealt, keyed, c.ownedAcross)
 	}
