--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -198,6 +198,7 @@
 	if !c.identify(used.keys) || !c.withinQuota() {
 		return
 	}
+	defer c.returnQuota()
 	c.allowed.attempts = max(1, c.route.Attempts)
 	c.service = c.part(used)
 	if !c.prepare() {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -114,6 +114,7 @@
 	configAsOf atomic.Int64
 	// strongest holds the greatest strength of all machines, as bits of a float64.
 	strongest atomic.Uint64
+	quotas    *quotas
 }
 
 // queuedReports is how many reports wait for the keeper.
@@ -164,6 +165,9 @@
 	r.hub.OnAsked(r.standby.Stop)
 	r.hub.OnReported(r.meter.Add)
 	r.hub.OnEvidence(r.evidenceTaken)
+	r.quotas = newQuotas(r)
+	r.proxy.Quota = r.quotas
+	r.hub.OnQuota(r.quotas.heard)
 	metrics.MustRegister(r.proxy)
 	r.registerGauges(metrics)
 	return r
