Let bundles name tenants, public services, regions and classes of bodies

Change: a bundle has tenants with the digests of their keys, priority, rate, burst and regions; a service is public, and has regions and a class of its bodies. Tenants are scoped by the team: a key is good on routes of its own team only, a key's digest can't stand in two teams' bundles, and callers of a team without tenants need no key as before. "shalefork tenant keygen FILE" writes a new key to a file for its owner only and prints the digest; "shalefork tenant digest FILE" prints that of a key that exists.

Weighed: digests made by the check from keys in the file (keys would lie in repositories and in the store), tenants of all teams in one scope (a team's caller could use another's services).

Bundles without tenants keep their canonical bytes (canonical.json.golden is unchanged).

--- a/cmd/shalefork/main.go
+++ b/cmd/shalefork/main.go
@@ -14,6 +14,7 @@
 	program.AddGroup("bundle", "Propose, approve and roll a team's bundle.", bundleCommands()...)
 	program.Add(statusCommand())
 	program.AddGroup("quarantine", "Requests that crash the workers that run them.", quarantineCommands()...)
+	program.AddGroup("tenant", "API keys of tenants.", tenantCommands()...)
 	program.AddGroup("config", "Check settings without starting.", configCheckCommand())
 	program.AddGroup("operator", "Keys of operators.", operatorKeygenCommand())
 	program.Main(os.Args[1:])
--- a/cmd/shalefork/operators.go
+++ b/cmd/shalefork/operators.go
@@ -218,6 +218,22 @@
 	}}
 }
 
+func tenantCommands() []cli.Command {
+	return []cli.Command{
+		apiKeyCommand("keygen", "Write a new API key to a file and print its digest for a bundle.", "The file to make", operator.GenerateAPIKey),
+		apiKeyCommand("digest", "Print the digest of the API key in a file.", "The file with the key", operator.DigestAPIKey),
+	}
+}
+
+func apiKeyCommand(name, help, what string, action func(operator.Output, string) operator.ExitCode) cli.Command {
+	var file string
+	subcommand := cli.NewSubcommand(name, help)
+	subcommand.AddPositionalValue(&file, "file", 1, true, what)
+	return cli.Command{Subcommand: subcommand, Run: func(context.Context) cli.ExitCode {
+		return action(new(storeFlags).output(), file)
+	}}
+}
+
 func operatorKeygenCommand() cli.Command {
 	var file string
 	subcommand := cli.NewSubcommand("keygen", "Write a new key to a file and print its public key.")
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -46,6 +46,8 @@
 	Cell     CellName  `yaml:"cell" json:"cell" validate:"required"`
 	Zones    []Zone    `yaml:"zones" json:"zones" validate:"required,min=1,unique"`
 	Services []Service `yaml:"services" json:"services" validate:"required,min=1,dive"`
+	// Tenants whose callers show API keys to the team's services; none: callers need no key.
+	Tenants []Tenant `yaml:"tenants,omitempty" json:"tenants,omitempty" validate:"dive"`
 }
 
 // Service is one named service of a team.
@@ -57,6 +59,12 @@
 	Key *KeySource `yaml:"key,omitempty" json:"key,omitempty"`
 	// Repeatable requests may be sent again without harm.
 	Repeatable bool `yaml:"repeatable" json:"repeatable"`
+	// Public services need no API key in a bundle with tenants.
+	Public bool `yaml:"public,omitempty" json:"public,omitempty"`
+	// Regions are the only ones in which requests may be served; none: any.
+	Regions []Region `yaml:"regions,omitempty" json:"regions,omitempty" validate:"unique"`
+	// Bodies says how large the bodies are, and which way they go; empty: small.
+	Bodies Bodies `yaml:"bodies,omitempty" json:"bodies,omitempty" validate:"omitempty,oneof=small bulk-up bulk-down"`
 	// Limits of one request and of the router's queue.
 	Limits Limits `yaml:"limits" json:"limits"`
 	// Partitions of a keyed service; one with an empty prefix is required.
--- a/internal/bundle/check.go
+++ b/internal/bundle/check.go
@@ -27,6 +27,7 @@
 	c.checkNames()
 	c.checkRoutes()
 	c.checkAddresses()
+	c.checkTenants()
 	for i, service := range b.Services {
 		c.checkService(field("services", i), service)
 	}
--- a/internal/bundle/conflict.go
+++ b/internal/bundle/conflict.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-// Conflicts returns a problem for each route and each address of b that a
+// Conflicts returns a problem for each route, each address and each API key of b that a
 // bundle of another team has too. Bundles of b's own team, older or newer, are
 // no conflict. A proposal with conflicts is refused.
 func Conflicts(b Bundle, others []Bundle) []Problem {
@@ -19,17 +19,25 @@
 			}
 		}
 	}
+	for i, tenant := range b.Tenants {
+		for j, digest := range tenant.KeyDigests {
+			if owner, found := taken.digests[digest]; found {
+				problems = append(problems, conflict(field(field("tenants", i)+".key_digests", j), owner))
+			}
+		}
+	}
 	return problems
 }
 
-// owners says which team has a route or an address.
+// owners says which team has a route, an address or an API key.
 type owners struct {
 	routes    map[string]TeamName
 	addresses map[string]TeamName
+	digests   map[KeyDigest]TeamName
 }
 
 func newOwners(except TeamName, bundles []Bundle) owners {
-	taken := owners{routes: map[string]TeamName{}, addresses: map[string]TeamName{}}
+	taken := owners{routes: map[string]TeamName{}, addresses: map[string]TeamName{}, digests: map[KeyDigest]TeamName{}}
 	for _, other := range bundles {
 		if other.Team == except {
 			continue
@@ -40,6 +48,11 @@
 				taken.addresses[backend.Address] = other.Team
 			}
 		}
+		for _, tenant := range other.Tenants {
+			for _, digest := range tenant.KeyDigests {
+				taken.digests[digest] = other.Team
+			}
+		}
 	}
 	return taken
 }
--- /dev/null
+++ b/internal/operator/apikey_test.go
@@ -0,0 +1,46 @@
+package operator
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/tenant"
+)
+
+func TestAnAPIKeyGoesToItsFileOnly(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "key")
+	var result, complaint bytes.Buffer
+	output := Output{Result: &result, Complaint: &complaint}
+	assert.Equal(t, GenerateAPIKey(output, path), ExitOK)
+	text, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	info, err := os.Stat(path)
+	assert.NilError(t, err)
+	assert.Equal(t, info.Mode().Perm(), os.FileMode(keyFileMode))
+	key := strings.TrimSpace(string(text))
+	assert.Assert(t, tenant.Valid(key) && len(key) > 40)
+	assert.Assert(t, !strings.Contains(result.String()+complaint.String(), key))
+	var digest routing.KeyDigest
+	assert.NilError(t, digest.UnmarshalText(bytes.TrimSpace(result.Bytes())))
+	assert.Equal(t, digest, tenant.Digest(key))
+
+	made := result.String()
+	result.Reset()
+	assert.Equal(t, GenerateAPIKey(output, path), ExitInvalid, "a key is never written over")
+	assert.Equal(t, DigestAPIKey(output, path), ExitOK)
+	assert.Equal(t, result.String(), made)
+}
+
+func TestWhatIsNoAPIKeyIsNotRepeated(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "key")
+	assert.NilError(t, os.WriteFile(path, []byte("sk-1 sk-2\n"), keyFileMode))
+	var result, complaint bytes.Buffer
+	assert.Equal(t, DigestAPIKey(Output{Result: &result, Complaint: &complaint}, path), ExitInvalid)
+	assert.Assert(t, !strings.Contains(result.String()+complaint.String(), "sk-1"), complaint.String())
+}
--- a/internal/operator/key.go
+++ b/internal/operator/key.go
@@ -22,19 +22,20 @@
 	if err != nil {
 		return output.Fail(Error.Wrap(err))
 	}
-	if err := writeKey(path, private); err != nil {
+	if err := writeSecret(path, base64.StdEncoding.EncodeToString(private.Seed())); err != nil {
 		return output.Fail(err)
 	}
 	fmt.Fprintln(output.Result, base64.StdEncoding.EncodeToString(public))
 	return ExitOK
 }
 
-func writeKey(path string, private ed25519.PrivateKey) error {
+// writeSecret writes a line to a file that must not exist yet, for its owner only.
+func writeSecret(path, secret string) error {
 	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, keyFileMode)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	_, err = fmt.Fprintln(file, base64.StdEncoding.EncodeToString(private.Seed()))
+	_, err = fmt.Fprintln(file, secret)
 	if closeErr := file.Close(); err == nil {
 		err = closeErr
 	}
--- a/internal/proxy/tenants.go
+++ b/internal/proxy/tenants.go
@@ -39,12 +39,12 @@
 // identify finds out which tenant the caller belongs to; false if the request was answered.
 // From here on the request holds no key, and names the tenant that was proved and no other.
 func (c *call) identify(keys *tenant.Index) bool {
-	if keys == nil {
+	if keys == nil || c.route.Open {
 		return true
 	}
 	var caller tenant.Caller
 	if !c.route.Public {
-		caller = keys.Identify(c.request.Header)
+		caller = keys.Identify(c.request.Header, c.route.Scope)
 	}
 	strip(c.request.Header, c.proxy.Headers.Tenant)
 	if c.route.Public {
--- a/internal/registry/compile.go
+++ b/internal/registry/compile.go
@@ -42,11 +42,14 @@
 		for _, service := range one.Services {
 			name := routing.ServiceName(one.ServiceName(service))
 			services[name] = compileService(name, service)
-			routes = append(routes, compileRoute(name, service))
+			routes = append(routes, compileRoute(one, service))
 			list = append(list, compileWorkers(one, name, service)...)
 		}
 	}
 	config, err := routing.Build(version, routes, services, routing.Limits{})
+	if tenants := compileTenants(bundles); err == nil && len(tenants) > 0 {
+		config, err = config.WithTenants(tenants)
+	}
 	return Compiled{Config: config, Workers: list}, err
 }
 
@@ -79,7 +82,8 @@
 	return value
 }
 
-func compileRoute(name routing.ServiceName, service bundle.Service) *routing.Route {
+func compileRoute(one bundle.Bundle, service bundle.Service) *routing.Route {
+	name := routing.ServiceName(one.ServiceName(service))
 	deadline := service.Limits.Deadline.Std()
 	if deadline == 0 {
 		deadline = noDeadline
@@ -93,6 +97,11 @@
 		Host:       service.Route.Host,
 		Prefix:     prefix,
 		Repeatable: service.Repeatable,
+		Class:      classes[service.Bodies],
+		Public:     service.Public,
+		Open:       len(one.Tenants) == 0,
+		Scope:      routing.Scope(one.Team),
+		Regions:    compileRegions(service.Regions),
 		Timeout:    deadline,
 		Target:     min(deadline/targetShare, longestTarget),
 		Attempts:   attempts,
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -36,6 +36,11 @@
 	Class BodyClass
 	// Public routes need no API key.
 	Public bool
+	// Open routes belong to a scope without tenants: callers need no API key, and their headers
+	// travel on as they are.
+	Open bool
+	// Scope whose tenants may use the route.
+	Scope Scope
 	// Regions are the only ones in which requests may be served; empty: any.
 	Regions []topology.Region
 	// Timeout is the longest that a request is held.
--- a/internal/routing/tenant.go
+++ b/internal/routing/tenant.go
@@ -34,9 +34,14 @@
 	return nil
 }
 
+// Scope names what routes and tenants belong to, such as a team: a key is good on routes of its own
+// scope only. Where all is one scope it is empty.
+type Scope string
+
 // Tenant is one customer of the services.
 type Tenant struct {
-	Name TenantName
+	Name  TenantName
+	Scope Scope
 	// Keys are the digests of the API keys that the tenant's callers show.
 	Keys []KeyDigest
 	// Priority goes before that of the route: 0 is the highest.
--- a/internal/tenant/index.go
+++ b/internal/tenant/index.go
@@ -57,6 +57,8 @@
 	Tenant routing.TenantName
 	// Gone is the first configuration in force here without the key.
 	Gone routing.Version
+	// Scope of the tenant.
+	Scope routing.Scope
 }
 
 // mostFormer is of how many keys that were taken away an index knows: enough for the largest
@@ -112,7 +114,7 @@
 	}
 	for key, was := range before.held {
 		if _, stands := x.held[key]; !stands {
-			x.former[key] = Former{Tenant: was.tenant.Name, Gone: version}
+			x.former[key] = Former{Tenant: was.tenant.Name, Gone: version, Scope: was.tenant.Scope}
 		}
 	}
 	x.forget()
@@ -136,13 +138,25 @@
 // Keys returns how many keys are held.
 func (x *Index) Keys() int { return len(x.held) }
 
-// Identify finds out who makes a request, by its headers.
-func (x *Index) Identify(header http.Header) Caller {
+// Identify finds out who makes a request within a scope, by its headers.
+func (x *Index) Identify(header http.Header, scope routing.Scope) Caller {
 	key, finding := keyOf(header)
 	if finding != Proved {
 		return Caller{Finding: finding}
 	}
-	return x.find(key)
+	caller := x.find(key)
+	if caller.scope() != scope {
+		return Caller{Finding: Unknown}
+	}
+	return caller
+}
+
+// scope returns that of the tenant that holds the key, or held it.
+func (c Caller) scope() routing.Scope {
+	if c.Tenant != nil {
+		return c.Tenant.Scope
+	}
+	return c.Former.Scope
 }
 
 // find returns who holds a key.
@@ -171,12 +185,15 @@
 	}
 	scheme, key, _ := strings.Cut(lines[0], " ")
 	key = strings.TrimLeft(key, " ")
-	if !strings.EqualFold(scheme, Scheme) || key == "" || strings.ContainsFunc(key, odd) {
+	if !strings.EqualFold(scheme, Scheme) || !Valid(key) {
 		return "", Malformed
 	}
 	return key, Proved
 }
 
+// Valid reports whether a text can be an API key.
+func Valid(key string) bool { return key != "" && !strings.ContainsFunc(key, odd) }
+
 // odd reports whether a character can't be part of a key: a blank, a control character, or one
 // outside of ASCII.
 func odd(r rune) bool { return r <= ' ' || r > '~' }
--- a/internal/tenant/index_test.go
+++ b/internal/tenant/index_test.go
@@ -57,9 +57,9 @@
 		"character outside of ASCII": {lines: []string{"Bearer kéy"}, finding: Malformed},
 	} {
 		t.Run(name, func(t *testing.T) {
-			caller := x.Identify(http.Header{Header: test.lines})
+			caller := x.Identify(http.Header{Header: test.lines}, "")
 			if test.lines == nil {
-				caller = x.Identify(http.Header{})
+				caller = x.Identify(http.Header{}, "")
 			}
 			assert.Equal(t, caller.Finding, test.finding)
 			if test.finding != Proved {
@@ -76,7 +76,7 @@
 	step := func(before *Index, version routing.Version, keys ...string) *Index {
 		return NewIndex(secret, configOf(version, map[routing.TenantName][]string{"a": keys}), before)
 	}
-	find := func(x *Index, key string) Caller { return x.Identify(http.Header{Header: {Scheme + " " + key}}) }
+	find := func(x *Index, key string) Caller { return x.Identify(http.Header{Header: {Scheme + " " + key}}, "") }
 	first := step(nil, 3, "k1", "k2")
 	second := step(first, 5, "k2")
 	third := step(second, 9, "k2", "k3")
@@ -100,8 +100,8 @@
 	second := NewIndex(Secret{}, configOf(2, map[routing.TenantName][]string{"a": keys[10:]}), first)
 	third := NewIndex(Secret{}, configOf(3, nil), second)
 	assert.Equal(t, len(third.former), mostFormer)
-	assert.Equal(t, third.Identify(http.Header{Header: {"Bearer k0"}}).Finding, Unknown, "went first")
-	assert.Equal(t, third.Identify(http.Header{Header: {"Bearer k20"}}).Finding, TakenAway)
+	assert.Equal(t, third.Identify(http.Header{Header: {"Bearer k0"}}, "").Finding, Unknown, "went first")
+	assert.Equal(t, third.Identify(http.Header{Header: {"Bearer k20"}}, "").Finding, TakenAway)
 }
 
 // Tags of one process are of no use at another.
@@ -123,7 +123,7 @@
 	header := http.Header{Header: {"Bearer " + key}}
 	b.ReportAllocs()
 	for b.Loop() {
-		x.Identify(header)
+		x.Identify(header, "")
 	}
 }
 
@@ -134,3 +134,41 @@
 	benchmarkIdentify(b, 20000, "0123456789abcdef0123456789ab0001")
 }
 func BenchmarkUnknownKeyOf20000(b *testing.B) { benchmarkIdentify(b, 20000, "unknown") }
+
+// A key is good on routes of its own scope only.
+func TestAKeyIsGoodInItsScope(t *testing.T) {
+	config := configOf(1, map[routing.TenantName][]string{"a": {"k"}})
+	config.Tenants["a"].Scope = "one"
+	first := NewIndex(Secret{}, config, nil)
+	second := NewIndex(Secret{}, configOf(2, nil), first)
+	header := http.Header{Header: {"Bearer k"}}
+	assert.Equal(t, first.Identify(header, "one").Finding, Proved)
+	assert.DeepEqual(t, first.Identify(header, "two"), Caller{Finding: Unknown})
+	assert.DeepEqual(t, first.Identify(header, ""), Caller{Finding: Unknown})
+	assert.Equal(t, second.Identify(header, "one").Finding, TakenAway)
+	assert.DeepEqual(t, second.Identify(header, "two"), Caller{Finding: Unknown})
+}
+
+// FuzzIdentify: whatever a caller shows, it is a tenant only by a key that the tenant holds.
+func FuzzIdentify(f *testing.F) {
+	f.Add("Bearer key-a1", "")
+	f.Add("bearer  key-a1", "Bearer key-b")
+	f.Add("Basic \x00", "x")
+	x := NewIndex(Secret{3}, configOf(1, map[routing.TenantName][]string{"a": {"key-a1"}, "b": {"key-b"}}), nil)
+	f.Fuzz(func(t *testing.T, one, other string) {
+		header := http.Header{Header: {one}}
+		if other != "" {
+			header.Add(Header, other)
+		}
+		caller := x.Identify(header, "")
+		if caller.Finding != Proved {
+			assert.Assert(t, caller.Tenant == nil)
+			return
+		}
+		assert.Equal(t, other, "")
+		held := map[routing.TenantName]string{"a": "key-a1", "b": "key-b"}[caller.Tenant.Name]
+		scheme, key, _ := strings.Cut(one, " ")
+		assert.Assert(t, strings.EqualFold(scheme, "Bearer"))
+		assert.Equal(t, strings.TrimLeft(key, " "), held)
+	})
+}
