--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -249,4 +249,5 @@
 	r.quotas.granted(update.Quota)
 	r.entries.compare(now, update.Known.Workers)
 	r.config.catchUp(now, update.Known.Config)
+	r.noteConfigTold(now, update)
 }
