--- /dev/null
+++ b/internal/lab/mutate/mutations_regions.go
@@ -0,0 +1,54 @@
+package main
+
+// regionMutations serve bound requests outside, or let large bodies fill the link between regions.
+var regionMutations = []mutation{
+	{
+		name: "pool-serves-outside-its-regions",
+		file: "internal/proxy/pick.go",
+		old:  "if tried[one.id] || asks.serves != nil && !asks.serves(one.region) {",
+		new:  "if tried[one.id] {",
+		pkg:  "./internal/proxy", test: "TestPoolsServeInAllowedRegionsOnly",
+	},
+	{
+		name: "owner-serves-outside-its-regions",
+		file: "internal/proxy/keyed.go",
+		old:  "case c.bound() && !c.servedIn(c.proxy.fleet.regionOf(to.described())):",
+		new:  "case false:",
+		pkg:  "./internal/proxy", test: "TestKeyOwnedInTheWrongRegionIsNotServed",
+	},
+	{
+		name: "large-body-crosses-without-room",
+		file: "internal/proxy/crossing.go",
+		old:  "if short && spare() {",
+		new:  "if short {",
+		pkg:  "./internal/proxy", test: "TestChoiceByDistance",
+	},
+	{
+		name: "copy-crosses-with-a-large-body",
+		file: "internal/proxy/pooled.go",
+		old:  "asks.stay = asks.bulk",
+		new:  "asks.stay = false",
+		pkg:  "./internal/proxy", test: "TestCopiesStayInside",
+	},
+	{
+		name: "parts-are-owed-without-end",
+		file: "internal/proxy/swaps.go",
+		old:  "if s.owed[pair] < mostOwed && across(dealt) {",
+		new:  "if across(dealt) {",
+		pkg:  "./internal/proxy", test: "TestSwapsKeepTheWeights",
+	},
+	{
+		name: "bound-keys-are-owned-anywhere",
+		file: "internal/keeper/plan.go",
+		old:  "bound && t.Regions.Regions() > 1 {",
+		new:  "bound && false {",
+		pkg:  "./internal/keeper", test: "TestKeysOfABoundServiceMoveInside",
+	},
+	{
+		name: "far-processes-campaign-as-early",
+		file: "internal/router/lead.go",
+		old:  "	return pause + r.farPause()",
+		new:  "	return pause",
+		pkg:  "./internal/router", test: "TestProcessesNearTheStoreCampaignFirst",
+	},
+}
--- a/internal/proxy/regions_test.go
+++ b/internal/proxy/regions_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -157,6 +158,7 @@
 			route := config.Match("app.example", "/safe/")
 			route.Regions, route.Class = test.regions, test.class
 			assert.Assert(t, f.proxy.Use(config))
+			f.proxy.fleet.bulk.next = time.Now() // the link has room
 			f.get(t, "GET", "/safe/", "", "X-Deadline", "900")
 			assert.Equal(t, silent.arrivals(), 1)
 			assert.Equal(t, outside.arrivals(), test.copies)
