--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -33,6 +33,7 @@
 	KindRecord        Kind = "record"
 	KindRequest       Kind = "request"
 	KindSent          Kind = "request-sent-again"
+	KindBodies        Kind = "bodies"
 	KindLeftOut       Kind = "lines-left-out"
 )
 
@@ -53,7 +54,7 @@
 		{KindMetricsLost, "the metrics can't be served; requests are", "address, error"},
 		{KindSuspended, "the machine was suspended, or no clock tells that here", "for (seconds), led (this process led before)"},
 		{KindReady, "the process calls itself ready or not", "ready, reason"},
-		{KindConfig, "a configuration is in force here", "version, routes, revision (of the store)"},
+		{KindConfig, "a configuration is in force here", "version, routes, revision (of the store); remarks (what operators should know of it)"},
 		{KindConfigBad, "a configuration can't be read; the one before stays", "revision, error"},
 		{KindEvacuation, "which zones' workers are to get no work has changed", "zones (all of them), revision"},
 		{KindWorker, "a worker announced itself, drains or is gone; or it is kept although its entry went, which may have lapsed only", "worker, state, service, revision, for (seconds that it is kept at most); announced: how many a new list has"},
@@ -75,6 +76,7 @@
 		{KindRecord, "the stored owners were read, can't be read, or were written by another leader", "service, found, revision, term"},
 		{KindRequest, "a request ended otherwise than planned: refused, failed, late, sent more than once, or its client left (status 0)", "id, status, reason, service, route, took, sends, runs, unsent, config, worker, last, error; for keyed ones key, term, table_age; for quarantined ones fingerprint"},
 		{KindSent, "a request goes out once more", "id, worker, outcome (of the send before, or hedged), after"},
+		{KindBodies, "large bodies find no memory, or half of it is free again", "full, used, limit (bytes)"},
 		{KindLeftOut, "lines over the budget were left out", "of, lines, dropped (lines that found the writer busy, since the start)"},
 	}
 }
--- a/internal/router/configview.go
+++ b/internal/router/configview.go
@@ -126,8 +126,12 @@
 	if config == nil || !v.r.proxy.Use(config) {
 		return
 	}
-	v.r.log.Line(decision.KindConfig).Uint64("version", uint64(config.Version)).Int("routes", config.Routes()).
-		Int64("revision", int64(v.at)).Msg("in force")
+	line := v.r.log.Line(decision.KindConfig).Uint64("version", uint64(config.Version)).Int("routes", config.Routes()).
+		Int64("revision", int64(v.at))
+	if len(config.Remarks) > 0 {
+		line = line.Strs("remarks", config.Remarks)
+	}
+	line.Msg("in force")
 }
 
 // evacuate puts into force which zones are evacuated.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -112,6 +112,9 @@
 	Limits   Limits
 	// Tenants whose callers show API keys; nil: callers need none.
 	Tenants map[TenantName]*Tenant
+	// Remarks are what operators should know of the configuration, which is in force all the
+	// same.
+	Remarks []string
 	routes  []*Route
 	byHost  map[string][]*Route
 }
