Hold bodies in flight within a bound of memory, by their progress, and in turns

Cause: large bodies were read into growing buffers that nobody counted, judged by a total time of 10 s, and written to the link all at once.

internal/bodies: a room counts the memory of all bodies of a process; large ones may fill seven eighths of it, so that small ones go on. A spool holds a body, or its beginning, in pieces that are never used again: a send that was given up may read them still (ruled out: a pool of buffers, which saves 60 kB of garbage a body and may put one request's bytes into another's). A body may stand still for 5 s, and must bring 4 KiB a second beyond that. Turns give large bodies a slice of 16 KiB each on nine tenths of the machine's link.

Nothing uses the package yet.

--- /dev/null
+++ b/internal/bodies/pace.go
@@ -0,0 +1,94 @@
+package bodies
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/clock"
+)
+
+const (
+	// Floor is the slowest progress of a body in bytes a second: half of a mobile link of the
+	// second generation (64 kbit/s). A body may be large and its link slow, so that its whole
+	// time says nothing of a caller that has gone silent.
+	Floor = 4 << 10
+	// Grace is how long a body may stand still: a radio that changes cells takes some seconds.
+	Grace = 5 * time.Second
+)
+
+// pace judges a body by its progress: each byte adds time, and no more than Grace is saved up.
+type pace struct {
+	until time.Time
+}
+
+func newPace(now time.Time) pace { return pace{until: now.Add(Grace)} }
+
+// moved notes bytes that have passed, and returns until when the next must.
+func (p *pace) moved(now time.Time, bytes int) time.Time {
+	earned := time.Duration(float64(bytes) / Floor * float64(time.Second))
+	p.until = p.until.Add(earned)
+	if most := now.Add(Grace); p.until.After(most) {
+		p.until = most
+	}
+	return p.until
+}
+
+// Connection is the one to a caller, or what controls it.
+type Connection interface {
+	SetReadDeadline(at time.Time) error
+	SetWriteDeadline(at time.Time) error
+}
+
+// supported reports whether a deadline was set, or the connection knows none.
+func supported(err error) bool { return err == nil || errors.Is(err, errors.ErrUnsupported) }
+
+// Reader reads a caller's body as long as it moves.
+type Reader struct {
+	from   io.Reader
+	caller Connection
+	last   time.Time
+	pace   pace
+}
+
+// NewReader returns a reader of a body that must be in by last, however it moves. It leaves a
+// deadline at the caller's connection.
+func NewReader(from io.Reader, last time.Time, caller Connection) *Reader {
+	return &Reader{from: from, caller: caller, last: last, pace: newPace(clock.Now())}
+}
+
+// Read implements io.Reader.
+func (r *Reader) Read(into []byte) (int, error) {
+	until := r.pace.until
+	if r.last.Before(until) {
+		until = r.last
+	}
+	if err := r.caller.SetReadDeadline(time.Now().Add(clock.Until(until))); !supported(err) {
+		return 0, err
+	}
+	count, err := r.from.Read(into)
+	r.pace.moved(clock.Now(), count)
+	return count, err
+}
+
+// Writer writes a body to a caller as long as the caller takes it.
+type Writer struct {
+	to     io.Writer
+	caller Connection
+	pace   pace
+}
+
+// NewWriter returns a writer to a caller. It leaves a deadline at the caller's connection.
+func NewWriter(to io.Writer, caller Connection) *Writer {
+	return &Writer{to: to, caller: caller, pace: newPace(clock.Now())}
+}
+
+// Write implements io.Writer.
+func (w *Writer) Write(from []byte) (int, error) {
+	if err := w.caller.SetWriteDeadline(time.Now().Add(clock.Until(w.pace.until))); !supported(err) {
+		return 0, err
+	}
+	count, err := w.to.Write(from)
+	w.pace.moved(clock.Now(), count)
+	return count, err
+}
--- /dev/null
+++ b/internal/bodies/pace_test.go
@@ -0,0 +1,87 @@
+package bodies
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/clock"
+)
+
+// A body is judged by its progress, however long it takes as a whole.
+func TestABodyIsJudgedByItsProgress(t *testing.T) {
+	for name, c := range map[string]struct {
+		pieces int
+		bytes  int
+		pause  time.Duration
+		last   time.Duration
+		ends   time.Duration
+	}{
+		"slow and steady":    {pieces: 60, bytes: 2 * Floor, pause: time.Second, last: time.Hour},
+		"long pauses":        {pieces: 5, bytes: 5 * Floor, pause: 4 * time.Second, last: time.Hour},
+		"silent":             {pieces: 1, bytes: 100 * Floor, pause: time.Hour, last: 2 * time.Hour, ends: Grace},
+		"below the floor":    {pieces: 60, bytes: Floor / 2, pause: time.Second, last: time.Hour, ends: 2*Grace - time.Second/2},
+		"beyond its request": {pieces: 60, bytes: 2 * Floor, pause: time.Second, last: 7500 * time.Millisecond, ends: 7500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ours, caller := net.Pipe()
+				go func() {
+					for range c.pieces {
+						_, _ = caller.Write(make([]byte, c.bytes))
+						clock.Sleep(t.Context(), c.pause)
+					}
+					_ = caller.Close()
+				}()
+				began := time.Now()
+				_, err := io.Copy(io.Discard, NewReader(ours, began.Add(c.last), ours))
+				if c.ends == 0 {
+					assert.NilError(t, err)
+				} else {
+					assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded))
+					assert.Equal(t, time.Since(began).Round(time.Millisecond), c.ends)
+				}
+				_ = ours.Close()
+			})
+		})
+	}
+}
+
+// A caller who reads nothing for a while is given up; one that reads slowly is not.
+func TestAReaderIsJudgedByItsProgress(t *testing.T) {
+	for name, c := range map[string]struct {
+		pause time.Duration
+		fails bool
+	}{"slow": {pause: time.Second}, "silent": {pause: time.Hour, fails: true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ours, caller := net.Pipe()
+				go func() {
+					piece := make([]byte, 2*Floor)
+					for {
+						if _, err := io.ReadFull(caller, piece); err != nil {
+							return
+						}
+						clock.Sleep(t.Context(), c.pause)
+					}
+				}()
+				to := NewWriter(ours, ours)
+				var err error
+				for range 20 {
+					if _, err = to.Write(make([]byte, 2*Floor)); err != nil {
+						break
+					}
+				}
+				assert.Equal(t, errors.Is(err, os.ErrDeadlineExceeded), c.fails)
+				_ = ours.Close()
+				_ = caller.Close()
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/bodies/room_test.go
@@ -0,0 +1,122 @@
+package bodies
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Whatever is taken and given back, a room never holds more than its limit, small bodies find
+// room beside large ones, and all of it comes back.
+func TestNoOrderOfBodiesExceedsTheRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 16 * Small
+		room := NewRoom(limit)
+		var open []*Spool
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if len(open) > 0 && rapid.Bool().Draw(t, "frees") {
+				open[0].Free()
+				open = open[1:]
+				continue
+			}
+			length := rapid.IntRange(1, 4*Small).Draw(t, "length")
+			one := NewSpool(room, length <= Small)
+			whole, err := one.Fill(bytes.NewReader(make([]byte, length)), int64(length), 4*Small)
+			assert.Assert(t, whole == (err == nil))
+			if whole {
+				assert.Equal(t, one.Length(), int64(length))
+			}
+			open = append(open, one)
+			assert.Assert(t, room.Used() <= limit, "%d", room.Used())
+		}
+		for _, one := range open {
+			one.Free()
+			one.Free()
+		}
+		assert.Equal(t, room.Used(), int64(0))
+	})
+}
+
+func TestLargeBodiesLeaveRoomForSmallOnes(t *testing.T) {
+	room := NewRoom(8 * Small)
+	assert.Assert(t, room.Take(7*Small))
+	assert.Assert(t, !room.Take(1))
+	assert.Assert(t, room.TakeSmall(Small))
+	assert.Assert(t, !room.TakeSmall(1))
+}
+
+// A room that is full, and one that is no longer, is told once.
+func TestAFullRoomIsToldOnce(t *testing.T) {
+	var told []bool
+	room := NewRoom(8 * Small)
+	room.Changed = func(full bool, _ int64) { told = append(told, full) }
+	assert.Assert(t, room.Take(7*Small))
+	for range 3 {
+		assert.Assert(t, !room.Take(Small))
+	}
+	room.Give(2 * Small)
+	assert.Assert(t, room.Take(Small))
+	assert.Assert(t, !room.Take(2*Small))
+	room.Give(6 * Small)
+	assert.DeepEqual(t, told, []bool{true, false})
+}
+
+func TestALargeBodyWaitsForRoom(t *testing.T) {
+	for name, c := range map[string]struct {
+		givenAfter time.Duration
+		taken      bool
+	}{"given back in time": {givenAfter: 50 * time.Millisecond, taken: true}, "too late": {givenAfter: time.Second}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				room := NewRoom(8 * Small)
+				assert.Assert(t, room.Take(7*Small))
+				time.AfterFunc(c.givenAfter, func() { room.Give(Small) })
+				began := time.Now()
+				assert.Equal(t, room.Await(t.Context(), Small, 100*time.Millisecond), c.taken)
+				assert.Equal(t, time.Since(began), min(c.givenAfter, 100*time.Millisecond))
+			})
+		})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	room := NewRoom(1)
+	assert.Assert(t, !room.Await(ctx, Small, time.Minute))
+}
+
+// A body of known length takes no more memory than it has, and its bytes come out as they
+// went in.
+func TestASpoolHoldsItsBody(t *testing.T) {
+	for name, c := range map[string]struct {
+		length, known, most, taken int64
+		whole                      bool
+	}{
+		"short":              {length: 10, known: 10, most: 100, taken: 10, whole: true},
+		"empty":              {known: 0, most: 100, whole: true},
+		"of some pieces":     {length: 60_000, known: 60_000, most: 1 << 20, taken: 60_000, whole: true},
+		"in chunks":          {length: 5000, known: -1, most: 1 << 20, taken: firstPiece + pieceBytes, whole: true},
+		"too long":           {length: 60_000, known: 60_000, most: 20_000, taken: 20_000},
+		"too long in chunks": {length: 60_000, known: -1, most: 20_000, taken: 20_000},
+		"ends at the most":   {length: 20_000, known: 20_000, most: 20_000, taken: 20_000, whole: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			room, text := NewRoom(0), strings.Repeat("0123456789", int(c.length/10))
+			s := NewSpool(room, false)
+			from := strings.NewReader(text)
+			whole, err := s.Fill(from, c.known, c.most)
+			assert.NilError(t, err)
+			assert.Equal(t, whole, c.whole)
+			assert.Equal(t, room.Used(), c.taken)
+			rest, err := io.ReadAll(from)
+			assert.NilError(t, err)
+			assert.Equal(t, string(bytes.Join(s.Pieces(), nil))+string(rest), text)
+			assert.Equal(t, string(s.Start(17_000)), text[:min(17_000, int(s.Length()))])
+		})
+	}
+}
--- /dev/null
+++ b/internal/bodies/turns.go
@@ -0,0 +1,96 @@
+package bodies
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/clock"
+)
+
+const (
+	// linkShare is the share of the machine's link that large bodies and what goes beside them
+	// may fill: what waits in front of a link that is not full is one slice at most.
+	linkShare = 0.9
+	// sliceBytes go onto the link in one turn: 13 ms of a link of 10 Mbit/s, which is what a
+	// small answer may wait behind.
+	sliceBytes = 16 << 10
+	// bitsInMegabit and bitsInByte turn megabits a second into bytes.
+	bitsInMegabit = 1e6
+	bitsInByte    = 8
+)
+
+// Turns give the large bodies of a process turns on the machine's link, a slice each, so that
+// small answers find no long queue in front of it. They are safe for concurrent use.
+type Turns struct {
+	rate float64 // bytes a second; zero: not bounded
+
+	mu sync.Mutex
+	// free is when the link has sent what was given to it.
+	free time.Time
+}
+
+// NewTurns returns the turns on a link of so many megabits a second; zero: not known, so that
+// nobody waits.
+func NewTurns(megabits float64) *Turns {
+	return &Turns{rate: linkShare * megabits * bitsInMegabit / bitsInByte}
+}
+
+// Sent notes bytes of small bodies, which wait for nobody.
+func (t *Turns) Sent(bytes int) {
+	if t.rate > 0 {
+		t.reserve(bytes)
+	}
+}
+
+// Await waits for a turn of so many bytes; false if the context ended first.
+func (t *Turns) Await(ctx context.Context, bytes int) bool {
+	if t.rate == 0 {
+		return true
+	}
+	wait := t.reserve(bytes)
+	return wait <= 0 || clock.Sleep(ctx, wait)
+}
+
+// reserve takes the link for some bytes, and returns how long it is not free for them.
+func (t *Turns) reserve(bytes int) time.Duration {
+	now := clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	wait := t.free.Sub(now)
+	if wait < 0 {
+		wait, t.free = 0, now
+	}
+	t.free = t.free.Add(time.Duration(float64(bytes) / t.rate * float64(time.Second)))
+	return wait
+}
+
+// Paced writes a large body in turns.
+type Paced struct {
+	ctx   context.Context
+	turns *Turns
+	to    io.Writer
+}
+
+// Pace returns a writer that waits for its turns; ctx ends the wait.
+func (t *Turns) Pace(ctx context.Context, to io.Writer) *Paced {
+	return &Paced{ctx: ctx, turns: t, to: to}
+}
+
+// Write implements io.Writer.
+func (p *Paced) Write(from []byte) (written int, err error) {
+	for len(from) > 0 {
+		slice := from[:min(len(from), sliceBytes)]
+		if !p.turns.Await(p.ctx, len(slice)) {
+			return written, context.Cause(p.ctx)
+		}
+		count, err := p.to.Write(slice)
+		written += count
+		if err != nil {
+			return written, err
+		}
+		from = from[count:]
+	}
+	return written, nil
+}
