Send and pass on large bodies without holding workers, memory or connections

Cause, by reading, each with a test that failed on the code before: - a body over 128 KiB that a worker had refused was sent again without what had been passed on; in chunks the next worker took the stump for the whole and ran it (TestABodyThatWasPartlyPassedOnIsNotSentAgain: 200 in place of 503); - an answer over 256 KiB went on without a look at its head, signed or not (TestALongAnswerNeedsItsSignatureToo: 200 in place of 502); - a worker was asked while a slow caller still sent what is beyond 128 KiB (TestNoWorkerWaitsForASlowCaller); - each longer body cost a connection (TestConnectionsOfLargeBodiesAreKept: 3 in place of 1).

Requests: up to 512 KiB are read before a worker is asked, as long as the caller moves and its deadline has not come; what is longer is passed on, sent once. Large bodies are written beside the wait for the answer: a worker that answers before it has the whole body gets nothing else on that connection, one that answers and closes is believed, a body that its caller cut ends with a reset (outcome body-cut, which says nothing against the worker), and a connection that took a whole body is kept. Without memory a large body waits for a tenth of the target at most, then 503.

Answers: a large one is kept back until it is whole, for an eighth of the target at most on routes with large answers, so that a broken one can still be asked for again; then it goes on as it comes. The worker's connection is free once it has sent all, however slowly the caller reads (1 MiB an answer, and the room over all). The end of a process no longer cuts answers that have begun. The log says who cut an answer: cut-by-worker, cut-by-client, cut-at-deadline, caller-slow.

The fingerprint of a request takes 128 KiB of its body, as documented, where it took a byte more.

Tests changed: TestLongBodyIsStreamedOnce sends 768 KiB, since 512 KiB are kept now.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -1,11 +1,14 @@
 package proxy
 
 import (
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/bodies"
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/upstream"
@@ -13,6 +16,10 @@
 
 // pass gives a worker's answer to the client, unchanged.
 func (c *call) pass(got *upstream.Result) {
+	c.detach()
+	if c.unread {
+		c.leaveUnread()
+	}
 	header := c.writer.Header()
 	closing := header.Get("Connection")
 	upstream.PassHeaders(got.Header, func(name string, values []string) { header[name] = values })
@@ -27,23 +34,61 @@
 			header.Set("Content-Length", length)
 		}
 	} else if got.Status != http.StatusNoContent && got.Status != http.StatusNotModified {
-		header.Set("Content-Length", strconv.Itoa(len(got.Body)))
+		header.Set("Content-Length", strconv.FormatInt(got.Body.Length(), 10))
 	}
 	c.writer.WriteHeader(got.Status)
-	_, err := c.writer.Write(got.Body)
-	if got.Stream != nil {
-		if err == nil {
-			_, err = io.Copy(c.writer, got.Stream)
-		}
-		got.Stop(err == nil)
-		if err != nil {
-			c.tell(got.Status, "cut")
-			panic(http.ErrAbortHandler) // what is cut must not look whole
-		}
+	if err := c.passBody(got); err != nil {
+		c.tell(got.Status, c.cutBy(got, err))
+		panic(http.ErrAbortHandler) // what is cut must not look whole
 	}
 	c.tell(got.Status, "")
 }
 
+// passBody gives the answer's body to the client: a large one in turns with others, and for as
+// long as the client takes it.
+func (c *call) passBody(got *upstream.Result) error {
+	if got.Stream == nil && got.Body.Length() <= bodies.Small {
+		small := got.Body.Start(bodies.Small)
+		c.proxy.Turns.Sent(len(small))
+		_, err := c.writer.Write(small)
+		return err
+	}
+	c.proxy.downloads.Add(1)
+	defer c.proxy.downloads.Add(-1)
+	controller := http.NewResponseController(c.writer)
+	to := bodies.NewWriter(c.writer, controller)
+	paced := c.proxy.Turns.Pace(c.request.Context(), to)
+	if err := writeTo(paced, got, controller.Flush); err != nil {
+		return err
+	}
+	_ = controller.SetWriteDeadline(time.Time{}) // fails with the connection only
+	return nil
+}
+
+// writeTo writes an answer that is whole, or as it comes.
+func writeTo(to io.Writer, got *upstream.Result, flush func() error) error {
+	if got.Stream != nil {
+		_, err := got.Stream.WriteTo(to, flush)
+		return err
+	}
+	pieces := got.Body.Pieces()
+	_, err := pieces.WriteTo(to)
+	return err
+}
+
+// cutBy says who ended an answer before it was whole.
+func (c *call) cutBy(got *upstream.Result, err error) string {
+	switch {
+	case got.Stream != nil && got.Stream.Err() != nil && c.left() <= answerMargin:
+		return reasonCutLate
+	case got.Stream != nil && got.Stream.Err() != nil && c.request.Context().Err() == nil:
+		return reasonCutByWorker
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return reasonSlow
+	}
+	return reasonCutByClient
+}
+
 // refuse answers in the system's own name. retryAfter zero tells no time.
 func (c *call) refuse(status int, reason string, retryAfter time.Duration) {
 	header := c.writer.Header()
@@ -55,8 +100,8 @@
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("Content-Length", strconv.Itoa(len(reason)+1))
-	if c.message.Rest != nil {
-		header.Set("Connection", "close")
+	if c.unread {
+		c.leaveUnread()
 	}
 	c.writer.WriteHeader(status)
 	_, _ = io.WriteString(c.writer, reason+"\n")
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -203,7 +203,7 @@
 		changed = b.failures == 0
 		b.learn(now, got)
 		b.fail(now)
-	case upstream.Gone: // says nothing of the worker
+	case upstream.Gone, upstream.BodyCut: // say nothing of the worker
 	case upstream.NotSent:
 		changed = b.failures == 0
 		b.fail(now)
@@ -241,7 +241,7 @@
 		}
 	case upstream.Broken:
 		b.throttle.Sent(now, got.Status != 0 || got.Took > turnedAwayWithin)
-	case upstream.Misdirected, upstream.Gone, upstream.NotSent: // say nothing of the worker's room
+	case upstream.Misdirected, upstream.Gone, upstream.BodyCut, upstream.NotSent: // say nothing of the worker's room
 	}
 }
 
--- /dev/null
+++ b/internal/proxy/body.go
@@ -0,0 +1,167 @@
+package proxy
+
+import (
+	"errors"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/bodies"
+	"github.com/shalefork/shalefork/internal/routing"
+)
+
+// Bounds of bodies.
+const (
+	// keptBody is the most of a request's body that is read before a worker is asked, in
+	// bytes: a photo or a report. What is longer is passed on as it comes, sent once, and
+	// takes the worker's time while its caller sends.
+	keptBody = 512 << 10
+	// keptAnswer is the largest answer, in bytes, that is read whole before it is passed on,
+	// where answers are small: a broken one can be asked for again.
+	keptAnswer = 256 << 10
+	// keptDownload is the same where answers are large, and the most that is held of an answer
+	// whose caller reads slowly.
+	keptDownload = 1 << 20
+	// holdShare of the target is the longest that a large answer is kept back until it is
+	// whole: so much later may its end come.
+	holdShare = 0.125
+	// roomShare of the target is how long a large body waits for memory; a refusal should come
+	// early in the time that its caller has.
+	roomShare = 0.1
+	// restWait bounds the wait for what a caller still sends after its answer, in which it can
+	// read the answer: a connection that is closed with unread bytes may lose it.
+	restWait = time.Second
+)
+
+// holding is what a request holds of the memory for bodies. A second copy of the request may
+// end after it.
+type holding struct {
+	mu    sync.Mutex
+	free  []func()
+	ended bool
+	// few is where the first of them stand, so that a small request allocates nothing more.
+	few [3]func()
+}
+
+// add notes what is to be freed at the end.
+func (h *holding) add(free func()) {
+	h.mu.Lock()
+	ended := h.ended
+	if !ended {
+		if h.free == nil {
+			h.free = h.few[:0]
+		}
+		h.free = append(h.free, free)
+	}
+	h.mu.Unlock()
+	if ended {
+		free()
+	}
+}
+
+// end frees all.
+func (h *holding) end() {
+	h.mu.Lock()
+	free := h.free
+	h.free, h.ended = nil, true
+	h.mu.Unlock()
+	for _, one := range free {
+		one()
+	}
+}
+
+// keepBack says how much of an answer is kept back until it is whole, and for how long.
+func (c *call) keepBack() (most int64, hold time.Duration) {
+	if c.route.Class == routing.BulkDown {
+		return keptDownload, time.Duration(holdShare * float64(c.route.Target))
+	}
+	return keptAnswer, 0
+}
+
+// readBody reads the body, or the beginning of a long one, before any worker is asked; false if
+// the request was answered.
+func (c *call) readBody() bool {
+	body, length := c.request.Body, c.request.ContentLength
+	if body == nil || body == http.NoBody {
+		c.unread = false
+		return true
+	}
+	c.unread = true
+	if most := c.bodyLimit(); most > 0 && length > most {
+		c.refuse(http.StatusRequestEntityTooLarge, reasonBody, 0)
+		return false
+	}
+	small := length <= bodies.Small // or not known yet
+	spool := bodies.NewSpool(c.proxy.Room, small)
+	c.holding.add(spool.Free)
+	if !small && !c.awaitRoom(spool) {
+		return false
+	}
+	controller := http.NewResponseController(c.writer)
+	reader := bodies.NewReader(body, c.deadline.Add(-answerMargin), controller)
+	whole, err := spool.Fill(reader, length, bodies.Small)
+	if err == nil && !whole {
+		if small && !c.awaitRoom(spool) {
+			return false
+		}
+		whole, err = spool.Fill(reader, length, keptBody)
+	}
+	switch {
+	case small && errors.Is(err, bodies.ErrNoRoom):
+		c.giveUp(reasonRoom, c.returnAfter())
+		return false
+	case err != nil && !errors.Is(err, bodies.ErrNoRoom):
+		c.bodyBroke(err)
+		return false
+	}
+	c.message.Body, c.message.Length = spool, spool.Length()
+	if !whole {
+		c.message.Rest, c.message.Length = reader, length
+		c.message.Interrupt = func() { _ = controller.SetReadDeadline(time.Now()) }
+		return true
+	}
+	c.unread = false
+	_ = controller.SetReadDeadline(time.Time{})
+	return true
+}
+
+// awaitRoom takes memory for a large body; false if the request was answered.
+func (c *call) awaitRoom(spool *bodies.Spool) bool {
+	if spool.Await(c.request.Context(), time.Duration(roomShare*float64(c.route.Target))) {
+		c.proxy.uploads.Add(1)
+		c.holding.add(func() { c.proxy.uploads.Add(-1) })
+		return true
+	}
+	c.giveUp(reasonRoom, c.returnAfter())
+	return false
+}
+
+// bodyBroke answers a request whose body could not be read. No worker has been asked.
+func (c *call) bodyBroke(err error) {
+	switch {
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		c.refuse(http.StatusBadRequest, reasonBody, 0)
+	case c.left() <= answerMargin:
+		c.giveUpForGood(reasonDeadline)
+	default:
+		c.refuse(http.StatusRequestTimeout, reasonSlow, 0)
+	}
+}
+
+// bodyLimit is the longest body that the request may have; zero: any.
+func (c *call) bodyLimit() int64 {
+	if c.service.BodyBytes > 0 {
+		return c.service.BodyBytes
+	}
+	return c.config.Limits.BodyBytes
+}
+
+// leaveUnread lets an answer go out before the rest of the caller's body is in, which would
+// else be read first.
+func (c *call) leaveUnread() {
+	controller := http.NewResponseController(c.writer)
+	_ = controller.EnableFullDuplex()
+	_ = controller.SetReadDeadline(time.Now().Add(restWait))
+	c.writer.Header().Set("Connection", "close")
+}
--- /dev/null
+++ b/internal/proxy/body_test.go
@@ -0,0 +1,266 @@
+package proxy
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/shalefork/shalefork/internal/bodies"
+	"github.com/shalefork/shalefork/internal/decision"
+)
+
+// testDownload is the length in bytes of a large answer.
+const testDownload = 90_000
+
+// unsized hides the length of a body, so that it comes in chunks.
+type unsized struct{ io.Reader }
+
+// emptied waits until all memory for bodies is given back.
+func (f *front) emptied(t *testing.T) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.proxy.Room.Used() == 0 && f.proxy.uploads.Load() == 0 && f.proxy.downloads.Load() == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("%d bytes are held", f.proxy.Room.Used())
+	}, poll.WithTimeout(5*time.Second))
+}
+
+// upload sends a body, of known length or in chunks.
+func (f *front) upload(t *testing.T, path string, body io.Reader, length int64) (*http.Response, string) {
+	t.Helper()
+	request := f.request(t, "POST", path, "")
+	request.Body, request.ContentLength = io.NopCloser(body), length
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return response, string(content)
+}
+
+// A body that was too long to be kept was sent again after a worker had refused it: the second
+// worker got its beginning and what the first had not read, in chunks as a whole body. Found by
+// reading.
+func TestABodyThatWasPartlyPassedOnIsNotSentAgain(t *testing.T) {
+	var first atomic.Bool
+	once := func(connection net.Conn, request *http.Request) bool {
+		if first.CompareAndSwap(false, true) {
+			return refuses(connection, request)
+		}
+		answer(connection, request, http.StatusOK, "done")
+		return true
+	}
+	one, two := newWorker(t, "w1", once), newWorker(t, "w2", once)
+	f := newFront(t, one.entry("pool"), two.entry("pool"))
+	response, _ := f.upload(t, "/up/", unsized{strings.NewReader(strings.Repeat("b", keptBody*3/2))}, -1)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable, "it did not run")
+	assert.Equal(t, one.arrivals()+two.arrivals(), 1)
+	f.emptied(t)
+}
+
+// One that is kept can be.
+func TestALargeBodyThatDidNotRunGoesToAnother(t *testing.T) {
+	var first atomic.Bool
+	once := func(connection net.Conn, request *http.Request) bool {
+		if first.CompareAndSwap(false, true) {
+			return refuses(connection, request)
+		}
+		answer(connection, request, http.StatusOK, "done")
+		return true
+	}
+	one, two := newWorker(t, "w1", once), newWorker(t, "w2", once)
+	f := newFront(t, one.entry("pool"), two.entry("pool"))
+	const length = 360_000
+	response, _ := f.upload(t, "/up/", bytes.NewReader(make([]byte, length)), length)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	for _, w := range []*worker{one, two} {
+		assert.Equal(t, len(w.bodies[0]), length)
+	}
+	f.emptied(t)
+}
+
+// A worker that is asked while its caller still sends has one slot less for others.
+func TestNoWorkerWaitsForASlowCaller(t *testing.T) {
+	w := newWorker(t, "w1", answers("x"))
+	f := newFront(t, w.entry("pool"))
+	const length = 300_000
+	reader, writer := io.Pipe()
+	go func() {
+		_, _ = writer.Write(make([]byte, length-1))
+		time.Sleep(300 * time.Millisecond)
+		assert.Check(t, w.connections() == 0, "a worker is asked already")
+		_, _ = writer.Write(make([]byte, 1))
+	}()
+	response, _ := f.upload(t, "/up/", reader, length)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, len(w.bodies[0]), length)
+	f.emptied(t)
+}
+
+func TestConnectionsOfLargeBodiesAreKept(t *testing.T) {
+	for name, length := range map[string]int64{"kept": 300_000, "passed on": keptBody * 3 / 2} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorker(t, "w1", answers("x"))
+			f := newFront(t, w.entry("pool"))
+			for range 3 {
+				response, _ := f.upload(t, "/up/", bytes.NewReader(make([]byte, length)), length)
+				assert.Equal(t, response.StatusCode, http.StatusOK)
+			}
+			assert.Equal(t, w.connections(), 1)
+			f.emptied(t)
+		})
+	}
+}
+
+// A body that its caller cut runs nowhere, whether it was kept or passed on.
+func TestABodyThatItsCallerCutRunsNowhere(t *testing.T) {
+	for name, sent := range map[string]int{"kept": 100_000, "passed on": keptBody * 5 / 4} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorker(t, "w1", answers("x"))
+			f := newFront(t, w.entry("pool"))
+			connection, err := net.Dial("tcp", f.server.Listener.Addr().String())
+			assert.NilError(t, err)
+			_, err = io.WriteString(connection, "POST /up/ HTTP/1.1\r\nHost: app.example\r\nX-Id: cut\r\nX-Deadline: 1500\r\nTransfer-Encoding: chunked\r\n\r\nf4240\r\n")
+			assert.NilError(t, err)
+			_, err = connection.Write(make([]byte, sent))
+			assert.NilError(t, err)
+			time.Sleep(100 * time.Millisecond)
+			abort(connection)
+			f.emptied(t)
+			assert.Equal(t, w.arrivals(), 0)
+		})
+	}
+}
+
+// Where the memory for bodies is used up, a large body is refused soon and with a promise, and
+// small ones go on.
+func TestLargeBodiesBeyondTheRoomAreRefused(t *testing.T) {
+	w := newWorker(t, "w1", answers("x"))
+	f := newFront(t, w.entry("pool"))
+	f.proxy.Room = bodies.NewRoom(100_000)
+	assert.Assert(t, f.proxy.Room.Take(87_000))
+	for name, length := range map[string]int64{"of known length": testDownload, "in chunks": -1} {
+		began := time.Now()
+		response, reason := f.upload(t, "/up/", unsized{bytes.NewReader(make([]byte, testDownload))}, length)
+		assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable, name)
+		assert.Equal(t, reason, reasonRoom+"\n")
+		assert.Assert(t, response.Header.Get("Retry-After") != "")
+		assert.Assert(t, time.Since(began) < 400*time.Millisecond, "%s: %s", name, time.Since(began))
+	}
+	assert.Equal(t, w.arrivals(), 0)
+	response, _ := f.get(t, "POST", "/unsafe/", "small")
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	f.proxy.Room.Give(87_000)
+	response, _ = f.upload(t, "/up/", bytes.NewReader(make([]byte, testDownload)), testDownload)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	f.emptied(t)
+}
+
+// A long answer was passed on without a look at its head. Found by reading.
+func TestALongAnswerNeedsItsSignatureToo(t *testing.T) {
+	w := newWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 x\r\nX-Id: "+request.Header.Get("X-Id")+"\r\nContent-Length: 2000000\r\n\r\n")
+		_, _ = connection.Write(make([]byte, 2_000_000))
+		return true
+	})
+	f := newFront(t, w.entry("pool"))
+	response, _ := f.get(t, "POST", "/unsafe/", "x")
+	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+}
+
+// download begins an answer, and waits before its second half.
+func download(pause time.Duration, whole bool) script {
+	return func(connection net.Conn, request *http.Request) bool {
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 x\r\nX-Id: "+request.Header.Get("X-Id")+
+			"\r\nX-Signature: s\r\nContent-Length: 90000\r\n\r\n"+strings.Repeat("a", testDownload/2))
+		time.Sleep(pause)
+		if whole {
+			_, _ = io.WriteString(connection, strings.Repeat("a", testDownload/2))
+		}
+		return whole
+	}
+}
+
+func TestADownloadThatBreaksSoonIsAskedForAgain(t *testing.T) {
+	var first atomic.Bool
+	once := func(connection net.Conn, request *http.Request) bool {
+		return download(0, !first.CompareAndSwap(false, true))(connection, request)
+	}
+	one, two := newWorker(t, "w1", once), newWorker(t, "w2", once)
+	f := newFront(t, one.entry("pool"), two.entry("pool"))
+	response, body := f.get(t, "GET", "/down/", "")
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, len(body), testDownload)
+	assert.Equal(t, one.arrivals()+two.arrivals(), 2)
+	f.emptied(t)
+}
+
+// Once a part of it has reached the caller it is not asked for again, and doesn't look whole.
+func TestADownloadThatBreaksLaterIsCutForItsCaller(t *testing.T) {
+	w := newWorker(t, "w1", download(300*time.Millisecond, false))
+	other := newWorker(t, "w2", download(300*time.Millisecond, false))
+	f := newFront(t, w.entry("pool"), other.entry("pool"))
+	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	assert.NilError(t, err)
+	f.proxy.Log = decision.NewTo(log, "test")
+	response, err := http.DefaultClient.Do(f.request(t, "GET", "/down/", ""))
+	assert.NilError(t, err)
+	body, err := io.ReadAll(response.Body)
+	assert.Assert(t, err != nil, "it looks whole")
+	assert.Equal(t, len(body), testDownload/2)
+	assert.Equal(t, w.arrivals()+other.arrivals(), 1)
+	f.emptied(t)
+	f.server.Close()
+	f.proxy.Log.Flush()
+	lines, err := os.ReadFile(log.Name())
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(lines), reasonCutByWorker), string(lines))
+}
+
+// A download that has begun goes on when the process is about to end.
+func TestAPlannedStopEndsNoDownload(t *testing.T) {
+	w := newWorker(t, "w1", download(400*time.Millisecond, true))
+	f := newFront(t, w.entry("pool"))
+	response, err := http.DefaultClient.Do(f.request(t, "GET", "/down/", ""))
+	assert.NilError(t, err)
+	f.proxy.Stop()
+	f.proxy.End()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, len(body), testDownload)
+}
+
+// A caller who does not read holds no worker: the same connection serves the next request.
+func TestACallerWhoDoesNotReadHoldsNoWorker(t *testing.T) {
+	w := newWorker(t, "w1", answers(strings.Repeat("a", keptDownload-bodies.Small)))
+	f := newFront(t, w.entry("pool"))
+	connection, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer abort(connection)
+	assert.NilError(t, connection.(*net.TCPConn).SetReadBuffer(4<<10))
+	_, err = io.WriteString(connection, "GET /down/ HTTP/1.1\r\nHost: app.example\r\nX-Id: slow\r\nX-Deadline: 1500\r\n\r\n")
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if w.arrivals() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("not asked yet")
+	}, poll.WithTimeout(5*time.Second))
+	time.Sleep(200 * time.Millisecond)
+	response, _ := f.get(t, "GET", "/down/", "")
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, w.connections(), 1)
+	abort(connection)
+	f.emptied(t)
+}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -43,6 +42,12 @@
 	// last is what is known of the last send.
 	last   *upstream.Result
 	lastTo workers.ID
+	// holding is what the request holds of the memory for bodies.
+	holding holding
+	// unread says that the caller's body has not been read to its end.
+	unread bool
+	// detach lets the request go on when the process is about to end.
+	detach func() bool
 }
 
 // prepare reads the request; false if it was answered.
@@ -65,6 +70,8 @@
 		}
 	}
 	c.message.Once = !c.route.Repeatable
+	c.message.Room, c.message.Turns = c.proxy.Room, c.proxy.Turns
+	c.message.Kept, c.message.Held = c.keepBack()
 	if c.message.ID == "" {
 		c.refuse(http.StatusBadRequest, reasonMalformed, 0)
 		return false
@@ -72,42 +79,6 @@
 	return c.readBody()
 }
 
-// readBody keeps the body, or the beginning of a long one.
-func (c *call) readBody() bool {
-	body := c.request.Body
-	c.message.Length = max(0, c.request.ContentLength)
-	if body == nil || body == http.NoBody {
-		c.message.Length = 0
-		return true
-	}
-	if most := c.bodyLimit(); most > 0 && c.request.ContentLength > most {
-		c.refuse(http.StatusRequestEntityTooLarge, reasonBody, 0)
-		return false
-	}
-	controller := http.NewResponseController(c.writer)
-	_ = controller.SetReadDeadline(time.Now().Add(bodyWait))
-	kept, err := io.ReadAll(io.LimitReader(body, keptBody+1))
-	if err != nil {
-		c.refuse(http.StatusBadRequest, reasonBody, 0)
-		return false
-	}
-	c.message.Body, c.message.Length = kept, int64(len(kept))
-	if len(kept) > keptBody {
-		c.message.Rest, c.message.Length = body, c.request.ContentLength
-		return true
-	}
-	_ = controller.SetReadDeadline(time.Time{})
-	return true
-}
-
-// bodyLimit is the longest body that the request may have; zero: any.
-func (c *call) bodyLimit() int64 {
-	if c.service.BodyBytes > 0 {
-		return c.service.BodyBytes
-	}
-	return c.config.Limits.BodyBytes
-}
-
 // left is the time until the deadline.
 func (c *call) left() time.Duration { return clock.Until(c.deadline) }
 
@@ -130,6 +101,7 @@
 	mean, measured := to.mean(usualTime)
 	to.begin()
 	got := upstream.Send(ctx, p.Headers, to.pool, &c.message, string(worker.ID), c.deadline, until)
+	c.holding.add(got.Free)
 	if to.end(clock.Now(), &got) {
 		p.Log.Line(decision.KindWorkerHealth).Str("worker", string(worker.ID)).Str("outcome", string(got.Outcome)).
 			Str("id", c.message.ID).AnErr("error", got.Err).Msg("")
@@ -165,6 +137,9 @@
 	case upstream.Gone:
 		c.abandon()
 		return true
+	case upstream.BodyCut:
+		c.refuse(http.StatusBadGateway, reasonBody, 0)
+		return true
 	case upstream.Broken:
 		if c.mayRepeat() {
 			return false
@@ -182,6 +157,10 @@
 		c.giveUp(reasonDeadline, 0)
 		return true
 	}
+	if c.message.Spent() { // what is left of the body is no longer the whole of it
+		c.giveUp(reasonRefused, 0)
+		return true
+	}
 	return false
 }
 
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -24,6 +24,8 @@
 	// probePause is the least pause between two looks at one worker. A full one closes many
 	// connections, and each look is one more; a crash may be seen that much later.
 	probePause = 250 * time.Millisecond
+	// namedBody is how much of a body makes a request's fingerprint, in bytes.
+	namedBody = 128 << 10
 )
 
 // fingerprint names the request over all its attempts.
@@ -33,7 +35,7 @@
 	}
 	named := quarantine.Request{
 		Method: c.message.Method, Host: c.message.Host, URI: c.message.URI,
-		Body: c.message.Body, Length: c.message.Length, Caller: caller(c.request.RemoteAddr),
+		Body: c.message.Body.Start(namedBody), Length: c.message.Length, Caller: caller(c.request.RemoteAddr),
 	}.Fingerprint()
 	c.named.Store(&named)
 	return named
@@ -51,7 +53,7 @@
 // endsOf tells what the end of a send shows of its worker's end.
 func endsOf(r *upstream.Result) (cutOff, closed, ended bool) {
 	closed = r.Outcome == upstream.Broken && closedByPeer(r.Err)
-	cutOff = closed || (r.Written && (r.Outcome == upstream.Late || r.Outcome == upstream.Gone))
+	cutOff = closed || (r.Written && (r.Outcome == upstream.Late || r.Outcome == upstream.Gone || r.Outcome == upstream.BodyCut))
 	ended = r.Outcome == upstream.Misdirected || (r.Outcome == upstream.NotSent && errors.Is(r.Err, syscall.ECONNREFUSED))
 	return cutOff, closed, ended
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/bodies"
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/keytable"
@@ -22,11 +23,6 @@
 
 // Bounds of requests.
 const (
-	// keptBody is the most of a request's body that is kept; a longer one is
-	// streamed and sent once.
-	keptBody = 128 << 10
-	// bodyWait bounds the wait for a body.
-	bodyWait = 10 * time.Second
 	// answerMargin is kept from the deadline to bring the answer to the client.
 	answerMargin = 15 * time.Millisecond
 )
@@ -51,6 +47,15 @@
 	reasonMalformed = "malformed"
 	reasonBody      = "body"
 	reasonQueue     = "queue-full"
+	// reasonRoom: there is no memory for one more large body.
+	reasonRoom = "bodies-full"
+	// reasonSlow: the caller sent its body, or read its answer, too slowly.
+	reasonSlow = "caller-slow"
+	// Answers that ended before they were whole: by their worker, at the deadline, or since
+	// the caller has left.
+	reasonCutByWorker = "cut-by-worker"
+	reasonCutLate     = "cut-at-deadline"
+	reasonCutByClient = "cut-by-client"
 	// reasonQuota: the tenant is beyond its limit.
 	reasonQuota = "over-quota"
 	// reasonQuarantined: the request has crashed workers that ran it.
@@ -79,13 +84,18 @@
 	Quota Quota
 	// Starting says that this process does not know yet which requests are quarantined.
 	Starting atomic.Bool
+	// Room bounds the memory of bodies in flight, and Turns what large ones put on the link.
+	Room  *bodies.Room
+	Turns *bodies.Turns
 	// Drain is how long workers that leave may get requests.
 	Drain time.Duration
 	// Evacuate is how long the workers of an evacuated zone may get requests.
 	Evacuate time.Duration
-	fleet    *fleet
-	current  atomic.Pointer[active]
-	stopping atomic.Bool
+	// uploads and downloads count the large bodies in flight.
+	uploads, downloads atomic.Int64
+	fleet              *fleet
+	current            atomic.Pointer[active]
+	stopping           atomic.Bool
 	// ending is done once the process is about to end; end makes it so.
 	ending context.Context
 	end    context.CancelFunc
@@ -94,7 +104,7 @@
 // New returns a proxy in a zone over the announced workers.
 func New(zone string, directory *workers.Directory, limits BudgetLimits) *Proxy {
 	ending, end := context.WithCancel(context.Background())
-	return &Proxy{fleet: newFleet(zone, directory, limits), Nodes: &atomic.Int32{}, Suspects: quarantine.NewView(), ending: ending, end: end}
+	return &Proxy{fleet: newFleet(zone, directory, limits), Nodes: &atomic.Int32{}, Suspects: quarantine.NewView(), Room: bodies.NewRoom(0), Turns: bodies.NewTurns(0), ending: ending, end: end}
 }
 
 // Use puts a configuration into force unless a newer one is.
@@ -158,8 +168,11 @@
 func (p *Proxy) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	ctx, cancel := context.WithCancel(request.Context())
 	defer cancel()
-	defer context.AfterFunc(p.ending, cancel)()
-	c := &call{proxy: p, writer: writer, request: request.WithContext(ctx), began: clock.Now(), tried: map[workers.ID]bool{}}
+	detach := context.AfterFunc(p.ending, cancel)
+	defer detach()
+	c := &call{proxy: p, writer: writer, request: request.WithContext(ctx), began: clock.Now(), tried: map[workers.ID]bool{}, detach: detach}
+	defer c.holding.end()
+	c.unread = request.ContentLength < 0 || request.ContentLength > bodies.Small
 	if p.stopping.Load() {
 		writer.Header().Set("Connection", "close")
 	}
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -104,12 +104,8 @@
 func (s *copies) take(end ended) *upstream.Result {
 	if end.got.Stream == nil {
 		s.cancel()
-		return &end.got
-	}
-	stop := end.got.Stop
-	end.got.Stop = func(whole bool) {
-		stop(whole)
-		s.cancel()
+	} else {
+		s.call.holding.add(s.cancel)
 	}
 	return &end.got
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -248,7 +248,7 @@
 func TestLongBodyIsStreamedOnce(t *testing.T) {
 	w := newWorker(t, "w1", answers("x"))
 	f := newFront(t, w.entry("pool"))
-	long := strings.Repeat("0123456789", 3*keptBody/10)
+	long := strings.Repeat("0123456789", keptBody*3/2/10)
 	response, _ := f.get(t, "POST", "/unsafe/", long)
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 	assert.Equal(t, w.bodies[0], long)
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -55,16 +55,32 @@
 		"Requests that wait for a worker or an owner.", []string{"service"}, nil)
 	tokensDescription = prometheus.NewDesc("shalefork_router_retry_tokens",
 		"Second sends that this process may make at once.", []string{"service"}, nil)
+	bodiesDescription = prometheus.NewDesc("shalefork_router_large_bodies",
+		"Large bodies in flight: uploads from callers, downloads to them.", []string{"direction"}, nil)
+	roomDescription = prometheus.NewDesc("shalefork_router_bodies_bytes",
+		"Memory that bodies in flight take.", nil, nil)
+	roomLimitDescription = prometheus.NewDesc("shalefork_router_bodies_limit_bytes",
+		"Memory that bodies in flight may take; 0: any.", nil, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (p *Proxy) Describe(descriptions chan<- *prometheus.Desc) {
 	descriptions <- waitingDescription
 	descriptions <- tokensDescription
+	descriptions <- bodiesDescription
+	descriptions <- roomDescription
+	descriptions <- roomLimitDescription
 }
 
 // Collect implements prometheus.Collector.
 func (p *Proxy) Collect(metrics chan<- prometheus.Metric) {
+	gauge := func(of *prometheus.Desc, value float64, labels ...string) {
+		metrics <- prometheus.MustNewConstMetric(of, prometheus.GaugeValue, value, labels...)
+	}
+	gauge(bodiesDescription, float64(p.uploads.Load()), "upload")
+	gauge(bodiesDescription, float64(p.downloads.Load()), "download")
+	gauge(roomDescription, float64(p.Room.Used()))
+	gauge(roomLimitDescription, float64(p.Room.Limit()))
 	p.fleet.mu.Lock()
 	services := maps.Clone(p.fleet.services)
 	p.fleet.mu.Unlock()
--- a/internal/proxy/worker_test.go
+++ b/internal/proxy/worker_test.go
@@ -41,6 +41,7 @@
 	mu       sync.Mutex
 	arrived  []*http.Request
 	bodies   []string
+	opened   int
 	closed   int
 }
 
@@ -56,6 +57,9 @@
 			if err != nil {
 				return
 			}
+			w.mu.Lock()
+			w.opened++
+			w.mu.Unlock()
 			go w.serve(connection, run)
 		}
 	}()
@@ -95,6 +99,12 @@
 	return len(w.arrived)
 }
 
+func (w *worker) connections() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.opened
+}
+
 func (w *worker) ends() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -184,9 +194,11 @@
 	}
 	single := route("/single/", "pool", true)
 	single.Attempts = 1
+	up, down := route("/up/", "pool", false), route("/down/", "pool", true)
+	up.Class, down.Class = routing.BulkUp, routing.BulkDown
 	config, err := routing.Build(version, []*routing.Route{
 		route("/safe/", "pool", true), route("/unsafe/", "pool", false), route("/keyed/", "keyed", true),
-		route("/keyed-once/", "keyed", false), single,
+		route("/keyed-once/", "keyed", false), single, up, down,
 	}, services, routing.Limits{BodyBytes: 1 << 20})
 	assert.NilError(t, err)
 	return config
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeebo/errs"
 
+	"github.com/shalefork/shalefork/internal/bodies"
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/election"
@@ -122,6 +123,7 @@
 	r.proxy.Headers, r.proxy.Table, r.proxy.Meter = adapter.Headers, r.table, r.meter
 	r.proxy.Drain, r.proxy.Evacuate = config.Drain.Std(), config.Evacuate.Std()
 	r.proxy.Log, r.proxy.Nodes, r.proxy.Metrics = log, r.nodes, proxy.NewMetrics(metrics)
+	r.proxy.Room, r.proxy.Turns = r.newRoom(), bodies.NewTurns(config.Machine.LinkMbps)
 	r.proxy.Starting.Store(true)
 	r.process = rand.Text()
 	r.hub = peerlink.NewHub(r.process, r.reports, r.known)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -8,14 +8,12 @@
 	"net/http"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/bodies"
 	"github.com/shalefork/shalefork/internal/clock"
 )
 
 // Bounds of one exchange.
 const (
-	// maxKeptAnswer is the largest answer that is read whole before it is passed
-	// on; a larger one is streamed.
-	maxKeptAnswer = 256 << 10
 	// maxSurplus is how many answers to other requests are read past.
 	maxSurplus = 3
 	// maxSurplusBody is the largest body of such an answer.
@@ -31,10 +29,14 @@
 	// target is the worker that is meant.
 	target string
 	began  time.Time
+	until  time.Time
+	// finish ends the watch over the send's time; false if it has run out.
+	finish func() bool
+	cancel context.CancelFunc
 }
 
 // Send sends a message to a worker and reads its answer. ctx ends when the
-// client leaves; until bounds the send.
+// client leaves; until bounds the send. Whoever takes the result frees it.
 func Send(ctx context.Context, headers Headers, from *Pool, message *Message, target string, deadline, until time.Time) Result {
 	bounded, cancel := context.WithTimeout(ctx, clock.Until(until))
 	connection, err := from.get(bounded)
@@ -47,36 +49,51 @@
 		from.drop(connection)
 		return Result{Outcome: turnedAway(ctx), Err: errTurnedAway}
 	}
-	e := &exchange{headers: headers, message: message, pool: from, conn: connection, target: target, began: clock.Now()}
+	e := &exchange{
+		headers: headers, message: message, pool: from, conn: connection, target: target,
+		began: clock.Now(), until: until, cancel: cancel,
+	}
 	stopWatch := context.AfterFunc(bounded, func() { abort(connection.Conn) })
-	finish := func() bool {
+	e.finish = func() bool {
 		cancelled := !stopWatch()
 		cancel()
 		return !cancelled
 	}
-	if wrote, err := e.write(target, deadline); err != nil {
-		finish()
-		from.drop(connection)
-		if !wrote {
-			return Result{Outcome: unsent(ctx), Err: err}
-		}
-		return Result{Outcome: failed(ctx, until, err), Err: err, Written: true}
+	return e.run(ctx, bounded, deadline)
+}
+
+// run writes the request, and reads the answer beside it.
+func (e *exchange) run(ctx, bounded context.Context, deadline time.Time) Result {
+	sent := e.write(bounded, deadline)
+	if sent.ended() && sent.err != nil {
+		e.finish()
+		e.pool.drop(e.conn)
+		return sent.failure(ctx, e.until)
 	}
-	answer := e.read(ctx, until)
-	answer.Written = true
+	answer := e.read(ctx)
+	e.join(ctx, sent, &answer)
 	answer.Took = clock.Since(e.began)
-	if answer.Outcome == Late && connection.used {
-		from.DropIdle()
+	if answer.Outcome == Late && e.conn.used {
+		e.pool.DropIdle()
 	}
 	if answer.Stream != nil {
-		stop := answer.Stop
-		answer.Stop = func(whole bool) { stop(finish() && whole) }
+		e.keepStreaming(&answer)
 		return answer
 	}
-	e.settle(finish(), &answer)
+	e.settle(e.finish(), &answer)
 	return answer
 }
 
+// keepStreaming frees the worker's connection once a long answer is in, however slowly the
+// caller takes it. What is not wanted any more is given up.
+func (e *exchange) keepStreaming(answer *Result) {
+	filled, ended := answer.filled, *answer
+	go func() {
+		err := <-filled
+		e.settle(e.finish() && err == nil, &ended)
+	}()
+}
+
 func unsent(ctx context.Context) Outcome {
 	if ctx.Err() != nil {
 		return Gone
@@ -102,52 +119,22 @@
 	return Broken
 }
 
-// write sends the request. wrote is false if not one byte can have left.
-func (e *exchange) write(target string, deadline time.Time) (wrote bool, err error) {
-	packet := append(e.message.head(e.headers, target, clock.Until(deadline)), e.message.Body...)
-	if e.message.Rest != nil && e.message.Length < 0 {
-		return e.writeChunked(target, deadline)
-	}
-	count, err := e.conn.Write(packet)
-	if err != nil || e.message.Rest == nil {
-		return count > 0, err
-	}
-	_, err = io.Copy(e.conn.Conn, e.message.Rest)
-	return true, err
-}
-
-// writeChunked sends a body whose length is not known.
-func (e *exchange) writeChunked(target string, deadline time.Time) (wrote bool, err error) {
-	count, err := e.conn.Write(e.message.head(e.headers, target, clock.Until(deadline)))
-	if err != nil {
-		return count > 0, err
-	}
-	chunks := &chunkWriter{to: e.conn.Conn}
-	if _, err = chunks.Write(e.message.Body); err == nil {
-		_, err = io.Copy(chunks, e.message.Rest)
-	}
-	if err == nil {
-		_, err = io.WriteString(e.conn.Conn, "0\r\n\r\n")
-	}
-	return true, err
-}
-
 // read reads the answer to this request, past surplus answers to others.
-func (e *exchange) read(ctx context.Context, until time.Time) Result {
+func (e *exchange) read(ctx context.Context) Result {
 	asked := &http.Request{Method: e.message.Method}
 	for range maxSurplus + 1 {
 		response, err := http.ReadResponse(e.conn.reader, asked)
 		if err != nil {
-			return Result{Outcome: failed(ctx, until, err), Err: err}
+			return Result{Outcome: failed(ctx, e.until, err), Err: err}
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		if response.Header.Get(e.headers.RequestID) == e.message.ID {
-			return e.take(ctx, until, response)
+			return e.take(ctx, response)
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSurplusBody)); err != nil || unframed(response) {
-			return Result{Outcome: failed(ctx, until, err), Err: errNoAnswer}
+			return Result{Outcome: failed(ctx, e.until, err), Err: errNoAnswer}
 		}
 	}
 	return Result{Outcome: Broken, Err: errNoAnswer}
@@ -161,24 +148,47 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
-// take reads the answer to this request.
-func (e *exchange) take(ctx context.Context, until time.Time, response *http.Response) Result {
-	answer := Result{Status: response.StatusCode, Header: response.Header}
+// take reads the answer to this request. Its head is judged before any of it goes on.
+func (e *exchange) take(ctx context.Context, response *http.Response) Result {
+	answer := Result{Status: response.StatusCode, Header: response.Header, Outcome: e.judge(response)}
 	answer.closing = response.Close || unframed(response)
 	answer.Load, answer.Loaded = parseLoad(response.Header.Get(e.headers.Load))
-	kept, err := io.ReadAll(io.LimitReader(response.Body, maxKeptAnswer+1))
-	answer.Body = kept
+	if length := response.ContentLength; length >= 0 && length <= bodies.Small {
+		spool := bodies.NewSpool(e.message.Room, true)
+		whole, err := spool.Fill(response.Body, length, bodies.Small)
+		switch {
+		case whole:
+			answer.Body = spool
+			return answer
+		case !errors.Is(err, bodies.ErrNoRoom):
+			spool.Free()
+			answer.Outcome, answer.Err = failed(ctx, e.until, err), err
+			return answer
+		}
+	}
+	e.takeLarge(ctx, response, &answer)
+	return answer
+}
+
+// takeLarge reads a large answer, or one whose length is not known. It is kept back while it
+// may be whole soon, so that a broken one can still be asked for again.
+func (e *exchange) takeLarge(ctx context.Context, response *http.Response, answer *Result) {
+	pipe := bodies.NewPipe(e.message.Room, max(e.message.Kept, bodies.Small))
+	filled := make(chan error, 1)
+	go func() { filled <- pipe.Fill(response.Body) }()
+	whole, err := pipe.Await(e.message.Held)
 	switch {
+	case whole:
+		answer.Body = pipe.Spool()
 	case err != nil:
-		answer.Outcome, answer.Err = failed(ctx, until, err), err
-	case len(kept) > maxKeptAnswer:
-		answer.Outcome = Answered
-		answer.Stream = response.Body
-		answer.Stop = func(whole bool) { e.done(whole, &answer) }
+		pipe.Close()
+		answer.Outcome, answer.Err = failed(ctx, e.until, err), err
+	case answer.Outcome != Answered:
+		pipe.Close()
+		answer.closing = true
 	default:
-		answer.Outcome = e.judge(response)
+		answer.Stream, answer.filled, answer.cancel = pipe, filled, e.cancel
 	}
-	return answer
 }
 
 // judge tells a worker's answer from its refusal.
@@ -202,7 +212,7 @@
 }
 
 func (e *exchange) done(reusable bool, answer *Result) {
-	if !reusable || e.message.Rest != nil || e.conn.reader.Buffered() > 0 || answer.closing {
+	if !reusable || e.conn.reader.Buffered() > 0 || answer.closing {
 		e.pool.drop(e.conn)
 		return
 	}
--- a/internal/upstream/message.go
+++ b/internal/upstream/message.go
@@ -5,7 +5,10 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
+
+	"github.com/shalefork/shalefork/internal/bodies"
 )
 
 // Message is a client's request, ready to be sent.
@@ -14,19 +17,38 @@
 	// ID names this try of the client.
 	ID     string
 	Header http.Header
-	Body   []byte
+	// Body is the body, or the beginning of a long one.
+	Body *bodies.Spool
 	// Rest is what follows Body and can be sent once; nil if there is nothing.
 	Rest io.Reader
+	// Interrupt ends a read of Rest that is under way; for as long as Rest is set.
+	Interrupt func()
 	// Length of Body and Rest in bytes; -1 if unknown.
 	Length int64
 	// Once says that the request must not be sent again after it may have run.
 	Once bool
+	// Room and Turns bound what large bodies take.
+	Room  *bodies.Room
+	Turns *bodies.Turns
+	// Kept is the most of an answer that is kept back until it is whole, in bytes, and Held
+	// for how long that may take; zero: until the send's time is over.
+	Kept int64
+	Held time.Duration
+	// spent says that some of Rest has been read.
+	spent atomic.Bool
 }
 
+// Spent reports whether the body can't be sent again, since a part of it was only passed on.
+func (m *Message) Spent() bool { return m.spent.Load() }
+
+// large reports whether the body is sent beside the wait for the answer: a worker may answer
+// before it has read it.
+func (m *Message) large() bool { return m.Rest != nil || m.Length > bodies.Small }
+
 // head writes the request's first lines.
 func (m *Message) head(headers Headers, target string, left time.Duration) []byte {
 	var head bytes.Buffer
-	head.Grow(512 + len(m.Body))
+	head.Grow(512)
 	head.WriteString(m.Method + " " + m.URI + " HTTP/1.1\r\nHost: " + m.Host + "\r\n")
 	PassHeaders(m.Header, func(name string, values []string) {
 		if name == headers.DeadlineMillis || name == headers.Target {
@@ -47,19 +69,3 @@
 	head.WriteString("\r\n")
 	return head.Bytes()
 }
-
-// chunkWriter writes each piece as one chunk.
-type chunkWriter struct {
-	to io.Writer
-}
-
-func (w *chunkWriter) Write(piece []byte) (int, error) {
-	if len(piece) == 0 {
-		return 0, nil
-	}
-	chunk := append([]byte(strconv.FormatInt(int64(len(piece)), 16)+"\r\n"), piece...)
-	if _, err := w.to.Write(append(chunk, "\r\n"...)); err != nil {
-		return 0, err
-	}
-	return len(piece), nil
-}
--- a/internal/upstream/result.go
+++ b/internal/upstream/result.go
@@ -1,9 +1,11 @@
 package upstream
 
 import (
-	"io"
+	"context"
 	"net/http"
 	"time"
+
+	"github.com/shalefork/shalefork/internal/bodies"
 )
 
 // Outcome is how one send of a request ended.
@@ -25,6 +27,9 @@
 	Broken Outcome = "broken"
 	// Late: the time for the send ran out.
 	Late Outcome = "late"
+	// BodyCut: the client's body ended early or stood still, so that the worker can't have
+	// the whole of it.
+	BodyCut Outcome = "body-cut"
 	// Gone: the client left.
 	Gone Outcome = "client-gone"
 )
@@ -34,10 +39,13 @@
 	Outcome Outcome
 	Status  int
 	Header  http.Header
-	Body    []byte
-	// Stream is the rest of a long answer; Stop ends the exchange.
-	Stream io.Reader
-	Stop   func(whole bool)
+	// Body is an answer that is whole.
+	Body *bodies.Spool
+	// Stream is an answer that is passed on as it comes; nil if it is in Body.
+	Stream *bodies.Pipe
+	// filled tells the end of Stream, and cancel gives it up.
+	filled <-chan error
+	cancel context.CancelFunc
 	// Load is what the worker told of itself, if Loaded.
 	Load   Load
 	Loaded bool
@@ -50,6 +58,15 @@
 	Err     error
 }
 
+// Free gives back what the answer holds, and gives up what of it is still to come.
+func (r *Result) Free() {
+	r.Body.Free()
+	if r.Stream != nil {
+		r.cancel()
+		r.Stream.Close()
+	}
+}
+
 // slowFactor times the usual time of work shows that a worker has become slow,
 // even where part of the time was spent waiting there.
 const slowFactor = 2.5
