--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -345,7 +345,7 @@
 		name: "first-watch-after-failures-taken-for-fresh",
 		file: "internal/router/follow.go",
 		old:  "	if of.failed.Load() > reached || r.told.known() > reached {",
-		new:  "	if false {",
+		new:  "	if reached < 0 {",
 		pkg:  "./internal/router", test: "TestLateNewsCountsFromWhenItMayHaveHappened",
 	},
 	{
