--- a/internal/proxy/sizes.go
+++ b/internal/proxy/sizes.go
@@ -67,7 +67,7 @@
 
 // bytes returns the size of the request and its answer, as far as their heads tell.
 func (c *call) bytes(got *upstream.Result) float64 {
-	size := int64(len(got.Body))
+	size := got.Body.Length()
 	if length, err := strconv.ParseInt(got.Header.Get("Content-Length"), 10, 64); err == nil {
 		size = max(size, length)
 	}
