Tell the lives of a worker apart that starts again under its ID

Cause: all that is known of a worker hung on its ID. A second life was believed to hold what the first was granted, and renewed under the fence of before; it was taken to drain since the first one did, to be as fast, as full and as warm; its crash was not seen where it came back at once, and its crashes counted as one. A grant without an answer could be taken by the second life, which has not seen the fence under which the keys went to another worker, up to 12 s later.

Ruled out: to wait for late grants before keys are given on (15 s for each crashed worker), lives in the record (a next leader raises all fences and tells all doubts again anyway), and taking a life's holds to be over once another is announced (the last renewals may have reached either).

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -176,6 +176,7 @@
 		if of.book == nil {
 			continue
 		}
+		t.tellLives(now, of)
 		if !renewOnly {
 			t.plan(now, of)
 			t.store(of)
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -7,6 +7,7 @@
 
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/estimate"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/routing"
@@ -40,6 +41,8 @@
 	// revision of the stored record.
 	revision coord.Revision
 	writing  bool
+	// seen is the version of the list of workers whose lives the book was told of.
+	seen uint64
 	// moves are when keys were moved for balance lately.
 	moves []time.Time
 }
@@ -79,6 +82,23 @@
 	}
 }
 
+// tellLives tells the book of workers that have started again, and forgets how fast they were.
+func (t *tenancy) tellLives(now time.Time, of *service) {
+	list, version := t.Workers.Of(of.name)
+	if version == of.seen {
+		return
+	}
+	of.seen = version
+	for _, worker := range list {
+		if !of.book.Began(now, worker.Life(), worker.Address) {
+			continue
+		}
+		delete(of.work, worker.ID)
+		t.Log.Line(decision.KindWorker).Str("worker", string(worker.ID)).Str("state", string(worker.State)).
+			Str("service", string(of.name)).Msg("has started again; it gets its keys anew")
+	}
+}
+
 // candidates lists the workers that may hold keys now.
 func (t *tenancy) candidates(now time.Time, of *service) []owner.Candidate {
 	if described := t.described(of); described != nil {
--- a/internal/owner/book.go
+++ b/internal/owner/book.go
@@ -13,6 +13,8 @@
 	fence     Fence
 	spans     []*span
 	addresses map[workers.ID]string
+	// lives are the last ones that were announced, of workers that tell of them.
+	lives map[workers.ID]workers.Born
 	// change counts changes of owners; stored is the last that is kept safe.
 	change uint64
 	stored uint64
@@ -40,6 +42,7 @@
 		config:     config,
 		fence:      term.FirstFence(),
 		addresses:  map[workers.ID]string{},
+		lives:      map[workers.ID]workers.Born{},
 		unanswered: map[workers.ID]time.Time{},
 		failing:    map[workers.ID]failure{},
 		ended:      map[workers.ID]bool{},
@@ -107,6 +110,7 @@
 		if old.worker == to {
 			held.until = later(held.until, old.until)
 			held.lateUntil = later(held.lateUntil, old.lateUntil)
+			held.forgottenUntil = later(held.forgottenUntil, old.forgottenUntil)
 			held.version = max(held.version, old.version)
 		}
 		return old.worker == to
@@ -124,6 +128,8 @@
 	moved.heldUntil = held.until
 	moved.lateUntil = time.Time{}
 	moved.takenUntil = held.lateUntil
+	moved.forgottenUntil = held.forgottenUntil
+	moved.unsure, moved.takenFence = false, 0
 	moved.listed = held.version > 0
 	moved.surelyUntil = time.Time{}
 	moved.next = now
@@ -131,7 +137,10 @@
 
 // formerOf returns what the owner of keys is once they are given on.
 func (b *Book) formerOf(of *span) former {
-	old := former{worker: of.owner, until: b.holdBound(of), lateUntil: of.takenUntil}
+	old := former{
+		worker: of.owner, until: b.holdBound(of), lateUntil: of.takenUntil,
+		forgottenUntil: later(of.forgottenUntil, of.takenUntil),
+	}
 	if of.listed {
 		old.version = b.holdsVersion
 	}
@@ -190,7 +199,7 @@
 		for _, id := range []workers.ID{one.owner, one.destination()} {
 			if !seen[id] {
 				seen[id] = true
-				holders = append(holders, Target{ID: id, Address: b.addresses[id]})
+				holders = append(holders, b.target(id))
 			}
 		}
 	}
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -17,6 +17,8 @@
 	sentAt  time.Time
 	span    *span
 	doubt   *doubt
+	// overtaken says that its worker started again meanwhile: either life may have answered.
+	overtaken bool
 }
 
 // Due returns the orders to send now. renewOnly allows nothing but renewals of
@@ -53,13 +55,15 @@
 			return false
 		}
 		old.lateUntil = b.lateUntil(old)
-		b.addDoubt(now, old, one)
+		if !b.addDoubt(now, old, one) {
+			b.addToldDoubt(now, old, one)
+		}
 		return true
 	})
 	if len(one.formers) > 0 {
 		from := one.formers[0].worker
 		return Order{
-			Target:  Target{ID: from, Address: b.addresses[from]},
+			Target:  b.target(from),
 			Keys:    one.keys,
 			Fence:   one.fence,
 			Release: true,
@@ -73,22 +77,28 @@
 	if one.planned != nil && !one.reached() {
 		return Order{}, false // the record being stored says that the owner never had them
 	}
-	if one.doubtful && !renewOnly {
+	// A worker that was not reached may have started again since: another life gets keys under
+	// a higher fence, too.
+	restarted := one.unsure && one.fence == one.takenFence && b.tellsLives(one.owner)
+	if (one.doubtful || restarted) && !renewOnly {
 		one.fence = b.nextFence()
 		b.holdsVersion++
 	}
 	grant := Grant{Keys: one.keys, Fence: one.fence, Hold: b.config.Hold, Handover: one.handover}
 	return Order{
-		Target: Target{ID: one.owner, Address: b.addresses[one.owner]},
+		Target: b.target(one.owner),
 		Keys:   one.keys, Fence: one.fence, Grant: grant, sentAt: now, span: one,
 	}, true
 }
 
 // Answered takes the end of an order.
 func (b *Book) Answered(now time.Time, order Order, reply Reply) {
-	b.note(now, order, reply.Outcome)
+	order.overtaken = order.Target.Born != b.lives[order.Target.ID]
+	if !order.overtaken {
+		b.note(now, order, reply.Outcome)
+	}
 	if order.doubt != nil {
-		b.doubted(now, order.doubt, reply)
+		b.doubted(now, order, reply)
 		return
 	}
 	one := order.span
@@ -97,7 +107,13 @@
 		b.released(now, one, order, reply)
 		return
 	}
+	if order.overtaken && reply.Outcome == OutcomeDone {
+		reply.Outcome = OutcomeUnanswered // by the life that is over, or under a fence of before
+	}
 	b.granted(now, one, order, reply)
+	if order.overtaken {
+		one.next = now // the new life is to see a higher fence at once
+	}
 }
 
 // note learns whether a worker answers, and whether orders come late.
@@ -162,7 +178,17 @@
 func (b *Book) released(now time.Time, one *span, order Order, reply Reply) {
 	switch reply.Outcome {
 	case OutcomeDone, OutcomeOther:
-		one.formers = slices.DeleteFunc(one.formers, func(old former) bool { return old.worker == order.Target.ID })
+		if order.overtaken {
+			one.next = now
+			return
+		}
+		one.formers = slices.DeleteFunc(one.formers, func(old former) bool {
+			if old.worker == order.Target.ID {
+				old.forgottenUntil = later(old.forgottenUntil, b.lateUntil(old))
+				b.addToldDoubt(now, old, one)
+			}
+			return old.worker == order.Target.ID
+		})
 		if reply.Handover != "" {
 			one.handover = reply.Handover
 		}
@@ -183,10 +209,14 @@
 			b.shape++
 			b.holdsVersion++
 		}
-		one.granted, one.listed = true, true
+		one.granted, one.listed, one.unsure, one.takenFence = true, true, false, order.Fence
 		if !one.doubtful || order.Fence > one.doubtFence {
-			// No earlier grant can be taken any more, and those that were end sooner.
+			// No earlier grant can be taken any more by this life, and those that were end
+			// sooner.
 			one.doubtful = false
+			if b.tellsLives(one.owner) {
+				one.forgottenUntil = later(one.forgottenUntil, one.takenUntil)
+			}
 			one.takenUntil = time.Time{}
 			one.heldUntil = now.Add(bound)
 		} else {
@@ -209,7 +239,10 @@
 			one.lateUntil = later(one.lateUntil, now.Add(b.config.LateOrder+bound))
 		}
 		one.next = now.Add(b.config.RetryOrder)
-	case OutcomeUnreachable, OutcomeOther, OutcomeInvalid:
+	case OutcomeUnreachable, OutcomeOther:
+		one.unsure = true
+		one.next = now.Add(b.config.RetryOrder)
+	case OutcomeInvalid:
 		one.next = now.Add(b.config.RetryOrder)
 	}
 }
--- a/internal/owner/doubt.go
+++ b/internal/owner/doubt.go
@@ -7,9 +7,9 @@
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
-// doubt is a grant without an answer whose worker was not reached until its keys
-// went to another. Should the worker take it late, it would do so under an old
-// fence; so it is told the new one as soon as it is reached.
+// doubt is a grant without an answer whose keys went to another worker. Should the first
+// one take it late, it would do so under an old fence; so it is told the new one as soon as it is
+// reached, and again if it starts again meanwhile: a new life has seen no fence.
 type doubt struct {
 	worker workers.ID
 	keys   Keys
@@ -17,15 +17,30 @@
 	until  time.Time
 	next   time.Time
 	busy   bool
+	// told says that the worker's last known life was told.
+	told bool
 }
 
-// addDoubt remembers a former holder that was outwaited, not released.
-func (b *Book) addDoubt(now time.Time, old former, of *span) {
-	if b.ended[old.worker] || !now.Before(old.lateUntil) {
-		return
+// addDoubt remembers a former holder that was outwaited, not released; false if nothing is in
+// doubt.
+func (b *Book) addDoubt(now time.Time, old former, of *span) bool {
+	if !now.Before(old.lateUntil) {
+		return false
 	}
 	b.change++ // a next leader must know of it
-	b.doubts = append(b.doubts, &doubt{worker: old.worker, keys: of.keys, fence: of.fence, until: old.lateUntil, next: now})
+	until := later(old.lateUntil, old.forgottenUntil)
+	b.doubts = append(b.doubts, &doubt{worker: old.worker, keys: of.keys, fence: of.fence, until: until, next: now})
+	return true
+}
+
+// addToldDoubt remembers a former holder that refuses what it may be sent late, unless it starts
+// again.
+func (b *Book) addToldDoubt(now time.Time, old former, of *span) {
+	if !b.tellsLives(old.worker) || !now.Before(old.forgottenUntil) {
+		return
+	}
+	b.change++
+	b.doubts = append(b.doubts, &doubt{worker: old.worker, keys: of.keys, fence: of.fence, until: old.forgottenUntil, told: true})
 }
 
 // dropDoubts forgets doubts about a worker that gets the keys again: the grant
@@ -46,16 +61,16 @@
 // dueDoubts returns the releases that raise fences at workers in doubt.
 func (b *Book) dueDoubts(now time.Time) []Order {
 	b.doubts = slices.DeleteFunc(b.doubts, func(one *doubt) bool {
-		return !one.busy && (b.ended[one.worker] || now.After(one.until))
+		return !one.busy && (now.After(one.until) || (b.ended[one.worker] && !b.tellsLives(one.worker)))
 	})
 	var due []Order
 	for _, one := range b.doubts {
-		if one.busy || now.Before(one.next) {
+		if one.busy || one.told || b.ended[one.worker] || now.Before(one.next) {
 			continue
 		}
 		one.busy = true
 		due = append(due, Order{
-			Target: Target{ID: one.worker, Address: b.addresses[one.worker]},
+			Target: b.target(one.worker),
 			Keys:   one.keys, Fence: one.fence, Release: true, sentAt: now, doubt: one,
 		})
 	}
@@ -63,10 +78,14 @@
 }
 
 // doubted takes the end of such a release.
-func (b *Book) doubted(now time.Time, one *doubt, reply Reply) {
+func (b *Book) doubted(now time.Time, order Order, reply Reply) {
+	one := order.doubt
 	one.busy = false
 	one.next = now.Add(b.config.RetryOrder)
-	if reply.Outcome == OutcomeDone || reply.Outcome == OutcomeOther {
-		one.until = time.Time{}
+	if (reply.Outcome == OutcomeDone || reply.Outcome == OutcomeOther) && !order.overtaken {
+		one.told = true
+		if !b.tellsLives(one.worker) {
+			one.until = time.Time{} // it does not start again under its ID
+		}
 	}
 }
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -32,7 +32,7 @@
 		if !one.held() {
 			continue
 		}
-		target := Target{ID: one.owner, Address: b.addresses[one.owner]}
+		target := b.target(one.owner)
 		if last := len(holds) - 1; last >= 0 && holds[last].Target == target && holds[last].Fence == one.fence &&
 			holds[last].Keys.To+1 == one.keys.From {
 			holds[last].Keys.To = one.keys.To
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -52,6 +52,9 @@
 type Target struct {
 	ID      workers.ID
 	Address string
+	// Born tells which life of the worker is meant; zero if that is not known. A worker that
+	// started again holds nothing, and has seen no fences.
+	Born workers.Born
 }
 
 // Grant gives keys for a time.
--- a/internal/owner/span.go
+++ b/internal/owner/span.go
@@ -31,6 +31,13 @@
 	doubtFence Fence
 	// takenUntil is until when such a grant may still be taken.
 	takenUntil time.Time
+	// unsure says that the owner was not reached since its last answer, and may have started
+	// again; takenFence is the fence of the last grant that it took.
+	unsure     bool
+	takenFence Fence
+	// forgottenUntil is until when a grant that the owner refuses for a higher fence may still
+	// be taken by another life of it.
+	forgottenUntil time.Time
 	// listed says that a standby may have been told that the owner holds the keys.
 	listed bool
 	// planned is where the keys will go once that is stored; nil if they stay.
@@ -51,6 +58,8 @@
 	// lateUntil is until when it may still take a grant that had no answer; zero
 	// if there is none.
 	lateUntil time.Time
+	// forgottenUntil is the same for another life of it.
+	forgottenUntil time.Time
 	// version is the first version of the holds without it; zero if no standby was ever
 	// told that it holds the keys.
 	version uint64
@@ -126,6 +135,7 @@
 				b.holdsVersion++
 			}
 			last.heldUntil = later(last.heldUntil, next.heldUntil)
+			last.forgottenUntil = later(last.forgottenUntil, next.forgottenUntil)
 			last.surelyUntil = earlier(last.surelyUntil, next.surelyUntil)
 			last.next = earlier(last.next, next.next)
 			last.change = max(last.change, next.change)
--- a/internal/owner/standby.go
+++ b/internal/owner/standby.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/shalefork/shalefork/internal/workers"
 )
 
 // Standby renews holds in place of a leader that it has lost: the same owners under
@@ -62,6 +64,13 @@
 // Version returns which holds were last told; zero if there are none.
 func (s *Standby) Version() uint64 { return s.version }
 
+// Began tells which life of a worker is announced. What another life held is not renewed.
+func (s *Standby) Began(life workers.Life) {
+	s.holds = slices.DeleteFunc(s.holds, func(one *standbyHold) bool {
+		return one.Target.ID == life.ID && one.Target.Born != life.Born && one.Target.Born != 0 && life.Born != 0
+	})
+}
+
 // Lost begins to renew: the leader is no longer heard.
 func (s *Standby) Lost() { s.lost = true }
 
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -132,7 +132,7 @@
 		if !named {
 			place = len(described.Workers)
 			places[one.Target.ID] = place
-			described.Workers = append(described.Workers, NamedWorker{ID: one.Target.ID, Address: one.Target.Address})
+			described.Workers = append(described.Workers, NamedWorker{ID: one.Target.ID, Address: one.Target.Address, Born: one.Target.Born})
 		}
 		runs = append(runs, [4]int64{int64(one.Keys.From), int64(one.Keys.To), int64(place), int64(one.Fence)})
 	}
@@ -154,7 +154,7 @@
 		}
 		of := h.Workers[run[2]]
 		holds = append(holds, owner.Hold{
-			Keys: owner.Keys{From: int(run[0]), To: int(run[1])}, Target: owner.Target{ID: of.ID, Address: of.Address},
+			Keys: owner.Keys{From: int(run[0]), To: int(run[1])}, Target: owner.Target{ID: of.ID, Address: of.Address, Born: of.Born},
 			Fence: owner.Fence(run[3]),
 		})
 	}
@@ -229,6 +229,8 @@
 	Draining bool                `json:"d,omitempty"`
 	// WarmMillis is how much longer the worker is slow.
 	WarmMillis int64 `json:"w,omitempty"`
+	// Born is when the announced life of the worker began, as it says itself.
+	Born workers.Born `json:"b,omitempty"`
 	// Learned is since when the first process knows of the change, and AgeMillis for how long,
 	// as the message tells it.
 	Learned   time.Time `json:"-"`
@@ -240,7 +242,7 @@
 	return WorkerChange{
 		Revision: revision, ID: worker.ID, Service: worker.Service, Address: worker.Address, Zone: worker.Zone,
 		Slots: worker.Slots, Draining: worker.State == workers.StateDraining,
-		WarmMillis: max(0, clock.Until(worker.WarmAt).Milliseconds()),
+		WarmMillis: max(0, clock.Until(worker.WarmAt).Milliseconds()), Born: worker.Born,
 	}
 }
 
@@ -252,7 +254,7 @@
 	}
 	return workers.Worker{
 		ID: c.ID, Service: c.Service, Address: c.Address, Zone: c.Zone, Slots: c.Slots, State: state,
-		WarmAt: clock.Now().Add(time.Duration(c.WarmMillis) * time.Millisecond),
+		WarmAt: clock.Now().Add(time.Duration(c.WarmMillis) * time.Millisecond), Born: c.Born,
 	}
 }
 
@@ -287,6 +289,8 @@
 type NamedWorker struct {
 	ID      workers.ID `json:"i"`
 	Address string     `json:"a"`
+	// Born is the life of the worker that is meant, where holds are told; zero if not known.
+	Born workers.Born `json:"b,omitempty"`
 }
 
 // Report is what a process saw since its last report.
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -67,6 +67,24 @@
 	return &backend{pool: &pool{address: worker.Address}, worker: worker, means: means}
 }
 
+// isOtherLife reports whether an announcement is of another life of the worker.
+func (b *backend) isOtherLife(worker workers.Worker) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return worker.Born != 0 && b.worker.Born != 0 && worker.Born != b.worker.Born
+}
+
+// announce takes what the worker announces. A life that was told stays known while the worker is
+// known by its address only.
+func (b *backend) announce(worker workers.Worker) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if worker.Born == 0 {
+		worker.Born = b.worker.Born
+	}
+	b.worker = worker
+}
+
 // told takes what the worker tells of itself. The caller holds mu.
 func (b *backend) told(now time.Time, load Load) {
 	others := max(0, float64(load.Running+load.Waiting-b.inFlight))
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -75,7 +75,7 @@
 	if !cutOff {
 		return
 	}
-	if to.cutOff(clock.Now(), c.attempt()) && c.proxy.wasServing(to.id()) {
+	if to.cutOff(clock.Now(), c.attempt()) && c.proxy.wasServing(to) {
 		c.proxy.suspect(to, c.attempt())
 	}
 	if !closed {
@@ -105,7 +105,7 @@
 // workerEnded notes that a worker has ended. Unless it was leaving, it crashed, and the
 // requests under way there are suspects.
 func (p *Proxy) workerEnded(to *backend) {
-	if !p.wasServing(to.id()) {
+	if !p.wasServing(to) {
 		return
 	}
 	attempts, first := to.hasEnded(clock.Now())
@@ -120,9 +120,15 @@
 	}
 }
 
-// wasServing reports whether a worker is announced and does not leave.
-func (p *Proxy) wasServing(id workers.ID) bool {
-	worker, announced := p.fleet.directory.Get(id)
+// wasServing reports whether a worker is announced and does not leave; one that has started
+// again meanwhile, whether it did not then.
+func (p *Proxy) wasServing(to *backend) bool {
+	life := to.described().Life()
+	worker, announced := p.fleet.directory.Get(life.ID)
+	if announced && life.Born != 0 && worker.Born != life.Born {
+		worker, announced = p.fleet.directory.Before(life.ID)
+		announced = announced && worker.Born == life.Born
+	}
 	return announced && worker.State == workers.StateReady
 }
 
@@ -131,7 +137,8 @@
 	now := clock.Now()
 	p.Log.Line(decision.KindSuspect).Str("id", attempt.ID).Str("fingerprint", attempt.Request.String()).
 		Str("worker", string(to.id())).Str("route", attempt.Route).Str("caller", attempt.Caller.String()).Msg("")
-	if p.Suspects.Crashed(now, attempt, quarantine.Crash{Worker: to.id(), At: now}) {
+	life := to.described().Life()
+	if p.Suspects.Crashed(now, attempt, quarantine.Crash{Worker: life.ID, Born: life.Born, At: now}) {
 		TellQuarantined(p.Log, attempt)
 	}
 }
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -20,6 +20,8 @@
 	// means are those of what each service's workers tell.
 	means  map[routing.ServiceName]*toldMeans
 	limits BudgetLimits
+	// ended is called with what is known of a worker that has started again, outside of mu.
+	ended func(*backend)
 	// seed makes the subsets of this process its own.
 	seed maphash.Seed
 }
@@ -32,19 +34,33 @@
 	}
 }
 
-// get returns the backend of a worker.
+// get returns the backend of a worker. Another life of it is another worker to this process: it
+// is cold and empty, has no connections, and has failed nothing yet.
 func (f *fleet) get(worker workers.Worker) *backend {
+	known, before := f.take(worker)
+	if before != nil {
+		before.pool.dropIdle()
+		if f.ended != nil {
+			f.ended(before)
+		}
+	}
+	return known
+}
+
+// take returns the backend of a worker, and that of the life before if it has just ended.
+func (f *fleet) take(worker workers.Worker) (known, before *backend) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := f.byID[worker.ID]
+	known = f.byID[worker.ID]
+	if known != nil && known.isOtherLife(worker) {
+		known, before = nil, known
+	}
 	if known == nil {
 		known = newBackend(worker, f.meansOf(worker.Service))
 		f.byID[worker.ID] = known
 	}
-	known.mu.Lock()
-	known.worker = worker
-	known.mu.Unlock()
-	return known
+	known.announce(worker)
+	return known, before
 }
 
 // meansOf returns the means of what a service's workers tell. The caller holds mu.
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -93,7 +93,9 @@
 // New returns a proxy in a zone over the announced workers.
 func New(zone string, directory *workers.Directory, limits BudgetLimits) *Proxy {
 	ending, end := context.WithCancel(context.Background())
-	return &Proxy{fleet: newFleet(zone, directory, limits), Nodes: &atomic.Int32{}, Suspects: quarantine.NewView(), ending: ending, end: end}
+	proxy := &Proxy{fleet: newFleet(zone, directory, limits), Nodes: &atomic.Int32{}, Suspects: quarantine.NewView(), ending: ending, end: end}
+	proxy.fleet.ended = proxy.workerEnded
+	return proxy
 }
 
 // Use puts a configuration into force unless a newer one is.
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -43,9 +43,14 @@
 // Crash is a worker's end with a request under way.
 type Crash struct {
 	Worker workers.ID
-	At     time.Time
+	// Born tells the lives of a worker apart that starts again under its ID: each crash counts.
+	Born workers.Born
+	At   time.Time
 }
 
+// life returns the life of the worker that crashed.
+func (c Crash) life() workers.Life { return workers.Life{ID: c.Worker, Born: c.Born} }
+
 // Record is what is known of a request.
 type Record struct {
 	// Attempt is the last one that was under way at a crash.
@@ -84,13 +89,13 @@
 type Book struct {
 	records map[Fingerprint]*Record
 	// ended are the workers that crashed lately, whatever was under way there.
-	ended   map[workers.ID]time.Time
+	ended   map[workers.Life]time.Time
 	version uint64
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{records: map[Fingerprint]*Record{}, ended: map[workers.ID]time.Time{}}
+	return &Book{records: map[Fingerprint]*Record{}, ended: map[workers.Life]time.Time{}}
 }
 
 // Version counts the changes of the book.
@@ -110,8 +115,8 @@
 // Crashed notes that a request was under way at a worker when that crashed, at a time. It
 // reports whether the request is quarantined by that.
 func (b *Book) Crashed(now time.Time, attempt Attempt, crash Crash) bool {
-	if _, known := b.ended[crash.Worker]; !known {
-		b.ended[crash.Worker] = crash.At
+	if _, known := b.ended[crash.life()]; !known {
+		b.ended[crash.life()] = crash.At
 	}
 	known := b.records[attempt.Request]
 	if known == nil {
@@ -134,7 +139,7 @@
 // add adds a crash; false if that of the worker is known.
 func (r *Record) add(crash Crash) bool {
 	for _, known := range r.Crashes {
-		if known.Worker == crash.Worker {
+		if known.life() == crash.life() {
 			return false
 		}
 	}
@@ -183,18 +188,18 @@
 			held = append(held, known.copied())
 		}
 	}
-	maps.DeleteFunc(b.ended, func(_ workers.ID, at time.Time) bool { return now.Sub(at) >= suspectMemory })
+	maps.DeleteFunc(b.ended, func(_ workers.Life, at time.Time) bool { return now.Sub(at) >= suspectMemory })
 	return held
 }
 
 // alone reports whether no worker without the request crashed at the moment of its crashes.
 func (b *Book) alone(of *Record) bool {
 	first, last := of.Crashes[0].At.Add(-sameMoment), of.last().Add(sameMoment)
-	for worker, at := range b.ended {
+	for life, at := range b.ended {
 		if at.Before(first) || at.After(last) {
 			continue
 		}
-		if !slices.ContainsFunc(of.Crashes, func(one Crash) bool { return one.Worker == worker }) {
+		if !slices.ContainsFunc(of.Crashes, func(one Crash) bool { return one.life() == life }) {
 			return false
 		}
 	}
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -214,3 +214,25 @@
 	assert.Equal(t, suspects, 0)
 	assert.Equal(t, quarantined, 1)
 }
+
+// A worker that starts again under its ID after each crash counted as one, so a request that
+// crashed it again and again was never held.
+func TestEachLifeThatCrashesCounts(t *testing.T) {
+	for name, test := range map[string]struct {
+		lives []workers.Born
+		held  bool
+	}{
+		"three lives":                {lives: []workers.Born{1, 2, 3}, held: true},
+		"one life, told three times": {lives: []workers.Born{1, 1, 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := NewBook()
+			for index, born := range test.lives {
+				seconds := 10 * float64(index)
+				crash := Crash{Worker: "w", Born: born, At: at(seconds)}
+				b.Crashed(at(seconds), attempt(1), crash.describe(at(seconds)).crashAt(at(seconds)))
+			}
+			assert.Equal(t, b.Standing(attempt(1).Request) == Quarantined, test.held)
+		})
+	}
+}
--- a/internal/quarantine/snapshot.go
+++ b/internal/quarantine/snapshot.go
@@ -32,8 +32,21 @@
 
 // SnapshotCrash is one crash, AgeMillis ago.
 type SnapshotCrash struct {
-	Worker    workers.ID `json:"w"`
-	AgeMillis int64      `json:"a"`
+	Worker workers.ID `json:"w"`
+	// Born tells the life of the worker; zero if it tells none.
+	Born      workers.Born `json:"b,omitempty"`
+	AgeMillis int64        `json:"a"`
+}
+
+// crashAt returns the crash that is described, as of a time.
+func (c SnapshotCrash) crashAt(now time.Time) Crash {
+	at := now.Add(-time.Duration(c.AgeMillis) * time.Millisecond)
+	return Crash{Worker: c.Worker, Born: c.Born, At: at}
+}
+
+// describe returns a crash as it is told at a time.
+func (c Crash) describe(now time.Time) SnapshotCrash {
+	return SnapshotCrash{Worker: c.Worker, Born: c.Born, AgeMillis: now.Sub(c.At).Milliseconds()}
 }
 
 // NewSnapshot describes records as of a time.
@@ -45,7 +58,7 @@
 			entry.HeldMillis = now.Sub(record.HeldAt).Milliseconds()
 		}
 		for _, crash := range record.Crashes {
-			entry.Crashes = append(entry.Crashes, SnapshotCrash{Worker: crash.Worker, AgeMillis: now.Sub(crash.At).Milliseconds()})
+			entry.Crashes = append(entry.Crashes, crash.describe(now))
 		}
 		snapshot.Records = append(snapshot.Records, entry)
 	}
@@ -90,8 +103,7 @@
 	for _, entry := range s.Records {
 		record := Record{Attempt: entry.Attempt}
 		for _, crash := range entry.Crashes {
-			at := written.Add(-time.Duration(crash.AgeMillis) * time.Millisecond)
-			record.Crashes = append(record.Crashes, Crash{Worker: crash.Worker, At: at})
+			record.Crashes = append(record.Crashes, crash.crashAt(written))
 		}
 		if entry.Held {
 			record.HeldAt = written.Add(-time.Duration(entry.HeldMillis) * time.Millisecond)
--- a/internal/quarantine/view.go
+++ b/internal/quarantine/view.go
@@ -82,7 +82,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if slices.ContainsFunc(v.own, func(one *told) bool {
-		return one.attempt.Request == attempt.Request && one.crash.Worker == crash.Worker
+		return one.attempt.Request == attempt.Request && one.crash.life() == crash.life()
 	}) {
 		return false
 	}
@@ -116,8 +116,7 @@
 func (v *View) Take(now time.Time, evidence Evidence) []Attempt {
 	var held []Attempt
 	for _, one := range evidence.Crashes {
-		at := now.Add(-time.Duration(one.Crash.AgeMillis) * time.Millisecond)
-		if v.Crashed(now, one.Attempt, Crash{Worker: one.Crash.Worker, At: at}) {
+		if v.Crashed(now, one.Attempt, one.Crash.crashAt(now)) {
 			held = append(held, one.Attempt)
 		}
 	}
@@ -141,7 +140,7 @@
 		one.at = now
 		evidence.Crashes = append(evidence.Crashes, Suspicion{
 			Attempt: one.attempt,
-			Crash:   SnapshotCrash{Worker: one.crash.Worker, AgeMillis: now.Sub(one.crash.At).Milliseconds()},
+			Crash:   one.crash.describe(now),
 		})
 	}
 	if len(evidence.Crashes) == 0 && len(evidence.Finished) == 0 {
@@ -182,7 +181,7 @@
 func confirms(records []Record, evidence *told) bool {
 	return slices.ContainsFunc(records, func(one Record) bool {
 		return one.Attempt.Request == evidence.attempt.Request && slices.ContainsFunc(one.Crashes, func(crash Crash) bool {
-			return crash.Worker == evidence.crash.Worker
+			return crash.life() == evidence.crash.life()
 		})
 	})
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -134,6 +134,7 @@
 		Times:    owner.DefaultConfig(config.MaxHold.Std()), Nonce: rand.Text, Zone: config.Zone,
 	}
 	r.standby = standby.New(adapter.Orders, r.keeper.Times, log)
+	r.standby.Workers = r.workers
 	r.hub.OnAsked(r.standby.Stop)
 	r.hub.OnReported(r.meter.Add)
 	r.hub.OnEvidence(r.evidenceTaken)
--- a/internal/standby/standby.go
+++ b/internal/standby/standby.go
@@ -16,6 +16,7 @@
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/workers"
 )
 
 const (
@@ -33,6 +34,8 @@
 	Orders owner.Orders
 	Times  owner.Config
 	Log    *decision.Log
+	// Workers are the announced workers; nil: their lives are not known.
+	Workers *workers.Directory
 
 	began time.Time
 	mu    sync.Mutex
@@ -155,7 +158,8 @@
 		return
 	}
 	renewing := false
-	for _, service := range s.services {
+	for name, service := range s.services {
+		s.tellLives(name, service)
 		renewing = renewing || service.Renewing(now)
 		for _, renewal := range service.Due(now) {
 			go s.send(ctx, service, renewal)
@@ -167,6 +171,17 @@
 	}
 }
 
+// tellLives drops the holds of workers that have started again. The caller holds mu.
+func (s *Standby) tellLives(name routing.ServiceName, service *owner.Standby) {
+	if s.Workers == nil {
+		return
+	}
+	list, _ := s.Workers.Of(name)
+	for _, one := range list {
+		service.Began(one.Life())
+	}
+}
+
 // send sends one renewal and takes its end.
 func (s *Standby) send(ctx context.Context, service *owner.Standby, renewal owner.Renewal) {
 	bounded, cancel := context.WithTimeout(ctx, renewalTimeout)
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -67,6 +67,8 @@
 	missed map[ID]time.Time
 	// drainingSince is when the first process heard that a worker drains.
 	drainingSince map[ID]time.Time
+	// before are the lives of announced workers that the present ones replaced.
+	before map[ID]Worker
 	// own and told are the waits for entries that may have lapsed only, as this process and
 	// as others did not reach the service; kept are the workers that are waited for.
 	own, told   wait
@@ -93,6 +95,7 @@
 		byService:     map[routing.ServiceName][]Worker{},
 		goneAt:        map[ID]time.Time{},
 		drainingSince: map[ID]time.Time{},
+		before:        map[ID]Worker{},
 		kept:          map[ID]kept{},
 		missed:        map[ID]time.Time{},
 		evacuations:   evacuations{},
@@ -135,6 +138,7 @@
 	}
 	fresh := map[ID]Worker{}
 	for _, worker := range list {
+		d.beginLife(worker)
 		fresh[worker.ID] = worker
 		delete(d.kept, worker.ID)
 	}
@@ -159,6 +163,7 @@
 	defer d.mu.Unlock()
 	now := clock.Now()
 	for _, worker := range changed {
+		d.beginLife(worker)
 		d.byID[worker.ID] = worker
 		delete(d.goneAt, worker.ID)
 		delete(d.kept, worker.ID)
@@ -174,6 +179,15 @@
 	return vanished
 }
 
+// beginLife forgets what was noted of a worker that has started again: that it drained ended with
+// the life before, and a drain of this one counts from its own beginning. The caller holds mu.
+func (d *Directory) beginLife(worker Worker) {
+	if before, known := d.byID[worker.ID]; known && before.Born != worker.Born {
+		delete(d.drainingSince, worker.ID)
+		d.before[worker.ID] = before
+	}
+}
+
 // noteDraining notes since when workers drain that were not seen to before.
 func (d *Directory) noteDraining(since func(ID) time.Time) {
 	for id, worker := range d.byID {
@@ -186,6 +200,11 @@
 			delete(d.drainingSince, id)
 		}
 	}
+	for id := range d.before {
+		if _, announced := d.byID[id]; !announced {
+			delete(d.before, id)
+		}
+	}
 }
 
 // goneMemory is how long the end of an entry is remembered.
@@ -225,6 +244,15 @@
 	return worker, known
 }
 
+// Before returns the life of an announced worker that its present one replaced, as it was
+// announced last; false if there is none, or its entry went first.
+func (d *Directory) Before(id ID) (Worker, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	worker, known := d.before[id]
+	return worker, known
+}
+
 // GoneAt returns when a worker's entry was seen to be gone; false if that is not known.
 func (d *Directory) GoneAt(id ID) (time.Time, bool) {
 	d.mu.RLock()
