Tell entries of other writers from those of workers

Cause: an entry with an unknown state was taken for a ready worker, one without a service or with a capacity below one for a worker too; one that could not be read was passed over without a word, and its worker used as it was known. A record of owners that could not be read left its service without owners for good, a list of standbys that could not be read kept anybody from leading, and either ended `shalefork status`.

Change: the adapter reads an entry into a worker or a typed reason (unreadable, field missing, wrong type, unknown state, number out of range, no address). A worker whose entry is overwritten gets no new work until its own next entry, also while entries may have lapsed, since it may have said meanwhile that it leaves; it keeps its keys for 1.5 s, in which that entry comes. One line for an entry and revision, a gauge by reason, and `status` lists them. A record of owners that can't be read is made anew once all holds that it may have named have ended.

Ruled out: to go on using a worker whose entry is overwritten (a list read just then would hide that it drains: requests would reach it after its time), to ask for the start (all workers would be gone on deployments of before), refusing services that no configuration names (no route leads there).

Left: a leader's own entry that can't be read still keeps others from leading while it stands.

--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -15,6 +15,7 @@
 	KindConfigBad     Kind = "config-refused"
 	KindEvacuation    Kind = "zones-evacuated"
 	KindWorker        Kind = "worker"
+	KindEntryBad      Kind = "entry-refused"
 	KindWorkerHealth  Kind = "worker-health"
 	KindWorkerCrashed Kind = "worker-crashed"
 	KindSuspect       Kind = "request-suspected"
@@ -57,6 +58,7 @@
 		{KindConfigBad, "a configuration can't be read; the one before stays", "revision, error"},
 		{KindEvacuation, "which zones' workers are to get no work has changed", "zones (all of them), revision"},
 		{KindWorker, "a worker announced itself, drains or is gone; or it is kept although its entry went, which may have lapsed only", "worker, state, service, revision, for (seconds that it is kept at most); announced: how many a new list has"},
+		{KindEntryBad, "an entry among the workers' names no worker to use, since somebody else has written it", "worker, reason, field, revision"},
 		{KindWorkerHealth, "a worker is left alone after a failure, or is used again", "worker, outcome, id (the request that showed it), error"},
 		{KindWorkerCrashed, "a worker ended although it was announced and did not leave: its address refuses connections, or another process answers there", "worker, service, requests (under way there from this process)"},
 		{KindSuspect, "a request was under way at a worker that crashed", "id (of the attempt), fingerprint (of method, host, path, query, body and caller: the same in each attempt), worker, route, caller"},
--- a/internal/election/renewers.go
+++ b/internal/election/renewers.go
@@ -26,8 +26,12 @@
 		return nil, 0, err
 	}
 	var list []Renewer
-	err = json.Unmarshal(item.Value, &list)
-	return list, item.Revision, Error.Wrap(err)
+	if json.Unmarshal(item.Value, &list) != nil {
+		// Who may renew is not known, as if the record were not there: the next leader outwaits
+		// all that may have been given, and stores a list of its own.
+		return nil, item.Revision, nil
+	}
+	return list, item.Revision, nil
 }
 
 // encodeRenewers writes each process once.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -35,6 +35,9 @@
 	// goneGrace is how long a worker whose entry went keeps its keys: entries
 	// come back when the service was only disturbed.
 	goneGrace = 700 * time.Millisecond
+	// unreadableGrace is the same where the entry stands, but was written by somebody else: the
+	// worker writes its own again about every second, and the news takes a moment.
+	unreadableGrace = 1500 * time.Millisecond
 	// failingAfter is how long a worker must fail all orders to lose its keys.
 	failingAfter = time.Second
 	grantTimeout = 600 * time.Millisecond
--- a/internal/keeper/record.go
+++ b/internal/keeper/record.go
@@ -17,6 +17,8 @@
 	name     routing.ServiceName
 	item     coord.Item
 	recorded bool
+	// rebuilt says that the record can't be read, and all that it may have named has ended.
+	rebuilt bool
 }
 
 // load reads a service's record, again until it is read.
@@ -41,9 +43,11 @@
 func (t *tenancy) take(done loaded) {
 	of := t.services[done.name]
 	book := owner.NewBook(t.Times, t.tenure.Leader.Term)
-	if done.recorded {
+	if done.recorded && !done.rebuilt {
 		if err := book.Load(clock.Now(), done.item.Value, t.until); err != nil {
-			t.Log.Line(decision.KindRecord).Str("service", string(done.name)).Err(err).Msg("can't be read")
+			t.Log.Line(decision.KindRecord).Str("service", string(done.name)).Err(err).
+				Float64("waits", max(0, clock.Until(t.until)).Seconds()).Msg("can't be read; it is made anew")
+			go t.rebuild(done)
 			return
 		}
 	}
@@ -53,6 +57,18 @@
 		Int64("revision", int64(of.revision)).Int64("term", int64(t.tenure.Leader.Term)).Msg("loaded")
 }
 
+// rebuild takes a record that can't be read to be empty, once all holds that it may have named
+// have surely ended. Keys of a service whose record was spoiled had no owner under any leader
+// without it.
+func (t *tenancy) rebuild(done loaded) {
+	clock.Sleep(t.ctx, clock.Until(t.until))
+	done.rebuilt = true
+	select {
+	case t.loaded <- done:
+	case <-t.ctx.Done():
+	}
+}
+
 // written is the end of storing a record.
 type written struct {
 	of       *service
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -131,6 +131,9 @@
 		return false
 	}
 	at, gone := t.Workers.GoneAt(id)
+	if gone && t.Workers.Unreadable(id) {
+		return now.Sub(at) < unreadableGrace
+	}
 	if gone {
 		return now.Sub(at) < goneGrace
 	}
--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -134,7 +134,7 @@
 	{
 		name: "outwaited-owner-not-told",
 		file: "internal/owner/doubt.go",
-		old:  "\tif b.ended[old.worker] || !now.Before(old.lateUntil) {",
+		old:  "\tif !now.Before(old.lateUntil) {",
 		new:  "\tif true {",
 		pkg:  "./internal/owner", test: "TestAnOutwaitedOwnerIsToldTheNewFence",
 	},
@@ -281,7 +281,7 @@
 	{
 		name: "wait-begins-anew-for-an-entry",
 		file: "internal/workers/kept.go",
-		old:  "\tif _, already := d.kept[id]; already {",
+		old:  "\tif _, already := d.kept[id]; already && !d.unreadable[id] {",
 		new:  "\tif _, already := d.kept[id]; false && already {",
 		pkg:  "./internal/workers", test: "TestAVanishedEntryIsWaitedForOnce",
 	},
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -20,6 +20,7 @@
 	"github.com/shalefork/shalefork/internal/lifecycle"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/registry"
+	"github.com/shalefork/shalefork/internal/workers"
 )
 
 const (
@@ -83,11 +84,19 @@
 	defer cancel()
 	shown := &console{}
 	assert.Equal(t, BundleStatus(ctx, shown.output(), bundles, "tawila"), ExitUnreachable)
-	assert.Equal(t, Status(ctx, shown.output(), store, prefix), ExitUnreachable)
+	assert.Equal(t, Status(ctx, shown.output(), store, prefix, announced), ExitUnreachable)
 	assert.Equal(t, Propose(ctx, shown.output(), bundles, fixedOperator("salma", 1), bundleFile), ExitUnreachable)
 	assert.Assert(t, strings.Contains(shown.complaint.String(), "does not answer"))
 }
 
+// announced reads entries whose value is nothing but a worker's state.
+var announced = Announced{Prefix: "w/", Read: func(entry coord.Item) (workers.Worker, error) {
+	if string(entry.Value) != "ready" {
+		return workers.Worker{}, &workers.EntryError{Reason: workers.ReasonState, Field: "state"}
+	}
+	return workers.Worker{}, nil
+}}
+
 func TestStatusTellsLeaderAndOwners(t *testing.T) {
 	store := memory.New()
 	term := owner.Term(1)
@@ -100,13 +109,16 @@
 	})
 	value, err := book.Encode(term, "mark")
 	assert.NilError(t, err)
-	_, err = store.Commit(t.Context(), coord.Txn{Puts: []coord.Put{{Key: keeper.RecordKey(prefix, "tables"), Value: value}}})
+	_, err = store.Commit(t.Context(), coord.Txn{Puts: []coord.Put{
+		{Key: keeper.RecordKey(prefix, "tables"), Value: value}, {Key: keeper.RecordKey(prefix, "spoiled"), Value: []byte("{")},
+		{Key: "w/w1", Value: []byte("ready")}, {Key: "w/other", Value: []byte("paused")},
+	}})
 	assert.NilError(t, err)
 	shown := &console{}
-	assert.Equal(t, Status(t.Context(), shown.output(), store, prefix), ExitOK)
+	assert.Equal(t, Status(t.Context(), shown.output(), store, prefix, announced), ExitOK)
 	asked := shown.output()
 	asked.JSON = true
-	assert.Equal(t, Status(t.Context(), asked, store, prefix), ExitOK)
+	assert.Equal(t, Status(t.Context(), asked, store, prefix, announced), ExitOK)
 	golden.Assert(t, shown.result.String(), "status.golden")
 }
 
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -12,6 +12,7 @@
 	"github.com/shalefork/shalefork/internal/keeper"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/registry"
+	"github.com/shalefork/shalefork/internal/workers"
 )
 
 // Overview is what the key-value service says of the system.
@@ -20,6 +21,21 @@
 	Leader   string        `json:"leader"`
 	Term     owner.Term    `json:"term"`
 	Services []OwnedByTerm `json:"services"`
+	// Workers counts the entries of workers, and Refused are those that name none.
+	Workers int            `json:"workers"`
+	Refused []RefusedEntry `json:"refused,omitempty"`
+}
+
+// RefusedEntry is an entry among the workers' that names no worker to use.
+type RefusedEntry struct {
+	Worker workers.ID `json:"worker"`
+	Reason string     `json:"reason"`
+}
+
+// Announced says where workers announce themselves, and how their entries are read.
+type Announced struct {
+	Prefix string
+	Read   func(entry coord.Item) (workers.Worker, error)
 }
 
 // OwnedByTerm are the stored owners of a service's keys.
@@ -28,12 +44,14 @@
 	// Term of the leader that stored them.
 	Term   owner.Term    `json:"term"`
 	Owners []owner.Owner `json:"owners"`
+	// Error says why the stored owners can't be read; empty if they can.
+	Error string `json:"error,omitempty"`
 }
 
 // Status prints who leads and who owns which keys, as the service has it under the
 // system's own prefix.
-func Status(ctx context.Context, output Output, store coord.Store, prefix string) ExitCode {
-	overview, err := readOverview(ctx, store, prefix)
+func Status(ctx context.Context, output Output, store coord.Store, prefix string, announced Announced) ExitCode {
+	overview, err := readOverview(ctx, store, prefix, announced)
 	if err != nil {
 		return output.Fail(err)
 	}
@@ -45,7 +63,7 @@
 	return ExitOK
 }
 
-func readOverview(ctx context.Context, store coord.Store, prefix string) (Overview, error) {
+func readOverview(ctx context.Context, store coord.Store, prefix string, announced Announced) (Overview, error) {
 	leader, found, err := election.New(store, prefix, "", "", nil).Look(ctx)
 	if err != nil {
 		return Overview{}, errs.Combine(registry.ErrUnavailable, err)
@@ -60,19 +78,42 @@
 		return Overview{}, errs.Combine(registry.ErrUnavailable, err)
 	}
 	for _, item := range items {
-		term, owners, err := owner.DecodeOwners(item.Value)
-		if err != nil {
-			return Overview{}, err
+		overview.Services = append(overview.Services, ownedByTerm(strings.TrimPrefix(item.Key, records), item.Value))
+	}
+	entries, _, err := store.List(ctx, announced.Prefix)
+	if err != nil {
+		return Overview{}, errs.Combine(registry.ErrUnavailable, err)
+	}
+	for _, entry := range entries {
+		if _, err := announced.Read(entry); err != nil {
+			id := workers.ID(strings.TrimPrefix(entry.Key, announced.Prefix))
+			overview.Refused = append(overview.Refused, RefusedEntry{Worker: id, Reason: err.Error()})
+			continue
 		}
-		service := strings.TrimPrefix(item.Key, records)
-		overview.Services = append(overview.Services, OwnedByTerm{Service: service, Term: term, Owners: owners})
+		overview.Workers++
 	}
 	return overview, nil
 }
 
+func ownedByTerm(service string, record []byte) OwnedByTerm {
+	term, owners, err := owner.DecodeOwners(record)
+	if err != nil {
+		return OwnedByTerm{Service: service, Error: err.Error()}
+	}
+	return OwnedByTerm{Service: service, Term: term, Owners: owners}
+}
+
 func (o Output) overview(overview Overview) {
 	fmt.Fprintf(o.Result, "leader  %s\nterm    %d\n", orDash(overview.Leader), overview.Term)
+	fmt.Fprintf(o.Result, "workers %d, and %d entries that name none\n", overview.Workers, len(overview.Refused))
+	for _, one := range overview.Refused {
+		fmt.Fprintf(o.Result, "  %s\t%s\n", one.Worker, one.Reason)
+	}
 	for _, service := range overview.Services {
+		if service.Error != "" {
+			fmt.Fprintf(o.Result, "\n%s can't be read: %s\n", service.Service, service.Error)
+			continue
+		}
 		fmt.Fprintf(o.Result, "\n%s, stored in term %d\n", service.Service, service.Term)
 		table := newTable(o.Result)
 		fmt.Fprintln(table, "FROM\tTO\tOWNER\tADDRESS")
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -219,14 +219,17 @@
 
 // WorkerChange is one change of a worker's entry.
 type WorkerChange struct {
-	Revision coord.Revision      `json:"r"`
-	ID       workers.ID          `json:"i"`
-	Gone     bool                `json:"g,omitempty"`
-	Service  routing.ServiceName `json:"s,omitempty"`
-	Address  string              `json:"a,omitempty"`
-	Zone     string              `json:"z,omitempty"`
-	Slots    int                 `json:"n,omitempty"`
-	Draining bool                `json:"d,omitempty"`
+	Revision coord.Revision `json:"r"`
+	ID       workers.ID     `json:"i"`
+	Gone     bool           `json:"g,omitempty"`
+	// Unreadable says why the entry names no worker any more, where it stands but was written
+	// by somebody else. Gone is set, too.
+	Unreadable workers.Reason      `json:"u,omitempty"`
+	Service    routing.ServiceName `json:"s,omitempty"`
+	Address    string              `json:"a,omitempty"`
+	Zone       string              `json:"z,omitempty"`
+	Slots      int                 `json:"n,omitempty"`
+	Draining   bool                `json:"d,omitempty"`
 	// WarmMillis is how much longer the worker is slow.
 	WarmMillis int64 `json:"w,omitempty"`
 	// Born is when the announced life of the worker began, as it says itself.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -56,8 +56,8 @@
 	ReadEvacuation func(key string) (zone string, evacuates bool)
 	// WorkersPrefix is where workers announce themselves.
 	WorkersPrefix string
-	// ReadWorker reads a worker's entry; false if it can't be read.
-	ReadWorker func(item coord.Item) (workers.Worker, bool)
+	// ReadWorker reads a worker's entry; its error is a *workers.EntryError.
+	ReadWorker func(item coord.Item) (workers.Worker, error)
 	// WorkerID returns the worker that an entry's key names.
 	WorkerID func(key string) workers.ID
 }
@@ -94,6 +94,8 @@
 	configView      *configView
 	// told says that a leader tells this process of changes.
 	told told
+	// unreadable counts the entries that name no worker.
+	unreadable unreadableMetric
 	// strongest holds the greatest strength of all machines, as bits of a float64.
 	strongest atomic.Uint64
 }
@@ -114,7 +116,8 @@
 		config:  newFollowed(),
 		entries: newFollowed(),
 	}
-	r.entriesView = &workersView{r: r}
+	r.entriesView = &workersView{r: r, unreadable: map[workers.ID]unreadable{}}
+	r.unreadable = newUnreadableMetric(metrics)
 	r.workers.OnExpired(r.entriesView.expired)
 	r.configView = newConfigView(r)
 	r.proxy = proxy.New(config.Zone, r.workers, limits(config))
--- /dev/null
+++ b/internal/router/unreadable_test.go
@@ -0,0 +1,157 @@
+package router
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/peerlink"
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// spoiled is an entry that another writer has written.
+func spoiled(id string, revision coord.Revision) coord.Item {
+	return coord.Item{Key: "w/" + id, Revision: revision}
+}
+
+// refusedEntries returns how many entries a router shows to name no worker for a reason.
+func refusedEntries(t *testing.T, r *Router, reason workers.Reason) float64 {
+	t.Helper()
+	families, err := r.metrics.Gather()
+	assert.NilError(t, err)
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			if family.GetName() == "shalefork_router_refused_entries" && metric.GetLabel()[0].GetValue() == string(reason) {
+				return metric.GetGauge().GetValue()
+			}
+		}
+	}
+	return 0
+}
+
+// One bad entry ends neither a list nor a watch nor what a leader passes on.
+func TestOneBadEntryIsPassedOver(t *testing.T) {
+	good := item("a", 11, "ready 5")
+	for name, learn := range map[string]func(v *workersView) bool{
+		"in a list": func(v *workersView) bool {
+			v.Snapshot([]coord.Item{spoiled("b", 10), good}, 12)
+			return true
+		},
+		"in a watch": func(v *workersView) bool {
+			v.Changed([]coord.Event{{Item: spoiled("b", 10)}, {Item: good}}, 12)
+			return true
+		},
+		"told by a leader": func(v *workersView) bool {
+			leader := newTestRouter(t).entriesView
+			return v.relayed(peerlink.Entries{To: 12, Changes: leader.read([]coord.Event{{Item: spoiled("b", 10)}, {Item: good}})})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newTestRouter(t)
+			assert.Assert(t, learn(r.entriesView))
+			worker, known := r.workers.Get("a")
+			assert.Assert(t, known)
+			assert.Equal(t, worker.Born, workers.Born(5))
+			_, known = r.workers.Get("b")
+			assert.Assert(t, !known)
+			assert.Assert(t, r.workers.Unreadable("b"))
+			assert.Equal(t, r.entriesView.revision(), coord.Revision(12))
+			assert.Equal(t, refusedEntries(t, r, workers.ReasonUnreadable), 1.0)
+		})
+	}
+}
+
+// A worker whose entry another writer has overwritten gets no new work, also while entries may
+// have lapsed: it may have said meanwhile that it leaves. Its own next entry brings it back.
+func TestAWorkerWhoseEntryIsOverwrittenIsNotUsed(t *testing.T) {
+	for name, state := range map[string]workers.State{"was ready": workers.StateReady, "was draining": workers.StateDraining} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTestRouter(t)
+				view := r.entriesView
+				view.Snapshot([]coord.Item{item("a", 8, state)}, 10)
+				r.workers.Settle(time.Now().Add(time.Minute))
+				view.Changed([]coord.Event{{Item: spoiled("a", 11)}}, 11)
+				usable, _ := r.workers.Usable("s")
+				assert.Equal(t, len(usable), 0)
+				view.Snapshot([]coord.Item{spoiled("a", 11)}, 12)
+				usable, _ = r.workers.Usable("s")
+				assert.Equal(t, len(usable), 0)
+				view.Changed([]coord.Event{{Item: item("a", 13, workers.StateReady)}}, 13)
+				usable, _ = r.workers.Usable("s")
+				assert.Equal(t, len(usable), 1)
+				assert.Assert(t, !r.workers.Unreadable("a"))
+			})
+		})
+	}
+}
+
+// A worker that has told when it began always does.
+func TestAnEntryWithoutTheStartThatWasToldIsAnothers(t *testing.T) {
+	r := newTestRouter(t)
+	r.entriesView.Changed([]coord.Event{{Item: item("a", 1, "ready 5")}, {Item: item("b", 2, "ready")}}, 2)
+	r.entriesView.Changed([]coord.Event{{Item: item("a", 3, "ready")}, {Item: item("b", 4, "ready")}}, 4)
+	assert.Assert(t, r.workers.Unreadable("a"))
+	_, known := r.workers.Get("b")
+	assert.Assert(t, known)
+}
+
+// A relay's older news of the first life does not replace the second.
+func TestOlderNewsOfTheLifeBeforeChangesNothing(t *testing.T) {
+	r := newTestRouter(t)
+	view := r.entriesView
+	view.Snapshot([]coord.Item{item("a", 8, "ready 1")}, 10)
+	view.Changed([]coord.Event{{Item: item("a", 12, "ready 2")}}, 12)
+	late := peerlink.Changed(11, workers.Worker{ID: "a", Service: "s", State: workers.StateDraining, Born: 1})
+	assert.Assert(t, view.relayed(peerlink.Entries{From: 10, To: 11, Changes: []peerlink.WorkerChange{late}}))
+	view.Snapshot([]coord.Item{item("a", 11, "draining 1")}, 11)
+	worker, _ := r.workers.Get("a")
+	assert.Equal(t, worker.Born, workers.Born(2))
+	assert.Equal(t, worker.State, workers.StateReady)
+	assert.Equal(t, r.workers.DrainingFor("a"), time.Duration(0))
+}
+
+// shared is a writer that several goroutines may use.
+type shared struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (s *shared) Write(line []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(line)
+}
+
+func (s *shared) count(kind decision.Kind) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Count(s.text.String(), `"kind":"`+string(kind)+`"`)
+}
+
+func TestABadEntryIsLoggedOnceForARevision(t *testing.T) {
+	logged := &shared{}
+	r := newTestRouter(t)
+	r.log = decision.NewTo(logged, "n")
+	r.entriesView.Snapshot([]coord.Item{spoiled("a", 1)}, 1)
+	r.entriesView.Snapshot([]coord.Item{spoiled("a", 1)}, 2)
+	r.entriesView.Changed([]coord.Event{{Item: spoiled("a", 3)}}, 3)
+	r.entriesView.Snapshot([]coord.Item{spoiled("a", 3)}, 4)
+	r.log.Line(decision.KindStop).Msg("")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if logged.count(decision.KindStop) == 0 {
+			return poll.Continue("not written yet")
+		}
+		return poll.Success()
+	})
+	r.log.Close()
+	assert.Equal(t, logged.count(decision.KindEntryBad), 2)
+}
--- a/internal/router/workersview.go
+++ b/internal/router/workersview.go
@@ -20,6 +20,8 @@
 	at coord.Revision
 	// lostAt is when the service was lost last.
 	lostAt time.Time
+	// unreadable are the entries that name no worker, as of their last changes.
+	unreadable map[workers.ID]unreadable
 }
 
 // Snapshot implements coord.View.
@@ -32,12 +34,17 @@
 	v.at = at
 	v.r.entries.cover(at)
 	list := make([]workers.Worker, 0, len(items))
+	faulty := map[workers.ID]unreadable{}
 	for _, item := range items {
 		v.r.entries.read(item.Revision)
-		if worker, ok := v.r.adapter.ReadWorker(item); ok {
-			list = append(list, worker)
+		worker, fault := v.readEntry(item)
+		if fault != nil {
+			faulty[v.r.adapter.WorkerID(item.Key)] = *fault
+			continue
 		}
+		list = append(list, worker)
 	}
+	v.replaceUnreadable(faulty)
 	vanished := v.r.workers.Replace(list, v.r.knewAll(v.r.entries))
 	v.r.hub.EntriesRead(at)
 	v.tellVanished(vanished, at)
@@ -77,11 +84,12 @@
 	for _, event := range events {
 		change := peerlink.WorkerChange{Revision: event.Revision, ID: v.r.adapter.WorkerID(event.Key), Gone: true}
 		if !event.Deleted {
-			worker, ok := v.r.adapter.ReadWorker(event.Item)
-			if !ok {
-				continue
+			worker, fault := v.readEntry(event.Item)
+			if fault == nil {
+				change = peerlink.Changed(event.Revision, worker)
+			} else {
+				change.Unreadable = fault.reason
 			}
-			change = peerlink.Changed(event.Revision, worker)
 		}
 		change.Learned = learned
 		changes = append(changes, change)
@@ -108,6 +116,7 @@
 	learned := workers.Learned{}
 	for id, change := range last {
 		learned[id] = change.Learned
+		v.noteUnreadable(change)
 		if change.Gone {
 			gone = append(gone, id)
 			continue
--- a/internal/router/workersview_test.go
+++ b/internal/router/workersview_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -27,9 +28,14 @@
 	adapter := Adapter{
 		Store:    memory.New(),
 		WorkerID: func(key string) workers.ID { return workers.ID(strings.TrimPrefix(key, "w/")) },
-		ReadWorker: func(item coord.Item) (workers.Worker, bool) {
+		ReadWorker: func(item coord.Item) (workers.Worker, error) {
 			id := workers.ID(strings.TrimPrefix(item.Key, "w/"))
-			return workers.Worker{ID: id, Service: "s", State: workers.State(item.Value)}, len(item.Value) > 0
+			if len(item.Value) == 0 {
+				return workers.Worker{}, &workers.EntryError{Reason: workers.ReasonUnreadable}
+			}
+			state, born, _ := strings.Cut(string(item.Value), " ")
+			at, _ := strconv.Atoi(born)
+			return workers.Worker{ID: id, Service: "s", State: workers.State(state), Born: workers.Born(at)}, nil
 		},
 	}
 	times := settings.Router{Drain: bundle.Duration(drainTime), CatchUp: bundle.Duration(contactTime)}
--- a/internal/workers/kept.go
+++ b/internal/workers/kept.go
@@ -85,9 +85,10 @@
 // vanish notes that the entry of a known worker went, and reports whether the worker is
 // kept. learned is since when that is known. The caller holds mu.
 func (d *Directory) vanish(id ID, learned time.Time, vanished *Vanished) bool {
-	if _, already := d.kept[id]; already {
+	if _, already := d.kept[id]; already && !d.unreadable[id] {
 		return true
 	}
+	delete(d.kept, id)
 	now := clock.Now()
 	until := d.keptUntil(id, learned, now)
 	if !now.Before(until) {
@@ -105,8 +106,8 @@
 // time. A process that was away itself cannot know when: its wait ends by when it was back. The
 // caller holds mu.
 func (d *Directory) keptUntil(id ID, learned, now time.Time) time.Time {
-	if d.byID[id].State != StateReady {
-		return now
+	if d.byID[id].State != StateReady || d.unreadable[id] {
+		return now // it left, or its entry stands and has not lapsed
 	}
 	own, told := d.own.deadline(now), d.told.deadline(learned)
 	if told.After(own) {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -67,6 +67,8 @@
 	missed map[ID]time.Time
 	// drainingSince is when the first process heard that a worker drains.
 	drainingSince map[ID]time.Time
+	// unreadable are the workers whose entries stand, but name no worker now.
+	unreadable map[ID]bool
 	// before are the lives of announced workers that the present ones replaced.
 	before map[ID]Worker
 	// own and told are the waits for entries that may have lapsed only, as this process and
@@ -96,6 +98,7 @@
 		goneAt:        map[ID]time.Time{},
 		drainingSince: map[ID]time.Time{},
 		before:        map[ID]Worker{},
+		unreadable:    map[ID]bool{},
 		kept:          map[ID]kept{},
 		missed:        map[ID]time.Time{},
 		evacuations:   evacuations{},
