--- a/internal/keeper/rebuild_test.go
+++ b/internal/keeper/rebuild_test.go
@@ -41,7 +41,7 @@
 func TestAWorkerThatStartsAgainGetsItsKeysAnew(t *testing.T) {
 	play(t, func(b *bench) {
 		first := workers.Worker{ID: "w1", Service: "s", Address: "w1", Slots: 2, State: workers.StateReady, Born: 1}
-		b.keeper.Workers.Replace([]workers.Worker{first}, clock.Now())
+		b.keeper.Workers.Replace([]workers.Worker{first}, nil, clock.Now())
 		b.lead(6*time.Second, func() {
 			time.Sleep(4 * time.Second)
 			first.Born = 2
--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -204,8 +204,8 @@
 	{
 		name: "failed-copy-ends-the-other",
 		file: "internal/proxy/hedge.go",
-		old:  " && r.status < http.StatusInternalServerError\n",
-		new:  " && r.status < http.StatusInternalServerError*2\n",
+		old:  " && r.Status < http.StatusInternalServerError\n",
+		new:  " && r.Status < http.StatusInternalServerError*2\n",
 		pkg:  "./internal/proxy", test: "TestAFailedCopyLeavesTheOtherAtWork",
 	},
 	{
@@ -245,8 +245,8 @@
 	},
 	{
 		name: "written-to-a-connection-that-is-reset",
-		file: "internal/proxy/exchange.go",
-		old:  "\tif message.once && !connection.used &&",
+		file: "internal/upstream/exchange.go",
+		old:  "\tif message.Once && !connection.used &&",
 		new:  "\tif false &&",
 		pkg:  "./internal/proxy", test: "TestARequestThatAWorkerHasNoConnectionForDidNotRun",
 	},
@@ -308,14 +308,14 @@
 	},
 	{
 		name: "answer-of-another-request",
-		file: "internal/proxy/exchange.go",
-		old:  "\t\tif response.Header.Get(e.headers.RequestID) == e.message.id {",
+		file: "internal/upstream/exchange.go",
+		old:  "\t\tif response.Header.Get(e.headers.RequestID) == e.message.ID {",
 		new:  "\t\tif true {",
 		pkg:  "./internal/proxy", test: "TestSurplusAnswerIsReadPast",
 	},
 	{
 		name: "success-without-a-signature",
-		file: "internal/proxy/exchange.go",
+		file: "internal/upstream/exchange.go",
 		old:  "\tcase response.StatusCode/100 == 2 && response",
 		new:  "\tcase false && response",
 		pkg:  "./internal/proxy", test: "TestSuccessWithoutSignatureIsNotTheWorkers",
@@ -369,11 +369,32 @@
 		new:  "	if false {",
 		pkg:  "./internal/router", test: "TestAnOlderListChangesNothing",
 	},
+	{
+		name: "age-of-news-not-told",
+		file: "internal/peerlink/entries.go",
+		old:  "	return max(0, now.Sub(learned).Milliseconds())",
+		new:  "	return 0",
+		pkg:  "./internal/peerlink", test: "TestChangesTellHowOldTheyAre",
+	},
+	{
+		name: "first-watch-after-failures-taken-for-fresh",
+		file: "internal/router/follow.go",
+		old:  "	if of.failed.Load() > reached || r.told.known() > reached {",
+		new:  "	if reached < 0 {",
+		pkg:  "./internal/router", test: "TestLateNewsCountsFromWhenItMayHaveHappened",
+	},
+	{
+		name: "quarantined-request-waits-its-turn",
+		file: "internal/quarantine/ledger.go",
+		old:  "entry.version > upTo && entry.record.Standing() != Quarantined",
+		new:  "entry.version > upTo",
+		pkg:  "./internal/quarantine", test: "TestWhatALedgerTells",
+	},
 	{
 		name: "deaf-leader-relied-on",
 		file: "internal/router/follow.go",
-		old:  "	r.told.heard(clock.Now(), !update.Deaf && !update.Stale())",
-		new:  "	r.told.heard(clock.Now(), !update.Stale())",
+		old:  "	r.told.heard(clock.Now(), update.Age(), !update.Deaf && !update.Stale())",
+		new:  "	r.told.heard(clock.Now(), update.Age(), !update.Stale())",
 		pkg:  "./internal/router", test: "TestADeafLeaderIsNotReliedOn",
 	},
 	{
@@ -386,8 +407,8 @@
 	{
 		name: "stale-relay-relied-on",
 		file: "internal/router/follow.go",
-		old:  "	r.told.heard(clock.Now(), !update.Deaf && !update.Stale())",
-		new:  "	r.told.heard(clock.Now(), !update.Deaf)",
+		old:  "	r.told.heard(clock.Now(), update.Age(), !update.Deaf && !update.Stale())",
+		new:  "	r.told.heard(clock.Now(), update.Age(), !update.Deaf)",
 		pkg:  "./internal/router", test: "TestAStaleRelayIsNotReliedOn",
 	},
 	{
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -42,6 +42,8 @@
 	// many processes follow it.
 	Avoid     string `json:"avoid,omitempty"`
 	Followers int    `json:"followers,omitempty"`
+	// Changes says that the process takes changes of suspected requests.
+	Changes bool `json:"changes,omitempty"`
 	// Nodes is how many processes there were when the process heard last, so that a new
 	// leader knows before all are linked.
 	Nodes int `json:"nodes,omitempty"`
@@ -82,18 +84,10 @@
 	Services []ServiceNews `json:"s,omitempty"`
 	// Mandate is for a standby only.
 	Mandate *Mandate `json:"y,omitempty"`
-	// Suspects are all requests that were under way at crashes, packed; told when they change.
-	Suspects []byte `json:"q,omitempty"`
-}
-
-// Snapshot returns the suspects; false if the message tells none.
-func (u Update) Snapshot() (quarantine.Snapshot, bool, error) {
-	var snapshot quarantine.Snapshot
-	if len(u.Suspects) == 0 {
-		return snapshot, false, nil
-	}
-	err := unpack(u.Suspects, &snapshot)
-	return snapshot, err == nil, err
+	// SuspectsChanged is what has changed of the requests that were under way at crashes,
+	// packed. Suspects are all of them instead, for processes that take no changes.
+	SuspectsChanged []byte `json:"x,omitempty"`
+	Suspects        []byte `json:"q,omitempty"`
 }
 
 // Age is for how long a relay may not have heard what the leader knows.
@@ -161,11 +155,13 @@
 	return holds, true
 }
 
-// Entries passes changes of workers on: all between two revisions. Where From is To,
-// there are too many to pass on: they are to be read from the service.
+// Entries passes changes of workers on: all between two revisions. Where From is To and
+// they are not whole, there are too many to pass on: they are to be read from the service.
 type Entries struct {
-	From    coord.Revision `json:"f"`
-	To      coord.Revision `json:"t"`
+	From coord.Revision `json:"f"`
+	To   coord.Revision `json:"t"`
+	// Whole says that the changes announce all workers that there are at To.
+	Whole   bool           `json:"w,omitempty"`
 	Changes []WorkerChange `json:"e,omitempty"`
 	// Packed are the changes instead, where there are many, and PackedMillis is how long
 	// before the message they were packed.
@@ -184,6 +180,7 @@
 	for index := range changes {
 		age := e.PackedMillis + changes[index].AgeMillis
 		changes[index].Learned = now.Add(-time.Duration(max(0, age)) * time.Millisecond)
+		changes[index].warmAt = now.Add(time.Duration(changes[index].WarmMillis-e.PackedMillis) * time.Millisecond)
 	}
 	return changes, nil
 }
@@ -224,7 +221,7 @@
 	Gone     bool           `json:"g,omitempty"`
 	// Unreadable says why the entry names no worker any more, where it stands but was written
 	// by somebody else. Gone is set, too.
-	Unreadable workers.Reason      `json:"u,omitempty"`
+	Unreadable *workers.EntryError `json:"u,omitempty"`
 	Service    routing.ServiceName `json:"s,omitempty"`
 	Address    string              `json:"a,omitempty"`
 	Zone       string              `json:"z,omitempty"`
@@ -238,6 +235,8 @@
 	// as the message tells it.
 	Learned   time.Time `json:"-"`
 	AgeMillis int64     `json:"o,omitempty"`
+	// warmAt is when the worker stops being slow, by this process's clock.
+	warmAt time.Time
 }
 
 // Changed describes a worker as it is announced now.
@@ -245,7 +244,7 @@
 	return WorkerChange{
 		Revision: revision, ID: worker.ID, Service: worker.Service, Address: worker.Address, Zone: worker.Zone,
 		Slots: worker.Slots, Draining: worker.State == workers.StateDraining,
-		WarmMillis: max(0, clock.Until(worker.WarmAt).Milliseconds()), Born: worker.Born,
+		WarmMillis: max(0, clock.Until(worker.WarmAt).Milliseconds()), warmAt: worker.WarmAt, Born: worker.Born,
 	}
 }
 
@@ -257,7 +256,7 @@
 	}
 	return workers.Worker{
 		ID: c.ID, Service: c.Service, Address: c.Address, Zone: c.Zone, Slots: c.Slots, State: state,
-		WarmAt: clock.Now().Add(time.Duration(c.WarmMillis) * time.Millisecond), Born: c.Born,
+		WarmAt: c.warmAt, Born: c.Born,
 	}
 }
 
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/topology"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -24,11 +25,16 @@
 	ended func(*backend)
 	// seed makes the subsets of this process its own.
 	seed maphash.Seed
+	// places are the zones' regions, and policy says what a request must gain to leave them.
+	places topology.Map
+	policy crossing
+	sizes  *sizes
+	bulk   bulkGate
 }
 
 func newFleet(zone string, directory *workers.Directory, limits BudgetLimits) *fleet {
 	return &fleet{
-		zone: zone, directory: directory, limits: limits, seed: maphash.MakeSeed(),
+		zone: zone, directory: directory, limits: limits, seed: maphash.MakeSeed(), policy: zoned, sizes: newSizes(),
 		byID: map[workers.ID]*backend{}, services: map[routing.ServiceName]*serviceState{},
 		means: map[routing.ServiceName]*toldMeans{},
 	}
@@ -39,7 +45,7 @@
 func (f *fleet) get(worker workers.Worker) *backend {
 	known, before := f.take(worker)
 	if before != nil {
-		before.pool.dropIdle()
+		before.pool.DropIdle()
 		if f.ended != nil {
 			f.ended(before)
 		}
@@ -107,7 +113,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, known := range f.byID {
-		known.pool.dropIdle()
+		known.pool.DropIdle()
 	}
 }
 
@@ -116,7 +122,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, known := range f.byID {
-		known.pool.prune(now)
+		known.pool.Prune(now)
 		if _, announced := f.directory.Get(id); announced {
 			continue
 		}
@@ -124,7 +130,7 @@
 		idle := known.inFlight == 0
 		known.mu.Unlock()
 		if idle {
-			known.pool.prune(now.Add(time.Hour))
+			known.pool.Prune(now.Add(time.Hour))
 			delete(f.byID, id)
 		}
 	}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -16,6 +16,8 @@
 	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/traffic"
+	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -32,10 +34,12 @@
 
 // Reasons of answers that no worker gave.
 const (
-	reasonNoConfig  = "no-configuration"
-	reasonNoRoute   = "no-route"
-	reasonNoWorker  = "no-worker"
-	reasonNoOwner   = "no-owner"
+	reasonNoConfig = "no-configuration"
+	reasonNoRoute  = "no-route"
+	reasonNoWorker = "no-worker"
+	reasonNoOwner  = "no-owner"
+	// reasonRegion: the request may be served in regions only that have no worker for it.
+	reasonRegion    = "region-not-allowed"
 	reasonMoving    = "key-moving"
 	reasonOwnerDown = "owner-unusable"
 	reasonOwnerGone = "owner-gone"
@@ -60,18 +64,21 @@
 type active struct {
 	config   *routing.Config
 	splitter *routing.Splitter
+	swaps    *swaps
 	since    time.Time
 }
 
 // Proxy is the handler of clients' requests.
 type Proxy struct {
-	Headers Headers
+	Headers upstream.Headers
 	Table   *keytable.Table
 	Meter   *peerlink.Meter
 	Log     *decision.Log
 	// Nodes is how many processes there are; zero if not known.
 	Nodes   *atomic.Int32
 	Metrics *Metrics
+	// Traffic counts the bytes to and from workers; nil: nobody wants to know.
+	Traffic *traffic.Counter
 	// Suspects are the requests that were under way at workers that crashed.
 	Suspects *quarantine.View
 	// Quota of the tenants; nil: nobody has one.
@@ -105,7 +112,8 @@
 		if old != nil && old.config.Version >= config.Version {
 			return false
 		}
-		if p.current.CompareAndSwap(old, &active{config: config, splitter: routing.NewSplitter(rand.IntN), since: clock.Now()}) {
+		if p.current.CompareAndSwap(old, &active{config: config, splitter: routing.NewSplitter(rand.IntN), swaps: newSwaps(), since: clock.Now()}) {
+			p.fleet.sizes.keep(config)
 			return true
 		}
 	}
@@ -178,7 +186,7 @@
 		return
 	}
 	c.allowed.attempts = max(1, c.route.Attempts)
-	c.service = used.config.Services[used.splitter.Pick(c.route)]
+	c.service = c.part(used)
 	if !c.prepare() {
 		return
 	}
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -8,6 +8,8 @@
 
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -24,7 +26,7 @@
 
 // serveKeyed sends the request to the worker that holds its key.
 func (c *call) serveKeyed() {
-	key, found := c.readKey()
+	key, found := c.readKey(c.service)
 	if !found {
 		c.refuse(http.StatusBadRequest, reasonMalformed, 0)
 		return
@@ -47,7 +49,7 @@
 		if c.finish(got) {
 			return
 		}
-		if got.outcome == outcomeTurnedAway { // no other may run it, and this one has no room
+		if got.Outcome == upstream.TurnedAway { // no other may run it, and this one has no room
 			c.giveUp(reasonBusy, c.returnAfter())
 			return
 		}
@@ -62,10 +64,10 @@
 	}
 }
 
-// readKey returns the number of the request's key; false if it has none.
-func (c *call) readKey() (int, bool) {
-	if c.service.Key != nil {
-		return c.service.Key(c.request)
+// readKey returns the number of the request's key at a service; false if it has none.
+func (c *call) readKey(service *routing.Service) (int, bool) {
+	if service.Key != nil {
+		return service.Key(c.request)
 	}
 	key, err := strconv.Atoi(c.request.Header.Get(c.proxy.Headers.Key))
 	return key, err == nil && key >= 0 && key < owner.KeyCount
@@ -79,6 +81,10 @@
 		if to != nil {
 			return c.unlessBusy(to)
 		}
+		if reason == reasonRegion {
+			c.giveUp(reason, regionReturn)
+			return nil
+		}
 		patience := ownerShare
 		if reason == reasonMoving {
 			patience = moveShare
@@ -109,6 +115,8 @@
 	switch {
 	case to == nil:
 		return nil, reasonOwnerGone
+	case c.bound() && !c.servedIn(c.proxy.fleet.regionOf(to.described())):
+		return nil, reasonRegion
 	case c.proxy.fleet.directory.EvacuatedFor(to.described().Zone) > c.evacuationGrace():
 		return nil, reasonEvacuated
 	case !to.usableOwner(clock.Now()):
--- a/internal/proxy/life_test.go
+++ b/internal/proxy/life_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -21,7 +22,7 @@
 	first := workers.Worker{ID: "w", Service: "s", Address: "127.0.0.1:1", Slots: 2, Born: 1}
 	before := f.get(first)
 	before.begin()
-	before.end(now, &result{outcome: outcomeMisdirected})
+	before.end(now, &upstream.Result{Outcome: upstream.Misdirected})
 	before.fail(now)
 	assert.Assert(t, !before.usable(now))
 	assert.Assert(t, f.get(first) == before)
@@ -30,7 +31,7 @@
 	second.Born, second.Address = 2, "127.0.0.1:2"
 	after := f.get(second)
 	assert.Assert(t, after.usable(now))
-	assert.Equal(t, after.pool.address, second.Address)
+	assert.Equal(t, after.pool.Address(), second.Address)
 	assert.Equal(t, after.inFlight, 0)
 	_, measured := after.mean(usualTime)
 	assert.Assert(t, !measured)
--- a/internal/proxy/subset_test.go
+++ b/internal/proxy/subset_test.go
@@ -60,17 +60,17 @@
 			ID: workers.ID(fmt.Sprintf("w%d", index)), Service: "s", Zone: "z", Slots: 2, State: workers.StateReady,
 		})
 	}
-	directory.Replace(list, time.Now())
+	directory.Replace(list, nil, time.Now())
 	f := newFleet("z", directory, BudgetLimits{})
 	service := &serviceState{}
 	now := time.Now()
 	chosen := map[workers.ID]int{}
 	for range 2 * leastSubset {
-		picked := f.pick(now, service, &routing.Service{Name: "s"}, time.Second, nil, 30)
+		picked := f.pick(now, service, &routing.Service{Name: "s"}, need{target: time.Second}, nil, 30)
 		picked.to.begin()
 		chosen[picked.to.id()]++
 	}
 	assert.Equal(t, len(chosen), leastSubset)
-	picked := f.pick(now, service, &routing.Service{Name: "s"}, time.Second, nil, 30)
+	picked := f.pick(now, service, &routing.Service{Name: "s"}, need{target: time.Second}, nil, 30)
 	assert.Equal(t, chosen[picked.to.id()], 0, "all slots of the preferred ones are taken")
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,6 +10,7 @@
 	"crypto/rand"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,9 @@
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/settings"
 	"github.com/shalefork/shalefork/internal/standby"
+	"github.com/shalefork/shalefork/internal/topology"
+	"github.com/shalefork/shalefork/internal/traffic"
+	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -44,7 +48,7 @@
 	MoveStore func(address string)
 	Orders    owner.Orders
 	// Headers are the platform's names of headers.
-	Headers proxy.Headers
+	Headers upstream.Headers
 	// ReadyPath is asked at the ready address.
 	ReadyPath string
 	// ConfigPrefix is where the operators' configuration stands.
@@ -72,15 +76,19 @@
 type Router struct {
 	settings settings.Router
 	adapter  Adapter
-	log      *decision.Log
-	metrics  Metrics
-	workers  *workers.Directory
-	table    *keytable.Table
-	meter    *peerlink.Meter
-	proxy    *proxy.Proxy
-	hub      *peerlink.Hub
-	keeper   *keeper.Keeper
-	standby  *standby.Standby
+	// store is the adapter's, with what was measured of it.
+	store *meteredStore
+	// places are the regions of the zones.
+	places  topology.Map
+	log     *decision.Log
+	metrics Metrics
+	workers *workers.Directory
+	table   *keytable.Table
+	meter   *peerlink.Meter
+	proxy   *proxy.Proxy
+	hub     *peerlink.Hub
+	keeper  *keeper.Keeper
+	standby *standby.Standby
 	// process is unique to the life of this process.
 	process  string
 	election *election.Election
@@ -92,10 +100,14 @@
 	config, entries *followed
 	entriesView     *workersView
 	configView      *configView
-	// told says that a leader tells this process of changes.
-	told told
 	// unreadable counts the entries that name no worker.
 	unreadable unreadableMetric
+	// told says that a leader tells this process of changes, and unled is closed once this
+	// process, when it started, has found no leader that would.
+	told  told
+	unled *latch
+	// recordsRead says that the stored owners were looked for, since no leader told them.
+	recordsRead sync.Once
 	// strongest holds the greatest strength of all machines, as bits of a float64.
 	strongest atomic.Uint64
 }
@@ -105,14 +117,16 @@
 
 // New returns a router that has opened nothing yet.
 func New(config settings.Router, adapter Adapter, log *decision.Log, metrics Metrics) *Router {
-	adapter.Store = meterStore(adapter.Store, metrics)
+	store := meterStore(adapter.Store, metrics)
+	adapter.Store = store
 	r := &Router{
-		settings: config, adapter: adapter, log: log, metrics: metrics,
+		store: store, settings: config, places: config.Places(), adapter: adapter, log: log, metrics: metrics,
 		workers: workers.NewDirectory(),
 		table:   keytable.New(),
 		meter:   peerlink.NewMeter(),
 		reports: make(chan peerlink.Report, queuedReports),
 		nodes:   &atomic.Int32{},
+		unled:   newLatch(),
 		config:  newFollowed(),
 		entries: newFollowed(),
 	}
@@ -121,6 +135,8 @@
 	r.workers.OnExpired(r.entriesView.expired)
 	r.configView = newConfigView(r)
 	r.proxy = proxy.New(config.Zone, r.workers, limits(config))
+	r.proxy.Locate(r.places)
+	r.proxy.Traffic = traffic.NewCounter(topology.Zone(config.Zone), r.places, metrics)
 	r.proxy.Headers, r.proxy.Table, r.proxy.Meter = adapter.Headers, r.table, r.meter
 	r.proxy.Drain, r.proxy.Evacuate = config.Drain.Std(), config.Evacuate.Std()
 	r.proxy.Log, r.proxy.Nodes, r.proxy.Metrics = log, r.nodes, proxy.NewMetrics(metrics)
@@ -128,13 +144,14 @@
 	r.process = rand.Text()
 	r.hub = peerlink.NewHub(r.process, r.reports, r.known)
 	r.hub.Strength, r.hub.DirectNodes = config.Machine.Strength(), config.DirectRouters
+	r.hub.Traffic = r.proxy.Traffic
 	r.election = election.New(adapter.Store, KeyPrefix, config.PeerListen, r.process, rand.Text)
 	r.election.TTL = max(election.LeaseTTL, config.MinLease.Std())
 	r.keeper = &keeper.Keeper{
 		Store: adapter.Store, Prefix: KeyPrefix, Orders: adapter.Orders, Workers: r.workers,
 		Config: r.proxy.Config, Hub: r.hub, Table: r.table, Reports: r.reports, Log: log, Metrics: keeper.NewMetrics(metrics),
 		ReadUpTo: r.readUpTo,
-		Times:    owner.DefaultConfig(config.MaxHold.Std()), Nonce: rand.Text, Zone: config.Zone,
+		Times:    owner.DefaultConfig(config.MaxHold.Std()), Nonce: rand.Text, Zone: config.Zone, Regions: r.places,
 	}
 	r.standby = standby.New(adapter.Orders, r.keeper.Times, log)
 	r.standby.Workers = r.workers
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -128,12 +128,12 @@
 // that this leader knows what is stored. Telling the same twice a second cost half as much
 // processor time again as all else on a quiet day: 6.3 s in place of 4.2 s of 11 routers.
 func (k *suspectsKeeper) tell() {
-	snapshot, version := k.r.proxy.Suspects.Snapshot(clock.Now())
+	records, version := k.r.proxy.Suspects.Records()
 	if k.begun && version == k.told {
 		return
 	}
 	k.begun, k.told = true, version
-	k.r.hub.TellSuspects(peerlink.PackSuspects(snapshot))
+	k.r.hub.TellSuspects(records)
 }
 
 // store writes the list if it has changed. A write without an answer is tried again at the next
@@ -177,6 +177,9 @@
 // unless a leader tells it first. Until then requests are refused: one that crashes workers was
 // sent within 50 ms of a start, before the list was known.
 func (r *Router) readSuspects(ctx context.Context) {
+	if r.awaitTold(ctx, func() bool { return !r.proxy.Starting.Load() }) {
+		return
+	}
 	bounded, cancel := context.WithTimeout(ctx, startsWithout)
 	defer cancel()
 	for bounded.Err() == nil && r.proxy.Starting.Load() {
@@ -204,18 +207,17 @@
 
 // suspectsTold takes what a leader knows, and lets a relay pass it on.
 func (r *Router) suspectsTold(update peerlink.Update) {
-	snapshot, tells, err := update.Snapshot()
+	changes, tells, err := update.SuspectsNews()
 	if err != nil {
 		r.log.Line(decision.KindQuarantined).Err(err).Msg("what the leader tells can't be read")
 	}
 	if !tells {
 		return
 	}
-	for _, record := range r.proxy.Suspects.Told(clock.Now(), snapshot) {
+	for _, record := range r.proxy.Suspects.Told(clock.Now(), r.hub.HearSuspects(changes)) {
 		proxy.TellQuarantined(r.log, record.Attempt)
 	}
 	r.proxy.Starting.Store(false)
-	r.hub.TellSuspects(update.Suspects)
 }
 
 // evidenceTaken takes what another process has seen of crashes.
--- a/internal/router/unreadable.go
+++ b/internal/router/unreadable.go
@@ -14,33 +14,39 @@
 // unreadable is an entry that names no worker.
 type unreadable struct {
 	revision coord.Revision
-	reason   workers.Reason
-	field    string
+	fault    workers.EntryError
 }
 
-// readEntry reads an entry; fault is nil if it names a worker. A worker that has told when it
-// began does so in all of its entries: one without was written by somebody else. The caller holds mu.
-func (v *workersView) readEntry(item coord.Item) (workers.Worker, *unreadable) {
+// readEntry reads what an entry announces, or why it names no worker. The caller holds mu.
+func (v *workersView) readEntry(item coord.Item) peerlink.WorkerChange {
 	worker, err := v.r.adapter.ReadWorker(item)
+	id := v.r.adapter.WorkerID(item.Key)
 	if err == nil && worker.Born == 0 {
-		if known, announced := v.r.workers.Get(worker.ID); announced && known.Born != 0 {
-			err = &workers.EntryError{Reason: workers.ReasonMissing, Field: "born"}
-		}
+		err = v.hidesStart(id, item.Revision)
 	}
 	if err == nil {
-		return worker, nil
+		return peerlink.Changed(item.Revision, worker)
 	}
-	fault := &unreadable{revision: item.Revision, reason: workers.ReasonUnreadable}
-	if entry := (*workers.EntryError)(nil); errors.As(err, &entry) {
-		fault.reason, fault.field = entry.Reason, entry.Field
+	fault := &workers.EntryError{Reason: workers.ReasonUnreadable}
+	_ = errors.As(err, &fault)
+	return peerlink.WorkerChange{Revision: item.Revision, ID: id, Gone: true, Unreadable: fault}
+}
+
+// hidesStart returns an error for an entry that does not tell when its worker began although that
+// one has: a worker does so in all of its entries, so somebody else has written it.
+func (v *workersView) hidesStart(id workers.ID, revision coord.Revision) error {
+	known, announced := v.r.workers.Get(id)
+	before, refused := v.unreadable[id]
+	if (announced && known.Born != 0) || (refused && before.revision == revision) {
+		return &workers.EntryError{Reason: workers.ReasonMissing, Field: "born"}
 	}
-	return workers.Worker{}, fault
+	return nil
 }
 
 // replaceUnreadable sets all entries that name no worker. The caller holds mu.
 func (v *workersView) replaceUnreadable(faulty map[workers.ID]unreadable) {
-	for id, fault := range faulty {
-		v.tellUnreadable(id, fault)
+	for id, entry := range faulty {
+		v.tellUnreadable(id, entry)
 	}
 	v.unreadable = faulty
 	ids := make([]workers.ID, 0, len(faulty))
@@ -54,27 +60,27 @@
 // noteUnreadable takes what a change says of its entry. The caller holds mu.
 func (v *workersView) noteUnreadable(change peerlink.WorkerChange) {
 	_, was := v.unreadable[change.ID]
-	if change.Unreadable == "" && !was {
+	if change.Unreadable == nil && !was {
 		return
 	}
-	if change.Unreadable == "" {
+	if change.Unreadable == nil {
 		delete(v.unreadable, change.ID)
 	} else {
-		fault := unreadable{revision: change.Revision, reason: change.Unreadable}
-		v.tellUnreadable(change.ID, fault)
-		v.unreadable[change.ID] = fault
+		entry := unreadable{revision: change.Revision, fault: *change.Unreadable}
+		v.tellUnreadable(change.ID, entry)
+		v.unreadable[change.ID] = entry
 	}
-	v.r.workers.MarkUnreadable(change.ID, change.Unreadable != "")
+	v.r.workers.MarkUnreadable(change.ID, change.Unreadable != nil)
 	v.r.unreadable.count(v.unreadable)
 }
 
 // tellUnreadable writes a line, once for an entry and revision.
-func (v *workersView) tellUnreadable(id workers.ID, fault unreadable) {
-	if known, told := v.unreadable[id]; told && known.revision == fault.revision {
+func (v *workersView) tellUnreadable(id workers.ID, entry unreadable) {
+	if known, told := v.unreadable[id]; told && known.revision == entry.revision {
 		return
 	}
-	v.r.log.Line(decision.KindEntryBad).Str("worker", string(id)).Str("reason", string(fault.reason)).
-		Str("field", fault.field).Int64("revision", int64(fault.revision)).Msg("names no worker to use")
+	v.r.log.Line(decision.KindEntryBad).Str("worker", string(id)).Str("reason", string(entry.fault.Reason)).
+		Str("field", entry.fault.Field).Int64("revision", int64(entry.revision)).Msg("names no worker to use")
 }
 
 // unreadableMetric shows how many entries name no worker, by reason.
@@ -94,7 +100,7 @@
 func (m unreadableMetric) count(entries map[workers.ID]unreadable) {
 	counts := map[workers.Reason]int{}
 	for _, one := range entries {
-		counts[one.reason]++
+		counts[one.fault.Reason]++
 	}
 	for _, reason := range workers.Reasons() {
 		m.entries.WithLabelValues(string(reason)).Set(float64(counts[reason]))
--- a/internal/router/unreadable_test.go
+++ b/internal/router/unreadable_test.go
@@ -49,6 +49,12 @@
 			v.Changed([]coord.Event{{Item: spoiled("b", 10)}, {Item: good}}, 12)
 			return true
 		},
+		"told all by a leader": func(v *workersView) bool {
+			leader := newTestRouter(t).entriesView
+			return v.relayed(peerlink.Entries{
+				To: 12, Whole: true, Changes: leader.read([]coord.Event{{Item: spoiled("b", 10)}, {Item: good}}),
+			})
+		},
 		"told by a leader": func(v *workersView) bool {
 			leader := newTestRouter(t).entriesView
 			return v.relayed(peerlink.Entries{To: 12, Changes: leader.read([]coord.Event{{Item: spoiled("b", 10)}, {Item: good}})})
@@ -102,6 +108,8 @@
 	assert.Assert(t, r.workers.Unreadable("a"))
 	_, known := r.workers.Get("b")
 	assert.Assert(t, known)
+	r.entriesView.Snapshot([]coord.Item{item("a", 3, "ready"), item("b", 4, "ready")}, 6)
+	assert.Assert(t, r.workers.Unreadable("a"), "it is no better in a list")
 }
 
 // A relay's older news of the first life does not replace the second.
--- a/internal/router/workersview.go
+++ b/internal/router/workersview.go
@@ -22,6 +22,7 @@
 	lostAt time.Time
 	// unreadable are the entries that name no worker, as of their last changes.
 	unreadable map[workers.ID]unreadable
+	zones      strangeZones
 }
 
 // Snapshot implements coord.View.
@@ -31,24 +32,39 @@
 	if at < v.at {
 		return // the leader has told more meanwhile
 	}
+	since := v.r.knewAll(v.r.entries)
+	list := make([]peerlink.WorkerChange, 0, len(items))
+	for _, item := range items {
+		change := v.readEntry(item)
+		change.Learned = v.r.workers.ListedSince(since)
+		list = append(list, change)
+	}
+	v.replace(list, at, since)
+}
+
+// replace sets the whole list. since is as of when all was known before. The caller holds mu.
+func (v *workersView) replace(list []peerlink.WorkerChange, at coord.Revision, since time.Time) {
 	v.at = at
 	v.r.entries.cover(at)
-	list := make([]workers.Worker, 0, len(items))
+	announced := make([]workers.Worker, 0, len(list))
 	faulty := map[workers.ID]unreadable{}
-	for _, item := range items {
-		v.r.entries.read(item.Revision)
-		worker, fault := v.readEntry(item)
-		if fault != nil {
-			faulty[v.r.adapter.WorkerID(item.Key)] = *fault
+	learned := workers.Learned{}
+	for _, change := range list {
+		v.r.entries.read(change.Revision)
+		if change.Unreadable != nil {
+			faulty[change.ID] = unreadable{revision: change.Revision, fault: *change.Unreadable}
 			continue
 		}
-		list = append(list, worker)
+		worker := change.Worker()
+		v.zones.note(v.r.places, worker, v.r.log)
+		announced = append(announced, worker)
+		learned[change.ID] = change.Learned
 	}
 	v.replaceUnreadable(faulty)
-	vanished := v.r.workers.Replace(list, v.r.knewAll(v.r.entries))
-	v.r.hub.EntriesRead(at)
+	vanished := v.r.workers.Replace(announced, learned, since)
+	v.r.hub.EntriesRead(list, at)
 	v.tellVanished(vanished, at)
-	v.r.log.Line(decision.KindWorker).Int("announced", len(list)).Int64("revision", int64(at)).Msg("list read")
+	v.r.log.Line(decision.KindWorker).Int("announced", len(announced)).Int64("revision", int64(at)).Msg("list read")
 }
 
 // Changed implements coord.View.
@@ -63,6 +79,12 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	changes, err := news.All(clock.Now())
+	if news.Whole && err == nil {
+		if v.at < news.To {
+			v.replace(changes, news.To, v.r.knewAll(v.r.entries))
+		}
+		return true
+	}
 	if v.at < news.From || err != nil {
 		return false
 	}
@@ -84,12 +106,7 @@
 	for _, event := range events {
 		change := peerlink.WorkerChange{Revision: event.Revision, ID: v.r.adapter.WorkerID(event.Key), Gone: true}
 		if !event.Deleted {
-			worker, fault := v.readEntry(event.Item)
-			if fault == nil {
-				change = peerlink.Changed(event.Revision, worker)
-			} else {
-				change.Unreadable = fault.reason
-			}
+			change = v.readEntry(event.Item)
 		}
 		change.Learned = learned
 		changes = append(changes, change)
@@ -126,6 +143,7 @@
 			v.r.log.Line(decision.KindWorker).Str("worker", string(id)).Str("state", string(worker.State)).
 				Str("service", string(worker.Service)).Int64("revision", int64(change.Revision)).Msg("")
 		}
+		v.zones.note(v.r.places, worker, v.r.log)
 		changed = append(changed, worker)
 	}
 	v.tellVanished(v.r.workers.Update(changed, gone, learned), at)
--- a/internal/workers/entry.go
+++ b/internal/workers/entry.go
@@ -28,9 +28,9 @@
 
 // EntryError is the error of an entry that names no worker to use.
 type EntryError struct {
-	Reason Reason
+	Reason Reason `json:"r"`
 	// Field that is at fault, by the name it has in the entry; empty: all of it.
-	Field string
+	Field string `json:"f,omitempty"`
 }
 
 // Error implements error.
--- a/internal/workers/life_test.go
+++ b/internal/workers/life_test.go
@@ -35,7 +35,7 @@
 				directory.Update([]Worker{born("a", StateDraining, 1)}, nil, nil)
 				time.Sleep(5 * time.Second)
 				if test.listed {
-					directory.Replace([]Worker{test.second}, time.Now())
+					directory.Replace([]Worker{test.second}, Learned{"a": directory.ListedSince(time.Now())}, time.Now())
 				} else {
 					directory.Update([]Worker{test.second}, nil, nil)
 				}
