--- a/internal/upstream/message.go
+++ b/internal/upstream/message.go
@@ -28,7 +28,7 @@
 	var head bytes.Buffer
 	head.Grow(512 + len(m.Body))
 	head.WriteString(m.Method + " " + m.URI + " HTTP/1.1\r\nHost: " + m.Host + "\r\n")
-	PassHeaders(m.Header, func(name string, values []string) {
+	headers.Pass(m.Header, func(name string, values []string) {
 		if name == headers.DeadlineMillis || name == headers.Target {
 			return
 		}
