Tell which tenants are over their limits, and spend no unit under an ended lease after a wake

One line of the leader's at the change from within to over a limit and back. Units are dealt out wholly: what routers hold is what a new leader may deal anew. Leases are 6 s in place of 8.

The property test found 44 of 34 requests in one of 200,000 worlds: a process that wakes believes for half a second that no time has passed, and used a credit whose lease had ended. Each request of a limited tenant looks at the kernel's clock now, so units need not rest anew after a wake.

--- a/internal/proxy/quota.go
+++ b/internal/proxy/quota.go
@@ -15,10 +15,10 @@
 	// Take asks whether one more request of a tenant may run, and waits a moment where that is
 	// not known yet, for as long as ctx lasts. It returns as of when the request counts; the
 	// zero time if it may not run: wait is after which time one is likely to.
-	Take(ctx context.Context, now time.Time, tenant *routing.Tenant) (granted time.Time, wait time.Duration)
+	Take(ctx context.Context, tenant *routing.Tenant) (granted time.Time, wait time.Duration)
 	// Sent says that a request of a tenant leaves for a worker only now, though it was granted
-	// at an earlier time: workers count it from now on.
-	Sent(granted, now time.Time, tenant *routing.Tenant)
+	// at an earlier time. It returns as of when the request counts.
+	Sent(granted time.Time, tenant *routing.Tenant) time.Time
 	// Return gives back what was granted at a time for a request that no worker has run or
 	// will run.
 	Return(granted time.Time, tenant *routing.Tenant)
@@ -33,7 +33,7 @@
 	if c.proxy.Quota == nil || c.tenant == nil || !c.tenant.Limited() {
 		return true
 	}
-	granted, wait := c.proxy.Quota.Take(c.request.Context(), c.began, c.tenant)
+	granted, wait := c.proxy.Quota.Take(c.request.Context(), c.tenant)
 	if granted.IsZero() {
 		c.refuse(http.StatusTooManyRequests, reasonQuota, max(wait, leastRetryAfter))
 		return false
@@ -45,9 +45,8 @@
 // countSend lets a request that leaves for a worker count from now on. Second sends and copies
 // are of the same request, which counts once.
 func (c *call) countSend() {
-	if now := clock.Now(); !c.counted.IsZero() && now.Sub(c.counted) > quotaGrain {
-		c.proxy.Quota.Sent(c.counted, now, c.tenant)
-		c.counted = now
+	if !c.counted.IsZero() && clock.Since(c.counted) > quotaGrain {
+		c.counted = c.proxy.Quota.Sent(c.counted, c.tenant)
 	}
 }
 
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -33,6 +33,8 @@
 	asked map[string]*asked
 	// ending are booked units that end by themselves, by time.
 	ending []ending
+	// changes are tenants that went over their limits, or came back, since they were told.
+	changes []Change
 	// removed is when tenants' limits were removed.
 	removed map[routing.TenantName]time.Time
 }
@@ -49,6 +51,9 @@
 	frozen time.Time
 	// dirty says that a router wants more.
 	dirty bool
+	// over says that the tenant asks for more than there is, missed at last.
+	over   bool
+	missed time.Time
 }
 
 // member is a router that has told what it holds.
@@ -363,7 +368,8 @@
 // asks returns the messages to routers that must tell all.
 func (c *Coordinator) asks(now time.Time) []Grant {
 	var grants []Grant
-	for node, a := range c.asked {
+	for _, node := range slices.Sorted(maps.Keys(c.asked)) {
+		a := c.asked[node]
 		if !a.due && now.Sub(a.at) >= askEvery {
 			delete(c.asked, node) // asked again if it tells anything
 			continue
--- a/internal/quota/deal.go
+++ b/internal/quota/deal.go
@@ -6,11 +6,6 @@
 	"github.com/shalefork/shalefork/internal/routing"
 )
 
-// spareShare of the units that are not in use is dealt out beforehand. The rest stays with the
-// leader: units that it has it gives at once, those of others only when they are given up. With
-// all dealt out 1.4 % of a middle tenant's requests below the limit were refused at 81 routers.
-const spareShare = 0.8
-
 // deal gives routers what they need of a tenant's units: what they use, and an equal share of
 // the rest, so that the next request finds a unit. Where too few are left it takes from those
 // that have more.
@@ -23,13 +18,15 @@
 	}
 	sortByLeft(list, name)
 	most := c.most(now, p)
-	spare := spareEach(max(0, most-used), max(1, len(list), c.nodes))
+	spare := max(0, most-used) / max(1, len(list), c.nodes)
 	c.floors(p, name, list)
 	missing := c.raise(p, name, list, most, spare)
+	left := missing
 	if missing > 0 {
-		c.lower(name, list, spare, missing)
+		left = c.lower(name, list, spare, missing)
 	}
-	p.dirty = missing > 0
+	c.judge(now, name, p, left)
+	p.dirty = missing > 0 || p.over
 }
 
 // floors sets the floors of routers that have none yet, as far as the share kept for them goes.
@@ -47,11 +44,6 @@
 	}
 }
 
-// spareEach returns how many spare units each router may have: one as long as there is one for each.
-func spareEach(spare, routers int) int {
-	return max(int(spareShare*float64(spare)/float64(routers)), min(1, spare/routers))
-}
-
 // wants is how many units a router needs where it may have spare ones beyond its use; zero as
 // long as it has enough left.
 func (h *hold) wants(spare int) int {
@@ -95,16 +87,19 @@
 }
 
 // lower takes units from routers that have more left than the spare ones, those with most first.
-func (c *Coordinator) lower(name routing.TenantName, list []*member, spare, missing int) {
+// What they were asked for before is on its way. It returns how many units are still missing.
+func (c *Coordinator) lower(name routing.TenantName, list []*member, spare, missing int) (left int) {
 	for index := len(list) - 1; index >= 0 && missing > 0; index-- {
 		m := list[index]
 		h := m.holds[name]
 		least := max(h.used+spare, h.floor)
-		if h.short > 0 || h.booked > h.units || h.units <= least {
+		missing -= h.booked - h.units
+		if h.short > 0 || h.units <= least {
 			continue
 		}
 		taken := min(missing, h.units-least)
 		c.set(m, h, h.units-taken)
 		missing -= taken
 	}
+	return missing
 }
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -158,17 +158,6 @@
 	a.spent.add()
 }
 
-// Woke says that the machine was suspended: the units that were spent since, by a clock that
-// was behind, would rest too short a time. All that is in use rests anew.
-func (h *Holder) Woke(now time.Time) {
-	at := now.Sub(h.epoch)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, a := range h.accounts {
-		a.spent.again(at)
-	}
-}
-
 // account returns a tenant's account. The caller holds mu.
 func (h *Holder) account(tenant *routing.Tenant) *account {
 	a := h.accounts[tenant.Name]
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -20,7 +20,7 @@
 const (
 	// Lease is for how long a router may use its credit: longer than it takes to find another
 	// leader, so that the loss of one changes nothing.
-	Lease = 8 * time.Second
+	Lease = 6 * time.Second
 	// FloorLease is for how long a router that is out of reach may use its floor. It bounds how
 	// long the units of a router that is gone lie idle.
 	FloorLease = 5 * time.Minute
@@ -28,7 +28,7 @@
 	// its machine's suspension half a second later, and clocks drift.
 	leaseGuard = time.Second
 	// renewEvery is the pause between renewals where nothing else is to be told.
-	renewEvery = 2500 * time.Millisecond
+	renewEvery = 1500 * time.Millisecond
 )
 
 const (
--- a/internal/quota/spent.go
+++ b/internal/quota/spent.go
@@ -48,15 +48,6 @@
 	return true
 }
 
-// again lets all that is in use rest anew.
-func (s *spent) again(now time.Duration) {
-	used := s.used
-	s.advance(now)
-	clear(s.slots)
-	s.used = used
-	*s.at(s.newest) = int32(used)
-}
-
 // free returns when the next unit is in use again.
 func (s *spent) free(now time.Duration) time.Duration {
 	length := int64(len(s.slots))
--- a/internal/router/quota.go
+++ b/internal/router/quota.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/election"
 	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/quota"
@@ -31,8 +31,6 @@
 	node   string
 	life   int64
 	bound  quota.Bound
-	// suspended is for how long the machine was known to have been suspended.
-	suspended atomic.Int64
 	// wake gets a token when routers have told something.
 	wake chan struct{}
 
@@ -52,7 +50,6 @@
 		bound: quota.Bound{Window: limits.Window.Std(), Overshoot: limits.Overshoot, Slack: limits.Slack},
 	}
 	q.holder = quota.NewHolder(clock.Now(), q.node, q.life, q.bound)
-	q.suspended.Store(int64(clock.Suspended()))
 	return q
 }
 
@@ -60,9 +57,16 @@
 // the way to the leader and back through relays, on busy machines.
 const unitsWait = 120 * time.Millisecond
 
+// refreshed is the time, also if the machine was suspended until now: a lease that has ended
+// meanwhile must not be used for the half second until that is noticed otherwise. It costs 1 µs.
+func refreshed() time.Time {
+	clock.Refresh()
+	return clock.Now()
+}
+
 // Take implements proxy.Quota.
-func (q *quotas) Take(ctx context.Context, now time.Time, tenant *routing.Tenant) (time.Time, time.Duration) {
-	q.noticeSuspension()
+func (q *quotas) Take(ctx context.Context, tenant *routing.Tenant) (time.Time, time.Duration) {
+	now := refreshed()
 	granted, wait := q.holder.Take(now, tenant)
 	if granted {
 		return now, 0
@@ -90,8 +94,7 @@
 		case <-ctx.Done():
 			return now, false
 		}
-		now = clock.Now()
-		q.noticeSuspension()
+		now = refreshed()
 		if granted, _ := q.holder.Take(now, tenant); granted {
 			return now, true
 		}
@@ -99,8 +102,10 @@
 }
 
 // Sent implements proxy.Quota.
-func (q *quotas) Sent(granted, now time.Time, tenant *routing.Tenant) {
+func (q *quotas) Sent(granted time.Time, tenant *routing.Tenant) time.Time {
+	now := refreshed()
 	q.holder.Sent(granted, now, tenant)
+	return now
 }
 
 // Return implements proxy.Quota.
@@ -108,17 +113,8 @@
 	q.holder.Return(granted, tenant)
 }
 
-// noticeSuspension lets units rest anew once the clock has gone on for a suspension.
-func (q *quotas) noticeSuspension() {
-	known, found := q.suspended.Load(), int64(clock.Suspended())
-	if found > known && q.suspended.CompareAndSwap(known, found) {
-		q.holder.Woke(clock.Now())
-	}
-}
-
 // tell returns what the leader is to know of this router, and of those that follow it.
 func (q *quotas) tell() []quota.Told {
-	q.noticeSuspension()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	told := q.relayed
@@ -152,7 +148,7 @@
 		q.holder.Hurry()
 		return
 	}
-	now := clock.Now()
+	now := refreshed()
 	for _, one := range told {
 		q.coordinator.Hear(now, one)
 	}
@@ -179,9 +175,8 @@
 
 // coordinate keeps the books while this process leads.
 func (q *quotas) coordinate(ctx context.Context, tenure *election.Tenure) {
-	clock.Refresh()
 	term := tenure.Leader.Term
-	coordinator := quota.NewCoordinator(clock.Now(), term, term == 1, q.bound)
+	coordinator := quota.NewCoordinator(refreshed(), term, term == 1, q.bound)
 	q.lead(coordinator)
 	defer q.lead(nil)
 	ticker := time.NewTicker(quotaTick)
@@ -209,15 +204,19 @@
 
 // step does what is due, and returns what routers are to be told.
 func (q *quotas) step(config *routing.Config, coordinator *quota.Coordinator, authority time.Time) []quota.Grant {
-	clock.Refresh()
-	q.noticeSuspension()
 	nodes := q.r.hub.Nodes()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := clock.Now()
+	now := refreshed()
 	coordinator.Use(now, config.Tenants)
 	if own := q.own(); own != nil {
 		coordinator.Hear(now, *own)
 	}
-	return coordinator.Tick(now, now.Before(authority), nodes)
+	grants := coordinator.Tick(now, now.Before(authority), nodes)
+	for _, change := range coordinator.Changes() {
+		q.r.log.Line(decision.KindQuota).Str("tenant", string(change.Tenant)).Bool("over", change.Over).Int("limit", change.Limit).
+			Int("used", change.Used).Int("booked", change.Booked).Int("withheld", change.Withheld).Int("missing", change.Missing).
+			Float64("age", change.Age.Seconds()).Msg("")
+	}
+	return grants
 }
