--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/clock"
@@ -29,6 +30,12 @@
 	// weakPause is by how much later those on weaker machines campaign: after an outage
 	// of the service the strong ones may look for a leader up to a second later.
 	weakPause = 700 * time.Millisecond
+	// farFactor times the quickest call to the store is by how much later a process campaigns: by
+	// more than campaignSpread where the way there and back takes 15 ms longer, which is two
+	// neighbouring regions, and no longer than longestFarPause, since no leader is worse than a
+	// far one.
+	farFactor       = 10
+	longestFarPause = 500 * time.Millisecond
 	// askTimeout bounds asking the leader before whether it has stopped.
 	askTimeout = 400 * time.Millisecond
 	// ownReportEvery is the pause between a leader's reports to itself.
@@ -38,17 +45,14 @@
 	resignTimeout = 500 * time.Millisecond
 )
 
-// lead follows the leader, or becomes it, until ctx ends. A process that starts finds
-// the owners first where they are stored: there may be no leader yet.
+// lead follows the leader, or becomes it, until ctx ends. A process that finds no leader when it
+// starts finds the owners where they are stored.
 func (r *Router) lead(ctx context.Context) {
-	r.awaitConfig(ctx)
-	if !r.settings.FirstStart {
-		r.readRecords(ctx)
-	}
-	paused := r.settings.FirstStart
-	if paused {
+	if r.settings.FirstStart {
 		clock.Sleep(ctx, r.campaignPause()) // most find a leader at their first look then
 	}
+	// Who finds none has measured by that look how far the store is, and pauses by that.
+	paused := false
 	backoff := clock.Backoff{First: lookPause, Longest: longestLookPause}
 	for ctx.Err() == nil {
 		began := clock.Now()
@@ -58,13 +62,17 @@
 		}
 		switch {
 		case err != nil:
+			r.unled.close()
 			backoff.SleepRest(ctx, clock.Since(began))
 		case found && r.hasEnded(ctx, leader):
+			r.goOnUnled(ctx)
 			paused = r.campaign(ctx, leader.Revision, paused)
 			continue
 		case found:
 			r.followLeader(ctx, leader)
+			r.goOnUnled(ctx)
 		default:
+			r.goOnUnled(ctx)
 			paused = r.campaign(ctx, 0, paused)
 			continue
 		}
@@ -72,6 +80,26 @@
 	}
 }
 
+// goOnUnled lets a process that has just started read for itself, since no leader tells it what
+// there is. A process that knows no configuration yet can't lead.
+func (r *Router) goOnUnled(ctx context.Context) {
+	r.unled.close()
+	r.awaitConfig(ctx)
+	if !r.settings.FirstStart {
+		r.recordsRead.Do(func() { r.readRecords(ctx) })
+	}
+}
+
+// latch is closed once. It is safe for concurrent use.
+type latch struct {
+	once   sync.Once
+	closed chan struct{}
+}
+
+func newLatch() *latch { return &latch{closed: make(chan struct{})} }
+
+func (l *latch) close() { l.once.Do(func() { close(l.closed) }) }
+
 // awaitConfig waits for the first configuration.
 func (r *Router) awaitConfig(ctx context.Context) {
 	for ctx.Err() == nil && r.proxy.Config() == nil {
@@ -187,7 +215,18 @@
 	case r.hub.Strength < strongest:
 		pause += weakPause
 	}
-	return pause
+	return pause + r.farPause()
+}
+
+// farPause lets processes of the store's region campaign first: each renewal of the lease and
+// all that the leader reads and writes would cross between regions, and a region that is cut off
+// from the store would take the leader with it. Which region that is shows by how long the
+// quickest call took.
+func (r *Router) farPause() time.Duration {
+	if r.places.Regions() <= 1 {
+		return 0
+	}
+	return min(longestFarPause, farFactor*r.store.distance())
 }
 
 // spread returns a random part of a time, so that processes do not act all at once.
