--- /dev/null
+++ b/internal/proxy/quota_test.go
@@ -0,0 +1,110 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/routing"
+)
+
+// fakeQuota grants as many requests as it has units.
+type fakeQuota struct {
+	mu                     sync.Mutex
+	units                  int
+	taken, sent, returned int
+}
+
+func (q *fakeQuota) Take(context.Context, *routing.Tenant) (time.Time, time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.taken-q.returned >= q.units {
+		return time.Time{}, 1700 * time.Millisecond
+	}
+	q.taken++
+	return clock.Now(), 0
+}
+
+func (q *fakeQuota) Sent(time.Time, *routing.Tenant) time.Time {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.sent++
+	return clock.Now()
+}
+
+func (q *fakeQuota) Return(time.Time, *routing.Tenant) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.returned++
+}
+
+func (q *fakeQuota) counts() [3]int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return [3]int{q.taken, q.sent, q.returned}
+}
+
+// newQuotaFront is a front whose tenant a has a limit, and whose worker runs a script.
+func newQuotaFront(t *testing.T, units int, run script) (*front, *worker, *fakeQuota) {
+	t.Helper()
+	w := newWorker(t, "w1", run)
+	f := newFront(t, w.entry("pool"))
+	config := tenantsConfig(t, 2, twoTenants)
+	config.Tenants["a"].Rate = 1
+	quota := &fakeQuota{units: units}
+	f.proxy.Quota = quota
+	assert.Assert(t, f.proxy.Use(config))
+	return f, w, quota
+}
+
+const askedByA = "GET /safe/ HTTP/1.1\r\nHost: app.example\r\nX-Id: i\r\nX-Deadline: 1500\r\nAuthorization: Bearer " + keyOfA + "\r\n\r\n"
+
+func TestATenantBeyondItsLimitIsRefusedAtOnce(t *testing.T) {
+	f, w, quota := newQuotaFront(t, 1, answers("x"))
+	assert.Equal(t, f.sendRaw(t, askedByA), http.StatusOK)
+	request, err := http.NewRequest(http.MethodGet, f.server.URL+"/safe/", nil)
+	assert.NilError(t, err)
+	request.Host = "app.example"
+	request.Header.Set("X-Id", "j")
+	request.Header.Set("Authorization", "Bearer "+keyOfA)
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	_ = response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusTooManyRequests)
+	after, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Equal(t, after, 1.7, "as the quota tells")
+	assert.Equal(t, w.arrivals(), 1)
+	assert.Equal(t, quota.counts(), [3]int{1, 0, 0})
+}
+
+func TestATenantWithoutALimitIsNotCounted(t *testing.T) {
+	f, _, quota := newQuotaFront(t, 0, answers("x"))
+	raw := "GET /safe/ HTTP/1.1\r\nHost: app.example\r\nX-Id: i\r\nX-Deadline: 1500\r\nAuthorization: Bearer " + keyOfB + "\r\n\r\n"
+	assert.Equal(t, f.sendRaw(t, raw), http.StatusOK)
+	assert.Equal(t, quota.counts(), [3]int{})
+}
+
+func TestARequestThatDidNotRunIsGivenBack(t *testing.T) {
+	for name, test := range map[string]struct {
+		run      script
+		returned int
+	}{
+		"ran":             {answers("x"), 0},
+		"workers refused": {refuses, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, _, quota := newQuotaFront(t, 1, test.run)
+			f.sendRaw(t, askedByA)
+			counts := quota.counts()
+			assert.Equal(t, counts[0], 1, "each attempt counts once, however often it is sent")
+			assert.Equal(t, counts[2], test.returned)
+		})
+	}
+}
--- /dev/null
+++ b/internal/quota/bench_test.go
@@ -0,0 +1,22 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/routing"
+)
+
+func BenchmarkTake(b *testing.B) {
+	tenant := &routing.Tenant{Name: "tenant-17", Rate: 1e6, Burst: 1e6}
+	now := time.Unix(1000, 0)
+	h := NewHolder(now, "node", 1, Bound{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20})
+	h.Use(tenants(tenant))
+	units := h.bound.Units(tenant)
+	h.Granted(Grant{Node: "node", Life: 1, Term: 1, Number: 1, Stamp: 1, Credits: map[routing.TenantName]Credit{tenant.Name: {units, units, 0}}})
+	b.ReportAllocs()
+	for b.Loop() {
+		h.Take(now, tenant)
+		now = now.Add(time.Microsecond)
+	}
+}
--- a/internal/quota/deal.go
+++ b/internal/quota/deal.go
@@ -65,14 +65,14 @@
 	fair := max(1, (most-p.booked)/max(1, needy))
 	for _, m := range list {
 		h := m.holds[name]
-		wants := min(h.wants(spare), fair)
+		wants := h.wants(spare)
 		if wants == 0 {
 			continue
 		}
 		// What it was told to give up is booked still, and may be given again, unless the limit
 		// was lowered: more may be booked then than there is.
 		free := max(0, most-p.booked+h.booked-h.units)
-		given := min(wants, free)
+		given := min(wants, free, fair)
 		missing += wants - given
 		if given <= 0 {
 			continue
@@ -94,12 +94,12 @@
 		h := m.holds[name]
 		least := max(h.used+spare, h.floor)
 		missing -= h.booked - h.units
-		if h.short > 0 || h.units <= least {
+		if missing <= 0 || h.short > 0 || h.units <= least {
 			continue
 		}
 		taken := min(missing, h.units-least)
 		c.set(m, h, h.units-taken)
 		missing -= taken
 	}
-	return missing
+	return max(0, missing)
 }
