--- a/internal/proxy/quota_test.go
+++ b/internal/proxy/quota_test.go
@@ -16,8 +16,8 @@
 
 // fakeQuota grants as many requests as it has units.
 type fakeQuota struct {
-	mu                     sync.Mutex
-	units                  int
+	mu                    sync.Mutex
+	units                 int
 	taken, sent, returned int
 }
 
--- a/internal/quota/figures_test.go
+++ b/internal/quota/figures_test.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -124,8 +123,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := play(t, one.load, 45)
-			t.Log(fmt.Sprintf("refused %.2f %% of %d, static shares %.1f %%; within a window at most %.2f of the limit, static %.2f; %.0f messages and %.0f bytes a second",
-				100*float64(f.refused)/float64(f.asked), f.asked, 100*float64(f.staticRefused)/float64(f.asked), f.most, f.staticMost, f.messages, f.bytes))
+			t.Logf("refused %.2f %% of %d, static shares %.1f %%; within a window at most %.2f of the limit, static %.2f; %.0f messages and %.0f bytes a second",
+				100*float64(f.refused)/float64(f.asked), f.asked, 100*float64(f.staticRefused)/float64(f.asked), f.most, f.staticMost, f.messages, f.bytes)
 			assert.Assert(t, float64(f.refused) <= one.most*float64(f.asked), "%d of %d refused", f.refused, f.asked)
 			assert.Assert(t, f.most <= 1)
 		})
