--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -94,6 +94,7 @@
 	for node, first := range nodes {
 		named = append(named, beliefs(lines, node, first, workers)...)
 	}
+	named = append(named, quotaCauses(lines, named)...)
 	sortLines(named)
 	return named
 }
--- /dev/null
+++ b/internal/router/quota_test.go
@@ -0,0 +1,76 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/quota"
+	"github.com/shalefork/shalefork/internal/routing"
+)
+
+// A leader keeps the books for itself and for those that tell it, by the way on which it heard
+// them; what a relay does not lead it passes on.
+func TestALeaderGrantsItsOwnRouter(t *testing.T) {
+	r := newTestRouter(t)
+	config, err := new(routing.Config).WithTenants(map[routing.TenantName]*routing.Tenant{"a": {Name: "a", Rate: 10, Burst: 5}})
+	assert.NilError(t, err)
+	config.Version = 1
+	assert.Assert(t, r.proxy.Use(config))
+	tenant := config.Tenants["a"]
+	refused, wait := r.quotas.Take(t.Context(), tenant)
+	assert.Assert(t, refused.IsZero(), "no leader has given anything")
+	assert.Assert(t, wait > 0)
+	coordinator := quota.NewCoordinator(clock.Now(), 1, true, r.quotas.bound)
+	r.quotas.lead(coordinator)
+	for range 3 { // it asks for all, hears all, and grants
+		r.quotas.granted(r.quotas.step(config, coordinator, clock.Now().Add(time.Minute)))
+	}
+	granted, _ := r.quotas.Take(t.Context(), tenant)
+	assert.Assert(t, !granted.IsZero())
+	usages := r.quotas.holder.Usages(clock.Now())
+	assert.Equal(t, len(usages), 1)
+	assert.Equal(t, usages[0].Used, 1)
+	r.quotas.Return(granted, tenant)
+	assert.Equal(t, r.quotas.holder.Usages(clock.Now())[0].Used, 0)
+}
+
+func TestARelayPassesQuotasOn(t *testing.T) {
+	r := newTestRouter(t)
+	r.quotas.heard([]quota.Told{{Node: "other", Number: 7}})
+	report := r.report()
+	assert.Equal(t, len(report.Quota), 1)
+	assert.Equal(t, report.Quota[0].Number, uint64(7))
+	assert.Assert(t, !report.Empty())
+	assert.Equal(t, len(r.report().Quota), 0)
+}
+
+func TestMetricsNameABoundedNumberOfTenants(t *testing.T) {
+	usages := make([]quota.Usage, mostTenantSeries+20)
+	for index := range usages {
+		usages[index] = quota.Usage{Tenant: routing.TenantName(fmt.Sprint(index)), Refused: 1}
+	}
+	list := named(usages)
+	assert.Equal(t, len(list), mostTenantSeries+1)
+	assert.Equal(t, list[mostTenantSeries].Refused, uint64(20))
+}
+
+func BenchmarkTake(b *testing.B) {
+	clock.Counts()
+	now := clock.Now()
+	tenant := &routing.Tenant{Name: "a", Rate: 1e9, Burst: 1}
+	q := &quotas{holder: quota.NewHolder(now, "n", 1, quota.Bound{Window: 5 * time.Second})}
+	q.holder.Use(map[routing.TenantName]*routing.Tenant{"a": tenant})
+	q.holder.Granted(quota.Grant{
+		Node: "n", Life: 1, Term: 1, Number: 1, Stamp: int64(time.Hour / time.Millisecond),
+		Credits: map[routing.TenantName]quota.Credit{"a": {5_000_000_001, 5_000_000_001, 0}},
+	})
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Take(context.Background(), tenant)
+	}
+}
--- /dev/null
+++ b/internal/router/quotametrics.go
@@ -0,0 +1,68 @@
+package router
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/quota"
+	"github.com/shalefork/shalefork/internal/routing"
+)
+
+// mostTenantSeries is for how many tenants, those with the highest limits, metrics tell each by
+// name: a router's metrics stay readable with thousands of tenants. The others are summed.
+const mostTenantSeries = 100
+
+// otherTenants is the name under which the others are summed. No tenant's name is empty.
+const otherTenants = ""
+
+var (
+	quotaLimit   = tenantSeries("limit", "Requests of a tenant that may run within a window, over all routers together.")
+	quotaCredit  = tenantSeries("credit", "How many of them this router may have run.")
+	quotaUsed    = tenantSeries("used", "How many of them this router has had run.")
+	quotaGranted = tenantSeries("granted_total", "Requests of a tenant that were within its limit here.")
+	quotaRefused = tenantSeries("refused_total", "Requests of a tenant that were refused since it was beyond its limit.")
+)
+
+func tenantSeries(name, help string) *prometheus.Desc {
+	return prometheus.NewDesc("shalefork_router_quota_"+name, help+" An empty tenant stands for all that are not named.", []string{"tenant"}, nil)
+}
+
+// Describe implements prometheus.Collector.
+func (q *quotas) Describe(to chan<- *prometheus.Desc) {
+	for _, one := range []*prometheus.Desc{quotaLimit, quotaCredit, quotaUsed, quotaGranted, quotaRefused} {
+		to <- one
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (q *quotas) Collect(to chan<- prometheus.Metric) {
+	for _, one := range named(q.holder.Usages(clock.Now())) {
+		gauge := func(desc *prometheus.Desc, value int) {
+			to <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, float64(value), string(one.Tenant))
+		}
+		counter := func(desc *prometheus.Desc, value uint64) {
+			to <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(value), string(one.Tenant))
+		}
+		gauge(quotaLimit, one.Limit)
+		gauge(quotaCredit, one.Credit)
+		gauge(quotaUsed, one.Used)
+		counter(quotaGranted, one.Granted)
+		counter(quotaRefused, one.Refused)
+	}
+}
+
+// named sums the tenants that get no series of their own.
+func named(usages []quota.Usage) []quota.Usage {
+	if len(usages) <= mostTenantSeries {
+		return usages
+	}
+	rest := quota.Usage{Tenant: routing.TenantName(otherTenants)}
+	for _, one := range usages[mostTenantSeries:] {
+		rest.Limit += one.Limit
+		rest.Credit += one.Credit
+		rest.Used += one.Used
+		rest.Granted += one.Granted
+		rest.Refused += one.Refused
+	}
+	return append(usages[:mostTenantSeries:mostTenantSeries], rest)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -161,7 +161,7 @@
 	r.quotas = newQuotas(r)
 	r.proxy.Quota = r.quotas
 	r.hub.OnQuota(r.quotas.heard)
-	metrics.MustRegister(r.proxy)
+	metrics.MustRegister(r.proxy, r.quotas)
 	r.registerGauges(metrics)
 	return r
 }
