--- a/cmd/shalefork/operators.go
+++ b/cmd/shalefork/operators.go
@@ -176,7 +176,8 @@
 	flags.attach(subcommand)
 	return cli.Command{Subcommand: subcommand, Run: func(ctx context.Context) cli.ExitCode {
 		return flags.run(ctx, func(ctx context.Context, output operator.Output, store *platform.Store) operator.ExitCode {
-			return operator.Status(ctx, output, store, router.KeyPrefix)
+			announced := operator.Announced{Prefix: platform.WorkersPrefix, Read: platform.ReadWorker}
+			return operator.Status(ctx, output, store, router.KeyPrefix, announced)
 		})
 	}}
 }
@@ -218,6 +219,22 @@
 	}}
 }
 
+func tenantCommands() []cli.Command {
+	return []cli.Command{
+		apiKeyCommand("keygen", "Write a new API key to a file and print its digest for a bundle.", "The file to make", operator.GenerateAPIKey),
+		apiKeyCommand("digest", "Print the digest of the API key in a file.", "The file with the key", operator.DigestAPIKey),
+	}
+}
+
+func apiKeyCommand(name, help, what string, action func(operator.Output, string) operator.ExitCode) cli.Command {
+	var file string
+	subcommand := cli.NewSubcommand(name, help)
+	subcommand.AddPositionalValue(&file, "file", 1, true, what)
+	return cli.Command{Subcommand: subcommand, Run: func(context.Context) cli.ExitCode {
+		return action(new(storeFlags).output(), file)
+	}}
+}
+
 func operatorKeygenCommand() cli.Command {
 	var file string
 	subcommand := cli.NewSubcommand("keygen", "Write a new key to a file and print its public key.")
--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -15,7 +15,7 @@
 }
 
 // mutations break the rules of docs/PROOFS.md.
-var mutations = slices.Concat(promiseMutations, harmMutations, clockMutations, quotaMutations)
+var mutations = slices.Concat(promiseMutations, harmMutations, clockMutations, quotaMutations, bodyMutations)
 
 // promiseMutations break what must always hold of owners, requests, configurations and stops.
 var promiseMutations = []mutation{
@@ -75,6 +75,41 @@
 		new:  "\tif false {\n\t\tone.fence = b.nextFence()",
 		pkg:  "./internal/owner", test: "TestOneOwnerInAllTroubles",
 	},
+	{
+		name: "another-life-renewed-under-the-fence-of-before",
+		file: "internal/owner/life.go",
+		old:  "\tone.granted = false\n\tone.fence = b.nextFence()\n",
+		new:  "",
+		pkg:  "./internal/owner", test: "TestEveryOrderOfEvents",
+	},
+	{
+		name: "another-life-not-told-of-fences",
+		file: "internal/owner/life.go",
+		old:  "\t\t\tone.told, one.next = false, now",
+		new:  "\t\t\t_ = one",
+		pkg:  "./internal/owner", test: "TestEveryOrderOfEvents",
+	},
+	{
+		name: "answer-of-the-life-before-believed",
+		file: "internal/owner/dispatch.go",
+		old:  "\torder.overtaken = order.Target.Born != b.lives[order.Target.ID]",
+		new:  "\torder.overtaken = false",
+		pkg:  "./internal/owner", test: "TestEveryOrderOfEvents",
+	},
+	{
+		name: "worker-that-was-not-reached-renewed-under-its-fence",
+		file: "internal/owner/dispatch.go",
+		old:  "\trestarted := one.unsure &&",
+		new:  "\trestarted := false && one.unsure &&",
+		pkg:  "./internal/owner", test: "TestAWorkerThatWasNotReachedGetsAHigherFence",
+	},
+	{
+		name: "standby-renews-another-life",
+		file: "internal/owner/standby.go",
+		old:  "one.Target.ID == life.ID && one.Target.Born != life.Born &&",
+		new:  "false &&",
+		pkg:  "./internal/owner", test: "TestAStandbyRenewsNothingOfAnotherLife",
+	},
 	{
 		name: "former-owner-in-doubt-not-waited-for",
 		file: "internal/owner/span.go",
@@ -99,7 +134,7 @@
 	{
 		name: "outwaited-owner-not-told",
 		file: "internal/owner/doubt.go",
-		old:  "\tif b.ended[old.worker] || !now.Before(old.lateUntil) {",
+		old:  "\tif !now.Before(old.lateUntil) {",
 		new:  "\tif true {",
 		pkg:  "./internal/owner", test: "TestAnOutwaitedOwnerIsToldTheNewFence",
 	},
@@ -246,7 +281,7 @@
 	{
 		name: "wait-begins-anew-for-an-entry",
 		file: "internal/workers/kept.go",
-		old:  "\tif _, already := d.kept[id]; already {",
+		old:  "\tif _, already := d.kept[id]; already && !d.unreadable[id] {",
 		new:  "\tif _, already := d.kept[id]; false && already {",
 		pkg:  "./internal/workers", test: "TestAVanishedEntryIsWaitedForOnce",
 	},
--- a/internal/peerlink/entries.go
+++ b/internal/peerlink/entries.go
@@ -55,7 +55,7 @@
 		return
 	}
 	for _, one := range changes {
-		if one.Gone {
+		if one.Gone && one.Unreadable == nil {
 			delete(l.all, one.ID)
 			continue
 		}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -68,6 +68,24 @@
 	return &backend{pool: upstream.NewPool(worker.Address), worker: worker, means: means}
 }
 
+// isOtherLife reports whether an announcement is of another life of the worker.
+func (b *backend) isOtherLife(worker workers.Worker) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return worker.Born != 0 && b.worker.Born != 0 && worker.Born != b.worker.Born
+}
+
+// announce takes what the worker announces. A life that was told stays known while the worker is
+// known by its address only.
+func (b *backend) announce(worker workers.Worker) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if worker.Born == 0 {
+		worker.Born = b.worker.Born
+	}
+	b.worker = worker
+}
+
 // told takes what the worker tells of itself. The caller holds mu.
 func (b *backend) told(now time.Time, load upstream.Load) {
 	others := max(0, float64(load.Running+load.Waiting-b.inFlight))
@@ -203,7 +221,7 @@
 		changed = b.failures == 0
 		b.learn(now, got)
 		b.fail(now)
-	case upstream.Gone: // says nothing of the worker
+	case upstream.Gone, upstream.BodyCut: // say nothing of the worker
 	case upstream.NotSent:
 		changed = b.failures == 0
 		b.fail(now)
@@ -241,7 +259,7 @@
 		}
 	case upstream.Broken:
 		b.throttle.Sent(now, got.Status != 0 || got.Took > turnedAwayWithin)
-	case upstream.Misdirected, upstream.Gone, upstream.NotSent: // say nothing of the worker's room
+	case upstream.Misdirected, upstream.Gone, upstream.BodyCut, upstream.NotSent: // say nothing of the worker's room
 	}
 }
 
--- a/internal/proxy/sizes.go
+++ b/internal/proxy/sizes.go
@@ -70,7 +70,7 @@
 
 // weigh notes the size of the request and of a worker's answer, as far as their heads tell.
 func (c *call) weigh(worker *workers.Worker, got *upstream.Result) {
-	size := int64(len(got.Body))
+	size := got.Body.Length()
 	if length, err := strconv.ParseInt(got.Header.Get("Content-Length"), 10, 64); err == nil {
 		size = max(size, length)
 	}
--- a/internal/proxy/tenants.go
+++ b/internal/proxy/tenants.go
@@ -39,12 +39,12 @@
 // identify finds out which tenant the caller belongs to; false if the request was answered.
 // From here on the request holds no key, and names the tenant that was proved and no other.
 func (c *call) identify(keys *tenant.Index) bool {
-	if keys == nil {
+	if keys == nil || c.route.Open {
 		return true
 	}
 	var caller tenant.Caller
 	if !c.route.Public {
-		caller = keys.Identify(c.request.Header)
+		caller = keys.Identify(c.request.Header, c.route.Scope)
 	}
 	strip(c.request.Header, c.proxy.Headers.Tenant)
 	if c.route.Public {
@@ -52,14 +52,12 @@
 	}
 	if caller.Finding != tenant.Proved {
 		c.former = caller.Former
-		c.leaveUnread()
 		c.writer.Header().Set("WWW-Authenticate", tenant.Scheme)
 		c.refuse(http.StatusUnauthorized, string(caller.Finding), 0)
 		return false
 	}
 	c.tenant = caller.Tenant
 	if outdated := c.proxy.Outdated; outdated != nil && outdated() {
-		c.leaveUnread()
 		c.refuse(http.StatusServiceUnavailable, reasonOutdated, outdatedRetry)
 		return false
 	}
@@ -78,18 +76,6 @@
 	return reason
 }
 
-// mostReadAnyway is the longest body that is awaited before a refusal: it is on its way with the
-// headers, and the connection can be kept.
-const mostReadAnyway = 16 << 10
-
-// leaveUnread makes a refusal go out at once where the request's body is long or of unknown
-// length: net/http would read it first, to keep the connection.
-func (c *call) leaveUnread() {
-	if length := c.request.ContentLength; length < 0 || length > mostReadAnyway {
-		c.writer.Header().Set("Connection", "close")
-	}
-}
-
 // strip removes from a request's headers the caller's key, and whatever has the name of the header
 // that names a tenant: only what was proved may reach a worker.
 func strip(header http.Header, names string) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeebo/errs"
 
+	"github.com/shalefork/shalefork/internal/bodies"
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/election"
@@ -63,8 +64,8 @@
 	ReadEvacuation func(key string) (zone string, evacuates bool)
 	// WorkersPrefix is where workers announce themselves.
 	WorkersPrefix string
-	// ReadWorker reads a worker's entry; false if it can't be read.
-	ReadWorker func(item coord.Item) (workers.Worker, bool)
+	// ReadWorker reads a worker's entry; its error is a *workers.EntryError.
+	ReadWorker func(item coord.Item) (workers.Worker, error)
 	// WorkerID returns the worker that an entry's key names.
 	WorkerID func(key string) workers.ID
 }
@@ -103,12 +104,17 @@
 	config, entries *followed
 	entriesView     *workersView
 	configView      *configView
+	// unreadable counts the entries that name no worker.
+	unreadable unreadableMetric
 	// told says that a leader tells this process of changes, and unled is closed once this
 	// process, when it started, has found no leader that would.
 	told  told
 	unled *latch
 	// recordsRead says that the stored owners were looked for, since no leader told them.
 	recordsRead sync.Once
+	// configAsOf is as of when the configuration in force here was told to be the newest, a number
+	// of clock.Nanos.
+	configAsOf atomic.Int64
 	// strongest holds the greatest strength of all machines, as bits of a float64.
 	strongest atomic.Uint64
 	quotas    *quotas
@@ -132,7 +138,8 @@
 		config:  newFollowed(),
 		entries: newFollowed(),
 	}
-	r.entriesView = &workersView{r: r}
+	r.entriesView = &workersView{r: r, unreadable: map[workers.ID]unreadable{}}
+	r.unreadable = newUnreadableMetric(metrics)
 	r.workers.OnExpired(r.entriesView.expired)
 	r.configView = newConfigView(r)
 	r.proxy = proxy.New(config.Zone, r.workers, limits(config))
@@ -141,7 +148,12 @@
 	r.proxy.Headers, r.proxy.Table, r.proxy.Meter = adapter.Headers, r.table, r.meter
 	r.proxy.Drain, r.proxy.Evacuate = config.Drain.Std(), config.Evacuate.Std()
 	r.proxy.Log, r.proxy.Nodes, r.proxy.Metrics = log, r.nodes, proxy.NewMetrics(metrics)
+	r.proxy.Room, r.proxy.Turns = r.newRoom(), bodies.NewTurns(config.Machine.LinkMbps)
 	r.proxy.Starting.Store(true)
+	r.configAsOf.Store(never)
+	if config.Revocation == settings.RevocationStrict {
+		r.proxy.Outdated = r.configOutdated
+	}
 	r.process = rand.Text()
 	r.hub = peerlink.NewHub(r.process, r.reports, r.known)
 	r.hub.Strength, r.hub.DirectNodes = config.Machine.Strength(), config.DirectRouters
@@ -155,6 +167,7 @@
 		Times:    owner.DefaultConfig(config.MaxHold.Std()), Nonce: rand.Text, Zone: config.Zone, Regions: r.places,
 	}
 	r.standby = standby.New(adapter.Orders, r.keeper.Times, log)
+	r.standby.Workers = r.workers
 	r.hub.OnAsked(r.standby.Stop)
 	r.hub.OnReported(r.meter.Add)
 	r.hub.OnEvidence(r.evidenceTaken)
