Count tenants' requests, and lead from a 401 to the configuration that took its key

A request's line names its tenant, and for a key that was taken away the version that took it; explain shows that version's line at the router that refused.

Found, not mended here: a router that the store refuses and whose leader ends finds no other leader, since the store alone names it; it keeps its configuration for as long as it is refused.

--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -75,7 +75,7 @@
 		{KindMoved, "a move of keys was planned", "service, from, to (keys), old, worker (owners), forced, rate, old_load, load (requests a second after it), capacity (of the new owner), change (of the book)"},
 		{KindOrderFailed, "a worker did not do an order as asked", "service, worker, release, from, to, fence, outcome"},
 		{KindRecord, "the stored owners were read, can't be read, or were written by another leader", "service, found, revision, term"},
-		{KindRequest, "a request ended otherwise than planned: refused, failed, late, sent more than once, or its client left (status 0)", "id, status, reason, service, route, took, sends, runs, unsent, config, worker, last, error; for keyed ones key, term, table_age; for quarantined ones fingerprint"},
+		{KindRequest, "a request ended otherwise than planned: refused, failed, late, sent more than once, or its client left (status 0)", "id, status, reason, service, route, took, sends, runs, unsent, config, worker, last, error; for callers with API keys tenant (also that of a key that was taken away), and gone_with (the version that took the key away); for keyed ones key, term, table_age; for quarantined ones fingerprint"},
 		{KindSent, "a request goes out once more", "id, worker, outcome (of the send before, or hedged), after"},
 		{KindLeftOut, "lines over the budget were left out", "of, lines, dropped (lines that found the writer busy, since the start)"},
 	}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -91,11 +91,19 @@
 		}
 	}
 	named = append(named, otherAttempts(lines, id, fingerprints(named))...)
+	named = append(named, keyTakenAway(lines, named)...)
 	for node, first := range nodes {
 		named = append(named, beliefs(lines, node, first, workers)...)
 	}
 	sortLines(named)
-	return named
+	return slices.CompactFunc(named, sameConfiguration)
+}
+
+// sameConfiguration reports whether two lines tell that one process took one configuration: it is
+// both what took a key away and the last one before the request, if no other came between.
+func sameConfiguration(a, b Line) bool {
+	return a.Kind == decision.KindConfig && b.Kind == decision.KindConfig && a.Node == b.Node &&
+		a.Time.Equal(b.Time) && a.Fields["version"] == b.Fields["version"]
 }
 
 // fingerprints returns what lines call the request over all its attempts.
@@ -120,6 +128,24 @@
 	return found
 }
 
+// keyTakenAway returns the lines of the configurations that took away the API keys of requests,
+// at the processes that say so.
+func keyTakenAway(lines, named []Line) []Line {
+	var found []Line
+	for _, request := range named {
+		version := request.Fields["gone_with"]
+		if version == nil {
+			continue
+		}
+		for _, line := range lines {
+			if line.Kind == decision.KindConfig && line.Node == request.Node && line.Fields["version"] == version {
+				found = append(found, line)
+			}
+		}
+	}
+	return found
+}
+
 // beliefs are the last lines of a process before a time, by what they are about.
 func beliefs(lines []Line, node string, before time.Time, workers map[string]bool) []Line {
 	last := map[string]Line{}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -54,3 +54,30 @@
 	assert.Equal(t, course[0].ID, "one")
 	assert.Equal(t, course[1].ID, "two")
 }
+
+// A key that was taken away: its course shows which configuration took it, and when the router
+// that refused had it.
+func TestCourseOfAKeyThatWasTakenAway(t *testing.T) {
+	const log = `{"time":"2026-07-02T04:30:01Z","node":"r1","kind":"config","version":7}
+{"time":"2026-07-02T04:30:02Z","node":"r1","kind":"config","version":9}
+{"time":"2026-07-02T04:30:02Z","node":"r2","kind":"config","version":9}
+{"time":"2026-07-02T04:30:04Z","node":"r1","kind":"config","version":12}
+{"time":"2026-07-02T04:30:09Z","node":"r1","kind":"request","id":"one","status":401,"reason":"key-taken-away","tenant":"metro","gone_with":9,"config":12}
+{"time":"2026-07-02T04:30:09Z","node":"r1","kind":"request","id":"two","status":401,"reason":"key-taken-away","tenant":"metro","gone_with":12,"config":12}
+{"time":"2026-07-02T04:30:09Z","node":"r1","kind":"request","id":"three","status":401,"reason":"key-unknown","config":12}
+`
+	lines, _, err := Read(strings.NewReader(log))
+	assert.NilError(t, err)
+	versions := func(id string) (found []float64) {
+		for _, line := range Course(lines, id) {
+			if line.Kind == "config" {
+				assert.Equal(t, line.Node, "r1")
+				found = append(found, line.Fields["version"].(float64))
+			}
+		}
+		return found
+	}
+	assert.DeepEqual(t, versions("one"), []float64{9, 12})
+	assert.DeepEqual(t, versions("two"), []float64{12})
+	assert.DeepEqual(t, versions("three"), []float64{12})
+}
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -76,6 +76,9 @@
 		service = string(c.service.Name)
 	}
 	c.proxy.Metrics.ended(service, status, reason, took)
+	if c.tenant != nil {
+		c.proxy.Metrics.tenants.ended(c.tenant.Name, status)
+	}
 	planned := reason == "" && status < http.StatusInternalServerError && c.allowed.sends() <= 1 &&
 		(c.route == nil || took <= time.Duration(slowShare*float64(c.route.Target)))
 	if planned {
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -16,6 +16,7 @@
 	sends    *prometheus.CounterVec
 	crashes  *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	tenants  *tenantCounters
 }
 
 // latencyBuckets are upper bounds in seconds.
@@ -37,7 +38,8 @@
 			Name: "shalefork_router_request_seconds", Help: "Time from a request's arrival to its answer.", Buckets: latencyBuckets,
 		}, []string{"service"}),
 	}
-	registerer.MustRegister(metrics.requests, metrics.sends, metrics.crashes, metrics.latency)
+	metrics.tenants = newTenantCounters()
+	registerer.MustRegister(metrics.requests, metrics.sends, metrics.crashes, metrics.latency, metrics.tenants.vector)
 	return metrics
 }
 
