--- a/internal/bodies/pace_test.go
+++ b/internal/bodies/pace_test.go
@@ -26,7 +26,7 @@
 		"slow and steady":    {pieces: 60, bytes: 2 * Floor, pause: time.Second, last: time.Hour},
 		"long pauses":        {pieces: 5, bytes: 5 * Floor, pause: 4 * time.Second, last: time.Hour},
 		"silent":             {pieces: 1, bytes: 100 * Floor, pause: time.Hour, last: 2 * time.Hour, ends: Grace},
-		"below the floor":    {pieces: 60, bytes: Floor / 2, pause: time.Second, last: time.Hour, ends: 2*Grace - time.Second/2},
+		"below the floor":    {pieces: 60, bytes: Floor / 2, pause: 900 * time.Millisecond, last: time.Hour, ends: 10500 * time.Millisecond},
 		"beyond its request": {pieces: 60, bytes: 2 * Floor, pause: time.Second, last: 7500 * time.Millisecond, ends: 7500 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/bodies/pipe.go
+++ b/internal/bodies/pipe.go
@@ -214,6 +214,13 @@
 	p.changed.Broadcast()
 }
 
+// Whole reports whether all of the answer has come.
+func (p *Pipe) Whole() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return errors.Is(p.end, io.EOF)
+}
+
 // Err returns why the answer ended before it was whole; nil if it did not.
 func (p *Pipe) Err() error {
 	p.mu.Lock()
--- a/internal/lab/mutate/mutations_bodies.go
+++ b/internal/lab/mutate/mutations_bodies.go
@@ -41,8 +41,8 @@
 	{
 		name: "cut-answer-looks-whole",
 		file: "internal/proxy/answer.go",
-		old:  "\t\tpanic(http.ErrAbortHandler) // what",
-		new:  "\t\treturn // what",
+		old:  "\t\tc.breakOff()\n",
+		new:  "",
 		pkg:  "./internal/proxy", test: "TestADownloadThatBreaksLaterIsCutForItsCaller",
 	},
 	{
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -39,7 +40,7 @@
 	c.writer.WriteHeader(got.Status)
 	if err := c.passBody(got); err != nil {
 		c.tell(got.Status, c.cutBy(got, err))
-		panic(http.ErrAbortHandler) // what is cut must not look whole
+		c.breakOff()
 	}
 	c.tell(got.Status, "")
 }
@@ -76,6 +77,20 @@
 	return err
 }
 
+// breakOff ends the connection to the caller: what is cut must not look whole. To a caller of
+// HTTP/1.0 the end of a connection is that of the answer, but a reset is not.
+func (c *call) breakOff() {
+	if !c.request.ProtoAtLeast(1, 1) {
+		if connection, _, err := http.NewResponseController(c.writer).Hijack(); err == nil {
+			if tcp, ok := connection.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = connection.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // cutBy says who ended an answer before it was whole.
 func (c *call) cutBy(got *upstream.Result, err error) string {
 	switch {
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -239,6 +241,23 @@
 	}
 }
 
+// A caller of HTTP/1.0 takes the end of the connection for that of an answer without a length.
+func TestADownloadThatBreaksIsCutForOldCallersToo(t *testing.T) {
+	w := newWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 x\r\nX-Id: "+request.Header.Get("X-Id")+
+			"\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n15f90\r\n"+strings.Repeat("a", testDownload/2))
+		time.Sleep(300 * time.Millisecond)
+		return false
+	})
+	f := newFront(t, w.entry("pool"))
+	connection, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	_, err = io.WriteString(connection, "GET /down/ HTTP/1.0\r\nHost: app.example\r\nX-Id: old\r\nX-Deadline: 1500\r\n\r\n")
+	assert.NilError(t, err)
+	read, err := io.ReadAll(connection)
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%d bytes, %v", len(read), err)
+}
+
 // A download that has begun goes on when the process is about to end.
 func TestAPlannedStopEndsNoDownload(t *testing.T) {
 	w := newWorker(t, "w1", download(400*time.Millisecond, true))
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -87,8 +87,11 @@
 // keepStreaming frees the worker's connection once a long answer is in, however slowly the
 // caller takes it. What is not wanted any more is given up.
 func (e *exchange) keepStreaming(answer *Result) {
+	settled := make(chan struct{})
+	answer.settled = settled
 	filled, ended := answer.filled, *answer
 	go func() {
+		defer close(settled)
 		err := <-filled
 		e.settle(e.finish() && err == nil, &ended)
 	}()
--- a/internal/upstream/large_test.go
+++ b/internal/upstream/large_test.go
@@ -245,9 +245,9 @@
 		_, err := got.Stream.WriteTo(&read, func() error { return nil })
 		assert.NilError(t, err)
 		assert.Equal(t, read.Len(), testBody)
+		got.Free()
 		synctest.Wait()
 		assert.Assert(t, l.kept())
-		got.Free()
 		assert.Equal(t, l.room.Used(), int64(0))
 	})
 }
--- a/internal/upstream/result.go
+++ b/internal/upstream/result.go
@@ -43,9 +43,11 @@
 	Body *bodies.Spool
 	// Stream is an answer that is passed on as it comes; nil if it is in Body.
 	Stream *bodies.Pipe
-	// filled tells the end of Stream, and cancel gives it up.
-	filled <-chan error
-	cancel context.CancelFunc
+	// filled tells the end of Stream, settled is closed once its connection is kept or dropped,
+	// and cancel gives it up.
+	filled  <-chan error
+	settled <-chan struct{}
+	cancel  context.CancelFunc
 	// Load is what the worker told of itself, if Loaded.
 	Load   Load
 	Loaded bool
@@ -61,10 +63,14 @@
 // Free gives back what the answer holds, and gives up what of it is still to come.
 func (r *Result) Free() {
 	r.Body.Free()
-	if r.Stream != nil {
-		r.cancel()
-		r.Stream.Close()
+	if r.Stream == nil {
+		return
 	}
+	if r.Stream.Whole() {
+		<-r.settled // it is about to be: giving it up now would end its connection
+	}
+	r.cancel()
+	r.Stream.Close()
 }
 
 // slowFactor times the usual time of work shows that a worker has become slow,
--- a/internal/upstream/write.go
+++ b/internal/upstream/write.go
@@ -71,8 +71,8 @@
 		e.message.spent.Store(true)
 	}
 	go func() {
-		defer close(s.done)
 		s.wrote, s.cut, s.err = e.writeLarge(ctx, head)
+		close(s.done) // before what ends the wait for the answer, which must see why
 		switch {
 		case s.err == nil:
 		case s.cut, !s.wrote: // the worker must not take it for whole
