--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -10,7 +10,10 @@
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/quarantine"
+	"github.com/shalefork/shalefork/internal/quota"
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/topology"
+	"github.com/shalefork/shalefork/internal/traffic"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -35,6 +38,8 @@
 	Strength float64
 	// DirectNodes is up to how many processes the leader speaks with each of them.
 	DirectNodes int
+	// Traffic counts what is said to processes that follow this one; nil: nobody wants to know.
+	Traffic *traffic.Counter
 
 	mu      sync.Mutex
 	leading bool
@@ -67,6 +72,7 @@
 	reported func(Report)
 	// evidence is called with what linked processes have seen of crashes.
 	evidence func(quarantine.Evidence)
+	quotas   quotaLinks
 }
 
 // published are the owners of a service as they are told.
@@ -106,6 +112,8 @@
 	// suspects is the version of the suspects that it was told, and suspectsAt is when.
 	suspects   uint64
 	suspectsAt time.Time
+	// quota waits to be sent.
+	quota []quota.Grant
 	// hello is how the process introduced itself.
 	hello Hello
 	// stamp is the last one that it sent, and holds are the versions that it was sent,
@@ -224,7 +232,8 @@
 	}
 }
 
-func (h *Hub) handle(conn net.Conn) {
+func (h *Hub) handle(accepted net.Conn) {
+	conn := &traffic.Conn{Conn: accepted}
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	var hello Hello
@@ -232,6 +241,7 @@
 	if err := readLine(reader, &hello); err != nil {
 		return
 	}
+	conn.OnBytes(func(bytes int) { h.Traffic.Add(traffic.Peers, topology.Zone(hello.Zone), bytes) })
 	if h.asked != nil && hello.Term > 0 {
 		h.asked(hello.Term)
 	}
@@ -249,15 +259,15 @@
 	}
 	h.expectNodes(hello.Nodes, one.since)
 	redirect := ""
-	accepted := !hello.Ask && (leading || h.takesFollowers())
-	if accepted && leading {
+	takes := !hello.Ask && (leading || h.takesFollowers())
+	if takes && leading {
 		redirect = h.relayFor(one, one.since)
 	}
-	if accepted = accepted && redirect == ""; accepted {
+	if takes = takes && redirect == ""; takes {
 		h.links[one] = struct{}{}
 	}
 	h.mu.Unlock()
-	if !accepted {
+	if !takes {
 		_ = writeLine(conn, Update{Leading: leading, Term: term, Process: h.process, Redirect: redirect})
 		return
 	}
@@ -270,6 +280,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.links, one)
+	h.quotas.drop(one)
 	if h.relays[one.hello.Zone] == one {
 		delete(h.relays, one.hello.Zone)
 	}
@@ -298,6 +309,7 @@
 	if report.Evidence != nil && h.evidence != nil {
 		h.evidence(*report.Evidence)
 	}
+	h.takeQuota(one, report.Quota)
 	h.mu.Lock()
 	one.followers = report.Followers
 	leading := h.leading
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -11,6 +11,7 @@
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/tenant"
 	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -25,11 +26,15 @@
 	route   *routing.Route
 	service *routing.Service
 	// tenant whose API key the caller has shown; nil if there is none.
-	tenant   *routing.Tenant
+	tenant *routing.Tenant
+	// former says who held the caller's key, where it was taken away.
+	former   tenant.Former
 	state    *serviceState
 	key      int
 	began    time.Time
 	deadline time.Time
+	// counted is when the request was last counted against its tenant's limit; zero: never.
+	counted time.Time
 	// allowed grants each send before it leaves.
 	allowed allowance
 	tried   map[workers.ID]bool
@@ -89,6 +94,7 @@
 // whether a send is left.
 func (c *call) sendTo(to *backend, until time.Time) *upstream.Result {
 	c.allowed.take()
+	c.countSend()
 	worker, got := c.exchange(c.request.Context(), to, until)
 	c.note(worker, &got)
 	return &got
@@ -110,7 +116,7 @@
 		p.Meter.Served(worker.ID, got.Took)
 	}
 	if got.Outcome == upstream.Answered {
-		p.fleet.sizes.add(c.route, c.bytes(&got))
+		c.weigh(&worker, &got)
 		if measured {
 			c.state.answered(got.Took, mean)
 		}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	cryptorand "crypto/rand"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -17,6 +18,8 @@
 	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/tenant"
+	"github.com/shalefork/shalefork/internal/traffic"
 	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -68,7 +71,10 @@
 type active struct {
 	config   *routing.Config
 	splitter *routing.Splitter
-	since    time.Time
+	swaps    *swaps
+	// keys are the API keys of the configuration's tenants; nil if it has none.
+	keys  *tenant.Index
+	since time.Time
 }
 
 // Proxy is the handler of clients' requests.
@@ -80,10 +86,15 @@
 	// Nodes is how many processes there are; zero if not known.
 	Nodes   *atomic.Int32
 	Metrics *Metrics
+	// Traffic counts the bytes to and from workers; nil: nobody wants to know.
+	Traffic *traffic.Counter
 	// Suspects are the requests that were under way at workers that crashed.
 	Suspects *quarantine.View
 	// Quota of the tenants; nil: nobody has one.
 	Quota Quota
+	// Outdated reports whether keys may have been taken away that are known here still, so that
+	// callers with keys are refused; nil: they never are for that.
+	Outdated func() bool
 	// Starting says that this process does not know yet which requests are quarantined.
 	Starting atomic.Bool
 	// Room bounds the memory of bodies in flight, and Turns what large ones put on the link.
@@ -96,8 +107,10 @@
 	// uploads and downloads count the large bodies in flight.
 	uploads, downloads atomic.Int64
 	fleet              *fleet
-	current            atomic.Pointer[active]
-	stopping           atomic.Bool
+	// secret keys the hash under which API keys are looked up.
+	secret   tenant.Secret
+	current  atomic.Pointer[active]
+	stopping atomic.Bool
 	// ending is done once the process is about to end; end makes it so.
 	ending context.Context
 	end    context.CancelFunc
@@ -106,7 +119,12 @@
 // New returns a proxy in a zone over the announced workers.
 func New(zone string, directory *workers.Directory, limits BudgetLimits) *Proxy {
 	ending, end := context.WithCancel(context.Background())
-	return &Proxy{fleet: newFleet(zone, directory, limits), Nodes: &atomic.Int32{}, Suspects: quarantine.NewView(), Room: bodies.NewRoom(0), Turns: bodies.NewTurns(0), ending: ending, end: end}
+	p := &Proxy{
+		fleet: newFleet(zone, directory, limits), Nodes: &atomic.Int32{}, Suspects: quarantine.NewView(),
+		Room: bodies.NewRoom(0), Turns: bodies.NewTurns(0), ending: ending, end: end,
+	}
+	_, _ = cryptorand.Read(p.secret[:]) // it never fails
+	return p
 }
 
 // Use puts a configuration into force unless a newer one is.
@@ -116,7 +134,10 @@
 		if old != nil && old.config.Version >= config.Version {
 			return false
 		}
-		if p.current.CompareAndSwap(old, &active{config: config, splitter: routing.NewSplitter(rand.IntN), since: clock.Now()}) {
+		fresh := &active{
+			config: config, splitter: routing.NewSplitter(rand.IntN), swaps: newSwaps(), keys: p.index(config, old), since: clock.Now(),
+		}
+		if p.current.CompareAndSwap(old, fresh) {
 			p.fleet.sizes.keep(config)
 			return true
 		}
@@ -176,6 +197,7 @@
 	c := &call{proxy: p, writer: writer, request: request.WithContext(ctx), began: clock.Now(), tried: map[workers.ID]bool{}, detach: detach}
 	defer c.holding.end()
 	c.unread = request.ContentLength < 0 || request.ContentLength > bodies.Small
+	c.message.ID = request.Header.Get(p.Headers.RequestID)
 	if p.stopping.Load() {
 		writer.Header().Set("Connection", "close")
 	}
@@ -189,11 +211,12 @@
 		c.refuse(http.StatusNotFound, reasonNoRoute, 0)
 		return
 	}
-	if !c.identify() || !c.withinQuota() {
+	if !c.identify(used.keys) || !c.withinQuota() {
 		return
 	}
+	defer c.returnQuota()
 	c.allowed.attempts = max(1, c.route.Attempts)
-	c.service = used.config.Services[used.splitter.Pick(c.route)]
+	c.service = c.part(used)
 	if !c.prepare() {
 		return
 	}
--- a/internal/proxy/worker_test.go
+++ b/internal/proxy/worker_test.go
@@ -27,7 +27,7 @@
 // testHeaders are the names of headers in these tests.
 var testHeaders = upstream.Headers{
 	RequestID: "X-Id", DeadlineMillis: "X-Deadline", Signature: "X-Signature", Target: "X-Target",
-	Worker: "X-Worker", NotRun: "X-Not-Run", Load: "X-Load", Key: "X-Key",
+	Worker: "X-Worker", NotRun: "X-Not-Run", Load: "X-Load", Key: "X-Key", Tenant: "X-Tenant",
 }
 
 // script answers the requests of one connection; it may write anything. It
@@ -169,7 +169,7 @@
 func newFront(t *testing.T, list ...workers.Worker) *front {
 	t.Helper()
 	directory := workers.NewDirectory()
-	directory.Replace(list, time.Now())
+	directory.Replace(list, nil, time.Now())
 	proxy := New("z", directory, BudgetLimits{Ratio: 0.2, Slack: 200, Window: 10 * time.Second})
 	proxy.Headers, proxy.Table, proxy.Meter = testHeaders, keytable.New(), peerlink.NewMeter()
 	proxy.Drain = testDrain
@@ -180,7 +180,8 @@
 	return f
 }
 
-func testConfig(t testing.TB, version routing.Version) *routing.Config {
+// testConfig returns the configuration of newFront, with further routes.
+func testConfig(t testing.TB, version routing.Version, more ...*routing.Route) *routing.Config {
 	t.Helper()
 	route := func(prefix, service string, repeatable bool) *routing.Route {
 		return &routing.Route{
@@ -196,10 +197,11 @@
 	single.Attempts = 1
 	up, down := route("/up/", "pool", false), route("/down/", "pool", true)
 	up.Class, down.Class = routing.BulkUp, routing.BulkDown
-	config, err := routing.Build(version, []*routing.Route{
+	routes := append([]*routing.Route{
 		route("/safe/", "pool", true), route("/unsafe/", "pool", false), route("/keyed/", "keyed", true),
 		route("/keyed-once/", "keyed", false), single, up, down,
-	}, services, routing.Limits{BodyBytes: 1 << 20})
+	}, more...)
+	config, err := routing.Build(version, routes, services, routing.Limits{BodyBytes: 1 << 20})
 	assert.NilError(t, err)
 	return config
 }
--- a/internal/router/followleader.go
+++ b/internal/router/followleader.go
@@ -67,6 +67,8 @@
 	if f.linked {
 		r.log.Line(decision.KindLeaderLost).Str("leader", leader.Address).Int64("term", int64(leader.Term)).Err(err).Msg("")
 	} else {
+		r.unled.close()
+		r.awaitConfig(ctx)
 		r.readRecords(ctx)
 	}
 	r.awaitChange(ctx, leader)
@@ -118,7 +120,7 @@
 	hello := r.hello()
 	hello.Avoid, hello.Followers, hello.Nodes = f.avoid, r.hub.Followers(), int(r.nodes.Load())
 	follower := peerlink.Follower{
-		Hello: hello, Table: r.table, Take: r.report, Nodes: r.nodes,
+		Hello: hello, Table: r.table, Take: r.report, Urgent: r.quotas.holder.Urgent(), TakeUrgent: r.quotas.report, Nodes: r.nodes,
 		Entries: r.entriesView.revision, Config: r.config.coveredUpTo,
 		Heard: f.heard, Linked: f.told, Doubted: func() { f.doubt(ctx) }, Stays: f.stays, Applied: f.applied,
 	}
