--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -178,6 +178,14 @@
 	b.inFlight++
 }
 
+// leaveAfter counts a request as under way until a channel is closed.
+func (b *backend) leaveAfter(streaming <-chan struct{}) {
+	<-streaming
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.inFlight--
+}
+
 // end learns from the end of a send. It returns true if the worker is now seen
 // as failing or as well again.
 func (b *backend) end(now time.Time, got *upstream.Result) (changed bool) {
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/shalefork/shalefork/internal/bodies"
 	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/workers"
 )
 
 // testDownload is the length in bytes of a large answer.
@@ -38,6 +39,14 @@
 	}, poll.WithTimeout(5*time.Second))
 }
 
+// inFlight is how many requests are under way at a worker.
+func (f *front) inFlight(at workers.Worker) int {
+	backend := f.proxy.fleet.get(at)
+	backend.mu.Lock()
+	defer backend.mu.Unlock()
+	return backend.inFlight
+}
+
 // upload sends a body, of known length or in chunks.
 func (f *front) upload(t *testing.T, path string, body io.Reader, length int64) (*http.Response, string) {
 	t.Helper()
@@ -264,11 +273,19 @@
 	f := newFront(t, w.entry("pool"))
 	response, err := http.DefaultClient.Do(f.request(t, "GET", "/down/", ""))
 	assert.NilError(t, err)
+	list, _ := f.directory.Usable("pool")
+	assert.Equal(t, f.inFlight(list[0]), 1, "the worker still sends")
 	f.proxy.Stop()
 	f.proxy.End()
 	body, err := io.ReadAll(response.Body)
 	assert.NilError(t, err)
 	assert.Equal(t, len(body), testDownload)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.inFlight(list[0]) == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("it still counts")
+	}, poll.WithTimeout(5*time.Second))
 }
 
 // A caller who does not read holds no worker: the same connection serves the next request.
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -108,6 +108,10 @@
 	to.begin()
 	got := upstream.Send(ctx, p.Headers, to.pool, &c.message, string(worker.ID), c.deadline, until)
 	c.holding.add(got.Free)
+	if streaming := got.Streaming(); streaming != nil {
+		to.begin()
+		go to.leaveAfter(streaming)
+	}
 	if to.end(clock.Now(), &got) {
 		p.Log.Line(decision.KindWorkerHealth).Str("worker", string(worker.ID)).Str("outcome", string(got.Outcome)).
 			Str("id", c.message.ID).AnErr("error", got.Err).Msg("")
--- a/internal/upstream/result.go
+++ b/internal/upstream/result.go
@@ -60,6 +60,10 @@
 	Err     error
 }
 
+// Streaming returns what is closed once the worker has sent all of an answer that is passed on
+// as it comes, or was given up; nil if the answer is whole.
+func (r *Result) Streaming() <-chan struct{} { return r.settled }
+
 // Free gives back what the answer holds, and gives up what of it is still to come.
 func (r *Result) Free() {
 	r.Body.Free()
