--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -124,6 +124,7 @@
 		Room: bodies.NewRoom(0), Turns: bodies.NewTurns(0), ending: ending, end: end,
 	}
 	_, _ = cryptorand.Read(p.secret[:]) // it never fails
+	p.fleet.ended = p.workerEnded
 	return p
 }
 
@@ -196,8 +197,8 @@
 	defer detach()
 	c := &call{proxy: p, writer: writer, request: request.WithContext(ctx), began: clock.Now(), tried: map[workers.ID]bool{}, detach: detach}
 	defer c.holding.end()
-	c.unread = request.ContentLength < 0 || request.ContentLength > bodies.Small
 	c.message.ID = request.Header.Get(p.Headers.RequestID)
+	c.unread = request.ContentLength < 0 || request.ContentLength > bodies.Small
 	if p.stopping.Load() {
 		writer.Header().Set("Connection", "close")
 	}
