Let the worker start again in the model of a router's view

A worker starts again under its ID up to twice in an order of events, by a clock that steps back, also after it has left: the router must use the new life, and not take it to leave since the life before did.

--- a/internal/router/belief_test.go
+++ b/internal/router/belief_test.go
@@ -59,6 +59,8 @@
 	left time.Time
 	// lapsed says that the entry went with the service.
 	lapsed bool
+	// born is the life of the worker.
+	born workers.Born
 }
 
 func newBelief(t *testing.T) *belief {
@@ -69,15 +71,16 @@
 	b.leader.adapter.Store, b.leader.adapter.WorkersPrefix = b.leaderCut, "w/"
 	go b.leader.follow(t.Context(), "w/", b.leader.entriesView, b.leader.entries)
 	b.store = &cutStore{Store: b.oneCut.Store}
+	b.born = 100
 	b.announce(workers.StateReady)
 	return b
 }
 
 // announce writes the worker's entry.
 func (b *belief) announce(state workers.State) {
-	at, err := b.store.Commit(b.t.Context(), coord.Txn{Puts: []coord.Put{{Key: "w/a", Value: []byte(state)}}})
+	at, err := b.store.Commit(b.t.Context(), coord.Txn{Puts: []coord.Put{{Key: "w/a", Value: fmt.Appendf(nil, "%s %d", state, b.born)}}})
 	assert.NilError(b.t, err)
-	worker := workers.Worker{ID: "a", Service: "s", State: state}
+	worker := workers.Worker{ID: "a", Service: "s", State: state, Born: b.born}
 	b.changes = append(b.changes, peerlink.Changed(at, worker))
 }
 
@@ -145,9 +148,33 @@
 		away := between(0, 12*time.Second)
 		steps = append(steps, step{away, func() { b.setAway(true) }}, step{away + between(time.Second, 7*time.Second), func() { b.setAway(false) }})
 	}
+	return append(steps, b.drawRestarts(random)...)
+}
+
+// drawRestarts draws when the worker starts again under its ID, after it has left or without.
+func (b *belief) drawRestarts(random *rand.Rand) []step {
+	var steps []step
+	for range random.IntN(3) {
+		at := time.Duration(random.Int64N(int64(18 * time.Second)))
+		steps = append(steps, step{at, b.restart})
+	}
 	return steps
 }
 
+// restart begins another life of the worker, whose clock may have stepped back. What it said of
+// leaving was the life before.
+func (b *belief) restart() {
+	if b.lapsed || b.away || time.Since(b.lastAway) < contactTime {
+		return
+	}
+	b.born -= 7
+	b.announce(workers.StateReady)
+	if !b.left.IsZero() {
+		b.left = time.Time{}
+		b.lastBlind = time.Now() // it takes as long to hear that it is back
+	}
+}
+
 // setLost lets nobody lead, or the leader lead again.
 func (b *belief) setLost(is bool) {
 	b.leads = !is
@@ -211,6 +238,8 @@
 	switch {
 	case believed && inTouch && !b.left.IsZero() && time.Since(b.left) >= drainTime:
 		return fmt.Errorf("work goes to a worker that left %v ago", time.Since(b.left))
+	case inTouch && b.one.workers.DrainingFor("a") > 0 && b.left.IsZero() && time.Since(b.lastBlind) >= contactTime:
+		return fmt.Errorf("another life of the worker is taken to leave")
 	case !believed && b.left.IsZero() && time.Since(b.lastBlind) >= contactTime:
 		return fmt.Errorf("no work goes to a worker that lives")
 	}
