--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -24,6 +24,8 @@
 	// probePause is the least pause between two looks at one worker. A full one closes many
 	// connections, and each look is one more; a crash may be seen that much later.
 	probePause = 250 * time.Millisecond
+	// namedBody is how much of a body makes a request's fingerprint, in bytes.
+	namedBody = 128 << 10
 )
 
 // fingerprint names the request over all its attempts.
@@ -33,7 +35,7 @@
 	}
 	named := quarantine.Request{
 		Method: c.message.Method, Host: c.message.Host, URI: c.message.URI,
-		Body: c.message.Body, Length: c.message.Length, Caller: caller(c.request.RemoteAddr),
+		Body: c.message.Body.Start(namedBody), Length: c.message.Length, Caller: caller(c.request.RemoteAddr),
 	}.Fingerprint()
 	c.named.Store(&named)
 	return named
@@ -51,7 +53,7 @@
 // endsOf tells what the end of a send shows of its worker's end.
 func endsOf(r *upstream.Result) (cutOff, closed, ended bool) {
 	closed = r.Outcome == upstream.Broken && closedByPeer(r.Err)
-	cutOff = closed || (r.Written && (r.Outcome == upstream.Late || r.Outcome == upstream.Gone))
+	cutOff = closed || (r.Written && (r.Outcome == upstream.Late || r.Outcome == upstream.Gone || r.Outcome == upstream.BodyCut))
 	ended = r.Outcome == upstream.Misdirected || (r.Outcome == upstream.NotSent && errors.Is(r.Err, syscall.ECONNREFUSED))
 	return cutOff, closed, ended
 }
@@ -76,7 +78,7 @@
 	if !cutOff {
 		return
 	}
-	if to.cutOff(clock.Now(), c.attempt()) && c.proxy.wasServing(to.id()) {
+	if to.cutOff(clock.Now(), c.attempt()) && c.proxy.wasServing(to) {
 		c.proxy.suspect(to, c.attempt())
 	}
 	if !closed {
@@ -106,7 +108,7 @@
 // workerEnded notes that a worker has ended. Unless it was leaving, it crashed, and the
 // requests under way there are suspects.
 func (p *Proxy) workerEnded(to *backend) {
-	if !p.wasServing(to.id()) {
+	if !p.wasServing(to) {
 		return
 	}
 	attempts, first := to.hasEnded(clock.Now())
@@ -121,9 +123,15 @@
 	}
 }
 
-// wasServing reports whether a worker is announced and does not leave.
-func (p *Proxy) wasServing(id workers.ID) bool {
-	worker, announced := p.fleet.directory.Get(id)
+// wasServing reports whether a worker is announced and does not leave; one that has started
+// again meanwhile, whether it did not then.
+func (p *Proxy) wasServing(to *backend) bool {
+	life := to.described().Life()
+	worker, announced := p.fleet.directory.Get(life.ID)
+	if announced && life.Born != 0 && worker.Born != life.Born {
+		worker, announced = p.fleet.directory.Before(life.ID)
+		announced = announced && worker.Born == life.Born
+	}
 	return announced && worker.State == workers.StateReady
 }
 
@@ -132,7 +140,8 @@
 	now := clock.Now()
 	p.Log.Line(decision.KindSuspect).Str("id", attempt.ID).Str("fingerprint", attempt.Request.String()).
 		Str("worker", string(to.id())).Str("route", attempt.Route).Str("caller", attempt.Caller.String()).Msg("")
-	if p.Suspects.Crashed(now, attempt, quarantine.Crash{Worker: to.id(), At: now}) {
+	life := to.described().Life()
+	if p.Suspects.Crashed(now, attempt, quarantine.Crash{Worker: life.ID, Born: life.Born, At: now}) {
 		TellQuarantined(p.Log, attempt)
 	}
 }
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -33,6 +33,8 @@
 	asked map[string]*asked
 	// ending are booked units that end by themselves, by time.
 	ending []ending
+	// changes are tenants that went over their limits, or came back, since they were told.
+	changes []Change
 	// removed is when tenants' limits were removed.
 	removed map[routing.TenantName]time.Time
 }
@@ -49,6 +51,9 @@
 	frozen time.Time
 	// dirty says that a router wants more.
 	dirty bool
+	// over says that the tenant asks for more than there is, missed at last.
+	over   bool
+	missed time.Time
 }
 
 // member is a router that has told what it holds.
@@ -76,9 +81,8 @@
 	number       uint64
 	// booked is how many the router may hold until it has acknowledged that grant.
 	booked int
-	// used is what it told last, and short says that it refuses requests.
-	used  int
-	short bool
+	// used is what it told last, and short how many requests found no unit then.
+	used, short int
 }
 
 // asked is a router that must tell all.
@@ -224,7 +228,9 @@
 		if p == nil || m.holds[name] != nil {
 			continue
 		}
-		m.holds[name] = &hold{units: use.credit(), booked: use.credit(), floor: use.floor()}
+		h := &hold{units: use.credit(), booked: use.credit(), floor: use.floor()}
+		m.holds[name] = h
+		c.set(m, h, use.under(p.limit))
 		p.book(use.credit(), use.floor())
 		p.reported += max(use.credit(), use.used())
 		c.end(now.Add(c.bound.rest()), name, use.used()-use.credit(), 0)
@@ -257,7 +263,9 @@
 			continue
 		}
 		if told.All { // it may have dropped the tenant meanwhile
-			h.units, h.floor = min(h.units, use.credit()), min(h.floor, use.floor())
+			h.floor = min(h.floor, use.floor())
+			h.units = min(h.units, use.credit())
+			c.set(m, h, min(h.units, use.under(c.pools[name].limit)))
 		}
 		c.settle(now, name, h)
 	}
@@ -268,7 +276,7 @@
 		}
 		h := m.hold(name)
 		h.used, h.short = use.used(), use.short()
-		p.dirty = p.dirty || h.short || h.used >= h.units
+		p.dirty = true
 	}
 	m.acked = max(m.acked, told.Ack)
 }
@@ -364,7 +372,8 @@
 // asks returns the messages to routers that must tell all.
 func (c *Coordinator) asks(now time.Time) []Grant {
 	var grants []Grant
-	for node, a := range c.asked {
+	for _, node := range slices.Sorted(maps.Keys(c.asked)) {
+		a := c.asked[node]
 		if !a.due && now.Sub(a.at) >= askEvery {
 			delete(c.asked, node) // asked again if it tells anything
 			continue
@@ -397,13 +406,11 @@
 
 // grant makes the next message to a member, and extends its lease by the newest stamp.
 func (c *Coordinator) grant(now time.Time, m *member) Grant {
-	m.granted++
-	m.grantedAt, m.changed = now, false
 	if m.stamp > m.echoed {
 		m.echoed = m.stamp
 		m.until, m.floorUntil = m.stampAt.Add(Lease), m.stampAt.Add(FloorLease)
 	}
-	grant := Grant{Node: m.node, Life: m.life, Term: c.term, Number: m.granted, Stamp: m.stamp}
+	grant := Grant{Node: m.node, Life: m.life, Term: c.term, Stamp: m.stamp}
 	for name, h := range m.holds {
 		if h.number > m.acked {
 			if grant.Credits == nil {
@@ -412,6 +419,11 @@
 			grant.Credits[name] = Credit{h.units, c.pools[name].limit, h.floor}
 		}
 	}
+	if len(grant.Credits) > 0 {
+		m.granted++
+		m.grantedAt, m.changed = now, false
+	}
+	grant.Number = m.granted
 	return grant
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeebo/errs"
 
+	"github.com/shalefork/shalefork/internal/bodies"
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/election"
@@ -63,8 +64,8 @@
 	ReadEvacuation func(key string) (zone string, evacuates bool)
 	// WorkersPrefix is where workers announce themselves.
 	WorkersPrefix string
-	// ReadWorker reads a worker's entry; false if it can't be read.
-	ReadWorker func(item coord.Item) (workers.Worker, bool)
+	// ReadWorker reads a worker's entry; its error is a *workers.EntryError.
+	ReadWorker func(item coord.Item) (workers.Worker, error)
 	// WorkerID returns the worker that an entry's key names.
 	WorkerID func(key string) workers.ID
 }
@@ -103,6 +104,8 @@
 	config, entries *followed
 	entriesView     *workersView
 	configView      *configView
+	// unreadable counts the entries that name no worker.
+	unreadable unreadableMetric
 	// told says that a leader tells this process of changes, and unled is closed once this
 	// process, when it started, has found no leader that would.
 	told  told
@@ -135,7 +138,8 @@
 		config:  newFollowed(),
 		entries: newFollowed(),
 	}
-	r.entriesView = &workersView{r: r}
+	r.entriesView = &workersView{r: r, unreadable: map[workers.ID]unreadable{}}
+	r.unreadable = newUnreadableMetric(metrics)
 	r.workers.OnExpired(r.entriesView.expired)
 	r.configView = newConfigView(r)
 	r.proxy = proxy.New(config.Zone, r.workers, limits(config))
@@ -144,6 +148,7 @@
 	r.proxy.Headers, r.proxy.Table, r.proxy.Meter = adapter.Headers, r.table, r.meter
 	r.proxy.Drain, r.proxy.Evacuate = config.Drain.Std(), config.Evacuate.Std()
 	r.proxy.Log, r.proxy.Nodes, r.proxy.Metrics = log, r.nodes, proxy.NewMetrics(metrics)
+	r.proxy.Room, r.proxy.Turns = r.newRoom(), bodies.NewTurns(config.Machine.LinkMbps)
 	r.proxy.Starting.Store(true)
 	r.configAsOf.Store(never)
 	if config.Revocation == settings.RevocationStrict {
@@ -162,13 +167,14 @@
 		Times:    owner.DefaultConfig(config.MaxHold.Std()), Nonce: rand.Text, Zone: config.Zone, Regions: r.places,
 	}
 	r.standby = standby.New(adapter.Orders, r.keeper.Times, log)
+	r.standby.Workers = r.workers
 	r.hub.OnAsked(r.standby.Stop)
 	r.hub.OnReported(r.meter.Add)
 	r.hub.OnEvidence(r.evidenceTaken)
 	r.quotas = newQuotas(r)
 	r.proxy.Quota = r.quotas
 	r.hub.OnQuota(r.quotas.heard)
-	metrics.MustRegister(r.proxy)
+	metrics.MustRegister(r.proxy, r.quotas)
 	r.registerGauges(metrics)
 	return r
 }
--- a/internal/router/workersview.go
+++ b/internal/router/workersview.go
@@ -20,7 +20,9 @@
 	at coord.Revision
 	// lostAt is when the service was lost last.
 	lostAt time.Time
-	zones  strangeZones
+	// unreadable are the entries that name no worker, as of their last changes.
+	unreadable map[workers.ID]unreadable
+	zones      strangeZones
 }
 
 // Snapshot implements coord.View.
@@ -33,12 +35,9 @@
 	since := v.r.knewAll(v.r.entries)
 	list := make([]peerlink.WorkerChange, 0, len(items))
 	for _, item := range items {
-		v.r.entries.read(item.Revision)
-		if worker, ok := v.r.adapter.ReadWorker(item); ok {
-			change := peerlink.Changed(item.Revision, worker)
-			change.Learned = v.r.workers.ListedSince(since)
-			list = append(list, change)
-		}
+		change := v.readEntry(item)
+		change.Learned = v.r.workers.ListedSince(since)
+		list = append(list, change)
 	}
 	v.replace(list, at, since)
 }
@@ -48,18 +47,24 @@
 	v.at = at
 	v.r.entries.cover(at)
 	announced := make([]workers.Worker, 0, len(list))
+	faulty := map[workers.ID]unreadable{}
 	learned := workers.Learned{}
 	for _, change := range list {
 		v.r.entries.read(change.Revision)
+		if change.Unreadable != nil {
+			faulty[change.ID] = unreadable{revision: change.Revision, fault: *change.Unreadable}
+			continue
+		}
 		worker := change.Worker()
 		v.zones.note(v.r.places, worker, v.r.log)
 		announced = append(announced, worker)
 		learned[change.ID] = change.Learned
 	}
+	v.replaceUnreadable(faulty)
 	vanished := v.r.workers.Replace(announced, learned, since)
 	v.r.hub.EntriesRead(list, at)
 	v.tellVanished(vanished, at)
-	v.r.log.Line(decision.KindWorker).Int("announced", len(list)).Int64("revision", int64(at)).Msg("list read")
+	v.r.log.Line(decision.KindWorker).Int("announced", len(announced)).Int64("revision", int64(at)).Msg("list read")
 }
 
 // Changed implements coord.View.
@@ -101,11 +106,7 @@
 	for _, event := range events {
 		change := peerlink.WorkerChange{Revision: event.Revision, ID: v.r.adapter.WorkerID(event.Key), Gone: true}
 		if !event.Deleted {
-			worker, ok := v.r.adapter.ReadWorker(event.Item)
-			if !ok {
-				continue
-			}
-			change = peerlink.Changed(event.Revision, worker)
+			change = v.readEntry(event.Item)
 		}
 		change.Learned = learned
 		changes = append(changes, change)
@@ -132,6 +133,7 @@
 	learned := workers.Learned{}
 	for id, change := range last {
 		learned[id] = change.Learned
+		v.noteUnreadable(change)
 		if change.Gone {
 			gone = append(gone, id)
 			continue
