--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -5,17 +5,20 @@
 
 import (
 	"context"
+	cryptorand "crypto/rand"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/bodies"
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/keytable"
 	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/tenant"
 	"github.com/shalefork/shalefork/internal/traffic"
 	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
@@ -23,11 +26,6 @@
 
 // Bounds of requests.
 const (
-	// keptBody is the most of a request's body that is kept; a longer one is
-	// streamed and sent once.
-	keptBody = 128 << 10
-	// bodyWait bounds the wait for a body.
-	bodyWait = 10 * time.Second
 	// answerMargin is kept from the deadline to bring the answer to the client.
 	answerMargin = 15 * time.Millisecond
 )
@@ -54,6 +52,15 @@
 	reasonMalformed = "malformed"
 	reasonBody      = "body"
 	reasonQueue     = "queue-full"
+	// reasonRoom: there is no memory for one more large body.
+	reasonRoom = "bodies-full"
+	// reasonSlow: the caller sent its body, or read its answer, too slowly.
+	reasonSlow = "caller-slow"
+	// Answers that ended before they were whole: by their worker, at the deadline, or since
+	// the caller has left.
+	reasonCutByWorker = "cut-by-worker"
+	reasonCutLate     = "cut-at-deadline"
+	reasonCutByClient = "cut-by-client"
 	// reasonQuota: the tenant is beyond its limit.
 	reasonQuota = "over-quota"
 	// reasonQuarantined: the request has crashed workers that ran it.
@@ -65,7 +72,9 @@
 	config   *routing.Config
 	splitter *routing.Splitter
 	swaps    *swaps
-	since    time.Time
+	// keys are the API keys of the configuration's tenants; nil if it has none.
+	keys  *tenant.Index
+	since time.Time
 }
 
 // Proxy is the handler of clients' requests.
@@ -83,13 +92,23 @@
 	Suspects *quarantine.View
 	// Quota of the tenants; nil: nobody has one.
 	Quota Quota
+	// Outdated reports whether keys may have been taken away that are known here still, so that
+	// callers with keys are refused; nil: they never are for that.
+	Outdated func() bool
 	// Starting says that this process does not know yet which requests are quarantined.
 	Starting atomic.Bool
+	// Room bounds the memory of bodies in flight, and Turns what large ones put on the link.
+	Room  *bodies.Room
+	Turns *bodies.Turns
 	// Drain is how long workers that leave may get requests.
 	Drain time.Duration
 	// Evacuate is how long the workers of an evacuated zone may get requests.
 	Evacuate time.Duration
-	fleet    *fleet
+	// uploads and downloads count the large bodies in flight.
+	uploads, downloads atomic.Int64
+	fleet              *fleet
+	// secret keys the hash under which API keys are looked up.
+	secret   tenant.Secret
 	current  atomic.Pointer[active]
 	stopping atomic.Bool
 	// ending is done once the process is about to end; end makes it so.
@@ -100,9 +119,13 @@
 // New returns a proxy in a zone over the announced workers.
 func New(zone string, directory *workers.Directory, limits BudgetLimits) *Proxy {
 	ending, end := context.WithCancel(context.Background())
-	proxy := &Proxy{fleet: newFleet(zone, directory, limits), Nodes: &atomic.Int32{}, Suspects: quarantine.NewView(), ending: ending, end: end}
-	proxy.fleet.ended = proxy.workerEnded
-	return proxy
+	p := &Proxy{
+		fleet: newFleet(zone, directory, limits), Nodes: &atomic.Int32{}, Suspects: quarantine.NewView(),
+		Room: bodies.NewRoom(0), Turns: bodies.NewTurns(0), ending: ending, end: end,
+	}
+	_, _ = cryptorand.Read(p.secret[:]) // it never fails
+	p.fleet.ended = p.workerEnded
+	return p
 }
 
 // Use puts a configuration into force unless a newer one is.
@@ -112,7 +135,10 @@
 		if old != nil && old.config.Version >= config.Version {
 			return false
 		}
-		if p.current.CompareAndSwap(old, &active{config: config, splitter: routing.NewSplitter(rand.IntN), swaps: newSwaps(), since: clock.Now()}) {
+		fresh := &active{
+			config: config, splitter: routing.NewSplitter(rand.IntN), swaps: newSwaps(), keys: p.index(config, old), since: clock.Now(),
+		}
+		if p.current.CompareAndSwap(old, fresh) {
 			p.fleet.sizes.keep(config)
 			return true
 		}
@@ -167,8 +193,12 @@
 func (p *Proxy) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	ctx, cancel := context.WithCancel(request.Context())
 	defer cancel()
-	defer context.AfterFunc(p.ending, cancel)()
-	c := &call{proxy: p, writer: writer, request: request.WithContext(ctx), began: clock.Now(), tried: map[workers.ID]bool{}}
+	detach := context.AfterFunc(p.ending, cancel)
+	defer detach()
+	c := &call{proxy: p, writer: writer, request: request.WithContext(ctx), began: clock.Now(), tried: map[workers.ID]bool{}, detach: detach}
+	defer c.holding.end()
+	c.message.ID = request.Header.Get(p.Headers.RequestID)
+	c.unread = request.ContentLength < 0 || request.ContentLength > bodies.Small
 	if p.stopping.Load() {
 		writer.Header().Set("Connection", "close")
 	}
@@ -182,9 +212,10 @@
 		c.refuse(http.StatusNotFound, reasonNoRoute, 0)
 		return
 	}
-	if !c.identify() || !c.withinQuota() {
+	if !c.identify(used.keys) || !c.withinQuota() {
 		return
 	}
+	defer c.returnQuota()
 	c.allowed.attempts = max(1, c.route.Attempts)
 	c.service = c.part(used)
 	if !c.prepare() {
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -47,6 +47,7 @@
 	s.open++
 	c := s.call
 	c.allowed.take()
+	c.countSend()
 	until := c.deadline.Add(-answerMargin)
 	go s.run(to, until)
 }
@@ -104,12 +105,8 @@
 func (s *copies) take(end ended) *upstream.Result {
 	if end.got.Stream == nil {
 		s.cancel()
-		return &end.got
-	}
-	stop := end.got.Stop
-	end.got.Stop = func(whole bool) {
-		stop(whole)
-		s.cancel()
+	} else {
+		s.call.holding.add(s.cancel)
 	}
 	return &end.got
 }
--- a/internal/proxy/worker_test.go
+++ b/internal/proxy/worker_test.go
@@ -27,7 +27,7 @@
 // testHeaders are the names of headers in these tests.
 var testHeaders = upstream.Headers{
 	RequestID: "X-Id", DeadlineMillis: "X-Deadline", Signature: "X-Signature", Target: "X-Target",
-	Worker: "X-Worker", NotRun: "X-Not-Run", Load: "X-Load", Key: "X-Key",
+	Worker: "X-Worker", NotRun: "X-Not-Run", Load: "X-Load", Key: "X-Key", Tenant: "X-Tenant",
 }
 
 // script answers the requests of one connection; it may write anything. It
@@ -41,6 +41,7 @@
 	mu       sync.Mutex
 	arrived  []*http.Request
 	bodies   []string
+	opened   int
 	closed   int
 }
 
@@ -56,6 +57,9 @@
 			if err != nil {
 				return
 			}
+			w.mu.Lock()
+			w.opened++
+			w.mu.Unlock()
 			go w.serve(connection, run)
 		}
 	}()
@@ -95,6 +99,12 @@
 	return len(w.arrived)
 }
 
+func (w *worker) connections() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.opened
+}
+
 func (w *worker) ends() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -170,7 +180,8 @@
 	return f
 }
 
-func testConfig(t testing.TB, version routing.Version) *routing.Config {
+// testConfig returns the configuration of newFront, with further routes.
+func testConfig(t testing.TB, version routing.Version, more ...*routing.Route) *routing.Config {
 	t.Helper()
 	route := func(prefix, service string, repeatable bool) *routing.Route {
 		return &routing.Route{
@@ -184,10 +195,13 @@
 	}
 	single := route("/single/", "pool", true)
 	single.Attempts = 1
-	config, err := routing.Build(version, []*routing.Route{
+	up, down := route("/up/", "pool", false), route("/down/", "pool", true)
+	up.Class, down.Class = routing.BulkUp, routing.BulkDown
+	routes := append([]*routing.Route{
 		route("/safe/", "pool", true), route("/unsafe/", "pool", false), route("/keyed/", "keyed", true),
-		route("/keyed-once/", "keyed", false), single,
-	}, services, routing.Limits{BodyBytes: 1 << 20})
+		route("/keyed-once/", "keyed", false), single, up, down,
+	}, more...)
+	config, err := routing.Build(version, routes, services, routing.Limits{BodyBytes: 1 << 20})
 	assert.NilError(t, err)
 	return config
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeebo/errs"
 
+	"github.com/shalefork/shalefork/internal/bodies"
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/election"
@@ -53,6 +54,9 @@
 	ReadyPath string
 	// ConfigPrefix is where the operators' configuration stands.
 	ConfigPrefix string
+	// SealConfig puts digests in the place of the API keys in what operators write; an item in
+	// which it can't find them comes back empty, with the error. Nil: there are no keys.
+	SealConfig func(item coord.Item) (coord.Item, error)
 	// ReadConfig finds the configuration among items; nil if it is not there.
 	ReadConfig func(items []coord.Item) (*routing.Config, error)
 	// ReadEvacuation returns the zone whose workers are to get no work while a key stands
@@ -108,8 +112,12 @@
 	unled *latch
 	// recordsRead says that the stored owners were looked for, since no leader told them.
 	recordsRead sync.Once
+	// configAsOf is as of when the configuration in force here was told to be the newest, a number
+	// of clock.Nanos.
+	configAsOf atomic.Int64
 	// strongest holds the greatest strength of all machines, as bits of a float64.
 	strongest atomic.Uint64
+	quotas    *quotas
 }
 
 // queuedReports is how many reports wait for the keeper.
@@ -140,7 +148,12 @@
 	r.proxy.Headers, r.proxy.Table, r.proxy.Meter = adapter.Headers, r.table, r.meter
 	r.proxy.Drain, r.proxy.Evacuate = config.Drain.Std(), config.Evacuate.Std()
 	r.proxy.Log, r.proxy.Nodes, r.proxy.Metrics = log, r.nodes, proxy.NewMetrics(metrics)
+	r.proxy.Room, r.proxy.Turns = r.newRoom(), bodies.NewTurns(config.Machine.LinkMbps)
 	r.proxy.Starting.Store(true)
+	r.configAsOf.Store(never)
+	if config.Revocation == settings.RevocationStrict {
+		r.proxy.Outdated = r.configOutdated
+	}
 	r.process = rand.Text()
 	r.hub = peerlink.NewHub(r.process, r.reports, r.known)
 	r.hub.Strength, r.hub.DirectNodes = config.Machine.Strength(), config.DirectRouters
@@ -158,6 +171,9 @@
 	r.hub.OnAsked(r.standby.Stop)
 	r.hub.OnReported(r.meter.Add)
 	r.hub.OnEvidence(r.evidenceTaken)
+	r.quotas = newQuotas(r)
+	r.proxy.Quota = r.quotas
+	r.hub.OnQuota(r.quotas.heard)
 	metrics.MustRegister(r.proxy)
 	r.registerGauges(metrics)
 	return r
