List entries of others and processes that start again, and name moved workers anew

A worker that starts again at another address was named to followers by its first address for as long as their links lasted: names on a link go by ID and address (TestAWorkerIsNamedAnewWhereItsAddressChanges).

--- a/internal/election/renewers_test.go
+++ b/internal/election/renewers_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/coord/memory"
 )
 
@@ -41,3 +42,22 @@
 		})
 	}
 }
+
+// A list of standbys that can't be read kept any process from leading: the next leader outwaits
+// what they may do, as if it knew of none.
+func TestAListOfStandbysThatCantBeReadIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		one := candidate(store, "a")
+		_, err := store.Commit(t.Context(), coord.Txn{Puts: []coord.Put{{Key: one.renewersKey(), Value: []byte("{")}}})
+		assert.NilError(t, err)
+		tenure, err := one.Campaign(t.Context(), 0)
+		assert.NilError(t, err)
+		assert.Equal(t, len(tenure.Before), 0)
+		stored := Renewer{Address: "x:1", Process: "x"}
+		assert.NilError(t, bounded(t, tenure, stored))
+		list, _, err := one.renewers(t.Context())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, list, []Renewer{stored})
+	})
+}
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -14,7 +14,6 @@
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/topology"
 	"github.com/shalefork/shalefork/internal/traffic"
-	"github.com/shalefork/shalefork/internal/workers"
 )
 
 // Times of a link.
@@ -98,7 +97,7 @@
 	conn    net.Conn
 	wake    chan struct{}
 	sent    map[routing.ServiceName][]owner.Owner
-	numbers map[workers.ID]int
+	numbers map[NamedWorker]int
 	// term is that of the leader whose owners were sent, and since is when the link began.
 	term  owner.Term
 	since time.Time
@@ -253,7 +252,7 @@
 	leading, term := h.leading, h.term
 	one := &link{
 		conn: conn, wake: make(chan struct{}, 1),
-		sent: map[routing.ServiceName][]owner.Owner{}, numbers: map[workers.ID]int{},
+		sent: map[routing.ServiceName][]owner.Owner{}, numbers: map[NamedWorker]int{},
 		entries: hello.Entries, config: hello.Config, hello: hello, holds: map[routing.ServiceName]uint64{},
 		since: clock.Now(), followers: hello.Followers,
 	}
--- a/internal/peerlink/standbys_test.go
+++ b/internal/peerlink/standbys_test.go
@@ -117,6 +117,37 @@
 	assert.Assert(t, s.mandate(one, now.Add(9*time.Second)) == nil)
 }
 
+// A standby that starts again under its node name and address is another process: it has no leave,
+// and that of the process before is still waited for.
+func TestARouterThatStartsAgainIsAnotherStandby(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var s standbys
+	s.reset()
+	s.limit = now.Add(9 * time.Second)
+	s.appointed["p1"] = true
+	before := &link{hello: Hello{Node: "n", Address: "a:1", Process: "p1"}, stamp: 1, holds: map[routing.ServiceName]uint64{}}
+	s.mandate(before, now)
+	s.lost(before)
+	after := &link{hello: Hello{Node: "n", Address: "a:1", Process: "p2"}, stamp: 1, holds: map[routing.ServiceName]uint64{}}
+	assert.Assert(t, s.mandate(after, now.Add(time.Second)) == nil)
+	left := s.mandates("s", now.Add(time.Second))
+	assert.Equal(t, len(left), 1)
+	assert.Equal(t, left[0].Until, s.limit)
+}
+
+// A worker that starts again at another address was named to followers by its first address for as
+// long as their links lasted.
+func TestAWorkerIsNamedAnewWhereItsAddressChanges(t *testing.T) {
+	one := &link{numbers: map[NamedWorker]int{}}
+	keys := owner.Keys{From: 0, To: 9}
+	var news ServiceNews
+	one.number(&news, []owner.Owner{{Keys: keys, Worker: "w", Address: "a:1"}})
+	one.number(&news, []owner.Owner{{Keys: keys, Worker: "w", Address: "a:1"}})
+	one.number(&news, []owner.Owner{{Keys: keys, Worker: "w", Address: "b:1"}})
+	assert.DeepEqual(t, news.Workers, []NamedWorker{{ID: "w", Address: "a:1"}, {ID: "w", Address: "b:1"}})
+	assert.DeepEqual(t, news.Runs, [][4]int{{0, 9, 0, 0}, {0, 9, 0, 0}, {0, 9, 1, 0}})
+}
+
 func TestHoldsThatNameAnUnknownWorkerAreRefused(t *testing.T) {
 	_, ok := ServiceHolds{Service: "s", Runs: pack([][4]int64{{0, 9, 1, 7}})}.Holds()
 	assert.Assert(t, !ok)
--- a/internal/peerlink/update.go
+++ b/internal/peerlink/update.go
@@ -79,11 +79,12 @@
 // number writes the runs with the workers' numbers.
 func (l *link) number(news *ServiceNews, changes []owner.Owner) {
 	for _, change := range changes {
-		number, named := l.numbers[change.Worker]
-		if !named {
+		worker := NamedWorker{ID: change.Worker, Address: change.Address}
+		number, named := l.numbers[worker]
+		if !named { // or it has started again elsewhere
 			number = len(l.numbers)
-			l.numbers[change.Worker] = number
-			news.Workers = append(news.Workers, NamedWorker{ID: change.Worker, Address: change.Address})
+			l.numbers[worker] = number
+			news.Workers = append(news.Workers, worker)
 		}
 		moving := 0
 		if change.Moving {
