Keep a doubt for the keys that do not return

A worker that got some of its former keys back was no longer told the new fence of the others: the whole doubt was dropped with the first key. Its rest is kept now.

--- a/internal/owner/doubt.go
+++ b/internal/owner/doubt.go
@@ -48,16 +48,30 @@
 // the worker may take what is in doubt; zero if nothing is.
 func (b *Book) dropDoubts(worker workers.ID, keys Keys) time.Time {
 	until := time.Time{}
+	var rest []*doubt
 	b.doubts = slices.DeleteFunc(b.doubts, func(one *doubt) bool {
 		drop := one.worker == worker && one.keys.From <= keys.To && one.keys.To >= keys.From
 		if drop {
 			until = later(until, one.until)
+			rest = append(rest, one.beside(keys)...)
 		}
 		return drop
 	})
+	b.doubts = append(b.doubts, rest...)
 	return until
 }
 
+// beside returns the doubts about the keys that are not among others.
+func (d *doubt) beside(keys Keys) []*doubt {
+	var parts []*doubt
+	for _, part := range []Keys{{d.keys.From, keys.From - 1}, {keys.To + 1, d.keys.To}} {
+		if part.From <= part.To {
+			parts = append(parts, &doubt{worker: d.worker, keys: part, fence: d.fence, until: d.until, next: d.next, told: d.told})
+		}
+	}
+	return parts
+}
+
 // dueDoubts returns the releases that raise fences at workers in doubt.
 func (b *Book) dueDoubts(now time.Time) []Order {
 	b.doubts = slices.DeleteFunc(b.doubts, func(one *doubt) bool {
--- a/internal/owner/unreached_test.go
+++ b/internal/owner/unreached_test.go
@@ -106,3 +106,30 @@
 	assert.Equal(t, len(orders), 2, "the grant to the new owner, and the new fence to the old one")
 	assert.Equal(t, orders[true].Target.ID, candidates[0].ID)
 }
+
+// A worker that got some of its former keys back was no longer told the new fence of the others.
+func TestADoubtStaysForTheKeysThatDoNotReturn(t *testing.T) {
+	for name, test := range map[string]struct {
+		back Keys
+		left []Keys
+	}{
+		"inside":     {back: Keys{10, 20}, left: []Keys{{0, 9}, {21, 100}}},
+		"first keys": {back: Keys{0, 20}, left: []Keys{{21, 100}}},
+		"last keys":  {back: Keys{90, 200}, left: []Keys{{0, 89}}},
+		"all":        {back: Keys{0, 100}},
+		"others":     {back: Keys{101, 200}, left: []Keys{{0, 100}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			until := time.Unix(1000, 0)
+			book := NewBook(DefaultConfig(10*time.Second), 1)
+			book.doubts = []*doubt{{worker: "w", keys: Keys{0, 100}, fence: 7, until: until, told: true}}
+			book.dropDoubts("w", test.back)
+			var left []Keys
+			for _, one := range book.doubts {
+				assert.Assert(t, one.fence == 7 && one.until.Equal(until) && one.told)
+				left = append(left, one.keys)
+			}
+			assert.DeepEqual(t, left, test.left)
+		})
+	}
+}
