--- a/internal/keeper/rebuild_test.go
+++ b/internal/keeper/rebuild_test.go
@@ -70,7 +70,9 @@
 		t.Run(name, func(t *testing.T) {
 			play(t, func(b *bench) {
 				var before, after workers.ID
+				done := make(chan struct{})
 				b.lead(8*time.Second, func() {
+					defer close(done)
 					time.Sleep(4 * time.Second)
 					before = b.owner(7)
 					entry, _ := b.keeper.Workers.Get(before)
@@ -82,6 +84,7 @@
 					time.Sleep(100 * time.Millisecond)
 					after = b.owner(7)
 				})
+				<-done
 				assert.Assert(b.t, before != "")
 				assert.Equal(b.t, before == after, test.stays)
 			})
--- a/internal/router/belief_test.go
+++ b/internal/router/belief_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,6 +34,8 @@
 
 // belief is one order of events under way.
 type belief struct {
+	// mu is held but while time passes.
+	mu     sync.Mutex
 	t      *testing.T
 	store  *cutStore
 	one    *Router
@@ -208,6 +211,8 @@
 	b.remove()
 	b.lapsed = true
 	time.AfterFunc(backWithin, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
 		b.announce(workers.StateReady)
 		b.lapsed = false
 	})
@@ -273,6 +278,7 @@
 	steps := b.draw(random)
 	began := time.Now()
 	for time.Since(began) < beliefLength+5*time.Second {
+		b.mu.Lock()
 		for index, one := range steps {
 			if one.do != nil && time.Since(began) >= one.at {
 				one.do()
@@ -280,7 +286,11 @@
 			}
 		}
 		b.tell()
+		b.mu.Unlock()
 		elapse(beliefStep)
-		assert.NilError(t, b.check(), "%v after the start", time.Since(began))
+		b.mu.Lock()
+		err := b.check()
+		b.mu.Unlock()
+		assert.NilError(t, err, "%v after the start", time.Since(began))
 	}
 }
