Ask other processes for the leader where the store does not name it

Cause: a router found its leader in the store alone.

Terms and fences decide as before.

Ruled out: the follower's link (it ended as it should), configurations in quick succession (each is whole), the bound of relays (they pass on what they are told).

--- a/internal/peerlink/ask.go
+++ b/internal/peerlink/ask.go
@@ -14,6 +14,8 @@
 	Leading bool
 	// Process is unique to the life of the process that answered.
 	Process string
+	// Leader is the address of the leader that the process follows; empty: none.
+	Leader string
 }
 
 // Ask asks the process at an address whether it leads; false if it does not
@@ -31,5 +33,5 @@
 	}
 	var update Update
 	err = readLine(bufio.NewReader(conn), &update)
-	return Answer{Leading: update.Leading, Process: update.Process}, err == nil
+	return Answer{Leading: update.Leading, Process: update.Process, Leader: update.Followed}, err == nil
 }
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -73,6 +73,10 @@
 	// evidence is called with what linked processes have seen of crashes.
 	evidence func(quarantine.Evidence)
 	quotas   quotaLinks
+	// followed is the address of the leader that this process follows; empty: none.
+	followed string
+	// linked is called with the addresses of processes that follow this one; nil: nobody wants them.
+	linked func(addresses ...string)
 }
 
 // published are the owners of a service as they are told.
@@ -121,6 +125,8 @@
 	stamp   int64
 	holds   map[routing.ServiceName]uint64
 	holdsAt time.Time
+	// peersAt is when the link was last told of other processes.
+	peersAt time.Time
 }
 
 // Open begins to lead.
@@ -266,11 +272,15 @@
 	if takes = takes && redirect == ""; takes {
 		h.links[one] = struct{}{}
 	}
+	followed := h.followed
 	h.mu.Unlock()
 	if !takes {
-		_ = writeLine(conn, Update{Leading: leading, Term: term, Process: h.process, Redirect: redirect})
+		_ = writeLine(conn, Update{Leading: leading, Term: term, Process: h.process, Redirect: redirect, Followed: followed})
 		return
 	}
+	if h.linked != nil {
+		h.linked(hello.Address)
+	}
 	defer h.drop(one)
 	go h.receive(one, reader)
 	h.send(one)
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -64,6 +64,10 @@
 	Leaderless bool  `json:"o,omitempty"`
 	// Redirect is the address of the process to follow instead; empty: none.
 	Redirect string `json:"v,omitempty"`
+	// Followed is the address of the leader that a process follows which does not lead.
+	Followed string `json:"h,omitempty"`
+	// Peers are addresses of some other processes.
+	Peers []string `json:"i,omitempty"`
 	// Links is how many processes are linked to the sender.
 	Links int `json:"m,omitempty"`
 	// Doubtful says that the leader does not reach the key-value service: another
--- /dev/null
+++ b/internal/peerlink/peers_test.go
@@ -0,0 +1,39 @@
+package peerlink
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestTheNewestPeersAreKept(t *testing.T) {
+	var peers Peers
+	for index := range mostPeers + 5 {
+		peers.Add(fmt.Sprint("p", index), "")
+	}
+	peers.Add("p5", "p20")
+	some := peers.Some(mostPeers+5, "p20")
+	assert.Equal(t, len(some), mostPeers-1)
+	assert.Assert(t, slices.Contains(some, "p5") && !slices.Contains(some, "p20") && !slices.Contains(some, "p4"))
+	assert.Equal(t, len(peers.Some(2, "")), 2)
+	assert.Equal(t, len(new(Peers).Some(2, "")), 0)
+}
+
+func TestALinkIsToldOfOthersNowAndThen(t *testing.T) {
+	hub := NewHub("p", nil, func() Known { return Known{} })
+	one := &link{hello: Hello{Address: "one"}}
+	hub.links[one] = struct{}{}
+	now := time.Now()
+	assert.Equal(t, len(hub.peersFor(one, now)), 0, "there is no other")
+	for index := range 9 {
+		hub.links[&link{hello: Hello{Address: fmt.Sprint("p", index)}}] = struct{}{}
+	}
+	told := hub.peersFor(one, now)
+	assert.Equal(t, len(told), toldPeers)
+	assert.Assert(t, !slices.Contains(told, "one"))
+	assert.Equal(t, len(hub.peersFor(one, now.Add(toldPeersEvery-time.Millisecond))), 0)
+	assert.Equal(t, len(hub.peersFor(one, now.Add(toldPeersEvery))), toldPeers)
+}
--- a/internal/peerlink/update.go
+++ b/internal/peerlink/update.go
@@ -22,6 +22,7 @@
 	update.Services = h.servicesFor(one)
 	h.tellSuspects(one, &update, now)
 	update.Quota, one.quota = one.quota, nil
+	update.Peers = h.peersFor(one, now)
 	if h.leading {
 		update.Mandate = h.standbys.mandate(one, now)
 	}
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -250,4 +250,5 @@
 	r.entries.compare(now, update.Known.Workers)
 	r.config.catchUp(now, update.Known.Config)
 	r.noteConfigTold(now, update)
+	r.peers.Add(update.Peers...)
 }
--- a/internal/router/followleader.go
+++ b/internal/router/followleader.go
@@ -57,6 +57,7 @@
 	defer stop()
 	f := &following{r: r, leader: leader, address: leader.Address, stop: stop}
 	err := f.run(bounded)
+	r.hub.SetFollowed("")
 	r.told.end() // what was not told by now is read from the service
 	r.standby.Lost()
 	if ctx.Err() != nil {
@@ -140,6 +141,8 @@
 // told notes that the process that is followed has told its owners.
 func (f *following) told() {
 	f.linked = true
+	f.r.hub.SetFollowed(f.leader.Address)
+	f.r.peers.Add(f.leader.Address, f.address)
 	line := f.r.log.Line(decision.KindLeaderFound).Str("leader", f.leader.Address).Int64("term", int64(f.leader.Term))
 	if f.viaRelay() {
 		line = line.Str("relay", f.address)
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -63,6 +63,11 @@
 		switch {
 		case err != nil:
 			r.unled.close()
+			if told, found := r.askAround(ctx, ""); found {
+				r.followLeader(ctx, told)
+				backoff.Reset()
+				continue
+			}
 			backoff.SleepRest(ctx, clock.Since(began))
 		case found && r.hasEnded(ctx, leader):
 			r.goOnUnled(ctx)
@@ -127,7 +132,11 @@
 func (r *Router) awaitChange(ctx context.Context, leader election.Leader) {
 	bounded, cancel := context.WithCancel(ctx)
 	defer cancel()
-	changed := make(chan struct{}, 2)
+	changed := make(chan struct{}, 3)
+	go func() {
+		r.awaitOther(bounded, leader)
+		changed <- struct{}{}
+	}()
 	go func() {
 		r.election.AwaitAnother(bounded, leader)
 		changed <- struct{}{}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -109,6 +109,8 @@
 	unled *latch
 	// recordsRead says that the stored owners were looked for, since no leader told them.
 	recordsRead sync.Once
+	// peers are other processes, to be asked for the leader where the service does not name it.
+	peers peerlink.Peers
 	// configAsOf is as of when the configuration in force here was told to be the newest, a number
 	// of clock.Nanos.
 	configAsOf atomic.Int64
@@ -164,6 +166,7 @@
 	r.standby = standby.New(adapter.Orders, r.keeper.Times, log)
 	r.hub.OnAsked(r.standby.Stop)
 	r.hub.OnReported(r.meter.Add)
+	r.hub.OnLinked(r.peers.Add)
 	r.hub.OnEvidence(r.evidenceTaken)
 	r.quotas = newQuotas(r)
 	r.proxy.Quota = r.quotas
