--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -15,6 +15,7 @@
 	KindConfigBad     Kind = "config-refused"
 	KindEvacuation    Kind = "zones-evacuated"
 	KindWorker        Kind = "worker"
+	KindEntryBad      Kind = "entry-refused"
 	KindWorkerHealth  Kind = "worker-health"
 	KindWorkerCrashed Kind = "worker-crashed"
 	KindSuspect       Kind = "request-suspected"
@@ -32,8 +33,10 @@
 	KindMoved         Kind = "keys-moved"
 	KindOrderFailed   Kind = "order-failed"
 	KindRecord        Kind = "record"
+	KindQuota         Kind = "tenant-over-limit"
 	KindRequest       Kind = "request"
 	KindSent          Kind = "request-sent-again"
+	KindBodies        Kind = "bodies"
 	KindLeftOut       Kind = "lines-left-out"
 )
 
@@ -54,10 +57,11 @@
 		{KindMetricsLost, "the metrics can't be served; requests are", "address, error"},
 		{KindSuspended, "the machine was suspended, or no clock tells that here", "for (seconds), led (this process led before)"},
 		{KindReady, "the process calls itself ready or not", "ready, reason"},
-		{KindConfig, "a configuration is in force here", "version, routes, revision (of the store)"},
+		{KindConfig, "a configuration is in force here", "version, routes, revision (of the store); remarks (what operators should know of it)"},
 		{KindConfigBad, "a configuration can't be read; the one before stays", "revision, error"},
 		{KindEvacuation, "which zones' workers are to get no work has changed", "zones (all of them), revision"},
 		{KindWorker, "a worker announced itself, drains or is gone; or it is kept although its entry went, which may have lapsed only", "worker, state, service, revision, for (seconds that it is kept at most); announced: how many a new list has"},
+		{KindEntryBad, "an entry among the workers' names no worker to use, since somebody else has written it", "worker, reason, field, revision"},
 		{KindZoneUnknown, "a worker stands in a zone whose region the settings do not tell: the zone is taken for a region of its own", "zone, worker (the first that was seen there)"},
 		{KindWorkerHealth, "a worker is left alone after a failure, or is used again", "worker, outcome, id (the request that showed it), error"},
 		{KindWorkerCrashed, "a worker ended although it was announced and did not leave: its address refuses connections, or another process answers there", "worker, service, requests (under way there from this process)"},
@@ -75,8 +79,10 @@
 		{KindMoved, "a move of keys was planned", "service, from, to (keys), old, worker (owners), forced, rate, old_load, load (requests a second after it), capacity (of the new owner), change (of the book)"},
 		{KindOrderFailed, "a worker did not do an order as asked", "service, worker, release, from, to, fence, outcome"},
 		{KindRecord, "the stored owners were read, can't be read, or were written by another leader", "service, found, revision, term"},
+		{KindQuota, "a tenant asks for more than its limit allows, or does so no longer; told by the leader", "tenant, over, limit (requests within a window), used (of it, as routers told last), booked (what may be in use at most), withheld (what a new leader must not give yet), missing (what routers asked for in vain), age (seconds, of the oldest message)"},
 		{KindRequest, "a request ended otherwise than planned: refused, failed, late, sent more than once, or its client left (status 0)", "id, status, reason, service, route, took, sends, runs, unsent, config, worker, last, error; for callers with API keys tenant (also that of a key that was taken away), and gone_with (the version that took the key away); for keyed ones key, term, table_age; for quarantined ones fingerprint"},
 		{KindSent, "a request goes out once more", "id, worker, outcome (of the send before, or hedged), after"},
+		{KindBodies, "large bodies find no memory, or half of it is free again", "full, used, limit (bytes)"},
 		{KindLeftOut, "lines over the budget were left out", "of, lines, dropped (lines that found the writer busy, since the start)"},
 	}
 }
--- a/internal/quota/deal.go
+++ b/internal/quota/deal.go
@@ -6,25 +6,37 @@
 	"github.com/shalefork/shalefork/internal/routing"
 )
 
+// silentFor is after how long a router gets nothing more that has said nothing: it is likely to be
+// gone. What it holds stays booked.
+const silentFor = 2 * renewEvery
+
 // deal gives routers what they need of a tenant's units: what they use, and an equal share of
 // the rest, so that the next request finds a unit. Where too few are left it takes from those
 // that have more.
 func (c *Coordinator) deal(now time.Time, name routing.TenantName, p *pool) {
 	list := make([]*member, 0, len(c.members))
-	used := 0
+	used, held := 0, 0
 	for _, m := range c.members {
+		if now.Sub(m.stampAt) > silentFor {
+			continue
+		}
 		list = append(list, m)
-		used += m.hold(name).used
+		h := m.hold(name)
+		used += h.used
+		held += h.booked
 	}
 	sortByLeft(list, name)
 	most := c.most(now, p)
-	spare := max(0, most-used) / max(1, len(list), c.nodes)
+	lost := p.booked - held // by routers that are silent or gone
+	spare := max(0, most-lost-used) / max(1, len(list), c.nodes)
 	c.floors(p, name, list)
 	missing := c.raise(p, name, list, most, spare)
+	left := missing
 	if missing > 0 {
-		c.lower(name, list, spare, missing)
+		left = c.lower(name, list, spare, missing)
 	}
-	p.dirty = missing > 0
+	c.judge(now, name, p, left)
+	p.dirty = missing > 0 || p.over
 }
 
 // floors sets the floors of routers that have none yet, as far as the share kept for them goes.
@@ -46,17 +58,21 @@
 // long as it has enough left.
 func (h *hold) wants(spare int) int {
 	left := h.units - h.used
-	switch {
-	case h.short && spare == 0:
-		return 1
-	case h.short, left <= spare/2:
-		return max(0, spare-left)
+	if h.short == 0 && left > spare/2 {
+		return 0
 	}
-	return 0
+	return max(0, h.short-left, spare-left)
 }
 
 // raise gives units that are not booked, and returns how many were missing.
 func (c *Coordinator) raise(p *pool, name routing.TenantName, list []*member, most, spare int) (missing int) {
+	needy := 0
+	for _, m := range list {
+		if m.holds[name].wants(spare) > 0 {
+			needy++
+		}
+	}
+	fair := max(1, (most-p.booked)/max(1, needy))
 	for _, m := range list {
 		h := m.holds[name]
 		wants := h.wants(spare)
@@ -66,7 +82,7 @@
 		// What it was told to give up is booked still, and may be given again, unless the limit
 		// was lowered: more may be booked then than there is.
 		free := max(0, most-p.booked+h.booked-h.units)
-		given := min(wants, free)
+		given := min(wants, free, fair)
 		missing += wants - given
 		if given <= 0 {
 			continue
@@ -81,16 +97,19 @@
 }
 
 // lower takes units from routers that have more left than the spare ones, those with most first.
-func (c *Coordinator) lower(name routing.TenantName, list []*member, spare, missing int) {
+// What they were asked for before is on its way. It returns how many units are still missing.
+func (c *Coordinator) lower(name routing.TenantName, list []*member, spare, missing int) (left int) {
 	for index := len(list) - 1; index >= 0 && missing > 0; index-- {
 		m := list[index]
 		h := m.holds[name]
 		least := max(h.used+spare, h.floor)
-		if h.short || h.booked > h.units || h.units <= least {
+		missing -= h.booked - h.units
+		if missing <= 0 || h.short > 0 || h.units <= least {
 			continue
 		}
 		taken := min(missing, h.units-least)
 		c.set(m, h, h.units-taken)
 		missing -= taken
 	}
+	return max(0, missing)
 }
