--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,8 @@
 	go test -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME) -fuzzminimizetime 5x ./internal/bundle
 	go test -run '^$$' -fuzz FuzzReadConfig -fuzztime $(FUZZTIME) -fuzzminimizetime 5x ./platform
 	go test -run '^$$' -fuzz FuzzReadWorker -fuzztime $(FUZZTIME) ./platform
+	go test -run '^$$' -fuzz FuzzSealConfig -fuzztime $(FUZZTIME) -fuzzminimizetime 5x ./platform
+	go test -run '^$$' -fuzz FuzzIdentify -fuzztime $(FUZZTIME) ./internal/tenant
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
--- a/internal/bundle/examples_test.go
+++ b/internal/bundle/examples_test.go
@@ -35,6 +35,12 @@
 	assert.DeepEqual(t, countBackends(tweedeLeven), []int{14, 6, 13})
 }
 
+func TestTheExampleWithTenantsIsValid(t *testing.T) {
+	lifts := readExample(t, "rennes-lifts/bundle.yaml")
+	assert.Equal(t, len(lifts.Tenants), 3)
+	assert.Assert(t, lifts.Services[2].Public)
+}
+
 func TestSecondVersionDiffersFromTheFirst(t *testing.T) {
 	first := readExample(t, "tawila/bundle.yaml")
 	second := readExample(t, "tawila/bundle-2.yaml")
--- a/internal/proxy/quota.go
+++ b/internal/proxy/quota.go
@@ -35,7 +35,6 @@
 	}
 	granted, wait := c.proxy.Quota.Take(c.request.Context(), c.tenant)
 	if granted.IsZero() {
-		c.leaveUnread()
 		c.refuse(http.StatusTooManyRequests, reasonQuota, max(wait, leastRetryAfter))
 		return false
 	}
--- a/internal/proxy/quota_test.go
+++ b/internal/proxy/quota_test.go
@@ -77,6 +77,7 @@
 	assert.NilError(t, err)
 	_ = response.Body.Close()
 	assert.Equal(t, response.StatusCode, http.StatusTooManyRequests)
+	assert.Assert(t, !response.Close, "its body was short: the connection goes on")
 	after, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 	assert.NilError(t, err)
 	assert.Equal(t, after, 1.7, "as the quota tells")
--- a/internal/proxy/tenants_test.go
+++ b/internal/proxy/tenants_test.go
@@ -308,3 +308,11 @@
 	outdated.Store(false)
 	assert.Equal(t, status("/unsafe/", showsA...), http.StatusOK)
 }
+
+// A refusal for which the body need not be read leaves the caller's connection open.
+func TestRefusalsKeepConnectionsOpen(t *testing.T) {
+	f, _, _ := newTenantsFront(t, answers("x"))
+	response, _ := f.get(t, "POST", "/unsafe/", "short")
+	assert.Equal(t, response.StatusCode, http.StatusUnauthorized)
+	assert.Assert(t, !response.Close)
+}
