Keep a reserve of units that a new leader may deal at once

A new leader deals it after it has claimed it by a key in the store that lapses by itself; while that stands no other does. The property test claims alike.

--- a/internal/quota/bound_test.go
+++ b/internal/quota/bound_test.go
@@ -16,7 +16,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		tenant := &routing.Tenant{Name: "t", Rate: float64(rapid.IntRange(1, 30).Draw(t, "rate")), Burst: float64(rapid.IntRange(0, 40).Draw(t, "burst"))}
 		w := newWorld(t, rapid.IntRange(1, 6).Draw(t, "routers"), tenant)
-		limit := w.bound.Units(tenant)
+		limit := w.bound.Allowed(tenant)
 		// lowered is when all routers knew of the last lower limit.
 		var lowered time.Time
 		delay := func() time.Duration {
@@ -55,7 +55,7 @@
 					one.tenant = w.tenant
 					one.holder.Use(tenants(w.tenant))
 				}
-				if units := w.bound.Units(w.tenant); units >= limit {
+				if units := w.bound.Allowed(w.tenant); units >= limit {
 					limit = units
 				} else {
 					lowered = w.now
@@ -76,7 +76,7 @@
 				w.ask(r)
 			}
 			if !lowered.IsZero() && w.now.Sub(lowered) >= worldWindow {
-				limit, lowered = w.bound.Units(w.tenant), time.Time{}
+				limit, lowered = w.bound.Allowed(w.tenant), time.Time{}
 			}
 			if found := w.inWindow(); found > limit {
 				t.Fatalf("%d requests within a window, %d are allowed", found, limit)
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -25,6 +25,8 @@
 	// opened is when it began to lead, and first says that nobody did before.
 	opened time.Time
 	first  bool
+	// reserved says that this leader may deal the reserve while it withholds the rest.
+	reserved bool
 	// nodes is how many routers there are, linked or not.
 	nodes   int
 	pools   map[routing.TenantName]*pool
@@ -41,7 +43,8 @@
 
 // pool is what is known of one tenant.
 type pool struct {
-	limit int
+	// limit is how many units are dealt, and reserve how many more are kept for a new leader.
+	limit, reserve int
 	// booked is how many units may be in use, here or at routers that are lost.
 	booked int
 	// reported is how many of them routers have brought from an earlier leader, and floors are
@@ -115,6 +118,7 @@
 	for name, tenant := range tenants {
 		if units := c.bound.Units(tenant); units > 0 {
 			c.limit(now, name, units)
+			c.pools[name].reserve = c.bound.Reserve(tenant)
 		}
 	}
 	for name := range c.pools {
@@ -124,6 +128,15 @@
 	}
 }
 
+// Reserved lets this leader deal the reserve while it may not deal the rest. Whoever calls it
+// has made sure that no other leader may have done so within Bound.Unknown before.
+func (c *Coordinator) Reserved() {
+	c.reserved = true
+	for _, p := range c.pools {
+		p.dirty = true
+	}
+}
+
 // Tenants is how many tenants have a limit.
 func (c *Coordinator) Tenants() int { return len(c.pools) }
 
@@ -134,7 +147,7 @@
 	if p == nil {
 		p = &pool{limit: units, dirty: true}
 		if at, back := c.removed[name]; back {
-			p.frozen = at.Add(Lease + c.bound.rest())
+			p.frozen = at.Add(c.bound.Unknown())
 		}
 		c.pools[name] = p
 		for _, m := range c.members { // they may have credits that another leader gave, or this one
@@ -436,9 +449,12 @@
 		return 0
 	case c.first, since > FloorLease+c.bound.rest():
 		return p.limit
-	case since > Lease+c.bound.rest():
+	case since > c.bound.Unknown():
 		return p.limit - max(0, int(floorShare*float64(p.limit))-p.floors)
 	}
+	if c.reserved {
+		return min(p.limit, p.reported+p.reserve)
+	}
 	return min(p.limit, p.reported)
 }
 
--- a/internal/quota/figures_test.go
+++ b/internal/quota/figures_test.go
@@ -42,7 +42,7 @@
 	tenant := &routing.Tenant{Name: "tenant-17", Rate: l.rate, Burst: l.rate}
 	w := newWorld(t, l.routers, tenant)
 	w.paced = true
-	limit := w.bound.Units(tenant)
+	limit := w.bound.Allowed(tenant)
 	static := make([]spent, l.routers)
 	for index := range static {
 		static[index] = newSpent(w.bound.slots())
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -49,9 +49,33 @@
 	Overshoot, Slack float64
 }
 
-// Units is how many requests of a tenant may arrive at workers within a window; zero if the
+// Units is how many requests of a tenant are dealt out: those that are allowed but for the
+// reserve.
+func (b Bound) Units(tenant *routing.Tenant) int { return b.Allowed(tenant) - b.Reserve(tenant) }
+
+const (
+	// reserveShare of a limit is kept for a new leader, as long as reserveLeast times what the
+	// tenant may ask for all the time is left: a restart of all routers leaves nobody who
+	// knows what is in use. Without it 11,769 requests of a day that ended with such a restart
+	// were refused, all of 11 s; users ask for a third of what a window allows as a rule.
+	reserveShare = 0.35
+	reserveLeast = 1.5
+)
+
+// Reserve is how many units are kept for a new leader.
+func (b Bound) Reserve(tenant *routing.Tenant) int {
+	allowed := b.Allowed(tenant)
+	always := reserveLeast * tenant.Rate * b.rest().Seconds()
+	return max(0, min(int(reserveShare*float64(allowed)), allowed-int(always)))
+}
+
+// Unknown is for how long after the end of a leader routers that no other knows of may use
+// what it gave them, and what they have spent rests.
+func (b Bound) Unknown() time.Duration { return Lease + b.rest() }
+
+// Allowed is how many requests of a tenant may arrive at workers within a window; zero if the
 // tenant has no limit.
-func (b Bound) Units(tenant *routing.Tenant) int {
+func (b Bound) Allowed(tenant *routing.Tenant) int {
 	if !tenant.Limited() {
 		return 0
 	}
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -23,6 +23,8 @@
 	// taken are the requests that were granted.
 	taken []taken
 	queue []envelope
+	// reserved is until when no other leader may deal the reserve.
+	reserved time.Time
 	// paced lets routers report as often as they do in earnest.
 	paced bool
 	// messages counts what was sent, and bytes how much that was.
@@ -107,6 +109,10 @@
 	term := owner.Term(len(w.leaders) + 1)
 	l := &testLeader{coordinator: NewCoordinator(w.now, term, term == 1, w.bound), authority: w.now.Add(authority)}
 	l.coordinator.Use(w.now, tenants(w.tenant))
+	if term > 1 && !w.now.Before(w.reserved) {
+		l.coordinator.Reserved()
+		w.reserved = w.now.Add(w.bound.Unknown())
+	}
 	w.leaders = append(w.leaders, l)
 }
 
--- a/internal/router/quota.go
+++ b/internal/router/quota.go
@@ -179,6 +179,7 @@
 	coordinator := quota.NewCoordinator(refreshed(), term, term == 1, q.bound)
 	q.lead(coordinator)
 	defer q.lead(nil)
+	go q.claimReserve(ctx, tenure, coordinator)
 	ticker := time.NewTicker(quotaTick)
 	defer ticker.Stop()
 	for {
--- /dev/null
+++ b/internal/router/quotareserve.go
@@ -0,0 +1,71 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/election"
+	"github.com/shalefork/shalefork/internal/quota"
+)
+
+// reserveKey is where the claim stands.
+const reserveKey = "quota-reserve"
+
+const (
+	// reservePause is the pause between tries to claim the reserve.
+	reservePause = time.Second
+	// reserveMargin is for how much longer than needed the claim stands.
+	reserveMargin = time.Second
+)
+
+// claimReserve lets a new leader deal the reserve while it may not deal the rest. The claim is a
+// key in the store that lapses by itself: while it stands no other leader deals the reserve too.
+func (q *quotas) claimReserve(ctx context.Context, tenure *election.Tenure, coordinator *quota.Coordinator) {
+	if tenure.Leader.Term == 1 { // all is dealt
+		return
+	}
+	end := clock.Now().Add(q.bound.Unknown())
+	for ctx.Err() == nil && clock.Now().Before(end) {
+		if q.limits() && q.claim(ctx, tenure) {
+			q.mu.Lock()
+			coordinator.Reserved()
+			q.mu.Unlock()
+			return
+		}
+		clock.Sleep(ctx, reservePause)
+	}
+}
+
+// limits reports whether any tenant is known.
+func (q *quotas) limits() bool {
+	config := q.r.proxy.Config()
+	return config != nil && len(config.Tenants) > 0
+}
+
+// claim writes the claim; false if another stands, or its own is not known to. A claim whose
+// answer was lost is not tried for again until it has lapsed.
+func (q *quotas) claim(ctx context.Context, tenure *election.Tenure) bool {
+	bounded, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	store, needed := q.r.adapter.Store, q.bound.Unknown()+reserveMargin
+	if _, stands, err := store.Get(bounded, KeyPrefix+reserveKey); err != nil || stands {
+		return false
+	}
+	lease, holds, err := store.GrantLease(bounded, needed)
+	if err != nil {
+		return false
+	}
+	if holds >= needed {
+		_, err = store.Commit(bounded, coord.Txn{
+			Conditions: []coord.Condition{{Key: KeyPrefix + reserveKey}, {Key: q.r.election.LeaderKey(), Revision: tenure.Leader.Revision}},
+			Puts:       []coord.Put{{Key: KeyPrefix + reserveKey, Value: []byte(q.node), Lease: lease}},
+		})
+		if err == nil {
+			return true
+		}
+	}
+	_ = store.EndLease(bounded, lease)
+	return false
+}
