Take a lease for the reserve's claim that a float has rounded

It must hold for longer than what it guards, not for all that was asked. A line tells when it is claimed.

--- a/internal/router/quotareserve.go
+++ b/internal/router/quotareserve.go
@@ -6,6 +6,7 @@
 
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/election"
 	"github.com/shalefork/shalefork/internal/quota"
 )
@@ -32,6 +33,7 @@
 			q.mu.Lock()
 			coordinator.Reserved()
 			q.mu.Unlock()
+			q.r.log.Line(decision.KindQuotaReserve).Int64("term", int64(tenure.Leader.Term)).Msg("")
 			return
 		}
 		clock.Sleep(ctx, reservePause)
@@ -66,7 +68,7 @@
 	if err != nil {
 		return false
 	}
-	if holds >= needed {
+	if holds >= q.bound.Unknown() {
 		_, err = store.Commit(bounded, coord.Txn{
 			Conditions: []coord.Condition{{Key: KeyPrefix + reserveKey, Revision: item.Revision}, {Key: q.r.election.LeaderKey(), Revision: tenure.Leader.Revision}},
 			Puts:       []coord.Put{{Key: KeyPrefix + reserveKey, Value: []byte(q.node), Lease: lease}},
