Give a router that starts its units after one message each way

It told nothing for 1.5 s or until a request was refused, was asked for all then, and had units after three messages. A router that has never taken a leader's word holds nothing: its first message, sent as soon as it is linked, lets it into the books. Should two leaders hear it, the later one's first grant takes the place of all that the earlier gave.

--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -204,8 +204,9 @@
 		c.ended(now, m)
 		m = nil
 	}
+	starts := told.Term == 0 && told.All // it has been given nothing in its life
 	switch {
-	case told.Term < c.term, m == nil && !told.All:
+	case told.Term < c.term && !starts, m == nil && !told.All:
 		c.ask(told.Node, told.Life)
 		return
 	case m == nil:
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -55,10 +55,20 @@
 
 // NewHolder returns the side of a router that holds nothing yet.
 func NewHolder(now time.Time, node string, life int64, bound Bound) *Holder {
-	return &Holder{
+	h := &Holder{
 		node: node, life: life, bound: bound, epoch: now, urgent: make(chan struct{}, 1),
-		accounts: map[routing.TenantName]*account{},
+		accounts: map[routing.TenantName]*account{}, tellAll: true,
 	}
+	h.Linked()
+	return h
+}
+
+// Linked lets the next message go at once: whoever hears it may not know of this router.
+func (h *Holder) Linked() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.toldAt = -renewEvery
+	h.Hurry()
 }
 
 // Urgent gets a token when something is to be told before the next report is due.
@@ -213,6 +223,9 @@
 	}
 	if grant.Term > h.term {
 		h.term, h.applied, h.acked = grant.Term, 0, 0
+		if !grant.All { // that leader was told that nothing is held here
+			h.drop()
+		}
 	}
 	if grant.All {
 		h.tellAll = true
@@ -232,6 +245,13 @@
 	}
 }
 
+// drop gives all credits up. The caller holds mu.
+func (h *Holder) drop() {
+	for _, a := range h.accounts {
+		a.given = Credit{}
+	}
+}
+
 // give sets the credit of a tenant. The caller holds mu.
 func (h *Holder) give(name routing.TenantName, credit Credit) {
 	a := h.accounts[name]
@@ -279,7 +299,8 @@
 		}
 	}
 	due := len(h.accounts) > 0 && at-h.toldAt >= renewEvery
-	if !due && !told.All && len(told.Tenants) == 0 && h.applied == h.acked {
+	all := told.All && (h.term > 0 || len(h.accounts) > 0)
+	if !due && !all && len(told.Tenants) == 0 && h.applied == h.acked {
 		return nil
 	}
 	h.number++
--- a/internal/quota/holder_test.go
+++ b/internal/quota/holder_test.go
@@ -70,3 +70,29 @@
 	h.Granted(Grant{Node: "n", Life: 1, Term: 1, Stamp: 5000})
 	assert.Equal(t, takes(h, began.Add(h.bound.rest()), tenant), 48)
 }
+
+// A router that starts needs one message each way: requests come to it at once.
+func TestARouterThatStartsGetsUnitsAtOnce(t *testing.T) {
+	tenant := &routing.Tenant{Name: "t", Rate: 20, Burst: 20}
+	now := time.Unix(1000, 0)
+	bound := Bound{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+	c := NewCoordinator(now, 7, true, bound)
+	c.Use(now, tenants(tenant))
+	h := NewHolder(now, "n", 1, bound)
+	h.Use(tenants(tenant))
+	<-h.Urgent()
+	c.Hear(now, *h.Tell(now))
+	for _, grant := range c.Tick(now, true, 1) {
+		h.Granted(grant)
+	}
+	granted, _ := h.Take(now, tenant)
+	assert.Assert(t, granted)
+}
+
+// Nothing is left of an earlier leader's credits where a later one was told that there are none.
+func TestALaterLeaderBooksAllThatIsHeld(t *testing.T) {
+	tenant := &routing.Tenant{Name: "t", Rate: 20, Burst: 20}
+	h, began := newHeld(tenant)
+	h.Granted(Grant{Node: "n", Life: 1, Term: 2, Number: 1, Stamp: 1, Credits: map[routing.TenantName]Credit{"u": {3, 50, 0}}})
+	assert.Equal(t, takes(h, began, tenant), 0)
+}
--- a/internal/router/followleader.go
+++ b/internal/router/followleader.go
@@ -140,6 +140,7 @@
 // told notes that the process that is followed has told its owners.
 func (f *following) told() {
 	f.linked = true
+	f.r.quotas.holder.Linked()
 	line := f.r.log.Line(decision.KindLeaderFound).Str("leader", f.leader.Address).Int64("term", int64(f.leader.Term))
 	if f.viaRelay() {
 		line = line.Str("relay", f.address)
