Stamp a router's first message above zero

Zero stands for no stamp in a grant: a router that told within its first millisecond got units without a lease.

--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -288,7 +288,7 @@
 	at := now.Sub(h.epoch)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	told := Told{Node: h.node, Life: h.life, Term: h.term, Ack: h.applied, Stamp: at.Milliseconds(), All: h.tellAll}
+	told := Told{Node: h.node, Life: h.life, Term: h.term, Ack: h.applied, Stamp: max(1, at.Milliseconds()), All: h.tellAll}
 	for name, a := range h.accounts {
 		a.spent.advance(at)
 		if use := h.useOf(a, at); use != nil {
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -17,7 +17,7 @@
 	Number uint64 `json:"i"`
 	// Ack is the number of the newest grant that the router has taken.
 	Ack uint64 `json:"q,omitempty"`
-	// Stamp is the router's time, in milliseconds since its epoch.
+	// Stamp is the router's time, in milliseconds since its epoch, and above zero.
 	Stamp int64 `json:"s"`
 	// All says that Tenants are all of which the router holds anything.
 	All bool `json:"a,omitempty"`
