--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,6 +19,7 @@
 
 	"github.com/shalefork/shalefork/internal/bodies"
 	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/workers"
 )
 
 // testDownload is the length in bytes of a large answer.
@@ -36,6 +39,14 @@
 	}, poll.WithTimeout(5*time.Second))
 }
 
+// inFlight is how many requests are under way at a worker.
+func (f *front) inFlight(at workers.Worker) int {
+	backend := f.proxy.fleet.get(at)
+	backend.mu.Lock()
+	defer backend.mu.Unlock()
+	return backend.inFlight
+}
+
 // upload sends a body, of known length or in chunks.
 func (f *front) upload(t *testing.T, path string, body io.Reader, length int64) (*http.Response, string) {
 	t.Helper()
@@ -239,17 +250,42 @@
 	}
 }
 
+// A caller of HTTP/1.0 takes the end of the connection for that of an answer without a length.
+func TestADownloadThatBreaksIsCutForOldCallersToo(t *testing.T) {
+	w := newWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 x\r\nX-Id: "+request.Header.Get("X-Id")+
+			"\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n15f90\r\n"+strings.Repeat("a", testDownload/2))
+		time.Sleep(300 * time.Millisecond)
+		return false
+	})
+	f := newFront(t, w.entry("pool"))
+	connection, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	_, err = io.WriteString(connection, "GET /down/ HTTP/1.0\r\nHost: app.example\r\nX-Id: old\r\nX-Deadline: 1500\r\n\r\n")
+	assert.NilError(t, err)
+	read, err := io.ReadAll(connection)
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%d bytes, %v", len(read), err)
+}
+
 // A download that has begun goes on when the process is about to end.
 func TestAPlannedStopEndsNoDownload(t *testing.T) {
 	w := newWorker(t, "w1", download(400*time.Millisecond, true))
 	f := newFront(t, w.entry("pool"))
 	response, err := http.DefaultClient.Do(f.request(t, "GET", "/down/", ""))
 	assert.NilError(t, err)
+	list, _ := f.directory.Usable("pool")
+	assert.Equal(t, f.inFlight(list[0]), 1, "the worker still sends")
 	f.proxy.Stop()
 	f.proxy.End()
 	body, err := io.ReadAll(response.Body)
 	assert.NilError(t, err)
 	assert.Equal(t, len(body), testDownload)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.inFlight(list[0]) == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("it still counts")
+	}, poll.WithTimeout(5*time.Second))
 }
 
 // A caller who does not read holds no worker: the same connection serves the next request.
