Bound the wait for a refusal in its test

With the mutation refusal-awaits-the-body the test waited for as long as it was let: the rule was seen broken only by the end of the run's time.

--- a/internal/proxy/tenants_test.go
+++ b/internal/proxy/tenants_test.go
@@ -164,6 +164,7 @@
 			connection, err := net.Dial("tcp", f.server.Listener.Addr().String())
 			assert.NilError(t, err)
 			defer func() { _ = connection.Close() }()
+			assert.NilError(t, connection.SetDeadline(time.Now().Add(10*time.Second)))
 			_, err = connection.Write([]byte("POST /unsafe/ HTTP/1.1\r\nHost: app.example\r\nX-Id: i-7\r\n" + test.lines + "\r\n"))
 			assert.NilError(t, err)
 			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
