--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -74,6 +74,8 @@
 	grantedAt            time.Time
 	// changed says that a hold has changed since the last grant.
 	changed bool
+	// greeted says that it was told for how long units are withheld.
+	greeted bool
 	holds   map[routing.TenantName]*hold
 }
 
@@ -426,7 +428,7 @@
 func (m *member) due(now time.Time) bool {
 	unheard := m.granted > m.acked && now.Sub(m.grantedAt) >= resendAfter
 	renewed := m.stamp > m.echoed && m.until.Sub(now) < Lease-renewEvery/2
-	return m.changed || unheard || renewed
+	return m.changed || unheard || renewed || !m.greeted
 }
 
 // grant makes the next message to a member, and extends its lease by the newest stamp.
@@ -436,6 +438,10 @@
 		m.until, m.floorUntil = m.stampAt.Add(Lease), m.stampAt.Add(FloorLease)
 	}
 	grant := Grant{Node: m.node, Life: m.life, Term: c.term, Stamp: m.stamp}
+	if left := c.opened.Add(c.bound.Unknown()).Sub(now); left > 0 && !c.first {
+		grant.WithheldMillis = left.Milliseconds()
+	}
+	m.greeted = true
 	for name, h := range m.holds {
 		if h.number > m.acked {
 			if grant.Credits == nil {
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -27,6 +27,8 @@
 	tellAll        bool
 	// lease and floorLease are when they end, and toldAt is when a stamp was sent last.
 	lease, floorLease, toldAt time.Duration
+	// withheld is until when a leader that began lately withholds units.
+	withheld time.Duration
 }
 
 // account is what a router holds of one tenant.
@@ -95,7 +97,7 @@
 		if a.short++; !a.knownShort {
 			h.Hurry()
 		}
-		return false, a.wait(at, credit)
+		return false, h.wait(a, at, credit)
 	}
 	a.spent.add()
 	a.granted++
@@ -109,13 +111,24 @@
 // leader and back.
 const firstCredit = 500 * time.Millisecond
 
-func (a *account) wait(at time.Duration, credit int) time.Duration {
-	if credit == 0 {
-		return firstCredit
+// wait is until a unit of a tenant is likely to be free. Where there is none since a leader began
+// lately, callers come back once it gives what it withholds, and not to be refused once more: all
+// at once they would ask for more than a window has, so that they are spread over a quarter of one. The caller
+// holds mu.
+func (h *Holder) wait(a *account, at time.Duration, credit int) time.Duration {
+	switch {
+	case credit > 0:
+		return a.spent.free(at)
+	case at < h.withheld:
+		spread := time.Duration(a.refused%spreadSteps) * h.bound.Window / spreadSteps / 4
+		return h.withheld - at + firstCredit + spread
 	}
-	return a.spent.free(at)
+	return firstCredit
 }
 
+// spreadSteps is among how many moments callers are spread.
+const spreadSteps = 16
+
 // Await returns what is closed once a tenant gets more units here; nil while its callers are not
 // to wait for that, since units were missing lately.
 func (h *Holder) Await(now time.Time, tenant *routing.Tenant) <-chan struct{} {
@@ -215,7 +228,7 @@
 }
 
 // Granted takes a message of the leader's.
-func (h *Holder) Granted(grant Grant) {
+func (h *Holder) Granted(now time.Time, grant Grant) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if grant.Term < h.term || grant.Node != h.node || grant.Life != h.life {
@@ -236,6 +249,7 @@
 		h.lease = max(h.lease, stamp+Lease-leaseGuard)
 		h.floorLease = max(h.floorLease, stamp+FloorLease-leaseGuard)
 	}
+	h.withheld = now.Sub(h.epoch) + time.Duration(grant.WithheldMillis)*time.Millisecond
 	if grant.Number <= h.applied {
 		return
 	}
--- a/internal/quota/holder_test.go
+++ b/internal/quota/holder_test.go
@@ -14,7 +14,7 @@
 	began := time.Unix(1000, 0)
 	h := NewHolder(began, "n", 1, Bound{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20})
 	h.Use(tenants(tenant))
-	h.Granted(Grant{Node: "n", Life: 1, Term: 1, Number: 1, Stamp: 1, Credits: map[routing.TenantName]Credit{
+	h.Granted(began, Grant{Node: "n", Life: 1, Term: 1, Number: 1, Stamp: 1, Credits: map[routing.TenantName]Credit{
 		tenant.Name: {50, h.bound.Units(tenant), 5},
 	}})
 	return h, began
@@ -50,12 +50,12 @@
 func TestARenewedLeaseBringsNothingBack(t *testing.T) {
 	tenant := &routing.Tenant{Name: "t", Rate: 20, Burst: 20}
 	h, began := newHeld(tenant)
-	h.Granted(Grant{Node: "n", Life: 1, Term: 2, All: true})
+	h.Granted(began, Grant{Node: "n", Life: 1, Term: 2, All: true})
 	at := began.Add(2 * Lease)
 	told := h.Tell(at)
 	assert.Assert(t, told.All)
 	assert.Equal(t, told.Tenants["t"].credit(), 5)
-	h.Granted(Grant{Node: "n", Life: 1, Term: 2, Stamp: told.Stamp})
+	h.Granted(began, Grant{Node: "n", Life: 1, Term: 2, Stamp: told.Stamp})
 	assert.Equal(t, takes(h, at, tenant), 5)
 }
 
@@ -67,7 +67,7 @@
 	h.Sent(began, began.Add(3*time.Second), tenant)
 	h.Return(began, tenant)
 	assert.Equal(t, takes(h, began.Add(3*time.Second), tenant), 1)
-	h.Granted(Grant{Node: "n", Life: 1, Term: 1, Stamp: 5000})
+	h.Granted(began, Grant{Node: "n", Life: 1, Term: 1, Stamp: 5000})
 	assert.Equal(t, takes(h, began.Add(h.bound.rest()), tenant), 48)
 }
 
@@ -83,7 +83,7 @@
 	<-h.Urgent()
 	c.Hear(now, *h.Tell(now))
 	for _, grant := range c.Tick(now, true, 1) {
-		h.Granted(grant)
+		h.Granted(now, grant)
 	}
 	granted, _ := h.Take(now, tenant)
 	assert.Assert(t, granted)
@@ -93,6 +93,25 @@
 func TestALaterLeaderBooksAllThatIsHeld(t *testing.T) {
 	tenant := &routing.Tenant{Name: "t", Rate: 20, Burst: 20}
 	h, began := newHeld(tenant)
-	h.Granted(Grant{Node: "n", Life: 1, Term: 2, Number: 1, Stamp: 1, Credits: map[routing.TenantName]Credit{"u": {3, 50, 0}}})
+	h.Granted(began, Grant{Node: "n", Life: 1, Term: 2, Number: 1, Stamp: 1, Credits: map[routing.TenantName]Credit{"u": {3, 50, 0}}})
 	assert.Equal(t, takes(h, began, tenant), 0)
 }
+
+// Where a new leader withholds units, callers are told to come back after that, not to be refused again.
+func TestCallersComeBackOnceUnitsAreGiven(t *testing.T) {
+	tenant := &routing.Tenant{Name: "t", Rate: 20, Burst: 20}
+	now := time.Unix(1000, 0)
+	bound := Bound{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+	c := NewCoordinator(now, 7, false, bound)
+	c.Use(now, tenants(tenant))
+	h := NewHolder(now, "n", 1, bound)
+	h.Use(tenants(tenant))
+	c.Hear(now, *h.Tell(now))
+	for _, grant := range c.Tick(now, true, 1) {
+		h.Granted(now, grant)
+	}
+	granted, wait := h.Take(now, tenant)
+	assert.Assert(t, !granted)
+	assert.Assert(t, wait > bound.Unknown() && wait < bound.Unknown()+bound.Window, wait)
+	assert.Equal(t, len(c.Tick(now, true, 1)), 0, "it is told once")
+}
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -62,8 +62,11 @@
 	// Stamp is the newest one heard of the router, from which its lease counts.
 	Stamp int64 `json:"s,omitempty"`
 	// All asks the router to tell all that it holds.
-	All     bool                          `json:"a,omitempty"`
-	Credits map[routing.TenantName]Credit `json:"c,omitempty"`
+	All bool `json:"a,omitempty"`
+	// WithheldMillis is for how much longer the leader withholds what others may hold, since it
+	// began lately.
+	WithheldMillis int64                         `json:"w,omitempty"`
+	Credits        map[routing.TenantName]Credit `json:"c,omitempty"`
 }
 
 // Credit is how many units a router may hold in use, of how many that the limit had when the
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -217,7 +217,7 @@
 		case w.now.Before(r.frozen):
 			return []envelope{e}
 		default:
-			r.holder.Granted(e.grant)
+			r.holder.Granted(w.now, e.grant)
 		}
 	}
 	return nil
--- a/internal/router/quota.go
+++ b/internal/router/quota.go
@@ -163,7 +163,7 @@
 	var others []quota.Grant
 	for _, grant := range grants {
 		if grant.Node == q.node {
-			q.holder.Granted(grant)
+			q.holder.Granted(clock.Now(), grant)
 		} else {
 			others = append(others, grant)
 		}
--- a/internal/router/quota_test.go
+++ b/internal/router/quota_test.go
@@ -70,7 +70,7 @@
 	tenant := &routing.Tenant{Name: "a", Rate: 1e9, Burst: 1}
 	q := &quotas{holder: quota.NewHolder(now, "n", 1, quota.Bound{Window: 5 * time.Second})}
 	q.holder.Use(map[routing.TenantName]*routing.Tenant{"a": tenant})
-	q.holder.Granted(quota.Grant{
+	q.holder.Granted(now, quota.Grant{
 		Node: "n", Life: 1, Term: 1, Number: 1, Stamp: int64(time.Hour / time.Millisecond),
 		Credits: map[routing.TenantName]quota.Credit{"a": {5_000_000_001, 5_000_000_001, 0}},
 	})
