Keep booked what a grant under way brings back

The leader believes that less is held only where no later grant is out. The test failed without this.

--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -289,7 +289,7 @@
 		if h.number > told.Ack {
 			continue
 		}
-		if told.All { // it may have dropped the tenant meanwhile
+		if told.All && told.Ack == m.granted { // it has dropped some, and no grant is on its way that brings them back
 			h.floor = min(h.floor, use.floor())
 			h.units = min(h.units, use.credit())
 			c.set(m, h, min(h.units, use.under(c.pools[name].limit)))
--- a/internal/quota/holder_test.go
+++ b/internal/quota/holder_test.go
@@ -115,3 +115,23 @@
 	assert.Assert(t, wait > bound.Unknown() && wait < bound.Unknown()+bound.Window, wait)
 	assert.Equal(t, len(c.Tick(now, true, 1)), 0, "it is told once")
 }
+
+// A router tells less than it was given, since its lease had ended, while the same grant is on its way
+// to it once more: what that brings back stays booked.
+func TestWhatAResentGrantBringsBackIsBooked(t *testing.T) {
+	tenant := &routing.Tenant{Name: "t", Rate: 20, Burst: 20}
+	now := time.Unix(1000, 0)
+	bound := Bound{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+	c := NewCoordinator(now, 1, true, bound)
+	c.Use(now, tenants(tenant))
+	c.Hear(now, Told{Node: "n", Life: 1, Number: 1, Stamp: 1, All: true})
+	first := c.Tick(now, true, 1)
+	assert.Equal(t, len(first), 1)
+	now = now.Add(resendAfter)
+	again := c.Tick(now, true, 1)
+	assert.Equal(t, len(again), 1)
+	given := again[0].Credits["t"].units()
+	assert.Assert(t, given > 0)
+	c.Hear(now, Told{Node: "n", Life: 1, Term: 1, Number: 2, Ack: first[0].Number, Stamp: 2, All: true, Tenants: map[routing.TenantName]Use{"t": {0, 0, 1, 1}}})
+	assert.Assert(t, c.pools["t"].booked >= given)
+}
