--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -14,7 +14,6 @@
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/topology"
 	"github.com/shalefork/shalefork/internal/traffic"
-	"github.com/shalefork/shalefork/internal/workers"
 )
 
 // Times of a link.
@@ -73,6 +72,10 @@
 	// evidence is called with what linked processes have seen of crashes.
 	evidence func(quarantine.Evidence)
 	quotas   quotaLinks
+	// followed is the address of the leader that this process follows; empty: none.
+	followed string
+	// linked is called with the addresses of processes that follow this one; nil: nobody wants them.
+	linked func(addresses ...string)
 }
 
 // published are the owners of a service as they are told.
@@ -98,7 +101,7 @@
 	conn    net.Conn
 	wake    chan struct{}
 	sent    map[routing.ServiceName][]owner.Owner
-	numbers map[workers.ID]int
+	numbers map[NamedWorker]int
 	// term is that of the leader whose owners were sent, and since is when the link began.
 	term  owner.Term
 	since time.Time
@@ -121,6 +124,8 @@
 	stamp   int64
 	holds   map[routing.ServiceName]uint64
 	holdsAt time.Time
+	// peersAt is when the link was last told of other processes.
+	peersAt time.Time
 }
 
 // Open begins to lead.
@@ -253,7 +258,7 @@
 	leading, term := h.leading, h.term
 	one := &link{
 		conn: conn, wake: make(chan struct{}, 1),
-		sent: map[routing.ServiceName][]owner.Owner{}, numbers: map[workers.ID]int{},
+		sent: map[routing.ServiceName][]owner.Owner{}, numbers: map[NamedWorker]int{},
 		entries: hello.Entries, config: hello.Config, hello: hello, holds: map[routing.ServiceName]uint64{},
 		since: clock.Now(), followers: hello.Followers,
 	}
@@ -266,11 +271,15 @@
 	if takes = takes && redirect == ""; takes {
 		h.links[one] = struct{}{}
 	}
+	followed := h.followed
 	h.mu.Unlock()
 	if !takes {
-		_ = writeLine(conn, Update{Leading: leading, Term: term, Process: h.process, Redirect: redirect})
+		_ = writeLine(conn, Update{Leading: leading, Term: term, Process: h.process, Redirect: redirect, Followed: followed})
 		return
 	}
+	if h.linked != nil {
+		h.linked(hello.Address)
+	}
 	defer h.drop(one)
 	go h.receive(one, reader)
 	h.send(one)
