--- a/internal/lab/mutate/mutations_quota.go
+++ b/internal/lab/mutate/mutations_quota.go
@@ -11,7 +11,7 @@
 	},
 	{
 		name: "lowered-credit-freed-unacknowledged",
-		file: "internal/quota/coordinator.go",
+		file: "internal/quota/hear.go",
 		old:  "		if h.number > told.Ack {",
 		new:  "		if false {",
 		pkg:  "./internal/quota", test: "TestNoWindowHoldsMoreThanTheLimit",
@@ -25,7 +25,7 @@
 	},
 	{
 		name: "units-in-use-beyond-a-lowered-credit-freed",
-		file: "internal/quota/coordinator.go",
+		file: "internal/quota/hear.go",
 		old:  "	c.end(now.Add(c.bound.rest()), name, h.used-h.units, 0)",
 		new:  "",
 		pkg:  "./internal/quota", test: "TestNoWindowHoldsMoreThanTheLimit",
@@ -53,7 +53,7 @@
 	},
 	{
 		name: "renewed-lease-brings-back-units",
-		file: "internal/quota/holder.go",
+		file: "internal/quota/tell.go",
 		old:  "		a.given = Credit{credit, min(a.given.limit(), a.limit), min(credit, a.given.floor())}",
 		new:  "",
 		pkg:  "./internal/quota", test: "TestARenewedLeaseBringsNothingBack",
