Claim the reserve only where most routers have lost what they held

Cause: each new leader claimed the reserve, also where the routers reported all that they hold; it stands for 12.6 s, so a leader after a restart of all routers 9 s later found it taken. And what was withheld counted as asked for, so that all tenants were marked as busy.

Tests: TestWhoNeedsTheReserve.

--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -170,6 +170,30 @@
 	return names
 }
 
+const (
+	// reportsIn is how long after the beginning of a leader routers that live have told what
+	// they hold: they find it within that time, or the day is not an ordinary one.
+	reportsIn = 500 * time.Millisecond
+	// reportedShare of what leaders before have dealt must have been told then. Where less was,
+	// most routers have been restarted, and the tenants' requests need what is in reserve. One
+	// lost leader or a few lost routers don't: the reserve can be dealt once in Bound.Unknown.
+	reportedShare = 0.5
+)
+
+// NeedsReserve reports whether most routers have lost what they held, so that this leader should
+// deal what is in reserve.
+func (c *Coordinator) NeedsReserve(now time.Time) bool {
+	if c.first || c.reserved || now.Sub(c.opened) < reportsIn {
+		return false
+	}
+	reported, dealt := 0, 0
+	for _, p := range c.pools {
+		reported += p.reported
+		dealt += p.limit
+	}
+	return float64(reported) < reportedShare*float64(dealt)
+}
+
 // Reserved lets this leader deal at once what leaders before can't have dealt, of tenants that
 // were not marked as busy. Whoever calls it has told which are, and has made sure that no other
 // leader was let to within Bound.Unknown before.
--- a/internal/quota/deal.go
+++ b/internal/quota/deal.go
@@ -35,7 +35,8 @@
 	if missing > 0 {
 		left = c.lower(name, list, spare, missing)
 	}
-	p.wanted = !c.busy[name] && float64(used+missing) >= busyShare*float64(p.limit)
+	// Where units are withheld a mark would bring none now, and cost the next leader its reserve.
+	p.wanted = !c.busy[name] && most == p.limit && float64(used+missing) >= busyShare*float64(p.limit)
 	c.judge(now, name, p, left)
 	p.dirty = missing > 0 || p.over
 }
--- a/internal/quota/reserve_test.go
+++ b/internal/quota/reserve_test.go
@@ -42,3 +42,32 @@
 		})
 	}
 }
+
+// The reserve is for leaders after a restart of most routers; once dealt it can't be again for a
+// while.
+func TestWhoNeedsTheReserve(t *testing.T) {
+	tenant := &routing.Tenant{Name: "t", Rate: 100, Burst: 100}
+	bound := Bound{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+	for name, test := range map[string]struct {
+		first bool
+		// told is the share of the dealt units that routers tell.
+		told  float64
+		after time.Duration
+		needs bool
+	}{
+		"all were restarted":           {after: time.Second, needs: true},
+		"nobody can have told yet":     {after: reportsIn / 2},
+		"only the leader was lost":     {told: 0.98, after: time.Second},
+		"most have been restarted":     {told: 0.3, after: time.Second, needs: true},
+		"nobody dealt anything before": {first: true, after: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			c := NewCoordinator(now, 2, test.first, bound)
+			c.Use(now, tenants(tenant))
+			credit := int(test.told * float64(bound.Dealt(tenant, false)))
+			c.Hear(now, Told{Node: "n", Life: 1, Number: 1, All: true, Tenants: map[routing.TenantName]Use{tenant.Name: {0, 0, credit}}})
+			assert.Equal(t, c.NeedsReserve(now.Add(test.after)), test.needs)
+		})
+	}
+}
--- a/internal/router/quotareserve.go
+++ b/internal/router/quotareserve.go
@@ -16,7 +16,7 @@
 
 const (
 	// reservePause is the pause between tries to claim the reserve.
-	reservePause = time.Second
+	reservePause = 250 * time.Millisecond
 	// reserveMargin is for how much longer than needed the claim stands.
 	reserveMargin = time.Second
 )
@@ -30,7 +30,10 @@
 	}
 	end := clock.Now().Add(q.bound.Unknown())
 	for ctx.Err() == nil && clock.Now().Before(end) {
-		if q.claim(ctx, tenure, false) {
+		q.mu.Lock()
+		needed := coordinator.NeedsReserve(clock.Now())
+		q.mu.Unlock()
+		if needed && q.claim(ctx, tenure, false) {
 			q.mu.Lock()
 			coordinator.Reserved()
 			q.mu.Unlock()
