Count a crash whose entry went before the look at its address

TestCrashesAreAddedUpAcrossLeadersAndAnOutage failed once of 8 runs at a load of 38: 502 in place of 503, since one of three crashes had no worker-crashed line. The log: pool-0 closed the request's connection at .784 (sends 2, runs 2), its entry was gone at .786, and no line says that it ended.

Cause: whether a worker was serving was asked at the look, not at the close. The look runs in a goroutine of its own and may wait for its turn for 250 ms; an entry that had gone meanwhile made the end look like a leave. In the test the entry lapses as soon as the caller has its answer; on the platform 1.1 to 3.9 s after the end, so that the product misses a crash this way where a look is that late, or where the worker could not renew its entry for a while before it ended.

Ruled out: a listener that is open still. The stand-in's server closes its listeners before its connections, and the look came at once.

A look now knows what the worker was when it closed the connection, and that counts once the entry is gone; a worker seen to leave since counts as leaving, as before. A send that a known crash cut off is a suspect also once the entry is gone.

--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -73,12 +73,12 @@
 func (c *call) watchEnd(to *backend, got *upstream.Result) {
 	cutOff, closed, ended := endsOf(got)
 	if ended {
-		c.proxy.workerEnded(to)
+		c.proxy.workerEnded(to, false)
 	}
 	if !cutOff {
 		return
 	}
-	if to.cutOff(clock.Now(), c.attempt()) && c.proxy.wasServing(to) {
+	if to.cutOff(clock.Now(), c.attempt()) {
 		c.proxy.suspect(to, c.attempt())
 	}
 	if !closed {
@@ -86,13 +86,15 @@
 	}
 	c.closed.Add(1)
 	if wait, due := to.nextProbe(clock.Now()); due {
-		time.AfterFunc(wait, func() { c.proxy.probe(to) })
+		served := c.proxy.wasServing(to)
+		time.AfterFunc(wait, func() { c.proxy.probe(to, served) })
 	}
 }
 
 // probe looks whether a worker has ended that closed a connection with a request under way: a
-// full worker resets connections too, and an answer may break off.
-func (p *Proxy) probe(to *backend) {
+// full worker resets connections too, and an answer may break off. served says whether the worker
+// was announced, and did not leave, when it closed the connection.
+func (p *Proxy) probe(to *backend, served bool) {
 	bounded, cancel := context.WithTimeout(p.ending, probeTimeout)
 	defer cancel()
 	var dialer net.Dialer
@@ -101,14 +103,18 @@
 	case err == nil:
 		_ = connection.Close()
 	case errors.Is(err, syscall.ECONNREFUSED):
-		p.workerEnded(to)
+		p.workerEnded(to, served)
 	}
 }
 
 // workerEnded notes that a worker has ended. Unless it was leaving, it crashed, and the
-// requests under way there are suspects.
-func (p *Proxy) workerEnded(to *backend) {
-	if !p.wasServing(to) {
+// requests under way there are suspects. The entry of one that crashed may be gone by the time
+// of a look: served tells what it was before.
+func (p *Proxy) workerEnded(to *backend, served bool) {
+	if _, announced := p.fleet.directory.Get(to.id()); announced || !served {
+		served = p.wasServing(to)
+	}
+	if !served {
 		return
 	}
 	attempts, first := to.hasEnded(clock.Now())
--- a/internal/proxy/crash_test.go
+++ b/internal/proxy/crash_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +14,8 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -85,6 +88,88 @@
 	}
 }
 
+// A look at a worker's address may come after its entry went: it waits for its turn and, on a
+// machine that is short of processor time, for a while longer. The crash was then missed, and one
+// worker more was sent the request that crashes them.
+func TestACrashIsSeenWhoseEntryWentBeforeTheLook(t *testing.T) {
+	var w *worker
+	w = newWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+		if w.arrivals() == 1 {
+			return reset(connection, request) // the next look waits for its turn
+		}
+		return crashes(&w)(connection, request)
+	})
+	entry := w.entry("keyed")
+	f := newFront(t, entry)
+	f.owns(entry)
+	logged := &lines{}
+	f.proxy.Log = decision.NewTo(logged, "test")
+	for w.arrivals() < 2 {
+		f.get(t, "GET", "/keyed/", "", "X-Key", "7")
+	}
+	f.directory.Update(nil, []workers.ID{entry.ID}, nil)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if logged.count(decision.KindWorkerCrashed) == 1 && logged.count(decision.KindSuspect) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("no crash")
+	}, poll.WithTimeout(5*time.Second))
+}
+
+// What a worker was when it closed the connection counts only while its entry tells nothing else.
+func TestWhatEndedAfterItsEntryChanged(t *testing.T) {
+	ready := workers.Worker{ID: "w1", Service: "keyed", Address: "127.0.0.1:1", State: workers.StateReady, Born: 1}
+	draining, again := ready, ready
+	draining.State = workers.StateDraining
+	again.Born = 2
+	for name, test := range map[string]struct {
+		then    []workers.Worker
+		gone    bool
+		served  bool
+		crashed bool
+	}{
+		"ready still":               {served: true, crashed: true},
+		"gone":                      {gone: true, served: true, crashed: true},
+		"gone before the close":     {gone: true},
+		"leaving since":             {then: []workers.Worker{draining}, served: true},
+		"another life":              {then: []workers.Worker{again}, served: true, crashed: true},
+		"another life, was leaving": {then: []workers.Worker{draining, again}, served: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFront(t, ready)
+			to := f.proxy.fleet.get(ready)
+			for _, entry := range test.then {
+				f.directory.Update([]workers.Worker{entry}, nil, nil)
+			}
+			if test.gone {
+				f.directory.Update(nil, []workers.ID{ready.ID}, nil)
+			}
+			f.proxy.workerEnded(to, test.served)
+			_, first := to.hasEnded(time.Now())
+			assert.Equal(t, !first, test.crashed)
+		})
+	}
+}
+
+// A send that a crash cut off may be seen to end only once the worker's entry is gone.
+func TestASendThatACrashCutOffIsSuspectThoughTheEntryWent(t *testing.T) {
+	entry := workers.Worker{ID: "w1", Service: "keyed", Address: "127.0.0.1:1", State: workers.StateReady}
+	f := newFront(t, entry)
+	logged := &lines{}
+	f.proxy.Log = decision.NewTo(logged, "test")
+	to := f.proxy.fleet.get(entry)
+	f.proxy.workerEnded(to, false)
+	f.directory.Update(nil, []workers.ID{entry.ID}, nil)
+	c := &call{proxy: f.proxy, request: httptest.NewRequest("GET", "/keyed/", nil), route: &routing.Route{Name: "keyed"}}
+	c.watchEnd(to, &upstream.Result{Outcome: upstream.Late, Written: true})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if logged.count(decision.KindSuspect) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("not suspected")
+	}, poll.WithTimeout(5*time.Second))
+}
+
 // A worker that closes many connections is looked at now and then only.
 func TestProbesAreFew(t *testing.T) {
 	b := newBackend(workers.Worker{}, &toldMeans{})
