Exchange only requests that the other part of a route can serve

A request that a weighted route dealt to its pool was taken for one with a near owner if nothing was known of an owner: without a key it was sent to the part that is divided by key and answered 400, and with a key that moved, or whose owner was not known or gone, it waited there, while the pool was free. The other way a request whose owner is far went to a pool that had no worker, or only far ones, though the owner could have served it.

The two questions (is the owner far; else it is near) are one with three answers now: in the region, across the link, or not served.

--- a/internal/proxy/swaps.go
+++ b/internal/proxy/swaps.go
@@ -3,8 +3,10 @@
 import (
 	"sync"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/topology"
+	"github.com/shalefork/shalefork/internal/workers"
 )
 
 // mostOwed bounds how many requests of a part this process has dealt to another one and not
@@ -32,10 +34,23 @@
 
 func newSwaps() *swaps { return &swaps{owed: map[swapped]int{}} }
 
+// whereabouts says where one part of a route would serve a request.
+type whereabouts int
+
+const (
+	// unserved: the request has no key, or the part has no worker that would take it now.
+	unserved whereabouts = iota
+	// inRegion: in this process's region.
+	inRegion
+	// acrossLink: in another region.
+	acrossLink
+)
+
 // pick returns the part that a request goes to, given the part that was dealt to it. keyed
-// reports whether a service is divided by key, and across whether the owner of the request's
-// key there stands in another region.
-func (s *swaps) pick(route *routing.Route, dealt routing.ServiceName, keyed, across func(routing.ServiceName) bool) routing.ServiceName {
+// reports whether a service is divided by key, and where says where each would serve the request:
+// only what the other part can serve in the region is exchanged.
+func (s *swaps) pick(route *routing.Route, dealt routing.ServiceName, keyed func(routing.ServiceName) bool,
+	where func(routing.ServiceName) whereabouts) routing.ServiceName {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, part := range route.Parts {
@@ -44,14 +59,14 @@
 		}
 		if keyed(dealt) {
 			pair := swapped{route, dealt, part.Service}
-			if s.owed[pair] < mostOwed && across(dealt) {
+			if s.owed[pair] < mostOwed && where(dealt) == acrossLink && where(part.Service) == inRegion {
 				s.owed[pair]++
 				return part.Service
 			}
 			continue
 		}
 		pair := swapped{route, part.Service, dealt}
-		if s.owed[pair] > 0 && !across(part.Service) {
+		if s.owed[pair] > 0 && where(part.Service) == inRegion {
 			s.owed[pair]--
 			return part.Service
 		}
@@ -66,21 +81,46 @@
 	fleet := c.proxy.fleet
 	if len(c.route.Parts) > 1 && fleet.places.Regions() > 1 && !c.bound() && bulky(c.route.Class, fleet.sizes.of(c.route)) {
 		keyed := func(name routing.ServiceName) bool { return c.config.Services[name].Keyed }
-		dealt = used.swaps.pick(c.route, dealt, keyed, c.ownedAcross)
+		dealt = used.swaps.pick(c.route, dealt, keyed, c.whereabouts)
 	}
 	return c.config.Services[dealt]
 }
 
-// ownedAcross reports whether the owner of the request's key stands in another region.
-func (c *call) ownedAcross(name routing.ServiceName) bool {
-	key, found := c.readKey(c.config.Services[name])
+// whereabouts says where a part would serve the request.
+func (c *call) whereabouts(name routing.ServiceName) whereabouts {
+	if service := c.config.Services[name]; service.Keyed {
+		return c.ownerWhereabouts(service)
+	}
+	fleet := c.proxy.fleet
+	list, _ := fleet.directory.Usable(name)
+	for _, worker := range list {
+		if fleet.distance(worker.Zone) != topology.OtherRegion {
+			return inRegion
+		}
+	}
+	if len(list) > 0 {
+		return acrossLink
+	}
+	return unserved
+}
+
+// ownerWhereabouts says where the owner of the request's key stands.
+func (c *call) ownerWhereabouts(service *routing.Service) whereabouts {
+	key, found := c.readKey(service)
 	if !found {
-		return false
+		return unserved
+	}
+	held, known := c.proxy.Table.Lookup(service.Name, key)
+	if !known || held.Moving {
+		return unserved
 	}
-	held, known := c.proxy.Table.Lookup(name, key)
-	if !known {
-		return false
+	fleet := c.proxy.fleet
+	worker, announced := fleet.directory.Get(held.Worker)
+	switch {
+	case !announced || worker.State != workers.StateReady || !fleet.get(worker).usableOwner(clock.Now()):
+		return unserved
+	case fleet.distance(worker.Zone) == topology.OtherRegion:
+		return acrossLink
 	}
-	worker, announced := c.proxy.fleet.directory.Get(held.Worker)
-	return announced && c.proxy.fleet.distance(worker.Zone) == topology.OtherRegion
+	return inRegion
 }
--- a/internal/proxy/swaps_test.go
+++ b/internal/proxy/swaps_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/workers"
 )
 
 func TestSwapsKeepTheWeights(t *testing.T) {
@@ -31,7 +33,13 @@
 			const requests = 4000
 			for index := range requests {
 				far := index*7%13%2 == 1 // owners alternate out of step with the weights
-				if s.pick(route, splitter.Pick(route), isKeyed, func(routing.ServiceName) bool { return far }) == "keyed" {
+				where := func(name routing.ServiceName) whereabouts {
+					if isKeyed(name) && far {
+						return acrossLink
+					}
+					return inRegion
+				}
+				if s.pick(route, splitter.Pick(route), isKeyed, where) == "keyed" {
 					dealt++
 					if far {
 						crossed++
@@ -71,3 +79,71 @@
 	assert.Equal(t, far.arrivals(), 0)
 	assert.Assert(t, near.arrivals() >= 18 && pool.arrivals() >= 18, "%d and %d", near.arrivals(), pool.arrivals())
 }
+
+// A request is exchanged only for one that the other part can serve in the region: one without a
+// key was sent to the part that is divided by key, where it is malformed, and one whose key moved
+// waited there, while the pool that it was dealt to was free.
+func TestSwapsExchangeWhatCanBeServed(t *testing.T) {
+	isKeyed := func(name routing.ServiceName) bool { return name == "keyed" }
+	route := &routing.Route{Parts: []routing.Part{{Service: "keyed", Weight: 1}, {Service: "pool", Weight: 1}}}
+	for name, test := range map[string]struct {
+		dealt       routing.ServiceName
+		keyed, pool whereabouts
+		want        routing.ServiceName
+	}{
+		"far owner":                    {"keyed", acrossLink, inRegion, "pool"},
+		"near owner":                   {"keyed", inRegion, inRegion, "keyed"},
+		"no owner":                     {"keyed", unserved, inRegion, "keyed"},
+		"far owner, no pool":           {"keyed", acrossLink, unserved, "keyed"},
+		"far owner, far pool":          {"keyed", acrossLink, acrossLink, "keyed"},
+		"the pool's, near owner":       {"pool", inRegion, inRegion, "keyed"},
+		"the pool's, far owner":        {"pool", acrossLink, inRegion, "pool"},
+		"the pool's, no key or owner":  {"pool", unserved, inRegion, "pool"},
+		"the pool's, which has no one": {"pool", inRegion, unserved, "keyed"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSwaps()
+			s.owed[swapped{route, "keyed", "pool"}] = 1
+			where := func(name routing.ServiceName) whereabouts {
+				if isKeyed(name) {
+					return test.keyed
+				}
+				return test.pool
+			}
+			assert.Equal(t, s.pick(route, test.dealt, isKeyed, where), test.want)
+		})
+	}
+}
+
+// What was exchanged for a far owner's request is not made up for by one that has no key, or
+// whose key's owner is not there.
+func TestNothingIsExchangedForWhatNobodyServes(t *testing.T) {
+	for name, test := range map[string]struct {
+		key   string
+		owner workers.ID
+	}{
+		"no key":        {owner: "w1"},
+		"no owner":      {key: "7"},
+		"owner is gone": {key: "7", owner: "w9"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, pool := newWorker(t, "w1", answers("n")), newWorker(t, "w3", answers("p"))
+			f := newFront(t, near.entry("keyed"), pool.entry("pool"))
+			f.proxy.Locate(twoRegions)
+			config := testConfig(t, 2)
+			route := config.Match("app.example", "/safe/")
+			route.Class = routing.BulkDown
+			route.Parts = []routing.Part{{Service: "keyed", Weight: 1}, {Service: "pool", Weight: 99}}
+			assert.Assert(t, f.proxy.Use(config))
+			if test.owner != "" {
+				f.proxy.Table.Replace(1, "keyed", []owner.Owner{{Keys: owner.Keys{From: 0, To: owner.KeyCount - 1}, Worker: test.owner}})
+			}
+			c := &call{proxy: f.proxy, config: config, route: route, request: httptest.NewRequest("GET", "/safe/", nil)}
+			if test.key != "" {
+				c.request.Header.Set("X-Key", test.key)
+			}
+			assert.Equal(t, c.whereabouts("keyed"), unserved)
+			assert.Equal(t, c.whereabouts("pool"), inRegion)
+		})
+	}
+}
