Learn no size from bodies whose length no head tells

A download in chunks that is passed on as it comes, and an upload in chunks, counted as empty in the mean size of their route. A route whose answers all come so was soon reckoned with 600 bytes, by which the gate between regions let some 150 times as many large bodies through as its part of the link (reckoned, for 90 kB), and the metric of bytes counted them as 600 each.

Such an exchange counts with its route's usual size now, and says nothing of it.

--- a/internal/proxy/sizes.go
+++ b/internal/proxy/sizes.go
@@ -68,20 +68,33 @@
 // headBytes is what the heads of a request and its answer have on average.
 const headBytes = 600
 
-// weigh notes the size of the request and of a worker's answer, as far as their heads tell.
+// weigh notes the size of the request and of a worker's answer, as far as their heads tell. Where
+// they don't, the exchange counts as one of its route's usual size, and says nothing of it.
 func (c *call) weigh(worker *workers.Worker, got *upstream.Result) {
-	size := got.Body.Length()
-	if length, err := strconv.ParseInt(got.Header.Get("Content-Length"), 10, 64); err == nil {
-		size = max(size, length)
+	bytes, known := c.weight(got)
+	if known {
+		c.proxy.fleet.sizes.add(c.route, bytes)
+	} else {
+		bytes = max(bytes, c.proxy.fleet.sizes.of(c.route))
 	}
-	bytes := headBytes + max(0, c.message.Length) + size
-	c.proxy.fleet.sizes.add(c.route, float64(bytes))
 	kind := traffic.Pooled
 	switch {
-	case bulky(c.route.Class, float64(bytes)):
+	case bulky(c.route.Class, bytes):
 		kind = traffic.Bulk
 	case c.service.Keyed:
 		kind = traffic.Keyed
 	}
 	c.proxy.Traffic.Add(kind, topology.Zone(worker.Zone), int(bytes))
 }
+
+// weight is the size of the request and of a worker's answer in bytes; known is false if one of
+// them comes in chunks that are passed on, so that it is larger.
+func (c *call) weight(got *upstream.Result) (bytes float64, known bool) {
+	size := got.Body.Length()
+	length, err := strconv.ParseInt(got.Header.Get("Content-Length"), 10, 64)
+	if err == nil {
+		size = max(size, length)
+	}
+	known = c.message.Length >= 0 && (got.Stream == nil || err == nil)
+	return float64(headBytes + max(0, c.message.Length) + size), known
+}
