Hold bodies in chunks to the longest that is allowed

It is refused with 413 now while no worker was asked, and cut on the way to a worker that has begun to take it: 502.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"os"
 	"sync"
@@ -99,7 +100,7 @@
 		return false
 	}
 	controller := http.NewResponseController(c.writer)
-	reader := bodies.NewReader(body, c.deadline.Add(-answerMargin), controller)
+	reader := c.limited(bodies.NewReader(body, c.deadline.Add(-answerMargin), controller), length)
 	whole, err := spool.Fill(reader, length, bodies.Small)
 	if err == nil && !whole {
 		if small && !c.awaitRoom(spool) {
@@ -140,6 +141,8 @@
 // bodyBroke answers a request whose body could not be read. No worker has been asked.
 func (c *call) bodyBroke(err error) {
 	switch {
+	case errors.Is(err, errTooLong):
+		c.refuse(http.StatusRequestEntityTooLarge, reasonBody, 0)
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		c.refuse(http.StatusBadRequest, reasonBody, 0)
 	case c.left() <= answerMargin:
@@ -157,6 +160,33 @@
 	return c.config.Limits.BodyBytes
 }
 
+var errTooLong = errors.New("the body is longer than it may be")
+
+// limited bounds a body whose length is not known before it is read.
+func (c *call) limited(body io.Reader, length int64) io.Reader {
+	if most := c.bodyLimit(); length < 0 && most > 0 {
+		return &limitedReader{from: body, left: most}
+	}
+	return body
+}
+
+// limitedReader fails beyond its limit, so that what was read is never taken for whole.
+type limitedReader struct {
+	from io.Reader
+	// left is how many bytes may still come.
+	left int64
+}
+
+// Read implements io.Reader.
+func (r *limitedReader) Read(into []byte) (int, error) {
+	count, err := r.from.Read(into)
+	r.left -= int64(count)
+	if r.left < 0 {
+		return 0, errTooLong
+	}
+	return count, err
+}
+
 // leaveUnread lets an answer go out before the rest of the caller's body is in, which would
 // else be read first.
 func (c *call) leaveUnread() {
--- /dev/null
+++ b/internal/proxy/bodylimit_test.go
@@ -0,0 +1,44 @@
+package proxy
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// A body in chunks passed the limit: only a length that the head told was compared with it.
+func TestABodyBeyondTheLimitIsRefused(t *testing.T) {
+	for name, test := range map[string]struct {
+		limit, length int64
+		unsized       bool
+		status        int
+	}{
+		"told":                              {limit: 100_000, length: 100_001, status: http.StatusRequestEntityTooLarge},
+		"in chunks":                         {limit: 100_000, length: 100_001, unsized: true, status: http.StatusRequestEntityTooLarge},
+		"in chunks, small":                  {limit: 1000, length: 1001, unsized: true, status: http.StatusRequestEntityTooLarge},
+		"in chunks, at the limit":           {limit: 100_000, length: 100_000, unsized: true, status: http.StatusOK},
+		"in chunks, after a part went on":   {limit: 2 * keptBody, length: 2*keptBody + 1, unsized: true, status: http.StatusBadGateway},
+		"in chunks, passed on, within it":   {limit: 2 * keptBody, length: 2 * keptBody, unsized: true, status: http.StatusOK},
+		"told, passed on, within the limit": {limit: 2 * keptBody, length: 2 * keptBody, status: http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorker(t, "w1", answers("x"))
+			f := newFront(t, w.entry("pool"))
+			config := testConfig(t, 2)
+			config.Services["pool"].BodyBytes = test.limit
+			assert.Assert(t, f.proxy.Use(config))
+			told := test.length
+			if test.unsized {
+				told = -1
+			}
+			response, _ := f.upload(t, "/up/", unsized{strings.NewReader(strings.Repeat("b", int(test.length)))}, told)
+			assert.Equal(t, response.StatusCode, test.status)
+			if test.status != http.StatusOK {
+				assert.Equal(t, w.arrivals(), 0, "no worker has it whole")
+			}
+			f.emptied(t)
+		})
+	}
+}
