Bound what small bodies take of the link ahead of large ones

Now half a second at most.

Ruled out: a bound on what large bodies take. They wait for their turns, so that no more than a slice of each is ahead.

--- a/internal/bodies/turns.go
+++ b/internal/bodies/turns.go
@@ -16,6 +16,9 @@
 	// sliceBytes go onto the link in one turn: 13 ms of a link of 10 Mbit/s, which is what a
 	// small answer may wait behind.
 	sliceBytes = 16 << 10
+	// longestBacklog is the most of the link's time that small bodies take ahead: what a sender's
+	// and a narrow link's buffers hold. What comes beyond it is dropped or held back there.
+	longestBacklog = 500 * time.Millisecond
 	// bitsInMegabit and bitsInByte turn megabits a second into bytes.
 	bitsInMegabit = 1e6
 	bitsInByte    = 8
@@ -39,8 +42,15 @@
 
 // Sent notes bytes of small bodies, which wait for nobody.
 func (t *Turns) Sent(bytes int) {
-	if t.rate > 0 {
-		t.reserve(bytes)
+	if t.rate == 0 {
+		return
+	}
+	now := clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.free.Sub(now) < longestBacklog {
+		t.take(now, bytes)
+		t.free = earlier(t.free, now.Add(longestBacklog))
 	}
 }
 
@@ -59,11 +69,24 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	wait := t.free.Sub(now)
-	if wait < 0 {
-		wait, t.free = 0, now
+	t.take(now, bytes)
+	return max(0, wait)
+}
+
+// take takes the link once it is free. The caller holds mu.
+func (t *Turns) take(now time.Time, bytes int) {
+	if t.free.Before(now) {
+		t.free = now
 	}
 	t.free = t.free.Add(time.Duration(float64(bytes) / t.rate * float64(time.Second)))
-	return wait
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // Paced writes a large body in turns.
--- a/internal/bodies/turns_test.go
+++ b/internal/bodies/turns_test.go
@@ -124,3 +124,18 @@
 		assert.Equal(t, time.Since(began), time.Duration(0))
 	})
 }
+
+// Small answers beyond what the link bears counted against large bodies without end: 10 s of them
+// kept large bodies off a link that was idle afterwards for 12 s more.
+func TestLargeBodiesWaitForNoMoreThanTheLinkHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		turns := NewTurns(narrowMbps)
+		for range 1000 { // twice what the link bears, for 10 s
+			turns.Sent(2 * narrowRate / 100)
+			time.Sleep(10 * time.Millisecond)
+		}
+		began := time.Now()
+		assert.Assert(t, turns.Await(t.Context(), sliceBytes))
+		assert.Assert(t, time.Since(began) <= longestBacklog, "%s", time.Since(began))
+	})
+}
