--- a/internal/lab/mutate/mutations_regions.go
+++ b/internal/lab/mutate/mutations_regions.go
@@ -33,8 +33,8 @@
 	{
 		name: "parts-are-owed-without-end",
 		file: "internal/proxy/swaps.go",
-		old:  "if s.owed[pair] < mostOwed && across(dealt) {",
-		new:  "if across(dealt) {",
+		old:  "if s.owed[pair] < mostOwed && where(dealt) == acrossLink && where(part.Service) == inRegion {",
+		new:  "if where(dealt) == acrossLink && where(part.Service) == inRegion {",
 		pkg:  "./internal/proxy", test: "TestSwapsKeepTheWeights",
 	},
 	{
