--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -41,14 +41,19 @@
 // Map says which region each zone belongs to. The zero value knows no zones.
 type Map struct {
 	regions map[Zone]Region
+	// count is how many regions were given; each request asks for it.
+	count int
 }
 
 // New returns a map of zones. It keeps a copy.
 func New(regions map[Zone]Region) Map {
 	m := Map{regions: make(map[Zone]Region, len(regions))}
+	named := map[Region]bool{}
 	for zone, region := range regions {
 		m.regions[zone] = region
+		named[region] = true
 	}
+	m.count = len(named)
 	return m
 }
 
@@ -72,13 +77,7 @@
 }
 
 // Regions returns how many regions there are; one if no zones are known.
-func (m Map) Regions() int {
-	named := map[Region]bool{}
-	for _, region := range m.regions {
-		named[region] = true
-	}
-	return max(1, len(named))
-}
+func (m Map) Regions() int { return max(1, m.count) }
 
 // Zones returns the zones of some regions, in the order of their names.
 func (m Map) Zones(regions []Region) []Zone {
