--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -284,34 +284,3 @@
 		b.latency.Add(now, worked, usualTime)
 	}
 }
-
-// cutOff notes a request that was sent and got no whole answer; true if the worker's end,
-// which is known, cut it off.
-func (b *backend) cutOff(now time.Time, attempt quarantine.Attempt) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.witness.CutOff(now, attempt)
-}
-
-// hasEnded notes that the worker has ended; first is false if that was known. It returns the
-// requests that its end cut off.
-func (b *backend) hasEnded(now time.Time) (attempts []quarantine.Attempt, first bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.witness.Ended(now)
-}
-
-// nextProbe says after which time the worker's address is to be looked at; due is false if a
-// look is to begin already.
-func (b *backend) nextProbe(now time.Time) (wait time.Duration, due bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.probeAt.After(now) {
-		return 0, false
-	}
-	if next := b.probeAt.Add(probePause); next.After(now) {
-		wait = next.Sub(now)
-	}
-	b.probeAt = now.Add(wait)
-	return wait, true
-}
