Hold only waits for the caller against its caller

The 5 s that a body may stand still ran on while the router waited for the worker or for its turn on the link. A caller whose worker paused for longer in an answer that was passed on was cut with caller-slow at the next byte, and one whose body was passed on to a worker that paused in reading got 502 as if it had cut its body. Only time within reads from and writes to the caller counts now; the new test, in virtual time, failed at the first write.

--- a/internal/bodies/pace.go
+++ b/internal/bodies/pace.go
@@ -17,21 +17,30 @@
 	Grace = 5 * time.Second
 )
 
-// pace judges a body by its progress: each byte adds time, and no more than Grace is saved up.
+// pace judges a body by its progress while its caller is awaited: each byte adds time, and no more
+// than Grace is saved up. Time between two waits is a worker's, or the link's, and does not count.
 type pace struct {
 	until time.Time
+	// stopped is when the caller was awaited last.
+	stopped time.Time
 }
 
-func newPace(now time.Time) pace { return pace{until: now.Add(Grace)} }
+func newPace(now time.Time) pace { return pace{until: now.Add(Grace), stopped: now} }
 
-// moved notes bytes that have passed, and returns until when the next must.
-func (p *pace) moved(now time.Time, bytes int) time.Time {
+// await begins a wait for the caller, and returns until when it must have moved.
+func (p *pace) await(now time.Time) time.Time {
+	p.until = p.until.Add(now.Sub(p.stopped))
+	return p.until
+}
+
+// moved ends a wait in which some bytes have passed.
+func (p *pace) moved(now time.Time, bytes int) {
 	earned := time.Duration(float64(bytes) / Floor * float64(time.Second))
 	p.until = p.until.Add(earned)
 	if most := now.Add(Grace); p.until.After(most) {
 		p.until = most
 	}
-	return p.until
+	p.stopped = now
 }
 
 // Connection is the one to a caller, or what controls it.
@@ -59,7 +68,7 @@
 
 // Read implements io.Reader.
 func (r *Reader) Read(into []byte) (int, error) {
-	until := r.pace.until
+	until := r.pace.await(clock.Now())
 	if r.last.Before(until) {
 		until = r.last
 	}
@@ -85,7 +94,8 @@
 
 // Write implements io.Writer.
 func (w *Writer) Write(from []byte) (int, error) {
-	if err := w.caller.SetWriteDeadline(time.Now().Add(clock.Until(w.pace.until))); !supported(err) {
+	until := w.pace.await(clock.Now())
+	if err := w.caller.SetWriteDeadline(time.Now().Add(clock.Until(until))); !supported(err) {
 		return 0, err
 	}
 	count, err := w.to.Write(from)
--- a/internal/bodies/pace_test.go
+++ b/internal/bodies/pace_test.go
@@ -85,3 +85,25 @@
 		})
 	}
 }
+
+// A body waits for its worker too, and for its turn on the link: that is not held against its
+// caller, who was cut as silent, though it sent and took at once.
+func TestWhatTheRouterWaitsForIsNotHeldAgainstTheCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ours, caller := net.Pipe()
+		go func() { _, _ = io.Copy(caller, caller) }()
+		began := time.Now()
+		from, to := NewReader(ours, began.Add(time.Hour), ours), NewWriter(ours, ours)
+		piece := make([]byte, 1)
+		for range 5 {
+			time.Sleep(2 * Grace)
+			_, err := to.Write(piece)
+			assert.NilError(t, err)
+			time.Sleep(2 * Grace)
+			_, err = from.Read(piece)
+			assert.NilError(t, err)
+		}
+		_ = ours.Close()
+		_ = caller.Close()
+	})
+}
