--- a/internal/keeper/plan.go
+++ b/internal/keeper/plan.go
@@ -77,15 +77,16 @@
 // places returns where the service's keys may be held: where all routes to it must be served in
 // some regions, only there, since an owner elsewhere could not be asked.
 func (t *tenancy) places(of *service) []owner.Place {
-	described := t.described(of)
-	if described == nil {
+	config := t.Config()
+	if config == nil || config.Services[of.name] == nil {
 		return nil
 	}
+	described := config.Services[of.name]
 	places := make([]owner.Place, 0, len(described.Places))
 	for _, one := range described.Places {
 		places = append(places, owner.Place{Keys: owner.Keys{From: one.From, To: one.To}, Zones: one.Zones})
 	}
-	if regions, bound := t.Config().RegionsOf(of.name); bound && t.Regions.Regions() > 1 {
+	if regions, bound := config.RegionsOf(of.name); bound && t.Regions.Regions() > 1 {
 		return owner.Within(places, t.zones(regions))
 	}
 	return places
