--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -64,14 +64,7 @@
 // worker got its beginning and what the first had not read, in chunks as a whole body. Found by
 // reading.
 func TestABodyThatWasPartlyPassedOnIsNotSentAgain(t *testing.T) {
-	var first atomic.Bool
-	once := func(connection net.Conn, request *http.Request) bool {
-		if first.CompareAndSwap(false, true) {
-			return refuses(connection, request)
-		}
-		answer(connection, request, http.StatusOK, "done")
-		return true
-	}
+	once := refusesOnce()
 	one, two := newWorker(t, "w1", once), newWorker(t, "w2", once)
 	f := newFront(t, one.entry("pool"), two.entry("pool"))
 	response, _ := f.upload(t, "/up/", unsized{strings.NewReader(strings.Repeat("b", keptBody*3/2))}, -1)
@@ -82,14 +75,7 @@
 
 // One that is kept can be.
 func TestALargeBodyThatDidNotRunGoesToAnother(t *testing.T) {
-	var first atomic.Bool
-	once := func(connection net.Conn, request *http.Request) bool {
-		if first.CompareAndSwap(false, true) {
-			return refuses(connection, request)
-		}
-		answer(connection, request, http.StatusOK, "done")
-		return true
-	}
+	once := refusesOnce()
 	one, two := newWorker(t, "w1", once), newWorker(t, "w2", once)
 	f := newFront(t, one.entry("pool"), two.entry("pool"))
 	const length = 360_000
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -55,14 +55,7 @@
 }
 
 func TestUnsafeRequestThatDidNotRunGoesToAnother(t *testing.T) {
-	var first atomic.Bool
-	once := func(connection net.Conn, request *http.Request) bool {
-		if first.CompareAndSwap(false, true) {
-			return refuses(connection, request)
-		}
-		answer(connection, request, http.StatusOK, "done")
-		return true
-	}
+	once := refusesOnce()
 	one, two := newWorker(t, "w1", once), newWorker(t, "w2", once)
 	f := newFront(t, one.entry("pool"), two.entry("pool"))
 	response, body := f.get(t, "POST", "/unsafe/", "x")
--- a/internal/proxy/worker_test.go
+++ b/internal/proxy/worker_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -153,6 +154,19 @@
 	return true
 }
 
+// refusesOnce refuses the first request, over all workers that have the same script, and answers
+// the others.
+func refusesOnce() script {
+	var first atomic.Bool
+	return func(connection net.Conn, request *http.Request) bool {
+		if first.CompareAndSwap(false, true) {
+			return refuses(connection, request)
+		}
+		answer(connection, request, http.StatusOK, "done")
+		return true
+	}
+}
+
 // front is a proxy under test with its clients' address.
 type front struct {
 	proxy     *Proxy
