--- a/internal/lab/mutate/mutations_quota.go
+++ b/internal/lab/mutate/mutations_quota.go
@@ -5,13 +5,13 @@
 	{
 		name: "new-leader-gives-at-once",
 		file: "internal/quota/coordinator.go",
-		old:  "	return min(p.limit, p.reported)",
+		old:  "	return min(p.limit, p.reported)\n",
 		new:  "	return p.limit",
 		pkg:  "./internal/quota", test: "TestNoWindowHoldsMoreThanTheLimit",
 	},
 	{
 		name: "lowered-credit-freed-unacknowledged",
-		file: "internal/quota/coordinator.go",
+		file: "internal/quota/hear.go",
 		old:  "		if h.number > told.Ack {",
 		new:  "		if false {",
 		pkg:  "./internal/quota", test: "TestNoWindowHoldsMoreThanTheLimit",
@@ -25,7 +25,7 @@
 	},
 	{
 		name: "units-in-use-beyond-a-lowered-credit-freed",
-		file: "internal/quota/coordinator.go",
+		file: "internal/quota/hear.go",
 		old:  "	c.end(now.Add(c.bound.rest()), name, h.used-h.units, 0)",
 		new:  "",
 		pkg:  "./internal/quota", test: "TestNoWindowHoldsMoreThanTheLimit",
@@ -53,7 +53,7 @@
 	},
 	{
 		name: "renewed-lease-brings-back-units",
-		file: "internal/quota/holder.go",
+		file: "internal/quota/tell.go",
 		old:  "		a.given = Credit{credit, min(a.given.limit(), a.limit), min(credit, a.given.floor())}",
 		new:  "",
 		pkg:  "./internal/quota", test: "TestARenewedLeaseBringsNothingBack",
@@ -65,4 +65,18 @@
 		new:  "	return int(b.Window / slotTime / 2)",
 		pkg:  "./internal/quota", test: "TestNoWindowHoldsMoreThanTheLimit",
 	},
+	{
+		name: "new-leader-deals-what-others-may-hold",
+		file: "internal/quota/coordinator.go",
+		old:  "			p.calm, p.unknown = true, min(p.unknown, p.limit)",
+		new:  "			p.calm, p.unknown = true, 0",
+		pkg:  "./internal/quota", test: "TestWhatANewLeaderDealsAtOnce",
+	},
+	{
+		name: "more-dealt-before-the-mark-is-stored",
+		file: "internal/router/quotamarks.go",
+		old:  "		if len(wanted) > 0 && q.storeMarks(ctx, tenure, &marks, wanted) {",
+		new:  "		if q.storeMarks(ctx, tenure, &marks, wanted); len(wanted) > 0 {",
+		pkg:  "./internal/router", test: "TestBusyTenantsAreMarkedBeforeMoreIsDealt",
+	},
 }
