Break what the review mended, and let one mutation compile again

leaving-worker-crashes did not compile before this review either: the changed line left an import of crash.go without use. It and the three new ones (a crash whose entry went, bodies in chunks beyond the limit, waits of the router) are killed by their tests.

--- a/internal/lab/mutate/mutations_bodies.go
+++ b/internal/lab/mutate/mutations_bodies.go
@@ -3,6 +3,20 @@
 // bodyMutations let bodies of requests and answers be taken for what they are not, or hold more
 // than they may.
 var bodyMutations = []mutation{
+	{
+		name: "chunks-pass-the-limit",
+		file: "internal/proxy/body.go",
+		old:  "length < 0 && most > 0 {",
+		new:  "false && most > 0 {",
+		pkg:  "./internal/proxy", test: "TestABodyBeyondTheLimitIsRefused",
+	},
+	{
+		name: "waits-of-the-router-count-against-callers",
+		file: "internal/bodies/pace.go",
+		old:  "	p.until = p.until.Add(now.Sub(p.stopped))\n",
+		new:  "",
+		pkg:  "./internal/bodies", test: "TestWhatTheRouterWaitsForIsNotHeldAgainstTheCaller",
+	},
 	{
 		name: "partly-passed-on-body-sent-again",
 		file: "internal/proxy/call.go",
--- a/internal/lab/mutate/mutations_harm.go
+++ b/internal/lab/mutate/mutations_harm.go
@@ -30,11 +30,18 @@
 		new:  "	return c.closed.Load() < mostClosed",
 		pkg:  "./internal/proxy", test: "TestASuspectGoesToOneWorkerOnly",
 	},
+	{
+		name: "crash-goes-with-the-entry",
+		file: "internal/proxy/crash.go",
+		old:  "announced || !served {",
+		new:  "true || announced {",
+		pkg:  "./internal/proxy", test: "TestWhatEndedAfterItsEntryChanged",
+	},
 	{
 		name: "leaving-worker-crashes",
 		file: "internal/proxy/crash.go",
 		old:  "	return announced && worker.State == workers.StateReady",
-		new:  "	return announced && worker.State != \"\"",
+		new:  "	return announced && worker.State != workers.State(\"\")",
 		pkg:  "./internal/proxy", test: "TestOnlyACrashMakesSuspects",
 	},
 	{
