--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -77,7 +77,9 @@
 			r.followLeader(ctx, leader)
 			r.goOnUnled(ctx)
 		default:
-			r.goOnUnled(ctx)
+			if paused || !r.settings.FirstStart { // at the first start of all others may campaign by now
+				r.goOnUnled(ctx)
+			}
 			paused = r.campaign(ctx, 0, paused)
 			continue
 		}
