Tell the next leader which share of the limits was not known to be held

Cause: one leader in 12.6 s could deal the reserve.

Change: each leader claims it, 0.5 s after it began, and stores the greatest share of a limit that it does not know to be held by then, mostly none. The next one counts that as held.

Tests: TestClaimsTellWhatIsLeftOver, TestClaimsOfTheReserveFollowOneAnother; the property test claims after reports.

--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -132,13 +133,16 @@
 		if allowed == 0 {
 			continue
 		}
-		before := c.pools[name]
-		lowered = lowered || before != nil && allowed < before.allowed
+		was := allowed
+		if before := c.pools[name]; before != nil {
+			was = before.allowed
+		}
+		lowered = lowered || allowed < was
 		c.limit(now, name, c.bound.Dealt(tenant, c.busy[name]))
 		p := c.pools[name]
 		p.allowed = allowed
 		// What leaders before have dealt grows with the limit: routers scale it.
-		p.unknown = max(p.unknown, c.bound.Dealt(tenant, !p.calm))
+		p.unknown = max(p.unknown, c.bound.Dealt(tenant, !p.calm), p.unknown*allowed/was)
 	}
 	for name := range c.pools {
 		if tenant := tenants[name]; tenant == nil || !tenant.Limited() {
@@ -170,39 +174,43 @@
 	return names
 }
 
-const (
-	// reportsIn is how long after the beginning of a leader routers that live have told what
-	// they hold: they find it within that time, or the day is not an ordinary one.
-	reportsIn = 500 * time.Millisecond
-	// reportedShare of what leaders before have dealt must have been told then. Where less was,
-	// most routers have been restarted, and the tenants' requests need what is in reserve. One
-	// lost leader or a few lost routers don't: the reserve can be dealt once in Bound.Unknown.
-	reportedShare = 0.5
-)
+// reportsIn is how long after the beginning of a leader routers that live have told what they
+// hold.
+const reportsIn = 500 * time.Millisecond
 
-// NeedsReserve reports whether most routers have lost what they held, so that this leader should
-// deal what is in reserve.
-func (c *Coordinator) NeedsReserve(now time.Time) bool {
-	if c.first || c.reserved || now.Sub(c.opened) < reportsIn {
-		return false
-	}
-	reported, dealt := 0, 0
-	for _, p := range c.pools {
-		reported += p.reported
-		dealt += p.limit
+// Claims reports whether it is time to claim the reserve: what routers hold that have not told
+// it by now may be held by nobody.
+func (c *Coordinator) Claims(now time.Time) bool {
+	return !c.first && !c.reserved && now.Sub(c.opened) >= reportsIn
+}
+
+// Leftover is the greatest share of a limit that routers may hold which have told nothing, if
+// leaders before have dealt so great a share beyond what is dealt of calm tenants.
+func (c *Coordinator) Leftover(dealt float64) float64 {
+	most := 0.0
+	for name, p := range c.pools {
+		if !c.busy[name] {
+			most = max(most, float64(p.dealtBefore(dealt)-p.reported)/float64(max(1, p.allowed)))
+		}
 	}
-	return float64(reported) < reportedShare*float64(dealt)
+	return min(1, most)
+}
+
+// dealtBefore is how many units leaders before may have dealt of a calm tenant: what is dealt of
+// such, and a share of what is allowed that an earlier one still did not know to be held.
+func (p *pool) dealtBefore(share float64) int {
+	return min(p.allowed, p.limit+int(math.Ceil(share*float64(p.allowed))))
 }
 
 // Reserved lets this leader deal at once what leaders before can't have dealt, of tenants that
-// were not marked as busy. Whoever calls it has told which are, and has made sure that no other
-// leader was let to within Bound.Unknown before.
-func (c *Coordinator) Reserved() {
+// were not marked as busy. Whoever calls it has told which are, and has stored the Leftover of
+// the same share for leaders that come within Bound.Unknown.
+func (c *Coordinator) Reserved(share float64) {
 	c.reserved = true
 	for name, p := range c.pools {
 		p.dirty = true
 		if !c.busy[name] {
-			p.calm, p.unknown = true, min(p.unknown, p.limit)
+			p.calm, p.unknown = true, min(p.unknown, p.dealtBefore(share))
 		}
 	}
 }
--- a/internal/quota/reserve_test.go
+++ b/internal/quota/reserve_test.go
@@ -36,38 +36,44 @@
 				c.Mark(tenant.Name)
 			}
 			if test.reserved {
-				c.Reserved()
+				c.Reserved(0)
 			}
 			assert.Equal(t, c.most(now.Add(test.after), c.pools[tenant.Name]), test.most)
 		})
 	}
 }
 
-// The reserve is for leaders after a restart of most routers; once dealt it can't be again for a
-// while.
-func TestWhoNeedsTheReserve(t *testing.T) {
+// A claim tells the next leader what the one before did not know to be held.
+func TestClaimsTellWhatIsLeftOver(t *testing.T) {
 	tenant := &routing.Tenant{Name: "t", Rate: 100, Burst: 100}
 	bound := Bound{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
 	for name, test := range map[string]struct {
-		first bool
-		// told is the share of the dealt units that routers tell.
-		told  float64
-		after time.Duration
-		needs bool
+		// told is the share of the dealt units that routers tell, and before what an earlier
+		// claim tells.
+		told, before, leftover float64
+		busy                   bool
 	}{
-		"all were restarted":           {after: time.Second, needs: true},
-		"nobody can have told yet":     {after: reportsIn / 2},
-		"only the leader was lost":     {told: 0.98, after: time.Second},
-		"most have been restarted":     {told: 0.3, after: time.Second, needs: true},
-		"nobody dealt anything before": {first: true, after: time.Second},
+		"all were restarted":           {leftover: calmShare},
+		"and once more before long":    {before: calmShare, leftover: 1},
+		"only the leader was lost":     {told: 1, leftover: 0},
+		"half were restarted":          {told: 0.5, leftover: calmShare / 2},
+		"busy tenants don't count":     {busy: true, leftover: 0},
+		"a little was left over":       {told: 1, before: 0.1, leftover: 0.1},
+		"more was told than was dealt": {told: 1.2, leftover: 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
-			c := NewCoordinator(now, 2, test.first, bound)
+			c := NewCoordinator(now, 2, false, bound)
 			c.Use(now, tenants(tenant))
+			if test.busy {
+				c.Mark(tenant.Name)
+			}
 			credit := int(test.told * float64(bound.Dealt(tenant, false)))
 			c.Hear(now, Told{Node: "n", Life: 1, Number: 1, All: true, Tenants: map[routing.TenantName]Use{tenant.Name: {0, 0, credit}}})
-			assert.Equal(t, c.NeedsReserve(now.Add(test.after)), test.needs)
+			assert.Assert(t, !c.Claims(now))
+			assert.Assert(t, c.Claims(now.Add(reportsIn)))
+			got := c.Leftover(test.before)
+			assert.Assert(t, got >= test.leftover-0.01 && got <= test.leftover+0.01, "%v", got)
 		})
 	}
 }
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -25,8 +25,9 @@
 	// taken are the requests that were granted.
 	taken []taken
 	queue []envelope
-	// reserved is until when no other leader may rely on what was not dealt, and busy are the
-	// tenants that are marked; both lie in the store.
+	// leftover is the share that the last claim tells, which lapses at reserved, and busy are the
+	// tenants that are marked; all lie in the store.
+	leftover float64
 	reserved time.Time
 	busy     map[routing.TenantName]bool
 	// paced lets routers report as often as they do in earnest.
@@ -114,10 +115,6 @@
 	l := &testLeader{coordinator: NewCoordinator(w.now, term, term == 1, w.bound), authority: w.now.Add(authority)}
 	l.coordinator.Use(w.now, tenants(w.tenant))
 	l.coordinator.Mark(slices.Sorted(maps.Keys(w.busy))...)
-	if term > 1 && !w.now.Before(w.reserved) {
-		l.coordinator.Reserved()
-		w.reserved = w.now.Add(w.bound.Unknown())
-	}
 	w.leaders = append(w.leaders, l)
 }
 
@@ -180,10 +177,24 @@
 		}
 		if wanted := l.coordinator.Wanted(); index == len(w.leaders)-1 && !l.lost {
 			w.mark(l, wanted)
+			w.claim(l)
 		}
 	}
 }
 
+// claim lets a leader deal the reserve, once it has heard the routers.
+func (w *world) claim(l *testLeader) {
+	if !l.coordinator.Claims(w.now) {
+		return
+	}
+	share := 0.0
+	if w.now.Before(w.reserved) {
+		share = w.leftover
+	}
+	w.leftover, w.reserved = l.coordinator.Leftover(share), w.now.Add(w.bound.Unknown())
+	l.coordinator.Reserved(share)
+}
+
 // mark stores which tenants are busy before the leader deals more of them.
 func (w *world) mark(l *testLeader, names []routing.TenantName) {
 	for _, name := range names {
--- a/internal/router/quota_test.go
+++ b/internal/router/quota_test.go
@@ -80,26 +80,40 @@
 	}
 }
 
-// One leader deals the reserve within the time in which the next cannot know what it gave; a lower
-// limit bars it anew.
-func TestOneLeaderClaimsTheReserve(t *testing.T) {
+// A claim tells the next leader what the one before did not know to be held, for as long as it may
+// be; a lower limit bars the reserve.
+func TestClaimsOfTheReserveFollowOneAnother(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r, store := newCutOffRouter(t)
+		r.quotas.bound = quota.Bound{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
 		r.election = election.New(store, KeyPrefix, "a:1", "process", rand.Text)
 		tenure, err := r.election.Campaign(t.Context(), 0)
 		assert.NilError(t, err)
 		keeps, stop := context.WithCancel(t.Context())
 		defer stop()
 		go tenure.Keep(keeps)
-		assert.Assert(t, r.quotas.claim(t.Context(), tenure, false))
-		assert.Assert(t, !r.quotas.claim(t.Context(), tenure, false))
+		stands := func() float64 {
+			item, found, err := store.Get(t.Context(), KeyPrefix+reserveKey)
+			assert.NilError(t, err)
+			if !found {
+				return -1
+			}
+			return leftoverOf(item)
+		}
+		claim := func() {
+			c := quota.NewCoordinator(clock.Now(), 2, false, r.quotas.bound)
+			c.Use(clock.Now(), map[routing.TenantName]*routing.Tenant{"a": {Name: "a", Rate: 100}})
+			assert.Assert(t, r.quotas.claim(t.Context(), tenure, c))
+		}
+		claim()
+		assert.Assert(t, stands() > 0.5 && stands() < 0.7, "nobody has told anything: %v", stands())
+		claim()
+		assert.Equal(t, stands(), 1.0, "nor since")
 		time.Sleep(r.quotas.bound.Unknown())
-		assert.Assert(t, !r.quotas.claim(t.Context(), tenure, false), "it stands for longer than what it guards")
+		assert.Equal(t, stands(), 1.0, "it stands for longer than what it guards")
 		time.Sleep(2 * reserveMargin)
-		assert.Assert(t, r.quotas.claim(t.Context(), tenure, false), "it has lapsed")
-		time.Sleep(r.quotas.bound.Unknown() / 2)
-		assert.Assert(t, r.quotas.claim(t.Context(), tenure, true), "it is replaced")
-		time.Sleep(r.quotas.bound.Unknown()/2 + 2*reserveMargin)
-		assert.Assert(t, !r.quotas.claim(t.Context(), tenure, false))
+		assert.Equal(t, stands(), -1.0)
+		assert.Assert(t, r.quotas.barOnce(t.Context(), tenure))
+		assert.Equal(t, stands(), 1.0)
 	})
 }
