Refuse by tenant where workers are short

Cause: waiting and refusing knew no tenant, so that one tenant's flood took the queue and the owners' room from all. Now each router counts what tenants ask of a service and what there was no room for, and who asks for more than its max-min share by weight yields first and is refused first; urgent ones last.

--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -34,6 +34,7 @@
 	KindOrderFailed   Kind = "order-failed"
 	KindRecord        Kind = "record"
 	KindQuota         Kind = "tenant-over-limit"
+	KindShare         Kind = "tenant-over-share"
 	KindRequest       Kind = "request"
 	KindSent          Kind = "request-sent-again"
 	KindBodies        Kind = "bodies"
@@ -80,6 +81,7 @@
 		{KindOrderFailed, "a worker did not do an order as asked", "service, worker, release, from, to, fence, outcome"},
 		{KindRecord, "the stored owners were read, can't be read, or were written by another leader", "service, found, revision, term"},
 		{KindQuota, "a tenant asks for more than its limit allows, or does so no longer; told by the leader", "tenant, over, limit (requests within a window), used (of it, as routers told last), booked (what may be in use at most), withheld (what a new leader must not give yet), missing (what routers asked for in vain), age (seconds, of the oldest message)"},
+		{KindShare, "workers are short, and a tenant is refused since it asks for more than its share, or is so no longer; told by each router", "tenant, service, priority, over, refused (share of its requests), all (share of all requests that there is no room for)"},
 		{KindRequest, "a request ended otherwise than planned: refused, failed, late, sent more than once, or its client left (status 0)", "id, status, reason, service, route, took, sends, runs, unsent, config, worker, last, error; for callers with API keys tenant (also that of a key that was taken away), and gone_with (the version that took the key away); for keyed ones key, term, table_age; for quarantined ones fingerprint"},
 		{KindSent, "a request goes out once more", "id, worker, outcome (of the send before, or hedged), after"},
 		{KindBodies, "large bodies find no memory, or half of it is free again", "full, used, limit (bytes)"},
--- a/internal/estimate/throttle.go
+++ b/internal/estimate/throttle.go
@@ -12,6 +12,9 @@
 	// more than it takes to be seen to take more again. It is the factor of "Site
 	// Reliability Engineering", chapter 21.
 	throttleSlack = 2
+	// shortTrace is what is left of one request after two seconds: a worker that has turned
+	// none away for that long has room, and nobody is refused for its sake.
+	shortTrace = 0.5
 )
 
 // Throttle is client-side adaptive throttling: the share of requests for one worker that
@@ -20,7 +23,9 @@
 	// wanted are the requests for the worker, those that were refused here included, and
 	// taken those that it has not turned away.
 	wanted, taken float64
-	at            time.Time
+	// turnedAway are the requests that it has turned away itself.
+	turnedAway float64
+	at         time.Time
 }
 
 // Share returns the share of requests to refuse now, from 0 to 1.
@@ -39,6 +44,13 @@
 		return
 	}
 	t.add(now, 0)
+	t.turnedAway++
+}
+
+// Short reports whether the worker has turned a request away within the last two seconds.
+func (t *Throttle) Short(now time.Time) bool {
+	t.forget(now)
+	return t.turnedAway >= shortTrace
 }
 
 func (t *Throttle) add(now time.Time, taken float64) {
@@ -53,6 +65,7 @@
 		kept := math.Exp(-passed.Seconds() / throttleWindow.Seconds())
 		t.wanted *= kept
 		t.taken *= kept
+		t.turnedAway *= kept
 	}
 	t.at = now
 }
--- /dev/null
+++ b/internal/fair/ledger.go
@@ -0,0 +1,206 @@
+package fair
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// window is the time constant with which requests are forgotten. One of a hundred routers
+	// sees a few requests a second, so a shorter one would judge tenants by chance; a longer
+	// one would hold a flood against a tenant's callers long after its end.
+	window = 5 * time.Second
+	// shortFactor times what is served is asked for where there is a shortage: one of a tenth or
+	// less is nobody's fault, and chance at one router.
+	shortFactor = 1.1
+	// beyondFactor times its part by weight is what a tenant may ask for before it yields:
+	// usual variation between tenants makes nobody wait.
+	beyondFactor = 1.25
+	// chanceFactor times the standard deviation of a number of requests is taken for chance: who is
+	// taken wrongly to ask for much only waits for a free worker, and finds one at once in calm.
+	chanceFactor = 1
+	// leastServed is the share of its requests that a tenant gets at least, as a multiple of
+	// what all get: whoever is served a quarter as often as all counts as starved, and shares
+	// are estimates.
+	leastServed = 0.4
+	// MostLanes is how many tenants and priorities are told apart, of one service; the others
+	// are refused as all are on average. A lane takes about 100 bytes.
+	MostLanes = 256
+	// refreshEvery is the longest age of shares: callers do not change their ways sooner.
+	refreshEvery = 50 * time.Millisecond
+	// levelSteps halve the error of a level each.
+	levelSteps = 30
+	// rebaseAfter is after how many windows counts are scaled down, long before they overflow.
+	rebaseAfter = 20
+	// endedAfter is for how long a caller was not refused for its share until it counts as
+	// served again, so that a shortage makes two log lines and not one for each request.
+	endedAfter = 10 * time.Second
+	// forgotten is a number of requests that says nothing more.
+	forgotten = 0.01
+)
+
+// Caller is whom a request counts for.
+type Caller struct {
+	// Name of the tenant; empty: none.
+	Name string
+	// Priority: 0 is the highest.
+	Priority int
+}
+
+// lane is what is known of one caller. Counts are scaled by the ledger's scale.
+type lane struct {
+	weight, wanted float64
+	// refused is the share of requests to refuse, from 0 to 1.
+	refused float64
+	// refusedAt is when the caller was refused for its share last; zero: not for a while.
+	refusedAt time.Time
+}
+
+// Ledger counts what callers ask of one service, or of one of its workers, and what it could not
+// serve. The zero value is ready. It is safe for concurrent use.
+type Ledger struct {
+	mu    sync.Mutex
+	lanes map[Caller]*lane
+	// wanted and lost count all requests; weight is that of all lanes.
+	wanted, lost, weight float64
+	// base is when a request weighs one; later ones weigh more, which is as if those before
+	// were forgotten.
+	base, refreshed time.Time
+	// average is the share of all requests to refuse.
+	average float64
+}
+
+// Wanted counts a request of a caller of some weight, above zero. It returns true if the caller
+// was refused for its share before, and has not been for a while.
+func (l *Ledger) Wanted(now time.Time, caller Caller, weight float64) (ended bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	scale := l.scale(now)
+	l.wanted += scale
+	known := l.lane(caller)
+	if known == nil {
+		return false
+	}
+	l.weight += weight - known.weight
+	known.weight = weight
+	known.wanted += scale
+	if known.refusedAt.IsZero() || now.Sub(known.refusedAt) < endedAfter {
+		return false
+	}
+	known.refusedAt = time.Time{}
+	return true
+}
+
+// Lost counts a request, counted as wanted before, that there was no room for.
+func (l *Ledger) Lost(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lost += l.scale(now)
+}
+
+// Refused notes that a caller is refused for its share. It returns true if it was not so before.
+func (l *Ledger) Refused(now time.Time, caller Caller) (began bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.lanes[caller]
+	if known == nil {
+		return false
+	}
+	began = known.refusedAt.IsZero()
+	known.refusedAt = now
+	return began
+}
+
+// Shares of requests, from 0 to 1.
+type Shares struct {
+	// Own is that of a caller's requests to refuse where one finds no room, and All that of
+	// everybody's.
+	Own, All float64
+}
+
+// Refuse returns which share of a caller's requests to refuse now.
+func (l *Ledger) Refuse(now time.Time, caller Caller) Shares {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refresh(now, l.scale(now))
+	if known := l.lanes[caller]; known != nil {
+		return Shares{Own: known.refused, All: l.average}
+	}
+	return Shares{Own: l.average, All: l.average}
+}
+
+// Chosen returns which share of a caller's requests to refuse where a share of all has to be
+// refused: those who are beyond their share bear it.
+func (s Shares) Chosen(all float64) float64 {
+	switch {
+	case s.All == 0:
+		return all
+	case s.All >= all:
+		return s.Own
+	}
+	return min(s.Own*all/s.All, 1-leastServed*(1-all))
+}
+
+// Yield returns the share of a caller's requests that takes free workers only: what goes clearly
+// beyond its part by weight, and what is refused where there is no room. It is zero for one that
+// is alone and has room.
+func (l *Ledger) Yield(now time.Time, caller Caller) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	scale := l.scale(now)
+	l.refresh(now, scale)
+	known := l.lanes[caller]
+	if known == nil || len(l.lanes) == 1 {
+		return 0
+	}
+	wanted := known.wanted / scale
+	part := (l.wanted/scale - wanted) / (l.weight - known.weight) * known.weight
+	borne := beyondFactor*part + chanceFactor*math.Sqrt(part) + 1
+	return max(known.refused, min(1-borne/wanted, 1-leastServed))
+}
+
+// Counted returns how many requests are remembered.
+func (l *Ledger) Counted(now time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.wanted / l.scale(now)
+}
+
+// scale is what a request weighs that comes now. The caller holds mu.
+func (l *Ledger) scale(now time.Time) float64 {
+	if l.base.IsZero() {
+		l.base = now
+		l.lanes = map[Caller]*lane{}
+	}
+	passed := now.Sub(l.base).Seconds() / window.Seconds()
+	if passed < rebaseAfter {
+		return math.Exp(passed)
+	}
+	l.rebase(math.Exp(-passed))
+	l.base = now
+	return 1
+}
+
+// rebase scales all counts, and drops lanes of which nothing is left. The caller holds mu.
+func (l *Ledger) rebase(factor float64) {
+	l.wanted *= factor
+	l.lost *= factor
+	for caller, known := range l.lanes {
+		known.wanted *= factor
+		if known.wanted < forgotten {
+			l.weight -= known.weight
+			delete(l.lanes, caller)
+		}
+	}
+}
+
+// lane returns a caller's lane; nil if there are too many. The caller holds mu.
+func (l *Ledger) lane(caller Caller) *lane {
+	known := l.lanes[caller]
+	if known == nil && len(l.lanes) < MostLanes {
+		known = &lane{}
+		l.lanes[caller] = known
+	}
+	return known
+}
--- /dev/null
+++ b/internal/fair/ledger_test.go
@@ -0,0 +1,163 @@
+package fair
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var began = time.Unix(1000, 0)
+
+// asked is a ledger of which callers have asked so often, and for which there was no room so often.
+func asked(lost int, counts map[Caller]int) *Ledger {
+	l := &Ledger{}
+	for caller, count := range counts {
+		for range count {
+			l.Wanted(began, caller, 1)
+		}
+	}
+	for range lost {
+		l.Lost(began)
+	}
+	return l
+}
+
+func TestOnlyWhoIsBeyondItsShareIsRefused(t *testing.T) {
+	a, b, c := Caller{Name: "a"}, Caller{Name: "b"}, Caller{Name: "c"}
+	l := asked(50, map[Caller]int{a: 100, b: 10, c: 5})
+	assert.Equal(t, l.Refuse(began, b).Own, 0.0)
+	assert.Equal(t, l.Refuse(began, c).Own, 0.0)
+	shares := l.Refuse(began, a)
+	assert.Assert(t, shares.Own > shares.All && shares.All > 0, "%+v", shares)
+}
+
+func TestNobodyIsRefusedWhereThereIsRoom(t *testing.T) {
+	a, b := Caller{Name: "a"}, Caller{Name: "b"}
+	l := asked(5, map[Caller]int{a: 100, b: 10})
+	assert.Equal(t, l.Refuse(began, a), Shares{})
+}
+
+// A limit is a weight: who may ask for more has more.
+func TestShareGoesByWeight(t *testing.T) {
+	l, large, small := &Ledger{}, Caller{Name: "large"}, Caller{Name: "small"}
+	for range 100 {
+		l.Wanted(began, large, 5)
+		l.Wanted(began, small, 1)
+	}
+	for range 100 {
+		l.Lost(began)
+	}
+	assert.Assert(t, l.Refuse(began, small).Own > 0.5)
+	assert.Assert(t, l.Refuse(began, large).Own < 0.3)
+	assert.Assert(t, l.Yield(began, small) > 0.5)
+	assert.Assert(t, l.Yield(began, large) < 0.3)
+}
+
+func TestAFloodIsForgotten(t *testing.T) {
+	a, b := Caller{Name: "a"}, Caller{Name: "b"}
+	l := asked(50, map[Caller]int{a: 100, b: 10})
+	later := began.Add(6 * window)
+	for range 10 {
+		l.Wanted(later, a, 1)
+		l.Wanted(later, b, 1)
+	}
+	assert.Equal(t, l.Refuse(later, a), Shares{})
+	assert.Equal(t, max(0, l.Yield(later, a)), 0.0)
+}
+
+func TestChangesAreToldOnce(t *testing.T) {
+	a := Caller{Name: "a"}
+	l := asked(5, map[Caller]int{a: 10})
+	assert.Assert(t, l.Refused(began, a))
+	assert.Assert(t, !l.Refused(began, a))
+	assert.Assert(t, !l.Wanted(began.Add(endedAfter/2), a, 1))
+	assert.Assert(t, l.Wanted(began.Add(endedAfter), a, 1))
+	assert.Assert(t, !l.Wanted(began.Add(endedAfter), a, 1))
+}
+
+// Callers beyond the bound are refused as all are, and those that are gone make room for others.
+func TestTenantsAreBounded(t *testing.T) {
+	l := &Ledger{}
+	for index := range 3 * MostLanes {
+		l.Wanted(began, Caller{Name: fmt.Sprint(index)}, 1)
+	}
+	for range MostLanes {
+		l.Lost(began)
+	}
+	assert.Equal(t, len(l.lanes), MostLanes)
+	shares := l.Refuse(began, Caller{Name: "beyond the bound"})
+	assert.Assert(t, shares.All > 0)
+	assert.Equal(t, shares.Own, shares.All)
+	l.Wanted(began.Add(rebaseAfter*window), Caller{Name: "new"}, 1)
+	l.Wanted(began.Add(rebaseAfter*window), Caller{Name: "new"}, 1)
+	assert.Assert(t, len(l.lanes) <= 1, "%d", len(l.lanes))
+}
+
+// Whatever callers ask for: all that there is room for is given, a caller that asks for less by
+// weight is refused no more, an urgent one no more than a less urgent one, and none is starved.
+func TestSharesAreMaxMinFair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, total := &Ledger{}, 0
+		weights, counts := map[Caller]float64{}, map[Caller]int{}
+		for index := range rapid.IntRange(1, 12).Draw(t, "callers") {
+			caller := Caller{Name: fmt.Sprint(index), Priority: rapid.IntRange(0, 2).Draw(t, "priority")}
+			weights[caller] = float64(rapid.IntRange(1, 50).Draw(t, "weight"))
+			counts[caller] = rapid.IntRange(2, 200).Draw(t, "count")
+			total += counts[caller]
+			for range counts[caller] {
+				l.Wanted(began, caller, weights[caller])
+			}
+		}
+		for range rapid.IntRange(0, total).Draw(t, "lost") {
+			l.Lost(began)
+		}
+		given := 0.0
+		for caller, count := range counts {
+			shares := l.Refuse(began, caller)
+			given += (1 - shares.Own) * float64(count)
+			assert.Assert(t, 1-shares.Own >= leastServed*(1-shares.All)-1e-6, "%v is starved: %+v", caller, shares)
+			for other, asks := range counts {
+				rank, otherRank := float64(count)/weights[caller], float64(asks)/weights[other]
+				own := l.Refuse(began, other).Own
+				protected := float64(asks)*(1-own) <= 1+1e-6 // one request is no flood
+				if caller.Priority == other.Priority && rank <= otherRank && !protected {
+					assert.Assert(t, shares.Own <= own+1e-6 || own < 1e-6 && shares.Own < 1e-6, "%v is refused before %v", caller, other)
+				}
+				floor := 1 - leastServed*(1-shares.All)
+				if caller.Priority < other.Priority && shares.Own > 1e-6 {
+					assert.Assert(t, own >= floor-1e-6 || protected, "urgent %v is refused before %v", caller, other)
+				}
+			}
+		}
+		room := float64(total)
+		if served := max(0, l.wanted-l.lost); room > shortFactor*served+1 {
+			room = served + 1
+		}
+		assert.Assert(t, given >= room-1e-3 && given <= room+float64(len(counts))+1e-3, "given %f of %f", given, room)
+	})
+}
+
+// What a request pays where the configuration has tenants.
+func BenchmarkLedger(b *testing.B) {
+	l := &Ledger{}
+	callers := make([]Caller, 1000)
+	for index := range callers {
+		callers[index] = Caller{Name: fmt.Sprintf("tenant-%d", index)}
+	}
+	now, index := began, 0
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(100 * time.Microsecond)
+		caller := callers[index%len(callers)]
+		index++
+		l.Wanted(now, caller, 1)
+		l.Yield(now, caller)
+		if index%3 == 0 {
+			l.Lost(now)
+			l.Refuse(now, caller)
+		}
+	}
+}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shalefork/shalefork/internal/estimate"
+	"github.com/shalefork/shalefork/internal/fair"
 	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
@@ -45,6 +46,8 @@
 	latency estimate.Latency
 	// throttle is for a worker of keys that turns requests away.
 	throttle estimate.Throttle
+	// shares count what tenants ask of a worker of keys that turns requests away.
+	shares   fair.Ledger
 	failures int
 	// restUntil is until when a failing worker is left alone.
 	restUntil time.Time
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -35,6 +35,8 @@
 	deadline time.Time
 	// counted is when the request was last counted against its tenant's limit; zero: never.
 	counted time.Time
+	// claim is what the request counts for where workers are short.
+	claim claim
 	// allowed grants each send before it leaves.
 	allowed allowance
 	tried   map[workers.ID]bool
@@ -194,6 +196,7 @@
 
 // giveUp ends a request that no worker answered: with a promise if it did not run.
 func (c *call) giveUp(reason string, retryAfter time.Duration) {
+	c.countLost(reason)
 	c.giveUpWith(reason, max(retryAfter, leastRetryAfter))
 }
 
--- /dev/null
+++ b/internal/proxy/fairness.go
@@ -0,0 +1,165 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/fair"
+	"github.com/shalefork/shalefork/internal/routing"
+)
+
+// judgedBy is of how many requests one worker's own counts say more than those of the service:
+// of fewer, chance decides who seems to ask for much.
+const judgedBy = 10
+
+// claim is what a request counts for where workers are short. Its zero value is that of a
+// configuration without tenants, under which nothing is counted.
+type claim struct {
+	caller fair.Caller
+	weight float64
+	// coin, from 0 to 1, is the request's chance: it is among its tenant's share that is refused
+	// or yields if it is below that share.
+	coin float64
+	// yields says that the request takes a free worker only, and waits for one: its tenant
+	// asks for more than its part.
+	yields bool
+	// owner is the worker of the request's key, where it has counted the request.
+	owner *backend
+}
+
+// usualWeight returns the weight of tenants without a limit: the mean of the others.
+func usualWeight(config *routing.Config) float64 {
+	total, count := 0.0, 0
+	for _, one := range config.Tenants {
+		if one.Limited() {
+			total += one.Rate
+			count++
+		}
+	}
+	if count == 0 {
+		return 1
+	}
+	return total / float64(count)
+}
+
+// demand counts the request for its tenant, if the configuration has any.
+func (c *call) demand(used *active) {
+	if used.keys == nil {
+		return
+	}
+	c.claim.weight = used.weight
+	c.claim.caller.Priority = routing.Priority(c.route, c.tenant)
+	if c.tenant != nil {
+		c.claim.caller.Name = string(c.tenant.Name)
+		if c.tenant.Limited() {
+			c.claim.weight = c.tenant.Rate
+		}
+	}
+	shares := &c.state.shares
+	if shares.Wanted(c.began, c.claim.caller, c.claim.weight) {
+		c.tellShare(false, shares.Refuse(c.began, c.claim.caller))
+	}
+	if !c.service.Keyed {
+		c.claim.coin = rand.Float64()
+		c.claim.yields = c.claim.coin < shares.Yield(c.began, c.claim.caller)
+	}
+}
+
+// chance is true for a share of all times.
+func chance(share float64) bool { return share > 0 && rand.Float64() < share }
+
+// overShare reports whether a request that finds no worker is refused, since its tenant asks for
+// more than its share of what there is room for.
+func (c *call) overShare(now time.Time) bool {
+	if c.claim.weight == 0 {
+		return false
+	}
+	return c.claim.coin < c.state.shares.Refuse(now, c.claim.caller).Own
+}
+
+// turnedBack returns why a request is refused without asking its owner, which turns others
+// away; empty: it is not.
+func (c *call) turnedBack(now time.Time, to *backend) string {
+	if c.claim.weight == 0 {
+		if to.throttled(now, rand.Float64()) {
+			return reasonBusy
+		}
+		return ""
+	}
+	share, short := to.shortage(now)
+	if !short {
+		return ""
+	}
+	if c.claim.owner != to {
+		c.claim.owner = to
+		to.shares.Wanted(now, c.claim.caller, c.claim.weight)
+	}
+	shares := &c.state.shares
+	if to.shares.Counted(now) >= judgedBy {
+		shares = &to.shares
+	}
+	judged := shares.Refuse(now, c.claim.caller)
+	if !chance(judged.Chosen(share)) {
+		return ""
+	}
+	to.refuseUnasked(now)
+	if judged.Own > judged.All {
+		return reasonShare
+	}
+	return reasonBusy
+}
+
+// countLost counts a request that there was no room for.
+func (c *call) countLost(reason string) {
+	if c.claim.weight == 0 || c.state == nil {
+		return
+	}
+	switch reason {
+	case reasonShare:
+		c.countOverShare()
+	case reasonBusy, reasonQueue, reasonRefused:
+	default:
+		return
+	}
+	now := clock.Now()
+	c.state.shares.Lost(now)
+	if c.claim.owner != nil {
+		c.claim.owner.shares.Lost(now)
+	}
+}
+
+// countOverShare counts a request that is refused for its tenant's share.
+func (c *call) countOverShare() {
+	if c.tenant != nil {
+		counters := c.proxy.Metrics.tenants
+		counters.overShare.WithLabelValues(counters.label(c.tenant.Name)).Inc()
+	}
+	now, shares := clock.Now(), &c.state.shares
+	if shares.Refused(now, c.claim.caller) {
+		c.tellShare(true, shares.Refuse(now, c.claim.caller))
+	}
+}
+
+// tellShare writes a line where a tenant begins or ends to be refused for its share.
+func (c *call) tellShare(over bool, shares fair.Shares) {
+	c.proxy.Log.Line(decision.KindShare).Str("tenant", c.claim.caller.Name).Str("service", string(c.service.Name)).
+		Int("priority", c.claim.caller.Priority).Bool("over", over).
+		Float64("refused", shares.Own).Float64("all", shares.All).Msg("")
+}
+
+// shortage returns which share of the requests for a worker of keys is to be refused unasked,
+// and whether it has turned any away lately.
+func (b *backend) shortage(now time.Time) (share float64, short bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.throttle.Share(now), b.throttle.Short(now)
+}
+
+// refuseUnasked counts a request for the worker that is refused without asking it.
+func (b *backend) refuseUnasked(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.throttle.Refused(now)
+}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -63,6 +63,8 @@
 	reasonCutByClient = "cut-by-client"
 	// reasonQuota: the tenant is beyond its limit.
 	reasonQuota = "over-quota"
+	// reasonShare: there is not room for all, and the tenant asks for more than its share.
+	reasonShare = "tenant-over-share"
 	// reasonQuarantined: the request has crashed workers that ran it.
 	reasonQuarantined = "request-quarantined"
 )
@@ -73,8 +75,10 @@
 	splitter *routing.Splitter
 	swaps    *swaps
 	// keys are the API keys of the configuration's tenants; nil if it has none.
-	keys  *tenant.Index
-	since time.Time
+	keys *tenant.Index
+	// weight is that of a tenant without a limit.
+	weight float64
+	since  time.Time
 }
 
 // Proxy is the handler of clients' requests.
@@ -136,7 +140,8 @@
 			return false
 		}
 		fresh := &active{
-			config: config, splitter: routing.NewSplitter(rand.IntN), swaps: newSwaps(), keys: p.index(config, old), since: clock.Now(),
+			config: config, splitter: routing.NewSplitter(rand.IntN), swaps: newSwaps(), keys: p.index(config, old),
+			weight: usualWeight(config), since: clock.Now(),
 		}
 		if p.current.CompareAndSwap(old, fresh) {
 			p.fleet.sizes.keep(config)
@@ -227,6 +232,7 @@
 	c.arrivedAs = c.standing()
 	c.state = p.fleet.service(c.service)
 	c.state.budget.request(int(p.Nodes.Load()), c.began)
+	c.demand(used)
 	if c.service.Keyed {
 		c.serveKeyed()
 	} else {
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -158,8 +158,8 @@
 // probably turn away.
 func (c *call) unlessBusy(to *backend) *backend {
 	now := clock.Now()
-	if to.throttled(now, rand.Float64()) {
-		c.giveUp(reasonBusy, c.returnAfter())
+	if reason := c.turnedBack(now, to); reason != "" {
+		c.giveUp(reason, c.returnAfter())
 		return nil
 	}
 	estimated := to.estimate(now, usualTime)
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -39,7 +39,7 @@
 		}, []string{"service"}),
 	}
 	metrics.tenants = newTenantCounters()
-	registerer.MustRegister(metrics.requests, metrics.sends, metrics.crashes, metrics.latency, metrics.tenants.vector)
+	registerer.MustRegister(metrics.requests, metrics.sends, metrics.crashes, metrics.latency, metrics.tenants.vector, metrics.tenants.overShare)
 	return metrics
 }
 
--- a/internal/proxy/pick.go
+++ b/internal/proxy/pick.go
@@ -139,7 +139,7 @@
 			continue
 		}
 		candidate, ok := one.backend.assess(now, usual, of.ColdRate, nodes)
-		if !ok {
+		if !ok || asks.free && !candidate.free {
 			continue
 		}
 		candidate.estimate = time.Duration(float64(candidate.estimate) * (1 + jitter*rand.Float64()))
--- a/internal/proxy/pooled.go
+++ b/internal/proxy/pooled.go
@@ -74,6 +74,10 @@
 			c.giveUp(reasonBusy, 100*time.Millisecond)
 			return choice{}
 		}
+		if c.overShare(now) {
+			c.giveUp(reasonShare, c.returnAfter())
+			return choice{}
+		}
 		if len(c.tried) > 0 && c.forget() {
 			continue
 		}
@@ -113,8 +117,11 @@
 }
 
 func (c *call) noWorker() string {
-	if c.usable() == 0 {
+	switch {
+	case c.usable() == 0:
 		return reasonNoWorker
+	case c.claim.yields:
+		return reasonShare
 	}
 	return reasonBusy
 }
--- a/internal/proxy/regions.go
+++ b/internal/proxy/regions.go
@@ -44,7 +44,7 @@
 // need returns what the request asks of a worker.
 func (c *call) need() need {
 	bytes := c.proxy.fleet.sizes.of(c.route)
-	of := need{target: c.route.Target, bytes: bytes, bulk: bulky(c.route.Class, bytes)}
+	of := need{target: c.route.Target, bytes: bytes, bulk: bulky(c.route.Class, bytes), free: c.claim.yields}
 	if c.bound() {
 		of.serves = c.servedIn
 	}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/shalefork/shalefork/internal/estimate"
+	"github.com/shalefork/shalefork/internal/fair"
 )
 
 // serviceState is what this process keeps of one service.
@@ -20,8 +21,10 @@
 	members   members
 	// waiting counts the requests that wait for a worker or an owner.
 	waiting atomic.Int32
-	mu      sync.Mutex
-	spread  estimate.Spread
+	// shares count what tenants ask of the service.
+	shares fair.Ledger
+	mu     sync.Mutex
+	spread estimate.Spread
 }
 
 // answered measures how much the times of answers vary around their workers' means.
--- a/internal/proxy/tenantmetrics.go
+++ b/internal/proxy/tenantmetrics.go
@@ -10,7 +10,7 @@
 )
 
 // mostTenantSeries is how many tenants have series of their own in one process; the others are
-// counted together. Three series each are a third of what a router shows besides.
+// counted together. Four series each are a third of what a router shows besides.
 const mostTenantSeries = 100
 
 // otherTenants is the label of those that are counted together. No tenant has that name: a label of
@@ -27,7 +27,9 @@
 // tenantCounters count the ends of requests by tenant. It is safe for concurrent use.
 type tenantCounters struct {
 	vector *prometheus.CounterVec
-	mu     sync.RWMutex
+	// overShare counts those refused for their tenant's share.
+	overShare *prometheus.CounterVec
+	mu        sync.RWMutex
 	// named are the tenants that have series of their own: those that asked first.
 	named map[routing.TenantName]bool
 }
@@ -38,6 +40,10 @@
 			Name: "shalefork_router_tenant_requests_total",
 			Help: "Requests of tenants by their end: served, refused (429, 503 and the like) or failed; tenants over the bound are (others).",
 		}, []string{"tenant", "end"}),
+		overShare: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shalefork_router_tenant_over_share_total",
+			Help: "Requests refused since workers were short and their tenant asked for more than its share; tenants over the bound are (others).",
+		}, []string{"tenant"}),
 		named: map[routing.TenantName]bool{},
 	}
 }
