Let all refusals for an owner's sake add up to what must be refused

What goes beyond the known shortage now falls on all alike. A line is written at a tenant's third refusal at a router, since one is chance.

--- a/internal/fair/ledger.go
+++ b/internal/fair/ledger.go
@@ -36,6 +36,9 @@
 	// endedAfter is for how long a caller was not refused for its share until it counts as
 	// served again, so that a shortage makes two log lines and not one for each request.
 	endedAfter = 10 * time.Second
+	// telling is after how many refusals a caller counts as refused for its share: fewer at one
+	// router are chance.
+	telling = 3
 	// forgotten is a number of requests that says nothing more.
 	forgotten = 0.01
 )
@@ -53,7 +56,9 @@
 	weight, wanted float64
 	// refused is the share of requests to refuse, from 0 to 1.
 	refused float64
-	// refusedAt is when the caller was refused for its share last; zero: not for a while.
+	// refusals counts those for the caller's share, the last of them at refusedAt; zero: none
+	// for a while.
+	refusals  int
 	refusedAt time.Time
 }
 
@@ -85,11 +90,12 @@
 	l.weight += weight - known.weight
 	known.weight = weight
 	known.wanted += scale
-	if known.refusedAt.IsZero() || now.Sub(known.refusedAt) < endedAfter {
+	if known.refusals == 0 || now.Sub(known.refusedAt) < endedAfter {
 		return false
 	}
-	known.refusedAt = time.Time{}
-	return true
+	ended = known.refusals >= telling
+	known.refusals = 0
+	return ended
 }
 
 // Lost counts a request, counted as wanted before, that there was no room for.
@@ -99,7 +105,7 @@
 	l.lost += l.scale(now)
 }
 
-// Refused notes that a caller is refused for its share. It returns true if it was not so before.
+// Refused notes that a caller is refused for its share. It returns true if it begins to be so.
 func (l *Ledger) Refused(now time.Time, caller Caller) (began bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -107,9 +113,9 @@
 	if known == nil {
 		return false
 	}
-	began = known.refusedAt.IsZero()
 	known.refusedAt = now
-	return began
+	known.refusals++
+	return known.refusals == telling
 }
 
 // Shares of requests, from 0 to 1.
@@ -131,15 +137,13 @@
 }
 
 // Chosen returns which share of a caller's requests to refuse where a share of all has to be
-// refused: those who are beyond their share bear it.
+// refused: those who are beyond their share bear it as far as the ledger knows of it, and
+// everybody alike what goes beyond.
 func (s Shares) Chosen(all float64) float64 {
-	switch {
-	case s.All == 0:
-		return all
-	case s.All >= all:
-		return s.Own
+	if s.All >= all {
+		return s.Own * all / max(s.All, forgotten)
 	}
-	return min(s.Own*all/s.All, 1-leastServed*(1-all))
+	return s.Own + (1-s.Own)*(all-s.All)/(1-s.All)
 }
 
 // Yield returns the share of a caller's requests that takes free workers only: what goes clearly
--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -15,7 +15,7 @@
 }
 
 // mutations break the rules of docs/PROOFS.md.
-var mutations = slices.Concat(promiseMutations, harmMutations, clockMutations, quotaMutations, bodyMutations, regionMutations, tenantMutations)
+var mutations = slices.Concat(promiseMutations, harmMutations, clockMutations, quotaMutations, bodyMutations, regionMutations, tenantMutations, fairMutations)
 
 // promiseMutations break what must always hold of owners, requests, configurations and stops.
 var promiseMutations = []mutation{
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"net/http"
 	"sync"
 	"time"
 
@@ -245,35 +244,6 @@
 	return changed
 }
 
-// throttled reports whether a request is refused without asking the worker, since it
-// turns most of them away. random is from 0 to 1.
-func (b *backend) throttled(now time.Time, random float64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if random >= b.throttle.Share(now) {
-		return false
-	}
-	b.throttle.Refused(now)
-	return true
-}
-
-// count notes whether the worker has turned a request away. The caller holds mu.
-func (b *backend) count(now time.Time, got *upstream.Result) {
-	switch got.Outcome {
-	case upstream.Answered, upstream.Late:
-		b.throttle.Sent(now, true)
-	case upstream.TurnedAway:
-		b.throttle.Sent(now, false)
-	case upstream.NotRun:
-		if got.Status != http.StatusMisdirectedRequest && !got.Load.Idle(got.Loaded) {
-			b.throttle.Sent(now, false)
-		}
-	case upstream.Broken:
-		b.throttle.Sent(now, got.Status != 0 || got.Took > turnedAwayWithin)
-	case upstream.Misdirected, upstream.Gone, upstream.BodyCut, upstream.NotSent: // say nothing of the worker's room
-	}
-}
-
 func (b *backend) fail(now time.Time) {
 	rest := firstRest << min(b.failures, 4)
 	b.failures++
--- a/internal/proxy/fairness.go
+++ b/internal/proxy/fairness.go
@@ -67,9 +67,6 @@
 	}
 }
 
-// chance is true for a share of all times.
-func chance(share float64) bool { return share > 0 && rand.Float64() < share }
-
 // overShare reports whether a request that finds no worker is refused, since its tenant asks for
 // more than its share of what there is room for.
 func (c *call) overShare(now time.Time) bool {
@@ -96,12 +93,13 @@
 		c.claim.owner = to
 		to.shares.Wanted(now, c.claim.caller, c.claim.weight)
 	}
-	shares := &c.state.shares
-	if to.shares.Counted(now) >= judgedBy {
-		shares = &to.shares
+	judged := to.shares.Refuse(now, c.claim.caller)
+	if judged.All > 0 && to.shares.Counted(now) >= judgedBy {
+		share = max(share, judged.All)
+	} else {
+		judged = c.state.shares.Refuse(now, c.claim.caller)
 	}
-	judged := shares.Refuse(now, c.claim.caller)
-	if !chance(judged.Chosen(share)) {
+	if rand.Float64() >= judged.Chosen(share) {
 		return ""
 	}
 	to.refuseUnasked(now)
@@ -148,18 +146,3 @@
 		Int("priority", c.claim.caller.Priority).Bool("over", over).
 		Float64("refused", shares.Own).Float64("all", shares.All).Msg("")
 }
-
-// shortage returns which share of the requests for a worker of keys is to be refused unasked,
-// and whether it has turned any away lately.
-func (b *backend) shortage(now time.Time) (share float64, short bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.throttle.Share(now), b.throttle.Short(now)
-}
-
-// refuseUnasked counts a request for the worker that is refused without asking it.
-func (b *backend) refuseUnasked(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.throttle.Refused(now)
-}
--- /dev/null
+++ b/internal/proxy/fairness_test.go
@@ -0,0 +1,161 @@
+package proxy
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/fair"
+	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// fairTries is how often a request is judged by chance: as many times none is chosen of those of
+// which half are to be.
+const fairTries = 200
+
+// sharesKnown is after which time shares are worked out anew.
+const sharesKnown = time.Second
+
+// callOf is a request of a tenant at a service of a front.
+func callOf(f *front, service routing.ServiceName, tenant routing.TenantName) *call {
+	config := f.proxy.Config()
+	c := &call{
+		proxy: f.proxy, config: config, service: config.Services[service], route: config.Match("app.example", "/safe/"),
+		request: httptest.NewRequest(http.MethodGet, "/", nil), writer: httptest.NewRecorder(),
+		tenant: config.Tenants[tenant], began: clock.Now(), deadline: clock.Now().Add(time.Minute),
+		tried: map[workers.ID]bool{}, detach: func() bool { return true },
+	}
+	c.state = f.proxy.fleet.service(c.service)
+	c.demand(f.proxy.current.Load())
+	return c
+}
+
+// flooded is a front of whose two tenants a has asked ten times as much as b, and half in vain.
+func flooded(t *testing.T, service routing.ServiceName, list ...workers.Worker) *front {
+	t.Helper()
+	f := newFront(t, list...)
+	assert.Assert(t, f.proxy.Use(tenantsConfig(t, 2, twoTenants)))
+	now := clock.Now()
+	for range 10 {
+		callOf(f, service, "b")
+	}
+	for range 50 {
+		callOf(f, service, "a")
+		callOf(f, service, "a").state.shares.Lost(now)
+	}
+	return f
+}
+
+func TestAnOwnerThatTurnsRequestsAwayIsSparedThoseOfTheTenantBeyondItsShare(t *testing.T) {
+	f := flooded(t, "keyed")
+	now := clock.Now().Add(sharesKnown)
+	reasons := map[routing.TenantName]map[string]int{"a": {}, "b": {}}
+	for name, counts := range reasons {
+		c := callOf(f, "keyed", name)
+		for range fairTries {
+			c.claim.owner = nil
+			to := newBackend(workers.Worker{ID: "w"}, &toldMeans{})
+			for range 20 {
+				to.throttle.Sent(now, false)
+			}
+			for range 8 {
+				to.throttle.Sent(now, true)
+			}
+			counts[c.turnedBack(now, to)]++
+		}
+	}
+	assert.Equal(t, reasons["b"][""], fairTries, "%v", reasons)
+	assert.Assert(t, reasons["a"][reasonShare] > fairTries/4, "%v", reasons)
+}
+
+func TestAnOwnerWithRoomTurnsNobodyBack(t *testing.T) {
+	f := flooded(t, "keyed")
+	for range fairTries {
+		to := newBackend(workers.Worker{ID: "w"}, &toldMeans{})
+		assert.Equal(t, callOf(f, "keyed", "a").turnedBack(clock.Now(), to), "")
+	}
+}
+
+// A request of a tenant beyond its share does not wait at a worker, where others would wait
+// behind it.
+func TestATenantBeyondItsShareTakesFreeWorkersOnly(t *testing.T) {
+	w := newWorker(t, "w1", answers("x"))
+	f := flooded(t, "pool", w.entry("pool"))
+	yields := 0
+	const tries = 30 // few, since b counts for more with each
+	for range tries {
+		assert.Assert(t, !callOf(f, "pool", "b").claim.yields)
+		if callOf(f, "pool", "a").claim.yields {
+			yields++
+		}
+	}
+	assert.Assert(t, yields > 0 && yields < tries, "%d", yields)
+	c := callOf(f, "pool", "a")
+	list, _ := f.proxy.fleet.membersOf(clock.Now(), c.state, "pool", 1)
+	for _, yields := range []bool{false, true} {
+		c.claim.yields = yields
+		assert.Assert(t, c.pick(clock.Now(), c.need(), c.tried).to != nil, "the worker is free")
+	}
+	for range w.entry("pool").Slots {
+		list[0].backend.begin()
+	}
+	c.claim.yields = true
+	assert.Assert(t, c.pick(clock.Now(), c.need(), c.tried).to == nil)
+	c.claim.yields = false
+	assert.Assert(t, c.pick(clock.Now(), c.need(), c.tried).to != nil)
+}
+
+func TestARefusalForATenantsShareIsToldOnce(t *testing.T) {
+	f := flooded(t, "pool")
+	var log logged
+	f.proxy.Log = decision.NewTo(&log, "test")
+	for range 3 {
+		c := callOf(f, "pool", "a")
+		c.claim.coin = 0
+		assert.Assert(t, c.overShare(clock.Now().Add(sharesKnown)))
+		c.giveUp(reasonShare, c.returnAfter())
+		recorder := c.writer.(*httptest.ResponseRecorder)
+		assert.Equal(t, recorder.Code, http.StatusServiceUnavailable)
+		assert.Assert(t, recorder.Header().Get("Retry-After") != "")
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if strings.Count(log.String(), `"kind":"`+string(decision.KindRequest)+`"`) < 3 {
+			return poll.Continue("not all lines are written")
+		}
+		return poll.Success()
+	})
+	assert.Equal(t, strings.Count(log.String(), `"kind":"`+string(decision.KindShare)+`"`), 1, "%s", &log)
+}
+
+// Where the configuration holds no tenants, nothing is counted and nobody yields.
+func TestWithoutTenantsNothingIsCounted(t *testing.T) {
+	f := newFront(t)
+	c := callOf(f, "pool", "")
+	c.countLost(reasonBusy)
+	assert.Equal(t, c.claim, claim{})
+	assert.Equal(t, c.state.shares.Counted(clock.Now()), 0.0)
+	assert.Assert(t, !c.overShare(clock.Now()))
+}
+
+func TestALimitIsTheTenantsWeight(t *testing.T) {
+	config := &routing.Config{Tenants: map[routing.TenantName]*routing.Tenant{"a": {Rate: 10}, "b": {Rate: 30}, "c": {}}}
+	assert.Equal(t, usualWeight(config), 20.0)
+	assert.Equal(t, usualWeight(&routing.Config{}), 1.0)
+}
+
+// The tenant's priority goes before the route's.
+func TestSharesGoByTheTenantsPriority(t *testing.T) {
+	f := newFront(t)
+	config := tenantsConfig(t, 2, twoTenants)
+	config.Tenants["a"].Priority = 3
+	assert.Assert(t, f.proxy.Use(config))
+	assert.Equal(t, callOf(f, "pool", "a").claim.caller, fair.Caller{Name: "a", Priority: 3})
+}
