--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -25,6 +25,8 @@
 	// opened is when it began to lead, and first says that nobody did before.
 	opened time.Time
 	first  bool
+	// reserved says that this leader may deal the reserve while it withholds the rest.
+	reserved bool
 	// nodes is how many routers there are, linked or not.
 	nodes   int
 	pools   map[routing.TenantName]*pool
@@ -41,7 +43,8 @@
 
 // pool is what is known of one tenant.
 type pool struct {
-	limit int
+	// limit is how many units are dealt, and reserve how many more are kept for a new leader.
+	limit, reserve int
 	// booked is how many units may be in use, here or at routers that are lost.
 	booked int
 	// reported is how many of them routers have brought from an earlier leader, and floors are
@@ -71,6 +74,8 @@
 	grantedAt            time.Time
 	// changed says that a hold has changed since the last grant.
 	changed bool
+	// greeted says that it was told for how long units are withheld.
+	greeted bool
 	holds   map[routing.TenantName]*hold
 }
 
@@ -110,11 +115,22 @@
 	}
 }
 
-// Use takes the tenants of the configuration in force.
-func (c *Coordinator) Use(now time.Time, tenants map[routing.TenantName]*routing.Tenant) {
+// Use takes the tenants of the configuration in force. It reports whether less is dealt of any:
+// routers may hold what is in its reserve now, so no leader may deal that for Bound.Unknown.
+func (c *Coordinator) Use(now time.Time, tenants map[routing.TenantName]*routing.Tenant) (lowered bool) {
+	begins := now.Equal(c.opened)
 	for name, tenant := range tenants {
-		if units := c.bound.Units(tenant); units > 0 {
-			c.limit(now, name, units)
+		units := c.bound.Units(tenant)
+		if units == 0 {
+			continue
+		}
+		before := c.pools[name]
+		lowered = lowered || before != nil && units < before.limit
+		c.limit(now, name, units)
+		if p := c.pools[name]; begins {
+			p.reserve = c.bound.Reserve(tenant)
+		} else {
+			p.reserve = min(p.reserve, c.bound.Reserve(tenant))
 		}
 	}
 	for name := range c.pools {
@@ -122,6 +138,16 @@
 			c.remove(now, name)
 		}
 	}
+	return lowered
+}
+
+// Reserved lets this leader deal the reserve while it may not deal the rest. Whoever calls it
+// has made sure that no other leader may have done so within Bound.Unknown before.
+func (c *Coordinator) Reserved() {
+	c.reserved = true
+	for _, p := range c.pools {
+		p.dirty = true
+	}
 }
 
 // Tenants is how many tenants have a limit.
@@ -134,7 +160,7 @@
 	if p == nil {
 		p = &pool{limit: units, dirty: true}
 		if at, back := c.removed[name]; back {
-			p.frozen = at.Add(Lease + c.bound.rest())
+			p.frozen = at.Add(c.bound.Unknown())
 		}
 		c.pools[name] = p
 		for _, m := range c.members { // they may have credits that another leader gave, or this one
@@ -167,143 +193,6 @@
 	c.ending = slices.DeleteFunc(c.ending, func(e ending) bool { return e.tenant == name })
 }
 
-// Hear takes what a router tells.
-func (c *Coordinator) Hear(now time.Time, told Told) {
-	if told.Term > c.term {
-		return
-	}
-	m := c.members[told.Node]
-	if m != nil && m.life != told.Life {
-		if told.Life < m.life {
-			return
-		}
-		c.ended(now, m)
-		m = nil
-	}
-	switch {
-	case told.Term < c.term, m == nil && !told.All:
-		c.ask(told.Node, told.Life)
-		return
-	case m == nil:
-		m = c.join(now, told)
-	case told.Number <= m.told:
-		return
-	case told.Number != m.told+1 && !told.All:
-		c.ask(told.Node, told.Life)
-		return
-	}
-	if told.All {
-		delete(c.asked, told.Node)
-		c.bring(now, m, told)
-	}
-	m.told, m.stamp, m.stampAt = told.Number, told.Stamp, now
-	c.hear(now, m, told)
-}
-
-// ask lets a router tell all with the next grants.
-func (c *Coordinator) ask(node string, life int64) {
-	if a := c.asked[node]; a != nil && a.life >= life {
-		return
-	}
-	c.asked[node] = &asked{life: life, due: true}
-}
-
-// join takes a router into the books. What it holds was given by an earlier leader.
-func (c *Coordinator) join(now time.Time, told Told) *member {
-	m := &member{
-		node: told.Node, life: told.Life, until: now.Add(Lease), floorUntil: now.Add(FloorLease),
-		holds: map[routing.TenantName]*hold{},
-	}
-	c.members[m.node] = m
-	for _, p := range c.pools {
-		p.dirty = true
-	}
-	return m
-}
-
-// bring books what a router tells that this leader has not given it.
-func (c *Coordinator) bring(now time.Time, m *member, told Told) {
-	for name, use := range told.Tenants {
-		p := c.pools[name]
-		if p == nil || m.holds[name] != nil {
-			continue
-		}
-		h := &hold{units: use.credit(), booked: use.credit(), floor: use.floor()}
-		m.holds[name] = h
-		c.set(m, h, use.under(p.limit))
-		p.book(use.credit(), use.floor())
-		p.reported += max(use.credit(), use.used())
-		c.end(now.Add(c.bound.rest()), name, use.used()-use.credit(), 0)
-	}
-}
-
-// book adds to what is booked.
-func (p *pool) book(units, floors int) {
-	p.booked += units
-	p.floors += floors
-}
-
-// end books units that end by themselves.
-func (c *Coordinator) end(at time.Time, name routing.TenantName, units, floors int) {
-	if p := c.pools[name]; p != nil && units > 0 {
-		p.book(units, floors)
-		c.ending = append(c.ending, ending{at: at, tenant: name, units: units, floors: floors})
-	}
-}
-
-// hear takes the uses that a member tells, and what it has acknowledged.
-func (c *Coordinator) hear(now time.Time, m *member, told Told) {
-	for name, h := range m.holds {
-		use, isTold := told.Tenants[name]
-		if !isTold && !told.All {
-			continue
-		}
-		h.used, h.short = use.used(), use.short()
-		if h.number > told.Ack {
-			continue
-		}
-		if told.All { // it may have dropped the tenant meanwhile
-			h.floor = min(h.floor, use.floor())
-			h.units = min(h.units, use.credit())
-			c.set(m, h, min(h.units, use.under(c.pools[name].limit)))
-		}
-		c.settle(now, name, h)
-	}
-	for name, use := range told.Tenants {
-		p := c.pools[name]
-		if p == nil {
-			continue
-		}
-		h := m.hold(name)
-		h.used, h.short = use.used(), use.short()
-		p.dirty = true
-	}
-	m.acked = max(m.acked, told.Ack)
-}
-
-// hold returns what a member may hold of a tenant.
-func (m *member) hold(name routing.TenantName) *hold {
-	h := m.holds[name]
-	if h == nil {
-		h = &hold{}
-		m.holds[name] = h
-	}
-	return h
-}
-
-// settle books no more than what a router holds that has told its use since it took the last
-// grant. Units in use beyond that end by themselves.
-func (c *Coordinator) settle(now time.Time, name routing.TenantName, h *hold) {
-	p := c.pools[name]
-	over := h.booked - h.units
-	if over <= 0 {
-		return
-	}
-	p.book(-over, 0)
-	h.booked = h.units
-	c.end(now.Add(c.bound.rest()), name, h.used-h.units, 0)
-}
-
 // set changes the units of a member, which are booked at once if they are more.
 func (c *Coordinator) set(m *member, h *hold, units int) {
 	if units == h.units {
@@ -369,64 +258,6 @@
 	})
 }
 
-// asks returns the messages to routers that must tell all.
-func (c *Coordinator) asks(now time.Time) []Grant {
-	var grants []Grant
-	for _, node := range slices.Sorted(maps.Keys(c.asked)) {
-		a := c.asked[node]
-		if !a.due && now.Sub(a.at) >= askEvery {
-			delete(c.asked, node) // asked again if it tells anything
-			continue
-		}
-		if a.due {
-			a.due, a.at = false, now
-			grants = append(grants, Grant{Node: node, Life: a.life, Term: c.term, All: true})
-		}
-	}
-	return grants
-}
-
-// grants returns the messages to members.
-func (c *Coordinator) grants(now time.Time) []Grant {
-	var grants []Grant
-	for _, node := range slices.Sorted(maps.Keys(c.members)) {
-		if m := c.members[node]; m.due(now) {
-			grants = append(grants, c.grant(now, m))
-		}
-	}
-	return grants
-}
-
-// due reports whether a member is to be sent a grant.
-func (m *member) due(now time.Time) bool {
-	unheard := m.granted > m.acked && now.Sub(m.grantedAt) >= resendAfter
-	renewed := m.stamp > m.echoed && m.until.Sub(now) < Lease-renewEvery/2
-	return m.changed || unheard || renewed
-}
-
-// grant makes the next message to a member, and extends its lease by the newest stamp.
-func (c *Coordinator) grant(now time.Time, m *member) Grant {
-	if m.stamp > m.echoed {
-		m.echoed = m.stamp
-		m.until, m.floorUntil = m.stampAt.Add(Lease), m.stampAt.Add(FloorLease)
-	}
-	grant := Grant{Node: m.node, Life: m.life, Term: c.term, Stamp: m.stamp}
-	for name, h := range m.holds {
-		if h.number > m.acked {
-			if grant.Credits == nil {
-				grant.Credits = map[routing.TenantName]Credit{}
-			}
-			grant.Credits[name] = Credit{h.units, c.pools[name].limit, h.floor}
-		}
-	}
-	if len(grant.Credits) > 0 {
-		m.granted++
-		m.grantedAt, m.changed = now, false
-	}
-	grant.Number = m.granted
-	return grant
-}
-
 // most is how many units of a tenant may be booked now. After a change of leaders nobody may
 // be given what a router may still hold that has not told it.
 func (c *Coordinator) most(now time.Time, p *pool) int {
@@ -436,9 +267,12 @@
 		return 0
 	case c.first, since > FloorLease+c.bound.rest():
 		return p.limit
-	case since > Lease+c.bound.rest():
+	case since > c.bound.Unknown():
 		return p.limit - max(0, int(floorShare*float64(p.limit))-p.floors)
 	}
+	if c.reserved {
+		return min(p.limit, p.reported+p.reserve)
+	}
 	return min(p.limit, p.reported)
 }
 
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -27,6 +27,8 @@
 	tellAll        bool
 	// lease and floorLease are when they end, and toldAt is when a stamp was sent last.
 	lease, floorLease, toldAt time.Duration
+	// withheld is until when a leader that began lately withholds units.
+	withheld time.Duration
 }
 
 // account is what a router holds of one tenant.
@@ -55,10 +57,20 @@
 
 // NewHolder returns the side of a router that holds nothing yet.
 func NewHolder(now time.Time, node string, life int64, bound Bound) *Holder {
-	return &Holder{
+	h := &Holder{
 		node: node, life: life, bound: bound, epoch: now, urgent: make(chan struct{}, 1),
-		accounts: map[routing.TenantName]*account{},
+		accounts: map[routing.TenantName]*account{}, tellAll: true,
 	}
+	h.Linked()
+	return h
+}
+
+// Linked lets the next message go at once: whoever hears it may not know of this router.
+func (h *Holder) Linked() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.toldAt = -renewEvery
+	h.Hurry()
 }
 
 // Urgent gets a token when something is to be told before the next report is due.
@@ -85,7 +97,7 @@
 		if a.short++; !a.knownShort {
 			h.Hurry()
 		}
-		return false, a.wait(at, credit)
+		return false, h.wait(a, at, credit)
 	}
 	a.spent.add()
 	a.granted++
@@ -99,13 +111,24 @@
 // leader and back.
 const firstCredit = 500 * time.Millisecond
 
-func (a *account) wait(at time.Duration, credit int) time.Duration {
-	if credit == 0 {
-		return firstCredit
+// wait is until a unit of a tenant is likely to be free. Where there is none since a leader began
+// lately, callers come back once it gives what it withholds, and not to be refused once more: all
+// at once they would ask for more than a window has, so that they are spread over a quarter of one. The caller
+// holds mu.
+func (h *Holder) wait(a *account, at time.Duration, credit int) time.Duration {
+	switch {
+	case credit > 0:
+		return a.spent.free(at)
+	case at < h.withheld:
+		spread := time.Duration(a.refused%spreadSteps) * h.bound.Window / spreadSteps / 4
+		return h.withheld - at + firstCredit + spread
 	}
-	return a.spent.free(at)
+	return firstCredit
 }
 
+// spreadSteps is among how many moments callers are spread.
+const spreadSteps = 16
+
 // Await returns what is closed once a tenant gets more units here; nil while its callers are not
 // to wait for that, since units were missing lately.
 func (h *Holder) Await(now time.Time, tenant *routing.Tenant) <-chan struct{} {
@@ -205,7 +228,7 @@
 }
 
 // Granted takes a message of the leader's.
-func (h *Holder) Granted(grant Grant) {
+func (h *Holder) Granted(now time.Time, grant Grant) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if grant.Term < h.term || grant.Node != h.node || grant.Life != h.life {
@@ -213,6 +236,9 @@
 	}
 	if grant.Term > h.term {
 		h.term, h.applied, h.acked = grant.Term, 0, 0
+		if !grant.All { // that leader was told that nothing is held here
+			h.drop()
+		}
 	}
 	if grant.All {
 		h.tellAll = true
@@ -223,6 +249,7 @@
 		h.lease = max(h.lease, stamp+Lease-leaseGuard)
 		h.floorLease = max(h.floorLease, stamp+FloorLease-leaseGuard)
 	}
+	h.withheld = now.Sub(h.epoch) + time.Duration(grant.WithheldMillis)*time.Millisecond
 	if grant.Number <= h.applied {
 		return
 	}
@@ -232,6 +259,13 @@
 	}
 }
 
+// drop gives all credits up. The caller holds mu.
+func (h *Holder) drop() {
+	for _, a := range h.accounts {
+		a.given = Credit{}
+	}
+}
+
 // give sets the credit of a tenant. The caller holds mu.
 func (h *Holder) give(name routing.TenantName, credit Credit) {
 	a := h.accounts[name]
@@ -249,60 +283,3 @@
 	}
 	a.given = credit
 }
-
-// lazily is the pause between messages that a tenant uses less: nobody waits for them.
-const lazily = time.Second
-
-// tells reports whether the use of a tenant is worth a message: more than half of what was left
-// is used up, or less is used for a while.
-func (a *account) tells(at time.Duration, credit int) bool {
-	used := a.spent.used
-	if used > a.told {
-		return 2*(credit-used) < credit-a.told
-	}
-	return used < a.told && at-a.toldAt >= lazily
-}
-
-// Tell returns what the leader is to know; nil if that is nothing.
-func (h *Holder) Tell(now time.Time) *Told {
-	at := now.Sub(h.epoch)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	told := Told{Node: h.node, Life: h.life, Term: h.term, Ack: h.applied, Stamp: at.Milliseconds(), All: h.tellAll}
-	for name, a := range h.accounts {
-		a.spent.advance(at)
-		if use := h.useOf(a, at); use != nil {
-			if told.Tenants == nil {
-				told.Tenants = map[routing.TenantName]Use{}
-			}
-			told.Tenants[name] = use
-		}
-	}
-	due := len(h.accounts) > 0 && at-h.toldAt >= renewEvery
-	if !due && !told.All && len(told.Tenants) == 0 && h.applied == h.acked {
-		return nil
-	}
-	h.number++
-	told.Number = h.number
-	h.toldAt, h.acked, h.tellAll = at, h.applied, false
-	return &told
-}
-
-// useOf returns what is to be told of an account; nil if that is nothing. The caller holds mu.
-func (h *Holder) useOf(a *account, at time.Duration) Use {
-	used, credit := a.spent.used, h.credit(a, at)
-	if !h.tellAll && !a.mustTell && a.short == 0 && !a.tells(at, credit) {
-		return nil
-	}
-	use := Use{used}
-	if a.short > 0 || h.tellAll {
-		use = append(use, a.short)
-	}
-	if h.tellAll {
-		// A lease that is renewed must not bring back what has ended and was not told.
-		a.given = Credit{credit, min(a.given.limit(), a.limit), min(credit, a.given.floor())}
-		use = append(use, credit, a.given.floor(), a.limit)
-	}
-	a.told, a.toldAt, a.mustTell, a.short, a.knownShort = used, at, false, 0, a.short > 0
-	return use
-}
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -17,7 +17,7 @@
 	Number uint64 `json:"i"`
 	// Ack is the number of the newest grant that the router has taken.
 	Ack uint64 `json:"q,omitempty"`
-	// Stamp is the router's time, in milliseconds since its epoch.
+	// Stamp is the router's time, in milliseconds since its epoch, and above zero.
 	Stamp int64 `json:"s"`
 	// All says that Tenants are all of which the router holds anything.
 	All bool `json:"a,omitempty"`
@@ -62,8 +62,11 @@
 	// Stamp is the newest one heard of the router, from which its lease counts.
 	Stamp int64 `json:"s,omitempty"`
 	// All asks the router to tell all that it holds.
-	All     bool                          `json:"a,omitempty"`
-	Credits map[routing.TenantName]Credit `json:"c,omitempty"`
+	All bool `json:"a,omitempty"`
+	// WithheldMillis is for how much longer the leader withholds what others may hold, since it
+	// began lately.
+	WithheldMillis int64                         `json:"w,omitempty"`
+	Credits        map[routing.TenantName]Credit `json:"c,omitempty"`
 }
 
 // Credit is how many units a router may hold in use, of how many that the limit had when the
