--- /dev/null
+++ b/internal/proxy/fairness_bench_test.go
@@ -0,0 +1,32 @@
+package proxy
+
+import (
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/tenant"
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// What a request pays for its tenant's share, beside BenchmarkRequest, which is all of one.
+func BenchmarkDemand(b *testing.B) {
+	p := New("z", workers.NewDirectory(), BudgetLimits{})
+	p.Metrics = NewMetrics(prometheus.NewRegistry())
+	for name, used := range map[string]*active{"without tenants": {}, "with tenants": {keys: &tenant.Index{}, weight: 1}} {
+		b.Run(name, func(b *testing.B) {
+			service := &routing.Service{Name: routing.ServiceName(name)}
+			c := &call{proxy: p, service: service, state: p.fleet.service(service), route: &routing.Route{}}
+			b.ReportAllocs()
+			for b.Loop() {
+				c.began = clock.Now()
+				c.demand(used)
+				if c.claim.yields || c.overShare(c.began) {
+					b.Fatal("there is room")
+				}
+			}
+		})
+	}
+}
