Notice a tenant's flood within its first second

The counts of five seconds let a flood fill the workers' queues before routers were sure of it: in the play others' mean time was 265 to 325 ms in its first five seconds (calm: 98). Ruled out: one window of two seconds, which is slower at first and takes others' chance for a flood at 81 routers.

--- a/internal/fair/flood_test.go
+++ b/internal/fair/flood_test.go
@@ -12,6 +12,9 @@
 const (
 	// mostSlower is how much slower than without the flood others' answers may be.
 	mostSlower = 1.1
+	// mostSlowerAtFirst is the same within five seconds of its beginning, when routers that
+	// see a sample of everything are not sure of it yet.
+	mostSlowerAtFirst = 1.7
 	// mostRefused is the share of others' requests that may be refused.
 	mostRefused = 0.005
 	// starved is what part of the share that all are served no tenant may fall below.
@@ -49,13 +52,15 @@
 	for _, routers := range []int{1, 3, 11, 81} {
 		t.Run(fmt.Sprint(routers), func(t *testing.T) {
 			for name, policy := range playPolicies {
-				calm := together(runPlay(7, routers, policy, calmRates), 0)
-				list := runPlay(7, routers, policy, floodOf(0))
-				flooded, all := together(list, 0), together(list, -1)
-				t.Logf("%s: calm %v; others %v; flooder %v", name, calm, flooded, list[0])
+				_, usual := runPlay(7, routers, policy, calmRates)
+				early, list := runPlay(7, routers, policy, floodOf(0))
+				calm, first, flooded, all := together(usual, 0), together(early, 0), together(list, 0), together(list, -1)
+				t.Logf("%s: calm %v; others at first %v; then %v; flooder %v", name, calm, first, flooded, list[0])
 				if name != "ledger" {
 					continue
 				}
+				noticed := float64(first.mean()) / float64(calm.mean())
+				assert.Assert(t, noticed <= mostSlowerAtFirst, "others' answers take %.3f times as long at first", noticed)
 				slower := float64(flooded.mean()) / float64(calm.mean())
 				assert.Assert(t, slower <= mostSlower, "others' answers take %.3f times as long", slower)
 				assert.Assert(t, flooded.refusals() <= mostRefused, "others are refused: %.4f", flooded.refusals())
@@ -69,8 +74,8 @@
 // Where there is room for all, nobody notices that shares are counted.
 func TestWithoutShortageNothingChanges(t *testing.T) {
 	for _, routers := range []int{1, 81} {
-		before := runPlay(9, routers, playPolicies["first come"], calmRates)
-		with := runPlay(9, routers, playPolicies["ledger"], calmRates)
+		_, before := runPlay(9, routers, playPolicies["first come"], calmRates)
+		_, with := runPlay(9, routers, playPolicies["ledger"], calmRates)
 		assert.DeepEqual(t, fmt.Sprint(with), fmt.Sprint(before))
 	}
 }
@@ -78,7 +83,7 @@
 // Where all ask for twice what there is room for, nobody is starved, small or large.
 func TestNobodyIsStarvedWhereAllAskForMore(t *testing.T) {
 	double := func(tenant int, now time.Duration) float64 { return 3.2 * calmRates(tenant, now) }
-	list := runPlay(5, 11, playPolicies["ledger"], double)
+	_, list := runPlay(5, 11, playPolicies["ledger"], double)
 	all := together(list, -1)
 	assert.Assert(t, all.refusals() > 0.3, "no shortage: %v", all)
 	for tenant, one := range list {
@@ -96,7 +101,7 @@
 		return policy
 	}
 	more := func(tenant int, now time.Duration) float64 { return 2.4 * calmRates(tenant, now) }
-	list := runPlay(3, 11, urgent, more)
+	_, list := runPlay(3, 11, urgent, more)
 	var first, second playResult
 	for tenant, one := range list {
 		into := &first
--- a/internal/fair/ledger.go
+++ b/internal/fair/ledger.go
@@ -11,6 +11,10 @@
 	// sees a few requests a second, so a shorter one would judge tenants by chance; a longer
 	// one would hold a flood against a tenant's callers long after its end.
 	window = 5 * time.Second
+	// recently is the time constant of what Yield also looks at: with the window alone a flood
+	// filled the workers' queues before it was noticed, and in its first five seconds others
+	// waited three times as long as in calm.
+	recently = time.Second
 	// shortFactor times what is served is asked for where there is a shortage: one of a tenth or
 	// less is nobody's fault, and chance at one router.
 	shortFactor = 1.1
@@ -54,6 +58,8 @@
 // lane is what is known of one caller. Counts are scaled by the ledger's scale.
 type lane struct {
 	weight, wanted float64
+	// recent counts the same as wanted, of the last moments.
+	recent float64
 	// refused is the share of requests to refuse, from 0 to 1.
 	refused float64
 	// refusals counts those for the caller's share, the last of them at refusedAt; zero: none
@@ -68,10 +74,10 @@
 	mu    sync.Mutex
 	lanes map[Caller]*lane
 	// wanted and lost count all requests; weight is that of all lanes.
-	wanted, lost, weight float64
+	wanted, lost, weight, recent float64
 	// base is when a request weighs one; later ones weigh more, which is as if those before
-	// were forgotten.
-	base, refreshed time.Time
+	// were forgotten. recentBase is that of recent counts.
+	base, recentBase, refreshed time.Time
 	// average is the share of all requests to refuse.
 	average float64
 }
@@ -82,7 +88,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	scale := l.scale(now)
+	recentScale := l.recentScale(now)
 	l.wanted += scale
+	l.recent += recentScale
 	known := l.lane(caller)
 	if known == nil {
 		return false
@@ -90,6 +98,7 @@
 	l.weight += weight - known.weight
 	known.weight = weight
 	known.wanted += scale
+	known.recent += recentScale
 	if known.refusals == 0 || now.Sub(known.refusedAt) < endedAfter {
 		return false
 	}
@@ -158,10 +167,21 @@
 	if known == nil || len(l.lanes) == 1 {
 		return 0
 	}
-	wanted := known.wanted / scale
-	part := (l.wanted/scale - wanted) / (l.weight - known.weight) * known.weight
-	borne := beyondFactor*part + chanceFactor*math.Sqrt(part) + 1
-	return max(known.refused, min(1-borne/wanted, 1-leastServed))
+	weight := known.weight / (l.weight - known.weight)
+	recentScale := l.recentScale(now)
+	beyond := max(excess(known.wanted/scale, l.wanted/scale, weight), excess(known.recent/recentScale, l.recent/recentScale, weight))
+	return max(known.refused, min(beyond, 1-leastServed))
+}
+
+// excess is the share of a caller's requests that goes clearly beyond its part of all. weight is
+// that of the caller as a multiple of all others' together.
+func excess(wanted, all, weight float64) float64 {
+	part := (all - wanted) * weight
+	borne := beyondFactor*part + chanceFactor*math.Sqrt(max(0, part)) + 1
+	if wanted <= borne {
+		return 0
+	}
+	return 1 - borne/wanted
 }
 
 // Counted returns how many requests are remembered.
@@ -186,6 +206,21 @@
 	return 1
 }
 
+// recentScale is what a request weighs among the recent ones that comes now. The caller holds mu.
+func (l *Ledger) recentScale(now time.Time) float64 {
+	passed := now.Sub(l.recentBase).Seconds() / recently.Seconds()
+	if passed < rebaseAfter {
+		return math.Exp(passed)
+	}
+	factor := math.Exp(-passed)
+	l.recent *= factor
+	for _, known := range l.lanes {
+		known.recent *= factor
+	}
+	l.recentBase = now
+	return 1
+}
+
 // rebase scales all counts, and drops lanes of which nothing is left. The caller holds mu.
 func (l *Ledger) rebase(factor float64) {
 	l.wanted *= factor
--- a/internal/fair/play_test.go
+++ b/internal/fair/play_test.go
@@ -15,7 +15,7 @@
 	playPatience = 250 * time.Millisecond
 	playLength   = 40 * time.Second
 	playFlood    = 20 * time.Second // from here on
-	playCounted  = 25 * time.Second // from here on results count
+	playSettled  = 25 * time.Second // from here on routers know of the flood
 	perWeight    = 37.5             // requests a second
 )
 
@@ -73,20 +73,24 @@
 
 // play is a service that many routers share, with callers that come at random.
 type play struct {
-	random   *rand.Rand
-	events   playEvents
-	now      time.Duration
-	routers  []playPolicy
-	waiting  [][]*playRequest
-	queue    []*playRequest
-	busy     int
-	rates    func(tenant int, now time.Duration) float64
-	byTenant []playResult
+	random  *rand.Rand
+	events  playEvents
+	now     time.Duration
+	routers []playPolicy
+	waiting [][]*playRequest
+	queue   []*playRequest
+	busy    int
+	rates   func(tenant int, now time.Duration) float64
+	// early are the results of the flood's beginning, and later those from then on.
+	early, later []playResult
 }
 
 // runPlay plays a load at many routers.
-func runPlay(seed uint64, routers int, fresh func(*rand.Rand) playPolicy, rates func(int, time.Duration) float64) []playResult {
-	p := &play{random: rand.New(rand.NewPCG(seed, 1)), rates: rates, byTenant: make([]playResult, len(playTenants))}
+func runPlay(seed uint64, routers int, fresh func(*rand.Rand) playPolicy, rates func(int, time.Duration) float64) (early, later []playResult) {
+	p := &play{
+		random: rand.New(rand.NewPCG(seed, 1)), rates: rates,
+		early: make([]playResult, len(playTenants)), later: make([]playResult, len(playTenants)),
+	}
 	for range routers {
 		p.routers = append(p.routers, fresh(p.random))
 		p.waiting = append(p.waiting, nil)
@@ -99,7 +103,7 @@
 		p.now = event.at
 		event.do()
 	}
-	return p.byTenant
+	return p.early, p.later
 }
 
 func (p *play) after(wait time.Duration, do func()) {
@@ -116,12 +120,19 @@
 	})
 }
 
-func (p *play) counts(r *playRequest) bool { return r.came >= playCounted }
+// result is where a request counts.
+func (p *play) result(r *playRequest) *playResult {
+	switch {
+	case r.came < playFlood:
+		return &playResult{}
+	case r.came < playSettled:
+		return &p.early[r.tenant]
+	}
+	return &p.later[r.tenant]
+}
 
 func (p *play) arrive(r *playRequest) {
-	if p.counts(r) {
-		p.byTenant[r.tenant].asked++
-	}
+	p.result(r).asked++
 	policy := p.routers[r.router]
 	r.yields = policy.arrived(p.clock(), r.tenant)
 	if len(p.waiting[r.router]) == 0 && p.start(r) {
@@ -160,9 +171,7 @@
 	took := time.Duration((0.5 + p.random.Float64()) * float64(playWork))
 	p.after(took, func() {
 		p.busy--
-		if p.counts(r) {
-			p.byTenant[r.tenant].took += p.now - r.came
-		}
+		p.result(r).took += p.now - r.came
 		if len(p.queue) > 0 {
 			first := p.queue[0]
 			p.queue = p.queue[1:]
@@ -213,7 +222,5 @@
 
 func (p *play) refuse(r *playRequest) {
 	p.routers[r.router].lost(p.clock(), r.tenant)
-	if p.counts(r) {
-		p.byTenant[r.tenant].refused++
-	}
+	p.result(r).refused++
 }
--- a/internal/lab/mutate/mutations_fair.go
+++ b/internal/lab/mutate/mutations_fair.go
@@ -5,8 +5,15 @@
 	{
 		name: "flood-does-not-yield",
 		file: "internal/fair/ledger.go",
-		old:  "	return max(known.refused, min(1-borne/wanted, 1-leastServed))",
-		new:  "	return 0 * borne",
+		old:  "	return max(known.refused, min(beyond, 1-leastServed))",
+		new:  "	return 0 * beyond",
+		pkg:  "./internal/fair", test: "TestAFloodLeavesOthersAlone",
+	},
+	{
+		name: "flood-noticed-late",
+		file: "internal/fair/ledger.go",
+		old:  "excess(known.recent/recentScale, l.recent/recentScale, weight))",
+		new:  "0*recentScale)",
 		pkg:  "./internal/fair", test: "TestAFloodLeavesOthersAlone",
 	},
 	{
