--- a/internal/proxy/fairness_test.go
+++ b/internal/proxy/fairness_test.go
@@ -76,11 +76,19 @@
 	assert.Assert(t, reasons["a"][reasonShare] > fairTries/4, "%v", reasons)
 }
 
+// An owner that has turned nobody away for a while has room again, whatever its counts say of before.
 func TestAnOwnerWithRoomTurnsNobodyBack(t *testing.T) {
 	f := flooded(t, "keyed")
+	now := clock.Now()
+	to := newBackend(workers.Worker{ID: "w"}, &toldMeans{})
+	c := callOf(f, "keyed", "a")
+	for range 2 * judgedBy {
+		to.shares.Wanted(now, c.claim.caller, 1)
+		to.shares.Lost(now)
+	}
 	for range fairTries {
-		to := newBackend(workers.Worker{ID: "w"}, &toldMeans{})
-		assert.Equal(t, callOf(f, "keyed", "a").turnedBack(clock.Now(), to), "")
+		c.claim.owner = nil
+		assert.Equal(t, c.turnedBack(now.Add(sharesKnown), to), "")
 	}
 }
 
