--- a/internal/fair/ledger.go
+++ b/internal/fair/ledger.go
@@ -129,7 +129,7 @@
 
 // Shares of requests, from 0 to 1.
 type Shares struct {
-	// Own is that of a caller's requests to refuse where one finds no room, and All that of
+	// Own is that of a caller's requests that there is no room for, and All that of
 	// everybody's.
 	Own, All float64
 }
--- a/internal/proxy/fairness.go
+++ b/internal/proxy/fairness.go
@@ -19,9 +19,6 @@
 type claim struct {
 	caller fair.Caller
 	weight float64
-	// coin, from 0 to 1, is the request's chance: it is among its tenant's share that is refused
-	// or yields if it is below that share.
-	coin float64
 	// yields says that the request takes a free worker only, and waits for one: its tenant
 	// asks for more than its part.
 	yields bool
@@ -62,20 +59,10 @@
 		c.tellShare(false, shares.Refuse(c.began, c.claim.caller))
 	}
 	if !c.service.Keyed {
-		c.claim.coin = rand.Float64()
-		c.claim.yields = c.claim.coin < shares.Yield(c.began, c.claim.caller)
+		c.claim.yields = rand.Float64() < shares.Yield(c.began, c.claim.caller)
 	}
 }
 
-// overShare reports whether a request that finds no worker is refused, since its tenant asks for
-// more than its share of what there is room for.
-func (c *call) overShare(now time.Time) bool {
-	if c.claim.weight == 0 {
-		return false
-	}
-	return c.claim.coin < c.state.shares.Refuse(now, c.claim.caller).Own
-}
-
 // turnedBack returns why a request is refused without asking its owner, which turns others
 // away; empty: it is not.
 func (c *call) turnedBack(now time.Time, to *backend) string {
--- a/internal/proxy/pooled.go
+++ b/internal/proxy/pooled.go
@@ -74,10 +74,6 @@
 			c.giveUp(reasonBusy, 100*time.Millisecond)
 			return choice{}
 		}
-		if c.overShare(now) {
-			c.giveUp(reasonShare, c.returnAfter())
-			return choice{}
-		}
 		if len(c.tried) > 0 && c.forget() {
 			continue
 		}
@@ -98,6 +94,10 @@
 // queue waits a moment among the service's other waiting requests; false if the
 // request has ended.
 func (c *call) queue() bool {
+	if c.claim.yields && c.state.crowded(c.service.Queue) {
+		c.giveUp(reasonShare, c.returnAfter())
+		return false
+	}
 	if !c.state.enter(c.service.Queue) {
 		c.giveUp(reasonQueue, 100*time.Millisecond)
 		return false
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -51,6 +51,12 @@
 	return true
 }
 
+// crowded reports whether half as many requests wait as may, zero for any number: the rest of the
+// places is for those that do not yield.
+func (s *serviceState) crowded(most int) bool {
+	return most > 0 && 2*int(s.waiting.Load()) >= most
+}
+
 func (s *serviceState) leave() { s.waiting.Add(-1) }
 
 var (
