--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -34,6 +34,7 @@
 	KindOrderFailed   Kind = "order-failed"
 	KindRecord        Kind = "record"
 	KindQuota         Kind = "tenant-over-limit"
+	KindShare         Kind = "tenant-over-share"
 	KindQuotaReserve  Kind = "quota-reserve-claimed"
 	KindQuotaBusy     Kind = "tenants-busy"
 	KindRequest       Kind = "request"
@@ -84,6 +85,7 @@
 		{KindQuotaBusy, "tenants that ask for more than is dealt of a calm one are marked in the store, and get all that their limits allow", "tenants (how many more), revision; error where the marks can't be read"},
 		{KindQuotaReserve, "a leader that began lately deals the units that are kept for that, since others may hold the rest", "term"},
 		{KindQuota, "a tenant asks for more than its limit allows, or does so no longer; told by the leader", "tenant, over, limit (requests within a window), used (of it, as routers told last), booked (what may be in use at most), withheld (what a new leader must not give yet), missing (what routers asked for in vain), age (seconds, of the oldest message)"},
+		{KindShare, "workers are short, and a tenant is refused since it asks for more than its share, or is so no longer; told by each router", "tenant, service, priority, over, refused (share of its requests), all (share of all requests that there is no room for)"},
 		{KindRequest, "a request ended otherwise than planned: refused, failed, late, sent more than once, or its client left (status 0)", "id, status, reason, service, route, took, sends, runs, unsent, config, worker, last, error; for callers with API keys tenant (also that of a key that was taken away), and gone_with (the version that took the key away); for keyed ones key, term, table_age; for quarantined ones fingerprint"},
 		{KindSent, "a request goes out once more", "id, worker, outcome (of the send before, or hedged), after"},
 		{KindBodies, "large bodies find no memory, or half of it is free again", "full, used, limit (bytes)"},
--- a/internal/proxy/pooled.go
+++ b/internal/proxy/pooled.go
@@ -94,6 +94,10 @@
 // queue waits a moment among the service's other waiting requests; false if the
 // request has ended.
 func (c *call) queue() bool {
+	if c.claim.yields && c.state.crowded(c.service.Queue) {
+		c.giveUp(reasonShare, c.returnAfter())
+		return false
+	}
 	if !c.state.enter(c.service.Queue) {
 		c.giveUp(reasonQueue, 100*time.Millisecond)
 		return false
@@ -113,8 +117,11 @@
 }
 
 func (c *call) noWorker() string {
-	if c.usable() == 0 {
+	switch {
+	case c.usable() == 0:
 		return reasonNoWorker
+	case c.claim.yields:
+		return reasonShare
 	}
 	return reasonBusy
 }
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/shalefork/shalefork/internal/estimate"
+	"github.com/shalefork/shalefork/internal/fair"
 )
 
 // serviceState is what this process keeps of one service.
@@ -20,8 +21,10 @@
 	members   members
 	// waiting counts the requests that wait for a worker or an owner.
 	waiting atomic.Int32
-	mu      sync.Mutex
-	spread  estimate.Spread
+	// shares count what tenants ask of the service.
+	shares fair.Ledger
+	mu     sync.Mutex
+	spread estimate.Spread
 }
 
 // answered measures how much the times of answers vary around their workers' means.
@@ -48,6 +51,12 @@
 	return true
 }
 
+// crowded reports whether half as many requests wait as may, zero for any number: the rest of the
+// places is for those that do not yield.
+func (s *serviceState) crowded(most int) bool {
+	return most > 0 && 2*int(s.waiting.Load()) >= most
+}
+
 func (s *serviceState) leave() { s.waiting.Add(-1) }
 
 var (
