--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -22,6 +23,8 @@
 	Silences
 	// Deafens passes requests and no answers.
 	Deafens
+	// Mutes passes answers and no requests.
+	Mutes
 	// Strands silences the connections that there are for good, while new ones work.
 	Strands
 	// Resets resets all connections, and each new one.
@@ -45,15 +48,21 @@
 	to       string
 	mu       sync.Mutex
 	harm     Harm
-	pairs    map[*pair]struct{}
-	closed   bool
-	// rates bound requests and answers; nil: nothing does.
-	rates [2]*Rate
+	// origin tells who has made a connection; nil: nobody asks. from are the harms to the
+	// connections of each, beside that to all.
+	origin func(netip.AddrPort) string
+	from   map[string]Harm
+	pairs  map[*pair]struct{}
+	closed bool
+	// rates bound requests and answers, by who has made the connection; nil: nothing does.
+	rates map[string][2]*Rate
 }
 
 // pair is one connection and its other half.
 type pair struct {
 	near, far net.Conn
+	// origin is who has made it; empty: unknown.
+	origin string
 	// stranded says that nothing passes any more.
 	stranded bool
 }
@@ -64,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{listener: listener, to: to, pairs: map[*pair]struct{}{}}
+	l := &Link{listener: listener, to: to, pairs: map[*pair]struct{}{}, from: map[string]Harm{}, rates: map[string][2]*Rate{}}
 	go l.accept()
 	return l, nil
 }
@@ -124,7 +133,7 @@
 		one.reset()
 		return
 	}
-	one := &pair{near: near, far: far}
+	one := &pair{near: near, far: far, origin: l.originOf(near)}
 	l.mu.Lock()
 	refused := l.closed || l.harm == Resets
 	if !refused {
@@ -158,13 +167,13 @@
 func (l *Link) forward(of *pair, to io.Writer, bytes []byte, answers bool) bool {
 	for {
 		l.mu.Lock()
-		harm, stranded, open := l.harm, of.stranded, !l.closed
+		harm, stranded, open := l.harmOf(of), of.stranded, !l.closed
 		_, known := l.pairs[of]
 		l.mu.Unlock()
 		switch {
 		case !open || !known || harm == Resets:
 			return false
-		case stranded, harm == Silences, harm == Deafens && answers:
+		case stranded, harm == Silences, harm == Deafens && answers, harm == Mutes && !answers:
 			time.Sleep(wait)
 			continue
 		case harm == Delays:
@@ -173,7 +182,7 @@
 			_, _ = to.Write(bytes[:min(truncated, len(bytes))])
 			return false
 		}
-		l.awaitTurn(len(bytes), answers)
+		l.awaitTurn(of, len(bytes), answers)
 		_, err := to.Write(bytes)
 		return err == nil
 	}
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -51,6 +52,7 @@
 		"delays":    {harm: Delays, kept: true, fresh: true},
 		"silences":  {harm: Silences},
 		"deafens":   {harm: Deafens},
+		"mutes":     {harm: Mutes},
 		"strands":   {harm: Strands, fresh: true},
 		"resets":    {harm: Resets},
 		"truncates": {harm: Truncates},
@@ -85,3 +87,34 @@
 	assert.NilError(t, ask(link, client))
 	assert.Assert(t, time.Since(began) >= time.Duration(len(body))*time.Millisecond)
 }
+
+// What is done to the connections of one leaves those of others as they are.
+func TestHarmsByWhoAsks(t *testing.T) {
+	for name, c := range map[string]struct {
+		harm          Harm
+		struck, other bool
+	}{
+		"none":     {harm: None, struck: true, other: true},
+		"silences": {harm: Silences, other: true},
+		"deafens":  {harm: Deafens, other: true},
+		"mutes":    {harm: Mutes, other: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			link, struck := newLink(t)
+			other := &http.Client{Timeout: time.Second, Transport: &http.Transport{}}
+			origins := make(chan string, 2)
+			origins <- "struck"
+			origins <- "other"
+			link.Ask(func(netip.AddrPort) string { return <-origins })
+			link.ShareFrom("other", nil, NewRate(10000))
+			assert.NilError(t, ask(link, struck))
+			began := time.Now()
+			assert.NilError(t, ask(link, other))
+			assert.Assert(t, time.Since(began) >= time.Duration(len(body))*time.Millisecond/10)
+			link.SetFrom("struck", c.harm)
+			assert.Equal(t, ask(link, other) == nil, c.other)
+			assert.Equal(t, ask(link, struck) == nil, c.struck)
+		})
+	}
+}
--- a/internal/lab/link/rate.go
+++ b/internal/lab/link/rate.go
@@ -37,17 +37,19 @@
 // Share makes the link's requests and answers take their turns with those of other links. Nil:
 // as many as there are pass at once.
 func (l *Link) Share(requests, answers *Rate) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.rates = [2]*Rate{requests, answers}
+	l.ShareFrom("", requests, answers)
 }
 
 // awaitTurn waits until bytes have passed.
-func (l *Link) awaitTurn(bytes int, answers bool) {
+func (l *Link) awaitTurn(of *pair, bytes int, answers bool) {
 	l.mu.Lock()
-	rate := l.rates[0]
+	rates, own := l.rates[of.origin]
+	if !own {
+		rates = l.rates[""]
+	}
+	rate := rates[0]
 	if answers {
-		rate = l.rates[1]
+		rate = rates[1]
 	}
 	l.mu.Unlock()
 	if rate != nil {
