--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -25,8 +25,10 @@
 	// opened is when it began to lead, and first says that nobody did before.
 	opened time.Time
 	first  bool
-	// reserved says that this leader may deal the reserve while it withholds the rest.
+	// reserved says that this leader may deal what no leader before can have dealt.
 	reserved bool
+	// busy are the tenants that are marked as such in the store.
+	busy map[routing.TenantName]bool
 	// nodes is how many routers there are, linked or not.
 	nodes   int
 	pools   map[routing.TenantName]*pool
@@ -43,8 +45,14 @@
 
 // pool is what is known of one tenant.
 type pool struct {
-	// limit is how many units are dealt, and reserve how many more are kept for a new leader.
-	limit, reserve int
+	// allowed is how many units may be in use, and limit how many of them are dealt.
+	allowed, limit int
+	// unknown is how many of them leaders before may have dealt, and calm says that it was no
+	// more than is dealt of a tenant that is not marked as busy.
+	unknown int
+	calm    bool
+	// wanted says that the tenant asks for more than is dealt of a calm one.
+	wanted bool
 	// booked is how many units may be in use, here or at routers that are lost.
 	booked int
 	// reported is how many of them routers have brought from an earlier leader, and floors are
@@ -111,27 +119,26 @@
 	return &Coordinator{
 		term: term, bound: bound, opened: now, first: first,
 		pools: map[routing.TenantName]*pool{}, members: map[string]*member{}, asked: map[string]*asked{},
-		removed: map[routing.TenantName]time.Time{},
+		removed: map[routing.TenantName]time.Time{}, busy: map[routing.TenantName]bool{},
 	}
 }
 
-// Use takes the tenants of the configuration in force. It reports whether less is dealt of any:
-// routers may hold what is in its reserve now, so no leader may deal that for Bound.Unknown.
+// Use takes the tenants of the configuration in force. It reports whether less is allowed of any:
+// routers may hold more of it now than is dealt, so no new leader may rely on that for
+// Bound.Unknown.
 func (c *Coordinator) Use(now time.Time, tenants map[routing.TenantName]*routing.Tenant) (lowered bool) {
-	begins := now.Equal(c.opened)
 	for name, tenant := range tenants {
-		units := c.bound.Units(tenant)
-		if units == 0 {
+		allowed := c.bound.Allowed(tenant)
+		if allowed == 0 {
 			continue
 		}
 		before := c.pools[name]
-		lowered = lowered || before != nil && units < before.limit
-		c.limit(now, name, units)
-		if p := c.pools[name]; begins {
-			p.reserve = c.bound.Reserve(tenant)
-		} else {
-			p.reserve = min(p.reserve, c.bound.Reserve(tenant))
-		}
+		lowered = lowered || before != nil && allowed < before.allowed
+		c.limit(now, name, c.bound.Dealt(tenant, c.busy[name]))
+		p := c.pools[name]
+		p.allowed = allowed
+		// What leaders before have dealt grows with the limit: routers scale it.
+		p.unknown = max(p.unknown, c.bound.Dealt(tenant, !p.calm))
 	}
 	for name := range c.pools {
 		if tenant := tenants[name]; tenant == nil || !tenant.Limited() {
@@ -141,12 +148,38 @@
 	return lowered
 }
 
-// Reserved lets this leader deal the reserve while it may not deal the rest. Whoever calls it
-// has made sure that no other leader may have done so within Bound.Unknown before.
+// Mark notes that tenants are marked as busy in the store: all that is allowed of them is dealt.
+func (c *Coordinator) Mark(names ...routing.TenantName) {
+	for _, name := range names {
+		c.busy[name] = true
+		if p := c.pools[name]; p != nil {
+			p.limit, p.wanted, p.dirty = p.allowed, false, true
+		}
+	}
+}
+
+// Wanted returns the tenants that are to be marked as busy.
+func (c *Coordinator) Wanted() []routing.TenantName {
+	var names []routing.TenantName
+	for name, p := range c.pools {
+		if p.wanted {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Reserved lets this leader deal at once what leaders before can't have dealt, of tenants that
+// were not marked as busy. Whoever calls it has told which are, and has made sure that no other
+// leader was let to within Bound.Unknown before.
 func (c *Coordinator) Reserved() {
 	c.reserved = true
-	for _, p := range c.pools {
+	for name, p := range c.pools {
 		p.dirty = true
+		if !c.busy[name] {
+			p.calm, p.unknown = true, min(p.unknown, p.limit)
+		}
 	}
 }
 
@@ -193,144 +226,6 @@
 	c.ending = slices.DeleteFunc(c.ending, func(e ending) bool { return e.tenant == name })
 }
 
-// Hear takes what a router tells.
-func (c *Coordinator) Hear(now time.Time, told Told) {
-	if told.Term > c.term {
-		return
-	}
-	m := c.members[told.Node]
-	if m != nil && m.life != told.Life {
-		if told.Life < m.life {
-			return
-		}
-		c.ended(now, m)
-		m = nil
-	}
-	starts := told.Term == 0 && told.All // it has been given nothing in its life
-	switch {
-	case told.Term < c.term && !starts, m == nil && !told.All:
-		c.ask(told.Node, told.Life)
-		return
-	case m == nil:
-		m = c.join(now, told)
-	case told.Number <= m.told:
-		return
-	case told.Number != m.told+1 && !told.All:
-		c.ask(told.Node, told.Life)
-		return
-	}
-	if told.All {
-		delete(c.asked, told.Node)
-		c.bring(now, m, told)
-	}
-	m.told, m.stamp, m.stampAt = told.Number, told.Stamp, now
-	c.hear(now, m, told)
-}
-
-// ask lets a router tell all with the next grants.
-func (c *Coordinator) ask(node string, life int64) {
-	if a := c.asked[node]; a != nil && a.life >= life {
-		return
-	}
-	c.asked[node] = &asked{life: life, due: true}
-}
-
-// join takes a router into the books. What it holds was given by an earlier leader.
-func (c *Coordinator) join(now time.Time, told Told) *member {
-	m := &member{
-		node: told.Node, life: told.Life, until: now.Add(Lease), floorUntil: now.Add(FloorLease),
-		holds: map[routing.TenantName]*hold{},
-	}
-	c.members[m.node] = m
-	for _, p := range c.pools {
-		p.dirty = true
-	}
-	return m
-}
-
-// bring books what a router tells that this leader has not given it.
-func (c *Coordinator) bring(now time.Time, m *member, told Told) {
-	for name, use := range told.Tenants {
-		p := c.pools[name]
-		if p == nil || m.holds[name] != nil {
-			continue
-		}
-		h := &hold{units: use.credit(), booked: use.credit(), floor: use.floor()}
-		m.holds[name] = h
-		c.set(m, h, use.under(p.limit))
-		p.book(use.credit(), use.floor())
-		p.reported += max(use.credit(), use.used())
-		c.end(now.Add(c.bound.rest()), name, use.used()-use.credit(), 0)
-	}
-}
-
-// book adds to what is booked.
-func (p *pool) book(units, floors int) {
-	p.booked += units
-	p.floors += floors
-}
-
-// end books units that end by themselves.
-func (c *Coordinator) end(at time.Time, name routing.TenantName, units, floors int) {
-	if p := c.pools[name]; p != nil && units > 0 {
-		p.book(units, floors)
-		c.ending = append(c.ending, ending{at: at, tenant: name, units: units, floors: floors})
-	}
-}
-
-// hear takes the uses that a member tells, and what it has acknowledged.
-func (c *Coordinator) hear(now time.Time, m *member, told Told) {
-	for name, h := range m.holds {
-		use, isTold := told.Tenants[name]
-		if !isTold && !told.All {
-			continue
-		}
-		h.used, h.short = use.used(), use.short()
-		if h.number > told.Ack {
-			continue
-		}
-		if told.All && told.Ack == m.granted { // it has dropped some, and no grant is on its way that brings them back
-			h.floor = min(h.floor, use.floor())
-			h.units = min(h.units, use.credit())
-			c.set(m, h, min(h.units, use.under(c.pools[name].limit)))
-		}
-		c.settle(now, name, h)
-	}
-	for name, use := range told.Tenants {
-		p := c.pools[name]
-		if p == nil {
-			continue
-		}
-		h := m.hold(name)
-		h.used, h.short = use.used(), use.short()
-		p.dirty = true
-	}
-	m.acked = max(m.acked, told.Ack)
-}
-
-// hold returns what a member may hold of a tenant.
-func (m *member) hold(name routing.TenantName) *hold {
-	h := m.holds[name]
-	if h == nil {
-		h = &hold{}
-		m.holds[name] = h
-	}
-	return h
-}
-
-// settle books no more than what a router holds that has told its use since it took the last
-// grant. Units in use beyond that end by themselves.
-func (c *Coordinator) settle(now time.Time, name routing.TenantName, h *hold) {
-	p := c.pools[name]
-	over := h.booked - h.units
-	if over <= 0 {
-		return
-	}
-	p.book(-over, 0)
-	h.booked = h.units
-	c.end(now.Add(c.bound.rest()), name, h.used-h.units, 0)
-}
-
 // set changes the units of a member, which are booked at once if they are more.
 func (c *Coordinator) set(m *member, h *hold, units int) {
 	if units == h.units {
@@ -396,68 +291,6 @@
 	})
 }
 
-// asks returns the messages to routers that must tell all.
-func (c *Coordinator) asks(now time.Time) []Grant {
-	var grants []Grant
-	for _, node := range slices.Sorted(maps.Keys(c.asked)) {
-		a := c.asked[node]
-		if !a.due && now.Sub(a.at) >= askEvery {
-			delete(c.asked, node) // asked again if it tells anything
-			continue
-		}
-		if a.due {
-			a.due, a.at = false, now
-			grants = append(grants, Grant{Node: node, Life: a.life, Term: c.term, All: true})
-		}
-	}
-	return grants
-}
-
-// grants returns the messages to members.
-func (c *Coordinator) grants(now time.Time) []Grant {
-	var grants []Grant
-	for _, node := range slices.Sorted(maps.Keys(c.members)) {
-		if m := c.members[node]; m.due(now) {
-			grants = append(grants, c.grant(now, m))
-		}
-	}
-	return grants
-}
-
-// due reports whether a member is to be sent a grant.
-func (m *member) due(now time.Time) bool {
-	unheard := m.granted > m.acked && now.Sub(m.grantedAt) >= resendAfter
-	renewed := m.stamp > m.echoed && m.until.Sub(now) < Lease-renewEvery/2
-	return m.changed || unheard || renewed || !m.greeted
-}
-
-// grant makes the next message to a member, and extends its lease by the newest stamp.
-func (c *Coordinator) grant(now time.Time, m *member) Grant {
-	if m.stamp > m.echoed {
-		m.echoed = m.stamp
-		m.until, m.floorUntil = m.stampAt.Add(Lease), m.stampAt.Add(FloorLease)
-	}
-	grant := Grant{Node: m.node, Life: m.life, Term: c.term, Stamp: m.stamp}
-	if left := c.opened.Add(c.bound.Unknown()).Sub(now); left > 0 && !c.first {
-		grant.WithheldMillis = left.Milliseconds()
-	}
-	m.greeted = true
-	for name, h := range m.holds {
-		if h.number > m.acked {
-			if grant.Credits == nil {
-				grant.Credits = map[routing.TenantName]Credit{}
-			}
-			grant.Credits[name] = Credit{h.units, c.pools[name].limit, h.floor}
-		}
-	}
-	if len(grant.Credits) > 0 {
-		m.granted++
-		m.grantedAt, m.changed = now, false
-	}
-	grant.Number = m.granted
-	return grant
-}
-
 // most is how many units of a tenant may be booked now. After a change of leaders nobody may
 // be given what a router may still hold that has not told it.
 func (c *Coordinator) most(now time.Time, p *pool) int {
@@ -468,10 +301,9 @@
 	case c.first, since > FloorLease+c.bound.rest():
 		return p.limit
 	case since > c.bound.Unknown():
-		return p.limit - max(0, int(floorShare*float64(p.limit))-p.floors)
-	}
-	if c.reserved {
-		return min(p.limit, p.reported+p.reserve)
+		return min(p.limit, p.allowed-max(0, int(floorShare*float64(p.unknown))-p.floors))
+	case c.reserved:
+		return min(p.limit, max(p.reported, p.allowed-max(0, p.unknown-p.reported)))
 	}
 	return min(p.limit, p.reported)
 }
