Know a connection by both of its ends, and look its maker up beside what it passes

A look at the kernel's table takes some 40 ms on a busy machine, so connections wait for it only while what is done to them depends on it.

--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -48,9 +48,9 @@
 	to       string
 	mu       sync.Mutex
 	harm     Harm
-	// origin tells who has made a connection; nil: nobody asks. from are the harms to the
+	// origin tells who has made a connection, from and to which address; nil: nobody asks. from are the harms to the
 	// connections of each, beside that to all.
-	origin func(netip.AddrPort) string
+	origin func(from, to netip.AddrPort) string
 	from   map[string]Harm
 	pairs  map[*pair]struct{}
 	closed bool
@@ -133,7 +133,8 @@
 		one.reset()
 		return
 	}
-	one := &pair{near: near, far: far, origin: l.originOf(near)}
+	one := &pair{near: near, far: far}
+	l.lookUp(one)
 	l.mu.Lock()
 	refused := l.closed || l.harm == Resets
 	if !refused {
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -106,7 +106,8 @@
 			origins := make(chan string, 2)
 			origins <- "struck"
 			origins <- "other"
-			link.Ask(func(netip.AddrPort) string { return <-origins })
+			link.Ask(func(_, _ netip.AddrPort) string { return <-origins })
+			link.SetFrom("third", Silences) // from now on connections wait until it is known who asks
 			link.ShareFrom("other", nil, NewRate(10000))
 			assert.NilError(t, ask(link, struck))
 			began := time.Now()
--- a/internal/lab/link/origin.go
+++ b/internal/lab/link/origin.go
@@ -5,9 +5,9 @@
 	"net/netip"
 )
 
-// Ask lets a function tell from the address of whoever makes a connection who that is; empty:
-// nobody of whom it knows. Connections that there are stay unknown.
-func (l *Link) Ask(origin func(netip.AddrPort) string) {
+// Ask lets a function tell from the addresses of a connection who has made it; empty: nobody of
+// whom it knows. Connections that there are stay unknown.
+func (l *Link) Ask(origin func(from, to netip.AddrPort) string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.origin = origin
@@ -29,16 +29,45 @@
 	l.rates[origin] = [2]*Rate{requests, answers}
 }
 
+// lookUp finds out who has made a connection: before it passes anything if what is done depends
+// on that, and beside it else.
+func (l *Link) lookUp(one *pair) {
+	found := make(chan struct{})
+	go func() {
+		defer close(found)
+		origin := l.originOf(one.near)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		one.origin = origin
+	}()
+	if l.harmsSome() {
+		<-found
+	}
+}
+
+// harmsSome reports whether the connections of some are harmed.
+func (l *Link) harmsSome() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, harm := range l.from {
+		if harm != None {
+			return true
+		}
+	}
+	return false
+}
+
 // originOf returns who has made a connection.
 func (l *Link) originOf(near net.Conn) string {
 	l.mu.Lock()
 	origin := l.origin
 	l.mu.Unlock()
-	address, ok := near.RemoteAddr().(*net.TCPAddr)
-	if origin == nil || !ok {
+	from, ok := near.RemoteAddr().(*net.TCPAddr)
+	to, also := near.LocalAddr().(*net.TCPAddr)
+	if origin == nil || !ok || !also {
 		return ""
 	}
-	return origin(address.AddrPort())
+	return origin(from.AddrPort(), to.AddrPort())
 }
 
 // harmOf returns what is done to a connection now. The caller holds mu.
