--- a/internal/lab/link/origin.go
+++ b/internal/lab/link/origin.go
@@ -30,7 +30,8 @@
 }
 
 // lookUp finds out who has made a connection: before it passes anything if what is done depends
-// on that, and beside it else.
+// on that, and beside it else, since a look may take as long as a request. Looks of the soak take
+// 5 ms where the kernel has 1,200 sockets, measured on a machine at work.
 func (l *Link) lookUp(one *pair) {
 	found := make(chan struct{})
 	go func() {
