--- a/internal/quota/reserve_test.go
+++ b/internal/quota/reserve_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -26,7 +27,7 @@
 		"the first leader of all":    {first: true, most: bound.Dealt(tenant, false)},
 		"the first, a busy tenant":   {first: true, busy: true, most: allowed},
 		"calm, once others' end":     {reserved: true, after: bound.Unknown() + time.Second, most: bound.Dealt(tenant, false)},
-		"busy, but for their floors": {reserved: true, busy: true, after: bound.Unknown() + time.Second, most: allowed - int(floorShare*float64(allowed))},
+		"busy, but for their floors": {reserved: true, busy: true, after: bound.Unknown() + time.Second, most: allowed - int(math.Ceil(floorShare*float64(allowed)))},
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
@@ -36,38 +37,60 @@
 				c.Mark(tenant.Name)
 			}
 			if test.reserved {
-				c.Reserved()
+				c.Reserved(0)
 			}
 			assert.Equal(t, c.most(now.Add(test.after), c.pools[tenant.Name]), test.most)
 		})
 	}
 }
 
-// The reserve is for leaders after a restart of most routers; once dealt it can't be again for a
-// while.
-func TestWhoNeedsTheReserve(t *testing.T) {
+// A claim tells the next leader what the one before did not know to be held.
+func TestClaimsTellWhatIsLeftOver(t *testing.T) {
 	tenant := &routing.Tenant{Name: "t", Rate: 100, Burst: 100}
 	bound := Bound{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
 	for name, test := range map[string]struct {
-		first bool
-		// told is the share of the dealt units that routers tell.
-		told  float64
-		after time.Duration
-		needs bool
+		// told is the share of the dealt units that routers tell, and before what an earlier
+		// claim tells.
+		told, before, leftover float64
+		busy                   bool
 	}{
-		"all were restarted":           {after: time.Second, needs: true},
-		"nobody can have told yet":     {after: reportsIn / 2},
-		"only the leader was lost":     {told: 0.98, after: time.Second},
-		"most have been restarted":     {told: 0.3, after: time.Second, needs: true},
-		"nobody dealt anything before": {first: true, after: time.Second},
+		"all were restarted":           {leftover: calmShare},
+		"and once more before long":    {before: calmShare, leftover: 1},
+		"only the leader was lost":     {told: 1, leftover: 0},
+		"half were restarted":          {told: 0.5, leftover: calmShare / 2},
+		"busy tenants don't count":     {busy: true, leftover: 0},
+		"a little was left over":       {told: 1, before: 0.1, leftover: 0.1},
+		"more was told than was dealt": {told: 1.2, leftover: 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
-			c := NewCoordinator(now, 2, test.first, bound)
+			c := NewCoordinator(now, 2, false, bound)
 			c.Use(now, tenants(tenant))
+			if test.busy {
+				c.Mark(tenant.Name)
+			}
 			credit := int(test.told * float64(bound.Dealt(tenant, false)))
 			c.Hear(now, Told{Node: "n", Life: 1, Number: 1, All: true, Tenants: map[routing.TenantName]Use{tenant.Name: {0, 0, credit}}})
-			assert.Equal(t, c.NeedsReserve(now.Add(test.after)), test.needs)
+			assert.Assert(t, !c.Claims(now))
+			assert.Assert(t, c.Claims(now.Add(reportsIn)))
+			got := c.Leftover(test.before)
+			assert.Assert(t, got >= test.leftover-0.01 && got <= test.leftover+0.01, "%v", got)
 		})
 	}
 }
+
+// Floors that a router out of reach holds from a leader before are withheld, however many this one
+// has given itself: counted together, 32 of 31 requests ran within a window.
+func TestFloorsOfLeadersBeforeAreWithheld(t *testing.T) {
+	tenant := &routing.Tenant{Name: "t", Rate: 1, Burst: 5}
+	bound := Bound{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+	now := time.Unix(1000, 0)
+	c := NewCoordinator(now, 2, false, bound)
+	c.Use(now, tenants(tenant))
+	c.Mark(tenant.Name)
+	c.Hear(now, Told{Node: "n", Life: 1, Number: 1, All: true, Tenants: map[routing.TenantName]Use{tenant.Name: {0, 9, 0}}})
+	later := now.Add(bound.Unknown() + time.Second)
+	p := c.pools[tenant.Name]
+	p.floors = 100
+	assert.Equal(t, c.most(later, p), p.allowed-int(math.Ceil(floorShare*float64(p.allowed))))
+}
