--- a/internal/lab/mutate/mutations_quota.go
+++ b/internal/lab/mutate/mutations_quota.go
@@ -68,7 +68,7 @@
 	{
 		name: "new-leader-deals-what-others-may-hold",
 		file: "internal/quota/coordinator.go",
-		old:  "			p.calm, p.unknown = true, min(p.unknown, p.dealtBefore(share))",
+		old:  "			p.calm, p.unknown = true, min(p.unknown, p.dealtBefore(dealt.of(name)))",
 		new:  "			p.calm, p.unknown = true, 0",
 		pkg:  "./internal/quota", test: "TestWhatANewLeaderDealsAtOnce",
 	},
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -188,16 +188,37 @@
 	return !c.first && !c.reserved && now.Sub(c.opened) >= reportsIn
 }
 
-// Leftover is the greatest share of a limit that routers may hold which have told nothing, if
-// leaders before have dealt so great a share beyond what is dealt of calm tenants.
-func (c *Coordinator) Leftover(dealt float64) float64 {
-	most := 0.0
+// Leftovers are shares of tenants' limits, from 0 to 1, that routers may hold which have told
+// nothing. A tenant that is not named has none.
+type Leftovers struct {
+	// All is the least share of all tenants.
+	All     float64                        `json:"all,omitempty"`
+	Tenants map[routing.TenantName]float64 `json:"tenants,omitempty"`
+}
+
+// of returns a tenant's share.
+func (l Leftovers) of(name routing.TenantName) float64 { return max(l.All, l.Tenants[name]) }
+
+// Sum adds up the shares of the tenants that are named.
+func (l Leftovers) Sum() float64 {
+	sum := l.All
+	for _, share := range l.Tenants {
+		sum += share
+	}
+	return sum
+}
+
+// Leftover returns what routers may hold that have told nothing, if leaders before have dealt
+// some shares beyond what is dealt of calm tenants.
+func (c *Coordinator) Leftover(dealt Leftovers) Leftovers {
+	left := Leftovers{Tenants: map[routing.TenantName]float64{}}
 	for name, p := range c.pools {
-		if !c.busy[name] {
-			most = max(most, float64(p.dealtBefore(dealt)-p.reported)/float64(max(1, p.allowed)))
+		share := float64(p.dealtBefore(dealt.of(name))-p.reported) / float64(max(1, p.allowed))
+		if !c.busy[name] && share > 0 {
+			left.Tenants[name] = min(1, share)
 		}
 	}
-	return min(1, most)
+	return left
 }
 
 // dealtBefore is how many units leaders before may have dealt of a calm tenant: what is dealt of
@@ -209,12 +230,12 @@
 // Reserved lets this leader deal at once what leaders before can't have dealt, of tenants that
 // were not marked as busy. Whoever calls it has told which are, and has stored the Leftover of
 // the same share for leaders that come within Bound.Unknown.
-func (c *Coordinator) Reserved(share float64) {
+func (c *Coordinator) Reserved(dealt Leftovers) {
 	c.reserved = true
 	for name, p := range c.pools {
 		p.dirty = true
 		if !c.busy[name] {
-			p.calm, p.unknown = true, min(p.unknown, p.dealtBefore(share))
+			p.calm, p.unknown = true, min(p.unknown, p.dealtBefore(dealt.of(name)))
 		}
 	}
 }
--- a/internal/router/quotareserve.go
+++ b/internal/router/quotareserve.go
@@ -22,15 +22,9 @@
 	reserveMargin = time.Second
 )
 
-// reserveClaim is what a leader that deals the reserve leaves for the next: which share of a
-// limit it did not know to be held.
-type reserveClaim struct {
-	Leftover float64 `json:"leftover"`
-}
-
 const (
 	// refreshPause is the pause between looks whether less is left over than a claim tells, and
-	// refreshStep by how much less it must be for the claim to be written anew: routers that lost
+	// refreshStep by which share less it must be for the claim to be written anew: routers that lost
 	// their leader tell what they hold within seconds, and the next leader gains by that.
 	refreshPause = time.Second
 	refreshStep  = 0.05
@@ -51,7 +45,7 @@
 		case q.claims(coordinator):
 			if written = q.claim(ctx, tenure, coordinator); written.claimed {
 				q.r.log.Line(decision.KindQuotaReserve).Int64("term", int64(tenure.Leader.Term)).
-					Float64("leftover", written.leftover).Msg("")
+					Float64("leftover", written.leftover.Sum()).Msg("")
 			}
 		}
 		clock.Sleep(ctx, pause)
@@ -64,7 +58,7 @@
 	return coordinator.Claims(clock.Now())
 }
 
-func (q *quotas) leftover(coordinator *quota.Coordinator, before float64) float64 {
+func (q *quotas) leftover(coordinator *quota.Coordinator, before quota.Leftovers) quota.Leftovers {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return coordinator.Leftover(before)
@@ -73,10 +67,9 @@
 // reservation is a claim that was written.
 type reservation struct {
 	claimed bool
-	// revision of the claim, before is the share that the one before told, and leftover what
-	// this one tells.
+	// revision of the claim, before is what the one before told, and leftover what this one tells.
 	revision         coord.Revision
-	before, leftover float64
+	before, leftover quota.Leftovers
 }
 
 // claim writes a leader's claim after it has read that of the one before.
@@ -104,7 +97,7 @@
 // refreshClaim writes a claim anew if less is left over by now, for as long as it is needed still.
 func (q *quotas) refreshClaim(ctx context.Context, tenure *election.Tenure, coordinator *quota.Coordinator, written *reservation, end time.Time) {
 	leftover := q.leftover(coordinator, written.before)
-	if leftover > written.leftover-refreshStep {
+	if leftover.Sum() > (1-refreshStep)*written.leftover.Sum() {
 		return
 	}
 	bounded, cancel := context.WithTimeout(ctx, lookTimeout)
@@ -115,12 +108,12 @@
 }
 
 // leftoverOf reads a claim: one that can't be read leaves all over.
-func leftoverOf(item coord.Item) float64 {
-	claim := reserveClaim{Leftover: 1}
-	if err := json.Unmarshal(item.Value, &claim); err != nil || !(claim.Leftover >= 0 && claim.Leftover <= 1) {
-		return 1
+func leftoverOf(item coord.Item) quota.Leftovers {
+	var left quota.Leftovers
+	if err := json.Unmarshal(item.Value, &left); err != nil || left.All < 0 || left.All > 1 {
+		return quota.Leftovers{All: 1}
 	}
-	return claim.Leftover
+	return left
 }
 
 // limits reports whether any tenant is known.
@@ -144,14 +137,14 @@
 	if err != nil {
 		return false
 	}
-	_, done := q.writeClaim(bounded, tenure, item.Revision, 1, q.bound.Unknown())
+	_, done := q.writeClaim(bounded, tenure, item.Revision, quota.Leftovers{All: 1}, q.bound.Unknown())
 	return done
 }
 
 // writeClaim replaces the claim of a revision, zero if there is none, by one that stands for as
 // long as needed; false if that is not known to be done.
-func (q *quotas) writeClaim(ctx context.Context, tenure *election.Tenure, revision coord.Revision, leftover float64, needed time.Duration) (coord.Revision, bool) {
-	value, err := json.Marshal(reserveClaim{Leftover: leftover})
+func (q *quotas) writeClaim(ctx context.Context, tenure *election.Tenure, revision coord.Revision, leftover quota.Leftovers, needed time.Duration) (coord.Revision, bool) {
+	value, err := json.Marshal(leftover)
 	if err != nil {
 		panic(err) // plain data
 	}
