--- a/internal/routing/tenant.go
+++ b/internal/routing/tenant.go
@@ -83,9 +83,9 @@
 const (
 	// Small bodies are kept whole until they are passed on.
 	Small BodyClass = iota
-	// BulkUp are large requests, which are streamed to the worker.
+	// BulkUp are large requests: read up to a bound before a worker is asked, then passed on.
 	BulkUp
-	// BulkDown are large answers, which are streamed to the caller.
+	// BulkDown are large answers: kept back for a part of the target, then passed on as they come.
 	BulkDown
 )
 
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -112,10 +112,9 @@
 const listAge = time.Second
 
 // Learned is since when changes of workers are known to the first process that heard of them:
-// the time for which a worker that leaves may get requests counts from then, in all processes.
-// Counted from when each heard, a router whose neighbour told it 1.0 s later sent requests to a
-// worker 2.57 s after it had left, where 2.5 s are allowed. A worker that is not named was heard
-// of just now.
+// the time for which a worker that leaves may get requests counts from then, in all processes:
+// a router that the store refuses hears from its neighbours a second late. A worker that is not
+// named was heard of just now.
 type Learned map[ID]time.Time
 
 // of returns since when a worker's change is known.
