Split the files that grew, and refuse a revoke_within that refuses everybody

Moves without a change of logic, by job: the quota coordinator's reserve, the workers' lives and learned places, the link's worker changes, the mutations of quotas. One check is new: under strict revocation a bundle whose revoke_within is below what a router needs to hear of it would refuse every caller between two renewals; the settings say so with the file's field.

--- a/internal/lab/mutate/mutations_quota.go
+++ b/internal/lab/mutate/mutations_quota.go
@@ -4,7 +4,7 @@
 var quotaMutations = []mutation{
 	{
 		name: "new-leader-gives-at-once",
-		file: "internal/quota/coordinator.go",
+		file: "internal/quota/reserve.go",
 		old:  "	return min(p.dealt, p.reported)\n",
 		new:  "	return p.limit",
 		pkg:  "./internal/quota", test: "TestNoWindowHoldsMoreThanTheLimit",
@@ -67,7 +67,7 @@
 	},
 	{
 		name: "new-leader-deals-what-others-may-hold",
-		file: "internal/quota/coordinator.go",
+		file: "internal/quota/reserve.go",
 		old:  "			p.calm, p.unknown = true, min(p.unknown, p.dealtBefore(dealt.of(name)))",
 		new:  "			p.calm, p.unknown = true, 0",
 		pkg:  "./internal/quota", test: "TestWhatANewLeaderDealsAtOnce",
--- a/internal/router/revocation.go
+++ b/internal/router/revocation.go
@@ -5,12 +5,11 @@
 
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/peerlink"
+	"github.com/shalefork/shalefork/internal/settings"
 )
 
-// revokeMargin is kept from the time within which a key that was taken away must be refused: what
-// a leader tells may be 2.2 s old before it calls itself deaf, and a request that is let in takes
-// a moment to its worker.
-const revokeMargin = 2400 * time.Millisecond
+// revokeMargin is kept from the time within which callers whose key was taken away must be refused.
+const revokeMargin = settings.LeastRevokeWithin
 
 // noteConfigTold notes as of when a leader or relay that reaches the store has told the
 // configuration, if this process has all of it.
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -1,6 +1,8 @@
 package settings
 
 import (
+	"time"
+
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/strictyaml"
 	"github.com/shalefork/shalefork/internal/topology"
@@ -80,6 +82,11 @@
 	RevocationStrict Revocation = "strict"
 )
 
+// LeastRevokeWithin is how old what a router is told may be without a fault: what a leader tells
+// may be 2.2 s old before it says that it does not reach the store, and a request that is let in
+// takes a moment to its worker. With less, each caller with a key would be refused always.
+const LeastRevokeWithin = 2400 * time.Millisecond
+
 // QuotaLimits say what is still within a tenant's limit: in each window, its rate times the
 // window and its burst, a share of both beyond that, and a fixed number of requests.
 type QuotaLimits struct {
@@ -157,6 +164,9 @@
 			problems = append(problems, problem(one.field, "a duration above zero"))
 		}
 	}
+	if router.Revocation == RevocationStrict && router.RevokeWithin.Std() <= LeastRevokeWithin {
+		problems = append(problems, problem("revoke_within", "a duration above "+LeastRevokeWithin.String()))
+	}
 	if _, named := router.Regions[router.Zone]; len(router.Regions) > 0 && !named {
 		problems = append(problems, problem("regions", "the region of zone "+router.Zone))
 	}
--- a/internal/settings/router_test.go
+++ b/internal/settings/router_test.go
@@ -48,17 +48,18 @@
 
 func TestReadRouterNamesLineAndField(t *testing.T) {
 	for change, expected := range map[string]string{
-		`store: "10.0.0.9:90"|store: nowhere`:   "router.yaml:7",
-		`  ratio: 0.2|  ratio: 3`:               "retry.ratio",
-		`zone: z1|zone: ""`:                     "zone",
-		`"10.0.0.1:82"|"10.0.0.1:80"`:           "another address than listen",
-		`node: r1|nodes: r1`:                    "unknown field",
-		`  ratio: 0.2|  window: "0s"`:           "retry.window",
-		`store: "10.0.0.9:90"|max_hold: "soon"`: "max_hold",
-		`  ratio: 0.2|quota: {overshoot: 2}`:    "quota.overshoot",
-		"zone: z1|zone: z1\nrevocation: never":  "revocation",
-		`  ratio: 0.2|regions: {z2: r}`:         "the region of zone z1",
-		`  ratio: 0.2|regions: {z1: r, z1: q}`:  "regions",
+		`store: "10.0.0.9:90"|store: nowhere`:                                    "router.yaml:7",
+		`  ratio: 0.2|  ratio: 3`:                                                "retry.ratio",
+		`zone: z1|zone: ""`:                                                      "zone",
+		`"10.0.0.1:82"|"10.0.0.1:80"`:                                            "another address than listen",
+		`node: r1|nodes: r1`:                                                     "unknown field",
+		`  ratio: 0.2|  window: "0s"`:                                            "retry.window",
+		`store: "10.0.0.9:90"|max_hold: "soon"`:                                  "max_hold",
+		`  ratio: 0.2|quota: {overshoot: 2}`:                                     "quota.overshoot",
+		"zone: z1|zone: z1\nrevocation: never":                                   "revocation",
+		"  ratio: 0.2|  ratio: 0.2\nrevocation: strict\nrevoke_within: \"2.4s\"": "revoke_within",
+		`  ratio: 0.2|regions: {z2: r}`:                                          "the region of zone z1",
+		`  ratio: 0.2|regions: {z1: r, z1: q}`:                                   "regions",
 	} {
 		old, fresh, _ := strings.Cut(change, "|")
 		_, err := ReadRouter("router.yaml", []byte(strings.Replace(routerFile, old, fresh, 1)), nil)
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -12,18 +12,6 @@
 // ID names a worker. A worker may start again under the ID that it had.
 type ID string
 
-// Life is one run of a worker, from its start to its end. Two lives are only compared for
-// equality: which of them is newer is told by the store's revision, since a worker's time
-// of day may step back.
-type Life struct {
-	ID ID
-	// Born is what the worker says of the time of its start; zero if it says nothing.
-	Born Born
-}
-
-// Born is a worker's start, in milliseconds since 1970 by the worker's own clock.
-type Born int64
-
 // State is a worker's own word.
 type State string
 
@@ -111,20 +99,6 @@
 // may be back soon: entries go while the service is disturbed.
 const listAge = time.Second
 
-// Learned is since when changes of workers are known to the first process that heard of them:
-// the time for which a worker that leaves may get requests counts from then, in all processes:
-// a router that the store refuses hears from its neighbours a second late. A worker that is not
-// named was heard of just now.
-type Learned map[ID]time.Time
-
-// of returns since when a worker's change is known.
-func (l Learned) of(id ID, now time.Time) time.Time {
-	if at := l[id]; !at.IsZero() && at.Before(now) {
-		return at
-	}
-	return now
-}
-
 // ListedSince returns since when what a list tells may stand, if all was known at a time before:
 // a list does not tell when what is new in it happened.
 func (d *Directory) ListedSince(since time.Time) time.Time {
