Split the mutations by what they break

Cause: mutations.go had grown to 463 lines, and its list of promises mixed owners, lives, requests and news, so that a reader could not see which rules have a mutation and which have none.

Change: moves only, into owners (19), lives (10), requests (12) and news (22). The type and the list of lists stay. Ruled out: a file for each package, since a rule often spans several.

--- /dev/null
+++ b/internal/lab/mutate/mutations_requests.go
@@ -0,0 +1,89 @@
+package main
+
+// requestMutations let requests run twice or too often, or lose and mix up their answers.
+var requestMutations = []mutation{
+	{
+		name: "sent-again-after-it-may-have-run",
+		file: "internal/proxy/call.go",
+		old:  "\treturn c.repeatable() && c.allowed",
+		new:  "\treturn c.allowed",
+		pkg:  "./internal/proxy", test: "TestUnsafeRequestIsSentOnceAfterItsFirstByte",
+	},
+	{
+		name: "sends-under-way-not-counted",
+		file: "internal/proxy/allowance.go",
+		old:  "\treturn a.underWay+a.ran < a.attempts",
+		new:  "\treturn a.ran < a.attempts",
+		pkg:  "./internal/proxy", test: "TestNoOrderOfEndsRunsARequestTooOften",
+	},
+	{
+		name: "second-copy-beyond-the-attempts",
+		file: "internal/proxy/hedge.go",
+		old:  "\tif !c.allowed.left() ||",
+		new:  "\tif",
+		pkg:  "./internal/proxy", test: "TestNoSecondCopyBeyondTheAttempts",
+	},
+	{
+		name: "failed-copy-ends-the-other",
+		file: "internal/proxy/hedge.go",
+		old:  " && r.Status < http.StatusInternalServerError\n",
+		new:  " && r.Status < http.StatusInternalServerError*2\n",
+		pkg:  "./internal/proxy", test: "TestAFailedCopyLeavesTheOtherAtWork",
+	},
+	{
+		name: "cold-worker-gets-any-number",
+		file: "internal/proxy/coldgate.go",
+		old:  "\treturn g.tokens >= 1",
+		new:  "\treturn true",
+		pkg:  "./internal/proxy", test: "TestAColdWorkerGetsWhatItBearsFromAllTogether",
+	},
+	{
+		name: "written-to-a-connection-that-is-reset",
+		file: "internal/upstream/exchange.go",
+		old:  "\tif message.Once && !connection.used &&",
+		new:  "\tif false &&",
+		pkg:  "./internal/proxy", test: "TestARequestThatAWorkerHasNoConnectionForDidNotRun",
+	},
+	{
+		name: "scarce-slack-used-by-all",
+		file: "internal/proxy/budget.go",
+		old:  "bool { return b.slack(nodes) < 1 }",
+		new:  "bool { return false }",
+		pkg:  "./internal/proxy", test: "TestASmallSlackIsKeptByManyProcesses",
+	},
+	{
+		name: "slack-comes-back-beside-what-is-saved-up",
+		file: "internal/proxy/budget.go",
+		old:  "max(0, b.slack(nodes)-burst)",
+		new:  "burst",
+		pkg:  "./internal/proxy", test: "TestASmallSlackIsKeptByManyProcesses",
+	},
+	{
+		name: "answer-of-another-request",
+		file: "internal/upstream/exchange.go",
+		old:  "\t\tif response.Header.Get(e.headers.RequestID) == e.message.ID {",
+		new:  "\t\tif true {",
+		pkg:  "./internal/proxy", test: "TestSurplusAnswerIsReadPast",
+	},
+	{
+		name: "success-without-a-signature",
+		file: "internal/upstream/exchange.go",
+		old:  "\tcase response.StatusCode/100 == 2 && response",
+		new:  "\tcase false && response",
+		pkg:  "./internal/proxy", test: "TestSuccessWithoutSignatureIsNotTheWorkers",
+	},
+	{
+		name: "planned-stop-cuts",
+		file: "internal/router/serve.go",
+		old:  "\t_ = server.Shutdown(bounded)",
+		new:  "\t_ = bounded\n\t_ = server.Close()",
+		pkg:  "./platform/session", test: "TestPlannedStopCutsNothing",
+	},
+	{
+		name: "quarantined-request-waits-its-turn",
+		file: "internal/quarantine/ledger.go",
+		old:  "entry.version > upTo && entry.record.Standing() != Quarantined",
+		new:  "entry.version > upTo",
+		pkg:  "./internal/quarantine", test: "TestWhatALedgerTells",
+	},
+}
