Let a list that takes long go on where it stood

A list of workers had 1.5 s for all of its pages and began again when it took longer: over a slow or busy link, where each of many routers reads some thousands of entries, none ever had one.

Each page has that time now, and one that fails is asked for again. Ruled out: a longer time for the whole, which holds for one size only.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -71,12 +71,23 @@
 	ErrRefused = errs.New("the service refused the call")
 )
 
+// Page is a part of the items under a prefix.
+type Page struct {
+	// Items in the order of their keys.
+	Items []Item
+	// At is the revision of the service at which the page was read.
+	At Revision
+	// More says that items follow; the next page begins after the last key of this one.
+	More bool
+}
+
 // Store is the key-value service.
 type Store interface {
 	// Get returns an item; found is false if there is none.
 	Get(ctx context.Context, key string) (item Item, found bool, err error)
-	// List returns all items under a prefix, and the revision to watch from.
-	List(ctx context.Context, prefix string) (items []Item, at Revision, err error)
+	// ListPage returns the items under a prefix whose keys come after one; empty: from the
+	// first. Pages are no snapshot (see List).
+	ListPage(ctx context.Context, prefix, after string) (Page, error)
 	// Watch waits at most wait for changes under a prefix after a revision. The
 	// next watch goes on from at. ErrNoHistory: list anew.
 	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (events []Event, at Revision, err error)
@@ -90,3 +101,40 @@
 	// EndLease ends a lease and removes its keys.
 	EndLease(ctx context.Context, lease LeaseID) error
 }
+
+// List returns all items under a prefix, and the revision to watch from: that of the first page,
+// since what changed while the others were read is told by the changes after it.
+func List(ctx context.Context, store Store, prefix string) ([]Item, Revision, error) {
+	var reading Reading
+	for !reading.Done {
+		page, err := store.ListPage(ctx, prefix, reading.After)
+		if err != nil {
+			return nil, 0, err
+		}
+		reading.Add(page)
+	}
+	return reading.Items, reading.At, nil
+}
+
+// Reading is a list of which some pages were read. The zero value has none. It goes on after a
+// page that failed, so that a list that takes long is not begun again.
+type Reading struct {
+	Items []Item
+	// At is the revision of the first page, and After is where the next one begins.
+	At    Revision
+	After string
+	// Done says that there are no more pages.
+	Done bool
+}
+
+// Add takes the next page.
+func (r *Reading) Add(page Page) {
+	if r.After == "" {
+		r.At = page.At
+	}
+	r.Items = append(r.Items, page.Items...)
+	if len(page.Items) > 0 {
+		r.After = page.Items[len(page.Items)-1].Key
+	}
+	r.Done = !page.More || len(page.Items) == 0
+}
--- a/internal/coord/follow.go
+++ b/internal/coord/follow.go
@@ -16,8 +16,9 @@
 	// followPause is the wait after a failed call, and longestPause after many.
 	followPause  = 250 * time.Millisecond
 	longestPause = time.Second
-	// listTimeout bounds one list.
-	listTimeout = 1500 * time.Millisecond
+	// pageTimeout bounds one page of a list. A list has as many as it needs: what bounded it
+	// as a whole would begin a long one on a slow link again and again.
+	pageTimeout = 1500 * time.Millisecond
 	// catchUpWait is how long a watch may stay silent that reads what has changed.
 	catchUpWait = 20 * time.Millisecond
 	// pauseLook is the pause between looks whether following is paused still.
@@ -61,6 +62,9 @@
 	// Told waits, before the first list, whether others tell all that there is, up to the
 	// revision Covered; nil: nobody does.
 	Told func(ctx context.Context) bool
+	// More waits, once the first page of a list shows that others follow, for whether others tell
+	// all that there is meanwhile; false: the pages are to be read. Nil: they are read at once.
+	More func(ctx context.Context) bool
 }
 
 // Follow keeps a view up to date until ctx ends.
@@ -81,9 +85,13 @@
 	options Options
 	at      Revision
 	listed  bool
+	// reading is a list that was begun.
+	reading Reading
 	// asked says that others were waited for.
 	asked bool
 	lost  bool
+	// began is when the first page of the list was sent for.
+	began time.Time
 	// sent is when the last call was sent, and away a time at which the service was away:
 	// when the last call that failed was sent, or was refused.
 	sent, away time.Time
@@ -129,21 +137,40 @@
 	return f.listed
 }
 
+// list reads a page of a list, the first or the next one, and takes the list with its last page.
 func (f *follower) list(ctx context.Context) error {
-	bounded, cancel := context.WithTimeout(ctx, listTimeout)
+	if f.reading.After != "" && f.options.More != nil && f.options.More(ctx) {
+		f.reading = Reading{}
+		f.listed, f.at = true, max(f.at, f.options.Covered())
+		return nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, pageTimeout)
 	defer cancel()
 	f.sent = clock.Now()
-	items, at, err := f.store.List(bounded, f.prefix)
+	if f.reading.After == "" {
+		f.began = f.sent
+	}
+	page, err := f.store.ListPage(bounded, f.prefix, f.reading.After)
 	if err != nil {
 		return err
 	}
 	f.regain()
-	f.at, f.listed = max(f.at, at), true
-	f.view.Snapshot(items, at)
-	f.reached(f.sent)
+	f.reading.Add(page)
+	if f.reading.Done {
+		f.take(f.reading)
+	}
 	return nil
 }
 
+// take takes a list that was read whole: all that changed since its first page was sent for is
+// still to be read.
+func (f *follower) take(list Reading) {
+	f.reading = Reading{}
+	f.at, f.listed = max(f.at, list.At), true
+	f.view.Snapshot(list.Items, list.At)
+	f.reached(f.began)
+}
+
 // reached tells that all is known as of a time.
 func (f *follower) reached(at time.Time) {
 	if f.options.Reached != nil {
--- a/internal/coord/memory/memory.go
+++ b/internal/coord/memory/memory.go
@@ -36,6 +36,8 @@
 	lateBy   time.Duration
 	// Calls counts the calls that arrived, by name.
 	Calls map[string]int
+	// PageItems is how many items a page of a list has; zero: all.
+	PageItems int
 }
 
 type lease struct {
@@ -105,21 +107,24 @@
 	return item, found, nil
 }
 
-// List implements coord.Store.
-func (s *Store) List(ctx context.Context, prefix string) ([]coord.Item, coord.Revision, error) {
+// ListPage implements coord.Store.
+func (s *Store) ListPage(ctx context.Context, prefix, after string) (coord.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.arrive(ctx, "list"); err != nil {
-		return nil, 0, err
+		return coord.Page{}, err
 	}
-	var list []coord.Item
+	page := coord.Page{At: s.revision}
 	for key, item := range s.items {
-		if strings.HasPrefix(key, prefix) {
-			list = append(list, item)
+		if strings.HasPrefix(key, prefix) && key > after {
+			page.Items = append(page.Items, item)
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
-	return list, s.revision, nil
+	sort.Slice(page.Items, func(i, j int) bool { return page.Items[i].Key < page.Items[j].Key })
+	if s.PageItems > 0 && len(page.Items) > s.PageItems {
+		page.Items, page.More = page.Items[:s.PageItems], true
+	}
+	return page, nil
 }
 
 // Watch implements coord.Store.
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -128,7 +128,7 @@
 	}
 	// The service no longer keeps what happened after that revision: the key itself
 	// shows whether it was changed.
-	items, at, err := e.store.List(bounded, e.LeaderKey())
+	items, at, err := coord.List(bounded, e.store, e.LeaderKey())
 	unchanged := slices.ContainsFunc(items, func(one coord.Item) bool { return one.Revision == leader.Revision })
 	return !unchanged, at, err
 }
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -73,14 +73,14 @@
 		overview.Leader, overview.Term = leader.Address, leader.Term
 	}
 	records := keeper.RecordKey(prefix, "")
-	items, _, err := store.List(ctx, records)
+	items, _, err := coord.List(ctx, store, records)
 	if err != nil {
 		return Overview{}, errs.Combine(registry.ErrUnavailable, err)
 	}
 	for _, item := range items {
 		overview.Services = append(overview.Services, ownedByTerm(strings.TrimPrefix(item.Key, records), item.Value))
 	}
-	entries, _, err := store.List(ctx, announced.Prefix)
+	entries, _, err := coord.List(ctx, store, announced.Prefix)
 	if err != nil {
 		return Overview{}, errs.Combine(registry.ErrUnavailable, err)
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -60,7 +60,7 @@
 
 // others returns the bundles of the other teams that may come into force.
 func (r *Registry) others(ctx context.Context, team bundle.TeamName) ([]bundle.Bundle, error) {
-	items, _, err := r.store.List(ctx, r.prefix)
+	items, _, err := coord.List(ctx, r.store, r.prefix)
 	if err != nil {
 		return nil, errs.Combine(ErrUnavailable, err)
 	}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -135,12 +135,12 @@
 	return item, found, err
 }
 
-// List implements coord.Store.
-func (s *meteredStore) List(ctx context.Context, prefix string) ([]coord.Item, coord.Revision, error) {
+// ListPage implements coord.Store.
+func (s *meteredStore) ListPage(ctx context.Context, prefix, after string) (coord.Page, error) {
 	began := clock.Now()
-	items, at, err := s.Store.List(ctx, prefix)
+	page, err := s.Store.ListPage(ctx, prefix, after)
 	s.done("list", began, err)
-	return items, at, err
+	return page, err
 }
 
 // Watch implements coord.Store.
