Run requests of one connection side by side

Callers that send further requests before the first is answered waited for one after the other: net/http reads the next request once the one before is answered. internal/pipeline splits what is plain and may be repeated off in front of that server; answers leave in the order of the requests.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -82,7 +81,7 @@
 func (c *call) breakOff() {
 	if !c.request.ProtoAtLeast(1, 1) {
 		if connection, _, err := http.NewResponseController(c.writer).Hijack(); err == nil {
-			if tcp, ok := connection.(*net.TCPConn); ok {
+			if tcp, ok := connection.(interface{ SetLinger(int) error }); ok {
 				_ = tcp.SetLinger(0)
 			}
 			_ = connection.Close()
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -161,6 +161,17 @@
 // SetLimits changes what bounds second sends.
 func (p *Proxy) SetLimits(limits BudgetLimits) { p.fleet.setLimits(limits) }
 
+// Beside reports whether a request may run before those are answered that its caller has sent ahead
+// of it on the same connection: it may be repeated, and its answer is small.
+func (p *Proxy) Beside(request *http.Request) bool {
+	used := p.current.Load()
+	if used == nil {
+		return false
+	}
+	route := used.config.Match(request.Host, request.URL.Path)
+	return route != nil && route.Repeatable && route.Class != routing.BulkDown && route.Class != routing.BulkUp
+}
+
 // Config returns the configuration in force, nil if there is none.
 func (p *Proxy) Config() *routing.Config {
 	if used := p.current.Load(); used != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,6 +25,7 @@
 	"github.com/shalefork/shalefork/internal/keytable"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/peerlink"
+	"github.com/shalefork/shalefork/internal/pipeline"
 	"github.com/shalefork/shalefork/internal/proxy"
 	"github.com/shalefork/shalefork/internal/registry"
 	"github.com/shalefork/shalefork/internal/routing"
@@ -124,6 +125,8 @@
 	// strongest holds the greatest strength of all machines, as bits of a float64.
 	strongest atomic.Uint64
 	quotas    *quotas
+	// rows are the requests that run behind others on their connections.
+	rows *pipeline.Rows
 }
 
 // queuedReports is how many reports wait for the keeper.
@@ -183,6 +186,7 @@
 	r.quotas = newQuotas(r)
 	r.proxy.Quota = r.quotas
 	r.hub.OnQuota(r.quotas.heard)
+	r.rows = pipeline.New(r.proxy, r.rowLimits())
 	metrics.MustRegister(r.proxy, r.quotas)
 	r.registerGauges(metrics)
 	return r
@@ -215,7 +219,8 @@
 		go func() { _ = http.Serve(listeners.metrics, r.metricsHandler()) }()
 	}
 	server := r.newServer()
-	go func() { _ = server.Serve(listeners.clients) }()
+	r.rows.Attach(server)
+	go func() { _ = server.Serve(r.rows.Listen(listeners.clients)) }()
 	<-ctx.Done()
 	r.drain(server, stopLeading, led)
 	listeners.close()
@@ -295,9 +300,29 @@
 	maxHeaderBytes = 64 << 10
 )
 
+// Bounds of requests that run behind others on their connections.
+const (
+	// rowDepth is how many of one connection do.
+	rowDepth = 16
+	// rowTotal is how many of all connections do: as many goroutines.
+	rowTotal = 1024
+	// rowHeldShare is the part of the machine's memory that their answers may take until it is
+	// their turn, and rowHeld the bytes where the memory is not known.
+	rowHeldShare = 1.0 / 32
+	rowHeld      = 4 << 20
+)
+
+// rowLimits bounds what runs behind others.
+func (r *Router) rowLimits() pipeline.Limits {
+	limits := pipeline.Limits{Depth: rowDepth, Total: rowTotal, Held: rowHeld, Beside: r.proxy.Beside}
+	if memory := r.settings.Machine.MemoryMB; memory > 0 {
+		limits.Held = int64(rowHeldShare * float64(memory) * (1 << 20))
+	}
+	return limits
+}
+
 func (r *Router) newServer() *http.Server {
 	return &http.Server{
-		Handler:           r.proxy,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
