Keep links that see nothing, and read the service for what is missed for long only

Three causes, each of which holds only while the fleet is small or busy:

- A process that has nothing to report was taken for lost after 11 s.
Before traffic no router has: all links ended twice, those of relays with all behind them, and each router read the service meanwhile.
A report goes out now and then (TestAProcessThatSeesNothingReportsNowAndThen).
What counts is for how long one change is missed (TestWhoIsToldWithoutAPause...).

Changes of workers are kept for 5 s, however many come, and 512 at the least: by their number alone, links that were told every 0.4 s lagged beyond them.

--- a/internal/peerlink/entries.go
+++ b/internal/peerlink/entries.go
@@ -11,10 +11,10 @@
 
 const (
 	// keptChanges is how many changes of workers are kept for links that lag at the least, and
-	// keptShare is their number as a part of that of the workers: many of them change at once
-	// when a service is released.
+	// keptFor is for how long all are, however many come when workers start or a service is
+	// released.
 	keptChanges = 512
-	keptShare   = 0.25
+	keptFor     = 5 * time.Second
 	// fewChanges are told as they are; more of them are packed.
 	fewChanges = 8
 	// newcomersPause is the pause between messages to a link that tell of nothing but
@@ -29,27 +29,34 @@
 	// from and to are the revisions between which all changes are kept.
 	from, to coord.Revision
 	changes  []WorkerChange
+	// came is when each of them did.
+	came []time.Time
 	// all are the last changes of the workers that have an entry; nil: no list was read.
 	all map[workers.ID]WorkerChange
 }
 
 // reset begins anew: all up to a revision was read at once.
 func (l *entryLog) reset(list []WorkerChange, at coord.Revision) {
-	l.from, l.to, l.changes, l.all = at, at, nil, map[workers.ID]WorkerChange{}
+	l.from, l.to, l.changes, l.came, l.all = at, at, nil, nil, map[workers.ID]WorkerChange{}
 	for _, one := range list {
 		l.all[one.ID] = one
 	}
 }
 
 // add takes changes that lead up to a revision.
-func (l *entryLog) add(changes []WorkerChange, at coord.Revision) {
+func (l *entryLog) add(changes []WorkerChange, at coord.Revision, now time.Time) {
 	l.changes = append(l.changes, changes...)
+	for range changes {
+		l.came = append(l.came, now)
+	}
 	l.to = max(l.to, at)
 	l.know(changes)
-	kept := max(keptChanges, int(keptShare*float64(len(l.all))))
-	if surplus := len(l.changes) - kept; surplus > 0 {
+	old, _ := slices.BinarySearchFunc(l.came, now.Add(-keptFor), time.Time.Compare)
+	surplus := min(old, len(l.changes)-keptChanges)
+	if surplus > 0 {
 		l.from = l.changes[surplus-1].Revision
-		l.changes = append([]WorkerChange(nil), l.changes[surplus:]...)
+		l.changes = slices.Clone(l.changes[surplus:])
+		l.came = slices.Clone(l.came[surplus:])
 	}
 }
 
@@ -187,7 +194,7 @@
 func (h *Hub) EntriesChanged(changes []WorkerChange, at coord.Revision) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.entries.add(changes, at)
+	h.entries.add(changes, at, clock.Now())
 	h.wakeAll()
 }
 
--- a/internal/peerlink/follow.go
+++ b/internal/peerlink/follow.go
@@ -38,6 +38,9 @@
 	reportEach  = 3 * time.Millisecond
 	// urgentEvery is the least pause between reports.
 	urgentEvery = 40 * time.Millisecond
+	// emptyEvery is the pause after which a report is sent that tells nothing: who is silent
+	// counts as lost.
+	emptyEvery = reportSilence / 4
 )
 
 // Follower is the other processes' side.
@@ -146,6 +149,7 @@
 func (f *Follower) report(conn net.Conn, siblings *atomic.Int32, done <-chan struct{}) {
 	due := time.NewTimer(reportEvery)
 	defer due.Stop()
+	sent := time.Now()
 	for {
 		var report Report
 		select {
@@ -157,9 +161,10 @@
 			report = f.Take()
 			due.Reset(reportEvery + time.Duration(siblings.Load())*reportEach)
 		}
-		if report.Empty() {
+		if report.Empty() && time.Since(sent) < emptyEvery {
 			continue
 		}
+		sent = time.Now()
 		if writeLine(conn, report) != nil {
 			return
 		}
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -23,6 +23,8 @@
 	// SilenceLimit is the silence after which a leader counts as lost. Until then its
 	// links know nothing of changes that it does not tell.
 	SilenceLimit = 1100 * time.Millisecond
+	// reportSilence is the same for a process that follows.
+	reportSilence = 10 * SilenceLimit
 	// helloTimeout bounds the wait for the first line.
 	helloTimeout = 2 * time.Second
 	// writeTimeout bounds the time in which a link takes nothing, and writePiece is how many
@@ -322,7 +324,7 @@
 func (h *Hub) receive(one *link, reader *bufio.Reader) {
 	defer func() { _ = one.conn.Close() }()
 	for {
-		_ = one.conn.SetReadDeadline(time.Now().Add(10 * SilenceLimit))
+		_ = one.conn.SetReadDeadline(time.Now().Add(reportSilence))
 		var report Report
 		if err := readLine(reader, &report); err != nil {
 			return
--- a/internal/peerlink/lines_test.go
+++ b/internal/peerlink/lines_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -41,6 +42,25 @@
 	assert.Equal(t, len(got), maxLine/2)
 }
 
+// A process that saw nothing, as all do before requests come, was taken for lost after a while: its
+// link ended, with those of all that followed it.
+func TestAProcessThatSeesNothingReportsNowAndThen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		follower := Follower{Take: func() Report { return Report{} }}
+		done := make(chan struct{})
+		go follower.report(near, &atomic.Int32{}, done)
+		reader := bufio.NewReader(far)
+		for range 5 {
+			began := time.Now()
+			var report Report
+			assert.NilError(t, readLine(reader, &report))
+			assert.Assert(t, time.Since(began) <= reportSilence/3, "%v", time.Since(began))
+		}
+		close(done)
+	})
+}
+
 // FuzzReadLine shows that no input makes the reader of lines panic.
 func FuzzReadLine(f *testing.F) {
 	f.Add([]byte(`{"l":true,"t":3,"s":[{"s":"tables","r":[[0,9,0,1]]}]}` + "\n"))
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -221,9 +221,9 @@
 			now := time.Unix(1000, 0)
 			hub := NewHub("process", nil, func() Known { return Known{} })
 			one := &link{}
-			hub.entries.add([]WorkerChange{ready("a", 1)}, 1)
+			hub.entries.add([]WorkerChange{ready("a", 1)}, 1, now)
 			assert.Assert(t, hub.entriesFor(one, now) != nil)
-			hub.entries.add([]WorkerChange{c.change}, 2)
+			hub.entries.add([]WorkerChange{c.change}, 2, now)
 			assert.Equal(t, hub.entriesFor(one, now.Add(newcomersPause/2)) != nil, c.told)
 			if !c.told {
 				news := hub.entriesFor(one, now.Add(newcomersPause))
@@ -253,9 +253,11 @@
 func TestEntryLog(t *testing.T) {
 	for name, test := range map[string]struct {
 		changes int
-		since   coord.Revision
-		from    coord.Revision
-		passed  int
+		// quick says that all come at once, and not a second apart.
+		quick  bool
+		since  coord.Revision
+		from   coord.Revision
+		passed int
 	}{
 		"all":                      {changes: 5, since: 100, from: 100, passed: 5},
 		"some":                     {changes: 50, since: 147, from: 147, passed: 3},
@@ -263,13 +265,18 @@
 		"many":                     {changes: 50, since: 100, from: 100, passed: 50},
 		"from before it began":     {changes: 5, since: 40, from: 105},
 		"from before what is kept": {changes: keptChanges + 5, since: 102, from: 100 + keptChanges + 5},
+		"many that came just now":  {changes: keptChanges + 5, quick: true, since: 102, from: 102, passed: keptChanges + 3},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var log entryLog
 			log.reset(nil, 100)
+			now := time.Unix(1000, 0)
 			for index := range test.changes {
 				revision := coord.Revision(101 + index)
-				log.add([]WorkerChange{change("k", revision)}, revision)
+				log.add([]WorkerChange{change("k", revision)}, revision, now)
+				if !test.quick {
+					now = now.Add(time.Second)
+				}
 			}
 			news := log.since(test.since, time.Now())
 			if test.from == 0 {
--- a/internal/router/configview.go
+++ b/internal/router/configview.go
@@ -35,12 +35,14 @@
 	}
 	v.items = map[string]coord.Item{}
 	items = v.sealed(items)
+	newest := coord.Revision(0)
 	for _, item := range items {
-		v.r.config.read(item.Revision)
+		newest = max(newest, item.Revision)
 		v.items[item.Key] = item
 	}
 	// How long ago a zone was evacuated is not told by a list.
 	v.apply(items, at, time.Time{})
+	v.r.config.read(newest)
 }
 
 // Changed implements coord.View.
@@ -48,8 +50,9 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var fresh []coord.Item
+	newest := coord.Revision(0)
 	for _, event := range events {
-		v.r.config.read(event.Revision)
+		newest = max(newest, event.Revision)
 		switch {
 		case event.Revision <= v.at: // known from the leader
 		case event.Deleted:
@@ -61,6 +64,7 @@
 		}
 	}
 	v.apply(fresh, at, v.r.learnedByWatch(v.r.config))
+	v.r.config.read(newest) // told to others after the change itself: they would read it at once
 }
 
 // sealed returns items without API keys.
@@ -113,8 +117,8 @@
 		stand[key] = item
 	}
 	v.items = stand
-	v.r.config.read(news.Revision)
 	v.apply(items, news.Revision, news.Since(clock.Now()))
+	v.r.config.read(news.Revision)
 	return true
 }
 
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -33,8 +33,10 @@
 	// all changes were.
 	newest, covered atomic.Int64
 	renew           chan struct{}
-	// lagging is since when the leader knows more; zero if it does not.
+	// lagging is since when the leader knows a change, missed, that is not known here; zero if
+	// there is none.
 	lagging time.Time
+	missed  coord.Revision
 	// reached is as of when all was read from the service, a number of clock.Nanos.
 	reached atomic.Int64
 	// failed is when a call last found the service away, in the same form.
@@ -92,12 +94,15 @@
 
 // compare reads anew if the leader has known more for too long. It is called
 // from one goroutine.
+//
+// What counts is for how long one change is missed: where changes come without a pause there is
+// always one that is on its way.
 func (f *followed) compare(now time.Time, leader coord.Revision) {
 	switch {
 	case !f.misses(leader):
 		f.lagging = time.Time{}
-	case f.lagging.IsZero():
-		f.lagging = now
+	case f.lagging.IsZero() || !f.misses(f.missed):
+		f.lagging, f.missed = now, leader
 	case now.Sub(f.lagging) > lagAllowed:
 		f.lagging = time.Time{}
 		f.again()
@@ -265,9 +270,6 @@
 	if !update.Leaderless {
 		r.standby.Heard(update.Term, update.Mandate)
 	}
-	if update.Leading {
-		r.hub.Relay(update)
-	}
 	r.strongest.Store(math.Float64bits(update.Strongest))
 	now := clock.Now()
 	if settle := update.Known.SettleMillis; settle > 0 {
@@ -284,6 +286,9 @@
 	if update.Config != nil {
 		r.configTold(*update.Config)
 	}
+	if update.Leading { // after what it tells: else followers would miss what they hear of
+		r.hub.Relay(update)
+	}
 	r.suspectsTold(update)
 	r.quotas.granted(update.Quota)
 	if r.entries.coveredUpTo() > 0 { // else the list is still to be told or read
