Let a relay that many follow appoint relays of its own

One that is followed by more than a leader speaks with itself (32) appoints relays among them, the strongest first, and sends the others there; who goes where is by rendezvous, so that one that comes or goes moves few. Two processes pass a word on at most, which also ends circles of relays. The age adds up over both.

Ways: a tree by fan-out over zones (bytes cross zones more than once), gossip (age not bounded), more relays named by the leader (its links grow with the fleet).

--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -117,8 +117,10 @@
 	// term is that of the leader whose owners were sent, and since is when the link began.
 	term  owner.Term
 	since time.Time
-	// followers is how many processes follow the link's process.
+	// followers is how many processes follow the link's process, and subRelay says that this
+	// process, a relay, sends others to it.
 	followers int
+	subRelay  bool
 	// entries is the revision up to which the link knows of workers' entries, and
 	// entriesAt is when it was told last; config is the one that it has.
 	entries   coord.Revision
@@ -287,8 +289,11 @@
 	h.expectNodes(hello.Nodes, one.since)
 	redirect := ""
 	takes := !hello.Ask && (leading || h.takesFollowers())
-	if takes && leading {
+	switch {
+	case takes && leading:
 		redirect = h.relayFor(one, one.since)
+	case takes:
+		redirect = h.subRelayFor(one, one.since)
 	}
 	if takes = takes && redirect == ""; takes {
 		h.links[one] = struct{}{}
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -65,6 +65,8 @@
 	Relayed    bool  `json:"r,omitempty"`
 	AgeMillis  int64 `json:"a,omitempty"`
 	Leaderless bool  `json:"o,omitempty"`
+	// Hops is how many processes have passed on what is said.
+	Hops int `json:"j,omitempty"`
 	// Redirect is the address of the process to follow instead; empty: none.
 	Redirect string `json:"v,omitempty"`
 	// Followed is the address of the leader that a process follows which does not lead.
--- a/internal/peerlink/relay.go
+++ b/internal/peerlink/relay.go
@@ -10,9 +10,14 @@
 
 // With many processes the leader speaks with one relay in each zone, and the relay with
 // the others there: what the leader sends, and the bytes between zones, then grow with
-// zones and not with processes. A relay is a process that follows the leader itself. It
-// passes on what the leader tells, except what is for standbys only, and adds up the
-// reports of those that follow it.
+// zones and not with processes. A relay that is followed by more processes than a leader speaks
+// with itself appoints relays of its own among them, and sends the others there, so that what
+// one process sends is bounded whatever the size of its zone. A relay passes on what it is told,
+// except what is for standbys only, and adds up the reports of those that follow it.
+
+// mostHops is how many processes pass a leader's word on at the most: a relay of a zone and one of
+// its own. More of them would let the word grow too old, and a circle of relays end nowhere.
+const mostHops = 2
 
 const (
 	// relaySettle is how long the first processes of a zone are linked before one on a
@@ -40,7 +45,7 @@
 // head describes what a relay says in each message.
 func (u *upstream) head(update *Update, own Known, now time.Time) {
 	update.Relayed, update.Leaderless, update.Redirect = true, u.lost, u.leaveTo
-	update.Nodes = u.heard.Nodes
+	update.Nodes, update.Hops = u.heard.Nodes, u.hops()
 	update.AgeMillis = max(0, now.Sub(u.fresh)).Milliseconds()
 	update.Known = Known{
 		Config: max(own.Config, u.heard.Known.Config), Workers: max(own.Workers, u.heard.Known.Workers),
@@ -53,10 +58,14 @@
 	update.Strongest = max(update.Strongest, u.heard.Strongest)
 }
 
+// hops is how many processes have passed the word on that this one tells.
+func (u *upstream) hops() int { return u.heard.Hops + 1 }
+
 // OnReported sets what is called with the reports of processes that follow this relay.
 func (h *Hub) OnReported(call func(Report)) { h.reported = call }
 
-// Relay takes what the leader says: from now on other processes may follow this one.
+// Relay takes what the leader says, or a relay of it: from now on other processes may follow this
+// one, unless as many pass the word on already as may.
 func (h *Hub) Relay(heard Update) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -66,10 +75,10 @@
 	if h.upstream == nil {
 		h.upstream = &upstream{}
 	}
-	h.upstream.lost, h.upstream.leaveTo = false, ""
-	h.upstream.heard = Update{Nodes: heard.Nodes, Known: heard.Known, Strongest: heard.Strongest}
+	h.upstream.lost, h.upstream.leaveTo = heard.Leaderless, ""
+	h.upstream.heard = Update{Nodes: heard.Nodes, Known: heard.Known, Strongest: heard.Strongest, Hops: heard.Hops}
 	if !heard.Deaf {
-		h.upstream.refresh(clock.Now())
+		h.upstream.refresh(clock.Now().Add(-heard.Age()))
 	}
 }
 
@@ -119,7 +128,9 @@
 // takesFollowers reports whether this process is a relay, and not one that has sent its
 // followers away: it may be about to lead, and would send the next ones to where it went
 // itself. The caller holds mu.
-func (h *Hub) takesFollowers() bool { return h.upstream != nil && h.upstream.leaveTo == "" }
+func (h *Hub) takesFollowers() bool {
+	return h.upstream != nil && h.upstream.leaveTo == "" && h.upstream.hops() <= mostHops
+}
 
 // LeaveTo sends all that follow this relay to another process, and takes no new ones until
 // it follows a leader again.
@@ -132,14 +143,24 @@
 	}
 }
 
-// Followers returns how many processes follow this relay; zero for a leader.
+// Followers returns how many processes follow this relay, themselves or through relays of its own;
+// zero for a leader.
 func (h *Hub) Followers() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.leading {
 		return 0
 	}
-	return len(h.links)
+	return h.linkedNodes()
+}
+
+// linkedNodes is how many processes are linked here, or follow those that are. The caller holds mu.
+func (h *Hub) linkedNodes() int {
+	count := len(h.links)
+	for one := range h.links {
+		count += one.followers
+	}
+	return count
 }
 
 // expectNodes takes a process's word on how many there are. The caller holds mu.
@@ -152,10 +173,7 @@
 // nodes returns how many processes there are. Those that change their link count on for
 // a moment. The caller holds mu.
 func (h *Hub) nodes(now time.Time) int {
-	count := 1 + len(h.links)
-	for one := range h.links {
-		count += one.followers
-	}
+	count := 1 + h.linkedNodes()
 	if count >= h.mostNodes || now.Sub(h.mostNodesAt) > nodesMemory {
 		h.mostNodes, h.mostNodesAt = count, now
 	}
--- /dev/null
+++ b/internal/peerlink/subrelay_test.go
@@ -0,0 +1,130 @@
+package peerlink
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/owner"
+)
+
+// zoneRelay is a relay that follows a leader, with links to processes of its zone.
+func zoneRelay(direct, strong, weak int, now time.Time) (*Hub, []*link) {
+	hub := NewHub("relay", nil, func() Known { return Known{} })
+	hub.DirectNodes = direct
+	hub.Relay(Update{Leading: true, Nodes: 900})
+	var links []*link
+	for index := range strong + weak {
+		hello := Hello{Process: fmt.Sprint("p", index), Address: fmt.Sprintf("10.0.0.%d:7600", index), Zone: "z", Strength: 0.2}
+		if index >= weak { // they come last
+			hello.Strength = 1
+		}
+		one := newLink(hello)
+		one.since = now
+		hub.links[one] = struct{}{}
+		links = append(links, one)
+	}
+	return hub, links
+}
+
+// What a relay sends must not grow with its zone: of 200 or 400 processes it speaks with some ten.
+func TestARelayOfManyHasRelaysOfItsOwn(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for name, test := range map[string]struct {
+		strong, weak int
+		after        time.Duration
+		relays       int
+	}{
+		"few":                       {strong: 2, weak: 20, after: time.Second},
+		"a zone of 200":             {strong: 10, weak: 190, relays: 7},
+		"twice as many":             {strong: 20, weak: 380, relays: 13},
+		"weak ones, at first":       {weak: 200},
+		"weak ones, after a moment": {weak: 200, after: relaySettle, relays: 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			hub, links := zoneRelay(32, test.strong, test.weak, start)
+			followers := map[string]int{}
+			for _, one := range links {
+				if address := hub.subRelayFor(one, start.Add(test.after)); address != "" {
+					followers[address]++
+				}
+			}
+			assert.Equal(t, len(followers), test.relays)
+			relays := map[string]*link{}
+			for _, one := range links {
+				if one.subRelay {
+					relays[one.hello.Address] = one
+					assert.Equal(t, hub.subRelayFor(one, start.Add(time.Second)), "", "it stays")
+				}
+			}
+			for address, count := range followers {
+				assert.Assert(t, relays[address] != nil)
+				assert.Assert(t, count <= 2*32, "%d follow one", count)
+				if test.strong >= test.relays {
+					assert.Equal(t, relays[address].hello.Strength, 1.0)
+				}
+			}
+		})
+	}
+}
+
+func TestARelayOfARelay(t *testing.T) {
+	start := time.Unix(1000, 0)
+	hub, links := zoneRelay(4, 8, 20, start)
+	late := start.Add(time.Second)
+	weak := links[0]
+	first := hub.subRelayFor(weak, late)
+	assert.Assert(t, first != "")
+	assert.Equal(t, hub.subRelayFor(weak, late), first, "the same again")
+	weak.hello.Avoid = first
+	second := hub.subRelayFor(weak, late)
+	assert.Assert(t, second != "" && second != first, "not the one that was lost")
+
+	// It takes followers, and appoints none itself: its own word is passed on twice already.
+	sub, subLinks := zoneRelay(4, 8, 20, start)
+	sub.upstream = nil
+	sub.Relay(Update{Relayed: true, Hops: 1, AgeMillis: 400})
+	assert.Assert(t, sub.takesFollowers())
+	assert.Equal(t, sub.subRelayFor(subLinks[0], late), "")
+	head, ok := sub.head(subLinks[0], time.Now())
+	assert.Assert(t, ok)
+	assert.Equal(t, head.Hops, 2)
+	assert.Assert(t, head.Age() >= 400*time.Millisecond, "the age of both")
+
+	last := NewHub("last", nil, func() Known { return Known{} })
+	last.Relay(head)
+	assert.Assert(t, !last.takesFollowers(), "so a circle of relays ends")
+	sub.Relay(Update{Relayed: true, Hops: 1, Leaderless: true})
+	head, _ = sub.head(subLinks[0], time.Now())
+	assert.Assert(t, head.Leaderless, "the relay that it follows has lost its leader")
+}
+
+// Owners, workers and reports pass through both relays.
+func TestWhatIsToldPassesTwoRelays(t *testing.T) {
+	leader, reports, address := leading(t, 3)
+	leader.Publish("s", run("a"))
+	for range mostHops {
+		hub, own := relaying(t)
+		hub.OnReported(func(report Report) {
+			hub.mu.Lock()
+			defer hub.mu.Unlock()
+			reports <- report
+		})
+		f := follow(t, address)
+		eventually(t, "owners", f.owns(7, "a"))
+		owners, term, version := f.table.Owners("s")
+		hub.Relay(Update{Leading: true, Nodes: 50})
+		hub.RelayOwners("s", owners, term, version)
+		address = own
+	}
+	f := follow(t, address)
+	eventually(t, "owners", f.owns(7, "a"))
+	_, term, version := f.table.Owners("s")
+	assert.Equal(t, term, owner.Term(3))
+	assert.Equal(t, version, uint64(1))
+	f.meter.Asked("s", 5)
+	report := <-reports
+	assert.DeepEqual(t, report.Keys["s"], []int{5, 1})
+}
--- a/internal/peerlink/update.go
+++ b/internal/peerlink/update.go
@@ -43,6 +43,9 @@
 		update.Redirect = h.relayFor(one, now)
 	case h.upstream != nil:
 		h.upstream.head(&update, h.known(), now)
+		if update.Redirect == "" {
+			update.Redirect = h.subRelayFor(one, now)
+		}
 	default:
 		return Update{}, false
 	}
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -286,7 +286,7 @@
 	if update.Config != nil {
 		r.configTold(*update.Config)
 	}
-	if update.Leading { // after what it tells: else followers would miss what they hear of
+	if update.Leading || update.Relayed { // after what it tells: else followers would miss what they hear of
 		r.hub.Relay(update)
 	}
 	r.suspectsTold(update)
--- a/internal/router/followleader.go
+++ b/internal/router/followleader.go
@@ -22,8 +22,9 @@
 	// the relay has not, to leave: after an outage some are back sooner than others.
 	ownReach = time.Second
 	// mostRedirects is how often a process is sent on without being told anything: from
-	// the leader to a relay, from one that stops to the leader, and to the next relay.
-	mostRedirects = 3
+	// the leader to a relay and to one of its own, from one that stops to the leader, and to the
+	// next relay and one of its own.
+	mostRedirects = 5
 	aheadPatience = 1500 * time.Millisecond
 )
 
@@ -44,10 +45,8 @@
 	// aheadSince is since when this process reaches the service and a relay without a
 	// leader does not; zero: it is not so.
 	aheadSince time.Time
-	// direct says that the leader itself is followed.
-	direct  bool
-	doubted sync.Once
-	stop    context.CancelFunc
+	doubted    sync.Once
+	stop       context.CancelFunc
 }
 
 // followLeader follows the leader until it is lost, then waits until the service names
@@ -96,7 +95,7 @@
 			f.r.hub.LeaveTo(redirect.Address)
 			f.leave(redirect.Address)
 		case f.viaRelay():
-			f.r.told.end()
+			// What it told stands for as long as that of one that is silent.
 			f.r.log.Line(decision.KindRelayLost).Str("relay", f.address).Err(err).Msg("")
 			f.leave(f.leader.Address)
 		default:
@@ -131,7 +130,6 @@
 // heard takes what the followed process says.
 func (f *following) heard(update peerlink.Update) {
 	f.heardAny = true
-	f.direct = update.Leading
 	if update.Leading && f.viaRelay() { // the relay has become the leader
 		f.leader = election.Leader{Address: f.address, Term: update.Term}
 	}
@@ -165,9 +163,6 @@
 
 // applied lets others that follow this process know of changed owners.
 func (f *following) applied(service routing.ServiceName) {
-	if !f.direct {
-		return
-	}
 	owners, term, version := f.r.table.Owners(service)
 	f.r.hub.RelayOwners(service, owners, term, version)
 }
