Know when all routers have been heard, and deal limits again a window after a restart

After a restart of all routers a tenant's limit was withheld for the leases of routers that might live still (11.5 s, all of it for busy tenants), and a fifth of it for five minutes more for floors, though each router had begun another life. Routers that may hold units are stored with their lives before they are given any; a leader that has heard each of them knows that nobody else holds anything, and what was spent in lives that have ended rests for a window from when the next life began, which its stamp tells.

--- a/internal/quota/bound_test.go
+++ b/internal/quota/bound_test.go
@@ -15,7 +15,7 @@
 func TestNoWindowHoldsMoreThanTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tenant := &routing.Tenant{Name: "t", Rate: float64(rapid.IntRange(1, 30).Draw(t, "rate")), Burst: float64(rapid.IntRange(0, 40).Draw(t, "burst"))}
-		w := newWorld(t, rapid.IntRange(1, 6).Draw(t, "routers"), tenant)
+		w := newWorldOf(t, rapid.IntRange(1, 6).Draw(t, "routers"), tenant, rapid.Bool().Draw(t, "unrecorded"))
 		limit := w.bound.Allowed(tenant)
 		// lowered is when all routers knew of the last lower limit.
 		var lowered time.Time
@@ -43,6 +43,12 @@
 				r.leader = len(w.leaders) - 1
 			case "follow any":
 				r.leader = rapid.IntRange(0, len(w.leaders)-1).Draw(t, "leader")
+			case "add":
+				if len(w.routers) < 9 {
+					w.add()
+				}
+			case "store":
+				w.away = !w.away
 			case "restart all":
 				w.leader().killed = true
 				for _, one := range w.routers {
@@ -91,7 +97,7 @@
 // worldEvents name what may happen, the frequent ones several times.
 var worldEvents = []string{
 	"ask", "flood", "flood", "flood all", "flood all", "flood all", "cut", "restart", "freeze", "freeze", "kill leader",
-	"partition leader", "freeze leader", "elect", "elect", "elect", "follow", "follow", "follow any", "restart all", "return", "limit", "calm", "calm",
+	"partition leader", "freeze leader", "elect", "elect", "elect", "follow", "follow", "follow any", "restart all", "return", "limit", "calm", "calm", "store", "add",
 }
 
 func TestMain(m *testing.M) {
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -41,6 +41,8 @@
 	changes []Change
 	// removed is when tenants' limits were removed.
 	removed map[routing.TenantName]time.Time
+	// known are the routers that may hold anything, as far as that is stored.
+	known members
 }
 
 // pool is what is known of one tenant.
@@ -126,6 +128,7 @@
 		term: term, bound: bound, opened: now, first: first,
 		pools: map[routing.TenantName]*pool{}, members: map[string]*member{}, asked: map[string]*asked{},
 		removed: map[routing.TenantName]time.Time{}, busy: map[routing.TenantName]bool{},
+		known: newMembers(),
 	}
 }
 
@@ -214,20 +217,21 @@
 	m.changed = true
 }
 
-// ended takes a router out of the books whose process has ended. What it has spent until now
-// rests.
-func (c *Coordinator) ended(now time.Time, m *member) {
+// ended takes a router out of the books whose process has ended by a time. What it has spent until
+// then rests.
+func (c *Coordinator) ended(by time.Time, m *member) {
 	delete(c.members, m.node)
 	for name, h := range m.holds {
 		p := c.pools[name]
 		p.book(-h.booked, -h.floor)
-		c.end(now.Add(c.bound.rest()), name, h.booked, 0)
+		c.end(by.Add(c.bound.rest()), name, h.booked, 0)
 	}
 }
 
 // expired takes a router out of the books whose lease has ended. Its floor stays.
 func (c *Coordinator) expired(m *member) {
 	delete(c.members, m.node)
+	c.known.heldUntil[m.node] = m.floorUntil.Add(c.bound.rest())
 	for name, h := range m.holds {
 		p := c.pools[name]
 		p.book(-h.booked, -h.floor)
--- a/internal/quota/deal.go
+++ b/internal/quota/deal.go
@@ -14,10 +14,13 @@
 // the rest, so that the next request finds a unit. Where too few are left it takes from those
 // that have more.
 func (c *Coordinator) deal(now time.Time, name routing.TenantName, p *pool) {
+	if c.known.state == awaited {
+		return
+	}
 	list := make([]*member, 0, len(c.members))
 	used, held := 0, 0
 	for _, m := range c.members {
-		if now.Sub(m.stampAt) > silentFor {
+		if now.Sub(m.stampAt) > silentFor || !c.mayGive(m) {
 			continue
 		}
 		list = append(list, m)
--- a/internal/quota/grants.go
+++ b/internal/quota/grants.go
@@ -43,6 +43,15 @@
 	return m.changed || unheard || renewed || !m.greeted
 }
 
+// withheldUntil is until when units are withheld that leaders before may have given.
+func (c *Coordinator) withheldUntil() time.Time {
+	until := c.opened.Add(c.bound.Unknown())
+	if known, is := c.allKnown(); is && known.Before(until) {
+		return known
+	}
+	return until
+}
+
 // grant makes the next message to a member, and extends its lease by the newest stamp.
 func (c *Coordinator) grant(now time.Time, m *member) Grant {
 	if m.stamp > m.echoed {
@@ -50,7 +59,7 @@
 		m.until, m.floorUntil = m.stampAt.Add(Lease), m.stampAt.Add(FloorLease)
 	}
 	grant := Grant{Node: m.node, Life: m.life, Term: c.term, Stamp: m.stamp}
-	if left := c.opened.Add(c.bound.Unknown()).Sub(now); left > 0 && !c.first {
+	if left := c.withheldUntil().Sub(now); left > 0 && !c.first {
 		grant.WithheldMillis = left.Milliseconds()
 	}
 	m.greeted = true
--- a/internal/quota/hear.go
+++ b/internal/quota/hear.go
@@ -16,7 +16,7 @@
 		if told.Life < m.life {
 			return
 		}
-		c.ended(now, m)
+		c.ended(told.begun(now), m)
 		m = nil
 	}
 	starts := told.Term == 0 && told.All // it has been given nothing in its life
@@ -55,6 +55,7 @@
 		holds: map[routing.TenantName]*hold{},
 	}
 	c.members[m.node] = m
+	c.noteJoined(now, told)
 	for _, p := range c.pools {
 		p.dirty = true
 	}
--- a/internal/quota/reserve.go
+++ b/internal/quota/reserve.go
@@ -73,9 +73,12 @@
 // be given what a router may still hold that has not told it.
 func (c *Coordinator) most(now time.Time, p *pool) int {
 	since := now.Sub(c.opened)
+	known, is := c.allKnown()
 	switch {
 	case now.Before(p.frozen):
 		return 0
+	case is && now.After(known):
+		return p.dealt
 	case c.first, since > FloorLease+c.bound.rest():
 		return p.dealt
 	case since > c.bound.Unknown():
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -30,6 +30,11 @@
 	leftover Leftovers
 	reserved time.Time
 	busy     map[routing.TenantName]bool
+	// members are the stored ones; nil where none are, as they are not while unrecorded.
+	members    Members
+	unrecorded bool
+	// away says that the store does not answer.
+	away bool
 	// paced lets routers report as often as they do in earnest.
 	paced bool
 	// messages counts what was sent, and bytes how much that was.
@@ -80,16 +85,26 @@
 )
 
 func newWorld(t rapid.TB, routers int, tenant *routing.Tenant) *world {
-	w := &world{t: t, now: time.Unix(1000, 0), bound: Bound{Window: worldWindow, Overshoot: 0.1, Slack: 20}, tenant: tenant, busy: map[routing.TenantName]bool{}}
+	return newWorldOf(t, routers, tenant, false)
+}
+
+// newWorldOf returns a world in which members may not be stored.
+func newWorldOf(t rapid.TB, routers int, tenant *routing.Tenant, unrecorded bool) *world {
+	w := &world{unrecorded: unrecorded, t: t, now: time.Unix(1000, 0), bound: Bound{Window: worldWindow, Overshoot: 0.1, Slack: 20}, tenant: tenant, busy: map[routing.TenantName]bool{}}
 	w.elect()
-	for index := range routers {
-		r := &testRouter{node: fmt.Sprintf("r%d", index), tenant: tenant}
-		w.routers = append(w.routers, r)
-		w.start(r)
+	for range routers {
+		w.add()
 	}
 	return w
 }
 
+// add lets a router join that never was there.
+func (w *world) add() {
+	r := &testRouter{node: fmt.Sprintf("r%d", len(w.routers)), tenant: w.tenant}
+	w.routers = append(w.routers, r)
+	w.start(r)
+}
+
 // start begins a life of a router.
 func (w *world) start(r *testRouter) {
 	r.lives++
@@ -105,6 +120,9 @@
 
 // elect lets another leader begin, once the authority of the one before has ended.
 func (w *world) elect() {
+	if w.away {
+		return
+	}
 	if last := w.leader(); last != nil {
 		if !last.killed && w.now.Before(last.authority) {
 			return
@@ -114,6 +132,10 @@
 	term := owner.Term(len(w.leaders) + 1)
 	l := &testLeader{coordinator: NewCoordinator(w.now, term, term == 1, w.bound), authority: w.now.Add(authority)}
 	l.coordinator.Use(w.now, tenants(w.tenant))
+	if !w.unrecorded {
+		l.coordinator.AwaitMembers()
+		l.coordinator.TakeMembers(maps.Clone(w.members))
+	}
 	l.coordinator.Mark(slices.Sorted(maps.Keys(w.busy))...)
 	w.leaders = append(w.leaders, l)
 }
@@ -154,7 +176,7 @@
 		if l.killed || w.now.Before(l.frozen) {
 			continue
 		}
-		if !l.lost && index == len(w.leaders)-1 && w.now.Before(l.authority) {
+		if !l.lost && !w.away && index == len(w.leaders)-1 && w.now.Before(l.authority) {
 			l.authority = w.now.Add(authority)
 		}
 	}
@@ -175,14 +197,23 @@
 		for _, grant := range l.coordinator.Tick(w.now, w.now.Before(l.authority), len(w.routers)) {
 			w.send(envelope{leader: index, grant: grant}, delay())
 		}
-		if wanted := l.coordinator.Wanted(); index == len(w.leaders)-1 && !l.lost {
+		if wanted := l.coordinator.Wanted(); index == len(w.leaders)-1 && !l.lost && !w.away {
 			w.mark(l, wanted)
 			w.unmark(l)
 			w.claim(l)
+			w.storeMembers(l)
 		}
 	}
 }
 
+// storeMembers stores the routers that a leader is about to give units.
+func (w *world) storeMembers(l *testLeader) {
+	if fresh := l.coordinator.Unstored(w.now); fresh != nil {
+		w.members = maps.Clone(fresh)
+		l.coordinator.Stored(fresh)
+	}
+}
+
 // unmark takes off the marks of tenants that have cooled down.
 func (w *world) unmark(l *testLeader) {
 	cooled := l.coordinator.Cooled()
--- a/internal/router/quota.go
+++ b/internal/router/quota.go
@@ -180,6 +180,7 @@
 	term := tenure.Leader.Term
 	opened := refreshed()
 	coordinator := quota.NewCoordinator(opened, term, term == 1, q.bound)
+	coordinator.AwaitMembers()
 	if config := q.r.proxy.Config(); config != nil {
 		coordinator.Use(opened, config.Tenants)
 	}
--- a/internal/router/quotamarks.go
+++ b/internal/router/quotamarks.go
@@ -40,8 +40,13 @@
 		return
 	}
 	q.mark(coordinator, marks.Tenants)
+	members, ok := q.loadMembers(ctx, coordinator)
+	if !ok {
+		return
+	}
 	go q.claimReserve(ctx, tenure, coordinator)
 	for clock.Sleep(ctx, marksLook) {
+		q.keepMembers(ctx, tenure, coordinator, &members)
 		q.mu.Lock()
 		wanted, cooled := coordinator.Wanted(), coordinator.Cooled()
 		q.mu.Unlock()
--- /dev/null
+++ b/internal/router/quotamembers.go
@@ -0,0 +1,92 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/election"
+	"github.com/shalefork/shalefork/internal/quota"
+)
+
+// membersKey is where the routers stand that may hold units.
+const membersKey = "quota-members"
+
+// storedMembers is what was read or written there last.
+type storedMembers struct {
+	// revision of the stored members; zero if there are none.
+	revision coord.Revision
+}
+
+// loadMembers tells a coordinator which routers leaders before may have given units; false if ctx
+// ended before.
+func (q *quotas) loadMembers(ctx context.Context, coordinator *quota.Coordinator) (storedMembers, bool) {
+	for ctx.Err() == nil {
+		item, found, err := q.getMembers(ctx)
+		if err == nil {
+			before := q.membersOf(item, found)
+			q.mu.Lock()
+			coordinator.TakeMembers(before)
+			q.mu.Unlock()
+			return storedMembers{revision: item.Revision}, true
+		}
+		clock.Sleep(ctx, reservePause)
+	}
+	return storedMembers{}, false
+}
+
+func (q *quotas) getMembers(ctx context.Context) (coord.Item, bool, error) {
+	bounded, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	return q.r.adapter.Store.Get(bounded, KeyPrefix+membersKey)
+}
+
+// membersOf reads stored members; nil if there are none, or they can't be read: then nobody knows
+// whom leaders before gave to.
+func (q *quotas) membersOf(item coord.Item, found bool) quota.Members {
+	if !found {
+		return nil
+	}
+	members := quota.Members{}
+	if err := json.Unmarshal(item.Value, &members); err != nil {
+		q.r.log.Line(decision.KindQuotaReserve).Int64("revision", int64(item.Revision)).Err(err).Msg("the stored members can't be read")
+		return nil
+	}
+	return members
+}
+
+// keepMembers stores the routers that are to be given units, if any of them is not stored yet. What
+// is not known to be done is tried again.
+func (q *quotas) keepMembers(ctx context.Context, tenure *election.Tenure, coordinator *quota.Coordinator, stored *storedMembers) {
+	q.mu.Lock()
+	fresh := coordinator.Unstored(clock.Now())
+	q.mu.Unlock()
+	if fresh == nil {
+		return
+	}
+	value, err := json.Marshal(fresh)
+	if err != nil {
+		panic(err) // plain data
+	}
+	bounded, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	revision, err := q.r.adapter.Store.Commit(bounded, coord.Txn{
+		Conditions: []coord.Condition{
+			{Key: q.r.election.LeaderKey(), Revision: tenure.Leader.Revision}, {Key: KeyPrefix + membersKey, Revision: stored.revision},
+		},
+		Puts: []coord.Put{{Key: KeyPrefix + membersKey, Value: value}},
+	})
+	if err != nil {
+		// An earlier write of this leader may have been done unseen: its routers are a part of these.
+		if item, _, err := q.getMembers(bounded); err == nil {
+			stored.revision = item.Revision
+		}
+		return
+	}
+	stored.revision = revision
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	coordinator.Stored(fresh)
+}
