Choose among some of a service's workers where there are thousands

Each pick went through all workers of a service, and each process kept a state for each of 5,726 pooled ones, of which it hears once in minutes: both grow with the fleet. Of large zones a process considers a part of its own, 128 workers of its zone and 32 of each other, by its own hash; the preferred ones are in it, and the processes together choose among all. Services of less than that are as before.

--- a/internal/proxy/pick.go
+++ b/internal/proxy/pick.go
@@ -80,8 +80,9 @@
 // list looks workers up.
 func (f *fleet) list(service *serviceState, announced []workers.Worker, version uint64, nodes int) []member {
 	preferred := f.preferred(service, announced, version, nodes)
-	list := make([]member, 0, len(announced))
-	for _, worker := range announced {
+	considered := f.considered(announced, len(preferred))
+	list := make([]member, 0, len(considered))
+	for _, worker := range considered {
 		list = append(list, member{
 			id: worker.ID, backend: f.get(worker), region: f.regionOf(worker), distance: f.distance(worker.Zone),
 			preferred: preferred[worker.ID],
--- a/internal/proxy/subset.go
+++ b/internal/proxy/subset.go
@@ -20,6 +20,11 @@
 	subsetOverlap = 4
 	// leastSubset is how many workers a process prefers at the least.
 	leastSubset = 4
+	// mostConsidered is how many workers of its own zone a process chooses among, and
+	// mostConsideredFar those of each other zone: more of them cost each choice, and memory for
+	// each, and are heard of once in minutes. Other processes choose among others.
+	mostConsidered    = 128
+	mostConsideredFar = 32
 )
 
 // subset is the workers of one service that this process prefers. It is safe for
@@ -38,6 +43,37 @@
 	return max(leastSubset, int(math.Ceil(shared)))
 }
 
+// considered returns the workers of a service that this process chooses among: all, or of large
+// zones a part, which is its own and changes little as workers come and go. The preferred ones,
+// of which there are so many, are a part of them.
+func (f *fleet) considered(announced []workers.Worker, preferred int) []workers.Worker {
+	count := map[string]int{}
+	for _, worker := range announced {
+		count[worker.Zone]++
+	}
+	limits, all := map[string]uint64{}, true
+	for zone, inZone := range count {
+		most := mostConsideredFar
+		if zone == f.zone {
+			most = max(mostConsidered, 2*preferred)
+		}
+		limits[zone] = math.MaxUint64
+		if inZone > most {
+			all, limits[zone] = false, math.MaxUint64/uint64(inZone)*uint64(most)
+		}
+	}
+	if all {
+		return announced
+	}
+	var list []workers.Worker
+	for _, worker := range announced {
+		if maphash.String(f.seed, string(worker.ID)) <= limits[worker.Zone] {
+			list = append(list, worker)
+		}
+	}
+	return list
+}
+
 // of returns the preferred ones of a zone's ready workers. A list of the same version has
 // the same workers.
 func (s *subset) of(seed maphash.Seed, ready []workers.ID, version uint64, size int) map[workers.ID]bool {
--- a/internal/proxy/subset_test.go
+++ b/internal/proxy/subset_test.go
@@ -74,3 +74,52 @@
 	picked := f.pick(now, service, &routing.Service{Name: "s"}, need{target: time.Second}, nil, 30)
 	assert.Equal(t, chosen[picked.to.id()], 0, "all slots of the preferred ones are taken")
 }
+
+// A process that shares thousands of workers with hundreds of others chooses among some of them,
+// the preferred ones included; together the processes choose among all.
+func TestAProcessChoosesAmongSomeOfMany(t *testing.T) {
+	const zones, inZone, processes = 5, 740, 984
+	directory := workers.NewDirectory()
+	var list []workers.Worker
+	for index := range zones * inZone {
+		list = append(list, workers.Worker{
+			ID: workers.ID(fmt.Sprintf("w%d", index)), Service: "s", Zone: fmt.Sprint("z", index%zones), Slots: 2, State: workers.StateReady,
+		})
+	}
+	directory.Replace(list, nil, time.Now())
+	chosen := map[workers.ID]int{}
+	for process := range processes / zones {
+		f := newFleet("z0", directory, BudgetLimits{})
+		service := &serviceState{}
+		announced, version := directory.Usable("s")
+		members := f.list(service, announced, version, processes)
+		preferred, far := 0, 0
+		for _, one := range members {
+			chosen[one.id]++
+			if one.preferred {
+				preferred++
+			}
+			if one.distance > 0 {
+				far++
+			}
+		}
+		assert.Assert(t, len(members) > 150 && len(members) < 400, "%d", len(members))
+		assert.Assert(t, far > 60)
+		assert.Equal(t, preferred, subsetSize(inZone, processes/zones), "process %d", process)
+		assert.Equal(t, len(f.byID), len(members), "nothing is kept of the others")
+	}
+	for _, worker := range list {
+		if worker.Zone == "z0" {
+			assert.Assert(t, chosen[worker.ID] >= 10, "%s is chosen by %d processes", worker.ID, chosen[worker.ID])
+		}
+	}
+}
+
+func BenchmarkPickAmongThousands(b *testing.B) {
+	f := newFleet("z0", manyWorkers(3695), BudgetLimits{})
+	of, service := &routing.Service{Name: "s"}, &serviceState{}
+	now := time.Now()
+	for b.Loop() {
+		f.pick(now, service, of, need{target: time.Second}, nil, 984)
+	}
+}
