--- a/internal/peerlink/entries.go
+++ b/internal/peerlink/entries.go
@@ -132,7 +132,6 @@
 		return
 	}
 	update.Page = h.pageFor(one, now)
-	update.Queued = h.listsTo(one)
 }
 
 // listsTo reports whether a link is to be told a list that takes several messages: it knows no
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -88,11 +88,10 @@
 	Deaf bool `json:"f,omitempty"`
 	// Strongest is the greatest strength of the linked processes' machines.
 	Strongest float64 `json:"b,omitempty"`
-	// Entries are changes of workers' entries, or a list of all that one message holds. Page is
-	// a part of a list that takes several, and Queued says that one is still to be told.
+	// Entries are changes of workers' entries, or a list of all that one message holds, and Page
+	// is a part of a list that takes several.
 	Entries *Entries `json:"e,omitempty"`
 	Page    *Entries `json:"g,omitempty"`
-	Queued  bool     `json:"w,omitempty"`
 	// Config is told when it is newer than what the process has.
 	Config   *ConfigNews   `json:"c,omitempty"`
 	Services []ServiceNews `json:"z,omitempty"`
--- a/internal/peerlink/owners.go
+++ b/internal/peerlink/owners.go
@@ -155,16 +155,19 @@
 func (n *ServiceNews) size() int { return len(n.Packed)*4/3 + 64*len(n.Runs) }
 
 // Owners returns what the message tells; false if it can't be read, names a worker that it has not
-// introduced, or is not in the order of the keys.
+// introduced, is not in the order of the keys, or is of others than it says.
 func (n *ServiceNews) Owners() ([]owner.Owner, bool) {
 	told := ownerRuns{Workers: n.Workers, Runs: n.Runs}
 	if len(n.Packed) > 0 && unpack(n.Packed, &told) != nil {
 		return nil, false
 	}
 	owners := make([]owner.Owner, 0, len(told.Runs))
-	next := 0
+	next, last := 0, owner.KeyCount-1
+	if n.Keys != nil {
+		next, last = max(next, n.Keys.From), min(last, n.Keys.To)
+	}
 	for _, run := range told.Runs {
-		if run[2] < 0 || run[2] >= len(told.Workers) || run[0] < next || run[1] < run[0] || run[1] >= owner.KeyCount {
+		if run[2] < 0 || run[2] >= len(told.Workers) || run[0] < next || run[1] < run[0] || run[1] > last {
 			return nil, false
 		}
 		next = run[1] + 1
