Let callers return soon to a worker that has room

A worker that turns requests away while it has slots to spare may take the next one: callers were told to wait for 100 to 150 ms, as at a full one, and missed their target for nothing on the second or third try. They are told 50 ms there.

TestCallersReturnSoonToWhoHasRoom: told 100 ms in all where two of three are turned away, before 200 to 300.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -213,3 +213,13 @@
 
 // leastRetryAfter is the shortest wait that a client is told.
 const leastRetryAfter = 50 * time.Millisecond
+
+// returnSoon is when a client may come back whose request was turned away by the last worker that
+// was asked: at once if that had slots to spare, since it may well take the next one, and a caller
+// that waits misses its target for nothing; otherwise after the time for workers that are full.
+func (c *call) returnSoon(full time.Duration) time.Duration {
+	if c.last != nil && c.last.Outcome == upstream.NotRun && c.last.Load.Idle(c.last.Loaded) {
+		return leastRetryAfter
+	}
+	return full
+}
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -42,7 +42,7 @@
 			return
 		}
 		if !c.spend() {
-			c.giveUp(reasonBudget, 100*time.Millisecond)
+			c.giveUp(reasonBudget, c.returnSoon(100*time.Millisecond))
 			return
 		}
 		got := c.sendTo(to, c.deadline.Add(-answerMargin))
@@ -54,7 +54,7 @@
 			return
 		}
 		if !c.allowed.left() {
-			c.giveUp(reasonRefused, 150*time.Millisecond)
+			c.giveUp(reasonRefused, c.returnSoon(150*time.Millisecond))
 			return
 		}
 		c.tellAgain(got)
--- a/internal/proxy/pooled.go
+++ b/internal/proxy/pooled.go
@@ -27,7 +27,7 @@
 			return
 		}
 		if !c.spend() {
-			c.giveUp(reasonBudget, 100*time.Millisecond)
+			c.giveUp(reasonBudget, c.returnSoon(100*time.Millisecond))
 			return
 		}
 		got := c.sendPooled(picked)
@@ -36,7 +36,7 @@
 		}
 		c.tried[c.lastTo] = true
 		if !c.allowed.left() {
-			c.giveUp(reasonRefused, 100*time.Millisecond)
+			c.giveUp(reasonRefused, c.returnSoon(100*time.Millisecond))
 			return
 		}
 		c.tellAgain(got)
--- a/internal/proxy/sheds_test.go
+++ b/internal/proxy/sheds_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -54,3 +55,42 @@
 		})
 	}
 }
+
+// Callers come back when they are told, up to twice. From an owner that turns two of three requests
+// away while it has slots to spare, what they wait for in all leaves them the time for their work;
+// from one that is full they stay away longer.
+func TestCallersReturnSoonToWhoHasRoom(t *testing.T) {
+	const callers, tries = 30, 3
+	for name, test := range map[string]struct {
+		run    script
+		served int
+		// most and least are what one caller is told to wait for in all.
+		least, most time.Duration
+	}{
+		"idle, takes a third": {run: turnsAway("0,0,4", 3), served: callers, most: 2 * leastRetryAfter},
+		"full, takes none":    {run: turnsAway("4,8,4", 0), least: tries * 100 * time.Millisecond, most: time.Hour},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorker(t, "w1", test.run)
+			f := newFront(t, w.entry("keyed"))
+			f.owns(w.entry("keyed"))
+			f.proxy.SetLimits(BudgetLimits{}) // no second sends
+			served := 0
+			for range callers {
+				var waits time.Duration
+				for range tries {
+					response, _ := f.get(t, "POST", "/keyed-once/", "x", "X-Key", "7")
+					if response.StatusCode == http.StatusOK {
+						served++
+						break
+					}
+					wait, err := time.ParseDuration(response.Header.Get("Retry-After") + "s")
+					assert.NilError(t, err)
+					waits += wait
+				}
+				assert.Assert(t, waits >= test.least && waits <= test.most, "told to wait for %v", waits)
+			}
+			assert.Equal(t, served, test.served)
+		})
+	}
+}
