Tell a list that is read anew by what has changed

When the service forgets its history, the leader reads the list anew. Its links then counted as knowing nothing: each of 984 was told all 9,998 workers, lagged meanwhile and read the service itself. What the list tells that was not known is kept as changes now (TestAListThatIsReadAnewIsToldByWhatHas Changed).

--- a/internal/peerlink/entries.go
+++ b/internal/peerlink/entries.go
@@ -1,6 +1,7 @@
 package peerlink
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -35,6 +36,18 @@
 	all map[workers.ID]WorkerChange
 }
 
+// read takes a list of all workers as of a revision. What it tells that was not known is kept as
+// changes, so that links which knew all before are told these only, and not the list: each time
+// that the history is forgotten one process reads the list anew.
+// since is as of when all was known before.
+func (l *entryLog) read(list []WorkerChange, at coord.Revision, since, now time.Time) {
+	if l.all == nil || at < l.to {
+		l.reset(list, at)
+		return
+	}
+	l.add(l.news(list, at, since), at, now)
+}
+
 // reset begins anew: all up to a revision was read at once.
 func (l *entryLog) reset(list []WorkerChange, at coord.Revision) {
 	l.from, l.to, l.changes, l.came, l.all = at, at, nil, nil, map[workers.ID]WorkerChange{}
@@ -43,6 +56,27 @@
 	}
 }
 
+// news returns what a list tells that was not known, in the order of revisions. When workers went
+// that are in it no longer is not told: their changes count as of the list, and are known since all
+// was known before.
+func (l *entryLog) news(list []WorkerChange, at coord.Revision, since time.Time) []WorkerChange {
+	listed := make(map[workers.ID]bool, len(list))
+	var news []WorkerChange
+	for _, one := range list {
+		listed[one.ID] = true
+		if one.Revision > l.to {
+			news = append(news, one)
+		}
+	}
+	slices.SortFunc(news, func(a, b WorkerChange) int { return cmp.Compare(a.Revision, b.Revision) })
+	for id := range l.all {
+		if !listed[id] {
+			news = append(news, WorkerChange{Revision: at, ID: id, Gone: true, Learned: since})
+		}
+	}
+	return news
+}
+
 // add takes changes that lead up to a revision.
 func (l *entryLog) add(changes []WorkerChange, at coord.Revision, now time.Time) {
 	l.changes = append(l.changes, changes...)
@@ -174,11 +208,12 @@
 	news.Packed, news.Changes, news.PackedMillis = p.packed, nil, ageMillis(p.at, now)
 }
 
-// EntriesRead tells which entries there are at a revision, up to which all were read at once.
-func (h *Hub) EntriesRead(list []WorkerChange, at coord.Revision) {
+// EntriesRead tells which entries there are at a revision, up to which all were read at once. since
+// is as of when all was known before; the zero time: until now.
+func (h *Hub) EntriesRead(list []WorkerChange, at coord.Revision, since time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.entries.reset(list, at)
+	h.entries.read(list, at, since, clock.Now())
 	h.wakeAll()
 }
 
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -175,7 +175,7 @@
 // not cost a call of each of them.
 func TestFollowersHearOfChangedWorkers(t *testing.T) {
 	hub, _, address := leading(t, 3)
-	hub.EntriesRead(nil, 10)
+	hub.EntriesRead(nil, 10, time.Time{})
 	f := follow(t, address)
 	eventually(t, "that it has read nothing", func() bool { return f.gaps.Load() == 1 })
 	hub.EntriesChanged([]WorkerChange{change("b", 12), change("c", 13)}, 14)
--- a/internal/peerlink/pieces_test.go
+++ b/internal/peerlink/pieces_test.go
@@ -112,7 +112,7 @@
 	hub, _, address := leading(t, 3)
 	hub.DirectNodes, hub.LinkRate = 2*followers, bytesPerSecond
 	list, owners := fleet(workerCount, 1000)
-	hub.EntriesRead(list, 99999)
+	hub.EntriesRead(list, 99999, time.Time{})
 	hub.Publish("s", owners)
 	slow, err := lablink.New("127.0.0.1:0", address)
 	assert.NilError(t, err)
@@ -179,7 +179,7 @@
 	first, second := newAgeHub(), newAgeHub()
 	for _, hub := range []*Hub{first, second} {
 		hub.Open(1)
-		hub.EntriesRead(list, 10_000)
+		hub.EntriesRead(list, 10_000, time.Time{})
 	}
 	c := newCollector()
 	update := tell(first, newLink(Hello{}))
@@ -207,7 +207,7 @@
 	list, _ := fleet(3*pageWorkers, 0)
 	hub := newAgeHub()
 	hub.Open(1)
-	hub.EntriesRead(list, 10_000)
+	hub.EntriesRead(list, 10_000, time.Time{})
 	update := tell(hub, newLink(Hello{ListAfter: list[0].ID, ListAt: 9_999}))
 	assert.Equal(t, update.Page.After, workers.ID(""))
 	// The same for one that knew all, long ago.
@@ -268,3 +268,38 @@
 		})
 	}
 }
+
+// A leader that reads the list anew, since the service has forgotten its history, told all of it to
+// each of hundreds of processes, which had missed a few changes of ten thousand workers.
+func TestAListThatIsReadAnewIsToldByWhatHasChanged(t *testing.T) {
+	list, _ := fleet(3*pageWorkers, 0)
+	hub := newAgeHub()
+	hub.Open(1)
+	hub.EntriesRead(list, 10_000, time.Time{})
+	one := newLink(Hello{Entries: 10_000})
+	again := append([]WorkerChange(nil), list[5:]...) // five went
+	again = append(again, ready("i-new", 10_007), change("i-leaves", 10_006))
+	hub.EntriesRead(again, 10_020, time.Time{})
+	update := tell(hub, one)
+	assert.Assert(t, update.Page == nil)
+	assert.Equal(t, update.Entries.From, coord.Revision(10_000))
+	assert.Equal(t, update.Entries.To, coord.Revision(10_020))
+	changes, err := update.Entries.All(time.Now())
+	assert.NilError(t, err)
+	assert.Equal(t, len(changes), 7)
+	gone := 0
+	for _, one := range changes {
+		if one.Gone {
+			gone++
+			assert.Equal(t, one.Revision, coord.Revision(10_020))
+		}
+	}
+	assert.Equal(t, gone, 5)
+	assert.Assert(t, changes[0].Draining && changes[0].ID == "i-leaves", "in the order of revisions")
+	// Who knows nothing is told the list as it is now.
+	c := newCollector()
+	for link := newLink(Hello{}); c.entries == 0; {
+		c.heard(tell(hub, link))
+	}
+	assert.Equal(t, len(c.known), len(again))
+}
--- a/internal/router/workersview.go
+++ b/internal/router/workersview.go
@@ -73,7 +73,7 @@
 	}
 	v.replaceUnreadable(faulty)
 	vanished := v.r.workers.Replace(announced, learned, since)
-	v.r.hub.EntriesRead(list, at)
+	v.r.hub.EntriesRead(list, at, since)
 	v.tellVanished(vanished, at)
 	v.r.log.Line(decision.KindWorker).Int("announced", len(announced)).Int64("revision", int64(at)).Msg("list read")
 }
