Go on after a lost watch where it stood, and let relays hurry for those that follow them

The leader's watches were lost one after the other while the service forgot its history. Each cost a list of 20 pages; nothing counted as read for 2.3 s, so the leader told all that it is deaf, and 984 processes read the service for themselves.

- The next watch from the same revision tells what a lost one has missed: it answers at once, and no list is read (TestALostWatchCostsNoList: 6 lists, now 1).
- A relay whose leader is deaf reads at once, before those that follow it do (TestFollowHurriesAfterAPauseForOthers).

--- a/internal/coord/follow.go
+++ b/internal/coord/follow.go
@@ -50,6 +50,9 @@
 	// Paused says that another process tells of changes: nothing is watched. Nil:
 	// never.
 	Paused func() bool
+	// Hurry reports whether the first watch after a pause is to answer at once, since others wait
+	// to hear as of when all is known. Nil: never.
+	Hurry func() bool
 	// Reached is called after each call that was answered, with a time as of which all
 	// is known. Nil: nobody wants to know.
 	Reached func(at time.Time)
@@ -90,6 +93,8 @@
 	// asked says that others were waited for.
 	asked bool
 	lost  bool
+	// hurries says that the next watch is to answer at once.
+	hurries bool
 	// began is when the first page of the list was sent for.
 	began time.Time
 	// sent is when the last call was sent, and away a time at which the service was away:
@@ -106,6 +111,9 @@
 	if f.options.Paused != nil && f.options.Paused() {
 		return f.pause(ctx)
 	}
+	if f.hurries { // an answer tells soon what the call before has missed
+		return f.watchFor(ctx, catchUpWait)
+	}
 	return f.watchFor(ctx, f.options.Wait())
 }
 
@@ -122,6 +130,7 @@
 			return nil
 		}
 	}
+	f.hurries = f.options.Hurry != nil && f.options.Hurry()
 	return nil
 }
 
@@ -192,11 +201,11 @@
 	case errors.Is(err, ErrNoHistory), err != nil && renewed.Load():
 		f.listed = false
 		return nil
-	case err != nil:
-		// A watch that was lost unseen may have lost changes with it.
-		f.listed = f.listed && bounded.Err() == nil
+	case err != nil: // what a watch has lost is told by the next from the same revision
+		f.hurries = true
 		return err
 	}
+	f.hurries = false
 	f.regain()
 	f.at = max(f.at, at)
 	answered := clock.Now()
@@ -243,9 +252,13 @@
 	if f.options.Failed != nil {
 		f.options.Failed(f.away)
 	}
-	if !f.lost {
+	took, first := clock.Since(f.sent), !f.lost
+	if first {
 		f.lost = true
 		f.view.Lost(err)
 	}
-	f.backoff.SleepRest(ctx, clock.Since(f.sent))
+	if first && took >= longestPause { // a silent watch was pause enough
+		return
+	}
+	f.backoff.SleepRest(ctx, took)
 }
--- a/internal/coord/follow_test.go
+++ b/internal/coord/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -108,6 +109,40 @@
 	})
 }
 
+// One lost watch after the other cost a list each, which has 20 pages with 10,000 workers, and what is
+// followed counted as unread meanwhile: hundreds of processes began to read it for themselves.
+func TestALostWatchCostsNoList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, view := memory.New(), &recorded{}
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		var reached time.Time
+		longest := time.Duration(0)
+		go coord.Follow(ctx, store, "a/", view, coord.Options{
+			Wait:    func() time.Duration { return 1500 * time.Millisecond },
+			Gather:  func() time.Duration { return 0 },
+			Reached: func(at time.Time) {
+				if !reached.IsZero() {
+					longest = max(longest, at.Sub(reached))
+				}
+				reached = at
+			},
+		})
+		elapse(time.Second)
+		for round := range 5 { // each watch is lost that waits, and the next one answers at once
+			store.SetDeaf(true)
+			put(t, store, "b/wake", "sets the waiting watch deaf")
+			put(t, store, "a/1", fmt.Sprint(round))
+			synctest.Wait()
+			store.SetDeaf(false)
+			elapse(2050 * time.Millisecond)
+			assert.Equal(t, view.values["a/1"], fmt.Sprint(round))
+		}
+		assert.Equal(t, store.Calls["list"], 1)
+		assert.Assert(t, longest <= 2200*time.Millisecond, "nothing was read for %v", longest)
+	})
+}
+
 func TestFollowListsAnewWhenTheHistoryIsGone(t *testing.T) {
 	follow(t, 1500*time.Millisecond, func(t *testing.T, store *memory.Store, view *recorded, _ chan struct{}) {
 		store.SetDeaf(true)
@@ -165,6 +200,36 @@
 	})
 }
 
+// A relay whose leader does not reach the service is followed by others, whose patience is shorter
+// than a silent watch.
+func TestFollowHurriesAfterAPauseForOthers(t *testing.T) {
+	for name, hurries := range map[string]bool{"others wait": true, "nobody waits": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := memory.New()
+				var paused atomic.Bool
+				var reached atomic.Int32
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				go coord.Follow(ctx, store, "a/", &recorded{}, coord.Options{
+					Wait:    func() time.Duration { return 700 * time.Millisecond },
+					Gather:  func() time.Duration { return 0 },
+					Paused:  paused.Load,
+					Hurry:   func() bool { return hurries },
+					Reached: func(time.Time) { reached.Add(1) },
+				})
+				elapse(100 * time.Millisecond)
+				paused.Store(true)
+				elapse(5 * time.Second)
+				before := reached.Load()
+				paused.Store(false)
+				elapse(100 * time.Millisecond)
+				assert.Equal(t, reached.Load() > before, hurries)
+			})
+		})
+	}
+}
+
 func TestFollowOutlastsAnOutage(t *testing.T) {
 	follow(t, 1500*time.Millisecond, func(t *testing.T, store *memory.Store, view *recorded, _ chan struct{}) {
 		put(t, store, "a/1", "before")
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -134,6 +134,7 @@
 		Gather:  r.gather,
 		Renew:   of.renew,
 		Paused:  r.told.now,
+		Hurry:   func() bool { return r.hub.Followers() > 0 },
 		Covered: of.coveredUpTo,
 		Reached: func(at time.Time) { r.storeReached(of, at) },
 		Failed:  func(at time.Time) { of.failed.Store(clock.Nanos(at)) },
