--- a/internal/coord/follow_test.go
+++ b/internal/coord/follow_test.go
@@ -119,8 +119,8 @@
 		var reached time.Time
 		longest := time.Duration(0)
 		go coord.Follow(ctx, store, "a/", view, coord.Options{
-			Wait:    func() time.Duration { return 1500 * time.Millisecond },
-			Gather:  func() time.Duration { return 0 },
+			Wait:   func() time.Duration { return 1500 * time.Millisecond },
+			Gather: func() time.Duration { return 0 },
 			Reached: func(at time.Time) {
 				if !reached.IsZero() {
 					longest = max(longest, at.Sub(reached))
