--- a/internal/pipeline/answer.go
+++ b/internal/pipeline/answer.go
@@ -46,7 +46,7 @@
 	defer a.cancel()
 	a.run(handler)
 	if !a.await() {
-		a.of.rows.held.Add(-int64(len(a.held)))
+		a.of.splitter.held.Add(-int64(len(a.held)))
 		a.broken = true
 		return
 	}
@@ -146,7 +146,7 @@
 	select {
 	case <-a.turn:
 	default:
-		if a.of.rows.hold(len(written)) {
+		if a.of.splitter.hold(len(written)) {
 			a.held = append(a.held, written...)
 			return nil
 		}
@@ -174,7 +174,7 @@
 func (a *answer) flush() error {
 	held := a.held
 	a.held = nil
-	a.of.rows.held.Add(-int64(len(held)))
+	a.of.splitter.held.Add(-int64(len(held)))
 	return a.send(held)
 }
 
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -27,7 +27,7 @@
 // after the other; what comes behind a request that is not answered yet is split off here.
 type conn struct {
 	net.Conn
-	rows *Rows
+	splitter *Splitter
 	// gone is closed once the connection is.
 	gone chan struct{}
 	// wake lets a reader go on that waits for room.
@@ -56,8 +56,8 @@
 	ended error
 }
 
-func newConn(accepted net.Conn, rows *Rows) *conn {
-	return &conn{Conn: accepted, rows: rows, gone: make(chan struct{}), wake: make(chan struct{}, 1)}
+func newConn(accepted net.Conn, splitter *Splitter) *conn {
+	return &conn{Conn: accepted, splitter: splitter, gone: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
 // Read implements net.Conn. net/http also reads while it has a request, to notice that the caller
@@ -233,7 +233,7 @@
 // runNext runs the request that comes next, if it is there and may run beside those ahead. The
 // caller holds mu.
 func (c *conn) runNext() bool {
-	if c.closing || len(c.row) >= c.rows.limits.Depth {
+	if c.closing || len(c.row) >= c.splitter.limits.Depth {
 		return false
 	}
 	read, whole := scan(c.unread)
@@ -241,7 +241,7 @@
 		return false
 	}
 	request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(c.unread[:read.length])))
-	if err != nil || !mayBeside(request) || !c.rows.limits.Beside(request) || !c.rows.admit() {
+	if err != nil || !mayBeside(request) || !c.splitter.limits.Beside(request) || !c.splitter.admit() {
 		return false
 	}
 	c.unread = c.unread[read.length:]
@@ -255,7 +255,7 @@
 	if !c.serving && len(c.row) == 1 {
 		close(one.turn)
 	}
-	go one.serve(c.rows.handler)
+	go one.serve(c.splitter.handler)
 	return true
 }
 
@@ -279,7 +279,7 @@
 
 // answered notes that the first answer of the row is written, or can't be.
 func (c *conn) answered(one *answer) {
-	c.rows.behind.Add(-1)
+	c.splitter.behind.Add(-1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.row = slices.DeleteFunc(c.row, func(other *answer) bool { return other == one })
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -19,9 +19,9 @@
 
 var usual = Limits{Depth: 16, Total: 64, Held: 1 << 20, Beside: func(*http.Request) bool { return true }}
 
-// serving is a server of a handler, with its rows.
+// serving is a server of a handler, with its splitter.
 type serving struct {
-	*Rows
+	*Splitter
 	server  *http.Server
 	address string
 }
@@ -30,7 +30,7 @@
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := &serving{Rows: New(handler, limits), server: &http.Server{}, address: inner.Addr().String()}
+	s := &serving{Splitter: New(handler, limits), server: &http.Server{}, address: inner.Addr().String()}
 	s.Attach(s.server)
 	go func() { _ = s.server.Serve(s.Listen(inner)) }()
 	t.Cleanup(func() { _ = s.server.Close() })
--- a/internal/pipeline/same_test.go
+++ b/internal/pipeline/same_test.go
@@ -109,9 +109,9 @@
 	f.Cleanup(plain.Close)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(f, err)
-	rows, server := New(http.HandlerFunc(tell), usual), &http.Server{}
-	rows.Attach(server)
-	go func() { _ = server.Serve(rows.Listen(inner)) }()
+	splitter, server := New(http.HandlerFunc(tell), usual), &http.Server{}
+	splitter.Attach(server)
+	go func() { _ = server.Serve(splitter.Listen(inner)) }()
 	f.Cleanup(func() { _ = server.Close() })
 	f.Fuzz(func(t *testing.T, row []byte) {
 		want := answersOf(t, strings.TrimPrefix(plain.URL, "http://"), row)
--- a/internal/pipeline/rows.go
+++ b/internal/pipeline/splitter.go
@@ -2,7 +2,7 @@
 // answered run side by side. Their answers leave in the order of the requests.
 //
 // net/http's server reads a connection's next request once the one before is answered. It keeps
-// doing that: Rows give it connections which hand it one request at a time, and run those
+// doing that: a Splitter gives it connections which hand it one request at a time, and runs those
 // that come behind it themselves, by the same handler, for as long as they are nothing but a head
 // and may run beside others. Everything else waits for its turn at net/http.
 package pipeline
@@ -25,8 +25,9 @@
 	Beside func(*http.Request) bool
 }
 
-// Rows are the requests behind others of all connections that a server accepts.
-type Rows struct {
+// Splitter splits off the requests that come behind others, on all connections of a server. It is
+// safe for concurrent use.
+type Splitter struct {
 	limits  Limits
 	handler http.Handler
 	// behind is how many requests run behind others, and held how many bytes of answers wait.
@@ -36,21 +37,21 @@
 	stopping atomic.Bool
 }
 
-// New returns rows of requests that a handler serves.
-func New(handler http.Handler, limits Limits) *Rows {
-	return &Rows{handler: handler, limits: limits}
+// New returns a splitter of requests that a handler serves.
+func New(handler http.Handler, limits Limits) *Splitter {
+	return &Splitter{handler: handler, limits: limits}
 }
 
 // listener accepts connections whose requests may run side by side.
 type listener struct {
 	net.Listener
-	rows *Rows
+	splitter *Splitter
 }
 
-// Listen returns a listener over another that accepts the connections for a server that the rows
-// are attached to.
-func (r *Rows) Listen(inner net.Listener) net.Listener {
-	return &listener{Listener: inner, rows: r}
+// Listen returns a listener over another that accepts the connections for a server that the splitter
+// is attached to.
+func (s *Splitter) Listen(inner net.Listener) net.Listener {
+	return &listener{Listener: inner, splitter: s}
 }
 
 // Accept implements net.Listener.
@@ -59,66 +60,66 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(accepted, l.rows), nil
+	return newConn(accepted, l.splitter), nil
 }
 
 // connKey is the key of a connection in the contexts of its requests.
 type connKey struct{}
 
 // Attach makes a server serve the connections.
-func (r *Rows) Attach(server *http.Server) {
-	server.Handler = http.HandlerFunc(r.serveFirst)
-	server.ConnState = r.stateChanged
+func (s *Splitter) Attach(server *http.Server) {
+	server.Handler = http.HandlerFunc(s.serveFirst)
+	server.ConnState = s.stateChanged
 	server.ConnContext = func(ctx context.Context, accepted net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, accepted)
 	}
 }
 
 // Stop lets no more requests run behind others.
-func (r *Rows) Stop() { r.stopping.Store(true) }
+func (s *Splitter) Stop() { s.stopping.Store(true) }
 
 // Behind returns how many requests run behind others.
-func (r *Rows) Behind() int {
-	return int(r.behind.Load())
+func (s *Splitter) Behind() int {
+	return int(s.behind.Load())
 }
 
 // Served returns how many requests have run behind others.
-func (r *Rows) Served() uint64 {
-	return r.served.Load()
+func (s *Splitter) Served() uint64 {
+	return s.served.Load()
 }
 
 // stateChanged tells a connection that net/http has answered its request.
-func (r *Rows) stateChanged(of net.Conn, state http.ConnState) {
+func (s *Splitter) stateChanged(of net.Conn, state http.ConnState) {
 	if one, ours := of.(*conn); ours && state == http.StateIdle {
 		one.answeredFirst()
 	}
 }
 
 // serveFirst serves a request that net/http has read.
-func (r *Rows) serveFirst(writer http.ResponseWriter, request *http.Request) {
+func (s *Splitter) serveFirst(writer http.ResponseWriter, request *http.Request) {
 	if one, ours := request.Context().Value(connKey{}).(*conn); ours {
 		writer = &firstWriter{ResponseWriter: writer, of: one}
 	}
-	r.handler.ServeHTTP(writer, request)
+	s.handler.ServeHTTP(writer, request)
 }
 
 // admit takes a place for one more request behind others; false if there is none.
-func (r *Rows) admit() bool {
-	if r.stopping.Load() {
+func (s *Splitter) admit() bool {
+	if s.stopping.Load() {
 		return false
 	}
-	if r.behind.Add(1) > int64(r.limits.Total) {
-		r.behind.Add(-1)
+	if s.behind.Add(1) > int64(s.limits.Total) {
+		s.behind.Add(-1)
 		return false
 	}
-	r.served.Add(1)
+	s.served.Add(1)
 	return true
 }
 
 // hold takes room for bytes of an answer that waits; false if there is none.
-func (r *Rows) hold(bytes int) bool {
-	if r.held.Add(int64(bytes)) > r.limits.Held {
-		r.held.Add(-int64(bytes))
+func (s *Splitter) hold(bytes int) bool {
+	if s.held.Add(int64(bytes)) > s.limits.Held {
+		s.held.Add(-int64(bytes))
 		return false
 	}
 	return true
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -35,11 +35,11 @@
 	gauge("shalefork_router_quarantined_requests", "Requests that are sent to no worker, since they have crashed several.",
 		func() float64 { _, quarantined := r.proxy.Suspects.Count(); return float64(quarantined) })
 	gauge("shalefork_router_pipelined_requests", "Requests that run behind others on their connections.", func() float64 {
-		return float64(r.rows.Behind())
+		return float64(r.pipelined.Behind())
 	})
 	registerer.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "shalefork_router_pipelined_requests_total", Help: "Requests that have run behind others on their connections.",
-	}, func() float64 { return float64(r.rows.Served()) }))
+	}, func() float64 { return float64(r.pipelined.Served()) }))
 	gauge("shalefork_router_suspended_seconds", "For how long the machine was suspended since the process began.",
 		func() float64 { return clock.Suspended().Seconds() })
 	gauge("shalefork_router_config_version", "Version of the configuration in force; 0 for none.", func() float64 {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -125,8 +125,8 @@
 	// strongest holds the greatest strength of all machines, as bits of a float64.
 	strongest atomic.Uint64
 	quotas    *quotas
-	// rows are the requests that run behind others on their connections.
-	rows *pipeline.Rows
+	// pipelined are the requests that run behind others on their connections.
+	pipelined *pipeline.Splitter
 }
 
 // queuedReports is how many reports wait for the keeper.
@@ -186,7 +186,7 @@
 	r.quotas = newQuotas(r)
 	r.proxy.Quota = r.quotas
 	r.hub.OnQuota(r.quotas.heard)
-	r.rows = pipeline.New(r.proxy, r.rowLimits())
+	r.pipelined = pipeline.New(r.proxy, r.pipelineLimits())
 	metrics.MustRegister(r.proxy, r.quotas)
 	r.registerGauges(metrics)
 	return r
@@ -219,8 +219,8 @@
 		go func() { _ = http.Serve(listeners.metrics, r.metricsHandler()) }()
 	}
 	server := r.newServer()
-	r.rows.Attach(server)
-	go func() { _ = server.Serve(r.rows.Listen(listeners.clients)) }()
+	r.pipelined.Attach(server)
+	go func() { _ = server.Serve(r.pipelined.Listen(listeners.clients)) }()
 	<-ctx.Done()
 	r.drain(server, stopLeading, led)
 	listeners.close()
@@ -302,21 +302,21 @@
 
 // Bounds of requests that run behind others on their connections.
 const (
-	// rowDepth is how many of one connection do.
-	rowDepth = 16
-	// rowTotal is how many of all connections do: as many goroutines.
-	rowTotal = 1024
-	// rowHeldShare is the part of the machine's memory that their answers may take until it is
-	// their turn, and rowHeld the bytes where the memory is not known.
-	rowHeldShare = 1.0 / 32
-	rowHeld      = 4 << 20
+	// pipelineDepth is how many of one connection do.
+	pipelineDepth = 16
+	// pipelineTotal is how many of all connections do: as many goroutines.
+	pipelineTotal = 1024
+	// pipelineHeldShare is the part of the machine's memory that their answers may take until it is
+	// their turn, and pipelineHeld the bytes where the memory is not known.
+	pipelineHeldShare = 1.0 / 32
+	pipelineHeld      = 4 << 20
 )
 
-// rowLimits bounds what runs behind others.
-func (r *Router) rowLimits() pipeline.Limits {
-	limits := pipeline.Limits{Depth: rowDepth, Total: rowTotal, Held: rowHeld, Beside: r.proxy.Beside}
+// pipelineLimits bounds what runs behind others.
+func (r *Router) pipelineLimits() pipeline.Limits {
+	limits := pipeline.Limits{Depth: pipelineDepth, Total: pipelineTotal, Held: pipelineHeld, Beside: r.proxy.Beside}
 	if memory := r.settings.Machine.MemoryMB; memory > 0 {
-		limits.Held = int64(rowHeldShare * float64(memory) * (1 << 20))
+		limits.Held = int64(pipelineHeldShare * float64(memory) * (1 << 20))
 	}
 	return limits
 }
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -51,7 +51,7 @@
 	r.log.Line(decision.KindReady).Bool("ready", false).Str("reason", "asked to stop").Msg("")
 	r.stopping.Store(true)
 	r.proxy.Stop()
-	r.rows.Stop()
+	r.pipelined.Stop()
 	stopLeading()
 	select {
 	case <-led:
@@ -61,17 +61,17 @@
 	defer time.AfterFunc(clock.Until(began.Add(time.Duration(answerShare*float64(grace)))), r.proxy.End).Stop()
 	bounded, cancel := context.WithTimeout(context.Background(), clock.Until(began.Add(time.Duration(finishShare*float64(grace)))))
 	defer cancel()
-	r.awaitRows(bounded) // the server takes their connections to be idle, or closes them with the first answer
+	r.awaitPipelined(bounded) // the server takes their connections to be idle, or closes them with the first answer
 	_ = server.Shutdown(bounded)
-	r.awaitRows(bounded)
+	r.awaitPipelined(bounded)
 }
 
-// rowsLook is the pause between looks whether requests behind others are answered.
-const rowsLook = 5 * time.Millisecond
+// pipelinedLook is the pause between looks whether requests behind others are answered.
+const pipelinedLook = 5 * time.Millisecond
 
-// awaitRows waits until no request runs behind another, or ctx ends.
-func (r *Router) awaitRows(ctx context.Context) {
-	for r.rows.Behind() > 0 && ctx.Err() == nil {
-		clock.Sleep(ctx, rowsLook)
+// awaitPipelined waits until no request runs behind another, or ctx ends.
+func (r *Router) awaitPipelined(ctx context.Context) {
+	for r.pipelined.Behind() > 0 && ctx.Err() == nil {
+		clock.Sleep(ctx, pipelinedLook)
 	}
 }
