Read the other pages of a list unless others have told as much

What others tell counts if it is as of that page's revision (TestALongListIsReadWholeAgain, which never ends on the code before). A process that has an older list waits for others 0.4 s, and one that others follow not at all.

--- a/internal/coord/follow.go
+++ b/internal/coord/follow.go
@@ -66,8 +66,9 @@
 	// revision Covered; nil: nobody does.
 	Told func(ctx context.Context) bool
 	// More waits, once the first page of a list shows that others follow, for whether others tell
-	// all that there is meanwhile; false: the pages are to be read. Nil: they are read at once.
-	More func(ctx context.Context) bool
+	// all that there is as of that page's revision, or a later one; false: the pages are to be
+	// read. Nil: they are read at once.
+	More func(ctx context.Context, at Revision) bool
 }
 
 // Follow keeps a view up to date until ctx ends.
@@ -148,7 +149,7 @@
 
 // list reads a page of a list, the first or the next one, and takes the list with its last page.
 func (f *follower) list(ctx context.Context) error {
-	if f.reading.After != "" && f.options.More != nil && f.options.More(ctx) {
+	if f.reading.After != "" && f.options.More != nil && f.options.More(ctx, f.reading.At) {
 		f.reading = Reading{}
 		f.listed, f.at = true, max(f.at, f.options.Covered())
 		return nil
--- a/internal/coord/follow_test.go
+++ b/internal/coord/follow_test.go
@@ -355,7 +355,10 @@
 					Gather:  func() time.Duration { return 0 },
 					Covered: func() coord.Revision { return 5 },
 					Paused:  func() bool { return told },
-					More:    func(context.Context) bool { return told },
+					More: func(_ context.Context, at coord.Revision) bool {
+						assert.Check(t, at == 5)
+						return told
+					},
 				})
 				elapse(time.Second)
 				if told {
--- a/internal/router/cutoff_test.go
+++ b/internal/router/cutoff_test.go
@@ -218,3 +218,27 @@
 	list, _ := r.workers.Usable("s")
 	return len(list)
 }
+
+// A leader that has a list and finds its history forgotten reads the next one whole: what it knew
+// before was taken for what others tell, it stopped at the first page, and began again without end.
+func TestALongListIsReadWholeAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, store := newCutOffRouter(t)
+		store.PageItems = 2
+		for _, key := range []string{"w/1", "w/2", "w/3", "w/4", "w/5"} {
+			put(t, store, key, workers.StateReady)
+		}
+		r.hub.Open(1)
+		elapse(5 * time.Second)
+		assert.Equal(t, usable(r), 5)
+		before := store.Calls["list"]
+		store.cut(true)
+		put(t, store, "w/6", workers.StateReady)
+		elapse(time.Second)
+		store.Forget()
+		store.cut(false)
+		elapse(4 * time.Second)
+		assert.Equal(t, usable(r), 6)
+		assert.Equal(t, store.Calls["list"]-before, 3, "pages")
+	})
+}
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -140,9 +140,12 @@
 		Failed:  func(at time.Time) { of.failed.Store(clock.Nanos(at)) },
 	}
 	if len(r.settings.Operators) == 0 { // nobody tells bundles
-		told := func() bool { return of.coveredUpTo() > 0 }
-		options.Told = func(ctx context.Context) bool { return r.awaitTold(ctx, told) }
-		options.More = func(ctx context.Context) bool { return r.awaitList(ctx, told) }
+		options.Told = func(ctx context.Context) bool {
+			return r.awaitTold(ctx, func() bool { return of.coveredUpTo() > 0 })
+		}
+		options.More = func(ctx context.Context, at coord.Revision) bool {
+			return r.awaitList(ctx, r.listPatienceOf(of), func() bool { return of.coveredUpTo() >= at })
+		}
 	}
 	coord.Follow(ctx, r.adapter.Store, prefix, view, options)
 }
@@ -159,7 +162,9 @@
 	// listPatience is for an election, and for its winner to read the list, with some thousands
 	// of workers: the lease of a leader before lasts 1.5 s of it.
 	listPatience = 4 * time.Second
-	toldLook     = 10 * time.Millisecond
+	// relistPatience is the same for a process that has an older list.
+	relistPatience = 400 * time.Millisecond
+	toldLook       = 10 * time.Millisecond
 )
 
 // awaitTold waits until something was told; false if there is no leader that tells it, or none
@@ -175,7 +180,7 @@
 // awaitList waits, where a list has several pages, until a leader tells it; false if the pages
 // are to be read from the service. A process that leads reads them at once; if each of many did
 // that which start together, the service's link would carry the list so many times.
-func (r *Router) awaitList(ctx context.Context, told func() bool) bool {
+func (r *Router) awaitList(ctx context.Context, patience time.Duration, told func() bool) bool {
 	r.large.Store(true)
 	r.sized.close()
 	leads := make(chan struct{})
@@ -191,7 +196,20 @@
 			}
 		}
 	}()
-	return r.awaitWhile(ctx, listPatience, told, leads)
+	return r.awaitWhile(ctx, patience, told, leads)
+}
+
+// listPatienceOf is how long this process waits for others to tell a long list. One that has an
+// older list must not fall behind: workers that left would get its requests; and one that others
+// follow reads at once, for all of them.
+func (r *Router) listPatienceOf(of *followed) time.Duration {
+	switch {
+	case of.coveredUpTo() == 0:
+		return listPatience
+	case r.hub.Followers() > 0:
+		return 0
+	}
+	return relistPatience
 }
 
 // awaitWhile waits until something was told, or has not been for as long as patience since a
--- a/internal/router/start_test.go
+++ b/internal/router/start_test.go
@@ -90,7 +90,7 @@
 				r := newTestRouter(t)
 				time.AfterFunc(95*time.Millisecond, func() { test.happen(r) })
 				began := time.Now()
-				assert.Equal(t, r.awaitList(t.Context(), func() bool { return r.entries.coveredUpTo() > 0 }), test.told)
+				assert.Equal(t, r.awaitList(t.Context(), listPatience, func() bool { return r.entries.coveredUpTo() > 0 }), test.told)
 				assert.Equal(t, time.Since(began).Round(toldLook), test.after)
 			})
 		})
