--- a/internal/lab/mutate/mutations_quota.go
+++ b/internal/lab/mutate/mutations_quota.go
@@ -19,10 +19,31 @@
 	{
 		name: "units-of-a-restarted-router-do-not-rest",
 		file: "internal/quota/coordinator.go",
-		old:  "		c.end(now.Add(c.bound.rest()), name, h.booked, 0)",
+		old:  "		c.end(by.Add(c.bound.rest()), name, h.booked, 0)",
 		new:  "",
 		pkg:  "./internal/quota", test: "TestNoWindowHoldsMoreThanTheLimit",
 	},
+	{
+		name: "units-given-to-a-router-that-is-not-stored",
+		file: "internal/quota/members.go",
+		old:  "return c.known.state == notRecorded || c.known.state == recorded && c.known.stored[m.node] == m.life",
+		new:  "return true",
+		pkg:  "./internal/quota", test: "TestWhoIsNotStoredGetsNothing",
+	},
+	{
+		name: "an-earlier-life-stands-for-the-stored-one",
+		file: "internal/quota/members.go",
+		old:  "if k.joined[node] < life {",
+		new:  "if k.joined[node] == 0 {",
+		pkg:  "./internal/quota", test: "TestWhoIsNotStoredGetsNothing",
+	},
+	{
+		name: "units-of-ended-lives-do-not-rest",
+		file: "internal/quota/members.go",
+		old:  "return c.known.ended.Add(c.bound.rest()), c.known.all",
+		new:  "return c.known.ended, c.known.all",
+		pkg:  "./internal/quota", test: "TestNoWindowHoldsMoreThanTheLimit",
+	},
 	{
 		name: "units-in-use-beyond-a-lowered-credit-freed",
 		file: "internal/quota/hear.go",
--- a/internal/peerlink/follow.go
+++ b/internal/peerlink/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/keytable"
 	"github.com/shalefork/shalefork/internal/owner"
@@ -149,7 +150,7 @@
 func (f *Follower) report(conn net.Conn, siblings *atomic.Int32, done <-chan struct{}) {
 	due := time.NewTimer(reportEvery)
 	defer due.Stop()
-	sent := time.Now()
+	sent := clock.Now()
 	for {
 		var report Report
 		select {
@@ -161,10 +162,10 @@
 			report = f.Take()
 			due.Reset(reportEvery + time.Duration(siblings.Load())*reportEach)
 		}
-		if report.Empty() && time.Since(sent) < emptyEvery {
+		if report.Empty() && clock.Since(sent) < emptyEvery {
 			continue
 		}
-		sent = time.Now()
+		sent = clock.Now()
 		if writeLine(conn, report) != nil {
 			return
 		}
