--- a/internal/lab/mutate/mutations_quota.go
+++ b/internal/lab/mutate/mutations_quota.go
@@ -42,7 +42,7 @@
 		file: "internal/quota/members.go",
 		old:  "return c.known.ended.Add(c.bound.rest()), c.known.all",
 		new:  "return c.known.ended, c.known.all",
-		pkg:  "./internal/quota", test: "TestNoWindowHoldsMoreThanTheLimit",
+		pkg:  "./internal/quota", test: "TestWhatEndedLivesHaveSpentRests",
 	},
 	{
 		name: "units-in-use-beyond-a-lowered-credit-freed",
