Read a list that one is left to read, also while the leader is heard

One router knew no worker that came or went for 28 s: it had an older list than its leader keeps changes for and was left to read it, which had several pages, and waited to be told for as long as it heard that leader.

--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -144,7 +144,7 @@
 			return r.awaitTold(ctx, func() bool { return of.coveredUpTo() > 0 })
 		}
 		options.More = func(ctx context.Context, at coord.Revision) bool {
-			return r.awaitList(ctx, r.listPatienceOf(of), func() bool { return of.coveredUpTo() >= at })
+			return r.awaitList(ctx, of, at)
 		}
 	}
 	coord.Follow(ctx, r.adapter.Store, prefix, view, options)
@@ -180,7 +180,15 @@
 // awaitList waits, where a list has several pages, until a leader tells it; false if the pages
 // are to be read from the service. A process that leads reads them at once; if each of many did
 // that which start together, the service's link would carry the list so many times.
-func (r *Router) awaitList(ctx context.Context, patience time.Duration, told func() bool) bool {
+func (r *Router) awaitList(ctx context.Context, of *followed, at coord.Revision) bool {
+	told := func() bool { return of.coveredUpTo() >= at }
+	patience := r.listPatienceOf(of)
+	if of.coveredUpTo() > 0 {
+		// The leader may be heard all the while and leave this process to read what it lacks.
+		bounded, cancel := context.WithTimeout(ctx, patience)
+		defer cancel()
+		ctx = bounded
+	}
 	r.large.Store(true)
 	r.sized.close()
 	leads := make(chan struct{})
--- a/internal/router/start_test.go
+++ b/internal/router/start_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -90,9 +91,31 @@
 				r := newTestRouter(t)
 				time.AfterFunc(95*time.Millisecond, func() { test.happen(r) })
 				began := time.Now()
-				assert.Equal(t, r.awaitList(t.Context(), listPatience, func() bool { return r.entries.coveredUpTo() > 0 }), test.told)
+				assert.Equal(t, r.awaitList(t.Context(), r.entries, 7), test.told)
 				assert.Equal(t, time.Since(began).Round(toldLook), test.after)
 			})
 		})
 	}
 }
+
+// A process that has an older list than its leader keeps changes for is left to read it. It waited to
+// be told for as long as it heard that leader, and knew no worker that came or went from then on.
+func TestWhoIsLeftToReadAListDoesSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRouter(t)
+		r.entries.cover(67)
+		bounded, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		go func() {
+			for bounded.Err() == nil {
+				r.told.heard(time.Now(), 0, true)
+				time.Sleep(300 * time.Millisecond)
+			}
+		}()
+		began := time.Now()
+		assert.Assert(t, !r.awaitList(bounded, r.entries, 70))
+		assert.Assert(t, time.Since(began) <= relistPatience+toldLook)
+		cancel()
+		time.Sleep(time.Second) // the leader falls silent
+	})
+}
