Say what suspected requests ask, whoever asks, and count suspects that made room

request-suspected gets question, the fingerprint without the caller; the counter shalefork_router_suspects_dropped_total counts suspects that the book forgot to make room. Before, logs could not tell one request of many callers from many requests.

--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -33,14 +33,19 @@
 	if known := c.named.Load(); known != nil {
 		return *known
 	}
-	named := quarantine.Request{
-		Method: c.message.Method, Host: c.message.Host, URI: c.message.URI,
-		Body: c.message.Body.Start(namedBody), Length: c.message.Length, Caller: caller(c.request.RemoteAddr),
-	}.Fingerprint()
+	named := c.asked().Fingerprint()
 	c.named.Store(&named)
 	return named
 }
 
+// asked returns what makes the request the same in another attempt.
+func (c *call) asked() quarantine.Request {
+	return quarantine.Request{
+		Method: c.message.Method, Host: c.message.Host, URI: c.message.URI,
+		Body: c.message.Body.Start(namedBody), Length: c.message.Length, Caller: caller(c.request.RemoteAddr),
+	}
+}
+
 // caller returns the address that a request came from; the zero one if there is none.
 func caller(remote string) netip.Addr {
 	address, err := netip.ParseAddrPort(remote)
@@ -176,6 +181,7 @@
 func (p *Proxy) suspect(to *backend, attempt quarantine.Attempt) {
 	now := clock.Now()
 	p.Log.Line(decision.KindSuspect).Str("id", attempt.ID).Str("fingerprint", attempt.Request.String()).
+		Str("question", attempt.Question.String()).
 		Str("worker", string(to.id())).Str("route", attempt.Route).Str("caller", attempt.Caller.String()).Msg("")
 	life := to.described().Life()
 	if p.Suspects.Crashed(now, attempt, quarantine.Crash{Worker: life.ID, Born: life.Born, At: now}) {
@@ -192,7 +198,7 @@
 // attempt describes this attempt of the request.
 func (c *call) attempt() quarantine.Attempt {
 	return quarantine.Attempt{
-		Request: c.fingerprint(), ID: c.message.ID, Route: c.route.Name, Caller: caller(c.request.RemoteAddr),
+		Request: c.fingerprint(), Question: c.asked().Question(), ID: c.message.ID, Route: c.route.Name, Caller: caller(c.request.RemoteAddr),
 	}
 }
 
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -91,6 +91,8 @@
 	// ended are the workers that crashed lately, whatever was under way there.
 	ended   map[workers.Life]time.Time
 	version uint64
+	// dropped counts the suspects that were forgotten to make room.
+	dropped uint64
 }
 
 // NewBook returns an empty book.
@@ -101,6 +103,9 @@
 // Version counts the changes of the book.
 func (b *Book) Version() uint64 { return b.version }
 
+// Dropped counts the suspects that were forgotten early, to make room for others.
+func (b *Book) Dropped() uint64 { return b.dropped }
+
 // Len returns how many requests are suspects or quarantined.
 func (b *Book) Len() int { return len(b.records) }
 
@@ -220,6 +225,7 @@
 			return
 		}
 		delete(b.records, oldest)
+		b.dropped++
 	}
 }
 
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -53,6 +53,12 @@
 	return short
 }
 
+// Question returns the name of what is asked, whoever asks.
+func (r Request) Question() Fingerprint {
+	r.Caller = netip.Addr{}
+	return r.Fingerprint()
+}
+
 // String returns the fingerprint in hexadecimal digits.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
--- a/internal/quarantine/view.go
+++ b/internal/quarantine/view.go
@@ -228,6 +228,13 @@
 	return v.book.Records(), v.book.Version()
 }
 
+// Dropped counts the suspects that were forgotten early, to make room for others.
+func (v *View) Dropped() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.book.Dropped()
+}
+
 // Count returns how many requests are suspects and how many are quarantined.
 func (v *View) Count() (suspects, quarantined int) {
 	v.mu.Lock()
--- a/internal/quarantine/witness.go
+++ b/internal/quarantine/witness.go
@@ -18,6 +18,8 @@
 // Attempt is one try of a request, as operators look for it.
 type Attempt struct {
 	Request Fingerprint `json:"f"`
+	// Question names what was asked, whoever asked; for logs.
+	Question Fingerprint `json:"-"`
 	// ID of the attempt, the Route that it took, and its Caller.
 	ID     string     `json:"i,omitempty"`
 	Route  string     `json:"r,omitempty"`
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -34,6 +34,9 @@
 		func() float64 { suspects, _ := r.proxy.Suspects.Count(); return float64(suspects) })
 	gauge("shalefork_router_quarantined_requests", "Requests that are sent to no worker, since they have crashed several.",
 		func() float64 { _, quarantined := r.proxy.Suspects.Count(); return float64(quarantined) })
+	registerer.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "shalefork_router_suspects_dropped_total", Help: "Suspected requests that were forgotten to make room for others.",
+	}, func() float64 { return float64(r.proxy.Suspects.Dropped()) }))
 	gauge("shalefork_router_pipelined_requests", "Requests that run behind others on their connections.", func() float64 {
 		return float64(r.pipelined.Behind())
 	})
