Take a request for the same whoever asks it

What callers saw: a request that crashes workers went on to 182 more after three had ended and all routers had to know; 289 ended in all.

Cause: the caller's address was part of what is taken for the same request, so each caller began at nothing and used up three workers. Ruled out: a request that changes.

Now crashes add up over callers. What the caller was in the name for is kept another way: a run of one caller that ends well clears the request for all, and what crashed under other callers' runs is held against these alone. A request that is harmful as one caller asks it (by a cookie, say) is refused to that one.

--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -68,7 +68,7 @@
 		{KindZoneUnknown, "a worker stands in a zone whose region the settings do not tell: the zone is taken for a region of its own", "zone, worker (the first that was seen there)"},
 		{KindWorkerHealth, "a worker is left alone after a failure, or is used again", "worker, outcome, id (the request that showed it), error"},
 		{KindWorkerCrashed, "a worker ended although it was announced and did not leave: its address refuses connections, or another process answers there", "worker, service, requests (under way there from this process)"},
-		{KindSuspect, "a request was under way at a worker that crashed", "id (of the attempt), fingerprint (of method, host, path, query, body and caller: the same in each attempt), question (the same without the caller), worker, route, caller"},
+		{KindSuspect, "a request was under way at a worker that crashed", "id (of the attempt), fingerprint (of method, host, path, query and body: the same in each attempt, whoever asks), worker, route, caller"},
 		{KindQuarantined, "a request has crashed too many workers and is sent to none from here on, or that has ended", "id (of the last attempt that was under way at a crash), fingerprint, route, caller; lifted (by an operator); error where the stored list can't be read"},
 		{KindStoreLost, "the store does not answer", "for (what was followed), error"},
 		{KindStoreBack, "it answers again", "for; for workers also away: seconds since it was lost, and waits: seconds for which vanished entries are waited for"},
--- a/internal/operator/quarantine.go
+++ b/internal/operator/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,10 +19,12 @@
 type SuspectedRequest struct {
 	Fingerprint quarantine.Fingerprint `json:"fingerprint"`
 	// Quarantined says that it is sent to no worker.
-	Quarantined bool     `json:"quarantined"`
-	Route       string   `json:"route"`
-	Caller      string   `json:"caller"`
-	Workers     []string `json:"workers"`
+	Quarantined bool   `json:"quarantined"`
+	Route       string `json:"route"`
+	// For is the only caller whose request is meant; empty: everybody's.
+	For     string   `json:"for,omitempty"`
+	Caller  string   `json:"caller"`
+	Workers []string `json:"workers"`
 	// LastID is the id of the last attempt that was under way at a crash, and Last is when that
 	// was. Until is when the request is forgotten unless it crashes more.
 	LastID string    `json:"last_id"`
@@ -95,8 +98,13 @@
 			Fingerprint: record.Attempt.Request, Quarantined: record.Standing() == quarantine.Quarantined,
 			Route: record.Attempt.Route, Caller: record.Attempt.Caller.String(), LastID: record.Attempt.ID, Until: record.Until(),
 		}
+		if record.For.IsValid() {
+			one.For = record.For.String()
+		}
 		for _, crash := range record.Crashes {
-			one.Workers = append(one.Workers, string(crash.Worker))
+			if !slices.Contains(one.Workers, string(crash.Worker)) {
+				one.Workers = append(one.Workers, string(crash.Worker))
+			}
 			one.Last = crash.At
 		}
 		list = append(list, one)
@@ -104,15 +112,22 @@
 	return list
 }
 
+func orEverybody(caller string) string {
+	if caller == "" {
+		return "everybody"
+	}
+	return caller
+}
+
 func (o Output) suspects(list []SuspectedRequest) {
 	table := newTable(o.Result)
-	fmt.Fprintln(table, "FINGERPRINT\tSTATE\tROUTE\tCALLER\tLAST ID\tLAST\tUNTIL\tWORKERS")
+	fmt.Fprintln(table, "FINGERPRINT\tSTATE\tROUTE\tFOR\tCALLER\tLAST ID\tLAST\tUNTIL\tWORKERS")
 	for _, one := range list {
 		state := "suspected"
 		if one.Quarantined {
 			state = "quarantined"
 		}
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", one.Fingerprint, state, orDash(one.Route), one.Caller,
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", one.Fingerprint, state, orDash(one.Route), orEverybody(one.For), one.Caller,
 			orDash(one.LastID), one.Last.Format(time.RFC3339), one.Until.Format(time.RFC3339), strings.Join(one.Workers, " "))
 	}
 	table.Flush()
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -33,17 +33,17 @@
 	if known := c.named.Load(); known != nil {
 		return *known
 	}
-	named := c.asked().Fingerprint()
+	named := quarantine.Request{
+		Method: c.message.Method, Host: c.message.Host, URI: c.message.URI,
+		Body: c.message.Body.Start(namedBody), Length: c.message.Length,
+	}.Fingerprint()
 	c.named.Store(&named)
 	return named
 }
 
-// asked returns what makes the request the same in another attempt.
-func (c *call) asked() quarantine.Request {
-	return quarantine.Request{
-		Method: c.message.Method, Host: c.message.Host, URI: c.message.URI,
-		Body: c.message.Body.Start(namedBody), Length: c.message.Length, Caller: caller(c.request.RemoteAddr),
-	}
+// run returns whose request this is.
+func (c *call) run() quarantine.Run {
+	return quarantine.Run{Request: c.fingerprint(), Caller: caller(c.request.RemoteAddr)}
 }
 
 // caller returns the address that a request came from; the zero one if there is none.
@@ -181,11 +181,10 @@
 func (p *Proxy) suspect(to *backend, attempt quarantine.Attempt) {
 	now := clock.Now()
 	p.Log.Line(decision.KindSuspect).Str("id", attempt.ID).Str("fingerprint", attempt.Request.String()).
-		Str("question", attempt.Question.String()).
 		Str("worker", string(to.id())).Str("route", attempt.Route).Str("caller", attempt.Caller.String()).Msg("")
 	life := to.described().Life()
-	if p.Suspects.Crashed(now, attempt, quarantine.Crash{Worker: life.ID, Born: life.Born, At: now}) {
-		TellQuarantined(p.Log, attempt)
+	for _, held := range p.Suspects.Crashed(now, attempt, quarantine.Crash{Worker: life.ID, Born: life.Born, At: now}) {
+		TellQuarantined(p.Log, held)
 	}
 }
 
@@ -198,7 +197,7 @@
 // attempt describes this attempt of the request.
 func (c *call) attempt() quarantine.Attempt {
 	return quarantine.Attempt{
-		Request: c.fingerprint(), Question: c.asked().Question(), ID: c.message.ID, Route: c.route.Name, Caller: caller(c.request.RemoteAddr),
+		Request: c.fingerprint(), ID: c.message.ID, Route: c.route.Name, Caller: caller(c.request.RemoteAddr),
 	}
 }
 
@@ -207,7 +206,7 @@
 	if !c.proxy.Suspects.Watching() {
 		return quarantine.Free
 	}
-	return c.proxy.Suspects.Standing(c.fingerprint())
+	return c.proxy.Suspects.Standing(c.run())
 }
 
 // quarantined refuses a request that may not be sent; false if it may. No time to come back is
@@ -223,7 +222,7 @@
 // cleared tells that a suspected request ran to a good end.
 func (c *call) cleared(got *upstream.Result) {
 	if got.Outcome == upstream.Answered && got.Status < http.StatusInternalServerError && c.standing() != quarantine.Free {
-		c.proxy.Suspects.Finished(c.fingerprint())
+		c.proxy.Suspects.Finished(c.run())
 	}
 }
 
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -45,17 +46,25 @@
 	Worker workers.ID
 	// Born tells the lives of a worker apart that starts again under its ID: each crash counts.
 	Born workers.Born
-	At   time.Time
+	// Caller had asked for what was under way.
+	Caller netip.Addr
+	At     time.Time
 }
 
 // life returns the life of the worker that crashed.
 func (c Crash) life() workers.Life { return workers.Life{ID: c.Worker, Born: c.Born} }
 
+// same reports whether two crashes are one, with the request of the same caller under way. Their
+// times may differ by what messages took.
+func (c Crash) same(other Crash) bool { return c.life() == other.life() && c.Caller == other.Caller }
+
 // Record is what is known of a request.
 type Record struct {
 	// Attempt is the last one that was under way at a crash.
 	Attempt Attempt
-	// Crashes are those of different workers, in order.
+	// For is the only caller whose request is meant; zero: everybody's.
+	For netip.Addr
+	// Crashes are those of different workers, or with requests of different callers, in order.
 	Crashes []Crash
 	// HeldAt is when the request was quarantined; zero: it is not.
 	HeldAt time.Time
@@ -85,7 +94,8 @@
 //
 // All requests that were under way at a worker's crash are suspects. What tells the guilty one
 // is that it was under way at three, at different moments, without a run of it that ended well
-// in between: such a run clears a request.
+// in between: such a run clears a request. Crashes with the requests of all callers add up; once
+// a run of one caller has ended well, what crashed under another's speaks against that one's only.
 type Book struct {
 	records map[Fingerprint]*Record
 	// ended are the workers that crashed lately, whatever was under way there.
@@ -109,8 +119,12 @@
 // Len returns how many requests are suspects or quarantined.
 func (b *Book) Len() int { return len(b.records) }
 
-// Standing says how a request may be sent.
-func (b *Book) Standing(request Fingerprint) Standing {
+// Standing says how the request of a caller may be sent.
+func (b *Book) Standing(run Run) Standing {
+	return max(b.standing(run.Request), b.standing(run.Request.By(run.Caller)))
+}
+
+func (b *Book) standing(request Fingerprint) Standing {
 	if known := b.records[request]; known != nil {
 		return known.Standing()
 	}
@@ -118,14 +132,31 @@
 }
 
 // Crashed notes that a request was under way at a worker when that crashed, at a time. It
-// reports whether the request is quarantined by that.
-func (b *Book) Crashed(now time.Time, attempt Attempt, crash Crash) bool {
+// returns what is quarantined by that: the request, or that of its caller.
+func (b *Book) Crashed(now time.Time, attempt Attempt, crash Crash) []Attempt {
 	if _, known := b.ended[crash.life()]; !known {
 		b.ended[crash.life()] = crash.At
 	}
+	crash.Caller = attempt.Caller
+	var held []Attempt
+	if b.blame(now, attempt, netip.Addr{}, crash) {
+		held = append(held, attempt)
+	}
+	own := attempt
+	own.Request = attempt.Request.By(attempt.Caller)
+	if b.records[own.Request] != nil && b.blame(now, own, attempt.Caller, crash) {
+		held = append(held, own)
+	}
+	b.makeRoom()
+	return held
+}
+
+// blame holds a crash against a request, of one caller or of everybody. It reports whether the
+// request is quarantined by that.
+func (b *Book) blame(now time.Time, attempt Attempt, caller netip.Addr, crash Crash) bool {
 	known := b.records[attempt.Request]
 	if known == nil {
-		known = &Record{}
+		known = &Record{For: caller}
 		b.records[attempt.Request] = known
 	}
 	if !known.add(crash) {
@@ -133,50 +164,80 @@
 	}
 	known.Attempt = attempt
 	b.version++
-	b.makeRoom()
-	if known.HeldAt.IsZero() && known.crashedOften() && known.moments() > 1 {
+	if known.crashedOften() && known.moments() > 1 {
 		known.HeldAt = now
 		return true
 	}
 	return false
 }
 
-// add adds a crash; false if that of the worker is known.
+// add adds a crash; false if it is known, or nothing depends on it since the request is
+// quarantined.
 func (r *Record) add(crash Crash) bool {
-	for _, known := range r.Crashes {
-		if known.life() == crash.life() {
-			return false
-		}
+	if !r.HeldAt.IsZero() || slices.ContainsFunc(r.Crashes, crash.same) {
+		return false
 	}
 	r.Crashes = append(r.Crashes, crash)
 	slices.SortStableFunc(r.Crashes, func(a, c Crash) int { return a.At.Compare(c.At) })
 	return true
 }
 
-func (r *Record) crashedOften() bool { return len(r.Crashes) >= mostCrashes }
+// ends returns when each of the request's workers crashed, in order.
+func (r *Record) ends() []time.Time {
+	var ends []time.Time
+	ended := map[workers.Life]bool{}
+	for _, crash := range r.Crashes {
+		if !ended[crash.life()] {
+			ended[crash.life()] = true
+			ends = append(ends, crash.At)
+		}
+	}
+	return ends
+}
+
+func (r *Record) crashedOften() bool { return len(r.ends()) >= mostCrashes }
 
 // moments counts the moments at which the request's workers crashed.
 func (r *Record) moments() int {
+	ends := r.ends()
 	count := 1
-	for index := 1; index < len(r.Crashes); index++ {
-		if r.Crashes[index].At.Sub(r.Crashes[index-1].At) >= sameMoment {
+	for index := 1; index < len(ends); index++ {
+		if ends[index].Sub(ends[index-1]) >= sameMoment {
 			count++
 		}
 	}
 	return count
 }
 
-// Finished notes that a run of a request ended well: it does not crash its workers. It
-// reports whether the request was suspected or quarantined.
-func (b *Book) Finished(request Fingerprint) bool {
-	if b.records[request] == nil {
+// Finished notes that a run of a request ended well: it does not crash its workers, as its caller
+// asks it. It reports whether the request was suspected or quarantined.
+func (b *Book) Finished(run Run) bool {
+	if b.Standing(run) == Free {
 		return false
 	}
-	delete(b.records, request)
+	delete(b.records, run.Request.By(run.Caller))
+	if known := b.records[run.Request]; known != nil {
+		delete(b.records, run.Request)
+		b.holdAgainstOthers(known, run.Caller)
+	}
 	b.version++
+	b.makeRoom()
 	return true
 }
 
+// holdAgainstOthers holds the crashes of a request against the requests of their own callers,
+// except for one of these.
+func (b *Book) holdAgainstOthers(known *Record, except netip.Addr) {
+	for _, crash := range known.Crashes {
+		if crash.Caller == except {
+			continue
+		}
+		own := known.Attempt
+		own.Request, own.Caller = known.Attempt.Request.By(crash.Caller), crash.Caller
+		b.blame(crash.At, own, crash.Caller, crash)
+	}
+}
+
 // Settle does what time brings: it forgets what is old, and quarantines requests whose workers
 // all crashed at one moment if no other worker crashed then, as it would where they share a
 // reason. It needs the evidence of all processes. It returns those that it has quarantined.
@@ -266,7 +327,7 @@
 		}
 		known := b.records[other.Attempt.Request]
 		if known == nil {
-			known = &Record{Attempt: other.Attempt}
+			known = &Record{Attempt: other.Attempt, For: other.For}
 			b.records[other.Attempt.Request] = known
 			b.version++
 		}
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -17,16 +17,13 @@
 // Error is the class of errors of this package.
 var Error = errs.Class("quarantine")
 
-// Request is what makes two attempts the same request: what is asked, and by whom. The same
-// question of another caller is another request, so that nobody can have another's request
-// refused.
+// Request is what makes two attempts the same request: what is asked, whoever asks. A request
+// that crashes workers does so for each of its callers.
 type Request struct {
 	Method, Host, URI string
 	// Body is the body, or the beginning of a long one, and Length that of the whole.
 	Body   []byte
 	Length int64
-	// Caller is the address that the request came from.
-	Caller netip.Addr
 }
 
 // Fingerprint names a request over all its attempts.
@@ -45,7 +42,6 @@
 	part([]byte(r.Method))
 	part([]byte(r.Host))
 	part([]byte(r.URI))
-	part(r.Caller.AsSlice())
 	part(binary.BigEndian.AppendUint64(nil, uint64(r.Length)))
 	part(r.Body)
 	var short Fingerprint
@@ -53,10 +49,11 @@
 	return short
 }
 
-// Question returns the name of what is asked, whoever asks.
-func (r Request) Question() Fingerprint {
-	r.Caller = netip.Addr{}
-	return r.Fingerprint()
+// By returns the name of a request as one caller asks it, whose headers may make another request
+// of it.
+func (f Fingerprint) By(caller netip.Addr) Fingerprint {
+	sum := sha256.Sum256(append(f[:], caller.AsSlice()...))
+	return Fingerprint(sum[:len(f)])
 }
 
 // String returns the fingerprint in hexadecimal digits.
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -105,7 +105,7 @@
 // ages, differ by what messages take on their way.
 func sameRecord(a, b Record) bool {
 	return a.Attempt == b.Attempt && a.HeldAt.IsZero() == b.HeldAt.IsZero() &&
-		slices.EqualFunc(a.Crashes, b.Crashes, func(x, y Crash) bool { return x.Worker == y.Worker })
+		slices.EqualFunc(a.Crashes, b.Crashes, Crash.same)
 }
 
 // prune forgets the oldest removals.
--- a/internal/quarantine/snapshot.go
+++ b/internal/quarantine/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -24,6 +25,8 @@
 // SnapshotEntry is one record.
 type SnapshotEntry struct {
 	Attempt
+	// For is the only caller whose request is meant; zero: everybody's.
+	For     netip.Addr      `json:"o,omitzero"`
 	Crashes []SnapshotCrash `json:"x"`
 	Held    bool            `json:"h,omitempty"`
 	// HeldMillis is for how long the request has been quarantined.
@@ -36,24 +39,26 @@
 	// Born tells the life of the worker; zero if it tells none.
 	Born      workers.Born `json:"b,omitempty"`
 	AgeMillis int64        `json:"a"`
+	// Caller asked.
+	Caller netip.Addr `json:"c,omitzero"`
 }
 
 // crashAt returns the crash that is described, as of a time.
 func (c SnapshotCrash) crashAt(now time.Time) Crash {
 	at := now.Add(-time.Duration(c.AgeMillis) * time.Millisecond)
-	return Crash{Worker: c.Worker, Born: c.Born, At: at}
+	return Crash{Worker: c.Worker, Born: c.Born, Caller: c.Caller, At: at}
 }
 
 // describe returns a crash as it is told at a time.
 func (c Crash) describe(now time.Time) SnapshotCrash {
-	return SnapshotCrash{Worker: c.Worker, Born: c.Born, AgeMillis: now.Sub(c.At).Milliseconds()}
+	return SnapshotCrash{Worker: c.Worker, Born: c.Born, Caller: c.Caller, AgeMillis: now.Sub(c.At).Milliseconds()}
 }
 
 // NewSnapshot describes records as of a time.
 func NewSnapshot(now time.Time, records []Record) Snapshot {
 	snapshot := Snapshot{WrittenMillis: now.UnixMilli(), Records: make([]SnapshotEntry, 0, len(records))}
 	for _, record := range records {
-		entry := SnapshotEntry{Attempt: record.Attempt, Held: !record.HeldAt.IsZero()}
+		entry := SnapshotEntry{Attempt: record.Attempt, For: record.For, Held: !record.HeldAt.IsZero()}
 		if entry.Held {
 			entry.HeldMillis = now.Sub(record.HeldAt).Milliseconds()
 		}
@@ -101,7 +106,7 @@
 func (s Snapshot) records(written time.Time) []Record {
 	list := make([]Record, 0, len(s.Records))
 	for _, entry := range s.Records {
-		record := Record{Attempt: entry.Attempt}
+		record := Record{Attempt: entry.Attempt, For: entry.For}
 		for _, crash := range entry.Crashes {
 			record.Crashes = append(record.Crashes, crash.crashAt(written))
 		}
--- a/internal/quarantine/view.go
+++ b/internal/quarantine/view.go
@@ -18,8 +18,8 @@
 // Evidence is what processes tell a leader.
 type Evidence struct {
 	Crashes []Suspicion `json:"x,omitempty"`
-	// Finished are suspected requests of which a run ended well.
-	Finished []Fingerprint `json:"f,omitempty"`
+	// Finished are runs of suspected requests that ended well.
+	Finished []Run `json:"d,omitempty"`
 }
 
 // Suspicion says that a request was under way at a worker that crashed.
@@ -36,7 +36,7 @@
 	mu       sync.Mutex
 	book     *Book
 	own      []*told
-	finished []Fingerprint
+	finished []Run
 	changed  chan struct{}
 }
 
@@ -57,11 +57,11 @@
 // need no fingerprint.
 func (v *View) Watching() bool { return v.watching.Load() }
 
-// Standing says how a request may be sent.
-func (v *View) Standing(request Fingerprint) Standing {
+// Standing says how the request of a caller may be sent.
+func (v *View) Standing(run Run) Standing {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.book.Standing(request)
+	return v.book.Standing(run)
 }
 
 // Changed gets a value after changes of what is known.
@@ -76,15 +76,16 @@
 	}
 }
 
-// Crashed notes that a request was under way at a worker that crashed just now. It reports
-// whether the request is quarantined by that.
-func (v *View) Crashed(now time.Time, attempt Attempt, crash Crash) bool {
+// Crashed notes that a request was under way at a worker that crashed just now. It returns what
+// is quarantined by that.
+func (v *View) Crashed(now time.Time, attempt Attempt, crash Crash) []Attempt {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	crash.Caller = attempt.Caller
 	if slices.ContainsFunc(v.own, func(one *told) bool {
-		return one.attempt.Request == attempt.Request && one.crash.life() == crash.life()
+		return one.attempt.Request == attempt.Request && one.crash.same(crash)
 	}) {
-		return false
+		return nil
 	}
 	v.forget(now)
 	v.own = append(v.own, &told{attempt: attempt, crash: crash, since: now})
@@ -93,18 +94,18 @@
 }
 
 // Finished notes that a run of a suspected request ended well.
-func (v *View) Finished(request Fingerprint) {
+func (v *View) Finished(run Run) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.finish(request) {
-		v.finished = append(v.finished, request)
+	if v.finish(run) {
+		v.finished = append(v.finished, run)
 	}
 }
 
 // finish clears a request. The caller holds mu.
-func (v *View) finish(request Fingerprint) bool {
-	v.own = slices.DeleteFunc(v.own, func(one *told) bool { return one.attempt.Request == request })
-	if !v.book.Finished(request) {
+func (v *View) finish(run Run) bool {
+	v.own = slices.DeleteFunc(v.own, func(one *told) bool { return one.attempt.run() == run })
+	if !v.book.Finished(run) {
 		return false
 	}
 	v.note()
@@ -116,12 +117,10 @@
 func (v *View) Take(now time.Time, evidence Evidence) []Attempt {
 	var held []Attempt
 	for _, one := range evidence.Crashes {
-		if v.Crashed(now, one.Attempt, one.Crash.crashAt(now)) {
-			held = append(held, one.Attempt)
-		}
+		held = append(held, v.Crashed(now, one.Attempt, one.Crash.crashAt(now))...)
 	}
-	for _, request := range evidence.Finished {
-		v.Finished(request)
+	for _, run := range evidence.Finished {
+		v.Finished(run)
 	}
 	return held
 }
@@ -172,16 +171,18 @@
 // newlyHeld returns the quarantined records that are not known to be. The caller holds mu.
 func (v *View) newlyHeld(records []Record) []Record {
 	return slices.DeleteFunc(slices.Clone(records), func(one Record) bool {
-		return one.Standing() != Quarantined || v.book.Standing(one.Attempt.Request) == Quarantined
+		return one.Standing() != Quarantined || v.book.standing(one.Attempt.Request) == Quarantined
 	})
 }
 
-// confirms reports whether records hold a piece of evidence.
+// confirms reports whether records hold a piece of evidence, or need it no more.
 func confirms(records []Record, evidence *told) bool {
+	own := evidence.attempt.Request.By(evidence.attempt.Caller)
 	return slices.ContainsFunc(records, func(one Record) bool {
-		return one.Attempt.Request == evidence.attempt.Request && slices.ContainsFunc(one.Crashes, func(crash Crash) bool {
-			return crash.life() == evidence.crash.life()
-		})
+		if one.Attempt.Request != evidence.attempt.Request && one.Attempt.Request != own {
+			return false
+		}
+		return one.Standing() == Quarantined || slices.ContainsFunc(one.Crashes, evidence.crash.same)
 	})
 }
 
--- a/internal/quarantine/witness.go
+++ b/internal/quarantine/witness.go
@@ -15,17 +15,24 @@
 	mostCut = 64
 )
 
+// Run is a run of a request for a caller.
+type Run struct {
+	Request Fingerprint `json:"f"`
+	Caller  netip.Addr  `json:"c,omitzero"`
+}
+
 // Attempt is one try of a request, as operators look for it.
 type Attempt struct {
 	Request Fingerprint `json:"f"`
-	// Question names what was asked, whoever asked; for logs.
-	Question Fingerprint `json:"-"`
 	// ID of the attempt, the Route that it took, and its Caller.
 	ID     string     `json:"i,omitempty"`
 	Route  string     `json:"r,omitempty"`
 	Caller netip.Addr `json:"c,omitzero"`
 }
 
+// run returns whose request the attempt runs.
+func (a Attempt) run() Run { return Run{Request: a.Request, Caller: a.Caller} }
+
 // Witness is what one process saw of the end of one worker: whether it crashed, and which
 // requests were under way there. Its zero value has seen nothing.
 type Witness struct {
@@ -53,17 +60,17 @@
 }
 
 // Ended notes that the worker has ended; first is false if that was known. It returns the
-// requests that its end cut off, each once.
+// requests that its end cut off, each once for each caller.
 func (w *Witness) Ended(now time.Time) (attempts []Attempt, first bool) {
 	if !w.endedAt.IsZero() {
 		return nil, false
 	}
 	w.endedAt = now
 	w.forget(now)
-	seen := map[Fingerprint]bool{}
+	seen := map[Run]bool{}
 	for _, one := range w.cut {
-		if !seen[one.attempt.Request] {
-			seen[one.attempt.Request] = true
+		if !seen[one.attempt.run()] {
+			seen[one.attempt.run()] = true
 			attempts = append(attempts, one.attempt)
 		}
 	}
