Merge what routers know of harmful requests, in place of a leader's list that replaces it

What callers would see: a request that was quarantined is sent again after a change of leaders, or after the store refused its leader, and ends three workers more.

a list of a leader that had not heard of a quarantine took it from its witness and from a router that had been told (free, not quarantined); evidence that a leader had confirmed was lost with a leader that had not stored it (two of three crashes gone: suspected, not quarantined); crashes that came together by merging were not judged (suspected, not quarantined).

Cause: one fault in three places. What a router knew was replaced by what its leader knew, so a router that knew could come to know less. Now a record is facts that merge, with removals that are facts too (cleared by a run, lifted by an operator), and whether a request is quarantined follows from the crashes that count. A router tells a leader what its list lacks.

--- a/internal/operator/quarantine.go
+++ b/internal/operator/quarantine.go
@@ -94,6 +94,9 @@
 func describeSuspects(snapshot quarantine.Snapshot) []SuspectedRequest {
 	list := []SuspectedRequest{}
 	for _, record := range snapshot.Told(time.UnixMilli(snapshot.WrittenMillis).UTC()) {
+		if record.Standing() == quarantine.Free || slices.Contains(snapshot.Lifted, record.Attempt.Request) {
+			continue
+		}
 		one := SuspectedRequest{
 			Fingerprint: record.Attempt.Request, Quarantined: record.Standing() == quarantine.Quarantined,
 			Route: record.Attempt.Route, Caller: record.Attempt.Caller.String(), LastID: record.Attempt.ID, Until: record.Until(),
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -222,7 +222,7 @@
 // cleared tells that a suspected request ran to a good end.
 func (c *call) cleared(got *upstream.Result) {
 	if got.Outcome == upstream.Answered && got.Status < http.StatusInternalServerError && c.standing() != quarantine.Free {
-		c.proxy.Suspects.Finished(c.run())
+		c.proxy.Suspects.Finished(clock.Now(), c.run())
 	}
 }
 
--- /dev/null
+++ b/internal/quarantine/leaders_test.go
@@ -0,0 +1,142 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// tellAll brings what a leader knows to a follower.
+func tellAll(now time.Time, leader, follower *View) []Attempt {
+	snapshot, _ := leader.Snapshot(now)
+	return follower.Told(now, snapshot.Told(now))
+}
+
+// report brings what a follower has to tell to a leader.
+func report(now time.Time, follower, leader *View) {
+	if evidence := follower.Tell(now); evidence != nil {
+		leader.Take(now, *evidence)
+	}
+}
+
+// crashAt returns a crash of a worker.
+func crashAt(worker workers.ID, seconds float64) Crash { return Crash{Worker: worker, At: at(seconds)} }
+
+// held returns a view under which a request has crashed three workers.
+func heldView() *View {
+	v := NewView()
+	for index, worker := range []workers.ID{"a", "b", "c"} {
+		seconds := 3 * float64(index)
+		v.Crashed(at(seconds), attempt(1), crashAt(worker, seconds))
+	}
+	return v
+}
+
+// A leader that did not hear of a quarantine took it away from all routers by its list.
+func TestALeaderThatDoesNotKnowAQuarantineTakesItFromNobody(t *testing.T) {
+	first, follower, second := heldView(), NewView(), NewView()
+	assert.Equal(t, len(tellAll(at(7), first, follower)), 1)
+	tellAll(at(20), second, follower)
+	assert.Equal(t, follower.Standing(attempt(1).run()), Quarantined)
+	report(at(20.1), follower, second)
+	assert.Equal(t, second.Standing(attempt(1).run()), Quarantined, "the leader is told")
+	tellAll(at(20.5), second, follower)
+	assert.Assert(t, follower.Tell(at(30)) == nil, "the leader knows")
+}
+
+// Evidence that a leader had confirmed was lost with a leader that had not stored it.
+func TestEvidenceOfALostLeaderIsToldTheNext(t *testing.T) {
+	first, second, witness := NewView(), NewView(), NewView()
+	witness.Crashed(at(0), attempt(1), crashAt("a", 0))
+	witness.Crashed(at(3), attempt(1), crashAt("b", 3))
+	report(at(3.2), witness, first)
+	tellAll(at(3.4), first, witness)
+	assert.Assert(t, witness.Tell(at(5)) == nil, "confirmed")
+	tellAll(at(40), second, witness)
+	report(at(40.1), witness, second)
+	second.Crashed(at(41), attempt(1), crashAt("c", 41))
+	assert.Equal(t, second.Standing(attempt(1).run()), Quarantined)
+}
+
+// Crashes that came together by merging were not judged until a fourth worker had crashed.
+func TestMergedCrashesAreJudged(t *testing.T) {
+	stored, leader := NewView(), NewView()
+	stored.Crashed(at(0), attempt(1), crashAt("a", 0))
+	stored.Crashed(at(3), attempt(1), crashAt("b", 3))
+	leader.Crashed(at(6), attempt(1), crashAt("c", 6))
+	leader.Crashed(at(6), attempt(9), crashAt("another", 6))
+	records, _ := stored.Records()
+	assert.Equal(t, len(leader.Merge(at(7), records)), 1)
+	assert.Equal(t, leader.Standing(attempt(1).run()), Quarantined)
+}
+
+func TestWhatWasLiftedOrClearedDoesNotComeBack(t *testing.T) {
+	for name, remove := range map[string]func(v *View){
+		"lifted":      func(v *View) { v.Lift(at(10), []Fingerprint{attempt(1).Request}) },
+		"a run of it": func(v *View) { v.Finished(at(10), attempt(1).run()) },
+		"lifted twice": func(v *View) {
+			v.Lift(at(9), []Fingerprint{attempt(1).Request})
+			v.Lift(at(10), []Fingerprint{attempt(1).Request})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			leader, away, witness := NewView(), NewView(), heldView()
+			report(at(7), witness, leader)
+			tellAll(at(7.5), leader, away)
+			remove(leader)
+			report(at(10.1), witness, leader)
+			tellAll(at(10.2), leader, witness)
+			report(at(11.5), witness, leader)
+			assert.Equal(t, leader.Standing(attempt(1).run()), Free)
+			assert.Equal(t, witness.Standing(attempt(1).run()), Free)
+
+			const later = 3600
+			leader.Settle(at(later))
+			tellAll(at(later), leader, away)
+			assert.Equal(t, away.Standing(attempt(1).run()), Free, "cut off for an hour")
+			next := NewView()
+			report(at(later+1), away, next)
+			report(at(later+1), witness, next)
+			assert.Equal(t, next.Standing(attempt(1).run()), Free, "a leader that knows nothing")
+		})
+	}
+}
+
+// Whatever a book is told twice, or in another order, it comes to the same.
+func TestBooksThatMergeAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var lists [3][]Record
+		for index := range lists {
+			b := NewBook()
+			for range rapid.IntRange(0, 8).Draw(t, "events") {
+				// Events more than the tolerance of ages apart are told apart everywhere.
+				now := at(3 * float64(rapid.IntRange(0, 20).Draw(t, "at")))
+				one := attempt(rapid.Byte().Draw(t, "request") % 2)
+				one.Caller = callerAt(rapid.Byte().Draw(t, "caller") % 2)
+				if rapid.IntRange(0, 4).Draw(t, "kind") == 0 {
+					b.Finished(now, one.run())
+					continue
+				}
+				worker := workers.ID(rapid.StringMatching("[a-e]").Draw(t, "worker"))
+				b.Crashed(now, one, Crash{Worker: worker, Born: workers.Born(now.Unix()), At: now})
+			}
+			lists[index] = b.Records()
+		}
+		forth, back := NewBook(), NewBook()
+		for index := range lists {
+			forth.Merge(at(100), lists[index])
+			forth.Merge(at(100), lists[index])
+			back.Merge(at(100), lists[len(lists)-1-index])
+		}
+		for request := range byte(2) {
+			for caller := range byte(3) {
+				run := Run{Request: attempt(request).Request, Caller: callerAt(caller)}
+				assert.Equal(t, forth.Standing(run), back.Standing(run), "request %d of caller %d", request, caller)
+			}
+		}
+	})
+}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -104,10 +104,14 @@
 // sameRecord reports whether two records tell the same. The times of crashes, which are told as
 // ages, differ by what messages take on their way.
 func sameRecord(a, b Record) bool {
-	return a.Attempt == b.Attempt && a.HeldAt.IsZero() == b.HeldAt.IsZero() &&
+	return a.Attempt == b.Attempt && sameEvent(a.HeldAt, b.HeldAt) && sameEvent(a.ClearedAt, b.ClearedAt) &&
+		sameEvent(a.LiftedAt, b.LiftedAt) &&
 		slices.EqualFunc(a.Crashes, b.Crashes, Crash.same)
 }
 
+// sameEvent reports whether two times are of one event, told with different ages, or of none.
+func sameEvent(a, b time.Time) bool { return !isLater(a, b) && !isLater(b, a) }
+
 // prune forgets the oldest removals.
 func (l *Ledger) prune() {
 	var gone []uint64
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -12,6 +12,7 @@
 func record(number byte, held bool) Record {
 	one := Record{Attempt: attempt(number), Crashes: []Crash{{Worker: "w", At: at(1)}}}
 	if held {
+		one.Crashes = []Crash{{Worker: "w", At: at(-5)}, {Worker: "x", At: at(-2)}, {Worker: "y", At: at(1)}}
 		one.HeldAt = at(2)
 	}
 	return one
--- a/internal/quarantine/snapshot.go
+++ b/internal/quarantine/snapshot.go
@@ -12,13 +12,16 @@
 // StoreKey is where the book is stored, under the prefix of the system's own keys.
 func StoreKey(prefix string) string { return prefix + "suspects" }
 
+// mostTold is how many crashes of a quarantined request are told.
+const mostTold = 8
+
 // Snapshot is a book as it is stored and told. Times are ages as of its writing: processes do
 // not share a clock. How old a stored one is tells the time of day, which may be off by seconds.
 type Snapshot struct {
 	// WrittenMillis is the time of day of the writing, in milliseconds since 1970.
 	WrittenMillis int64 `json:"t"`
-	// Lifted says that an operator has removed records.
-	Lifted  bool            `json:"l,omitempty"`
+	// Lifted are the requests that an operator has lifted since.
+	Lifted  []Fingerprint   `json:"z,omitempty"`
 	Records []SnapshotEntry `json:"r"`
 }
 
@@ -28,9 +31,13 @@
 	// For is the only caller whose request is meant; zero: everybody's.
 	For     netip.Addr      `json:"o,omitzero"`
 	Crashes []SnapshotCrash `json:"x"`
-	Held    bool            `json:"h,omitempty"`
-	// HeldMillis is for how long the request has been quarantined.
-	HeldMillis int64 `json:"m,omitempty"`
+	// Held says that the request is quarantined.
+	Held bool `json:"h,omitempty"`
+	// HeldMillis is for how long the request has been quarantined, or since when it was, and
+	// ClearedMillis and LiftedMillis since when it was cleared and lifted; zero: never.
+	HeldMillis    int64 `json:"m,omitempty"`
+	ClearedMillis int64 `json:"k,omitempty"`
+	LiftedMillis  int64 `json:"v,omitempty"`
 }
 
 // SnapshotCrash is one crash, AgeMillis ago.
@@ -58,11 +65,11 @@
 func NewSnapshot(now time.Time, records []Record) Snapshot {
 	snapshot := Snapshot{WrittenMillis: now.UnixMilli(), Records: make([]SnapshotEntry, 0, len(records))}
 	for _, record := range records {
-		entry := SnapshotEntry{Attempt: record.Attempt, For: record.For, Held: !record.HeldAt.IsZero()}
-		if entry.Held {
-			entry.HeldMillis = now.Sub(record.HeldAt).Milliseconds()
+		entry := SnapshotEntry{
+			Attempt: record.Attempt, For: record.For, Held: record.Standing() == Quarantined,
+			HeldMillis: age(now, record.HeldAt), ClearedMillis: age(now, record.ClearedAt), LiftedMillis: age(now, record.LiftedAt),
 		}
-		for _, crash := range record.Crashes {
+		for _, crash := range record.told() {
 			entry.Crashes = append(entry.Crashes, crash.describe(now))
 		}
 		snapshot.Records = append(snapshot.Records, entry)
@@ -70,6 +77,31 @@
 	return snapshot
 }
 
+// age returns how long ago an event was, in milliseconds; zero for one that never was.
+func age(now, event time.Time) int64 {
+	if event.IsZero() {
+		return 0
+	}
+	return max(1, now.Sub(event).Milliseconds())
+}
+
+// aged returns when an event was.
+func aged(now time.Time, age int64) time.Time {
+	if age == 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(age) * time.Millisecond)
+}
+
+// told returns the crashes that others are told of: of a quarantined request's, the first and the
+// last ones.
+func (r Record) told() []Crash {
+	if len(r.Crashes) <= mostTold || r.Standing() != Quarantined {
+		return r.Crashes
+	}
+	return slices.Concat(r.Crashes[:mostTold/2], r.Crashes[len(r.Crashes)-mostTold/2:])
+}
+
 // DecodeSnapshot reads a stored snapshot.
 func DecodeSnapshot(value []byte) (Snapshot, error) {
 	var snapshot Snapshot
@@ -86,11 +118,17 @@
 	return value
 }
 
-// Lift returns the snapshot without a request, as an operator stores it; false if the request is
-// not in it.
+// Lift returns the snapshot with a request lifted, as an operator stores it; false if nothing is
+// held against the request.
 func (s Snapshot) Lift(request Fingerprint) (Snapshot, bool) {
-	rest := slices.DeleteFunc(slices.Clone(s.Records), func(one SnapshotEntry) bool { return one.Request == request })
-	return Snapshot{WrittenMillis: s.WrittenMillis, Lifted: true, Records: rest}, len(rest) < len(s.Records)
+	known := slices.ContainsFunc(s.Records, func(one SnapshotEntry) bool {
+		return one.Request == request && (one.Held || len(one.Crashes) > 0)
+	})
+	if !known || slices.Contains(s.Lifted, request) {
+		return s, false
+	}
+	s.Lifted = append(slices.Clone(s.Lifted), request)
+	return s, true
 }
 
 // Told returns the records of a snapshot that was just written elsewhere.
@@ -110,8 +148,11 @@
 		for _, crash := range entry.Crashes {
 			record.Crashes = append(record.Crashes, crash.crashAt(written))
 		}
-		if entry.Held {
-			record.HeldAt = written.Add(-time.Duration(entry.HeldMillis) * time.Millisecond)
+		record.HeldAt = aged(written, entry.HeldMillis)
+		record.ClearedAt = aged(written, entry.ClearedMillis)
+		record.LiftedAt = aged(written, entry.LiftedMillis)
+		if entry.Held && record.Standing() != Quarantined {
+			record.AloneAt = record.HeldAt
 		}
 		list = append(list, record)
 	}
--- a/internal/quarantine/view.go
+++ b/internal/quarantine/view.go
@@ -11,8 +11,10 @@
 	// tellAgainAfter is after how long evidence is told once more that no leader has confirmed:
 	// a report may be lost with its link, and its way takes half of that through a relay.
 	tellAgainAfter = time.Second
-	// tellFor is for how long. Without a leader nobody decides; one is found within seconds.
+	// tellFor is for how long: a leader that does not take it has no room for it.
 	tellFor = 30 * time.Second
+	// mostOwn bounds the evidence that a process remembers of what it saw itself.
+	mostOwn = mostRecords
 )
 
 // Evidence is what processes tell a leader.
@@ -20,6 +22,8 @@
 	Crashes []Suspicion `json:"x,omitempty"`
 	// Finished are runs of suspected requests that ended well.
 	Finished []Run `json:"d,omitempty"`
+	// Known are requests that were quarantined, or lifted, of which the leader does not tell.
+	Known *Snapshot `json:"k,omitempty"`
 }
 
 // Suspicion says that a request was under way at a worker that crashed.
@@ -28,8 +32,8 @@
 	Crash SnapshotCrash `json:"x"`
 }
 
-// View is what one process knows: what a leader told last, and evidence of its own. It is safe
-// for concurrent use.
+// View is what one process knows: what leaders told and evidence of its own, of which a leader may
+// not know all. It is safe for concurrent use.
 type View struct {
 	// watching says that there are records.
 	watching atomic.Bool
@@ -37,20 +41,38 @@
 	book     *Book
 	own      []*told
 	finished []Run
-	changed  chan struct{}
+	// lacking are the requests that the leader should know as they are known here.
+	lacking map[Fingerprint]*telling
+	changed chan struct{}
 }
 
-// told is evidence that no leader has confirmed.
+// telling says when a fact was told a leader.
+type telling struct {
+	// since is when it was found that the leader does not know it, and at when it was told last.
+	since, at time.Time
+}
+
+// due reports whether the fact is to be told now, and notes that it is.
+func (t *telling) due(now time.Time) bool {
+	if now.Sub(t.since) >= tellFor || (!t.at.IsZero() && now.Sub(t.at) < tellAgainAfter) {
+		return false
+	}
+	t.at = now
+	return true
+}
+
+// told is evidence of this process, or of one that tells the leader through this one.
 type told struct {
+	telling
 	attempt Attempt
 	crash   Crash
-	// since is when this process took it, and at when it was told last.
-	since, at time.Time
+	// confirmed says that the leader knows it. Another leader may not.
+	confirmed bool
 }
 
 // NewView returns a view that knows nothing.
 func NewView() *View {
-	return &View{book: NewBook(), changed: make(chan struct{}, 1)}
+	return &View{book: NewBook(), lacking: map[Fingerprint]*telling{}, changed: make(chan struct{}, 1)}
 }
 
 // Watching reports whether any request is suspected or quarantined. While none is, requests
@@ -69,13 +91,19 @@
 
 // note tells of a change. The caller holds mu.
 func (v *View) note() {
-	v.watching.Store(v.book.Len() > 0)
+	v.watch()
 	select {
 	case v.changed <- struct{}{}:
 	default:
 	}
 }
 
+// watch notes whether there are suspects or quarantined requests. The caller holds mu.
+func (v *View) watch() {
+	suspects, quarantined := v.book.Count()
+	v.watching.Store(suspects+quarantined > 0)
+}
+
 // Crashed notes that a request was under way at a worker that crashed just now. It returns what
 // is quarantined by that.
 func (v *View) Crashed(now time.Time, attempt Attempt, crash Crash) []Attempt {
@@ -88,28 +116,20 @@
 		return nil
 	}
 	v.forget(now)
-	v.own = append(v.own, &told{attempt: attempt, crash: crash, since: now})
+	v.own = append(v.own, &told{attempt: attempt, crash: crash, telling: telling{since: now}})
 	defer v.note()
 	return v.book.Crashed(now, attempt, crash)
 }
 
 // Finished notes that a run of a suspected request ended well.
-func (v *View) Finished(run Run) {
+func (v *View) Finished(now time.Time, run Run) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.finish(run) {
-		v.finished = append(v.finished, run)
-	}
-}
-
-// finish clears a request. The caller holds mu.
-func (v *View) finish(run Run) bool {
 	v.own = slices.DeleteFunc(v.own, func(one *told) bool { return one.attempt.run() == run })
-	if !v.book.Finished(run) {
-		return false
+	if v.book.Finished(now, run) {
+		v.finished = append(v.finished, run)
+		v.note()
 	}
-	v.note()
-	return true
 }
 
 // Take takes the evidence of another process. It returns the requests that are quarantined by
@@ -120,7 +140,10 @@
 		held = append(held, v.Crashed(now, one.Attempt, one.Crash.crashAt(now))...)
 	}
 	for _, run := range evidence.Finished {
-		v.Finished(run)
+		v.Finished(now, run)
+	}
+	if evidence.Known != nil {
+		held = append(held, v.Merge(now, evidence.Known.Told(now))...)
 	}
 	return held
 }
@@ -133,73 +156,119 @@
 	evidence := &Evidence{Finished: v.finished}
 	v.finished = nil
 	for _, one := range v.own {
-		if !one.at.IsZero() && now.Sub(one.at) < tellAgainAfter {
+		if one.confirmed || !one.due(now) {
 			continue
 		}
-		one.at = now
 		evidence.Crashes = append(evidence.Crashes, Suspicion{
 			Attempt: one.attempt,
 			Crash:   one.crash.describe(now),
 		})
 	}
-	if len(evidence.Crashes) == 0 && len(evidence.Finished) == 0 {
+	if known := v.known(now); len(known.Records) > 0 {
+		evidence.Known = &known
+	}
+	if len(evidence.Crashes) == 0 && len(evidence.Finished) == 0 && evidence.Known == nil {
 		return nil
 	}
 	return evidence
 }
 
-// forget drops evidence that has been told for long enough. The caller holds mu.
+// known describes what the leader lacks, as far as that is to be told now. The caller holds mu.
+func (v *View) known(now time.Time) Snapshot {
+	var records []Record
+	for request, telling := range v.lacking {
+		if known := v.book.records[request]; known != nil && telling.due(now) {
+			records = append(records, known.copied())
+		}
+	}
+	return NewSnapshot(now, records)
+}
+
+// forget drops evidence that is old or cleared, and makes room for more. The caller holds mu.
 func (v *View) forget(now time.Time) {
-	v.own = slices.DeleteFunc(v.own, func(one *told) bool { return now.Sub(one.since) >= tellFor })
+	v.own = slices.DeleteFunc(v.own, func(one *told) bool { return now.Sub(one.crash.At) >= suspectMemory || v.isCleared(one) })
+	v.own = v.own[max(0, len(v.own)-mostOwn):]
 }
 
-// Told takes what a leader knows, in place of all but the evidence that it has not confirmed.
-// It returns the requests that were not known to be quarantined.
-func (v *View) Told(now time.Time, records []Record) []Record {
+// isCleared reports whether a run of the same caller has ended well since. The caller holds mu.
+func (v *View) isCleared(one *told) bool {
+	known, own := v.book.records[one.attempt.Request], v.book.records[one.attempt.own().Request]
+	return (known != nil && known.lifts(one.crash.At)) || (own != nil && own.clears(one.crash.At))
+}
+
+// Told takes what a leader knows. A leader may not know all: what is known here stays, and the
+// leader is told of it. It returns what is quarantined by that.
+func (v *View) Told(now time.Time, records []Record) []Attempt {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	held := v.newlyHeld(records)
-	v.book.Replace(records)
-	v.own = slices.DeleteFunc(v.own, func(one *told) bool { return confirms(records, one) })
+	v.book.Expire(now)
+	held := v.book.Merge(now, records)
+	listed := make(map[Fingerprint]Record, len(records))
+	for _, one := range records {
+		listed[one.Attempt.Request] = one
+	}
+	v.forget(now)
 	for _, one := range v.own {
-		v.book.Crashed(now, one.attempt, one.crash)
+		confirmed := confirms(listed, one)
+		if one.confirmed && !confirmed {
+			one.telling = telling{since: now}
+		}
+		one.confirmed = confirmed
 	}
+	v.compare(now, listed)
 	v.note()
 	return held
 }
 
-// newlyHeld returns the quarantined records that are not known to be. The caller holds mu.
-func (v *View) newlyHeld(records []Record) []Record {
-	return slices.DeleteFunc(slices.Clone(records), func(one Record) bool {
-		return one.Standing() != Quarantined || v.book.standing(one.Attempt.Request) == Quarantined
-	})
+// compare notes which requests that were quarantined the leader knows less of, and which of its
+// suspects have been cleared. The caller holds mu.
+func (v *View) compare(now time.Time, listed map[Fingerprint]Record) {
+	before := v.lacking
+	v.lacking = map[Fingerprint]*telling{}
+	for request, known := range v.book.records {
+		other := listed[request]
+		cleared := other.Standing() != Free && isLater(known.ClearedAt, other.ClearedAt)
+		held := !known.HeldAt.IsZero() && other.lacks(*known)
+		if !cleared && !held {
+			continue
+		}
+		v.lacking[request] = before[request]
+		if v.lacking[request] == nil {
+			v.lacking[request] = &telling{since: now}
+		}
+	}
 }
 
-// confirms reports whether records hold a piece of evidence, or need it no more.
-func confirms(records []Record, evidence *told) bool {
-	own := evidence.attempt.Request.By(evidence.attempt.Caller)
-	return slices.ContainsFunc(records, func(one Record) bool {
-		if one.Attempt.Request != evidence.attempt.Request && one.Attempt.Request != own {
-			return false
+// confirms reports whether a leader's records hold a piece of evidence, or need it no more.
+func confirms(listed map[Fingerprint]Record, evidence *told) bool {
+	for _, request := range []Fingerprint{evidence.attempt.Request, evidence.attempt.own().Request} {
+		one, known := listed[request]
+		if known && (one.Standing() == Quarantined || slices.ContainsFunc(one.Crashes, evidence.crash.same)) {
+			return true
 		}
-		return one.Standing() == Quarantined || slices.ContainsFunc(one.Crashes, evidence.crash.same)
-	})
+	}
+	return false
 }
 
-// Merge adds what was stored before.
-func (v *View) Merge(records []Record) {
+// Merge adds what another process knows, or has stored. It returns what is quarantined by that.
+func (v *View) Merge(now time.Time, records []Record) []Attempt {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.book.Merge(records)
+	held := v.book.Merge(now, records)
 	v.note()
+	return held
 }
 
-// Replace takes what an operator has stored.
-func (v *View) Replace(records []Record) {
+// Lift notes which requests an operator has lifted.
+func (v *View) Lift(now time.Time, requests []Fingerprint) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.book.Replace(records)
-	v.own = nil
+	for _, request := range requests {
+		v.own = slices.DeleteFunc(v.own, func(one *told) bool {
+			return one.attempt.Request == request || one.attempt.own().Request == request
+		})
+		v.book.Lift(now, request)
+	}
 	v.note()
 }
 
@@ -211,7 +280,7 @@
 	if len(held) > 0 {
 		v.note()
 	}
-	v.watching.Store(v.book.Len() > 0)
+	v.watch()
 	return held
 }
 
@@ -240,12 +309,5 @@
 func (v *View) Count() (suspects, quarantined int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for _, one := range v.book.Records() {
-		if one.Standing() == Quarantined {
-			quarantined++
-		} else {
-			suspects++
-		}
-	}
-	return suspects, quarantined
+	return v.book.Count()
 }
--- a/internal/quarantine/witness.go
+++ b/internal/quarantine/witness.go
@@ -33,6 +33,12 @@
 // run returns whose request the attempt runs.
 func (a Attempt) run() Run { return Run{Request: a.Request, Caller: a.Caller} }
 
+// own returns the attempt as one of its caller's own request.
+func (a Attempt) own() Attempt {
+	a.Request = a.Request.By(a.Caller)
+	return a
+}
+
 // Witness is what one process saw of the end of one worker: whether it crashed, and which
 // requests were under way there. Its zero value has seen nothing.
 type Witness struct {
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -87,17 +87,12 @@
 	return false
 }
 
-// take takes a stored list: what an operator has lifted stays lifted, though this process may
-// know it still; else it adds to what is known.
+// take adds a stored list to what is known. What an operator has lifted is lifted here too.
 func (k *suspectsKeeper) take(item coord.Item) {
-	snapshot, ok := k.r.readSnapshot(item)
-	switch {
-	case !ok:
-	case snapshot.Lifted:
-		k.r.proxy.Suspects.Replace(snapshot.Stored(clock.Now()))
-		k.r.log.Line(decision.KindQuarantined).Bool("lifted", true).Int64("revision", int64(item.Revision)).Msg("by an operator")
-	default:
-		k.r.proxy.Suspects.Merge(snapshot.Stored(clock.Now()))
+	lifted := k.r.mergeStored(item)
+	for _, request := range lifted {
+		k.r.log.Line(decision.KindQuarantined).Str("fingerprint", request.String()).Bool("lifted", true).
+			Int64("revision", int64(item.Revision)).Msg("by an operator")
 	}
 }
 
@@ -198,10 +193,22 @@
 	}
 }
 
-// mergeStored adds a stored list to what is known.
-func (r *Router) mergeStored(item coord.Item) {
-	if snapshot, ok := r.readSnapshot(item); ok {
-		r.proxy.Suspects.Merge(snapshot.Stored(clock.Now()))
+// mergeStored adds a stored list to what is known. It returns what an operator has lifted in it.
+func (r *Router) mergeStored(item coord.Item) []quarantine.Fingerprint {
+	snapshot, ok := r.readSnapshot(item)
+	if !ok {
+		return nil
+	}
+	now := clock.Now()
+	r.tellQuarantined(r.proxy.Suspects.Merge(now, snapshot.Stored(now)))
+	r.proxy.Suspects.Lift(now, snapshot.Lifted)
+	return snapshot.Lifted
+}
+
+// tellQuarantined logs which requests are sent no longer.
+func (r *Router) tellQuarantined(held []quarantine.Attempt) {
+	for _, attempt := range held {
+		proxy.TellQuarantined(r.log, attempt)
 	}
 }
 
@@ -214,15 +221,11 @@
 	if !tells {
 		return
 	}
-	for _, record := range r.proxy.Suspects.Told(clock.Now(), r.hub.HearSuspects(changes)) {
-		proxy.TellQuarantined(r.log, record.Attempt)
-	}
+	r.tellQuarantined(r.proxy.Suspects.Told(clock.Now(), r.hub.HearSuspects(changes)))
 	r.proxy.Starting.Store(false)
 }
 
 // evidenceTaken takes what another process has seen of crashes.
 func (r *Router) evidenceTaken(evidence quarantine.Evidence) {
-	for _, attempt := range r.proxy.Suspects.Take(clock.Now(), evidence) {
-		proxy.TellQuarantined(r.log, attempt)
-	}
+	r.tellQuarantined(r.proxy.Suspects.Take(clock.Now(), evidence))
 }
