Let those suspects make room against which least is held

What callers would see: while many workers end at once, again and again, a request that crashes a worker every few seconds is never quarantined.

Cause: when more than 512 requests were suspected, the one suspected longest ago made room, whatever was held against it. A zone that ends makes hundreds of suspects, all of them later than the harmful one.

A bound that follows from the deployment is still to come.

--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -18,8 +18,10 @@
 // a run of one caller has ended well, what crashed under another's speaks against that one's only.
 type Book struct {
 	records map[Fingerprint]*Record
-	// ended are the workers that crashed lately, whatever was under way there.
+	// ended are the workers that crashed lately, whatever was under way there, and crowds count
+	// them.
 	ended   map[workers.Life]time.Time
+	crowds  crowds
 	version uint64
 	// dropped counts the suspects that were forgotten to make room.
 	dropped uint64
@@ -27,7 +29,7 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{records: map[Fingerprint]*Record{}, ended: map[workers.Life]time.Time{}}
+	return &Book{records: map[Fingerprint]*Record{}, ended: map[workers.Life]time.Time{}, crowds: crowds{}}
 }
 
 // Version counts the changes of the book.
@@ -66,6 +68,7 @@
 func (b *Book) Crashed(now time.Time, attempt Attempt, crash Crash) []Attempt {
 	if _, known := b.ended[crash.life()]; !known {
 		b.ended[crash.life()] = crash.At
+		b.crowds.add(crash.At)
 	}
 	crash.Caller = attempt.Caller
 	var held []Attempt
@@ -180,6 +183,7 @@
 		return old
 	})
 	maps.DeleteFunc(b.ended, func(_ workers.Life, at time.Time) bool { return now.Sub(at) >= suspectMemory })
+	b.crowds.forget(now.Add(-suspectMemory))
 }
 
 // alone reports whether no worker without the request crashed at the moment of its crashes.
--- a/internal/quarantine/room.go
+++ b/internal/quarantine/room.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -37,8 +39,8 @@
 // weighed says how much is held against a request that is not quarantined.
 type weighed struct {
 	request Fingerprint
-	// ends counts its workers that crashed, and crowd how many of all did at the moment of the
-	// last: the more, the less that says of one request.
+	// ends counts its workers that crashed, and crowd how many of all did around the last: the
+	// more, the less that says of one request.
 	ends, crowd int
 	last        time.Time
 }
@@ -48,16 +50,36 @@
 	if len(known.Crashes) == 0 {
 		return weighed{request: known.Attempt.Request, last: known.removedAt()}
 	}
-	one := weighed{request: known.Attempt.Request, ends: len(known.ends()), last: known.last()}
-	for _, at := range b.ended {
-		if at.Sub(one.last).Abs() < sameMoment {
-			one.crowd++
-		}
+	return weighed{
+		request: known.Attempt.Request, ends: len(known.ends()), crowd: b.crowds.around(known.last()), last: known.last(),
+	}
+}
+
+// crowds counts workers that ended, by parts of a moment.
+type crowds map[int64]int
+
+// momentParts is into how many parts a moment is divided.
+const momentParts = 4
+
+func partOf(at time.Time) int64 { return at.UnixNano() / int64(sameMoment/momentParts) }
+
+func (c crowds) add(at time.Time) { c[partOf(at)]++ }
+
+// around returns how many workers ended less than a moment before or after a time.
+func (c crowds) around(at time.Time) int {
+	count := 0
+	for part := partOf(at) - momentParts + 1; part < partOf(at)+momentParts; part++ {
+		count += c[part]
 	}
-	return one
+	return count
+}
+
+// forget drops what was before a time.
+func (c crowds) forget(before time.Time) {
+	maps.DeleteFunc(c, func(part int64, _ int) bool { return part < partOf(before) })
 }
 
 // compareWeights orders requests, those first against which less is held.
 func compareWeights(a, c weighed) int {
-	return a.last.Compare(c.last)
+	return cmp.Or(cmp.Compare(a.ends, c.ends), cmp.Compare(c.crowd, a.crowd), a.last.Compare(c.last))
 }
