Remember the last sends that a worker cut off, not the first

What callers would see: a request that crashes a full worker is not suspected of it.

Cause: of the sends that broke off within a second before a worker's end at most 64 were remembered, the first ones. A worker that closes connections when it is full cuts off many; the one under way at its end, which comes last, was left out.

Now the oldest makes room. TestManySendsCutOffBeforeDoNotHideTheLast failed before, with 64 and with 128 sends cut off before the last.

--- a/internal/quarantine/witness.go
+++ b/internal/quarantine/witness.go
@@ -11,7 +11,8 @@
 	// connection to its address is refused within milliseconds, and one that was given up may
 	// run for a while still.
 	cutMemory = time.Second
-	// mostCut bounds the sends that are remembered of one worker; it has fewer slots.
+	// mostCut bounds the sends that are remembered of one worker, which are the last ones; it has
+	// fewer slots.
 	mostCut = 64
 )
 
@@ -59,9 +60,10 @@
 		return now.Sub(w.endedAt) < cutMemory
 	}
 	w.forget(now)
-	if len(w.cut) < mostCut {
-		w.cut = append(w.cut, cutOff{attempt: attempt, at: now})
+	if len(w.cut) == mostCut {
+		w.cut = slices.Delete(w.cut, 0, 1)
 	}
+	w.cut = append(w.cut, cutOff{attempt: attempt, at: now})
 	return false
 }
 
--- a/internal/quarantine/witness_test.go
+++ b/internal/quarantine/witness_test.go
@@ -41,6 +41,22 @@
 	}
 }
 
+// Sends that a full worker had cut off hid the one that was under way at its end.
+func TestManySendsCutOffBeforeDoNotHideTheLast(t *testing.T) {
+	for name, count := range map[string]int{"as many as are remembered": mostCut, "twice as many": 2 * mostCut} {
+		t.Run(name, func(t *testing.T) {
+			var w Witness
+			for index := range count {
+				w.CutOff(start, Attempt{Request: Fingerprint{2, byte(index), byte(index >> 8)}})
+			}
+			w.CutOff(start, attempt(1))
+			attempts, _ := w.Ended(start.Add(100 * time.Millisecond))
+			assert.Assert(t, slices.Contains(attempts, attempt(1)))
+			assert.Equal(t, len(attempts), mostCut)
+		})
+	}
+}
+
 func TestFingerprintTellsRequestsApart(t *testing.T) {
 	base := Request{Method: "GET", Host: "a.example", URI: "/x?y=1", Body: []byte("b"), Length: 1}
 	tests := map[string]func(r *Request){
