--- a/internal/lab/mutate/mutations_lives.go
+++ b/internal/lab/mutate/mutations_lives.go
@@ -25,7 +25,7 @@
 	},
 	{
 		name: "crashes-of-lives-counted-as-one",
-		file: "internal/quarantine/book.go",
+		file: "internal/quarantine/record.go",
 		old:  "workers.Life{ID: c.Worker, Born: c.Born} }",
 		new:  "workers.Life{ID: c.Worker} }",
 		pkg:  "./internal/quarantine", test: "TestEachLifeThatCrashesCounts",
