--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -104,7 +104,7 @@
 	if known.HeldAt.IsZero() {
 		known.Attempt = attempt
 	}
-	return known.note(now)
+	return known.noteHeld(now)
 }
 
 // record returns what is known of a request, of one caller or of everybody; nothing is yet if it
@@ -235,7 +235,7 @@
 		if known.merge(other) {
 			b.version++
 		}
-		known.note(now)
+		known.noteHeld(now)
 		if before != Quarantined && known.Standing() == Quarantined {
 			held = append(held, known.Attempt)
 		}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -232,8 +232,8 @@
 	return count
 }
 
-// note notes since when the request is quarantined, if it is. It reports whether that is new.
-func (r *Record) note(now time.Time) bool {
+// noteHeld notes since when the request is quarantined, if it is. It reports whether that is new.
+func (r *Record) noteHeld(now time.Time) bool {
 	if !r.isHeld() || (!r.HeldAt.IsZero() && !r.clears(r.HeldAt)) {
 		return false
 	}
--- a/internal/quarantine/room.go
+++ b/internal/quarantine/room.go
@@ -21,14 +21,14 @@
 	if len(b.records) <= mostRecords {
 		return
 	}
-	weighed := make([]weighed, 0, len(b.records))
+	removable := make([]weight, 0, len(b.records))
 	for _, known := range b.records {
 		if known.HeldAt.IsZero() {
-			weighed = append(weighed, b.weigh(known))
+			removable = append(removable, b.weigh(known))
 		}
 	}
-	slices.SortFunc(weighed, compareWeights)
-	for _, one := range weighed[:min(len(weighed), len(b.records)-mostRecords+roomMade)] {
+	slices.SortFunc(removable, compareWeights)
+	for _, one := range removable[:min(len(removable), len(b.records)-mostRecords+roomMade)] {
 		delete(b.records, one.request)
 		if one.ends > 0 {
 			b.dropped++
@@ -36,8 +36,8 @@
 	}
 }
 
-// weighed says how much is held against a request that is not quarantined.
-type weighed struct {
+// weight says how much is held against a request that is not quarantined.
+type weight struct {
 	request Fingerprint
 	// ends counts its workers that crashed, and crowd how many of all did around the last: the
 	// more, the less that says of one request.
@@ -46,11 +46,11 @@
 }
 
 // weigh says how much is held against a request.
-func (b *Book) weigh(known *Record) weighed {
+func (b *Book) weigh(known *Record) weight {
 	if len(known.Crashes) == 0 {
-		return weighed{request: known.Attempt.Request, last: known.removedAt()}
+		return weight{request: known.Attempt.Request, last: known.removedAt()}
 	}
-	return weighed{
+	return weight{
 		request: known.Attempt.Request, ends: len(known.ends()), crowd: b.crowds.around(known.last()), last: known.last(),
 	}
 }
@@ -80,6 +80,6 @@
 }
 
 // compareWeights orders requests, those first against which less is held.
-func compareWeights(a, c weighed) int {
+func compareWeights(a, c weight) int {
 	return cmp.Or(cmp.Compare(a.ends, c.ends), cmp.Compare(c.crowd, a.crowd), a.last.Compare(c.last))
 }
--- a/internal/quarantine/view.go
+++ b/internal/quarantine/view.go
@@ -13,7 +13,7 @@
 	tellAgainAfter = time.Second
 	// tellFor is for how long: a leader that does not take it has no room for it.
 	tellFor = 30 * time.Second
-	// mostOwn bounds the evidence that a process remembers of what it saw itself.
+	// mostOwn bounds the evidence that a process keeps although a leader knows it.
 	mostOwn = mostRecords
 )
 
@@ -39,40 +39,42 @@
 	watching atomic.Bool
 	mu       sync.Mutex
 	book     *Book
-	own      []*told
+	own      []*witnessed
 	finished []Run
 	// lacking are the requests that the leader should know as they are known here.
-	lacking map[Fingerprint]*telling
+	lacking map[Fingerprint]*delivery
 	changed chan struct{}
 }
 
-// telling says when a fact was told a leader.
-type telling struct {
+// delivery is that of a fact to the leader.
+type delivery struct {
 	// since is when it was found that the leader does not know it, and at when it was told last.
 	since, at time.Time
 }
 
 // due reports whether the fact is to be told now, and notes that it is.
-func (t *telling) due(now time.Time) bool {
-	if now.Sub(t.since) >= tellFor || (!t.at.IsZero() && now.Sub(t.at) < tellAgainAfter) {
+func (d *delivery) due(now time.Time) bool {
+	if now.Sub(d.since) >= tellFor || (!d.at.IsZero() && now.Sub(d.at) < tellAgainAfter) {
 		return false
 	}
-	t.at = now
+	d.at = now
 	return true
 }
 
-// told is evidence of this process, or of one that tells the leader through this one.
-type told struct {
-	telling
+// witnessed is evidence of this process, or of one that tells the leader through this one.
+type witnessed struct {
+	delivery
 	attempt Attempt
-	crash   Crash
+	// own is the attempt as one of its caller's own request.
+	own   Attempt
+	crash Crash
 	// confirmed says that the leader knows it. Another leader may not.
 	confirmed bool
 }
 
 // NewView returns a view that knows nothing.
 func NewView() *View {
-	return &View{book: NewBook(), lacking: map[Fingerprint]*telling{}, changed: make(chan struct{}, 1)}
+	return &View{book: NewBook(), lacking: map[Fingerprint]*delivery{}, changed: make(chan struct{}, 1)}
 }
 
 // Watching reports whether any request is suspected or quarantined. While none is, requests
@@ -110,13 +112,12 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	crash.Caller = attempt.Caller
-	if slices.ContainsFunc(v.own, func(one *told) bool {
+	if slices.ContainsFunc(v.own, func(one *witnessed) bool {
 		return one.attempt.Request == attempt.Request && one.crash.same(crash)
 	}) {
 		return nil
 	}
-	v.forget(now)
-	v.own = append(v.own, &told{attempt: attempt, crash: crash, telling: telling{since: now}})
+	v.own = append(v.own, &witnessed{attempt: attempt, own: attempt.own(), crash: crash, delivery: delivery{since: now}})
 	defer v.note()
 	return v.book.Crashed(now, attempt, crash)
 }
@@ -125,7 +126,7 @@
 func (v *View) Finished(now time.Time, run Run) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.own = slices.DeleteFunc(v.own, func(one *told) bool { return one.attempt.run() == run })
+	v.own = slices.DeleteFunc(v.own, func(one *witnessed) bool { return one.attempt.run() == run })
 	if v.book.Finished(now, run) {
 		v.finished = append(v.finished, run)
 		v.note()
@@ -176,23 +177,31 @@
 // known describes what the leader lacks, as far as that is to be told now. The caller holds mu.
 func (v *View) known(now time.Time) Snapshot {
 	var records []Record
-	for request, telling := range v.lacking {
-		if known := v.book.records[request]; known != nil && telling.due(now) {
+	for request, one := range v.lacking {
+		if known := v.book.records[request]; known != nil && one.due(now) {
 			records = append(records, known.copied())
 		}
 	}
 	return NewSnapshot(now, records)
 }
 
-// forget drops evidence that is old or cleared, and makes room for more. The caller holds mu.
+// forget drops evidence that is old or cleared, and of what a leader knows the oldest beyond the
+// bound. The caller holds mu.
 func (v *View) forget(now time.Time) {
-	v.own = slices.DeleteFunc(v.own, func(one *told) bool { return now.Sub(one.crash.At) >= suspectMemory || v.isCleared(one) })
-	v.own = v.own[max(0, len(v.own)-mostOwn):]
+	v.own = slices.DeleteFunc(v.own, func(one *witnessed) bool { return now.Sub(one.crash.At) >= suspectMemory || v.isCleared(one) })
+	surplus := len(v.own) - mostOwn
+	v.own = slices.DeleteFunc(v.own, func(one *witnessed) bool {
+		if surplus <= 0 || !one.confirmed {
+			return false
+		}
+		surplus--
+		return true
+	})
 }
 
 // isCleared reports whether a run of the same caller has ended well since. The caller holds mu.
-func (v *View) isCleared(one *told) bool {
-	known, own := v.book.records[one.attempt.Request], v.book.records[one.attempt.own().Request]
+func (v *View) isCleared(one *witnessed) bool {
+	known, own := v.book.records[one.attempt.Request], v.book.records[one.own.Request]
 	return (known != nil && known.lifts(one.crash.At)) || (own != nil && own.clears(one.crash.At))
 }
 
@@ -211,20 +220,20 @@
 	for _, one := range v.own {
 		confirmed := confirms(listed, one)
 		if one.confirmed && !confirmed {
-			one.telling = telling{since: now}
+			one.delivery = delivery{since: now}
 		}
 		one.confirmed = confirmed
 	}
-	v.compare(now, listed)
+	v.noteLacking(now, listed)
 	v.note()
 	return held
 }
 
-// compare notes which requests that were quarantined the leader knows less of, and which of its
+// noteLacking notes which requests that were quarantined the leader knows less of, and which of its
 // suspects have been cleared. The caller holds mu.
-func (v *View) compare(now time.Time, listed map[Fingerprint]Record) {
+func (v *View) noteLacking(now time.Time, listed map[Fingerprint]Record) {
 	before := v.lacking
-	v.lacking = map[Fingerprint]*telling{}
+	v.lacking = map[Fingerprint]*delivery{}
 	for request, known := range v.book.records {
 		other := listed[request]
 		cleared := other.Standing() != Free && isLater(known.ClearedAt, other.ClearedAt)
@@ -234,14 +243,14 @@
 		}
 		v.lacking[request] = before[request]
 		if v.lacking[request] == nil {
-			v.lacking[request] = &telling{since: now}
+			v.lacking[request] = &delivery{since: now}
 		}
 	}
 }
 
 // confirms reports whether a leader's records hold a piece of evidence, or need it no more.
-func confirms(listed map[Fingerprint]Record, evidence *told) bool {
-	for _, request := range []Fingerprint{evidence.attempt.Request, evidence.attempt.own().Request} {
+func confirms(listed map[Fingerprint]Record, evidence *witnessed) bool {
+	for _, request := range []Fingerprint{evidence.attempt.Request, evidence.own.Request} {
 		one, known := listed[request]
 		if known && (one.Standing() == Quarantined || slices.ContainsFunc(one.Crashes, evidence.crash.same)) {
 			return true
@@ -264,8 +273,8 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, request := range requests {
-		v.own = slices.DeleteFunc(v.own, func(one *told) bool {
-			return one.attempt.Request == request || one.attempt.own().Request == request
+		v.own = slices.DeleteFunc(v.own, func(one *witnessed) bool {
+			return one.attempt.Request == request || one.own.Request == request
 		})
 		v.book.Lift(now, request)
 	}
