--- a/internal/quarantine/errors_test.go
+++ b/internal/quarantine/errors_test.go
@@ -78,16 +78,19 @@
 	began   time.Time
 }
 
-func newWorld(seed uint64) *world {
+func newWorld(seed uint64) *world { return newWorldOf(seed, worldRouters, worldWorkers, worldRacks) }
+
+// newWorldOf returns a world of so many routers, and workers in racks.
+func newWorldOf(seed uint64, routers, workers, racks int) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), leader: NewView(), harmful: map[Fingerprint]bool{},
 		crashed: map[Fingerprint]int{}, thirdAt: map[Fingerprint]time.Time{}, late: map[Fingerprint]int{},
 	}
-	for range worldRouters {
+	for range routers {
 		w.routers = append(w.routers, NewView())
 	}
-	for index := range worldWorkers {
-		w.workers = append(w.workers, &worldWorker{rack: index % worldRacks})
+	for index := range workers {
+		w.workers = append(w.workers, &worldWorker{rack: index % racks})
 		w.restart(w.workers[index])
 	}
 	w.owner = w.workers[0]
