--- a/internal/lab/mutate/mutations_harm.go
+++ b/internal/lab/mutate/mutations_harm.go
@@ -40,8 +40,8 @@
 	{
 		name: "leader-is-not-told-what-it-lacks",
 		file: "internal/quarantine/view.go",
-		old:  "		if !cleared && !held {",
-		new:  "		if true || (!cleared && !held) {",
+		old:  "		if !known.says(listed[request]) {",
+		new:  "		if true || !known.says(listed[request]) {",
 		pkg:  "./internal/quarantine", test: "TestALeaderThatDoesNotKnowAQuarantineTakesItFromNobody",
 	},
 	{
