Tell operators which limits workers name, and what is sent to them

Nothing told the hypotheses of the incident apart: no log line and no metric names a limit that a worker has named, so that "not read", "kept by each router for itself" and "kept, but the leader gives the worker too many keys" look the same.

The answers' header is read now, without any effect on sending. worker-limit lines tell when a worker begins to name a limit, changes it, ends it, or names one that can't be read; shalefork_router_limited_workers, _limited_sends_total and _unreadable_limits_total count. What is known is kept as facts that merge to the same in any order (workerlimit.Book), an answer to an earlier request ends nothing.

--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -18,6 +18,7 @@
 	KindEntryBad      Kind = "entry-refused"
 	KindWorkerHealth  Kind = "worker-health"
 	KindWorkerCrashed Kind = "worker-crashed"
+	KindWorkerLimit   Kind = "worker-limit"
 	KindSuspect       Kind = "request-suspected"
 	KindQuarantined   Kind = "request-quarantined"
 	KindStoreLost     Kind = "store-lost"
@@ -68,6 +69,7 @@
 		{KindZoneUnknown, "a worker stands in a zone whose region the settings do not tell: the zone is taken for a region of its own", "zone, worker (the first that was seen there)"},
 		{KindWorkerHealth, "a worker is left alone after a failure, or is used again", "worker, outcome, id (the request that showed it), error"},
 		{KindWorkerCrashed, "a worker ended although it was announced and did not leave: its address refuses connections, or another process answers there", "worker, service, requests (under way there from this process)"},
+		{KindWorkerLimit, "a worker names a limit of requests from all routers together, another one, none any longer, or one that can't be read", "worker, limit (requests a second), ended, unreadable (what it named); seen_by (self: in an answer, told: by another router)"},
 		{KindSuspect, "a request was under way at a worker that crashed", "id (of the attempt), fingerprint (of method, host, path, query and body: the same in each attempt, whoever asks), worker, route, caller"},
 		{KindQuarantined, "a request has crashed too many workers and is sent to none from here on, or that has ended", "id (of the last attempt that was under way at a crash), fingerprint, route, caller; lifted (by an operator); error where the stored list can't be read"},
 		{KindStoreLost, "the store does not answer", "for (what was followed), error"},
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -129,6 +129,7 @@
 		}
 	}
 	p.Metrics.sent(c.service.Name, got.Outcome)
+	c.watchLimit(&worker, &got)
 	c.watchEnd(to, &got)
 	c.cleared(&got)
 	return worker.ID, got
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -96,6 +96,8 @@
 	Suspects *quarantine.View
 	// Quota of the tenants; nil: nobody has one.
 	Quota Quota
+	// Limits are what workers take from all routers together; nil: nobody keeps to them.
+	Limits Limits
 	// Outdated reports whether keys may have been taken away that are known here still, so that
 	// callers with keys are refused; nil: they never are for that.
 	Outdated func() bool
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -15,6 +15,7 @@
 	requests *prometheus.CounterVec
 	sends    *prometheus.CounterVec
 	crashes  *prometheus.CounterVec
+	limits   *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	tenants  *tenantCounters
 }
@@ -34,12 +35,15 @@
 		crashes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "shalefork_router_worker_crashes_total", Help: "Workers that this process saw end while they were serving.",
 		}, []string{"service"}),
+		limits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shalefork_router_limited_sends_total", Help: "Sends to workers that named a limit of requests a second.",
+		}, []string{"service"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "shalefork_router_request_seconds", Help: "Time from a request's arrival to its answer.", Buckets: latencyBuckets,
 		}, []string{"service"}),
 	}
 	metrics.tenants = newTenantCounters()
-	registerer.MustRegister(metrics.requests, metrics.sends, metrics.crashes, metrics.latency, metrics.tenants.vector, metrics.tenants.overShare)
+	registerer.MustRegister(metrics.requests, metrics.sends, metrics.crashes, metrics.limits, metrics.latency, metrics.tenants.vector, metrics.tenants.overShare)
 	return metrics
 }
 
@@ -51,6 +55,10 @@
 	m.crashes.WithLabelValues(string(service)).Inc()
 }
 
+func (m *Metrics) limited(service routing.ServiceName) {
+	m.limits.WithLabelValues(string(service)).Inc()
+}
+
 func (m *Metrics) ended(service string, status int, reason string, took time.Duration) {
 	m.requests.WithLabelValues(service, strconv.Itoa(status), reason).Inc()
 	m.latency.WithLabelValues(service).Observe(took.Seconds())
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -30,6 +30,11 @@
 		return float64(len(r.workers.EvacuatedZones()))
 	})
 	gauge("shalefork_router_cold_workers", "Workers that say that they warm up.", func() float64 { return float64(r.workers.Cold()) })
+	gauge("shalefork_router_limited_workers", "Workers that name a limit of requests a second from all routers together.",
+		func() float64 { return float64(r.limits.book.Limited()) })
+	registerer.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "shalefork_router_unreadable_limits_total", Help: "Answers of workers that named a limit which can't be read.",
+	}, func() float64 { return float64(r.limits.unreadable.Load()) }))
 	gauge("shalefork_router_suspected_requests", "Requests that were under way at workers that crashed, and have not run to a good end since.",
 		func() float64 { suspects, _ := r.proxy.Suspects.Count(); return float64(suspects) })
 	gauge("shalefork_router_quarantined_requests", "Requests that are sent to no worker, since they have crashed several.",
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -125,6 +125,7 @@
 	// strongest holds the greatest strength of all machines, as bits of a float64.
 	strongest atomic.Uint64
 	quotas    *quotas
+	limits    *workerLimits
 	// pipelined are the requests that run behind others on their connections.
 	pipelined *pipeline.Splitter
 }
@@ -186,6 +187,8 @@
 	r.quotas = newQuotas(r)
 	r.proxy.Quota = r.quotas
 	r.hub.OnQuota(r.quotas.heard)
+	r.limits = newWorkerLimits(r)
+	r.proxy.Limits = r.limits
 	r.pipelined = pipeline.New(r.proxy, r.pipelineLimits())
 	metrics.MustRegister(r.proxy, r.quotas)
 	r.registerGauges(metrics)
@@ -208,6 +211,7 @@
 	go r.readSuspects(background)
 	go r.watchSuspension(background)
 	go r.proxy.Run(background)
+	go r.limits.run(background)
 	go r.hub.Serve(listeners.peers)
 	go r.standby.Run(background)
 	go func() {
--- a/internal/upstream/headers.go
+++ b/internal/upstream/headers.go
@@ -29,6 +29,9 @@
 	// and where it tells that, how long work takes there at this moment in percent of
 	// what is usual.
 	Load string
+	// Limit is how many requests a second the worker takes from all routers together, a decimal
+	// number; it stands in the answers of a worker that is short of room.
+	Limit string
 	// Key is a keyed request's key, a whole number.
 	Key string
 	// Tenant names the tenant whose API key the caller showed, to the worker.
@@ -82,6 +85,45 @@
 	return load, true
 }
 
+// Limit is what an answer says of the requests a second that its worker takes.
+type Limit struct {
+	Naming Naming
+	// PerSecond is the limit, if one is named.
+	PerSecond float64
+}
+
+// Naming says whether an answer names a limit.
+type Naming int
+
+// Ways to name a limit, or not to.
+const (
+	// NoLimit: the answer names none.
+	NoLimit Naming = iota
+	// Limited: it names one.
+	Limited
+	// UnreadableLimit: it names one that can't be read.
+	UnreadableLimit
+)
+
+// parseLimit reads the headers that name a limit. Of several the lowest that can be read counts.
+func parseLimit(values []string) Limit {
+	limit := Limit{}
+	if len(values) == 0 {
+		return limit
+	}
+	for _, value := range strings.Split(strings.Join(values, ","), ",") {
+		number, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		readable := err == nil && number >= 0 && !math.IsInf(number, 0) // false for what is not a number
+		switch {
+		case readable && (limit.Naming != Limited || number < limit.PerSecond):
+			limit = Limit{Naming: Limited, PerSecond: number}
+		case !readable && limit.Naming == NoLimit:
+			limit.Naming = UnreadableLimit
+		}
+	}
+	return limit
+}
+
 // hopHeaders concern one connection only.
 var hopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
@@ -114,7 +156,7 @@
 // not have it dropped by naming it in Connection.
 func (h Headers) bearsOn(name string) bool {
 	switch name {
-	case h.RequestID, h.Key, h.Tenant, h.Signature, h.Worker, h.NotRun, h.Load:
+	case h.RequestID, h.Key, h.Tenant, h.Signature, h.Worker, h.NotRun, h.Load, h.Limit:
 		return true
 	}
 	return false
--- a/internal/upstream/result.go
+++ b/internal/upstream/result.go
@@ -51,6 +51,10 @@
 	// Load is what the worker told of itself, if Loaded.
 	Load   Load
 	Loaded bool
+	// Limit is what the worker's answer, or refusal, says of the requests a second that it takes.
+	Limit Limit
+	// Sent is when the request began to leave.
+	Sent time.Time
 	// closing says that the connection ends with this answer.
 	closing bool
 	// Took is the time from the send to the answer.
--- /dev/null
+++ b/internal/workerlimit/book_test.go
@@ -0,0 +1,97 @@
+package workerlimit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func TestWhatEndsALimit(t *testing.T) {
+	first, second := workers.Life{ID: "w", Born: 1}, workers.Life{ID: "w", Born: 2}
+	for name, test := range map[string]struct {
+		tell    func(*Book)
+		of      workers.Life
+		limited bool
+	}{
+		"nothing":                                 {tell: func(*Book) {}, of: first, limited: true},
+		"an answer to a later request":            {tell: func(b *Book) { b.Unnamed(at(11), first) }, of: first},
+		"not one to an earlier request":           {tell: func(b *Book) { b.Unnamed(at(9), first) }, of: first, limited: true},
+		"another life of the worker":              {tell: func(*Book) {}, of: second},
+		"not a life whose start is not known":     {tell: func(*Book) {}, of: workers.Life{ID: "w"}, limited: true},
+		"not an earlier naming that arrives late": {tell: func(b *Book) { b.Unnamed(at(11), first); b.Named(at(10.5), first, 3) }, of: first},
+		"but it is named again":                   {tell: func(b *Book) { b.Unnamed(at(11), first); b.Named(at(12), first, 3) }, of: first, limited: true},
+		"not what another worker answers":         {tell: func(b *Book) { b.Unnamed(at(11), workers.Life{ID: "x"}) }, of: first, limited: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := NewBook()
+			assert.Assert(t, b.Named(at(10), first, 2.5))
+			test.tell(b)
+			_, limited := b.Rate(test.of)
+			assert.Equal(t, limited, test.limited)
+		})
+	}
+}
+
+func TestTheLimitNamedLastHolds(t *testing.T) {
+	b, life := NewBook(), workers.Life{ID: "w"}
+	assert.Assert(t, b.Named(at(1), life, 5))
+	assert.Assert(t, !b.Named(at(2), life, 4.9)) // no news for others
+	rate, _ := b.Rate(life)
+	assert.Equal(t, rate, 4.9)
+	assert.Assert(t, !b.Named(at(3), life, 4.6))
+	assert.Assert(t, b.Named(at(4), life, 4.4)) // in small steps it has become news
+	assert.Assert(t, !b.Named(at(2), life, 1))  // arrives late
+	rate, _ = b.Rate(life)
+	assert.Equal(t, rate, 4.4)
+}
+
+func TestEndedLimitsAndWorkersThatAreGoneAreForgotten(t *testing.T) {
+	b := NewBook()
+	for _, id := range []workers.ID{"gone", "ended", "stays"} {
+		b.Named(at(0), workers.Life{ID: id}, 1)
+	}
+	b.Unnamed(at(1), workers.Life{ID: "ended"})
+	b.Forget(at(2).Add(endedMemory), func(id workers.ID) bool { return id == "gone" })
+	assert.Equal(t, len(b.entries), 1)
+	assert.Equal(t, b.Limited(), 1)
+}
+
+func drawFact(t *rapid.T) Fact {
+	return Fact{
+		Worker: workers.Life{ID: workers.ID(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "worker")), Born: workers.Born(rapid.IntRange(0, 2).Draw(t, "born"))},
+		Rate:   float64(rapid.IntRange(1, 3).Draw(t, "rate")),
+		Ended:  rapid.Bool().Draw(t, "ended"),
+		At:     at(float64(rapid.IntRange(0, 5).Draw(t, "at"))),
+	}
+}
+
+func TestFactsMergeToTheSameInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		facts := rapid.SliceOfN(rapid.Custom(drawFact), 1, 8).Draw(t, "facts")
+		other := rapid.Permutation(facts).Draw(t, "other")
+		merged := func(list []Fact) map[workers.ID]Fact {
+			b, seen := NewBook(), map[workers.ID]Fact{}
+			for _, one := range append(list, list...) {
+				b.Merge(one)
+			}
+			for id, one := range b.entries {
+				if one.fact.Ended {
+					one.fact.Rate = 0
+				}
+				seen[id] = one.fact
+			}
+			return seen
+		}
+		assert.DeepEqual(t, merged(facts), merged(other))
+	})
+}
--- /dev/null
+++ b/internal/workerlimit/fact.go
@@ -0,0 +1,60 @@
+// Package workerlimit keeps workers within the limits that they name in their answers: so many
+// requests a second from all routers together.
+//
+// A Book holds what a process knows of limits, as facts that merge to the same in any order. A
+// Pacer, in the process that leads, says when each request may leave.
+package workerlimit
+
+import (
+	"time"
+
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// Fact is what is known of the limit of one life of a worker.
+type Fact struct {
+	Worker workers.Life
+	// Rate is how many requests a second the worker takes, while it names a limit.
+	Rate float64
+	// Ended says that the worker names no limit any longer.
+	Ended bool
+	// At is as of when that is known: when an answer came that named the limit, or when a request
+	// left whose answer named none. An answer to an earlier request says nothing of later ones.
+	At time.Time
+}
+
+// sameRate is by which share of the greater one two rates differ at most that count as the same:
+// what decides is the rate that the process that sends has seen, so others need not hear of less.
+const sameRate = 0.1
+
+// tellsSame reports whether two facts tell the same of the same life of a worker.
+func (f Fact) tellsSame(other Fact) bool {
+	switch {
+	case f.Worker != other.Worker || f.Ended != other.Ended:
+		return false
+	case f.Ended:
+		return true
+	}
+	difference := max(f.Rate, other.Rate) - min(f.Rate, other.Rate)
+	return difference <= sameRate*max(f.Rate, other.Rate)
+}
+
+// replaces reports whether a fact takes the place of another on the same worker: the later one
+// does, and of two at one time the one that holds back more.
+func (f Fact) replaces(other Fact) bool {
+	switch {
+	case !f.At.Equal(other.At):
+		return f.At.After(other.At)
+	case f.Ended != other.Ended:
+		return other.Ended
+	case f.Worker.Born != other.Worker.Born:
+		return f.Worker.Born > other.Worker.Born
+	}
+	return !f.Ended && f.Rate < other.Rate
+}
+
+// isOf reports whether the fact is of a life of a worker. A life whose start is not known is taken
+// for any other of the same worker.
+func (f Fact) isOf(life workers.Life) bool {
+	return f.Worker.ID == life.ID && (f.Worker.Born == life.Born || f.Worker.Born == 0 || life.Born == 0)
+}
