Let keys leave a worker that names what it takes

For an estimate of capacity that is meant, since what is beyond it waits. What is beyond a limit that the worker itself names is refused for as long as the keys stay, so moving them is taken to be cheaper by as much as the worker is asked for more than it takes. Candidates say whether their capacity is such a limit; nobody sets that yet.

--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -166,9 +166,18 @@
 	}
 }
 
+// urgency is by how much cheaper a move of keys off a worker is taken to be. What a worker gets
+// beyond a limit that it names is refused for as long as its keys stay.
+func (p *plan) urgency(from workers.ID) float64 {
+	if !p.candidates[from].Limited {
+		return 1
+	}
+	return max(1, p.utilization(from))
+}
+
 func (p *plan) cost(index int, of *span, keys Keys, to workers.ID, want float64) float64 {
 	cost := math.Abs(want-p.rate(keys)) / want
-	cost += widthCost * (1 + churnFactor*p.rules.ChurnWeight) * float64(keys.Width()) / KeyCount
+	cost += widthCost * (1 + churnFactor*p.rules.ChurnWeight) * float64(keys.Width()) / KeyCount / p.urgency(of.owner)
 	if keys.From > of.keys.From {
 		cost += splitCost
 	} else if index > 0 && p.book.spans[index-1].owner == to {
--- a/internal/owner/plan.go
+++ b/internal/owner/plan.go
@@ -13,6 +13,8 @@
 	Zone    string
 	// Capacity is how many requests a second it can run.
 	Capacity float64
+	// Limited says that the worker itself names that capacity: what is beyond is not sent to it.
+	Limited bool
 	// Cold says that it bears little for now: it gets no more keys while others can have
 	// them.
 	Cold bool
--- a/internal/owner/plan_test.go
+++ b/internal/owner/plan_test.go
@@ -181,3 +181,29 @@
 	candidates[1].Cold = false
 	assert.Assert(t, len(book.Plan(candidates, rates, testRules)) > 0)
 }
+
+// Keys that are asked for evenly are wide, and dear to move.
+func TestALimitedWorkerIsRidOfWhatItDoesNotTake(t *testing.T) {
+	for name, test := range map[string]struct {
+		limited bool
+		keeps   float64
+	}{
+		"limited":        {limited: true, keeps: 1},
+		"only estimated": {keeps: 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			candidates, now := fleet(5, 100), time.Now()
+			rates := hot(0, 0, 0)
+			book := NewBook(DefaultConfig(10*time.Second), 1)
+			book.Assign(now, First(candidates, nil))
+			settle(book, now)
+			candidates[0].Capacity, candidates[0].Limited = 3, test.limited
+			for range 10 {
+				book.Plan(candidates, rates, testRules)
+				settle(book, now)
+			}
+			load := busiest(book, candidates[:1], rates)
+			assert.Assert(t, load <= test.keeps && load > 0, "%.1f times what it takes", load)
+		})
+	}
+}
