Keep workers within the limits that they name, over all routers together

Seen by users: a worker that named a limit of 4.9 requests a second got 63 within 4 s from routers that had passed that limit on (34 are allowed). Cause: no router read it; the header went on to callers like any other, and nothing bounds what a worker gets from all routers together.

Now what an answer names is a fact that routers report, the leader and its relays tell, and that merges; a later answer that names none ends it. The leader paces each such worker (one second's requests saved up at most), and a request leaves for it only with a permit, asked for over one connection to the leader: some 2 ms within a region, for such workers only. A request that gets none goes to another worker; if none can take it, it is refused at once and told when its turn is. Second copies go to no such worker. The leader counts a named limit as the capacity of an owner of keys, so keys move off it. A leader whose authority has ended for now deals out a quarter, since the next one may deal out all; no leader: nothing.

Asking for each request follows the requests, whatever the number of routers.

TestNoWindowHoldsMoreThanAWorkerTakes and TestALeaderInDoubtAndTheNextOneKeepTheLimitTogether bound the pace by itself.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -75,6 +75,8 @@
 	// Zone of this process's machine, and Regions those of all zones.
 	Zone    string
 	Regions topology.Map
+	// Limits returns how many requests a second a worker takes that names a limit. Nil: none does.
+	Limits func(workers.Life) (perSecond float64, limited bool)
 	// Unresolved are processes that may renew what earlier leaders gave until it has
 	// all ended, since they did not answer.
 	Unresolved []election.Renewer
--- a/internal/keeper/plan.go
+++ b/internal/keeper/plan.go
@@ -36,7 +36,7 @@
 	t.Log.Line(decision.KindMoved).Str("service", string(of.name)).Int("from", one.Keys.From).Int("to", one.Keys.To).
 		Str("old", string(one.From)).Str("worker", string(one.To)).Bool("forced", one.Forced).
 		Float64("rate", one.Rate).Float64("old_load", one.FromLoad).Float64("load", one.ToLoad).
-		Float64("capacity", of.capacity(now, one.To, t.Workers)).Uint64("change", of.book.Change()).Msg("")
+		Float64("capacity", t.capacity(now, of, one.To)).Uint64("change", of.book.Change()).Msg("")
 }
 
 // first deals the keys out once the list of workers stands still.
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -111,12 +111,12 @@
 		if worker.State != workers.StateReady || of.book.Failing(now, worker.ID, failingAfter) || t.Workers.Evacuated(worker.Zone) {
 			continue
 		}
-		candidates = append(candidates, of.candidate(now, worker))
+		candidates = append(candidates, t.candidate(now, of, worker))
 	}
 	for _, holder := range of.book.Holders() {
 		if t.mayComeBack(now, of, holder.ID) {
 			lapsed := workers.Worker{ID: holder.ID, Address: holder.Address, Slots: usualSlots(list)}
-			candidates = append(candidates, of.candidate(now, lapsed))
+			candidates = append(candidates, t.candidate(now, of, lapsed))
 		}
 	}
 	slices.SortFunc(candidates, func(a, b owner.Candidate) int { return strings.Compare(string(a.ID), string(b.ID)) })
@@ -150,9 +150,21 @@
 }
 
 // capacity returns how many requests a second a worker can run.
-func (s *service) capacity(now time.Time, id workers.ID, directory *workers.Directory) float64 {
-	worker, _ := directory.Get(id)
-	return s.candidate(now, worker).Capacity
+func (t *tenancy) capacity(now time.Time, of *service, id workers.ID) float64 {
+	worker, _ := t.Workers.Get(id)
+	return t.candidate(now, of, worker).Capacity
+}
+
+// candidate describes a worker. The limit that it names goes before what was measured.
+func (t *tenancy) candidate(now time.Time, of *service, worker workers.Worker) owner.Candidate {
+	candidate := of.candidate(now, worker)
+	if t.Limits == nil {
+		return candidate
+	}
+	if perSecond, limited := t.Limits(worker.Life()); limited {
+		candidate.Capacity, candidate.Limited = min(candidate.Capacity, perSecond), true
+	}
+	return candidate
 }
 
 func (s *service) candidate(now time.Time, worker workers.Worker) owner.Candidate {
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -14,6 +14,7 @@
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/topology"
 	"github.com/shalefork/shalefork/internal/traffic"
+	"github.com/shalefork/shalefork/internal/workerlimit"
 )
 
 // Times of a link.
@@ -45,6 +46,8 @@
 	LinkRate float64
 	// Traffic counts what is said to processes that follow this one; nil: nobody wants to know.
 	Traffic *traffic.Counter
+	// Limits are what this process knows of workers' limits, and tells its links; nil: nothing.
+	Limits *workerlimit.Book
 
 	mu      sync.Mutex
 	leading bool
@@ -82,6 +85,10 @@
 	// evidence is called with what linked processes have seen of crashes.
 	evidence func(quarantine.Evidence)
 	quotas   quotaLinks
+	// limitsTold is called with what linked processes have learned of workers' limits, and permit
+	// answers those that ask for permits.
+	limitsTold func([]workerlimit.Told)
+	permit     func(PermitAsk) (Permit, bool)
 	// followed is the address of the leader that this process follows; empty: none.
 	followed string
 	// linked is called with the addresses of processes that follow this one; nil: nobody wants them.
@@ -131,6 +138,9 @@
 	// suspects is the version of the suspects that it was told, and suspectsAt is when.
 	suspects   uint64
 	suspectsAt time.Time
+	// limits is the version of workers' limits that it was told, and limitsAt is when.
+	limits   uint64
+	limitsAt time.Time
 	// quota waits to be sent.
 	quota []quota.Grant
 	// hello is how the process introduced itself.
@@ -270,6 +280,12 @@
 		return
 	}
 	conn.OnBytes(func(bytes int) { h.Traffic.Add(traffic.Peers, topology.Zone(hello.Zone), bytes) })
+	if hello.Permits {
+		if h.permit != nil {
+			h.servePermits(conn, reader)
+		}
+		return
+	}
 	if h.asked != nil && hello.Term > 0 {
 		h.asked(hello.Term)
 	}
@@ -347,6 +363,9 @@
 		h.evidence(*report.Evidence)
 	}
 	h.takeQuota(one, report.Quota)
+	if len(report.Limits) > 0 && h.limitsTold != nil {
+		h.limitsTold(report.Limits)
+	}
 	h.mu.Lock()
 	one.followers = report.Followers
 	leading := h.leading
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -15,6 +15,7 @@
 	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/quota"
 	"github.com/shalefork/shalefork/internal/routing"
+	"github.com/shalefork/shalefork/internal/workerlimit"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -48,6 +49,9 @@
 	Followers int    `json:"followers,omitempty"`
 	// Changes says that the process takes changes of suspected requests.
 	Changes bool `json:"changes,omitempty"`
+	// Permits says that the process asks for permits on this link, and nothing else. Ask is set
+	// too, so that a leader which knows no permits ends the link.
+	Permits bool `json:"permits,omitempty"`
 	// Nodes is how many processes there were when the process heard last, so that a new
 	// leader knows before all are linked.
 	Nodes int `json:"nodes,omitempty"`
@@ -104,6 +108,8 @@
 	// Quota is what processes may have run of tenants' requests, for the receiver and for
 	// those that it has told of.
 	Quota []quota.Grant `json:"u,omitempty"`
+	// Limits are what has become known of the limits that workers name.
+	Limits []workerlimit.Told `json:"w,omitempty"`
 }
 
 // Age is for how long a relay may not have heard what the leader knows.
@@ -256,10 +262,12 @@
 	Evidence *quarantine.Evidence `json:"q,omitempty"`
 	// Quota is how much of tenants' limits is in use, at this process and at its followers.
 	Quota []quota.Told `json:"u,omitempty"`
+	// Limits are what this process, or one that follows it, has learned of workers' limits.
+	Limits []workerlimit.Told `json:"l,omitempty"`
 }
 
 // Empty reports whether nothing was seen and nothing is to be told.
 func (r Report) Empty() bool {
 	return len(r.Keys) == 0 && len(r.Times) == 0 && r.Stamp == 0 && r.Followers == 0 && r.Evidence == nil &&
-		len(r.Quota) == 0
+		len(r.Quota) == 0 && len(r.Limits) == 0
 }
--- a/internal/peerlink/update.go
+++ b/internal/peerlink/update.go
@@ -23,6 +23,7 @@
 		h.bulk.leave(one)
 	}
 	h.tellSuspects(one, &update, now)
+	h.tellLimits(one, &update, now)
 	update.Quota, one.quota = one.quota, nil
 	update.Peers = h.peersFor(one, now)
 	if h.leading {
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -51,6 +51,8 @@
 	// restUntil is until when a failing worker is left alone.
 	restUntil time.Time
 	fullUntil time.Time
+	// limitUntil is until when the worker gets no more, since it names a limit.
+	limitUntil time.Time
 	// unreachedUntil is until when no connection is tried to an owner of keys.
 	unreachedUntil time.Time
 	ended          bool
@@ -115,7 +117,7 @@
 	defer b.mu.Unlock()
 	occupied, slots := b.occupied(now), float64(b.worker.Slots)
 	switch {
-	case b.ended || now.Before(b.restUntil) || now.Before(b.fullUntil):
+	case b.ended || now.Before(b.restUntil) || now.Before(b.fullUntil) || now.Before(b.limitUntil):
 		return choice{}, false
 	case occupied >= fullCrowd*slots || !b.cold.ready(now, b.worker.WarmAt, coldRate, nodes):
 		return choice{}, false
--- a/internal/proxy/crossing.go
+++ b/internal/proxy/crossing.go
@@ -57,6 +57,8 @@
 	bulk  bool
 	// stay says that the request must not leave its region.
 	stay bool
+	// spare says that a second copy looks for a worker: one that is short of room is none.
+	spare bool
 	// free says that only a worker will do at which the request need not wait.
 	free bool
 	// serves reports whether a region may serve the request; nil: any may.
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -61,6 +61,8 @@
 	reasonCutByWorker = "cut-by-worker"
 	reasonCutLate     = "cut-at-deadline"
 	reasonCutByClient = "cut-by-client"
+	// reasonLimited: the worker, or all of them, name limits, and get no more for now.
+	reasonLimited = "worker-limit"
 	// reasonQuota: the tenant is beyond its limit.
 	reasonQuota = "over-quota"
 	// reasonShare: there is not room for all, and the tenant asks for more than its share.
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -171,9 +171,22 @@
 		c.giveUp(reasonCold, c.returnAfter())
 		return nil
 	}
+	wait, ok := c.permitted(to, c.limitPatience())
+	if !ok {
+		c.giveUp(reasonLimited, returnWhenLet(wait))
+		return nil
+	}
+	if wait > 0 && !c.pause(wait) {
+		return nil
+	}
 	return to
 }
 
+// limitPatience is for how long a request waits for its turn at an owner that names a limit.
+func (c *call) limitPatience() time.Duration {
+	return min(time.Duration(ownerShare*float64(c.route.Target)), max(0, c.left()-answerMargin))
+}
+
 // returnAfter is when a client may come back whose owner takes no more now.
 func (c *call) returnAfter() time.Duration {
 	share := soonestReturn + (latestReturn-soonestReturn)*rand.Float64()
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -1,6 +1,10 @@
 package proxy
 
 import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -8,19 +12,95 @@
 // Limits keep workers within the limits that they name, over all routers together. They are safe
 // for concurrent use.
 type Limits interface {
-	// Limited reports whether a worker names a limit.
+	// Count returns how many workers name a limit, and Limited reports whether one does.
+	Count() int
 	Limited(worker workers.Life) bool
+	// Take asks whether a request may leave for a worker within some patience: it then leaves after
+	// wait. If it may not, wait is when to ask again.
+	Take(worker workers.Life, patience time.Duration) (wait time.Duration, granted bool)
 	// Answered takes what an answer says of its worker's limit.
 	Answered(worker workers.Life, answer *upstream.Result)
 }
 
+// limitJitter is by which part of the time at most callers come back later than their requests may
+// leave, so that not all are back at once.
+const limitJitter = 0.25
+
+// isLimited reports whether a worker names a limit. While none does it costs one load.
+func (p *Proxy) isLimited(to *backend) bool {
+	return p.anyLimited() && p.Limits.Limited(to.described().Life())
+}
+
+// anyLimited reports whether any worker names a limit.
+func (p *Proxy) anyLimited() bool { return p.Limits != nil && p.Limits.Count() > 0 }
+
+// permitted asks whether the request may leave for a worker that may name a limit, within some
+// patience: it then leaves after wait. If it may not, wait is after which time one may.
+func (c *call) permitted(to *backend, patience time.Duration) (wait time.Duration, ok bool) {
+	if !c.proxy.isLimited(to) {
+		return 0, true
+	}
+	now := clock.Now()
+	if until := to.limitedUntil(); until.Sub(now) > patience {
+		return until.Sub(now), false
+	}
+	wait, ok = c.proxy.Limits.Take(to.described().Life(), patience)
+	if !ok {
+		to.limit(clock.Now().Add(wait))
+	}
+	return wait, ok
+}
+
+// limit keeps requests away from the worker until a time.
+func (b *backend) limit(until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if until.After(b.limitUntil) {
+		b.limitUntil = until
+	}
+}
+
+// limitedUntil returns until when requests are kept away from the worker, since it names a limit.
+func (b *backend) limitedUntil() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.limitUntil
+}
+
+// allLimited reports whether all workers that a request might be sent to get no more for now, and
+// until when.
+func (c *call) allLimited(now time.Time) (until time.Time, all bool) {
+	if !c.proxy.anyLimited() {
+		return time.Time{}, false
+	}
+	list, _ := c.proxy.fleet.membersOf(now, c.state, c.service.Name, int(c.proxy.Nodes.Load()))
+	for _, one := range list {
+		if !one.backend.usable(now) {
+			continue
+		}
+		limited := one.backend.limitedUntil()
+		switch {
+		case !limited.After(now):
+			return time.Time{}, false
+		case until.IsZero() || limited.Before(until):
+			until = limited
+		}
+	}
+	return until, !until.IsZero()
+}
+
+// returnWhenLet is when a caller may come back whose request a limit keeps away for some time.
+func returnWhenLet(wait time.Duration) time.Duration {
+	return wait + time.Duration(limitJitter*rand.Float64()*float64(wait))
+}
+
 // watchLimit learns from the end of a send whether its worker names a limit.
 func (c *call) watchLimit(worker *workers.Worker, got *upstream.Result) {
 	limits := c.proxy.Limits
 	if limits == nil {
 		return
 	}
-	if limits.Limited(worker.Life()) {
+	if limits.Count() > 0 && limits.Limited(worker.Life()) {
 		c.proxy.Metrics.limited(c.service.Name)
 	}
 	limits.Answered(worker.Life(), got)
--- a/internal/proxy/pooled.go
+++ b/internal/proxy/pooled.go
@@ -52,13 +52,27 @@
 	return c.sendHedged(picked, func() *backend {
 		asks := c.need()
 		asks.stay = asks.bulk // the link between regions must not carry a large body twice
+		asks.spare = true
 		return c.pick(clock.Now(), asks, map[workers.ID]bool{picked.to.id(): true}).to
 	})
 }
 
-// pick chooses a worker that was not tried.
+// pick chooses a worker that was not tried, and that may get one more request now.
 func (c *call) pick(now time.Time, asks need, tried map[workers.ID]bool) choice {
-	return c.proxy.fleet.pick(now, c.state, c.service, asks, tried, int(c.proxy.Nodes.Load()))
+	for {
+		picked := c.proxy.fleet.pick(now, c.state, c.service, asks, tried, int(c.proxy.Nodes.Load()))
+		if picked.to == nil {
+			return picked
+		}
+		if asks.spare && c.proxy.isLimited(picked.to) {
+			tried[picked.to.id()] = true
+			continue
+		}
+		if _, ok := c.permitted(picked.to, 0); ok {
+			return picked
+		}
+		now = clock.Now()
+	}
 }
 
 // await picks a worker, and waits a moment for one. It returns none after it has
@@ -77,6 +91,10 @@
 		if len(c.tried) > 0 && c.forget() {
 			continue
 		}
+		if until, all := c.allLimited(now); all && until.After(patient) {
+			c.giveUp(reasonLimited, returnWhenLet(until.Sub(now)))
+			return choice{}
+		}
 		if c.nowhere() {
 			c.giveUp(reasonRegion, regionReturn)
 			return choice{}
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -316,6 +316,7 @@
 	if update.Leading || update.Relayed { // after what it tells: else followers would miss what they hear of
 		r.hub.Relay(update)
 	}
+	r.limits.told(update.Limits)
 	r.suspectsTold(update)
 	r.quotas.granted(update.Quota)
 	if r.entries.coveredUpTo() > 0 { // else the list is still to be told or read
--- a/internal/router/report.go
+++ b/internal/router/report.go
@@ -23,6 +23,7 @@
 	r.standby.Tell(&report)
 	report.Evidence = r.proxy.Suspects.Tell(clock.Now())
 	report.Quota = r.quotas.tell()
+	report.Limits = r.limits.tell()
 	return report
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -188,9 +188,12 @@
 	r.proxy.Quota = r.quotas
 	r.hub.OnQuota(r.quotas.heard)
 	r.limits = newWorkerLimits(r)
-	r.proxy.Limits = r.limits
+	r.keeper.Limits = r.limits.book.Rate
+	r.proxy.Limits, r.hub.Limits = r.limits, r.limits.book
+	r.hub.OnLimits(r.limits.heard)
+	r.hub.OnPermit(r.limits.asked)
 	r.pipelined = pipeline.New(r.proxy, r.pipelineLimits())
-	metrics.MustRegister(r.proxy, r.quotas)
+	metrics.MustRegister(r.proxy, r.quotas, r.limits.permits)
 	r.registerGauges(metrics)
 	return r
 }
--- a/internal/router/workerlimits.go
+++ b/internal/router/workerlimits.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/election"
+	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workerlimit"
 	"github.com/shalefork/shalefork/internal/workers"
@@ -18,21 +23,59 @@
 	// limitMemory is for how long the limit of a worker stays known whose entry is gone: it may
 	// serve on, and its entry may be back.
 	limitMemory = 30 * time.Second
+	// permitTimeout bounds the wait for the leader's answer: the way there and back between
+	// regions, and a leader that is busy.
+	permitTimeout = 250 * time.Millisecond
+	// unansweredPause is the pause until the leader is asked again that did not answer.
+	unansweredPause = 100 * time.Millisecond
+	// mostLimitsTold is how many limits one report tells.
+	mostLimitsTold = 64
+)
+
+// Outcomes of asking for permits, as metrics name them.
+const (
+	permitGranted    = "granted"
+	permitRefused    = "refused"
+	permitUnanswered = "unanswered"
+)
+
+// Who has seen a limit, as log lines name it.
+const (
+	limitSeenHere = "self"
+	limitTold     = "told"
 )
 
-// workerLimits is what this process knows of the limits that workers name. It implements
-// proxy.Limits.
+// workerLimits keeps workers within the limits that they name: what this process knows of them, and
+// while it leads the pace of all routers' requests. It implements proxy.Limits.
 type workerLimits struct {
 	r    *Router
 	book *workerlimit.Book
+	link peerlink.PermitLink
 	// unreadable counts the answers that named a limit which can't be read.
 	unreadable atomic.Int64
+	permits    *prometheus.CounterVec
+
+	mu sync.Mutex
+	// pacer is nil while this process does not lead; tenure is that in which it does.
+	pacer  *workerlimit.Pacer
+	tenure *election.Tenure
+	// untold are the workers of whose limits the leader is to be told.
+	untold map[workers.ID]struct{}
 }
 
 func newWorkerLimits(r *Router) *workerLimits {
-	return &workerLimits{r: r, book: workerlimit.NewBook()}
+	return &workerLimits{
+		r: r, book: workerlimit.NewBook(), untold: map[workers.ID]struct{}{},
+		permits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shalefork_router_limit_permits_total",
+			Help: "Requests for workers that name limits, by what the leader said: granted, refused or unanswered.",
+		}, []string{"outcome"}),
+	}
 }
 
+// Count implements proxy.Limits.
+func (l *workerLimits) Count() int { return l.book.Limited() }
+
 // Limited implements proxy.Limits.
 func (l *workerLimits) Limited(worker workers.Life) bool {
 	_, limited := l.book.Rate(worker)
@@ -43,25 +86,159 @@
 func (l *workerLimits) Answered(worker workers.Life, answer *upstream.Result) {
 	switch {
 	case answer.Limit.Naming == upstream.Limited:
-		if l.book.Named(clock.Now(), worker, answer.Limit.PerSecond) {
-			l.log(worker, "self")
-		}
+		l.learn(workerlimit.Fact{Worker: worker, Rate: answer.Limit.PerSecond, At: clock.Now()}, limitSeenHere)
 	case answer.Limit.Naming == upstream.UnreadableLimit:
 		l.unreadable.Add(1)
 		l.r.log.Line(decision.KindWorkerLimit).Str("worker", string(worker.ID)).
 			Strs("unreadable", answer.Header.Values(l.r.adapter.Headers.Limit)).Msg("what was known of its limit stands")
-	case answer.Outcome == upstream.Answered:
-		if l.book.Unnamed(answer.Sent, worker) {
-			l.log(worker, "self")
+	case answer.Outcome == upstream.Answered && l.Limited(worker):
+		l.learn(workerlimit.Fact{Worker: worker, Ended: true, At: answer.Sent}, limitSeenHere)
+	}
+}
+
+// learn adds what was seen here, or told by a process that follows this one. It reports whether
+// that was news, which goes on to the leader.
+func (l *workerLimits) learn(fact workerlimit.Fact, seenBy string) bool {
+	if !l.book.Merge(fact) {
+		return false
+	}
+	l.mu.Lock()
+	if l.pacer == nil {
+		l.untold[fact.Worker.ID] = struct{}{}
+	}
+	l.mu.Unlock()
+	l.log(fact, seenBy)
+	return true
+}
+
+// heard takes what processes that follow this one have learned.
+func (l *workerLimits) heard(told []workerlimit.Told) {
+	now := clock.Now()
+	for _, one := range told {
+		l.learn(one.Fact(now), limitTold)
+	}
+}
+
+// told takes what the leader, or a relay, tells.
+func (l *workerLimits) told(told []workerlimit.Told) {
+	now := clock.Now()
+	for _, one := range told {
+		if fact := one.Fact(now); l.book.Merge(fact) {
+			l.log(fact, limitTold)
 		}
 	}
 }
 
-// log tells what is known now of a worker's limit.
-func (l *workerLimits) log(worker workers.Life, seenBy string) {
-	fact, _ := l.book.Fact(worker)
-	l.r.log.Line(decision.KindWorkerLimit).Str("worker", string(worker.ID)).Float64("limit", fact.Rate).
-		Bool("ended", fact.Ended).Str("seen_by", seenBy).Msg("")
+// linked notes that another process is followed now, which may know nothing of what is known here.
+func (l *workerLimits) linked() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, fact := range l.book.Facts() {
+		l.untold[fact.Worker.ID] = struct{}{}
+	}
+}
+
+// tell returns what the leader is to know.
+func (l *workerLimits) tell() []workerlimit.Told {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var told []workerlimit.Told
+	now := clock.Now()
+	for id := range l.untold {
+		if len(told) == mostLimitsTold {
+			break
+		}
+		delete(l.untold, id)
+		if fact, known := l.book.Fact(workers.Life{ID: id}); known {
+			told = append(told, workerlimit.Tell(now, fact))
+		}
+	}
+	return told
+}
+
+// Take implements proxy.Limits.
+func (l *workerLimits) Take(worker workers.Life, patience time.Duration) (time.Duration, bool) {
+	fact, known := l.book.Fact(worker)
+	if !known || fact.Ended {
+		return 0, true
+	}
+	permit, answered := l.ask(fact, patience)
+	switch {
+	case !answered:
+		l.permits.WithLabelValues(permitUnanswered).Inc()
+		return unansweredPause, false
+	case permit.Granted:
+		l.permits.WithLabelValues(permitGranted).Inc()
+	default:
+		l.permits.WithLabelValues(permitRefused).Inc()
+	}
+	if permit.Limit != nil {
+		l.told([]workerlimit.Told{*permit.Limit})
+	}
+	return permit.Wait(), permit.Granted
+}
+
+// ask asks the leader for a permit; false if nobody answers that leads.
+func (l *workerLimits) ask(fact workerlimit.Fact, patience time.Duration) (peerlink.Permit, bool) {
+	now := clock.Now()
+	if permit, leading := l.issue(now, fact, patience); leading {
+		return permit, true
+	}
+	leader := l.r.hub.Followed()
+	if leader == "" {
+		return peerlink.Permit{}, false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), permitTimeout)
+	defer cancel()
+	permit, err := l.link.Ask(ctx, leader, peerlink.PermitAsk{
+		Limit: workerlimit.Tell(now, fact), PatienceMillis: patience.Milliseconds(),
+	})
+	return permit, err == nil
+}
+
+// asked answers another process that asks for a permit.
+func (l *workerLimits) asked(ask peerlink.PermitAsk) (peerlink.Permit, bool) {
+	now := refreshed()
+	permit, leading := l.issue(now, ask.Limit.Fact(now), time.Duration(max(0, ask.PatienceMillis))*time.Millisecond)
+	permit.Number = ask.Number
+	return permit, leading
+}
+
+// issue answers for a leader; false if this process does not lead.
+func (l *workerLimits) issue(now time.Time, fact workerlimit.Fact, patience time.Duration) (peerlink.Permit, bool) {
+	l.mu.Lock()
+	pacer, tenure := l.pacer, l.tenure
+	l.mu.Unlock()
+	if pacer == nil {
+		return peerlink.Permit{}, false
+	}
+	l.learn(fact, limitTold)
+	perSecond, limited := l.book.Rate(fact.Worker)
+	if !limited {
+		return l.unlimited(now, fact.Worker), true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wait, granted := pacer.Take(now, fact.Worker, perSecond, patience, !now.Before(tenure.Until()))
+	return peerlink.Permit{Granted: granted, WaitMillis: wait.Milliseconds()}, true
+}
+
+// unlimited lets a request through whose worker names no limit any longer.
+func (l *workerLimits) unlimited(now time.Time, worker workers.Life) peerlink.Permit {
+	permit := peerlink.Permit{Granted: true}
+	if fact, known := l.book.Fact(worker); known {
+		told := workerlimit.Tell(now, fact)
+		permit.Limit = &told
+	}
+	return permit
+}
+
+// lead begins to pace all routers' requests, or ends it if pacer is nil.
+func (l *workerLimits) lead(pacer *workerlimit.Pacer, tenure *election.Tenure) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pacer, l.tenure = pacer, tenure
+	clear(l.untold) // a leader tells nobody above it; who follows another tells it all
 }
 
 // run keeps the book tidy until ctx ends.
@@ -77,4 +254,15 @@
 		_, announced := l.r.workers.Get(id)
 		return !announced && l.r.workers.GoneFor(id) > limitMemory
 	})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pacer != nil {
+		l.pacer.Keep(l.Limited)
+	}
+}
+
+// log tells what is known now of a worker's limit.
+func (l *workerLimits) log(fact workerlimit.Fact, seenBy string) {
+	l.r.log.Line(decision.KindWorkerLimit).Str("worker", string(fact.Worker.ID)).Float64("limit", fact.Rate).
+		Bool("ended", fact.Ended).Str("seen_by", seenBy).Msg("")
 }
--- a/internal/workerlimit/book.go
+++ b/internal/workerlimit/book.go
@@ -63,20 +63,6 @@
 	return one.fact, true
 }
 
-// Named takes a limit that an answer named. It reports whether that was news.
-func (b *Book) Named(now time.Time, life workers.Life, perSecond float64) bool {
-	return b.Merge(Fact{Worker: life, Rate: perSecond, At: now})
-}
-
-// Unnamed takes an answer that named no limit, to a request that left at a time. It reports
-// whether a limit has ended with that.
-func (b *Book) Unnamed(sent time.Time, life workers.Life) bool {
-	if _, limited := b.Rate(life); !limited {
-		return false
-	}
-	return b.Merge(Fact{Worker: life, Ended: true, At: sent})
-}
-
 // Merge adds a fact. It reports whether the book tells something else of the worker with that.
 func (b *Book) Merge(fact Fact) bool {
 	b.mu.Lock()
@@ -107,6 +93,33 @@
 	b.limited.Store(int32(count))
 }
 
+// Since returns what the book tells since a version, at most so many facts of it, the longest known
+// first, and the version up to which they tell.
+func (b *Book) Since(version uint64, most int) ([]Fact, uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if version == b.version {
+		return nil, version
+	}
+	var fresh []*entry
+	for _, one := range b.entries {
+		if one.version > version {
+			fresh = append(fresh, one)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b *entry) int { return cmp.Compare(a.version, b.version) })
+	upTo := b.version
+	if len(fresh) > most {
+		fresh = fresh[:most]
+		upTo = fresh[most-1].version
+	}
+	facts := make([]Fact, 0, len(fresh))
+	for _, one := range fresh {
+		facts = append(facts, one.fact)
+	}
+	return facts, upTo
+}
+
 // Forget drops what is known of workers that are gone, and limits that ended long ago.
 func (b *Book) Forget(now time.Time, gone func(workers.ID) bool) {
 	b.mu.Lock()
@@ -117,15 +130,13 @@
 	b.count()
 }
 
-// Limits returns the facts on workers that name a limit, by their ids.
-func (b *Book) Limits() []Fact {
+// Facts returns all that is known, by the workers' ids.
+func (b *Book) Facts() []Fact {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var facts []Fact
+	facts := make([]Fact, 0, len(b.entries))
 	for _, one := range b.entries {
-		if !one.fact.Ended {
-			facts = append(facts, one.fact)
-		}
+		facts = append(facts, one.fact)
 	}
 	slices.SortFunc(facts, func(a, b Fact) int { return cmp.Compare(a.Worker.ID, b.Worker.ID) })
 	return facts
--- a/internal/workerlimit/book_test.go
+++ b/internal/workerlimit/book_test.go
@@ -12,6 +12,15 @@
 
 var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// named and unnamed are what answers tell: one at a time, one to a request that left at a time.
+func named(b *Book, now time.Time, life workers.Life, perSecond float64) bool {
+	return b.Merge(Fact{Worker: life, Rate: perSecond, At: now})
+}
+
+func unnamed(b *Book, sent time.Time, life workers.Life) bool {
+	return b.Merge(Fact{Worker: life, Ended: true, At: sent})
+}
+
 func at(seconds float64) time.Time {
 	return start.Add(time.Duration(seconds * float64(time.Second)))
 }
@@ -24,17 +33,17 @@
 		limited bool
 	}{
 		"nothing":                                 {tell: func(*Book) {}, of: first, limited: true},
-		"an answer to a later request":            {tell: func(b *Book) { b.Unnamed(at(11), first) }, of: first},
-		"not one to an earlier request":           {tell: func(b *Book) { b.Unnamed(at(9), first) }, of: first, limited: true},
+		"an answer to a later request":            {tell: func(b *Book) { unnamed(b, at(11), first) }, of: first},
+		"not one to an earlier request":           {tell: func(b *Book) { unnamed(b, at(9), first) }, of: first, limited: true},
 		"another life of the worker":              {tell: func(*Book) {}, of: second},
 		"not a life whose start is not known":     {tell: func(*Book) {}, of: workers.Life{ID: "w"}, limited: true},
-		"not an earlier naming that arrives late": {tell: func(b *Book) { b.Unnamed(at(11), first); b.Named(at(10.5), first, 3) }, of: first},
-		"but it is named again":                   {tell: func(b *Book) { b.Unnamed(at(11), first); b.Named(at(12), first, 3) }, of: first, limited: true},
-		"not what another worker answers":         {tell: func(b *Book) { b.Unnamed(at(11), workers.Life{ID: "x"}) }, of: first, limited: true},
+		"not an earlier naming that arrives late": {tell: func(b *Book) { unnamed(b, at(11), first); named(b, at(10.5), first, 3) }, of: first},
+		"but it is named again":                   {tell: func(b *Book) { unnamed(b, at(11), first); named(b, at(12), first, 3) }, of: first, limited: true},
+		"not what another worker answers":         {tell: func(b *Book) { unnamed(b, at(11), workers.Life{ID: "x"}) }, of: first, limited: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := NewBook()
-			assert.Assert(t, b.Named(at(10), first, 2.5))
+			assert.Assert(t, named(b, at(10), first, 2.5))
 			test.tell(b)
 			_, limited := b.Rate(test.of)
 			assert.Equal(t, limited, test.limited)
@@ -44,13 +53,13 @@
 
 func TestTheLimitNamedLastHolds(t *testing.T) {
 	b, life := NewBook(), workers.Life{ID: "w"}
-	assert.Assert(t, b.Named(at(1), life, 5))
-	assert.Assert(t, !b.Named(at(2), life, 4.9)) // no news for others
+	assert.Assert(t, named(b, at(1), life, 5))
+	assert.Assert(t, !named(b, at(2), life, 4.9)) // no news for others
 	rate, _ := b.Rate(life)
 	assert.Equal(t, rate, 4.9)
-	assert.Assert(t, !b.Named(at(3), life, 4.6))
-	assert.Assert(t, b.Named(at(4), life, 4.4)) // in small steps it has become news
-	assert.Assert(t, !b.Named(at(2), life, 1))  // arrives late
+	assert.Assert(t, !named(b, at(3), life, 4.6))
+	assert.Assert(t, named(b, at(4), life, 4.4)) // in small steps it has become news
+	assert.Assert(t, !named(b, at(2), life, 1))  // arrives late
 	rate, _ = b.Rate(life)
 	assert.Equal(t, rate, 4.4)
 }
@@ -58,9 +67,9 @@
 func TestEndedLimitsAndWorkersThatAreGoneAreForgotten(t *testing.T) {
 	b := NewBook()
 	for _, id := range []workers.ID{"gone", "ended", "stays"} {
-		b.Named(at(0), workers.Life{ID: id}, 1)
+		named(b, at(0), workers.Life{ID: id}, 1)
 	}
-	b.Unnamed(at(1), workers.Life{ID: "ended"})
+	unnamed(b, at(1), workers.Life{ID: "ended"})
 	b.Forget(at(2).Add(endedMemory), func(id workers.ID) bool { return id == "gone" })
 	assert.Equal(t, len(b.entries), 1)
 	assert.Equal(t, b.Limited(), 1)
