Let the end of a worker's limit count at once

A router keeps a worker from which it got no permit away until the time that it was told, up to 2 s, also once the limit has ended: in a pool for all of that time. Now that time counts only while the worker names a limit. What was ruled out: the end was told to all routers within 0.4 s.

TestTheEndOfALimitCountsAtOnce/pool: 503 before, 200 after. Beside it the other ways on which a request can reach such a worker are tested: permits for first and second sends, none for copies, refusals at once.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/estimate"
@@ -51,8 +52,9 @@
 	// restUntil is until when a failing worker is left alone.
 	restUntil time.Time
 	fullUntil time.Time
-	// limitUntil is until when the worker gets no more, since it names a limit.
-	limitUntil time.Time
+	// limitUntil is until when the worker gets no more while it names a limit, a number of
+	// clock.Nanos.
+	limitUntil atomic.Int64
 	// unreachedUntil is until when no connection is tried to an owner of keys.
 	unreachedUntil time.Time
 	ended          bool
@@ -117,7 +119,7 @@
 	defer b.mu.Unlock()
 	occupied, slots := b.occupied(now), float64(b.worker.Slots)
 	switch {
-	case b.ended || now.Before(b.restUntil) || now.Before(b.fullUntil) || now.Before(b.limitUntil):
+	case b.ended || now.Before(b.restUntil) || now.Before(b.fullUntil):
 		return choice{}, false
 	case occupied >= fullCrowd*slots || !b.cold.ready(now, b.worker.WarmAt, coldRate, nodes):
 		return choice{}, false
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -23,6 +23,8 @@
 	limits BudgetLimits
 	// ended is called with what is known of a worker that has started again, outside of mu.
 	ended func(*backend)
+	// keptAway reports whether a worker gets no more for now since it names a limit.
+	keptAway func(now time.Time, to *backend) bool
 	// seed makes the subsets of this process its own.
 	seed maphash.Seed
 	// places are the zones' regions, and policy says what a request must gain to leave them.
@@ -36,7 +38,8 @@
 	return &fleet{
 		zone: zone, directory: directory, limits: limits, seed: maphash.MakeSeed(), policy: zoned, sizes: newSizes(),
 		byID: map[workers.ID]*backend{}, services: map[routing.ServiceName]*serviceState{},
-		means: map[routing.ServiceName]*toldMeans{},
+		means:    map[routing.ServiceName]*toldMeans{},
+		keptAway: func(time.Time, *backend) bool { return false },
 	}
 }
 
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -132,6 +132,7 @@
 		Room: bodies.NewRoom(0), Turns: bodies.NewTurns(0), ending: ending, end: end,
 	}
 	_, _ = cryptorand.Read(p.secret[:]) // it never fails
+	p.fleet.keptAway = p.isKeptAway
 	p.fleet.ended = func(before *backend) { p.workerEnded(before, false) }
 	return p
 }
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -26,13 +26,18 @@
 // leave, so that not all are back at once.
 const limitJitter = 0.25
 
+// anyLimited reports whether any worker names a limit.
+func (p *Proxy) anyLimited() bool { return p.Limits != nil && p.Limits.Count() > 0 }
+
 // isLimited reports whether a worker names a limit. While none does it costs one load.
 func (p *Proxy) isLimited(to *backend) bool {
 	return p.anyLimited() && p.Limits.Limited(to.described().Life())
 }
 
-// anyLimited reports whether any worker names a limit.
-func (p *Proxy) anyLimited() bool { return p.Limits != nil && p.Limits.Count() > 0 }
+// isKeptAway reports whether a worker gets no more for now since it names a limit.
+func (p *Proxy) isKeptAway(now time.Time, to *backend) bool {
+	return now.Before(to.limitedUntil()) && p.isLimited(to)
+}
 
 // permitted asks whether the request may leave for a worker that may name a limit, within some
 // patience: it then leaves after wait. If it may not, wait is after which time one may.
@@ -52,20 +57,10 @@
 }
 
 // limit keeps requests away from the worker until a time.
-func (b *backend) limit(until time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if until.After(b.limitUntil) {
-		b.limitUntil = until
-	}
-}
+func (b *backend) limit(until time.Time) { b.limitUntil.Store(clock.Nanos(until)) }
 
-// limitedUntil returns until when requests are kept away from the worker, since it names a limit.
-func (b *backend) limitedUntil() time.Time {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.limitUntil
-}
+// limitedUntil returns until when requests are kept away from the worker if it names a limit.
+func (b *backend) limitedUntil() time.Time { return clock.OfNanos(b.limitUntil.Load()) }
 
 // allLimited reports whether all workers that a request might be sent to get no more for now, and
 // until when.
@@ -78,11 +73,10 @@
 		if !one.backend.usable(now) {
 			continue
 		}
-		limited := one.backend.limitedUntil()
-		switch {
-		case !limited.After(now):
+		if !c.proxy.isKeptAway(now, one.backend) {
 			return time.Time{}, false
-		case until.IsZero() || limited.Before(until):
+		}
+		if limited := one.backend.limitedUntil(); until.IsZero() || limited.Before(until) {
 			until = limited
 		}
 	}
--- /dev/null
+++ b/internal/proxy/limits_test.go
@@ -0,0 +1,207 @@
+package proxy
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/upstream"
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// fakeLimits lets so many requests through to the workers that name limits.
+type fakeLimits struct {
+	mu     sync.Mutex
+	named  map[workers.ID]float64
+	left   int
+	wait   time.Duration
+	asked  int
+	answer []upstream.Limit
+}
+
+func (l *fakeLimits) Count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.named)
+}
+
+func (l *fakeLimits) Limited(worker workers.Life) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, limited := l.named[worker.ID]
+	return limited
+}
+
+func (l *fakeLimits) Take(workers.Life, time.Duration) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asked++
+	if l.left == 0 {
+		return l.wait, false
+	}
+	l.left--
+	return 0, true
+}
+
+func (l *fakeLimits) Answered(_ workers.Life, answer *upstream.Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answer = append(l.answer, answer.Limit)
+}
+
+// asks returns how often a permit was asked for.
+func (l *fakeLimits) asks() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.asked
+}
+
+// letThrough lets so many more requests through.
+func (l *fakeLimits) letThrough(count int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.left += count
+}
+
+// end ends all limits.
+func (l *fakeLimits) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.named)
+}
+
+// newLimitedFront is a front with limits that let none through for a second and a half.
+func newLimitedFront(t *testing.T, limited []workers.ID, entries ...workers.Worker) (*front, *fakeLimits) {
+	t.Helper()
+	f := newFront(t, entries...)
+	limits := &fakeLimits{named: map[workers.ID]float64{}, wait: 1500 * time.Millisecond}
+	for _, id := range limited {
+		limits.named[id] = 1
+	}
+	f.proxy.Limits = limits
+	return f, limits
+}
+
+func TestWhatALimitedWorkerDoesNotTakeGoesToAnother(t *testing.T) {
+	limited, other := newWorker(t, "w1", answers("x")), newWorker(t, "w2", answers("x"))
+	f, _ := newLimitedFront(t, []workers.ID{"w1"}, limited.entry("pool"), other.entry("pool"))
+	for range 10 {
+		response, _ := f.get(t, "GET", "/safe/", "")
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+	}
+	assert.Equal(t, limited.arrivals(), 0)
+	assert.Equal(t, other.arrivals(), 10)
+}
+
+func TestWhatNoWorkerTakesIsRefusedAtOnce(t *testing.T) {
+	for name, path := range map[string]string{"pool": "/safe/", "pool, runs once": "/unsafe/", "keyed": "/keyed/"} {
+		t.Run(name, func(t *testing.T) {
+			service := "pool"
+			if name == "keyed" {
+				service = "keyed"
+			}
+			w := newWorker(t, "w1", answers("x"))
+			f, limits := newLimitedFront(t, []workers.ID{"w1"}, w.entry(service))
+			f.owns(w.entry(service))
+			for range 5 {
+				began := time.Now()
+				response, body := f.get(t, "GET", path, "", "X-Key", "7")
+				assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+				assert.Equal(t, body, reasonLimited+"\n")
+				after, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+				assert.NilError(t, err)
+				assert.Assert(t, after > 1 && after < 2, "%f s", after)
+				assert.Assert(t, time.Since(began) < 300*time.Millisecond, "nothing is waited for")
+			}
+			assert.Equal(t, w.arrivals(), 0)
+			assert.Equal(t, limits.asks(), 1, "what is known is not asked again")
+		})
+	}
+}
+
+func TestTheEndOfALimitCountsAtOnce(t *testing.T) {
+	for name, path := range map[string]string{"pool": "/safe/", "keyed": "/keyed/"} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorker(t, "w1", answers("x"))
+			f, limits := newLimitedFront(t, []workers.ID{"w1"}, w.entry(name))
+			f.owns(w.entry(name))
+			response, _ := f.get(t, "GET", path, "", "X-Key", "7")
+			assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+			limits.end()
+			response, _ = f.get(t, "GET", path, "", "X-Key", "7")
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+		})
+	}
+}
+
+func TestEachSendToALimitedWorkerAsksForAPermit(t *testing.T) {
+	for name, test := range map[string]struct {
+		service, path string
+		run           script
+		// permits are asked for.
+		permits int
+	}{
+		"pool":                        {service: "pool", path: "/safe/", run: answers("x"), permits: 1},
+		"keyed":                       {service: "keyed", path: "/keyed/", run: answers("x"), permits: 1},
+		"sent again to another":       {service: "pool", path: "/unsafe/", run: refusesOnce(), permits: 2},
+		"sent again after it may run": {service: "pool", path: "/safe/", run: breaksOnce(), permits: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			one, two := newWorker(t, "w1", test.run), newWorker(t, "w2", test.run)
+			f, limits := newLimitedFront(t, []workers.ID{"w1", "w2"}, one.entry(test.service), two.entry(test.service))
+			f.owns(one.entry(test.service))
+			limits.left = 5
+			response, _ := f.get(t, "GET", test.path, "", "X-Key", "7")
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+			assert.Equal(t, limits.asks(), test.permits)
+			assert.Equal(t, one.arrivals()+two.arrivals(), test.permits)
+		})
+	}
+}
+
+// breaksOnce breaks the first connection off, and answers from then on.
+func breaksOnce() script {
+	var broken atomic.Bool
+	return func(connection net.Conn, request *http.Request) bool {
+		if broken.CompareAndSwap(false, true) {
+			return false
+		}
+		answer(connection, request, http.StatusOK, "x")
+		return true
+	}
+}
+
+func TestNoSecondCopyGoesToALimitedWorker(t *testing.T) {
+	var limits *fakeLimits
+	slow := func(connection net.Conn, request *http.Request) bool {
+		limits.letThrough(5) // when the second copy leaves there is room
+		time.Sleep(time.Second)
+		answer(connection, request, http.StatusOK, "slow")
+		return true
+	}
+	first, limited := newWorker(t, "w1", slow), newWorker(t, "w2", answers("x"))
+	var f *front
+	f, limits = newLimitedFront(t, []workers.ID{"w2"}, first.entry("pool"), limited.entry("pool"))
+	limits.wait = time.Millisecond
+	_, body := f.get(t, "GET", "/safe/", "")
+	assert.Equal(t, body, "slow")
+	assert.Equal(t, limited.arrivals(), 0)
+}
+
+func TestAnswersAndRefusalsTellTheLimit(t *testing.T) {
+	w := newWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+		answer(connection, request, http.StatusOK, "x", "X-Limit: 2.5")
+		return true
+	})
+	f, limits := newLimitedFront(t, nil, w.entry("pool"))
+	f.proxy.Headers.Limit = "X-Limit"
+	response, _ := f.get(t, "GET", "/safe/", "")
+	assert.Equal(t, response.Header.Get("X-Limit"), "2.5", "it goes on to the caller, as all that it does not know")
+	assert.DeepEqual(t, limits.answer, []upstream.Limit{{Naming: upstream.Limited, PerSecond: 2.5}})
+}
--- a/internal/proxy/pick.go
+++ b/internal/proxy/pick.go
@@ -136,7 +136,7 @@
 	var first choice
 	var by nearest
 	for _, one := range list {
-		if tried[one.id] || asks.serves != nil && !asks.serves(one.region) {
+		if tried[one.id] || asks.serves != nil && !asks.serves(one.region) || f.keptAway(now, one.backend) {
 			continue
 		}
 		candidate, ok := one.backend.assess(now, usual, of.ColdRate, nodes)
