--- a/cmd/shalefork/operators.go
+++ b/cmd/shalefork/operators.go
@@ -12,6 +12,7 @@
 	"github.com/shalefork/shalefork/internal/bundle"
 	"github.com/shalefork/shalefork/internal/cli"
 	"github.com/shalefork/shalefork/internal/operator"
+	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/registry"
 	"github.com/shalefork/shalefork/internal/router"
 	"github.com/shalefork/shalefork/internal/settings"
@@ -177,7 +178,7 @@
 	return cli.Command{Subcommand: subcommand, Run: func(ctx context.Context) cli.ExitCode {
 		return flags.run(ctx, func(ctx context.Context, output operator.Output, store *platform.Store) operator.ExitCode {
 			announced := operator.Announced{Prefix: platform.WorkersPrefix, Read: platform.ReadWorker}
-			return operator.Status(ctx, output, store, router.KeyPrefix, announced)
+			return operator.Status(ctx, output, store, router.KeyPrefix, announced, peerlink.AskLimits)
 		})
 	}}
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -19,7 +19,9 @@
 	"github.com/shalefork/shalefork/internal/keeper"
 	"github.com/shalefork/shalefork/internal/lifecycle"
 	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/registry"
+	"github.com/shalefork/shalefork/internal/workerlimit"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -84,7 +86,7 @@
 	defer cancel()
 	shown := &console{}
 	assert.Equal(t, BundleStatus(ctx, shown.output(), bundles, "tawila"), ExitUnreachable)
-	assert.Equal(t, Status(ctx, shown.output(), store, prefix, announced), ExitUnreachable)
+	assert.Equal(t, Status(ctx, shown.output(), store, prefix, announced, noLimits), ExitUnreachable)
 	assert.Equal(t, Propose(ctx, shown.output(), bundles, fixedOperator("salma", 1), bundleFile), ExitUnreachable)
 	assert.Assert(t, strings.Contains(shown.complaint.String(), "does not answer"))
 }
@@ -97,7 +99,11 @@
 	return workers.Worker{}, nil
 }}
 
-func TestStatusTellsLeaderAndOwners(t *testing.T) {
+func noLimits(context.Context, string) ([]workerlimit.Told, error) {
+	return nil, peerlink.ErrNotLeading
+}
+
+func TestStatusTellsLeaderOwnersAndLimits(t *testing.T) {
 	store := memory.New()
 	term := owner.Term(1)
 	_, err := election.New(store, prefix, "10.0.0.1:82", "p1", func() string { return "n" }).Campaign(t.Context(), 0)
@@ -114,11 +120,16 @@
 		{Key: "w/w1", Value: []byte("ready")}, {Key: "w/other", Value: []byte("paused")},
 	}})
 	assert.NilError(t, err)
+	askLimits := func(_ context.Context, leader string) ([]workerlimit.Told, error) {
+		assert.Equal(t, leader, "10.0.0.1:82")
+		return []workerlimit.Told{{Worker: "w2", PerSecond: 2.5, AgeMillis: 7100}}, nil
+	}
 	shown := &console{}
-	assert.Equal(t, Status(t.Context(), shown.output(), store, prefix, announced), ExitOK)
+	assert.Equal(t, Status(t.Context(), shown.output(), store, prefix, announced, askLimits), ExitOK)
 	asked := shown.output()
 	asked.JSON = true
-	assert.Equal(t, Status(t.Context(), asked, store, prefix, announced), ExitOK)
+	assert.Equal(t, Status(t.Context(), asked, store, prefix, announced, askLimits), ExitOK)
+	assert.Equal(t, Status(t.Context(), shown.output(), store, prefix, announced, noLimits), ExitOK)
 	golden.Assert(t, shown.result.String(), "status.golden")
 }
 
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -317,7 +317,7 @@
 	followed := h.followed
 	h.mu.Unlock()
 	if !takes {
-		_ = writeLine(conn, Update{Leading: leading, Term: term, Process: h.process, Redirect: redirect, Followed: followed})
+		_ = writeLine(conn, Update{Leading: leading, Term: term, Process: h.process, Redirect: redirect, Followed: followed, Limits: h.limitsFor(hello, clock.Now())})
 		return
 	}
 	if h.linked != nil {
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -49,6 +49,8 @@
 	Followers int    `json:"followers,omitempty"`
 	// Changes says that the process takes changes of suspected requests.
 	Changes bool `json:"changes,omitempty"`
+	// Limits says that the answer is to tell the limits that workers name.
+	Limits bool `json:"limits,omitempty"`
 	// Permits says that the process asks for permits on this link, and nothing else. Ask is set
 	// too, so that a leader which knows no permits ends the link.
 	Permits bool `json:"permits,omitempty"`
--- a/internal/workerlimit/book.go
+++ b/internal/workerlimit/book.go
@@ -130,6 +130,21 @@
 	b.count()
 }
 
+// Named returns the limits that workers name now, by the workers' ids, each as of when it began to be
+// told as it is.
+func (b *Book) Named() []Fact {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var facts []Fact
+	for _, one := range b.entries {
+		if !one.fact.Ended {
+			facts = append(facts, one.told)
+		}
+	}
+	slices.SortFunc(facts, byWorker)
+	return facts
+}
+
 // Facts returns all that is known, by the workers' ids.
 func (b *Book) Facts() []Fact {
 	b.mu.Lock()
@@ -138,6 +153,8 @@
 	for _, one := range b.entries {
 		facts = append(facts, one.fact)
 	}
-	slices.SortFunc(facts, func(a, b Fact) int { return cmp.Compare(a.Worker.ID, b.Worker.ID) })
+	slices.SortFunc(facts, byWorker)
 	return facts
 }
+
+func byWorker(a, b Fact) int { return cmp.Compare(a.Worker.ID, b.Worker.ID) }
