--- /dev/null
+++ b/internal/lab/mutate/mutations_limits.go
@@ -0,0 +1,82 @@
+package main
+
+// limitMutations let workers get more than they name, or take limits for what they are not.
+var limitMutations = []mutation{
+	{
+		name: "early-answer-ends-a-limit",
+		file: "internal/workerlimit/fact.go",
+		old:  "	case !f.At.Equal(other.At):",
+		new:  "	case f.Ended && !other.Ended:\n		return true\n	case !f.At.Equal(other.At):",
+		pkg:  "./internal/workerlimit", test: "TestWhatEndsALimit",
+	},
+	{
+		name: "requests-are-saved-up-for-long",
+		file: "internal/workerlimit/pacer.go",
+		old:  "	savedTime = time.Second",
+		new:  "	savedTime = 10 * time.Second",
+		pkg:  "./internal/workerlimit", test: "TestNoWindowHoldsMoreThanAWorkerTakes",
+	},
+	{
+		name: "leader-in-doubt-deals-out-all",
+		file: "internal/workerlimit/pacer.go",
+		old:  "	if doubtful {",
+		new:  "	if false {",
+		pkg:  "./internal/workerlimit", test: "TestALeaderInDoubtAndTheNextOneKeepTheLimitTogether",
+	},
+	{
+		name: "limit-of-nothing-stops-all",
+		file: "internal/workerlimit/pacer.go",
+		old:  "	perSecond = max(perSecond, leastRate)\n",
+		new:  "	perSecond = max(perSecond, leastRate/1e6)\n",
+		pkg:  "./internal/workerlimit", test: "TestNoWindowHoldsMoreThanAWorkerTakes",
+	},
+	{
+		name: "leader-lets-all-through",
+		file: "internal/workerlimit/member.go",
+		old:  "	return Permit{Granted: granted, Wait: wait}, true",
+		new:  "	return Permit{Granted: true || granted, Wait: 0 * wait}, true",
+		pkg:  "./internal/workerlimit", test: "TestALimitOverAllRoutersHoldsWhateverIsLost",
+	},
+	{
+		name: "leader-is-not-told-of-limits",
+		file: "internal/workerlimit/member.go",
+		old:  "	if m.pacer == nil {\n		m.untold",
+		new:  "	if false {\n		m.untold",
+		pkg:  "./internal/workerlimit", test: "TestAllRoutersLearnALimitAndItsEnd",
+	},
+	{
+		name: "keyed-request-asks-for-no-permit",
+		file: "internal/proxy/keyed.go",
+		old:  "	wait, ok := c.permitted(to, c.limitPatience())\n	if !ok {",
+		new:  "	wait, ok := c.permitted(to, c.limitPatience())\n	if !ok && false {",
+		pkg:  "./internal/proxy", test: "TestWhatNoWorkerTakesIsRefusedAtOnce",
+	},
+	{
+		name: "pooled-request-asks-for-no-permit",
+		file: "internal/proxy/pooled.go",
+		old:  "		if _, ok := c.permitted(picked.to, 0); ok {",
+		new:  "		if _, ok := c.permitted(picked.to, 0); ok || true {",
+		pkg:  "./internal/proxy", test: "TestWhatNoWorkerTakesIsRefusedAtOnce",
+	},
+	{
+		name: "second-copy-to-a-limited-worker",
+		file: "internal/proxy/pooled.go",
+		old:  "		asks.spare = true\n",
+		new:  "		asks.spare = false\n",
+		pkg:  "./internal/proxy", test: "TestNoSecondCopyGoesToALimitedWorker",
+	},
+	{
+		name: "end-of-a-limit-counts-late",
+		file: "internal/proxy/limits.go",
+		old:  "	return now.Before(to.limitedUntil()) && p.isLimited(to)",
+		new:  "	return now.Before(to.limitedUntil())",
+		pkg:  "./internal/proxy", test: "TestTheEndOfALimitCountsAtOnce",
+	},
+	{
+		name: "routers-do-not-read-limits",
+		file: "internal/upstream/exchange.go",
+		old:  "parseLimit(response.Header.Values(e.headers.Limit))",
+		new:  "parseLimit(nil)",
+		pkg:  "./platform/session", test: "TestAWorkerThatNamesALimitGetsNoMoreFromAllRoutersTogether",
+	},
+}
--- a/internal/router/followleader.go
+++ b/internal/router/followleader.go
@@ -142,7 +142,7 @@
 	f.r.hub.SetFollowed(f.leader.Address)
 	f.r.peers.Add(f.leader.Address, f.address)
 	f.r.quotas.holder.Linked()
-	f.r.limits.linked()
+	f.r.limits.member.Linked()
 	line := f.r.log.Line(decision.KindLeaderFound).Str("leader", f.leader.Address).Int64("term", int64(f.leader.Term))
 	if f.viaRelay() {
 		line = line.Str("relay", f.address)
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -15,7 +15,6 @@
 	"github.com/shalefork/shalefork/internal/keeper"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/peerlink"
-	"github.com/shalefork/shalefork/internal/workerlimit"
 )
 
 // Times of finding a leader.
@@ -237,10 +236,10 @@
 	go r.reportToSelf(tenureCtx)
 	go r.keepSuspects(tenureCtx, tenure)
 	go r.quotas.coordinate(tenureCtx, tenure)
-	r.limits.lead(workerlimit.NewPacer(), tenure)
+	r.limits.lead(tenure)
 	r.nodes.Store(int32(r.hub.Nodes()))
 	r.keeper.Lead(tenureCtx, tenure, until)
-	r.limits.lead(nil, nil) // before another may lead
+	r.limits.stopLeading() // before another may lead
 	resign, cancel := context.WithTimeout(context.WithoutCancel(ctx), resignTimeout)
 	defer cancel()
 	tenure.Resign(resign)
--- a/internal/router/workerlimits.go
+++ b/internal/router/workerlimits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,27 +44,24 @@
 	limitTold     = "told"
 )
 
-// workerLimits keeps workers within the limits that they name: what this process knows of them, and
-// while it leads the pace of all routers' requests. It implements proxy.Limits.
+// workerLimits keeps workers within the limits that they name: it asks the leader before a request
+// leaves for one, and answers others while this process leads. It implements proxy.Limits.
 type workerLimits struct {
-	r    *Router
-	book *workerlimit.Book
-	link peerlink.PermitLink
+	r      *Router
+	member *workerlimit.Member
+	book   *workerlimit.Book
+	link   peerlink.PermitLink
+	// tenure is that in which this process leads, or led last.
+	tenure atomic.Pointer[election.Tenure]
 	// unreadable counts the answers that named a limit which can't be read.
 	unreadable atomic.Int64
 	permits    *prometheus.CounterVec
-
-	mu sync.Mutex
-	// pacer is nil while this process does not lead; tenure is that in which it does.
-	pacer  *workerlimit.Pacer
-	tenure *election.Tenure
-	// untold are the workers of whose limits the leader is to be told.
-	untold map[workers.ID]struct{}
 }
 
 func newWorkerLimits(r *Router) *workerLimits {
+	member := workerlimit.NewMember()
 	return &workerLimits{
-		r: r, book: workerlimit.NewBook(), untold: map[workers.ID]struct{}{},
+		r: r, member: member, book: member.Book(),
 		permits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "shalefork_router_limit_permits_total",
 			Help: "Requests for workers that name limits, by what the leader said: granted, refused or unanswered.",
@@ -96,19 +92,11 @@
 	}
 }
 
-// learn adds what was seen here, or told by a process that follows this one. It reports whether
-// that was news, which goes on to the leader.
-func (l *workerLimits) learn(fact workerlimit.Fact, seenBy string) bool {
-	if !l.book.Merge(fact) {
-		return false
-	}
-	l.mu.Lock()
-	if l.pacer == nil {
-		l.untold[fact.Worker.ID] = struct{}{}
+// learn adds what was seen here, or told by a process that follows this one.
+func (l *workerLimits) learn(fact workerlimit.Fact, seenBy string) {
+	if l.member.Learn(fact) {
+		l.log(fact, seenBy)
 	}
-	l.mu.Unlock()
-	l.log(fact, seenBy)
-	return true
 }
 
 // heard takes what processes that follow this one have learned.
@@ -123,35 +111,18 @@
 func (l *workerLimits) told(told []workerlimit.Told) {
 	now := clock.Now()
 	for _, one := range told {
-		if fact := one.Fact(now); l.book.Merge(fact) {
+		if fact := one.Fact(now); l.member.Hear(fact) {
 			l.log(fact, limitTold)
 		}
 	}
 }
 
-// linked notes that another process is followed now, which may know nothing of what is known here.
-func (l *workerLimits) linked() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, fact := range l.book.Facts() {
-		l.untold[fact.Worker.ID] = struct{}{}
-	}
-}
-
 // tell returns what the leader is to know.
 func (l *workerLimits) tell() []workerlimit.Told {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	var told []workerlimit.Told
 	now := clock.Now()
-	for id := range l.untold {
-		if len(told) == mostLimitsTold {
-			break
-		}
-		delete(l.untold, id)
-		if fact, known := l.book.Fact(workers.Life{ID: id}); known {
-			told = append(told, workerlimit.Tell(now, fact))
-		}
+	for _, fact := range l.member.Tell(mostLimitsTold) {
+		told = append(told, workerlimit.Tell(now, fact))
 	}
 	return told
 }
@@ -206,40 +177,27 @@
 
 // issue answers for a leader; false if this process does not lead.
 func (l *workerLimits) issue(now time.Time, fact workerlimit.Fact, patience time.Duration) (peerlink.Permit, bool) {
-	l.mu.Lock()
-	pacer, tenure := l.pacer, l.tenure
-	l.mu.Unlock()
-	if pacer == nil {
+	tenure := l.tenure.Load()
+	if tenure == nil {
 		return peerlink.Permit{}, false
 	}
-	l.learn(fact, limitTold)
-	perSecond, limited := l.book.Rate(fact.Worker)
-	if !limited {
-		return l.unlimited(now, fact.Worker), true
+	permit, leading := l.member.Issue(now, fact, patience, !now.Before(tenure.Until()))
+	message := peerlink.Permit{Granted: permit.Granted, WaitMillis: (permit.Wait + time.Millisecond - 1).Milliseconds()}
+	if permit.Ended != nil {
+		told := workerlimit.Tell(now, *permit.Ended)
+		message.Limit = &told
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	wait, granted := pacer.Take(now, fact.Worker, perSecond, patience, !now.Before(tenure.Until()))
-	return peerlink.Permit{Granted: granted, WaitMillis: wait.Milliseconds()}, true
+	return message, leading
 }
 
-// unlimited lets a request through whose worker names no limit any longer.
-func (l *workerLimits) unlimited(now time.Time, worker workers.Life) peerlink.Permit {
-	permit := peerlink.Permit{Granted: true}
-	if fact, known := l.book.Fact(worker); known {
-		told := workerlimit.Tell(now, fact)
-		permit.Limit = &told
-	}
-	return permit
+// lead begins to pace all routers' requests in a tenure.
+func (l *workerLimits) lead(tenure *election.Tenure) {
+	l.tenure.Store(tenure)
+	l.member.Lead(true)
 }
 
-// lead begins to pace all routers' requests, or ends it if pacer is nil.
-func (l *workerLimits) lead(pacer *workerlimit.Pacer, tenure *election.Tenure) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.pacer, l.tenure = pacer, tenure
-	clear(l.untold) // a leader tells nobody above it; who follows another tells it all
-}
+// stopLeading ends that.
+func (l *workerLimits) stopLeading() { l.member.Lead(false) }
 
 // run keeps the book tidy until ctx ends.
 func (l *workerLimits) run(ctx context.Context) {
@@ -250,15 +208,10 @@
 
 // forget drops the limits of workers that are gone.
 func (l *workerLimits) forget() {
-	l.book.Forget(clock.Now(), func(id workers.ID) bool {
+	l.member.Forget(clock.Now(), func(id workers.ID) bool {
 		_, announced := l.r.workers.Get(id)
 		return !announced && l.r.workers.GoneFor(id) > limitMemory
 	})
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.pacer != nil {
-		l.pacer.Keep(l.Limited)
-	}
 }
 
 // log tells what is known now of a worker's limit.
--- /dev/null
+++ b/internal/workerlimit/member.go
@@ -0,0 +1,124 @@
+package workerlimit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// Permit says whether a request may leave for a worker that names a limit.
+type Permit struct {
+	// Granted requests leave after Wait; for others that is when to ask again.
+	Granted bool
+	Wait    time.Duration
+	// Ended is set if the worker names no limit any longer.
+	Ended *Fact
+}
+
+// Member is one process's part in keeping workers within their limits. It is safe for concurrent
+// use.
+type Member struct {
+	book *Book
+	mu   sync.Mutex
+	// pacer is nil while the process does not lead.
+	pacer *Pacer
+	// untold are the workers of whose limits the leader is to be told.
+	untold map[workers.ID]struct{}
+}
+
+// NewMember returns a member that knows of no limit.
+func NewMember() *Member {
+	return &Member{book: NewBook(), untold: map[workers.ID]struct{}{}}
+}
+
+// Book returns what the member knows.
+func (m *Member) Book() *Book { return m.book }
+
+// Learn adds a fact that was seen here, or told by a process that follows this one. It reports
+// whether that was news, which goes on to the leader.
+func (m *Member) Learn(fact Fact) bool {
+	if !m.book.Merge(fact) {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.pacer == nil {
+		m.untold[fact.Worker.ID] = struct{}{}
+	}
+	return true
+}
+
+// Hear adds a fact that the leader tells. It reports whether that was news.
+func (m *Member) Hear(fact Fact) bool { return m.book.Merge(fact) }
+
+// Linked notes that another process is followed now, which may know nothing of what is known here.
+func (m *Member) Linked() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, fact := range m.book.Facts() {
+		m.untold[fact.Worker.ID] = struct{}{}
+	}
+}
+
+// Tell returns what the leader is to be told, at most so many facts.
+func (m *Member) Tell(most int) []Fact {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var facts []Fact
+	for id := range m.untold {
+		if len(facts) == most {
+			break
+		}
+		delete(m.untold, id)
+		if fact, known := m.book.Fact(workers.Life{ID: id}); known {
+			facts = append(facts, fact)
+		}
+	}
+	return facts
+}
+
+// Lead begins to pace all processes' requests, or ends it. A leader tells nobody above it; who
+// follows another later tells that one all.
+func (m *Member) Lead(leads bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.pacer = nil
+	if leads {
+		m.pacer = NewPacer()
+		clear(m.untold)
+	}
+}
+
+// Issue answers a process that knows a fact and asks whether a request may leave within some
+// patience; false if this process does not lead. doubtful says that another may lead.
+func (m *Member) Issue(now time.Time, fact Fact, patience time.Duration, doubtful bool) (Permit, bool) {
+	m.book.Merge(fact)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.pacer == nil {
+		return Permit{}, false
+	}
+	known, found := m.book.Fact(fact.Worker)
+	if !found { // what is known is of another life
+		known = fact
+	}
+	if known.Ended {
+		return Permit{Granted: true, Ended: &known}, true
+	}
+	wait, granted := m.pacer.Take(now, fact.Worker, known.Rate, patience, doubtful)
+	return Permit{Granted: granted, Wait: wait}, true
+}
+
+// Forget drops what is known of workers that are gone, and limits that ended long ago.
+func (m *Member) Forget(now time.Time, gone func(workers.ID) bool) {
+	m.book.Forget(now, gone)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.pacer != nil {
+		m.pacer.Keep(func(life workers.Life) bool {
+			_, limited := m.book.Rate(life)
+			return limited
+		})
+	}
+}
--- a/internal/workerlimit/pacer_test.go
+++ b/internal/workerlimit/pacer_test.go
@@ -59,7 +59,7 @@
 			assert.Assert(t, float64(mostWithin(left)) <= allowed(test.perSecond), "%d", mostWithin(left))
 			most := min(float64(asked), test.perSecond*length.Seconds())
 			assert.Assert(t, float64(len(left)) >= test.used*most, "%d left of %.0f", len(left), most)
-			assert.Assert(t, len(left) > 0, "nobody would learn that the limit has ended")
+			assert.Assert(t, float64(len(left)) >= 0.9*leastRate*length.Seconds(), "nobody would learn that the limit has ended")
 		})
 	}
 }
