Bound the wait for a permit by the request's target, and read it as a newcomer would

Where the leader does not answer, each request that picked a limited worker waited 250 ms for a permit, more than many a target: it waits a quarter of its target now, and after one that got no answer no leader is asked for 100 ms, for whatever worker. Only a signed answer ends a limit. The link for permits says its node and zone, so that its bytes are counted by distance.

--- a/internal/peerlink/permits.go
+++ b/internal/peerlink/permits.go
@@ -30,8 +30,8 @@
 	// Granted says that the request may leave after WaitMillis. Else that is when to ask again.
 	Granted    bool  `json:"g,omitempty"`
 	WaitMillis int64 `json:"w,omitempty"`
-	// Limit is told if the leader knows better: the limit has ended.
-	Limit *workerlimit.Told `json:"l,omitempty"`
+	// Ended is told if the worker names no limit any longer.
+	Ended *workerlimit.Told `json:"e,omitempty"`
 }
 
 // Wait is how long the request waits, or is kept from asking again.
@@ -67,8 +67,11 @@
 var ErrNoPermit = errs.New("no answer from the leader")
 
 // PermitLink asks the leader for permits, over one connection that is opened when the first is
-// asked for. It is safe for concurrent use; the zero value is ready.
+// asked for. It is safe for concurrent use.
 type PermitLink struct {
+	// Node and Zone are those of this process.
+	Node, Zone string
+
 	mu   sync.Mutex
 	open *permitConn
 }
@@ -95,7 +98,7 @@
 		l.open.close()
 	}
 	l.open = &permitConn{
-		address: address, opened: make(chan struct{}), closed: make(chan struct{}), waiting: map[uint64]chan Permit{},
+		address: address, hello: Hello{Node: l.Node, Zone: l.Zone, Ask: true, Permits: true}, opened: make(chan struct{}), closed: make(chan struct{}), waiting: map[uint64]chan Permit{},
 	}
 	go l.open.run()
 	return l.open
@@ -104,6 +107,7 @@
 // permitConn is one connection to a leader.
 type permitConn struct {
 	address string
+	hello   Hello
 	// opened is closed once conn is there, and closed once it is not to be used any longer.
 	opened, closed chan struct{}
 	closeOnce      sync.Once
@@ -137,7 +141,7 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	if writeLine(conn, Hello{Ask: true, Permits: true}) != nil {
+	if writeLine(conn, c.hello) != nil {
 		return
 	}
 	c.mu.Lock()
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -16,12 +16,15 @@
 	Count() int
 	Limited(worker workers.Life) bool
 	// Take asks whether a request may leave for a worker within some patience: it then leaves after
-	// wait. If it may not, wait is when to ask again.
-	Take(worker workers.Life, patience time.Duration) (wait time.Duration, granted bool)
+	// wait. If it may not, wait is when to ask again. The answer comes within a time.
+	Take(worker workers.Life, patience, within time.Duration) (wait time.Duration, granted bool)
 	// Answered takes what an answer says of its worker's limit.
 	Answered(worker workers.Life, answer *upstream.Result)
 }
 
+// permitShare is the share of a request's target within which its permit must come.
+const permitShare = 0.25
+
 // limitJitter is by which part of the time at most callers come back later than their requests may
 // leave, so that not all are back at once.
 const limitJitter = 0.25
@@ -49,7 +52,8 @@
 	if until := to.limitedUntil(); until.Sub(now) > patience {
 		return until.Sub(now), false
 	}
-	wait, ok = c.proxy.Limits.Take(to.described().Life(), patience)
+	within := min(time.Duration(permitShare*float64(c.route.Target)), max(0, c.left()-answerMargin))
+	wait, ok = c.proxy.Limits.Take(to.described().Life(), patience, within)
 	if !ok {
 		to.limit(clock.Now().Add(wait))
 	}
--- a/internal/proxy/limits_test.go
+++ b/internal/proxy/limits_test.go
@@ -38,7 +38,7 @@
 	return limited
 }
 
-func (l *fakeLimits) Take(workers.Life, time.Duration) (time.Duration, bool) {
+func (l *fakeLimits) Take(workers.Life, time.Duration, time.Duration) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.asked++
--- a/internal/router/workerlimits.go
+++ b/internal/router/workerlimits.go
@@ -25,7 +25,8 @@
 	// permitTimeout bounds the wait for the leader's answer: the way there and back between
 	// regions, and a leader that is busy.
 	permitTimeout = 250 * time.Millisecond
-	// unansweredPause is the pause until the leader is asked again that did not answer.
+	// unansweredPause is the pause until a leader is asked again that did not answer, for whatever
+	// worker: else each request would wait for it.
 	unansweredPause = 100 * time.Millisecond
 	// mostLimitsTold is how many limits one report tells.
 	mostLimitsTold = 64
@@ -53,6 +54,8 @@
 	link   peerlink.PermitLink
 	// tenure is that in which this process leads, or led last.
 	tenure atomic.Pointer[election.Tenure]
+	// silentUntil is until when no leader is asked, a number of clock.Nanos.
+	silentUntil atomic.Int64
 	// unreadable counts the answers that named a limit which can't be read.
 	unreadable atomic.Int64
 	permits    *prometheus.CounterVec
@@ -62,6 +65,7 @@
 	member := workerlimit.NewMember()
 	return &workerLimits{
 		r: r, member: member, book: member.Book(),
+		link: peerlink.PermitLink{Node: r.settings.Node, Zone: r.settings.Zone},
 		permits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "shalefork_router_limit_permits_total",
 			Help: "Requests for workers that name limits, by what the leader said: granted, refused or unanswered.",
@@ -87,7 +91,7 @@
 		l.unreadable.Add(1)
 		l.r.log.Line(decision.KindWorkerLimit).Str("worker", string(worker.ID)).
 			Strs("unreadable", answer.Header.Values(l.r.adapter.Headers.Limit)).Msg("what was known of its limit stands")
-	case answer.Outcome == upstream.Answered && l.Limited(worker):
+	case answer.Outcome == upstream.Answered && answer.Header.Get(l.r.adapter.Headers.Signature) != "" && l.Limited(worker):
 		l.learn(workerlimit.Fact{Worker: worker, Ended: true, At: answer.Sent}, limitSeenHere)
 	}
 }
@@ -128,42 +132,45 @@
 }
 
 // Take implements proxy.Limits.
-func (l *workerLimits) Take(worker workers.Life, patience time.Duration) (time.Duration, bool) {
+func (l *workerLimits) Take(worker workers.Life, patience, within time.Duration) (time.Duration, bool) {
 	fact, known := l.book.Fact(worker)
 	if !known || fact.Ended {
 		return 0, true
 	}
-	permit, answered := l.ask(fact, patience)
+	permit, answered := l.ask(fact, patience, min(within, permitTimeout))
+	outcome := permitRefused
 	switch {
 	case !answered:
-		l.permits.WithLabelValues(permitUnanswered).Inc()
-		return unansweredPause, false
+		outcome = permitUnanswered
+		permit.WaitMillis = unansweredPause.Milliseconds()
 	case permit.Granted:
-		l.permits.WithLabelValues(permitGranted).Inc()
-	default:
-		l.permits.WithLabelValues(permitRefused).Inc()
+		outcome = permitGranted
 	}
-	if permit.Limit != nil {
-		l.told([]workerlimit.Told{*permit.Limit})
+	l.permits.WithLabelValues(outcome).Inc()
+	if permit.Ended != nil {
+		l.told([]workerlimit.Told{*permit.Ended})
 	}
 	return permit.Wait(), permit.Granted
 }
 
-// ask asks the leader for a permit; false if nobody answers that leads.
-func (l *workerLimits) ask(fact workerlimit.Fact, patience time.Duration) (peerlink.Permit, bool) {
+// ask asks the leader for a permit; false if nobody answers in time that leads.
+func (l *workerLimits) ask(fact workerlimit.Fact, patience, within time.Duration) (peerlink.Permit, bool) {
 	now := clock.Now()
 	if permit, leading := l.issue(now, fact, patience); leading {
 		return permit, true
 	}
 	leader := l.r.hub.Followed()
-	if leader == "" {
+	if leader == "" || clock.Nanos(now) < l.silentUntil.Load() {
 		return peerlink.Permit{}, false
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), permitTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	permit, err := l.link.Ask(ctx, leader, peerlink.PermitAsk{
 		Limit: workerlimit.Tell(now, fact), PatienceMillis: patience.Milliseconds(),
 	})
+	if err != nil {
+		l.silentUntil.Store(clock.Nanos(clock.Now().Add(unansweredPause)))
+	}
 	return permit, err == nil
 }
 
@@ -182,10 +189,13 @@
 		return peerlink.Permit{}, false
 	}
 	permit, leading := l.member.Issue(now, fact, patience, !now.Before(tenure.Until()))
+	if permit.News {
+		l.log(fact, limitTold)
+	}
 	message := peerlink.Permit{Granted: permit.Granted, WaitMillis: (permit.Wait + time.Millisecond - 1).Milliseconds()}
 	if permit.Ended != nil {
 		told := workerlimit.Tell(now, *permit.Ended)
-		message.Limit = &told
+		message.Ended = &told
 	}
 	return message, leading
 }
--- a/internal/workerlimit/member.go
+++ b/internal/workerlimit/member.go
@@ -14,6 +14,8 @@
 	Wait    time.Duration
 	// Ended is set if the worker names no limit any longer.
 	Ended *Fact
+	// News says that the leader did not know what the process knows that asked.
+	News bool
 }
 
 // Member is one process's part in keeping workers within their limits. It is safe for concurrent
@@ -93,21 +95,21 @@
 // Issue answers a process that knows a fact and asks whether a request may leave within some
 // patience; false if this process does not lead. doubtful says that another may lead.
 func (m *Member) Issue(now time.Time, fact Fact, patience time.Duration, doubtful bool) (Permit, bool) {
-	m.book.Merge(fact)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.pacer == nil {
 		return Permit{}, false
 	}
+	news := m.book.Merge(fact)
 	known, found := m.book.Fact(fact.Worker)
 	if !found { // what is known is of another life
 		known = fact
 	}
 	if known.Ended {
-		return Permit{Granted: true, Ended: &known}, true
+		return Permit{Granted: true, Ended: &known, News: news}, true
 	}
 	wait, granted := m.pacer.Take(now, fact.Worker, known.Rate, patience, doubtful)
-	return Permit{Granted: granted, Wait: wait}, true
+	return Permit{Granted: granted, Wait: wait, News: news}, true
 }
 
 // Forget drops what is known of workers that are gone, and limits that ended long ago.
