--- a/internal/lab/mutate/mutations_regions.go
+++ b/internal/lab/mutate/mutations_regions.go
@@ -5,8 +5,8 @@
 	{
 		name: "pool-serves-outside-its-regions",
 		file: "internal/proxy/pick.go",
-		old:  "if tried[one.id] || asks.serves != nil && !asks.serves(one.region) {",
-		new:  "if tried[one.id] {",
+		old:  "tried[one.id] || asks.serves != nil && !asks.serves(one.region) ||",
+		new:  "tried[one.id] ||",
 		pkg:  "./internal/proxy", test: "TestPoolsServeInAllowedRegionsOnly",
 	},
 	{
