--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -155,7 +155,7 @@
 	return t.candidate(now, of, worker).Capacity
 }
 
-// candidate describes a worker. The limit that it names goes before what was measured.
+// candidate describes a worker. A limit that it names caps its capacity.
 func (t *tenancy) candidate(now time.Time, of *service, worker workers.Worker) owner.Candidate {
 	candidate := of.candidate(now, worker)
 	if t.Limits == nil {
