Tell operators which workers say that they leave, and which ask for a backoff

The logs of the incident could not tell whether a router had read what a worker's answer says of it: no line and no metric named either word. What an answer says of its worker is now read in one place (upstream.Notice): load, limit, leaving, backoff. Lines worker-leaving and worker-backoff, and a counter of such answers, tell of it. Nothing is decided by it yet: requests leave as before. A limit in an answer that names another worker is no longer taken for the limit of the one that was asked.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -130,6 +130,7 @@
 	}
 	p.Metrics.sent(c.service.Name, got.Outcome)
 	c.watchLimit(&worker, &got)
+	c.watchNotice(to, &got)
 	c.watchEnd(to, &got)
 	c.cleared(&got)
 	return worker.ID, got
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -16,6 +16,7 @@
 	sends    *prometheus.CounterVec
 	crashes  *prometheus.CounterVec
 	limits   *prometheus.CounterVec
+	notices  *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	tenants  *tenantCounters
 }
@@ -38,12 +39,16 @@
 		limits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "shalefork_router_limited_sends_total", Help: "Sends to workers that named a limit of requests a second.",
 		}, []string{"service"}),
+		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shalefork_router_worker_notices_total",
+			Help: "Answers that say of their worker that it leaves, or ask for a backoff: leaving, backoff or unreadable-backoff.",
+		}, []string{"service", "notice"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "shalefork_router_request_seconds", Help: "Time from a request's arrival to its answer.", Buckets: latencyBuckets,
 		}, []string{"service"}),
 	}
 	metrics.tenants = newTenantCounters()
-	registerer.MustRegister(metrics.requests, metrics.sends, metrics.crashes, metrics.limits, metrics.latency, metrics.tenants.vector, metrics.tenants.overShare)
+	registerer.MustRegister(metrics.requests, metrics.sends, metrics.crashes, metrics.limits, metrics.notices, metrics.latency, metrics.tenants.vector, metrics.tenants.overShare)
 	return metrics
 }
 
@@ -59,6 +64,10 @@
 	m.limits.WithLabelValues(string(service)).Inc()
 }
 
+func (m *Metrics) noticed(service routing.ServiceName, notice string) {
+	m.notices.WithLabelValues(string(service), notice).Inc()
+}
+
 func (m *Metrics) ended(service string, status int, reason string, took time.Duration) {
 	m.requests.WithLabelValues(service, strconv.Itoa(status), reason).Inc()
 	m.latency.WithLabelValues(service).Observe(took.Seconds())
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -155,8 +155,7 @@
 func (e *exchange) take(ctx context.Context, response *http.Response) Result {
 	answer := Result{Status: response.StatusCode, Header: response.Header, Outcome: e.judge(response)}
 	answer.closing = response.Close || unframed(response)
-	answer.Load, answer.Loaded = parseLoad(response.Header.Get(e.headers.Load))
-	answer.Limit, answer.Sent = parseLimit(response.Header.Values(e.headers.Limit)), e.began
+	answer.Notice, answer.Sent = e.headers.notice(response, e.target, clock.Now()), e.began
 	if length := response.ContentLength; length >= 0 && length <= bodies.Small {
 		spool := bodies.NewSpool(e.message.Room, true)
 		whole, err := spool.Fill(response.Body, length, bodies.Small)
--- a/internal/upstream/headers.go
+++ b/internal/upstream/headers.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -32,98 +31,14 @@
 	// Limit is how many requests a second the worker takes from all routers together, a decimal
 	// number; it stands in the answers of a worker that is short of room.
 	Limit string
+	// Leaving says that the worker leaves: it stands in all answers of one that does.
+	Leaving string
 	// Key is a keyed request's key, a whole number.
 	Key string
 	// Tenant names the tenant whose API key the caller showed, to the worker.
 	Tenant string
 }
 
-// Load is what a worker tells of itself.
-type Load struct {
-	Running, Waiting, Slots int
-	// Slowdown is how long work takes there at this moment, as a multiple of what is
-	// usual; zero if the worker does not tell it.
-	Slowdown float64
-}
-
-// Idle reports whether a worker that told its load has a slot to spare. One that turns a request
-// away all the same is short of something else than room, and may take the next one. Counted as
-// full, a worker that took each third request was not asked for 97 of 120
-// (TestOwnersThatTurnRequestsAwayAreAskedByTheirLoad).
-func (l Load) Idle(told bool) bool { return told && l.Waiting == 0 && l.Running < l.Slots }
-
-// Parts of a load header. Further ones are passed over.
-const (
-	loadCounts   = 3
-	slowdownPart = loadCounts
-	// usualPercent is the slowdown of a worker at its usual pace.
-	usualPercent = 100
-)
-
-// parseLoad reads a load header; false if it can't be read.
-func parseLoad(text string) (Load, bool) {
-	parts := strings.Split(text, ",")
-	if len(parts) < loadCounts {
-		return Load{}, false
-	}
-	var load Load
-	for index, into := range []*int{&load.Running, &load.Waiting, &load.Slots} {
-		number, err := strconv.Atoi(strings.TrimSpace(parts[index]))
-		if err != nil || number < 0 {
-			return Load{}, false
-		}
-		*into = number
-	}
-	if len(parts) == loadCounts {
-		return load, true
-	}
-	percent, err := strconv.ParseFloat(strings.TrimSpace(parts[slowdownPart]), 64)
-	if err != nil || !(percent > 0) || math.IsInf(percent, 0) {
-		return Load{}, false
-	}
-	load.Slowdown = percent / usualPercent
-	return load, true
-}
-
-// Limit is what an answer says of the requests a second that its worker takes.
-type Limit struct {
-	Naming Naming
-	// PerSecond is the limit, if one is named.
-	PerSecond float64
-}
-
-// Naming says whether an answer names a limit.
-type Naming int
-
-// Ways to name a limit, or not to.
-const (
-	// NoLimit: the answer names none.
-	NoLimit Naming = iota
-	// Limited: it names one.
-	Limited
-	// UnreadableLimit: it names one that can't be read.
-	UnreadableLimit
-)
-
-// parseLimit reads the headers that name a limit. Of several the lowest that can be read counts.
-func parseLimit(values []string) Limit {
-	limit := Limit{}
-	if len(values) == 0 {
-		return limit
-	}
-	for _, value := range strings.Split(strings.Join(values, ","), ",") {
-		number, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-		readable := err == nil && number >= 0 && !math.IsInf(number, 0) // false for what is not a number
-		switch {
-		case readable && (limit.Naming != Limited || number < limit.PerSecond):
-			limit = Limit{Naming: Limited, PerSecond: number}
-		case !readable && limit.Naming == NoLimit:
-			limit.Naming = UnreadableLimit
-		}
-	}
-	return limit
-}
-
 // hopHeaders concern one connection only.
 var hopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
@@ -156,7 +71,7 @@
 // not have it dropped by naming it in Connection.
 func (h Headers) bearsOn(name string) bool {
 	switch name {
-	case h.RequestID, h.Key, h.Tenant, h.Signature, h.Worker, h.NotRun, h.Load, h.Limit:
+	case h.RequestID, h.Key, h.Tenant, h.Signature, h.Worker, h.NotRun, h.Load, h.Limit, h.Leaving:
 		return true
 	}
 	return false
--- a/internal/upstream/result.go
+++ b/internal/upstream/result.go
@@ -48,11 +48,8 @@
 	filled  <-chan error
 	settled <-chan struct{}
 	cancel  context.CancelFunc
-	// Load is what the worker told of itself, if Loaded.
-	Load   Load
-	Loaded bool
-	// Limit is what the worker's answer, or refusal, says of the requests a second that it takes.
-	Limit Limit
+	// Notice is what the worker's answer, or refusal, says of the worker.
+	Notice
 	// Sent is when the request began to leave.
 	Sent time.Time
 	// closing says that the connection ends with this answer.
