Send nothing to workers that say in their answers that they leave

Callers' requests went on reaching a worker for as long as it answered, though each answer said that it leaves. Cause: routers took only the worker's entry for its word, and the entry comes from the store, which was away in the incident; the header went on to the caller unread. What an answer says is a fact on one life of the worker now: the router that gets it, at once, and those that are told by the leader or a relay take the worker for one that drains, since the first of them knew. Pools drop it then, requests for its keys go on for half of the time that it may get any, and the leader moves its keys. No entry, list or outage ends that within the life.

--- a/internal/clock/uses_test.go
+++ b/internal/clock/uses_test.go
@@ -13,7 +13,7 @@
 // promising are the packages in which a time outlives an instant: leases, holds, leaves, beliefs,
 // budgets. The steady clock must not be read there, since it stands while a machine is suspended.
 var promising = []string{
-	"bodies", "coord", "election", "facts", "keeper", "keytable", "owner", "peerlink", "proxy", "quarantine", "quota", "router", "standby", "upstream", "workerlimit", "workers",
+	"bodies", "coord", "departure", "election", "facts", "keeper", "keytable", "owner", "peerlink", "proxy", "quarantine", "quota", "router", "standby", "upstream", "workerlimit", "workers",
 }
 
 // A deadline of a connection is the runtime's, and counts on the steady clock.
--- /dev/null
+++ b/internal/departure/departure.go
@@ -0,0 +1,50 @@
+// Package departure keeps which workers say in their answers that they leave, whatever their entries
+// say. That never ends within a life of a worker.
+package departure
+
+import (
+	"time"
+
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// Fact says that a life of a worker leaves.
+type Fact struct {
+	Worker workers.Life
+	// Since is when the first process knew.
+	Since time.Time
+}
+
+// sameSince is by how much two times of one word may differ that came on different ways.
+const sameSince = 250 * time.Millisecond
+
+// Key implements facts.Fact: each life has a fact of its own.
+func (f Fact) Key() workers.Life { return f.Worker }
+
+// Replaces reports whether a fact is known for longer than another on the same life.
+func (f Fact) Replaces(other Fact) bool { return f.Since.Before(other.Since) }
+
+// TellsSame implements facts.Fact.
+func (f Fact) TellsSame(other Fact) bool { return f.Since.Sub(other.Since).Abs() <= sameSince }
+
+// Holds implements facts.Fact.
+func (f Fact) Holds() bool { return true }
+
+// Told is a fact as processes tell it to each other. Their times of day differ, so times are told
+// as ages.
+type Told struct {
+	Worker    workers.ID   `json:"w"`
+	Born      workers.Born `json:"b,omitempty"`
+	AgeMillis int64        `json:"a,omitempty"`
+}
+
+// Tell describes a fact.
+func Tell(now time.Time, fact Fact) Told {
+	return Told{Worker: fact.Worker.ID, Born: fact.Worker.Born, AgeMillis: max(0, now.Sub(fact.Since).Milliseconds())}
+}
+
+// Fact returns the fact that was told just now.
+func (t Told) Fact(now time.Time) Fact {
+	age := time.Duration(max(0, t.AgeMillis)) * time.Millisecond
+	return Fact{Worker: workers.Life{ID: t.Worker, Born: t.Born}, Since: now.Add(-age)}
+}
--- /dev/null
+++ b/internal/departure/departure_test.go
@@ -0,0 +1,45 @@
+package departure
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/shalefork/shalefork/internal/facts"
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func drawFact(t *rapid.T) Fact {
+	life := workers.Life{ID: rapid.SampledFrom([]workers.ID{"a", "b"}).Draw(t, "worker"), Born: workers.Born(rapid.IntRange(0, 2).Draw(t, "born"))}
+	return Fact{Worker: life, Since: start.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "since")) * time.Second)}
+}
+
+func TestDeparturesMergeToTheSameInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := rapid.SliceOfN(rapid.Custom(drawFact), 1, 8).Draw(t, "facts")
+		other := rapid.Permutation(list).Draw(t, "other")
+		merged := func(list []Fact) []Fact {
+			book := facts.NewBook[Fact]()
+			for _, one := range append(list, list...) {
+				book.Merge(one)
+			}
+			return book.Facts()
+		}
+		assert.DeepEqual(t, merged(list), merged(other))
+	})
+}
+
+func TestADepartureCountsFromWhoKnewFirst(t *testing.T) {
+	book, life := facts.NewBook[Fact](), workers.Life{ID: "w", Born: 1}
+	assert.Assert(t, book.Merge(Fact{Worker: life, Since: start}))
+	assert.Assert(t, !book.Merge(Fact{Worker: life, Since: start.Add(time.Second)}))
+	assert.Assert(t, !book.Merge(Fact{Worker: life, Since: start.Add(-sameSince)}), "others need not hear of so little")
+	assert.Assert(t, book.Merge(Fact{Worker: life, Since: start.Add(-time.Second)}))
+	known, _ := book.Fact(life)
+	assert.Equal(t, known.Since, start.Add(-time.Second))
+	assert.Equal(t, Tell(start, known).Fact(start), known)
+}
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -8,6 +8,7 @@
 
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/departure"
 	"github.com/shalefork/shalefork/internal/facts"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/quarantine"
@@ -49,6 +50,8 @@
 	Traffic *traffic.Counter
 	// Limits are what this process knows of workers' limits, and tells its links; nil: nothing.
 	Limits *facts.Book[workerlimit.Fact]
+	// Leaving are the workers that say that they leave, as told to links; nil: none.
+	Leaving *facts.Book[departure.Fact]
 
 	mu      sync.Mutex
 	leading bool
@@ -86,10 +89,11 @@
 	// evidence is called with what linked processes have seen of crashes.
 	evidence func(quarantine.Evidence)
 	quotas   quotaLinks
-	// limitsTold is called with what linked processes have learned of workers' limits, and permit
-	// answers those that ask for permits.
-	limitsTold func([]workerlimit.Told)
-	permit     func(PermitAsk) (Permit, bool)
+	// limitsTold and leavingTold are called with what linked processes have learned of workers, and
+	// permit answers those that ask for permits.
+	limitsTold  func([]workerlimit.Told)
+	leavingTold func([]departure.Told)
+	permit      func(PermitAsk) (Permit, bool)
 	// followed is the address of the leader that this process follows; empty: none.
 	followed string
 	// linked is called with the addresses of processes that follow this one; nil: nobody wants them.
@@ -139,9 +143,8 @@
 	// suspects is the version of the suspects that it was told, and suspectsAt is when.
 	suspects   uint64
 	suspectsAt time.Time
-	// limits is the version of workers' limits that it was told, and limitsAt is when.
-	limits   uint64
-	limitsAt time.Time
+	// limits and leaving are what it was told of workers' limits, and of those that leave.
+	limits, leaving factsTold
 	// quota waits to be sent.
 	quota []quota.Grant
 	// hello is how the process introduced itself.
@@ -367,6 +370,9 @@
 	if len(report.Limits) > 0 && h.limitsTold != nil {
 		h.limitsTold(report.Limits)
 	}
+	if len(report.Leaving) > 0 && h.leavingTold != nil {
+		h.leavingTold(report.Leaving)
+	}
 	h.mu.Lock()
 	one.followers = report.Followers
 	leading := h.leading
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/departure"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/quota"
@@ -112,6 +113,8 @@
 	Quota []quota.Grant `json:"u,omitempty"`
 	// Limits are what has become known of the limits that workers name.
 	Limits []workerlimit.Told `json:"w,omitempty"`
+	// Leaving are workers that say in their answers that they leave.
+	Leaving []departure.Told `json:"s,omitempty"`
 }
 
 // Age is for how long a relay may not have heard what the leader knows.
@@ -266,10 +269,12 @@
 	Quota []quota.Told `json:"u,omitempty"`
 	// Limits are what this process, or one that follows it, has learned of workers' limits.
 	Limits []workerlimit.Told `json:"l,omitempty"`
+	// Leaving are workers that say in their answers that they leave.
+	Leaving []departure.Told `json:"s,omitempty"`
 }
 
 // Empty reports whether nothing was seen and nothing is to be told.
 func (r Report) Empty() bool {
 	return len(r.Keys) == 0 && len(r.Times) == 0 && r.Stamp == 0 && r.Followers == 0 && r.Evidence == nil &&
-		len(r.Quota) == 0 && len(r.Limits) == 0
+		len(r.Quota) == 0 && len(r.Limits) == 0 && len(r.Leaving) == 0
 }
--- a/internal/peerlink/update.go
+++ b/internal/peerlink/update.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/departure"
+	"github.com/shalefork/shalefork/internal/workerlimit"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -23,7 +25,8 @@
 		h.bulk.leave(one)
 	}
 	h.tellSuspects(one, &update, now)
-	h.tellLimits(one, &update, now)
+	update.Limits = tellAll(now, factsFor(h.Limits, &one.limits, now), workerlimit.Tell)
+	update.Leaving = tellAll(now, factsFor(h.Leaving, &one.leaving, now), departure.Tell)
 	update.Quota, one.quota = one.quota, nil
 	update.Peers = h.peersFor(one, now)
 	if h.leading {
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -56,9 +56,8 @@
 	// clock.Nanos.
 	limitUntil atomic.Int64
 	// backoffUntil is until when the worker has asked this process to send it nothing, a number of
-	// clock.Nanos, and saidLeaving whether it has said that it leaves.
+	// clock.Nanos.
 	backoffUntil atomic.Int64
-	saidLeaving  atomic.Bool
 	// unreachedUntil is until when no connection is tried to an owner of keys.
 	unreachedUntil time.Time
 	ended          bool
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -100,6 +100,9 @@
 	Quota Quota
 	// Limits are what workers take from all routers together; nil: nobody keeps to them.
 	Limits Limits
+	// Leaving is called with the workers that say in their answers that they leave; nil: nobody wants
+	// to know.
+	Leaving func(workers.Life)
 	// Outdated reports whether keys may have been taken away that are known here still, so that
 	// callers with keys are refused; nil: they never are for that.
 	Outdated func() bool
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -202,7 +202,7 @@
 		}
 		worker = workers.Worker{ID: held.Worker, Address: held.Address, Service: c.service.Name, Slots: 1, State: workers.StateReady}
 	}
-	if worker.State == workers.StateDraining && c.drainedFor(worker.ID) > c.leavingGrace() {
+	if (!announced || worker.State == workers.StateDraining) && c.drainedFor(worker.ID) > c.leavingGrace() {
 		return nil
 	}
 	return c.proxy.fleet.get(worker)
--- a/internal/proxy/notices.go
+++ b/internal/proxy/notices.go
@@ -17,8 +17,8 @@
 func (c *call) watchNotice(to *backend, got *upstream.Result) {
 	if got.Leaving {
 		c.proxy.Metrics.noticed(c.service.Name, noticeLeaving)
-		if to.saidLeaving.CompareAndSwap(false, true) {
-			c.proxy.Log.Line(decision.KindWorkerLeaving).Str("worker", string(to.id())).Str("seen_by", "self").Float64("for", 0).Msg("")
+		if c.proxy.Leaving != nil {
+			c.proxy.Leaving(to.described().Life())
 		}
 	}
 	switch got.Backoff.Asking {
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -317,6 +317,7 @@
 		r.hub.Relay(update)
 	}
 	r.limits.told(update.Limits)
+	r.leaving.told(update.Leaving)
 	r.suspectsTold(update)
 	r.quotas.granted(update.Quota)
 	if r.entries.coveredUpTo() > 0 { // else the list is still to be told or read
--- a/internal/router/followleader.go
+++ b/internal/router/followleader.go
@@ -143,6 +143,7 @@
 	f.r.peers.Add(f.leader.Address, f.address)
 	f.r.quotas.holder.Linked()
 	f.r.limits.member.Linked()
+	f.r.leaving.member.Linked()
 	line := f.r.log.Line(decision.KindLeaderFound).Str("leader", f.leader.Address).Int64("term", int64(f.leader.Term))
 	if f.viaRelay() {
 		line = line.Str("relay", f.address)
--- /dev/null
+++ b/internal/router/leaving.go
@@ -0,0 +1,81 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/departure"
+	"github.com/shalefork/shalefork/internal/facts"
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+const (
+	// leavingTick is the pause between looks for workers that are gone.
+	leavingTick = 10 * time.Second
+	// leavingMemory is for how long it stays known that a worker leaves whose entry is gone: the entry
+	// may be back while the worker serves on.
+	leavingMemory = 2 * time.Minute
+	// mostLeavingTold is how many workers one report tells of.
+	mostLeavingTold = 64
+)
+
+// leavingWorkers are those that say in their answers that they leave. They count as draining here,
+// and others are told.
+type leavingWorkers struct {
+	r      *Router
+	member *facts.Member[departure.Fact]
+}
+
+func newLeavingWorkers(r *Router) *leavingWorkers {
+	return &leavingWorkers{r: r, member: facts.NewMember[departure.Fact]()}
+}
+
+// answered notes that a worker has said in an answer to this process that it leaves.
+func (l *leavingWorkers) answered(worker workers.Life) {
+	l.take(departure.Fact{Worker: worker, Since: clock.Now()}, l.member.Learn, seenHere)
+}
+
+// heard takes what processes that follow this one have learned.
+func (l *leavingWorkers) heard(told []departure.Told) { l.takeAll(told, l.member.Learn) }
+
+// told takes what the leader, or a relay, tells.
+func (l *leavingWorkers) told(told []departure.Told) { l.takeAll(told, l.member.Hear) }
+
+func (l *leavingWorkers) takeAll(told []departure.Told, add func(departure.Fact) bool) {
+	now := clock.Now()
+	for _, one := range told {
+		l.take(one.Fact(now), add, seenByOthers)
+	}
+}
+
+// take adds a fact, and lets the worker drain if that is news.
+func (l *leavingWorkers) take(fact departure.Fact, add func(departure.Fact) bool, seenBy string) {
+	if !add(fact) {
+		return
+	}
+	l.r.workers.Leaves(fact.Worker, fact.Since)
+	l.r.log.Line(decision.KindWorkerLeaving).Str("worker", string(fact.Worker.ID)).Str("seen_by", seenBy).
+		Float64("for", clock.Since(fact.Since).Seconds()).Msg("")
+}
+
+// tell returns what the leader is to know.
+func (l *leavingWorkers) tell() []departure.Told {
+	var told []departure.Told
+	now := clock.Now()
+	for _, fact := range l.member.Tell(mostLeavingTold) {
+		told = append(told, departure.Tell(now, fact))
+	}
+	return told
+}
+
+// run forgets workers that are gone, until ctx ends.
+func (l *leavingWorkers) run(ctx context.Context) {
+	for clock.Sleep(ctx, leavingTick) {
+		l.member.Book().Forget(func(fact departure.Fact) bool {
+			_, announced := l.r.workers.Get(fact.Worker.ID)
+			return !announced && l.r.workers.GoneFor(fact.Worker.ID) > leavingMemory
+		})
+	}
+}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -30,6 +30,8 @@
 		return float64(len(r.workers.EvacuatedZones()))
 	})
 	gauge("shalefork_router_cold_workers", "Workers that say that they warm up.", func() float64 { return float64(r.workers.Cold()) })
+	gauge("shalefork_router_leaving_workers", "Workers that have said in an answer that they leave, here or to another router.",
+		func() float64 { return float64(r.leaving.member.Book().Holding()) })
 	gauge("shalefork_router_limited_workers", "Workers that name a limit of requests a second from all routers together.",
 		func() float64 { return float64(r.limits.book.Holding()) })
 	registerer.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
--- a/internal/router/report.go
+++ b/internal/router/report.go
@@ -24,6 +24,7 @@
 	report.Evidence = r.proxy.Suspects.Tell(clock.Now())
 	report.Quota = r.quotas.tell()
 	report.Limits = r.limits.tell()
+	report.Leaving = r.leaving.tell()
 	return report
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -126,6 +126,7 @@
 	strongest atomic.Uint64
 	quotas    *quotas
 	limits    *workerLimits
+	leaving   *leavingWorkers
 	// pipelined are the requests that run behind others on their connections.
 	pipelined *pipeline.Splitter
 }
@@ -192,6 +193,9 @@
 	r.proxy.Limits, r.hub.Limits = r.limits, r.limits.book.Book
 	r.hub.OnLimits(r.limits.heard)
 	r.hub.OnPermit(r.limits.asked)
+	r.leaving = newLeavingWorkers(r)
+	r.proxy.Leaving, r.hub.Leaving = r.leaving.answered, r.leaving.member.Book()
+	r.hub.OnLeaving(r.leaving.heard)
 	r.pipelined = pipeline.New(r.proxy, r.pipelineLimits())
 	metrics.MustRegister(r.proxy, r.quotas, r.limits.permits)
 	r.registerGauges(metrics)
@@ -215,6 +219,7 @@
 	go r.watchSuspension(background)
 	go r.proxy.Run(background)
 	go r.limits.run(background)
+	go r.leaving.run(background)
 	go r.hub.Serve(listeners.peers)
 	go r.standby.Run(background)
 	go func() {
--- a/internal/router/workerlimits.go
+++ b/internal/router/workerlimits.go
@@ -39,10 +39,10 @@
 	permitUnanswered = "unanswered"
 )
 
-// Who has seen a limit, as log lines name it.
+// Who has seen what a worker says of itself, as log lines name it.
 const (
-	limitSeenHere = "self"
-	limitTold     = "told"
+	seenHere     = "self"
+	seenByOthers = "told"
 )
 
 // workerLimits keeps workers within the limits that they name: it asks the leader before a request
@@ -86,13 +86,13 @@
 func (l *workerLimits) Answered(worker workers.Life, answer *upstream.Result) {
 	switch {
 	case answer.Limit.Naming == upstream.Limited:
-		l.learn(workerlimit.Fact{Worker: worker, Rate: answer.Limit.PerSecond, At: clock.Now()}, limitSeenHere)
+		l.learn(workerlimit.Fact{Worker: worker, Rate: answer.Limit.PerSecond, At: clock.Now()}, seenHere)
 	case answer.Limit.Naming == upstream.UnreadableLimit:
 		l.unreadable.Add(1)
 		l.r.log.Line(decision.KindWorkerLimit).Str("worker", string(worker.ID)).
 			Strs("unreadable", answer.Header.Values(l.r.adapter.Headers.Limit)).Msg("what was known of its limit stands")
 	case answer.Outcome == upstream.Answered && answer.Header.Get(l.r.adapter.Headers.Signature) != "" && l.Limited(worker):
-		l.learn(workerlimit.Fact{Worker: worker, Ended: true, At: answer.Sent}, limitSeenHere)
+		l.learn(workerlimit.Fact{Worker: worker, Ended: true, At: answer.Sent}, seenHere)
 	}
 }
 
@@ -107,7 +107,7 @@
 func (l *workerLimits) heard(told []workerlimit.Told) {
 	now := clock.Now()
 	for _, one := range told {
-		l.learn(one.Fact(now), limitTold)
+		l.learn(one.Fact(now), seenByOthers)
 	}
 }
 
@@ -116,7 +116,7 @@
 	now := clock.Now()
 	for _, one := range told {
 		if fact := one.Fact(now); l.member.Hear(fact) {
-			l.log(fact, limitTold)
+			l.log(fact, seenByOthers)
 		}
 	}
 }
@@ -190,7 +190,7 @@
 	}
 	permit, leading := l.member.Issue(now, fact, patience, !now.Before(tenure.Until()))
 	if permit.News {
-		l.log(fact, limitTold)
+		l.log(fact, seenByOthers)
 	}
 	message := peerlink.Permit{Granted: permit.Granted, WaitMillis: (permit.Wait + time.Millisecond - 1).Milliseconds()}
 	if permit.Ended != nil {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -55,6 +55,8 @@
 	missed map[ID]time.Time
 	// drainingSince is when the first process heard that a worker drains.
 	drainingSince map[ID]time.Time
+	// leaving are the lives that say in their answers that they leave, and since when that is known.
+	leaving map[Life]time.Time
 	// unreadable are the workers whose entries stand, but name no worker now.
 	unreadable map[ID]bool
 	// before are the lives of announced workers that the present ones replaced.
@@ -85,6 +87,7 @@
 		byService:     map[routing.ServiceName][]Worker{},
 		goneAt:        map[ID]time.Time{},
 		drainingSince: map[ID]time.Time{},
+		leaving:       map[Life]time.Time{},
 		before:        map[ID]Worker{},
 		unreadable:    map[ID]bool{},
 		kept:          map[ID]kept{},
@@ -174,6 +177,7 @@
 
 // noteDraining notes since when workers drain that were not seen to before.
 func (d *Directory) noteDraining(since func(ID) time.Time) {
+	d.noteLeaving()
 	for id, worker := range d.byID {
 		if _, noted := d.drainingSince[id]; !noted && worker.State == StateDraining {
 			d.drainingSince[id] = since(id)
@@ -206,6 +210,7 @@
 	}
 	forget(d.goneAt)
 	forget(d.missed)
+	d.forgetLeaving()
 	d.version++
 	close(d.changed)
 	d.changed = make(chan struct{})
@@ -307,11 +312,15 @@
 	return d.changed
 }
 
-// DrainingFor returns how long a worker has been known to drain, to the first process that heard.
+// DrainingFor returns how long a worker has been known to drain, to the first process that heard: by
+// its entry, or by its answers.
 func (d *Directory) DrainingFor(id ID) time.Duration {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	since, draining := d.drainingSince[id]
+	if _, announced := d.byID[id]; !announced {
+		since, draining = d.saidLeaving(id)
+	}
 	if !draining {
 		return 0
 	}
