Send nothing to a worker for as long as it has asked for with Retry-After

Callers' requests were sent again to a worker 25 ms after it had turned them away and asked for 3 s of rest: a router left a worker that refuses alone for 30 ms, and an owner of keys not at all, whatever the answer asked for. A router keeps the latest end of all that the worker has asked it for, and sends nothing until then on any way: pools use other workers, a request whose owner or whose whole pool is kept away is refused at once as worker-backoff, and told to come back soon, since another router may send it. Whether a worker still gets a request is asked again when its connection stands, just before anything is written; a message that is withheld has not run, and its connection is kept.

--- a/internal/lab/mutate/mutations_limits.go
+++ b/internal/lab/mutate/mutations_limits.go
@@ -67,9 +67,9 @@
 	},
 	{
 		name: "end-of-a-limit-counts-late",
-		file: "internal/proxy/limits.go",
-		old:  "	return now.Before(to.limitedUntil()) && p.isLimited(to)",
-		new:  "	return now.Before(to.limitedUntil())",
+		file: "internal/proxy/notices.go",
+		old:  "(now.Before(to.limitedUntil()) && p.isLimited(to))",
+		new:  "now.Before(to.limitedUntil())",
 		pkg:  "./internal/proxy", test: "TestTheEndOfALimitCountsAtOnce",
 	},
 	{
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -257,6 +257,9 @@
 	// Times are, by worker, the number of answers and the sum of their times in
 	// milliseconds, of requests that did not wait.
 	Times map[workers.ID][2]int `json:"w,omitempty"`
+	// Backoffs are, by worker, the number of times at which it asked for a backoff, and the sum of
+	// those in milliseconds.
+	Backoffs map[workers.ID][2]int `json:"b,omitempty"`
 	// Stamp is a standby's time, in milliseconds since its start, and Heard are the
 	// versions of the holds that it knows; both are for a standby only.
 	Stamp int64                          `json:"t,omitempty"`
@@ -276,5 +279,5 @@
 // Empty reports whether nothing was seen and nothing is to be told.
 func (r Report) Empty() bool {
 	return len(r.Keys) == 0 && len(r.Times) == 0 && r.Stamp == 0 && r.Followers == 0 && r.Evidence == nil &&
-		len(r.Quota) == 0 && len(r.Limits) == 0 && len(r.Leaving) == 0
+		len(r.Quota) == 0 && len(r.Limits) == 0 && len(r.Backoffs) == 0 && len(r.Leaving) == 0
 }
--- a/internal/peerlink/meter.go
+++ b/internal/peerlink/meter.go
@@ -15,6 +15,8 @@
 	mu    sync.Mutex
 	keys  map[routing.ServiceName]map[int]int
 	times map[workers.ID][2]int
+	// backoffs are, by worker, for how many backoffs it has asked, and their sum in milliseconds.
+	backoffs map[workers.ID][2]int
 	// timesAt is when times were last taken.
 	timesAt time.Time
 }
@@ -25,7 +27,9 @@
 
 // NewMeter returns a meter that has counted nothing.
 func NewMeter() *Meter {
-	return &Meter{keys: map[routing.ServiceName]map[int]int{}, times: map[workers.ID][2]int{}}
+	return &Meter{
+		keys: map[routing.ServiceName]map[int]int{}, times: map[workers.ID][2]int{}, backoffs: map[workers.ID][2]int{},
+	}
 }
 
 // Asked counts a request for a key.
@@ -49,8 +53,21 @@
 func (m *Meter) Served(worker workers.ID, took time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	sum := m.times[worker]
-	m.times[worker] = [2]int{sum[0] + 1, sum[1] + int(took.Milliseconds())}
+	add(m.times, worker, 1, int(took.Milliseconds()))
+}
+
+// BackedOff counts that a worker has asked this process to send it nothing for a time, or for so much
+// longer.
+func (m *Meter) BackedOff(worker workers.ID, longer time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	add(m.backoffs, worker, 1, int(longer.Milliseconds()))
+}
+
+// add counts events and the sum of their times at a worker.
+func add(sums map[workers.ID][2]int, worker workers.ID, count, millis int) {
+	sum := sums[worker]
+	sums[worker] = [2]int{sum[0] + count, sum[1] + millis}
 }
 
 // Add adds what another process has counted.
@@ -63,8 +80,10 @@
 		}
 	}
 	for worker, seen := range report.Times {
-		sum := m.times[worker]
-		m.times[worker] = [2]int{sum[0] + seen[0], sum[1] + seen[1]}
+		add(m.times, worker, seen[0], seen[1])
+	}
+	for worker, seen := range report.Backoffs {
+		add(m.backoffs, worker, seen[0], seen[1])
 	}
 }
 
@@ -76,6 +95,9 @@
 	if now := clock.Now(); now.Sub(m.timesAt) >= timesEvery {
 		report.Times, m.times, m.timesAt = m.times, map[workers.ID][2]int{}, now
 	}
+	if len(m.backoffs) > 0 {
+		report.Backoffs, m.backoffs = m.backoffs, map[workers.ID][2]int{}
+	}
 	if len(m.keys) > 0 {
 		report.Keys = map[routing.ServiceName][]int{}
 	}
--- a/internal/proxy/allowance.go
+++ b/internal/proxy/allowance.go
@@ -24,7 +24,8 @@
 	// attempts is how many workers the request may run on.
 	attempts int
 	// underWay have left and not ended; ran may have run; refused did not run, by their
-	// workers' word; unsent found no connection that lasted.
+	// workers' word; unsent found no connection that lasted,
+	// or were withheld.
 	underWay, ran, refused, unsent int
 }
 
@@ -46,7 +47,7 @@
 func (a *allowance) settle(ended upstream.Outcome) {
 	a.underWay--
 	switch ended {
-	case upstream.NotSent, upstream.TurnedAway:
+	case upstream.NotSent, upstream.TurnedAway, upstream.Withheld:
 		a.unsent++
 	case upstream.NotRun, upstream.Misdirected:
 		a.refused++
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -238,7 +238,7 @@
 		changed = b.failures == 0
 		b.learn(now, got)
 		b.fail(now)
-	case upstream.Gone, upstream.BodyCut: // say nothing of the worker
+	case upstream.Gone, upstream.BodyCut, upstream.Withheld: // say nothing of the worker
 	case upstream.NotSent:
 		changed = b.failures == 0
 		b.fail(now)
--- /dev/null
+++ b/internal/proxy/backoff_test.go
@@ -0,0 +1,160 @@
+package proxy
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+// asksForBackoff turns each request away and asks for some seconds.
+func asksForBackoff(seconds string) script {
+	return func(connection net.Conn, request *http.Request) bool {
+		answer(connection, request, http.StatusServiceUnavailable, "", "X-Not-Run: 1", "Retry-After: "+seconds)
+		return true
+	}
+}
+
+// waysToSend are all on which a request may reach a worker, by the service that it must be of.
+var waysToSend = map[string]struct{ service, method, path, body string }{
+	"to a pool":                {"pool", "GET", "/safe/", ""},
+	"to a pool, once":          {"pool", "POST", "/unsafe/", "b"},
+	"to a pool, to one only":   {"pool", "GET", "/single/", ""},
+	"for a key":                {"keyed", "GET", "/keyed/", ""},
+	"for a key, once":          {"keyed", "POST", "/keyed-once/", "b"},
+	"a large upload":           {"pool", "POST", "/up/", strings.Repeat("b", 300<<10)},
+	"a download":               {"pool", "GET", "/down/", ""},
+	"a large upload for a key": {"keyed", "POST", "/keyed/", strings.Repeat("b", 300<<10)},
+}
+
+func TestNoRequestReachesAWorkerOnAnyWay(t *testing.T) {
+	for reason, keepAway := range map[string]func(*front, workers.Worker){
+		"that has asked for a backoff": func(f *front, w workers.Worker) {
+			f.proxy.fleet.get(w).backOff(clock.Now(), 3*time.Second)
+		},
+		"that has said for long that it leaves": func(f *front, w workers.Worker) {
+			f.directory.Leaves(w.Life(), clock.Now().Add(-testDrain))
+		},
+	} {
+		for name, way := range waysToSend {
+			t.Run(reason+"/"+name, func(t *testing.T) {
+				w := newWorker(t, "w1", answers("x"))
+				f := newFront(t, w.entry(way.service))
+				f.owns(w.entry(way.service))
+				keepAway(f, w.entry(way.service))
+				response, _ := f.get(t, way.method, way.path, way.body, "X-Key", "7")
+				assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+				assert.Equal(t, w.arrivals(), 0)
+			})
+		}
+		t.Run(reason+"/a second copy", func(t *testing.T) {
+			var f *front
+			silent := newWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+				time.Sleep(time.Second)
+				answer(connection, request, http.StatusOK, "slow")
+				return true
+			})
+			other := newWorker(t, "w2", answers("x"))
+			f = newFront(t, silent.entry("pool"), other.entry("pool"))
+			keepAway(f, other.entry("pool"))
+			_, body := f.get(t, "GET", "/safe/", "")
+			assert.Equal(t, body, "slow")
+			assert.Equal(t, other.arrivals(), 0)
+		})
+		t.Run(reason+"/sent again", func(t *testing.T) {
+			var f *front
+			other := newWorker(t, "w2", answers("x"))
+			refusing := newWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+				keepAway(f, other.entry("pool"))
+				return refuses(connection, request)
+			})
+			f = newFront(t, refusing.entry("pool"), other.entry("pool"))
+			f.proxy.fleet.get(other.entry("pool")).fullUntil = clock.Now().Add(100 * time.Millisecond)
+			response, _ := f.get(t, "POST", "/unsafe/", "b")
+			assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+			assert.Equal(t, other.arrivals(), 0)
+		})
+	}
+}
+
+func TestAWorkerThatAsksForABackoffIsNotAskedAgain(t *testing.T) {
+	for name, test := range map[string]struct{ service, method, path string }{
+		"pool": {"pool", "GET", "/safe/"}, "pool, runs once": {"pool", "POST", "/unsafe/"},
+		"keyed": {"keyed", "GET", "/keyed/"}, "keyed, runs once": {"keyed", "POST", "/keyed-once/"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorker(t, "w1", asksForBackoff("3"))
+			f := newFront(t, w.entry(test.service))
+			f.owns(w.entry(test.service))
+			for range 5 {
+				began := time.Now()
+				response, body := f.get(t, test.method, test.path, "", "X-Key", "7")
+				assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+				assert.Equal(t, body, reasonBackoff+"\n")
+				after, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+				assert.NilError(t, err)
+				assert.Assert(t, after < 0.4, "another router may serve it before %f s", after)
+				assert.Assert(t, time.Since(began) < 80*time.Millisecond, "nothing is waited for")
+			}
+			assert.Equal(t, w.arrivals(), 1)
+		})
+	}
+}
+
+func TestOthersServeWhatAWorkerTurnsAway(t *testing.T) {
+	asking, other := newWorker(t, "w1", asksForBackoff("3")), newWorker(t, "w2", answers("x"))
+	f := newFront(t, asking.entry("pool"), other.entry("pool"))
+	for range 20 {
+		response, _ := f.get(t, "POST", "/unsafe/", "")
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+	}
+	assert.Assert(t, asking.arrivals() <= 1)
+}
+
+func TestAWorkerGetsRequestsAgainOnceItsBackoffIsOver(t *testing.T) {
+	for name, path := range map[string]string{"pool": "/safe/", "keyed": "/keyed/"} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorker(t, "w1", answers("x"))
+			f := newFront(t, w.entry(name))
+			f.owns(w.entry(name))
+			f.proxy.fleet.get(w.entry(name)).backOff(clock.Now(), 200*time.Millisecond)
+			response, _ := f.get(t, "GET", path, "", "X-Key", "7")
+			assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+			time.Sleep(220 * time.Millisecond)
+			response, _ = f.get(t, "GET", path, "", "X-Key", "7")
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+		})
+	}
+}
+
+func TestTheLatestEndOfBackoffsHolds(t *testing.T) {
+	now := clock.Now()
+	b := &backend{}
+	longer, begins := b.backOff(now, 3*time.Second)
+	assert.Assert(t, longer == 3*time.Second && begins)
+	longer, begins = b.backOff(now.Add(time.Second), time.Second)
+	assert.Assert(t, longer == 0 && !begins, "a shorter one ends nothing")
+	assert.Equal(t, b.backoffLeft(now.Add(time.Second)), 2*time.Second)
+	longer, begins = b.backOff(now.Add(2*time.Second), 3*time.Second)
+	assert.Assert(t, longer == 2*time.Second && !begins)
+	assert.Equal(t, b.backoffLeft(now.Add(5*time.Second)), time.Duration(0))
+	_, begins = b.backOff(now.Add(6*time.Second), time.Second)
+	assert.Assert(t, begins)
+}
+
+func TestAnotherLifeOfAWorkerHasAskedForNoBackoff(t *testing.T) {
+	w := newWorker(t, "w1", answers("x"))
+	first, second := w.entry("pool"), w.entry("pool")
+	first.Born, second.Born = 1, 2
+	f := newFront(t, first)
+	f.proxy.fleet.get(first).backOff(clock.Now(), 3*time.Second)
+	assert.Assert(t, f.proxy.fleet.get(first).backoffLeft(clock.Now()) > 0)
+	assert.Equal(t, f.proxy.fleet.get(second).backoffLeft(clock.Now()), time.Duration(0))
+}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -109,7 +109,7 @@
 	worker := to.described()
 	mean, measured := to.mean(usualTime)
 	to.begin()
-	got := upstream.Send(ctx, p.Headers, to.pool, &c.message, string(worker.ID), c.deadline, until)
+	got := upstream.Send(ctx, p.Headers, to.pool, &c.message, c.target(to, &worker), c.deadline, until)
 	c.holding.add(got.Free)
 	if streaming := got.Streaming(); streaming != nil {
 		to.begin()
@@ -136,6 +136,11 @@
 	return worker.ID, got
 }
 
+// target describes the worker that a send is for.
+func (c *call) target(to *backend, worker *workers.Worker) upstream.Target {
+	return upstream.Target{ID: string(worker.ID), Admits: func() bool { return c.admits(to) }}
+}
+
 // note takes note of a send that has ended.
 func (c *call) note(worker workers.ID, got *upstream.Result) {
 	c.last, c.lastTo = got, worker
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -23,7 +23,7 @@
 	limits BudgetLimits
 	// ended is called with what is known of a worker that has started again, outside of mu.
 	ended func(*backend)
-	// keptAway reports whether a worker gets no more for now since it names a limit.
+	// keptAway reports whether a worker gets no more for now, by what it says of itself.
 	keptAway func(now time.Time, to *backend) bool
 	// seed makes the subsets of this process its own.
 	seed maphash.Seed
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -63,6 +63,8 @@
 	reasonCutByClient = "cut-by-client"
 	// reasonLimited: the worker, or all of them, name limits, and get no more for now.
 	reasonLimited = "worker-limit"
+	// reasonBackoff: the worker, or all of them, have asked this process to send nothing for now.
+	reasonBackoff = "worker-backoff"
 	// reasonQuota: the tenant is beyond its limit.
 	reasonQuota = "over-quota"
 	// reasonShare: there is not room for all, and the tenant asks for more than its share.
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -57,6 +57,9 @@
 			c.giveUp(reasonRefused, c.returnSoon(150*time.Millisecond))
 			return
 		}
+		if to.backoffLeft(clock.Now()) > 0 {
+			continue // it is refused, unless its key has moved
+		}
 		c.tellAgain(got)
 		if !c.pause(ownerPause) {
 			return
@@ -158,6 +161,10 @@
 // probably turn away.
 func (c *call) unlessBusy(to *backend) *backend {
 	now := clock.Now()
+	if wait := to.backoffLeft(now); wait > 0 {
+		c.giveUp(reasonBackoff, c.returnElsewhere(wait))
+		return nil
+	}
 	if reason := c.turnedBack(now, to); reason != "" {
 		c.giveUp(reason, c.returnAfter())
 		return nil
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -37,11 +37,6 @@
 	return p.anyLimited() && p.Limits.Limited(to.described().Life())
 }
 
-// isKeptAway reports whether a worker gets no more for now since it names a limit.
-func (p *Proxy) isKeptAway(now time.Time, to *backend) bool {
-	return now.Before(to.limitedUntil()) && p.isLimited(to)
-}
-
 // permitted asks whether the request may leave for a worker that may name a limit, within some
 // patience: it then leaves after wait. If it may not, wait is after which time one may.
 func (c *call) permitted(to *backend, patience time.Duration) (wait time.Duration, ok bool) {
@@ -66,27 +61,6 @@
 // limitedUntil returns until when requests are kept away from the worker if it names a limit.
 func (b *backend) limitedUntil() time.Time { return clock.OfNanos(b.limitUntil.Load()) }
 
-// allLimited reports whether all workers that a request might be sent to get no more for now, and
-// until when.
-func (c *call) allLimited(now time.Time) (until time.Time, all bool) {
-	if !c.proxy.anyLimited() {
-		return time.Time{}, false
-	}
-	list, _ := c.proxy.fleet.membersOf(now, c.state, c.service.Name, int(c.proxy.Nodes.Load()))
-	for _, one := range list {
-		if !one.backend.usable(now) {
-			continue
-		}
-		if !c.proxy.isKeptAway(now, one.backend) {
-			return time.Time{}, false
-		}
-		if limited := one.backend.limitedUntil(); until.IsZero() || limited.Before(until) {
-			until = limited
-		}
-	}
-	return until, !until.IsZero()
-}
-
 // returnWhenLet is when a caller may come back whose request a limit keeps away for some time.
 func returnWhenLet(wait time.Duration) time.Duration {
 	return wait + time.Duration(limitJitter*rand.Float64()*float64(wait))
--- a/internal/proxy/notices.go
+++ b/internal/proxy/notices.go
@@ -1,8 +1,8 @@
 package proxy
 
 import (
-	"github.com/shalefork/shalefork/internal/clock"
-	"github.com/shalefork/shalefork/internal/decision"
+	"time"
+
 	"github.com/shalefork/shalefork/internal/upstream"
 )
 
@@ -21,24 +21,49 @@
 			c.proxy.Leaving(to.described().Life())
 		}
 	}
-	switch got.Backoff.Asking {
-	case upstream.BackoffAsked:
-		c.proxy.Metrics.noticed(c.service.Name, noticeBackoff)
-		c.tellBackoff(to, got)
-	case upstream.UnreadableBackoff:
-		c.proxy.Metrics.noticed(c.service.Name, noticeUnreadableBackoff)
-		c.proxy.Log.Line(decision.KindWorkerBackoff).Str("worker", string(to.id())).Str("id", c.message.ID).
-			Strs("unreadable", got.Header.Values("Retry-After")).Msg("")
+	c.watchBackoff(to, got)
+}
+
+// isKeptAway reports whether a worker gets no more for now, since it names a limit or has asked for a
+// backoff.
+func (p *Proxy) isKeptAway(now time.Time, to *backend) bool {
+	return to.backoffLeft(now) > 0 || (now.Before(to.limitedUntil()) && p.isLimited(to))
+}
+
+// keptAwayUntil returns until when a worker gets no more; zero if it may get some.
+func (p *Proxy) keptAwayUntil(now time.Time, to *backend) (until time.Time, reason string) {
+	if p.isLimited(to) && now.Before(to.limitedUntil()) {
+		until, reason = to.limitedUntil(), reasonLimited
+	}
+	if backoff := now.Add(to.backoffLeft(now)); backoff.After(now) && backoff.After(until) {
+		until, reason = backoff, reasonBackoff
+	}
+	return until, reason
+}
+
+// allKeptAway reports whether all workers that a request might be sent to get no more for now, and by
+// what the first that may get some again is kept away, until when.
+func (c *call) allKeptAway(now time.Time) (until time.Time, reason string) {
+	list, _ := c.proxy.fleet.membersOf(now, c.state, c.service.Name, int(c.proxy.Nodes.Load()))
+	for _, one := range list {
+		if !one.backend.usable(now) {
+			continue
+		}
+		kept, why := c.proxy.keptAwayUntil(now, one.backend)
+		if why == "" {
+			return time.Time{}, ""
+		}
+		if reason == "" || kept.Before(until) {
+			until, reason = kept, why
+		}
 	}
+	return until, reason
 }
 
-// tellBackoff writes a line where a worker begins to ask for a backoff.
-func (c *call) tellBackoff(to *backend, got *upstream.Result) {
-	now := clock.Now()
-	until := clock.Nanos(now.Add(got.Backoff.For))
-	if before := to.backoffUntil.Swap(until); before > clock.Nanos(now) {
-		return
+// returnWhenNotKept is when a caller may come back that no worker takes for some time.
+func (c *call) returnWhenNotKept(reason string, wait time.Duration) time.Duration {
+	if reason == reasonBackoff {
+		return c.returnElsewhere(wait)
 	}
-	c.proxy.Log.Line(decision.KindWorkerBackoff).Str("worker", string(to.id())).Str("id", c.message.ID).
-		Float64("for", got.Backoff.For.Seconds()).Msg("")
+	return returnWhenLet(wait)
 }
--- a/internal/proxy/pooled.go
+++ b/internal/proxy/pooled.go
@@ -91,8 +91,8 @@
 		if len(c.tried) > 0 && c.forget() {
 			continue
 		}
-		if until, all := c.allLimited(now); all && until.After(patient) {
-			c.giveUp(reasonLimited, returnWhenLet(until.Sub(now)))
+		if until, reason := c.allKeptAway(now); reason != "" && until.After(patient) {
+			c.giveUp(reason, c.returnWhenNotKept(reason, until.Sub(now)))
 			return choice{}
 		}
 		if c.nowhere() {
--- a/internal/proxy/throttle.go
+++ b/internal/proxy/throttle.go
@@ -32,7 +32,7 @@
 		}
 	case upstream.Broken:
 		b.throttle.Sent(now, got.Status != 0 || got.Took > turnedAwayWithin)
-	case upstream.Misdirected, upstream.Gone, upstream.BodyCut, upstream.NotSent: // say nothing of the worker's room
+	case upstream.Misdirected, upstream.Gone, upstream.BodyCut, upstream.NotSent, upstream.Withheld: // say nothing of the worker's room
 	}
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -98,6 +98,16 @@
 	return nil
 }
 
+// giveBack keeps a connection on which nothing was sent.
+func (p *Pool) giveBack(one *conn) {
+	if !one.used {
+		one.idleUntil = clock.Now().Add(defaultIdle)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = append(p.idle, one)
+}
+
 // put keeps a connection for the next request.
 func (p *Pool) put(one *conn, rest time.Duration) {
 	one.used = true
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -35,9 +35,16 @@
 	cancel context.CancelFunc
 }
 
+// Target is the worker that a message is for.
+type Target struct {
+	ID string
+	// Admits is asked just before anything is written; nil: the worker may get the message.
+	Admits func() bool
+}
+
 // Send sends a message to a worker and reads its answer. ctx ends when the
 // client leaves; until bounds the send. Whoever takes the result frees it.
-func Send(ctx context.Context, headers Headers, from *Pool, message *Message, target string, deadline, until time.Time) Result {
+func Send(ctx context.Context, headers Headers, from *Pool, message *Message, target Target, deadline, until time.Time) Result {
 	bounded, cancel := context.WithTimeout(ctx, clock.Until(until))
 	connection, err := from.get(bounded)
 	if err != nil {
@@ -49,8 +56,13 @@
 		from.drop(connection)
 		return Result{Outcome: turnedAway(ctx), Err: errTurnedAway}
 	}
+	if target.Admits != nil && !target.Admits() {
+		cancel()
+		from.giveBack(connection)
+		return Result{Outcome: Withheld}
+	}
 	e := &exchange{
-		headers: headers, message: message, pool: from, conn: connection, target: target,
+		headers: headers, message: message, pool: from, conn: connection, target: target.ID,
 		began: clock.Now(), until: until, cancel: cancel,
 	}
 	stopWatch := context.AfterFunc(bounded, func() { abort(connection.Conn) })
--- a/internal/upstream/large_test.go
+++ b/internal/upstream/large_test.go
@@ -60,7 +60,7 @@
 func (l *link) send(ctx context.Context, m *Message) Result {
 	headers := Headers{RequestID: "X-Id", DeadlineMillis: "X-Deadline", Signature: "X-Signature", Target: "X-Target", NotRun: "X-Not-Run"}
 	until := time.Now().Add(2 * time.Second)
-	return Send(ctx, headers, l.pool, m, "w", until, until)
+	return Send(ctx, headers, l.pool, m, Target{ID: "w"}, until, until)
 }
 
 func (l *link) kept() bool {
--- a/internal/upstream/result.go
+++ b/internal/upstream/result.go
@@ -19,6 +19,8 @@
 	NotSent Outcome = "not-sent"
 	// TurnedAway: the worker closed a new connection before anything was written.
 	TurnedAway Outcome = "turned-away"
+	// Withheld: the worker may not get it any longer, and nothing was written.
+	Withheld Outcome = "withheld"
 	// NotRun: the worker said that it did not run the request.
 	NotRun Outcome = "not-run"
 	// Misdirected: the worker is not the one that was meant.
