Move keys off owners that ask routers for backoffs

The leader did not know: it took the worker for one with all its room. Routers report how many backoffs a worker has asked for and for how long, in numbers that relays add up; the leader lowers the worker's capacity by the share of routers that back off, and gives it no more keys for 5 s after the last.

Keys of a limited worker are placed alone only if they are much of what workers usually take.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -296,4 +296,9 @@
 			t.services[worker.Service].measured(now, worker, sum[0], time.Duration(sum[1])*time.Millisecond)
 		}
 	}
+	for id, sum := range report.Backoffs {
+		if worker, known := t.Workers.Get(id); known && t.services[worker.Service] != nil {
+			t.services[worker.Service].backedOff(now, id, sum[0], time.Duration(sum[1])*time.Millisecond)
+		}
+	}
 }
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -229,6 +229,24 @@
 	}
 }
 
+func TestAWorkerThatAsksRoutersForBackoffsIsTakenToBearLess(t *testing.T) {
+	play(t, func(b *bench) {
+		t := &tenancy{Keeper: b.keeper}
+		of, now := newService("s"), time.Now()
+		worker, _ := b.keeper.Workers.Get("w1")
+		before := t.candidate(now, of, worker)
+		of.backedOff(now, "w1", 1, 3*time.Second) // the only router there is
+		during := t.candidate(now.Add(time.Second), of, worker)
+		assert.Equal(b.t, during.Capacity, leastCapacity*before.Capacity)
+		assert.Assert(b.t, during.Limited && during.Cold)
+		later := t.candidate(now.Add(4*time.Second), of, worker)
+		assert.Equal(b.t, later.Capacity, before.Capacity)
+		assert.Assert(b.t, !later.Limited && later.Cold, "most ask again: it gets no more keys for now")
+		assert.Equal(b.t, t.candidate(now.Add(time.Minute), of, worker), before)
+		assert.Equal(b.t, len(of.backoffs), 0)
+	})
+}
+
 func TestAnOutageMovesNothingAndRenewsForAWhile(t *testing.T) {
 	play(t, func(b *bench) {
 		b.lead(8*time.Second, func() {
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -34,6 +34,8 @@
 	nextGauge      time.Time
 	// work is what was measured of each worker.
 	work map[workers.ID]*estimate.Work
+	// backoffs are those that each worker has asked routers for.
+	backoffs map[workers.ID]*estimate.Backoffs
 	// coldRate is how many requests a second a cold worker bears; zero: any number.
 	coldRate float64
 	// usual is the mean time of work over the workers that were measured.
@@ -48,7 +50,10 @@
 }
 
 func newService(name routing.ServiceName) *service {
-	return &service{name: name, loads: owner.NewLoads(clock.Now()), work: map[workers.ID]*estimate.Work{}, usual: usualTime}
+	return &service{
+		name: name, loads: owner.NewLoads(clock.Now()), work: map[workers.ID]*estimate.Work{},
+		backoffs: map[workers.ID]*estimate.Backoffs{}, usual: usualTime,
+	}
 }
 
 // measured takes a number of answers and the sum of their times at a worker.
@@ -64,6 +69,16 @@
 	work.Add(now, answers, took)
 }
 
+// backedOff takes how many backoffs a worker has asked routers for, and the sum of their times.
+func (s *service) backedOff(now time.Time, worker workers.ID, count int, sum time.Duration) {
+	backoffs := s.backoffs[worker]
+	if backoffs == nil {
+		backoffs = &estimate.Backoffs{}
+		s.backoffs[worker] = backoffs
+	}
+	backoffs.Add(now, count, sum)
+}
+
 // measureUsual averages the times of work over the announced workers, and forgets the
 // others.
 func (s *service) measureUsual(now time.Time, directory *workers.Directory) {
@@ -94,6 +109,7 @@
 			continue
 		}
 		delete(of.work, worker.ID)
+		delete(of.backoffs, worker.ID)
 		t.Log.Line(decision.KindWorker).Str("worker", string(worker.ID)).Str("state", string(worker.State)).
 			Str("service", string(of.name)).Msg("has started again; it gets its keys anew")
 	}
@@ -155,9 +171,13 @@
 	return t.candidate(now, of, worker).Capacity
 }
 
-// candidate describes a worker. A limit that it names caps its capacity.
+// candidate describes a worker. A limit that it names caps its capacity, and what routers may not send
+// it, since it has asked them for backoffs, lowers it.
 func (t *tenancy) candidate(now time.Time, of *service, worker workers.Worker) owner.Candidate {
 	candidate := of.candidate(now, worker)
+	if backoffs := of.backoffs[worker.ID]; backoffs != nil {
+		t.lessen(now, of, &candidate, backoffs)
+	}
 	if t.Limits == nil {
 		return candidate
 	}
@@ -167,6 +187,23 @@
 	return candidate
 }
 
+// leastCapacity is the share of a worker's capacity that it has left where all routers back off.
+const leastCapacity = 0.02
+
+// lessen lowers a worker's capacity by the share of routers that back off. For as long as it has asked
+// for backoffs lately it gets no more keys.
+func (t *tenancy) lessen(now time.Time, of *service, candidate *owner.Candidate, backoffs *estimate.Backoffs) {
+	if !backoffs.Lately(now) {
+		delete(of.backoffs, candidate.ID)
+		return
+	}
+	candidate.Cold = true
+	if share := backoffs.Share(now, t.Hub.Nodes()); share > 0 {
+		candidate.Capacity *= max(leastCapacity, 1-share)
+		candidate.Limited = true
+	}
+}
+
 func (s *service) candidate(now time.Time, worker workers.Worker) owner.Candidate {
 	mean := s.usual
 	if work := s.work[worker.ID]; work != nil {
--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -20,16 +20,16 @@
 		if p.utilization(from) < busyEnough || gap < leastGap {
 			return moves
 		}
-		// Moving w off from (capacity cf) to to (capacity ct) levels them when
-		// w/cf + w/ct = gap.
-		capacityFrom, capacityTo := p.candidates[from].Capacity, p.candidates[to].Capacity
-		want := gap / (1/max(capacityFrom, 1) + 1/max(capacityTo, 1))
+		want := p.wanted(from, to, gap)
 		if key, better, ok := p.hoist(from); ok {
 			p.move(key, from, better)
 			moves++
 			continue
 		}
-		keys, ok := p.choose(from, to, want)
+		keys, ok := Keys{}, false
+		if want > 0 {
+			keys, ok = p.choose(from, to, want)
+		}
 		if !ok {
 			stuck[from] = true
 			continue
@@ -40,6 +40,18 @@
 	return moves
 }
 
+// wanted returns how much load is to move from one worker to another, given by how much their
+// utilizations differ. Moving w off from (capacity cf) to to (capacity ct) levels them when
+// w/cf + w/ct = gap. What a limited worker does not get must not make the other one short of room.
+func (p *plan) wanted(from, to workers.ID, gap float64) float64 {
+	capacityFrom, capacityTo := p.candidates[from].Capacity, p.candidates[to].Capacity
+	want := gap / (1/max(capacityFrom, 1) + 1/max(capacityTo, 1))
+	if p.candidates[from].Limited {
+		want = min(want, (fullEnough-p.utilization(to))*max(capacityTo, 1))
+	}
+	return want
+}
+
 // idlestFor returns the candidate with the least load of those that may hold any
 // keys of another.
 func (p *plan) idlestFor(from workers.ID) (workers.ID, bool) {
@@ -64,7 +76,7 @@
 // worker, from which the others are then moved.
 func (p *plan) hoist(from workers.ID) (Keys, workers.ID, bool) {
 	key, rate, found := p.hottest(from)
-	if !found || rate < aloneShare*p.candidates[from].Capacity {
+	if !found || rate < aloneShare*p.usualCapacity(from) {
 		return Keys{}, "", false
 	}
 	best, least := from, loss(p.utilization(from))-leastGain
@@ -78,6 +90,15 @@
 	return Keys{key, key}, best, best != from
 }
 
+// usualCapacity is a worker's capacity, or that of the candidates if it is limited: few of its keys
+// need to be placed alone then.
+func (p *plan) usualCapacity(id workers.ID) float64 {
+	if p.candidates[id].Limited {
+		return max(p.candidates[id].Capacity, p.averageCapacity())
+	}
+	return p.candidates[id].Capacity
+}
+
 // loss approximates the share of requests that a worker answers late or not at all at
 // a utilization: few up to idleEnough, and beyond its capacity what is too much.
 func loss(utilization float64) float64 {
--- a/internal/owner/plan.go
+++ b/internal/owner/plan.go
@@ -13,9 +13,9 @@
 	Zone    string
 	// Capacity is how many requests a second it can run.
 	Capacity float64
-	// Limited says that the worker itself names that capacity: what is beyond is not sent to it.
+	// Limited says that what is beyond that capacity is not sent to the worker, by its own word.
 	Limited bool
-	// Cold says that it bears little for now: it gets no more keys while others can have
+	// Cold says that it warms up, or is short of room, and bears little for now: it gets no more keys while others can have
 	// them.
 	Cold bool
 }
@@ -26,6 +26,8 @@
 	maxMoves = 10
 	// busyEnough is the utilization below which nothing is moved for balance.
 	busyEnough = 0.5
+	// fullEnough is the utilization above which a worker gets none of what a limited one may not get.
+	fullEnough = 0.9
 	// leastGap is the least difference of utilization worth a move.
 	leastGap = 0.4
 	// widthCost weighs the share of all keys that moves.
@@ -230,6 +232,15 @@
 	})
 }
 
+// averageCapacity is the mean capacity of the candidates.
+func (p *plan) averageCapacity() float64 {
+	average := 0.0
+	for _, one := range p.candidates {
+		average += one.Capacity / float64(len(p.candidates))
+	}
+	return average
+}
+
 // evacuate moves all keys off workers that are no candidates, or stand in a place
 // that may not hold them.
 func (p *plan) evacuate() {
@@ -253,11 +264,7 @@
 // pieces cuts a run of keys into pieces of about equal load, if it has much.
 func (p *plan) pieces(keys Keys) []Keys {
 	total := p.rate(keys)
-	average := 0.0
-	for _, one := range p.candidates {
-		average += one.Capacity / float64(len(p.candidates))
-	}
-	count := min(evacuationPieces, 1+int(total/max(0.1*average, 1)), keys.Width())
+	count := min(evacuationPieces, 1+int(total/max(0.1*p.averageCapacity(), 1)), keys.Width())
 	if total == 0 || count < 2 {
 		return []Keys{keys}
 	}
--- a/internal/owner/plan_test.go
+++ b/internal/owner/plan_test.go
@@ -182,6 +182,44 @@
 	assert.Assert(t, len(book.Plan(candidates, rates, testRules)) > 0)
 }
 
+// each is a rate for so many keys of the first candidate of four, spread evenly.
+func each(count int, rate float64) []KeyLoad {
+	var rates []KeyLoad
+	for index := range count {
+		rates = append(rates, KeyLoad{Key: index * (KeyCount / 4) / count, Rate: rate})
+	}
+	return rates
+}
+
+// Single keys were each much of what a worker took that took next to nothing, and moved one by one.
+func TestKeysLeaveAWorkerThatTakesNothingInRuns(t *testing.T) {
+	candidates, now := fleet(4, 50), time.Now()
+	rates := each(30, 0.5)
+	book := NewBook(DefaultConfig(10*time.Second), 1)
+	book.Assign(now, First(candidates, nil))
+	settle(book, now)
+	candidates[0].Capacity, candidates[0].Limited, candidates[0].Cold = 1, true, true
+	moves := book.Plan(candidates, rates, testRules)
+	settle(book, now)
+	assert.Assert(t, len(moves) <= 2, "%d moves", len(moves))
+	assert.Assert(t, busiest(book, candidates[:1], rates) <= 1)
+}
+
+func TestWhatALimitedWorkerDoesNotTakeOverloadsNoOther(t *testing.T) {
+	candidates, now := fleet(4, 50), time.Now()
+	rates := each(100, 2)
+	book := NewBook(DefaultConfig(10*time.Second), 1)
+	book.Assign(now, First(candidates, nil))
+	settle(book, now)
+	candidates[0].Capacity, candidates[0].Limited, candidates[0].Cold = 1, true, true
+	for range 10 {
+		book.Plan(candidates, rates, testRules)
+		settle(book, now)
+	}
+	others := busiest(book, candidates[1:], rates)
+	assert.Assert(t, others > 0.7 && others <= fullEnough+0.05, "%.2f", others)
+}
+
 // Keys that are asked for evenly are wide, and dear to move.
 func TestALimitedWorkerIsRidOfWhatItDoesNotTake(t *testing.T) {
 	for name, test := range map[string]struct {
