Read that a worker leaves from its answers to orders, and count headers that nobody reads

An owner of keys that nobody asks for said that it leaves to the leader alone, in its answers to renewals, and its keys stayed: the reply of an order tells it now, and the leader's process learns it as from a request (TestKeysLeaveAWorkerThatSaysToALeaderThatItLeaves).

Headers of workers' answers that only travel on are counted by name, 32 at most, and logged once a worker without their values (header-unread).

--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -21,6 +21,7 @@
 	KindWorkerLimit   Kind = "worker-limit"
 	KindWorkerLeaving Kind = "worker-leaving"
 	KindWorkerBackoff Kind = "worker-backoff"
+	KindHeaderUnread  Kind = "header-unread"
 	KindSuspect       Kind = "request-suspected"
 	KindQuarantined   Kind = "request-quarantined"
 	KindStoreLost     Kind = "store-lost"
@@ -74,6 +75,7 @@
 		{KindWorkerLimit, "a worker names a limit of requests from all routers together, another one, none any longer, or one that can't be read", "worker, limit (requests a second), ended, unreadable (what it named); seen_by (self: in an answer, told: by another router)"},
 		{KindWorkerLeaving, "a worker says in an answer that it leaves, whatever its entry says", "worker, seen_by (self: in an answer, told: by another router), for (seconds since it is known to leave)"},
 		{KindWorkerBackoff, "a worker that turned a request away asks this router to send nothing for a time, or for one that can't be read", "worker, id (of the attempt), for (seconds from now); unreadable (what it asked for)"},
+		{KindHeaderUnread, "a worker's answers carry a header that no router reads, and that is only passed on", "worker, header (its name)"},
 		{KindSuspect, "a request was under way at a worker that crashed", "id (of the attempt), fingerprint (of method, host, path, query and body: the same in each attempt, whoever asks), worker, route, caller"},
 		{KindQuarantined, "a request has crashed too many workers and is sent to none from here on, or that has ended", "id (of the last attempt that was under way at a crash), fingerprint, route, caller; lifted (by an operator); error where the stored list can't be read"},
 		{KindStoreLost, "the store does not answer", "for (what was followed), error"},
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -77,6 +77,9 @@
 	Regions topology.Map
 	// Limits returns how many requests a second a worker takes that names a limit. Nil: none does.
 	Limits func(workers.Life) (perSecond float64, limited bool)
+	// Leaving is called with the workers that say with an answer to an order that they leave. Nil:
+	// nobody wants to know.
+	Leaving func(workers.Life)
 	// Unresolved are processes that may renew what earlier leaders gave until it has
 	// all ended, since they did not answer.
 	Unresolved []election.Renewer
@@ -237,6 +240,9 @@
 		reply = t.Orders.Grant(bounded, order.Target, order.Grant)
 	}
 	t.Metrics.answered(of.name, order, reply.Outcome, clock.Since(began))
+	if reply.Leaving && t.Leaving != nil {
+		t.Leaving(workers.Life{ID: order.Target.ID, Born: order.Target.Born})
+	}
 	select {
 	case t.answers <- answer{of: of, order: order, reply: reply}:
 	case <-t.ctx.Done():
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -26,13 +26,15 @@
 type obeying struct {
 	mu     sync.Mutex
 	grants map[workers.ID][]owner.Grant
+	// leaving says that it leaves.
+	leaving workers.ID
 }
 
 func (o *obeying) Grant(_ context.Context, to owner.Target, grant owner.Grant) owner.Reply {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.grants[to.ID] = append(o.grants[to.ID], grant)
-	return owner.Reply{Outcome: owner.OutcomeDone}
+	return owner.Reply{Outcome: owner.OutcomeDone, Leaving: to.ID == o.leaving}
 }
 
 func (o *obeying) Release(context.Context, owner.Target, owner.Keys, owner.Fence) owner.Reply {
@@ -229,6 +231,18 @@
 	}
 }
 
+// Nobody asked for the keys of a worker that said that it leaves, and they stayed.
+func TestKeysLeaveAWorkerThatSaysToALeaderThatItLeaves(t *testing.T) {
+	play(t, func(b *bench) {
+		b.orders.leaving = "w1"
+		b.keeper.Leaving = func(life workers.Life) { b.keeper.Workers.Leaves(life, time.Now()) }
+		b.lead(6*time.Second, nil)
+		for _, held := range b.stored() {
+			assert.Equal(b.t, held.Worker, workers.ID("w2"))
+		}
+	})
+}
+
 func TestAWorkerThatAsksRoutersForBackoffsIsTakenToBearLess(t *testing.T) {
 	play(t, func(b *bench) {
 		t := &tenancy{Keeper: b.keeper}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -88,6 +88,8 @@
 type Reply struct {
 	Outcome  Outcome
 	Handover Handover
+	// Leaving says that the worker says with it that it leaves.
+	Leaving bool
 }
 
 // Orders sends orders to workers.
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -120,6 +120,7 @@
 	// uploads and downloads count the large bodies in flight.
 	uploads, downloads atomic.Int64
 	fleet              *fleet
+	unread             *unreadHeaders
 	// secret keys the hash under which API keys are looked up.
 	secret   tenant.Secret
 	current  atomic.Pointer[active]
@@ -134,7 +135,7 @@
 	ending, end := context.WithCancel(context.Background())
 	p := &Proxy{
 		fleet: newFleet(zone, directory, limits), Nodes: &atomic.Int32{}, Suspects: quarantine.NewView(),
-		Room: bodies.NewRoom(0), Turns: bodies.NewTurns(0), ending: ending, end: end,
+		Room: bodies.NewRoom(0), Turns: bodies.NewTurns(0), unread: newUnreadHeaders(), ending: ending, end: end,
 	}
 	_, _ = cryptorand.Read(p.secret[:]) // it never fails
 	p.fleet.keptAway = p.isKeptAway
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -17,6 +17,7 @@
 	crashes  *prometheus.CounterVec
 	limits   *prometheus.CounterVec
 	notices  *prometheus.CounterVec
+	unread   *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	tenants  *tenantCounters
 }
@@ -43,12 +44,16 @@
 			Name: "shalefork_router_worker_notices_total",
 			Help: "Answers that say of their worker that it leaves, or ask for a backoff: leaving, backoff or unreadable-backoff.",
 		}, []string{"service", "notice"}),
+		unread: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shalefork_router_unread_headers_total",
+			Help: "Headers of workers' answers that are only passed on, by name; other: of all beyond the first 32 names.",
+		}, []string{"header"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "shalefork_router_request_seconds", Help: "Time from a request's arrival to its answer.", Buckets: latencyBuckets,
 		}, []string{"service"}),
 	}
 	metrics.tenants = newTenantCounters()
-	registerer.MustRegister(metrics.requests, metrics.sends, metrics.crashes, metrics.limits, metrics.notices, metrics.latency, metrics.tenants.vector, metrics.tenants.overShare)
+	registerer.MustRegister(metrics.requests, metrics.sends, metrics.crashes, metrics.limits, metrics.notices, metrics.unread, metrics.latency, metrics.tenants.vector, metrics.tenants.overShare)
 	return metrics
 }
 
@@ -68,6 +73,8 @@
 	m.notices.WithLabelValues(string(service), notice).Inc()
 }
 
+func (m *Metrics) unreadHeader(name string) { m.unread.WithLabelValues(name).Inc() }
+
 func (m *Metrics) ended(service string, status int, reason string, took time.Duration) {
 	m.requests.WithLabelValues(service, strconv.Itoa(status), reason).Inc()
 	m.latency.WithLabelValues(service).Observe(took.Seconds())
--- a/internal/proxy/notices.go
+++ b/internal/proxy/notices.go
@@ -22,6 +22,7 @@
 		}
 	}
 	c.watchBackoff(to, got)
+	c.proxy.countUnread(to.id(), got.Header)
 }
 
 // isKeptAway reports whether a worker gets no more for now, since it names a limit or has asked for a
--- /dev/null
+++ b/internal/proxy/unread_test.go
@@ -0,0 +1,47 @@
+package proxy
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+func TestHeadersThatNobodyReadsAreCountedByName(t *testing.T) {
+	w := newWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+		answer(connection, request, http.StatusOK, "x", "X-New-Word: secret", "Content-Type: text/plain", "X-Load: 1,0,2")
+		return true
+	})
+	f := newFront(t, w.entry("pool"))
+	for range 3 {
+		f.get(t, "GET", "/safe/", "")
+	}
+	registry, counts := prometheus.NewRegistry(), map[string]float64{}
+	registry.MustRegister(f.proxy.Metrics.unread)
+	families, err := registry.Gather()
+	assert.NilError(t, err)
+	for _, metric := range families[0].GetMetric() {
+		counts[metric.GetLabel()[0].GetValue()] = metric.GetCounter().GetValue()
+	}
+	assert.DeepEqual(t, counts, map[string]float64{"X-New-Word": 3}) // what is read, or is for callers, does not count
+}
+
+func TestNamesOfUnreadHeadersAreBounded(t *testing.T) {
+	u := newUnreadHeaders()
+	for index := range 2 * mostUnreadNames {
+		label, first := u.note(sender{"w", fmt.Sprint("X-", index)})
+		assert.Assert(t, first)
+		assert.Equal(t, label == otherHeaders, index >= mostUnreadNames)
+	}
+	_, again := u.note(sender{"w", "X-1"})
+	assert.Assert(t, !again, "one line a worker and name")
+	for index := range 2 * mostUnreadSenders {
+		u.note(sender{workers.ID(fmt.Sprint(index)), "X-1"})
+	}
+	assert.Equal(t, len(u.senders), mostUnreadSenders)
+}
--- a/internal/router/leaving.go
+++ b/internal/router/leaving.go
@@ -32,7 +32,8 @@
 	return &leavingWorkers{r: r, member: facts.NewMember[departure.Fact]()}
 }
 
-// answered notes that a worker has said in an answer to this process that it leaves.
+// answered notes that a worker has said to this process, in answer to a request or an order, that it
+// leaves.
 func (l *leavingWorkers) answered(worker workers.Life) {
 	l.take(departure.Fact{Worker: worker, Since: clock.Now()}, l.member.Learn, seenHere)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -196,6 +196,7 @@
 	r.leaving = newLeavingWorkers(r)
 	r.proxy.Leaving, r.hub.Leaving = r.leaving.answered, r.leaving.member.Book()
 	r.hub.OnLeaving(r.leaving.heard)
+	r.keeper.Leaving = r.leaving.answered
 	r.pipelined = pipeline.New(r.proxy, r.pipelineLimits())
 	metrics.MustRegister(r.proxy, r.quotas, r.limits.permits)
 	r.registerGauges(metrics)
--- a/internal/upstream/headers.go
+++ b/internal/upstream/headers.go
@@ -67,9 +67,9 @@
 	return len(name) == len(other) && strings.EqualFold(strings.ReplaceAll(name, "_", "-"), other)
 }
 
-// bearsOn reports whether a header is the system's own on both connections: the other side may
+// Owns reports whether a header is the system's own on both connections: the other side may
 // not have it dropped by naming it in Connection.
-func (h Headers) bearsOn(name string) bool {
+func (h Headers) Owns(name string) bool {
 	switch name {
 	case h.RequestID, h.Key, h.Tenant, h.Signature, h.Worker, h.NotRun, h.Load, h.Limit, h.Leaving:
 		return true
@@ -84,7 +84,7 @@
 		named = connectionHeaders(header)
 	}
 	for name, values := range header {
-		if !hopHeaders[name] && (!named[name] || h.bearsOn(name)) {
+		if !hopHeaders[name] && (!named[name] || h.Owns(name)) {
 			pass(name, values)
 		}
 	}
--- a/internal/upstream/notice.go
+++ b/internal/upstream/notice.go
@@ -30,7 +30,7 @@
 		return notice
 	}
 	notice.Limit = parseLimit(response.Header.Values(h.Limit))
-	notice.Leaving = parseLeaving(response.Header.Values(h.Leaving))
+	notice.Leaving = SaysLeaving(response.Header.Values(h.Leaving))
 	if response.StatusCode == http.StatusServiceUnavailable {
 		notice.Backoff = parseBackoff(response.Header, now)
 	}
@@ -123,9 +123,9 @@
 	return limit
 }
 
-// parseLeaving reports whether any of the headers says that the worker leaves. What can't be read
+// SaysLeaving reports whether any of the headers says that the worker leaves. What can't be read
 // counts as that: a worker that does not leave sends none.
-func parseLeaving(values []string) bool {
+func SaysLeaving(values []string) bool {
 	for _, value := range values {
 		text := strings.TrimSpace(value)
 		if leaves, err := strconv.ParseBool(text); text != "" && (err != nil || leaves) {
--- a/internal/upstream/notice_test.go
+++ b/internal/upstream/notice_test.go
@@ -49,7 +49,7 @@
 	}
 }
 
-func TestParseLeaving(t *testing.T) {
+func TestSaysLeaving(t *testing.T) {
 	for name, test := range map[string]struct {
 		values []string
 		want   bool
@@ -64,7 +64,7 @@
 		"a word that not": {values: []string{"false"}},
 		"empty":           {values: []string{""}},
 	} {
-		t.Run(name, func(t *testing.T) { assert.Equal(t, parseLeaving(test.values), test.want) })
+		t.Run(name, func(t *testing.T) { assert.Equal(t, SaysLeaving(test.values), test.want) })
 	}
 }
 
