Refuse a request for a key that can't move at once

Routers know from each message of the leader whether it reaches the store; where it does not, such a request is refused without a wait; where the key may move it still waits, 80 ms or more in TestARequestForAKeyThatCantMoveIsRefusedAtOnce.

--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -194,6 +194,13 @@
 // SetDeaf tells the links that this process does not reach the key-value service.
 func (h *Hub) SetDeaf(deaf bool) { h.set(&h.deaf, deaf) }
 
+// Deaf reports whether this process leads, and does not reach the key-value service.
+func (h *Hub) Deaf() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.leading && h.deaf
+}
+
 // set changes what the links are told.
 func (h *Hub) set(flag *bool, to bool) {
 	h.mu.Lock()
--- a/internal/proxy/backoff_test.go
+++ b/internal/proxy/backoff_test.go
@@ -158,3 +158,28 @@
 	assert.Assert(t, f.proxy.fleet.get(first).backoffLeft(clock.Now()) > 0)
 	assert.Equal(t, f.proxy.fleet.get(second).backoffLeft(clock.Now()), time.Duration(0))
 }
+
+// A request waited for a move that the leader could not store.
+func TestARequestForAKeyThatCantMoveIsRefusedAtOnce(t *testing.T) {
+	for name, test := range map[string]struct {
+		stay   bool
+		waited time.Duration
+	}{
+		"the store is away":    {stay: true},
+		"the key may move yet": {waited: 80 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorker(t, "w1", answers("x"))
+			f := newFront(t, w.entry("keyed"))
+			f.owns(w.entry("keyed"))
+			f.proxy.KeysStay = func() bool { return test.stay }
+			f.directory.Leaves(w.entry("keyed").Life(), clock.Now().Add(-testDrain))
+			began := time.Now()
+			response, body := f.get(t, "GET", "/keyed/", "", "X-Key", "7")
+			took := time.Since(began)
+			assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+			assert.Equal(t, body, reasonOwnerGone+"\n")
+			assert.Assert(t, took >= test.waited && took < test.waited+60*time.Millisecond, "%s", took)
+		})
+	}
+}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -105,6 +105,8 @@
 	// Leaving is called with the workers that say in their answers that they leave; nil: nobody wants
 	// to know.
 	Leaving func(workers.Life)
+	// KeysStay reports whether no key can move now, since the leader can't store a move; nil: they can.
+	KeysStay func() bool
 	// Outdated reports whether keys may have been taken away that are known here still, so that
 	// callers with keys are refused; nil: they never are for that.
 	Outdated func() bool
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -88,10 +88,7 @@
 			c.giveUp(reason, regionReturn)
 			return nil
 		}
-		patience := ownerShare
-		if reason == reasonMoving {
-			patience = moveShare
-		}
+		patience := c.ownerPatience(reason)
 		limit := c.began.Add(time.Duration(patience * float64(c.route.Target)))
 		wait := min(clock.Until(limit), c.left()-answerMargin)
 		if wait <= 0 {
@@ -104,6 +101,18 @@
 	}
 }
 
+// ownerPatience is the share of the target for which a request waits for an owner, by why there is none:
+// none where it would wait in vain.
+func (c *call) ownerPatience(reason string) float64 {
+	switch {
+	case reason == reasonMoving:
+		return moveShare
+	case reason == reasonOwnerGone && c.proxy.KeysStay != nil && c.proxy.KeysStay():
+		return 0
+	}
+	return ownerShare
+}
+
 // findOwner returns the worker that may be sent the key's requests now, or why
 // there is none.
 func (c *call) findOwner() (*backend, string) {
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -297,6 +297,7 @@
 	if !update.Leaderless {
 		r.standby.Heard(update.Term, update.Mandate)
 	}
+	r.leaderDeaf.Store(update.Deaf)
 	r.strongest.Store(math.Float64bits(update.Strongest))
 	now := clock.Now()
 	if settle := update.Known.SettleMillis; settle > 0 {
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -238,6 +238,7 @@
 	go r.quotas.coordinate(tenureCtx, tenure)
 	r.limits.lead(tenure)
 	r.leaving.member.Lead(true)
+	r.leaderDeaf.Store(false) // that was the leader before
 	r.nodes.Store(int32(r.hub.Nodes()))
 	r.keeper.Lead(tenureCtx, tenure, until)
 	r.limits.stopLeading() // before another may lead
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -122,6 +122,8 @@
 	// configAsOf is as of when the configuration in force here was told to be the newest, a number
 	// of clock.Nanos.
 	configAsOf atomic.Int64
+	// leaderDeaf says that the leader, as told last, does not reach the key-value service.
+	leaderDeaf atomic.Bool
 	// strongest holds the greatest strength of all machines, as bits of a float64.
 	strongest atomic.Uint64
 	quotas    *quotas
@@ -196,6 +198,7 @@
 	r.leaving = newLeavingWorkers(r)
 	r.proxy.Leaving, r.hub.Leaving = r.leaving.answered, r.leaving.member.Book()
 	r.hub.OnLeaving(r.leaving.heard)
+	r.proxy.KeysStay = func() bool { return r.leaderDeaf.Load() || r.hub.Deaf() }
 	r.keeper.Leaving = r.leaving.answered
 	r.pipelined = pipeline.New(r.proxy, r.pipelineLimits())
 	metrics.MustRegister(r.proxy, r.quotas, r.limits.permits)
