Show operators which workers say that they leave, and which owners of keys ask for backoffs

shalefork status told the limits that workers name and nothing else that they say. The leader tells now who says that it leaves, beside what its entry says, and which share of the routers backs off from an owner of keys and for how long.

--- a/internal/estimate/backoffs.go
+++ b/internal/estimate/backoffs.go
@@ -49,6 +49,9 @@
 	return math.Min(1, float64(waiting)/float64(max(1, processes)))
 }
 
+// Left returns for how long the last backoff goes on.
+func (b *Backoffs) Left(now time.Time) time.Duration { return max(0, b.last.Sub(now)) }
+
 // Lately reports whether the worker has asked for a backoff that lasts, or has ended lately.
 func (b *Backoffs) Lately(now time.Time) bool {
 	return !b.last.IsZero() && now.Before(b.last.Add(backoffMemory))
--- a/internal/keeper/plan.go
+++ b/internal/keeper/plan.go
@@ -18,6 +18,7 @@
 	}
 	of.nextPlan = now.Add(planEvery)
 	candidates := t.candidates(now, of)
+	t.Hub.SetBackoffs(t.backoffs(now))
 	if of.book.Empty() {
 		t.first(now, of, candidates)
 		return
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -10,6 +10,7 @@
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/estimate"
 	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -187,6 +188,20 @@
 	return candidate
 }
 
+// backoffs describes those that owners of keys have asked for, for operators.
+func (t *tenancy) backoffs(now time.Time) []peerlink.BackoffShare {
+	var list []peerlink.BackoffShare
+	for _, of := range t.services {
+		for id, one := range of.backoffs {
+			if left := one.Left(now); left > 0 {
+				list = append(list, peerlink.BackoffShare{Worker: id, Share: one.Share(now, t.Hub.Nodes()), LeftMillis: left.Milliseconds()})
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b peerlink.BackoffShare) int { return strings.Compare(string(a.Worker), string(b.Worker)) })
+	return list
+}
+
 // leastCapacity is the share of a worker's capacity that it has left where all routers back off.
 const leastCapacity = 0.02
 
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/coord/memory"
+	"github.com/shalefork/shalefork/internal/departure"
 	"github.com/shalefork/shalefork/internal/election"
 	"github.com/shalefork/shalefork/internal/keeper"
 	"github.com/shalefork/shalefork/internal/lifecycle"
@@ -86,7 +87,7 @@
 	defer cancel()
 	shown := &console{}
 	assert.Equal(t, BundleStatus(ctx, shown.output(), bundles, "tawila"), ExitUnreachable)
-	assert.Equal(t, Status(ctx, shown.output(), store, prefix, announced, noLimits), ExitUnreachable)
+	assert.Equal(t, Status(ctx, shown.output(), store, prefix, announced, noNotices), ExitUnreachable)
 	assert.Equal(t, Propose(ctx, shown.output(), bundles, fixedOperator("salma", 1), bundleFile), ExitUnreachable)
 	assert.Assert(t, strings.Contains(shown.complaint.String(), "does not answer"))
 }
@@ -96,14 +97,14 @@
 	if string(entry.Value) != "ready" {
 		return workers.Worker{}, &workers.EntryError{Reason: workers.ReasonState, Field: "state"}
 	}
-	return workers.Worker{}, nil
+	return workers.Worker{ID: workers.ID(strings.TrimPrefix(entry.Key, "w/")), State: workers.StateReady}, nil
 }}
 
-func noLimits(context.Context, string) ([]workerlimit.Told, error) {
-	return nil, peerlink.ErrNotLeading
+func noNotices(context.Context, string) (peerlink.WorkerNotices, error) {
+	return peerlink.WorkerNotices{}, peerlink.ErrNotLeading
 }
 
-func TestStatusTellsLeaderOwnersAndLimits(t *testing.T) {
+func TestStatusTellsLeaderOwnersAndWhatWorkersSay(t *testing.T) {
 	store := memory.New()
 	term := owner.Term(1)
 	_, err := election.New(store, prefix, "10.0.0.1:82", "p1", func() string { return "n" }).Campaign(t.Context(), 0)
@@ -120,16 +121,20 @@
 		{Key: "w/w1", Value: []byte("ready")}, {Key: "w/other", Value: []byte("paused")},
 	}})
 	assert.NilError(t, err)
-	askLimits := func(_ context.Context, leader string) ([]workerlimit.Told, error) {
+	askNotices := func(_ context.Context, leader string) (peerlink.WorkerNotices, error) {
 		assert.Equal(t, leader, "10.0.0.1:82")
-		return []workerlimit.Told{{Worker: "w2", PerSecond: 2.5, AgeMillis: 7100}}, nil
+		return peerlink.WorkerNotices{
+			Limits:   []workerlimit.Told{{Worker: "w2", PerSecond: 2.5, AgeMillis: 7100}},
+			Leaving:  []departure.Told{{Worker: "w1", AgeMillis: 3200}, {Worker: "w9", AgeMillis: 60100}},
+			Backoffs: []peerlink.BackoffShare{{Worker: "w2", Share: 0.75, LeftMillis: 1900}},
+		}, nil
 	}
 	shown := &console{}
-	assert.Equal(t, Status(t.Context(), shown.output(), store, prefix, announced, askLimits), ExitOK)
+	assert.Equal(t, Status(t.Context(), shown.output(), store, prefix, announced, askNotices), ExitOK)
 	asked := shown.output()
 	asked.JSON = true
-	assert.Equal(t, Status(t.Context(), asked, store, prefix, announced, askLimits), ExitOK)
-	assert.Equal(t, Status(t.Context(), shown.output(), store, prefix, announced, noLimits), ExitOK)
+	assert.Equal(t, Status(t.Context(), asked, store, prefix, announced, askNotices), ExitOK)
+	assert.Equal(t, Status(t.Context(), shown.output(), store, prefix, announced, noNotices), ExitOK)
 	golden.Assert(t, shown.result.String(), "status.golden")
 }
 
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -94,6 +94,8 @@
 	limitsTold  func([]workerlimit.Told)
 	leavingTold func([]departure.Told)
 	permit      func(PermitAsk) (Permit, bool)
+	// backoffs are those that owners of keys have asked for, as operators are told.
+	backoffs []BackoffShare
 	// followed is the address of the leader that this process follows; empty: none.
 	followed string
 	// linked is called with the addresses of processes that follow this one; nil: nobody wants them.
@@ -328,7 +330,9 @@
 	followed := h.followed
 	h.mu.Unlock()
 	if !takes {
-		_ = writeLine(conn, Update{Leading: leading, Term: term, Process: h.process, Redirect: redirect, Followed: followed, Limits: h.limitsFor(hello, clock.Now())})
+		answer := Update{Leading: leading, Term: term, Process: h.process, Redirect: redirect, Followed: followed}
+		h.addNotices(hello, &answer, one.since)
+		_ = writeLine(conn, answer)
 		return
 	}
 	if h.linked != nil {
--- a/internal/peerlink/limits_test.go
+++ b/internal/peerlink/limits_test.go
@@ -13,6 +13,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/shalefork/shalefork/internal/departure"
+	"github.com/shalefork/shalefork/internal/facts"
 	"github.com/shalefork/shalefork/internal/workerlimit"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -57,16 +59,22 @@
 	}, poll.WithTimeout(5*time.Second))
 }
 
-func TestOperatorsAreToldTheLimitsByTheLeaderOnly(t *testing.T) {
+func TestOperatorsAreToldWhatWorkersSayByTheLeaderOnly(t *testing.T) {
 	hub, _, address := leading(t, 3)
 	hub.Limits = workerlimit.NewBook().Book
 	hub.Limits.Merge(limited("w", 2.5))
-	told, err := AskLimits(t.Context(), address)
+	hub.Leaving = facts.NewBook[departure.Fact]()
+	hub.Leaving.Merge(departure.Fact{Worker: workers.Life{ID: "v"}, Since: time.Now()})
+	hub.SetBackoffs([]BackoffShare{{Worker: "u", Share: 0.5, LeftMillis: 900}})
+	told, err := AskNotices(t.Context(), address)
 	assert.NilError(t, err)
-	assert.Equal(t, len(told), 1)
-	assert.Equal(t, told[0].PerSecond, 2.5)
+	assert.Equal(t, len(told.Limits), 1)
+	assert.Equal(t, told.Limits[0].PerSecond, 2.5)
+	assert.Equal(t, len(told.Leaving), 1)
+	assert.Equal(t, told.Leaving[0].Worker, workers.ID("v"))
+	assert.DeepEqual(t, told.Backoffs, []BackoffShare{{Worker: "u", Share: 0.5, LeftMillis: 900}})
 	hub.Close()
-	_, err = AskLimits(t.Context(), address)
+	_, err = AskNotices(t.Context(), address)
 	assert.ErrorIs(t, err, ErrNotLeading)
 }
 
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -50,7 +50,8 @@
 	Followers int    `json:"followers,omitempty"`
 	// Changes says that the process takes changes of suspected requests.
 	Changes bool `json:"changes,omitempty"`
-	// Limits says that the answer is to tell the limits that workers name.
+	// Limits says that the answer is to tell the limits that workers name, and what else they say of
+	// themselves.
 	Limits bool `json:"limits,omitempty"`
 	// Permits says that the process asks for permits on this link, and nothing else. Ask is set
 	// too, so that a leader which knows no permits ends the link.
@@ -115,6 +116,8 @@
 	Limits []workerlimit.Told `json:"w,omitempty"`
 	// Leaving are workers that say in their answers that they leave.
 	Leaving []departure.Told `json:"s,omitempty"`
+	// Backoffs are told to operators only.
+	Backoffs []BackoffShare `json:"bo,omitempty"`
 }
 
 // Age is for how long a relay may not have heard what the leader knows.
