--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -19,5 +19,5 @@
 	ownerMutations, lifeMutations, requestMutations, newsMutations,
 	harmMutations, clockMutations,
 	quotaMutations, tenantMutations, fairMutations,
-	bodyMutations, regionMutations, limitMutations,
+	bodyMutations, regionMutations, limitMutations, noticeMutations,
 )
