Catch two mutations that survived: a leader that is not told who leaves, and a pool that picks a worker in a backoff

The leader learned of an owner of keys from its orders, so only a worker of a pool shows that reports tell it; and a pool that picks wrongly is caught again before it writes, so the pick has a test of its own.

--- a/internal/lab/mutate/mutations_notices.go
+++ b/internal/lab/mutate/mutations_notices.go
@@ -43,7 +43,7 @@
 		file: "internal/router/report.go",
 		old:  "	report.Leaving = r.leaving.tell()\n",
 		new:  "",
-		pkg:  "./platform/session", test: "TestAllRoutersKnowThatAWorkerLeavesThroughRelays",
+		pkg:  "./platform/session", test: "TestOthersKnowThatAWorkerOfAPoolLeaves",
 	},
 	{
 		name: "orders-do-not-tell-that-a-worker-leaves",
@@ -71,7 +71,7 @@
 		file: "internal/proxy/notices.go",
 		old:  "	return to.backoffLeft(now) > 0 || (",
 		new:  "	return (",
-		pkg:  "./internal/proxy", test: "TestAWorkerThatAsksForABackoffIsNotAskedAgain",
+		pkg:  "./internal/proxy", test: "TestAPoolPicksNoWorkerInABackoff",
 	},
 	{
 		name: "not-asked-again-before-it-is-written",
--- a/internal/proxy/backoff_test.go
+++ b/internal/proxy/backoff_test.go
@@ -118,6 +118,17 @@
 	assert.Assert(t, asking.arrivals() <= 1)
 }
 
+func TestAPoolPicksNoWorkerInABackoff(t *testing.T) {
+	asking, other := newWorker(t, "w1", answers("x")), newWorker(t, "w2", answers("x"))
+	f := newFront(t, asking.entry("pool"), other.entry("pool"))
+	f.proxy.fleet.get(asking.entry("pool")).backOff(clock.Now(), 3*time.Second)
+	of := f.proxy.Config().Services["pool"]
+	for range 50 {
+		picked := f.proxy.fleet.pick(clock.Now(), f.proxy.fleet.service(of), of, need{target: time.Second}, nil, 1)
+		assert.Equal(t, picked.to.id(), other.entry("pool").ID)
+	}
+}
+
 func TestAWorkerGetsRequestsAgainOnceItsBackoffIsOver(t *testing.T) {
 	for name, path := range map[string]string{"pool": "/safe/", "keyed": "/keyed/"} {
 		t.Run(name, func(t *testing.T) {
