Tell callers whose keys can't move to come back late

Such a caller was told to come back after 0.2 s, and each router refuses it for as long as the store is away: its tries were used up at once. It is told 1 s, so that one that honours less tries as late as it can.

--- a/internal/lab/mutate/mutations_notices.go
+++ b/internal/lab/mutate/mutations_notices.go
@@ -118,7 +118,7 @@
 	{
 		name: "request-waits-for-a-move-that-can't-be-stored",
 		file: "internal/proxy/keyed.go",
-		old:  "	case reason == reasonOwnerGone && c.proxy.KeysStay != nil && c.proxy.KeysStay():\n		return 0\n",
+		old:  "	case c.keyStays(reason):\n		return 0\n",
 		new:  "",
 		pkg:  "./internal/proxy", test: "TestARequestForAKeyThatCantMoveIsRefusedAtOnce",
 	},
--- a/internal/proxy/backoff_test.go
+++ b/internal/proxy/backoff_test.go
@@ -175,9 +175,10 @@
 	for name, test := range map[string]struct {
 		stay   bool
 		waited time.Duration
+		after  string
 	}{
-		"the store is away":    {stay: true},
-		"the key may move yet": {waited: 80 * time.Millisecond},
+		"the store is away":    {stay: true, after: "1.000"},
+		"the key may move yet": {waited: 80 * time.Millisecond, after: "0.200"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newWorker(t, "w1", answers("x"))
@@ -190,6 +191,7 @@
 			took := time.Since(began)
 			assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
 			assert.Equal(t, body, reasonOwnerGone+"\n")
+			assert.Equal(t, response.Header.Get("Retry-After"), test.after)
 			assert.Assert(t, took >= test.waited && took < test.waited+60*time.Millisecond, "%s", took)
 		})
 	}
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -20,6 +20,10 @@
 	moveShare = 0.8
 	// ownerShare is the share for which it waits where no owner is known.
 	ownerShare = 0.22
+	// noOwnerReturn is when a caller may come back that has found no owner, and stayReturn when its key
+	// can't move for now.
+	noOwnerReturn = 200 * time.Millisecond
+	stayReturn    = time.Second
 	// ownerPause is the pause before an owner that refused is asked again.
 	ownerPause = 25 * time.Millisecond
 )
@@ -92,7 +96,7 @@
 		limit := c.began.Add(time.Duration(patience * float64(c.route.Target)))
 		wait := min(clock.Until(limit), c.left()-answerMargin)
 		if wait <= 0 {
-			c.giveUp(reason, 200*time.Millisecond)
+			c.giveUp(reason, c.ownerReturn(reason))
 			return nil
 		}
 		if !c.awaitTable(changed, wait) {
@@ -107,12 +111,26 @@
 	switch {
 	case reason == reasonMoving:
 		return moveShare
-	case reason == reasonOwnerGone && c.proxy.KeysStay != nil && c.proxy.KeysStay():
+	case c.keyStays(reason):
 		return 0
 	}
 	return ownerShare
 }
 
+// keyStays reports whether the key has lost its owner and can't get another one now.
+func (c *call) keyStays(reason string) bool {
+	return reason == reasonOwnerGone && c.proxy.KeysStay != nil && c.proxy.KeysStay()
+}
+
+// ownerReturn is when a caller may come back for whose key there is no owner. While the key can't move
+// each router refuses it, and the later a caller tries the better.
+func (c *call) ownerReturn(reason string) time.Duration {
+	if c.keyStays(reason) {
+		return stayReturn
+	}
+	return noOwnerReturn
+}
+
 // findOwner returns the worker that may be sent the key's requests now, or why
 // there is none.
 func (c *call) findOwner() (*backend, string) {
