--- a/internal/owner/plan.go
+++ b/internal/owner/plan.go
@@ -15,8 +15,8 @@
 	Capacity float64
 	// Limited says that what is beyond that capacity is not sent to the worker, by its own word.
 	Limited bool
-	// Cold says that it warms up, or is short of room, and bears little for now: it gets no more keys while others can have
-	// them.
+	// Cold says that it warms up, or is short of room, and bears little for now: it gets no
+	// more keys while others can have them.
 	Cold bool
 }
 
--- a/internal/peerlink/notices.go
+++ b/internal/peerlink/notices.go
@@ -27,6 +27,14 @@
 	LeftMillis int64   `json:"m"`
 }
 
+// OnLeaving sets what is called with what linked processes tell of workers that leave, by a leader and
+// by a relay.
+func (h *Hub) OnLeaving(call func([]departure.Told)) { h.leavingTold = call }
+
+// OnLimits sets what is called with what linked processes tell of workers' limits, by a leader and
+// by a relay.
+func (h *Hub) OnLimits(call func([]workerlimit.Told)) { h.limitsTold = call }
+
 // SetBackoffs sets which owners of keys have asked routers for backoffs, for operators.
 func (h *Hub) SetBackoffs(backoffs []BackoffShare) {
 	h.mu.Lock()
