--- a/internal/proxy/backoff_test.go
+++ b/internal/proxy/backoff_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/workers"
@@ -196,3 +197,28 @@
 		})
 	}
 }
+
+func TestABackoffLastsAsLongAsTheLongestAskedFor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, now, end, reported := &backend{}, clock.Now(), clock.Now(), time.Duration(0)
+		begun := now
+		for range rapid.IntRange(1, 8).Draw(t, "answers") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "later")) * time.Millisecond)
+			asked := time.Duration(rapid.IntRange(0, 4000).Draw(t, "asked")) * time.Millisecond
+			if now.After(end) {
+				begun, reported = now, 0
+			}
+			longer, _ := b.backOff(now, asked)
+			reported += longer
+			if until := now.Add(asked); until.After(end) {
+				end = until
+			}
+			if left := b.backoffLeft(now); (left - max(0, end.Sub(now))).Abs() > time.Microsecond {
+				t.Fatalf("%s are left of %s", left, end.Sub(now))
+			}
+		}
+		if covered := max(0, end.Sub(begun)); (reported - covered).Abs() > time.Microsecond {
+			t.Fatalf("%s are reported of one backoff of %s", reported, covered)
+		}
+	})
+}
--- a/internal/workers/leaving_test.go
+++ b/internal/workers/leaving_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/shalefork/shalefork/internal/clock"
 )
@@ -65,3 +66,84 @@
 	d.Replace(nil, nil, clock.Now())
 	assert.Equal(t, len(d.leaving), 1)
 }
+
+// leavingModel is a directory, and which lives have said that they leave, since when.
+type leavingModel struct {
+	directory *Directory
+	said      map[Life]time.Time
+}
+
+func drawLife(t *rapid.T) Life {
+	return Life{ID: rapid.SampledFrom([]ID{"a", "b"}).Draw(t, "worker"), Born: Born(rapid.IntRange(1, 3).Draw(t, "born"))}
+}
+
+func drawWorker(t *rapid.T) Worker {
+	life := drawLife(t)
+	state := rapid.SampledFrom([]State{StateReady, StateReady, StateDraining}).Draw(t, "state")
+	return Worker{ID: life.ID, Born: life.Born, Service: "s", State: state}
+}
+
+// leaves lets a life say that it leaves, known since some time ago.
+func (m *leavingModel) leaves(t *rapid.T) {
+	life := drawLife(t)
+	since := clock.Now().Add(-time.Duration(rapid.IntRange(0, 5).Draw(t, "ago")) * time.Second)
+	m.directory.Leaves(life, since)
+	if before, known := m.said[life]; !known || since.Before(before) {
+		m.said[life] = since
+	}
+}
+
+// check compares each announced worker with what its life has said.
+func (m *leavingModel) check(t *rapid.T) {
+	usable, _ := m.directory.Usable("s")
+	for _, id := range []ID{"a", "b"} {
+		worker, announced := m.directory.Get(id)
+		if !announced {
+			continue
+		}
+		since, said := m.said[worker.Life()]
+		if said && worker.State != StateDraining {
+			t.Fatalf("%v has said that it leaves, and is %s", worker.Life(), worker.State)
+		}
+		least := clock.Since(since)
+		if got := m.directory.DrainingFor(id); said && got < least {
+			t.Fatalf("%v leaves for %s, of %s", worker.Life(), got, least)
+		}
+		for _, one := range usable {
+			if said && one.ID == id {
+				t.Fatalf("%v gets new work", worker.Life())
+			}
+		}
+	}
+}
+
+func TestNoOrderOfEntriesAndWordsMakesALeavingWorkerUsable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &leavingModel{directory: NewDirectory(), said: map[Life]time.Time{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"a life says that it leaves": m.leaves,
+			"an entry is written":        func(t *rapid.T) { m.directory.Update([]Worker{drawWorker(t)}, nil, nil) },
+			"an entry goes": func(t *rapid.T) {
+				m.directory.Update(nil, []ID{rapid.SampledFrom([]ID{"a", "b"}).Draw(t, "worker")}, nil)
+			},
+			"a list is read": func(t *rapid.T) {
+				m.directory.Replace(rapid.SliceOfNDistinct(rapid.Custom(drawWorker), 0, 2, func(w Worker) ID { return w.ID }).Draw(t, "list"), nil, clock.Now())
+			},
+			"the store is away": func(*rapid.T) { m.directory.Settle(clock.Now().Add(time.Hour)) },
+			"the store is back": func(*rapid.T) { m.directory.EndSettling() },
+			"":                  m.check,
+		})
+	})
+}
+
+func TestALifeThatSaidNothingIsAsItsEntrySays(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d, worker, other := NewDirectory(), drawWorker(t), drawLife(t)
+		d.Leaves(other, clock.Now())
+		d.Update([]Worker{worker}, nil, nil)
+		got, _ := d.Get(worker.ID)
+		if other != worker.Life() && got.State != worker.State {
+			t.Fatalf("%v is %s, its entry says %s", worker.Life(), got.State, worker.State)
+		}
+	})
+}
