Hold what an unknown life said for one life only

Found by reading: a router that hears that a worker leaves before it knows its entry has no start of that life, and took the word for any life under that ID, so that a worker which started again got nothing until its entry had been gone for two minutes. The word is bound to the first life that is announced now. TestAWordOfALifeThatWasNotKnownHoldsForOneLife: the second life was draining before. A backoff of 0 s is none.

--- a/internal/proxy/backoff.go
+++ b/internal/proxy/backoff.go
@@ -12,6 +12,9 @@
 // of all that it has asked for counts. It returns by how much longer that is than was known, and whether
 // none was under way.
 func (b *backend) backOff(now time.Time, asked time.Duration) (longer time.Duration, begins bool) {
+	if asked == 0 {
+		return 0, false
+	}
 	until := now.Add(asked)
 	for {
 		before := b.backoffUntil.Load()
--- a/internal/workers/leaving.go
+++ b/internal/workers/leaving.go
@@ -19,13 +19,20 @@
 	d.index()
 }
 
-// noteLeaving lets announced workers drain that have said that they leave. The caller holds mu.
+// noteLeaving lets announced workers drain that have said that they leave. What a life said whose start
+// was not known holds for the first one that is announced, not for those after it. The caller holds mu.
 func (d *Directory) noteLeaving() {
 	for life, since := range d.leaving {
 		worker, announced := d.byID[life.ID]
 		if !announced || !life.MayBe(worker.Life()) {
 			continue
 		}
+		if life != worker.Life() && worker.Born != 0 {
+			delete(d.leaving, life)
+			if before, known := d.leaving[worker.Life()]; !known || since.Before(before) {
+				d.leaving[worker.Life()] = since
+			}
+		}
 		worker.State = StateDraining
 		d.byID[life.ID] = worker
 		if noted, draining := d.drainingSince[life.ID]; !draining || since.Before(noted) {
--- a/internal/workers/leaving_test.go
+++ b/internal/workers/leaving_test.go
@@ -43,6 +43,20 @@
 	}
 }
 
+func TestAWordOfALifeThatWasNotKnownHoldsForOneLife(t *testing.T) {
+	first, second := Worker{ID: "w", Service: "s", State: StateReady, Born: 1}, Worker{ID: "w", Service: "s", State: StateReady, Born: 2}
+	d := NewDirectory()
+	d.Leaves(Life{ID: "w"}, clock.Now().Add(-time.Second))
+	d.Replace([]Worker{first}, nil, clock.Now())
+	worker, _ := d.Get("w")
+	assert.Equal(t, worker.State, StateDraining)
+	assert.Assert(t, d.DrainingFor("w") >= time.Second)
+	d.Update(nil, []ID{"w"}, nil)
+	d.Update([]Worker{second}, nil, nil)
+	worker, _ = d.Get("w")
+	assert.Equal(t, worker.State, StateReady)
+}
+
 func TestAWorkerDrainsFromItsFirstWord(t *testing.T) {
 	d := NewDirectory()
 	d.Replace([]Worker{{ID: "w", Service: "s", State: StateReady}}, nil, clock.Now())
