Point two mutations at the lines that their code has moved to

Reading of limits lies in upstream/notice.go, and the question whose header one is has another name.

--- a/internal/lab/mutate/mutations_limits.go
+++ b/internal/lab/mutate/mutations_limits.go
@@ -74,8 +74,8 @@
 	},
 	{
 		name: "routers-do-not-read-limits",
-		file: "internal/upstream/exchange.go",
-		old:  "parseLimit(response.Header.Values(e.headers.Limit))",
+		file: "internal/upstream/notice.go",
+		old:  "parseLimit(response.Header.Values(h.Limit))",
 		new:  "parseLimit(nil)",
 		pkg:  "./platform/session", test: "TestAWorkerThatNamesALimitGetsNoMoreFromAllRoutersTogether",
 	},
--- a/internal/lab/mutate/mutations_tenants.go
+++ b/internal/lab/mutate/mutations_tenants.go
@@ -26,7 +26,7 @@
 	{
 		name: "own-headers-dropped-by-the-other-side",
 		file: "internal/upstream/headers.go",
-		old:  "(!named[name] || h.bearsOn(name))",
+		old:  "(!named[name] || h.Owns(name))",
 		new:  "!named[name]",
 		pkg:  "./internal/proxy", test: "TestAWorkerIsToldTheTenantAndNeverTheKey",
 	},
