Ask a worker again that was slow, where all requests would be refused for it

Cause: the router had stood still twice, for 2.6 and 0.5 s; it takes its own pause for the workers' time of work, which then is longer than any caller waits (by reading; the estimates were not logged). Each request was refused for that, none was sent, and the mean of answers changes with answers only. Ruled out: the throttle, which forgets within seconds; a count of requests under way that was too high (it takes 0.05 ms to refuse, and nothing is sent). A pool refuses in the same way where all its workers look slow.

Where an estimate decides whether a request is sent at all, what was measured goes back to what is usual once nothing was answered for a second. TestAWorkerThatWasSlowIsAskedAgain failed before: refused 15 s later, for keys and for a pool.

--- a/internal/estimate/latency.go
+++ b/internal/estimate/latency.go
@@ -67,6 +67,14 @@
 	return toDuration((latencyPrior*usual.Seconds() + l.seconds) / (latencyPrior + l.answers))
 }
 
+// Expected returns the mean time of an answer as of now. Where nothing was answered lately it goes to
+// what is usual: who asks a worker nothing, since it was slow, would never see that it is no longer.
+func (l *Latency) Expected(now time.Time, usual time.Duration) time.Duration {
+	silent := max(0, now.Sub(l.at)-silentTime)
+	kept := math.Exp(-silent.Seconds() / meanMemory.Seconds())
+	return toDuration((latencyPrior*usual.Seconds() + kept*l.seconds) / (latencyPrior + kept*l.answers))
+}
+
 // Measured reports whether any answer counts.
 func (l *Latency) Measured() bool { return l.answers >= 0.5 }
 
--- a/internal/estimate/latency_test.go
+++ b/internal/estimate/latency_test.go
@@ -41,6 +41,22 @@
 	}
 }
 
+func TestASlowWorkerThatIsAskedNothingIsExpectedToBeAsUsual(t *testing.T) {
+	const usual, slow = 100 * time.Millisecond, 3 * time.Second
+	for name, answers := range map[string]int{"a few answers": 4, "many": 40} {
+		t.Run(name, func(t *testing.T) {
+			var latency Latency
+			now := time.Unix(1000, 0)
+			for range answers {
+				latency.Add(now, slow, usual)
+			}
+			assert.Equal(t, latency.Expected(now.Add(silentTime), usual), latency.Mean(usual))
+			assert.Assert(t, latency.Expected(now.Add(2*silentTime), usual) > slow/2, "one second says little")
+			assert.Assert(t, latency.Expected(now.Add(12*time.Second), usual) < 3*usual)
+		})
+	}
+}
+
 func TestLateIsTheShareBeyondALimit(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	for name, c := range map[string]struct {
--- a/internal/lab/mutate/mutations_notices.go
+++ b/internal/lab/mutate/mutations_notices.go
@@ -122,4 +122,11 @@
 		new:  "",
 		pkg:  "./internal/proxy", test: "TestARequestForAKeyThatCantMoveIsRefusedAtOnce",
 	},
+	{
+		name: "slow-worker-is-never-asked-again",
+		file: "internal/estimate/latency.go",
+		old:  "	kept := math.Exp(-silent.Seconds() / meanMemory.Seconds())\n	return toDuration((latencyPrior",
+		new:  "	kept := math.Exp(0 * -silent.Seconds() / meanMemory.Seconds())\n	return toDuration((latencyPrior",
+		pkg:  "./internal/proxy", test: "TestAWorkerThatWasSlowIsAskedAgain",
+	},
 }
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -127,19 +127,21 @@
 	case occupied >= fullCrowd*slots || !b.cold.ready(now, b.worker.WarmAt, coldRate, nodes):
 		return choice{}, false
 	}
-	return choice{to: b, estimate: b.expected(now, usual), free: occupied+1 <= slots}, true
+	return choice{to: b, estimate: b.expected(now, b.latency.Mean(usual)), free: occupied+1 <= slots}, true
 }
 
-// estimate returns how long a request sent now would take.
-func (b *backend) estimate(now time.Time, usual time.Duration) time.Duration {
+// estimateAged returns how long a request sent now would take, where that decides whether one is sent at
+// all: what was measured long ago counts for less and less.
+func (b *backend) estimateAged(now time.Time, usual time.Duration) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.expected(now, usual)
+	return b.expected(now, b.latency.Expected(now, usual))
 }
 
-// expected is estimate for a caller that holds mu.
-func (b *backend) expected(now time.Time, usual time.Duration) time.Duration {
-	mean := time.Duration(float64(b.latency.Mean(usual)) * b.slowness(now))
+// expected returns how long a request sent now would take, given the mean time of work. The caller holds
+// mu.
+func (b *backend) expected(now time.Time, work time.Duration) time.Duration {
+	mean := time.Duration(float64(work) * b.slowness(now))
 	if now.Before(b.worker.WarmAt) {
 		mean *= coldFactor
 	}
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -196,7 +196,7 @@
 		c.giveUp(reason, c.returnAfter())
 		return nil
 	}
-	estimated := to.estimate(now, usualTime)
+	estimated := to.estimateAged(now, usualTime)
 	if estimated > c.left() {
 		c.giveUp(reasonBusy, min(estimated-c.left(), 300*time.Millisecond))
 		return nil
--- a/internal/proxy/pooled.go
+++ b/internal/proxy/pooled.go
@@ -82,7 +82,7 @@
 	for {
 		now := clock.Now()
 		if picked := c.pick(now, c.need(), c.tried); picked.to != nil {
-			if picked.estimate < c.left() || c.allowed.sends() > 0 {
+			if picked.estimate < c.left() || c.allowed.sends() > 0 || picked.to.estimateAged(now, usualTime) < c.left() {
 				return picked
 			}
 			c.giveUp(reasonBusy, 100*time.Millisecond)
--- /dev/null
+++ b/internal/proxy/slow_test.go
@@ -0,0 +1,36 @@
+package proxy
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/clock"
+)
+
+// A router that had stood still took its workers for slow, and refused all requests for them from then on.
+func TestAWorkerThatWasSlowIsAskedAgain(t *testing.T) {
+	for service, path := range map[string]string{"keyed": "/keyed/", "pool": "/safe/"} {
+		for name, test := range map[string]struct {
+			ago    time.Duration
+			status int
+		}{
+			"just now": {status: http.StatusServiceUnavailable},
+			"long ago": {ago: 15 * time.Second, status: http.StatusOK},
+		} {
+			t.Run(service+", "+name, func(t *testing.T) {
+				w := newWorker(t, "w1", answers("x"))
+				f := newFront(t, w.entry(service))
+				f.owns(w.entry(service))
+				slow := f.proxy.fleet.get(w.entry(service))
+				for range 10 {
+					slow.latency.Add(clock.Now().Add(-test.ago), 5*time.Second, usualTime)
+				}
+				response, _ := f.get(t, "GET", path, "", "X-Key", "7")
+				assert.Equal(t, response.StatusCode, test.status)
+			})
+		}
+	}
+}
