--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -131,7 +131,7 @@
 }
 
 // estimateAged returns how long a request sent now would take, where that decides whether one is sent at
-// all: what was measured long ago counts for less and less.
+// all: answers of long ago count for less and less.
 func (b *backend) estimateAged(now time.Time, usual time.Duration) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/upstream/notice.go
+++ b/internal/upstream/notice.go
@@ -46,9 +46,7 @@
 }
 
 // Idle reports whether a worker that told its load has a slot to spare. One that turns a request
-// away all the same is short of something else than room, and may take the next one. Counted as
-// full, a worker that took each third request was not asked for 97 of 120
-// (TestOwnersThatTurnRequestsAwayAreAskedByTheirLoad).
+// away all the same is short of something else than room, and may take the next one.
 func (l Load) Idle(told bool) bool { return told && l.Waiting == 0 && l.Running < l.Slots }
 
 // Parts of a load header. Further ones are passed over.
