Run no pipelined request beside one that must run alone

What callers saw: on a connection with pipelined requests, those behind a request that may not run beside others ran beside it: behind a GET of a route that runs alone, and behind a POST whose body is read at once, as the proxy does.

Cause: nextAction split off what came behind net/http's request once that had been read, and asked nothing of that request. Only its own place behind others was checked.

Change: those behind wait until net/http serves a request beside which others may run; what was read meanwhile is started then.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -41,6 +41,8 @@
 	// serverBusy is set while net/http reads or serves a request, which current tracks.
 	serverBusy bool
 	current    requestTracker
+	// currentConcurrent is set once net/http serves a request beside which others may run.
+	currentConcurrent bool
 	// queue contains the responses to the pipelined requests behind it, in the order of the
 	// requests.
 	queue []*response
@@ -108,7 +110,7 @@
 		return 0, 0, os.ErrDeadlineExceeded
 	}
 	busy := c.serverBusy || len(c.queue) > 0
-	if busy && c.atRequestBoundary() {
+	if busy && c.mayRunMore() {
 		for c.startNext() {
 		}
 	}
@@ -126,9 +128,22 @@
 	return 0, readPipelined, nil
 }
 
-// atRequestBoundary reports whether net/http has read all of its request, or has none. The caller
-// holds mu.
-func (c *conn) atRequestBoundary() bool { return !c.serverBusy || c.current.complete() }
+// mayRunMore reports whether requests may run beside that of net/http, which it must have read
+// completely, or net/http has none. The caller holds mu.
+func (c *conn) mayRunMore() bool {
+	return !c.serverBusy || c.current.complete() && c.currentConcurrent
+}
+
+// serverBegins is called when net/http begins to serve a request. concurrent says whether others may
+// run beside it.
+func (c *conn) serverBegins(concurrent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.currentConcurrent = concurrent
+	if concurrent && len(c.unread) > 0 {
+		c.interruptRead() // what it has read may be run now
+	}
+}
 
 // deliverUnread passes buffered data to net/http. The caller holds mu.
 func (c *conn) deliverUnread(into []byte) int {
@@ -145,7 +160,7 @@
 // new request if there is none. The caller holds mu.
 func (c *conn) consumeCurrent(data []byte) int {
 	if !c.serverBusy {
-		c.serverBusy, c.current = true, requestTracker{}
+		c.serverBusy, c.current, c.currentConcurrent = true, requestTracker{}, false
 	}
 	return c.current.consume(data)
 }
@@ -248,7 +263,7 @@
 		return false
 	}
 	request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(c.unread[:parsed.length])))
-	if err != nil || !isSafeRequest(request) || !c.splitter.limits.MayRunConcurrently(request) || !c.splitter.admit() {
+	if err != nil || !c.splitter.mayRunConcurrently(request) || !c.splitter.admit() {
 		return false
 	}
 	c.unread = c.unread[parsed.length:]
@@ -266,11 +281,6 @@
 	return true
 }
 
-// isSafeRequest reports whether a request has a host and is a GET or HEAD, which change no state.
-func isSafeRequest(request *http.Request) bool {
-	return (request.Method == http.MethodGet || request.Method == http.MethodHead) && request.Host != ""
-}
-
 // serverIdle is called when net/http has answered its request.
 func (c *conn) serverIdle() {
 	c.mu.Lock()
--- a/internal/pipeline/splitter.go
+++ b/internal/pipeline/splitter.go
@@ -103,19 +103,23 @@
 // serveFromServer serves a request that net/http has read.
 func (s *Splitter) serveFromServer(writer http.ResponseWriter, request *http.Request) {
 	if c, ok := request.Context().Value(connKey{}).(*conn); ok {
+		c.serverBegins(s.mayRunConcurrently(request))
 		writer = &serverWriter{ResponseWriter: writer, conn: c}
 	}
 	s.handler.ServeHTTP(writer, request)
 }
 
+// mayRunConcurrently reports whether a request may run beside others of its connection: it is a GET or
+// HEAD without a body, which change no state, and Limits.MayRunConcurrently permits it.
+func (s *Splitter) mayRunConcurrently(request *http.Request) bool {
+	safe := request.Method == http.MethodGet || request.Method == http.MethodHead
+	return safe && request.ContentLength == 0 && request.Host != "" && s.limits.MayRunConcurrently(request)
+}
+
 // admit counts one more running pipelined request. It returns false if the limit is reached or the
 // Splitter was stopped.
 func (s *Splitter) admit() bool {
-	if s.stopping.Load() {
-		return false
-	}
-	if s.running.Add(1) > int64(s.limits.Total) {
-		s.running.Add(-1)
+	if s.stopping.Load() || !addWithin(&s.running, 1, int64(s.limits.Total)) {
 		return false
 	}
 	s.served.Add(1)
@@ -125,11 +129,21 @@
 // reserveBuffer reserves memory to buffer data of a response. It returns false if the limit is
 // reached.
 func (s *Splitter) reserveBuffer(bytes int) bool {
-	if s.bufferedBytes.Add(int64(bytes)) > s.limits.BufferedBytes {
-		s.bufferedBytes.Add(-int64(bytes))
-		return false
+	return addWithin(&s.bufferedBytes, int64(bytes), s.limits.BufferedBytes)
+}
+
+// addWithin adds to a counter, unless it would exceed a limit. The counter is never above the limit, also
+// for a moment.
+func addWithin(counter *atomic.Int64, delta, limit int64) bool {
+	for {
+		current := counter.Load()
+		if current+delta > limit {
+			return false
+		}
+		if counter.CompareAndSwap(current, current+delta) {
+			return true
+		}
 	}
-	return true
 }
 
 // serverWriter is the response writer of a request that net/http has read.
