Ask earlier renewers when a worker was last granted keys, instead of waiting anew

What callers saw: after several elections in a row the keys of workers that had crashed were refused with key-moving for 10 to 20 s.

Cause: a new leader did not know when the last grant had been sent to a worker. It counted from its own election either 3.9 s or, if one process was silent for 0.4 s, 9.2 s, for all keys, and each later leader began again. Evidence: in one run term 5 is elected at 15.9 s with holds_until 25.1 s, all refusals are key-moving until then, all failed orders are releases to workers to which no process sent a grant after 11.8 s.

Change: a log between ledgers and workers notes when each grant ends, and sends none of an earlier term once a later leader has asked. The leader asks all stored renewers about the workers that keys wait for, 0.3 s after it has loaded the record and again while they wait; silent processes may answer later. Renewers stay stored until their holds have ended, with their last term. What a leader knows of all holds before its term goes to the others as a time left, so that the wait for a silent process isn't begun anew. A process that wakes after its lease has run out resigns. elected logs who did not answer.

Why it works: no process sends a grant of an earlier term after its answer, the list has all that may have sent one within the length of a hold, and ages only get larger on the way. The explorer has a new case with ages of grants; two mutations are new.

--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -83,7 +83,7 @@
 		{KindLeaderLost, "the connection to the leader broke", "leader, term, error"},
 		{KindLeaderFound, "the owners were received from a leader, directly or through a relay", "leader, term, relay"},
 		{KindRelayLost, "the connection to the relay broke, or the relay has had no leader for too long; the leader is asked for another relay", "relay, error"},
-		{KindElected, "this process leads", "term, holds_until (when all earlier holds have certainly expired)"},
+		{KindElected, "this process leads", "term, holds_until (when all earlier holds have certainly expired), unresolved (addresses of processes that did not answer and may renew earlier holds)"},
 		{KindResigned, "this process no longer leads", "term"},
 		{KindStandby, "this process begins or ceases to renew holds that a lost leader granted", "renewing"},
 		{KindKeysAssigned, "all keys of a service got their initial owners", "service, candidates"},
--- a/internal/election/renewers.go
+++ b/internal/election/renewers.go
@@ -4,17 +4,37 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 
 	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/owner"
 )
 
-// Renewer is a process that may renew the holds of workers: a leader or one of its standbys. All of
-// them are stored, so that the next leader knows which processes to ask to stop.
+// Renewer is a process that may renew the holds of workers, a leader or one of its standbys, or whose
+// renewals may still last. All of them are stored, so that the next leader knows which processes to
+// ask to stop, and when they have last renewed a hold.
 type Renewer struct {
 	// Address is the address of its peer port.
 	Address string `json:"address"`
 	// Process is an ID unique to one run of the process.
 	Process string `json:"process"`
+	// Term is the last term in which the process may renew holds. It is zero in lists of processes
+	// that remove renewers whose holds may still last.
+	Term owner.Term `json:"term,omitempty"`
+}
+
+// Same reports whether both are the same process.
+func (r Renewer) Same(other Renewer) bool {
+	return r.Address == other.Address && r.Process == other.Process
+}
+
+// merge adds the term of another entry for the same process.
+func (r *Renewer) merge(other Renewer) {
+	if r.Term != 0 && other.Term != 0 {
+		r.Term = max(r.Term, other.Term)
+	} else {
+		r.Term = 0
+	}
 }
 
 func (e *Election) renewersKey() string { return e.prefix + "renewers" }
@@ -34,17 +54,23 @@
 	return list, item.Revision, nil
 }
 
-// encodeRenewers encodes the list without duplicates.
-func encodeRenewers(list []Renewer) []byte {
-	seen := map[Renewer]bool{}
+// UniqueRenewers returns the list with one entry for each process.
+func UniqueRenewers(list []Renewer) []Renewer {
 	unique := make([]Renewer, 0, len(list))
 	for _, renewer := range list {
-		if !seen[renewer] {
-			seen[renewer] = true
+		known := slices.IndexFunc(unique, renewer.Same)
+		if known < 0 {
 			unique = append(unique, renewer)
+			continue
 		}
+		unique[known].merge(renewer)
 	}
-	value, err := json.Marshal(unique)
+	return unique
+}
+
+// encodeRenewers encodes the list without duplicates.
+func encodeRenewers(list []Renewer) []byte {
+	value, err := json.Marshal(UniqueRenewers(list))
 	if err != nil {
 		panic(err) // the list is plain data, which always encodes
 	}
--- /dev/null
+++ b/internal/keeper/holdends.go
@@ -0,0 +1,51 @@
+package keeper
+
+import (
+	"time"
+
+	"github.com/shalefork/shalefork/internal/workers"
+)
+
+const (
+	// holdEndsInterval is the interval of queries for the ends of holds. Workers that are alive have
+	// released their keys before the first one.
+	holdEndsInterval = 300 * time.Millisecond
+	// maxQueriedWorkers bounds the workers of one query.
+	maxQueriedWorkers = 256
+)
+
+// holdEndsResult is the result of a query for the ends of holds that earlier leaders granted.
+type holdEndsResult struct {
+	service *service
+	ends    map[workers.ID]time.Time
+}
+
+func (r holdEndsResult) apply() {
+	r.service.queryingHoldEnds = false
+	for worker, end := range r.ends {
+		r.service.ledger.LimitInheritedHolds(worker, end)
+	}
+}
+
+// queryHoldEnds queries when the holds end that keys wait for, if an earlier leader granted them. Such
+// workers have ended or can't be reached, or they would have released the keys.
+func (t *tenureKeeper) queryHoldEnds(now time.Time, svc *service) {
+	if t.QueryHoldEnds == nil || svc.queryingHoldEnds || now.Before(svc.nextHoldEnds) {
+		return
+	}
+	svc.nextHoldEnds = now.Add(holdEndsInterval)
+	holders := svc.ledger.InheritedHolders(now)
+	if len(holders) == 0 {
+		return
+	}
+	svc.queryingHoldEnds = true
+	holders = holders[:min(len(holders), maxQueriedWorkers)]
+	query := t.QueryHoldEnds
+	go func() {
+		done := holdEndsResult{service: svc, ends: query(t.ctx, holders)}
+		select {
+		case t.holdEnds <- done:
+		case <-t.ctx.Done():
+		}
+	}()
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -82,9 +82,9 @@
 	// OnWorkerLeaving is called for a worker that reports in its reply to an order that it is
 	// leaving. It may be nil.
 	OnWorkerLeaving func(workers.Incarnation)
-	// Unresolved are processes that did not reply when asked to stop. They may renew holds granted by
-	// earlier leaders until all of those have expired.
-	Unresolved []election.Renewer
+	// QueryHoldEnds asks the processes that may have renewed holds which earlier leaders granted, and
+	// returns for each of the given workers when its holds have ended. It is nil if none can be asked.
+	QueryHoldEnds func(ctx context.Context, list []workers.ID) map[workers.ID]time.Time
 }
 
 // RecordKey returns the key of a service's ownership record.
@@ -102,6 +102,7 @@
 	writes     chan writeResult
 	loaded     chan loadResult
 	renewers   chan storeRenewersResult
+	holdEnds   chan holdEndsResult
 	standbys   standbys
 	holdsUntil time.Time
 	startedAt  time.Time
@@ -127,7 +128,7 @@
 		Keeper: k, ctx: tenureCtx, tenure: tenure, holdsUntil: holdsUntil, startedAt: clock.Now(), listChanged: clock.Now(),
 		services: map[routing.ServiceName]*service{},
 		replies:  make(chan orderResult, 64), writes: make(chan writeResult, 8), loaded: make(chan loadResult, 8),
-		renewers: make(chan storeRenewersResult, 1), suspendedFor: clock.Refresh,
+		renewers: make(chan storeRenewersResult, 1), holdEnds: make(chan holdEndsResult, 1), suspendedFor: clock.Refresh,
 	}
 	k.Hub.Open(tenure.Leader.Term)
 	defer k.Hub.Close()
@@ -163,6 +164,8 @@
 			t.handleLoaded(done)
 		case done := <-t.renewers:
 			t.handleRenewersStored(done)
+		case done := <-t.holdEnds:
+			done.apply()
 		}
 	}
 }
@@ -193,6 +196,7 @@
 			t.plan(now, svc)
 			t.storeRecord(svc)
 		}
+		t.queryHoldEnds(now, svc)
 		svc.ledger.SetDelegations(t.Hub.Delegations(svc.name))
 		for _, order := range svc.ledger.Due(now, renewOnly) {
 			go t.send(svc, order)
--- a/internal/keeper/service.go
+++ b/internal/keeper/service.go
@@ -32,7 +32,10 @@
 	// publishedHolds is the version of the holds that was last sent to standbys.
 	publishedHolds uint64
 	nextPlan       time.Time
-	nextMetrics    time.Time
+	// nextHoldEnds is when the ends of holds are queried next; queryingHoldEnds is true meanwhile.
+	nextHoldEnds     time.Time
+	queryingHoldEnds bool
+	nextMetrics      time.Time
 	// workTimes estimates the work time of requests at each worker.
 	workTimes map[workers.ID]*estimate.Work
 	// backoffs are the backoffs that each worker has requested from routers.
--- a/internal/keeper/standbys.go
+++ b/internal/keeper/standbys.go
@@ -42,30 +42,40 @@
 	}
 	t.standbys.next = now.Add(appointInterval)
 	wanted := chooseStandbys(t.Hub.Peers(), t.Zone, t.Regions)
-	list := []election.Renewer{{Address: t.tenure.Leader.Address, Process: t.tenure.Leader.Process}}
-	if now.Before(t.holdsUntil) {
-		list = append(list, t.Unresolved...)
-	}
+	term := t.tenure.Leader.Term
+	list := []election.Renewer{{Address: t.tenure.Leader.Address, Process: t.tenure.Leader.Process, Term: term}}
 	missing := false
 	processes := make([]string, 0, len(wanted))
 	for _, peer := range wanted {
-		renewer := election.Renewer{Address: peer.Address, Process: peer.Process}
+		renewer := election.Renewer{Address: peer.Address, Process: peer.Process, Term: term}
 		list = append(list, renewer)
 		processes = append(processes, peer.Process)
-		missing = missing || !slices.Contains(t.standbys.stored, renewer)
+		missing = missing || !slices.ContainsFunc(t.standbys.stored, renewer.Same)
 	}
 	if !missing {
 		t.grantDelegations(processes)
-		return
 	}
-	// Processes whose delegation is still valid stay in the list.
+	list = election.UniqueRenewers(append(list, t.pastRenewers(now, list)...))
+	if missing || len(list) < len(t.standbys.stored) {
+		t.standbys.storing = true
+		go t.storeRenewers(list)
+	}
+}
+
+// pastRenewers returns the processes that renew no holds any more, or soon won't, but whose holds may
+// still last. They stay in the list, since a later leader asks all processes in it when they have last
+// renewed the hold of a worker.
+func (t *tenureKeeper) pastRenewers(now time.Time, current []election.Renewer) []election.Renewer {
+	var list []election.Renewer
+	if now.Before(t.holdsUntil) {
+		list = slices.Clone(t.tenure.PreviousRenewers)
+	}
 	for _, renewer := range t.standbys.stored {
-		if t.Hub.HasDelegation(renewer.Process, now) && !slices.Contains(list, renewer) {
+		if t.Hub.HadDelegation(renewer.Process, now.Add(-t.Times.MaxHold())) && !slices.ContainsFunc(current, renewer.Same) {
 			list = append(list, renewer)
 		}
 	}
-	t.standbys.storing = true
-	go t.storeRenewers(list)
+	return list
 }
 
 // grantDelegations appoints processes that are stored as renewers.
--- a/internal/lab/mutate/mutations_owners.go
+++ b/internal/lab/mutate/mutations_owners.go
@@ -48,10 +48,24 @@
 	{
 		name: "holds-of-the-leader-before-forgotten",
 		file: "internal/owner/record.go",
-		old:  "fence: entry.Fence, heldUntil: until, nextOrderAt: now}",
-		new:  "fence: entry.Fence, heldUntil: now, nextOrderAt: now}",
+		old:  "fence: entry.Fence, inheritedUntil: until, nextOrderAt: now}",
+		new:  "fence: entry.Fence, inheritedUntil: now, nextOrderAt: now}",
 		pkg:  "./internal/owner", test: "TestEveryOrderOfEvents",
 	},
+	{
+		name: "grant-age-taken-for-end-of-hold",
+		file: "internal/owner/owner.go",
+		old:  "	return lastGrant.Add(MaxGrantDuration + c.MaxHold())",
+		new:  "	return lastGrant.Add(MaxGrantDuration)",
+		pkg:  "./internal/owner", test: "TestEveryOrderOfEvents",
+	},
+	{
+		name: "superseded-leader-goes-on-granting",
+		file: "internal/grantlog/grantlog.go",
+		old:  "	if fence < l.minFence {",
+		new:  "	if false {",
+		pkg:  "./internal/grantlog", test: "TestSupersededGrantsAreNotSent",
+	},
 	{
 		name: "fence-of-the-leader-before-used-again",
 		file: "internal/owner/record.go",
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -220,7 +220,7 @@
 				s.restartGrantUntil = later(s.restartGrantUntil, s.delayedGrantUntil)
 			}
 			s.delayedGrantUntil = time.Time{}
-			s.heldUntil = now.Add(bound)
+			s.heldUntil, s.inheritedUntil = now.Add(bound), time.Time{}
 		} else {
 			s.heldUntil = later(s.heldUntil, now.Add(bound))
 		}
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -60,7 +60,7 @@
 
 // holdExpired reports whether a previous owner's hold has certainly expired.
 func (l *Ledger) holdExpired(now time.Time, old previousOwner) bool {
-	if !now.After(old.heldUntil) {
+	if !now.After(old.heldUntil) || !now.After(old.inheritedUntil) {
 		return false
 	}
 	renewed := l.standbyRenewalsEnd(old.holdsVersion)
--- a/internal/owner/ledger.go
+++ b/internal/owner/ledger.go
@@ -113,6 +113,7 @@
 	moved.previous = slices.DeleteFunc(moved.previous, func(old previousOwner) bool {
 		if old.worker == to {
 			earlier.heldUntil = later(earlier.heldUntil, old.heldUntil)
+			earlier.inheritedUntil = later(earlier.inheritedUntil, old.inheritedUntil)
 			earlier.delayedGrantUntil = later(earlier.delayedGrantUntil, old.delayedGrantUntil)
 			earlier.restartGrantUntil = later(earlier.restartGrantUntil, old.restartGrantUntil)
 			earlier.holdsVersion = max(earlier.holdsVersion, old.holdsVersion)
@@ -129,7 +130,7 @@
 	moved.pending = nil
 	moved.granted = false
 	moved.unconfirmed = false
-	moved.heldUntil = earlier.heldUntil
+	moved.heldUntil, moved.inheritedUntil = earlier.heldUntil, earlier.inheritedUntil
 	moved.delayedHeldUntil = time.Time{}
 	moved.delayedGrantUntil = earlier.delayedGrantUntil
 	moved.restartGrantUntil = earlier.restartGrantUntil
@@ -142,7 +143,7 @@
 // previousOwnerOf returns what to remember of a span's owner when its keys move to another worker.
 func (l *Ledger) previousOwnerOf(s *span) previousOwner {
 	old := previousOwner{
-		worker: s.owner, heldUntil: l.maxHeldUntil(s), delayedGrantUntil: s.delayedGrantUntil,
+		worker: s.owner, heldUntil: l.maxHeldUntil(s), inheritedUntil: s.inheritedUntil, delayedGrantUntil: s.delayedGrantUntil,
 		restartGrantUntil: later(s.restartGrantUntil, s.delayedGrantUntil),
 	}
 	if s.sentToStandbys {
--- a/internal/owner/model_explore_test.go
+++ b/internal/owner/model_explore_test.go
@@ -21,6 +21,7 @@
 	for _, worker := range m.workers {
 		fmt.Fprintf(&text, "%d %s %d %v %v|", worker.fence, at(worker.until), worker.highestFence, worker.partitioned, worker.unpreventable)
 		fmt.Fprintf(&text, "%d %d %v|", worker.startTime, worker.previousFence, worker.unaware)
+		fmt.Fprintf(&text, "%s|", at(modelConfig.HoldEnd(worker.lastGrantAt)))
 	}
 	for _, leader := range m.leaders {
 		fmt.Fprintf(&text, "%s %v %v %v %d %d %d %d|", at(leader.authority), leader.storeUnreachable, leader.dead, leader.write != nil,
@@ -28,12 +29,13 @@
 		span := leader.ledger.spans[0]
 		fmt.Fprintf(&text, "%s %d %v %s %s %v %d %s %v %s %v|", span.owner, span.fence, span.granted, at(span.heldUntil), at(span.delayedHeldUntil),
 			span.unconfirmed, span.unconfirmedFence, at(span.delayedGrantUntil), span.inFlight, at(span.nextOrderAt), span.pending)
+		fmt.Fprintf(&text, "%s|", at(span.inheritedUntil))
 		fmt.Fprintf(&text, "%v %v %d %s %v|", span.mayHaveGrant(), span.maybeRestarted, span.acceptedFence, at(span.restartGrantUntil), leader.startTimes)
 		if span.pending != nil {
 			fmt.Fprintf(&text, "%v|", *span.pending)
 		}
 		for _, old := range span.previous {
-			fmt.Fprintf(&text, "%s %s %s %d|", old.worker, at(old.heldUntil), at(old.delayedGrantUntil), old.holdsVersion)
+			fmt.Fprintf(&text, "%s %s %s %s %d|", old.worker, at(old.heldUntil), at(old.inheritedUntil), at(old.delayedGrantUntil), old.holdsVersion)
 		}
 		for _, grant := range leader.ledger.unconfirmed {
 			fmt.Fprintf(&text, "%s %d %s %s %v|", grant.worker, grant.fence, at(grant.until), at(grant.nextOrderAt), grant.inFlight)
@@ -95,6 +97,7 @@
 		"a standby beside its leader":           {ticks: 6, moves: 1, partitions: 1, holdReports: 1, renewals: 2},
 		"a standby and a successor":             {ticks: 6, moves: 1, leaders: 1, holdReports: 1, renewals: 1},
 		"a standby that is asked to stop":       {ticks: 5, moves: 1, leaders: 1, revocations: 1, partitions: 1, holdReports: 1, renewals: 1},
+		"ages of grants":                        {ticks: 5, moves: 1, leaders: 1, revocations: 1, partitions: 1, holdReports: 1, renewals: 1, grantAges: 1},
 		"unreachable owners":                    {ticks: 3, moves: 2, delays: 1, partitions: 1},
 		"unreachable owners beside a standby":   {ticks: 3, moves: 2, partitions: 1, holdReports: 1, renewals: 1},
 		"unreachable owners before a successor": {ticks: 3, moves: 2, leaders: 1, partitions: 1},
--- a/internal/owner/model_standby_test.go
+++ b/internal/owner/model_standby_test.go
@@ -79,3 +79,10 @@
 	}
 	m.standby.standby.Revoke(Term(len(m.leaders) + 1))
 }
+
+// limitInheritedHolds has the effect of replies that include when each worker was last sent a grant.
+func (m *model) limitInheritedHolds() {
+	for _, worker := range m.workers {
+		m.leaders[len(m.leaders)-1].ledger.LimitInheritedHolds(worker.id, modelConfig.HoldEnd(worker.lastGrantAt))
+	}
+}
--- a/internal/owner/model_test.go
+++ b/internal/owner/model_test.go
@@ -39,6 +39,8 @@
 	// holdReports are reports of holds to the standby, renewals its renewals, and revocations
 	// successors that ask it to stop and therefore need not wait for its delegation to end.
 	holdReports, renewals, revocations int
+	// grantAges are replies to stop requests that include when each worker was last sent a grant.
+	grantAges int
 }
 
 // modelWorker is the state of a worker.
@@ -59,6 +61,8 @@
 	previousFence Fence
 	// unaware means that no leader can have informed this incarnation of a higher fence yet.
 	unaware bool
+	// lastGrantAt is when a grant to it was last in flight.
+	lastGrantAt time.Time
 }
 
 func (w *modelWorker) holds(now time.Time) bool { return now.Before(w.until) }
@@ -238,6 +242,10 @@
 		m.bounds.revocations--
 		m.revokeAll()
 		m.elect(0)
+		if m.bounds.grantAges > 0 {
+			m.bounds.grantAges--
+			m.limitInheritedHolds()
+		}
 	case "tick":
 		m.bounds.ticks--
 		m.propagateFences()
@@ -266,6 +274,9 @@
 func (m *model) answer(index int, received bool) {
 	sent := m.orders[index]
 	m.orders = slices.Delete(m.orders, index, index+1)
+	if !sent.order.Release {
+		m.worker(sent.order.Target.ID).lastGrantAt = m.now
+	}
 	// Partitions separate workers from leaders; the standby may still reach them.
 	reply := m.deliver(sent.order, m.senderOutdated(sent), sent.leader == fromStandby)
 	if !received && reply.Outcome != OutcomeUnreachable {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -142,6 +142,15 @@
 	return time.Duration(float64(c.Hold)*(1+c.ClockSlack)) + 100*time.Millisecond
 }
 
+// MaxGrantDuration is how long a grant may be in flight, except for grants that are carried out with
+// a delay (see Config.MaxOrderDelay).
+const MaxGrantDuration = 700 * time.Millisecond
+
+// HoldEnd returns when the hold of a worker has ended that is sent no more grants from a time on.
+func (c Config) HoldEnd(lastGrant time.Time) time.Time {
+	return lastGrant.Add(MaxGrantDuration + c.MaxHold())
+}
+
 // Owner is a key range and the worker that requests for its keys are sent to.
 type Owner struct {
 	Keys    KeyRange   `json:"keys"`
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -138,7 +138,7 @@
 			return nil, Error.New("stored keys %d to %d are invalid or do not follow key %d", entry.From, entry.To, next-1)
 		}
 		next = entry.To + 1
-		s := &span{keys: KeyRange{entry.From, entry.To}, fence: entry.Fence, heldUntil: until, nextOrderAt: now}
+		s := &span{keys: KeyRange{entry.From, entry.To}, fence: entry.Fence, inheritedUntil: until, nextOrderAt: now}
 		for _, index := range append([]int{entry.Owner}, entry.Previous...) {
 			if index < 0 || index >= len(stored.Workers) {
 				return nil, Error.New("stored keys %d to %d refer to worker index %d of %d workers", entry.From, entry.To, index, len(stored.Workers))
@@ -146,7 +146,7 @@
 		}
 		s.owner = stored.Workers[entry.Owner].ID
 		for _, index := range entry.Previous {
-			s.previous = append(s.previous, previousOwner{worker: stored.Workers[index].ID, heldUntil: until})
+			s.previous = append(s.previous, previousOwner{worker: stored.Workers[index].ID, inheritedUntil: until})
 		}
 		spans = append(spans, s)
 	}
--- a/internal/owner/span.go
+++ b/internal/owner/span.go
@@ -18,8 +18,9 @@
 	// granted means that the owner's last known incarnation has accepted a grant of the keys.
 	granted  bool
 	handover Handover
-	// heldUntil is the latest time at which a grant to the owner may end.
-	heldUntil time.Time
+	// heldUntil is the latest time at which a grant to the owner may end, and inheritedUntil the same
+	// for grants of earlier leaders; zero if there are none.
+	heldUntil, inheritedUntil time.Time
 	// guaranteedUntil is the time until which the owner is certain to hold the keys.
 	guaranteedUntil time.Time
 	// delayedHeldUntil is like heldUntil, for unanswered grants that may be accepted with a delay.
@@ -54,8 +55,9 @@
 // previousOwner is a worker that may still hold keys of which another worker has become the owner.
 type previousOwner struct {
 	worker workers.ID
-	// heldUntil is when its hold ends at the latest.
-	heldUntil time.Time
+	// heldUntil is when its hold ends at the latest, and inheritedUntil the same for a hold that an
+	// earlier leader granted.
+	heldUntil, inheritedUntil time.Time
 	// delayedGrantUntil is the time until which it may still accept an unanswered grant; zero if
 	// there is none.
 	delayedGrantUntil time.Time
@@ -83,7 +85,7 @@
 // up to 10.1 s after they were moved: the duration of a lost standby's delegation plus that of a
 // hold.
 func (s *span) mayHaveGrant() bool {
-	return s.granted || s.unconfirmed || s.sentToStandbys || !s.heldUntil.IsZero() || !s.delayedGrantUntil.IsZero()
+	return s.granted || s.unconfirmed || s.sentToStandbys || !s.heldUntil.IsZero() || !s.inheritedUntil.IsZero() || !s.delayedGrantUntil.IsZero()
 }
 
 // stable reports whether the keys are held and no move is pending.
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -17,6 +17,7 @@
 	"github.com/shalefork/shalefork/internal/topology"
 	"github.com/shalefork/shalefork/internal/traffic"
 	"github.com/shalefork/shalefork/internal/workerlimit"
+	"github.com/shalefork/shalefork/internal/workers"
 )
 
 // Timeouts and limits of links.
@@ -55,6 +56,9 @@
 	// Leaving are the workers that have announced their departure, which are sent to the links. It
 	// may be nil.
 	Leaving *facts.Table[departure.Fact]
+	// GrantAges returns for how long this process has sent no grant to each of the given workers. If it
+	// is nil, later leaders get no answer to that.
+	GrantAges func(now time.Time, list []workers.ID) map[workers.ID]time.Duration
 
 	mu      sync.Mutex
 	leading bool
@@ -64,9 +68,12 @@
 	superseded chan struct{}
 	term       owner.Term
 	openedAt   time.Time
-	owners     map[routing.ServiceName]publishedOwners
-	lastStamp  uint64
-	links      map[*link]struct{}
+	// servingSince is when the process began to accept links.
+	servingSince time.Time
+	holdsEnd     holdsEnd
+	owners       map[routing.ServiceName]publishedOwners
+	lastStamp    uint64
+	links        map[*link]struct{}
 	// relays are the leader's relays by zone. upstream is set while this process is a relay.
 	relays   map[string]*link
 	upstream *upstream
@@ -282,6 +289,9 @@
 
 // Serve accepts links until the listener closes.
 func (h *Hub) Serve(listener net.Listener) {
+	h.mu.Lock()
+	h.servingSince = clock.Now()
+	h.mu.Unlock()
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -340,6 +350,9 @@
 	if !follows {
 		answer := Update{Leading: leading, Term: term, Process: h.process, Redirect: redirect, FollowedLeader: followed}
 		h.addWorkerNotices(hello, &answer, l.since)
+		if hello.Term > 0 && h.GrantAges != nil {
+			answer.Renewals = h.renewals(hello.Holders)
+		}
 		_ = writeLine(conn, answer)
 		return
 	}
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -57,6 +57,8 @@
 	// Permits dedicates the link to permit requests. QueryOnly is set too, so that a leader that
 	// doesn't support permits ends the link.
 	Permits bool `json:"permits,omitempty"`
+	// Holders requests, in a query of a leader, when grants were last sent to these workers.
+	Holders []workers.ID `json:"holders,omitempty"`
 	// Nodes is the last number of processes that the process has received. It lets a new leader
 	// know the number before all are linked.
 	Nodes int `json:"nodes,omitempty"`
@@ -120,6 +122,11 @@
 	Leaving []departure.Message `json:"s,omitempty"`
 	// Backoffs are sent to operators only.
 	Backoffs []BackoffShare `json:"bo,omitempty"`
+	// HoldsLeftMillis is for how much longer holds may last that leaders before Term granted; zero if
+	// that is over, or not known.
+	HoldsLeftMillis int64 `json:"hl,omitempty"`
+	// Renewals are sent in answers to a leader only.
+	Renewals *Renewals `json:"rn,omitempty"`
 }
 
 // Age returns how old the leader's state that a relay forwards may be.
--- a/internal/peerlink/standbys.go
+++ b/internal/peerlink/standbys.go
@@ -241,10 +241,10 @@
 	return h.standbys.ownerDelegations(service, clock.Now())
 }
 
-// HasDelegation reports whether a process may still renew holds, or may have a renewal in progress.
-func (h *Hub) HasDelegation(process string, now time.Time) bool {
+// HadDelegation reports whether a process may have renewed holds at a time or later.
+func (h *Hub) HadDelegation(process string, since time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	granted := h.standbys.granted[process]
-	return granted != nil && !now.After(granted.until.Add(renewalTimeout))
+	return granted != nil && !since.After(granted.until.Add(renewalTimeout))
 }
--- a/internal/peerlink/standbys_test.go
+++ b/internal/peerlink/standbys_test.go
@@ -65,7 +65,7 @@
 		}
 		return poll.Continue("%+v", delegations)
 	})
-	assert.Assert(t, hub.HasDelegation("p", time.Now()))
+	assert.Assert(t, hub.HadDelegation("p", time.Now()))
 
 	stop()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/internal/peerlink/update.go
+++ b/internal/peerlink/update.go
@@ -53,6 +53,9 @@
 	default:
 		return Update{}, false
 	}
+	if update.Term == h.holdsEnd.term {
+		update.HoldsLeftMillis = h.holdsEnd.leftMillis(now)
+	}
 	return update, true
 }
 
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -306,6 +306,9 @@
 	if !update.Leaderless {
 		r.standby.HandleUpdate(update.Term, update.Delegation)
 	}
+	if update.HoldsLeftMillis > 0 {
+		r.hub.SetHoldsEnd(update.Term, clock.Now().Add(time.Duration(update.HoldsLeftMillis)*time.Millisecond))
+	}
 	r.leaderStoreUnreachable.Store(update.StoreUnreachable)
 	r.strongest.Store(math.Float64bits(update.Strongest))
 	now := clock.Now()
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -41,9 +41,7 @@
 	queryTimeout = 400 * time.Millisecond
 	// selfReportInterval is how often a leader reports to itself.
 	selfReportInterval = 200 * time.Millisecond
-	// maxOrderDuration is how long an order may be in flight.
-	maxOrderDuration = 700 * time.Millisecond
-	resignTimeout    = 500 * time.Millisecond
+	resignTimeout      = 500 * time.Millisecond
 	// listSizeTimeout is how long to wait for the first page of worker entries.
 	listSizeTimeout = 500 * time.Millisecond
 )
@@ -228,12 +226,17 @@
 		}
 		return
 	}
+	if !clock.Now().Before(tenure.AuthorityUntil()) { // the process was frozen during the campaign
+		r.resign(ctx, tenure)
+		return
+	}
 	tenureCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	go tenure.KeepAlive(tenureCtx)
-	r.standby.Revoke(tenure.Leader.Term)
-	until := r.holdsEndAt(ctx, tenure)
-	r.log.Line(decision.KindElected).Int64("term", int64(tenure.Leader.Term)).Time("holds_until", until).Msg("")
+	r.stopRenewing(tenure.Leader.Term)
+	until, unresolved := r.stopPastRenewers(ctx, tenure)
+	r.log.Line(decision.KindElected).Int64("term", int64(tenure.Leader.Term)).Time("holds_until", until).
+		Strs("unresolved", addresses(unresolved)).Msg("")
 	go r.reportToSelf(tenureCtx)
 	go r.keepSuspects(tenureCtx, tenure)
 	go r.quotas.coordinate(tenureCtx, tenure)
@@ -244,12 +247,23 @@
 	r.keeper.Lead(tenureCtx, tenure, until)
 	r.limits.stopLeading() // before another process may lead
 	r.leaving.replica.SetLeading(false)
-	resign, cancel := context.WithTimeout(context.WithoutCancel(ctx), resignTimeout)
+	r.resign(ctx, tenure)
+}
+
+// resign ends a tenure.
+func (r *Router) resign(ctx context.Context, tenure *election.Tenure) {
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), resignTimeout)
 	defer cancel()
-	tenure.Resign(resign)
+	tenure.Resign(bounded)
 	r.log.Line(decision.KindResigned).Int64("term", int64(tenure.Leader.Term)).Msg("")
 }
 
+// stopRenewing stops all renewals of holds that leaders before a term granted.
+func (r *Router) stopRenewing(term owner.Term) {
+	r.grants.Supersede(term)
+	r.standby.Revoke(term)
+}
+
 // campaignDelay staggers campaigns, strongest machines first, since the leader communicates with
 // all other processes. A process that knows no others is delayed by how far its machine is below
 // full strength.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,6 +21,7 @@
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/election"
+	"github.com/shalefork/shalefork/internal/grantlog"
 	"github.com/shalefork/shalefork/internal/keeper"
 	"github.com/shalefork/shalefork/internal/keytable"
 	"github.com/shalefork/shalefork/internal/owner"
@@ -95,6 +96,8 @@
 	hub     *peerlink.Hub
 	keeper  *keeper.Keeper
 	standby *standby.Standby
+	// grants sends the orders of keeper and standby.
+	grants *grantlog.Log
 	// process is a random ID, unique to this run of the process.
 	process  string
 	election *election.Election
@@ -176,15 +179,17 @@
 	r.hub.Traffic = r.proxy.Traffic
 	r.election = election.New(adapter.Store, KeyPrefix, config.PeerListen, r.process, rand.Text)
 	r.election.TTL = max(election.LeaseTTL, config.MinLease.Std())
+	r.grants = grantlog.New(adapter.Orders)
+	r.hub.GrantAges = r.grants.Ages
 	r.keeper = &keeper.Keeper{
-		Store: adapter.Store, Prefix: KeyPrefix, Orders: adapter.Orders, Workers: r.workers,
+		Store: adapter.Store, Prefix: KeyPrefix, Orders: r.grants, Workers: r.workers,
 		Config: r.proxy.Config, Hub: r.hub, Table: r.table, Reports: r.reports, Log: log, Metrics: keeper.NewMetrics(metrics),
 		SyncedAt: r.storeSyncedAt,
 		Times:    owner.DefaultConfig(config.MaxHold.Std()), Nonce: rand.Text, Zone: config.Zone, Regions: r.zoneMap,
 	}
-	r.standby = standby.New(adapter.Orders, r.keeper.Times, log)
+	r.standby = standby.New(r.grants, r.keeper.Times, log)
 	r.standby.Workers = r.workers
-	r.hub.OnLeaderQuery(r.standby.Revoke)
+	r.hub.OnLeaderQuery(r.stopRenewing)
 	r.hub.OnFollowerReport(r.meter.AddReport)
 	r.hub.OnLinked(r.peers.Add)
 	r.hub.OnEvidence(r.handleEvidence)
