Rely on a worker's limit only for half a second after an answer that named it

What callers saw: nothing at first; a worker that had lowered its limit while nobody asked got a burst at the old one, in trouble as it was.

Cause: only answers tell a limit, and the leader dealt out what had been saved up at the last one, however old it was. It could not know its age either: routers reported changes of limits, not that they still held.

Change: routers report a limit with each answer that names it. Beyond 0.5 s after such an answer the pacer grants two permits, then one each 3 s, until the next answer.

Why it works: two requests and what the least rate allows stay below the five that each worker accepts beyond its limit; the next answer comes before more are sent.

Mutation old-limit-relied-on is caught.

--- a/internal/facts/replica.go
+++ b/internal/facts/replica.go
@@ -33,12 +33,18 @@
 	if !r.table.Merge(fact) {
 		return false
 	}
+	r.Queue(fact)
+	return true
+}
+
+// Queue queues the current fact with the same key for the followed process, although the published facts
+// have not changed.
+func (r *Replica[F]) Queue(fact F) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.leading {
 		r.pending[fact.Key()] = struct{}{}
 	}
-	return true
 }
 
 // ApplyUpdate adds a fact received from the followed process. It reports whether the published facts
--- a/internal/lab/mutate/mutations_limits.go
+++ b/internal/lab/mutate/mutations_limits.go
@@ -3,6 +3,13 @@
 // limitMutations send workers more requests than the limits that they announce allow, or
 // misinterpret these limits.
 var limitMutations = []mutation{
+	{
+		name: "old-limit-relied-on",
+		file: "internal/workerlimit/limiter.go",
+		old:  "	l.pacer.Confirm(now, fact.Worker, current.At)\n",
+		new:  "",
+		pkg:  "./internal/workerlimit", test: "TestLimitLoweredWhileIdle",
+	},
 	{
 		name: "early-answer-ends-a-limit",
 		file: "internal/workerlimit/fact.go",
--- a/internal/workerlimit/limiter.go
+++ b/internal/workerlimit/limiter.go
@@ -49,6 +49,17 @@
 	}
 }
 
+// Add adds a fact that this process has observed, or that a follower has reported. It reports whether the
+// published facts have changed. A limit that is observed again is reported too: the leader relies on it
+// for a short time only.
+func (l *Limiter) Add(fact Fact) bool {
+	changed := l.Replica.Add(fact)
+	if !changed && !fact.Ended {
+		l.Replica.Queue(fact)
+	}
+	return changed
+}
+
 // Issue answers a process that knows a fact and asks whether a request may be sent within maxWait;
 // false if this process does not lead. leadershipUncertain says that another process may lead.
 func (l *Limiter) Issue(now time.Time, fact Fact, maxWait time.Duration, leadershipUncertain bool) (Permit, bool) {
@@ -65,6 +76,7 @@
 	if current.Ended {
 		return Permit{Granted: true, LimitEnded: &current, Updated: updated}, true
 	}
+	l.pacer.Confirm(now, fact.Worker, current.At)
 	wait, granted := l.pacer.Acquire(now, fact.Worker, current.Rate, maxWait, leadershipUncertain)
 	return Permit{Granted: granted, Wait: wait, Updated: updated}, true
 }
--- a/internal/workerlimit/limiter_test.go
+++ b/internal/workerlimit/limiter_test.go
@@ -44,6 +44,32 @@
 	})
 }
 
+// Guards against a fault: a worker that nobody asked for a while lowered its limit. The requests saved up
+// at the earlier limit were then sent before any response could announce the new one.
+func TestLimitLoweredWhileIdle(t *testing.T) {
+	for name, test := range map[string]struct{ before, after float64 }{
+		"few to none":  {before: 5.1, after: 0},
+		"many to none": {before: 40, after: 0},
+		"many to few":  {before: 40, after: 2.5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(40) {
+				s := newSimulation(seed, 11, 300)
+				s.run(time.Second)
+				s.setLimit(test.before, true)
+				s.run(5 * time.Second)
+				s.idle = true
+				s.run(1100 * time.Millisecond)
+				s.setLimit(test.after, true)
+				s.run(1100 * time.Millisecond)
+				s.idle = false
+				s.run(6 * time.Second)
+				assert.Equal(t, len(s.violations()), 0, "seed %d: %v", seed, s.violations())
+			}
+		})
+	}
+}
+
 func TestLimitIsUsedWithManyRouters(t *testing.T) {
 	for _, routers := range []int{11, 81, 300} {
 		for _, perSecond := range []float64{2.5, 5.1, 40} {
--- a/internal/workerlimit/pacer.go
+++ b/internal/workerlimit/pacer.go
@@ -18,6 +18,14 @@
 	uncertainShare = 0.25
 	// maxRetryDelay is the longest delay before a process asks again after a refusal.
 	maxRetryDelay = 2 * time.Second
+	// confirmationInterval is for how long a limit is relied on after a response that announced it. The
+	// worker may have lowered it since.
+	confirmationInterval = 500 * time.Millisecond
+	// maxUnconfirmed is how many requests are sent at a limit that no response has confirmed since.
+	// Each worker accepts a few more than its limit.
+	maxUnconfirmed = 2
+	// confirmationDelay is the delay before a process asks again while a response is awaited.
+	confirmationDelay = 100 * time.Millisecond
 )
 
 // Pacer decides when requests may be sent to workers that announce limits. Only the leader's process
@@ -34,11 +42,36 @@
 	// refused counts the requests refused, less those granted since; it is reset once due has
 	// passed.
 	refused int
+	// confirmedAt is when a response last announced the limit; zero if that is not known. unconfirmed
+	// counts the requests granted since, the last of them at grantedAt.
+	confirmedAt, grantedAt time.Time
+	unconfirmed            int
+}
+
+// confirm records when a response announced the limit.
+func (b *bucket) confirm(at time.Time) {
+	if at.After(b.confirmedAt) {
+		b.confirmedAt, b.unconfirmed = at, 0
+	}
+}
+
+// awaitsResponse reports whether no request may be sent until a response shows whether the limit is
+// still the same. A response may be lost, so one is sent at minRate nevertheless.
+func (b *bucket) awaitsResponse(now time.Time) bool {
+	if b.confirmedAt.IsZero() || now.Sub(b.confirmedAt) <= confirmationInterval || b.unconfirmed < maxUnconfirmed {
+		return false
+	}
+	return now.Sub(b.grantedAt).Seconds() < 1/minRate
 }
 
 // NewPacer returns a pacer that has granted no requests.
 func NewPacer() *Pacer { return &Pacer{buckets: map[workers.ID]*bucket{}} }
 
+// Confirm records when a response of a worker last announced its limit.
+func (p *Pacer) Confirm(now time.Time, worker workers.Incarnation, at time.Time) {
+	p.bucket(now, worker).confirm(at)
+}
+
 // Acquire requests a permit: whether a request may be sent, within maxWait, to a worker that
 // accepts perSecond requests per second. If it is granted, it is sent after wait; else wait is the
 // delay before the next try. leadershipUncertain says that another process may lead.
@@ -56,9 +89,13 @@
 	if b.due.Before(now) {
 		b.due, b.refused = now, 0
 	}
+	if b.awaitsResponse(now) {
+		return confirmationDelay, false
+	}
 	wait = b.due.Sub(now) - burst
 	if wait <= maxWait {
-		b.due = b.due.Add(period)
+		b.due, b.grantedAt = b.due.Add(period), now
+		b.unconfirmed++
 		b.refused = max(0, b.refused-1)
 		return max(0, wait), true
 	}
--- a/internal/workerlimit/simulation_test.go
+++ b/internal/workerlimit/simulation_test.go
@@ -64,6 +64,8 @@
 	// requested and granted count the requests.
 	requested, granted int
 	perSecond          float64
+	// idle means that callers send nothing.
+	idle bool
 }
 
 // simRouter is a simulated router.
@@ -210,7 +212,9 @@
 // nextRequest schedules the callers' requests.
 func (s *simulation) nextRequest() {
 	s.after(time.Duration(s.random.ExpFloat64()/s.perSecond*float64(time.Second)), func() {
-		s.request(s.routers[s.random.IntN(len(s.routers))])
+		if !s.idle {
+			s.request(s.routers[s.random.IntN(len(s.routers))])
+		}
 		s.nextRequest()
 	})
 }
