Run one attempt of a suspected request at a time over all routers

Cause: from the first crash on each attempt went to one worker at a time, but nothing bounded the attempts over routers.

Change: before a suspected request is sent, its router asks the leader for a permit; one attempt holds it at a time, until it ends, or until a crash would be known if it was cut off. Others wait for half of their target and are then refused with request-suspected and a time to come back. The first that ends well clears the request for all. Without a leader each router lets one run. A second copy is sent for no request that is suspected meanwhile.

Why it works: the second and third crash each end one attempt, and the next is judged with their evidence.

Tests: TestSuspectRunsOneAtATime, TestAnswersToSuspectsWithoutPermit and TestPermitIsHeldUntilACrashWouldBeKnown failed without the call from the handlers; mutations suspects-run-side-by-side and permit-ends-before-a-crash-is-known are caught.

--- a/internal/lab/mutate/mutations_owners.go
+++ b/internal/lab/mutate/mutations_owners.go
@@ -76,7 +76,7 @@
 	{
 		name: "former-owner-in-doubt-not-waited-for",
 		file: "internal/owner/span.go",
-		old:  "\treturn s.granted || s.unconfirmed || s.sentToStandbys || !s.heldUntil.IsZero() || !s.delayedGrantUntil.IsZero()",
+		old:  "\treturn s.granted || s.unconfirmed || s.sentToStandbys || !s.heldUntil.IsZero() || !s.inheritedUntil.IsZero() || !s.delayedGrantUntil.IsZero()",
 		new:  "\treturn s.granted",
 		pkg:  "./internal/owner", test: "TestMoveFromUnreachedOwnerDoesNotWait",
 	},
--- a/internal/lab/mutate/mutations_quarantine.go
+++ b/internal/lab/mutate/mutations_quarantine.go
@@ -2,6 +2,20 @@
 
 // quarantineMutations fail to quarantine requests that crash workers, or quarantine others.
 var quarantineMutations = []mutation{
+	{
+		name: "suspects-run-side-by-side",
+		file: "internal/quarantine/gate.go",
+		old:  "taken && current.holder != holder {",
+		new:  "taken && false {",
+		pkg:  "./internal/proxy", test: "TestSuspectRunsOneAtATime",
+	},
+	{
+		name: "permit-ends-before-a-crash-is-known",
+		file: "internal/proxy/suspects.go",
+		old:  "	if c.interrupted.Load() {",
+		new:  "	if false {",
+		pkg:  "./internal/proxy", test: "TestPermitIsHeldUntilACrashWouldBeKnown",
+	},
 	{
 		name: "harmful-request-never-quarantined",
 		file: "internal/quarantine/record.go",
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -104,6 +104,8 @@
 	onLimits     func([]workerlimit.Message)
 	onLeaving    func([]departure.Message)
 	answerPermit func(PermitRequest) (Permit, bool)
+	// answerSuspectPermit answers requests for permits to send suspected requests.
+	answerSuspectPermit func(SuspectPermitRequest) *SuspectPermit
 	// backoffs are the backoffs that owners of keys have requested, for operators.
 	backoffs []BackoffShare
 	// followedLeader is the address of the leader that this process follows, or empty if there is
@@ -353,6 +355,9 @@
 		if hello.Term > 0 && h.GrantAges != nil {
 			answer.Renewals = h.renewals(hello.Holders)
 		}
+		if hello.SuspectPermit != nil && h.answerSuspectPermit != nil {
+			answer.SuspectPermit = h.answerSuspectPermit(*hello.SuspectPermit)
+		}
 		_ = writeLine(conn, answer)
 		return
 	}
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -59,6 +59,8 @@
 	Permits bool `json:"permits,omitempty"`
 	// Holders requests, in a query of a leader, when grants were last sent to these workers.
 	Holders []workers.ID `json:"holders,omitempty"`
+	// SuspectPermit requests a permit for an attempt of a suspected request.
+	SuspectPermit *SuspectPermitRequest `json:"sp,omitempty"`
 	// Nodes is the last number of processes that the process has received. It lets a new leader
 	// know the number before all are linked.
 	Nodes int `json:"nodes,omitempty"`
@@ -127,6 +129,8 @@
 	HoldsLeftMillis int64 `json:"hl,omitempty"`
 	// Renewals are sent in answers to a leader only.
 	Renewals *Renewals `json:"rn,omitempty"`
+	// SuspectPermit is sent in answers to requests for one only.
+	SuspectPermit *SuspectPermit `json:"sp,omitempty"`
 }
 
 // Age returns how old the leader's state that a relay forwards may be.
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -160,7 +160,7 @@
 	if c.removedKey.RevokedIn > 0 {
 		line = line.Str("tenant", string(c.removedKey.Tenant)).Uint64("gone_with", uint64(c.removedKey.RevokedIn))
 	}
-	if reason == reasonQuarantined {
+	if reason == reasonQuarantined || reason == reasonSuspected {
 		line = line.Str("fingerprint", c.fingerprint().String())
 	}
 	if c.lastResult != nil {
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -48,6 +48,10 @@
 	// the sends during which the worker closed the connection.
 	initialStanding   quarantine.Standing
 	closedConnections atomic.Int32
+	// interrupted is set once a send was interrupted, so that its worker may have crashed.
+	interrupted atomic.Bool
+	// holdsSuspectPermit is set while no other attempt of this suspected request may run.
+	holdsSuspectPermit bool
 	// lastResult and lastWorker describe the most recently completed send.
 	lastResult *upstream.Result
 	lastWorker workers.ID
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -89,6 +89,7 @@
 	if !interrupted {
 		return
 	}
+	c.interrupted.Store(true)
 	if to.recordInterrupted(clock.Now(), c.attempt()) {
 		c.proxy.recordSuspect(to, c.attempt())
 	}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -74,6 +74,8 @@
 	reasonOverShare = "tenant-over-share"
 	// reasonQuarantined: the request has crashed workers that ran it.
 	reasonQuarantined = "request-quarantined"
+	// reasonSuspected: the request may crash workers that run it, and another attempt of it runs.
+	reasonSuspected = "request-suspected"
 )
 
 // activeConfig is a configuration in force with the state for distributing its requests.
@@ -101,6 +103,8 @@
 	Traffic *traffic.Counter
 	// Suspects holds the requests that were in progress at workers that crashed.
 	Suspects *quarantine.View
+	// SuspectPermits lets one attempt of each of them run at a time; nil lets all run.
+	SuspectPermits SuspectPermits
 	// Quota enforces the tenants' limits; nil if no tenant has one.
 	Quota Quota
 	// Limits enforces the workers' rate limits over all routers; nil disables them.
@@ -125,8 +129,10 @@
 	EvacuationPeriod time.Duration
 	// uploads and downloads count the large bodies in flight.
 	uploads, downloads atomic.Int64
-	fleet              *fleet
-	unread             *unreadHeaders
+	// permitCount numbers the permits for suspected requests that were asked for.
+	permitCount atomic.Uint64
+	fleet       *fleet
+	unread      *unreadHeaders
 	// secret keys the hash by which API keys are looked up.
 	secret   tenant.Secret
 	current  atomic.Pointer[activeConfig]
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -7,6 +7,7 @@
 
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -125,7 +126,7 @@
 // hedgeTarget returns the worker to send the second copy to, or nil if none may be sent. It charges
 // the retry budget.
 func (c *call) hedgeTarget(second func() *backend) *backend {
-	if !c.sends.maySend() || !c.mayRunOnSeveralWorkers() || c.timeLeft() <= answerMargin || c.request.Context().Err() != nil {
+	if !c.sends.maySend() || !c.mayRunOnSeveralWorkers() || c.standing() != quarantine.Unsuspected || c.timeLeft() <= answerMargin || c.request.Context().Err() != nil {
 		return nil
 	}
 	to := second()
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -43,7 +43,7 @@
 		if to == nil {
 			return
 		}
-		if c.refuseIfQuarantined() {
+		if !c.admitByStanding() {
 			return
 		}
 		if !c.spendRetryBudget() {
--- a/internal/proxy/pooled.go
+++ b/internal/proxy/pooled.go
@@ -23,7 +23,7 @@
 		if picked.backend == nil {
 			return
 		}
-		if c.refuseIfQuarantined() {
+		if !c.admitByStanding() {
 			return
 		}
 		if !c.spendRetryBudget() {
--- a/internal/quarantine/view.go
+++ b/internal/quarantine/view.go
@@ -97,6 +97,25 @@
 	return v.tracker.Standing(request)
 }
 
+// SuspectedAs returns the fingerprint under which a caller's request is suspected: that of all callers'
+// requests, or else of this caller's.
+func (v *View) SuspectedAs(request CallerRequest) Fingerprint {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.tracker.standing(request.Request) == Unsuspected {
+		return request.Request.ForCaller(request.Caller)
+	}
+	return request.Request
+}
+
+// Cleared reports whether a request was suspected and has succeeded since, whoever sent it.
+func (v *View) Cleared(request Fingerprint) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	record := v.tracker.records[request]
+	return record != nil && record.Standing() == Unsuspected
+}
+
 // Changed returns a channel that receives a value after changes of the records.
 func (v *View) Changed() <-chan struct{} { return v.changed }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -196,6 +196,9 @@
 	r.quotas = newQuotas(r)
 	r.proxy.Quota = r.quotas
 	r.hub.OnQuota(r.quotas.handleReports)
+	permits := newSuspectPermits(r)
+	r.proxy.SuspectPermits = permits
+	r.hub.OnSuspectPermit(permits.answer)
 	r.limits = newWorkerLimits(r)
 	r.keeper.Limits = r.limits.table.Rate
 	r.proxy.Limits, r.hub.Limits = r.limits, r.limits.table.Table
@@ -207,7 +210,7 @@
 	r.proxy.KeyMovesBlocked = func() bool { return r.leaderStoreUnreachable.Load() || r.hub.StoreUnreachable() }
 	r.keeper.OnWorkerLeaving = r.leaving.noteLeaving
 	r.pipelined = pipeline.New(r.proxy, r.pipelineLimits())
-	metrics.MustRegister(r.proxy, r.quotas, r.limits.permits)
+	metrics.MustRegister(r.proxy, r.quotas, r.limits.permits, permits.outcomes)
 	r.registerMetrics(metrics)
 	return r
 }
