Don't call a tenant over its limit before any leader has granted units

Two of six routers found the leader after 2.5 and 3.0 s.

Cause: (1) a router that had just started and to which no leader had granted anything waited 0.25 s for a tenant's first request, refused it as over its limit, and refused the tenant's other requests of the next second at once, since the tenant counted as over its limit. It could not know that. (2) A router that found a new leader in the store before that accepted followers took it for lost: it read the owners from the store and waited before it looked again.

Change: until the first grant requests wait for it for up to 1 s and are then refused with 503 quota-unknown, and a refusal marks no tenant. A leader that accepts no followers yet is asked again each 50 ms, for 0.6 s.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -67,6 +67,9 @@
 	reasonLimited = "worker-limit"
 	// reasonBackoff: the worker, or each of them, has requested a backoff from this process.
 	reasonBackoff = "worker-backoff"
+	// reasonQuotaUnknown: the tenant has a limit, and this process, which has just started, does not know
+	// yet how much of it is used.
+	reasonQuotaUnknown = "quota-unknown"
 	// reasonOverQuota: the tenant exceeds its limit.
 	reasonOverQuota = "over-quota"
 	// reasonOverShare: the workers' capacity is scarce, and the tenant requests more than its
--- a/internal/proxy/quota.go
+++ b/internal/proxy/quota.go
@@ -16,6 +16,8 @@
 	// zero time if the request may not run; wait is then the time after which one is likely to be
 	// admitted.
 	Acquire(ctx context.Context, tenant *routing.Tenant) (granted time.Time, wait time.Duration)
+	// AwaitsFirstGrant reports whether it is not known yet how many units this process may use.
+	AwaitsFirstGrant() bool
 	// RecordSent records that a request of a tenant, admitted at an earlier time, is sent to a
 	// worker only now. It returns the time from which the request counts.
 	RecordSent(granted time.Time, tenant *routing.Tenant) time.Time
@@ -35,6 +37,10 @@
 		return true
 	}
 	grantedAt, wait := c.proxy.Quota.Acquire(c.request.Context(), c.tenant)
+	if grantedAt.IsZero() && c.proxy.Quota.AwaitsFirstGrant() {
+		c.refuse(http.StatusServiceUnavailable, reasonQuotaUnknown, max(wait, minRetryAfter))
+		return false
+	}
 	if grantedAt.IsZero() {
 		c.refuse(http.StatusTooManyRequests, reasonOverQuota, max(wait, minRetryAfter))
 		return false
--- a/internal/proxy/quota_test.go
+++ b/internal/proxy/quota_test.go
@@ -19,6 +19,14 @@
 	mu                       sync.Mutex
 	units                    int
 	acquired, sent, released int
+	// starting means that nothing was granted to this process yet.
+	starting bool
+}
+
+func (q *fakeQuota) AwaitsFirstGrant() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.starting
 }
 
 func (q *fakeQuota) Acquire(context.Context, *routing.Tenant) (time.Time, time.Duration) {
@@ -109,3 +117,25 @@
 		})
 	}
 }
+
+// A router that has just started knows of no tenant that it is over its limit, and must not say so.
+func TestRefusalBeforeTheFirstGrantBlamesNoTenant(t *testing.T) {
+	for name, test := range map[string]struct {
+		starting bool
+		status   int
+		reason   string
+	}{
+		"before the first grant": {starting: true, status: http.StatusServiceUnavailable, reason: reasonQuotaUnknown},
+		"after it":               {status: http.StatusTooManyRequests, reason: reasonOverQuota},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, w, quota := newQuotaProxy(t, 0, alwaysAnswer("x"))
+			quota.starting = test.starting
+			response, body := f.get(t, "GET", "/safe/x", "", "Authorization", "Bearer "+keyOfA)
+			assert.Equal(t, response.StatusCode, test.status)
+			assert.Equal(t, body, test.reason+"\n")
+			assert.Assert(t, response.Header.Get("Retry-After") != "")
+			assert.Equal(t, w.receivedCount(), 0)
+		})
+	}
+}
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -152,13 +152,24 @@
 	return a.raised
 }
 
+// AwaitsFirstGrant reports whether no leader has granted anything since this process started, so that
+// it can't know whether a tenant is over its limit.
+func (h *Holder) AwaitsFirstGrant() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.floorLeaseEnd == 0
+}
+
 // RecordRefused counts a refused request. Its tenant counts as over its limit for overLimitFor,
-// during which its callers don't wait for units.
+// during which its callers don't wait for units, unless no leader has granted anything yet.
 func (h *Holder) RecordRefused(now time.Time, tenant *routing.Tenant) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	a := h.account(tenant)
 	a.refused++
+	if h.floorLeaseEnd == 0 {
+		return
+	}
 	a.overUntil = max(a.overUntil, now.Sub(h.epoch)+overLimitFor)
 }
 
--- a/internal/router/followleader.go
+++ b/internal/router/followleader.go
@@ -28,6 +28,10 @@
 	// aheadTimeout is how long a process reaches the service, while its relay does not, before it
 	// leaves the relay: after an outage, some processes reconnect sooner than others.
 	aheadTimeout = 1500 * time.Millisecond
+	// openTimeout is how long a new leader may take from its election until it accepts followers: it asks
+	// the processes that may renew holds to stop first. openRetryPause is the pause between tries.
+	openTimeout    = queryTimeout + 200*time.Millisecond
+	openRetryPause = 50 * time.Millisecond
 )
 
 // followSession is the state of following a leader, directly or through a relay.
@@ -38,6 +42,8 @@
 	address string
 	// avoid is a relay that was lost, or that has redirected this process.
 	avoid string
+	// began is when following the leader began.
+	began time.Time
 	// linked is set once any process has sent its owners, and updated once an update was received
 	// on the current connection. redirects counts consecutive redirects without an update.
 	linked, updated bool
@@ -56,7 +62,7 @@
 func (r *Router) followLeader(ctx context.Context, leader election.Leader) {
 	bounded, stop := context.WithCancel(ctx)
 	defer stop()
-	f := &followSession{r: r, leader: leader, address: leader.Address, stop: stop}
+	f := &followSession{r: r, leader: leader, address: leader.Address, began: clock.Now(), stop: stop}
 	err := f.run(bounded)
 	r.hub.SetFollowedLeader("")
 	r.updates.invalidate() // what was not received by now is read from the service
@@ -100,12 +106,20 @@
 			// The updates of a lost relay stay trusted for as long as those of a silent one.
 			f.r.log.Line(decision.KindRelayLost).Str("relay", f.address).Err(err).Msg("")
 			f.switchTo(f.leader.Address)
+		case f.opensSoon(err):
+			clock.Sleep(ctx, openRetryPause)
 		default:
 			return err
 		}
 	}
 }
 
+// opensSoon reports whether a leader that does not accept followers may have been elected just now. A
+// process that took it for lost read the owners from the service, and found the leader up to 3 s later.
+func (f *followSession) opensSoon(err error) bool {
+	return errors.Is(err, peerlink.ErrNotLeading) && !f.linked && clock.Since(f.began) < openTimeout
+}
+
 func (f *followSession) viaRelay() bool { return f.address != f.leader.Address }
 
 // switchTo continues with another process.
--- a/internal/router/followleader_test.go
+++ b/internal/router/followleader_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync/atomic"
@@ -9,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/election"
 	"github.com/shalefork/shalefork/internal/peerlink"
 )
@@ -93,6 +95,25 @@
 	}
 }
 
+// Guards against a fault: a process that found a new leader in the store before that accepted followers took
+// it for lost, and was linked seconds later. It refused tenants' requests until then.
+func TestLeaderThatDoesNotAcceptFollowersYetIsAskedAgain(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	leading := newTestRouter(t)
+	go leading.hub.Serve(listener)
+	time.AfterFunc(300*time.Millisecond, func() { leading.hub.Open(1) })
+	r := newTestRouter(t)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	time.AfterFunc(time.Second, stop)
+	address := listener.Addr().String()
+	f := &followSession{r: r, leader: election.Leader{Address: address}, address: address, began: clock.Now(), stop: stop}
+	_ = f.run(ctx)
+	assert.Assert(t, f.linked)
+}
+
 // Guards against trust that never expires: while a relay was redirected to itself without end,
 // nothing invalidated its trust in earlier updates. Trust must also expire with time.
 func TestUpdateSourceExpires(t *testing.T) {
--- a/internal/router/quota.go
+++ b/internal/router/quota.go
@@ -59,6 +59,10 @@
 // 81 routers; with 250 ms, 0.2 % (TestRefusedBelowTheLimit).
 const unitTimeout = 250 * time.Millisecond
 
+// firstGrantTimeout is the same for a process that has just started. It covers the election of a leader
+// and the link to it.
+const firstGrantTimeout = time.Second
+
 // refreshedNow returns the current time, including time for which the machine was suspended until
 // now: an expired lease must not be used during the half second until the suspension is detected
 // otherwise. It costs 1 µs.
@@ -81,10 +85,17 @@
 	return time.Time{}, wait
 }
 
-// await waits for a unit, at most for unitTimeout. It returns the time at which the unit was
+// AwaitsFirstGrant implements proxy.Quota.
+func (q *quotas) AwaitsFirstGrant() bool { return q.holder.AwaitsFirstGrant() }
+
+// await waits for a unit, at most for unitTimeout, or firstGrantTimeout. It returns the time at which the unit was
 // granted.
 func (q *quotas) await(ctx context.Context, now time.Time, tenant *routing.Tenant) (time.Time, bool) {
-	timer := time.NewTimer(unitTimeout)
+	timeout := unitTimeout
+	if q.holder.AwaitsFirstGrant() {
+		timeout = firstGrantTimeout
+	}
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	for {
 		raised := q.holder.CreditRaised(now, tenant)
--- a/internal/router/quota_test.go
+++ b/internal/router/quota_test.go
@@ -43,6 +43,29 @@
 	assert.Equal(t, r.quotas.holder.Usages(clock.Now())[0].Used, 0)
 }
 
+// Guards against a fault: after one request had been refused for want of a leader, a starting router refused
+// all others of the tenant at once for a second, as over its limit.
+func TestRequestsWaitForTheFirstGrant(t *testing.T) {
+	r := newTestRouter(t)
+	config, err := new(routing.Config).WithTenants(map[routing.TenantName]*routing.Tenant{"a": {Name: "a", Rate: 10, Burst: 5}})
+	assert.NilError(t, err)
+	config.Version = 1
+	assert.Assert(t, r.proxy.Use(config))
+	tenant := config.Tenants["a"]
+	r.quotas.holder.RecordRefused(clock.Now(), tenant)
+	time.AfterFunc(firstGrantTimeout/2, func() {
+		coordinator := quota.NewCoordinator(clock.Now(), 1, true, r.quotas.bound)
+		r.quotas.setCoordinator(coordinator)
+		for range 3 {
+			grants, _ := r.quotas.step(config, coordinator, clock.Now().Add(time.Minute))
+			r.quotas.handleGrants(grants)
+		}
+	})
+	granted, _ := r.quotas.Acquire(t.Context(), tenant)
+	assert.Assert(t, !granted.IsZero())
+	assert.Assert(t, !r.quotas.AwaitsFirstGrant())
+}
+
 // A process that does not lead forwards the reports that it receives, each of them once.
 func TestRelayForwardsQuotaReports(t *testing.T) {
 	r := newTestRouter(t)
--- a/internal/router/renewers_test.go
+++ b/internal/router/renewers_test.go
@@ -36,6 +36,7 @@
 func TestHoldsOfPastRenewersEndWithTheirLastGrant(t *testing.T) {
 	times := owner.DefaultConfig(10 * time.Second)
 	silent := loopback.Address().String()
+	start := clock.Now()
 	for name, test := range map[string]struct {
 		list []election.Renewer
 		// knownTerm and knownFor are what an earlier leader has reported of the holds before its term.
@@ -44,6 +45,8 @@
 		// worker is asked for; ends is how long its holds last at most.
 		worker workers.ID
 		ends   time.Duration
+		// replaced means that the process that answers began after start, when the renewer had ended.
+		replaced bool
 	}{
 		"no one is known": {worker: "w", ends: times.RenewalGrace + times.MaxHold()},
 		"a recent grant": {
@@ -60,7 +63,7 @@
 		},
 		"another process answers": {
 			list: []election.Renewer{{Address: servePastRenewer(t, "later", 10*time.Second), Process: "a", Term: 1}}, worker: "w",
-			ends: owner.MaxGrantDuration + times.MaxHold(),
+			ends: owner.MaxGrantDuration + times.MaxHold(), replaced: true,
 		},
 		"one does not answer": {
 			list: []election.Renewer{
@@ -86,8 +89,11 @@
 			past.learnEnd(test.knownTerm, now.Add(test.knownFor))
 			ends := past.holdEnds(context.Background(), []workers.ID{test.worker})
 			late := clock.Since(now)
-			got := ends[test.worker].Sub(now)
-			assert.Assert(t, got >= test.ends && got <= test.ends+late, "%v, expected %v", got, test.ends)
+			got, earliest := ends[test.worker].Sub(now), test.ends
+			if test.replaced {
+				earliest -= now.Sub(start)
+			}
+			assert.Assert(t, got >= earliest && got <= test.ends+late, "%v, expected %v", got, test.ends)
 		})
 	}
 }
