Clean up the stored renewers after an election, and test how long they stay

Cause: a leader that needed no new standby never rewrote the list that its election had stored, so a process that was gone for good stayed in it and made the next leader wait for it. A suspension of the machine that was not detected yet when renewers are asked would have made a hold end too early by its length; found by reading.

Change: the leader starts from the list that its election stored and rewrites it once earlier holds have ended. The clock is refreshed before renewers are asked.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -162,7 +162,7 @@
 		Puts: []coord.Put{
 			{Key: e.LeaderKey(), Value: value, Lease: lease},
 			{Key: e.termKey(), Value: []byte(strconv.FormatInt(int64(leader.Term), 10))},
-			{Key: e.renewersKey(), Value: encodeRenewers(append(previous, Renewer{Address: e.address, Process: e.process, Term: leader.Term}))},
+			{Key: e.renewersKey(), Value: encodeRenewers(withLeader(previous, leader))},
 		},
 	})
 	if err != nil && !e.resolveCommit(ctx, err, &leader) {
--- a/internal/election/renewers.go
+++ b/internal/election/renewers.go
@@ -77,6 +77,16 @@
 	return value
 }
 
+// withLeader adds a new leader to the list.
+func withLeader(list []Renewer, leader Leader) []Renewer {
+	return append(slices.Clone(list), Renewer{Address: leader.Address, Process: leader.Process, Term: leader.Term})
+}
+
+// StoredRenewers returns the list that the election has stored: the previous renewers and the new leader.
+func (t *Tenure) StoredRenewers() []Renewer {
+	return UniqueRenewers(withLeader(t.PreviousRenewers, t.Leader))
+}
+
 // StoreRenewers replaces the stored list, on condition that the tenure lasts and the list still has
 // its last known revision: a write without a response that is applied seconds later must not undo a
 // newer one. After an error the list may be stored nevertheless. StoreRenewers is not safe for
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -130,6 +130,7 @@
 		replies:  make(chan orderResult, 64), writes: make(chan writeResult, 8), loaded: make(chan loadResult, 8),
 		renewers: make(chan storeRenewersResult, 1), holdEnds: make(chan holdEndsResult, 1), suspendedFor: clock.Refresh,
 	}
+	t.standbys.stored = tenure.StoredRenewers()
 	k.Hub.Open(tenure.Leader.Term)
 	defer k.Hub.Close()
 	defer k.Metrics.reset()
--- a/internal/keeper/standbys.go
+++ b/internal/keeper/standbys.go
@@ -28,6 +28,14 @@
 	appointed []string
 }
 
+// includes reports whether a renewer is stored, with its term or one that makes the next leader wait as
+// long.
+func (s *standbys) includes(renewer election.Renewer) bool {
+	return slices.ContainsFunc(s.stored, func(stored election.Renewer) bool {
+		return stored.Same(renewer) && (stored.Term == 0 || stored.Term >= renewer.Term)
+	})
+}
+
 // storeRenewersResult is the result of storing the list of renewers.
 type storeRenewersResult struct {
 	list []election.Renewer
@@ -50,7 +58,7 @@
 		renewer := election.Renewer{Address: peer.Address, Process: peer.Process, Term: term}
 		list = append(list, renewer)
 		processes = append(processes, peer.Process)
-		missing = missing || !slices.ContainsFunc(t.standbys.stored, renewer.Same)
+		missing = missing || !t.standbys.includes(renewer)
 	}
 	if !missing {
 		t.grantDelegations(processes)
--- a/internal/lab/mutate/mutations_owners.go
+++ b/internal/lab/mutate/mutations_owners.go
@@ -59,6 +59,20 @@
 		new:  "	return lastGrant.Add(MaxGrantDuration)",
 		pkg:  "./internal/owner", test: "TestEveryOrderOfEvents",
 	},
+	{
+		name: "earlier-renewers-forgotten-at-once",
+		file: "internal/keeper/standbys.go",
+		old:  "	if now.Before(t.holdsUntil) {",
+		new:  "	if false {",
+		pkg:  "./internal/keeper", test: "TestEarlierRenewersStayStoredUntilTheirHoldsEnd",
+	},
+	{
+		name: "renewer-of-an-earlier-version-trusted",
+		file: "internal/router/renewers.go",
+		old:  "	case renewer.Term == 0: ",
+		new:  "	case false: ",
+		pkg:  "./internal/router", test: "TestHoldsOfPastRenewersEndWithTheirLastGrant",
+	},
 	{
 		name: "superseded-leader-goes-on-granting",
 		file: "internal/grantlog/grantlog.go",
--- a/internal/router/renewers.go
+++ b/internal/router/renewers.go
@@ -85,6 +85,7 @@
 
 // ask sends the query to all processes.
 func (p *pastRenewers) ask(ctx context.Context, holders []workers.ID) []renewerAnswer {
+	clock.Refresh() // ages are subtracted from the time of the answer, which must not lag behind
 	bounded, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	answers := make([]renewerAnswer, len(p.list))
@@ -188,7 +189,7 @@
 	times, term := r.keeper.Times, tenure.Leader.Term
 	past := &pastRenewers{
 		list: tenure.PreviousRenewers, term: term, times: times, process: r.process, grants: r.grants,
-		expiry:    clock.Now().Add(times.RenewalGrace + times.MaxHold()),
+		expiry:    refreshedNow().Add(times.RenewalGrace + times.MaxHold()),
 		stoppedAt: map[string]time.Time{},
 	}
 	past.knownTerm, past.knownEnd = r.hub.HoldsEnd()
