End the delegation of a standby once another process answers at its address

Keys of a worker that crashed 1.2 s after a standby had stopped were refused with key-moving for over 6 s.

Cause: the leader waited for the delegation of the standby that had ended (until 29.2 s) and one more hold (32.4 s), while the process that had replaced it was linked since 23.3 s.

Change: the leader asks at the address of a lost standby each 0.3 s; if another process answers, the delegation ends, but for a renewal in progress. The Hello of the new process is not taken as proof: one of a process that has ended may be read after that of the process in its place.

Why it works: it is the proof on which a new leader relies for earlier renewers; the process that answers listens there, so the earlier one has ended.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -184,6 +184,7 @@
 	t.Hub.SetLeadershipUncertain(renewOnly)
 	t.Hub.SetStoreUnreachable(t.storeUnreachable(now))
 	t.Hub.SetDelegationLimit(authority.Add(t.Times.RenewalGrace))
+	t.checkLostStandbys(now)
 	if !renewOnly {
 		t.loadNewServices()
 		t.appointStandbys(now)
--- a/internal/keeper/standbys.go
+++ b/internal/keeper/standbys.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/election"
 	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/topology"
@@ -16,6 +17,10 @@
 	// appointInterval is the interval at which the choice of standbys is reviewed.
 	appointInterval = time.Second
 	appointTimeout  = time.Second
+	// lostStandbysInterval is the interval at which it is checked whether lost standbys have ended, and
+	// lostStandbysTimeout bounds one check.
+	lostStandbysInterval = 300 * time.Millisecond
+	lostStandbysTimeout  = 400 * time.Millisecond
 )
 
 // standbys tracks the processes that the leader permits to renew holds.
@@ -26,6 +31,8 @@
 	storing bool
 	// appointed are the processes that get delegations.
 	appointed []string
+	// nextCheck is when lost standbys are checked next.
+	nextCheck time.Time
 }
 
 // includes reports whether a renewer is stored, with its term or one that makes the next leader wait as
@@ -70,6 +77,25 @@
 	}
 }
 
+// checkLostStandbys ends the delegations of standbys that have ended: another process answers at their
+// addresses. Keys would wait for these delegations and one more hold, up to 11 s.
+func (t *tenureKeeper) checkLostStandbys(now time.Time) {
+	if now.Before(t.standbys.nextCheck) {
+		return
+	}
+	t.standbys.nextCheck = now.Add(lostStandbysInterval)
+	for _, peer := range t.Hub.LostStandbys(now) {
+		go func() {
+			bounded, cancel := context.WithTimeout(t.ctx, lostStandbysTimeout)
+			defer cancel()
+			status, ok := peerlink.QueryLeadership(bounded, peer.Address, 0)
+			if ok && status.Process != "" && status.Process != peer.Process {
+				t.Hub.EndDelegation(peer.Process, clock.Now())
+			}
+		}()
+	}
+}
+
 // pastRenewers returns the processes that renew no holds any more, or soon won't, but whose holds may
 // still last. They stay in the list, since a later leader asks all processes in it when they have last
 // renewed the hold of a worker.
--- a/internal/lab/mutate/mutations_owners.go
+++ b/internal/lab/mutate/mutations_owners.go
@@ -73,6 +73,13 @@
 		new:  "	case false: ",
 		pkg:  "./internal/router", test: "TestHoldsOfPastRenewersEndWithTheirLastGrant",
 	},
+	{
+		name: "standby-that-answers-has-ended",
+		file: "internal/keeper/standbys.go",
+		old:  " && status.Process != peer.Process {",
+		new:  " {",
+		pkg:  "./internal/keeper", test: "TestDelegationOfEndedStandbyEnds",
+	},
 	{
 		name: "superseded-leader-goes-on-granting",
 		file: "internal/grantlog/grantlog.go",
--- a/internal/peerlink/standbys.go
+++ b/internal/peerlink/standbys.go
@@ -144,6 +144,29 @@
 	}
 }
 
+// end ends the delegation of a process that has ended by now: at most a last renewal is still in progress.
+func (s *standbys) end(process string, now time.Time) {
+	granted := s.granted[process]
+	if granted == nil {
+		return
+	}
+	if granted.mayRenewAlone(now) {
+		granted.mayHaveRenewedUntil = earlier(now, granted.until).Add(renewalTimeout)
+	}
+	granted.linkLost, granted.until = true, earlier(granted.until, now.Add(renewalTimeout))
+}
+
+// lost returns the standbys whose link is lost and whose delegation lasts.
+func (s *standbys) lost(now time.Time) []Peer {
+	var list []Peer
+	for process, granted := range s.granted {
+		if granted.linkLost && now.Add(renewalTimeout).Before(granted.until) {
+			list = append(list, Peer{Process: process, Address: granted.link.hello.Address})
+		}
+	}
+	return list
+}
+
 // ownerDelegations returns the delegations of the standbys for a service's holds.
 func (s *standbys) ownerDelegations(service routing.ServiceName, now time.Time) []owner.Delegation {
 	list := make([]owner.Delegation, 0, len(s.granted))
@@ -202,6 +225,20 @@
 	return peers
 }
 
+// LostStandbys returns the standbys whose link is lost and which may still renew holds.
+func (h *Hub) LostStandbys(now time.Time) []Peer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.standbys.lost(now)
+}
+
+// EndDelegation ends the delegation of a process that is known to have ended.
+func (h *Hub) EndDelegation(process string, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.standbys.end(process, now)
+}
+
 // AppointStandbys replaces the set of standbys. Delegations of other processes are no longer
 // extended.
 func (h *Hub) AppointStandbys(processes []string) {
--- a/internal/peerlink/standbys_test.go
+++ b/internal/peerlink/standbys_test.go
@@ -119,7 +119,7 @@
 }
 
 // A standby that restarts with the same node name and address is another process: it has no
-// delegation, and the leader still waits for the delegation of the previous process.
+// delegation, and that of the previous process lasts until this is known to have ended.
 func TestRestartedRouterIsADifferentStandby(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var s standbys
@@ -136,6 +136,27 @@
 	assert.Equal(t, delegations[0].Until, s.limit)
 }
 
+func TestDelegationEndsWithItsProcess(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var s standbys
+	s.reset()
+	s.limit = now.Add(9 * time.Second)
+	s.appointed["p1"] = true
+	l := &link{hello: Hello{Address: "a:1", Process: "p1"}, stamp: 1, holdVersions: map[routing.ServiceName]uint64{}}
+	s.extend(l, now)
+	assert.Equal(t, len(s.lost(now)), 0)
+	s.markLinkLost(l)
+	assert.DeepEqual(t, s.lost(now), []Peer{{Process: "p1", Address: "a:1"}})
+	now = now.Add(time.Second)
+	s.end("p2", now)
+	assert.Equal(t, s.ownerDelegations("s", now)[0].Until, s.limit, "another process has ended")
+	s.end("p1", now)
+	delegations := s.ownerDelegations("s", now.Add(time.Second))
+	assert.Equal(t, delegations[0].Until, now.Add(renewalTimeout), "a last renewal may be in progress")
+	assert.Assert(t, !delegations[0].LastRenewal.IsZero(), "it may have renewed a hold alone")
+	assert.Equal(t, len(s.lost(now)), 0)
+}
+
 // A worker that restarted at another address was sent to followers with its first address for as
 // long as their links lasted.
 func TestChangedWorkerAddressIsSent(t *testing.T) {
