--- a/internal/owner/model_standby_test.go
+++ b/internal/owner/model_standby_test.go
@@ -86,3 +86,12 @@
 		m.leaders[len(m.leaders)-1].ledger.LimitInheritedHolds(worker.id, modelConfig.HoldEnd(worker.lastGrantAt))
 	}
 }
+
+// renew renews the lease of the last leader if it can reach the store.
+func (m *model) renew() {
+	last := m.leaders[len(m.leaders)-1]
+	if !last.storeUnreachable && !last.dead && m.now.Before(m.lease) {
+		m.lease = m.now.Add(modelLease)
+		last.authority = m.lease
+	}
+}
--- a/internal/owner/model_test.go
+++ b/internal/owner/model_test.go
@@ -365,15 +365,6 @@
 	}
 }
 
-// renew renews the lease of the last leader if it can reach the store.
-func (m *model) renew() {
-	last := m.leaders[len(m.leaders)-1]
-	if !last.storeUnreachable && !last.dead && m.now.Before(m.lease) {
-		m.lease = m.now.Add(modelLease)
-		last.authority = m.lease
-	}
-}
-
 // sendDueOrders does what the keeper does for each leader.
 func (m *model) sendDueOrders() {
 	for index, leader := range m.leaders {
