Read the changes between the pages of a list

Two of six routers refused a quarter of the keys with owner-gone for 20 s, while the others served them.

Cause: a list of several pages was read as of revision 141, its last page 1.6 s after the first. Each item's revision counted as one up to which all changes are known, so that with a newer item on the last page the watch began behind changes to keys of earlier pages, and the leader's revision was not seen to be missing. Evidence: the two routers' list as of 141 has five workers, the leader's as of 142 four; they never logged the workers that came at 143 to 154. The same held for configurations and bundles.

Change: an item of a list counts up to the list's revision at most.

Result: TestNewerItemsOfAListDoNotHideOtherChanges is new and failed before for all three. Tests of router pass.

--- a/internal/router/bundles.go
+++ b/internal/router/bundles.go
@@ -43,6 +43,7 @@
 func (v *bundlesView) Snapshot(items []coord.Item, at coord.Revision) {
 	v.r.config.noteCovered(at)
 	for _, item := range items {
+		v.r.config.noteListed(item.Revision, at)
 		v.readRecord(item)
 	}
 	v.use()
@@ -51,6 +52,7 @@
 // ApplyEvents implements coord.View.
 func (v *bundlesView) ApplyEvents(events []coord.Event, _ coord.Revision) {
 	for _, event := range events {
+		v.r.config.noteRead(event.Revision)
 		v.readRecord(event.Item)
 	}
 	v.use()
@@ -59,7 +61,6 @@
 // readRecord reads a team's record. A removed record has no effect: held keys stay where the last
 // bundle placed them.
 func (v *bundlesView) readRecord(item coord.Item) {
-	v.r.config.noteRead(item.Revision)
 	if len(item.Value) == 0 {
 		return
 	}
--- a/internal/router/configview.go
+++ b/internal/router/configview.go
@@ -42,7 +42,7 @@
 	}
 	// A list does not show since when a zone has been evacuated.
 	v.apply(items, at, time.Time{})
-	v.r.config.noteRead(newest)
+	v.r.config.noteListed(newest, at)
 }
 
 // ApplyEvents implements coord.View.
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -63,6 +63,10 @@
 	storeMax(&p.covered, revision)
 }
 
+// noteListed records the revision of an item of a list. Pages that are read later may have items newer
+// than the list's revision; other changes up to theirs may be missing and must still be read.
+func (p *prefixState) noteListed(item, list coord.Revision) { p.noteRead(min(item, list)) }
+
 // noteCovered records that all changes up to a revision were read.
 func (p *prefixState) noteCovered(at coord.Revision) { storeMax(&p.covered, at) }
 
--- a/internal/router/workersview.go
+++ b/internal/router/workersview.go
@@ -62,7 +62,7 @@
 	unusable := map[workers.ID]unreadableEntry{}
 	learned := workers.LearnedTimes{}
 	for _, change := range list {
-		v.r.entries.noteRead(change.Revision)
+		v.r.entries.noteListed(change.Revision, at)
 		if change.Unreadable != nil {
 			unusable[change.ID] = unreadableEntry{revision: change.Revision, fault: *change.Unreadable}
 			continue
--- a/internal/router/workersview_test.go
+++ b/internal/router/workersview_test.go
@@ -15,6 +15,7 @@
 	"github.com/shalefork/shalefork/internal/coord/memory"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/peerlink"
+	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/settings"
 	"github.com/shalefork/shalefork/internal/workers"
 )
@@ -89,6 +90,26 @@
 	assert.Equal(t, worker.State, workers.StateDraining, "already known events change nothing either")
 }
 
+// Guards against a fault: the pages of a list are read one after the other, so that items of later ones may be
+// newer than the list. Changes in between to items of earlier pages were taken for read, and keys of workers
+// that had come in between were refused until the next change of any worker.
+func TestNewerItemsOfAListDoNotHideOtherChanges(t *testing.T) {
+	for name, views := range map[string]func(*Router) (coord.View, *prefixState){
+		"workers":       func(r *Router) (coord.View, *prefixState) { return r.entriesView, r.entries },
+		"configuration": func(r *Router) (coord.View, *prefixState) { return r.configView, r.config },
+		"bundles":       func(r *Router) (coord.View, *prefixState) { return newBundlesView(r), r.config },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newTestRouter(t)
+			r.adapter.ParseConfig = func([]coord.Item) (*routing.Config, error) { return nil, nil }
+			view, state := views(r)
+			view.Snapshot([]coord.Item{item("a", 8, workers.StateReady), item("b", 12, workers.StateReady)}, 10)
+			assert.Equal(t, state.coveredRevision(), coord.Revision(10))
+			assert.Equal(t, state.newestRevision(), coord.Revision(10))
+		})
+	}
+}
+
 // A revision of the leader that is missing here is read from the store at once, and again only
 // after maxLag. An immediate read at each update would repeat the same call.
 func TestLeaderRevisionIsReadOnce(t *testing.T) {
