--- a/internal/grantlog/grantlog.go
+++ b/internal/grantlog/grantlog.go
@@ -30,7 +30,8 @@
 // grants are the grants that were sent to one worker.
 type grants struct {
 	inFlight int
-	lastEnd  time.Time
+	// lastEnd is when the last one ended that may have reached the worker; zero if none may have.
+	lastEnd time.Time
 }
 
 // New returns a log of the grants that are sent through orders.
@@ -43,8 +44,9 @@
 	if !l.begin(to.ID, grant.Fence) {
 		return owner.Reply{Outcome: owner.OutcomeUnreachable}
 	}
-	defer l.end(to.ID)
-	return l.orders.Grant(ctx, to, grant)
+	reply := l.orders.Grant(ctx, to, grant)
+	l.end(to.ID, reply.Outcome)
+	return reply
 }
 
 // Release sends a release.
@@ -73,12 +75,17 @@
 	return true
 }
 
-func (l *Log) end(worker workers.ID) {
+// end records the end of a grant. One for which no connection was established can't have reached the
+// worker: when it counted as sent, the keys of a worker that had crashed before its first grant waited
+// under the next leader for a hold that the worker never had.
+func (l *Log) end(worker workers.ID, outcome owner.Outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	sent := l.grants[worker]
 	sent.inFlight--
-	sent.lastEnd = clock.Now()
+	if outcome != owner.OutcomeUnreachable {
+		sent.lastEnd = clock.Now()
+	}
 }
 
 // prune removes expired entries, at intervals of retention. The caller holds mu.
@@ -94,8 +101,8 @@
 	}
 }
 
-// Ages returns for how long each of the given workers has been sent no grant. Workers that were sent
-// none within the last minute may be missing.
+// Ages returns for how long no grant has reached each of the given workers. Workers that none has
+// reached within the last minute may be missing.
 func (l *Log) Ages(now time.Time, list []workers.ID) map[workers.ID]time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -106,6 +113,7 @@
 		case sent == nil:
 		case sent.inFlight > 0:
 			ages[worker] = 0
+		case sent.lastEnd.IsZero():
 		default:
 			ages[worker] = max(0, now.Sub(sent.lastEnd))
 		}
--- a/internal/grantlog/grantlog_test.go
+++ b/internal/grantlog/grantlog_test.go
@@ -57,6 +57,42 @@
 	})
 }
 
+// refusingWorkers refuse connections, apart from the first one.
+type refusingWorkers struct {
+	slowWorkers
+	acceptsFirst bool
+}
+
+func (r *refusingWorkers) Grant(ctx context.Context, to owner.Target, grant owner.Grant) owner.Reply {
+	if r.acceptsFirst && r.grants == 0 {
+		return r.slowWorkers.Grant(ctx, to, grant)
+	}
+	time.Sleep(time.Second)
+	return owner.Reply{Outcome: owner.OutcomeUnreachable}
+}
+
+// Guards against a fault: grants that were refused connections counted as sent, so that under the next
+// leader keys waited for the hold of a worker that had crashed before its first grant.
+func TestRefusedGrantsHaveNoAge(t *testing.T) {
+	for name, test := range map[string]struct {
+		acceptsFirst bool
+		ages         map[workers.ID]time.Duration
+	}{
+		"never reached": {ages: map[workers.ID]time.Duration{}},
+		"reached once":  {acceptsFirst: true, ages: map[workers.ID]time.Duration{"w": 2 * time.Second}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := New(&refusingWorkers{acceptsFirst: test.acceptsFirst})
+				for range 3 {
+					log.Grant(t.Context(), owner.Target{ID: "w"}, owner.Grant{})
+				}
+				assert.DeepEqual(t, log.Ages(clock.Now(), []workers.ID{"w"}), test.ages)
+			})
+		})
+	}
+}
+
 func TestOldGrantsAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := New(&slowWorkers{})
