--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -154,6 +154,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	complete := term == 0 || len(previous) > 0
 	leader.Revision, err = e.store.Commit(ctx, coord.Txn{
 		Conditions: []coord.Condition{
 			{Key: e.LeaderKey(), Revision: replace}, {Key: e.termKey(), Revision: termRevision},
@@ -162,7 +163,7 @@
 		Puts: []coord.Put{
 			{Key: e.LeaderKey(), Value: value, Lease: lease},
 			{Key: e.termKey(), Value: []byte(strconv.FormatInt(int64(leader.Term), 10))},
-			{Key: e.renewersKey(), Value: encodeRenewers(withLeader(previous, leader))},
+			{Key: e.renewersKey(), Value: encodeRenewers(withLeader(previous, leader, complete))},
 		},
 	})
 	if err != nil && !e.resolveCommit(ctx, err, &leader) {
@@ -170,7 +171,7 @@
 		return nil, campaignError(err)
 	}
 	tenure := newTenure(e.store, leader, lease, ttl, sent)
-	tenure.PreviousRenewers = previous
+	tenure.PreviousRenewers, tenure.RenewersComplete = previous, complete
 	tenure.renewersKey, tenure.leaderKey = e.renewersKey(), e.LeaderKey()
 	tenure.renewersRevision = leader.Revision
 	return tenure, nil
@@ -210,7 +211,10 @@
 type Tenure struct {
 	Leader Leader
 	// PreviousRenewers are the processes that may still renew holds granted by earlier leaders.
-	PreviousRenewers       []Renewer
+	PreviousRenewers []Renewer
+	// RenewersComplete is false if the stored list was missing or could not be decoded, though there were
+	// earlier leaders: then processes that PreviousRenewers lack may still renew holds.
+	RenewersComplete       bool
 	renewersKey, leaderKey string
 	// renewersRevision is the revision of the stored list of renewers. It is used by one call at a
 	// time.
--- a/internal/election/renewers.go
+++ b/internal/election/renewers.go
@@ -21,6 +21,9 @@
 	// Term is the last term in which the process may renew holds. It is zero in lists of processes
 	// that remove renewers whose holds may still last.
 	Term owner.Term `json:"term,omitempty"`
+	// Since is the first term whose holds the process may have renewed and which may still last. It is
+	// zero in lists of processes that do not record it.
+	Since owner.Term `json:"since,omitempty"`
 }
 
 // Same reports whether both are the same process.
@@ -28,13 +31,14 @@
 	return r.Address == other.Address && r.Process == other.Process
 }
 
-// merge adds the term of another entry for the same process.
+// merge adds the terms of another entry for the same process.
 func (r *Renewer) merge(other Renewer) {
 	if r.Term != 0 && other.Term != 0 {
 		r.Term = max(r.Term, other.Term)
 	} else {
 		r.Term = 0
 	}
+	r.Since = min(r.Since, other.Since)
 }
 
 func (e *Election) renewersKey() string { return e.prefix + "renewers" }
@@ -77,14 +81,19 @@
 	return value
 }
 
-// withLeader adds a new leader to the list.
-func withLeader(list []Renewer, leader Leader) []Renewer {
-	return append(slices.Clone(list), Renewer{Address: leader.Address, Process: leader.Process, Term: leader.Term})
+// withLeader adds a new leader to the list. If the list lacked processes that may still renew holds, the
+// leader's entry stands for them: it then has no first term.
+func withLeader(list []Renewer, leader Leader, complete bool) []Renewer {
+	entry := Renewer{Address: leader.Address, Process: leader.Process, Term: leader.Term}
+	if complete {
+		entry.Since = leader.Term
+	}
+	return append(slices.Clone(list), entry)
 }
 
 // StoredRenewers returns the list that the election has stored: the previous renewers and the new leader.
 func (t *Tenure) StoredRenewers() []Renewer {
-	return UniqueRenewers(withLeader(t.PreviousRenewers, t.Leader))
+	return UniqueRenewers(withLeader(t.PreviousRenewers, t.Leader, t.RenewersComplete))
 }
 
 // StoreRenewers replaces the stored list, on condition that the tenure lasts and the list still has
--- a/internal/election/renewers_test.go
+++ b/internal/election/renewers_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/coord/memory"
+	"github.com/shalefork/shalefork/internal/owner"
 )
 
 // storeWithTimeout stores a list of renewers. It gives up before a delayed write is applied.
@@ -61,3 +62,48 @@
 		assert.DeepEqual(t, list, []Renewer{stored})
 	})
 }
+
+// The first term of a renewer says which earlier holds it can't have renewed. It must not be stated for
+// more than is known: after a list that can't be decoded, the leader's entry stands for the lost ones.
+func TestFirstTermsOfRenewers(t *testing.T) {
+	entry := func(process string, term, since owner.Term) Renewer {
+		return Renewer{Address: process + ":1", Process: process, Term: term, Since: since}
+	}
+	for name, test := range map[string]struct {
+		previous []Renewer
+		complete bool
+		stored   []Renewer
+	}{
+		"the first leader":           {complete: true, stored: []Renewer{entry("x", 5, 5)}},
+		"a lost list":                {stored: []Renewer{entry("x", 5, 0)}},
+		"another process led":        {previous: []Renewer{entry("y", 4, 3)}, complete: true, stored: []Renewer{entry("y", 4, 3), entry("x", 5, 5)}},
+		"it renewed holds before":    {previous: []Renewer{entry("x", 4, 3)}, complete: true, stored: []Renewer{entry("x", 5, 3)}},
+		"an entry without terms":     {previous: []Renewer{entry("x", 0, 0)}, complete: true, stored: []Renewer{entry("x", 0, 0)}},
+		"an entry of a version ago":  {previous: []Renewer{entry("x", 4, 0)}, complete: true, stored: []Renewer{entry("x", 5, 0)}},
+		"two entries of one process": {previous: []Renewer{entry("y", 4, 4), entry("y", 3, 2)}, complete: true, stored: []Renewer{entry("y", 4, 2), entry("x", 5, 5)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tenure := Tenure{Leader: Leader{Address: "x:1", Process: "x", Term: 5}, PreviousRenewers: test.previous, RenewersComplete: test.complete}
+			assert.DeepEqual(t, tenure.StoredRenewers(), test.stored)
+		})
+	}
+}
+
+func TestUnreadableRenewersListIsIncomplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		first, err := candidate(store, "a").Campaign(t.Context(), 0)
+		assert.NilError(t, err)
+		assert.Assert(t, first.RenewersComplete, "there was no leader before")
+		first.Resign(t.Context())
+		_, err = store.Commit(t.Context(), coord.Txn{Puts: []coord.Put{{Key: candidate(store, "b").renewersKey(), Value: []byte("{")}}})
+		assert.NilError(t, err)
+		second, err := candidate(store, "b").Campaign(t.Context(), 0)
+		assert.NilError(t, err)
+		assert.Assert(t, !second.RenewersComplete)
+		list, _, err := candidate(store, "b").renewers(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, list[0].Since, owner.Term(0))
+		second.Resign(t.Context())
+	})
+}
--- a/internal/keeper/holdends.go
+++ b/internal/keeper/holdends.go
@@ -3,27 +3,27 @@
 import (
 	"time"
 
-	"github.com/shalefork/shalefork/internal/workers"
+	"github.com/shalefork/shalefork/internal/owner"
 )
 
 const (
 	// holdEndsInterval is the interval of queries for the ends of holds. Workers that are alive have
 	// released their keys before the first one.
 	holdEndsInterval = 300 * time.Millisecond
-	// maxQueriedWorkers bounds the workers of one query.
-	maxQueriedWorkers = 256
+	// maxQueriedHolds bounds the holds of one query.
+	maxQueriedHolds = 256
 )
 
 // holdEndsResult is the result of a query for the ends of holds that earlier leaders granted.
 type holdEndsResult struct {
 	service *service
-	ends    map[workers.ID]time.Time
+	ends    map[owner.InheritedHold]time.Time
 }
 
 func (r holdEndsResult) apply() {
 	r.service.queryingHoldEnds = false
-	for worker, end := range r.ends {
-		r.service.ledger.LimitInheritedHolds(worker, end)
+	for hold, end := range r.ends {
+		r.service.ledger.LimitInheritedHolds(hold, end)
 	}
 }
 
@@ -34,15 +34,15 @@
 		return
 	}
 	svc.nextHoldEnds = now.Add(holdEndsInterval)
-	holders := svc.ledger.InheritedHolders(now)
-	if len(holders) == 0 {
+	holds := svc.ledger.InheritedHolds(now)
+	if len(holds) == 0 {
 		return
 	}
 	svc.queryingHoldEnds = true
-	holders = holders[:min(len(holders), maxQueriedWorkers)]
+	holds = holds[:min(len(holds), maxQueriedHolds)]
 	query := t.QueryHoldEnds
 	go func() {
-		done := holdEndsResult{service: svc, ends: query(t.ctx, holders)}
+		done := holdEndsResult{service: svc, ends: query(t.ctx, holds)}
 		select {
 		case t.holdEnds <- done:
 		case <-t.ctx.Done():
--- a/internal/keeper/holdends_test.go
+++ b/internal/keeper/holdends_test.go
@@ -52,9 +52,10 @@
 				b.keeper.Orders = unreachableWorker{OrderSender: b.orders, id: gone}
 				ended := clock.Now()
 				if test.answered {
-					b.keeper.QueryHoldEnds = func(_ context.Context, list []workers.ID) map[workers.ID]time.Time {
-						assert.DeepEqual(b.t, list, []workers.ID{gone})
-						return map[workers.ID]time.Time{gone: ended}
+					b.keeper.QueryHoldEnds = func(_ context.Context, list []owner.InheritedHold) map[owner.InheritedHold]time.Time {
+						hold := owner.InheritedHold{Worker: gone, Term: 1}
+						assert.DeepEqual(b.t, list, []owner.InheritedHold{hold})
+						return map[owner.InheritedHold]time.Time{hold: ended}
 					}
 				}
 				tenure, err := b.election.Campaign(b.t.Context(), 0)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -83,8 +83,8 @@
 	// leaving. It may be nil.
 	OnWorkerLeaving func(workers.Incarnation)
 	// QueryHoldEnds asks the processes that may have renewed holds which earlier leaders granted, and
-	// returns for each of the given workers when its holds have ended. It is nil if none can be asked.
-	QueryHoldEnds func(ctx context.Context, list []workers.ID) map[workers.ID]time.Time
+	// returns when each of the given holds has ended. It is nil if none can be asked.
+	QueryHoldEnds func(ctx context.Context, list []owner.InheritedHold) map[owner.InheritedHold]time.Time
 }
 
 // RecordKey returns the key of a service's ownership record.
--- a/internal/keeper/standbys.go
+++ b/internal/keeper/standbys.go
@@ -7,6 +7,7 @@
 
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/election"
+	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/topology"
 )
@@ -58,11 +59,12 @@
 	t.standbys.next = now.Add(appointInterval)
 	wanted := chooseStandbys(t.Hub.Peers(), t.Zone, t.Regions)
 	term := t.tenure.Leader.Term
-	list := []election.Renewer{{Address: t.tenure.Leader.Address, Process: t.tenure.Leader.Process, Term: term}}
+	since := t.firstTerm(now)
+	list := []election.Renewer{{Address: t.tenure.Leader.Address, Process: t.tenure.Leader.Process, Term: term, Since: since}}
 	missing := false
 	processes := make([]string, 0, len(wanted))
 	for _, peer := range wanted {
-		renewer := election.Renewer{Address: peer.Address, Process: peer.Process, Term: term}
+		renewer := election.Renewer{Address: peer.Address, Process: peer.Process, Term: term, Since: since}
 		list = append(list, renewer)
 		processes = append(processes, peer.Process)
 		missing = missing || !t.standbys.includes(renewer)
@@ -77,6 +79,15 @@
 	}
 }
 
+// firstTerm returns the first term whose holds the entries of this tenure's renewers stand for; zero while
+// they stand for processes that the list lacks.
+func (t *tenureKeeper) firstTerm(now time.Time) owner.Term {
+	if !t.tenure.RenewersComplete && now.Before(t.holdsUntil) {
+		return 0
+	}
+	return t.tenure.Leader.Term
+}
+
 // checkLostStandbys ends the delegations of standbys that have ended: another process answers at their
 // addresses. Keys would wait for these delegations and one more hold, up to 11 s.
 func (t *tenureKeeper) checkLostStandbys(now time.Time) {
--- a/internal/owner/ledger.go
+++ b/internal/owner/ledger.go
@@ -10,6 +10,7 @@
 // Ledger tracks which worker owns which keys of one service, and determines which orders to send.
 type Ledger struct {
 	config    Config
+	term      Term
 	fence     Fence
 	spans     []*span
 	addresses map[workers.ID]string
@@ -44,6 +45,7 @@
 func NewLedger(config Config, term Term) *Ledger {
 	return &Ledger{
 		config:         config,
+		term:           term,
 		fence:          term.FirstFence(),
 		addresses:      map[workers.ID]string{},
 		startTimes:     map[workers.ID]workers.StartTime{},
@@ -143,7 +145,7 @@
 // previousOwnerOf returns what to remember of a span's owner when its keys move to another worker.
 func (l *Ledger) previousOwnerOf(s *span) previousOwner {
 	old := previousOwner{
-		worker: s.owner, heldUntil: l.maxHeldUntil(s), inheritedUntil: s.inheritedUntil, delayedGrantUntil: s.delayedGrantUntil,
+		worker: s.owner, grantTerm: l.term, heldUntil: l.maxHeldUntil(s), inheritedUntil: s.inheritedUntil, delayedGrantUntil: s.delayedGrantUntil,
 		restartGrantUntil: later(s.restartGrantUntil, s.delayedGrantUntil),
 	}
 	if s.sentToStandbys {
--- a/internal/owner/model_explore_test.go
+++ b/internal/owner/model_explore_test.go
@@ -29,13 +29,13 @@
 		span := leader.ledger.spans[0]
 		fmt.Fprintf(&text, "%s %d %v %s %s %v %d %s %v %s %v|", span.owner, span.fence, span.granted, at(span.heldUntil), at(span.delayedHeldUntil),
 			span.unconfirmed, span.unconfirmedFence, at(span.delayedGrantUntil), span.inFlight, at(span.nextOrderAt), span.pending)
-		fmt.Fprintf(&text, "%s|", at(span.inheritedUntil))
+		fmt.Fprintf(&text, "%s %s|", at(span.inheritedUntil), at(leader.inheritedUntil))
 		fmt.Fprintf(&text, "%v %v %d %s %v|", span.mayHaveGrant(), span.maybeRestarted, span.acceptedFence, at(span.restartGrantUntil), leader.startTimes)
 		if span.pending != nil {
 			fmt.Fprintf(&text, "%v|", *span.pending)
 		}
 		for _, old := range span.previous {
-			fmt.Fprintf(&text, "%s %s %s %s %d|", old.worker, at(old.heldUntil), at(old.inheritedUntil), at(old.delayedGrantUntil), old.holdsVersion)
+			fmt.Fprintf(&text, "%s %d %s %s %s %d|", old.worker, old.grantTerm, at(old.heldUntil), at(old.inheritedUntil), at(old.delayedGrantUntil), old.holdsVersion)
 		}
 		for _, grant := range leader.ledger.unconfirmed {
 			fmt.Fprintf(&text, "%s %d %s %s %v|", grant.worker, grant.fence, at(grant.until), at(grant.nextOrderAt), grant.inFlight)
--- a/internal/owner/model_standby_test.go
+++ b/internal/owner/model_standby_test.go
@@ -82,8 +82,20 @@
 
 // limitInheritedHolds has the effect of replies that include when each worker was last sent a grant.
 func (m *model) limitInheritedHolds() {
+	ledger := m.leaders[len(m.leaders)-1].ledger
 	for _, worker := range m.workers {
-		m.leaders[len(m.leaders)-1].ledger.LimitInheritedHolds(worker.id, modelConfig.HoldEnd(worker.lastGrantAt))
+		ledger.LimitInheritedHolds(InheritedHold{Worker: worker.id, Term: ledger.term - 1}, modelConfig.HoldEnd(worker.lastGrantAt))
+	}
+}
+
+// limitEarlierHolds has the effect of knowing when the holds have ended that leaders before earlier ones
+// had granted.
+func (m *model) limitEarlierHolds() {
+	ledger := m.leaders[len(m.leaders)-1].ledger
+	for _, leader := range m.leaders[1:] {
+		for _, worker := range m.workers {
+			ledger.LimitInheritedHolds(InheritedHold{Worker: worker.id, Term: leader.term - 1}, leader.inheritedUntil)
+		}
 	}
 }
 
--- a/internal/owner/model_test.go
+++ b/internal/owner/model_test.go
@@ -95,6 +95,8 @@
 	// storeUnreachable means that the leader can't reach the store.
 	storeUnreachable, dead bool
 	write                  *modelWrite
+	// inheritedUntil is when all holds that earlier leaders granted have ended.
+	inheritedUntil time.Time
 	// startTimes identify the workers' incarnations that the leader was notified of.
 	startTimes [modelWorkerCount]workers.StartTime
 }
@@ -357,9 +359,11 @@
 		if err := next.ledger.Load(m.now, m.record, until); err != nil {
 			panic(err)
 		}
+		next.inheritedUntil = until
 	}
 	m.lease = m.now.Add(modelLease)
 	m.leaders = append(m.leaders, next)
+	m.limitEarlierHolds()
 	for index := range m.workers {
 		m.observeRestart(len(m.leaders)-1, index)
 	}
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -41,6 +41,23 @@
 	Owner    int   `json:"o"`
 	Fence    Fence `json:"n"`
 	Previous []int `json:"p,omitempty"`
+	// PreviousTerms are the last terms whose leaders may have granted the keys to each of Previous. Records
+	// of earlier versions have none.
+	PreviousTerms []Term `json:"pt,omitempty"`
+}
+
+func (r *recordSpan) addPrevious(worker int, grantTerm Term) {
+	r.Previous = append(r.Previous, worker)
+	r.PreviousTerms = append(r.PreviousTerms, grantTerm)
+}
+
+// previousTerm returns the last term whose leader may have granted the keys to the worker at a position
+// in Previous. Without such an entry it is the last term before that of the present leader.
+func (r *recordSpan) previousTerm(position int, present Term) Term {
+	if len(r.PreviousTerms) != len(r.Previous) {
+		return present - 1
+	}
+	return min(r.PreviousTerms[position], present-1)
 }
 
 // Encode returns the ledger in its stored form. writeID is unique to the attempt to write it.
@@ -59,11 +76,11 @@
 		if s.pending != nil {
 			entry.Owner, entry.Fence = index(s.pending.to), s.pending.fence
 			if s.mayHaveGrant() {
-				entry.Previous = append(entry.Previous, index(s.owner))
+				entry.addPrevious(index(s.owner), l.term)
 			}
 		}
 		for _, old := range s.previous {
-			entry.Previous = append(entry.Previous, index(old.worker))
+			entry.addPrevious(index(old.worker), old.grantTerm)
 		}
 		stored.Spans = append(stored.Spans, entry)
 	}
@@ -90,7 +107,7 @@
 	if err := json.Unmarshal(value, &stored); err != nil {
 		return Error.Wrap(err)
 	}
-	spans, err := decodeSpans(stored, now, until)
+	spans, err := decodeSpans(stored, l.term, now, until)
 	if err != nil {
 		return err
 	}
@@ -122,15 +139,15 @@
 	if len(s.previous) > 0 {
 		s.fence = l.nextFence()
 	}
+	for index := range s.previous {
+		s.previous[index].delayedGrantUntil = delayedGrantUntil
+	}
 	s.unconfirmed = true
 	s.unconfirmedFence = s.fence
 	s.delayedGrantUntil = delayedGrantUntil
-	for index := range s.previous {
-		s.previous[index].delayedGrantUntil = s.delayedGrantUntil
-	}
 }
 
-func decodeSpans(stored record, now, until time.Time) ([]*span, error) {
+func decodeSpans(stored record, present Term, now, until time.Time) ([]*span, error) {
 	next := 0
 	spans := make([]*span, 0, len(stored.Spans))
 	for _, entry := range stored.Spans {
@@ -145,8 +162,10 @@
 			}
 		}
 		s.owner = stored.Workers[entry.Owner].ID
-		for _, index := range entry.Previous {
-			s.previous = append(s.previous, previousOwner{worker: stored.Workers[index].ID, inheritedUntil: until})
+		for position, index := range entry.Previous {
+			s.previous = append(s.previous, previousOwner{
+				worker: stored.Workers[index].ID, grantTerm: entry.previousTerm(position, present), inheritedUntil: until,
+			})
 		}
 		spans = append(spans, s)
 	}
@@ -162,7 +181,7 @@
 	if err := json.Unmarshal(value, &stored); err != nil {
 		return 0, nil, Error.Wrap(err)
 	}
-	if _, err := decodeSpans(stored, time.Time{}, time.Time{}); err != nil {
+	if _, err := decodeSpans(stored, stored.Term, time.Time{}, time.Time{}); err != nil {
 		return 0, nil, err
 	}
 	owners := make([]Owner, 0, len(stored.Spans))
--- a/internal/owner/span.go
+++ b/internal/owner/span.go
@@ -55,6 +55,8 @@
 // previousOwner is a worker that may still hold keys of which another worker has become the owner.
 type previousOwner struct {
 	worker workers.ID
+	// grantTerm is the last term whose leader may have granted it the keys.
+	grantTerm Term
 	// heldUntil is when its hold ends at the latest, and inheritedUntil the same for a hold that an
 	// earlier leader granted.
 	heldUntil, inheritedUntil time.Time
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -70,7 +70,7 @@
 	openedAt   time.Time
 	// servingSince is when the process began to accept links.
 	servingSince time.Time
-	holdsEnd     holdsEnd
+	holdEnds     owner.HoldEnds
 	owners       map[routing.ServiceName]publishedOwners
 	lastStamp    uint64
 	links        map[*link]struct{}
--- a/internal/peerlink/leadership.go
+++ b/internal/peerlink/leadership.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/clock"
@@ -35,6 +36,28 @@
 	// HoldsLeftMillis is how long they last at most. Term is zero if there is none.
 	Term            owner.Term `json:"t,omitempty"`
 	HoldsLeftMillis int64      `json:"l,omitempty"`
+	// HoldsLeft is the same for all terms of which the process knows it. Processes of earlier versions
+	// don't report it.
+	HoldsLeft []HoldsLeft `json:"e,omitempty"`
+}
+
+// HoldsLeft is for how much longer holds may last that leaders before a term granted.
+type HoldsLeft struct {
+	Term   owner.Term `json:"t"`
+	Millis int64      `json:"l"`
+}
+
+// HoldEnds returns the hold ends that are reported, given when the report was received.
+func (r *Renewals) HoldEnds(receivedAt time.Time) []owner.HoldEnd {
+	reported := r.HoldsLeft
+	if len(reported) == 0 && r.Term > 0 {
+		reported = []HoldsLeft{{Term: r.Term, Millis: r.HoldsLeftMillis}}
+	}
+	ends := make([]owner.HoldEnd, 0, len(reported))
+	for _, left := range reported {
+		ends = append(ends, owner.HoldEnd{Term: left.Term, At: receivedAt.Add(time.Duration(left.Millis) * time.Millisecond)})
+	}
+	return ends
 }
 
 // QueryLeadership asks the process at an address whether it leads. It returns false if the process
@@ -58,43 +81,47 @@
 	}, err == nil
 }
 
-// SetHoldsEnd records when all holds that leaders before a term granted have ended. The hub reports it
-// to processes that follow it, and to later leaders.
-func (h *Hub) SetHoldsEnd(term owner.Term, end time.Time) {
+// AddHoldEnd records when all holds that leaders before a term granted have ended. The hub reports it to
+// processes that follow it, and to later leaders.
+func (h *Hub) AddHoldEnd(end owner.HoldEnd) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if term > h.holdsEnd.term || (term == h.holdsEnd.term && end.Before(h.holdsEnd.at)) {
-		h.holdsEnd = holdsEnd{term: term, at: end}
-	}
+	h.holdEnds.Add(end.Term, end.At)
 }
 
-// holdsEnd is when all holds that leaders before a term granted have ended.
-type holdsEnd struct {
-	term owner.Term
-	at   time.Time
+// HoldEnds returns what the process knows of when holds have ended.
+func (h *Hub) HoldEnds() owner.HoldEnds {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.holdEnds)
 }
 
-// leftMillis returns for how much longer the holds may last, rounded up.
-func (e holdsEnd) leftMillis(now time.Time) int64 {
-	if !e.at.After(now) {
-		return 0
+// holdsLeftMillis returns for how much longer the holds may last that leaders before the hub's term
+// granted, rounded up; zero if that is not known or they have ended. The caller holds mu.
+func (h *Hub) holdsLeftMillis(now time.Time) int64 {
+	if last := len(h.holdEnds) - 1; last >= 0 && h.holdEnds[last].Term == h.term {
+		return leftMillis(now, h.holdEnds[last].At)
 	}
-	return e.at.Sub(now).Milliseconds() + 1
+	return 0
 }
 
-// HoldsEnd returns the last term for which it is known when all holds of the leaders before have ended,
-// and that time. The term is zero if none is known.
-func (h *Hub) HoldsEnd() (owner.Term, time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.holdsEnd.term, h.holdsEnd.at
+// leftMillis returns how long it is until a time, rounded up; zero if it has passed.
+func leftMillis(now, at time.Time) int64 {
+	if !at.After(now) {
+		return 0
+	}
+	return at.Sub(now).Milliseconds() + 1
 }
 
 // renewals returns the answer to a leader's query.
 func (h *Hub) renewals(holders []workers.ID) *Renewals {
 	now := clock.Now()
 	h.mu.Lock()
-	answer := &Renewals{UptimeMillis: now.Sub(h.servingSince).Milliseconds(), Term: h.holdsEnd.term, HoldsLeftMillis: h.holdsEnd.leftMillis(now)}
+	answer := &Renewals{UptimeMillis: now.Sub(h.servingSince).Milliseconds()}
+	for _, end := range h.holdEnds {
+		answer.Term, answer.HoldsLeftMillis = end.Term, leftMillis(now, end.At)
+		answer.HoldsLeft = append(answer.HoldsLeft, HoldsLeft{Term: end.Term, Millis: answer.HoldsLeftMillis})
+	}
 	h.mu.Unlock()
 	if len(holders) == 0 {
 		return answer
--- a/internal/peerlink/update.go
+++ b/internal/peerlink/update.go
@@ -53,9 +53,7 @@
 	default:
 		return Update{}, false
 	}
-	if update.Term == h.holdsEnd.term {
-		update.HoldsLeftMillis = h.holdsEnd.leftMillis(now)
-	}
+	update.HoldsLeftMillis = h.holdsLeftMillis(now)
 	return update, true
 }
 
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/coord"
+	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/peerlink"
 )
 
@@ -311,7 +312,7 @@
 		r.standby.HandleUpdate(update.Term, update.Delegation)
 	}
 	if update.HoldsLeftMillis > 0 {
-		r.hub.SetHoldsEnd(update.Term, clock.Now().Add(time.Duration(update.HoldsLeftMillis)*time.Millisecond))
+		r.hub.AddHoldEnd(owner.HoldEnd{Term: update.Term, At: clock.Now().Add(time.Duration(update.HoldsLeftMillis) * time.Millisecond)})
 	}
 	r.leaderStoreUnreachable.Store(update.StoreUnreachable)
 	r.strongest.Store(math.Float64bits(update.Strongest))
--- a/internal/router/renewers.go
+++ b/internal/router/renewers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,10 +29,8 @@
 	mu sync.Mutex
 	// stoppedAt is when a process was first known not to renew holds any more.
 	stoppedAt map[string]time.Time
-	// knownTerm is the last term of which an earlier leader has reported that the holds of the leaders
-	// before it end by knownEnd.
-	knownTerm owner.Term
-	knownEnd  time.Time
+	// known is what earlier leaders have reported of when the holds before their terms end.
+	known owner.HoldEnds
 }
 
 // renewerAnswer is the answer of one process; nil if there is none.
@@ -67,22 +66,33 @@
 	return end
 }
 
-// holdEnds returns when the holds of the given workers have ended that earlier leaders granted.
-func (p *pastRenewers) holdEnds(ctx context.Context, list []workers.ID) map[workers.ID]time.Time {
-	answers := p.ask(ctx, list)
-	ends := make(map[workers.ID]time.Time, len(list))
-	for _, worker := range list {
+// holdEnds returns when the given holds have ended, which earlier leaders granted.
+func (p *pastRenewers) holdEnds(ctx context.Context, list []owner.InheritedHold) map[owner.InheritedHold]time.Time {
+	answers := p.ask(ctx, holders(list))
+	ends := make(map[owner.InheritedHold]time.Time, len(list))
+	for _, hold := range list {
 		end := p.expiry
 		for index, renewer := range p.list {
-			if bound := p.holdEnd(renewer, answers[index], worker); index == 0 || bound.After(end) {
+			if bound := p.holdEnd(renewer, answers[index], hold); index == 0 || bound.After(end) {
 				end = bound
 			}
 		}
-		ends[worker] = end
+		ends[hold] = earlier(end, p.knownEnd(hold.Term))
 	}
 	return ends
 }
 
+// holders returns the workers that have the given holds.
+func holders(list []owner.InheritedHold) []workers.ID {
+	var ids []workers.ID
+	for _, hold := range list {
+		if !slices.Contains(ids, hold.Worker) {
+			ids = append(ids, hold.Worker)
+		}
+	}
+	return ids
+}
+
 // ask sends the query to all processes.
 func (p *pastRenewers) ask(ctx context.Context, holders []workers.ID) []renewerAnswer {
 	clock.Refresh() // ages are subtracted from the time of the answer, which must not lag behind
@@ -103,7 +113,7 @@
 			answers[index] = renewerAnswer{receivedAt: clock.Now(), status: &status}
 			p.markStopped(renewer)
 			if known := status.Renewals; known != nil {
-				p.learnEnd(known.Term, answers[index].receivedAt.Add(time.Duration(known.HoldsLeftMillis)*time.Millisecond))
+				p.learnEnds(known.HoldEnds(answers[index].receivedAt))
 			}
 		})
 	}
@@ -119,13 +129,26 @@
 	}
 }
 
-// learnEnd records when the holds of all leaders before a term have ended.
-func (p *pastRenewers) learnEnd(term owner.Term, end time.Time) {
+// learnEnds records when holds have ended that leaders before this one granted.
+func (p *pastRenewers) learnEnds(ends []owner.HoldEnd) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, end := range ends {
+		if end.Term <= p.term {
+			p.known.Add(end.Term, end.At)
+		}
+	}
+}
+
+// knownEnd returns when all holds have ended that leaders up to a term granted, as far as earlier leaders
+// have reported it; otherwise expiry.
+func (p *pastRenewers) knownEnd(upTo owner.Term) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if term <= p.term && (term > p.knownTerm || (term == p.knownTerm && end.Before(p.knownEnd))) {
-		p.knownTerm, p.knownEnd = term, end
+	if end, known := p.known.Before(upTo + 1); known {
+		return earlier(p.expiry, end)
 	}
+	return p.expiry
 }
 
 func (p *pastRenewers) stopped(renewer election.Renewer) (time.Time, bool) {
@@ -141,20 +164,22 @@
 	if at, stopped := p.stopped(renewer); stopped {
 		return earlier(p.expiry, p.times.HoldEnd(at))
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if renewer.Term > 0 && renewer.Term < p.knownTerm {
-		return earlier(p.expiry, p.knownEnd)
+	if renewer.Term > 0 {
+		return p.knownEnd(renewer.Term)
 	}
 	return p.expiry
 }
 
-// holdEnd returns when the hold of a worker has ended as far as one process has renewed it.
-func (p *pastRenewers) holdEnd(renewer election.Renewer, answer renewerAnswer, worker workers.ID) time.Time {
-	bound := p.stopBound(renewer)
+// holdEnd returns when a hold has ended as far as one process has renewed it. A process that has only
+// renewed holds of later terms has not renewed it: the leaders of these terms knew that the keys had
+// moved. Without this, each leader that was killed made such keys wait for 3.9 s or more.
+func (p *pastRenewers) holdEnd(renewer election.Renewer, answer renewerAnswer, hold owner.InheritedHold) time.Time {
+	bound, worker := p.stopBound(renewer), hold.Worker
 	switch {
 	case renewer.Term == 0: // the list may lack processes whose renewals still last
 		return bound
+	case renewer.Since > hold.Term:
+		return time.Time{}
 	case renewer.Process == p.process:
 		return earlier(bound, p.lastGrant(clock.Now(), p.grants.Ages(clock.Now(), []workers.ID{worker}), worker))
 	case answer.status == nil || answer.status.Renewals == nil:
@@ -192,12 +217,12 @@
 		expiry:    refreshedNow().Add(times.RenewalGrace + times.MaxHold()),
 		stoppedAt: map[string]time.Time{},
 	}
-	past.knownTerm, past.knownEnd = r.hub.HoldsEnd()
+	past.learnEnds(r.hub.HoldEnds())
 	end, unresolved = past.stop(ctx)
-	r.hub.SetHoldsEnd(term, end)
-	r.keeper.QueryHoldEnds = func(ctx context.Context, list []workers.ID) map[workers.ID]time.Time {
+	r.hub.AddHoldEnd(owner.HoldEnd{Term: term, At: end})
+	r.keeper.QueryHoldEnds = func(ctx context.Context, list []owner.InheritedHold) map[owner.InheritedHold]time.Time {
 		ends := past.holdEnds(ctx, list)
-		r.hub.SetHoldsEnd(term, past.end())
+		r.hub.AddHoldEnd(owner.HoldEnd{Term: term, At: past.end()})
 		return ends
 	}
 	return end, unresolved
--- a/internal/router/renewers_test.go
+++ b/internal/router/renewers_test.go
@@ -42,8 +42,10 @@
 		// knownTerm and knownFor are what an earlier leader has reported of the holds before its term.
 		knownTerm owner.Term
 		knownFor  time.Duration
-		// worker is asked for; ends is how long its holds last at most.
+		// worker is asked for, and the last term whose leader may have granted it the keys: zero if that is
+		// the term before the asking leader's. ends is how long its holds last at most.
 		worker workers.ID
+		term   owner.Term
 		ends   time.Duration
 		// replaced means that the process that answers began after start, when the renewer had ended.
 		replaced bool
@@ -75,6 +77,22 @@
 			list:      []election.Renewer{{Address: silent, Process: "b", Term: 1}},
 			knownTerm: 2, knownFor: 2 * time.Second, worker: "w", ends: 2 * time.Second,
 		},
+		"one does not answer that has only renewed holds of later terms": {
+			list: []election.Renewer{
+				{Address: servePastRenewer(t, "a", time.Second), Process: "a", Term: 3, Since: 1}, {Address: silent, Process: "b", Term: 3, Since: 2},
+			},
+			worker: "w", term: 1, ends: owner.MaxGrantDuration + times.MaxHold() - time.Second,
+		},
+		"one does not answer that has renewed holds of that term too": {
+			list: []election.Renewer{{Address: silent, Process: "b", Term: 3, Since: 2}}, worker: "w", term: 2, ends: times.RenewalGrace + times.MaxHold(),
+		},
+		"one does not answer of a list without first terms": {
+			list: []election.Renewer{{Address: silent, Process: "b", Term: 3}}, worker: "w", term: 1, ends: times.RenewalGrace + times.MaxHold(),
+		},
+		"one does not answer, but an earlier leader knew the end of the worker's holds": {
+			list:      []election.Renewer{{Address: silent, Process: "b", Term: 3, Since: 1}},
+			knownTerm: 2, knownFor: 2 * time.Second, worker: "w", term: 1, ends: 2 * time.Second,
+		},
 		"one does not answer that a later leader had appointed": {
 			list:      []election.Renewer{{Address: silent, Process: "b", Term: 2}},
 			knownTerm: 2, knownFor: 2 * time.Second, worker: "w", ends: times.RenewalGrace + times.MaxHold(),
@@ -86,10 +104,16 @@
 				list: test.list, term: 4, times: times, process: "self", grants: grantlog.New(nil),
 				expiry: now.Add(times.RenewalGrace + times.MaxHold()), stoppedAt: map[string]time.Time{},
 			}
-			past.learnEnd(test.knownTerm, now.Add(test.knownFor))
-			ends := past.holdEnds(context.Background(), []workers.ID{test.worker})
+			if test.knownTerm > 0 {
+				past.learnEnds([]owner.HoldEnd{{Term: test.knownTerm, At: now.Add(test.knownFor)}})
+			}
+			hold := owner.InheritedHold{Worker: test.worker, Term: test.term}
+			if hold.Term == 0 {
+				hold.Term = past.term - 1
+			}
+			ends := past.holdEnds(context.Background(), []owner.InheritedHold{hold})
 			late := clock.Since(now)
-			got, earliest := ends[test.worker].Sub(now), test.ends
+			got, earliest := ends[hold].Sub(now), test.ends
 			if test.replaced {
 				earliest -= now.Sub(start)
 			}
