--- a/internal/lab/mutate/mutations_owners.go
+++ b/internal/lab/mutate/mutations_owners.go
@@ -115,6 +115,27 @@
 		new:  "\tcomplete := true",
 		pkg:  "./internal/election", test: "TestUnreadableRenewersListIsIncomplete",
 	},
+	{
+		name: "first-grant-sent-before-it-is-recorded",
+		file: "internal/owner/firstgrant.go",
+		old:  "\ts.recordedUngranted, s.recordVersion = false, l.recordVersion",
+		new:  "\ts.recordedUngranted = false",
+		pkg:  "./internal/owner", test: "TestEveryOrderOfEvents",
+	},
+	{
+		name: "returning-keys-recorded-as-ungranted",
+		file: "internal/owner/firstgrant.go",
+		old:  "\tif s.owner == to || l.mayHaveEarlierGrant(s, to) {",
+		new:  "\tif s.owner == to {",
+		pkg:  "./internal/owner", test: "TestReturningKeysAreNotRecordedAsUngranted",
+	},
+	{
+		name: "mark-of-an-older-record-trusted",
+		file: "internal/owner/firstgrant.go",
+		old:  "\tif stored.Term+1 != l.term {",
+		new:  "\tif false {",
+		pkg:  "./internal/owner", test: "TestNextLeaderDoesNotWaitForUngrantedOwner",
+	},
 	{
 		name: "fence-of-the-leader-before-used-again",
 		file: "internal/owner/record.go",
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -27,13 +27,10 @@
 func (l *Ledger) Due(now time.Time, renewOnly bool) []Order {
 	var due []Order
 	for _, s := range l.spans {
-		if s.inFlight {
-			continue
-		}
-		if !renewOnly && s.pending != nil && s.pending.recordVersion <= l.storedVersion {
-			l.beginMove(now, s)
+		if !renewOnly {
+			l.advanceMove(now, s)
 		}
-		if now.Before(s.nextOrderAt) {
+		if s.inFlight || now.Before(s.nextOrderAt) {
 			continue
 		}
 		if order, ok := l.nextOrder(now, s, renewOnly); ok {
@@ -47,6 +44,14 @@
 	return due
 }
 
+// advanceMove begins a move that is stored, or records that the new owner gets its first grant.
+func (l *Ledger) advanceMove(now time.Time, s *span) {
+	if !s.inFlight && s.pending != nil && s.pending.recordVersion <= l.storedVersion {
+		l.beginMove(now, s)
+	}
+	l.recordFirstGrant(now, s)
+}
+
 func (l *Ledger) nextOrder(now time.Time, s *span, renewOnly bool) (Order, bool) {
 	if renewOnly && !s.held() {
 		return Order{}, false
@@ -75,6 +80,9 @@
 	if s.recordVersion > l.storedVersion || l.ended[s.owner] {
 		return Order{}, false
 	}
+	if s.recordedUngranted {
+		return Order{}, false // the stored record may say so
+	}
 	if s.pending != nil && !s.mayHaveGrant() {
 		return Order{}, false // the record being stored omits this owner: it never had the keys
 	}
--- a/internal/owner/ledger.go
+++ b/internal/owner/ledger.go
@@ -95,7 +95,7 @@
 	}
 	l.recordVersion++
 	l.addresses[to] = address
-	moved.pending = &pendingMove{to: to, fence: l.nextFence(), recordVersion: l.recordVersion}
+	moved.pending = &pendingMove{to: to, fence: l.nextFence(), recordVersion: l.recordVersion, recordedUngranted: l.recordsUngranted(moved, to)}
 }
 
 // beginMove starts a move that is stored: from here on the keys no longer belong to the old owner.
@@ -129,6 +129,7 @@
 	moved.owner = to
 	moved.fence = moved.pending.fence
 	moved.recordVersion = moved.pending.recordVersion
+	moved.recordedUngranted = moved.pending.recordedUngranted
 	moved.pending = nil
 	moved.granted = false
 	moved.unconfirmed = false
--- a/internal/owner/model_explore_test.go
+++ b/internal/owner/model_explore_test.go
@@ -29,7 +29,7 @@
 		span := leader.ledger.spans[0]
 		fmt.Fprintf(&text, "%s %d %v %s %s %v %d %s %v %s %v|", span.owner, span.fence, span.granted, at(span.heldUntil), at(span.delayedHeldUntil),
 			span.unconfirmed, span.unconfirmedFence, at(span.delayedGrantUntil), span.inFlight, at(span.nextOrderAt), span.pending)
-		fmt.Fprintf(&text, "%s %s|", at(span.inheritedUntil), at(leader.inheritedUntil))
+		fmt.Fprintf(&text, "%s %v %s|", at(span.inheritedUntil), span.recordedUngranted, at(leader.inheritedUntil))
 		fmt.Fprintf(&text, "%v %v %d %s %v|", span.mayHaveGrant(), span.maybeRestarted, span.acceptedFence, at(span.restartGrantUntil), leader.startTimes)
 		if span.pending != nil {
 			fmt.Fprintf(&text, "%v|", *span.pending)
@@ -102,6 +102,7 @@
 		"unreachable owners":                    {ticks: 3, moves: 2, delays: 1, partitions: 1},
 		"unreachable owners beside a standby":   {ticks: 3, moves: 2, partitions: 1, holdReports: 1, renewals: 1},
 		"unreachable owners before a successor": {ticks: 3, moves: 2, leaders: 1, partitions: 1},
+		"ungranted owners before a successor":   {ticks: 4, moves: 2, leaders: 1, partitions: 1},
 		"a restart and delayed grants":          {ticks: 4, moves: 1, delays: 1, restarts: 1},
 		"a restart and a partition":             {ticks: 3, moves: 1, partitions: 1, restarts: 1},
 		"a restart and lost replies":            {ticks: 3, moves: 1, lostReplies: 1, restarts: 1},
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -44,6 +44,9 @@
 	// PreviousTerms are the last terms whose leaders may have granted the keys to each of Previous. Records
 	// of earlier versions have none.
 	PreviousTerms []Term `json:"pt,omitempty"`
+	// Ungranted means that no grant has been sent to the owner, nor will be before a record without it
+	// is stored.
+	Ungranted bool `json:"u,omitempty"`
 }
 
 func (r *recordSpan) addPrevious(worker int, grantTerm Term) {
@@ -72,9 +75,9 @@
 		return indexes[id]
 	}
 	for _, s := range l.spans {
-		entry := recordSpan{From: s.keys.From, To: s.keys.To, Owner: index(s.owner), Fence: s.fence}
+		entry := recordSpan{From: s.keys.From, To: s.keys.To, Owner: index(s.owner), Fence: s.fence, Ungranted: s.recordedUngranted}
 		if s.pending != nil {
-			entry.Owner, entry.Fence = index(s.pending.to), s.pending.fence
+			entry.Owner, entry.Fence, entry.Ungranted = index(s.pending.to), s.pending.fence, s.pending.recordedUngranted
 			if s.mayHaveGrant() {
 				entry.addPrevious(index(s.owner), l.term)
 			}
@@ -111,6 +114,7 @@
 	if err != nil {
 		return err
 	}
+	l.takeOverUngranted(stored, spans)
 	for _, worker := range stored.Workers {
 		l.addresses[worker.ID] = worker.Address
 	}
@@ -142,6 +146,9 @@
 	for index := range s.previous {
 		s.previous[index].delayedGrantUntil = delayedGrantUntil
 	}
+	if s.recordedUngranted {
+		return
+	}
 	s.unconfirmed = true
 	s.unconfirmedFence = s.fence
 	s.delayedGrantUntil = delayedGrantUntil
--- a/internal/owner/span.go
+++ b/internal/owner/span.go
@@ -41,6 +41,9 @@
 	restartGrantUntil time.Time
 	// sentToStandbys means that standbys may have been informed that the owner holds the keys.
 	sentToStandbys bool
+	// recordedUngranted means that the stored record may state that the owner has been sent no grant. None
+	// is sent before a record is stored that no longer does; see recordFirstGrant.
+	recordedUngranted bool
 	// pending is the move that takes effect once it is stored; nil if there is none.
 	pending *pendingMove
 	// previous are workers that may still hold the keys. The owner gets its grant after all of them
@@ -76,6 +79,8 @@
 	to            workers.ID
 	fence         Fence
 	recordVersion uint64
+	// recordedUngranted is that of the span once the move has begun.
+	recordedUngranted bool
 }
 
 // held reports whether the owner holds the keys and no other worker can.
--- a/internal/owner/unreachable_test.go
+++ b/internal/owner/unreachable_test.go
@@ -102,8 +102,11 @@
 	ledger.MarkStored(ledger.RecordVersion())
 	now = now.Add(5 * time.Second) // the first hold has certainly ended
 	orders := map[bool]Order{}
-	for _, order := range ledger.Due(now, false) {
-		orders[order.Release] = order
+	for range 2 { // the first grant is recorded before it is sent
+		for _, order := range ledger.Due(now, false) {
+			orders[order.Release] = order
+		}
+		ledger.MarkStored(ledger.RecordVersion())
 	}
 	assert.Equal(t, len(orders), 2, "the grant to the new owner, and the new fence to the old one")
 	assert.Equal(t, orders[true].Target.ID, candidates[0].ID)
