--- a/internal/grantlog/grantlog.go
+++ b/internal/grantlog/grantlog.go
@@ -76,8 +76,8 @@
 }
 
 // end records the end of a grant. One for which no connection was established can't have reached the
-// worker: when it counted as sent, the keys of a worker that had crashed before its first grant waited
-// under the next leader for a hold that the worker never had.
+// worker. If it counted as sent, the keys of a worker that crashed before its first grant would wait under
+// the next leader for a hold that the worker never had.
 func (l *Log) end(worker workers.ID, outcome owner.Outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/owner/firstgrant.go
+++ b/internal/owner/firstgrant.go
@@ -8,18 +8,17 @@
 )
 
 // When keys move from a worker that can't be reached, their new owner gets its first grant only after
-// the hold of that worker has ended, seconds later. If the new owner crashes meanwhile, the leader knows
-// that it never had the keys, but a later leader did not: it waited for a hold that did not exist, up to
-// 9.2 s, with each owner that crashed in this way. Such an owner is therefore recorded as ungranted, and
-// a record that no longer states this is stored before its first grant is sent. Other moves don't wait,
-// so they are stored once.
+// the hold of that worker has ended, seconds later. Until then the owner is recorded as ungranted, and a
+// record that no longer states this is stored before the first grant is sent. If the owner crashes
+// meanwhile, a later leader need not wait for a hold that does not exist: that would be up to 9.2 s for
+// each such owner. Other moves don't wait, so they are stored once.
 
 // firstGrantLead is how long before the expected end of the last previous hold the record of an
 // ungranted owner is updated, so that the first grant need not wait for the store.
 const firstGrantLead = 300 * time.Millisecond
 
-// recordsUngranted reports whether the next owner of keys is recorded as ungranted: it has not had a grant
-// of them, and probably has to wait until holds expire.
+// recordsUngranted reports whether a worker is recorded as ungranted if keys move to it: no earlier grant
+// of them can reach it, and it probably has to wait until holds expire.
 func (l *Ledger) recordsUngranted(s *span, to workers.ID) bool {
 	if s.owner == to || l.mayHaveEarlierGrant(s, to) {
 		return false
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -138,7 +138,7 @@
 
 // takeOver prepares a span that another leader stored. That leader may still renew the owner's
 // hold, and raise its own fences if they are rejected; only fences of this term are higher than all
-// of them. Its unanswered orders may be accepted until delayedGrantUntil.
+// of them. Its unanswered orders may be accepted until delayedGrantUntil. An ungranted owner was sent none.
 func (l *Ledger) takeOver(s *span, delayedGrantUntil time.Time) {
 	if len(s.previous) > 0 {
 		s.fence = l.nextFence()
