Let the caller of a router open its connections to workers

The adapter may now name the function that opens connections to workers; without one they are opened as before, within the same time. No behaviour changes.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -77,8 +77,9 @@
 	othersLoad, slowdown estimate.Mean
 }
 
-func newBackend(worker workers.Worker, means *reportedMeans) *backend {
-	return &backend{pool: upstream.NewPool(worker.Address), worker: worker, means: means}
+// newBackend returns the state of a worker; see upstream.NewPool for dial.
+func newBackend(worker workers.Worker, means *reportedMeans, dial upstream.DialFunc) *backend {
+	return &backend{pool: upstream.NewPool(worker.Address, dial), worker: worker, means: means}
 }
 
 // isOtherIncarnation reports whether the announcement is of another incarnation of the worker: one
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"syscall"
@@ -140,8 +139,7 @@
 func (p *Proxy) probe(to *backend, served bool) {
 	bounded, cancel := context.WithTimeout(p.ending, probeTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	connection, err := dialer.DialContext(bounded, "tcp", to.pool.Address())
+	connection, err := to.pool.Dial(bounded)
 	switch {
 	case err == nil:
 		_ = connection.Close()
--- a/internal/proxy/crash_test.go
+++ b/internal/proxy/crash_test.go
@@ -174,7 +174,7 @@
 
 // A worker that closes many connections is probed at most once per probeInterval.
 func TestProbesAreRateLimited(t *testing.T) {
-	b := newBackend(workers.Worker{}, &reportedMeans{})
+	b := newBackend(workers.Worker{}, &reportedMeans{}, nil)
 	began := time.Unix(1000, 0)
 	tests := []struct {
 		after, wait time.Duration
--- a/internal/proxy/fairness_test.go
+++ b/internal/proxy/fairness_test.go
@@ -65,7 +65,7 @@
 		c := newCall(f, "keyed", name)
 		for range fairnessTries {
 			c.claim.owner = nil
-			to := newBackend(workers.Worker{ID: "w"}, &reportedMeans{})
+			to := newBackend(workers.Worker{ID: "w"}, &reportedMeans{}, nil)
 			for range 20 {
 				to.throttle.RecordSent(now, false)
 			}
@@ -84,7 +84,7 @@
 func TestOwnerWithCapacityRefusesNoRequests(t *testing.T) {
 	f := newFloodedProxy(t, "keyed")
 	now := clock.Now()
-	to := newBackend(workers.Worker{ID: "w"}, &reportedMeans{})
+	to := newBackend(workers.Worker{ID: "w"}, &reportedMeans{}, nil)
 	c := newCall(f, "keyed", "a")
 	for range 2 * minOwnerRequests {
 		to.shares.RecordRequest(now, c.claim.caller, 1)
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -7,6 +7,7 @@
 
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/topology"
+	"github.com/shalefork/shalefork/internal/upstream"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -35,6 +36,8 @@
 	crossing    crossingPolicy
 	sizes       *sizes
 	bulkLimiter bulkLimiter
+	// dial opens connections to workers; nil opens them directly.
+	dial upstream.DialFunc
 }
 
 func newFleet(zone string, directory *workers.Directory, limits BudgetLimits) *fleet {
@@ -69,7 +72,7 @@
 		current, previous = nil, current
 	}
 	if current == nil {
-		current = newBackend(worker, f.meansOf(worker.Service))
+		current = newBackend(worker, f.meansOf(worker.Service), f.dial)
 		f.byID[worker.ID] = current
 	}
 	current.update(worker)
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -158,6 +158,10 @@
 	return p
 }
 
+// SetWorkerDialer sets the function that opens connections to workers. It must be called before the
+// first request.
+func (p *Proxy) SetWorkerDialer(dial upstream.DialFunc) { p.fleet.dial = dial }
+
 // Use puts a configuration into force. It returns false if the current one is as new or newer.
 func (p *Proxy) Use(config *routing.Config) bool {
 	for {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -50,6 +50,8 @@
 	// SetStoreAddress sends subsequent calls to another address of the store.
 	SetStoreAddress func(address string)
 	Orders          owner.OrderSender
+	// DialWorker opens connections to workers; nil opens them directly.
+	DialWorker upstream.DialFunc
 	// Headers are the platform's header names.
 	Headers upstream.Headers
 	// ReadyPath is the path of readiness checks on the ready address.
@@ -162,6 +164,7 @@
 	r.configView = newConfigView(r)
 	r.proxy = proxy.New(config.Zone, r.workers, retryLimits(config))
 	r.proxy.SetTopology(r.zoneMap)
+	r.proxy.SetWorkerDialer(adapter.DialWorker)
 	r.proxy.Traffic = traffic.NewCounter(topology.Zone(config.Zone), r.zoneMap, metrics)
 	r.proxy.Headers, r.proxy.Table, r.proxy.Meter = adapter.Headers, r.table, r.meter
 	r.proxy.DrainPeriod, r.proxy.EvacuationPeriod = config.Drain.Std(), config.Evacuate.Std()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -57,15 +57,27 @@
 	}
 }
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Pool holds the idle connections to one worker. It is safe for concurrent use.
 type Pool struct {
 	address string
+	dial    DialFunc
 	mu      sync.Mutex
 	idle    []*conn
 }
 
-// NewPool returns a pool without connections.
-func NewPool(address string) *Pool { return &Pool{address: address} }
+// NewPool returns a pool without connections. If dial is nil, connections are opened directly.
+func NewPool(address string, dial DialFunc) *Pool {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return &Pool{address: address, dial: dial}
+}
+
+// Dial opens a connection that the caller uses and closes; it does not become part of the pool.
+func (p *Pool) Dial(ctx context.Context) (net.Conn, error) { return p.dial(ctx, "tcp", p.address) }
 
 // Address returns the address of the worker.
 func (p *Pool) Address() string { return p.address }
@@ -75,9 +87,10 @@
 	if c := p.takeIdle(clock.Now()); c != nil {
 		return c, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
+	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	began := clock.Now()
-	opened, err := dialer.DialContext(ctx, "tcp", p.address)
+	opened, err := p.dial(bounded, "tcp", p.address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/large_test.go
+++ b/internal/upstream/large_test.go
@@ -35,7 +35,7 @@
 func newScriptedWorker(t *testing.T) *scriptedWorker {
 	t.Helper()
 	routerConn, worker := net.Pipe()
-	w := &scriptedWorker{pool: NewPool("unused"), budget: bodies.NewMemoryBudget(testBudget), worker: worker, reader: bufio.NewReader(worker)}
+	w := &scriptedWorker{pool: NewPool("unused", nil), budget: bodies.NewMemoryBudget(testBudget), worker: worker, reader: bufio.NewReader(worker)}
 	w.pool.put(&conn{Conn: routerConn, reader: bufio.NewReaderSize(routerConn, readBufferSize)}, time.Hour)
 	t.Cleanup(func() { _ = worker.Close() })
 	return w
