Tell in logs and metrics whether a router is cut off from the workers

The logs of the incident show each worker failing, one after the other, at the routers without links and at the leader; nothing told a router's own partition from failing workers, nor what the leader reached.

Package reachability judges it: where a connection fails, or nothing answers for 300 ms, two workers are dialed, and if neither is reached up to eight of as many services as possible. At most a quarter of them reached means cut off; while that lasts one worker is dialed each 200 ms, and three quarters reached end it. No decision rests on it yet.

--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -31,6 +31,7 @@
 	KindRelayLost           Kind = "relay-lost"
 	KindElected             Kind = "elected"
 	KindResigned            Kind = "resigned"
+	KindReachability        Kind = "reachability"
 	KindStandby             Kind = "standby"
 	KindKeysAssigned        Kind = "keys-assigned"
 	KindZoneUnknown         Kind = "zone-unknown"
@@ -85,6 +86,7 @@
 		{KindRelayLost, "the connection to the relay broke, or the relay has had no leader for too long; the leader is asked for another relay", "relay, error"},
 		{KindElected, "this process leads", "term, holds_until (when all earlier holds have certainly expired), unresolved (addresses of processes that did not answer and may renew earlier holds)"},
 		{KindResigned, "this process no longer leads", "term"},
+		{KindReachability, "this process has been cut off from nearly all workers, or reaches them again", "reached, dialed (workers to which connections were tried), connected (how many of them were reached)"},
 		{KindStandby, "this process begins or ceases to renew holds that a lost leader granted", "renewing"},
 		{KindKeysAssigned, "all keys of a service got their initial owners", "service, candidates"},
 		{KindKeysMoved, "a move of keys was planned", "service, from, to (keys), old, worker (owners), forced, rate, old_load, load (requests per second after the move), capacity (of the new owner), change (version of the ownership record)"},
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -116,7 +116,9 @@
 	worker := to.info()
 	mean, measured := to.meanLatency(defaultLatency)
 	to.begin()
+	p.Reachability.BeginSend(clock.Now())
 	result := upstream.Send(ctx, p.Headers, to.pool, &c.message, c.target(to, &worker), c.deadline, until)
+	p.Reachability.EndSend(clock.Now(), result.Status != 0, connectionFailed(&result))
 	c.cleanups.add(result.Free)
 	if streaming := result.StreamDone(); streaming != nil {
 		to.begin()
@@ -143,6 +145,16 @@
 	return worker.ID, result
 }
 
+// connectionFailed reports whether a send ended without an answer and may have, for want of a path to the
+// worker.
+func connectionFailed(result *upstream.Result) bool {
+	switch result.Outcome {
+	case upstream.NotSent, upstream.Broken, upstream.TimedOut:
+		return result.Status == 0
+	}
+	return false
+}
+
 // target describes the worker to send to.
 func (c *call) target(to *backend, worker *workers.Worker) upstream.Target {
 	return upstream.Target{ID: string(worker.ID), Admits: func() bool { return c.admits(to) }}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -17,6 +17,7 @@
 	"github.com/shalefork/shalefork/internal/keytable"
 	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/quarantine"
+	"github.com/shalefork/shalefork/internal/reachability"
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/tenant"
 	"github.com/shalefork/shalefork/internal/traffic"
@@ -110,6 +111,8 @@
 	SuspectPermits SuspectPermits
 	// Quota enforces the tenants' limits; nil if no tenant has one.
 	Quota Quota
+	// Reachability tells whether this process is cut off from the workers.
+	Reachability *reachability.Tracker
 	// Limits enforces the workers' rate limits over all routers; nil disables them.
 	Limits Limits
 	// OnWorkerLeaving is called for workers whose answers report that they are leaving; may be nil.
@@ -149,7 +152,7 @@
 func New(zone string, directory *workers.Directory, limits BudgetLimits) *Proxy {
 	ending, end := context.WithCancel(context.Background())
 	p := &Proxy{
-		fleet: newFleet(zone, directory, limits), Nodes: &atomic.Int32{}, Suspects: quarantine.NewView(),
+		fleet: newFleet(zone, directory, limits), Nodes: &atomic.Int32{}, Suspects: quarantine.NewView(), Reachability: &reachability.Tracker{},
 		MemoryBudget: bodies.NewMemoryBudget(0), LinkShaper: bodies.NewLinkShaper(0), unread: newUnreadHeaders(), ending: ending, end: end,
 	}
 	_, _ = cryptorand.Read(p.secret[:]) // never fails
--- /dev/null
+++ b/internal/reachability/reachability_test.go
@@ -0,0 +1,123 @@
+package reachability
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// world is a number of workers, of which a tracker's process reaches some.
+type world struct {
+	tracker        Tracker
+	now            time.Time
+	known, reached int
+	surveys, dials int
+}
+
+func newWorld() *world { return &world{now: time.Unix(1000, 0), known: 12, reached: 12} }
+
+// run plays a time in steps of 10 ms. Each step a request is answered if answers is set, and one that
+// fails if failures is.
+func (w *world) run(duration time.Duration, answers, failures bool) {
+	for end := w.now.Add(duration); w.now.Before(end); w.now = w.now.Add(10 * time.Millisecond) {
+		if answers {
+			w.tracker.BeginSend(w.now)
+			w.tracker.EndSend(w.now, true, false)
+		}
+		if failures {
+			w.tracker.BeginSend(w.now)
+			w.tracker.EndSend(w.now, false, true)
+		}
+		w.survey()
+	}
+}
+
+// survey plays the surveys that are due. They reach the share of workers that is reached, rounded down.
+func (w *world) survey() {
+	for {
+		size := w.tracker.NextSurvey(w.now)
+		if size == 0 {
+			return
+		}
+		dialed := min(size, w.known)
+		w.surveys, w.dials = w.surveys+1, w.dials+dialed
+		w.tracker.RecordSurvey(w.now, dialed, dialed*w.reached/max(w.known, 1))
+	}
+}
+
+// A crashed worker is not mistaken for a partition, and a partition is noticed within a second.
+func TestOnlyFailuresOfMostWorkersShowAPartition(t *testing.T) {
+	for name, c := range map[string]struct {
+		known, reached    int
+		answers, failures bool
+		cutOff            bool
+	}{
+		"nothing fails":                       {known: 12, reached: 12, answers: true},
+		"one worker fails":                    {known: 12, reached: 11, answers: true, failures: true},
+		"half of the workers fail":            {known: 12, reached: 6, answers: true, failures: true},
+		"all fail":                            {known: 12, failures: true, cutOff: true},
+		"most fail, nothing is answered":      {known: 12, reached: 1, failures: true, cutOff: true},
+		"new connections fail, old ones work": {known: 12, answers: true, failures: true},
+		"two known, both fail":                {known: 2, failures: true, cutOff: true},
+		"only one known":                      {known: 1, failures: true},
+		"none known":                          {failures: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld()
+			w.run(time.Second, true, false)
+			w.known, w.reached = c.known, c.reached
+			w.run(time.Second, c.answers, c.failures)
+			assert.Equal(t, w.tracker.CutOff(w.now), c.cutOff)
+		})
+	}
+}
+
+// Requests that hang on open connections end too late to show a partition.
+func TestSilenceShowsAPartition(t *testing.T) {
+	w := newWorld()
+	w.run(time.Second, true, false)
+	w.reached = 0
+	w.tracker.BeginSend(w.now)
+	w.run(400*time.Millisecond, false, false)
+	assert.Assert(t, w.tracker.CutOff(w.now))
+}
+
+// A slow worker must not cost connections to others all the time.
+func TestOneSilenceIsSurveyedOnce(t *testing.T) {
+	w := newWorld()
+	w.tracker.BeginSend(w.now)
+	w.run(10*time.Second, false, false)
+	assert.Equal(t, w.dials, quickSurvey)
+	assert.Assert(t, !w.tracker.CutOff(w.now))
+}
+
+// After a partition no request is needed to notice its end, and no worker is dialed by all at once.
+func TestEndOfPartitionIsNoticed(t *testing.T) {
+	w := newWorld()
+	w.run(time.Second, true, false)
+	w.reached = 0
+	w.run(5*time.Second, false, true)
+	w.dials = 0
+	w.run(time.Second, false, false)
+	assert.Equal(t, w.dials, int(time.Second/probeInterval))
+	w.reached = 5
+	w.run(time.Second, false, false)
+	assert.Assert(t, w.tracker.CutOff(w.now), "fewer than half of the workers are reached")
+	w.reached = 12
+	w.run(probeInterval, false, false)
+	assert.Assert(t, !w.tracker.CutOff(w.now))
+	assert.Assert(t, !w.tracker.Reaches(w.now), "no worker has answered yet")
+	assert.Assert(t, w.tracker.UnreachableWithin(w.now, time.Second))
+}
+
+// Timeouts during a partition must not count against the workers.
+func TestAnswersOfOthersShowThatAWorkerIsSilent(t *testing.T) {
+	w := newWorld()
+	sent := w.now
+	w.tracker.BeginSend(sent)
+	w.run(time.Second, false, false)
+	assert.Assert(t, !w.tracker.HeardSince(sent))
+	w.run(time.Second, true, false)
+	assert.Assert(t, w.tracker.HeardSince(sent))
+}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -19,6 +19,8 @@
 	}
 	gauge("shalefork_router_ready", "1 while the process calls itself ready.", func() float64 { return gaugeValue(r.ready()) })
 	gauge("shalefork_router_leading", "1 while the process leads.", func() float64 { return gaugeValue(r.hub.Leading()) })
+	gauge("shalefork_router_cut_off", "1 while new connections to nearly all workers fail, and none answers on an open one.",
+		func() float64 { return gaugeValue(r.reach.CutOff(clock.Now())) })
 	gauge("shalefork_router_routers", "Routers that the leader knows of.", func() float64 { return float64(r.nodes.Load()) })
 	gauge("shalefork_router_followers", "Routers that follow this one as their relay.", func() float64 { return float64(r.hub.Followers()) })
 	gauge("shalefork_router_told", "1 while a leader or a relay tells this process of changes, 0 while it reads them itself.",
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,6 +28,7 @@
 	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/pipeline"
 	"github.com/shalefork/shalefork/internal/proxy"
+	"github.com/shalefork/shalefork/internal/reachability"
 	"github.com/shalefork/shalefork/internal/registry"
 	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/settings"
@@ -100,6 +101,8 @@
 	standby *standby.Standby
 	// grants sends the orders of keeper and standby.
 	grants *grantlog.Log
+	// reach tells whether this process is cut off from the workers.
+	reach *reachability.Tracker
 	// process is a random ID, unique to this run of the process.
 	process  string
 	election *election.Election
@@ -182,7 +185,8 @@
 	r.hub.Traffic = r.proxy.Traffic
 	r.election = election.New(adapter.Store, KeyPrefix, config.PeerListen, r.process, rand.Text)
 	r.election.TTL = max(election.LeaseTTL, config.MinLease.Std())
-	r.grants = grantlog.New(adapter.Orders)
+	r.reach = r.proxy.Reachability
+	r.grants = grantlog.New(trackedOrders{OrderSender: adapter.Orders, tracker: r.reach})
 	r.hub.GrantAges = r.grants.Ages
 	r.keeper = &keeper.Keeper{
 		Store: adapter.Store, Prefix: KeyPrefix, Orders: r.grants, Workers: r.workers,
@@ -233,6 +237,7 @@
 	r.followOperators(background)
 	go r.loadSuspects(background)
 	go r.watchSuspension(background)
+	go r.watchReachability(background)
 	go r.proxy.Run(background)
 	go r.limits.run(background)
 	go r.leaving.run(background)
