Forward requests through other routers while cut off from the workers

What callers saw: a router without links to the workers, which clients still reach, refuses nearly everything: each request dials one worker after the other (300 ms each), then 503, or 504 where it hung on an open connection.

Cause: a router has no way to a worker but its own connections, and takes the failure of all of them for the failure of each worker.

Change: a router that package reachability calls cut off passes the whole request on, before identification, quotas and owners, to a router that reaches the workers, with the time that is left. That one handles it like its own callers' (owner, limits, tenants, quarantine, drain), so nothing is counted twice; it never forwards again, and says so at once if it is cut off itself. Routers report whether workers answer them; the leader and relays name routers that reach them to those that don't, which choose the one with the fewest requests in flight, so that a silent one gets few. A request that was not taken for certain goes to up to three routers in turn. Once connections work again the workers' cooldowns end, which no failure of theirs caused.

--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -56,6 +56,10 @@
 	// Leaving are the workers that have announced their departure, which are sent to the links. It
 	// may be nil.
 	Leaving *facts.Table[departure.Fact]
+	// Address is where this process accepts links.
+	Address string
+	// Contact returns whether this process reaches the workers. It may be nil.
+	Contact func() Contact
 	// GrantAges returns for how long this process has sent no grant to each of the given workers. If it
 	// is nil, later leaders get no answer to that.
 	GrantAges func(now time.Time, list []workers.ID) map[workers.ID]time.Duration
@@ -113,6 +117,12 @@
 	followedLeader string
 	// onLinked is called with the addresses of processes that follow this one. It may be nil.
 	onLinked func(addresses ...string)
+	// serveForwarded serves connections over which other processes forward requests. It may be nil.
+	serveForwarded func(net.Conn)
+	// helpers are processes that reach the workers, as received from the followed process. offeredAt is
+	// when this relay last told of such followers.
+	helpers   receivedHelpers
+	offeredAt time.Time
 }
 
 // publishedOwners are the owners of a service as they are sent to the links.
@@ -174,6 +184,8 @@
 	holdsSentAt  time.Time
 	// peersSentAt is when addresses of other processes were last sent.
 	peersSentAt time.Time
+	// contact is what the process has reported of its contact with the workers.
+	contact contactReport
 }
 
 // Open starts leading in a term.
@@ -305,7 +317,12 @@
 
 func (h *Hub) handle(accepted net.Conn) {
 	conn := &traffic.Conn{Conn: accepted}
-	defer func() { _ = conn.Close() }()
+	passedOn := false
+	defer func() {
+		if !passedOn {
+			_ = conn.Close()
+		}
+	}()
 	reader := bufio.NewReader(conn)
 	var hello Hello
 	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
@@ -313,6 +330,10 @@
 		return
 	}
 	conn.OnBytes(func(bytes int) { h.Traffic.Add(traffic.Peers, topology.Zone(hello.Zone), bytes) })
+	if hello.Forwards {
+		passedOn = h.acceptForwarding(conn, reader)
+		return
+	}
 	if hello.Permits {
 		if h.answerPermit != nil {
 			h.servePermits(conn, reader)
--- a/internal/peerlink/links.go
+++ b/internal/peerlink/links.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"time"
+
+	"github.com/shalefork/shalefork/internal/clock"
 )
 
 func (h *Hub) drop(l *link) {
@@ -48,6 +50,10 @@
 	}
 	h.mu.Lock()
 	l.followers = report.Followers
+	l.contact.record(clock.Now(), report)
+	if l.contact.needsHelp(clock.Now()) && l.contact.helpersSentAt.IsZero() {
+		l.signal()
+	}
 	leading := h.leading
 	h.mu.Unlock()
 	if !leading {
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -26,6 +26,8 @@
 	Node string `json:"node"`
 	// QueryOnly asks only whether the receiver leads; the link ends with the answer.
 	QueryOnly bool `json:"ask,omitempty"`
+	// Forwards asks to forward requests over this connection.
+	Forwards bool `json:"fw,omitempty"`
 	// Term is the term of the dialing process if it leads. A leader of an earlier term stops
 	// leading before it answers.
 	Term owner.Term `json:"term,omitempty"`
@@ -87,6 +89,11 @@
 	FollowedLeader string `json:"h,omitempty"`
 	// Peers are addresses of some other processes.
 	Peers []string `json:"i,omitempty"`
+	// Helpers are addresses of processes that reach the workers. They are sent to processes that are cut
+	// off from them, or whose followers are.
+	Helpers []string `json:"hp,omitempty"`
+	// Forwards is set in the answer to a Hello that asks to forward requests, if these are taken.
+	Forwards bool `json:"fw,omitempty"`
 	// Links is the number of processes that are linked to the sender.
 	Links int `json:"m,omitempty"`
 	// LeadershipUncertain is set while the leader does not reach the key-value service, so that
@@ -284,6 +291,11 @@
 	HoldVersions map[routing.ServiceName]uint64 `json:"v,omitempty"`
 	// Followers is how many processes follow a relay, whose report contains the sum of theirs.
 	Followers int `json:"f,omitempty"`
+	// Contact tells whether the process reaches the workers. SeeksHelp is set if followers of the process
+	// don't, and Offers are addresses of followers that do.
+	Contact   Contact  `json:"ct,omitempty"`
+	SeeksHelp bool     `json:"sh,omitempty"`
+	Offers    []string `json:"of,omitempty"`
 	// Evidence is about requests that were in progress at workers that crashed.
 	Evidence *quarantine.Evidence `json:"q,omitempty"`
 	// Quota is the use of the tenants' limits at this process and its followers.
@@ -294,8 +306,9 @@
 	Leaving []departure.Message `json:"s,omitempty"`
 }
 
-// Empty reports whether the report contains nothing.
+// Empty reports whether the report contains nothing that needs to be sent. That the process reaches the
+// workers can wait for a report that contains more.
 func (r Report) Empty() bool {
-	return len(r.Keys) == 0 && len(r.ResponseTimes) == 0 && r.Stamp == 0 && r.Followers == 0 && r.Evidence == nil &&
+	return r.Contact != CutOff && !r.SeeksHelp && len(r.Offers) == 0 && len(r.Keys) == 0 && len(r.ResponseTimes) == 0 && r.Stamp == 0 && r.Followers == 0 && r.Evidence == nil &&
 		len(r.Quota) == 0 && len(r.Limits) == 0 && len(r.Backoffs) == 0 && len(r.Leaving) == 0
 }
--- a/internal/peerlink/standbys.go
+++ b/internal/peerlink/standbys.go
@@ -205,9 +205,10 @@
 func (h *Hub) Peers() []Peer {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now := clock.Now()
 	peers := make([]Peer, 0, len(h.links))
 	for l := range h.links {
-		if l.hello.Process != "" {
+		if l.hello.Process != "" && l.contact.current(now) != CutOff {
 			peers = append(peers, Peer{
 				Process: l.hello.Process, Address: l.hello.Address, Zone: l.hello.Zone, Strength: l.hello.Strength,
 			})
--- a/internal/peerlink/update.go
+++ b/internal/peerlink/update.go
@@ -29,6 +29,7 @@
 	update.Leaving = encodeFacts(now, dueFacts(h.Leaving, &l.leaving, now), departure.NewMessage)
 	update.Quota, l.pendingGrants = l.pendingGrants, nil
 	update.Peers = h.peerAddressesFor(l, now)
+	update.Helpers = h.helpersFor(l, now)
 	if h.leading {
 		update.Delegation = h.standbys.extend(l, now)
 	}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -171,6 +171,20 @@
 	return b.estimatedLoad(now) / float64(b.worker.Slots)
 }
 
+// isFailing reports whether the last send that told anything of the worker failed.
+func (b *backend) isFailing() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.failures > 0
+}
+
+// forgiveFailures ends the cooldown after failures.
+func (b *backend) forgiveFailures() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failures, b.cooldownUntil, b.unreachableUntil = 0, time.Time{}, time.Time{}
+}
+
 // usable reports whether the worker is neither replaced nor in a cooldown after failures.
 func (b *backend) usable(now time.Time) bool {
 	b.mu.Lock()
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -158,9 +158,19 @@
 	}
 }
 
+// checkBodyLength refuses a body that was read before the request's service was known, if it exceeds the
+// service's limit. It returns false if it has answered the request.
+func (c *call) checkBodyLength() bool {
+	if limit := c.bodyLimit(); limit > 0 && c.message.Length > limit {
+		c.refuse(http.StatusRequestEntityTooLarge, reasonBody, 0)
+		return false
+	}
+	return true
+}
+
 // bodyLimit returns the maximum length of the request's body in bytes; zero means unlimited.
 func (c *call) bodyLimit() int64 {
-	if c.service.BodyBytes > 0 {
+	if c.service != nil && c.service.BodyBytes > 0 {
 		return c.service.BodyBytes
 	}
 	return c.config.Limits.BodyBytes
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -57,6 +57,11 @@
 	lastWorker workers.ID
 	// cleanups release the request's body memory and other resources when it ends.
 	cleanups cleanupList
+	// origin is where the request came from.
+	origin origin
+	// prepared is set once the headers were parsed and the body was read, and forwarded once the request
+	// was offered to other routers.
+	prepared, forwarded bool
 	// bodyUnread reports that the caller's body has not been read to its end.
 	bodyUnread bool
 	// detach keeps the request from being canceled when the process shuts down.
@@ -66,6 +71,10 @@
 // prepare parses the headers and reads the body. It returns false if it has already answered the
 // request.
 func (c *call) prepare() bool {
+	if c.prepared {
+		return c.checkBodyLength()
+	}
+	c.prepared = true
 	header := c.request.Header
 	c.message = upstream.Message{
 		Method: c.request.Method, URI: c.request.RequestURI, Host: c.request.Host,
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -45,7 +45,7 @@
 
 // callerRequest returns the fingerprint of the request and its caller.
 func (c *call) callerRequest() quarantine.CallerRequest {
-	return quarantine.CallerRequest{Request: c.fingerprint(), Caller: callerAddress(c.request.RemoteAddr)}
+	return quarantine.CallerRequest{Request: c.fingerprint(), Caller: c.callerAddress()}
 }
 
 // callerAddress returns the IP address that a request came from; the zero address if there is none.
@@ -203,7 +203,7 @@
 // attempt describes this attempt of the request.
 func (c *call) attempt() quarantine.Attempt {
 	return quarantine.Attempt{
-		Request: c.fingerprint(), ID: c.message.ID, Route: c.route.Name, Caller: callerAddress(c.request.RemoteAddr),
+		Request: c.fingerprint(), ID: c.message.ID, Route: c.route.Name, Caller: c.callerAddress(),
 	}
 }
 
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -127,6 +127,15 @@
 	}
 }
 
+// forgiveFailures ends the cooldowns of all workers after failures.
+func (f *fleet) forgiveFailures() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, b := range f.byID {
+		b.forgiveFailures()
+	}
+}
+
 // prune closes expired idle connections and removes the state of workers that have been removed.
 func (f *fleet) prune(now time.Time) {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/proxy/forward.go
@@ -0,0 +1,201 @@
+package proxy
+
+import (
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/forward"
+	"github.com/shalefork/shalefork/internal/upstream"
+)
+
+// Headers of requests and answers between routers. They never reach callers or workers.
+const (
+	// callerHeader is the address of a forwarded request's caller.
+	callerHeader = "Router-Caller"
+	// cutOffHeader is set in the answer of a router that is cut off from the workers as well.
+	cutOffHeader = "Router-Cut-Off"
+)
+
+const (
+	// maxHelpers is the maximum number of routers to which one request is forwarded in turn, while it
+	// has certainly not been taken by any.
+	maxHelpers = 3
+	// forwardMargin is the part of the time before the deadline that is reserved for returning the
+	// answer of another router.
+	forwardMargin = 20 * time.Millisecond
+	// cutOffRetryAfter is the Retry-After delay of a router that is cut off from the workers.
+	cutOffRetryAfter = 200 * time.Millisecond
+)
+
+// Outcomes of forwarding a request, as metric labels.
+const (
+	forwardAnswered = "answered"
+	forwardUntaken  = "not-taken"
+	forwardFailed   = "failed"
+	forwardReceived = "received"
+)
+
+// ServeForwarded serves requests that other routers forward. They are handled like those of this router's
+// own callers, but are not forwarded again.
+func (p *Proxy) ServeForwarded(writer http.ResponseWriter, request *http.Request) {
+	p.Metrics.recordForward(forwardReceived)
+	caller, _ := netip.ParseAddr(request.Header.Get(callerHeader)) // invalid if the caller's address is unknown
+	request.Header.Del(callerHeader)
+	p.serve(writer, request, origin{forwarded: true, caller: caller})
+}
+
+// origin is where a request came from.
+type origin struct {
+	// forwarded is set if another router has forwarded the request.
+	forwarded bool
+	// caller is the address of the caller; the zero address if it is unknown.
+	caller netip.Addr
+}
+
+// forwardWhileCutOff forwards the request if this process is cut off from the workers. It returns true if
+// it has answered the request. Otherwise the request is handled here: a worker may be reached after all.
+func (c *call) forwardWhileCutOff() bool {
+	if !c.proxy.Reachability.CutOff(clock.Now()) {
+		return false
+	}
+	if c.origin.forwarded {
+		c.writer.Header().Set(cutOffHeader, "1")
+		c.refuse(http.StatusServiceUnavailable, reasonCutOff, cutOffRetryAfter)
+		return true
+	}
+	return c.forward()
+}
+
+// forwardUnsent forwards a request that no worker can have received, since connections to the workers
+// fail. It returns true if it has answered the request. A request that counts against its tenant's limit
+// is not forwarded, since it would count twice.
+func (c *call) forwardUnsent() bool {
+	if !c.proxy.Reachability.Unreachable() || c.origin.forwarded || c.forwarded || c.sends.mayHaveArrived() > 0 || !c.quotaCountedAt.IsZero() {
+		return false
+	}
+	return c.forward()
+}
+
+// ForgiveFailures lets workers get requests at once that have failed while this process was cut off from
+// all of them.
+func (p *Proxy) ForgiveFailures() { p.fleet.forgiveFailures() }
+
+// forward passes the whole request on to another router, which handles it like one of its own. It returns
+// true if it has answered the request.
+func (c *call) forward() bool {
+	if c.proxy.Helpers == nil {
+		return false
+	}
+	c.forwarded = true
+	if !c.prepare() {
+		return true
+	}
+	tried := map[string]bool{}
+	for range maxHelpers {
+		helper := c.proxy.Helpers.Take(clock.Now(), tried)
+		if helper == nil {
+			return false
+		}
+		tried[helper.Address] = true
+		message := c.forwardedMessage()
+		result := c.forwardTo(helper, message)
+		if c.finishForwarded(result, message.BodyConsumed()) {
+			return true
+		}
+	}
+	return false
+}
+
+// forwardTo forwards the request to one router.
+func (c *call) forwardTo(helper *forward.Helper, message *upstream.Message) *upstream.Result {
+	c.sends.begin()
+	result := upstream.Send(c.request.Context(), c.proxy.Headers, helper.Pool, message, upstream.Target{}, c.deadline.Add(-forwardMargin), c.deadline.Add(-answerMargin))
+	c.cleanups.add(result.Free)
+	untaken := isUntaken(&result)
+	if untaken {
+		result.Outcome = upstream.NotSent
+	}
+	c.recordResult("", &result)
+	answered := result.Status != 0 && !untaken
+	c.proxy.Helpers.Return(clock.Now(), helper, answered || result.Outcome == upstream.ClientGone || result.Outcome == upstream.BodyTruncated)
+	c.proxy.Metrics.recordForward(forwardOutcome(answered, untaken))
+	return &result
+}
+
+// isUntaken reports whether the router certainly did not take the request: it was not reached, or it is
+// cut off from the workers as well.
+func isUntaken(result *upstream.Result) bool {
+	return result.Outcome == upstream.NotSent || result.Header.Get(cutOffHeader) != ""
+}
+
+func forwardOutcome(answered, untaken bool) string {
+	switch {
+	case untaken:
+		return forwardUntaken
+	case answered:
+		return forwardAnswered
+	}
+	return forwardFailed
+}
+
+// forwardedMessage returns the request as its caller sent it, with the caller's address.
+func (c *call) forwardedMessage() *upstream.Message {
+	header := c.message.Header.Clone()
+	header.Del(callerHeader)
+	if caller := c.callerAddress(); caller.IsValid() {
+		header.Set(callerHeader, caller.String())
+	}
+	m := &c.message
+	return &upstream.Message{
+		Method: m.Method, URI: m.URI, Host: m.Host, ID: m.ID, Header: header,
+		Body: m.Body, Rest: m.Rest, Interrupt: m.Interrupt, Length: m.Length,
+		Budget: m.Budget, Shaper: m.Shaper, AnswerBufferSize: m.AnswerBufferSize, AnswerBufferTime: m.AnswerBufferTime,
+	}
+}
+
+// finishForwarded answers the request by what came of forwarding it. It returns false if the router did
+// not take it, so that another may.
+func (c *call) finishForwarded(result *upstream.Result, bodyConsumed bool) bool {
+	switch result.Outcome {
+	case upstream.Answered:
+		c.forwardAnswer(result)
+	case upstream.ClientGone:
+		c.abandon()
+	case upstream.BodyTruncated:
+		c.refuse(http.StatusBadGateway, reasonBody, 0)
+	case upstream.TimedOut:
+		c.refuse(http.StatusGatewayTimeout, reasonDeadline, 0)
+	case upstream.Broken:
+		c.refuse(http.StatusBadGateway, reasonAnswerLost, 0)
+	default:
+		switch {
+		case c.timeLeft() <= answerMargin:
+			c.giveUp(reasonDeadline, 0)
+		case bodyConsumed:
+			c.giveUp(reasonCutOff, cutOffRetryAfter)
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// callerAddress returns the IP address of the request's caller; the zero address if it is unknown.
+func (c *call) callerAddress() netip.Addr {
+	if c.origin.forwarded {
+		return c.origin.caller
+	}
+	return callerAddress(c.request.RemoteAddr)
+}
+
+// pruneHelpers closes unused connections to other routers.
+func (p *Proxy) pruneHelpers(now time.Time) {
+	if p.Helpers != nil {
+		p.Helpers.Prune(now)
+	}
+}
+
+// recordForward counts a request that was forwarded, by its outcome, or that another router forwarded.
+func (m *Metrics) recordForward(outcome string) { m.forwards.WithLabelValues(outcome).Inc() }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -14,6 +14,7 @@
 	"github.com/shalefork/shalefork/internal/bodies"
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/decision"
+	"github.com/shalefork/shalefork/internal/forward"
 	"github.com/shalefork/shalefork/internal/keytable"
 	"github.com/shalefork/shalefork/internal/peerlink"
 	"github.com/shalefork/shalefork/internal/quarantine"
@@ -80,6 +81,8 @@
 	reasonQuarantined = "request-quarantined"
 	// reasonSuspected: the request may crash workers that run it, and another attempt of it runs.
 	reasonSuspected = "request-suspected"
+	// reasonCutOff: this router is cut off from the workers, and no other router took the request.
+	reasonCutOff = "cut-off"
 )
 
 // activeConfig is a configuration in force with the state for distributing its requests.
@@ -113,6 +116,9 @@
 	Quota Quota
 	// Reachability tells whether this process is cut off from the workers.
 	Reachability *reachability.Tracker
+	// Helpers are the routers to which requests are forwarded while this process is cut off from the
+	// workers; nil if there are none.
+	Helpers *forward.Set
 	// Limits enforces the workers' rate limits over all routers; nil disables them.
 	Limits Limits
 	// OnWorkerLeaving is called for workers whose answers report that they are leaving; may be nil.
@@ -234,17 +240,23 @@
 			return
 		case now := <-ticker.C:
 			p.fleet.prune(now)
+			p.pruneHelpers(now)
 		}
 	}
 }
 
 // ServeHTTP implements http.Handler.
 func (p *Proxy) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	p.serve(writer, request, origin{})
+}
+
+// serve handles a request of a caller, or of a router that has forwarded it.
+func (p *Proxy) serve(writer http.ResponseWriter, request *http.Request, from origin) {
 	ctx, cancel := context.WithCancel(request.Context())
 	defer cancel()
 	detach := context.AfterFunc(p.ending, cancel)
 	defer detach()
-	c := &call{proxy: p, writer: writer, request: request.WithContext(ctx), began: clock.Now(), tried: map[workers.ID]bool{}, detach: detach}
+	c := &call{proxy: p, writer: writer, request: request.WithContext(ctx), began: clock.Now(), tried: map[workers.ID]bool{}, detach: detach, origin: from}
 	defer c.cleanups.run()
 	c.message.ID = request.Header.Get(p.Headers.RequestID)
 	c.bodyUnread = request.ContentLength < 0 || request.ContentLength > bodies.MaxSmall
@@ -261,11 +273,11 @@
 		c.refuse(http.StatusNotFound, reasonNoRoute, 0)
 		return
 	}
-	if !c.identify(active.keys) || !c.acquireQuota() {
+	c.sends.maxRuns = max(1, c.route.Attempts)
+	if c.forwardWhileCutOff() || !c.identify(active.keys) || !c.acquireQuota() {
 		return
 	}
 	defer c.releaseQuota()
-	c.sends.maxRuns = max(1, c.route.Attempts)
 	c.service = c.selectService(active)
 	if !c.prepare() {
 		return
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -51,7 +51,7 @@
 			return
 		}
 		result := c.sendTo(to, c.deadline.Add(-answerMargin))
-		if c.finish(result) {
+		if c.finish(result) || c.forwardUnsent() {
 			return
 		}
 		if result.Outcome == upstream.ConnectionRejected { // no other worker may run it, and the owner has no capacity
@@ -95,6 +95,9 @@
 			c.giveUp(reason, regionRetryAfter)
 			return nil
 		}
+		if reason == reasonOwnerDown && c.forwardUnsent() {
+			return nil
+		}
 		share := c.ownerWaitShare(reason)
 		limit := c.began.Add(time.Duration(share * float64(c.route.Target)))
 		wait := min(clock.Until(limit), c.timeLeft()-answerMargin)
@@ -114,7 +117,7 @@
 	switch {
 	case reason == reasonMoving:
 		return movingKeyWaitShare
-	case c.cannotReassignKey(reason):
+	case c.cannotReassignKey(reason), reason == reasonOwnerDown && c.proxy.Reachability.Unreachable():
 		return 0
 	}
 	return missingOwnerWaitShare
@@ -152,7 +155,7 @@
 		return nil, reasonRegion
 	case c.proxy.fleet.directory.EvacuatedFor(to.info().Zone) > c.evacuationGrace():
 		return nil, reasonEvacuated
-	case !to.usableAsOwner(clock.Now()):
+	case !to.usableAsOwner(clock.Now()), to.isFailing() && c.proxy.Reachability.Unreachable():
 		return nil, reasonOwnerDown
 	}
 	return to, ""
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -18,6 +18,7 @@
 	limits   *prometheus.CounterVec
 	notices  *prometheus.CounterVec
 	unread   *prometheus.CounterVec
+	forwards *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	tenants  *tenantCounters
 }
@@ -48,12 +49,16 @@
 			Name: "shalefork_router_unread_headers_total",
 			Help: "Headers of workers' answers that are only passed on, by name; other: of all beyond the first 32 names.",
 		}, []string{"header"}),
+		forwards: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shalefork_router_forwarded_requests_total",
+			Help: "Requests forwarded to other routers while this one is cut off from the workers: answered, not-taken or failed; received: forwarded by others.",
+		}, []string{"outcome"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "shalefork_router_request_seconds", Help: "Time from a request's arrival to its answer.", Buckets: latencyBuckets,
 		}, []string{"service"}),
 	}
 	metrics.tenants = newTenantCounters()
-	registerer.MustRegister(metrics.requests, metrics.sends, metrics.crashes, metrics.limits, metrics.notices, metrics.unread, metrics.latency, metrics.tenants.requests, metrics.tenants.overShare)
+	registerer.MustRegister(metrics.requests, metrics.sends, metrics.crashes, metrics.limits, metrics.notices, metrics.unread, metrics.forwards, metrics.latency, metrics.tenants.requests, metrics.tenants.overShare)
 	return metrics
 }
 
--- a/internal/proxy/pooled.go
+++ b/internal/proxy/pooled.go
@@ -31,7 +31,7 @@
 			return
 		}
 		result := c.sendPooled(picked)
-		if c.finish(result) {
+		if c.finish(result) || c.forwardUnsent() {
 			return
 		}
 		c.tried[c.lastWorker] = true
@@ -96,6 +96,12 @@
 			c.giveUp(reason, c.blockedRetryAfter(reason, until.Sub(now)))
 			return choice{}
 		}
+		if c.proxy.Reachability.Unreachable() {
+			if !c.forwardUnsent() {
+				c.giveUp(reasonCutOff, cutOffRetryAfter)
+			}
+			return choice{}
+		}
 		if c.noWorkerInAllowedRegions() {
 			c.giveUp(reasonRegion, regionRetryAfter)
 			return choice{}
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -336,6 +336,7 @@
 	if update.Leading || update.Relayed {
 		r.hub.RelayUpdate(update)
 	}
+	r.handleHelpers(update.Helpers)
 	r.limits.handleUpdate(update.Limits)
 	r.leaving.handleUpdate(update.Leaving)
 	r.handleSuspects(update)
--- a/internal/router/reachability.go
+++ b/internal/router/reachability.go
@@ -19,8 +19,9 @@
 const (
 	// surveyPollInterval is how often it is checked whether workers must be dialed.
 	surveyPollInterval = 50 * time.Millisecond
-	// surveyTimeout limits a connection attempt of a survey.
-	surveyTimeout = 300 * time.Millisecond
+	// surveyTimeout limits a connection attempt of a survey. It is longer than a round trip between
+	// regions, and shorter than the time after which a lost packet is sent again.
+	surveyTimeout = 150 * time.Millisecond
 )
 
 // trackedOrders sends orders and records whether workers answer them.
@@ -64,9 +65,12 @@
 	}
 }
 
-// handleReachabilityChange logs that the process has been cut off from the workers, or reaches them
+// handleReachabilityChange handles that the process has been cut off from the workers, or reaches them
 // again.
 func (r *Router) handleReachabilityChange(dialed, reached int) {
+	if !r.reach.Unreachable() {
+		r.proxy.ForgiveFailures()
+	}
 	r.log.Line(decision.KindReachability).Bool("reached", !r.reach.Unreachable()).Int("dialed", dialed).Int("connected", reached).Msg("")
 }
 
--- a/internal/router/report.go
+++ b/internal/router/report.go
@@ -20,6 +20,7 @@
 func (r *Router) report() peerlink.Report {
 	report := r.meter.TakeReport()
 	report.Followers = r.hub.Followers()
+	r.hub.AddContact(&report, clock.Now())
 	r.standby.AddToReport(&report)
 	report.Evidence = r.proxy.Suspects.CollectEvidence(clock.Now())
 	report.Quota = r.quotas.collectReports()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -183,6 +183,8 @@
 	r.hub.Strength, r.hub.DirectNodes = config.Machine.Strength(), config.DirectRouters
 	r.hub.LinkRate = config.Machine.LinkBytes()
 	r.hub.Traffic = r.proxy.Traffic
+	r.hub.Address, r.hub.Contact = config.PeerListen, r.contact
+	r.proxy.Helpers = r.newHelpers()
 	r.election = election.New(adapter.Store, KeyPrefix, config.PeerListen, r.process, rand.Text)
 	r.election.TTL = max(election.LeaseTTL, config.MinLease.Std())
 	r.reach = r.proxy.Reachability
@@ -241,6 +243,10 @@
 	go r.proxy.Run(background)
 	go r.limits.run(background)
 	go r.leaving.run(background)
+	forwarded := r.newForwardedServer()
+	forwardedConns := newConnListener(listeners.peers.Addr())
+	r.hub.OnForwarding(forwardedConns.add)
+	go func() { _ = forwarded.Serve(forwardedConns) }()
 	go r.hub.Serve(listeners.peers)
 	go r.standby.Run(background)
 	go func() {
@@ -255,7 +261,7 @@
 	r.pipelined.Attach(server)
 	go func() { _ = server.Serve(r.pipelined.Listen(listeners.clients)) }()
 	<-ctx.Done()
-	r.drain(server, stopLeading, led)
+	r.drain([]*http.Server{server, forwarded}, stopLeading, led)
 	listeners.close()
 	r.log.Line(decision.KindStop).Msg("")
 	r.log.Flush()
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/clock"
@@ -43,8 +44,9 @@
 }
 
 // drain ends the process: it becomes not ready at once, gives up leadership, then refuses new
-// connections, and finally finishes requests in flight.
-func (r *Router) drain(server *http.Server, stopLeading context.CancelFunc, led <-chan struct{}) {
+// connections, and finally finishes requests in flight, those of its callers and those that other routers
+// have forwarded.
+func (r *Router) drain(servers []*http.Server, stopLeading context.CancelFunc, led <-chan struct{}) {
 	began := clock.Now()
 	grace := r.settings.Grace.Std()
 	r.log.Line(decision.KindReady).Bool("ready", false).Str("reason", "asked to stop").Msg("")
@@ -61,7 +63,11 @@
 	bounded, cancel := context.WithTimeout(context.Background(), clock.Until(began.Add(time.Duration(finishShare*float64(grace)))))
 	defer cancel()
 	r.awaitPipelined(bounded) // the server would treat their connections as idle, or close them with the first response
-	_ = server.Shutdown(bounded)
+	var shutdowns sync.WaitGroup
+	for _, server := range servers {
+		shutdowns.Go(func() { _ = server.Shutdown(bounded) })
+	}
+	shutdowns.Wait()
 	r.awaitPipelined(bounded)
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -37,6 +37,7 @@
 
 // Target identifies the worker that a message is for.
 type Target struct {
+	// ID is empty for another router, which chooses the worker itself.
 	ID string
 	// Admits is called just before anything is written, and reports whether the worker may still
 	// get the message. It may be nil, in which case the worker may.
--- a/internal/upstream/message.go
+++ b/internal/upstream/message.go
@@ -66,7 +66,9 @@
 		}
 	})
 	head.WriteString(headers.DeadlineMillis + ": " + strconv.FormatInt(max(1, remaining.Milliseconds()), 10) + "\r\n")
-	head.WriteString(headers.Target + ": " + target + "\r\n")
+	if target != "" {
+		head.WriteString(headers.Target + ": " + target + "\r\n")
+	}
 	if m.Tenant != "" && headers.Tenant != "" {
 		head.WriteString(headers.Tenant + ": " + m.Tenant + "\r\n")
 	}
