Let a leader that is cut off from the workers resign, and move no keys meanwhile

What callers saw: with the leader among the routers that lost their links to the workers, the routers in touch refuse nearly all keyed requests as well.

Cause: the leader takes its own failed orders for the loss of each worker. It moves their keys to others that it doesn't reach either, and nobody renews the holds; its lease is renewed in the store, so no other router takes over.

Change: a leader that is cut off plans no moves, until a second after it reaches workers again; failed orders show nothing about workers meanwhile. If a router that follows it reports that workers answer it, the leader resigns. Where no router reaches the workers for 2 s they have failed, and keys move as before.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -82,6 +82,9 @@
 	// OnWorkerLeaving is called for a worker that reports in its reply to an order that it is
 	// leaving. It may be nil.
 	OnWorkerLeaving func(workers.Incarnation)
+	// DistrustsFailures reports whether orders may fail because this process is cut off from the workers, so
+	// that failures show nothing about them. It is nil if that is not known.
+	DistrustsFailures func(now time.Time) bool
 	// QueryHoldEnds asks the processes that may have renewed holds which earlier leaders granted, and
 	// returns when each of the given holds has ended. It is nil if none can be asked.
 	QueryHoldEnds func(ctx context.Context, list []owner.InheritedHold) map[owner.InheritedHold]time.Time
@@ -195,7 +198,9 @@
 		}
 		t.observeIncarnations(now, svc)
 		if !renewOnly {
-			t.plan(now, svc)
+			if t.DistrustsFailures == nil || !t.DistrustsFailures(now) {
+				t.plan(now, svc)
+			}
 			t.storeRecord(svc)
 		}
 		t.queryHoldEnds(now, svc)
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -237,6 +237,7 @@
 	until, unresolved := r.stopPastRenewers(ctx, tenure)
 	r.log.Line(decision.KindElected).Int64("term", int64(tenure.Leader.Term)).Time("holds_until", until).
 		Strs("unresolved", addresses(unresolved)).Msg("")
+	go r.resignIfCutOff(tenureCtx, stop)
 	go r.reportToSelf(tenureCtx)
 	go r.keepSuspects(tenureCtx, tenure)
 	go r.quotas.coordinate(tenureCtx, tenure)
@@ -266,9 +267,12 @@
 
 // campaignDelay staggers campaigns, strongest machines first, since the leader communicates with
 // all other processes. A process that knows no others is delayed by how far its machine is below
-// full strength.
+// full strength. A process that is cut off from the workers campaigns last.
 func (r *Router) campaignDelay() time.Duration {
 	pause := jitter(campaignJitter)
+	if r.reach.CutOff(clock.Now()) {
+		pause += cutOffDelay
+	}
 	strongest := math.Float64frombits(r.strongest.Load())
 	switch {
 	case strongest == 0:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -196,6 +196,7 @@
 		SyncedAt: r.storeSyncedAt,
 		Times:    owner.DefaultConfig(config.MaxHold.Std()), Nonce: rand.Text, Zone: config.Zone, Regions: r.zoneMap,
 	}
+	r.keeper.DistrustsFailures = r.distrustsFailures
 	r.standby = standby.New(r.grants, r.keeper.Times, log)
 	r.standby.Workers = r.workers
 	r.hub.OnLeaderQuery(r.stopRenewing)
