Don't take the few workers that a cut router still reaches for contact

Now the workers that answered lately are weighed against those that failed: a quarter or fewer of them is no contact, as in a survey. Connections that live on while new ones are refused still count.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -127,7 +127,7 @@
 	to.begin()
 	p.Reachability.BeginSend(clock.Now())
 	result := upstream.Send(ctx, p.Headers, to.pool, &c.message, c.target(to, &worker), c.deadline, until)
-	p.Reachability.EndSend(clock.Now(), result.Status != 0, connectionFailed(&result))
+	p.Reachability.EndSend(clock.Now(), worker.ID, result.Status != 0, connectionFailed(&result))
 	c.cleanups.add(result.Free)
 	if streaming := result.StreamDone(); streaming != nil {
 		to.begin()
--- a/internal/reachability/reachability.go
+++ b/internal/reachability/reachability.go
@@ -8,6 +8,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/shalefork/shalefork/internal/workers"
 )
 
 const (
@@ -28,10 +30,19 @@
 	// counts as cut off, and minReachedShare the one from which it no longer does.
 	maxCutOffShare  = 0.25
 	minReachedShare = 0.75
-	// evidenceLifetime is for how long answers of workers show that the process reaches them.
+	// evidenceLifetime is for how long answers of workers show that the process reaches them, and
+	// failures that it does not.
 	evidenceLifetime = time.Second
+	// pruneInterval is the interval at which old outcomes are removed.
+	pruneInterval = 10 * time.Second
 )
 
+// outcome is how the last send to a worker ended.
+type outcome struct {
+	at       time.Time
+	answered bool
+}
+
 // Tracker holds what one process has seen of its connections to all workers. It is safe for concurrent
 // use; the zero value is a process that has seen nothing.
 type Tracker struct {
@@ -40,6 +51,9 @@
 	// heardAt is when a worker last answered, and waitingSince since when sends have been in flight
 	// without an answer; zero if none are.
 	heardAt, waitingSince time.Time
+	// outcomes are the last ones by worker, pruned at pruneAt.
+	outcomes map[workers.ID]outcome
+	pruneAt  time.Time
 	// suspicious is set if a connection has failed since the last survey, and silenceSurveyed if a
 	// survey has reached workers since the last answer.
 	suspicious, silenceSurveyed bool
@@ -63,12 +77,15 @@
 	}
 }
 
-// EndSend records the end of a send: whether a worker answered, and if not, whether its connection
+// EndSend records the end of a send: whether the worker answered, and if not, whether its connection
 // failed or it stayed silent.
-func (t *Tracker) EndSend(now time.Time, answered, failed bool) {
+func (t *Tracker) EndSend(now time.Time, worker workers.ID, answered, failed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inFlight--
+	if answered || failed {
+		t.recordOutcome(now, worker, answered)
+	}
 	t.suspicious = t.suspicious || failed
 	switch {
 	case answered:
@@ -81,6 +98,23 @@
 	}
 }
 
+// recordOutcome records how a send ended, and removes old outcomes. The caller holds mu.
+func (t *Tracker) recordOutcome(now time.Time, worker workers.ID, answered bool) {
+	if t.outcomes == nil {
+		t.outcomes = map[workers.ID]outcome{}
+	}
+	t.outcomes[worker] = outcome{at: now, answered: answered}
+	if now.Before(t.pruneAt) {
+		return
+	}
+	t.pruneAt = now.Add(pruneInterval)
+	for id, last := range t.outcomes {
+		if now.Sub(last.at) > evidenceLifetime {
+			delete(t.outcomes, id)
+		}
+	}
+}
+
 // NextSurvey returns how many workers are to be dialed now; zero if none. The caller must report the
 // result to RecordSurvey before it asks again.
 func (t *Tracker) NextSurvey(now time.Time) int {
@@ -148,11 +182,29 @@
 	return t.unreachable
 }
 
-// CutOff reports whether new connections to the workers fail and none answers on an open one.
+// CutOff reports whether new connections to the workers fail and hardly any worker answers on an open one.
 func (t *Tracker) CutOff(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.unreachable && now.Sub(t.heardAt) > silenceLimit
+	return t.unreachable && !t.connectionsWork(now)
+}
+
+// connectionsWork reports whether workers answer on open connections, and not only the few that the
+// process still reaches. The caller holds mu.
+func (t *Tracker) connectionsWork(now time.Time) bool {
+	if now.Sub(t.heardAt) > silenceLimit {
+		return false
+	}
+	answering, failing := 0, 0
+	for _, last := range t.outcomes {
+		switch age := now.Sub(last.at); {
+		case last.answered && age <= silenceLimit:
+			answering++
+		case !last.answered && age <= evidenceLifetime:
+			failing++
+		}
+	}
+	return float64(answering) > maxCutOffShare*float64(answering+failing)
 }
 
 // Reaches reports whether workers have answered lately and new connections work. A process may neither
--- a/internal/reachability/reachability_test.go
+++ b/internal/reachability/reachability_test.go
@@ -1,10 +1,13 @@
 package reachability
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/workers"
 )
 
 // world is a number of workers, of which a tracker's process reaches some.
@@ -13,26 +16,36 @@
 	now            time.Time
 	known, reached int
 	surveys, dials int
+	// steps counts the steps played, from which workers are chosen in turn.
+	steps int
 }
 
 func newWorld() *world { return &world{now: time.Unix(1000, 0), known: 12, reached: 12} }
 
-// run plays a time in steps of 10 ms. Each step a request is answered if answers is set, and one that
-// fails if failures is.
+// run plays a time in steps of 10 ms. In each step a request is answered if answers is set, and one fails
+// if failures is. The workers that answer are as many as are reached, or all if none is: open connections
+// may work while new ones fail. The other workers fail.
 func (w *world) run(duration time.Duration, answers, failures bool) {
 	for end := w.now.Add(duration); w.now.Before(end); w.now = w.now.Add(10 * time.Millisecond) {
-		if answers {
+		answering := w.reached
+		if answering == 0 {
+			answering = w.known
+		}
+		if answers && answering > 0 {
 			w.tracker.BeginSend(w.now)
-			w.tracker.EndSend(w.now, true, false)
+			w.tracker.EndSend(w.now, workerNumber(w.steps%answering), true, false)
 		}
-		if failures {
+		if failures && w.known > 0 {
 			w.tracker.BeginSend(w.now)
-			w.tracker.EndSend(w.now, false, true)
+			w.tracker.EndSend(w.now, workerNumber(w.reached+w.steps%max(1, w.known-w.reached)), false, true)
 		}
+		w.steps++
 		w.survey()
 	}
 }
 
+func workerNumber(number int) workers.ID { return workers.ID(fmt.Sprint(number)) }
+
 // survey plays the surveys that are due. They reach the share of workers that is reached, rounded down.
 func (w *world) survey() {
 	for {
@@ -58,7 +71,7 @@
 		"half of the workers fail":            {known: 12, reached: 6, answers: true, failures: true},
 		"all fail":                            {known: 12, failures: true, cutOff: true},
 		"most fail, nothing is answered":      {known: 12, reached: 1, failures: true, cutOff: true},
-		"new connections fail, old ones work": {known: 12, answers: true, failures: true},
+		"most fail, the others answer":        {known: 12, reached: 1, answers: true, failures: true, cutOff: true},
 		"two known, both fail":                {known: 2, failures: true, cutOff: true},
 		"only one known":                      {known: 1, failures: true},
 		"none known":                          {failures: true},
@@ -73,6 +86,19 @@
 	}
 }
 
+// A process whose open connections live on while new ones are refused is not cut off.
+func TestOpenConnectionsThatWorkAreUsed(t *testing.T) {
+	w := newWorld()
+	w.run(time.Second, true, false)
+	w.reached = 0
+	w.run(10*time.Millisecond, true, true)
+	w.run(2*time.Second, true, false)
+	assert.Assert(t, w.tracker.Unreachable())
+	assert.Assert(t, !w.tracker.CutOff(w.now))
+	w.run(500*time.Millisecond, false, false)
+	assert.Assert(t, w.tracker.CutOff(w.now), "no answers any more")
+}
+
 // Requests that hang on open connections end too late to show a partition.
 func TestSilenceShowsAPartition(t *testing.T) {
 	w := newWorld()
--- a/internal/router/reachability.go
+++ b/internal/router/reachability.go
@@ -33,18 +33,18 @@
 // Grant implements owner.OrderSender.
 func (o trackedOrders) Grant(ctx context.Context, to owner.Target, grant owner.Grant) owner.Reply {
 	o.tracker.BeginSend(clock.Now())
-	return o.ended(o.OrderSender.Grant(ctx, to, grant))
+	return o.ended(to, o.OrderSender.Grant(ctx, to, grant))
 }
 
 // Release implements owner.OrderSender.
 func (o trackedOrders) Release(ctx context.Context, from owner.Target, keys owner.KeyRange, fence owner.Fence) owner.Reply {
 	o.tracker.BeginSend(clock.Now())
-	return o.ended(o.OrderSender.Release(ctx, from, keys, fence))
+	return o.ended(from, o.OrderSender.Release(ctx, from, keys, fence))
 }
 
-func (o trackedOrders) ended(reply owner.Reply) owner.Reply {
+func (o trackedOrders) ended(to owner.Target, reply owner.Reply) owner.Reply {
 	failed := reply.Outcome == owner.OutcomeUnreachable || reply.Outcome == owner.OutcomeUnanswered
-	o.tracker.EndSend(clock.Now(), !failed, failed)
+	o.tracker.EndSend(clock.Now(), to.ID, !failed, failed)
 	return reply
 }
 
