Don't suspect requests whose workers a partition has cut off

Cause: a connection that closes in mid-run and an address that refuses new ones count as the crash of a worker. A partition between this router and all workers shows the same at each of them.

Change: a refused connection shows the end of a worker only if a survey that begins after it reaches other workers. That another process answers at the address needs no such control. Timeouts count against a worker, in the times that are reported to the leader as in surveys, only if another one has answered meanwhile.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -70,6 +70,8 @@
 	// last probe of its address, which may be in the future.
 	crashObserver quarantine.CrashObserver
 	probeAt       time.Time
+	// confirming is set while it is being found out whether the worker has ended.
+	confirming bool
 }
 
 // reportedMeans are the averages of the loads that a service's workers report.
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -125,9 +125,11 @@
 	worker := to.info()
 	mean, measured := to.meanLatency(defaultLatency)
 	to.begin()
-	p.Reachability.BeginSend(clock.Now())
+	began := clock.Now()
+	p.Reachability.BeginSend(began)
 	result := upstream.Send(ctx, p.Headers, to.pool, &c.message, c.target(to, &worker), c.deadline, until)
-	p.Reachability.EndSend(clock.Now(), worker.ID, result.Status != 0, connectionFailed(&result))
+	othersAnswered := p.Reachability.HeardSince(began)
+	p.Reachability.EndSend(clock.Now(), worker.ID, result.Status != 0, connectionFailed(&result, othersAnswered))
 	c.cleanups.add(result.Free)
 	if streaming := result.StreamDone(); streaming != nil {
 		to.begin()
@@ -137,7 +139,7 @@
 		p.Log.Line(decision.KindWorkerHealth).Str("worker", string(worker.ID)).Str("outcome", string(result.Outcome)).
 			Str("id", c.message.ID).AnErr("error", result.Err).Msg("")
 	}
-	if c.service.Keyed && (result.Outcome == upstream.Answered || result.Outcome == upstream.TimedOut) {
+	if c.service.Keyed && (result.Outcome == upstream.Answered || result.Outcome == upstream.TimedOut && othersAnswered) {
 		p.Meter.CountResponse(worker.ID, result.Took)
 	}
 	if result.Outcome == upstream.Answered {
@@ -154,12 +156,14 @@
 	return worker.ID, result
 }
 
-// connectionFailed reports whether a send ended without an answer and may have, for want of a path to the
-// worker.
-func connectionFailed(result *upstream.Result) bool {
+// connectionFailed reports whether a send may have ended without an answer for want of a path to the
+// worker. A worker that stays silent while others answer is slow.
+func connectionFailed(result *upstream.Result, othersAnswered bool) bool {
 	switch result.Outcome {
-	case upstream.NotSent, upstream.Broken, upstream.TimedOut:
+	case upstream.NotSent, upstream.Broken:
 		return result.Status == 0
+	case upstream.TimedOut:
+		return !othersAnswered
 	}
 	return false
 }
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -82,8 +82,11 @@
 // and crash the worker.
 func (c *call) recordWorkerEnd(to *backend, result *upstream.Result) {
 	interrupted, closed, ended := endEvidence(result)
-	if ended {
+	switch {
+	case ended && result.Outcome == upstream.Misdirected:
 		c.proxy.workerEnded(to, false)
+	case ended:
+		c.proxy.confirmEnd(to, false)
 	}
 	if !interrupted {
 		return
@@ -144,8 +147,48 @@
 	case err == nil:
 		_ = connection.Close()
 	case errors.Is(err, syscall.ECONNREFUSED):
+		p.confirmEnd(to, served)
+	}
+}
+
+// confirmTimeout limits the time until it is known whether a refused connection shows anything about its
+// worker.
+const confirmTimeout = 500 * time.Millisecond
+
+// confirmEnd records that a worker has ended whose address refuses connections, unless connections to the
+// other workers fail as well: a partition between this process and the workers may refuse them, too.
+func (p *Proxy) confirmEnd(to *backend, served bool) {
+	if p.ConfirmContact == nil {
 		p.workerEnded(to, served)
+		return
+	}
+	if !to.beginConfirmation() {
+		return
 	}
+	served = served || p.wasServing(to)
+	go func() {
+		defer to.endConfirmation()
+		bounded, cancel := context.WithTimeout(p.ending, confirmTimeout)
+		defer cancel()
+		if p.ConfirmContact(bounded) {
+			p.workerEnded(to, served)
+		}
+	}()
+}
+
+// beginConfirmation returns false if it is being found out already whether the worker has ended.
+func (b *backend) beginConfirmation() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	began := !b.confirming
+	b.confirming = true
+	return began
+}
+
+func (b *backend) endConfirmation() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.confirming = false
 }
 
 // workerEnded records that a worker has ended. Unless it was draining, it has crashed, and the
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -116,6 +116,9 @@
 	Quota Quota
 	// Reachability tells whether this process is cut off from the workers.
 	Reachability *reachability.Tracker
+	// ConfirmContact reports whether this process reaches workers at all, so that a connection which one of
+	// them refuses shows that its process has ended. If it is nil, it is assumed.
+	ConfirmContact func(ctx context.Context) bool
 	// Helpers are the routers to which requests are forwarded while this process is cut off from the
 	// workers; nil if there are none.
 	Helpers *forward.Set
--- a/internal/reachability/reachability.go
+++ b/internal/reachability/reachability.go
@@ -58,9 +58,10 @@
 	// survey has reached workers since the last answer.
 	suspicious, silenceSurveyed bool
 	// surveyedAt is when the last survey began, and size its size. next is the size of one that is
-	// due at once; zero if none is.
-	surveyedAt time.Time
-	size, next int
+	// due at once; zero if none is. checkedAt is when the last survey began that showed whether the
+	// workers are reached.
+	surveyedAt, checkedAt time.Time
+	size, next            int
 	// unreachable is set once a full survey has reached hardly any worker, and changedAt is when it
 	// last changed.
 	unreachable bool
@@ -147,6 +148,15 @@
 func (t *Tracker) RecordSurvey(now time.Time, dialed, reached int) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	changed = t.recordSurvey(now, dialed, reached)
+	if t.next == 0 {
+		t.checkedAt = t.surveyedAt
+	}
+	return changed
+}
+
+// recordSurvey does the work of RecordSurvey. The caller holds mu.
+func (t *Tracker) recordSurvey(now time.Time, dialed, reached int) (changed bool) {
 	if t.unreachable {
 		return t.recordWhileUnreachable(now, dialed, reached)
 	}
@@ -175,6 +185,22 @@
 	return true
 }
 
+// RequestSurvey makes a survey due at once, to find out whether a failure shows anything about its worker.
+func (t *Tracker) RequestSurvey() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.next == 0 && !t.unreachable {
+		t.next = quickSurvey
+	}
+}
+
+// CheckedSince reports whether a survey that began after a time has shown whether workers are reached.
+func (t *Tracker) CheckedSince(since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.checkedAt.After(since)
+}
+
 // Unreachable reports whether new connections to the workers fail. Open ones may still work.
 func (t *Tracker) Unreachable() bool {
 	t.mu.Lock()
--- a/internal/reachability/reachability_test.go
+++ b/internal/reachability/reachability_test.go
@@ -66,15 +66,15 @@
 		answers, failures bool
 		cutOff            bool
 	}{
-		"nothing fails":                       {known: 12, reached: 12, answers: true},
-		"one worker fails":                    {known: 12, reached: 11, answers: true, failures: true},
-		"half of the workers fail":            {known: 12, reached: 6, answers: true, failures: true},
-		"all fail":                            {known: 12, failures: true, cutOff: true},
-		"most fail, nothing is answered":      {known: 12, reached: 1, failures: true, cutOff: true},
-		"most fail, the others answer":        {known: 12, reached: 1, answers: true, failures: true, cutOff: true},
-		"two known, both fail":                {known: 2, failures: true, cutOff: true},
-		"only one known":                      {known: 1, failures: true},
-		"none known":                          {failures: true},
+		"nothing fails":                  {known: 12, reached: 12, answers: true},
+		"one worker fails":               {known: 12, reached: 11, answers: true, failures: true},
+		"half of the workers fail":       {known: 12, reached: 6, answers: true, failures: true},
+		"all fail":                       {known: 12, failures: true, cutOff: true},
+		"most fail, nothing is answered": {known: 12, reached: 1, failures: true, cutOff: true},
+		"most fail, the others answer":   {known: 12, reached: 1, answers: true, failures: true, cutOff: true},
+		"two known, both fail":           {known: 2, failures: true, cutOff: true},
+		"only one known":                 {known: 1, failures: true},
+		"none known":                     {failures: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld()
--- a/internal/router/reachability.go
+++ b/internal/router/reachability.go
@@ -65,6 +65,19 @@
 	}
 }
 
+// confirmContact surveys some workers, and reports whether this process reaches them. It returns false if
+// that can't be found out before ctx ends.
+func (r *Router) confirmContact(ctx context.Context) bool {
+	began := clock.Now()
+	r.reach.RequestSurvey()
+	for !r.reach.Unreachable() && !r.reach.CheckedSince(began) {
+		if !clock.Sleep(ctx, contactPollInterval/5) {
+			return false
+		}
+	}
+	return !r.reach.Unreachable()
+}
+
 // handleReachabilityChange handles that the process has been cut off from the workers, or reaches them
 // again.
 func (r *Router) handleReachabilityChange(dialed, reached int) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -184,7 +184,7 @@
 	r.hub.LinkRate = config.Machine.LinkBytes()
 	r.hub.Traffic = r.proxy.Traffic
 	r.hub.Address, r.hub.Contact = config.PeerListen, r.contact
-	r.proxy.Helpers = r.newHelpers()
+	r.proxy.Helpers, r.proxy.ConfirmContact = r.newHelpers(), r.confirmContact
 	r.election = election.New(adapter.Store, KeyPrefix, config.PeerListen, r.process, rand.Text)
 	r.election.TTL = max(election.LeaseTTL, config.MinLease.Std())
 	r.reach = r.proxy.Reachability
