Try another router if one that takes a request reaches no worker either

Seen in one of three runs at once under the race detector (leader and follower cut off by refusal, 91 of 93 served): the first router forwards a request whose worker refuses a new connection to the second, which has open connections but can't open one either, and passes on its refusal.

A router that reaches the workers for nobody now marks such a refusal, and the request goes on to the next router. A leader, whom nobody names routers that reach the workers, takes them from the reports of its followers.

--- a/internal/peerlink/contact.go
+++ b/internal/peerlink/contact.go
@@ -116,6 +116,13 @@
 	}
 }
 
+// ReachingAddresses returns addresses of processes that follow this one and reach the workers.
+func (h *Hub) ReachingAddresses(now time.Time) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reachingAddresses(nil, now, maxHelpers)
+}
+
 // helpersFor returns addresses of processes that reach the workers, if the link's process needs them now.
 // The caller holds mu.
 func (h *Hub) helpersFor(l *link, now time.Time) []string {
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -14,7 +14,8 @@
 const (
 	// callerHeader is the address of a forwarded request's caller.
 	callerHeader = "Router-Caller"
-	// cutOffHeader is set in the answer of a router that is cut off from the workers as well.
+	// cutOffHeader is set in the answer of a router that took no part in the request, since it does not
+	// reach the workers either.
 	cutOffHeader = "Router-Cut-Off"
 )
 
@@ -61,13 +62,20 @@
 		return false
 	}
 	if c.origin.forwarded {
-		c.writer.Header().Set(cutOffHeader, "1")
-		c.refuse(http.StatusServiceUnavailable, reasonCutOff, cutOffRetryAfter)
+		c.giveUp(reasonCutOff, cutOffRetryAfter)
 		return true
 	}
 	return c.forward()
 }
 
+// letOthersTake marks the refusal of a forwarded request that was sent to no worker because connections to
+// the workers fail, so that the router which forwarded it tries another one.
+func (c *call) letOthersTake() {
+	if c.origin.forwarded && c.sends.mayHaveArrived() == 0 && c.proxy.Reachability.Unreachable() {
+		c.writer.Header().Set(cutOffHeader, "1")
+	}
+}
+
 // forwardUnsent forwards a request that no worker can have received, since connections to the workers
 // fail. It returns true if it has answered the request. A request that counts against its tenant's limit
 // is not forwarded, since it would count twice.
--- a/internal/router/reachability.go
+++ b/internal/router/reachability.go
@@ -52,6 +52,10 @@
 // ends.
 func (r *Router) watchReachability(ctx context.Context) {
 	for clock.Sleep(ctx, surveyPollInterval) {
+		if r.reach.Unreachable() && r.hub.Leading() { // no other process names helpers to this one
+			now := clock.Now()
+			r.proxy.Helpers.Told(now, r.hub.ReachingAddresses(now))
+		}
 		for ctx.Err() == nil {
 			size := r.reach.NextSurvey(clock.Now())
 			if size == 0 {
