--- a/internal/reachability/reachability.go
+++ b/internal/reachability/reachability.go
@@ -185,12 +185,13 @@
 	return true
 }
 
-// RequestSurvey makes a survey due at once, to find out whether a failure shows anything about its worker.
+// RequestSurvey makes a full survey due at once, to find out whether a failure shows anything about its
+// worker. A quick one may happen to reach one of few workers that are left.
 func (t *Tracker) RequestSurvey() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.next == 0 && !t.unreachable {
-		t.next = quickSurvey
+	if !t.unreachable {
+		t.next = fullSurvey
 	}
 }
 
--- a/internal/reachability/reachability_test.go
+++ b/internal/reachability/reachability_test.go
@@ -147,3 +147,17 @@
 	w.run(time.Second, true, false)
 	assert.Assert(t, w.tracker.HeardSince(sent))
 }
+
+// A refused connection must show a crash only if most other workers are reached.
+func TestRequestedSurveyIsFull(t *testing.T) {
+	w := newWorld()
+	w.run(time.Second, true, false)
+	w.reached = 1
+	w.tracker.RequestSurvey()
+	began := w.now
+	w.now = w.now.Add(10 * time.Millisecond)
+	w.survey()
+	assert.Equal(t, w.dials, fullSurvey)
+	assert.Assert(t, w.tracker.CheckedSince(began))
+	assert.Assert(t, w.tracker.Unreachable())
+}
