Let routers decline forwarded requests, and bound the time of offering them

A router that has no configuration, or an older one without the request's route, passed its own 503 or 404 on to the caller of the router that is cut off. It now declines, and a third router is tried, until half of the target has passed. A router whose connections to workers fail and whom no other router helps refuses at once instead of dialing one worker after the other. A survey during which the process itself was too slow counts no failures.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -247,7 +247,7 @@
 func (c *call) giveUpWithoutRetry(reason string) { c.giveUpWith(reason, 0) }
 
 func (c *call) giveUpWith(reason string, retryAfter time.Duration) {
-	c.letOthersTake()
+	c.declineUnreachable()
 	if c.sends.mayHaveRun() > 0 && !c.route.Repeatable {
 		c.refuse(http.StatusBadGateway, reason, 0)
 		return
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -14,15 +14,17 @@
 const (
 	// callerHeader is the address of a forwarded request's caller.
 	callerHeader = "Router-Caller"
-	// cutOffHeader is set in the answer of a router that took no part in the request, since it does not
-	// reach the workers either.
-	cutOffHeader = "Router-Cut-Off"
+	// declinedHeader is set in the answer of a router that took no part in the request.
+	declinedHeader = "Router-Declined"
 )
 
 const (
 	// maxHelpers is the maximum number of routers to which one request is forwarded in turn, while it
 	// has certainly not been taken by any.
 	maxHelpers = 3
+	// forwardShare is the fraction of the target latency after which a request that no router has taken
+	// is offered to no further one.
+	forwardShare = 0.5
 	// forwardMargin is the part of the time before the deadline that is reserved for returning the
 	// answer of another router.
 	forwardMargin = 20 * time.Millisecond
@@ -68,11 +70,19 @@
 	return c.forward()
 }
 
-// letOthersTake marks the refusal of a forwarded request that was sent to no worker because connections to
-// the workers fail, so that the router which forwarded it tries another one.
-func (c *call) letOthersTake() {
-	if c.origin.forwarded && c.sends.mayHaveArrived() == 0 && c.proxy.Reachability.Unreachable() {
-		c.writer.Header().Set(cutOffHeader, "1")
+// declineForwarded marks the refusal of a request that another router has forwarded, so that it tries a
+// third one: this router has no configuration, or an older one without the request's route.
+func (c *call) declineForwarded() {
+	if c.origin.forwarded {
+		c.writer.Header().Set(declinedHeader, "1")
+	}
+}
+
+// declineUnreachable is declineForwarded for a request that was sent to no worker because connections to the
+// workers fail here as well.
+func (c *call) declineUnreachable() {
+	if c.sends.mayHaveArrived() == 0 && c.proxy.Reachability.Unreachable() {
+		c.declineForwarded()
 	}
 }
 
@@ -101,7 +111,11 @@
 		return true
 	}
 	tried := map[string]bool{}
+	limit := c.began.Add(time.Duration(forwardShare * float64(c.route.Target)))
 	for range maxHelpers {
+		if len(tried) > 0 && clock.Now().After(limit) {
+			return false
+		}
 		helper := c.proxy.Helpers.Take(clock.Now(), tried)
 		if helper == nil {
 			return false
@@ -132,10 +146,9 @@
 	return &result
 }
 
-// isUntaken reports whether the router certainly did not take the request: it was not reached, or it is
-// cut off from the workers as well.
+// isUntaken reports whether the router certainly did not take the request: it was not reached, or declined.
 func isUntaken(result *upstream.Result) bool {
-	return result.Outcome == upstream.NotSent || result.Header.Get(cutOffHeader) != ""
+	return result.Outcome == upstream.NotSent || result.Header.Get(declinedHeader) != ""
 }
 
 func forwardOutcome(answered, untaken bool) string {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -268,11 +268,13 @@
 	}
 	active := p.current.Load()
 	if active == nil || p.Starting.Load() {
+		c.declineForwarded()
 		c.refuse(http.StatusServiceUnavailable, reasonNoConfig, 300*time.Millisecond)
 		return
 	}
 	c.config = active.config
 	if c.route = active.config.Match(request.Host, request.URL.Path); c.route == nil {
+		c.declineForwarded()
 		c.refuse(http.StatusNotFound, reasonNoRoute, 0)
 		return
 	}
--- a/internal/proxy/pooled.go
+++ b/internal/proxy/pooled.go
@@ -34,6 +34,10 @@
 		if c.finish(result) || c.forwardUnsent() {
 			return
 		}
+		if result.Outcome == upstream.NotSent && c.proxy.Reachability.Unreachable() {
+			c.giveUp(reasonCutOff, cutOffRetryAfter)
+			return
+		}
 		c.tried[c.lastWorker] = true
 		if !c.sends.maySend() {
 			c.giveUp(reasonRefused, c.retryAfterRejection(100*time.Millisecond))
--- a/internal/reachability/reachability.go
+++ b/internal/reachability/reachability.go
@@ -143,7 +143,7 @@
 }
 
 // RecordSurvey records the result of a survey: how many workers were dialed, which are fewer than
-// requested if fewer are known, and how many were reached. It returns true if that changes whether the
+// requested if fewer are known, or none if the survey is void, and how many were reached. It returns true if that changes whether the
 // process is cut off.
 func (t *Tracker) RecordSurvey(now time.Time, dialed, reached int) (changed bool) {
 	t.mu.Lock()
@@ -175,9 +175,9 @@
 // recordWhileUnreachable is RecordSurvey for a process that is cut off. The caller holds mu.
 func (t *Tracker) recordWhileUnreachable(now time.Time, dialed, reached int) (changed bool) {
 	switch {
-	case dialed > 0 && float64(reached) < minReachedShare*float64(dialed):
+	case dialed == 0 || float64(reached) < minReachedShare*float64(dialed):
 		return false
-	case dialed > 0 && t.size < fullSurvey:
+	case t.size < fullSurvey:
 		t.next = fullSurvey
 		return false
 	}
--- a/internal/router/forwarding.go
+++ b/internal/router/forwarding.go
@@ -11,9 +11,9 @@
 	"github.com/shalefork/shalefork/internal/peerlink"
 )
 
-// maxKnownPeers is the most other routers that are tried while no leader names routers that reach the
-// workers.
-const maxKnownPeers = 8
+// maxKnownPeers is the most other routers that are known for want of a leader that names some which reach
+// the workers.
+const maxKnownPeers = 16
 
 // newHelpers returns the routers to which this one forwards requests while it is cut off from the workers.
 func (r *Router) newHelpers() *forward.Set {
--- a/internal/router/reachability.go
+++ b/internal/router/reachability.go
@@ -92,9 +92,10 @@
 }
 
 // surveyWorkers opens connections to a random sample of workers, and returns how many were dialed and
-// how many were reached.
+// how many were reached. Failures don't count if this process was itself too slow to tell.
 func (r *Router) surveyWorkers(ctx context.Context, size int) (dialed, reached int) {
 	sample := sampleWorkers(r.usableWorkers(), size)
+	began := clock.Now()
 	bounded, cancel := context.WithTimeout(ctx, surveyTimeout)
 	defer cancel()
 	var connected atomic.Int32
@@ -108,7 +109,11 @@
 		})
 	}
 	dialing.Wait()
-	return len(sample), int(connected.Load())
+	dialed, reached = len(sample), int(connected.Load())
+	if clock.Since(began) > 2*surveyTimeout {
+		dialed = reached
+	}
+	return dialed, reached
 }
 
 // dialWorker opens a connection to a worker.
