--- a/internal/lab/mutate/mutations_requests.go
+++ b/internal/lab/mutate/mutations_requests.go
@@ -75,8 +75,8 @@
 	{
 		name: "planned-stop-cuts",
 		file: "internal/router/serve.go",
-		old:  "\t_ = server.Shutdown(bounded)",
-		new:  "\t_ = bounded\n\t_ = server.Close()",
+		old:  "shutdowns.Go(func() { _ = server.Shutdown(bounded) })",
+		new:  "shutdowns.Go(func() { _ = server.Close() })",
 		pkg:  "./platform/session", test: "TestPlannedStopInterruptsNoRequests",
 	},
 	{
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -117,7 +117,9 @@
 	switch {
 	case reason == reasonMoving:
 		return movingKeyWaitShare
-	case c.cannotReassignKey(reason), reason == reasonOwnerDown && c.proxy.Reachability.Unreachable():
+	case c.cannotReassignKey(reason):
+		return 0
+	case reason == reasonOwnerDown && c.proxy.Reachability.Unreachable():
 		return 0
 	}
 	return missingOwnerWaitShare
