Don't wait forever for a list of workers newer than the leader's

Cause: a router that starts reads the first page of a list, as of the store's revision, and waits for its leader to send the list as of that one. The leader's list is older (no worker has changed since); the router takes it, goes on waiting for as long as updates arrive, and neither reads the changes that the leader can't send nor does what a resync asks for. It never learns of workers that come or go. The goroutines of such a run show it in awaitRelayedList.

Not of this change: any router meets it that starts with a list of several pages, unless another writer's revision is a worker's.

Change: a process that knew no list takes the first one it is sent, and reads or is sent the changes since. The new case of TestLongListIsReadByOneProcess fails before (it waits for the leader to be lost).

--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -192,9 +192,14 @@
 // this process must read the pages from the service. A leader reads them at once. If each of many
 // processes that start together did so, the list would cross the service's link once per process.
 func (r *Router) awaitRelayedList(ctx context.Context, state *prefixState, at coord.Revision) bool {
-	received := func() bool { return state.coveredRevision() >= at }
+	knewList := state.coveredRevision() > 0
+	received := func() bool {
+		covered := state.coveredRevision()
+		// The first list may be older than the page: changes since then are sent, or read as such.
+		return covered >= at || (!knewList && covered > 0)
+	}
 	timeout := r.listTimeoutFor(state)
-	if state.coveredRevision() > 0 {
+	if knewList {
 		// The leader may keep sending updates and still leave this process to read what it misses.
 		bounded, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
--- a/internal/router/start_test.go
+++ b/internal/router/start_test.go
@@ -81,8 +81,12 @@
 		received bool
 		after    time.Duration
 	}{
-		"it leads":                       {act: func(r *Router) { r.hub.Open(1) }, after: 100 * time.Millisecond},
-		"it receives the list":           {act: func(r *Router) { r.entries.noteCovered(7) }, received: true, after: 100 * time.Millisecond},
+		"it leads":             {act: func(r *Router) { r.hub.Open(1) }, after: 100 * time.Millisecond},
+		"it receives the list": {act: func(r *Router) { r.entries.noteCovered(7) }, received: true, after: 100 * time.Millisecond},
+		"it receives an older list": {act: func(r *Router) {
+			r.entries.noteCovered(5)
+			r.updates.received(time.Now(), 0, true)
+		}, received: true, after: 100 * time.Millisecond},
 		"no updates":                     {act: func(*Router) {}, after: listTimeout},
 		"the leader sends other updates": {act: func(r *Router) { r.updates.received(time.Now(), 0, true) }, after: 90*time.Millisecond + peerlink.SilenceLimit + listTimeout},
 	} {
