Pass on the tenant and not the API key with a forwarded request

Found on reading the change: the docs promise that no API key stands in messages between routers, and a forwarded request carried its caller's. And a worker that answers with the header by which routers decline would have had a request that it ran forwarded to a second router.

The router that is cut off identifies the caller now and passes on its tenant, over the peer port, which callers don't reach; the other one counts the limit, as before, and declines if its configuration has no such tenant. A worker's header of that name ends at its router. TestForwardedRequestIsIdentifiedOnce and TestWorkerCannotDeclineForwardedRequest; two more mutations.

--- a/internal/lab/mutate/mutations_partitions.go
+++ b/internal/lab/mutate/mutations_partitions.go
@@ -32,12 +32,26 @@
 		pkg:  "./internal/proxy", test: "TestRoutersThatAreAllCutOffRefuseAtOnce",
 	},
 	{
-		name: "identified-by-both-routers",
+		name: "counted-by-both-routers",
 		file: "internal/proxy/handler.go",
-		old:  "\tif c.forwardWhileCutOff() || !c.identify(active.keys) || !c.acquireQuota() {",
+		old:  "\tif !c.identify(active.keys) || c.forwardWhileCutOff() || !c.acquireQuota() {",
 		new:  "\tif !c.identify(active.keys) || !c.acquireQuota() || c.forwardWhileCutOff() {",
 		pkg:  "./internal/proxy", test: "TestForwardedRequestIsIdentifiedOnce",
 	},
+	{
+		name: "key-passed-on-with-a-forwarded-request",
+		file: "internal/proxy/forward.go",
+		old:  ", StripIdentity: m.StripIdentity,",
+		new:  ",",
+		pkg:  "./internal/proxy", test: "TestForwardedRequestIsIdentifiedOnce",
+	},
+	{
+		name: "worker-declines-for-its-router",
+		file: "internal/proxy/answer.go",
+		old:  "\theader.Del(declinedHeader)",
+		new:  "\t_ = header",
+		pkg:  "./internal/proxy", test: "TestWorkerCannotDeclineForwardedRequest",
+	},
 	{
 		name: "leader-stays-while-cut-off",
 		file: "internal/router/leadercontact.go",
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -23,6 +23,7 @@
 	header := c.writer.Header()
 	connectionHeader := header.Get("Connection")
 	c.proxy.Headers.ForEachForwarded(result.Header, func(name string, values []string) { header[name] = values })
+	header.Del(declinedHeader) // a worker that has run the request must not make another router run it
 	if _, present := result.Header["Content-Type"]; !present {
 		header["Content-Type"] = nil // prevents net/http from detecting one
 	}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -7,6 +7,7 @@
 
 	"github.com/shalefork/shalefork/internal/clock"
 	"github.com/shalefork/shalefork/internal/forward"
+	"github.com/shalefork/shalefork/internal/routing"
 	"github.com/shalefork/shalefork/internal/upstream"
 )
 
@@ -14,6 +15,9 @@
 const (
 	// callerHeader is the address of a forwarded request's caller.
 	callerHeader = "Router-Caller"
+	// tenantHeader is the tenant of a forwarded request's caller, as the router that forwards it has
+	// identified it. API keys are not passed on between routers.
+	tenantHeader = "Router-Tenant"
 	// declinedHeader is set in the answer of a router that took no part in the request.
 	declinedHeader = "Router-Declined"
 )
@@ -45,8 +49,10 @@
 func (p *Proxy) ServeForwarded(writer http.ResponseWriter, request *http.Request) {
 	p.Metrics.recordForward(forwardReceived)
 	caller, _ := netip.ParseAddr(request.Header.Get(callerHeader)) // invalid if the caller's address is unknown
+	tenant := routing.TenantName(request.Header.Get(tenantHeader))
 	request.Header.Del(callerHeader)
-	p.serve(writer, request, origin{forwarded: true, caller: caller})
+	request.Header.Del(tenantHeader)
+	p.serve(writer, request, origin{forwarded: true, caller: caller, tenant: tenant})
 }
 
 // origin is where a request came from.
@@ -55,6 +61,8 @@
 	forwarded bool
 	// caller is the address of the caller; the zero address if it is unknown.
 	caller netip.Addr
+	// tenant is the one that the other router has identified; empty if it identified none.
+	tenant routing.TenantName
 }
 
 // forwardWhileCutOff forwards the request if this process is cut off from the workers. It returns true if
@@ -161,16 +169,21 @@
 	return forwardFailed
 }
 
-// forwardedMessage returns the request as its caller sent it, with the caller's address.
+// forwardedMessage returns the request as its caller sent it, with the caller's address, and its tenant in
+// place of an API key that identified it.
 func (c *call) forwardedMessage() *upstream.Message {
 	header := c.message.Header.Clone()
 	header.Del(callerHeader)
+	header.Del(tenantHeader)
+	if c.tenant != nil {
+		header.Set(tenantHeader, string(c.tenant.Name))
+	}
 	if caller := c.callerAddress(); caller.IsValid() {
 		header.Set(callerHeader, caller.String())
 	}
 	m := &c.message
 	return &upstream.Message{
-		Method: m.Method, URI: m.URI, Host: m.Host, ID: m.ID, Header: header,
+		Method: m.Method, URI: m.URI, Host: m.Host, ID: m.ID, Header: header, StripIdentity: m.StripIdentity,
 		Body: m.Body, Rest: m.Rest, Interrupt: m.Interrupt, Length: m.Length,
 		Budget: m.Budget, Shaper: m.Shaper, AnswerBufferSize: m.AnswerBufferSize, AnswerBufferTime: m.AnswerBufferTime,
 	}
--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -19,6 +19,7 @@
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/forward"
 	"github.com/shalefork/shalefork/internal/reachability"
+	"github.com/shalefork/shalefork/internal/routing"
 )
 
 // cutOff makes a tracker take its process for cut off from all workers.
@@ -81,17 +82,27 @@
 // A request counts against its tenant's limit once, and its API key ends at the router that checks it.
 func TestForwardedRequestIsIdentifiedOnce(t *testing.T) {
 	helper, w, quota := newQuotaProxy(t, 5, alwaysAnswer("x"))
-	f := newCutOffProxy(t, helper.proxy.ServeForwarded)
+	keys := 0
+	f := newCutOffProxy(t, func(writer http.ResponseWriter, request *http.Request) {
+		keys += len(request.Header["Authorization"])
+		helper.proxy.ServeForwarded(writer, request)
+	})
 	own := &fakeQuota{units: 5}
 	f.proxy.Quota = own
 	config := tenantsConfig(t, 2, twoTenants)
 	config.Tenants["a"].Rate = 1
 	assert.Assert(t, f.proxy.Use(config))
 	assert.Equal(t, f.sendRaw(t, requestOfA), http.StatusOK)
+	assert.Equal(t, keys, 0)
 	assert.Equal(t, w.received[0].Header.Get("Authorization"), "")
+	assert.Equal(t, w.received[0].Header.Get(tenantHeader), "")
 	assert.DeepEqual(t, w.received[0].Header["X-Tenant"], []string{"a"})
 	assert.Equal(t, quota.counts(), [3]int{1, 0, 0})
 	assert.Equal(t, own.counts(), [3]int{})
+	claimed := strings.Replace(requestOfA, "Authorization: Bearer "+keyOfA, tenantHeader+": a", 1)
+	assert.Equal(t, f.sendRaw(t, claimed), http.StatusUnauthorized, "a caller's own claim")
+	assert.Assert(t, helper.proxy.Use(tenantsConfig(t, 3, map[routing.TenantName][]string{"b": {keyOfB}})))
+	assert.Equal(t, f.sendRaw(t, requestOfA), http.StatusServiceUnavailable, "declined by an older configuration")
 }
 
 // Requests that a router may have passed to a worker must not be forwarded to another one.
@@ -132,6 +143,18 @@
 	}
 }
 
+// A worker's header must not make the router that forwards a request take it for declined.
+func TestWorkerCannotDeclineForwardedRequest(t *testing.T) {
+	_, w, handler := newHelper(t, func(connection net.Conn, request *http.Request) bool {
+		answer(connection, request, http.StatusOK, "done", declinedHeader+": 1")
+		return true
+	})
+	f := newCutOffProxy(t, handler, handler)
+	response, _ := f.get(t, "POST", "/unsafe/", "x")
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, w.receivedCount(), 1)
+}
+
 // Routers that are all cut off must not forward requests in circles, and refuse them at once.
 func TestRoutersThatAreAllCutOffRefuseAtOnce(t *testing.T) {
 	helper, w, handler := newHelper(t, alwaysAnswer("x"))
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -279,7 +279,7 @@
 		return
 	}
 	c.sends.maxRuns = max(1, c.route.Attempts)
-	if c.forwardWhileCutOff() || !c.identify(active.keys) || !c.acquireQuota() {
+	if !c.identify(active.keys) || c.forwardWhileCutOff() || !c.acquireQuota() {
 		return
 	}
 	defer c.releaseQuota()
--- a/internal/proxy/tenants.go
+++ b/internal/proxy/tenants.go
@@ -42,6 +42,9 @@
 	if keys == nil || c.route.Open {
 		return true
 	}
+	if c.origin.tenant != "" {
+		return c.acceptIdentified()
+	}
 	var caller tenant.Caller
 	if !c.route.Public {
 		caller = keys.Identify(c.request.Header, c.route.Scope)
@@ -65,6 +68,19 @@
 	return true
 }
 
+// acceptIdentified takes the tenant that another router has identified. It returns false if it has answered
+// the request: this router's configuration has no such tenant.
+func (c *call) acceptIdentified() bool {
+	c.message.StripIdentity = true
+	if c.tenant = c.config.Tenants[c.origin.tenant]; c.tenant == nil {
+		c.declineForwarded()
+		c.refuse(http.StatusServiceUnavailable, reasonNoConfig, outdatedRetryAfter)
+		return false
+	}
+	c.message.Tenant = string(c.tenant.Name)
+	return true
+}
+
 // publicReason returns the reason that is shown to the caller. A caller with a revoked key must not
 // learn that the key was once valid.
 func publicReason(reason string) string {
