--- a/internal/clock/uses_test.go
+++ b/internal/clock/uses_test.go
@@ -14,7 +14,7 @@
 // holds, delegations, budgets and the state received from other processes. They must not read the
 // monotonic clock, which stops while the machine is suspended.
 var timeCriticalPackages = []string{
-	"bodies", "coord", "departure", "election", "facts", "grantlog", "keeper", "keytable", "owner", "peerlink", "proxy", "quarantine", "quota", "router", "standby", "upstream", "workerlimit", "workers",
+	"bodies", "coord", "departure", "election", "facts", "forward", "grantlog", "keeper", "keytable", "owner", "peerlink", "proxy", "quarantine", "quota", "reachability", "router", "standby", "upstream", "workerlimit", "workers",
 }
 
 // The runtime's deadlines of connections and contexts use the monotonic clock.
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -243,7 +243,7 @@
 			return
 		case now := <-ticker.C:
 			p.fleet.prune(now)
-			p.pruneHelpers(now)
+			p.pruneHelpers(clock.Now())
 		}
 	}
 }
