--- a/internal/lab/mutate/mutations_partitions.go
+++ b/internal/lab/mutate/mutations_partitions.go
@@ -56,7 +56,7 @@
 		name: "leader-stays-while-cut-off",
 		file: "internal/router/leadercontact.go",
 		old:  "\t\tif r.reach.CutOff(now) && r.hub.AnyFollowerInContact(now) {",
-		new:  "\t\tif false {",
+		new:  "\t\tif r.reach.CutOff(now) && false {",
 		pkg:  "./platform/session", test: "TestRoutersCutOffFromWorkersRefuseTheirClients",
 	},
 	{
