Let a survey of the test's world reach some of few workers

The mutation half-healed-is-healed survived: a survey of one worker never reached any where five of twelve are, so that no full survey was made. The workers are dialed in turn now, and the test checks that full surveys were made; the mutation fails it.

--- a/internal/reachability/reachability_test.go
+++ b/internal/reachability/reachability_test.go
@@ -15,7 +15,9 @@
 	tracker        Tracker
 	now            time.Time
 	known, reached int
-	surveys, dials int
+	dials          int
+	// turn counts the dials, from which the dialed workers follow.
+	turn int
 	// steps counts the steps played, from which workers are chosen in turn.
 	steps int
 }
@@ -46,7 +48,7 @@
 
 func workerNumber(number int) workers.ID { return workers.ID(fmt.Sprint(number)) }
 
-// survey plays the surveys that are due. They reach the share of workers that is reached, rounded down.
+// survey plays the surveys that are due. They dial the workers in turn, those that are reached among others.
 func (w *world) survey() {
 	for {
 		size := w.tracker.NextSurvey(w.now)
@@ -54,8 +56,15 @@
 			return
 		}
 		dialed := min(size, w.known)
-		w.surveys, w.dials = w.surveys+1, w.dials+dialed
-		w.tracker.RecordSurvey(w.now, dialed, dialed*w.reached/max(w.known, 1))
+		reached := 0
+		for range dialed {
+			if w.turn*5%w.known < w.reached {
+				reached++
+			}
+			w.turn++
+		}
+		w.dials += dialed
+		w.tracker.RecordSurvey(w.now, dialed, reached)
 	}
 }
 
@@ -128,7 +137,9 @@
 	w.run(time.Second, false, false)
 	assert.Equal(t, w.dials, int(time.Second/probeInterval))
 	w.reached = 5
-	w.run(time.Second, false, false)
+	w.dials = 0
+	w.run(2*time.Second, false, false)
+	assert.Assert(t, w.dials > 2*fullSurvey, "full surveys were made")
 	assert.Assert(t, w.tracker.CutOff(w.now), "fewer than half of the workers are reached")
 	w.reached = 12
 	w.run(probeInterval, false, false)
