--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -82,9 +83,9 @@
 // A request counts against its tenant's limit once, and its API key ends at the router that checks it.
 func TestForwardedRequestIsIdentifiedOnce(t *testing.T) {
 	helper, w, quota := newQuotaProxy(t, 5, alwaysAnswer("x"))
-	keys := 0
+	var keys atomic.Int32
 	f := newCutOffProxy(t, func(writer http.ResponseWriter, request *http.Request) {
-		keys += len(request.Header["Authorization"])
+		keys.Add(int32(len(request.Header["Authorization"])))
 		helper.proxy.ServeForwarded(writer, request)
 	})
 	own := &fakeQuota{units: 5}
@@ -93,7 +94,7 @@
 	config.Tenants["a"].Rate = 1
 	assert.Assert(t, f.proxy.Use(config))
 	assert.Equal(t, f.sendRaw(t, requestOfA), http.StatusOK)
-	assert.Equal(t, keys, 0)
+	assert.Equal(t, keys.Load(), int32(0))
 	assert.Equal(t, w.received[0].Header.Get("Authorization"), "")
 	assert.Equal(t, w.received[0].Header.Get(tenantHeader), "")
 	assert.DeepEqual(t, w.received[0].Header["X-Tenant"], []string{"a"})
@@ -124,9 +125,9 @@
 		for _, path := range []string{"/safe/", "/unsafe/"} {
 			t.Run(fmt.Sprint(name, path), func(t *testing.T) {
 				_, w, handler := newHelper(t, alwaysAnswer("x"))
-				takers := 0
+				var takers atomic.Int32
 				router := func(writer http.ResponseWriter, request *http.Request) {
-					if takers++; takers == 1 {
+					if takers.Add(1) == 1 {
 						c.first(writer, request)
 						return
 					}
@@ -135,7 +136,7 @@
 				f := newCutOffProxy(t, router, router)
 				response, _ := f.get(t, "POST", path, "x")
 				assert.Equal(t, response.StatusCode, c.status)
-				assert.Equal(t, takers, c.takers)
+				assert.Equal(t, int(takers.Load()), c.takers)
 				assert.Equal(t, w.receivedCount(), c.takers-1)
 				assert.Equal(t, response.Header.Get(declinedHeader), "")
 			})
