--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -267,10 +267,11 @@
 
 // campaignDelay staggers campaigns, strongest machines first, since the leader communicates with
 // all other processes. A process that knows no others is delayed by how far its machine is below
-// full strength. A process that is cut off from the workers campaigns last.
+// full strength. A process that can't open connections to the workers campaigns last, even if open ones
+// still work: it could grant keys to few of them.
 func (r *Router) campaignDelay() time.Duration {
 	pause := jitter(campaignJitter)
-	if r.reach.CutOff(clock.Now()) {
+	if r.reach.Unreachable() {
 		pause += cutOffDelay
 	}
 	strongest := math.Float64frombits(r.strongest.Load())
--- a/internal/router/leadercontact.go
+++ b/internal/router/leadercontact.go
@@ -11,8 +11,8 @@
 const (
 	// contactPollInterval is how often a leader checks whether it is cut off from the workers.
 	contactPollInterval = 50 * time.Millisecond
-	// cutOffDelay delays campaigns of processes that are cut off from the workers. It is longer than
-	// the campaign delay of any other process.
+	// cutOffDelay delays campaigns of processes that can't open connections to the workers. It is longer
+	// than the campaign delay of any other process.
 	cutOffDelay = 1500 * time.Millisecond
 	// failureDoubtTime is for how long failed orders show nothing about workers after this process was
 	// cut off from them: orders are tried again within that time.
