Tell which keys wait for a grant that may be accepted late

Neither a log line nor a metric told that keys wait for a delayed grant of their previous owner (12.5 s and a hold), and not for its hold (3.2 s), and a clean soak didn't tell whether it had met the case.

--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -37,6 +37,7 @@
 	KindZoneUnknown         Kind = "zone-unknown"
 	KindKeysMoved           Kind = "keys-moved"
 	KindOrderFailed         Kind = "order-failed"
+	KindDelayedGrant        Kind = "delayed-grant"
 	KindRecord              Kind = "record"
 	KindTenantOverLimit     Kind = "tenant-over-limit"
 	KindTenantOverShare     Kind = "tenant-over-share"
@@ -91,6 +92,7 @@
 		{KindKeysAssigned, "all keys of a service got their initial owners", "service, candidates"},
 		{KindKeysMoved, "a move of keys was planned", "service, from, to (keys), old, worker (owners), forced, rate, old_load, load (requests per second after the move), capacity (of the new owner), change (version of the ownership record)"},
 		{KindOrderFailed, "a worker did not carry out an order", "service, worker, release, from, to, fence, outcome"},
+		{KindDelayedGrant, "the hold of the previous owner of keys has expired, but it left a grant unanswered that it may still accept", "service, worker, from, to, awaited (the keys wait for that), remaining (seconds until it can hold nothing)"},
 		{KindRecord, "the stored owners were read, can't be read, or were written by another leader", "service, found, revision, term"},
 		{KindTenantsBusy, "tenants that need more units than are allocatable to a tenant not marked as busy are marked in the store, and may get all that their limits allow", "tenants (number of new marks), cooled (number of marks removed), revision; error if the marks can't be read"},
 		{KindQuotaReserveClaimed, "a new leader allocates the units that are reserved for new leaders, since the other units may still be held by routers", "term, leftover (unreported shares: the sum of the shares of limits that routers may hold without having reported them)"},
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -208,6 +208,7 @@
 		for _, order := range svc.ledger.Due(now, renewOnly) {
 			go t.send(svc, order)
 		}
+		t.logDelayedGrants(svc)
 		t.publish(svc)
 		t.updateMetrics(now, svc)
 	}
@@ -272,6 +273,17 @@
 	}
 }
 
+// logDelayedGrants logs and counts for which previous owners keys wait, or no longer wait, because they may
+// accept a grant with a delay.
+func (t *tenureKeeper) logDelayedGrants(svc *service) {
+	for _, wait := range svc.ledger.TakeDelayedGrantWaits() {
+		t.Metrics.countDelayedGrant(svc.name, wait.Awaited)
+		t.Log.Line(decision.KindDelayedGrant).Str("service", string(svc.name)).Str("worker", string(wait.Worker)).
+			Int("from", wait.Keys.From).Int("to", wait.Keys.To).Bool("awaited", wait.Awaited).
+			Float64("remaining", wait.Remaining.Seconds()).Msg("")
+	}
+}
+
 // updateMetrics updates the metrics of a ledger once per metricsInterval: computing them takes a
 // pass over the whole ledger, which costs as much as a step.
 func (t *tenureKeeper) updateMetrics(now time.Time, svc *service) {
--- a/internal/keeper/metrics.go
+++ b/internal/keeper/metrics.go
@@ -17,6 +17,7 @@
 	keyRanges        *prometheus.GaugeVec
 	minHoldRemaining *prometheus.GaugeVec
 	moves            *prometheus.CounterVec
+	delayedGrants    *prometheus.CounterVec
 }
 
 // orderBuckets are the upper bounds of the histogram buckets for order latency, in seconds.
@@ -40,8 +41,11 @@
 		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "shalefork_router_moves_total", Help: "Moves of keys that were planned; forced: their owner is lost or leaves.",
 		}, []string{"service", "forced"}),
+		delayedGrants: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shalefork_router_delayed_grants_total", Help: "Key ranges whose previous owner's hold has expired, but which left a grant unanswered that it may still accept; awaited: the keys wait for that.",
+		}, []string{"service", "awaited"}),
 	}
-	registerer.MustRegister(metrics.orders, metrics.latency, metrics.keyRanges, metrics.minHoldRemaining, metrics.moves)
+	registerer.MustRegister(metrics.orders, metrics.latency, metrics.keyRanges, metrics.minHoldRemaining, metrics.moves, metrics.delayedGrants)
 	return metrics
 }
 
@@ -63,6 +67,10 @@
 	m.moves.WithLabelValues(string(service), strconv.FormatBool(forced)).Inc()
 }
 
+func (m *Metrics) countDelayedGrant(service routing.ServiceName, awaited bool) {
+	m.delayedGrants.WithLabelValues(string(service), strconv.FormatBool(awaited)).Inc()
+}
+
 // reset removes the ledger metrics when the process no longer leads.
 func (m *Metrics) reset() {
 	m.keyRanges.Reset()
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -56,6 +56,7 @@
 	if renewOnly && !s.held() {
 		return Order{}, false
 	}
+	l.reportDelayedGrantWaits(now, s)
 	s.previous = slices.DeleteFunc(s.previous, func(old previousOwner) bool {
 		if !l.ended[old.worker] && !l.holdExpired(now, old) {
 			return false
@@ -227,7 +228,7 @@
 			if l.reportsStartTime(s.owner) {
 				s.restartGrantUntil = later(s.restartGrantUntil, s.delayedGrantUntil)
 			}
-			s.delayedGrantUntil = time.Time{}
+			s.delayedGrantUntil, s.delayedHeldUntil = time.Time{}, time.Time{}
 			s.heldUntil, s.inheritedUntil = now.Add(bound), time.Time{}
 		} else {
 			s.heldUntil = later(s.heldUntil, now.Add(bound))
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -60,6 +60,11 @@
 
 // holdExpired reports whether a previous owner's hold has certainly expired.
 func (l *Ledger) holdExpired(now time.Time, old previousOwner) bool {
+	return l.promptGrantsExpired(now, old) && !l.awaitsDelayedGrant(now, old)
+}
+
+// promptGrantsExpired reports the same, provided that the worker accepts no unanswered grant with a delay.
+func (l *Ledger) promptGrantsExpired(now time.Time, old previousOwner) bool {
 	if !now.After(old.heldUntil) || !now.After(old.inheritedUntil) {
 		return false
 	}
--- a/internal/owner/ledger.go
+++ b/internal/owner/ledger.go
@@ -39,6 +39,8 @@
 	holdsVersion uint64
 	// delegations state what standbys may renew without the leader.
 	delegations []Delegation
+	// delayedGrantWaits are the waits that TakeDelayedGrantWaits has not returned yet.
+	delayedGrantWaits []DelayedGrantWait
 }
 
 // NewLedger returns a ledger without owners.
@@ -117,6 +119,7 @@
 			earlier.heldUntil = later(earlier.heldUntil, old.heldUntil)
 			earlier.inheritedUntil = later(earlier.inheritedUntil, old.inheritedUntil)
 			earlier.delayedGrantUntil = later(earlier.delayedGrantUntil, old.delayedGrantUntil)
+			earlier.delayedHeldUntil = later(earlier.delayedHeldUntil, old.delayedHeldUntil)
 			earlier.restartGrantUntil = later(earlier.restartGrantUntil, old.restartGrantUntil)
 			earlier.holdsVersion = max(earlier.holdsVersion, old.holdsVersion)
 		}
@@ -134,7 +137,7 @@
 	moved.granted = false
 	moved.unconfirmed = false
 	moved.heldUntil, moved.inheritedUntil = earlier.heldUntil, earlier.inheritedUntil
-	moved.delayedHeldUntil = time.Time{}
+	moved.delayedHeldUntil = earlier.delayedHeldUntil
 	moved.delayedGrantUntil = earlier.delayedGrantUntil
 	moved.restartGrantUntil = earlier.restartGrantUntil
 	moved.maybeRestarted, moved.acceptedFence = false, 0
@@ -146,8 +149,8 @@
 // previousOwnerOf returns what to remember of a span's owner when its keys move to another worker.
 func (l *Ledger) previousOwnerOf(s *span) previousOwner {
 	old := previousOwner{
-		worker: s.owner, grantTerm: l.term, heldUntil: l.maxHeldUntil(s), inheritedUntil: s.inheritedUntil, delayedGrantUntil: s.delayedGrantUntil,
-		restartGrantUntil: later(s.restartGrantUntil, s.delayedGrantUntil),
+		worker: s.owner, grantTerm: l.term, heldUntil: s.heldUntil, inheritedUntil: s.inheritedUntil, delayedGrantUntil: s.delayedGrantUntil,
+		restartGrantUntil: later(s.restartGrantUntil, s.delayedGrantUntil), delayedHeldUntil: s.delayedHeldUntil,
 	}
 	if s.sentToStandbys {
 		old.holdsVersion = l.holdsVersion
@@ -155,14 +158,6 @@
 	return old
 }
 
-// maxHeldUntil returns when the owner's hold has ended in any case.
-func (l *Ledger) maxHeldUntil(s *span) time.Time {
-	if s.unconfirmed && s.delayedHeldUntil.After(s.heldUntil) {
-		return s.delayedHeldUntil
-	}
-	return s.heldUntil
-}
-
 // Assignment returns the owners by which requests are routed.
 func (l *Ledger) Assignment() []Owner {
 	owners := make([]Owner, 0, len(l.spans))
--- a/internal/owner/model_explore_test.go
+++ b/internal/owner/model_explore_test.go
@@ -36,6 +36,7 @@
 		}
 		for _, old := range span.previous {
 			fmt.Fprintf(&text, "%s %d %s %s %s %d|", old.worker, old.grantTerm, at(old.heldUntil), at(old.inheritedUntil), at(old.delayedGrantUntil), old.holdsVersion)
+			fmt.Fprintf(&text, "%s|", at(old.delayedHeldUntil))
 		}
 		for _, grant := range leader.ledger.unconfirmed {
 			fmt.Fprintf(&text, "%s %d %s %s %v|", grant.worker, grant.fence, at(grant.until), at(grant.nextOrderAt), grant.inFlight)
--- a/internal/owner/span.go
+++ b/internal/owner/span.go
@@ -68,6 +68,11 @@
 	delayedGrantUntil time.Time
 	// restartGrantUntil is the same for a later incarnation of the worker.
 	restartGrantUntil time.Time
+	// delayedHeldUntil is when its hold ends at the latest if it accepts an unanswered grant with a delay;
+	// zero if that is not assumed.
+	delayedHeldUntil time.Time
+	// reportedWait is what was last reported of waiting for such a grant; see reportDelayedGrantWaits.
+	reportedWait delayedGrantWaitState
 	// holdsVersion is the first version of the holds without this owner; zero if no standby was
 	// ever informed that it holds the keys.
 	holdsVersion uint64
