Don't wait for late grants of workers that nothing reaches

Cause: a worker that leaves a grant unanswered and replies to the next one within 12.5 s makes the leader suspect, for 25 s, that any worker of the service accepts its orders late. A cut between regions that heals does that. If a worker then crashes with a grant in flight, its keys wait for 12.5 s and a hold, since it answers no release. Nothing set a worker that is alive and carries out its orders late apart from one that is gone.

Change: keys don't wait for a delayed grant of a worker that nothing has reached for a hold (3.19 s): each order has failed to connect, the leader is not cut off itself, and no router has reported a response of it, which it would within 3 s. A worker that is reached is waited for as before.

Why no two owners result: requests begin only where they arrive, and what a worker accepted before it became unreachable has expired by then. One that was cut off is told the new fence as soon as it is reached, as without suspected delays.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -200,6 +200,8 @@
 		if !renewOnly {
 			if t.DistrustsFailures == nil || !t.DistrustsFailures(now) {
 				t.plan(now, svc)
+			} else {
+				svc.ledger.DistrustFailures()
 			}
 			t.storeRecord(svc)
 		}
@@ -326,6 +328,9 @@
 		if worker, known := t.Workers.Get(id); known && t.services[worker.Service] != nil && sum[0] > 0 {
 			t.services[worker.Service].addResponseTimes(now, worker, sum[0], time.Duration(sum[1])*time.Millisecond)
 		}
+		if sum[0] > 0 {
+			t.observeResponse(id)
+		}
 	}
 	for id, sum := range report.Backoffs {
 		if worker, known := t.Workers.Get(id); known && t.services[worker.Service] != nil {
@@ -333,3 +338,13 @@
 		}
 	}
 }
+
+// observeResponse passes on that requests reach a worker. Its entry may have vanished, so its service is not
+// looked up.
+func (t *tenureKeeper) observeResponse(worker workers.ID) {
+	for _, svc := range t.services {
+		if svc.ledger != nil {
+			svc.ledger.ObserveResponse(worker)
+		}
+	}
+}
--- a/internal/owner/delayedgrant_test.go
+++ b/internal/owner/delayedgrant_test.go
@@ -138,3 +138,83 @@
 	assert.Assert(t, waited >= answersAt && waited < answersAt+time.Second, "%v", waited)
 	assert.Assert(t, slices.ContainsFunc(w.waits, func(wait DelayedGrantWait) bool { return wait.Awaited }))
 }
+
+// Guards against a fault seen in soak tests of real processes (seeds 91211 and 95037): after a cut between
+// regions, in which workers had left grants unanswered that they replied to after, the keys of a worker that
+// crashed with a grant in flight were unavailable for 12.5 s and a hold, although nothing reached it.
+func TestKeysOfUnreachableWorkerDoNotWaitForLateGrant(t *testing.T) {
+	w := newDelayedGrantWorld(t)
+	waited := w.untilGranted(always(OutcomeUnreachable))
+	assert.Assert(t, waited >= w.ledger.config.MaxHold() && waited < w.ledger.config.MaxHold()+time.Second, "%v", waited)
+	assert.Equal(t, w.waits[len(w.waits)-1].Awaited, false)
+}
+
+// Guards against two owners: a worker that this process can't connect to may accept the late grant, and
+// requests may begin there, while anything reaches it.
+func TestKeysWaitForLateGrantWhileAnythingReachesTheWorker(t *testing.T) {
+	for name, release := range map[string]func(w *delayedGrantWorld, waited time.Duration) Outcome{
+		"orders connect now and then": func(w *delayedGrantWorld, waited time.Duration) Outcome {
+			if waited%(2*time.Second) < 200*time.Millisecond {
+				return OutcomeUnanswered
+			}
+			return OutcomeUnreachable
+		},
+		"requests of other processes are answered": func(w *delayedGrantWorld, _ time.Duration) Outcome {
+			w.ledger.ObserveResponse(w.lost.ID)
+			return OutcomeUnreachable
+		},
+		"this process may be cut off": func(w *delayedGrantWorld, _ time.Duration) Outcome {
+			w.ledger.DistrustFailures()
+			return OutcomeUnreachable
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newDelayedGrantWorld(t)
+			waited := w.untilGranted(func(waited time.Duration) Outcome { return release(w, waited) })
+			assert.Assert(t, waited >= w.delayedHold(), "%v", waited)
+		})
+	}
+}
+
+// A grant may have been accepted just before a worker became unreachable, so a whole hold has to pass from
+// then on.
+func TestHoldBeforeWorkerBecameUnreachableIsWaitedFor(t *testing.T) {
+	w := newDelayedGrantWorld(t)
+	const unreachableAt = 5 * time.Second
+	waited := w.untilGranted(func(waited time.Duration) Outcome {
+		if waited < unreachableAt {
+			return OutcomeUnanswered
+		}
+		return OutcomeUnreachable
+	})
+	atLeast := unreachableAt + w.ledger.config.MaxHold()
+	assert.Assert(t, waited >= atLeast && waited < atLeast+time.Second, "%v", waited)
+}
+
+// Keys may return to the worker that left the grant unanswered before they were granted to another one, and
+// move away again before it is reached. They wait for its late grant as if they had not returned.
+func TestWaitForLateGrantIsKeptWhenKeysReturn(t *testing.T) {
+	w := newDelayedGrantWorld(t)
+	w.ledger.Due(w.now, false) // the move begins
+	for _, s := range w.ledger.spans {
+		s.inFlight = false
+	}
+	for _, to := range []Candidate{w.lost, w.first} {
+		w.ledger.Move(w.keys, to.ID, to.Address)
+		w.ledger.MarkStored(w.ledger.RecordVersion())
+		for _, s := range w.ledger.spans {
+			w.ledger.advanceMove(w.now, s)
+		}
+	}
+	waited := w.untilGranted(always(OutcomeUnanswered))
+	assert.Assert(t, waited >= w.delayedHold(), "%v", waited)
+}
+
+// A leader that couldn't reach the store for seconds sent no releases meanwhile: that earlier ones failed to
+// connect doesn't show that nothing has reached the worker since.
+func TestOldFailuresDoNotShowThatWorkerIsUnreachable(t *testing.T) {
+	w := newDelayedGrantWorld(t)
+	w.untilGranted(always(OutcomeUnreachable))
+	assert.Assert(t, w.ledger.isUnreachable(w.now, w.lost.ID))
+	assert.Assert(t, !w.ledger.isUnreachable(w.now.Add(failureExpiry), w.lost.ID))
+}
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -134,9 +134,9 @@
 		if order.timedOut(now) {
 			l.lastUnanswered[worker] = now
 		}
-		l.recordFailure(now, worker)
+		l.recordFailure(now, worker, outcome)
 	case OutcomeUnreachable:
-		l.recordFailure(now, worker)
+		l.recordFailure(now, worker, outcome)
 	case OutcomeOtherWorker:
 		l.ended[worker] = true
 	default:
@@ -151,18 +151,27 @@
 // failure is a series of consecutive failed orders to one worker.
 type failure struct {
 	since, last time.Time
+	// unreachableSince is since when nothing has reached the worker: each order to it has failed to
+	// connect, and no process has reported a response of it. It is zero if the last order connected.
+	unreachableSince time.Time
 }
 
 // failureExpiry is how long a worker counts as failing after its last failed order. Then it is
 // tried again.
 const failureExpiry = 3 * time.Second
 
-func (l *Ledger) recordFailure(now time.Time, worker workers.ID) {
+func (l *Ledger) recordFailure(now time.Time, worker workers.ID, outcome Outcome) {
 	series, failing := l.failing[worker]
 	if !failing || now.Sub(series.last) > failureExpiry {
-		series.since = now
+		series = failure{since: now}
 	}
 	series.last = now
+	switch {
+	case outcome != OutcomeUnreachable:
+		series.unreachableSince = time.Time{}
+	case series.unreachableSince.IsZero():
+		series.unreachableSince = now
+	}
 	l.failing[worker] = series
 }
 
--- a/internal/owner/model_explore_test.go
+++ b/internal/owner/model_explore_test.go
@@ -21,7 +21,7 @@
 	for _, worker := range m.workers {
 		fmt.Fprintf(&text, "%d %s %d %v %v|", worker.fence, at(worker.until), worker.highestFence, worker.partitioned, worker.unpreventable)
 		fmt.Fprintf(&text, "%d %d %v|", worker.startTime, worker.previousFence, worker.unaware)
-		fmt.Fprintf(&text, "%s|", at(modelConfig.HoldEnd(worker.lastGrantAt)))
+		fmt.Fprintf(&text, "%s %v %v|", at(modelConfig.HoldEnd(worker.lastGrantAt)), worker.mute, worker.leaderCut)
 	}
 	for _, leader := range m.leaders {
 		fmt.Fprintf(&text, "%s %v %v %v %d %d %d %d|", at(leader.authority), leader.storeUnreachable, leader.dead, leader.write != nil,
@@ -43,6 +43,10 @@
 			fmt.Fprintf(&text, "%v|", grant.acknowledged)
 		}
 		fmt.Fprintf(&text, "%s|", at(leader.ledger.delaySuspectedAt.Add(2*modelConfig.MaxOrderDelay)))
+		if m.bounds.delaysSuspected { // otherwise no keys wait for delayed grants
+			series := leader.ledger.failing[m.workers[0].id]
+			fmt.Fprintf(&text, "%s %s|", at(series.last.Add(failureExpiry)), at(series.unreachableSince.Add(leader.ledger.unreachableAfter())))
+		}
 	}
 	fmt.Fprintf(&text, "%d %d %d %s %s %d|", m.standby.term, m.standby.delegation.KnownVersion, m.standby.standby.term,
 		at(m.standby.delegation.Until), at(m.standby.delegation.LastRenewal.Add(modelConfig.MaxOrderDelay)), m.standby.standby.version)
@@ -111,6 +115,9 @@
 		"a restart and a successor":             {ticks: 3, moves: 1, leaders: 1, restarts: 1},
 		"a restart and a standby":               {ticks: 3, moves: 1, holdReports: 1, renewals: 1, restarts: 1},
 		"a standby whose renewal is delayed":    {ticks: 7, moves: 1, delays: 1, holdReports: 1, renewals: 1},
+		"a mute worker and delayed grants":      {ticks: 6, moves: 1, delays: 1, mute: true, delaysSuspected: true},
+		"a worker cut off from the leader only": {ticks: 6, moves: 1, delays: 1, leaderCuts: 1, delaysSuspected: true},
+		"a mute worker that is partitioned":     {ticks: 5, moves: 1, delays: 1, mute: true, partitions: 1, delaysSuspected: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/owner/model_test.go
+++ b/internal/owner/model_test.go
@@ -41,6 +41,14 @@
 	holdReports, renewals, revocations int
 	// grantAges are replies to stop requests that include when each worker was last sent a grant.
 	grantAges int
+	// mute means that the first owner answers no orders until an event lets it: it is reached, but carries out
+	// only delayed orders. Only this worker is partitioned then.
+	mute bool
+	// leaderCuts are times at which the first owner is cut off from the leaders, while other processes reach
+	// it and report its responses.
+	leaderCuts int
+	// delaysSuspected means that the first leader suspects delays from the beginning.
+	delaysSuspected bool
 }
 
 // modelWorker is the state of a worker.
@@ -52,6 +60,8 @@
 	until        time.Time
 	highestFence Fence
 	partitioned  bool
+	// mute workers answer no orders, and leaderCut ones can't be reached by leaders.
+	mute, leaderCut bool
 	// unpreventable holds aren't checked: during the grant's delivery no leader could have informed
 	// the worker of a higher fence, because it was partitioned or had restarted unnoticed.
 	unpreventable bool
@@ -110,6 +120,10 @@
 	}
 	m.elect(0)
 	ledger := m.leaders[0].ledger
+	if bounds.delaysSuspected {
+		ledger.delaySuspectedAt = m.now
+	}
+	m.workers[0].mute = bounds.mute
 	ledger.Assign(m.now, []Owner{{Keys: KeyRange{0, KeyCount - 1}, Worker: m.workers[0].id, Address: "a"}})
 	value, _ := ledger.Encode(1, "")
 	m.record = value
@@ -132,7 +146,7 @@
 		if m.bounds.lostReplies > 0 {
 			list = append(list, fmt.Sprintf("lost %d", index))
 		}
-		if m.bounds.delays > 0 && !sent.order.Release {
+		if m.bounds.delays > 0 && !sent.order.Release && !m.worker(sent.order.Target.ID).leaderCut {
 			list = append(list, fmt.Sprintf("late %d", index))
 		}
 	}
@@ -152,10 +166,11 @@
 	}
 	list = append(list, m.standbyChoices()...)
 	for index, worker := range m.workers {
-		if worker.partitioned || m.bounds.partitions > 0 {
+		if worker.partitioned || m.bounds.partitions > 0 && (index == 0 || !m.bounds.mute) {
 			list = append(list, fmt.Sprintf("cut %d", index))
 		}
 	}
+	list = append(list, m.muteWorkerChoices()...)
 	list = append(list, m.restartChoices()...)
 	if !m.now.Before(m.lease) && m.bounds.leaders > 0 {
 		switch {
@@ -190,7 +205,7 @@
 	case "taken-late":
 		sent := m.orders[index]
 		m.orders = slices.Delete(m.orders, index, index+1)
-		m.deliver(sent.order, sent.partitioned || m.worker(sent.order.Target.ID).unaware, false)
+		m.deliver(sent.order, sent.partitioned || m.worker(sent.order.Target.ID).unaware, true)
 	case "written":
 		m.written(m.leaders[index])
 	case "move":
@@ -201,6 +216,11 @@
 	case "cut":
 		m.bounds.partitions--
 		m.togglePartition(m.workers[index])
+	case "unmute":
+		m.workers[index].mute = false
+	case "leader-cut":
+		m.bounds.leaderCuts--
+		m.workers[index].leaderCut = !m.workers[index].leaderCut
 	case "restart":
 		m.bounds.restarts--
 		m.restart(m.workers[index])
@@ -230,6 +250,7 @@
 		m.now = m.now.Add(modelTick)
 		m.orders = slices.DeleteFunc(m.orders, func(sent *modelOrder) bool { return sent.delayed && m.now.After(sent.until) })
 		m.renew()
+		m.reportResponses()
 	}
 	m.sendDueOrders()
 	m.check()
@@ -255,6 +276,10 @@
 	if !sent.order.Release {
 		m.worker(sent.order.Target.ID).lastGrantAt = m.now
 	}
+	if m.worker(sent.order.Target.ID).mute {
+		m.handleReply(sent, Reply{Outcome: OutcomeUnanswered})
+		return
+	}
 	// Partitions separate workers from leaders; the standby may still reach them.
 	reply := m.deliver(sent.order, m.senderOutdated(sent), sent.leader == fromStandby)
 	if !received && reply.Outcome != OutcomeUnreachable {
@@ -277,7 +302,7 @@
 // in time, so violations don't count; bypassPartition: the sender reaches workers that leaders can't.
 func (m *model) deliver(order Order, unpreventable, bypassPartition bool) Reply {
 	to := m.worker(order.Target.ID)
-	if to.partitioned && !unpreventable && !bypassPartition {
+	if (to.partitioned && !unpreventable || to.leaderCut) && !bypassPartition {
 		return Reply{Outcome: OutcomeUnreachable}
 	}
 	to.unaware = to.unaware && unpreventable
