Report rejections of owners as contact with them

A worker whose hold has expired answers requests with a rejection, which no report to the leader contained. A router with an old table that still sends to it would not have been heard of, so the leader could have called the worker unreachable, and a grant that it accepts late would have let such requests begin.

Result: TestRejectionsOfOwnersAreReported and the case "it only rejects" of TestKeysOfWorkerThatOthersReachWaitForLateGrant are new and failed before. Tests of proxy, peerlink, router, keeper and of the list of mutations pass.

--- a/internal/keeper/delayedgrant_test.go
+++ b/internal/keeper/delayedgrant_test.go
@@ -85,13 +85,20 @@
 // requests still begin there. Its entry may have vanished.
 func TestKeysOfWorkerThatOthersReachWaitForLateGrant(t *testing.T) {
 	config := owner.DefaultConfig(10 * time.Second)
-	for name, announced := range map[string]bool{"announced": true, "entry vanished": false} {
+	for name, test := range map[string]struct {
+		announced bool
+		responses [2]int
+	}{
+		"announced":       {announced: true, responses: [2]int{1, 10}},
+		"entry vanished":  {responses: [2]int{1, 10}},
+		"it only rejects": {announced: true, responses: [2]int{0, 0}},
+	} {
 		t.Run(name, func(t *testing.T) {
 			waited := waitAfterCrash(t, func(b *testBench, reports chan<- peerlink.Report) {
-				if !announced {
+				if !test.announced {
 					b.announce("w1")
 				}
-				reports <- peerlink.Report{ResponseTimes: map[workers.ID][2]int{"w2": {1, 10}}}
+				reports <- peerlink.Report{ResponseTimes: map[workers.ID][2]int{"w2": test.responses}}
 			})
 			assert.Assert(t, waited >= config.MaxOrderDelay+config.Hold, "%v", waited)
 		})
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -328,9 +328,7 @@
 		if worker, known := t.Workers.Get(id); known && t.services[worker.Service] != nil && sum[0] > 0 {
 			t.services[worker.Service].addResponseTimes(now, worker, sum[0], time.Duration(sum[1])*time.Millisecond)
 		}
-		if sum[0] > 0 {
-			t.observeResponse(id)
-		}
+		t.observeResponse(id)
 	}
 	for id, sum := range report.Backoffs {
 		if worker, known := t.Workers.Get(id); known && t.services[worker.Service] != nil {
--- a/internal/lab/mutate/mutations_owners.go
+++ b/internal/lab/mutate/mutations_owners.go
@@ -223,8 +223,8 @@
 	{
 		name: "responses-of-vanished-workers-ignored",
 		file: "internal/keeper/keeper.go",
-		old:  "\t\t\tt.observeResponse(id)",
-		new:  "\t\t\t_ = id",
+		old:  "\t\tt.observeResponse(id)\n",
+		new:  "",
 		pkg:  "./internal/keeper", test: "TestKeysOfWorkerThatOthersReachWaitForLateGrant",
 	},
 	{
--- a/internal/lab/mutate/mutations_partitions.go
+++ b/internal/lab/mutate/mutations_partitions.go
@@ -69,8 +69,8 @@
 	{
 		name: "timeouts-count-while-cut-off",
 		file: "internal/proxy/call.go",
-		old:  "result.Outcome == upstream.TimedOut && othersAnswered)",
-		new:  "result.Outcome == upstream.TimedOut)",
+		old:  "result.Outcome == upstream.TimedOut && othersAnswered:",
+		new:  "result.Outcome == upstream.TimedOut:",
 		pkg:  "./internal/proxy", test: "TestTimeoutCountsOnlyIfOthersAnswer",
 	},
 	{
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -280,7 +280,8 @@
 	// Keys are the requests by service, as alternating keys and counts.
 	Keys map[routing.ServiceName][]int `json:"k,omitempty"`
 	// ResponseTimes are, by worker, the number of responses and the sum of their times in
-	// milliseconds. Requests that waited at the worker are not counted.
+	// milliseconds. Requests that waited at the worker are not counted. A worker that only rejected
+	// requests has zeros.
 	ResponseTimes map[workers.ID][2]int `json:"w,omitempty"`
 	// Backoffs are, by worker, the number of backoffs that it requested and their sum in
 	// milliseconds.
--- a/internal/peerlink/meter.go
+++ b/internal/peerlink/meter.go
@@ -33,6 +33,14 @@
 	}
 }
 
+// CountRejection records that a worker has rejected a request. Its response time says nothing, but
+// requests reach the worker.
+func (m *Meter) CountRejection(worker workers.ID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	addSum(m.responseTimes, worker, 0, 0)
+}
+
 // CountRequest counts a request for a key.
 func (m *Meter) CountRequest(service routing.ServiceName, key int) {
 	m.mu.Lock()
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -139,8 +139,8 @@
 		p.Log.Line(decision.KindWorkerHealth).Str("worker", string(worker.ID)).Str("outcome", string(result.Outcome)).
 			Str("id", c.message.ID).AnErr("error", result.Err).Msg("")
 	}
-	if c.service.Keyed && (result.Outcome == upstream.Answered || result.Outcome == upstream.TimedOut && othersAnswered) {
-		p.Meter.CountResponse(worker.ID, result.Took)
+	if c.service.Keyed {
+		p.countResponse(worker.ID, &result, othersAnswered)
 	}
 	if result.Outcome == upstream.Answered {
 		c.recordSize(&worker, &result)
@@ -156,6 +156,17 @@
 	return worker.ID, result
 }
 
+// countResponse counts a response of an owner of keys for the report to the leader, or its rejection of a
+// request.
+func (p *Proxy) countResponse(worker workers.ID, result *upstream.Result, othersAnswered bool) {
+	switch {
+	case result.Outcome == upstream.Answered, result.Outcome == upstream.TimedOut && othersAnswered:
+		p.Meter.CountResponse(worker, result.Took)
+	case result.Outcome == upstream.NotRun:
+		p.Meter.CountRejection(worker)
+	}
+}
+
 // connectionFailed reports whether a send may have ended without an answer for want of a path to the
 // worker. A worker that stays silent while others answer is slow.
 func connectionFailed(result *upstream.Result, othersAnswered bool) bool {
--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -259,3 +259,20 @@
 		})
 	}
 }
+
+// Guards against two owners: the leader waits for a worker that may accept a grant late while requests reach
+// it. A worker whose hold has expired rejects them, so rejections must be reported too.
+func TestRejectionsOfOwnersAreReported(t *testing.T) {
+	w := newFakeWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+		answer(connection, request, http.StatusMisdirectedRequest, "", "X-Not-Run: 1")
+		return true
+	})
+	entry := w.entry("keyed")
+	f := newTestProxy(t, entry)
+	f.assignAllKeys(entry)
+	response, _ := f.get(t, "POST", "/keyed-once/", "x", "X-Key", "7", "X-Deadline", "300")
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	sum, reported := f.proxy.Meter.TakeReport().ResponseTimes["w1"]
+	assert.Assert(t, reported)
+	assert.Equal(t, sum, [2]int{})
+}
