--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -9,6 +9,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -46,6 +48,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		s.close()
+		os.Exit(exitFailed)
+	}()
 	broken, err := run(s, trouble)
 	s.close()
 	switch {
--- a/review/stage/worker.go
+++ b/review/stage/worker.go
@@ -222,7 +222,7 @@
 	if target := request.Header.Get("Shalefork-Target-Instance"); target != "" && target != w.id {
 		w.stage.record.add("reject %s for %s at %s %d", request.URL.Path, target, w.id, http.StatusMisdirectedRequest)
 		return answer{status: http.StatusMisdirectedRequest, header: [][2]string{
-			{"Shalefork-Attempt-Id", request.Header.Get("Shalefork-Attempt-Id")}, {"Shalefork-Instance-Id", w.id}, {"Shalefork-Not-Executed", "1"},
+			{"Shalefork-Attempt-Id", request.Header.Get("Shalefork-Attempt-Id")}, {"Shalefork-Not-Executed", "1"},
 		}}
 	}
 	switch request.URL.Path {
@@ -232,7 +232,7 @@
 		return answer{status: http.StatusOK, header: [][2]string{{"Shalefork-Instance-Id", w.id}}}
 	}
 	id := request.Header.Get("Shalefork-Attempt-Id")
-	header := [][2]string{{"Shalefork-Attempt-Id", id}, {"Shalefork-Instance-Id", w.id}}
+	header := [][2]string{{"Shalefork-Attempt-Id", id}}
 	reject := func(status int, reason string) answer {
 		w.stage.record.add("reject %s at %s %d %s", id, w.id, status, reason)
 		return answer{status: status, header: append(header, [2]string{"Shalefork-Not-Executed", "1"})}
