--- a/review/stage/pipeline.go
+++ b/review/stage/pipeline.go
@@ -9,8 +9,10 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -30,8 +32,12 @@
 	singlePause = 20 * time.Millisecond
 	// answerTimeout is how long a client waits for an answer.
 	answerTimeout = 5 * time.Second
-	// maxLost is how many requests may be lost by the rule.
+	// maxLost is how many requests may be lost by the rule of a kept connection.
 	maxLost = 3
+	// reloadInterval is how often the settings files change.
+	reloadInterval = time.Second
+	// configApply is the time after a SIGHUP within which a request counts as sent around it.
+	configApply = 2 * time.Second
 )
 
 const pipelineConfig = `{"version":"00000001","routes":{
@@ -41,8 +47,9 @@
 
 // pipelinedRequests plays clients that send safe requests on a kept connection before the earlier ones
 // are answered. Some are HEAD requests, and some are answered with 204: neither answer has a body. Each
-// request that a worker ran must be answered. Without trouble, the clients send the same requests one
-// after the other.
+// request that a worker ran must be answered. Meanwhile the settings files change, and the routers get
+// SIGHUP, so that the requests are sent around planned work. Without trouble, the clients send the same requests one
+// after the other, and the settings files stay as they are.
 func pipelinedRequests(s *stage, trouble bool) ([]string, error) {
 	s.configure(pipelineConfig)
 	for number := range pipelineWorkers {
@@ -71,12 +78,20 @@
 	if trouble {
 		depth = pipelineDepth
 	}
-	lost := &lostRequests{stage: s, ids: map[string]string{}}
+	lost := &lostRequests{stage: s, ids: map[string]lostRequest{}}
+	if trouble {
+		if err := s.reloadSettings(0); err != nil {
+			return nil, err
+		}
+		stop := make(chan struct{})
+		defer close(stop)
+		go s.keepReloading(stop)
+	}
 	var clients sync.WaitGroup
 	for number := range pipelineClients {
 		clients.Go(func() {
 			for end := time.Now().Add(pipelineTime); time.Now().Before(end); {
-				lost.useConnection(s.routers[number%len(s.routers)].address, depth, end)
+				lost.useConnection(s.routers[number%len(s.routers)], depth, end)
 			}
 		})
 	}
@@ -84,24 +99,70 @@
 	return lost.judge(), nil
 }
 
-// lostRequests are the requests without a complete answer, with the way in which their connections
-// ended.
+// keepReloading reloads the settings at intervals until stop is closed.
+func (s *stage) keepReloading(stop <-chan struct{}) {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for round := 1; ; round++ {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+			if err := s.reloadSettings(round); err != nil {
+				s.record.add("can't reload the settings: %v", err)
+			}
+		}
+	}
+}
+
+// reloadSettings changes the settings file of each router, and sends it SIGHUP.
+func (s *stage) reloadSettings(round int) error {
+	for _, r := range s.routers {
+		text, err := os.ReadFile(r.settingsPath)
+		if err != nil {
+			return err
+		}
+		fresh := strings.Replace(string(text), "slack: 62\n", "slack: 61\n", 1)
+		if round%2 == 1 {
+			fresh = strings.Replace(string(text), "slack: 61\n", "slack: 62\n", 1)
+		}
+		if err := os.WriteFile(r.settingsPath, []byte(fresh), 0o600); err != nil {
+			return err
+		}
+		r.setReloaded(time.Now())
+		s.record.add("SIGHUP to %s", r.name)
+		if err := r.command.Process.Signal(syscall.SIGHUP); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// lostRequest is a request without a complete answer.
+type lostRequest struct {
+	// reason is how its connection ended.
+	reason string
+	// aroundReload tells whether it was sent soon after a SIGHUP of its router.
+	aroundReload bool
+}
+
+// lostRequests are the requests without a complete answer.
 type lostRequests struct {
 	stage *stage
 	mu    sync.Mutex
-	ids   map[string]string
+	ids   map[string]lostRequest
 }
 
-func (l *lostRequests) add(id, reason string) {
-	l.stage.record.add("no answer %s: %s", id, reason)
+func (l *lostRequests) add(id string, lost lostRequest) {
+	l.stage.record.add("no answer %s: %s, around a SIGHUP: %v", id, lost.reason, lost.aroundReload)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ids[id] = reason
+	l.ids[id] = lost
 }
 
 // useConnection sends requests on one connection, in groups of a given size, until it ends.
-func (l *lostRequests) useConnection(address string, depth int, end time.Time) {
-	connection, err := net.Dial("tcp", address)
+func (l *lostRequests) useConnection(router *routerProcess, depth int, end time.Time) {
+	connection, err := net.Dial("tcp", router.address)
 	if err != nil {
 		time.Sleep(pipelinePause)
 		return
@@ -113,7 +174,7 @@
 			if depth == 1 {
 				time.Sleep(singlePause)
 			}
-			if !l.exchange(connection, reader, depth) {
+			if !l.exchange(router, connection, reader, depth) {
 				return
 			}
 		}
@@ -123,7 +184,7 @@
 
 // exchange sends a group of requests at once, and reads their answers. It returns false once the
 // connection has ended.
-func (l *lostRequests) exchange(connection net.Conn, reader *bufio.Reader, count int) bool {
+func (l *lostRequests) exchange(router *routerProcess, connection net.Conn, reader *bufio.Reader, count int) bool {
 	var ids, methods []string
 	var group strings.Builder
 	for range count {
@@ -138,6 +199,7 @@
 		fmt.Fprintf(&group, "%s %s HTTP/1.1\r\nHost: app.example\r\nShalefork-Attempt-Id: %s\r\nShalefork-Deadline-Ms: 1200\r\n\r\n", method, path, id)
 		l.stage.record.add("sent %s %s %s on %s", id, method, path, connection.LocalAddr())
 	}
+	aroundReload := time.Since(router.reloaded()) < configApply
 	if _, err := io.WriteString(connection, group.String()); err != nil {
 		return false // the requests cross the close
 	}
@@ -149,7 +211,7 @@
 		}
 		if err != nil {
 			for _, unanswered := range ids[index:] {
-				l.add(unanswered, err.Error())
+				l.add(unanswered, lostRequest{reason: err.Error(), aroundReload: aroundReload})
 			}
 			return false
 		}
@@ -164,12 +226,19 @@
 // judge returns the lost requests that a worker ran, if they are more than the rule allows.
 func (l *lostRequests) judge() []string {
 	var broken []string
-	for id, reason := range l.ids {
-		if l.stage.hasRun(id) {
-			broken = append(broken, fmt.Sprintf("LOST: request %s ran at a worker, and its connection ended without its answer: %s", id, reason))
+	aroundReload := 0
+	for id, lost := range l.ids {
+		if !l.stage.hasRun(id) {
+			continue
+		}
+		if lost.aroundReload {
+			aroundReload++
 		}
+		broken = append(broken, fmt.Sprintf("LOST: request %s ran at a worker, and its connection ended without its answer: %s", id, lost.reason))
 	}
-	l.stage.record.add("%d requests without an answer, %d of them ran", len(l.ids), len(broken))
+	summary := fmt.Sprintf("%d requests without an answer, %d of them ran, %d of these around a SIGHUP", len(l.ids), len(broken), aroundReload)
+	l.stage.record.add("%s", summary)
+	fmt.Println(summary)
 	if len(broken) <= maxLost {
 		return nil
 	}
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -90,11 +91,18 @@
 
 // routerProcess is one router.
 type routerProcess struct {
-	name, zone, address, ready, metrics string
-	command                             *exec.Cmd
-	ended                               chan struct{}
+	name, zone, address, ready, metrics, settingsPath string
+
+	command *exec.Cmd
+	ended   chan struct{}
+	// reloadedAt is when it last got SIGHUP, in nanoseconds since 1970; zero: never.
+	reloadedAt atomic.Int64
 }
 
+func (r *routerProcess) setReloaded(at time.Time) { r.reloadedAt.Store(at.UnixNano()) }
+
+func (r *routerProcess) reloaded() time.Time { return time.Unix(0, r.reloadedAt.Load()) }
+
 // settings is the form of deploy/settings.yaml.tmpl, filled for a small deployment.
 const settings = `node: %q
 zone: %q
@@ -134,6 +142,7 @@
 		}
 		text := fmt.Sprintf(settings, r.name, r.zone, r.address, r.ready, loopback.Address(), r.metrics, s.listener.Addr())
 		path := filepath.Join(s.directory, r.name+".yaml")
+		r.settingsPath = path
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			return err
 		}
