--- a/internal/lab/mutate/mutations_requests.go
+++ b/internal/lab/mutate/mutations_requests.go
@@ -65,6 +65,13 @@
 		new:  "\t\tif true {",
 		pkg:  "./internal/proxy", test: "TestAnswerToAnotherRequestIsSkipped",
 	},
+	{
+		name: "sent-again-over-the-same-connection",
+		file: "internal/upstream/conn.go",
+		old:  "\t\tif message.wasSentOver(c) {",
+		new:  "\t\tif false {",
+		pkg:  "./internal/proxy", test: "TestSurplusRejectionIsNotTakenForAnswerToNextSend",
+	},
 	{
 		name: "success-without-a-signature",
 		file: "internal/upstream/exchange.go",
--- a/internal/proxy/conn_test.go
+++ b/internal/proxy/conn_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +28,37 @@
 	assert.Equal(t, w.receivedCount(), 3)
 }
 
+// A worker's late second copy of a rejection was taken for the answer to the request's next send, which ran.
+func TestSurplusRejectionIsNotTakenForAnswerToNextSend(t *testing.T) {
+	const earlier = 5 // requests that are answered, so that the owner's throttle admits the second send
+	for service, path := range map[string]string{"keyed": "/keyed-once/", "pool": "/unsafe/"} {
+		t.Run(service, func(t *testing.T) {
+			var sends, runs atomic.Int32
+			w := newFakeWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+				if sends.Add(1) == earlier+1 {
+					reject(connection, request)
+					time.AfterFunc(60*time.Millisecond, func() { reject(connection, request) })
+					return true
+				}
+				if runs.Add(1) > earlier {
+					time.Sleep(100 * time.Millisecond)
+				}
+				answer(connection, request, http.StatusOK, "done")
+				return true
+			})
+			f := newTestProxy(t, w.entry(service))
+			f.assignAllKeys(w.entry("keyed"))
+			for range earlier + 1 {
+				response, body := f.get(t, "POST", path, "x", "X-Key", "7")
+				assert.Equal(t, response.StatusCode, http.StatusOK)
+				assert.Equal(t, body, "done")
+			}
+			assert.Equal(t, sends.Load(), int32(earlier+2))
+			assert.Equal(t, runs.Load(), int32(earlier+1))
+		})
+	}
+}
+
 func TestAnswerWithoutLengthEndsWithConnection(t *testing.T) {
 	for _, broken := range []bool{false, true} {
 		w := newFakeWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -82,9 +83,9 @@
 // Address returns the address of the worker.
 func (p *Pool) Address() string { return p.address }
 
-// get returns an idle connection, or opens a new one.
-func (p *Pool) get(ctx context.Context) (c *conn, err error) {
-	if c := p.takeIdle(clock.Now()); c != nil {
+// get returns an idle connection over which the message has not been sent, or opens a new one.
+func (p *Pool) get(ctx context.Context, message *Message) (c *conn, err error) {
+	if c := p.takeIdle(clock.Now(), message); c != nil {
 		return c, nil
 	}
 	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -97,13 +98,18 @@
 	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferSize), dialTime: clock.Since(began)}, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil if there is none.
-func (p *Pool) takeIdle(now time.Time) *conn {
+// takeIdle removes and returns the most recently used idle connection over which the message has not
+// been sent, or nil if there is none. A surplus answer to an earlier send would have the ID of the
+// next one, so that only the connection tells them apart.
+func (p *Pool) takeIdle(now time.Time, message *Message) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
+	for index := len(p.idle) - 1; index >= 0; index-- {
+		c := p.idle[index]
+		if message.wasSentOver(c) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, index, index+1)
 		if now.Before(c.idleUntil) && hasNoInput(c) {
 			return c
 		}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -48,7 +48,7 @@
 // deadline is passed to the worker; sendDeadline limits this send. The caller must free the result.
 func Send(ctx context.Context, headers Headers, pool *Pool, message *Message, target Target, deadline, sendDeadline time.Time) Result {
 	bounded, cancel := context.WithTimeout(ctx, clock.Until(sendDeadline))
-	connection, err := pool.get(bounded)
+	connection, err := pool.get(bounded, message)
 	if err != nil {
 		cancel()
 		return Result{Outcome: unsentOutcome(ctx), Err: err}
@@ -63,6 +63,7 @@
 		pool.returnUnused(connection)
 		return Result{Outcome: Withheld}
 	}
+	message.recordSend(connection)
 	e := &exchange{
 		headers: headers, message: message, pool: pool, conn: connection, target: target.ID,
 		began: clock.Now(), deadline: sendDeadline, cancel: cancel,
--- a/internal/upstream/message.go
+++ b/internal/upstream/message.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +44,24 @@
 	AnswerBufferTime time.Duration
 	// bodyConsumed is set once Rest may have been read.
 	bodyConsumed atomic.Bool
+	// sentOver are the connections over which the message was sent. Copies of a hedged request are
+	// sent concurrently.
+	sentOver   []*conn
+	sentOverMu sync.Mutex
+}
+
+// recordSend records that the message is sent over a connection.
+func (m *Message) recordSend(c *conn) {
+	m.sentOverMu.Lock()
+	defer m.sentOverMu.Unlock()
+	m.sentOver = append(m.sentOver, c)
+}
+
+// wasSentOver reports whether the message was sent over a connection.
+func (m *Message) wasSentOver(c *conn) bool {
+	m.sentOverMu.Lock()
+	defer m.sentOverMu.Unlock()
+	return slices.Contains(m.sentOver, c)
 }
 
 // BodyConsumed reports whether the body can't be sent again, since part of it was streamed and not
