--- a/internal/lab/mutate/mutations_requests.go
+++ b/internal/lab/mutate/mutations_requests.go
@@ -68,10 +68,17 @@
 	{
 		name: "sent-again-over-the-same-connection",
 		file: "internal/upstream/conn.go",
-		old:  "\t\tif message.wasSentOver(c) {",
-		new:  "\t\tif false {",
+		old:  "return !message.wasSentOver(c) &&",
+		new:  "return",
 		pkg:  "./internal/proxy", test: "TestSurplusRejectionIsNotTakenForAnswerToNextSend",
 	},
+	{
+		name: "head-beside-others-on-a-connection",
+		file: "internal/upstream/conn.go",
+		old:  "(!c.used || c.carriesHead == message.isHead())",
+		new:  "true",
+		pkg:  "./internal/proxy", test: "TestSurplusAnswersOfHeadAndOtherRequestsAreToldApart",
+	},
 	{
 		name: "success-without-a-signature",
 		file: "internal/upstream/exchange.go",
--- a/internal/proxy/conn_test.go
+++ b/internal/proxy/conn_test.go
@@ -59,6 +59,41 @@
 	}
 }
 
+// A surplus answer to a HEAD request, which has no body, swallowed the answer to the next request, and the
+// body of a surplus answer to a GET was read as the head of the answer to a HEAD.
+func TestSurplusAnswersOfHeadAndOtherRequestsAreToldApart(t *testing.T) {
+	for name, methods := range map[string][2]string{"HEAD first": {"HEAD", "GET"}, "GET first": {"GET", "HEAD"}} {
+		t.Run(name, func(t *testing.T) {
+			var sends atomic.Int32
+			w := newFakeWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+				answerOnce := func() {
+					if request.Method == "HEAD" {
+						_, _ = io.WriteString(connection, "HTTP/1.1 200 x\r\nX-Id: "+request.Header.Get("X-Id")+"\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\n")
+						return
+					}
+					answer(connection, request, http.StatusOK, "right")
+				}
+				if sends.Add(1) == 1 {
+					answerOnce()
+					time.AfterFunc(40*time.Millisecond, answerOnce)
+					return true
+				}
+				time.Sleep(100 * time.Millisecond)
+				answerOnce()
+				return true
+			})
+			f := newTestProxy(t, w.entry("pool"))
+			for _, method := range methods {
+				response, body := f.get(t, method, "/unsafe/", "")
+				assert.Equal(t, response.StatusCode, http.StatusOK)
+				assert.Equal(t, response.ContentLength, int64(5))
+				assert.Equal(t, body, map[string]string{"GET": "right"}[method])
+			}
+			assert.Equal(t, sends.Load(), int32(2))
+		})
+	}
+}
+
 func TestAnswerWithoutLengthEndsWithConnection(t *testing.T) {
 	for _, broken := range []bool{false, true} {
 		w := newFakeWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -31,8 +31,10 @@
 	net.Conn
 	reader *bufio.Reader
 	// used is set once a request was answered on the connection.
-	used      bool
-	idleUntil time.Time
+	used bool
+	// carriesHead is set if HEAD requests are sent over the connection, which then carries no others.
+	carriesHead bool
+	idleUntil   time.Time
 	// dialTime is how long it took to open the connection.
 	dialTime time.Duration
 }
@@ -83,7 +85,15 @@
 // Address returns the address of the worker.
 func (p *Pool) Address() string { return p.address }
 
-// get returns an idle connection over which the message has not been sent, or opens a new one.
+// mayCarry reports whether every answer on the connection that is not to the next send of the message
+// can be told from the one that is, and be read to its end. A surplus answer to an earlier send of the
+// message has the same ID, so that only the connection distinguishes them. Whether an answer has a
+// body depends on its request: those to HEAD have none.
+func (c *conn) mayCarry(message *Message) bool {
+	return !message.wasSentOver(c) && (!c.used || c.carriesHead == message.isHead())
+}
+
+// get returns an idle connection that may carry the message, or opens a new one.
 func (p *Pool) get(ctx context.Context, message *Message) (c *conn, err error) {
 	if c := p.takeIdle(clock.Now(), message); c != nil {
 		return c, nil
@@ -98,15 +108,14 @@
 	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferSize), dialTime: clock.Since(began)}, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection over which the message has not
-// been sent, or nil if there is none. A surplus answer to an earlier send would have the ID of the
-// next one, so that only the connection tells them apart.
+// takeIdle removes and returns the most recently used idle connection that may carry the message, or
+// nil if there is none.
 func (p *Pool) takeIdle(now time.Time, message *Message) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for index := len(p.idle) - 1; index >= 0; index-- {
 		c := p.idle[index]
-		if message.wasSentOver(c) {
+		if !c.mayCarry(message) {
 			continue
 		}
 		p.idle = slices.Delete(p.idle, index, index+1)
--- a/internal/upstream/message.go
+++ b/internal/upstream/message.go
@@ -50,8 +50,12 @@
 	sentOverMu sync.Mutex
 }
 
+// isHead reports whether the answer to the message has no body.
+func (m *Message) isHead() bool { return m.Method == http.MethodHead }
+
 // recordSend records that the message is sent over a connection.
 func (m *Message) recordSend(c *conn) {
+	c.carriesHead = m.isHead()
 	m.sentOverMu.Lock()
 	defer m.sentOverMu.Unlock()
 	m.sentOver = append(m.sentOver, c)
