--- a/internal/lab/mutate/mutations_requests.go
+++ b/internal/lab/mutate/mutations_requests.go
@@ -79,6 +79,13 @@
 		new:  "true",
 		pkg:  "./internal/proxy", test: "TestSurplusAnswersOfHeadAndOtherRequestsAreToldApart",
 	},
+	{
+		name: "rest-of-a-long-surplus-answer",
+		file: "internal/upstream/exchange.go",
+		old:  "io.Copy(io.Discard, response.Body)",
+		new:  "io.Copy(io.Discard, io.LimitReader(response.Body, 1<<20))",
+		pkg:  "./internal/proxy", test: "TestLongSurplusAnswerIsSkippedToItsEnd",
+	},
 	{
 		name: "success-without-a-signature",
 		file: "internal/upstream/exchange.go",
--- a/internal/proxy/conn_test.go
+++ b/internal/proxy/conn_test.go
@@ -1,9 +1,11 @@
 package proxy
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -94,6 +96,23 @@
 	}
 }
 
+// The rest of a surplus answer of over 1 MiB was read as the answer to the next request.
+func TestLongSurplusAnswerIsSkippedToItsEnd(t *testing.T) {
+	const skipped = 1 << 20
+	w := newFakeWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+		var rest strings.Builder
+		fmt.Fprintf(&rest, "HTTP/1.1 200 x\r\nX-Id: %s\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\nwrong", request.Header.Get("X-Id"))
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 x\r\nX-Id: another\r\nX-Signature: s\r\nContent-Length: %d\r\n\r\n", skipped+rest.Len())
+		_, _ = io.WriteString(connection, strings.Repeat("b", skipped)+rest.String())
+		answer(connection, request, http.StatusOK, "right")
+		return true
+	})
+	f := newTestProxy(t, w.entry("pool"))
+	response, body := f.get(t, "POST", "/unsafe/", "x")
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, body, "right")
+}
+
 func TestAnswerWithoutLengthEndsWithConnection(t *testing.T) {
 	for _, broken := range []bool{false, true} {
 		w := newFakeWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -12,12 +12,8 @@
 	"github.com/shalefork/shalefork/internal/clock"
 )
 
-const (
-	// maxStrayAnswers is the maximum number of answers to other requests that are skipped.
-	maxStrayAnswers = 3
-	// maxStrayBody is the maximum body of such an answer in bytes.
-	maxStrayBody = 1 << 20
-)
+// maxStrayAnswers is the maximum number of answers to other requests that are skipped.
+const maxStrayAnswers = 3
 
 // exchange is one send of a request over one connection.
 type exchange struct {
@@ -141,7 +137,8 @@
 	return Broken
 }
 
-// readAnswer reads the answer to this request, and skips answers to other requests.
+// readAnswer reads the answer to this request, and skips answers to other requests. Their bodies may be
+// of any length: what is left of one would be read as the head of the next answer.
 func (e *exchange) readAnswer(ctx context.Context) Result {
 	request := &http.Request{Method: e.message.Method}
 	for range maxStrayAnswers + 1 {
@@ -155,7 +152,7 @@
 		if response.Header.Get(e.headers.RequestID) == e.message.ID {
 			return e.receive(ctx, response)
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBody)); err != nil || delimitedByClose(response) {
+		if _, err := io.Copy(io.Discard, response.Body); err != nil || delimitedByClose(response) {
 			return Result{Outcome: failureOutcome(ctx, e.deadline, err), Err: errWrongAnswer}
 		}
 	}
