--- a/internal/lab/mutate/mutations_owners.go
+++ b/internal/lab/mutate/mutations_owners.go
@@ -3,6 +3,20 @@
 // ownerMutations let two workers hold the same keys, or let orders of a previous leader take
 // effect.
 var ownerMutations = []mutation{
+	{
+		name: "release-done-by-any-reply",
+		file: "platform/orderconn.go",
+		old:  "\t\treturn handover != \"\" && !c.handovers[handover]\n",
+		new:  "\t\treturn true\n",
+		pkg:  "./platform", test: "TestReleaseIsNotDoneBySurplusReply",
+	},
+	{
+		name: "order-after-a-reply-of-another-worker",
+		file: "platform/orderconn.go",
+		old:  "!certain || !isRecognizable(path, response)",
+		new:  "!certain",
+		pkg:  "./platform", test: "TestWorkerIsNotEndedBySurplusReplyForAnother",
+	},
 	{
 		name: "former-owner-not-outwaited",
 		file: "internal/owner/dispatch.go",
