--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -148,7 +148,7 @@
 			c.state.recordLatency(result.Took, mean)
 		}
 	}
-	p.Metrics.recordSend(c.service.Name, result.Outcome)
+	p.Metrics.recordSend(c.service.Name, &result)
 	c.recordLimit(&worker, &result)
 	c.recordNotice(to, &result)
 	c.recordWorkerEnd(to, &result)
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -19,6 +19,7 @@
 	notices  *prometheus.CounterVec
 	unread   *prometheus.CounterVec
 	forwards *prometheus.CounterVec
+	surplus  *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	tenants  *tenantCounters
 }
@@ -53,17 +54,24 @@
 			Name: "shalefork_router_forwarded_requests_total",
 			Help: "Requests forwarded to other routers while this one is cut off from the workers: answered, not-taken or failed; received: forwarded by others.",
 		}, []string{"outcome"}),
+		surplus: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shalefork_router_surplus_answers_total",
+			Help: "Answers of workers to other requests that came in the place of the next answer, and were skipped.",
+		}, []string{"service"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "shalefork_router_request_seconds", Help: "Time from a request's arrival to its answer.", Buckets: latencyBuckets,
 		}, []string{"service"}),
 	}
 	metrics.tenants = newTenantCounters()
-	registerer.MustRegister(metrics.requests, metrics.sends, metrics.crashes, metrics.limits, metrics.notices, metrics.unread, metrics.forwards, metrics.latency, metrics.tenants.requests, metrics.tenants.overShare)
+	registerer.MustRegister(metrics.requests, metrics.sends, metrics.crashes, metrics.limits, metrics.notices, metrics.unread, metrics.forwards, metrics.surplus, metrics.latency, metrics.tenants.requests, metrics.tenants.overShare)
 	return metrics
 }
 
-func (m *Metrics) recordSend(service routing.ServiceName, outcome upstream.Outcome) {
-	m.sends.WithLabelValues(string(service), string(outcome)).Inc()
+func (m *Metrics) recordSend(service routing.ServiceName, result *upstream.Result) {
+	m.sends.WithLabelValues(string(service), string(result.Outcome)).Inc()
+	if result.SurplusAnswers > 0 {
+		m.surplus.WithLabelValues(string(service)).Add(float64(result.SurplusAnswers))
+	}
 }
 
 func (m *Metrics) recordCrash(service routing.ServiceName) {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -117,6 +118,11 @@
 	response, body := f.get(t, "POST", "/unsafe/", "x")
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 	assert.Equal(t, body, "right")
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(f.proxy.Metrics.surplus)
+	families, err := registry.Gather()
+	assert.NilError(t, err)
+	assert.Equal(t, families[0].GetMetric()[0].GetCounter().GetValue(), 1.0)
 }
 
 func TestUnsignedSuccessIsRejected(t *testing.T) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -29,6 +29,8 @@
 	// false if the abort has already begun.
 	endWatch func() bool
 	cancel   context.CancelFunc
+	// surplus is the number of answers to other requests that were skipped.
+	surplus int
 }
 
 // Target identifies the worker that a message is for.
@@ -83,7 +85,7 @@
 	}
 	answer := e.readAnswer(ctx)
 	e.awaitWrite(ctx, write, &answer)
-	answer.Took = clock.Since(e.began)
+	answer.Took, answer.SurplusAnswers = clock.Since(e.began), e.surplus
 	if answer.Outcome == TimedOut && e.conn.used {
 		e.pool.DropIdle()
 	}
@@ -152,6 +154,7 @@
 		if response.Header.Get(e.headers.RequestID) == e.message.ID {
 			return e.receive(ctx, response)
 		}
+		e.surplus++
 		if _, err := io.Copy(io.Discard, response.Body); err != nil || delimitedByClose(response) {
 			return Result{Outcome: failureOutcome(ctx, e.deadline, err), Err: errWrongAnswer}
 		}
--- a/internal/upstream/result.go
+++ b/internal/upstream/result.go
@@ -55,6 +55,8 @@
 	// SentAt is when the request began to be written, after a connection had been obtained. It is
 	// zero if no answer to the request was received.
 	SentAt time.Time
+	// SurplusAnswers is the number of answers to other requests that came in the place of this one.
+	SurplusAnswers int
 	// closesConn is set if the connection can't be reused after this answer.
 	closesConn bool
 	// Took is the time from the start of writing to the answer, or to the failure to receive one.
