--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -12,8 +12,8 @@
 	"github.com/shalefork/shalefork/internal/clock"
 )
 
-// maxStrayAnswers is the maximum number of answers to other requests that are skipped.
-const maxStrayAnswers = 3
+// maxSurplusAnswers is the maximum number of answers to other requests that are skipped.
+const maxSurplusAnswers = 3
 
 // exchange is one send of a request over one connection.
 type exchange struct {
@@ -143,7 +143,7 @@
 // of any length: what is left of one would be read as the head of the next answer.
 func (e *exchange) readAnswer(ctx context.Context) Result {
 	request := &http.Request{Method: e.message.Method}
-	for range maxStrayAnswers + 1 {
+	for range maxSurplusAnswers + 1 {
 		response, err := http.ReadResponse(e.conn.reader, request)
 		if err != nil {
 			return Result{Outcome: failureOutcome(ctx, e.deadline, err), Err: err}
