--- a/internal/lab/mutate/mutations_incarnations.go
+++ b/internal/lab/mutate/mutations_incarnations.go
@@ -2,6 +2,27 @@
 
 // incarnationMutations apply the state of one incarnation of a worker to the next one.
 var incarnationMutations = []mutation{
+	{
+		name: "next-leader-keeps-the-recorded-address",
+		file: "internal/owner/restart.go",
+		old:  "if !known && !moved {",
+		new:  "if !known {",
+		pkg:  "./internal/owner", test: "TestNextLeaderReachesRestartedWorkerAtNewAddress",
+	},
+	{
+		name: "disputed-address-shows-an-end",
+		file: "internal/owner/restart.go",
+		old:  "if l.disputed[worker] {",
+		new:  "if false {",
+		pkg:  "./internal/owner", test: "TestWorkerIsNotEndedWhileItsAddressIsDisputed",
+	},
+	{
+		name: "new-address-not-stored",
+		file: "internal/owner/restart.go",
+		old:  "\t\tl.recordVersion++ // the next leader must not take the worker at the former address for this one\n",
+		new:  "",
+		pkg:  "./internal/owner", test: "TestNewAddressOfRestartedWorkerIsStored",
+	},
 	{
 		name: "drain-outlives-its-life",
 		file: "internal/workers/workers.go",
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -105,6 +105,7 @@
 func (l *Ledger) HandleReply(now time.Time, order Order, reply Reply) {
 	order.targetRestarted = order.Target.StartTime != l.startTimes[order.Target.ID]
 	if !order.targetRestarted {
+		reply.Outcome = l.resolveDispute(order.Target.ID, reply.Outcome)
 		l.recordOutcome(now, order, reply.Outcome)
 	}
 	if order.unconfirmed != nil {
--- a/internal/owner/ledger.go
+++ b/internal/owner/ledger.go
@@ -31,6 +31,8 @@
 	failing map[workers.ID]failure
 	// ended are the workers whose address belongs to another worker now.
 	ended map[workers.ID]bool
+	// disputed are the workers whose entry and record state different addresses.
+	disputed map[workers.ID]bool
 	// boundaries are the first keys of placement rules, where spans are not merged.
 	boundaries map[int]bool
 	// assignmentVersion counts changes that followers must be notified of.
@@ -54,6 +56,7 @@
 		lastUnanswered: map[workers.ID]time.Time{},
 		failing:        map[workers.ID]failure{},
 		ended:          map[workers.ID]bool{},
+		disputed:       map[workers.ID]bool{},
 	}
 }
 
--- a/internal/owner/restart.go
+++ b/internal/owner/restart.go
@@ -14,21 +14,28 @@
 // incarnation. Earlier holds therefore still have to expire or be released. Meanwhile the worker is
 // granted its own keys again under a higher fence, and fences that it has to know are sent again,
 // since a new incarnation has seen none of the earlier ones.
+//
+// A new leader knows no start times. To it, a worker has restarted if it announces another address than
+// the record states; either may be out of date.
 func (l *Ledger) ObserveIncarnation(now time.Time, incarnation workers.Incarnation, address string) bool {
 	previous, known := l.startTimes[incarnation.ID]
 	if incarnation.StartTime == 0 || previous == incarnation.StartTime {
 		return false
 	}
 	l.startTimes[incarnation.ID] = incarnation.StartTime
-	if !known {
+	recorded, hasAddress := l.addresses[incarnation.ID]
+	moved := hasAddress && recorded != address
+	if !known && !moved {
 		return false
 	}
 	delete(l.ended, incarnation.ID)
 	delete(l.failing, incarnation.ID)
 	delete(l.lastUnanswered, incarnation.ID)
-	if l.addresses[incarnation.ID] != address {
+	l.disputed[incarnation.ID] = !known
+	if moved {
 		l.addresses[incarnation.ID] = address
 		l.assignmentVersion++
+		l.recordVersion++ // the next leader must not take the worker at the former address for this one
 	}
 	for _, s := range l.spans {
 		l.handleRestart(now, s, incarnation.ID)
@@ -41,6 +48,20 @@
 	return true
 }
 
+// resolveDispute returns the outcome of an order to a worker whose address is disputed. A reply by the
+// worker settles the address. One by another worker does not show that the worker has ended.
+func (l *Ledger) resolveDispute(worker workers.ID, outcome Outcome) Outcome {
+	switch outcome {
+	case OutcomeOtherWorker:
+		if l.disputed[worker] {
+			return OutcomeUnreachable
+		}
+	case OutcomeDone, OutcomeFenced, OutcomeInvalid:
+		delete(l.disputed, worker)
+	}
+	return outcome
+}
+
 // handleRestart treats the keys of a restarted worker as not held by any worker yet. If the worker
 // is a previous owner, the order to it is due at once, for what its new incarnation may have been
 // granted.
--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -141,6 +141,67 @@
 	assert.Equal(t, ledger.Assignment()[0].Address, "elsewhere:1")
 }
 
+// ledgerOfNextLeader returns the ledger of a leader that has loaded the record of another.
+func ledgerOfNextLeader(t *testing.T, now time.Time, previous *Ledger) *Ledger {
+	t.Helper()
+	record, err := previous.Encode(1, "w")
+	assert.NilError(t, err)
+	next := NewLedger(previous.config, 2)
+	assert.NilError(t, next.Load(now, record, now.Add(previous.config.MaxHold())))
+	return next
+}
+
+// A new leader took a worker that had restarted at another address for ended, since another worker answered
+// at the address of its record, and passed on keys that the worker held.
+func TestNextLeaderReachesRestartedWorkerAtNewAddress(t *testing.T) {
+	now := time.Unix(1000, 0)
+	previous, candidates := ledgerWithIncarnations(t, now)
+	ledger := ledgerOfNextLeader(t, now, previous)
+	id := candidates[0].ID
+	early := grantDue(t, ledger, now)
+	ledger.ObserveIncarnation(now, workers.Incarnation{ID: id, StartTime: 2}, "elsewhere:1")
+	ledger.HandleReply(now, early, Reply{Outcome: OutcomeOtherWorker})
+	assert.Assert(t, !ledger.Failing(now, id, time.Second))
+	now = now.Add(time.Second)
+	grant := grantDue(t, ledger, now)
+	assert.Equal(t, grant.Target, Target{ID: id, Address: "elsewhere:1", StartTime: 2})
+	ledger.HandleReply(now, grant, Reply{Outcome: OutcomeDone})
+	assert.Equal(t, ledger.Assignment()[0], Owner{Keys: grant.Keys, Worker: id, Address: "elsewhere:1"})
+}
+
+// The entry that a new leader has read may be older than the record. The worker then still lives at the
+// address of the record, although another one answers at that of the entry.
+func TestWorkerIsNotEndedWhileItsAddressIsDisputed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	previous, candidates := ledgerWithIncarnations(t, now)
+	ledger := ledgerOfNextLeader(t, now, previous)
+	id := candidates[0].ID
+	ledger.ObserveIncarnation(now, workers.Incarnation{ID: id, StartTime: 2}, "elsewhere:1")
+	ledger.HandleReply(now, grantDue(t, ledger, now), Reply{Outcome: OutcomeOtherWorker})
+	assert.Assert(t, !ledger.Failing(now, id, time.Second))
+	ledger.ObserveIncarnation(now, workers.Incarnation{ID: id, StartTime: 3}, candidates[0].Address)
+	now = now.Add(time.Second)
+	grant := grantDue(t, ledger, now)
+	assert.Equal(t, grant.Target.Address, candidates[0].Address)
+	ledger.HandleReply(now, grant, Reply{Outcome: OutcomeDone})
+	now = now.Add(time.Second)
+	ledger.HandleReply(now, grantDue(t, ledger, now), Reply{Outcome: OutcomeOtherWorker})
+	assert.Assert(t, ledger.Failing(now, id, time.Second), "the address is the worker's: it has ended")
+}
+
+// The record kept the former address of a restarted worker until a move of keys was stored.
+func TestNewAddressOfRestartedWorkerIsStored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ledger, candidates := ledgerWithIncarnations(t, now)
+	version := ledger.RecordVersion()
+	ledger.ObserveIncarnation(now, workers.Incarnation{ID: candidates[0].ID, StartTime: 2}, candidates[0].Address)
+	assert.Equal(t, ledger.RecordVersion(), version, "the same address")
+	ledger.ObserveIncarnation(now, workers.Incarnation{ID: candidates[0].ID, StartTime: 3}, "elsewhere:1")
+	assert.Assert(t, ledger.RecordVersion() > version)
+	next := ledgerOfNextLeader(t, now, ledger)
+	assert.Equal(t, next.Assignment()[0].Address, "elsewhere:1")
+}
+
 func TestStandbyDoesNotRenewOtherIncarnation(t *testing.T) {
 	for name, test := range map[string]struct {
 		held, announced workers.StartTime
