--- a/internal/lab/mutate/mutations_incarnations.go
+++ b/internal/lab/mutate/mutations_incarnations.go
@@ -2,6 +2,13 @@
 
 // incarnationMutations apply the state of one incarnation of a worker to the next one.
 var incarnationMutations = []mutation{
+	{
+		name: "address-of-the-table-kept",
+		file: "internal/proxy/backend.go",
+		old:  "\t\treturn worker.Address != b.pool.Address()\n",
+		new:  "\t\treturn false\n",
+		pkg:  "./internal/proxy", test: "TestAnnouncedAddressReplacesThatOfTable",
+	},
 	{
 		name: "next-leader-keeps-the-recorded-address",
 		file: "internal/owner/restart.go",
@@ -33,7 +40,7 @@
 	{
 		name: "what-was-learned-of-a-worker-outlives-its-life",
 		file: "internal/proxy/backend.go",
-		old:  "\treturn worker.StartTime != 0 && b.worker.StartTime != 0 && worker.StartTime != b.worker.StartTime",
+		old:  "\treturn worker.StartTime != 0 && b.worker.StartTime != worker.StartTime",
 		new:  "\treturn false",
 		pkg:  "./internal/proxy", test: "TestRestartedWorkerStartsWithFreshState",
 	},
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -84,12 +84,16 @@
 	return &backend{pool: upstream.NewPool(worker.Address, dial), worker: worker, means: means}
 }
 
-// isOtherIncarnation reports whether the announcement is of another incarnation of the worker: one
-// whose process has been restarted.
+// isOtherIncarnation reports whether the description is of another incarnation of the worker: one
+// whose process has been restarted. A worker that is known only by an address without a start time, as
+// from the table of owners, is another incarnation once it is described at another address.
 func (b *backend) isOtherIncarnation(worker workers.Worker) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return worker.StartTime != 0 && b.worker.StartTime != 0 && worker.StartTime != b.worker.StartTime
+	if b.worker.StartTime == 0 {
+		return worker.Address != b.pool.Address()
+	}
+	return worker.StartTime != 0 && b.worker.StartTime != worker.StartTime
 }
 
 // update replaces the worker's announced description. If the new one has no incarnation, because the
--- a/internal/proxy/restart_test.go
+++ b/internal/proxy/restart_test.go
@@ -42,6 +42,27 @@
 	assert.Assert(t, f.get(second) == after)
 }
 
+// A router that knew a worker only by the address in the table of owners, where it had been before a restart,
+// went on sending to that address once the worker was announced at another one.
+func TestAnnouncedAddressReplacesThatOfTable(t *testing.T) {
+	w := newFakeWorker(t, "w1", alwaysAnswer("x"))
+	f := newTestProxy(t)
+	former, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	entry := w.entry("keyed")
+	entry.Address = former.Addr().String()
+	assert.NilError(t, former.Close())
+	f.assignAllKeys(entry)
+	response, _ := f.get(t, "GET", "/keyed/", "", "X-Key", "7", "X-Deadline", "100")
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+
+	entry = w.entry("keyed")
+	entry.StartTime = 2
+	f.directory.Replace([]workers.Worker{entry}, nil, time.Now())
+	response, body := f.get(t, "GET", "/keyed/", "", "X-Key", "7")
+	assert.Equal(t, response.StatusCode, http.StatusOK, body)
+}
+
 // The share of requests to a cold worker is counted from a random point in each warm-up period. Guards
 // against continuing the warm-up of the previous incarnation, with the tokens saved up in it.
 func TestRestartedWorkerWarmsUpFromItsOwnStart(t *testing.T) {
