Bound the heads of answers

What callers saw: a router that is killed for its memory loses the requests that it has in progress, and the next attempt may end the next router.

Cause: the head of a worker's answer was limited by the send's deadline only.

Change: a head has at most 64 KiB and 512 lines, and beyond one buffer its memory is reserved from that of bodies in flight. At most 8 MiB of an answer to another request are read past.

Why it works: no read of a head goes past its limit, and none begins for which nothing is reserved, so neither one peer nor all of them together exceed the budget.

An answer cut at any byte is broken, as before.

--- a/internal/lab/mutate/mutations_requests.go
+++ b/internal/lab/mutate/mutations_requests.go
@@ -61,8 +61,8 @@
 	{
 		name: "answer-of-another-request",
 		file: "internal/upstream/exchange.go",
-		old:  "\t\tif response.Header.Get(e.headers.RequestID) == e.message.ID {",
-		new:  "\t\tif true {",
+		old:  " && response.Header.Get(e.headers.RequestID) == e.message.ID {",
+		new:  " {",
 		pkg:  "./internal/proxy", test: "TestAnswerToAnotherRequestIsSkipped",
 	},
 	{
@@ -82,8 +82,8 @@
 	{
 		name: "rest-of-a-long-surplus-answer",
 		file: "internal/upstream/exchange.go",
-		old:  "io.Copy(io.Discard, response.Body)",
-		new:  "io.Copy(io.Discard, io.LimitReader(response.Body, 1<<20))",
+		old:  "maxSurplusBytes = 8 << 20",
+		new:  "maxSurplusBytes = 1 << 20",
 		pkg:  "./internal/proxy", test: "TestLongSurplusAnswerIsSkippedToItsEnd",
 	},
 	{
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/intake"
 )
 
 const (
@@ -29,6 +30,8 @@
 // conn is a connection to a worker. It carries one request at a time.
 type conn struct {
 	net.Conn
+	// heads bounds the heads of answers that reader reads.
+	heads  *intake.HeadReader
 	reader *bufio.Reader
 	// used is set once a request was answered on the connection.
 	used bool
@@ -39,6 +42,11 @@
 	dialTime time.Duration
 }
 
+func newConn(opened net.Conn, dialTime time.Duration) *conn {
+	heads := intake.NewHeadReader(opened)
+	return &conn{Conn: opened, heads: heads, reader: bufio.NewReaderSize(heads, readBufferSize), dialTime: dialTime}
+}
+
 // resetMargin is added to the round trip time within which a worker resets a new connection.
 const resetMargin = 3 * time.Millisecond
 
@@ -105,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferSize), dialTime: clock.Since(began)}, nil
+	return newConn(opened, clock.Since(began)), nil
 }
 
 // takeIdle removes and returns the most recently used idle connection that may carry the message, or
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -56,3 +58,59 @@
 		})
 	}
 }
+
+// Long heads of many workers, each within its limit, share the memory of bodies in flight.
+func TestLongHeadsOfAllWorkersShareMemory(t *testing.T) {
+	for name, test := range map[string]struct {
+		used int64
+		want Outcome
+	}{"memory left": {want: Answered}, "no memory left": {used: testBudget, want: Broken}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newScriptedWorker(t)
+				go func() {
+					w.readRequest()
+					_, _ = fmt.Fprintf(w.worker, "HTTP/1.1 200 OK\r\nX-Id: one\r\nX-Signature: s\r\nX-A: %s\r\nContent-Length: 0\r\n\r\n", strings.Repeat("a", 20_000))
+				}()
+				m := w.newMessage(t, bodyOf(0), 0, 0)
+				assert.Assert(t, w.budget.ReserveSmall(test.used))
+				got := w.send(t.Context(), m)
+				assert.Equal(t, got.Outcome, test.want)
+				held := w.budget.Used() - test.used
+				assert.Equal(t, held >= 4*16_000, test.want == Answered, "%d bytes held", held)
+				got.Free()
+				assert.Equal(t, w.budget.Used(), test.used)
+			})
+		})
+	}
+}
+
+// A worker that stops in the middle of an answer must not make its beginning pass for a whole answer.
+func TestAnswerCutAtAnyByteIsBroken(t *testing.T) {
+	for name, test := range map[string]struct{ method, text string }{
+		"of known length": {"POST", "HTTP/1.1 200 OK\r\nX-Id: one\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\nhello"},
+		"in chunks":       {"POST", "HTTP/1.1 200 OK\r\nX-Id: one\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n"},
+		"to HEAD":         {"HEAD", "HTTP/1.1 200 OK\r\nX-Id: one\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\n"},
+		"without a body":  {"GET", "HTTP/1.1 204 No Content\r\nX-Id: one\r\nX-Signature: s\r\n\r\n"},
+		"to the close":    {"GET", "HTTP/1.1 200 OK\r\nX-Id: one\r\nX-Signature: s\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for length := range len(test.text) + 1 {
+				synctest.Test(t, func(t *testing.T) {
+					w := newScriptedWorker(t)
+					go func() {
+						w.readRequest()
+						_, _ = io.WriteString(w.worker, test.text[:length])
+						_ = w.worker.Close()
+					}()
+					m := w.newMessage(t, bodyOf(0), 0, 0)
+					m.Method = test.method
+					w.pool.idle[0].carriesHead = m.isHead()
+					got := w.send(t.Context(), m)
+					assert.Equal(t, got.Outcome == Answered, length == len(test.text), "after %d bytes: %s", length, got.Outcome)
+					got.Free()
+				})
+			}
+		})
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -12,8 +12,13 @@
 	"github.com/shalefork/shalefork/internal/clock"
 )
 
-// maxSurplusAnswers is the maximum number of answers to other requests that are skipped.
-const maxSurplusAnswers = 3
+const (
+	// maxSurplusAnswers is the maximum number of answers to other requests that are skipped.
+	maxSurplusAnswers = 3
+	// maxSurplusBytes is the maximum length of the body of one. Reading a longer one takes processor
+	// time and bandwidth from other requests, up to the deadline if it does not end.
+	maxSurplusBytes = 8 << 20
+)
 
 // exchange is one send of a request over one connection.
 type exchange struct {
@@ -144,24 +149,44 @@
 func (e *exchange) readAnswer(ctx context.Context) Result {
 	request := &http.Request{Method: e.message.Method}
 	for range maxSurplusAnswers + 1 {
-		response, err := http.ReadResponse(e.conn.reader, request)
+		response, headMemory, err := e.readHead(request)
 		if err != nil {
 			return Result{Outcome: failureOutcome(ctx, e.deadline, err), Err: err}
 		}
+		if response.StatusCode >= http.StatusOK && response.Header.Get(e.headers.RequestID) == e.message.ID {
+			answer := e.receive(ctx, response)
+			answer.headMemory, answer.budget = headMemory, e.message.Budget
+			return answer
+		}
+		e.message.Budget.Release(headMemory)
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if response.Header.Get(e.headers.RequestID) == e.message.ID {
-			return e.receive(ctx, response)
-		}
 		e.surplus++
-		if _, err := io.Copy(io.Discard, response.Body); err != nil || delimitedByClose(response) {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSurplusBytes))
+		if err != nil || skipped == maxSurplusBytes || delimitedByClose(response) {
 			return Result{Outcome: failureOutcome(ctx, e.deadline, err), Err: errWrongAnswer}
 		}
 	}
 	return Result{Outcome: Broken, Err: errWrongAnswer}
 }
 
+// readHead reads the head of an answer. It returns the memory in bytes that is reserved for the head, which
+// the caller releases unless there is an error.
+func (e *exchange) readHead(request *http.Request) (*http.Response, int64, error) {
+	e.conn.heads.BeginHead(e.message.Budget)
+	response, err := http.ReadResponse(e.conn.reader, request)
+	reserved, refused := e.conn.heads.EndHead()
+	if err == nil {
+		return response, reserved, nil
+	}
+	e.message.Budget.Release(reserved)
+	if refused != nil {
+		err = refused
+	}
+	return nil, 0, err
+}
+
 var errConnectionRejected = errors.New("the worker closed the new connection")
 
 var errWrongAnswer = errors.New("received an answer to another request")
--- a/internal/upstream/large_test.go
+++ b/internal/upstream/large_test.go
@@ -36,7 +36,7 @@
 	t.Helper()
 	routerConn, worker := net.Pipe()
 	w := &scriptedWorker{pool: NewPool("unused", nil), budget: bodies.NewMemoryBudget(testBudget), worker: worker, reader: bufio.NewReader(worker)}
-	w.pool.put(&conn{Conn: routerConn, reader: bufio.NewReaderSize(routerConn, readBufferSize)}, time.Hour)
+	w.pool.put(newConn(routerConn, 0), time.Hour)
 	t.Cleanup(func() { _ = worker.Close() })
 	return w
 }
--- a/internal/upstream/result.go
+++ b/internal/upstream/result.go
@@ -57,6 +57,9 @@
 	SentAt time.Time
 	// SurplusAnswers is the number of answers to other requests that came in the place of this one.
 	SurplusAnswers int
+	// headMemory is the number of bytes that are reserved for Header from budget.
+	headMemory int64
+	budget     *bodies.MemoryBudget
 	// closesConn is set if the connection can't be reused after this answer.
 	closesConn bool
 	// Took is the time from the start of writing to the answer, or to the failure to receive one.
@@ -73,6 +76,10 @@
 // Free releases the memory of the answer, and cancels the rest of its stream.
 func (r *Result) Free() {
 	r.Body.Free()
+	if r.headMemory > 0 {
+		r.budget.Release(r.headMemory)
+		r.headMemory = 0
+	}
 	if r.Stream == nil {
 		return
 	}
