Go on accepting links after errors that pass

What callers saw: a router that had once run out of descriptors answered them, but no other router reached it until its restart: it led nobody, and took no requests of those that were cut off.

Cause: Hub.Serve returned on any error of Accept.

Evidence: after 340 connections with 300 descriptors, all closed again, the port for routers timed out for good, while the three ports of net/http's servers answered.

Change: a listener whose Accept fails only once it is closed.

Why it works: errors for want of descriptors, memory or a peer that is gone already are followed by another Accept after 5 ms to 1 s; all others end Serve as before.

--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -10,6 +10,7 @@
 	"github.com/shalefork/shalefork/internal/coord"
 	"github.com/shalefork/shalefork/internal/departure"
 	"github.com/shalefork/shalefork/internal/facts"
+	"github.com/shalefork/shalefork/internal/intake"
 	"github.com/shalefork/shalefork/internal/owner"
 	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/quota"
@@ -303,6 +304,7 @@
 
 // Serve accepts links until the listener closes.
 func (h *Hub) Serve(listener net.Listener) {
+	listener = intake.Persistent(listener)
 	h.mu.Lock()
 	h.servingSince = clock.Now()
 	h.mu.Unlock()
