Bound the unfinished messages and connections of each port together

What callers saw: a router that is killed for its memory, or has no descriptor left, while each peer stays within its own limits.

Cause: a head may have 64 KiB and a line of a router 4 MiB, and nothing bounded their sum or the number of connections, on any port.

Change: a gate for each port counts connections and bytes of incomplete messages and closes the least useful beyond the machine's share. Readiness and metrics get timeouts and small heads. Long messages of routers are decoded one at a time. machine.descriptors is a new setting.

Why it works: whoever exceeds the sum waits until room is made, so all readers together exceed it by one read each at most; connections whose request is being handled are never closed, so callers are served on.

--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -46,6 +46,7 @@
 	KindRequest             Kind = "request"
 	KindResent              Kind = "request-sent-again"
 	KindBodies              Kind = "bodies"
+	KindConnectionsClosed   Kind = "connections-closed"
 	KindLinesLeftOut        Kind = "lines-left-out"
 )
 
@@ -101,6 +102,7 @@
 		{KindRequest, "a request did not end as expected: it was refused, failed, was slow or was sent more than once, or its client disconnected (status 0)", "id, status, reason, service, route, took, sends, runs, unsent, config, worker, last, error; for callers with API keys tenant (also that of a revoked key), and gone_with (the configuration version that revoked the key); for keyed services key, term, table_age; for quarantined requests fingerprint"},
 		{KindResent, "a request is sent again", "id, worker, outcome (of the previous send, or hedged), after"},
 		{KindBodies, "the memory for large bodies is exhausted, or half of it is free again", "full, used, limit (bytes)"},
+		{KindConnectionsClosed, "a connection was closed, since there are too many on its port, or since their unfinished messages take too much memory; the least useful ones are closed first", "port, reason (connections or bytes), connections (that are open), held (bytes of unfinished messages), total (connections closed for this reason)"},
 		{KindLinesLeftOut, "lines over the rate limit were left out", "of, lines, dropped (lines dropped because the writer was busy, since the start)"},
 	}
 }
--- a/internal/peerlink/forwarding.go
+++ b/internal/peerlink/forwarding.go
@@ -71,5 +71,8 @@
 	reader *bufio.Reader
 }
 
+// NetConn returns the connection below the buffer.
+func (c *bufferedConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements io.Reader.
 func (c *bufferedConn) Read(into []byte) (int, error) { return c.reader.Read(into) }
--- a/internal/peerlink/hub.go
+++ b/internal/peerlink/hub.go
@@ -1,7 +1,6 @@
 package peerlink
 
 import (
-	"bufio"
 	"net"
 	"sync"
 	"time"
@@ -37,7 +36,8 @@
 	writeTimeout = time.Second
 	writeChunk   = 4 << 10
 	dialTimeout  = 500 * time.Millisecond
-	maxLine      = 4 << 20
+	// maxLine is the maximum length in bytes of a message.
+	maxLine = 4 << 20
 )
 
 // Hub is the leader's and the relay's side of links. A process keeps one Hub and opens it while it
@@ -59,6 +59,9 @@
 	Leaving *facts.Table[departure.Fact]
 	// Address is where this process accepts links.
 	Address string
+	// MaxLine is the maximum length in bytes of the messages of followers and callers; zero means
+	// maxLine.
+	MaxLine int
 	// Contact returns whether this process reaches the workers. It may be nil.
 	Contact func() Contact
 	// GrantAges returns for how long this process has sent no grant to each of the given workers. If it
@@ -118,6 +121,8 @@
 	followedLeader string
 	// onLinked is called with the addresses of processes that follow this one. It may be nil.
 	onLinked func(addresses ...string)
+	// decodingLong is held while a long message is decoded.
+	decodingLong sync.Mutex
 	// serveForwarded serves connections over which other processes forward requests. It may be nil.
 	serveForwarded func(net.Conn)
 	// helpers are processes that reach the workers, as received from the followed process. offeredAt is
@@ -325,20 +330,20 @@
 			_ = conn.Close()
 		}
 	}()
-	reader := bufio.NewReader(conn)
+	lines := h.newLineReader(conn)
 	var hello Hello
 	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
-	if err := readLine(reader, &hello); err != nil {
+	if err := lines.read(&hello); err != nil {
 		return
 	}
 	conn.OnBytes(func(bytes int) { h.Traffic.Add(traffic.Peers, topology.Zone(hello.Zone), bytes) })
 	if hello.Forwards {
-		passedOn = h.acceptForwarding(conn, reader)
+		passedOn = h.acceptForwarding(conn, lines.reader)
 		return
 	}
 	if hello.Permits {
 		if h.answerPermit != nil {
-			h.servePermits(conn, reader)
+			h.servePermits(conn, lines)
 		}
 		return
 	}
@@ -388,6 +393,6 @@
 		h.onLinked(hello.Address)
 	}
 	defer h.drop(l)
-	go h.receive(l, reader)
+	go h.receive(l, lines)
 	h.send(l)
 }
--- a/internal/peerlink/links.go
+++ b/internal/peerlink/links.go
@@ -1,7 +1,6 @@
 package peerlink
 
 import (
-	"bufio"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/clock"
@@ -21,12 +20,12 @@
 
 // receive handles the link's reports until the link breaks or is silent for reportSilence. Reports
 // that the receiver has no room for are dropped, as the following ones contain similar counts.
-func (h *Hub) receive(l *link, reader *bufio.Reader) {
+func (h *Hub) receive(l *link, lines *lineReader) {
 	defer func() { _ = l.conn.Close() }()
 	for {
 		_ = l.conn.SetReadDeadline(time.Now().Add(reportSilence))
 		var report Report
-		if err := readLine(reader, &report); err != nil {
+		if err := lines.read(&report); err != nil {
 			return
 		}
 		if report.Stamp > 0 {
--- a/internal/peerlink/permits.go
+++ b/internal/peerlink/permits.go
@@ -45,11 +45,11 @@
 
 // servePermits answers the permit requests of one process until that process is silent for
 // reportSilence or this process no longer leads.
-func (h *Hub) servePermits(conn net.Conn, reader *bufio.Reader) {
+func (h *Hub) servePermits(conn net.Conn, lines *lineReader) {
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(reportSilence))
 		var request PermitRequest
-		if readLine(reader, &request) != nil {
+		if lines.read(&request) != nil {
 			return
 		}
 		permit, leading := h.answerPermit(request)
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -122,7 +122,7 @@
 		return 0, 0, c.readErr
 	case forServer:
 		return 0, readForServer, nil
-	case len(c.unread) >= maxUnread:
+	case len(c.unread) >= maxUnread, len(c.unread) > 0 && c.splitter.unreadFull():
 		return 0, waitForSpace, nil
 	}
 	return 0, readPipelined, nil
@@ -149,11 +149,19 @@
 func (c *conn) deliverUnread(into []byte) int {
 	count := c.consumeCurrent(c.unread[:min(len(into), len(c.unread))])
 	copy(into, c.unread[:count])
-	c.unread = c.unread[count:]
-	if len(c.unread) == 0 {
+	c.setUnread(c.unread[count:])
+	return count
+}
+
+// setUnread replaces the buffered data, and counts it over all open connections. The caller holds mu.
+func (c *conn) setUnread(data []byte) {
+	if !c.closed {
+		c.splitter.unreadBytes.Add(int64(len(data) - len(c.unread)))
+	}
+	c.unread = data
+	if len(data) == 0 {
 		c.unread = nil
 	}
-	return count
 }
 
 // consumeCurrent returns how many bytes of data belong to net/http's current request, and begins a
@@ -174,7 +182,7 @@
 	own := 0
 	if count > 0 {
 		own = c.consumeCurrent(into[:count])
-		c.unread = append(c.unread, into[own:count]...)
+		c.setUnread(append(c.unread, into[own:count]...))
 	}
 	if count == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.resumeRead() {
 		return 0, nil
@@ -198,7 +206,7 @@
 	count, err := c.Conn.Read(free)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unread = append(c.unread[:length], free[:count]...)
+	c.setUnread(append(c.unread[:length], free[:count]...))
 	switch {
 	case err == nil:
 	case !errors.Is(err, os.ErrDeadlineExceeded):
@@ -266,10 +274,7 @@
 	if err != nil || !c.splitter.mayRunConcurrently(request) || !c.splitter.admit() {
 		return false
 	}
-	c.unread = c.unread[parsed.length:]
-	if len(c.unread) == 0 {
-		c.unread = nil
-	}
+	c.setUnread(c.unread[parsed.length:])
 	ctx, cancel := context.WithCancel(context.Background())
 	request.RemoteAddr = c.RemoteAddr().String()
 	r := newResponse(c, request.WithContext(ctx), cancel)
@@ -359,6 +364,7 @@
 	}
 	c.closed = true
 	close(c.done)
+	c.splitter.unreadBytes.Add(-int64(len(c.unread)))
 	c.cancelQueue()
 	err := c.Conn.Close()
 	c.interruptRead()
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -373,3 +373,27 @@
 		}
 	}
 }
+
+// Clients that send parts of requests behind others made a process hold 16 KiB for each connection.
+func TestWaitingRequestsOfAllConnectionsAreBounded(t *testing.T) {
+	splitter := New(nil, Limits{UnreadBytes: 10_000})
+	first, second := newConn(nil, splitter), newConn(nil, splitter)
+	for _, c := range []*conn{first, second} {
+		c.serverBusy, c.current.headComplete = true, true
+		c.setUnread(make([]byte, 100))
+	}
+	action := func(c *conn) readAction {
+		_, next, err := c.nextAction(make([]byte, 100))
+		assert.NilError(t, err)
+		return next
+	}
+	assert.Equal(t, action(first), readPipelined)
+	second.setUnread(make([]byte, 10_000))
+	assert.Equal(t, action(first), waitForSpace)
+	third := newConn(nil, splitter)
+	third.serverBusy, third.current.headComplete = true, true
+	assert.Equal(t, action(third), readPipelined, "the end of the connection is noticed")
+	second.setUnread(nil)
+	assert.Equal(t, action(first), readPipelined)
+	assert.Equal(t, splitter.unreadBytes.Load(), int64(100))
+}
--- a/internal/pipeline/splitter.go
+++ b/internal/pipeline/splitter.go
@@ -24,6 +24,10 @@
 	// BufferedBytes is the maximum number of bytes of responses, of all connections together, that
 	// are buffered until it is their turn.
 	BufferedBytes int64
+	// UnreadBytes is the number of bytes of requests that can't run yet, of all connections together,
+	// beyond which connections are read no further than their first byte behind a request. Zero means no
+	// limit.
+	UnreadBytes int64
 	// MayRunConcurrently reports whether a request may run before earlier ones of its connection
 	// are answered.
 	MayRunConcurrently func(*http.Request) bool
@@ -37,6 +41,8 @@
 	// running is the number of pipelined requests that run, and bufferedBytes the number of bytes
 	// of responses that wait for their turn.
 	running, bufferedBytes atomic.Int64
+	// unreadBytes is the number of bytes of requests that can't run yet.
+	unreadBytes atomic.Int64
 	// served counts the pipelined requests that were started.
 	served   atomic.Uint64
 	stopping atomic.Bool
@@ -95,20 +101,41 @@
 
 // onStateChange notifies a connection that net/http has answered its request.
 func (s *Splitter) onStateChange(accepted net.Conn, state http.ConnState) {
-	if c, ok := accepted.(*conn); ok && state == http.StateIdle {
+	if c := unwrap(accepted); c != nil && state == http.StateIdle {
 		c.serverIdle()
 	}
 }
 
 // serveFromServer serves a request that net/http has read.
 func (s *Splitter) serveFromServer(writer http.ResponseWriter, request *http.Request) {
-	if c, ok := request.Context().Value(connKey{}).(*conn); ok {
+	served, _ := request.Context().Value(connKey{}).(net.Conn)
+	if c := unwrap(served); c != nil {
 		c.serverBegins(s.mayRunConcurrently(request))
 		writer = &serverWriter{ResponseWriter: writer, conn: c}
 	}
 	s.handler.ServeHTTP(writer, request)
 }
 
+// unwrap returns the Splitter's connection that a connection wraps, or nil if there is none.
+func unwrap(served net.Conn) *conn {
+	for served != nil {
+		if c, ok := served.(*conn); ok {
+			return c
+		}
+		wrapper, ok := served.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		served = wrapper.NetConn()
+	}
+	return nil
+}
+
+// unreadFull reports whether the connections together buffer as much as they may.
+func (s *Splitter) unreadFull() bool {
+	return s.limits.UnreadBytes > 0 && s.unreadBytes.Load() >= s.limits.UnreadBytes
+}
+
 // mayRunConcurrently reports whether a request may run beside others of its connection: it is a GET or
 // HEAD without a body, which change no state, and Limits.MayRunConcurrently permits it.
 func (s *Splitter) mayRunConcurrently(request *http.Request) bool {
--- a/internal/router/forwarding.go
+++ b/internal/router/forwarding.go
@@ -48,6 +48,7 @@
 func (r *Router) newForwardedServer() *http.Server {
 	server := r.newServer()
 	server.Handler = http.HandlerFunc(r.proxy.ServeForwarded)
+	r.gates.peers.Attach(server)
 	return server
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,6 +22,7 @@
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/election"
 	"github.com/shalefork/shalefork/internal/grantlog"
+	"github.com/shalefork/shalefork/internal/intake"
 	"github.com/shalefork/shalefork/internal/keeper"
 	"github.com/shalefork/shalefork/internal/keytable"
 	"github.com/shalefork/shalefork/internal/owner"
@@ -138,6 +139,8 @@
 	quotas    *quotas
 	limits    *workerLimits
 	leaving   *leavingWorkers
+	// gates limit the connections to this process.
+	gates gates
 	// pipelined runs requests that are pipelined behind others on their connections.
 	pipelined *pipeline.Splitter
 }
@@ -178,11 +181,13 @@
 	if config.Revocation == settings.RevocationStrict {
 		r.proxy.Outdated = r.configOutdated
 	}
+	r.gates = newGates(config.Machine, log)
+	r.gates.register(metrics)
 	r.process = rand.Text()
 	r.hub = peerlink.NewHub(r.process, r.reports, r.readState)
 	r.hub.Strength, r.hub.DirectNodes = config.Machine.Strength(), config.DirectRouters
 	r.hub.LinkRate = config.Machine.LinkBytes()
-	r.hub.Traffic = r.proxy.Traffic
+	r.hub.Traffic, r.hub.MaxLine = r.proxy.Traffic, longestReport(config.Machine)
 	r.hub.Address, r.hub.Contact = config.PeerListen, r.contact
 	r.proxy.Helpers, r.proxy.ConfirmContact = r.newHelpers(), r.confirmContact
 	r.election = election.New(adapter.Store, KeyPrefix, config.PeerListen, r.process, rand.Text)
@@ -248,19 +253,20 @@
 	forwardedConns := newConnListener(listeners.peers.Addr())
 	r.hub.OnForwarding(forwardedConns.add)
 	go func() { _ = forwarded.Serve(forwardedConns) }()
-	go r.hub.Serve(listeners.peers)
+	go r.hub.Serve(r.gates.peers.Listen(listeners.peers))
 	go r.standby.Run(background)
 	go func() {
 		defer close(led)
 		r.lead(leading)
 	}()
-	go func() { _ = http.Serve(listeners.ready, r.readyHandler()) }()
+	go serve(newProbeServer(r.gates.ready, r.readyHandler()), r.gates.ready, listeners.ready)
 	if listeners.metrics != nil {
-		go func() { _ = http.Serve(listeners.metrics, r.metricsHandler()) }()
+		go serve(newProbeServer(r.gates.metrics, r.metricsHandler()), r.gates.metrics, listeners.metrics)
 	}
 	server := r.newServer()
 	r.pipelined.Attach(server)
-	go func() { _ = server.Serve(r.pipelined.Listen(listeners.clients)) }()
+	r.gates.clients.Attach(server)
+	go serve(server, r.gates.clients, r.pipelined.Listen(listeners.clients))
 	<-ctx.Done()
 	r.drain([]*http.Server{server, forwarded}, stopLeading, led)
 	listeners.close()
@@ -269,6 +275,11 @@
 	return nil
 }
 
+// serve serves the connections of a listener that pass a gate, until the server is shut down.
+func serve(server *http.Server, gate *intake.Gate, listener net.Listener) {
+	_ = server.Serve(gate.Listen(intake.Persistent(listener)))
+}
+
 // followOperators follows what operators and workers write: the teams' bundles if the settings name
 // operators, otherwise the platform's configuration and worker entries.
 func (r *Router) followOperators(ctx context.Context) {
@@ -355,7 +366,9 @@
 
 // pipelineLimits returns the limits of pipelined requests.
 func (r *Router) pipelineLimits() pipeline.Limits {
-	limits := pipeline.Limits{Depth: pipelineDepth, Total: pipelineTotal, BufferedBytes: pipelineHeld, MayRunConcurrently: r.proxy.MayRunConcurrently}
+	limits := pipeline.Limits{
+		UnreadBytes: int64(unreadShare * memoryBytes(r.settings.Machine)), Depth: pipelineDepth, Total: pipelineTotal, BufferedBytes: pipelineHeld, MayRunConcurrently: r.proxy.MayRunConcurrently,
+	}
 	if memory := r.settings.Machine.MemoryMB; memory > 0 {
 		limits.BufferedBytes = int64(pipelineHeldShare * float64(memory) * (1 << 20))
 	}
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -71,6 +71,9 @@
 	LinkMbps float64 `yaml:"link_mbps" validate:"gte=0"`
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int `yaml:"memory_mb" validate:"gte=0"`
+	// Descriptors is the number of descriptors that the process may use, if that is less than the limit of
+	// the operating system.
+	Descriptors int `yaml:"descriptors" validate:"gte=0"`
 }
 
 // Revocation is how strictly the revocation of API keys is enforced.
--- a/internal/settings/router_test.go
+++ b/internal/settings/router_test.go
@@ -80,7 +80,7 @@
 		"{{listen.readiness|json}}", `"10.0.0.1:81"`, "{{ip}}", "10.0.0.1", "{{internalPortRange.0}}", "7540",
 		"{{platform.address|json}}", `"10.0.0.9:90"`, "{{bounds.maxHoldS}}", "10", "{{platform.ttl_min_s}}", "1", "{{bounds.graceS}}", "6",
 		"{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.budgetSlack}}", "62", "{{bounds.drainS}}", "2.5", "{{bounds.contactS}}", "4", "{{bounds.evacuateS}}", "4", "{{limits.cpuShare}}", "0.16", "{{limits.linkMbps}}", "10.0", "{{bounds.retryWindowS}}", "10",
-		"{{zones|json}}", `{"z":"r","y":"r"}`, "{{bounds.revokeS}}", "4", "{{limits.memoryMb}}", "184", "{{bounds.quotaWindowS}}", "4",
+		"{{zones|json}}", `{"z":"r","y":"r"}`, "{{bounds.revokeS}}", "4", "{{limits.memoryMb}}", "184", "{{limits.maxFds}}", "4100", "{{bounds.quotaWindowS}}", "4",
 		"{{bounds.quotaOvershoot}}", "0.2", "{{bounds.quotaSlack}}", "30",
 	)
 	read, err := ReadRouter("settings.yaml", []byte(fill.Replace(allGiven)), nil)
@@ -91,7 +91,7 @@
 	assert.Equal(t, read.Drain.Std(), 2500*time.Millisecond)
 	assert.Equal(t, read.CatchUp.Std(), 4*time.Second)
 	assert.Equal(t, read.Evacuate.Std(), 4*time.Second)
-	assert.Equal(t, read.Machine, Machine{Cores: 0.16, LinkMbps: 10, MemoryMB: 184})
+	assert.Equal(t, read.Machine, Machine{Cores: 0.16, LinkMbps: 10, MemoryMB: 184, Descriptors: 4100})
 	assert.DeepEqual(t, read.Regions, map[string]string{"z": "r", "y": "r"})
 	assert.Equal(t, read.Quota, QuotaLimits{Window: bundle.Duration(4 * time.Second), Overshoot: 0.2, Slack: 30})
 	assert.Equal(t, read.Revocation, RevocationStrict)
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -56,6 +56,9 @@
 	count atomic.Pointer[func(bytes int)]
 }
 
+// NetConn returns the counted connection.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // OnBytes sets a function that is called with the number of bytes of each read and write.
 func (c *Conn) OnBytes(count func(bytes int)) { c.count.Store(&count) }
 
