Handle signals before other packages are initialized

What callers saw: a router that ends right after its start loses the connections that it has accepted, and serves again only after another start.

Cause: SIGHUP and SIGTERM were handled only once all packages were initialized, flags parsed and settings read.

The runtime's trace of initialization names no handler before packages that take time.

A signal waits in a channel until the router is set up.

Result: TestSignalsAreHandledBeforeOtherInitialization failed before and passes; the mutation is killed.

--- a/cmd/shalefork/router.go
+++ b/cmd/shalefork/router.go
@@ -4,13 +4,12 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/shalefork/shalefork/internal/cli"
 	"github.com/shalefork/shalefork/internal/decision"
 	"github.com/shalefork/shalefork/internal/operator"
 	"github.com/shalefork/shalefork/internal/router"
+	"github.com/shalefork/shalefork/internal/signals"
 	"github.com/shalefork/shalefork/internal/telemetry"
 	"github.com/shalefork/shalefork/platform"
 )
@@ -34,10 +33,9 @@
 		return reportError(err)
 	}
 	log := decision.New(config.Node)
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
 	process := router.New(config, platform.Adapter(config.Store), log, telemetry.NewRegistry())
-	go process.FollowSettings(ctx, file, data, hangup)
+	ctx = signals.UntilTermination(ctx)
+	go process.FollowSettings(ctx, file, data, signals.Hangups())
 	if err := process.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return operator.ExitRefused
--- a/internal/lab/mutate/mutations_intake.go
+++ b/internal/lab/mutate/mutations_intake.go
@@ -114,4 +114,11 @@
 		new:  "\t_ = intake.Persistent\n",
 		pkg:  "./internal/peerlink", test: "TestLinksAreAcceptedAfterDescriptorsRanOut",
 	},
+	{
+		name: "signals-received-late",
+		file: "internal/signals/signals.go",
+		old:  "import (\n\t\"context\"\n",
+		new:  "import (\n\t\"context\"\n\t_ \"github.com/prometheus/client_golang/prometheus\"\n",
+		pkg:  "./cmd/shalefork", test: "TestSignalsAreHandledBeforeOtherInitialization",
+	},
 }
