Let no output that nobody reads end a router

What callers saw: a router that ends at its next log line, and the next one at its first.

Cause: by Go's rule a write to descriptor 1 or 2 that fails with EPIPE raises SIGPIPE, and nothing had said that the router ignores it.

Change: routers ignore SIGPIPE.

Why it works: the write fails then, and the line is dropped like one for which the queue has no room.

--- a/internal/lab/mutate/mutations_intake.go
+++ b/internal/lab/mutate/mutations_intake.go
@@ -121,4 +121,11 @@
 		new:  "import (\n\t\"context\"\n\t_ \"github.com/prometheus/client_golang/prometheus\"\n",
 		pkg:  "./cmd/shalefork", test: "TestSignalsAreHandledBeforeOtherInitialization",
 	},
+	{
+		name: "output-that-nobody-reads-ends-the-router",
+		file: "internal/signals/signals.go",
+		old:  "\tsignal.Ignore(syscall.SIGPIPE)\n",
+		new:  "",
+		pkg:  "./cmd/shalefork", test: "TestRouterOutlivesTheReaderOfItsOutput",
+	},
 }
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -31,6 +31,8 @@
 	}
 	signal.Notify(hangups, syscall.SIGHUP)
 	signal.Notify(terminations, syscall.SIGTERM, syscall.SIGINT)
+	// A write to an output that nobody reads fails in place of ending the process.
+	signal.Ignore(syscall.SIGPIPE)
 	return true
 }
 
