Wait for ports that are in use at the start

What callers saw: a router that does not start while the sockets of the one before it, or somebody's outgoing connection, use one of its ports.

Cause: any error of listen ended the process; for the metrics it was forgiven once and for all.

Evidence: a port that another socket held ended the router with exit status 1, on each of three ports; metrics were never served.

Change: EADDRINUSE is waited for, with a log line each time, until SIGTERM. Metrics are served once their port is free.

--- a/internal/decision/kinds.go
+++ b/internal/decision/kinds.go
@@ -8,6 +8,7 @@
 	KindStart               Kind = "start"
 	KindStop                Kind = "stop"
 	KindReload              Kind = "reload"
+	KindPortTaken           Kind = "port-taken"
 	KindMetricsLost         Kind = "metrics-lost"
 	KindSuspended           Kind = "suspended"
 	KindReady               Kind = "ready"
@@ -61,10 +62,11 @@
 // which a test generates from them.
 func Descriptions() []Description {
 	return []Description{
-		{KindStart, "the process has opened its listeners", "zone, listen, store"},
+		{KindStart, "the process has opened its listeners", "zone, listen, store, descriptors (limit of the operating system), memory_mb (by the settings), connections (limit of clients' connections), unfinished (limit of the bytes of their unfinished requests)"},
 		{KindStop, "the process has finished all requests and exits", ""},
 		{KindReload, "the settings file was read again", "changed, rest_needs_restart (other settings changed, which take effect at a restart only); error if the file can't be used"},
-		{KindMetricsLost, "the metrics can't be served; requests are served", "address, error"},
+		{KindPortTaken, "a port is in use; the process waits for it before it serves", "address, error"},
+		{KindMetricsLost, "the metrics can't be served, or not yet, since their port is in use; requests are served", "address, error"},
 		{KindSuspended, "the machine was suspended, or this platform has no clock that detects suspensions", "for (seconds), led (this process was the leader before)"},
 		{KindReady, "the process reports itself as ready or not ready", "ready, reason"},
 		{KindConfig, "a configuration has come into force in this process", "version, routes, revision (of the store); remarks (warnings for operators)"},
--- a/internal/lab/mutate/mutations_intake.go
+++ b/internal/lab/mutate/mutations_intake.go
@@ -128,4 +128,18 @@
 		new:  "",
 		pkg:  "./cmd/shalefork", test: "TestRouterOutlivesTheReaderOfItsOutput",
 	},
+	{
+		name: "port-in-use-ends-the-router",
+		file: "internal/router/listeners.go",
+		old:  "!errors.Is(err, syscall.EADDRINUSE)",
+		new:  "errors.Is(err, syscall.EADDRINUSE)",
+		pkg:  "./cmd/shalefork", test: "TestRouterWaitsForItsPorts",
+	},
+	{
+		name: "wait-for-a-port-outlasts-sigterm",
+		file: "internal/router/listeners.go",
+		old:  "pause := minPortPause; ctx.Err() == nil; pause",
+		new:  "pause := minPortPause; ; pause",
+		pkg:  "./cmd/shalefork", test: "TestRouterThatWaitsForAPortStops",
+	},
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -232,12 +232,14 @@
 
 // Run serves until ctx ends, then shuts down gracefully.
 func (r *Router) Run(ctx context.Context) error {
-	listeners, err := r.openListeners()
-	if err != nil {
+	listeners, err := r.openListeners(ctx)
+	if err != nil || ctx.Err() != nil {
+		listeners.close()
 		return err
 	}
 	r.log.Line(decision.KindStart).Str("zone", r.settings.Zone).Str("listen", r.settings.Listen).
-		Str("store", r.settings.Store).Msg("")
+		Str("store", r.settings.Store).Int("descriptors", intake.Descriptors()).Int("memory_mb", r.settings.Machine.MemoryMB).
+		Int("connections", r.gates.clients.Limits().Conns).Int64("unfinished", r.gates.clients.Limits().Bytes).Msg("")
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	leading, stopLeading := context.WithCancel(background)
@@ -260,9 +262,7 @@
 		r.lead(leading)
 	}()
 	go serve(newProbeServer(r.gates.ready, r.readyHandler()), r.gates.ready, listeners.ready)
-	if listeners.metrics != nil {
-		go serve(newProbeServer(r.gates.metrics, r.metricsHandler()), r.gates.metrics, listeners.metrics)
-	}
+	go r.serveMetrics(background)
 	server := r.newServer()
 	r.pipelined.Attach(server)
 	r.gates.clients.Attach(server)
@@ -299,50 +299,6 @@
 	}
 }
 
-type listeners struct {
-	clients, ready, peers, metrics net.Listener
-}
-
-// close closes all open listeners.
-func (l listeners) close() {
-	for _, listener := range []net.Listener{l.clients, l.ready, l.peers, l.metrics} {
-		if listener != nil {
-			_ = listener.Close()
-		}
-	}
-}
-
-func (r *Router) openListeners() (listeners, error) {
-	var opened listeners
-	for _, target := range []struct {
-		into    *net.Listener
-		address string
-	}{
-		{&opened.clients, r.settings.Listen}, {&opened.ready, r.settings.ReadyListen},
-		{&opened.peers, r.settings.PeerListen},
-	} {
-		listener, err := net.Listen("tcp", target.address)
-		if err != nil {
-			opened.close()
-			return opened, Error.Wrap(err)
-		}
-		*target.into = listener
-	}
-	opened.metrics = r.openMetrics()
-	return opened, nil
-}
-
-// openMetrics opens the metrics listener; nil if the address is unavailable, since serving requests
-// matters more.
-func (r *Router) openMetrics() net.Listener {
-	listener, err := net.Listen("tcp", r.settings.MetricsListen)
-	if err != nil {
-		r.log.Line(decision.KindMetricsLost).Str("address", r.settings.MetricsListen).Err(err).Msg("")
-		return nil
-	}
-	return listener
-}
-
 // Timeouts and limits of the server for clients.
 const (
 	// headerTimeout bounds how long a client may take to send its headers.
