Tell the runtime the memory of the machine

What callers saw: a router that is killed for memory that it has freed or could free.

Cause: nothing passed machine.memory_mb to the runtime, which collects garbage once the heap has doubled.

Change: the runtime's limit is 0.7 of the setting.

Why it works: near the limit garbage is collected early and pages are returned at once; the rest is for the program and the kernel's buffers.

Result: the test failed before (shown by the mutation, which is killed) and passes.

--- a/cmd/shalefork/ends_test.go
+++ b/cmd/shalefork/ends_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -162,3 +163,21 @@
 	assert.Assert(t, r.endsWithin(5*time.Second))
 	assert.Equal(t, r.ProcessState.ExitCode(), 0)
 }
+
+// The runtime let garbage grow to as much as the memory in use, beyond the memory of the machine.
+func TestRuntimeKnowsTheMemoryOfTheMachine(t *testing.T) {
+	r := newTestRouter(t)
+	file, err := os.OpenFile(r.Args[3], os.O_APPEND|os.O_WRONLY, 0)
+	assert.NilError(t, err)
+	_, err = file.WriteString("machine:\n  memory_mb: 200\n")
+	assert.NilError(t, err)
+	assert.NilError(t, file.Close())
+	r.start(t)
+	r.awaitServing(t, r.metrics)
+	response, err := http.Get("http://" + r.metrics + "/metrics")
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(text), "\ngo_gc_gomemlimit_bytes 1.4680064e+08\n"), "70 %% of the memory")
+}
--- a/cmd/shalefork/router.go
+++ b/cmd/shalefork/router.go
@@ -32,6 +32,7 @@
 	if err != nil {
 		return reportError(err)
 	}
+	limitMemory(config.Machine)
 	log := decision.New(config.Node)
 	process := router.New(config, platform.Adapter(config.Store), log, telemetry.NewRegistry())
 	ctx = signals.UntilTermination(ctx)
--- a/internal/lab/mutate/mutations_intake.go
+++ b/internal/lab/mutate/mutations_intake.go
@@ -142,4 +142,11 @@
 		new:  "pause := minPortPause; ; pause",
 		pkg:  "./cmd/shalefork", test: "TestRouterThatWaitsForAPortStops",
 	},
+	{
+		name: "runtime-without-a-memory-limit",
+		file: "cmd/shalefork/router.go",
+		old:  "\tlimitMemory(config.Machine)\n",
+		new:  "\t_ = limitMemory\n",
+		pkg:  "./cmd/shalefork", test: "TestRuntimeKnowsTheMemoryOfTheMachine",
+	},
 }
