Read numbers of the settings in any decimal notation

What callers saw: no router starts, with exit status 1.

Cause: YAML reads 1e+06 as text, and memory_mb was a whole number, while the platform fills in its figures in its own notation.

Change: a number without quotes is read in any decimal notation; memory_mb may have a fraction.

Why it works: the value is checked, not its form; what is no finite decimal number is still an error with line and field.

Result: TestNumbersAreReadInAnyNotation failed before and passes; the mutation is killed.

--- a/cmd/shalefork/memory.go
+++ b/cmd/shalefork/memory.go
@@ -18,6 +18,6 @@
 // against memory in use.
 func limitMemory(machine settings.Machine) {
 	if machine.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(runtimeShare * float64(machine.MemoryMB) * bytesInMegabyte))
+		debug.SetMemoryLimit(int64(runtimeShare * machine.MemoryMB * bytesInMegabyte))
 	}
 }
--- a/internal/lab/mutate/mutations_intake.go
+++ b/internal/lab/mutate/mutations_intake.go
@@ -149,4 +149,11 @@
 		new:  "\t_ = limitMemory\n",
 		pkg:  "./cmd/shalefork", test: "TestRuntimeKnowsTheMemoryOfTheMachine",
 	},
+	{
+		name: "numbers-with-exponents-refused",
+		file: "internal/strictyaml/decode.go",
+		old:  "; ok && target.Kind() == reflect.Float64 {",
+		new:  "; ok && false {\n\t\t_ = number",
+		pkg:  "./internal/settings", test: "TestNumbersAreReadInAnyNotation",
+	},
 }
--- a/internal/router/bodies.go
+++ b/internal/router/bodies.go
@@ -16,7 +16,7 @@
 // newMemoryBudget returns the memory budget for bodies in flight. It logs when the budget is
 // exhausted and when it is available again.
 func (r *Router) newMemoryBudget() *bodies.MemoryBudget {
-	budget := bodies.NewMemoryBudget(int64(bodiesShare * float64(r.settings.Machine.MemoryMB) * bytesInMegabyte))
+	budget := bodies.NewMemoryBudget(int64(bodiesShare * r.settings.Machine.MemoryMB * bytesInMegabyte))
 	budget.OnChange = func(full bool, used int64) {
 		r.log.Line(decision.KindBodies).Bool("full", full).Int64("used", used).Int64("limit", budget.Limit()).Msg("")
 	}
--- a/internal/router/intake.go
+++ b/internal/router/intake.go
@@ -99,7 +99,7 @@
 // memoryBytes returns the memory of the machine in bytes, or an assumption if it is unknown.
 func memoryBytes(machine settings.Machine) float64 {
 	if machine.MemoryMB > 0 {
-		return float64(machine.MemoryMB) * bytesInMegabyte
+		return machine.MemoryMB * bytesInMegabyte
 	}
 	return assumedMemoryMB * bytesInMegabyte
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -238,7 +238,7 @@
 		return err
 	}
 	r.log.Line(decision.KindStart).Str("zone", r.settings.Zone).Str("listen", r.settings.Listen).
-		Str("store", r.settings.Store).Int("descriptors", intake.Descriptors()).Int("memory_mb", r.settings.Machine.MemoryMB).
+		Str("store", r.settings.Store).Int("descriptors", intake.Descriptors()).Float64("memory_mb", r.settings.Machine.MemoryMB).
 		Int("connections", r.gates.clients.Limits().Conns).Int64("unfinished", r.gates.clients.Limits().Bytes).Msg("")
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -326,7 +326,7 @@
 		UnreadBytes: int64(unreadShare * memoryBytes(r.settings.Machine)), Depth: pipelineDepth, Total: pipelineTotal, BufferedBytes: pipelineHeld, MayRunConcurrently: r.proxy.MayRunConcurrently,
 	}
 	if memory := r.settings.Machine.MemoryMB; memory > 0 {
-		limits.BufferedBytes = int64(pipelineHeldShare * float64(memory) * (1 << 20))
+		limits.BufferedBytes = int64(pipelineHeldShare * memory * (1 << 20))
 	}
 	return limits
 }
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -70,7 +70,7 @@
 	// LinkMbps is the bandwidth of the machine's link, in megabits per second.
 	LinkMbps float64 `yaml:"link_mbps" validate:"gte=0"`
 	// MemoryMB is the memory that the process may use, in megabytes.
-	MemoryMB int `yaml:"memory_mb" validate:"gte=0"`
+	MemoryMB float64 `yaml:"memory_mb" validate:"gte=0"`
 	// Descriptors is the number of descriptors that the process may use, if that is less than the limit of
 	// the operating system.
 	Descriptors int `yaml:"descriptors" validate:"gte=0"`
--- a/internal/settings/router_test.go
+++ b/internal/settings/router_test.go
@@ -106,3 +106,22 @@
 	assert.Equal(t, defaults.Quota.Window.Std(), DefaultQuotaWindow)
 	assert.Equal(t, defaults.Topology().RegionCount(), 1)
 }
+
+// A number that the platform wrote in another notation ended the start.
+func TestNumbersAreReadInAnyNotation(t *testing.T) {
+	for text, want := range map[string]Machine{
+		"{memory_mb: 284.5}":                   {MemoryMB: 284.5},
+		"{memory_mb: 1e+06}":                   {MemoryMB: 1e6},
+		"{link_mbps: 1E3, cores: 5e-1}":        {LinkMbps: 1000, Cores: 0.5},
+		"{cores: .5, memory_mb: 184.0}":        {Cores: 0.5, MemoryMB: 184},
+		"{link_mbps: +1e1, descriptors: 4100}": {LinkMbps: 10, Descriptors: 4100},
+	} {
+		read, err := ReadRouter("router.yaml", []byte(routerFile+"machine: "+text+"\n"), nil)
+		assert.NilError(t, err, text)
+		assert.Equal(t, read.Machine, want, text)
+	}
+	for _, text := range []string{`{memory_mb: "1e3"}`, "{memory_mb: 1e}", "{memory_mb: 1e400}", "{memory_mb: nan}", "{memory_mb: inf}", "{memory_mb: 0x1p4}", "{memory_mb: -1e3}", "{memory_mb: .inf}"} {
+		_, err := ReadRouter("router.yaml", []byte(routerFile+"machine: "+text+"\n"), nil)
+		assert.ErrorContains(t, err, "machine.memory_mb", text)
+	}
+}
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"regexp"
 	"strconv"
 	"strings"
 
@@ -113,6 +114,10 @@
 }
 
 func (d *Document) decodeScalar(node ast.Node, target reflect.Value, path string) {
+	if number, ok := plainNumber(node); ok && target.Kind() == reflect.Float64 {
+		target.SetFloat(number)
+		return
+	}
 	if !scalarFits(node, target) {
 		d.report(path, "expected %s", describeType(target.Type()))
 		return
@@ -122,6 +127,19 @@
 	}
 }
 
+// decimalNumber is a number in any decimal notation, some of which YAML reads as text.
+var decimalNumber = regexp.MustCompile(`^[-+]?([0-9]+\.?[0-9]*|\.[0-9]+)([eE][-+]?[0-9]+)?$`)
+
+// plainNumber returns the value of a number that is written without quotes.
+func plainNumber(node ast.Node) (float64, bool) {
+	written := node.GetToken()
+	if written.Type == token.DoubleQuoteType || written.Type == token.SingleQuoteType || !decimalNumber.MatchString(written.Value) {
+		return 0, false
+	}
+	number, err := strconv.ParseFloat(written.Value, 64)
+	return number, err == nil
+}
+
 // scalarFits reports whether the value in the file has the field's type. It is checked because
 // the YAML library converts numbers to text and text to numbers.
 func scalarFits(node ast.Node, target reflect.Value) bool {
