--- a/cmd/shalefork-lab/soak.go
+++ b/cmd/shalefork-lab/soak.go
@@ -33,7 +33,7 @@
 	var brokenRule string
 	subcommand.String(&brokenRule, "b", "break", "Break a rule on purpose, so that the checks fail: ignore-releases, leave-unseen or cut-stops")
 	subcommand.StringSlice(&config.Faults, "", "faults", "Kinds of faults that are drawn, by name; all if none is named")
-	subcommand.StringSlice(&config.Parts, "", "with", "Parts that are played beside: tenants, bodies, regions, lives, limits, notices or surplus; may be given more than once")
+	subcommand.StringSlice(&config.Parts, "", "with", "Parts that are played beside: tenants, bodies, regions, lives, limits, notices, surplus or intake; may be given more than once")
 	subcommand.String(&config.Replay, "", "replay", "File of a run whose plan is played again")
 	subcommand.String(&config.Record, "", "record", "File that takes the plan and the verdict")
 	subcommand.Duration(&config.Duration, "", "for", "How long faults are injected")
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -80,18 +80,32 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.mu.Lock()
-	first := !c.closed
-	if first {
-		c.closed = true
-		c.release()
-	}
+	c.closed = true
+	c.release()
 	c.mu.Unlock()
-	if first {
-		c.gate.remove(c)
-	}
+	c.gate.remove(c)
 	return c.Conn.Close()
 }
 
+// refuse closes the connection unless a message is being handled. It reports whether it did.
+func (c *Conn) refuse() bool {
+	c.mu.Lock()
+	refused := !c.handling && !c.closed
+	c.closed = c.closed || refused
+	c.mu.Unlock()
+	if refused {
+		_ = c.Close()
+	}
+	return refused
+}
+
+// isClosed reports whether the connection was closed.
+func (c *Conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 // unfinished returns the size of the message that is incomplete.
 func (c *Conn) unfinished() int64 {
 	c.mu.Lock()
@@ -115,7 +129,8 @@
 	return u.since.Compare(other.since)
 }
 
-// usefulness returns the connection's rank. It returns false if a message is being handled.
+// usefulness returns the connection's rank. It returns false if a message is being handled, or if the
+// connection is closed already.
 func (c *Conn) usefulness(now time.Time) (rank usefulness, mayClose bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -126,7 +141,7 @@
 	case now.Sub(c.since) < settleTime:
 		tier = 2
 	}
-	return usefulness{tier: tier, since: c.since}, !c.handling
+	return usefulness{tier: tier, since: c.since}, !c.handling && !c.closed
 }
 
 // CloseWrite closes the connection for writing.
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"cmp"
+	"context"
 	"net"
 	"net/http"
 	"slices"
@@ -113,29 +114,24 @@
 // nil if all others are in use; the connection is closed then.
 func (g *Gate) admit(accepted net.Conn, now time.Time) *Conn {
 	c := &Conn{Conn: accepted, gate: g, since: now}
-	g.mu.Lock()
-	full := len(g.conns) >= g.limits.Conns
-	var closed *Conn
-	if full {
-		closed = g.leastUseful(now)
-	}
-	if !full || closed != nil {
-		delete(g.conns, closed)
-		g.conns[c] = struct{}{}
-	}
-	g.mu.Unlock()
-	if !full {
-		return c
-	}
-	if closed == nil {
-		_ = accepted.Close()
-		c = nil
-	} else {
-		_ = closed.Close()
+	for {
+		g.mu.Lock()
+		if len(g.conns) < g.limits.Conns {
+			g.conns[c] = struct{}{}
+			g.mu.Unlock()
+			return c
+		}
+		worst := g.leastUseful(now)
+		g.mu.Unlock()
+		if worst == nil {
+			_ = accepted.Close()
+			g.noteRefused(TooManyConns)
+			return nil
+		}
+		if worst.refuse() { // it may be in use by now
+			g.noteRefused(TooManyConns)
+		}
 	}
-	g.refusedConns.Add(1)
-	g.noteRefused(TooManyConns)
-	return c
 }
 
 // leastUseful returns the connection that is closed first, or nil if all handle messages: one that has
@@ -167,9 +163,9 @@
 		if g.held.Load() <= target {
 			return
 		}
-		_ = c.Close()
-		g.refusedBytes.Add(1)
-		g.noteRefused(TooManyBytes)
+		if c.refuse() {
+			g.noteRefused(TooManyBytes)
+		}
 	}
 }
 
@@ -190,6 +186,11 @@
 }
 
 func (g *Gate) noteRefused(reason Reason) {
+	if reason == TooManyConns {
+		g.refusedConns.Add(1)
+	} else {
+		g.refusedBytes.Add(1)
+	}
 	if g.OnRefused != nil {
 		g.OnRefused(reason)
 	}
@@ -201,23 +202,37 @@
 	delete(g.conns, c)
 }
 
-// Attach makes a server report to the gate when it begins and ends to handle a request. It keeps the
-// server's own ConnState.
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// Attach makes a server report to the gate when it begins and ends to handle a request, in addition to what
+// the server's own functions do. Requests of connections that the gate has closed are not handled, since
+// nobody would get the response.
 func (g *Gate) Attach(server *http.Server) {
-	next := server.ConnState
-	server.ConnState = func(served net.Conn, state http.ConnState) {
-		if c := From(served); c != nil {
-			switch state {
-			case http.StateActive:
-				c.BeginHandling()
-			case http.StateIdle:
-				c.EndHandling()
-			}
+	state, connContext, handler := server.ConnState, server.ConnContext, server.Handler
+	server.ConnState = func(served net.Conn, to http.ConnState) {
+		switch to {
+		case http.StateActive:
+			From(served).BeginHandling()
+		case http.StateIdle:
+			From(served).EndHandling()
 		}
-		if next != nil {
-			next(served, state)
+		if state != nil {
+			state(served, to)
 		}
 	}
+	server.ConnContext = func(ctx context.Context, served net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, served)
+		}
+		return context.WithValue(ctx, connKey{}, From(served))
+	}
+	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if c, _ := request.Context().Value(connKey{}).(*Conn); c != nil && c.isClosed() {
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(writer, request)
+	})
 }
 
 // From returns the gate's connection that a connection wraps, or nil if there is none.
--- a/internal/intake/gate_test.go
+++ b/internal/intake/gate_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -200,3 +201,27 @@
 	_, err = listener.Accept()
 	assert.Assert(t, errors.Is(err, net.ErrClosed))
 }
+
+// A request that was complete just as its connection was chosen to be closed must not run, and a connection
+// whose request runs must not be closed.
+func TestRequestRunsOrItsConnectionIsClosed(t *testing.T) {
+	g := NewGate(Limits{Conns: 2, Bytes: 10_000})
+	ran := 0
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran++ })}
+	g.Attach(server)
+	serve := func(c *Conn) (recovered any) {
+		defer func() { recovered = recover() }()
+		server.ConnState(c, http.StateActive)
+		request := httptest.NewRequestWithContext(server.ConnContext(t.Context(), c), http.MethodGet, "/", nil)
+		server.Handler.ServeHTTP(httptest.NewRecorder(), request)
+		return nil
+	}
+	used, _ := testConn(g)
+	assert.Equal(t, serve(used), nil)
+	assert.Assert(t, !used.refuse())
+	assert.Equal(t, ran, 1)
+	closed, _ := testConn(g)
+	assert.Assert(t, closed.refuse())
+	assert.Equal(t, serve(closed), any(http.ErrAbortHandler))
+	assert.Equal(t, ran, 1)
+}
--- a/internal/lab/mutate/mutations_intake.go
+++ b/internal/lab/mutate/mutations_intake.go
@@ -66,11 +66,18 @@
 		pkg:  "./internal/intake", test: "TestReadersTogetherStayWithinTheLimit",
 	},
 	{
-		name: "messages-in-use-are-closed",
+		name: "requests-of-closed-connections-run",
+		file: "internal/intake/gate.go",
+		old:  "c != nil && c.isClosed() {",
+		new:  "c != nil && false {",
+		pkg:  "./internal/intake", test: "TestRequestRunsOrItsConnectionIsClosed",
+	},
+	{
+		name: "connections-of-running-requests-closed",
 		file: "internal/intake/conn.go",
-		old:  "since: c.since}, !c.handling",
-		new:  "since: c.since}, true",
-		pkg:  "./internal/intake", test: "TestLeastUsefulConnectionMakesRoom",
+		old:  "refused := !c.handling && !c.closed",
+		new:  "refused := !c.closed",
+		pkg:  "./internal/intake", test: "TestRequestRunsOrItsConnectionIsClosed",
 	},
 	{
 		name: "used-connections-closed-before-silent-ones",
@@ -89,8 +96,8 @@
 	{
 		name: "connections-of-any-number",
 		file: "internal/intake/gate.go",
-		old:  "full := len(g.conns) >= g.limits.Conns",
-		new:  "full := false",
+		old:  "if len(g.conns) < g.limits.Conns {",
+		new:  "if true {",
 		pkg:  "./platform/session", test: "TestSilentConnectionsLeaveDescriptorsToOthers",
 	},
 	{
