Bound what processes remember of what peers name

What callers saw: nothing yet; found by going through what peers can make a process hold.

Cause: facts about workers that other routers report, names of headers that workers send, and addresses of routers were kept in any length, and facts in any number.

Evidence: by reading: 1,024 header names of 60 KB each are 60 MB, in the metrics and the log besides; a fact of an unknown worker was kept as long as the process lives.

Change: at most 65,536 facts with ids of 256 bytes, header names of 128 bytes and addresses of 256 bytes are kept.

Why it works: all are far above what working peers send, and the products of both limits fit the machine.

--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -1,6 +1,8 @@
 package facts
 
 import (
+	"strconv"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -63,3 +65,18 @@
 	assert.Equal(t, table.ActiveCount(), 0)
 	assert.Equal(t, len(table.Facts()), 0)
 }
+
+// Whoever reports facts about workers that don't exist could make each process hold all of them.
+func TestFactsOfUnknownWorkersAreBounded(t *testing.T) {
+	table := NewTable[count]()
+	for index := range maxEntries + 10 {
+		table.entries[workers.Incarnation{ID: workers.ID(strconv.Itoa(index))}] = &tableEntry[count]{}
+		if len(table.entries) == maxEntries {
+			break
+		}
+	}
+	assert.Assert(t, !table.Merge(count{"new", 10}))
+	assert.Assert(t, table.Merge(count{"0", 10}), "a known one changes")
+	assert.Equal(t, len(table.entries), maxEntries)
+	assert.Assert(t, !NewTable[count]().Merge(count{workers.ID(strings.Repeat("a", maxIDBytes+1)), 10}))
+}
--- a/internal/facts/table.go
+++ b/internal/facts/table.go
@@ -10,6 +10,14 @@
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
+// Limits of a table, whose facts other processes report as well.
+const (
+	// maxEntries is many times the number of workers that are known at a time.
+	maxEntries = 1 << 16
+	// maxIDBytes is more than the store permits in the key of a worker's entry.
+	maxIDBytes = 256
+)
+
 // Table holds the facts that a process knows, one for each key. It is safe for concurrent use.
 type Table[F Fact[F]] struct {
 	// activeCount counts the active facts, so that requests take no lock while there are none.
@@ -56,6 +64,9 @@
 	if entry != nil && !fact.Replaces(entry.fact) {
 		return false
 	}
+	if entry == nil && (len(t.entries) >= maxEntries || len(key.ID) > maxIDBytes) {
+		return false // it was not reported by a router that works
+	}
 	if entry != nil && fact.EquivalentTo(entry.published) {
 		entry.fact = fact
 		return false
--- a/internal/lab/mutate/mutations_intake.go
+++ b/internal/lab/mutate/mutations_intake.go
@@ -149,6 +149,27 @@
 		new:  "pause := minPortPause; ; pause",
 		pkg:  "./cmd/shalefork", test: "TestRouterThatWaitsForAPortStops",
 	},
+	{
+		name: "facts-of-any-number",
+		file: "internal/facts/table.go",
+		old:  "len(t.entries) >= maxEntries || ",
+		new:  "",
+		pkg:  "./internal/facts", test: "TestFactsOfUnknownWorkersAreBounded",
+	},
+	{
+		name: "header-names-of-any-length",
+		file: "internal/proxy/unread.go",
+		old:  "len(header.name) > maxUnreadNameBytes",
+		new:  "false",
+		pkg:  "./internal/proxy", test: "TestLongUnreadHeaderNamesAreNotKept",
+	},
+	{
+		name: "addresses-of-any-length",
+		file: "internal/peerlink/peers.go",
+		old:  " || len(address) > maxAddressBytes",
+		new:  "",
+		pkg:  "./internal/peerlink", test: "TestLongAddressesAreNotKept",
+	},
 	{
 		name: "runtime-without-a-memory-limit",
 		file: "cmd/shalefork/router.go",
--- a/internal/peerlink/peers.go
+++ b/internal/peerlink/peers.go
@@ -21,6 +21,8 @@
 	sentPeersInterval = 10 * time.Second
 	// maxPeers is how many addresses a process keeps.
 	maxPeers = 16
+	// maxAddressBytes is more than an IP address with a port takes.
+	maxAddressBytes = 256
 )
 
 // Peers contains the addresses of other processes that were received most recently. It is safe for
@@ -36,7 +38,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, address := range addresses {
-		if address == "" {
+		if address == "" || len(address) > maxAddressBytes {
 			continue
 		}
 		p.known = slices.DeleteFunc(p.known, func(known string) bool { return known == address })
--- a/internal/peerlink/peers_test.go
+++ b/internal/peerlink/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -37,3 +38,9 @@
 	assert.Equal(t, len(hub.peerAddressesFor(l, now.Add(sentPeersInterval-time.Millisecond))), 0)
 	assert.Equal(t, len(hub.peerAddressesFor(l, now.Add(sentPeersInterval))), sentPeers)
 }
+
+func TestLongAddressesAreNotKept(t *testing.T) {
+	var peers Peers
+	peers.Add(strings.Repeat("a", maxAddressBytes+1), "p1")
+	assert.DeepEqual(t, peers.Sample(maxPeers, ""), []string{"p1"})
+}
--- a/internal/proxy/unread.go
+++ b/internal/proxy/unread.go
@@ -15,6 +15,8 @@
 	// maxUnreadSenders is the maximum number of pairs of worker and header that are remembered and
 	// logged.
 	maxUnreadSenders = 1024
+	// maxUnreadNameBytes is the maximum length of such a name.
+	maxUnreadNameBytes = 128
 	// otherHeadersLabel is the label under which all other names are counted.
 	otherHeadersLabel = "other"
 )
@@ -52,6 +54,9 @@
 func (u *unreadHeaders) record(header workerHeader) (label string, first bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if len(header.name) > maxUnreadNameBytes {
+		return otherHeadersLabel, false
+	}
 	if !u.senders[header] && len(u.senders) < maxUnreadSenders {
 		u.senders[header], first = true, true
 	}
--- a/internal/proxy/unread_test.go
+++ b/internal/proxy/unread_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -45,3 +46,12 @@
 	}
 	assert.Equal(t, len(u.senders), maxUnreadSenders)
 }
+
+// A worker that sends a long name in each answer made routers hold and show all of them.
+func TestLongUnreadHeaderNamesAreNotKept(t *testing.T) {
+	u := newUnreadHeaders()
+	label, first := u.record(workerHeader{"w", strings.Repeat("X", maxUnreadNameBytes+1)})
+	assert.Equal(t, label, otherHeadersLabel)
+	assert.Assert(t, !first)
+	assert.Equal(t, len(u.senders)+len(u.names), 0)
+}
