Read a long configuration at once where no leader is followed

What callers saw: a router that started beside many large entries in the operators' place refused all requests for 40 s, as no-configuration.

Cause: a process that finds no leader waits for a configuration before it looks for one again, and after the first page of a long list it waited 4 s a page for a leader to send it.

Change: without a configuration and with no leader found, all pages are read at once.

Why it works: the wait no longer depends on what waits for it.

--- a/internal/lab/mutate/mutations_intake.go
+++ b/internal/lab/mutate/mutations_intake.go
@@ -170,6 +170,13 @@
 		new:  "",
 		pkg:  "./internal/peerlink", test: "TestLongAddressesAreNotKept",
 	},
+	{
+		name: "configuration-awaited-without-a-leader",
+		file: "internal/router/follow.go",
+		old:  "r.proxy.Config() == nil && r.noLeader.isClosed()",
+		new:  "false",
+		pkg:  "./internal/router", test: "TestLongConfigurationListIsReadWhereNoLeaderIsFollowed",
+	},
 	{
 		name: "runtime-without-a-memory-limit",
 		file: "cmd/shalefork/router.go",
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -192,6 +192,9 @@
 // this process must read the pages from the service. A leader reads them at once. If each of many
 // processes that start together did so, the list would cross the service's link once per process.
 func (r *Router) awaitRelayedList(ctx context.Context, state *prefixState, at coord.Revision) bool {
+	if state == r.config && r.proxy.Config() == nil && r.noLeader.isClosed() {
+		return false // it follows no leader before it has a configuration
+	}
 	knewList := state.coveredRevision() > 0
 	received := func() bool {
 		covered := state.coveredRevision()
--- a/internal/router/lead.go
+++ b/internal/router/lead.go
@@ -137,6 +137,15 @@
 
 func (l *latch) close() { l.once.Do(func() { close(l.closed) }) }
 
+func (l *latch) isClosed() bool {
+	select {
+	case <-l.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 // awaitConfig waits for the first configuration.
 func (r *Router) awaitConfig(ctx context.Context) {
 	for ctx.Err() == nil && r.proxy.Config() == nil {
--- a/internal/router/start_test.go
+++ b/internal/router/start_test.go
@@ -124,3 +124,24 @@
 		time.Sleep(time.Second) // the leader goes silent
 	})
 }
+
+// A process that finds no leader waits for a configuration before it looks for one again. If what the operators
+// have written takes several pages, it waited for a leader to send each of them, one after the other.
+func TestLongConfigurationListIsReadWhereNoLeaderIsFollowed(t *testing.T) {
+	for name, test := range map[string]struct {
+		noLeader bool
+		waits    time.Duration
+	}{"no leader": {noLeader: true}, "a leader may be followed": {waits: listTimeout}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTestRouter(t)
+				if test.noLeader {
+					r.noLeader.close()
+				}
+				began := time.Now()
+				assert.Assert(t, !r.awaitRelayedList(t.Context(), r.config, 7))
+				assert.Equal(t, time.Since(began).Round(pollInterval), test.waits)
+			})
+		})
+	}
+}
