Blame no worker for want of descriptors

What callers saw: nothing reported. A router without descriptors for connections rested its workers and could take itself for cut off.

Cause: each error of a dial counted against the worker and as a lost path.

Evidence: the test: failures were counted for the worker after requests that met EMFILE.

Change: EMFILE and ENFILE are no evidence about workers or links.

Result: the test fails without either half of the change (two mutations, killed).

--- a/internal/lab/mutate/mutations_intake.go
+++ b/internal/lab/mutate/mutations_intake.go
@@ -177,6 +177,20 @@
 		new:  "false",
 		pkg:  "./internal/router", test: "TestLongConfigurationListIsReadWhereNoLeaderIsFollowed",
 	},
+	{
+		name: "workers-blamed-for-want-of-descriptors",
+		file: "internal/proxy/backend.go",
+		old:  "\t\tif result.LacksDescriptors() {\n\t\t\tbreak\n\t\t}\n",
+		new:  "",
+		pkg:  "./internal/proxy", test: "TestWorkersAreNotBlamedForWantOfDescriptors",
+	},
+	{
+		name: "cut-off-for-want-of-descriptors",
+		file: "internal/proxy/call.go",
+		old:  " && !result.LacksDescriptors()",
+		new:  "",
+		pkg:  "./internal/proxy", test: "TestWorkersAreNotBlamedForWantOfDescriptors",
+	},
 	{
 		name: "runtime-without-a-memory-limit",
 		file: "cmd/shalefork/router.go",
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -271,6 +271,9 @@
 		b.recordFailure(now)
 	case upstream.ClientGone, upstream.BodyTruncated, upstream.Withheld: // independent of the worker's health
 	case upstream.NotSent:
+		if result.LacksDescriptors() {
+			break
+		}
 		changed = b.failures == 0
 		b.recordFailure(now)
 		b.unreachableUntil = now.Add(unreachableCooldown)
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -172,7 +172,7 @@
 func connectionFailed(result *upstream.Result, othersAnswered bool) bool {
 	switch result.Outcome {
 	case upstream.NotSent, upstream.Broken:
-		return result.Status == 0
+		return result.Status == 0 && !result.LacksDescriptors()
 	case upstream.TimedOut:
 		return !othersAnswered
 	}
--- a/internal/upstream/result.go
+++ b/internal/upstream/result.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/bodies"
@@ -69,6 +71,12 @@
 	Err     error
 }
 
+// LacksDescriptors reports whether nothing was sent since this process has no descriptor left for a
+// connection, which says nothing about the worker.
+func (r *Result) LacksDescriptors() bool {
+	return r.Outcome == NotSent && (errors.Is(r.Err, syscall.EMFILE) || errors.Is(r.Err, syscall.ENFILE))
+}
+
 // StreamDone returns a channel that is closed once the worker has sent all of a streamed answer, or
 // the stream was canceled or failed. It is nil if the answer is not streamed.
 func (r *Result) StreamDone() <-chan struct{} { return r.released }
