Receive short messages while long ones are handled

While long requests in progress held the whole budget, each new request would have been closed, however short.

Cause: any unfinished message made room, also one of a few bytes.

Evidence: the test, which fails without the change (mutation).

Change: messages within an equal share of the budget are not closed for it.

Why it works: all short ones together take the budget once more at most, and long ones are still refused beyond it.

--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -33,7 +33,8 @@
 type Limits struct {
 	// Conns is the maximum number of connections.
 	Conns int
-	// Bytes is the maximum size in bytes of messages that are incomplete or being handled.
+	// Bytes is the size in bytes of messages that are incomplete or being handled, beyond which long ones
+	// are not received.
 	Bytes int64
 }
 
@@ -170,13 +171,16 @@
 }
 
 // largest returns the connections with unfinished messages that are not being handled, the largest first.
+// Messages within an equal share of the limit are left out: while long messages are being handled, short
+// ones are still received. All messages together take twice the limit at most.
 func (g *Gate) largest() []*Conn {
+	share := g.limits.Bytes / int64(g.limits.Conns)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	sizes := make(map[*Conn]int64, len(g.conns))
 	list := make([]*Conn, 0, len(g.conns))
 	for c := range g.conns {
-		if size := c.unfinished(); size > 0 {
+		if size := c.unfinished(); size > share {
 			sizes[c] = size
 			list = append(list, c)
 		}
--- a/internal/intake/gate_test.go
+++ b/internal/intake/gate_test.go
@@ -225,3 +225,20 @@
 	assert.Equal(t, serve(closed), any(http.ErrAbortHandler))
 	assert.Equal(t, ran, 1)
 }
+
+// Whoever has long requests in progress must not keep all others from sending theirs.
+func TestShortMessagesAreReceivedWhileLongOnesAreHandled(t *testing.T) {
+	g := NewGate(Limits{Conns: 10, Bytes: 1000})
+	for range 2 {
+		long, peer := testConn(g)
+		receive(t, long, peer, strings.Repeat("a", 500))
+		long.BeginHandling()
+	}
+	short, shortPeer := testConn(g)
+	receive(t, short, shortPeer, strings.Repeat("a", 90))
+	assert.Assert(t, !short.closed)
+	long, longPeer := testConn(g)
+	receive(t, long, longPeer, strings.Repeat("a", 110))
+	assert.Assert(t, long.closed)
+	assert.Assert(t, !short.closed)
+}
--- a/internal/lab/mutate/mutations_intake.go
+++ b/internal/lab/mutate/mutations_intake.go
@@ -79,6 +79,13 @@
 		new:  "refused := !c.closed",
 		pkg:  "./internal/intake", test: "TestRequestRunsOrItsConnectionIsClosed",
 	},
+	{
+		name: "short-messages-closed-too",
+		file: "internal/intake/gate.go",
+		old:  "size > share {",
+		new:  "size > 0*share {",
+		pkg:  "./internal/intake", test: "TestShortMessagesAreReceivedWhileLongOnesAreHandled",
+	},
 	{
 		name: "used-connections-closed-before-silent-ones",
 		file: "internal/intake/conn.go",
