Read the answer to a request whose write failed before reading began

What callers saw: 502 in place of a worker's complete answer. A worker answered a large request early and ended its connection properly.

Cause: the write runs beside reading. If it had failed by the time at which reading was to begin, the send ended as broken, although the answer had been received and was only unread.

Evidence: in the test of answers that end beside an upload, some of the whole answers that ended just before a reset were lost, each with status 0 and "write: broken pipe" (seen in four of its shapes, in 24 runs beside each other).

Change: only a write of which nothing was sent, whose body ended early, or which was made at once before the worker could answer ends the send without reading. Otherwise the answer is read; if there is none, the write's error tells the outcome as before.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -26,6 +26,7 @@
 	message *Message
 	pool    *Pool
 	conn    *conn
+	write   *requestWrite
 	// target is the ID of the worker that the request is for.
 	target   string
 	began    time.Time
@@ -82,14 +83,20 @@
 
 // run writes the request and reads the answer. A large request is written concurrently.
 func (e *exchange) run(ctx, bounded context.Context, deadline time.Time) Result {
-	write := e.startWrite(bounded, deadline)
-	if write.ended() && write.err != nil {
+	e.write = e.startWrite(bounded, deadline)
+	return e.finish(ctx)
+}
+
+// finish reads the answer and ends the write. A worker may have answered a request that it did not read to
+// its end.
+func (e *exchange) finish(ctx context.Context) Result {
+	if e.write.ended() && !e.write.mayBeAnswered() {
 		e.endWatch()
 		e.pool.drop(e.conn)
-		return write.failedResult(ctx, e.deadline)
+		return e.write.failedResult(ctx, e.deadline)
 	}
 	answer := e.readAnswer(ctx)
-	e.awaitWrite(ctx, write, &answer)
+	e.awaitWrite(ctx, &answer)
 	answer.Took, answer.SurplusAnswers = clock.Since(e.began), e.surplus
 	if answer.Outcome == TimedOut && e.conn.used {
 		e.pool.DropIdle()
--- a/internal/upstream/write.go
+++ b/internal/upstream/write.go
@@ -31,6 +31,8 @@
 // for the answer.
 type requestWrite struct {
 	done chan struct{}
+	// large is set if the write runs concurrently.
+	large bool
 	// anyWritten is false if no byte can have been sent, and truncated is set if the client's body
 	// ended early. They and err are valid once done is closed.
 	anyWritten, truncated bool
@@ -46,6 +48,12 @@
 	}
 }
 
+// mayBeAnswered reports whether the worker may have answered the request, as far as its write has ended. A
+// small request is written at once, before the worker can answer it.
+func (s *requestWrite) mayBeAnswered() bool {
+	return s.err == nil || s.large && s.anyWritten && !s.truncated
+}
+
 // failedResult returns the result of a write that failed without an answer.
 func (s *requestWrite) failedResult(ctx context.Context, deadline time.Time) Result {
 	switch {
@@ -67,7 +75,7 @@
 		count, err := e.conn.Write(packet)
 		return &requestWrite{done: closedChannel, anyWritten: count > 0, err: err}
 	}
-	s := &requestWrite{done: make(chan struct{})}
+	s := &requestWrite{done: make(chan struct{}), large: true}
 	if e.message.Rest != nil {
 		e.message.bodyConsumed.Store(true)
 	}
@@ -146,7 +154,8 @@
 
 // awaitWrite waits for the end of the write. If the worker answered before it had received the
 // whole body, or stopped reading it, the connection is not reused.
-func (e *exchange) awaitWrite(ctx context.Context, s *requestWrite, answer *Result) {
+func (e *exchange) awaitWrite(ctx context.Context, answer *Result) {
+	s := e.write
 	if answer.Err == nil && !s.ended() {
 		timer := time.NewTimer(writeEndGrace)
 		select {
