Take no answer for complete whose connection was reset beside the upload

Callers got the part as a complete answer.

Cause: the kernel reports a reset once, to whichever of reading and writing comes first. The write of the upload got ECONNRESET, and reading then got a regular end, which ends a body without a length. The write's error only kept the connection from being reused.

Evidence: the error of the write is ECONNRESET after a reset, and EPIPE if the worker had ended the connection before it; both with an end for the reader.

Change: a body that ends with its connection is complete only if the write, which is awaited or interrupted first, was not reset. The error is recorded where bytes are written, so that neither an interruption of ours nor an error of the client's body hides it. The check is in the body's reader: it serves requests and forwarded ones, buffered and streamed answers.

--- a/internal/lab/mutate/mutations.go
+++ b/internal/lab/mutate/mutations.go
@@ -19,5 +19,5 @@
 	ownerMutations, incarnationMutations, requestMutations, updateMutations,
 	quarantineMutations, clockMutations,
 	quotaMutations, tenantMutations, fairMutations,
-	bodyMutations, regionMutations, limitMutations, noticeMutations, partitionMutations, intakeMutations,
+	bodyMutations, regionMutations, limitMutations, noticeMutations, partitionMutations, intakeMutations, answerMutations,
 )
--- /dev/null
+++ b/internal/lab/mutate/mutations_answers.go
@@ -0,0 +1,26 @@
+package main
+
+// answerMutations let something that is no complete answer pass for one, or lose one that is.
+var answerMutations = []mutation{
+	{
+		name: "answer-unread-after-failed-write",
+		file: "internal/upstream/write.go",
+		old:  "s.err == nil || s.large && s.anyWritten && !s.truncated",
+		new:  "s.err == nil",
+		pkg:  "./internal/upstream", test: "TestAnswerIsReadAfterWriteFailed",
+	},
+	{
+		name: "reset-taken-for-end",
+		file: "internal/upstream/exchange.go",
+		old:  "errors.Is(err, io.EOF) && b.exchange.resetDuringWrite()",
+		new:  "false",
+		pkg:  "./internal/upstream", test: "TestAnswerResetBesideUploadIsNotComplete",
+	},
+	{
+		name: "end-taken-for-reset",
+		file: "internal/upstream/write.go",
+		old:  "w.reset = w.reset || errors.Is(err, syscall.ECONNRESET)",
+		new:  "w.reset = w.reset || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)",
+		pkg:  "./internal/upstream", test: "TestAnswerEndedBesideUploadIsComplete",
+	},
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/bodies"
@@ -209,6 +211,9 @@
 	answer := Result{Status: response.StatusCode, Header: response.Header, Outcome: e.classify(response)}
 	answer.closesConn = response.Close || delimitedByClose(response)
 	answer.Notice, answer.SentAt = e.headers.parseNotice(response, e.target, clock.Now()), e.began
+	if delimitedByClose(response) {
+		response.Body = &closeDelimitedBody{ReadCloser: response.Body, exchange: e}
+	}
 	if length := response.ContentLength; length >= 0 && length <= bodies.MaxSmall {
 		spool := bodies.NewSpool(e.message.Budget, true)
 		complete, err := spool.Fill(response.Body, length, bodies.MaxSmall)
@@ -248,6 +253,34 @@
 	}
 }
 
+// errAnswerReset is returned in place of the end of a body whose connection was reset.
+var errAnswerReset = fmt.Errorf("the answer was interrupted: %w", syscall.ECONNRESET)
+
+// closeDelimitedBody is the body of an answer that ends with its connection. It is complete only if the
+// worker closed the connection rather than reset it. The kernel reports a reset once: if a write gets the
+// error, reading returns a regular end.
+type closeDelimitedBody struct {
+	io.ReadCloser
+	exchange *exchange
+}
+
+// Read implements io.Reader.
+func (b *closeDelimitedBody) Read(into []byte) (int, error) {
+	count, err := b.ReadCloser.Read(into)
+	if errors.Is(err, io.EOF) && b.exchange.resetDuringWrite() {
+		err = errAnswerReset
+	}
+	return count, err
+}
+
+// resetDuringWrite reports whether the worker reset the connection while the request was written to it. It
+// ends the write.
+func (e *exchange) resetDuringWrite() bool {
+	e.write.awaitEnd(writeEndGrace)
+	e.endWrite()
+	return e.write.reset
+}
+
 // classify distinguishes a worker's answer from a rejection.
 func (e *exchange) classify(response *http.Response) Outcome {
 	answeredBy := response.Header.Get(e.headers.Worker)
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -15,6 +17,10 @@
 	"gotest.tools/v3/assert"
 )
 
+// resetTries is how often each shape is played: which of reading and writing sees a reset is decided by
+// the scheduler.
+const resetTries = 10
+
 // socketBuffer is small enough, in bytes, that an upload does not fit into the buffers of its connection.
 const socketBuffer = 16 << 10
 
@@ -62,6 +68,67 @@
 	_ = connection.Close()
 }
 
+// earlyAnswers are the ways in which a request and its answer are buffered or streamed.
+var earlyAnswers = map[string]struct {
+	length, buffered int64
+	bufferTime       time.Duration
+}{
+	"buffered body, buffered answer": {length: 400_000, buffered: 400_000},
+	"streamed body, buffered answer": {length: 900_000, buffered: 20_000},
+	"buffered body, streamed answer": {length: 400_000, buffered: 400_000, bufferTime: time.Nanosecond},
+	"streamed body, streamed answer": {length: 900_000, buffered: 20_000, bufferTime: time.Nanosecond},
+}
+
+// receiveEarly sends an upload and returns what a caller gets: the answer's body, and whether it counts
+// as complete.
+func receiveEarly(t *testing.T, answerLength int, shape string, end func(*net.TCPConn)) (body string, complete bool) {
+	t.Helper()
+	w, test := newScriptedWorker(t), earlyAnswers[shape]
+	w.pool = startEarlyWorker(t, answerLength, end)
+	m := w.newMessage(t, bodyOf(int(test.length)), test.length, test.buffered)
+	m.AnswerBufferTime = test.bufferTime
+	got := w.send(t.Context(), m)
+	defer got.Free()
+	var received bytes.Buffer
+	switch {
+	case got.Outcome != Answered:
+		assert.Equal(t, got.Outcome, Broken)
+		return "", false
+	case got.Stream != nil:
+		_, err := got.Stream.WriteTo(&received, func() error { return nil })
+		return received.String(), err == nil
+	}
+	pieces := got.Body.Pieces()
+	_, err := pieces.WriteTo(&received)
+	assert.NilError(t, err)
+	return received.String(), true
+}
+
+// A worker answered an upload at once without a length, sent part of the body and reset the connection. The
+// kernel reports a reset once: the write of the upload saw it, and reading saw a regular end, which made the
+// part pass for the complete answer.
+func TestAnswerResetBesideUploadIsNotComplete(t *testing.T) {
+	for end, endConn := range map[string]func(*net.TCPConn){
+		"reset": resetConn,
+		"closed with the upload unread": func(c *net.TCPConn) {
+			awaitInput(c)
+			_ = c.Close()
+		},
+	} {
+		for shape := range earlyAnswers {
+			for _, length := range []int{0, 3000, 60_000} {
+				t.Run(fmt.Sprintf("%s, %s, %d bytes", end, shape, length), func(t *testing.T) {
+					t.Parallel()
+					for range resetTries {
+						_, complete := receiveEarly(t, length, shape, endConn)
+						assert.Assert(t, !complete)
+					}
+				})
+			}
+		}
+	}
+}
+
 // A worker had answered and ended the connection before the router began to read, so that the write had
 // failed by then. The answer was not read.
 func TestAnswerIsReadAfterWriteFailed(t *testing.T) {
@@ -92,3 +159,38 @@
 		})
 	}
 }
+
+// An answer that ended properly is the worker's, whatever becomes of the upload: the request ran.
+func TestAnswerEndedBesideUploadIsComplete(t *testing.T) {
+	for end, endConn := range map[string]func(*net.TCPConn){
+		"then reset": func(c *net.TCPConn) { _ = c.CloseWrite(); resetConn(c) },
+		"reset later": func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			time.Sleep(10 * time.Millisecond)
+			resetConn(c)
+		},
+		"upload read": func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			_, _ = io.Copy(io.Discard, c)
+			_ = c.Close()
+		},
+		"upload never read": func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			time.Sleep(2 * writeEndGrace)
+			_ = c.Close()
+		},
+	} {
+		for shape := range earlyAnswers {
+			for _, length := range []int{0, 3000, 60_000} {
+				t.Run(fmt.Sprintf("%s, %s, %d bytes", end, shape, length), func(t *testing.T) {
+					t.Parallel()
+					for range resetTries {
+						body, complete := receiveEarly(t, length, shape, endConn)
+						assert.Assert(t, complete)
+						assert.Equal(t, len(body), length)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/upstream/write.go
+++ b/internal/upstream/write.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/shalefork/shalefork/internal/bodies"
@@ -33,10 +34,11 @@
 	done chan struct{}
 	// large is set if the write runs concurrently.
 	large bool
-	// anyWritten is false if no byte can have been sent, and truncated is set if the client's body
-	// ended early. They and err are valid once done is closed.
-	anyWritten, truncated bool
-	err                   error
+	// anyWritten is false if no byte can have been sent, truncated is set if the client's body ended
+	// early, and reset if the worker reset the connection during the write. They and err are valid once
+	// done is closed.
+	anyWritten, truncated, reset bool
+	err                          error
 }
 
 func (s *requestWrite) ended() bool {
@@ -80,7 +82,9 @@
 		e.message.bodyConsumed.Store(true)
 	}
 	go func() {
-		s.anyWritten, s.truncated, s.err = e.writeLarge(ctx, head)
+		to := &connWriter{to: e.conn}
+		s.anyWritten, s.truncated, s.err = e.writeLarge(ctx, to, head)
+		s.reset = to.reset
 		close(s.done) // before the calls that end the wait for the answer, which must find the reason
 		switch {
 		case s.err == nil:
@@ -94,12 +98,12 @@
 }
 
 // writeLarge sends a large request through the link shaper.
-func (e *exchange) writeLarge(ctx context.Context, head []byte) (anyWritten, truncated bool, err error) {
-	count, err := e.conn.Write(head)
+func (e *exchange) writeLarge(ctx context.Context, to io.Writer, head []byte) (anyWritten, truncated bool, err error) {
+	count, err := to.Write(head)
 	if err != nil {
 		return count > 0, false, err
 	}
-	shaped := e.message.Shaper.NewWriter(ctx, e.conn.Conn)
+	shaped := e.message.Shaper.NewWriter(ctx, to)
 	if e.message.Rest != nil && e.message.Length < 0 {
 		truncated, err = e.writeChunked(&chunkWriter{to: shaped})
 		return true, truncated, err
@@ -156,19 +160,10 @@
 // whole body, or stopped reading it, the connection is not reused.
 func (e *exchange) awaitWrite(ctx context.Context, answer *Result) {
 	s := e.write
-	if answer.Err == nil && !s.ended() {
-		timer := time.NewTimer(writeEndGrace)
-		select {
-		case <-s.done:
-		case <-timer.C:
-		}
-		timer.Stop()
-	}
-	interrupted := !s.ended()
-	if interrupted {
-		e.interrupt()
-		<-s.done
+	if answer.Err == nil {
+		s.awaitEnd(writeEndGrace)
 	}
+	interrupted := e.endWrite()
 	answer.Written = true
 	if s.err == nil {
 		return
@@ -179,6 +174,29 @@
 	}
 }
 
+// awaitEnd waits for the end of the write, at most for a time.
+func (s *requestWrite) awaitEnd(limit time.Duration) {
+	if s.ended() {
+		return
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-s.done:
+	case <-timer.C:
+	}
+}
+
+// endWrite interrupts the write unless it has ended, and reports whether it did.
+func (e *exchange) endWrite() (interrupted bool) {
+	interrupted = !e.write.ended()
+	if interrupted {
+		e.interrupt()
+		<-e.write.done
+	}
+	return interrupted
+}
+
 // interrupt ends the write. The answer can still be read.
 func (e *exchange) interrupt() {
 	_ = e.conn.SetWriteDeadline(time.Now())
@@ -187,6 +205,18 @@
 	}
 }
 
+// connWriter writes to a connection and records whether the peer has reset it.
+type connWriter struct {
+	to    io.Writer
+	reset bool
+}
+
+func (w *connWriter) Write(from []byte) (int, error) {
+	count, err := w.to.Write(from)
+	w.reset = w.reset || errors.Is(err, syscall.ECONNRESET)
+	return count, err
+}
+
 // chunkWriter writes each piece as one chunk.
 type chunkWriter struct {
 	to io.Writer
