Do not cut a streamed answer since its upload ended early

What callers saw: a worker that answered an upload early, and whose answer was streamed, had its answer broken off by the router although it went on and ended properly.

Cause: once an answer begins, the router ends the rest of the upload itself. The writing goroutine took that for a failure at the worker: it limited reading to 100 ms, or, if the client's body was being streamed, closed the connection as for a truncated request. The same limit of 100 ms also cut an answer that had been received whole before a reset, if the client read it later than that.

Evidence: with an upload that does not fit into the buffers of its connection, both streamed shapes of the first test ended in the middle, after some 0.1 s; the second one failed with "i/o timeout".

Change: a write that the router has interrupted changes nothing about reading, and after a reset reading is not limited: it can't block.

--- a/internal/lab/mutate/mutations_answers.go
+++ b/internal/lab/mutate/mutations_answers.go
@@ -23,4 +23,18 @@
 		new:  "w.reset = w.reset || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)",
 		pkg:  "./internal/upstream", test: "TestAnswerEndedBesideUploadIsComplete",
 	},
+	{
+		name: "stream-cut-by-own-interruption",
+		file: "internal/upstream/write.go",
+		old:  "case s.err == nil, s.interrupted.Load():",
+		new:  "case s.err == nil:",
+		pkg:  "./internal/upstream", test: "TestAnswerStreamedLongAfterUploadWasEndedIsComplete",
+	},
+	{
+		name: "received-answer-read-in-a-hurry",
+		file: "internal/upstream/write.go",
+		old:  "case to.closed:",
+		new:  "case false:",
+		pkg:  "./internal/upstream", test: "TestAnswerReceivedBeforeResetIsReadLater",
+	},
 }
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -194,3 +194,45 @@
 		}
 	}
 }
+
+// A streamed answer outlives the upload that the router itself has ended: that says nothing about the worker.
+func TestAnswerStreamedLongAfterUploadWasEndedIsComplete(t *testing.T) {
+	const pieces, pieceLength, interval = 10, 5000, 30 * time.Millisecond
+	for shape := range earlyAnswers {
+		t.Run(shape, func(t *testing.T) {
+			body, complete := receiveEarly(t, 0, shape, func(c *net.TCPConn) {
+				for range pieces {
+					time.Sleep(interval)
+					_, _ = io.WriteString(c, strings.Repeat("p", pieceLength))
+				}
+				_ = c.CloseWrite()
+				time.Sleep(interval)
+				resetConn(c)
+			})
+			assert.Assert(t, complete)
+			assert.Equal(t, len(body), pieces*pieceLength)
+		})
+	}
+}
+
+// A worker ended its answer and then reset the connection. The rest of the answer was received, and the client
+// read it only later.
+func TestAnswerReceivedBeforeResetIsReadLater(t *testing.T) {
+	const length = 60_000
+	w := newScriptedWorker(t)
+	w.pool = startEarlyWorker(t, length, func(c *net.TCPConn) {
+		_ = c.CloseWrite()
+		time.Sleep(writeEndGrace / 2) // until the router has received the answer
+		resetConn(c)
+	})
+	m := w.newMessage(t, bodyOf(900_000), 900_000, 20_000)
+	m.AnswerBufferSize = 1
+	m.AnswerBufferTime = time.Nanosecond
+	got := w.send(t.Context(), m)
+	defer got.Free()
+	assert.Assert(t, got.Stream != nil)
+	time.Sleep(3 * answerAfterWriteError)
+	written, err := got.Stream.WriteTo(io.Discard, func() error { return nil })
+	assert.NilError(t, err)
+	assert.Equal(t, written, int64(length))
+}
--- a/internal/upstream/write.go
+++ b/internal/upstream/write.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,6 +35,8 @@
 	done chan struct{}
 	// large is set if the write runs concurrently.
 	large bool
+	// interrupted is set if the router ended the write itself, which shows nothing about the worker.
+	interrupted atomic.Bool
 	// anyWritten is false if no byte can have been sent, truncated is set if the client's body ended
 	// early, and reset if the worker reset the connection during the write. They and err are valid once
 	// done is closed.
@@ -87,9 +90,10 @@
 		s.reset = to.reset
 		close(s.done) // before the calls that end the wait for the answer, which must find the reason
 		switch {
-		case s.err == nil:
+		case s.err == nil, s.interrupted.Load():
 		case s.truncated, !s.anyWritten: // the worker must not take the request for complete
 			abort(e.conn.Conn)
+		case to.closed: // reading does not block, and the answer may be read at the pace of the client
 		default:
 			_ = e.conn.SetReadDeadline(time.Now().Add(answerAfterWriteError))
 		}
@@ -191,6 +195,7 @@
 func (e *exchange) endWrite() (interrupted bool) {
 	interrupted = !e.write.ended()
 	if interrupted {
+		e.write.interrupted.Store(true)
 		e.interrupt()
 		<-e.write.done
 	}
@@ -205,15 +210,17 @@
 	}
 }
 
-// connWriter writes to a connection and records whether the peer has reset it.
+// connWriter writes to a connection.
 type connWriter struct {
-	to    io.Writer
-	reset bool
+	to io.Writer
+	// reset is set once the peer has reset the connection, and closed if that may have been after its end.
+	reset, closed bool
 }
 
 func (w *connWriter) Write(from []byte) (int, error) {
 	count, err := w.to.Write(from)
 	w.reset = w.reset || errors.Is(err, syscall.ECONNRESET)
+	w.closed = w.closed || w.reset || errors.Is(err, syscall.EPIPE)
 	return count, err
 }
 
