Take nothing for an answer whose status or version is not HTTP's

What callers saw: a worker in trouble answered with status 000. Where the body of that held an answer with the request's ID, callers got that one, as status 200; statuses from 600 on were passed on, and so were answers of other versions of HTTP.

Cause: every status below 200 counted as interim and was skipped with its head alone, so that its body was read as the next head. A switch of protocols, which nobody asks for, counted as interim as well. net/http takes any three digits, also with a sign, and any version.

Only 100 and 102 to 199 are interim; a status outside 100 to 599, 101, and a version other than HTTP/1 are no answer. A repeatable request is sent again, others get 502.

Unusual answers that are valid stay served: TestUnusualAnswerReachesCaller.

--- a/internal/lab/mutate/mutations_answers.go
+++ b/internal/lab/mutate/mutations_answers.go
@@ -37,4 +37,11 @@
 		new:  "case false:",
 		pkg:  "./internal/upstream", test: "TestAnswerReceivedBeforeResetIsReadLater",
 	},
+	{
+		name: "status-of-any-number",
+		file: "internal/responses/responses.go",
+		old:  "return code >= http.StatusContinue && code < 600 && code != http.StatusSwitchingProtocols",
+		new:  "return code >= 0",
+		pkg:  "./internal/proxy", test: "TestInvalidAnswerDoesNotReachCaller",
+	},
 }
--- /dev/null
+++ b/internal/proxy/answers_test.go
@@ -0,0 +1,120 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/shalefork/shalefork/internal/forward"
+)
+
+// invalidAnswers are what a worker in trouble sends in place of an answer. %[1]s is the ID of the request, and
+// "inner" must not reach a caller.
+var invalidAnswers = map[string]string{
+	"status 000":                 "HTTP/1.1 000 X\r\nX-Id: %[1]s\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\ninner",
+	"status 000 without length":  "HTTP/1.1 000 X\r\nX-Id: %[1]s\r\nX-Signature: s\r\n\r\ninner",
+	"status 000 over an answer":  "HTTP/1.1 000 X\r\nX-Id: %[1]s\r\nContent-Length: 88\r\n\r\n" + innerAnswer,
+	"status 099 over an answer":  "HTTP/1.1 099 X\r\nX-Id: %[1]s\r\nContent-Length: 88\r\n\r\n" + innerAnswer,
+	"status -00 over an answer":  "HTTP/1.1 -00 X\r\nX-Id: %[1]s\r\nContent-Length: 88\r\n\r\n" + innerAnswer,
+	"status +99 over an answer":  "HTTP/1.1 +99 X\r\nX-Id: %[1]s\r\nContent-Length: 88\r\n\r\n" + innerAnswer,
+	"status 600":                 "HTTP/1.1 600 X\r\nX-Id: %[1]s\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\ninner",
+	"status 999":                 "HTTP/1.1 999 X\r\nX-Id: %[1]s\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\ninner",
+	"another protocol":           "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" + innerAnswer,
+	"another version":            "HTTP/2.0 200 OK\r\nX-Id: %[1]s\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\ninner",
+	"an old version":             "HTTP/0.9 200 OK\r\nX-Id: %[1]s\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\ninner",
+	"status 000 to another's ID": "HTTP/1.1 000 X\r\nX-Id: other\r\nContent-Length: 88\r\n\r\n" + innerAnswer,
+}
+
+const innerAnswer = "HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Signature: inner\r\nContent-Length: 5\r\n\r\ninner"
+
+// validAnswers are unusual, and yet answers.
+var validAnswers = map[string]string{
+	"without a reason":      "HTTP/1.1 200\r\nX-Id: %[1]s\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\ninner",
+	"unassigned status":     "HTTP/1.1 299 X\r\nX-Id: %[1]s\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\ninner",
+	"HTTP/1.0 to the close": "HTTP/1.0 200 OK\r\nX-Id: %[1]s\r\nX-Signature: s\r\n\r\ninner",
+	"HTTP/1.1 to the close": "HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Signature: s\r\n\r\ninner",
+	"a later minor version": "HTTP/1.9 200 OK\r\nX-Id: %[1]s\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\ninner",
+	"after interim ones":    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + innerAnswer,
+}
+
+// sendAnswer returns a script that sends bytes in place of an answer, and closes the connection.
+func sendAnswer(text string) script {
+	return func(connection net.Conn, request *http.Request) bool {
+		_, _ = fmt.Fprintf(connection, text, request.Header.Get("X-Id"))
+		return false
+	}
+}
+
+// startRawRouter starts a router whose answers are written byte by byte by a script.
+func startRawRouter(t *testing.T, handle script) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for connection, err := listener.Accept(); err == nil; connection, err = listener.Accept() {
+			if request, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
+				handle(connection, request)
+			}
+			_ = connection.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// proxiesFor returns proxies that read an answer from a worker, and from another router.
+func proxiesFor(t *testing.T, text string) map[string]*testProxy {
+	t.Helper()
+	worker := newFakeWorker(t, "w1", sendAnswer(text))
+	forwarding := newTestProxy(t)
+	address := startRawRouter(t, sendAnswer(text))
+	forwarding.proxy.Helpers = forward.NewSet(nil, func() []string { return []string{address} })
+	cutOff(forwarding.proxy.Reachability)
+	return map[string]*testProxy{"worker": newTestProxy(t, worker.entry("pool")), "router": forwarding}
+}
+
+// What a worker in trouble sent was passed on as its answer, or what stood in its body was.
+func TestInvalidAnswerDoesNotReachCaller(t *testing.T) {
+	for name, text := range invalidAnswers {
+		t.Run(name, func(t *testing.T) {
+			for sender, f := range proxiesFor(t, text) {
+				response, body := f.get(t, "POST", "/unsafe/", "x")
+				assert.Equal(t, response.StatusCode, http.StatusBadGateway, sender)
+				assert.Assert(t, !strings.Contains(body, "inner"), "%s: %q", sender, body)
+				assert.Equal(t, response.Header.Get("X-Signature"), "", sender)
+			}
+		})
+	}
+}
+
+// A repeatable request gets the answer of another worker in the place of an invalid one.
+func TestRequestIsSentAgainAfterInvalidAnswer(t *testing.T) {
+	for name, text := range invalidAnswers {
+		t.Run(name, func(t *testing.T) {
+			w1, w2 := newFakeWorker(t, "w1", sendAnswer(text)), newFakeWorker(t, "w2", alwaysAnswer("done"))
+			f := newTestProxy(t, w1.entry("pool"), w2.entry("pool"))
+			for range 4 {
+				response, body := f.get(t, "GET", "/safe/", "")
+				assert.Equal(t, response.StatusCode, http.StatusOK)
+				assert.Equal(t, body, "done")
+			}
+		})
+	}
+}
+
+func TestUnusualAnswerReachesCaller(t *testing.T) {
+	for name, text := range validAnswers {
+		t.Run(name, func(t *testing.T) {
+			for sender, f := range proxiesFor(t, text) {
+				response, body := f.get(t, "POST", "/unsafe/", "x")
+				assert.Equal(t, response.StatusCode/100, 2, sender)
+				assert.Equal(t, body, "inner", sender)
+			}
+		})
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/shalefork/shalefork/internal/bodies"
 	"github.com/shalefork/shalefork/internal/clock"
+	"github.com/shalefork/shalefork/internal/responses"
 )
 
 const (
@@ -158,22 +159,22 @@
 func (e *exchange) readAnswer(ctx context.Context) Result {
 	request := &http.Request{Method: e.message.Method}
 	for range maxSurplusAnswers + 1 {
-		response, headMemory, err := e.readHead(request)
+		head, headMemory, err := e.readHead(request)
 		if err != nil {
 			return Result{Outcome: failureOutcome(ctx, e.deadline, err), Err: err}
 		}
-		if response.StatusCode >= http.StatusOK && response.Header.Get(e.headers.RequestID) == e.message.ID {
-			answer := e.receive(ctx, response)
+		if !responses.IsInterim(head) && head.Header.Get(e.headers.RequestID) == e.message.ID {
+			answer := e.receive(ctx, head)
 			answer.headMemory, answer.budget = headMemory, e.message.Budget
 			return answer
 		}
 		e.message.Budget.Release(headMemory)
-		if response.StatusCode < http.StatusOK {
+		if responses.IsInterim(head) {
 			continue
 		}
 		e.surplus++
-		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSurplusBytes))
-		if err != nil || skipped == maxSurplusBytes || delimitedByClose(response) {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(head.Body, maxSurplusBytes))
+		if err != nil || skipped == maxSurplusBytes || delimitedByClose(head) {
 			return Result{Outcome: failureOutcome(ctx, e.deadline, err), Err: errWrongAnswer}
 		}
 	}
@@ -184,10 +185,13 @@
 // the caller releases unless there is an error.
 func (e *exchange) readHead(request *http.Request) (*http.Response, int64, error) {
 	e.conn.heads.BeginHead(e.message.Budget)
-	response, err := http.ReadResponse(e.conn.reader, request)
+	head, err := http.ReadResponse(e.conn.reader, request)
 	reserved, refused := e.conn.heads.EndHead()
 	if err == nil {
-		return response, reserved, nil
+		err = responses.Check(head)
+	}
+	if err == nil {
+		return head, reserved, nil
 	}
 	e.message.Budget.Release(reserved)
 	if refused != nil {
@@ -201,8 +205,8 @@
 var errWrongAnswer = errors.New("received an answer to another request")
 
 // delimitedByClose reports whether the end of the connection marks the end of the body.
-func delimitedByClose(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+func delimitedByClose(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
 
 // receive reads the answer to this request. It is classified by its head, before any of it is
