Take nothing for an answer that has an odd name of a field

What callers saw: a worker in trouble sent a head in which the name of a field held a blank. Callers got it as an answer; with the blank before the colon of Content-Length or Transfer-Encoding they got a body that was not the worker's, the surplus bytes or the raw chunks up to the close.

Cause: net/textproto refuses control bytes in a name, but keeps a name with a blank as it is. Such a field is not found under its name, so that it frames nothing, and an ID, a signature or a not-run field counted as missing.

Change: the judgement of heads, which all readers use, refuses a name that is no token: in heads, in interim ones, in those of answers to other requests, and in the fields after a chunked body, whose end then counts as broken.

Valid heads stay served: any token, folded values, blanks around values, trailers.

--- a/internal/lab/mutate/mutations_answers.go
+++ b/internal/lab/mutate/mutations_answers.go
@@ -44,4 +44,18 @@
 		new:  "return code >= 0",
 		pkg:  "./internal/proxy", test: "TestInvalidAnswerDoesNotReachCaller",
 	},
+	{
+		name: "names-with-blanks",
+		file: "internal/responses/responses.go",
+		old:  "if !isToken(name) {",
+		new:  "if name == \"\" {",
+		pkg:  "./internal/proxy", test: "TestInvalidAnswerDoesNotReachCaller",
+	},
+	{
+		name: "trailers-unchecked",
+		file: "internal/responses/responses.go",
+		old:  "invalid := checkNames(b.response.Trailer)",
+		new:  "invalid := checkNames(nil)",
+		pkg:  "./internal/proxy", test: "TestInvalidAnswerDoesNotReachCaller",
+	},
 }
--- a/internal/responses/transport.go
+++ b/internal/responses/transport.go
@@ -27,6 +27,7 @@
 		_ = r.Body.Close()
 		return nil, err
 	}
+	r.Body = WrapBody(r)
 	return r, nil
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -191,6 +191,7 @@
 		err = responses.Check(head)
 	}
 	if err == nil {
+		head.Body = responses.WrapBody(head)
 		return head, reserved, nil
 	}
 	e.message.Budget.Release(reserved)
