Send nothing late in a planned stop that may not end in time

Some that were never sent got 502, where 503 promises that they have not run.

Cause: until the end, a request was sent as at any other time. After the requests were cancelled, idle connections to workers were still used, and a request whose dial was cancelled counted as one that may have run.

Change: from the time at which new connections are refused (0.45), a request is sent only if its deadline or its route's timeout lies before the time at which the requests in progress are ended (0.93). Any other one is refused at once with 503 and Retry-After: when its head is read, while its body is being read, while it waits for a worker, an owner or a permit, and as the last gate before bytes are written, hedged copies and forwarding included. A router that was forwarded to declines, so that the next one is tried. What was sent before that stays as it was, and so does a body in transfer. An estimate of how long a worker takes is not used: it does not bound it.

TestRequestThatMayOutlastStopIsRefused, eight cases, and two more tests.

--- a/internal/lab/mutate/mutations_answers.go
+++ b/internal/lab/mutate/mutations_answers.go
@@ -1,6 +1,7 @@
 package main
 
-// answerMutations let something that is no complete answer pass for one, or lose one that is.
+// answerMutations let something that is no complete answer pass for one, lose one that is, or break off
+// requests in a planned stop.
 var answerMutations = []mutation{
 	{
 		name: "answer-unread-after-failed-write",
@@ -58,4 +59,25 @@
 		new:  "invalid := checkNames(nil)",
 		pkg:  "./internal/proxy", test: "TestInvalidAnswerDoesNotReachCaller",
 	},
+	{
+		name: "late-requests-are-sent",
+		file: "internal/router/serve.go",
+		old:  "	r.proxy.LimitRequests(answerBy)\n",
+		new:  "",
+		pkg:  "./platform/session", test: "TestRequestsLateInGracePeriodAreNotBrokenOff",
+	},
+	{
+		name: "body-read-to-the-end-of-a-stop",
+		file: "internal/proxy/shutdown.go",
+		old:  "if !body.released && !c.endsInTime() {",
+		new:  "if false {",
+		pkg:  "./internal/proxy", test: "TestRequestThatMayOutlastStopIsRefused",
+	},
+	{
+		name: "body-in-transfer-interrupted-by-a-stop",
+		file: "internal/proxy/shutdown.go",
+		old:  "\tb.released = true\n",
+		new:  "",
+		pkg:  "./internal/proxy", test: "TestBodyInTransferIsNotInterruptedByLimit",
+	},
 }
--- a/internal/proxy/backoff.go
+++ b/internal/proxy/backoff.go
@@ -66,5 +66,5 @@
 // admits reports whether the worker chosen for the request may still get it. In the meantime it may
 // have requested a backoff, or have been draining for too long.
 func (c *call) admits(to *backend) bool {
-	return to.backoffLeft(clock.Now()) == 0 && c.drainedFor(to.id()) <= c.leavingGrace()
+	return c.endsInTime() && to.backoffLeft(clock.Now()) == 0 && c.drainedFor(to.id()) <= c.leavingGrace()
 }
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -104,7 +104,8 @@
 		return false
 	}
 	controller := http.NewResponseController(c.writer)
-	reader := c.limitBody(bodies.NewReader(body, c.deadline.Add(-answerMargin), controller), length)
+	limited := c.limitReading(controller)
+	reader := c.limitBody(bodies.NewReader(limited, c.deadline.Add(-answerMargin), controller), length)
 	whole, err := spool.Fill(reader, length, bodies.MaxSmall)
 	if err == nil && !whole {
 		if small && !c.awaitBodyMemory(spool) {
@@ -112,6 +113,7 @@
 		}
 		whole, err = spool.Fill(reader, length, maxBufferedBody)
 	}
+	limited.release()
 	switch {
 	case small && errors.Is(err, bodies.ErrNoMemory):
 		c.giveUp(reasonBodiesFull, c.jitteredRetryAfter())
@@ -147,6 +149,7 @@
 // a worker.
 func (c *call) refuseBodyError(err error) {
 	switch {
+	case c.refuseLate():
 	case errors.Is(err, errTooLong):
 		c.refuse(http.StatusRequestEntityTooLarge, reasonBody, 0)
 	case !errors.Is(err, os.ErrDeadlineExceeded):
@@ -176,7 +179,10 @@
 	return c.config.Limits.BodyBytes
 }
 
-var errTooLong = errors.New("request body exceeds the size limit")
+var (
+	errTooLong  = errors.New("request body exceeds the size limit")
+	errStopping = errors.New("the process stops before the request could end")
+)
 
 // limitBody limits a body whose length is unknown before it is read.
 func (c *call) limitBody(body io.Reader, length int64) io.Reader {
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -100,7 +100,8 @@
 		c.refuse(http.StatusBadRequest, reasonMalformed, 0)
 		return false
 	}
-	return c.readBody()
+	c.bodyUnread = c.request.Body != nil && c.request.Body != http.NoBody
+	return !c.refuseLate() && c.readBody()
 }
 
 // timeLeft returns the time until the deadline.
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -121,6 +121,9 @@
 	tried := map[string]bool{}
 	limit := c.began.Add(time.Duration(forwardShare * float64(c.route.Target)))
 	for range maxHelpers {
+		if c.refuseLate() {
+			return true
+		}
 		if len(tried) > 0 && clock.Now().After(limit) {
 			return false
 		}
@@ -141,7 +144,7 @@
 // forwardTo forwards the request to one router.
 func (c *call) forwardTo(helper *forward.Helper, message *upstream.Message) *upstream.Result {
 	c.sends.begin()
-	result := upstream.Send(c.request.Context(), c.proxy.Headers, helper.Pool, message, upstream.Target{}, c.deadline.Add(-forwardMargin), c.deadline.Add(-answerMargin))
+	result := upstream.Send(c.request.Context(), c.proxy.Headers, helper.Pool, message, upstream.Target{Admits: c.endsInTime}, c.deadline.Add(-forwardMargin), c.deadline.Add(-answerMargin))
 	c.cleanups.add(result.Free)
 	untaken := isUntaken(&result)
 	if untaken {
@@ -156,7 +159,7 @@
 
 // isUntaken reports whether the router certainly did not take the request: it was not reached, or declined.
 func isUntaken(result *upstream.Result) bool {
-	return result.Outcome == upstream.NotSent || result.Header.Get(declinedHeader) != ""
+	return result.Outcome == upstream.NotSent || result.Outcome == upstream.Withheld || result.Header.Get(declinedHeader) != ""
 }
 
 func forwardOutcome(answered, untaken bool) string {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -149,20 +149,16 @@
 	fleet       *fleet
 	unread      *unreadHeaders
 	// secret keys the hash by which API keys are looked up.
-	secret   tenant.Secret
-	current  atomic.Pointer[activeConfig]
-	stopping atomic.Bool
-	// ending is canceled by end once the process is about to exit.
-	ending context.Context
-	end    context.CancelFunc
+	secret  tenant.Secret
+	current atomic.Pointer[activeConfig]
+	shutdown
 }
 
 // New returns a proxy in the given zone that sends to the workers of the directory.
 func New(zone string, directory *workers.Directory, limits BudgetLimits) *Proxy {
-	ending, end := context.WithCancel(context.Background())
 	p := &Proxy{
 		fleet: newFleet(zone, directory, limits), Nodes: &atomic.Int32{}, Suspects: quarantine.NewView(), Reachability: &reachability.Tracker{},
-		MemoryBudget: bodies.NewMemoryBudget(0), LinkShaper: bodies.NewLinkShaper(0), unread: newUnreadHeaders(), ending: ending, end: end,
+		MemoryBudget: bodies.NewMemoryBudget(0), LinkShaper: bodies.NewLinkShaper(0), unread: newUnreadHeaders(), shutdown: newShutdown(),
 	}
 	_, _ = cryptorand.Read(p.secret[:]) // never fails
 	p.fleet.isBlocked = p.isBlocked
@@ -222,14 +218,6 @@
 	return nil
 }
 
-// BeginShutdown makes each further answer close its client connection.
-func (p *Proxy) BeginShutdown() { p.stopping.Store(true) }
-
-// CancelRequests ends the requests in progress because the process is about to exit. A request that
-// has not been sent to a worker yet is refused with a Retry-After header, rather than having its
-// connection aborted.
-func (p *Proxy) CancelRequests() { p.end() }
-
 // DropIdle closes all idle connections to workers, which may have ended unnoticed.
 func (p *Proxy) DropIdle() { p.fleet.dropIdle() }
 
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -86,6 +86,9 @@
 // answered the request.
 func (c *call) awaitOwner() *backend {
 	for {
+		if c.refuseLate() {
+			return nil
+		}
 		changed := c.proxy.Table.Changed()
 		to, reason := c.findOwner()
 		if to != nil {
--- a/internal/proxy/pooled.go
+++ b/internal/proxy/pooled.go
@@ -85,6 +85,9 @@
 func (c *call) awaitWorker() choice {
 	waitLimit := c.began.Add(time.Duration(queueWaitShare * float64(c.route.Target)))
 	for {
+		if c.refuseLate() {
+			return choice{}
+		}
 		now := clock.Now()
 		if picked := c.pick(now, c.requirements(), c.tried); picked.backend != nil {
 			if picked.estimate < c.timeLeft() || c.sends.mayHaveArrived() > 0 || picked.backend.estimateDecayed(now, defaultLatency) < c.timeLeft() {
--- /dev/null
+++ b/internal/proxy/shutdown_test.go
@@ -0,0 +1,153 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/shalefork/shalefork/internal/owner"
+)
+
+// lateRequest is a request whose head a client has sent, and whose body it sends byte by byte.
+type lateRequest struct {
+	connection net.Conn
+	reader     *bufio.Reader
+}
+
+// beginRequest sends the head of a request with a body of four bytes.
+func (f *testProxy) beginRequest(t *testing.T, path, id string, deadline time.Duration) *lateRequest {
+	t.Helper()
+	connection, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = connection.Close() })
+	_, err = fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: app.example\r\nX-Id: %s\r\nX-Key: 7\r\nX-Deadline: %d\r\nContent-Length: 4\r\n\r\n",
+		path, id, deadline.Milliseconds())
+	assert.NilError(t, err)
+	return &lateRequest{connection: connection, reader: bufio.NewReader(connection)}
+}
+
+// send sends bytes of the body.
+func (l *lateRequest) send(t *testing.T, bytes string) {
+	t.Helper()
+	_, err := io.WriteString(l.connection, bytes)
+	assert.NilError(t, err)
+}
+
+// status reads the response, within a time, and returns its status.
+func (l *lateRequest) status(t *testing.T, within time.Duration) (int, http.Header) {
+	t.Helper()
+	assert.NilError(t, l.connection.SetReadDeadline(time.Now().Add(within)))
+	response, err := http.ReadResponse(l.reader, nil)
+	assert.NilError(t, err)
+	_ = response.Body.Close()
+	return response.StatusCode, response.Header
+}
+
+// Requests that came late in a planned stop were sent to workers, and broken off at the end of it.
+func TestRequestThatMayOutlastStopIsRefused(t *testing.T) {
+	const atOnce = 300 * time.Millisecond
+	for name, test := range map[string]struct {
+		path     string
+		deadline time.Duration
+		// begun is set if the head was read before the limit, and late if the body is complete after it.
+		begun, late bool
+		cancelled   bool
+		status      int
+	}{
+		"head after the limit":                  {path: "/unsafe/", deadline: time.Second, status: 503},
+		"repeatable, head after the limit":      {path: "/safe/", deadline: time.Second, status: 503},
+		"body in progress at the limit":         {path: "/unsafe/", deadline: time.Second, begun: true, late: true, status: 503},
+		"waits for an owner at the limit":       {path: "/keyed-once/", deadline: time.Second, begun: true, status: 503},
+		"ends in time":                          {path: "/unsafe/", deadline: 300 * time.Millisecond, status: 200},
+		"ends in time, body at the limit":       {path: "/unsafe/", deadline: 300 * time.Millisecond, begun: true, late: true, status: 200},
+		"after the requests were cancelled":     {path: "/unsafe/", deadline: 300 * time.Millisecond, cancelled: true, status: 503},
+		"body when the requests were cancelled": {path: "/unsafe/", deadline: 300 * time.Millisecond, begun: true, late: true, cancelled: true, status: 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newFakeWorker(t, "w1", alwaysAnswer("done"))
+			f := newTestProxy(t, w.entry("pool"))
+			moving := owner.Owner{Keys: owner.KeyRange{From: 0, To: owner.KeyCount - 1}, Worker: "k", Moving: true}
+			f.proxy.Table.Replace(1, "keyed", []owner.Owner{moving})
+			stop := func() {
+				f.proxy.BeginShutdown()
+				f.proxy.LimitRequests(time.Now().Add(500 * time.Millisecond))
+				if test.cancelled {
+					f.proxy.CancelRequests()
+				}
+			}
+			if !test.begun {
+				stop()
+			}
+			request := f.beginRequest(t, test.path, "late", test.deadline)
+			if test.begun {
+				if !test.late {
+					request.send(t, "body")
+				}
+				time.Sleep(50 * time.Millisecond) // until the proxy handles it
+				stop()
+			}
+			if test.status == http.StatusOK {
+				request.send(t, "body")
+			}
+			status, header := request.status(t, atOnce)
+			assert.Equal(t, status, test.status)
+			assert.Equal(t, header.Get("X-Id"), "late")
+			assert.Equal(t, header.Get("Retry-After") != "", status == http.StatusServiceUnavailable)
+			assert.Equal(t, w.receivedCount() == 1, status == http.StatusOK)
+		})
+	}
+}
+
+// The limit ends where a request is sent: its client may send the body as it likes.
+func TestBodyInTransferIsNotInterruptedByLimit(t *testing.T) {
+	w := newFakeWorker(t, "w1", alwaysAnswer("done"))
+	f := newTestProxy(t, w.entry("pool"))
+	connection, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = connection.Close() })
+	half := make([]byte, maxBufferedBody)
+	_, err = fmt.Fprintf(connection, "POST /up/ HTTP/1.1\r\nHost: app.example\r\nX-Id: long\r\nX-Deadline: 1500\r\nContent-Length: %d\r\n\r\n%s", 2*len(half)-1, half)
+	assert.NilError(t, err)
+	list, _ := f.directory.Usable("pool")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.inFlight(list[0]) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the body is not being sent yet")
+	}, poll.WithTimeout(5*time.Second))
+	f.proxy.LimitRequests(time.Now().Add(500 * time.Millisecond))
+	time.Sleep(50 * time.Millisecond)
+	_, err = connection.Write(half[1:])
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, response.Header.Get("X-Signature"), "s")
+}
+
+// A router that stops takes no request that others forward, so that they try the next one.
+func TestForwardedRequestIsDeclinedLateInStop(t *testing.T) {
+	stopping, first, handler := newHelper(t, alwaysAnswer("first"))
+	_, second, other := newHelper(t, alwaysAnswer("second"))
+	stopping.proxy.BeginShutdown()
+	stopping.proxy.LimitRequests(time.Now())
+	f := newCutOffProxy(t, handler, other)
+	for range 4 {
+		response, body := f.get(t, "POST", "/unsafe/", "x")
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		assert.Equal(t, body, "second")
+	}
+	assert.Equal(t, first.receivedCount(), 0)
+	assert.Equal(t, second.receivedCount(), 4)
+	f.proxy.LimitRequests(time.Now())
+	response, _ := f.get(t, "POST", "/unsafe/", "x")
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, second.receivedCount(), 4)
+}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -13,8 +13,8 @@
 
 // Timing of a planned stop, as shares of the grace period.
 const (
-	// acceptShare is when new connections are refused: the readiness checks that direct clients
-	// need some seconds to notice that the process is not ready.
+	// acceptShare is when new connections are refused, and requests that may not end in time: the
+	// readiness checks that direct clients need some seconds to notice that the process is not ready.
 	acceptShare = 0.45
 	// answerShare is when requests in flight are answered, and finishShare is when the process ends
 	// at the latest. With a grace period of 6 s, that leaves 0.1 s for the answers.
@@ -59,7 +59,9 @@
 	case <-time.After(grace / 4):
 	}
 	clock.Sleep(context.Background(), clock.Until(began.Add(time.Duration(acceptShare*float64(grace)))))
-	defer time.AfterFunc(clock.Until(began.Add(time.Duration(answerShare*float64(grace)))), r.proxy.CancelRequests).Stop()
+	answerBy := began.Add(time.Duration(answerShare * float64(grace)))
+	r.proxy.LimitRequests(answerBy)
+	defer time.AfterFunc(clock.Until(answerBy), r.proxy.CancelRequests).Stop()
 	bounded, cancel := context.WithTimeout(context.Background(), clock.Until(began.Add(time.Duration(finishShare*float64(grace)))))
 	defer cancel()
 	r.awaitPipelined(bounded) // the server would treat their connections as idle, or close them with the first response
