Send no empty 200 to a client whose request is given up

What callers saw: a client whose upload stalled, or that closed its connection for writing, got an empty answer with status 200, which no worker had sent, in the place of none or of a failure.

Cause: net/http cancels a request's context at any error of reading from its client, an expired read deadline of ours among them. Such a request counted as one whose client is gone; its handler returned without writing, and net/http then sends an empty response with status 200.

Evidence: found by a mutation of the limit late in a stop, which survived with status 200 and no request received by the worker.

Change: a body that stalled ends as one that ended early, with 502, also once the context is canceled; a request that is given up since its client is gone aborts the connection.

--- a/internal/lab/mutate/mutations_answers.go
+++ b/internal/lab/mutate/mutations_answers.go
@@ -80,4 +80,11 @@
 		new:  "",
 		pkg:  "./internal/proxy", test: "TestBodyInTransferIsNotInterruptedByLimit",
 	},
+	{
+		name: "empty-answer-to-an-interrupted-client",
+		file: "internal/proxy/call.go",
+		old:  "		c.abortConnection() // net/http",
+		new:  "		return // net/http",
+		pkg:  "./internal/proxy", test: "TestInterruptedClientGetsNoEmptyAnswer",
+	},
 }
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -236,7 +236,7 @@
 func (c *call) abandon() {
 	if c.proxy.ending.Err() == nil {
 		c.recordEnd(0, "client-gone")
-		return
+		c.abortConnection() // net/http would send an empty response with status 200
 	}
 	c.giveUp(reasonEnding, minRetryAfter)
 }
--- a/internal/proxy/malformed_test.go
+++ b/internal/proxy/malformed_test.go
@@ -1,9 +1,13 @@
 package proxy
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -64,3 +68,41 @@
 	response, _ := f.get(t, "GET", "/safe/", "")
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 }
+
+// A client whose upload stalled, or that closed its connection for writing, got an empty answer with status
+// 200, which no worker had sent.
+func TestInterruptedClientGetsNoEmptyAnswer(t *testing.T) {
+	upload := fmt.Sprintf("POST /up/ HTTP/1.1\r\nHost: app.example\r\nX-Id: long\r\nX-Deadline: 700\r\nContent-Length: %d\r\n\r\n%s",
+		2*maxBufferedBody-1, make([]byte, maxBufferedBody+1000))
+	for name, test := range map[string]struct {
+		sent   string
+		closes bool
+	}{
+		"stalled upload":                {sent: upload},
+		"upload closed":                 {sent: upload, closes: true},
+		"closed while a worker runs it": {sent: "GET /safe/ HTTP/1.1\r\nHost: app.example\r\nX-Id: short\r\nX-Deadline: 700\r\n\r\n", closes: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newFakeWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+				time.Sleep(200 * time.Millisecond)
+				answer(connection, request, http.StatusOK, "late")
+				return true
+			})
+			f := newTestProxy(t, w.entry("pool"))
+			connection, err := net.Dial("tcp", f.server.Listener.Addr().String())
+			assert.NilError(t, err)
+			t.Cleanup(func() { _ = connection.Close() })
+			_, err = io.WriteString(connection, test.sent)
+			assert.NilError(t, err)
+			time.Sleep(50 * time.Millisecond)
+			if test.closes {
+				assert.NilError(t, connection.(*net.TCPConn).CloseWrite())
+			}
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			if err == nil {
+				assert.Assert(t, response.StatusCode >= 400, "%d", response.StatusCode)
+			}
+			assert.Assert(t, test.closes || err == nil, "%v", err)
+		})
+	}
+}
--- a/internal/upstream/write.go
+++ b/internal/upstream/write.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -64,7 +65,7 @@
 	switch {
 	case !s.anyWritten:
 		return Result{Outcome: unsentOutcome(ctx), Err: s.err}
-	case s.truncated && ctx.Err() == nil:
+	case s.truncated && (ctx.Err() == nil || errors.Is(s.err, os.ErrDeadlineExceeded)): // net/http ends the context after either
 		return Result{Outcome: BodyTruncated, Err: s.err, Written: true}
 	}
 	return Result{Outcome: failureOutcome(ctx, deadline, s.err), Err: s.err, Written: true}
