Take nothing for an answer whose end is ambiguous

What callers saw: a worker that named chunks in an answer of HTTP/1.0, which has none, had its raw chunks passed on as the body. Interim heads with a length or chunks were skipped without their body, so that what stood in it was read as the next head, as for status 000. An answer that named chunks as well as a length was served by its chunks, where others go by the length.

Cause: net/http drops the fields in question before anybody can look at them.

Change: the bytes of a head are kept while it is read (bounded as before; the memory reserved for a long one is five times its length now, not four), and a head that names a length which its version or its kind does not allow, or chunks and a length, is refused as RFC 9112, section 6.3, asks for.

Equal lengths, and such names in values and bodies, stay served.

--- a/internal/intake/head.go
+++ b/internal/intake/head.go
@@ -12,7 +12,9 @@
 	// maxHeadLines bounds the memory of a head's fields, which take more than their bytes.
 	maxHeadLines = 512
 	// headFactor is the memory that a head takes while it is parsed, as a multiple of its length.
-	headFactor = 4
+	headFactor = 5
+	// maxKeptHead is the length in bytes up to which the memory of a head is kept for the next one.
+	maxKeptHead = 4 << 10
 )
 
 // ErrHeadTooLong is returned if a head is longer than any peer needs, or does not end.
@@ -36,6 +38,8 @@
 	bytes, lines int
 	memory       Reserver
 	reserved     int64
+	// raw begins with the current head as it was received.
+	raw []byte
 	// refused is why the current head can't be read any further.
 	refused error
 }
@@ -43,10 +47,14 @@
 // NewHeadReader returns a reader of a connection that expects no head.
 func NewHeadReader(from io.Reader) *HeadReader { return &HeadReader{from: from} }
 
-// BeginHead is called before a head is read. What the head takes beyond the first read is reserved from
-// memory.
-func (r *HeadReader) BeginHead(memory Reserver) {
+// BeginHead is called before a head is read, of which a part may be buffered. What the head takes beyond the first
+// read is reserved from memory.
+func (r *HeadReader) BeginHead(buffered []byte, memory Reserver) {
 	r.inHead, r.bytes, r.lines, r.memory = true, 0, 0, memory
+	if cap(r.raw) > maxKeptHead {
+		r.raw = nil
+	}
+	r.raw = append(r.raw[:0], buffered...)
 }
 
 // EndHead is called once a head was read, or can't be. It returns how many bytes of memory are reserved for
@@ -57,6 +65,10 @@
 	return reserved, refused
 }
 
+// Raw returns the last head as it was received, and what was read together with it. It is valid until the next
+// head begins.
+func (r *HeadReader) Raw() []byte { return r.raw }
+
 // Read implements io.Reader.
 func (r *HeadReader) Read(into []byte) (int, error) {
 	if !r.inHead {
@@ -76,6 +88,7 @@
 		r.reserved += more
 	}
 	count, err := r.from.Read(into)
+	r.raw = append(r.raw, into[:count]...)
 	r.bytes += count
 	r.lines += bytes.Count(into[:count], []byte("\n"))
 	return count, err
--- a/internal/intake/head_test.go
+++ b/internal/intake/head_test.go
@@ -25,7 +25,7 @@
 
 func readResponse(text string, memory Reserver) (body string, reserved int64, err error) {
 	heads := NewHeadReader(strings.NewReader(text))
-	heads.BeginHead(memory)
+	heads.BeginHead(nil, memory)
 	response, err := http.ReadResponse(bufio.NewReader(heads), nil)
 	reserved, refused := heads.EndHead()
 	if err != nil {
--- a/internal/lab/mutate/mutations_answers.go
+++ b/internal/lab/mutate/mutations_answers.go
@@ -87,4 +87,11 @@
 		new:  "		return // net/http",
 		pkg:  "./internal/proxy", test: "TestInterruptedClientGetsNoEmptyAnswer",
 	},
+	{
+		name: "framing-as-net-http-leaves-it",
+		file: "internal/upstream/exchange.go",
+		old:  "responses.CheckFraming(head, e.conn.heads.Raw())",
+		new:  "responses.CheckFraming(head, nil)",
+		pkg:  "./internal/proxy", test: "TestInvalidAnswerDoesNotReachCaller",
+	},
 }
--- a/internal/proxy/answers_test.go
+++ b/internal/proxy/answers_test.go
@@ -44,6 +44,15 @@
 	"blank name of another's":    "HTTP/1.1 200 OK\r\nX-Id: other\r\nX A: b\r\nContent-Length: 2\r\n\r\nhi" + innerAnswer,
 	"blank name in a trailer":    "HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\ninner\r\n0\r\nX A: b\r\n\r\n",
 	"control byte in a trailer":  "HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\ninner\r\n0\r\nX\x01A: b\r\n\r\n",
+	"chunks in HTTP/1.0":         "HTTP/1.0 200 OK\r\nX-Id: %[1]s\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\ninner\r\n0\r\n\r\n",
+	"chunks and a length":        "HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Signature: s\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n5\r\ninner\r\n0\r\n\r\n",
+	"chunks and a later length":  "HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Signature: s\r\ntransfer-encoding: chunked\r\ncontent-length: 3\r\n\r\n5\r\ninner\r\n0\r\n\r\n",
+	"two lengths":                "HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Signature: s\r\nContent-Length: 5\r\nContent-Length: 3\r\n\r\ninner",
+	"a signed length":            "HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Signature: s\r\nContent-Length: +5\r\n\r\ninner",
+	"another coding":             "HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Signature: s\r\nTransfer-Encoding: gzip, chunked\r\n\r\n5\r\ninner\r\n0\r\n\r\n",
+	"an interim with a length":   "HTTP/1.1 103 X\r\nContent-Length: 88\r\n\r\n" + innerAnswer,
+	"an interim in chunks":       "HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\n" + innerAnswer,
+	"a second interim in chunks": "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\n" + innerAnswer,
 	"status 000 to another's ID": "HTTP/1.1 000 X\r\nX-Id: other\r\nContent-Length: 88\r\n\r\n" + innerAnswer,
 }
 
@@ -59,6 +68,8 @@
 	"any token as a name":   "HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Signature: s\r\nx!#$&'*+-.^_`|~9: b\r\nContent-Length: 5\r\n\r\ninner",
 	"a folded value":        "HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Signature: s\r\nX-A: b\r\n c\r\nContent-Length: 5\r\n\r\ninner",
 	"blanks around values":  "HTTP/1.1 200 OK\r\nX-Id:%[1]s\r\nX-Signature:   s  \r\nContent-Length:  5  \r\n\r\ninner",
+	"framing names in body": "HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Signature: s\r\nX-A: Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\ninner\r\nTransfer-Encoding: chunked\r\n",
+	"two equal lengths":     "HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Signature: s\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\ninner",
 	"a trailer":             "HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\ninner\r\n0\r\nX-A: b\r\n\r\n",
 	"after interim ones":    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + innerAnswer,
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -184,12 +184,16 @@
 // readHead reads the head of an answer. It returns the memory in bytes that is reserved for the head, which
 // the caller releases unless there is an error.
 func (e *exchange) readHead(request *http.Request) (*http.Response, int64, error) {
-	e.conn.heads.BeginHead(e.message.Budget)
+	buffered, _ := e.conn.reader.Peek(e.conn.reader.Buffered())
+	e.conn.heads.BeginHead(buffered, e.message.Budget)
 	head, err := http.ReadResponse(e.conn.reader, request)
 	reserved, refused := e.conn.heads.EndHead()
 	if err == nil {
 		err = responses.Check(head)
 	}
+	if err == nil {
+		err = responses.CheckFraming(head, e.conn.heads.Raw())
+	}
 	if err == nil {
 		head.Body = responses.WrapBody(head)
 		return head, reserved, nil
