--- a/internal/lab/mutate/mutations_requests.go
+++ b/internal/lab/mutate/mutations_requests.go
@@ -61,7 +61,7 @@
 	{
 		name: "answer-of-another-request",
 		file: "internal/upstream/exchange.go",
-		old:  " && response.Header.Get(e.headers.RequestID) == e.message.ID {",
+		old:  " && head.Header.Get(e.headers.RequestID) == e.message.ID {",
 		new:  " {",
 		pkg:  "./internal/proxy", test: "TestAnswerToAnotherRequestIsSkipped",
 	},
--- a/internal/proxy/answers_test.go
+++ b/internal/proxy/answers_test.go
@@ -82,23 +82,31 @@
 	}
 }
 
-// startRawRouter starts a router whose answers are written byte by byte by a script.
-func startRawRouter(t *testing.T, handle script) (address string) {
+// startRawListener starts a listener that handles one connection after the other, and closes each.
+func startRawListener(t *testing.T, handle func(connection net.Conn)) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for connection, err := listener.Accept(); err == nil; connection, err = listener.Accept() {
-			if request, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
-				handle(connection, request)
-			}
+			handle(connection)
 			_ = connection.Close()
 		}
 	}()
 	return listener.Addr().String()
 }
 
+// startRawRouter starts a router whose answers are written byte by byte by a script.
+func startRawRouter(t *testing.T, handle script) (address string) {
+	t.Helper()
+	return startRawListener(t, func(connection net.Conn) {
+		if request, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
+			handle(connection, request)
+		}
+	})
+}
+
 // proxiesFor returns proxies that read an answer from a worker, and from another router.
 func proxiesFor(t *testing.T, text string) map[string]*testProxy {
 	t.Helper()
--- a/internal/proxy/crash_test.go
+++ b/internal/proxy/crash_test.go
@@ -192,3 +192,25 @@
 		assert.Equal(t, wait, test.wait, "%s", test.after)
 	}
 }
+
+// A probe of a worker's address reads nothing, so that bytes without end that the worker sends are not kept.
+func TestProbeReadsNothing(t *testing.T) {
+	const sent = 64 << 20
+	written := make(chan int, 1)
+	address := startRawListener(t, func(connection net.Conn) {
+		total := 0
+		for total < sent {
+			count, err := connection.Write(make([]byte, 64<<10))
+			total += count
+			if err != nil {
+				break
+			}
+		}
+		written <- total
+	})
+	f := newTestProxy(t, workers.Worker{ID: "w1", Service: "pool", Address: address, Zone: "z", Slots: 4, State: workers.StateReady})
+	list, _ := f.directory.Usable("pool")
+	f.proxy.probe(f.proxy.fleet.get(list[0]), true)
+	const socketBuffers = 16 << 20
+	assert.Assert(t, <-written <= socketBuffers)
+}
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -114,3 +114,52 @@
 		})
 	}
 }
+
+// A worker that sent a body without end, which no caller reads, must not make the router hold or read it all.
+func TestEndlessBodyOfAnswerIsNotBuffered(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: one\r\nX-Signature: s\r\n"
+	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
+	long := strings.Repeat("a", 4000)
+	for name, test := range map[string]struct {
+		beginning, piece string
+		want             Outcome
+		// maxRead is how many bytes may be read.
+		maxRead int
+	}{
+		"to the close":     {beginning: head + "\r\n", piece: long, want: Answered, maxRead: 2 * testBudget},
+		"of huge length":   {beginning: head + "Content-Length: 99999999999\r\n\r\n", piece: long, want: Answered, maxRead: 2 * testBudget},
+		"in a huge chunk":  {beginning: head + chunked + "ffffffffff\r\n", piece: long, want: Answered, maxRead: 2 * testBudget},
+		"in small chunks":  {beginning: head + chunked, piece: strings.Repeat("1\r\na\r\n", 500), want: Answered, maxRead: 16 * testBudget},
+		"a chunk's length": {beginning: head + chunked, piece: strings.Repeat("0", 4000), want: Broken, maxRead: 256 << 10},
+		"an extension":     {beginning: head + chunked + "1;", piece: long, want: Broken, maxRead: 256 << 10},
+		"a trailer":        {beginning: head + chunked + "0\r\nX-A: ", piece: long, want: Broken, maxRead: 256 << 10},
+		"trailers":         {beginning: head + chunked + "0\r\n", piece: strings.Repeat("X-A: a\r\n", 500), want: Broken, maxRead: 256 << 10},
+		"of a refusal":     {beginning: "HTTP/1.1 503 X\r\nX-Id: one\r\nX-Not-Run: 1\r\n\r\n", piece: long, want: NotRun, maxRead: 2 * testBudget},
+		"of another's":     {beginning: "HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", piece: long, want: Broken, maxRead: 2 * maxSurplusBytes},
+		"unsigned":         {beginning: "HTTP/1.1 200 OK\r\nX-Id: one\r\n\r\n", piece: long, want: Broken, maxRead: 2 * testBudget},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newScriptedWorker(t)
+				read := make(chan int, 1)
+				go func() {
+					w.readRequest()
+					read <- w.writeRepeatedly(test.beginning, test.piece)
+				}()
+				got := w.send(t.Context(), w.newMessage(t, bodyOf(0), 0, 0))
+				assert.Equal(t, got.Outcome, test.want)
+				assert.Assert(t, w.budget.Used() <= testBudget)
+				assert.Assert(t, !w.hasIdleConn())
+				if got.Stream != nil {
+					time.Sleep(time.Second)
+					assert.Assert(t, w.budget.Used() <= testBudget)
+				}
+				got.Free()
+				count := <-read
+				assert.Assert(t, count <= test.maxRead, "%d bytes read", count)
+				synctest.Wait()
+				assert.Equal(t, w.budget.Used(), int64(0))
+			})
+		})
+	}
+}
