Do not take a client for gone whose upload the router has ended

What callers saw: a client that sent an upload slowly, and whose worker answered early with an answer that was streamed, got only the beginning of that answer, which had ended properly at the worker.

Cause: the router ends an upload whose answer has begun with an expired read deadline. net/http cancels the context of a request at any error of reading from its client, and the end of the context resets the connection to the worker, and stops the paced writing of an answer to the client.

Change: a request's context ends with that of net/http only until the router has ended the upload itself. A client that leaves later is noticed when the answer is written to it.

--- a/internal/lab/mutate/mutations_answers.go
+++ b/internal/lab/mutate/mutations_answers.go
@@ -94,4 +94,11 @@
 		new:  "responses.CheckFraming(head, nil)",
 		pkg:  "./internal/proxy", test: "TestInvalidAnswerDoesNotReachCaller",
 	},
+	{
+		name: "own-interruption-taken-for-a-client-that-is-gone",
+		file: "internal/proxy/body.go",
+		old:  "\t\t\tc.bodyInterrupted.Store(true)\n",
+		new:  "",
+		pkg:  "./internal/proxy", test: "TestLongAnswerBesideUploadReachesCaller",
+	},
 }
--- a/internal/proxy/answers_test.go
+++ b/internal/proxy/answers_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/shalefork/shalefork/internal/forward"
+	"github.com/shalefork/shalefork/internal/workers"
 )
 
 // invalidAnswers are what a worker in trouble sends in place of an answer. %[1]s is the ID of the request, and
@@ -158,3 +162,56 @@
 		})
 	}
 }
+
+// A worker answers an upload early and sends a long answer, which ends properly. The router ends the upload.
+func TestLongAnswerBesideUploadReachesCaller(t *testing.T) {
+	const pieces, pieceLength, interval = 8, 5000, 40 * time.Millisecond
+	for name, test := range map[string]struct{ length, sent int }{
+		"buffered upload":         {length: maxBufferedBody - 1, sent: maxBufferedBody - 1},
+		"streamed upload":         {length: 2*maxBufferedBody - 1, sent: 2*maxBufferedBody - 1},
+		"streamed upload, slowly": {length: 2*maxBufferedBody - 1, sent: maxBufferedBody + 1000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := startRawListener(t, func(connection net.Conn) {
+				if test.sent == test.length { // otherwise the router waits for the client
+					_ = connection.(*net.TCPConn).SetReadBuffer(4 << 10)
+				}
+				request, err := http.ReadRequest(bufio.NewReader(connection))
+				if err != nil {
+					return
+				}
+				if test.sent < test.length {
+					_, _ = io.CopyN(io.Discard, request.Body, maxBufferedBody)
+				}
+				_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: s\r\n\r\n", request.Header.Get("X-Id"))
+				for range pieces {
+					time.Sleep(interval)
+					_, _ = io.WriteString(connection, strings.Repeat("p", pieceLength))
+				}
+				_ = connection.(*net.TCPConn).CloseWrite()
+				time.Sleep(interval)
+			})
+			f := newTestProxy(t, workers.Worker{ID: "w1", Service: "pool", Address: address, Zone: "z", Slots: 4, State: workers.StateReady})
+			f.proxy.SetWorkerDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
+				connection, err := (&net.Dialer{}).DialContext(ctx, network, address)
+				if err == nil {
+					_ = connection.(*net.TCPConn).SetWriteBuffer(16 << 10)
+				}
+				return connection, err
+			})
+			client, err := net.Dial("tcp", f.server.Listener.Addr().String())
+			assert.NilError(t, err)
+			t.Cleanup(func() { _ = client.Close() })
+			go func() {
+				_, _ = fmt.Fprintf(client, "POST /down/ HTTP/1.1\r\nHost: app.example\r\nX-Id: early\r\nX-Deadline: 1500\r\nContent-Length: %d\r\n\r\n%s",
+					test.length, make([]byte, test.sent))
+			}()
+			response, err := http.ReadResponse(bufio.NewReader(client), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+			body, err := io.ReadAll(response.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, len(body), pieces*pieceLength)
+		})
+	}
+}
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -125,7 +125,10 @@
 	c.message.Body, c.message.Length = spool, spool.Length()
 	if !whole {
 		c.message.Rest, c.message.Length = reader, length
-		c.message.Interrupt = func() { _ = controller.SetReadDeadline(time.Now()) }
+		c.message.Interrupt = func() {
+			c.bodyInterrupted.Store(true)
+			_ = controller.SetReadDeadline(time.Now())
+		}
 		return true
 	}
 	c.bodyUnread = false
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -64,6 +64,9 @@
 	prepared, forwarded bool
 	// bodyUnread reports that the caller's body has not been read to its end.
 	bodyUnread bool
+	// bodyInterrupted is set once the router itself has ended the caller's body. net/http then cancels the
+	// request's context, as if the caller were gone.
+	bodyInterrupted atomic.Bool
 	// detach keeps the request from being canceled when the process shuts down.
 	detach func() bool
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -243,11 +243,16 @@
 
 // serve handles a request of a caller, or of a router that has forwarded it.
 func (p *Proxy) serve(writer http.ResponseWriter, request *http.Request, from origin) {
-	ctx, cancel := context.WithCancel(request.Context())
+	ctx, cancel := context.WithCancel(context.WithoutCancel(request.Context()))
 	defer cancel()
 	detach := context.AfterFunc(p.ending, cancel)
 	defer detach()
 	c := &call{proxy: p, writer: writer, request: request.WithContext(ctx), began: clock.Now(), tried: map[workers.ID]bool{}, detach: detach, origin: from}
+	defer context.AfterFunc(request.Context(), func() {
+		if !c.bodyInterrupted.Load() {
+			cancel()
+		}
+	})()
 	defer c.cleanups.run()
 	c.message.ID = request.Header.Get(p.Headers.RequestID)
 	c.bodyUnread = request.ContentLength < 0 || request.ContentLength > bodies.MaxSmall
