Follow no redirects of workers that get orders, or of the store

What was seen: no report; found while the readers of answers were checked. A worker, or whoever has its address now, that answered a grant with a redirect made the leader ask elsewhere, and a 200 from there counted as the worker's reply. Calls of the store were redirected likewise.

Cause: http.Client follows redirects unless it is told not to.

Change: one constructor of clients whose responses are judged, which follows none. A redirect is a reply with an invalid status.

--- a/internal/lab/mutate/mutations_answers.go
+++ b/internal/lab/mutate/mutations_answers.go
@@ -101,4 +101,11 @@
 		new:  "",
 		pkg:  "./internal/proxy", test: "TestLongAnswerBesideUploadReachesCaller",
 	},
+	{
+		name: "redirects-followed",
+		file: "internal/responses/transport.go",
+		old:  "return http.ErrUseLastResponse",
+		new:  "return nil",
+		pkg:  "./platform", test: "TestRedirectOfOrderOrStoreIsNotFollowed",
+	},
 }
--- a/internal/responses/transport.go
+++ b/internal/responses/transport.go
@@ -6,6 +6,15 @@
 	"net/textproto"
 )
 
+// NewClient returns a client that checks the responses of a transport. It follows no redirects: what stands
+// elsewhere is no response of the peer that was asked.
+func NewClient(base *http.Transport) *http.Client {
+	return &http.Client{
+		Transport:     &Transport{Base: base},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // Transport checks the responses that an http.Transport receives. It implements http.RoundTripper.
 type Transport struct {
 	Base *http.Transport
