Pass on a worker's server error late in a planned stop

What callers saw: with the limit on late requests, a repeatable request that its worker had answered with 500 got 503 of the router in its place, since it could not be sent again.

Cause: whether it may be sent again was asked before the limit was.

Change: such an answer is passed on if the request can't end in time.

Result: TestServerErrorLateInStopReachesCaller failed before (503) and passes.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -199,7 +199,7 @@
 func (c *call) finish(result *upstream.Result) bool {
 	switch result.Outcome {
 	case upstream.Answered:
-		if result.Status == http.StatusInternalServerError && c.mayResend() {
+		if result.Status == http.StatusInternalServerError && c.mayResend() && c.endsInTime() {
 			return false
 		}
 		c.forwardAnswer(result)
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -105,6 +105,20 @@
 	}
 }
 
+// A worker's server error is passed on if the request can't be sent again.
+func TestServerErrorLateInStopReachesCaller(t *testing.T) {
+	var f *testProxy
+	w := newFakeWorker(t, "w1", func(connection net.Conn, request *http.Request) bool {
+		f.proxy.LimitRequests(time.Now())
+		answer(connection, request, http.StatusInternalServerError, "failed")
+		return true
+	})
+	f = newTestProxy(t, w.entry("pool"))
+	response, body := f.get(t, "GET", "/safe/", "")
+	assert.Equal(t, response.StatusCode, http.StatusInternalServerError)
+	assert.Equal(t, body, "failed")
+}
+
 // The limit ends where a request is sent: its client may send the body as it likes.
 func TestBodyInTransferIsNotInterruptedByLimit(t *testing.T) {
 	w := newFakeWorker(t, "w1", alwaysAnswer("done"))
