Test of bodies in transfer: wait until the worker has the head

It waited until the request counted as in flight at the worker, which it does before the wait for a reset of a new connection; a limit that came in those 3 ms refuses the request, as it has to.

Change: the worker tells when it has the request's head, after which the request has been sent. The checks are the same.

--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/workers"
 )
 
 // lateRequest is a request whose head a client has sent, and whose body it sends byte by byte.
@@ -121,21 +121,25 @@
 
 // The limit ends where a request is sent: its client may send the body as it likes.
 func TestBodyInTransferIsNotInterruptedByLimit(t *testing.T) {
-	w := newFakeWorker(t, "w1", alwaysAnswer("done"))
-	f := newTestProxy(t, w.entry("pool"))
+	begun := make(chan struct{}, 1)
+	address := startRawListener(t, func(connection net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(connection))
+		if err != nil {
+			return
+		}
+		begun <- struct{}{}
+		if _, err := io.Copy(io.Discard, request.Body); err == nil {
+			answer(connection, request, http.StatusOK, "done")
+		}
+	})
+	f := newTestProxy(t, workers.Worker{ID: "w1", Service: "pool", Address: address, Zone: "z", Slots: 4, State: workers.StateReady})
 	connection, err := net.Dial("tcp", f.server.Listener.Addr().String())
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = connection.Close() })
 	half := make([]byte, maxBufferedBody)
 	_, err = fmt.Fprintf(connection, "POST /up/ HTTP/1.1\r\nHost: app.example\r\nX-Id: long\r\nX-Deadline: 1500\r\nContent-Length: %d\r\n\r\n%s", 2*len(half)-1, half)
 	assert.NilError(t, err)
-	list, _ := f.directory.Usable("pool")
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if f.inFlight(list[0]) == 1 {
-			return poll.Success()
-		}
-		return poll.Continue("the body is not being sent yet")
-	}, poll.WithTimeout(5*time.Second))
+	<-begun
 	f.proxy.LimitRequests(time.Now().Add(500 * time.Millisecond))
 	time.Sleep(50 * time.Millisecond)
 	_, err = connection.Write(half[1:])
