Test of permits that are granted late in a planned stop

It holds: nothing is sent, the answer is an immediate 503 with Retry-After, and one permit is asked for. Nothing else changes.

--- a/internal/lab/mutate/mutations_answers.go
+++ b/internal/lab/mutate/mutations_answers.go
@@ -66,6 +66,13 @@
 		new:  "",
 		pkg:  "./platform/session", test: "TestRequestsLateInGracePeriodAreNotBrokenOff",
 	},
+	{
+		name: "sent-after-a-permit-late-in-a-stop",
+		file: "internal/proxy/backoff.go",
+		old:  "return c.endsInTime() && to.backoffLeft(",
+		new:  "return to.backoffLeft(",
+		pkg:  "./internal/proxy", test: "TestPermitLateInStopIsNotUsed",
+	},
 	{
 		name: "body-read-to-the-end-of-a-stop",
 		file: "internal/proxy/shutdown.go",
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/shalefork/shalefork/internal/owner"
+	"github.com/shalefork/shalefork/internal/quarantine"
 	"github.com/shalefork/shalefork/internal/workers"
 )
 
@@ -169,3 +170,66 @@
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
 	assert.Equal(t, second.receivedCount(), 4)
 }
+
+// stoppingLimits grants permits of limited workers, each after a planned stop has limited the requests.
+type stoppingLimits struct {
+	*fakeLimits
+	stop func()
+}
+
+func (l stoppingLimits) AcquirePermit(worker workers.Incarnation, cost, wait time.Duration) (time.Duration, bool) {
+	l.stop()
+	return l.fakeLimits.AcquirePermit(worker, cost, wait)
+}
+
+// stoppingPermits grants permits of suspected requests, each after a planned stop has limited the requests.
+type stoppingPermits struct {
+	*testPermits
+	stop func()
+}
+
+func (p stoppingPermits) Acquire(request quarantine.Fingerprint, holder string, run time.Duration) SuspectPermit {
+	p.stop()
+	return p.testPermits.Acquire(request, holder, run)
+}
+
+// Whoever waits for a permit while the limit comes is refused, although the permit is granted.
+func TestPermitLateInStopIsNotUsed(t *testing.T) {
+	for name, test := range map[string]struct {
+		service, method, path string
+		suspected             bool
+	}{
+		"permit of a limited worker":               {service: "pool", method: "POST", path: "/unsafe/"},
+		"of a limited worker, repeatable":          {service: "pool", method: "GET", path: "/safe/"},
+		"of a limited owner":                       {service: "keyed", method: "POST", path: "/keyed-once/"},
+		"permit of a suspected request":            {service: "pool", method: "POST", path: "/unsafe/", suspected: true},
+		"of a suspected request, sent to an owner": {service: "keyed", method: "POST", path: "/keyed-once/", suspected: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newFakeWorker(t, "w1", alwaysAnswer("done"))
+			f, limits := newLimitedProxy(t, []workers.ID{"w1"}, w.entry(test.service))
+			f.assignAllKeys(w.entry(test.service))
+			limits.permits = 9
+			asked := 0
+			stop := func() {
+				asked++
+				f.proxy.BeginShutdown()
+				f.proxy.LimitRequests(time.Now())
+			}
+			f.proxy.Limits = stoppingLimits{limits, stop}
+			if test.suspected {
+				f.proxy.Limits = nil
+				f.proxy.SuspectPermits = stoppingPermits{&testPermits{gate: quarantine.NewGate()}, stop}
+				f.recordCrashes(expectedAttempt(test.method, test.path, "x"), "a")
+			}
+			began := time.Now()
+			response, body := f.get(t, test.method, test.path, "x", "X-Key", "7", "X-Deadline", "1000")
+			assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+			assert.Equal(t, body, reasonEnding+"\n")
+			assert.Assert(t, response.Header.Get("Retry-After") != "")
+			assert.Equal(t, w.receivedCount(), 0)
+			assert.Equal(t, asked, 1)
+			assert.Assert(t, time.Since(began) < 300*time.Millisecond, "it is refused at once")
+		})
+	}
+}
