--- a/review/stage2/fleet.go
+++ b/review/stage2/fleet.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -134,7 +136,7 @@
 }
 
 // workerSlots is how many requests a worker runs at a time.
-const workerSlots = 4
+const workerSlots = 6
 
 // startWorker starts a new incarnation of a worker, which gets a new ID, and announces it.
 func (f *fleet) startWorker(service, address, workTime string) error {
--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command stage2 runs the scripted cases of the second review: it starts routers and workers as processes
 // on loopback addresses, plays callers, operator and store, and checks what they have seen.
 package main
--- a/review/stage2/popular.go
+++ b/review/stage2/popular.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -17,18 +19,18 @@
 
 // Course of the case, from the start of traffic.
 const (
-	crashAt      = 20 * time.Second
-	crashLength  = 4500 * time.Millisecond
-	finalFaultAt = 32 * time.Second
+	finalFaultAt = 15 * time.Second
 	downTime     = 1300 * time.Millisecond
+	crashAt      = 21 * time.Second
+	crashLength  = 4500 * time.Millisecond
 	recovery     = 15 * time.Second // recoveryS
 	observed     = 15 * time.Second // after the recovery
 )
 
 // Load of the case.
 const (
-	callerCount = 30
-	listWork    = "200ms"
+	callerCount = 40
+	listWork    = "240ms"
 	bookWork    = "78ms"
 )
 
@@ -40,8 +42,8 @@
 "book":{"healthPath":"/health","maxConnections":130,"protocol":"h1","tls":false}},
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15}}`
 
-// runPopular lets callers ask for a list that most of them want, crashes all workers of its service at once,
-// starts new ones, kills and starts all routers, and checks that requests are served again (RECOVER).
+// runPopular lets callers ask for a list that most of them want, kills and starts all routers, crashes all workers
+// of the list's service at once, starts new ones, and checks that requests are served again (RECOVER).
 func runPopular(arguments []string) int {
 	recordPath, trouble := arguments[0], os.Getenv("TROUBLE") != "0"
 	folder, err := os.MkdirTemp("", "review")
@@ -65,34 +67,42 @@
 	c := newCallers(f, record)
 	c.run(callerCount)
 	if trouble {
-		time.Sleep(time.Until(c.began.Add(crashAt)))
-		c.note("all workers of service list are killed")
-		addresses := f.crashWorkers("list")
-		time.Sleep(time.Until(c.began.Add(crashAt + crashLength)))
-		for _, address := range addresses {
-			if err := f.startWorker("list", address, listWork); err != nil {
-				return cannotRun(err)
-			}
-		}
-		c.note("workers of service list are back")
-		time.Sleep(time.Until(c.began.Add(finalFaultAt)))
-		c.note("all routers are killed")
-		f.killRouters()
-		time.Sleep(downTime)
-		if err := f.startRouters(); err != nil {
+		if err := playTrouble(f, c); err != nil {
 			return cannotRun(err)
 		}
-		c.note("all routers are back")
 	}
-	time.Sleep(time.Until(c.began.Add(finalFaultAt + downTime)))
-	returned := time.Now()
-	time.Sleep(recovery + observed)
+	recovered := c.began.Add(crashAt + crashLength + recovery)
+	time.Sleep(time.Until(recovered.Add(observed)))
 	c.stop()
-	return c.judge(c.began.Add(finalFaultAt), returned.Add(recovery))
+	return c.judge(c.began.Add(finalFaultAt), recovered)
+}
+
+// playTrouble plays the final fault, and then the crash of the workers. What is judged is sent later than recoveryS
+// after both have ended.
+func playTrouble(f *fleet, c *callers) error {
+	time.Sleep(time.Until(c.began.Add(finalFaultAt)))
+	c.note("all routers are killed")
+	f.killRouters()
+	time.Sleep(downTime)
+	if err := f.startRouters(); err != nil {
+		return err
+	}
+	c.note("all routers are back")
+	time.Sleep(time.Until(c.began.Add(crashAt)))
+	c.note("all workers of service list are killed")
+	addresses := f.crashWorkers("list")
+	time.Sleep(time.Until(c.began.Add(crashAt + crashLength)))
+	for _, address := range addresses {
+		if err := f.startWorker("list", address, listWork); err != nil {
+			return err
+		}
+	}
+	c.note("workers of service list are back")
+	return nil
 }
 
 func startPopular(f *fleet, store string) error {
-	for range 3 {
+	for range 5 {
 		if err := f.startWorker("list", freeAddress(), listWork); err != nil {
 			return err
 		}
@@ -149,18 +159,18 @@
 	fmt.Fprintf(c.record, "%8.3f %s\n", time.Since(c.began).Seconds(), fmt.Sprintf(format, values...))
 }
 
-// run starts callers, each of which sends a request about every half second. Of ten requests, eight ask for the
-// same list, one for another list, and one books.
+// run starts callers, each of which sends a request about every half second. Of fifty requests, 44 ask for the same
+// list, one for another list, and five book.
 func (c *callers) run(count int) {
 	for number := range count {
 		go func() {
 			time.Sleep(time.Duration(number) * 500 * time.Millisecond / time.Duration(count))
 			for turn := number; c.ctx.Err() == nil; turn++ {
 				due := time.Now().Add(500 * time.Millisecond)
-				switch turn % 10 {
-				case 0:
+				switch {
+				case turn%10 == 0:
 					c.request(number, http.MethodPost, "book.example", "/book/"+strconv.Itoa(turn), fmt.Sprintf("booking %d of caller %d", turn, number), 1500*time.Millisecond)
-				case 5:
+				case turn%50 == 5:
 					c.request(number, http.MethodGet, "list.example", fmt.Sprintf("/list/%d-%d", number, turn), "", 2500*time.Millisecond)
 				default:
 					c.request(number, http.MethodGet, "list.example", "/list/tonight", "", 2500*time.Millisecond)
--- a/review/stage2/worker.go
+++ b/review/stage2/worker.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
