--- a/review/stage2/fleet.go
+++ b/review/stage2/fleet.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/shalefork/shalefork/internal/lab/loopback"
 	"github.com/shalefork/shalefork/platform/standin"
 )
 
@@ -28,15 +29,9 @@
 // heartbeat is how often a worker rewrites its entry; it is gone after three of them without one.
 const heartbeat = 870 * time.Millisecond
 
-// freeAddress returns a loopback address that no process listens on.
-func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
+// freeAddress returns a loopback address that no process listens on. The host part is this process's own, so that no
+// outgoing connection of another process uses the port.
+func freeAddress() string { return loopback.Address().String() }
 
 // child is a process that the case has started.
 type child struct {
@@ -98,7 +93,7 @@
 // newFleet starts the store with a configuration.
 func newFleet(folder, config string) (*fleet, string, error) {
 	f := &fleet{folder: folder, store: standin.NewStore()}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", freeAddress())
 	if err != nil {
 		return nil, "", err
 	}
@@ -216,6 +211,9 @@
 	return os.WriteFile(r.settings, []byte(text), 0o600)
 }
 
+// startLimit is how long a router may take to become ready, on a busy machine.
+const startLimit = 20 * time.Second
+
 // startRouters starts all routers and waits until they are ready.
 func (f *fleet) startRouters() error {
 	for _, r := range f.routers {
@@ -225,7 +223,7 @@
 		}
 	}
 	for _, r := range f.routers {
-		if !r.awaitReady(10 * time.Second) {
+		if !r.awaitReady(startLimit) {
 			return fmt.Errorf("router %s is not ready", r.front)
 		}
 	}
